Set down the shape of the code: folders, core types, messages

The system is a decision core without sockets, threads or clocks, and one task per kind of socket around it. This first commit fixes what every other part builds on, so that the parts can be written side by side:

- entry: the messages, the table of parts, the bus that routes messages to tasks by type
- headers of all aggregates and tasks

Ruled out: a task per aggregate (each decision would need several hops), and shared counters (tasks share nothing; the admin task asks for them).

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,124 @@
+# Targets: all, demo, check, soak, mutants, bench, fuzz, lint, format, install.
+# VARIANT is rel (default), asan or tsan; SOAK=1 builds with mutants.
+
+CC = gcc
+PREFIX = /usr/local
+DESTDIR =
+VARIANT = rel
+
+PKGS = libevent libevent_pthreads glib-2.0 jansson libsodium cmocka
+PKG_CFLAGS := $(shell pkg-config --cflags $(PKGS))
+PKG_LIBS := $(shell pkg-config --libs $(PKGS))
+LIBS = -levhtp -lonig -lssl -lcrypto -lmsgpackc -llog4c -linih -lxxhash \
+	$(PKG_LIBS) -lm -lpthread
+
+CFLAGS_rel = -O2 -g
+CFLAGS_asan = -O1 -g -fsanitize=address,undefined -fno-sanitize-recover=all \
+	-fno-omit-frame-pointer
+CFLAGS_tsan = -O1 -g -fsanitize=thread
+CFLAGS_soak = -O2 -g -DCS_SOAK
+CFLAGS_soakasan = $(CFLAGS_asan) -DCS_SOAK
+
+CFLAGS = -std=gnu11 -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
+	-D_GNU_SOURCE $(CFLAGS_$(VARIANT)) $(PKG_CFLAGS)
+LDFLAGS = $(filter -fsanitize%,$(CFLAGS_$(VARIANT)))
+
+B = build/$(VARIANT)
+
+LIB_SRC := $(sort $(wildcard src/*/*.c))
+LIB_SRC := $(filter-out src/cmd/%,$(LIB_SRC))
+LIB_OBJ := $(LIB_SRC:%.c=$(B)/%.o)
+CMD_OBJ := $(patsubst %.c,$(B)/%.o,$(wildcard src/cmd/*.c))
+UNIT_SRC := $(wildcard tests/unit/test_*.c)
+UNIT_BIN := $(UNIT_SRC:tests/unit/%.c=$(B)/unit/%)
+UNIT_COMMON := $(filter-out $(UNIT_SRC),$(wildcard tests/unit/*.c))
+STANDIN_OBJ := $(patsubst %.c,$(B)/%.o,$(wildcard tests/standin/*.c))
+SOAK_OBJ := $(patsubst %.c,$(B)/%.o,$(wildcard tests/soak/*.c))
+BENCH_OBJ := $(patsubst %.c,$(B)/%.o,$(wildcard tests/bench/*.c))
+C_FILES := $(shell find src tests -name '*.c' -o -name '*.h' | sort)
+
+SEED = 1
+STEPS = 1000000
+MUTATE =
+
+all: deps $(B)/camphorshed $(if $(STANDIN_OBJ),$(B)/camphorshed-standin)
+
+# Installs the Debian packages once; needs root on a fresh machine.
+deps: build/.deps
+build/.deps: scripts/install-deps.sh
+	scripts/install-deps.sh
+	mkdir -p build
+	touch $@
+
+$(B)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) -MMD -MP -c -o $@ $<
+
+$(B)/libcamphorshed.a: $(LIB_OBJ)
+	rm -f $@
+	ar rcs $@ $^
+
+$(B)/camphorshed: $(CMD_OBJ) $(B)/libcamphorshed.a
+	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
+
+$(B)/camphorshed-standin: $(STANDIN_OBJ) $(B)/libcamphorshed.a
+	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
+
+$(B)/camphorshed-soak: $(SOAK_OBJ) $(B)/libcamphorshed.a
+	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
+
+$(B)/camphorshed-bench: $(BENCH_OBJ) $(B)/libcamphorshed.a
+	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
+
+$(B)/unit/%: $(B)/tests/unit/%.o $(UNIT_COMMON:%.c=$(B)/%.o) \
+		$(B)/libcamphorshed.a
+	@mkdir -p $(@D)
+	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
+
+unit: $(UNIT_BIN)
+
+programs: $(B)/camphorshed $(if $(STANDIN_OBJ),$(B)/camphorshed-standin)
+
+check: deps
+	scripts/check.sh
+
+demo: all
+	scripts/demo.sh
+
+soak:
+	$(MAKE) -s VARIANT=soak build/soak/camphorshed-soak
+	build/soak/camphorshed-soak --seed=$(SEED) --steps=$(STEPS) \
+		$(if $(MUTATE),--mutate=$(MUTATE))
+
+mutants:
+	$(MAKE) -s VARIANT=soak build/soak/camphorshed-soak
+	tests/soak/mutants.sh
+
+bench: all
+	$(MAKE) -s $(B)/camphorshed-bench
+	tests/bench/bench.sh
+
+lint:
+	scripts/lint.sh
+
+format:
+	clang-format -i $(C_FILES)
+
+install: $(B)/camphorshed
+	install -D -m 755 $(B)/camphorshed \
+		$(DESTDIR)$(PREFIX)/bin/camphorshed
+	install -D -m 644 doc/camphorshed.1 \
+		$(DESTDIR)$(PREFIX)/share/man/man1/camphorshed.1
+	install -D -m 644 etc/entry.ini \
+		$(DESTDIR)$(PREFIX)/share/camphorshed/entry.ini
+	install -D -m 644 etc/camphorshed.service \
+		$(DESTDIR)$(PREFIX)/lib/systemd/system/camphorshed.service
+
+clean:
+	rm -rf build/rel build/asan build/tsan build/soak build/soakasan
+
+-include $(shell find build -name '*.d' 2>/dev/null)
+
+.PHONY: all deps unit programs check demo soak mutants bench lint format \
+	install clean
+.SECONDARY:
--- /dev/null
+++ b/scripts/install-deps.sh
@@ -0,0 +1,21 @@
+#!/bin/sh
+# Installs the Debian packages that build and check camphorshed. Does nothing
+# when all of them are there.
+set -eu
+
+packages="gcc make pkg-config libevent-dev libevhtp-dev libmsgpack-dev
+liblog4c-dev libinih-dev libglib2.0-dev libcmocka-dev libxxhash-dev
+libsodium-dev libjansson-dev libonig-dev libssl-dev clang clang-format
+clang-tidy cppcheck python3 curl procps man-db"
+
+missing=
+for p in $packages; do
+	dpkg-query -W -f '${Status}' "$p" 2>/dev/null |
+		grep -q 'install ok installed' || missing="$missing $p"
+done
+[ -n "$missing" ] || exit 0
+echo "installing:$missing" >&2
+export DEBIAN_FRONTEND=noninteractive
+apt-get update -qq
+# shellcheck disable=SC2086
+apt-get install -y -qq --no-install-recommends $missing >/dev/null
--- /dev/null
+++ b/src/base/log.c
@@ -0,0 +1,167 @@
+#include "log.h"
+
+#include <inttypes.h>
+#include <log4c.h>
+#include <string.h>
+
+#include "error.h"
+
+struct log {
+	log4c_category_t *category;
+	log4c_appender_t *appender;
+	log4c_layout_t *layout;
+	enum log_level level;
+};
+
+static const char *const level_names[] = { "debug", "info", "warn", "error",
+					   "fatal" };
+
+static const int priorities[] = { LOG4C_PRIORITY_DEBUG, LOG4C_PRIORITY_INFO,
+				  LOG4C_PRIORITY_WARN, LOG4C_PRIORITY_ERROR,
+				  LOG4C_PRIORITY_FATAL };
+
+/* The message is a whole line already; this layout adds the line end. */
+static const char *format_line(const log4c_layout_t *layout,
+			       const log4c_logging_event_t *event)
+{
+	(void)layout;
+	return event->evt_msg;
+}
+
+static const log4c_layout_type_t line_layout = { "camphorshed.line",
+						 format_line };
+
+int log_level_parse(enum log_level *level, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(level_names); i++) {
+		if (!strcmp(name, level_names[i])) {
+			*level = (enum log_level)i;
+			return CS_OK;
+		}
+	}
+	return CS_ERR_INVALID;
+}
+
+struct log *log_create(enum log_level level, struct cs_error *err)
+{
+	struct log *log = g_new0(struct log, 1);
+
+	if (log4c_init())
+		goto fail;
+	log->level = level;
+	log->category = log4c_category_get("camphorshed");
+	log->appender = log4c_appender_get("stderr");
+	log->layout = log4c_layout_get("camphorshed.line");
+	if (!log->category || !log->appender || !log->layout)
+		goto fail;
+	log4c_layout_set_type(log->layout, &line_layout);
+	log4c_appender_set_layout(log->appender, log->layout);
+	log4c_category_set_appender(log->category, log->appender);
+	log4c_category_set_additivity(log->category, 0);
+	log4c_category_set_priority(log->category, priorities[level]);
+	return log;
+fail:
+	cs_error_set(err, CS_ERR_IO, "log_create", NULL,
+		     "log4c cannot be started");
+	g_free(log);
+	return NULL;
+}
+
+void log_destroy(struct log *log)
+{
+	if (!log)
+		return;
+	log4c_fini();
+	g_free(log);
+}
+
+bool log_enabled(const struct log *log, enum log_level level)
+{
+	return level >= log->level;
+}
+
+static bool needs_quotes(const char *s)
+{
+	if (!*s)
+		return true;
+	for (; *s; s++)
+		if ((unsigned char)*s <= ' ' || *s == '"' || *s == '=' ||
+		    *s == '\\' || (unsigned char)*s == 0x7f)
+			return true;
+	return false;
+}
+
+void log_pair(GString *out, const char *key, const char *value)
+{
+	const char *s;
+
+	g_string_append_printf(out, "%s%s=", out->len ? " " : "", key);
+	if (!needs_quotes(value)) {
+		g_string_append(out, value);
+		return;
+	}
+	g_string_append_c(out, '"');
+	for (s = value; *s; s++) {
+		if (*s == '"' || *s == '\\')
+			g_string_append_printf(out, "\\%c", *s);
+		else if ((unsigned char)*s < ' ' || (unsigned char)*s == 0x7f)
+			g_string_append_printf(out, "\\x%02x",
+					       (unsigned char)*s);
+		else
+			g_string_append_c(out, *s);
+	}
+	g_string_append_c(out, '"');
+}
+
+void log_pair_int(GString *out, const char *key, int64_t value)
+{
+	g_string_append_printf(out, "%s%s=%" PRId64, out->len ? " " : "", key,
+			       value);
+}
+
+void log_write(struct log *log, enum log_level level, const char *task,
+	       const char *step, const char *peer, const struct trace *trace,
+	       const char *pairs)
+{
+	GString *line;
+	char id[33];
+	gint64 now;
+
+	if (!log_enabled(log, level))
+		return;
+	line = g_string_sized_new(256);
+	now = g_get_real_time();
+	g_string_append_printf(line, "time=%" PRId64 ".%06" PRId64,
+			       now / G_USEC_PER_SEC, now % G_USEC_PER_SEC);
+	log_pair(line, "level", level_names[level]);
+	if (task)
+		log_pair(line, "task", task);
+	if (step && *step)
+		log_pair(line, "step", step);
+	if (peer && *peer)
+		log_pair(line, "peer", peer);
+	if (trace && trace->span) {
+		trace_id_format(trace, id);
+		log_pair(line, "trace", id);
+	}
+	if (pairs && *pairs) {
+		g_string_append_c(line, ' ');
+		g_string_append(line, pairs);
+	}
+	g_string_append_c(line, '\n');
+	log4c_category_log(log->category, priorities[level], "%s", line->str);
+	g_string_free(line, TRUE);
+}
+
+void log_error(struct log *log, const char *task, const struct cs_error *err)
+{
+	GString *pairs = g_string_new(NULL);
+
+	log_pair(pairs, "event", "error");
+	log_pair(pairs, "code", cs_code_name(err->code));
+	log_pair(pairs, "message", err->message);
+	log_write(log, LOG_ERROR, task, err->step, err->peer, NULL, pairs->str);
+	g_string_free(pairs, TRUE);
+}
--- /dev/null
+++ b/src/base/log.h
@@ -0,0 +1,44 @@
+#ifndef BASE_LOG_H
+#define BASE_LOG_H
+
+#include <glib.h>
+
+#include "trace.h"
+
+/*
+ * The log: one line of key=value pairs for each event, written through
+ * log4c. Values with spaces, quotes or "=" are quoted.
+ */
+struct log;
+
+enum log_level { LOG_DEBUG, LOG_INFO, LOG_WARN, LOG_ERROR, LOG_FATAL };
+
+/*
+ * Opens the log. Lines go to standard error. Only one log may be open in a
+ * process, since log4c keeps its categories per process. NULL on failure.
+ */
+struct log *log_create(enum log_level level, struct cs_error *err);
+void log_destroy(struct log *log);
+
+/* True if lines of that level are written. */
+bool log_enabled(const struct log *log, enum log_level level);
+
+/*
+ * Writes one line: time, level, task, step, peer and trace (each may be NULL
+ * but level), then the pairs. Safe from any thread.
+ */
+void log_write(struct log *log, enum log_level level, const char *task,
+	       const char *step, const char *peer, const struct trace *trace,
+	       const char *pairs);
+
+/* Writes the event of an error: its code, step, peer and message. */
+void log_error(struct log *log, const char *task, const struct cs_error *err);
+
+/* Appends " key=value" to out, with the value quoted when it needs to be. */
+void log_pair(GString *out, const char *key, const char *value);
+void log_pair_int(GString *out, const char *key, int64_t value);
+
+/* "debug" .. "fatal" to a level. Returns CS_OK or CS_ERR_INVALID. */
+int log_level_parse(enum log_level *level, const char *name);
+
+#endif
--- /dev/null
+++ b/src/base/timers.h
@@ -0,0 +1,38 @@
+#ifndef BASE_TIMERS_H
+#define BASE_TIMERS_H
+
+#include "../camphorshed.h"
+
+/*
+ * The timer service. It has no clock: its owner tells it the time. Parts
+ * subscribe with a function that is called once; a periodic part subscribes
+ * again from that function.
+ */
+struct timers;
+
+typedef void (*timer_fn)(void *ctx, uint64_t arg, cs_time now);
+
+struct timers *timers_create(void);
+void timers_destroy(struct timers *timers);
+
+/*
+ * Calls fn(ctx, arg, now) once when timers_advance() reaches due. Returns a
+ * handle for timers_cancel(), or 0 if out of memory.
+ */
+cs_handle timers_subscribe(struct timers *timers, cs_time due, timer_fn fn,
+			   void *ctx, uint64_t arg);
+
+/* Returns false if the timer has already run or the handle is stale. */
+bool timers_cancel(struct timers *timers, cs_handle timer);
+
+/*
+ * Runs every timer that is due at now, the earliest first, in order of
+ * subscription for equal times. A timer that is subscribed meanwhile and is
+ * due as well waits for the next call, so that the call always ends.
+ */
+void timers_advance(struct timers *timers, cs_time now);
+
+/* The earliest due time, or CS_TIME_NEVER. */
+cs_time timers_next_due(const struct timers *timers);
+
+#endif
--- /dev/null
+++ b/src/cmd/main.c
@@ -0,0 +1,9 @@
+#include <stdio.h>
+
+#include "../camphorshed.h"
+
+int main(void)
+{
+	puts(CAMPHORSHED_VERSION);
+	return 0;
+}
--- /dev/null
+++ b/src/config/document.h
@@ -0,0 +1,126 @@
+#ifndef CONFIG_DOCUMENT_H
+#define CONFIG_DOCUMENT_H
+
+#include <glib.h>
+
+#include "change.h"
+
+/*
+ * The fleet document: all that operators set. Each table is sorted by name,
+ * so that look-ups are binary searches and encodings are stable. A document
+ * is changed only by document_apply() and document_set_revision().
+ */
+struct document;
+
+struct doc_data_centre {
+	char name[CS_NAME_MAX];
+	char region[CS_NAME_MAX];
+	bool is_out;
+};
+
+enum host_state {
+	HOST_ASSIGNED, /* serves its pool */
+	HOST_DRAINING, /* no new work; still counts in its pool */
+	HOST_EMPTY /* nothing runs; may be moved or maintained */
+};
+
+struct doc_host {
+	char name[CS_NAME_MAX];
+	char rack[CS_NAME_MAX];
+	char data_centre[CS_NAME_MAX];
+	char pool[CS_NAME_MAX]; /* exactly one, in every state */
+	enum host_state state;
+};
+
+struct doc_worker {
+	char name[CS_NAME_MAX];
+	char host[CS_NAME_MAX];
+	char address[CS_ADDRESS_MAX];
+	int slots;
+};
+
+struct doc_pool {
+	char name[CS_NAME_MAX];
+	bool is_spare;
+	int budget_percent; /* hosts that may be down at once */
+};
+
+struct doc_queue {
+	char name[CS_NAME_MAX];
+	char pool[CS_NAME_MAX];
+	bool is_open; /* needs no key */
+	char team[CS_NAME_MAX]; /* charged for open work */
+};
+
+struct doc_key {
+	uint8_t digest[CS_DIGEST_LEN];
+	char label[CS_NAME_MAX];
+};
+
+struct doc_team {
+	char name[CS_NAME_MAX];
+	int share;
+	int limit;
+	struct doc_key *keys;
+	size_t keys_nr;
+};
+
+/* The presets are fixed; operators choose which one is in force. */
+enum preset { PRESET_ORDINARY, PRESET_PEAK, PRESET_MAINTENANCE, PRESET_NR };
+
+/* An empty document: revision 0, preset ordinary. */
+struct document *document_create(void);
+struct document *document_copy(const struct document *doc);
+void document_destroy(struct document *doc);
+
+uint64_t document_revision(const struct document *doc);
+void document_set_revision(struct document *doc, uint64_t revision);
+enum preset document_preset(const struct document *doc);
+const char *preset_name(enum preset preset);
+int preset_parse(enum preset *preset, const char *name);
+
+/* The tables: first row, and the number of rows through nr. */
+const struct doc_data_centre *document_data_centres(const struct document *doc,
+						    size_t *nr);
+const struct doc_host *document_hosts(const struct document *doc, size_t *nr);
+const struct doc_worker *document_workers(const struct document *doc,
+					  size_t *nr);
+const struct doc_pool *document_pools(const struct document *doc, size_t *nr);
+const struct doc_queue *document_queues(const struct document *doc, size_t *nr);
+const struct doc_team *document_teams(const struct document *doc, size_t *nr);
+
+/* Look-ups by name; NULL if there is none. O(log n). */
+const struct doc_data_centre *document_data_centre(const struct document *doc,
+						   const char *name);
+const struct doc_host *document_host(const struct document *doc,
+				     const char *name);
+const struct doc_worker *document_worker(const struct document *doc,
+					 const char *name);
+const struct doc_pool *document_pool(const struct document *doc,
+				     const char *name);
+const struct doc_queue *document_queue(const struct document *doc,
+				       const char *name);
+const struct doc_team *document_team(const struct document *doc,
+				     const char *name);
+
+/*
+ * Applies one change. Returns CS_OK, CS_ERR_MISSING if it names something
+ * that does not exist, or CS_ERR_INVALID if it breaks a rule; the document is
+ * then as before. Presets, moves and budgets are checked here.
+ */
+int document_apply(struct document *doc, const struct change *change,
+		   struct cs_error *err);
+
+/*
+ * Checks the whole document: every name that is referred to exists, no key
+ * is granted to two teams, every limit is at most the fleet's slots, every
+ * host is in one pool. Appends one line for each fault to faults. Returns
+ * the number of faults.
+ */
+size_t document_check(const struct document *doc, GString *faults);
+
+/* Appends one line for each difference from a to b, in a stable order. */
+void document_diff(const struct document *a, const struct document *b,
+		   GString *out);
+
+#endif
--- /dev/null
+++ b/src/entry/part.h
@@ -0,0 +1,144 @@
+#ifndef ENTRY_PART_H
+#define ENTRY_PART_H
+
+#include <glib.h>
+
+#include "../base/counters.h"
+#include "../base/timers.h"
+#include "../config/document.h"
+#include "message.h"
+
+/*
+ * The decision core is made of parts. A part owns the state of one concern
+ * and is a row in the table of parts: the core calls it through part_ops.
+ * Parts reach one another through the functions of their public headers and
+ * through struct parts.
+ */
+
+enum part_id {
+	PART_CONFIG, /* fleet document: watch, relay, changes */
+	PART_LEDGER, /* permits for upper limits */
+	PART_CLAIM, /* request identifiers already seen */
+	PART_FLEET, /* workers, health, placement, host list */
+	PART_SHARE, /* fair sharing among teams and entries */
+	PART_DISPATCH, /* short requests and their attempts */
+	PART_LONG_WORK, /* long jobs, records, adoption */
+	PART_PLANNER, /* host moves and maintenance */
+	PART_ADMIN, /* operators' questions */
+	PART_NR
+};
+
+struct config_sync;
+struct ledger_sync;
+struct claim_sync;
+struct fleet;
+struct share;
+struct dispatch;
+struct long_work;
+struct planner;
+struct admin_part;
+
+/* The parts of one core, each set once at creation. */
+struct parts {
+	struct config_sync *config;
+	struct ledger_sync *ledger;
+	struct claim_sync *claim;
+	struct fleet *fleet;
+	struct share *share;
+	struct dispatch *dispatch;
+	struct long_work *long_work;
+	struct planner *planner;
+	struct admin_part *admin;
+};
+
+/* What the core lends to its parts for the whole of their life. */
+struct part_ctx {
+	const struct entry_options *options;
+	struct parts parts;
+	struct timers *timers;
+	struct counters *counters;
+	GRand *rng;
+	cs_time now; /* set by the core before each call */
+	bool is_draining;
+	const struct outbox_ops *outbox;
+	void *outbox_ctx;
+};
+
+/*
+ * The functions of a part. create stores the part in ctx->parts; the other
+ * functions take the part as made there. Any function but create and
+ * destroy may be NULL.
+ */
+struct part_ops {
+	const char *name;
+	int (*create)(struct part_ctx *ctx, struct cs_error *err);
+	void (*destroy)(struct part_ctx *ctx);
+	/* All parts exist; the time is known. */
+	void (*start)(struct part_ctx *ctx);
+	/* A message from a task; the core frees it afterwards. */
+	void (*on_msg)(struct part_ctx *ctx, struct msg *msg);
+	/* An answer to a kv_call of this part. */
+	void (*on_kv)(struct part_ctx *ctx, const struct kv_done *done);
+	/* A peer message; the core frees it afterwards. */
+	void (*on_peer)(struct part_ctx *ctx, struct peer_msg *peer);
+	void (*on_peer_state)(struct part_ctx *ctx,
+			      const struct peer_state *state);
+	/* A new fleet document is in force at this entry. */
+	void (*on_config)(struct part_ctx *ctx, const struct document *doc);
+	/* The clock jumped between two calls, see PART_JUMP_MAX. */
+	void (*on_jump)(struct part_ctx *ctx);
+	/* Begins to end: hand back what others can use. */
+	void (*drain)(struct part_ctx *ctx);
+	/* True when nothing that must be finished is left. */
+	bool (*is_drained)(struct part_ctx *ctx);
+};
+
+extern const struct part_ops config_sync_part;
+extern const struct part_ops ledger_sync_part;
+extern const struct part_ops claim_sync_part;
+extern const struct part_ops fleet_part;
+extern const struct part_ops share_part;
+extern const struct part_ops dispatch_part;
+extern const struct part_ops long_work_part;
+extern const struct part_ops planner_part;
+extern const struct part_ops admin_part;
+
+/*
+ * A longer gap between two turns of the core means that the process was
+ * paused: others may have acted on its silence, so what it holds is read
+ * again before it is used. A lease lasts three times as long as this.
+ */
+#define PART_JUMP_MAX (2 * CS_SEC)
+
+/* Emits msg to the tasks; ownership passes. */
+void part_emit(struct part_ctx *ctx, struct msg *msg);
+
+/* A new platform call of that part, to be filled in and emitted. */
+struct msg *part_kv_call(enum part_id part, enum kv_op op, const char *key,
+			 uint64_t token);
+
+/* A new peer message to that entry, to be filled in and emitted. */
+struct msg *part_peer_msg(enum peer_kind kind, const char *peer);
+
+/* Emits a log event; pairs may be NULL, else ownership passes. */
+void part_event(struct part_ctx *ctx, int level, const char *step,
+		const char *peer, const struct trace *trace, GString *pairs);
+
+/*
+ * Asserts an invariant in every build. On failure a fatal event names it and
+ * the core stops taking new work. Returns holds.
+ */
+bool part_invariant(struct part_ctx *ctx, const char *name, bool holds);
+
+/*
+ * True in a soak build that was asked to turn off the mechanism of that
+ * name; false, and compiled away, in every other build.
+ */
+#ifdef CS_SOAK
+#define MUTANT(ctx, name)                                                      \
+	((ctx)->options->mutant && !strcmp((ctx)->options->mutant, name))
+#else
+#define MUTANT(ctx, name) ((void)(ctx), false)
+#endif
+
+#endif
--- /dev/null
+++ b/src/platform/platform_client.h
@@ -0,0 +1,19 @@
+#ifndef PLATFORM_CLIENT_H
+#define PLATFORM_CLIENT_H
+
+#include "../entry/bus.h"
+
+/* The HTTP client to the platform's service: one task. */
+struct platform_client;
+
+struct platform_client_options {
+	char address[CS_ADDRESS_MAX];
+	int64_t timeout_ms; /* of a call; a watch adds its wait */
+};
+
+struct platform_client *platform_client_create(
+	const struct platform_client_options *options, struct bus *bus,
+	struct cs_error *err);
+void platform_client_destroy(struct platform_client *client);
+
+#endif
--- /dev/null
+++ b/src/settings/settings.h
@@ -0,0 +1,39 @@
+#ifndef SETTINGS_H
+#define SETTINGS_H
+
+#include <glib.h>
+
+#include "../base/log.h"
+#include "../camphorshed.h"
+
+/* Everything that the settings file of an entry says, checked. */
+struct settings {
+	char id[CS_NAME_MAX];
+	char data_centre[CS_NAME_MAX];
+	char front_address[CS_ADDRESS_MAX];
+	char admin_address[CS_ADDRESS_MAX];
+	char peer_address[CS_ADDRESS_MAX];
+	char platform_address[CS_ADDRESS_MAX];
+	char admin_token[CS_NAME_MAX];
+	uint8_t peer_secret[CS_DIGEST_LEN]; /* digest of the shared secret */
+	enum isolated_mode isolated;
+	enum log_level log_level;
+	int queue_depth;
+	int connections_max; /* callers */
+	int worker_connections_max; /* per worker */
+	int64_t body_max; /* bytes */
+	int64_t platform_timeout_ms;
+	int64_t connect_timeout_ms;
+	int64_t drain_ms; /* longest wait for requests in flight */
+	struct entry_peer *peers;
+	size_t peers_nr;
+};
+
+/*
+ * Reads and checks a settings file as a whole. Returns NULL after appending
+ * one line "FILE:LINE: key: what was expected" for every fault.
+ */
+struct settings *settings_read(const char *path, GString *faults);
+void settings_destroy(struct settings *settings);
+
+#endif
--- /dev/null
+++ b/src/worker/worker_client.h
@@ -0,0 +1,19 @@
+#ifndef WORKER_CLIENT_H
+#define WORKER_CLIENT_H
+
+#include "../entry/bus.h"
+
+/* The HTTP client to all workers: one task. */
+struct worker_client;
+
+struct worker_client_options {
+	int connections_max; /* per worker; a worker takes 64 in all */
+	int64_t connect_timeout_ms;
+};
+
+struct worker_client *worker_client_create(
+	const struct worker_client_options *options, struct bus *bus,
+	struct cs_error *err);
+void worker_client_destroy(struct worker_client *client);
+
+#endif
