--- a/src/claim/claim_sync.h
+++ b/src/claim/claim_sync.h
@@ -26,4 +26,11 @@
 void claim_sync_request(struct part_ctx *ctx, uint64_t ref,
 			const char *request_id);
 
+/*
+ * Gives a granted claim back after a refusal that says "not run", so that the
+ * caller may submit the same identifier again. If the message is lost, that
+ * later submission is answered with "unknown", which is safe.
+ */
+void claim_sync_release(struct part_ctx *ctx, const char *request_id);
+
 #endif
--- a/src/config/config_sync.h
+++ b/src/config/config_sync.h
@@ -20,6 +20,12 @@
  */
 bool config_sync_is_isolated(const struct part_ctx *ctx);
 
+/*
+ * False after a clock jump until the document was read again or heard from
+ * another data centre, or 1 s passed: nothing should be started meanwhile.
+ */
+bool config_sync_is_fresh(const struct part_ctx *ctx);
+
 /* True if the last call of the platform was answered. */
 bool config_sync_platform_up(const struct part_ctx *ctx);
 
@@ -48,4 +54,7 @@
 uint64_t config_sync_peer_revision(const struct part_ctx *ctx, const char *peer,
 				   cs_time *age);
 
+/* Appends the last changes as a JSON array, the newest first. */
+void config_sync_history(const struct part_ctx *ctx, GString *json);
+
 #endif
--- /dev/null
+++ b/src/entry/core_task.c
@@ -0,0 +1,144 @@
+#include "core_task.h"
+
+#include <errno.h>
+#include <event2/event.h>
+#include <string.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include "../base/error.h"
+#include "../base/task.h"
+
+struct core_task {
+	struct task *task;
+	struct entry *entry;
+	struct bus *bus;
+	struct event *timer;
+	cs_time armed; /* when the timer is due, CS_TIME_NEVER if it is not */
+	int drained_fd;
+	bool is_drained;
+};
+
+static void emit(void *ctx, struct msg *msg)
+{
+	struct core_task *c = ctx;
+
+	/* Nothing that the core sends can be refused, see the routes. */
+	bus_post(c->bus, BUS_CORE, msg);
+}
+
+static const struct outbox_ops outbox = { emit };
+
+/* Sets the timer for the core's next due time, and tells of a drain's end. */
+static void settle(struct core_task *c, cs_time now)
+{
+	cs_time due = entry_next_due(c->entry);
+	struct timeval tv = { 0, 0 };
+	uint64_t one = 1;
+
+	if (entry_is_drained(c->entry) && !c->is_drained) {
+		c->is_drained = true;
+		if (write(c->drained_fd, &one, sizeof(one)) < 0)
+			c->is_drained = false; /* tried again next turn */
+	}
+	if (due == c->armed)
+		return;
+	c->armed = due;
+	if (due == CS_TIME_NEVER) {
+		evtimer_del(c->timer);
+		return;
+	}
+	if (due > now) {
+		tv.tv_sec = (due - now) / CS_SEC;
+		tv.tv_usec = (due - now) % CS_SEC;
+	}
+	evtimer_add(c->timer, &tv);
+}
+
+static void on_timer(evutil_socket_t fd, short events, void *arg)
+{
+	struct core_task *c = arg;
+	cs_time now = task_now();
+
+	(void)fd;
+	(void)events;
+	c->armed = CS_TIME_NEVER;
+	entry_advance(c->entry, now);
+	settle(c, now);
+}
+
+static int core_start(void *state, struct task *task, struct cs_error *err)
+{
+	struct core_task *c = state;
+	cs_time now = task_now();
+
+	c->timer = evtimer_new(task_base(task), on_timer, c);
+	if (!c->timer)
+		return cs_error_set(err, CS_ERR_NOMEM, "core_start", NULL,
+				    "cannot create a timer");
+	c->armed = CS_TIME_NEVER;
+	entry_start(c->entry, now);
+	settle(c, now);
+	return CS_OK;
+}
+
+static void core_on_msg(void *state, struct task *task, void *msg)
+{
+	struct core_task *c = state;
+	cs_time now = task_now();
+
+	(void)task;
+	entry_handle(c->entry, msg, now);
+	settle(c, now);
+}
+
+static void core_stop(void *state, struct task *task)
+{
+	struct core_task *c = state;
+
+	(void)task;
+	event_free(c->timer);
+}
+
+static const struct task_ops core_ops = { "core", core_start, core_on_msg,
+					  core_stop };
+
+struct core_task *core_task_create(const struct entry_options *options,
+				   struct bus *bus, struct cs_error *err)
+{
+	struct core_task *c = g_new0(struct core_task, 1);
+
+	c->bus = bus;
+	c->drained_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+	if (c->drained_fd < 0) {
+		cs_error_set(err, CS_ERR_IO, "core_task_create", NULL,
+			     "eventfd: %s", strerror(errno));
+		goto fail;
+	}
+	c->entry = entry_create(options, &outbox, c, err);
+	if (!c->entry)
+		goto fail;
+	c->task = task_create(&core_ops, c, bus_mailbox(bus, BUS_CORE), err);
+	if (!c->task)
+		goto fail;
+	return c;
+fail:
+	core_task_destroy(c);
+	return NULL;
+}
+
+void core_task_destroy(struct core_task *c)
+{
+	if (!c)
+		return;
+	task_destroy(c->task);
+	entry_destroy(c->entry);
+	if (c->drained_fd >= 0)
+		close(c->drained_fd);
+	g_free(c);
+}
+
+int core_task_drained_fd(const struct core_task *c)
+{
+	return c->drained_fd;
+}
--- /dev/null
+++ b/src/entry/core_task.h
@@ -0,0 +1,20 @@
+#ifndef ENTRY_CORE_TASK_H
+#define ENTRY_CORE_TASK_H
+
+#include "bus.h"
+
+/* The task that runs the decision core. It owns no socket. */
+struct core_task;
+
+/* Creates the core and starts its thread. NULL and err on failure. */
+struct core_task *core_task_create(const struct entry_options *options,
+				   struct bus *bus, struct cs_error *err);
+void core_task_destroy(struct core_task *core);
+
+/*
+ * A descriptor that becomes readable when a drain has finished: nothing is in
+ * flight any more. It belongs to the task.
+ */
+int core_task_drained_fd(const struct core_task *core);
+
+#endif
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -23,17 +23,19 @@
 	[PART_ADMIN] = &admin_part,
 };
 
-/* The part that takes a type of message from a task; -1: none. */
-static int part_of_msg(enum msg_type type)
+/* The part that takes a message from a task; -1: none. */
+static int part_of_msg(const struct msg *msg)
 {
-	switch (type) {
+	switch (msg->type) {
 	case MSG_SUBMIT:
 	case MSG_CALLER_GONE:
-	case MSG_TASK_DONE:
 		return PART_DISPATCH;
+	case MSG_TASK_DONE:
+		return msg->u.task_done.part;
+	case MSG_TASK_CONTROL_DONE:
+		return msg->u.task_control_done.part;
 	case MSG_JOB_QUERY:
 	case MSG_JOB_CANCEL:
-	case MSG_TASK_CONTROL_DONE:
 		return PART_LONG_WORK;
 	case MSG_USAGE:
 		return PART_FLEET;
@@ -68,6 +70,7 @@
 	e->peers = g_memdup2(options->peers,
 			     options->peers_nr * sizeof(*options->peers));
 	e->options.peers = e->peers;
+	e->ctx.peers = g_new0(struct peer_row, options->peers_nr + 1);
 	e->mutant = g_strdup(options->mutant);
 	e->options.mutant = e->mutant;
 }
@@ -111,6 +114,7 @@
 	timers_destroy(e->ctx.timers);
 	counters_destroy(e->ctx.counters);
 	g_rand_free(e->ctx.rng);
+	g_free(e->ctx.peers);
 	g_free(e->peers);
 	g_free(e->mutant);
 	g_free(e);
@@ -165,8 +169,12 @@
 
 static void route_peer_state(struct entry *e, const struct peer_state *state)
 {
-	int i;
+	int i = part_peer_index(&e->ctx, state->peer);
 
+	if (i < 0)
+		return; /* not in the settings */
+	e->ctx.peers[i].is_up = state->is_up;
+	e->ctx.peers[i].incarnation = state->incarnation;
 	for (i = 0; i < PART_NR; i++)
 		if (part_table[i]->on_peer_state)
 			part_table[i]->on_peer_state(&e->ctx, state);
@@ -218,8 +226,8 @@
 		reply_metrics(e, msg->u.metrics_call.caller);
 		break;
 	default:
-		part = part_of_msg(msg->type);
-		if (part >= 0 && part_table[part]->on_msg)
+		part = part_of_msg(msg);
+		if (part >= 0 && part < PART_NR && part_table[part]->on_msg)
 			part_table[part]->on_msg(&e->ctx, msg);
 		break;
 	}
--- /dev/null
+++ b/src/entry/entry_run.h
@@ -0,0 +1,13 @@
+#ifndef ENTRY_RUN_H
+#define ENTRY_RUN_H
+
+#include "../settings/settings.h"
+
+/*
+ * Runs an entry with these settings until SIGTERM or SIGINT, then drains it
+ * and returns CS_OK. Returns another code, with err filled, if a task could
+ * not be started.
+ */
+int entry_run(const struct settings *settings, struct cs_error *err);
+
+#endif
--- a/src/entry/message.h
+++ b/src/entry/message.h
@@ -104,6 +104,7 @@
 
 /* Starts a task on a worker. */
 struct task_start {
+	int part; /* enum part_id that asked */
 	cs_handle attempt; /* returned in MSG_TASK_DONE */
 	char worker[CS_NAME_MAX];
 	char address[CS_ADDRESS_MAX];
@@ -126,6 +127,7 @@
 };
 
 struct task_done {
+	int part; /* enum part_id that asked */
 	cs_handle attempt;
 	enum task_result result;
 	int status; /* HTTP status of an answer */
@@ -143,6 +145,7 @@
 };
 
 struct task_control {
+	int part; /* enum part_id that asked */
 	cs_handle attempt;
 	enum task_op op;
 	char address[CS_ADDRESS_MAX];
@@ -160,6 +163,7 @@
 };
 
 struct task_control_done {
+	int part; /* enum part_id that asked */
 	cs_handle attempt;
 	enum task_op op;
 	int code; /* CS_OK, or CS_ERR_IO / CS_ERR_TIMEOUT: state unknown */
@@ -290,7 +294,7 @@
 			bool is_draining;
 		} heartbeat;
 		struct {
-			bool is_data_centre; /* an aggregate, not one entry */
+			char data_centre[CS_NAME_MAX]; /* aggregate of; or "" */
 			struct summary_row *rows;
 			size_t rows_nr;
 		} summary;
--- a/src/entry/part.c
+++ b/src/entry/part.c
@@ -3,6 +3,8 @@
 #include "../base/error.h"
 #include "../base/log.h"
 
+#include <string.h>
+
 void part_emit(struct part_ctx *ctx, struct msg *msg)
 {
 	ctx->outbox->emit(ctx->outbox_ctx, msg);
@@ -60,3 +62,38 @@
 	part_event(ctx, LOG_FATAL, "invariant", NULL, NULL, pairs);
 	return false;
 }
+
+int part_peer_index(const struct part_ctx *ctx, const char *id)
+{
+	size_t i;
+
+	for (i = 0; i < ctx->options->peers_nr; i++)
+		if (!strcmp(ctx->options->peers[i].id, id))
+			return (int)i;
+	return -1;
+}
+
+bool part_peer_is_up(const struct part_ctx *ctx, const char *id)
+{
+	int i = part_peer_index(ctx, id);
+
+	return i >= 0 && ctx->peers[i].is_up;
+}
+
+const char *part_lead_entry(const struct part_ctx *ctx, const char *data_centre)
+{
+	const struct entry_options *o = ctx->options;
+	const char *lead = NULL;
+	size_t i;
+
+	if (!strcmp(o->data_centre, data_centre))
+		lead = o->id;
+	for (i = 0; i < o->peers_nr; i++) {
+		if (!ctx->peers[i].is_up ||
+		    strcmp(o->peers[i].data_centre, data_centre))
+			continue;
+		if (!lead || strcmp(o->peers[i].id, lead) < 0)
+			lead = o->peers[i].id;
+	}
+	return lead;
+}
--- a/src/entry/part.h
+++ b/src/entry/part.h
@@ -51,10 +51,17 @@
 	struct admin_part *admin;
 };
 
+/* What the peer task last said of another entry. */
+struct peer_row {
+	bool is_up;
+	uint64_t incarnation;
+};
+
 /* What the core lends to its parts for the whole of their life. */
 struct part_ctx {
 	const struct entry_options *options;
 	struct parts parts;
+	struct peer_row *peers; /* one for each of options->peers */
 	struct timers *timers;
 	struct counters *counters;
 	GRand *rng;
@@ -110,6 +117,19 @@
  */
 #define PART_JUMP_MAX (2 * CS_SEC)
 
+/* Index into options->peers and ctx->peers, or -1. */
+int part_peer_index(const struct part_ctx *ctx, const char *id);
+
+/* True if the connection to that entry is up. */
+bool part_peer_is_up(const struct part_ctx *ctx, const char *id);
+
+/*
+ * The lowest id of the entries of a data centre that are up, this entry
+ * included; NULL if there is none. Such an entry speaks for its data centre.
+ */
+const char *part_lead_entry(const struct part_ctx *ctx,
+			    const char *data_centre);
+
 /* Emits msg to the tasks; ownership passes. */
 void part_emit(struct part_ctx *ctx, struct msg *msg);
 
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -41,17 +41,35 @@
 void fleet_finish(struct part_ctx *ctx, cs_handle worker,
 		  enum fleet_result result);
 
-/* Slots that this entry may still use in a pool, and all of them here. */
-int fleet_free_slots(const struct part_ctx *ctx, const char *pool);
-int fleet_pool_slots(const struct part_ctx *ctx, const char *pool);
+/*
+ * Takes back one failure that turned out to be the job's own. A worker that
+ * was ejected for it serves again.
+ */
+void fleet_pardon(struct part_ctx *ctx, cs_handle worker);
 
-/* Tasks of this entry on the pool. */
+/* Tasks of this entry on the pool's workers. */
 int fleet_pool_running(const struct part_ctx *ctx, const char *pool);
 
-/* True if entry or host is confirmed dead by the host list. */
+/* Slots of usable workers of the pool in this data centre. */
+int fleet_pool_slots(const struct part_ctx *ctx, const char *pool);
+
+/* Slots that the fleet document gives the pool in any data centre. */
+int fleet_document_slots(const struct part_ctx *ctx, const char *pool,
+			 const char *data_centre);
+
+/*
+ * True if the platform's host list once held this entry and has now been
+ * without it for long enough to be sure, see HOST_GONE_TIME in host_list.c.
+ */
 bool fleet_is_entry_dropped(const struct part_ctx *ctx, const char *entry);
 
-/* Appends one line per worker for status: name, state, load, why. */
-void fleet_describe(const struct part_ctx *ctx, GString *out);
+/* True if the host list marks the host as leaving. */
+bool fleet_is_host_leaving(const struct part_ctx *ctx, const char *host);
+
+/* Ejected workers of the pool, for status and for the budgets. */
+int fleet_pool_ejected(const struct part_ctx *ctx, const char *pool);
+
+/* Appends the workers of this data centre as a JSON array, by name. */
+void fleet_describe(const struct part_ctx *ctx, GString *json);
 
 #endif
--- /dev/null
+++ b/src/fleet/health.c
@@ -0,0 +1,116 @@
+#include "health.h"
+
+#include <math.h>
+
+/* Results older than a few of these no longer count. */
+#define HALF_LIFE (10 * CS_SEC)
+
+/*
+ * Fewer recent results than this say nothing: one failure after a restart
+ * must not eject a worker.
+ */
+#define RESULTS_MIN 5.0
+
+/* A worker below this failure rate is never ejected. */
+#define RATE_MIN 0.5
+
+/*
+ * How far above its peers' rate a worker must be. When all fail alike the
+ * cause is not the worker, and ejecting would only shrink the pool.
+ */
+#define RATE_ABOVE_PEERS 0.3
+
+/* First ejection, and the longest after doubling. */
+#define EJECT_FIRST (5 * CS_SEC)
+#define EJECT_MAX (80 * CS_SEC)
+
+/* Successes in a row that end a trial. */
+#define TRIAL_PASSES 3
+
+static void decay(struct health *h, cs_time now)
+{
+	double factor;
+
+	if (now <= h->counted)
+		return;
+	factor = exp2(-(double)(now - h->counted) / (double)HALF_LIFE);
+	h->good *= factor;
+	h->bad *= factor;
+	h->counted = now;
+}
+
+void health_note(struct health *h, bool is_good, cs_time now)
+{
+	decay(h, now);
+	if (is_good)
+		h->good += 1;
+	else
+		h->bad += 1;
+	if (h->state != HEALTH_TRIAL)
+		return;
+	if (!is_good) {
+		health_eject(h, now);
+	} else if (++h->trial_passes >= TRIAL_PASSES) {
+		h->state = HEALTH_GOOD;
+		h->ejections = 0;
+		h->bad = 0;
+	}
+}
+
+void health_pardon(struct health *h, cs_time now)
+{
+	decay(h, now);
+	h->bad = h->bad > 1 ? h->bad - 1 : 0;
+	if (h->state == HEALTH_EJECTED && !h->is_unreachable &&
+	    health_failure_rate(h, now) < RATE_MIN) {
+		h->state = HEALTH_GOOD;
+		if (h->ejections)
+			h->ejections--;
+	}
+}
+
+double health_failure_rate(struct health *h, cs_time now)
+{
+	decay(h, now);
+	if (h->good + h->bad < RESULTS_MIN)
+		return 0;
+	return h->bad / (h->good + h->bad);
+}
+
+bool health_should_eject(struct health *h, double peers, cs_time now)
+{
+	double rate;
+
+	if (h->state != HEALTH_GOOD)
+		return false;
+	rate = health_failure_rate(h, now);
+	return rate >= RATE_MIN && rate >= peers + RATE_ABOVE_PEERS;
+}
+
+void health_eject(struct health *h, cs_time now)
+{
+	cs_time span = EJECT_FIRST;
+	int i;
+
+	for (i = 0; i < h->ejections && span < EJECT_MAX; i++)
+		span *= 2;
+	h->ejections++;
+	h->state = HEALTH_EJECTED;
+	h->until = now + span;
+	h->trial_passes = 0;
+}
+
+void health_tick(struct health *h, cs_time now)
+{
+	if (h->state == HEALTH_EJECTED && now >= h->until) {
+		h->state = HEALTH_TRIAL;
+		h->trial_passes = 0;
+	}
+}
+
+const char *health_state_name(enum health_state state)
+{
+	static const char *const names[] = { "good", "ejected", "trial" };
+
+	return names[state];
+}
--- /dev/null
+++ b/src/fleet/host_list.c
@@ -0,0 +1,78 @@
+#include "host_list.h"
+
+/*
+ * The list lags and may be served by a replica that is behind, so a host
+ * counts as gone only when it was missing from every answer for this long.
+ */
+#define HOST_GONE_TIME (10 * CS_SEC)
+
+/* Answers that must have been without it, so that one gap does not count. */
+#define HOST_GONE_ANSWERS 3
+
+struct host_row {
+	bool is_leaving;
+	cs_time seen; /* last answer that held it */
+	uint64_t seen_answer;
+};
+
+struct host_list {
+	GHashTable *rows; /* host name -> struct host_row */
+	uint64_t answers;
+	cs_time last; /* of the last answer */
+};
+
+struct host_list *host_list_create(void)
+{
+	struct host_list *l = g_new0(struct host_list, 1);
+
+	l->rows =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	return l;
+}
+
+void host_list_destroy(struct host_list *l)
+{
+	if (!l)
+		return;
+	g_hash_table_destroy(l->rows);
+	g_free(l);
+}
+
+void host_list_update(struct host_list *l, const struct kv_host *hosts,
+		      size_t nr, cs_time now)
+{
+	struct host_row *row;
+	size_t i;
+
+	l->answers++;
+	l->last = now;
+	for (i = 0; i < nr; i++) {
+		row = g_hash_table_lookup(l->rows, hosts[i].host);
+		if (!row) {
+			row = g_new0(struct host_row, 1);
+			g_hash_table_insert(l->rows, g_strdup(hosts[i].host),
+					    row);
+		}
+		row->is_leaving = hosts[i].is_leaving;
+		row->seen = now;
+		row->seen_answer = l->answers;
+	}
+}
+
+bool host_list_is_leaving(const struct host_list *l, const char *host)
+{
+	const struct host_row *row = g_hash_table_lookup(l->rows, host);
+
+	return row && row->is_leaving;
+}
+
+bool host_list_is_gone(const struct host_list *l, const char *host, cs_time now)
+{
+	const struct host_row *row = g_hash_table_lookup(l->rows, host);
+
+	/* Without recent answers the list says nothing about absence. */
+	if (!row || now - l->last > HOST_GONE_TIME)
+		return false;
+	return l->answers - row->seen_answer >= HOST_GONE_ANSWERS &&
+	       now - row->seen >= HOST_GONE_TIME;
+}
--- /dev/null
+++ b/src/job/dispatch.c
@@ -0,0 +1,493 @@
+#include "dispatch_private.h"
+
+#include <string.h>
+
+#include "../base/error.h"
+#include "../base/log.h"
+#include "long_work.h"
+
+/* Waiting requests are looked at this often while there are any. */
+#define TICK_INTERVAL (20 * CS_MSEC)
+
+/*
+ * While draining, new requests are still served for this long: the platform's
+ * balancer needs that time to see that the entry is no longer ready.
+ */
+#define DRAIN_GRACE (2 * CS_SEC)
+
+/* Tasks with an unknown end, for all teams of one entry. */
+#define HELD_MAX 65536
+
+/* When a caller that was refused for want of room should come again. */
+#define RETRY_AFTER_MS 1000
+
+void dispatch_span(struct part_ctx *ctx, const struct request *r,
+		   const char *name, const char *peer, cs_time start,
+		   const char *result)
+{
+	struct msg *msg = msg_new(MSG_SPAN);
+
+	cs_copy(msg->u.span.name, sizeof(msg->u.span.name), name);
+	cs_copy(msg->u.span.peer, sizeof(msg->u.span.peer), peer);
+	cs_copy(msg->u.span.result, sizeof(msg->u.span.result), result);
+	msg->u.span.trace = trace_child(&r->submit.trace, ctx->rng);
+	msg->u.span.start = start;
+	msg->u.span.end = ctx->now;
+	part_emit(ctx, msg);
+}
+
+static void count_refusal(struct part_ctx *ctx, const char *reason,
+			  enum outcome outcome)
+{
+	char labels[96];
+
+	g_snprintf(labels, sizeof(labels), "reason=\"%s\",outcome=\"%s\"",
+		   reason, outcome == OUTCOME_NOT_RUN ? "not_run" : "unknown");
+	counters_add(ctx->counters, "refusals_total", labels, 1);
+}
+
+/* Sends a reply to where the request came from; takes over its body. */
+static void send_reply(struct part_ctx *ctx, cs_handle caller,
+		       const char *origin, uint64_t ref,
+		       const struct reply *reply)
+{
+	struct msg *msg;
+
+	if (*origin) {
+		msg = part_peer_msg(PEER_FORWARD_REPLY, origin);
+		msg->u.peer.ref = ref;
+		msg->u.peer.u.forward_reply = *reply;
+	} else {
+		msg = msg_new(MSG_REPLY);
+		msg->u.reply = *reply;
+		msg->u.reply.caller = caller;
+	}
+	part_emit(ctx, msg);
+}
+
+static void fill_refusal(struct reply *reply, const struct refusal *refusal,
+			 const struct trace *trace)
+{
+	reply->outcome = refusal->outcome;
+	reply->status = refusal->status;
+	reply->retry_after_ms = refusal->retry_after_ms;
+	reply->trace = *trace;
+	cs_copy(reply->reason, sizeof(reply->reason), refusal->reason);
+	cs_copy(reply->step, sizeof(reply->step), refusal->step);
+	cs_copy(reply->peer, sizeof(reply->peer), refusal->peer);
+}
+
+static void free_request(struct part_ctx *ctx, struct request *r)
+{
+	dispatch_detach(ctx, r);
+	timers_cancel(ctx->timers, r->deadline_timer);
+	request_remove(ctx->parts.dispatch->table, r);
+}
+
+void dispatch_refuse(struct part_ctx *ctx, struct request *r,
+		     const struct refusal *refusal)
+{
+	struct refusal said = *refusal;
+	struct reply reply = { 0 };
+
+	if (r->may_have_run && !MUTANT(ctx, "refuse-says-not-run"))
+		said.outcome = OUTCOME_UNKNOWN;
+	if (said.outcome == OUTCOME_NOT_RUN) {
+		part_invariant(ctx, "not-run-is-true", !r->may_have_run);
+		if (r->is_claimed)
+			claim_sync_release(ctx, r->submit.request_id);
+	}
+	count_refusal(ctx, said.reason, said.outcome);
+	fill_refusal(&reply, &said, &r->submit.trace);
+	dispatch_span(ctx, r, "entry", said.peer, r->arrived, said.reason);
+	send_reply(ctx, r->submit.caller, r->origin, r->origin_ref, &reply);
+	free_request(ctx, r);
+}
+
+void dispatch_answer(struct part_ctx *ctx, struct request *r,
+		     struct reply *reply)
+{
+	reply->trace = r->submit.trace;
+	counters_add(ctx->counters, "answers_total", "", 1);
+	dispatch_span(ctx, r, "entry", reply->peer, r->arrived, "answered");
+	send_reply(ctx, r->submit.caller, r->origin, r->origin_ref, reply);
+	free_request(ctx, r);
+}
+
+void dispatch_drop(struct part_ctx *ctx, struct request *r)
+{
+	counters_add(ctx->counters, "cancelled_total", "", 1);
+	if (!r->may_have_run && r->state != REQUEST_RUNNING &&
+	    r->state != REQUEST_FORWARDED && r->is_claimed)
+		claim_sync_release(ctx, r->submit.request_id);
+	free_request(ctx, r);
+}
+
+/* Refuses what never became a request. */
+static void refuse_submit(struct part_ctx *ctx, const struct submit *submit,
+			  const char *origin, uint64_t ref,
+			  const struct refusal *refusal)
+{
+	struct reply reply = { 0 };
+
+	count_refusal(ctx, refusal->reason, refusal->outcome);
+	fill_refusal(&reply, refusal, &submit->trace);
+	send_reply(ctx, submit->caller, origin, ref, &reply);
+}
+
+static void on_tick(void *arg, uint64_t unused, cs_time now);
+
+/* Runs the tick while anything waits, and not otherwise. */
+static void arm_tick(struct part_ctx *ctx)
+{
+	struct dispatch *d = ctx->parts.dispatch;
+
+	if (!d->tick_timer)
+		d->tick_timer = timers_subscribe(
+			ctx->timers, ctx->now + TICK_INTERVAL, on_tick, ctx, 0);
+}
+
+void dispatch_enqueue(struct part_ctx *ctx, struct request *r, bool at_head)
+{
+	const struct document *doc = config_sync_document(ctx);
+	const struct doc_team *team = document_team(doc, r->team->team);
+
+	r->team->share_row = share_row(ctx, r->pool->name, r->team->team,
+				       team ? team->share : 1);
+	request_enqueue(ctx->parts.dispatch->table, r, at_head);
+	share_queued(ctx, r->team->share_row, 1);
+	arm_tick(ctx);
+}
+
+static void on_deadline(void *arg, uint64_t handle, cs_time now)
+{
+	static const struct refusal late = {
+		OUTCOME_NOT_RUN, 504, "deadline", "queue", "", RETRY_AFTER_MS
+	};
+	struct part_ctx *ctx = arg;
+	struct request *r = request_get(ctx->parts.dispatch->table, handle);
+
+	ctx->now = now;
+	if (!r)
+		return;
+	r->deadline_timer = 0;
+	/* The worker client ends a running attempt at its deadline itself. */
+	if (r->state == REQUEST_RUNNING)
+		return;
+	if (r->state == REQUEST_FORWARDED)
+		r->may_have_run = true;
+	dispatch_refuse(ctx, r, &late);
+}
+
+/* True if another request may wait in the pool. */
+static bool has_room(const struct part_ctx *ctx, const struct pool_queue *pool)
+{
+	return pool->queued < ctx->options->queue_depth;
+}
+
+/* Non-idempotent work with an identifier must be claimed first. */
+static bool needs_claim(const struct part_ctx *ctx, const struct request *r)
+{
+	if (MUTANT(ctx, "dispatch-no-claim"))
+		return false;
+	return !r->submit.is_idempotent && *r->submit.request_id && !*r->origin;
+}
+
+static void begin(struct part_ctx *ctx, struct request *r)
+{
+	retry_budget_earn(&r->pool->retry);
+	retry_budget_earn(&r->team->budget->retry);
+	if (needs_claim(ctx, r)) {
+		r->state = REQUEST_CLAIMING;
+		claim_sync_request(ctx, r->self, r->submit.request_id);
+		return;
+	}
+	dispatch_enqueue(ctx, r, false);
+	dispatch_schedule(ctx, r->pool);
+}
+
+static void on_claim(struct part_ctx *ctx, uint64_t ref,
+		     enum claim_verdict verdict, const char *holder)
+{
+	static const struct refusal duplicate = {
+		OUTCOME_UNKNOWN, 409, "duplicate", "claim", "", 0
+	};
+	static const struct refusal unavailable = {
+		OUTCOME_UNKNOWN, 503, "claim_unavailable",
+		"claim",	 "",  RETRY_AFTER_MS
+	};
+	struct request *r = request_get(ctx->parts.dispatch->table, ref);
+	struct refusal refusal;
+
+	if (!r) /* refused or dropped meanwhile; the claim stays taken */
+		return;
+	if (r->state != REQUEST_CLAIMING)
+		return;
+	if (verdict == CLAIM_GRANTED) {
+		r->is_claimed = true;
+		dispatch_enqueue(ctx, r, false);
+		dispatch_schedule(ctx, r->pool);
+		return;
+	}
+	refusal = verdict == CLAIM_DUPLICATE ? duplicate : unavailable;
+	refusal.peer = holder ? holder : "";
+	dispatch_refuse(ctx, r, &refusal);
+}
+
+static bool is_past_drain(const struct part_ctx *ctx)
+{
+	const struct dispatch *d = ctx->parts.dispatch;
+
+	return d->drain_began && ctx->now - d->drain_began > DRAIN_GRACE;
+}
+
+void dispatch_submit(struct part_ctx *ctx, const struct submit *submit,
+		     const char *origin, uint64_t origin_ref)
+{
+	static const struct refusal draining = {
+		OUTCOME_NOT_RUN, 503, "draining", "admission", "", 100
+	};
+	static const struct refusal out = {
+		OUTCOME_NOT_RUN, 503, "data_centre_out",
+		"admission",	 "",  RETRY_AFTER_MS
+	};
+	static const struct refusal full = {
+		OUTCOME_NOT_RUN, 429, "queue_full",
+		"admission",	 "",  RETRY_AFTER_MS
+	};
+	struct dispatch *d = ctx->parts.dispatch;
+	struct refusal refusal = {
+		OUTCOME_NOT_RUN, 0, NULL, "admission", "", 0
+	};
+	struct admission adm;
+	struct request *r;
+
+	counters_add(ctx->counters, "submits_total", "", 1);
+	if (is_past_drain(ctx)) {
+		refuse_submit(ctx, submit, origin, origin_ref, &draining);
+		return;
+	}
+	/* A forwarded request can't be forwarded again. */
+	if (*origin && config_sync_is_out(ctx, ctx->options->data_centre)) {
+		refuse_submit(ctx, submit, origin, origin_ref, &out);
+		return;
+	}
+	dispatch_admit(ctx, submit, &adm);
+	if (adm.status) {
+		refusal.status = adm.status;
+		refusal.reason = adm.reason;
+		if (adm.status == 503)
+			refusal.retry_after_ms = RETRY_AFTER_MS;
+		refuse_submit(ctx, submit, origin, origin_ref, &refusal);
+		return;
+	}
+	if (submit->work == WORK_LONG) {
+		long_work_submit(ctx, submit, adm.team, adm.pool);
+		return;
+	}
+	r = has_room(ctx, request_pool(d->table, adm.pool)) ?
+		    request_add(d->table, submit, adm.pool, adm.team) :
+		    NULL;
+	if (!r) {
+		refuse_submit(ctx, submit, origin, origin_ref, &full);
+		return;
+	}
+	if (*origin)
+		request_set_origin(d->table, r, origin, origin_ref);
+	r->arrived = ctx->now;
+	r->deadline = ctx->now + submit->deadline_ms * CS_MSEC;
+	r->deadline_timer = timers_subscribe(ctx->timers, r->deadline,
+					     on_deadline, ctx, r->self);
+	begin(ctx, r);
+}
+
+/* Gives blocked teams another chance and asks for the permits they lack. */
+static void retry_blocked(struct part_ctx *ctx, struct pool_queue *p)
+{
+	struct team_queue *q;
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, p->teams);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		q = value;
+		if (!q->list.nr)
+			continue;
+		if (q->is_blocked) {
+			q->is_blocked = false;
+			share_unblock(ctx, q->share_row);
+		}
+		ledger_sync_demand(ctx, q->team, q->budget->queued);
+	}
+}
+
+static void tick_pool(struct pool_queue *p, void *arg)
+{
+	struct part_ctx *ctx = arg;
+
+	if (!p->queued)
+		return;
+	retry_blocked(ctx, p);
+	dispatch_schedule(ctx, p);
+	dispatch_forward_waiting(ctx, p);
+	if (p->queued)
+		arm_tick(ctx);
+}
+
+static void on_tick(void *arg, uint64_t unused, cs_time now)
+{
+	struct part_ctx *ctx = arg;
+
+	(void)unused;
+	ctx->now = now;
+	ctx->parts.dispatch->tick_timer = 0;
+	dispatch_kick_all(ctx);
+}
+
+void dispatch_kick(struct part_ctx *ctx, const char *pool)
+{
+	tick_pool(request_pool(ctx->parts.dispatch->table, pool), ctx);
+}
+
+void dispatch_kick_all(struct part_ctx *ctx)
+{
+	request_each_pool(ctx->parts.dispatch->table, tick_pool, ctx);
+}
+
+struct dispatch_totals dispatch_team_totals(const struct part_ctx *ctx,
+					    const char *team)
+{
+	struct team_budget *b = request_team(ctx->parts.dispatch->table, team);
+	struct dispatch_totals out = { b->queued, b->running };
+
+	return out;
+}
+
+/* The connection of a caller ended before its answer. */
+static void on_caller_gone(struct part_ctx *ctx, cs_handle caller)
+{
+	struct request *r =
+		request_of_caller(ctx->parts.dispatch->table, caller);
+
+	if (r)
+		dispatch_drop(ctx, r);
+}
+
+static void dispatch_on_msg(struct part_ctx *ctx, struct msg *msg)
+{
+	switch (msg->type) {
+	case MSG_SUBMIT:
+		dispatch_submit(ctx, &msg->u.submit, "", 0);
+		break;
+	case MSG_CALLER_GONE:
+		on_caller_gone(ctx, msg->u.caller);
+		break;
+	case MSG_TASK_DONE:
+		dispatch_task_done(ctx, &msg->u.task_done);
+		break;
+	case MSG_TASK_CONTROL_DONE:
+		dispatch_control_done(ctx, &msg->u.task_control_done);
+		break;
+	default:
+		break;
+	}
+}
+
+static void dispatch_on_peer_state(struct part_ctx *ctx,
+				   const struct peer_state *state)
+{
+	if (!state->is_up)
+		dispatch_peer_lost(ctx, state->peer);
+}
+
+/* A key that was withdrawn also ends what it brought and still waits. */
+static void refuse_withdrawn(struct part_ctx *ctx)
+{
+	struct dispatch *d = ctx->parts.dispatch;
+	struct refusal refusal = { OUTCOME_NOT_RUN, 0, NULL, "queue", "", 0 };
+	struct admission adm;
+	struct request *r;
+	cs_handle h, next;
+
+	for (h = request_next(d->table, 0); h; h = next) {
+		next = request_next(d->table, h);
+		r = request_get(d->table, h);
+		if (r->state != REQUEST_QUEUED && r->state != REQUEST_BACKOFF)
+			continue;
+		dispatch_admit(ctx, &r->submit, &adm);
+		if (!adm.status)
+			continue;
+		refusal.status = adm.status;
+		refusal.reason = adm.reason;
+		dispatch_refuse(ctx, r, &refusal);
+	}
+}
+
+static void dispatch_on_config(struct part_ctx *ctx, const struct document *doc)
+{
+	struct dispatch *d = ctx->parts.dispatch;
+
+	team_index_destroy(d->teams);
+	d->teams = team_index_create(doc);
+	refuse_withdrawn(ctx);
+	dispatch_kick_all(ctx);
+}
+
+static void dispatch_drain(struct part_ctx *ctx)
+{
+	ctx->parts.dispatch->drain_began = ctx->now;
+}
+
+static bool dispatch_is_drained(struct part_ctx *ctx)
+{
+	struct dispatch *d = ctx->parts.dispatch;
+
+	return is_past_drain(ctx) && !request_count(d->table);
+}
+
+static int dispatch_create(struct part_ctx *ctx, struct cs_error *err)
+{
+	struct dispatch *d = g_new0(struct dispatch, 1);
+	struct document *empty = document_create();
+
+	ctx->parts.dispatch = d;
+	d->recently_used =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	d->teams = team_index_create(empty);
+	document_destroy(empty);
+	d->held_by_attempt = g_hash_table_new(g_int64_hash, g_int64_equal);
+	d->table = request_table_create();
+	d->held = slots_create(sizeof(struct held_permit), HELD_MAX);
+	if (!d->table || !d->held)
+		return cs_error_set(err, CS_ERR_NOMEM, "dispatch", NULL,
+				    "out of memory");
+	claim_sync_subscribe(ctx, on_claim);
+	return CS_OK;
+}
+
+static void dispatch_destroy(struct part_ctx *ctx)
+{
+	struct dispatch *d = ctx->parts.dispatch;
+
+	if (!d)
+		return;
+	request_table_destroy(d->table);
+	g_hash_table_destroy(d->held_by_attempt);
+	slots_destroy(d->held);
+	team_index_destroy(d->teams);
+	g_hash_table_destroy(d->recently_used);
+	g_free(d);
+	ctx->parts.dispatch = NULL;
+}
+
+const struct part_ops dispatch_part = {
+	.name = "dispatch",
+	.create = dispatch_create,
+	.destroy = dispatch_destroy,
+	.on_msg = dispatch_on_msg,
+	.on_peer = dispatch_on_peer,
+	.on_peer_state = dispatch_on_peer_state,
+	.on_config = dispatch_on_config,
+	.drain = dispatch_drain,
+	.is_drained = dispatch_is_drained,
+};
--- /dev/null
+++ b/src/job/dispatch_forward.c
@@ -0,0 +1,206 @@
+#include "dispatch_private.h"
+
+#include <string.h>
+
+#include "../base/error.h"
+
+/* A request waits this long before another data centre is asked. */
+#define FORWARD_AFTER (100 * CS_MSEC)
+
+/*
+ * Requests of one pool that are forwarded in one tick of 20 ms. The other
+ * data centre's load is known a second late, so it is filled in small steps.
+ */
+#define FORWARD_PER_TICK 4
+
+/*
+ * The other entry gets a little less time, so that its answer, which may be a
+ * true "not run", is here before the deadline.
+ */
+#define FORWARD_MARGIN_MS 20
+
+/* An entry of that data centre that is up, chosen at random; -1: none. */
+static int choose_entry(struct part_ctx *ctx, const char *data_centre)
+{
+	const struct entry_options *o = ctx->options;
+	int chosen = -1, seen = 0;
+	size_t i;
+
+	for (i = 0; i < o->peers_nr; i++) {
+		if (!ctx->peers[i].is_up ||
+		    strcmp(o->peers[i].data_centre, data_centre))
+			continue;
+		if (g_rand_int_range(ctx->rng, 0, ++seen) == 0)
+			chosen = (int)i;
+	}
+	return chosen;
+}
+
+bool dispatch_forward(struct part_ctx *ctx, struct request *r,
+		      const char *data_centre)
+{
+	int64_t left = (r->deadline - ctx->now) / CS_MSEC - FORWARD_MARGIN_MS;
+	int i = choose_entry(ctx, data_centre);
+	struct submit *copy;
+	struct msg *msg;
+
+	if (i < 0 || left <= 0 || *r->origin || r->is_forward_refused)
+		return false;
+	if (!r->submit.is_idempotent && r->may_have_run)
+		return false;
+	msg = part_peer_msg(PEER_FORWARD, ctx->options->peers[i].id);
+	msg->u.peer.ref = r->self;
+	copy = &msg->u.peer.u.forward;
+	*copy = r->submit;
+	copy->body = g_bytes_ref(r->submit.body);
+	copy->deadline_ms = left;
+	copy->hops++;
+	copy->caller = 0;
+	r->state = REQUEST_FORWARDED;
+	r->started = ctx->now;
+	cs_copy(r->forwarded_to, sizeof(r->forwarded_to),
+		ctx->options->peers[i].id);
+	counters_add(ctx->counters, "forwards_total", "", 1);
+	part_emit(ctx, msg);
+	return true;
+}
+
+void dispatch_forward_cancel(struct part_ctx *ctx, struct request *r)
+{
+	struct msg *msg = part_peer_msg(PEER_FORWARD_CANCEL, r->forwarded_to);
+
+	msg->u.peer.ref = r->self;
+	part_emit(ctx, msg);
+}
+
+/* Where waiting work of the pool can go; NULL: stay here. */
+static const char *forward_target(struct part_ctx *ctx,
+				  const struct pool_queue *p, bool *is_forced)
+{
+	*is_forced = !fleet_pool_slots(ctx, p->name) ||
+		     config_sync_is_out(ctx, ctx->options->data_centre);
+	return share_spare_data_centre(ctx, p->name);
+}
+
+void dispatch_forward_waiting(struct part_ctx *ctx, struct pool_queue *p)
+{
+	struct dispatch *d = ctx->parts.dispatch;
+	const char *target;
+	struct request *r;
+	cs_handle h, next;
+	bool is_forced;
+	int n = 0;
+
+	target = forward_target(ctx, p, &is_forced);
+	if (!target)
+		return;
+	for (h = request_next(d->table, 0); h; h = next) {
+		next = request_next(d->table, h);
+		r = request_get(d->table, h);
+		if (r->pool != p || r->state != REQUEST_QUEUED ||
+		    r->team->is_blocked)
+			continue;
+		if (!is_forced && (n >= FORWARD_PER_TICK ||
+				   ctx->now - r->arrived < FORWARD_AFTER))
+			continue;
+		request_dequeue(d->table, r);
+		share_queued(ctx, r->team->share_row, -1);
+		if (!dispatch_forward(ctx, r, target))
+			dispatch_enqueue(ctx, r, true);
+		else
+			n++;
+	}
+}
+
+/* The other entry's answer goes to the caller, or the request waits again. */
+static void on_forward_reply(struct part_ctx *ctx, struct peer_msg *peer)
+{
+	struct request *r = request_get(ctx->parts.dispatch->table, peer->ref);
+	struct reply reply = peer->u.forward_reply;
+
+	if (!r || r->state != REQUEST_FORWARDED ||
+	    strcmp(r->forwarded_to, peer->peer)) {
+		counters_add(ctx->counters, "late_answers_total", "", 1);
+		return;
+	}
+	dispatch_span(ctx, r, "peer_relay", peer->peer, r->started,
+		      reply.outcome == OUTCOME_NOT_RUN ? "not_run" :
+							 "answered");
+	r->state = REQUEST_BACKOFF; /* the other entry is done with it */
+	if (reply.outcome == OUTCOME_NOT_RUN && ctx->now < r->deadline) {
+		r->is_forward_refused = true;
+		dispatch_enqueue(ctx, r, true);
+		dispatch_schedule(ctx, r->pool);
+		return;
+	}
+	if (reply.outcome == OUTCOME_UNKNOWN)
+		r->may_have_run = true;
+	if (reply.outcome == OUTCOME_NOT_RUN) {
+		struct refusal refusal = { OUTCOME_NOT_RUN, reply.status,
+					   reply.reason,    "peer_relay",
+					   peer->peer,	    1000 };
+
+		dispatch_refuse(ctx, r, &refusal);
+		return;
+	}
+	peer->u.forward_reply.body = NULL; /* passed on */
+	dispatch_answer(ctx, r, &reply);
+}
+
+void dispatch_on_peer(struct part_ctx *ctx, struct peer_msg *peer)
+{
+	struct request *r;
+
+	switch (peer->kind) {
+	case PEER_FORWARD:
+		dispatch_submit(ctx, &peer->u.forward, peer->peer, peer->ref);
+		break;
+	case PEER_FORWARD_REPLY:
+		on_forward_reply(ctx, peer);
+		break;
+	case PEER_FORWARD_CANCEL:
+		r = request_of_origin(ctx->parts.dispatch->table, peer->peer,
+				      peer->ref);
+		if (r)
+			dispatch_drop(ctx, r);
+		break;
+	default:
+		break;
+	}
+}
+
+/* Requests at an entry that is gone may have run there. */
+static void forward_lost(struct part_ctx *ctx, struct request *r)
+{
+	const struct refusal lost = { OUTCOME_UNKNOWN, 502,
+				      "peer_lost",     "peer_relay",
+				      r->forwarded_to, 0 };
+
+	r->state = REQUEST_BACKOFF;
+	r->may_have_run = true;
+	if (!r->submit.is_idempotent ||
+	    !retry_budget_spend(&r->pool->retry, &r->team->budget->retry)) {
+		dispatch_refuse(ctx, r, &lost);
+		return;
+	}
+	r->is_forward_refused = true;
+	dispatch_enqueue(ctx, r, true);
+	dispatch_schedule(ctx, r->pool);
+}
+
+void dispatch_peer_lost(struct part_ctx *ctx, const char *peer)
+{
+	struct dispatch *d = ctx->parts.dispatch;
+	struct request *r;
+	cs_handle h, next;
+
+	for (h = request_next(d->table, 0); h; h = next) {
+		next = request_next(d->table, h);
+		r = request_get(d->table, h);
+		if (r->state == REQUEST_FORWARDED &&
+		    !strcmp(r->forwarded_to, peer))
+			forward_lost(ctx, r);
+		else if (!strcmp(r->origin, peer))
+			dispatch_drop(ctx, r);
+	}
+}
--- /dev/null
+++ b/src/job/dispatch_run.c
@@ -0,0 +1,491 @@
+#include "dispatch_private.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "../base/error.h"
+#include "../base/log.h"
+
+/* Backoff before a retry, in ms; jitter keeps retries from coming together. */
+#define BACKOFF_MIN_MS 10
+#define BACKOFF_MAX_MS 200
+
+/* Wait after every worker was tried or refused; a slot may be free then. */
+#define NO_WORKER_WAIT (20 * CS_MSEC)
+
+/* A job that failed on this many hosts is itself at fault. */
+#define HOPELESS_HOSTS 3
+
+/*
+ * The end of a task with an unknown outcome is certain only when its lease,
+ * which ends at the deadline, is over. The margin covers a start message that
+ * was on its way for a while.
+ */
+#define HOLD_MARGIN (5 * CS_SEC)
+
+static void finish_attempt(struct part_ctx *ctx, struct request *r,
+			   enum fleet_result result)
+{
+	fleet_finish(ctx, r->placement.worker, result);
+	share_ended(ctx, r->team->share_row, ctx->now - r->started);
+	r->team->budget->running--;
+	dispatch_span(ctx, r, "attempt", r->placement.address, r->started,
+		      result == FLEET_WORKED ? "answered" : "failed");
+}
+
+static void on_hold_end(void *arg, uint64_t handle, cs_time now)
+{
+	struct part_ctx *ctx = arg;
+	struct held_permit *held = slots_get(ctx->parts.dispatch->held, handle);
+
+	ctx->now = now;
+	if (!held)
+		return;
+	ledger_sync_release(ctx, held->team);
+	g_hash_table_remove(ctx->parts.dispatch->held_by_attempt,
+			    &held->attempt);
+	slots_free(ctx->parts.dispatch->held, handle);
+}
+
+/* Ends a hold early: the task has certainly ended, or never ran. */
+static void end_hold(struct part_ctx *ctx, cs_handle handle)
+{
+	struct held_permit *held = slots_get(ctx->parts.dispatch->held, handle);
+
+	if (!held)
+		return;
+	timers_cancel(ctx->timers, held->timer);
+	on_hold_end(ctx, handle, ctx->now);
+}
+
+/*
+ * Keeps the permit of a task that may still run, and asks the worker to stop
+ * it. Without a row to note it in, the permit is never given back: the limit
+ * goes before its use.
+ */
+static void hold_permit(struct part_ctx *ctx, const struct request *r)
+{
+	struct dispatch *d = ctx->parts.dispatch;
+	struct held_permit *held;
+	struct msg *msg;
+	cs_handle h;
+
+	if (MUTANT(ctx, "permit-no-hold")) {
+		ledger_sync_release(ctx, r->team->team);
+		return;
+	}
+	h = slots_take(d->held, (void **)&held);
+	if (!h) {
+		counters_add(ctx->counters, "permits_lost_total", "", 1);
+		return;
+	}
+	cs_copy(held->team, sizeof(held->team), r->team->team);
+	held->attempt = r->self;
+	g_hash_table_insert(d->held_by_attempt, &held->attempt,
+			    (gpointer)(uintptr_t)h);
+	held->timer = timers_subscribe(ctx->timers, r->deadline + HOLD_MARGIN,
+				       on_hold_end, ctx, h);
+	msg = msg_new(MSG_TASK_CONTROL);
+	msg->u.task_control.part = PART_DISPATCH;
+	msg->u.task_control.attempt = h;
+	msg->u.task_control.op = TASK_STOP;
+	cs_copy(msg->u.task_control.address,
+		sizeof(msg->u.task_control.address), r->placement.address);
+	cs_copy(msg->u.task_control.task_id,
+		sizeof(msg->u.task_control.task_id), r->task_id);
+	part_emit(ctx, msg);
+}
+
+/* Only a worker that knew the task and stopped it proves that it has ended. */
+void dispatch_control_done(struct part_ctx *ctx,
+			   const struct task_control_done *done)
+{
+	if (done->code || done->op != TASK_STOP ||
+	    done->state == TASK_STATE_RUNNING ||
+	    done->state == TASK_STATE_MISSING)
+		return;
+	end_hold(ctx, done->attempt);
+}
+
+/*
+ * The result of an attempt whose request is gone. All but "unknown" prove
+ * that the task has ended or never ran.
+ */
+static void late_result(struct part_ctx *ctx, const struct task_done *done)
+{
+	struct dispatch *d = ctx->parts.dispatch;
+	gpointer held = g_hash_table_lookup(d->held_by_attempt, &done->attempt);
+
+	counters_add(ctx->counters, "late_answers_total", "", 1);
+	if (held && done->result != TASK_UNKNOWN)
+		end_hold(ctx, (cs_handle)(uintptr_t)held);
+}
+
+static void send_task(struct part_ctx *ctx, struct request *r)
+{
+	struct dispatch *d = ctx->parts.dispatch;
+	struct msg *msg = msg_new(MSG_TASK_START);
+	struct task_start *s = &msg->u.task_start;
+
+	g_snprintf(r->task_id, sizeof(r->task_id), "%s-%" PRIx64 "-%" PRIx64,
+		   ctx->options->id, ctx->options->incarnation, ++d->next_task);
+	s->part = PART_DISPATCH;
+	s->attempt = r->self;
+	s->work = WORK_SHORT;
+	s->lease_ms = (r->deadline - ctx->now) / CS_MSEC;
+	s->needs_live_connection = !r->submit.is_idempotent;
+	s->deadline = r->deadline;
+	s->trace = r->submit.trace;
+	s->body = g_bytes_ref(r->submit.body);
+	cs_copy(s->worker, sizeof(s->worker), r->placement.name);
+	cs_copy(s->address, sizeof(s->address), r->placement.address);
+	cs_copy(s->task_id, sizeof(s->task_id), r->task_id);
+	cs_copy(s->content_type, sizeof(s->content_type),
+		r->submit.content_type);
+	part_emit(ctx, msg);
+}
+
+/*
+ * Tries to start a queued request. CS_OK; CS_ERR_LIMIT without a permit;
+ * CS_ERR_FULL or CS_ERR_MISSING without a worker; CS_ERR_STALE.
+ */
+static int start_attempt(struct part_ctx *ctx, struct request *r)
+{
+	struct dispatch *d = ctx->parts.dispatch;
+	int code;
+
+	code = fleet_place(ctx, r->pool->name, r->tried, r->tried_nr,
+			   &r->placement);
+	if (code)
+		return code;
+	code = ledger_sync_acquire(ctx, r->team->team);
+	if (code) {
+		fleet_finish(ctx, r->placement.worker, FLEET_NEUTRAL);
+		return code;
+	}
+	part_invariant(ctx, "at-most-once",
+		       r->submit.is_idempotent || !r->may_have_run);
+	request_dequeue(d->table, r);
+	share_queued(ctx, r->team->share_row, -1);
+	share_started(ctx, r->team->share_row);
+	r->team->budget->running++;
+	dispatch_span(ctx, r, "queue", "", r->attempts ? ctx->now : r->arrived,
+		      "started");
+	r->state = REQUEST_RUNNING;
+	r->started = ctx->now;
+	r->attempts++;
+	send_task(ctx, r);
+	return CS_OK;
+}
+
+/* True if tasks may be started by this entry at all. */
+static bool may_start(struct part_ctx *ctx)
+{
+	if (config_sync_is_out(ctx, ctx->options->data_centre) &&
+	    !MUTANT(ctx, "start-while-out"))
+		return false;
+	return config_sync_is_fresh(ctx);
+}
+
+static void on_wait_end(void *arg, uint64_t handle, cs_time now)
+{
+	struct part_ctx *ctx = arg;
+	struct request *r = request_get(ctx->parts.dispatch->table, handle);
+
+	ctx->now = now;
+	if (!r || r->state != REQUEST_BACKOFF)
+		return;
+	r->wait_timer = 0;
+	dispatch_enqueue(ctx, r, true);
+	dispatch_schedule(ctx, r->pool);
+}
+
+static void back_off(struct part_ctx *ctx, struct request *r, cs_time wait)
+{
+	r->state = REQUEST_BACKOFF;
+	r->wait_timer = timers_subscribe(ctx->timers, ctx->now + wait,
+					 on_wait_end, ctx, r->self);
+}
+
+static void dequeue(struct part_ctx *ctx, struct request *r)
+{
+	request_dequeue(ctx->parts.dispatch->table, r);
+	share_queued(ctx, r->team->share_row, -1);
+}
+
+static void block_team(struct part_ctx *ctx, struct team_queue *q)
+{
+	q->is_blocked = true;
+	share_block(ctx, q->share_row);
+	ledger_sync_demand(ctx, q->team, q->budget->queued);
+	counters_add(ctx->counters, "permit_waits_total", "", 1);
+}
+
+/* The urgent request whose turn it is, of a team that has a permit. */
+static struct request *next_urgent(const struct dispatch *d,
+				   const struct pool_queue *p)
+{
+	struct request *r = request_first_urgent(d->table, p);
+
+	while (r && r->team->is_blocked)
+		r = request_next_urgent(d->table, r);
+	return r;
+}
+
+/* The request whose turn it is by the teams' shares. */
+static struct request *next_fair(struct part_ctx *ctx,
+				 const struct pool_queue *p)
+{
+	struct dispatch *d = ctx->parts.dispatch;
+	cs_handle row = share_next(ctx, p->name);
+	struct team_queue *q;
+
+	if (!row)
+		return NULL;
+	q = g_hash_table_lookup(p->teams, share_row_team(ctx, row));
+	return q ? request_first(d->table, q) : NULL;
+}
+
+/*
+ * Urgent requests go first, but not twice in a row while others wait: a team
+ * that marks all its work as urgent must not take the whole pool.
+ */
+static struct request *next_request(struct part_ctx *ctx, struct pool_queue *p)
+{
+	struct request *r = NULL, *fair = NULL;
+
+	if (p->urgent.nr)
+		r = next_urgent(ctx->parts.dispatch, p);
+	if (r && !p->was_urgent) {
+		p->was_urgent = true;
+		return r;
+	}
+	fair = next_fair(ctx, p);
+	p->was_urgent = false;
+	return fair ? fair : r;
+}
+
+void dispatch_schedule(struct part_ctx *ctx, struct pool_queue *p)
+{
+	struct request *r;
+	int code;
+
+	if (!p->queued || !may_start(ctx))
+		return;
+	while ((r = next_request(ctx, p))) {
+		code = start_attempt(ctx, r);
+		if (!code)
+			continue;
+		if (code == CS_ERR_LIMIT || code == CS_ERR_MISSING) {
+			if (code == CS_ERR_MISSING &&
+			    !fleet_pool_slots(ctx, p->name))
+				break;
+			block_team(ctx, r->team);
+		} else if (code == CS_ERR_FULL && r->tried_nr) {
+			dequeue(ctx, r);
+			back_off(ctx, r, NO_WORKER_WAIT);
+		} else {
+			break;
+		}
+	}
+}
+
+static void note_tried(struct request *r)
+{
+	size_t i = r->tried_nr;
+
+	if (i == FLEET_EXCLUDE_MAX)
+		return;
+	r->tried[i] = r->placement.worker;
+	cs_copy(r->tried_hosts[i], sizeof(r->tried_hosts[i]),
+		r->placement.host);
+	r->tried_nr++;
+}
+
+/* Hosts on which the request failed. */
+static int failed_hosts(const struct request *r)
+{
+	size_t i, j;
+	int n = 0;
+
+	for (i = 0; i < r->tried_nr; i++) {
+		for (j = 0; j < i; j++)
+			if (!strcmp(r->tried_hosts[i], r->tried_hosts[j]))
+				break;
+		n += i == j;
+	}
+	return n;
+}
+
+/* The job is at fault, so its failures are not held against the workers. */
+static void pardon_workers(struct part_ctx *ctx, const struct request *r)
+{
+	size_t i;
+
+	for (i = 0; i < r->tried_nr; i++)
+		fleet_pardon(ctx, r->tried[i]);
+}
+
+static void count_retry(struct part_ctx *ctx, const char *reason)
+{
+	char labels[48];
+
+	g_snprintf(labels, sizeof(labels), "reason=\"%s\"", reason);
+	counters_add(ctx->counters, "retries_total", labels, 1);
+}
+
+static void retry_later(struct part_ctx *ctx, struct request *r,
+			const char *reason)
+{
+	int ms = BACKOFF_MIN_MS << (r->attempts < 5 ? r->attempts - 1 : 4);
+
+	if (ms > BACKOFF_MAX_MS)
+		ms = BACKOFF_MAX_MS;
+	count_retry(ctx, reason);
+	back_off(ctx, r,
+		 g_rand_int_range(ctx->rng, BACKOFF_MIN_MS, ms + 1) * CS_MSEC);
+}
+
+/* Passes the worker's whole answer on. */
+static void answer(struct part_ctx *ctx, struct request *r,
+		   struct task_done *done)
+{
+	struct reply reply = { .outcome = OUTCOME_ANSWERED,
+			       .status = done->status };
+
+	cs_copy(reply.peer, sizeof(reply.peer), r->placement.name);
+	cs_copy(reply.content_type, sizeof(reply.content_type),
+		done->content_type);
+	reply.body = done->body;
+	done->body = NULL;
+	dispatch_answer(ctx, r, &reply);
+}
+
+/*
+ * An attempt that ran and failed. Only idempotent work may run again, within
+ * the budget, and not when the job itself is at fault.
+ */
+static void attempt_failed(struct part_ctx *ctx, struct request *r,
+			   struct task_done *done)
+{
+	struct refusal lost = { OUTCOME_UNKNOWN,  502,	"worker_lost",
+				done->error.step, NULL, 0 };
+	char peer[CS_ADDRESS_MAX];
+
+	r->failures++;
+	note_tried(r);
+	if (failed_hosts(r) >= HOPELESS_HOSTS) {
+		pardon_workers(ctx, r);
+		counters_add(ctx->counters, "hopeless_total", "", 1);
+	} else if ((r->submit.is_idempotent ||
+		    MUTANT(ctx, "retry-non-idempotent")) &&
+		   ctx->now < r->deadline &&
+		   retry_budget_spend(&r->pool->retry,
+				      &r->team->budget->retry)) {
+		retry_later(ctx, r,
+			    done->result == TASK_ANSWERED ? "error" : "lost");
+		return;
+	}
+	if (done->result == TASK_ANSWERED) {
+		answer(ctx, r, done);
+		return;
+	}
+	cs_copy(peer, sizeof(peer), r->placement.address);
+	lost.peer = peer;
+	if (ctx->now >= r->deadline) {
+		lost.status = 504;
+		lost.reason = "deadline";
+	}
+	dispatch_refuse(ctx, r, &lost);
+}
+
+static void on_answered(struct part_ctx *ctx, struct request *r,
+			struct task_done *done)
+{
+	ledger_sync_release(ctx, r->team->team);
+	if (done->status < 500) {
+		finish_attempt(ctx, r, FLEET_WORKED);
+		r->state = REQUEST_BACKOFF; /* nothing to detach */
+		answer(ctx, r, done);
+		return;
+	}
+	finish_attempt(ctx, r, FLEET_FAILED);
+	r->state = REQUEST_BACKOFF;
+	r->may_have_run = true;
+	attempt_failed(ctx, r, done);
+}
+
+static void on_unknown(struct part_ctx *ctx, struct request *r,
+		       struct task_done *done)
+{
+	finish_attempt(ctx, r, FLEET_FAILED);
+	hold_permit(ctx, r);
+	r->state = REQUEST_BACKOFF;
+	r->may_have_run = true;
+	attempt_failed(ctx, r, done);
+}
+
+/* Nothing ran: any request may be tried again, at once or elsewhere. */
+static void on_not_run(struct part_ctx *ctx, struct request *r,
+		       const struct task_done *done)
+{
+	static const struct refusal late = { OUTCOME_NOT_RUN, 504, "deadline",
+					     "worker",	      "",  1000 };
+	bool is_refused = done->result == TASK_REFUSED;
+
+	ledger_sync_release(ctx, r->team->team);
+	finish_attempt(ctx, r, is_refused ? FLEET_BUSY : FLEET_UNREACHABLE);
+	r->state = REQUEST_BACKOFF;
+	if (ctx->now >= r->deadline) {
+		dispatch_refuse(ctx, r, &late);
+		return;
+	}
+	if (!is_refused)
+		note_tried(r);
+	count_retry(ctx, is_refused ? "busy" : "not_sent");
+	dispatch_enqueue(ctx, r, true);
+}
+
+void dispatch_task_done(struct part_ctx *ctx, struct task_done *done)
+{
+	static void (*const handlers[])(struct part_ctx *, struct request *,
+					struct task_done *) = {
+		[TASK_ANSWERED] = on_answered,
+		[TASK_UNKNOWN] = on_unknown,
+	};
+	struct request *r =
+		request_get(ctx->parts.dispatch->table, done->attempt);
+	struct pool_queue *p;
+
+	if (!r || r->state != REQUEST_RUNNING) {
+		late_result(ctx, done);
+		return;
+	}
+	p = r->pool;
+	if (done->result == TASK_REFUSED || done->result == TASK_NOT_SENT)
+		on_not_run(ctx, r, done);
+	else
+		handlers[done->result](ctx, r, done);
+	dispatch_schedule(ctx, p);
+}
+
+void dispatch_detach(struct part_ctx *ctx, struct request *r)
+{
+	switch (r->state) {
+	case REQUEST_QUEUED:
+		dequeue(ctx, r);
+		break;
+	case REQUEST_RUNNING:
+		finish_attempt(ctx, r, FLEET_NEUTRAL);
+		hold_permit(ctx, r);
+		break;
+	case REQUEST_BACKOFF:
+		timers_cancel(ctx->timers, r->wait_timer);
+		break;
+	case REQUEST_FORWARDED:
+		dispatch_forward_cancel(ctx, r);
+		break;
+	default:
+		break;
+	}
+}
--- /dev/null
+++ b/src/team/share.c
@@ -0,0 +1,674 @@
+#include "share.h"
+
+#include <math.h>
+#include <string.h>
+
+#include "../base/error.h"
+#include "../config/config_sync.h"
+#include "../fleet/fleet.h"
+#include "share_pool.h"
+#include "share_table.h"
+
+/* How often slot time is counted, quotas are set and summaries go out. */
+#define TICK_INTERVAL (500 * CS_MSEC)
+
+/* Every so many ticks a data centre speaks to the others. */
+#define DATA_CENTRE_TICKS 2
+
+/*
+ * What an entry may send in summaries, in bytes a second, out of the 3 KB
+ * that control may cost a node; the rows that changed most go first.
+ */
+#define SUMMARY_BYTES_PER_SECOND 1500
+#define ROW_BYTES 40
+#define ROWS_MIN 2
+
+/* Weight of the newest task in the mean length of a team's tasks. */
+#define TASK_MEAN_WEIGHT 0.1
+
+struct share {
+	struct share_table table;
+	uint64_t ticks;
+};
+
+static struct share_row *get_row(const struct part_ctx *ctx, cs_handle h)
+{
+	return slots_get(ctx->parts.share->table.rows, h);
+}
+
+cs_handle share_row(struct part_ctx *ctx, const char *pool, const char *team,
+		    int weight)
+{
+	struct share_row *row = share_table_row(&ctx->parts.share->table, pool,
+						team, weight > 0 ? weight : 1,
+						ctx->now);
+
+	return row ? row->self : 0;
+}
+
+const char *share_row_team(const struct part_ctx *ctx, cs_handle h)
+{
+	const struct share_row *row = get_row(ctx, h);
+
+	return row ? row->team : "";
+}
+
+void share_queued(struct part_ctx *ctx, cs_handle h, int delta)
+{
+	struct share_row *row = get_row(ctx, h);
+
+	if (!row)
+		return;
+	row->queued += delta;
+	part_invariant(ctx, "share-counts", row->queued >= 0);
+	share_row_touch(&ctx->parts.share->table, row, ctx->now);
+}
+
+cs_handle share_next(struct part_ctx *ctx, const char *pool)
+{
+	struct share_pool *p = share_table_pool(&ctx->parts.share->table, pool);
+
+	return p && p->nr ? p->heap[0]->self : 0;
+}
+
+static void set_blocked(struct part_ctx *ctx, cs_handle h, bool is_blocked)
+{
+	struct share_row *row = get_row(ctx, h);
+
+	if (!row || row->is_blocked == is_blocked)
+		return;
+	row->is_blocked = is_blocked;
+	share_row_touch(&ctx->parts.share->table, row, ctx->now);
+}
+
+void share_block(struct part_ctx *ctx, cs_handle h)
+{
+	set_blocked(ctx, h, true);
+}
+
+void share_unblock(struct part_ctx *ctx, cs_handle h)
+{
+	set_blocked(ctx, h, false);
+}
+
+void share_started(struct part_ctx *ctx, cs_handle h)
+{
+	struct share_row *row = get_row(ctx, h);
+
+	if (!row)
+		return;
+	share_row_touch(&ctx->parts.share->table, row, ctx->now);
+	row->running++;
+	share_row_touch(&ctx->parts.share->table, row, ctx->now);
+}
+
+void share_ended(struct part_ctx *ctx, cs_handle h, cs_time slot_time)
+{
+	struct share_row *row = get_row(ctx, h);
+	double ms = (double)slot_time / (double)CS_MSEC;
+
+	if (!row)
+		return;
+	share_row_touch(&ctx->parts.share->table, row, ctx->now);
+	row->running--;
+	part_invariant(ctx, "share-counts", row->running >= 0);
+	row->task_ms += TASK_MEAN_WEIGHT * (ms - row->task_ms);
+	share_row_touch(&ctx->parts.share->table, row, ctx->now);
+}
+
+int share_quota(const struct part_ctx *ctx, const char *pool, int total)
+{
+	const struct share_pool *p =
+		share_table_pool(&ctx->parts.share->table, pool);
+
+	if (!p || p->quota < 0 || p->quota > total)
+		return total;
+	return p->quota;
+}
+
+int64_t share_usage_ms(struct part_ctx *ctx, const char *pool, const char *team)
+{
+	struct share_table *t = &ctx->parts.share->table;
+	struct share_row *row = share_table_find(t, pool, team);
+
+	if (!row)
+		return 0;
+	share_row_touch(t, row, ctx->now);
+	return (int64_t)((row->usage + row->remote_usage) /
+			 share_table_scale(t, ctx->now));
+}
+
+/* What a source says of a pool, summed over teams. */
+static void sum_source(const struct share_source *s, const struct share_pool *p,
+		       int *queued, int *running)
+{
+	const struct remote_row *remote;
+	guint i;
+
+	*queued = *running = 0;
+	for (i = 0; i < p->rows->len; i++) {
+		remote = share_source_get(s, g_ptr_array_index(p->rows, i));
+		if (!remote)
+			continue;
+		*queued += remote->queued;
+		*running += remote->running;
+	}
+}
+
+const char *share_spare_data_centre(const struct part_ctx *ctx,
+				    const char *pool)
+{
+	struct share *sh = ctx->parts.share;
+	struct share_pool *p = share_table_pool(&sh->table, pool);
+	const struct doc_data_centre *dc;
+	const struct share_source *s;
+	int queued, running, spare, most = 0;
+	const char *best = NULL;
+	size_t nr, i;
+
+	dc = document_data_centres(config_sync_document(ctx), &nr);
+	for (i = 0; i < nr; i++) {
+		if (dc[i].is_out ||
+		    !strcmp(dc[i].name, ctx->options->data_centre) ||
+		    !part_lead_entry(ctx, dc[i].name))
+			continue;
+		queued = running = 0;
+		s = g_hash_table_lookup(sh->table.sources, dc[i].name);
+		if (s && p)
+			sum_source(s, p, &queued, &running);
+		spare = fleet_document_slots(ctx, pool, dc[i].name) - running -
+			queued;
+		if (spare > most) {
+			most = spare;
+			best = dc[i].name;
+		}
+	}
+	return best;
+}
+
+/* Demand of the teams of one pool at this entry and at one other source. */
+struct demand_table {
+	struct share_pool *pool;
+	struct share_source **entries; /* of this data centre */
+	size_t entries_nr;
+	struct share_demand *demands;
+	size_t demands_nr;
+	int *capacity;
+	size_t places_nr;
+};
+
+static int own_wanted(const struct share_row *row)
+{
+	return row->queued + row->running;
+}
+
+static int source_wanted(const struct share_source *s,
+			 const struct share_row *row)
+{
+	const struct remote_row *remote = share_source_get(s, row);
+
+	return remote ? remote->queued + remote->running : 0;
+}
+
+static void add_demand(struct demand_table *d, int team, int place, int wanted)
+{
+	struct share_demand *x;
+
+	if (wanted <= 0)
+		return;
+	x = &d->demands[d->demands_nr++];
+	x->team = team;
+	x->place = place;
+	x->wanted = wanted;
+}
+
+/* Place 0 is this data centre; the others follow, one for each source. */
+static void gather_demand(struct part_ctx *ctx, struct demand_table *d)
+{
+	struct share *sh = ctx->parts.share;
+	struct share_pool *p = d->pool;
+	GHashTableIter it;
+	gpointer value;
+	size_t i, e;
+
+	d->entries = g_new0(struct share_source *,
+			    g_hash_table_size(sh->table.sources) + 1);
+	d->capacity = g_new0(int, g_hash_table_size(sh->table.sources) + 1);
+	d->demands = g_new0(struct share_demand,
+			    (gsize)p->rows->len *
+				    (g_hash_table_size(sh->table.sources) + 1));
+	d->capacity[0] = fleet_pool_slots(ctx, p->name);
+	d->places_nr = 1;
+	g_hash_table_iter_init(&it, sh->table.sources);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct share_source *s = value;
+
+		if (!s->is_data_centre) {
+			d->entries[d->entries_nr++] = s;
+			continue;
+		}
+		d->capacity[d->places_nr] =
+			fleet_document_slots(ctx, p->name, s->name);
+		for (i = 0; i < p->rows->len; i++)
+			add_demand(d, (int)i, (int)d->places_nr,
+				   source_wanted(s, g_ptr_array_index(p->rows,
+								      i)));
+		d->places_nr++;
+	}
+	for (i = 0; i < p->rows->len; i++) {
+		const struct share_row *row = g_ptr_array_index(p->rows, i);
+		int wanted = own_wanted(row);
+
+		for (e = 0; e < d->entries_nr; e++)
+			wanted += source_wanted(d->entries[e], row);
+		add_demand(d, (int)i, 0, wanted);
+	}
+}
+
+static int compare_names(gconstpointer a, gconstpointer b)
+{
+	return strcmp(*(const char *const *)a, *(const char *const *)b);
+}
+
+/*
+ * Splits what the teams are given in this data centre over its entries by
+ * their demand. Every entry rounds the same parts in the same order of ids,
+ * so that the quotas of all add up to the slots.
+ */
+static int own_quota(struct part_ctx *ctx, const struct demand_table *d)
+{
+	size_t nr = d->entries_nr + 1, i, e, self = 0;
+	const char **ids = g_new0(const char *, nr);
+	double *parts = g_new0(double, nr);
+	int *quotas = g_new0(int, nr);
+	int quota, given = 0;
+
+	ids[0] = ctx->options->id;
+	for (e = 0; e < d->entries_nr; e++)
+		ids[e + 1] = d->entries[e]->name;
+	qsort(ids, nr, sizeof(*ids), compare_names);
+	for (e = 0; e < nr; e++)
+		if (!strcmp(ids[e], ctx->options->id))
+			self = e;
+	for (i = 0; i < d->demands_nr; i++) {
+		const struct share_demand *x = &d->demands[i];
+		const struct share_row *row;
+
+		if (x->place != 0)
+			continue;
+		row = g_ptr_array_index(d->pool->rows, (guint)x->team);
+		given += x->given;
+		for (e = 0; e < nr; e++) {
+			struct share_source *s = g_hash_table_lookup(
+				ctx->parts.share->table.sources, ids[e]);
+			int wanted = e == self ? own_wanted(row) :
+						 source_wanted(s, row);
+
+			parts[e] += (double)x->given * wanted / x->wanted;
+		}
+	}
+	for (e = 0; e < nr; e++)
+		parts[e] += (double)(d->capacity[0] - given) / (double)nr;
+	share_round(parts, quotas, nr, d->capacity[0]);
+	quota = quotas[self];
+	g_free(ids);
+	g_free(parts);
+	g_free(quotas);
+	return quota;
+}
+
+/* True if work waits for the pool anywhere in this data centre. */
+static bool is_contended(const struct share *sh, const struct share_pool *p)
+{
+	int queued, running;
+	GHashTableIter it;
+	gpointer value;
+	guint i;
+
+	for (i = 0; i < p->rows->len; i++)
+		if (((struct share_row *)g_ptr_array_index(p->rows, i))->queued)
+			return true;
+	g_hash_table_iter_init(&it, sh->table.sources);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		if (((struct share_source *)value)->is_data_centre)
+			continue;
+		sum_source(value, p, &queued, &running);
+		if (queued)
+			return true;
+	}
+	return false;
+}
+
+static void set_quota(struct part_ctx *ctx, struct share_pool *p)
+{
+	struct share *sh = ctx->parts.share;
+	struct demand_table d = { .pool = p };
+	double *weights, *average;
+	guint i;
+
+	if (!is_contended(sh, p) || MUTANT(ctx, "share-no-quota")) {
+		p->quota = -1;
+		return;
+	}
+	weights = g_new0(double, p->rows->len);
+	average = g_new0(double, p->rows->len);
+	for (i = 0; i < p->rows->len; i++) {
+		struct share_row *row = g_ptr_array_index(p->rows, i);
+
+		weights[i] = row->weight;
+		average[i] = share_row_average(&sh->table, row, ctx->now);
+	}
+	gather_demand(ctx, &d);
+	share_split(d.demands, d.demands_nr, weights, average, p->rows->len,
+		    d.capacity, d.places_nr);
+	p->quota = own_quota(ctx, &d);
+	g_free(weights);
+	g_free(average);
+	g_free(d.entries);
+	g_free(d.capacity);
+	g_free(d.demands);
+}
+
+/* What a summary of that scope says of a row. */
+static struct remote_row describe_row(const struct share *sh,
+				      const struct share_row *row,
+				      enum share_scope scope)
+{
+	struct remote_row out = { row->queued, row->running, row->usage };
+	const struct remote_row *remote;
+	GHashTableIter it;
+	gpointer value;
+
+	if (scope == SCOPE_ENTRY)
+		return out;
+	g_hash_table_iter_init(&it, sh->table.sources);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		if (((struct share_source *)value)->is_data_centre)
+			continue;
+		remote = share_source_get(value, row);
+		if (!remote)
+			continue;
+		out.queued += remote->queued;
+		out.running += remote->running;
+		out.usage += remote->usage;
+	}
+	return out;
+}
+
+/* How much a row differs from what was sent last; 0: not worth sending. */
+static double change_of(const struct remote_row *a, const struct remote_row *b,
+			double scale)
+{
+	double tasks =
+		abs(a->queued - b->queued) + abs(a->running - b->running);
+	double ms = fabs(a->usage - b->usage) / scale;
+
+	/* A row that falls silent must be sent, or its demand would stay. */
+	if (!tasks && ms < 10)
+		return 0;
+	return tasks + ms / 100;
+}
+
+struct candidate {
+	struct share_row *row;
+	struct remote_row now;
+	double change;
+};
+
+static int compare_change(gconstpointer a, gconstpointer b)
+{
+	const struct candidate *x = a, *y = b;
+
+	if (x->change != y->change)
+		return x->change < y->change ? 1 : -1;
+	return x->row->self < y->row->self ? -1 : x->row->self > y->row->self;
+}
+
+/* The rows that changed most since they were last sent. */
+static GArray *changed_rows(struct part_ctx *ctx, enum share_scope scope)
+{
+	struct share *sh = ctx->parts.share;
+	double scale = share_table_scale(&sh->table, ctx->now);
+	GArray *out = g_array_new(FALSE, FALSE, sizeof(struct candidate));
+	struct candidate c;
+	cs_handle h;
+
+	for (h = slots_next(sh->table.rows, 0); h;
+	     h = slots_next(sh->table.rows, h)) {
+		c.row = slots_get(sh->table.rows, h);
+		c.now = describe_row(sh, c.row, scope);
+		c.change = change_of(&c.now, &c.row->sent[scope], scale);
+		if (c.change > 0)
+			g_array_append_val(out, c);
+	}
+	g_array_sort(out, compare_change);
+	return out;
+}
+
+static void send_summary(struct part_ctx *ctx, const char *peer,
+			 const char *data_centre,
+			 const struct summary_row *rows, size_t nr)
+{
+	struct msg *msg = part_peer_msg(PEER_SUMMARY, peer);
+
+	cs_copy(msg->u.peer.u.summary.data_centre,
+		sizeof(msg->u.peer.u.summary.data_centre), data_centre);
+	msg->u.peer.u.summary.rows = g_memdup2(rows, nr * sizeof(*rows));
+	msg->u.peer.u.summary.rows_nr = nr;
+	part_emit(ctx, msg);
+}
+
+/* Calls send for each entry that a summary of that scope goes to. */
+static size_t for_each_receiver(struct part_ctx *ctx, enum share_scope scope,
+				const struct summary_row *rows, size_t nr)
+{
+	const struct entry_options *o = ctx->options;
+	size_t i, count = 0;
+	const char *lead;
+
+	for (i = 0; i < o->peers_nr; i++) {
+		bool is_near = !strcmp(o->peers[i].data_centre, o->data_centre);
+
+		if (!ctx->peers[i].is_up || is_near != (scope == SCOPE_ENTRY))
+			continue;
+		lead = part_lead_entry(ctx, o->peers[i].data_centre);
+		if (!is_near && strcmp(lead, o->peers[i].id))
+			continue;
+		count++;
+		if (rows)
+			send_summary(ctx, o->peers[i].id,
+				     is_near ? "" : o->data_centre, rows, nr);
+	}
+	return count;
+}
+
+static void send_summaries(struct part_ctx *ctx, enum share_scope scope)
+{
+	struct share *sh = ctx->parts.share;
+	double scale = share_table_scale(&sh->table, ctx->now);
+	size_t receivers = for_each_receiver(ctx, scope, NULL, 0);
+	struct summary_row *rows;
+	size_t most, i;
+	GArray *changed;
+
+	if (!receivers)
+		return;
+	changed = changed_rows(ctx, scope);
+	most = SUMMARY_BYTES_PER_SECOND * TICK_INTERVAL / CS_SEC /
+	       (ROW_BYTES * receivers);
+	if (most < ROWS_MIN)
+		most = ROWS_MIN;
+	if (most > changed->len)
+		most = changed->len;
+	rows = g_new0(struct summary_row, most + 1);
+	for (i = 0; i < most; i++) {
+		struct candidate *c =
+			&g_array_index(changed, struct candidate, i);
+
+		cs_copy(rows[i].pool, sizeof(rows[i].pool), c->row->pool->name);
+		cs_copy(rows[i].team, sizeof(rows[i].team), c->row->team);
+		rows[i].queued = c->now.queued;
+		rows[i].running = c->now.running;
+		rows[i].used_ms = (int64_t)(c->now.usage / scale);
+		c->row->sent[scope] = c->now;
+	}
+	if (most)
+		for_each_receiver(ctx, scope, rows, most);
+	counters_add(ctx->counters, "share_rows_sent_total", "",
+		     (int64_t)(most * receivers));
+	g_free(rows);
+	g_array_free(changed, TRUE);
+}
+
+static void on_tick(void *arg, uint64_t unused, cs_time now)
+{
+	struct part_ctx *ctx = arg;
+	struct share *sh = ctx->parts.share;
+	GHashTableIter it;
+	gpointer value;
+	const char *lead;
+	cs_handle h;
+
+	(void)unused;
+	ctx->now = now;
+	share_table_rescale(&sh->table, now);
+	for (h = slots_next(sh->table.rows, 0); h;
+	     h = slots_next(sh->table.rows, h))
+		share_row_touch(&sh->table, get_row(ctx, h), now);
+	g_hash_table_iter_init(&it, sh->table.pools);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		set_quota(ctx, value);
+	send_summaries(ctx, SCOPE_ENTRY);
+	lead = part_lead_entry(ctx, ctx->options->data_centre);
+	if (!(++sh->ticks % DATA_CENTRE_TICKS) &&
+	    !strcmp(lead, ctx->options->id))
+		send_summaries(ctx, SCOPE_DATA_CENTRE);
+	timers_subscribe(ctx->timers, now + TICK_INTERVAL, on_tick, ctx, 0);
+}
+
+/* Passes what another data centre said on to the entries of this one. */
+static void relay_summary(struct part_ctx *ctx, const struct peer_msg *peer)
+{
+	const struct entry_options *o = ctx->options;
+	size_t i;
+
+	for (i = 0; i < o->peers_nr; i++)
+		if (ctx->peers[i].is_up &&
+		    !strcmp(o->peers[i].data_centre, o->data_centre))
+			send_summary(ctx, o->peers[i].id,
+				     peer->u.summary.data_centre,
+				     peer->u.summary.rows,
+				     peer->u.summary.rows_nr);
+}
+
+static void share_on_peer(struct part_ctx *ctx, struct peer_msg *peer)
+{
+	struct share *sh = ctx->parts.share;
+	const struct document *doc = config_sync_document(ctx);
+	const char *place = peer->u.summary.data_centre;
+	int sender = part_peer_index(ctx, peer->peer);
+	struct share_source *source;
+	size_t i;
+
+	if (sender < 0 || !strcmp(place, ctx->options->data_centre))
+		return;
+	if (*place && !document_data_centre(doc, place))
+		return;
+	source = share_table_source(&sh->table, *place ? place : peer->peer,
+				    *place);
+	for (i = 0; i < peer->u.summary.rows_nr; i++) {
+		const struct summary_row *r = &peer->u.summary.rows[i];
+		const struct doc_team *team = document_team(doc, r->team);
+		struct share_row *row;
+
+		if (!team || !document_pool(doc, r->pool) || r->queued < 0 ||
+		    r->running < 0 || r->used_ms < 0)
+			continue;
+		row = share_table_row(&sh->table, r->pool, r->team, team->share,
+				      ctx->now);
+		if (row)
+			share_source_set(&sh->table, source, row, r->queued,
+					 r->running, r->used_ms, ctx->now);
+	}
+	if (*place && strcmp(ctx->options->peers[sender].data_centre,
+			     ctx->options->data_centre))
+		relay_summary(ctx, peer);
+}
+
+/* A peer that was away has missed changes: everything is sent once more. */
+static void share_on_peer_state(struct part_ctx *ctx,
+				const struct peer_state *state)
+{
+	struct share_table *t = &ctx->parts.share->table;
+	struct share_row *row;
+	cs_handle h;
+
+	if (!state->is_up) {
+		share_table_drop_source(t, state->peer);
+		return;
+	}
+	for (h = slots_next(t->rows, 0); h; h = slots_next(t->rows, h)) {
+		row = get_row(ctx, h);
+		memset(row->sent, 0, sizeof(row->sent));
+	}
+}
+
+/* Shares may have changed, and rows of teams that are gone are removed. */
+static void share_on_config(struct part_ctx *ctx, const struct document *doc)
+{
+	struct share_table *t = &ctx->parts.share->table;
+	const struct doc_team *team;
+	struct share_row *row;
+	cs_handle h, next;
+
+	for (h = slots_next(t->rows, 0); h; h = next) {
+		next = slots_next(t->rows, h);
+		row = get_row(ctx, h);
+		team = document_team(doc, row->team);
+		if (team) {
+			row->weight = team->share > 0 ? team->share : 1;
+			share_row_touch(t, row, ctx->now);
+		} else if (!row->queued && !row->running) {
+			share_table_remove(t, row);
+		}
+	}
+}
+
+static void share_start(struct part_ctx *ctx)
+{
+	ctx->parts.share->table.epoch = ctx->now;
+	timers_subscribe(ctx->timers,
+			 ctx->now +
+				 g_rand_int_range(ctx->rng, 1, 500) * CS_MSEC,
+			 on_tick, ctx, 0);
+}
+
+static int share_create(struct part_ctx *ctx, struct cs_error *err)
+{
+	struct share *sh = g_new0(struct share, 1);
+
+	ctx->parts.share = sh;
+	if (!share_table_init(&sh->table))
+		return cs_error_set(err, CS_ERR_NOMEM, "share", NULL,
+				    "out of memory");
+	return CS_OK;
+}
+
+static void share_destroy(struct part_ctx *ctx)
+{
+	if (!ctx->parts.share)
+		return;
+	share_table_clear(&ctx->parts.share->table);
+	g_free(ctx->parts.share);
+	ctx->parts.share = NULL;
+}
+
+const struct part_ops share_part = {
+	.name = "share",
+	.create = share_create,
+	.destroy = share_destroy,
+	.start = share_start,
+	.on_peer = share_on_peer,
+	.on_peer_state = share_on_peer_state,
+	.on_config = share_on_config,
+};
--- a/src/team/share.h
+++ b/src/team/share.h
@@ -4,37 +4,51 @@
 #include "../entry/part.h"
 
 /*
- * Fair sharing of a full pool: which team gets the next free slot, and how
- * many slots of a pool this entry may use next to the others.
+ * Fair sharing of a full pool. Each pool has a heap of the teams with work
+ * waiting here, ordered by slot time used fleet-wide per share, so the next
+ * team is found in O(log n). How many slots of a pool this entry may fill is
+ * worked out from the demand that all entries report.
  */
 
-/* A team with work waiting at this entry, as dispatch offers it. */
-struct share_candidate {
-	const char *team;
-	int weight; /* the team's share */
-	int queued;
-};
+/* The row of a team in a pool, made at first use; weight is the share. */
+cs_handle share_row(struct part_ctx *ctx, const char *pool, const char *team,
+		    int weight);
 
-/* Index of the candidate whose turn it is. nr must be at least 1. */
-size_t share_pick(struct part_ctx *ctx, const char *pool,
-		  const struct share_candidate *candidates, size_t nr);
+/* The team of a row; valid while the row is. "" for a stale handle. */
+const char *share_row_team(const struct part_ctx *ctx, cs_handle row);
 
-/* Tells of a task that began or ended, and of work that queued. */
-void share_started(struct part_ctx *ctx, const char *pool, const char *team);
-void share_ended(struct part_ctx *ctx, const char *pool, const char *team,
-		 cs_time slot_time);
-void share_queued(struct part_ctx *ctx, const char *pool, const char *team,
-		  int delta);
+/* Requests of the row that began or ceased to wait. */
+void share_queued(struct part_ctx *ctx, cs_handle row, int delta);
 
 /*
- * Slots of the pool in this data centre that this entry may fill, out of
- * total. Never below the entry's even part while it has work waiting and
- * others have none.
+ * The waiting team whose turn it is in the pool, or 0. Teams that are
+ * blocked are passed over.
+ */
+cs_handle share_next(struct part_ctx *ctx, const char *pool);
+
+/* Passes a team over until share_unblock(): it has no permit free. */
+void share_block(struct part_ctx *ctx, cs_handle row);
+void share_unblock(struct part_ctx *ctx, cs_handle row);
+
+/* A task of the row began, or ended after slot_time. */
+void share_started(struct part_ctx *ctx, cs_handle row);
+void share_ended(struct part_ctx *ctx, cs_handle row, cs_time slot_time);
+
+/*
+ * Slots out of total of the pool in this data centre that this entry may
+ * fill. All of them while nobody in the data centre has work waiting.
  */
 int share_quota(const struct part_ctx *ctx, const char *pool, int total);
 
+/*
+ * A data centre with slots of the pool to spare, by the last summaries, or
+ * NULL. For work that can't start here.
+ */
+const char *share_spare_data_centre(const struct part_ctx *ctx,
+				    const char *pool);
+
 /* Decayed slot time of a team in a pool fleet-wide, in ms. For status. */
-int64_t share_usage_ms(const struct part_ctx *ctx, const char *pool,
+int64_t share_usage_ms(struct part_ctx *ctx, const char *pool,
 		       const char *team);
 
 #endif
