--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -35,6 +35,9 @@
 /* At most this part of a pool's workers is ejected, and at least one. */
 #define EJECT_PART 5
 
+/* Part of a pool's slots that long work leaves free, and at least one. */
+#define RESERVE_PART 20
+
 struct fleet_pool {
 	char name[CS_NAME_MAX];
 	struct load_heap heap;
@@ -278,6 +281,18 @@
 	}
 }
 
+/* Counts one more task of this entry on the worker. */
+static void count_task(struct worker_row *w, struct placement *out)
+{
+	w->own++;
+	w->pool->running++;
+	replace_in_heap(w);
+	out->worker = w->key.worker;
+	cs_copy(out->name, sizeof(out->name), w->name);
+	cs_copy(out->address, sizeof(out->address), w->address);
+	cs_copy(out->host, sizeof(out->host), w->host);
+}
+
 int fleet_place(struct part_ctx *ctx, const char *pool,
 		const cs_handle *exclude, size_t exclude_nr,
 		struct placement *out)
@@ -296,16 +311,34 @@
 	w = get_worker(ctx, key->worker);
 	if (!part_invariant(ctx, "worker-usable", w && w->is_usable) || !w)
 		return CS_ERR_MISSING;
-	w->own++;
-	p->running++;
-	replace_in_heap(w);
-	out->worker = key->worker;
-	cs_copy(out->name, sizeof(out->name), w->name);
-	cs_copy(out->address, sizeof(out->address), w->address);
-	cs_copy(out->host, sizeof(out->host), w->host);
+	count_task(w, out);
 	return CS_OK;
 }
 
+int fleet_take_over(struct part_ctx *ctx, const char *worker,
+		    struct placement *out)
+{
+	gpointer h = g_hash_table_lookup(ctx->parts.fleet->by_name, worker);
+	struct worker_row *w = get_worker(ctx, handle_of(h));
+
+	if (!w)
+		return CS_ERR_MISSING;
+	count_task(w, out);
+	return CS_OK;
+}
+
+bool fleet_has_room_for_long(const struct part_ctx *ctx, const char *pool)
+{
+	const struct fleet_pool *p = find_pool(ctx, pool);
+	int reserve, quota;
+
+	if (!p)
+		return false;
+	reserve = p->slots / RESERVE_PART;
+	quota = share_quota(ctx, pool, p->slots);
+	return p->running + (reserve ? reserve : 1) < quota;
+}
+
 static void on_busy_timer(void *arg, uint64_t worker, cs_time now)
 {
 	struct part_ctx *ctx = arg;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -29,6 +29,20 @@
 		const cs_handle *exclude, size_t exclude_nr,
 		struct placement *out);
 
+/*
+ * Counts one task that already runs on the named worker, whose owner hands
+ * it over to this entry. CS_OK or CS_ERR_MISSING.
+ */
+int fleet_take_over(struct part_ctx *ctx, const char *worker,
+		    struct placement *out);
+
+/*
+ * True if long work may take another slot of the pool here. It must leave a
+ * few free, since it gives none back within the 2.7 s in which urgent work
+ * has to start.
+ */
+bool fleet_has_room_for_long(const struct part_ctx *ctx, const char *pool);
+
 enum fleet_result {
 	FLEET_WORKED, /* an answer that is the worker's own success */
 	FLEET_BUSY, /* the worker refused for want of a slot */
--- a/src/job/dispatch.c
+++ b/src/job/dispatch.c
@@ -159,6 +159,22 @@
 	arm_tick(ctx);
 }
 
+void dispatch_long_waiting(struct part_ctx *ctx, const char *pool,
+			   const char *team, int delta)
+{
+	struct dispatch *d = ctx->parts.dispatch;
+	const struct doc_team *dt =
+		document_team(config_sync_document(ctx), team);
+	struct pool_queue *p = request_pool(d->table, pool);
+	struct team_queue *q = request_queue(d->table, p, team);
+
+	q->share_row = share_row(ctx, pool, team, dt ? dt->share : 1);
+	q->long_waiting += delta;
+	p->long_waiting += delta;
+	share_queued(ctx, q->share_row, delta);
+	arm_tick(ctx);
+}
+
 static void on_deadline(void *arg, uint64_t handle, cs_time now)
 {
 	static const struct refusal late = {
@@ -311,13 +327,14 @@
 	g_hash_table_iter_init(&it, p->teams);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		q = value;
-		if (!q->list.nr)
+		if (!q->list.nr && !q->long_waiting)
 			continue;
 		if (q->is_blocked) {
 			q->is_blocked = false;
 			share_unblock(ctx, q->share_row);
 		}
-		ledger_sync_demand(ctx, q->team, q->budget->queued);
+		ledger_sync_demand(ctx, q->team,
+				   q->budget->queued + q->long_waiting);
 	}
 }
 
@@ -325,12 +342,12 @@
 {
 	struct part_ctx *ctx = arg;
 
-	if (!p->queued)
+	if (!p->queued && !p->long_waiting)
 		return;
 	retry_blocked(ctx, p);
 	dispatch_schedule(ctx, p);
 	dispatch_forward_waiting(ctx, p);
-	if (p->queued)
+	if (p->queued || p->long_waiting)
 		arm_tick(ctx);
 }
 
--- a/src/job/dispatch.h
+++ b/src/job/dispatch.h
@@ -17,6 +17,13 @@
 struct dispatch_totals dispatch_team_totals(const struct part_ctx *ctx,
 					    const char *team);
 
+/*
+ * Long jobs of a team that began or ceased to wait for a slot. They take
+ * turns with the team's short requests.
+ */
+void dispatch_long_waiting(struct part_ctx *ctx, const char *pool,
+			   const char *team, int delta);
+
 /* Lets waiting requests start: permits or slots may have become free. */
 void dispatch_kick(struct part_ctx *ctx, const char *pool);
 void dispatch_kick_all(struct part_ctx *ctx);
--- a/src/job/dispatch_run.c
+++ b/src/job/dispatch_run.c
@@ -5,6 +5,7 @@
 
 #include "../base/error.h"
 #include "../base/log.h"
+#include "long_work.h"
 
 /* Backoff before a retry, in ms; jitter keeps retries from coming together. */
 #define BACKOFF_MIN_MS 10
@@ -217,10 +218,31 @@
 {
 	q->is_blocked = true;
 	share_block(ctx, q->share_row);
-	ledger_sync_demand(ctx, q->team, q->budget->queued);
+	ledger_sync_demand(ctx, q->team, q->budget->queued + q->long_waiting);
 	counters_add(ctx->counters, "permit_waits_total", "", 1);
 }
 
+/*
+ * Starts the request, or takes it out of the way of others that could start.
+ * Another code than CS_OK means that nothing more can start in the pool.
+ */
+static int start_or_set_aside(struct part_ctx *ctx, struct request *r)
+{
+	int code = start_attempt(ctx, r);
+
+	if (code == CS_ERR_LIMIT ||
+	    (code == CS_ERR_MISSING && fleet_pool_slots(ctx, r->pool->name))) {
+		block_team(ctx, r->team);
+		return CS_OK;
+	}
+	if (code == CS_ERR_FULL && r->tried_nr) {
+		dequeue(ctx, r);
+		back_off(ctx, r, NO_WORKER_WAIT);
+		return CS_OK;
+	}
+	return code;
+}
+
 /* The urgent request whose turn it is, of a team that has a permit. */
 static struct request *next_urgent(const struct dispatch *d,
 				   const struct pool_queue *p)
@@ -232,62 +254,74 @@
 	return r;
 }
 
-/* The request whose turn it is by the teams' shares. */
-static struct request *next_fair(struct part_ctx *ctx,
-				 const struct pool_queue *p)
+/* The team whose turn it is by the shares, or NULL. */
+static struct team_queue *next_team(struct part_ctx *ctx,
+				    const struct pool_queue *p)
 {
-	struct dispatch *d = ctx->parts.dispatch;
 	cs_handle row = share_next(ctx, p->name);
-	struct team_queue *q;
 
 	if (!row)
 		return NULL;
-	q = g_hash_table_lookup(p->teams, share_row_team(ctx, row));
-	return q ? request_first(d->table, q) : NULL;
+	return g_hash_table_lookup(p->teams, share_row_team(ctx, row));
+}
+
+/*
+ * True if the team's turn goes to its long work. Short and long work of one
+ * team take turns, so that neither keeps the other from running.
+ */
+static bool is_long_turn(struct part_ctx *ctx, struct team_queue *q)
+{
+	bool is_long = q->long_waiting && (!q->list.nr || !q->was_long) &&
+		       fleet_has_room_for_long(ctx, q->pool->name);
+
+	q->was_long = is_long;
+	return is_long;
 }
 
 /*
- * Urgent requests go first, but not twice in a row while others wait: a team
- * that marks all its work as urgent must not take the whole pool.
+ * Starts what comes next in the pool. CS_ERR_MISSING when nothing is left
+ * that could start.
  */
-static struct request *next_request(struct part_ctx *ctx, struct pool_queue *p)
+static int start_next(struct part_ctx *ctx, struct pool_queue *p)
 {
-	struct request *r = NULL, *fair = NULL;
+	struct dispatch *d = ctx->parts.dispatch;
+	struct request *r = next_urgent(d, p);
+	struct team_queue *q = next_team(ctx, p);
+	int code;
 
-	if (p->urgent.nr)
-		r = next_urgent(ctx->parts.dispatch, p);
-	if (r && !p->was_urgent) {
+	/*
+	 * Urgent requests go first, but not twice in a row while others wait:
+	 * a team that marks all its work as urgent must not take the pool.
+	 */
+	if (r && (!p->was_urgent || !q)) {
 		p->was_urgent = true;
-		return r;
+		return start_or_set_aside(ctx, r);
 	}
-	fair = next_fair(ctx, p);
 	p->was_urgent = false;
-	return fair ? fair : r;
+	if (!q)
+		return CS_ERR_MISSING;
+	if (is_long_turn(ctx, q)) {
+		code = long_work_start_one(ctx, p->name, q->team);
+		if (code == CS_ERR_LIMIT)
+			block_team(ctx, q);
+		return code == CS_ERR_LIMIT ? CS_OK : code;
+	}
+	r = request_first(d->table, q);
+	if (!r) {
+		/* Only long work that has no room: others may still run. */
+		block_team(ctx, q);
+		return CS_OK;
+	}
+	return start_or_set_aside(ctx, r);
 }
 
 void dispatch_schedule(struct part_ctx *ctx, struct pool_queue *p)
 {
-	struct request *r;
-	int code;
-
-	if (!p->queued || !may_start(ctx))
+	if (!may_start(ctx))
 		return;
-	while ((r = next_request(ctx, p))) {
-		code = start_attempt(ctx, r);
-		if (!code)
-			continue;
-		if (code == CS_ERR_LIMIT || code == CS_ERR_MISSING) {
-			if (code == CS_ERR_MISSING &&
-			    !fleet_pool_slots(ctx, p->name))
-				break;
-			block_team(ctx, r->team);
-		} else if (code == CS_ERR_FULL && r->tried_nr) {
-			dequeue(ctx, r);
-			back_off(ctx, r, NO_WORKER_WAIT);
-		} else {
+	while (p->queued || p->long_waiting)
+		if (start_next(ctx, p))
 			break;
-		}
-	}
 }
 
 static void note_tried(struct request *r)
--- /dev/null
+++ b/src/job/long_move.c
@@ -0,0 +1,395 @@
+#include "long_private.h"
+
+#include <string.h>
+
+#include "../base/error.h"
+#include "../base/log.h"
+
+/*
+ * How often the lead entry of a data centre looks for jobs without an owner:
+ * one read, so 11 data centres cost the platform about two a second.
+ */
+#define SCAN_INTERVAL (5 * CS_SEC)
+
+/* Jobs adopted in one scan, so that a returning data centre fills slowly. */
+#define ADOPT_PER_SCAN 32
+
+/* How long another entry has to accept a running job. */
+#define OFFER_WAIT (2 * CS_SEC)
+
+/* Finished jobs are deleted after callers had this long to fetch them. */
+#define FINISHED_KEEP (3600 * CS_SEC)
+
+/* True if the owner of the record will certainly not come back. */
+static bool is_owner_dead(const struct part_ctx *ctx,
+			  const struct long_record *r)
+{
+	int i;
+
+	if (!strcmp(r->owner, ctx->options->id))
+		return r->incarnation != ctx->options->incarnation;
+	i = part_peer_index(ctx, r->owner);
+	if (i >= 0 && ctx->peers[i].is_up &&
+	    ctx->peers[i].incarnation > r->incarnation)
+		return true;
+	return fleet_is_entry_dropped(ctx, r->owner);
+}
+
+/* How long the job has been seen in its present state by this entry. */
+static cs_time seen_for(struct part_ctx *ctx, const char *id)
+{
+	GHashTable *orphans = ctx->parts.long_work->orphans;
+	cs_time *first = g_hash_table_lookup(orphans, id);
+
+	if (!first) {
+		first = g_new0(cs_time, 1);
+		*first = ctx->now;
+		g_hash_table_insert(orphans, g_strdup(id), first);
+	}
+	return ctx->now - *first;
+}
+
+/* Writes this entry as the owner; the body is loaded once that succeeded. */
+static bool adopt(struct part_ctx *ctx, const struct long_record *found,
+		  uint64_t version, const struct placement *placement)
+{
+	struct long_work *lw = ctx->parts.long_work;
+	struct long_job *job = long_job_add(ctx, found);
+	struct msg *msg;
+	char key[128];
+
+	if (!job)
+		return false;
+	cs_copy(job->record.owner, sizeof(job->record.owner), ctx->options->id);
+	job->record.incarnation = ctx->options->incarnation;
+	job->version = version;
+	job->phase = PHASE_LOADING;
+	if (placement) {
+		job->placement = *placement;
+		job->has_slot = true;
+		job->started = ctx->now;
+		job->share_row =
+			share_row(ctx, job->record.pool, job->record.team, 1);
+		share_started(ctx, job->share_row);
+	} else if (job->record.state == LONG_RUNNING) {
+		if (!job->record.is_idempotent &&
+		    !MUTANT(ctx, "long-rerun-non-idempotent")) {
+			job->record.state = LONG_UNKNOWN;
+			cs_copy(job->record.reason, sizeof(job->record.reason),
+				"owner_lost");
+		} else {
+			job->record.state = LONG_WAITING;
+		}
+	}
+	g_snprintf(job->record.change_id, sizeof(job->record.change_id),
+		   "a-%" G_GINT64_MODIFIER "x-%" G_GINT64_MODIFIER "x",
+		   ctx->options->incarnation, ++lw->next_change);
+	g_snprintf(key, sizeof(key), "jobs/%s", job->record.id);
+	msg = part_kv_call(PART_LONG_WORK, KV_CAS, key,
+			   long_token(TOKEN_ADOPT, job->self));
+	msg->u.kv_call.version = version;
+	msg->u.kv_call.value = long_record_encode(&job->record);
+	cs_copy(msg->u.kv_call.change_id, sizeof(msg->u.kv_call.change_id),
+		job->record.change_id);
+	part_emit(ctx, msg);
+	return true;
+}
+
+/* Tells the entry that offered the job whether it was taken; version 0: no. */
+static void answer_offer(struct part_ctx *ctx, const char *peer, const char *id,
+			 uint64_t version)
+{
+	struct msg *msg = part_peer_msg(PEER_JOB_COPY_ACK, peer);
+
+	cs_copy(msg->u.peer.u.job_copy.job, sizeof(msg->u.peer.u.job_copy.job),
+		id);
+	msg->u.peer.u.job_copy.version = version;
+	part_emit(ctx, msg);
+}
+
+void long_move_on_adopted(struct part_ctx *ctx, const struct kv_done *done)
+{
+	struct long_work *lw = ctx->parts.long_work;
+	struct long_job *job =
+		slots_get(lw->jobs, long_token_handle(done->token));
+	bool is_ours = done->result == KV_OK;
+	struct long_record present;
+	uint64_t version = done->version;
+
+	if (!job)
+		return;
+	if (done->result == KV_CONFLICT && done->rows_nr &&
+	    !long_record_decode(done->rows[0].value, &present, NULL)) {
+		is_ours = !strcmp(present.change_id, job->record.change_id);
+		version = done->rows[0].version;
+	}
+	if (!is_ours && done->result == KV_UNKNOWN) {
+		/* Writing once more tells whether the first write counted. */
+		struct msg *msg = part_kv_call(PART_LONG_WORK, KV_CAS,
+					       done->key, done->token);
+
+		msg->u.kv_call.version = job->version;
+		msg->u.kv_call.value = long_record_encode(&job->record);
+		part_emit(ctx, msg);
+		return;
+	}
+	if (*job->offered_to)
+		answer_offer(ctx, job->offered_to, job->record.id,
+			     is_ours ? version : 0);
+	*job->offered_to = '\0';
+	if (!is_ours) {
+		long_run_free_slot(ctx, job, FLEET_NEUTRAL);
+		long_job_forget(ctx, job);
+		return;
+	}
+	job->version = version;
+	g_hash_table_remove(lw->orphans, job->record.id);
+	counters_add(ctx->counters, "long_adopted_total", "", 1);
+	if (long_state_is_final(job->record.state))
+		long_job_forget(ctx, job);
+	else
+		long_store_load_body(ctx, job);
+}
+
+/* Looks at one record of the scan. Returns true if it was adopted. */
+static bool scan_record(struct part_ctx *ctx, const struct kv_row *row)
+{
+	struct long_record r;
+	char key[128];
+
+	if (long_record_decode(row->value, &r, NULL)) {
+		counters_add(ctx->counters, "long_bad_records_total", "", 1);
+		return false;
+	}
+	if (long_state_is_final(r.state)) {
+		if (seen_for(ctx, r.id) < FINISHED_KEEP)
+			return false;
+		g_snprintf(key, sizeof(key), "jobs/%s", r.id);
+		struct msg *msg = part_kv_call(PART_LONG_WORK, KV_DELETE, key,
+					       long_token(TOKEN_DELETE, 0));
+
+		msg->u.kv_call.version = row->version;
+		part_emit(ctx, msg);
+		return false;
+	}
+	if (!*r.owner) {
+		if (!fleet_has_room_for_long(ctx, r.pool))
+			return false;
+		return adopt(ctx, &r, row->version, NULL);
+	}
+	if (!is_owner_dead(ctx, &r)) {
+		g_hash_table_remove(ctx->parts.long_work->orphans, r.id);
+		return false;
+	}
+	if (seen_for(ctx, r.id) < LONG_LEASE + LONG_LEASE_MARGIN &&
+	    !MUTANT(ctx, "long-adopt-early"))
+		return false;
+	return adopt(ctx, &r, row->version, NULL);
+}
+
+void long_move_on_list(struct part_ctx *ctx, const struct kv_done *done)
+{
+	size_t i;
+	int n = 0;
+
+	if (done->result != KV_OK || ctx->is_draining)
+		return;
+	for (i = 0; i < done->rows_nr && n < ADOPT_PER_SCAN; i++)
+		n += scan_record(ctx, &done->rows[i]);
+}
+
+static void on_scan(void *arg, uint64_t unused, cs_time now)
+{
+	struct part_ctx *ctx = arg;
+	const char *lead = part_lead_entry(ctx, ctx->options->data_centre);
+
+	(void)unused;
+	ctx->now = now;
+	if (!strcmp(lead, ctx->options->id) && config_sync_is_fresh(ctx) &&
+	    !config_sync_is_out(ctx, ctx->options->data_centre))
+		part_emit(ctx, part_kv_call(PART_LONG_WORK, KV_LIST, "jobs/",
+					    long_token(TOKEN_LIST, 0)));
+	timers_subscribe(ctx->timers,
+			 now + SCAN_INTERVAL +
+				 g_rand_int_range(ctx->rng, 0, 500) * CS_MSEC,
+			 on_scan, ctx, 0);
+}
+
+void long_move_scan_start(struct part_ctx *ctx)
+{
+	timers_subscribe(ctx->timers, ctx->now + SCAN_INTERVAL, on_scan, ctx,
+			 0);
+}
+
+void long_move_release(struct part_ctx *ctx, struct long_job *job)
+{
+	long_job_unqueue(ctx, job);
+	job->phase = PHASE_RELEASING;
+	job->record.state = LONG_WAITING;
+	job->record.owner[0] = '\0';
+	long_store_record(ctx, job, NEXT_OFFER_FREE);
+}
+
+/* An entry that could go on with the job: any of that data centre that is up.
+ */
+static const char *choose_entry(struct part_ctx *ctx, const char *data_centre)
+{
+	const struct entry_options *o = ctx->options;
+	const char *chosen = NULL;
+	int seen = 0;
+	size_t i;
+
+	for (i = 0; data_centre && i < o->peers_nr; i++)
+		if (ctx->peers[i].is_up &&
+		    !strcmp(o->peers[i].data_centre, data_centre) &&
+		    !g_rand_int_range(ctx->rng, 0, ++seen))
+			chosen = o->peers[i].id;
+	return chosen;
+}
+
+static void offer(struct part_ctx *ctx, struct long_job *job, const char *peer)
+{
+	struct msg *msg = part_peer_msg(PEER_JOB_COPY, peer);
+
+	cs_copy(msg->u.peer.u.job_copy.job, sizeof(msg->u.peer.u.job_copy.job),
+		job->record.id);
+	msg->u.peer.u.job_copy.version = job->version;
+	msg->u.peer.u.job_copy.record = long_record_encode(&job->record);
+	part_emit(ctx, msg);
+}
+
+/*
+ * The record has no owner now. Another entry is told, so that it need not
+ * find it by its next scan; whether it takes the job is its own affair.
+ */
+void long_move_offer_free(struct part_ctx *ctx, struct long_job *job)
+{
+	const char *peer = choose_entry(
+		ctx, share_spare_data_centre(ctx, job->record.pool));
+
+	if (!peer)
+		peer = choose_entry(ctx, ctx->options->data_centre);
+	if (peer)
+		offer(ctx, job, peer);
+	counters_add(ctx->counters, "long_released_total", "", 1);
+	long_job_forget(ctx, job);
+}
+
+static void on_offer_end(void *arg, uint64_t handle, cs_time now)
+{
+	struct part_ctx *ctx = arg;
+	struct long_job *job = slots_get(ctx->parts.long_work->jobs, handle);
+
+	ctx->now = now;
+	if (job && job->phase == PHASE_OFFERED)
+		long_run_move(ctx, job);
+}
+
+/*
+ * An entry that ends offers its running jobs to another of its data centre,
+ * which goes on renewing the same task. In a data centre that leaves they are
+ * checkpointed and stopped.
+ */
+static void leave_running(struct part_ctx *ctx, struct long_job *job)
+{
+	const char *peer = NULL;
+
+	if (!config_sync_is_out(ctx, ctx->options->data_centre))
+		peer = choose_entry(ctx, ctx->options->data_centre);
+	if (!peer) {
+		long_run_move(ctx, job);
+		return;
+	}
+	job->phase = PHASE_OFFERED;
+	cs_copy(job->offered_to, sizeof(job->offered_to), peer);
+	job->timer = timers_subscribe(ctx->timers, ctx->now + OFFER_WAIT,
+				      on_offer_end, ctx, job->self);
+	offer(ctx, job, peer);
+}
+
+void long_move_leave(struct part_ctx *ctx)
+{
+	struct long_work *lw = ctx->parts.long_work;
+	struct long_job *job;
+	cs_handle h, next;
+
+	for (h = slots_next(lw->jobs, 0); h; h = next) {
+		next = slots_next(lw->jobs, h);
+		job = slots_get(lw->jobs, h);
+		if (job->phase == PHASE_RUNNING)
+			leave_running(ctx, job);
+		else if (job->phase == PHASE_WAITING)
+			long_move_release(ctx, job);
+	}
+}
+
+/* Takes a permit and the slot of a task that already runs here. */
+static bool take_running(struct part_ctx *ctx, const struct long_record *r,
+			 struct placement *placement)
+{
+	if (ledger_sync_acquire(ctx, r->team))
+		return false;
+	if (!fleet_take_over(ctx, r->worker, placement))
+		return true;
+	ledger_sync_release(ctx, r->team);
+	return false;
+}
+
+static void on_offer(struct part_ctx *ctx, const struct peer_msg *peer)
+{
+	struct placement placement;
+	bool is_running, is_taken;
+	struct long_record r;
+	struct long_job *job;
+
+	if (long_record_decode(peer->u.job_copy.record, &r, NULL) ||
+	    strcmp(r.id, peer->u.job_copy.job)) {
+		counters_add(ctx->counters, "long_bad_records_total", "", 1);
+		return;
+	}
+	is_running = *r.owner;
+	is_taken = !ctx->is_draining && config_sync_is_fresh(ctx) &&
+		   !config_sync_is_out(ctx, ctx->options->data_centre);
+	if (is_taken && is_running)
+		is_taken = take_running(ctx, &r, &placement);
+	if (is_taken && !adopt(ctx, &r, peer->u.job_copy.version,
+			       is_running ? &placement : NULL)) {
+		is_taken = false;
+		if (is_running) {
+			fleet_finish(ctx, placement.worker, FLEET_NEUTRAL);
+			ledger_sync_release(ctx, r.team);
+		}
+	}
+	if (!is_taken) {
+		answer_offer(ctx, peer->peer, r.id, 0);
+		return;
+	}
+	job = g_hash_table_lookup(ctx->parts.long_work->by_id, r.id);
+	cs_copy(job->offered_to, sizeof(job->offered_to), peer->peer);
+}
+
+static void on_offer_answer(struct part_ctx *ctx, const struct peer_msg *peer)
+{
+	struct long_job *job = g_hash_table_lookup(ctx->parts.long_work->by_id,
+						   peer->u.job_copy.job);
+
+	if (!job || job->phase != PHASE_OFFERED ||
+	    strcmp(job->offered_to, peer->peer))
+		return;
+	timers_cancel(ctx->timers, job->timer);
+	if (!peer->u.job_copy.version) {
+		long_run_move(ctx, job);
+		return;
+	}
+	counters_add(ctx->counters, "long_handed_over_total", "", 1);
+	long_run_free_slot(ctx, job, FLEET_NEUTRAL);
+	long_job_forget(ctx, job);
+}
+
+void long_move_on_peer(struct part_ctx *ctx, const struct peer_msg *peer)
+{
+	if (peer->kind == PEER_JOB_COPY)
+		on_offer(ctx, peer);
+	else
+		on_offer_answer(ctx, peer);
+}
--- /dev/null
+++ b/src/job/long_private.h
@@ -0,0 +1,171 @@
+#ifndef JOB_LONG_PRIVATE_H
+#define JOB_LONG_PRIVATE_H
+
+#include "../base/slots.h"
+#include "../config/config_sync.h"
+#include "../fleet/fleet.h"
+#include "../ledger/ledger_sync.h"
+#include "../team/share.h"
+#include "../team/team.h"
+#include "dispatch.h"
+#include "long_record.h"
+#include "long_work.h"
+
+/* Shared by the files of the long work part; nobody else includes this. */
+
+/* A task's lease on its worker, and how often it is renewed. */
+#define LONG_LEASE (6 * CS_SEC)
+#define LONG_RENEW_INTERVAL (2 * CS_SEC)
+
+/* Time for a late message to reach the worker after its lease was given. */
+#define LONG_LEASE_MARGIN (5 * CS_SEC)
+
+/* What this entry is doing with a job. */
+enum long_phase {
+	PHASE_RECORDING, /* the body, then the record are written */
+	PHASE_LOADING, /* adopted; the body is read */
+	PHASE_WAITING, /* for a slot and a permit */
+	PHASE_MARKING, /* the attempt is written before it starts */
+	PHASE_STARTING, /* the worker was asked */
+	PHASE_RUNNING,
+	PHASE_CHECKPOINTING, /* about to be stopped and moved */
+	PHASE_STOPPING,
+	PHASE_LOST, /* waits until a lost attempt has certainly ended */
+	PHASE_FETCHING, /* the result is read from the worker */
+	PHASE_STORING, /* the result, then the record are written */
+	PHASE_OFFERED, /* another entry was asked to take it over */
+	PHASE_RELEASING /* the record is written without an owner */
+};
+
+/* What to do once a write of the record has succeeded. */
+enum long_next {
+	NEXT_NOTHING,
+	NEXT_ACCEPT,
+	NEXT_START,
+	NEXT_FORGET,
+	NEXT_OFFER_FREE
+};
+
+struct long_job {
+	cs_handle self;
+	enum long_phase phase;
+	struct long_record record;
+	uint64_t version; /* of the record in the platform */
+	GBytes *body;
+	GBytes *result;
+	cs_handle caller; /* that waits for the acknowledgement, or 0 */
+	struct trace trace;
+	cs_time arrived;
+	struct placement placement;
+	bool has_slot; /* a permit and a place on a worker are held */
+	bool is_queued; /* counted as waiting in dispatch */
+	cs_time started;
+	cs_time last_renewed; /* lease certainly ends after this + lease */
+	cs_handle share_row;
+	cs_handle timer; /* of the phase */
+	cs_handle renew_timer;
+	bool is_writing;
+	bool wants_write;
+	enum long_next next;
+	bool is_forgotten; /* another entry owns the record now */
+	char failed_hosts[3][CS_NAME_MAX];
+	cs_handle failed_workers[3];
+	char offered_to[CS_NAME_MAX];
+	cs_time written; /* last successful write of progress */
+};
+
+struct long_query;
+
+struct long_work {
+	struct slots *jobs; /* struct long_job */
+	GHashTable *by_id; /* record.id -> struct long_job */
+	struct slots *queries; /* struct long_query */
+	struct team_index *teams;
+	GHashTable *orphans; /* id -> cs_time first seen without an owner */
+	uint64_t next_change;
+};
+
+/* long_work.c */
+struct long_job *long_job_add(struct part_ctx *ctx,
+			      const struct long_record *record);
+void long_job_forget(struct part_ctx *ctx, struct long_job *job);
+/* Queues the job for a slot. */
+void long_job_wait(struct part_ctx *ctx, struct long_job *job);
+void long_job_unqueue(struct part_ctx *ctx, struct long_job *job);
+/* Answers the caller that waits for the acknowledgement, if any. */
+void long_job_reply(struct part_ctx *ctx, struct long_job *job,
+		    enum outcome outcome, int status, const char *reason);
+
+/* long_store.c: reads and writes of the platform */
+void long_store_body(struct part_ctx *ctx, struct long_job *job);
+void long_store_result(struct part_ctx *ctx, struct long_job *job);
+void long_store_load_body(struct part_ctx *ctx, struct long_job *job);
+/* Writes the record; next happens once it has succeeded. */
+void long_store_record(struct part_ctx *ctx, struct long_job *job,
+		       enum long_next next);
+void long_store_on_kv(struct part_ctx *ctx, const struct kv_done *done);
+
+/* long_run.c: attempts */
+void long_run_start(struct part_ctx *ctx, struct long_job *job);
+void long_run_task_done(struct part_ctx *ctx, const struct task_done *done);
+void long_run_control_done(struct part_ctx *ctx,
+			   struct task_control_done *done);
+/* Checkpoints and stops a running job, so that it can go on elsewhere. */
+void long_run_move(struct part_ctx *ctx, struct long_job *job);
+/* Stops a job for good. */
+void long_run_cancel(struct part_ctx *ctx, struct long_job *job);
+/* Gives slot and permit back after the attempt has certainly ended. */
+void long_run_free_slot(struct part_ctx *ctx, struct long_job *job,
+			enum fleet_result result);
+/* Begins to renew the lease of a task that this entry took over. */
+void long_run_resume(struct part_ctx *ctx, struct long_job *job);
+/* Ends a job whose record another entry owns now. */
+void long_run_lost_record(struct part_ctx *ctx, struct long_job *job,
+			  const struct long_record *present);
+
+/* long_move.c: owners that come and go */
+void long_move_scan_start(struct part_ctx *ctx);
+void long_move_on_list(struct part_ctx *ctx, const struct kv_done *done);
+void long_move_on_adopted(struct part_ctx *ctx, const struct kv_done *done);
+void long_move_offer_free(struct part_ctx *ctx, struct long_job *job);
+void long_move_release(struct part_ctx *ctx, struct long_job *job);
+void long_move_leave(struct part_ctx *ctx);
+void long_move_on_peer(struct part_ctx *ctx, const struct peer_msg *peer);
+
+/* long_query.c: callers' questions */
+bool long_query_init(struct long_work *work);
+void long_query_begin(struct part_ctx *ctx, const struct job_query *query,
+		      bool is_cancel);
+void long_query_on_kv(struct part_ctx *ctx, const struct kv_done *done);
+
+/*
+ * Tokens of platform calls: the kind of answer in the top byte, a handle's
+ * index and generation below. Generations stay far below 2^24.
+ */
+enum long_token {
+	TOKEN_BODY = 1,
+	TOKEN_RECORD,
+	TOKEN_RESULT,
+	TOKEN_LOAD,
+	TOKEN_LIST,
+	TOKEN_ADOPT,
+	TOKEN_QUERY,
+	TOKEN_DELETE
+};
+
+static inline uint64_t long_token(enum long_token kind, cs_handle handle)
+{
+	return (uint64_t)kind << 56 | (handle & ((UINT64_C(1) << 56) - 1));
+}
+
+static inline enum long_token long_token_kind(uint64_t token)
+{
+	return (enum long_token)(token >> 56);
+}
+
+static inline cs_handle long_token_handle(uint64_t token)
+{
+	return token & ((UINT64_C(1) << 56) - 1);
+}
+
+#endif
--- /dev/null
+++ b/src/job/long_run.c
@@ -0,0 +1,459 @@
+#include "long_private.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "../base/error.h"
+#include "../base/log.h"
+
+/* A job that failed on this many hosts is itself at fault. */
+#define HOPELESS_HOSTS 3
+
+/* Pause before a failed job runs again. */
+#define FAILED_WAIT CS_SEC
+
+/* How often progress is written: 10 writes a second for 100 long jobs. */
+#define PROGRESS_INTERVAL (10 * CS_SEC)
+
+static void renew_later(struct part_ctx *ctx, struct long_job *job);
+
+static void set_phase_timer(struct part_ctx *ctx, struct long_job *job,
+			    cs_time wait, timer_fn fn)
+{
+	timers_cancel(ctx->timers, job->timer);
+	job->timer = timers_subscribe(ctx->timers, ctx->now + wait, fn, ctx,
+				      job->self);
+}
+
+static struct long_job *job_of(struct part_ctx *ctx, uint64_t handle,
+			       cs_time now)
+{
+	ctx->now = now;
+	return slots_get(ctx->parts.long_work->jobs, handle);
+}
+
+static void send_control(struct part_ctx *ctx, const struct long_job *job,
+			 enum task_op op)
+{
+	struct msg *msg = msg_new(MSG_TASK_CONTROL);
+	struct task_control *c = &msg->u.task_control;
+
+	c->part = PART_LONG_WORK;
+	c->attempt = job->self;
+	c->op = op;
+	c->lease_ms = LONG_LEASE / CS_MSEC;
+	cs_copy(c->address, sizeof(c->address), job->record.address);
+	cs_copy(c->task_id, sizeof(c->task_id), job->record.task_id);
+	part_emit(ctx, msg);
+}
+
+void long_run_free_slot(struct part_ctx *ctx, struct long_job *job,
+			enum fleet_result result)
+{
+	timers_cancel(ctx->timers, job->renew_timer);
+	job->renew_timer = 0;
+	if (!job->has_slot)
+		return;
+	job->has_slot = false;
+	fleet_finish(ctx, job->placement.worker, result);
+	ledger_sync_release(ctx, job->record.team);
+	share_ended(ctx, job->share_row, ctx->now - job->started);
+	dispatch_kick(ctx, job->record.pool);
+}
+
+/* Ends the job as state, and keeps its reason. */
+static void end_job(struct part_ctx *ctx, struct long_job *job,
+		    enum long_state state, const char *reason)
+{
+	char labels[64];
+
+	g_snprintf(labels, sizeof(labels), "state=\"%s\"",
+		   long_state_name(state));
+	counters_add(ctx->counters, "long_ended_total", labels, 1);
+	job->record.state = state;
+	cs_copy(job->record.reason, sizeof(job->record.reason), reason);
+	job->phase = PHASE_STORING;
+	long_store_record(ctx, job, NEXT_FORGET);
+}
+
+/*
+ * The attempt has ended before the work was done. Idempotent work goes on
+ * from its checkpoint; other work only if the end was a planned stop.
+ */
+static void continue_or_end(struct part_ctx *ctx, struct long_job *job,
+			    bool is_planned)
+{
+	if (job->record.is_cancelled) {
+		end_job(ctx, job, LONG_CANCELLED, "cancelled");
+		return;
+	}
+	if (!is_planned && !job->record.is_idempotent &&
+	    !MUTANT(ctx, "long-rerun-non-idempotent")) {
+		end_job(ctx, job, LONG_UNKNOWN, "attempt_lost");
+		return;
+	}
+	job->record.state = LONG_WAITING;
+	long_job_wait(ctx, job);
+}
+
+void long_run_start(struct part_ctx *ctx, struct long_job *job)
+{
+	struct msg *msg = msg_new(MSG_TASK_START);
+	struct task_start *s = &msg->u.task_start;
+
+	job->phase = PHASE_STARTING;
+	job->last_renewed = ctx->now;
+	s->part = PART_LONG_WORK;
+	s->attempt = job->self;
+	s->work = WORK_LONG;
+	s->lease_ms = LONG_LEASE / CS_MSEC;
+	s->needs_live_connection = true;
+	s->deadline = ctx->now + LONG_RENEW_INTERVAL;
+	s->trace = job->trace;
+	s->body = g_bytes_ref(job->body);
+	cs_copy(s->worker, sizeof(s->worker), job->placement.name);
+	cs_copy(s->address, sizeof(s->address), job->placement.address);
+	cs_copy(s->task_id, sizeof(s->task_id), job->record.task_id);
+	cs_copy(s->checkpoint, sizeof(s->checkpoint), job->record.checkpoint);
+	cs_copy(s->content_type, sizeof(s->content_type),
+		job->record.content_type);
+	part_emit(ctx, msg);
+}
+
+void long_run_resume(struct part_ctx *ctx, struct long_job *job)
+{
+	job->phase = PHASE_RUNNING;
+	job->last_renewed = ctx->now;
+	send_control(ctx, job, TASK_RENEW);
+	renew_later(ctx, job);
+}
+
+/* The lost attempt's lease is over, so that nothing of it runs any more. */
+static void on_lost_end(void *arg, uint64_t handle, cs_time now)
+{
+	struct part_ctx *ctx = arg;
+	struct long_job *job = job_of(ctx, handle, now);
+
+	if (!job || job->phase != PHASE_LOST)
+		return;
+	long_run_free_slot(ctx, job, FLEET_FAILED);
+	if (job->is_forgotten)
+		long_job_forget(ctx, job);
+	else
+		continue_or_end(ctx, job, false);
+}
+
+/* Nothing is known of the attempt: wait until it has certainly ended. */
+static void lose_attempt(struct part_ctx *ctx, struct long_job *job)
+{
+	cs_time end = job->last_renewed + LONG_LEASE + LONG_LEASE_MARGIN;
+
+	job->phase = PHASE_LOST;
+	timers_cancel(ctx->timers, job->renew_timer);
+	job->renew_timer = 0;
+	send_control(ctx, job, TASK_STOP);
+	set_phase_timer(ctx, job, end > ctx->now ? end - ctx->now : 0,
+			on_lost_end);
+}
+
+static void on_renew_timer(void *arg, uint64_t handle, cs_time now)
+{
+	struct part_ctx *ctx = arg;
+	struct long_job *job = job_of(ctx, handle, now);
+
+	if (!job)
+		return;
+	job->renew_timer = 0;
+	if (job->phase != PHASE_RUNNING && job->phase != PHASE_OFFERED)
+		return;
+	if (now - job->last_renewed > LONG_LEASE) {
+		lose_attempt(ctx, job);
+		return;
+	}
+	send_control(ctx, job, TASK_RENEW);
+	renew_later(ctx, job);
+}
+
+static void renew_later(struct part_ctx *ctx, struct long_job *job)
+{
+	if (!job->renew_timer)
+		job->renew_timer = timers_subscribe(
+			ctx->timers, ctx->now + LONG_RENEW_INTERVAL,
+			on_renew_timer, ctx, job->self);
+}
+
+static void on_failed_wait(void *arg, uint64_t handle, cs_time now)
+{
+	struct part_ctx *ctx = arg;
+	struct long_job *job = job_of(ctx, handle, now);
+
+	if (job && job->phase == PHASE_LOST)
+		continue_or_end(ctx, job, true);
+}
+
+/* True if the host is a new one among those that the job failed on. */
+static bool note_failed_host(struct long_job *job)
+{
+	int i;
+
+	for (i = 0; i < HOPELESS_HOSTS; i++) {
+		if (!strcmp(job->failed_hosts[i], job->placement.host))
+			return false;
+		if (*job->failed_hosts[i])
+			continue;
+		cs_copy(job->failed_hosts[i], sizeof(job->failed_hosts[i]),
+			job->placement.host);
+		job->failed_workers[i] = job->placement.worker;
+		return true;
+	}
+	return true;
+}
+
+/* The worker said that the task failed. */
+static void attempt_failed(struct part_ctx *ctx, struct long_job *job)
+{
+	int i;
+
+	job->record.failures++;
+	note_failed_host(job);
+	long_run_free_slot(ctx, job, FLEET_FAILED);
+	if (*job->failed_hosts[HOPELESS_HOSTS - 1] ||
+	    (!job->record.is_idempotent && job->record.failures)) {
+		for (i = 0; i < HOPELESS_HOSTS; i++)
+			fleet_pardon(ctx, job->failed_workers[i]);
+		end_job(ctx, job, LONG_HELD, "failed_on_workers");
+		return;
+	}
+	job->phase = PHASE_LOST;
+	set_phase_timer(ctx, job, FAILED_WAIT, on_failed_wait);
+}
+
+void long_run_task_done(struct part_ctx *ctx, const struct task_done *done)
+{
+	struct long_job *job =
+		slots_get(ctx->parts.long_work->jobs, done->attempt);
+
+	if (!job || job->phase != PHASE_STARTING)
+		return;
+	switch (done->result) {
+	case TASK_ANSWERED:
+		if (done->status >= 300) {
+			attempt_failed(ctx, job);
+			break;
+		}
+		job->phase = PHASE_RUNNING;
+		renew_later(ctx, job);
+		if (job->record.is_cancelled)
+			long_run_cancel(ctx, job);
+		else if (config_sync_is_out(ctx, ctx->options->data_centre))
+			long_run_move(ctx, job);
+		break;
+	case TASK_REFUSED:
+	case TASK_NOT_SENT:
+		long_run_free_slot(ctx, job,
+				   done->result == TASK_REFUSED ?
+					   FLEET_BUSY :
+					   FLEET_UNREACHABLE);
+		continue_or_end(ctx, job, true);
+		break;
+	case TASK_UNKNOWN:
+		lose_attempt(ctx, job);
+		break;
+	}
+}
+
+static void note_progress(struct part_ctx *ctx, struct long_job *job,
+			  const struct task_control_done *done)
+{
+	bool is_new = *done->checkpoint &&
+		      strcmp(done->checkpoint, job->record.checkpoint);
+
+	if (is_new)
+		cs_copy(job->record.checkpoint, sizeof(job->record.checkpoint),
+			done->checkpoint);
+	job->record.progress = done->progress;
+	if (is_new && !job->is_writing && job->phase == PHASE_RUNNING &&
+	    ctx->now - job->written >= PROGRESS_INTERVAL)
+		long_store_record(ctx, job, NEXT_NOTHING);
+}
+
+static void on_renewed(struct part_ctx *ctx, struct long_job *job,
+		       const struct task_control_done *done)
+{
+	if (job->phase != PHASE_RUNNING && job->phase != PHASE_OFFERED)
+		return;
+	if (done->code)
+		return; /* the timer notices when the lease is over */
+	switch (done->state) {
+	case TASK_STATE_RUNNING:
+		job->last_renewed = ctx->now;
+		note_progress(ctx, job, done);
+		break;
+	case TASK_STATE_DONE:
+		job->phase = PHASE_FETCHING;
+		send_control(ctx, job, TASK_RESULT);
+		break;
+	case TASK_STATE_FAILED:
+		attempt_failed(ctx, job);
+		break;
+	case TASK_STATE_STOPPED:
+	case TASK_STATE_MISSING:
+		note_progress(ctx, job, done);
+		long_run_free_slot(ctx, job, FLEET_NEUTRAL);
+		continue_or_end(ctx, job, false);
+		break;
+	}
+}
+
+static void on_fetch_retry(void *arg, uint64_t handle, cs_time now)
+{
+	struct part_ctx *ctx = arg;
+	struct long_job *job = job_of(ctx, handle, now);
+
+	if (job && job->phase == PHASE_FETCHING)
+		send_control(ctx, job, TASK_RESULT);
+}
+
+static void on_result(struct part_ctx *ctx, struct long_job *job,
+		      struct task_control_done *done)
+{
+	if (job->phase != PHASE_FETCHING)
+		return;
+	if (done->code) {
+		/* A finished task needs no lease; only its worker's loss
+		 * ends the wait. */
+		if (ctx->now - job->last_renewed > LONG_LEASE * 5)
+			lose_attempt(ctx, job);
+		else
+			set_phase_timer(ctx, job, CS_SEC, on_fetch_retry);
+		return;
+	}
+	if (done->state == TASK_STATE_MISSING || !done->body) {
+		lose_attempt(ctx, job);
+		return;
+	}
+	job->result = done->body;
+	done->body = NULL;
+	job->record.status = 200;
+	cs_copy(job->record.result_type, sizeof(job->record.result_type),
+		done->content_type);
+	long_run_free_slot(ctx, job, FLEET_WORKED);
+	counters_add(ctx->counters, "long_ended_total", "state=\"done\"", 1);
+	job->phase = PHASE_STORING;
+	long_store_result(ctx, job);
+}
+
+/* The worker wrote a checkpoint, or can't: stop it either way. */
+static void on_checkpoint(struct part_ctx *ctx, struct long_job *job,
+			  const struct task_control_done *done)
+{
+	if (job->phase != PHASE_CHECKPOINTING)
+		return;
+	if (!done->code)
+		note_progress(ctx, job, done);
+	job->phase = PHASE_STOPPING;
+	send_control(ctx, job, TASK_STOP);
+}
+
+static void on_stopped(struct part_ctx *ctx, struct long_job *job,
+		       const struct task_control_done *done)
+{
+	if (job->phase == PHASE_LOST && !done->code &&
+	    done->state == TASK_STATE_STOPPED) {
+		timers_cancel(ctx->timers, job->timer);
+		on_lost_end(ctx, job->self, ctx->now);
+		return;
+	}
+	if (job->phase != PHASE_STOPPING)
+		return;
+	if (done->code || done->state == TASK_STATE_RUNNING) {
+		lose_attempt(ctx, job);
+		return;
+	}
+	long_run_free_slot(ctx, job, FLEET_NEUTRAL);
+	if (job->record.is_cancelled)
+		end_job(ctx, job, LONG_CANCELLED, "cancelled");
+	else
+		long_move_release(ctx, job);
+}
+
+void long_run_control_done(struct part_ctx *ctx, struct task_control_done *done)
+{
+	struct long_job *job =
+		slots_get(ctx->parts.long_work->jobs, done->attempt);
+
+	if (!job)
+		return;
+	switch (done->op) {
+	case TASK_RENEW:
+		on_renewed(ctx, job, done);
+		break;
+	case TASK_RESULT:
+		on_result(ctx, job, done);
+		break;
+	case TASK_CHECKPOINT:
+		on_checkpoint(ctx, job, done);
+		break;
+	case TASK_STOP:
+		on_stopped(ctx, job, done);
+		break;
+	case TASK_THROTTLE:
+		break;
+	}
+}
+
+void long_run_move(struct part_ctx *ctx, struct long_job *job)
+{
+	if (job->phase != PHASE_RUNNING && job->phase != PHASE_OFFERED)
+		return;
+	timers_cancel(ctx->timers, job->renew_timer);
+	job->renew_timer = 0;
+	job->phase = PHASE_CHECKPOINTING;
+	send_control(ctx, job, TASK_CHECKPOINT);
+}
+
+void long_run_cancel(struct part_ctx *ctx, struct long_job *job)
+{
+	job->record.is_cancelled = true;
+	switch (job->phase) {
+	case PHASE_WAITING:
+	case PHASE_LOADING:
+		long_job_unqueue(ctx, job);
+		end_job(ctx, job, LONG_CANCELLED, "cancelled");
+		break;
+	case PHASE_RUNNING:
+	case PHASE_OFFERED:
+		job->phase = PHASE_STOPPING;
+		send_control(ctx, job, TASK_STOP);
+		break;
+	case PHASE_MARKING:
+		/* The mark was not written: nothing was started. */
+		if (!job->is_writing) {
+			long_run_free_slot(ctx, job, FLEET_NEUTRAL);
+			end_job(ctx, job, LONG_CANCELLED, "cancelled");
+		}
+		break;
+	default:
+		/* The step in progress looks at is_cancelled when it ends. */
+		break;
+	}
+}
+
+void long_run_lost_record(struct part_ctx *ctx, struct long_job *job,
+			  const struct long_record *present)
+{
+	bool is_same_task = !strcmp(present->task_id, job->record.task_id);
+
+	counters_add(ctx->counters, "long_lost_records_total", "", 1);
+	/*
+	 * The new owner of the same task holds a permit for it. A task of our
+	 * own keeps its permit until it has certainly ended.
+	 */
+	if (job->has_slot && !is_same_task) {
+		job->is_forgotten = true;
+		lose_attempt(ctx, job);
+		return;
+	}
+	long_run_free_slot(ctx, job, FLEET_NEUTRAL);
+	long_job_forget(ctx, job);
+}
--- /dev/null
+++ b/src/job/long_store.c
@@ -0,0 +1,282 @@
+#include "long_private.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "../base/error.h"
+#include "../base/log.h"
+
+/* Pause before a write that failed is tried again. */
+#define STORE_RETRY (500 * CS_MSEC)
+
+static struct long_job *get_job(const struct part_ctx *ctx, cs_handle h)
+{
+	return slots_get(ctx->parts.long_work->jobs, h);
+}
+
+static struct msg *value_call(enum kv_op op, const char *prefix,
+			      const struct long_job *job, enum long_token kind)
+{
+	char key[128];
+
+	g_snprintf(key, sizeof(key), "%s%s", prefix, job->record.id);
+	return part_kv_call(PART_LONG_WORK, op, key,
+			    long_token(kind, job->self));
+}
+
+void long_store_body(struct part_ctx *ctx, struct long_job *job)
+{
+	struct msg *msg = value_call(KV_CAS, "job-bodies/", job, TOKEN_BODY);
+
+	msg->u.kv_call.value = long_body_encode(job->body);
+	part_emit(ctx, msg);
+}
+
+void long_store_result(struct part_ctx *ctx, struct long_job *job)
+{
+	struct msg *msg = value_call(KV_CAS, "job-results/", job, TOKEN_RESULT);
+
+	msg->u.kv_call.value = long_body_encode(job->result);
+	part_emit(ctx, msg);
+}
+
+void long_store_load_body(struct part_ctx *ctx, struct long_job *job)
+{
+	job->phase = PHASE_LOADING;
+	part_emit(ctx, value_call(KV_GET, "job-bodies/", job, TOKEN_LOAD));
+}
+
+static void write_record(struct part_ctx *ctx, struct long_job *job)
+{
+	struct msg *msg = value_call(KV_CAS, "jobs/", job, TOKEN_RECORD);
+
+	job->is_writing = true;
+	job->wants_write = false;
+	cs_copy(msg->u.kv_call.change_id, sizeof(msg->u.kv_call.change_id),
+		job->record.change_id);
+	msg->u.kv_call.version = job->version;
+	msg->u.kv_call.value = long_record_encode(&job->record);
+	part_emit(ctx, msg);
+}
+
+void long_store_record(struct part_ctx *ctx, struct long_job *job,
+		       enum long_next next)
+{
+	/* A later step of the job replaces what an earlier one was to do. */
+	if (next != NEXT_NOTHING)
+		job->next = next;
+	if (job->is_writing) {
+		job->wants_write = true;
+		return;
+	}
+	g_snprintf(job->record.change_id, sizeof(job->record.change_id),
+		   "%s-%" PRIx64 "-%" PRIx64, "l", ctx->options->incarnation,
+		   ++ctx->parts.long_work->next_change);
+	write_record(ctx, job);
+}
+
+static void on_retry(void *arg, uint64_t token, cs_time now)
+{
+	struct part_ctx *ctx = arg;
+	struct long_job *job = get_job(ctx, long_token_handle(token));
+
+	ctx->now = now;
+	if (!job)
+		return;
+	switch (long_token_kind(token)) {
+	case TOKEN_BODY:
+		long_store_body(ctx, job);
+		break;
+	case TOKEN_RECORD:
+		write_record(ctx, job);
+		break;
+	case TOKEN_RESULT:
+		long_store_result(ctx, job);
+		break;
+	case TOKEN_LOAD:
+		long_store_load_body(ctx, job);
+		break;
+	default:
+		break;
+	}
+}
+
+static void retry(struct part_ctx *ctx, uint64_t token)
+{
+	timers_subscribe(ctx->timers, ctx->now + STORE_RETRY, on_retry, ctx,
+			 token);
+}
+
+/* The record was written: the step that waited for it goes on. */
+static void record_written(struct part_ctx *ctx, struct long_job *job,
+			   uint64_t version)
+{
+	enum long_next next = job->next;
+
+	job->version = version;
+	job->written = ctx->now;
+	if (job->wants_write) {
+		long_store_record(ctx, job, NEXT_NOTHING);
+		return;
+	}
+	job->next = NEXT_NOTHING;
+	switch (next) {
+	case NEXT_NOTHING:
+		break;
+	case NEXT_ACCEPT:
+		long_job_reply(ctx, job, OUTCOME_ACCEPTED, 202, "");
+		long_job_wait(ctx, job);
+		break;
+	case NEXT_START:
+		long_run_start(ctx, job);
+		break;
+	case NEXT_FORGET:
+		long_job_forget(ctx, job);
+		break;
+	case NEXT_OFFER_FREE:
+		long_move_offer_free(ctx, job);
+		break;
+	}
+}
+
+/* Another write came first: a cancellation, our own lost write, or a new
+ * owner. */
+static void record_conflict(struct part_ctx *ctx, struct long_job *job,
+			    const struct kv_done *done)
+{
+	struct long_record present;
+
+	if (!done->rows_nr ||
+	    long_record_decode(done->rows[0].value, &present, NULL)) {
+		counters_add(ctx->counters, "long_bad_records_total", "", 1);
+		retry(ctx, done->token);
+		return;
+	}
+	if (!strcmp(present.change_id, job->record.change_id)) {
+		record_written(ctx, job, done->rows[0].version);
+		return;
+	}
+	if (job->phase == PHASE_RECORDING) {
+		/* The same request was submitted before. */
+		long_job_reply(ctx, job, OUTCOME_ACCEPTED, 202, "");
+		long_job_forget(ctx, job);
+		return;
+	}
+	if (!strcmp(present.owner, ctx->options->id) &&
+	    present.incarnation == ctx->options->incarnation) {
+		job->version = done->rows[0].version;
+		job->record.is_cancelled |= present.is_cancelled;
+		if (job->record.is_cancelled &&
+		    !long_state_is_final(job->record.state)) {
+			job->next = NEXT_NOTHING;
+			long_run_cancel(ctx, job);
+			return;
+		}
+		long_store_record(ctx, job, NEXT_NOTHING);
+		return;
+	}
+	long_run_lost_record(ctx, job, &present);
+}
+
+static void on_record(struct part_ctx *ctx, struct long_job *job,
+		      const struct kv_done *done)
+{
+	job->is_writing = false;
+	switch (done->result) {
+	case KV_OK:
+		record_written(ctx, job, done->version);
+		break;
+	case KV_CONFLICT:
+		record_conflict(ctx, job, done);
+		break;
+	default:
+		/* Nothing is known of a new job yet, so it can be refused. */
+		if (job->phase == PHASE_RECORDING &&
+		    done->result == KV_UNAVAILABLE) {
+			long_job_reply(ctx, job, OUTCOME_NOT_RUN, 503,
+				       "platform_down");
+			long_job_forget(ctx, job);
+			break;
+		}
+		job->is_writing = true;
+		retry(ctx, done->token);
+		break;
+	}
+}
+
+static void on_body(struct part_ctx *ctx, struct long_job *job,
+		    const struct kv_done *done)
+{
+	switch (done->result) {
+	case KV_OK:
+	case KV_CONFLICT: /* the same request was submitted before */
+		long_store_record(ctx, job, NEXT_ACCEPT);
+		break;
+	case KV_UNKNOWN:
+		retry(ctx, done->token);
+		break;
+	default:
+		long_job_reply(ctx, job, OUTCOME_NOT_RUN, 503, "platform_down");
+		long_job_forget(ctx, job);
+		break;
+	}
+}
+
+static void on_result(struct part_ctx *ctx, struct long_job *job,
+		      const struct kv_done *done)
+{
+	if (done->result != KV_OK && done->result != KV_CONFLICT) {
+		retry(ctx, done->token);
+		return;
+	}
+	job->record.state = LONG_DONE;
+	job->record.progress = 100;
+	long_store_record(ctx, job, NEXT_FORGET);
+}
+
+static void on_load(struct part_ctx *ctx, struct long_job *job,
+		    const struct kv_done *done)
+{
+	if (done->result == KV_MISSING) {
+		job->record.state = LONG_HELD;
+		cs_copy(job->record.reason, sizeof(job->record.reason),
+			"body_missing");
+		long_store_record(ctx, job, NEXT_FORGET);
+		return;
+	}
+	if (done->result != KV_OK || !done->rows_nr) {
+		retry(ctx, done->token);
+		return;
+	}
+	job->body = long_body_decode(done->rows[0].value);
+	if (job->record.is_cancelled && !job->has_slot)
+		long_run_cancel(ctx, job);
+	else if (job->has_slot)
+		long_run_resume(ctx, job);
+	else
+		long_job_wait(ctx, job);
+}
+
+void long_store_on_kv(struct part_ctx *ctx, const struct kv_done *done)
+{
+	struct long_job *job = get_job(ctx, long_token_handle(done->token));
+
+	if (!job)
+		return;
+	switch (long_token_kind(done->token)) {
+	case TOKEN_BODY:
+		on_body(ctx, job, done);
+		break;
+	case TOKEN_RECORD:
+		on_record(ctx, job, done);
+		break;
+	case TOKEN_RESULT:
+		on_result(ctx, job, done);
+		break;
+	case TOKEN_LOAD:
+		on_load(ctx, job, done);
+		break;
+	default:
+		break;
+	}
+}
--- a/src/job/request.c
+++ b/src/job/request.c
@@ -103,9 +103,8 @@
 	return b;
 }
 
-static struct team_queue *find_or_make_queue(struct request_table *t,
-					     struct pool_queue *p,
-					     const char *team)
+struct team_queue *request_queue(struct request_table *t, struct pool_queue *p,
+				 const char *team)
 {
 	struct team_queue *q = g_hash_table_lookup(p->teams, team);
 
@@ -134,7 +133,7 @@
 	r->submit.body = submit->body ? g_bytes_ref(submit->body) :
 					g_bytes_new(NULL, 0);
 	r->pool = request_pool(t, pool);
-	r->team = find_or_make_queue(t, r->pool, team);
+	r->team = request_queue(t, r->pool, team);
 	if (submit->caller)
 		g_hash_table_insert(t->by_caller, &r->submit.caller, r);
 	return r;
--- a/src/job/request.h
+++ b/src/job/request.h
@@ -65,6 +65,8 @@
 	struct request_list list;
 	struct team_budget *budget;
 	bool is_blocked; /* no permit was free */
+	int long_waiting; /* long jobs of the team, see long_work.h */
+	bool was_long; /* the last start was long work */
 };
 
 /* What all pools share for one team. */
@@ -80,6 +82,7 @@
 	struct request_list urgent;
 	struct retry_budget retry;
 	int queued;
+	int long_waiting;
 	bool was_urgent; /* the last start was urgent */
 };
 
@@ -132,6 +135,8 @@
 				    const struct request *request);
 
 struct pool_queue *request_pool(struct request_table *table, const char *pool);
+struct team_queue *request_queue(struct request_table *table,
+				 struct pool_queue *pool, const char *team);
 /* Calls fn for each pool that has had work. */
 void request_each_pool(struct request_table *table,
 		       void (*fn)(struct pool_queue *pool, void *arg),
