--- a/src/base/timers.c
+++ b/src/base/timers.c
@@ -138,17 +138,26 @@
 	return slots_free(t->rows, h);
 }
 
+bool timers_run_one(struct timers *t, cs_time now)
+{
+	struct timer_row row;
+
+	if (!t->nr || t->heap[0]->due > now)
+		return false;
+	row = *t->heap[0];
+	heap_remove(t, 0);
+	slots_free(t->rows, row.self);
+	row.fn(row.ctx, row.arg, now);
+	return true;
+}
+
 void timers_advance(struct timers *t, cs_time now)
 {
 	uint64_t end = t->sequence;
 
-	while (t->nr && t->heap[0]->due <= now && t->heap[0]->sequence < end) {
-		struct timer_row row = *t->heap[0];
-
-		heap_remove(t, 0);
-		slots_free(t->rows, row.self);
-		row.fn(row.ctx, row.arg, now);
-	}
+	while (t->nr && t->heap[0]->sequence < end)
+		if (!timers_run_one(t, now))
+			break;
 }
 
 cs_time timers_next_due(const struct timers *t)
--- a/src/base/timers.h
+++ b/src/base/timers.h
@@ -32,6 +32,9 @@
  */
 void timers_advance(struct timers *timers, cs_time now);
 
+/* Runs the earliest timer if it is due at now. Returns false if none is. */
+bool timers_run_one(struct timers *timers, cs_time now);
+
 /* The earliest due time, or CS_TIME_NEVER. */
 cs_time timers_next_due(const struct timers *timers);
 
--- a/src/camphorshed.h
+++ b/src/camphorshed.h
@@ -58,7 +58,7 @@
 /* BLAKE2b-256 digest of a key; keys themselves are never stored. */
 #define CS_DIGEST_LEN 32
 /* The platform stores values of at most one megabyte. */
-#define CS_VALUE_MAX (1024 * 1024)
+#define CS_VALUE_MAX ((size_t)1024 * 1024)
 
 /*
  * What went wrong, in which step, and with which peer. A function that
@@ -137,6 +137,9 @@
 /* True once a drain has been asked for and nothing is in flight any more. */
 bool entry_is_drained(const struct entry *entry);
 
+/* Revision of the fleet document in force at this entry; 0: none yet. */
+uint64_t entry_revision(const struct entry *entry);
+
 /* Releases everything. Accepts NULL. */
 void entry_destroy(struct entry *entry);
 
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -4,6 +4,7 @@
 
 #include "../base/error.h"
 #include "../base/log.h"
+#include "../config/config_sync.h"
 #include "part.h"
 
 struct entry {
@@ -258,3 +259,8 @@
 			return false;
 	return true;
 }
+
+uint64_t entry_revision(const struct entry *e)
+{
+	return document_revision(config_sync_document(&e->ctx));
+}
--- a/src/entry/message.c
+++ b/src/entry/message.c
@@ -10,6 +10,14 @@
 	return m;
 }
 
+enum outcome submit_refusal_outcome(const struct submit *submit,
+				    bool is_claimed)
+{
+	if (submit->is_idempotent || !*submit->request_id || is_claimed)
+		return OUTCOME_NOT_RUN;
+	return OUTCOME_UNKNOWN;
+}
+
 static void unref(GBytes *bytes)
 {
 	if (bytes)
--- a/src/entry/message.h
+++ b/src/entry/message.h
@@ -416,6 +416,14 @@
 	} u;
 };
 
+/*
+ * The outcome of a refusal before the submission was sent anywhere. "Not run"
+ * covers earlier submissions of a non-idempotent request as well, so with an
+ * identifier whose claim this submission does not hold it can't be said.
+ */
+enum outcome submit_refusal_outcome(const struct submit *submit,
+				    bool is_claimed);
+
 /* A zeroed message of that type. Never NULL: GLib ends the process first. */
 struct msg *msg_new(enum msg_type type);
 
--- a/src/job/dispatch.c
+++ b/src/job/dispatch.c
@@ -90,6 +90,10 @@
 	struct refusal said = *refusal;
 	struct reply reply = { 0 };
 
+	if (said.outcome == OUTCOME_NOT_RUN && !*r->origin &&
+	    !MUTANT(ctx, "refuse-ignores-claim"))
+		said.outcome =
+			submit_refusal_outcome(&r->submit, r->is_claimed);
 	if (r->may_have_run && !MUTANT(ctx, "refuse-says-not-run"))
 		said.outcome = OUTCOME_UNKNOWN;
 	if (said.outcome == OUTCOME_NOT_RUN) {
@@ -132,6 +136,9 @@
 
 	count_refusal(ctx, refusal->reason, refusal->outcome);
 	fill_refusal(&reply, refusal, &submit->trace);
+	/* The entry that forwards holds the claim and speaks for it. */
+	if (reply.outcome == OUTCOME_NOT_RUN && !*origin)
+		reply.outcome = submit_refusal_outcome(submit, false);
 	send_reply(ctx, submit->caller, origin, ref, &reply);
 }
 
--- a/src/job/long_private.h
+++ b/src/job/long_private.h
@@ -64,6 +64,8 @@
 	cs_handle share_row;
 	cs_handle timer; /* of the phase */
 	cs_handle renew_timer;
+	bool has_request_id;
+	bool is_first; /* no earlier submission can have been recorded */
 	bool is_writing;
 	bool wants_write;
 	enum long_next next;
--- a/src/job/long_store.c
+++ b/src/job/long_store.c
@@ -178,6 +178,20 @@
 	long_run_lost_record(ctx, job, &present);
 }
 
+/*
+ * The platform can't be reached, so the job is not accepted. An earlier
+ * submission may have been, unless this one is known to be the first.
+ */
+static void refuse_unrecorded(struct part_ctx *ctx, struct long_job *job)
+{
+	bool is_not_run = job->is_first || job->record.is_idempotent ||
+			  !job->has_request_id;
+
+	long_job_reply(ctx, job, is_not_run ? OUTCOME_NOT_RUN : OUTCOME_UNKNOWN,
+		       503, "platform_down");
+	long_job_forget(ctx, job);
+}
+
 static void on_record(struct part_ctx *ctx, struct long_job *job,
 		      const struct kv_done *done)
 {
@@ -193,9 +207,7 @@
 		/* Nothing is known of a new job yet, so it can be refused. */
 		if (job->phase == PHASE_RECORDING &&
 		    done->result == KV_UNAVAILABLE) {
-			long_job_reply(ctx, job, OUTCOME_NOT_RUN, 503,
-				       "platform_down");
-			long_job_forget(ctx, job);
+			refuse_unrecorded(ctx, job);
 			break;
 		}
 		job->is_writing = true;
--- a/src/job/long_work.c
+++ b/src/job/long_work.c
@@ -98,7 +98,7 @@
 	struct msg *msg = msg_new(MSG_REPLY);
 
 	msg->u.reply.caller = submit->caller;
-	msg->u.reply.outcome = OUTCOME_NOT_RUN;
+	msg->u.reply.outcome = submit_refusal_outcome(submit, false);
 	msg->u.reply.status = status;
 	msg->u.reply.trace = submit->trace;
 	msg->u.reply.retry_after_ms = 1000;
@@ -146,6 +146,7 @@
 	}
 	job->phase = PHASE_RECORDING;
 	job->caller = submit->caller;
+	job->has_request_id = *submit->request_id;
 	job->trace = submit->trace;
 	job->body = submit->body ? g_bytes_ref(submit->body) :
 				   g_bytes_new(NULL, 0);
--- /dev/null
+++ b/tests/soak/callers.c
@@ -0,0 +1,231 @@
+#include "world.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../../src/base/error.h"
+
+/* Time between two new jobs, in microseconds: the fleet is about full. */
+#define ARRIVAL_MIN 1000
+#define ARRIVAL_MAX 14000
+
+static struct model_job *job_at(struct world *w, int job)
+{
+	return &g_array_index(w->jobs, struct model_job, job);
+}
+
+int callers_new_job(struct world *w, int team, bool is_long)
+{
+	struct model_job job = { 0 };
+	int index = (int)w->jobs->len;
+
+	job.team = team;
+	job.key = world_chance(w, 0, KEYS_PER_TEAM - 1);
+	job.is_long = is_long;
+	job.is_idempotent = world_percent(w, 50);
+	job.is_urgent = !is_long && world_percent(w, 5);
+	job.is_hopeless = !w->opt.no_faults && world_percent(w, 0.5);
+	job.submitted = w->now;
+	job.first_call_run = -1;
+	job.run_time = is_long ? world_chance(w, 5, 40) * CS_SEC :
+				 world_chance(w, 20, 300) * CS_MSEC;
+	g_strlcpy(job.queue,
+		  team < 0	       ? "open" :
+		  world_percent(w, 50) ? "qa" :
+					 "qb",
+		  sizeof(job.queue));
+	if (is_long || world_percent(w, 70))
+		g_snprintf(job.request_id, sizeof(job.request_id), "job-%d",
+			   index);
+	g_array_append_val(w->jobs, job);
+	return index;
+}
+
+/* True if the job's key was withdrawn long enough ago to be unknown now. */
+static bool is_withdrawn(const struct world *w, const struct model_job *job)
+{
+	cs_time t = job->team < 0 ? 0 : w->teams[job->team].withdrawn[job->key];
+
+	return t && w->now - t > 5 * CS_SEC;
+}
+
+void callers_submit(struct world *w, int index, int entry)
+{
+	struct model_job *job = job_at(w, index);
+	struct model_entry *e = &w->entries[entry];
+	struct model_call call = { 0 };
+	struct msg *msg = msg_new(MSG_SUBMIT);
+	struct submit *s = &msg->u.submit;
+	char body[32];
+
+	call.job = index;
+	call.entry = entry;
+	call.life = e->life;
+	call.sent = w->now;
+	call.key_was_withdrawn = is_withdrawn(w, job);
+	g_array_append_val(w->calls, call);
+	job->submissions++;
+	e->waiting++;
+	s->caller = w->calls->len;
+	cs_copy(s->queue, sizeof(s->queue), job->queue);
+	cs_copy(s->request_id, sizeof(s->request_id), job->request_id);
+	if (job->team >= 0) {
+		s->has_key = true;
+		memcpy(s->key_digest, w->teams[job->team].keys[job->key],
+		       CS_DIGEST_LEN);
+	}
+	s->is_idempotent = job->is_idempotent;
+	s->is_urgent = job->is_urgent;
+	s->work = job->is_long ? WORK_LONG : WORK_SHORT;
+	s->deadline_ms = world_chance(w, 1000, 6000);
+	g_snprintf(body, sizeof(body), "%d %u", index, w->calls->len - 1);
+	s->body = g_bytes_new(body, strlen(body) + 1);
+	world_send(w, entry, world_chance(w, 300, 1200), msg);
+}
+
+/* An entry that takes requests; -1 if none does. The balancer lags a little. */
+static int choose_entry(struct world *w)
+{
+	int i, tries;
+
+	for (tries = 0; tries < 20; tries++) {
+		i = world_chance(w, 0, w->opt.entries - 1);
+		if (w->entries[i].core &&
+		    (!w->entries[i].drain_began ||
+		     w->now - w->entries[i].drain_began < CS_SEC))
+			return i;
+	}
+	return -1;
+}
+
+/* The same job again, through any entry, as a caller that retries does. */
+static void on_repeat(void *ctx, uint64_t job, cs_time now)
+{
+	struct world *w = ctx;
+	int entry = choose_entry(w);
+
+	(void)now;
+	if (entry < 0 || w->is_ending)
+		return;
+	w->strikes[FAULT_REPEAT]++;
+	callers_submit(w, (int)job, entry);
+}
+
+static void on_hang_up(void *ctx, uint64_t caller, cs_time now)
+{
+	struct world *w = ctx;
+	struct model_call *call =
+		&g_array_index(w->calls, struct model_call, caller - 1);
+	struct msg *msg;
+
+	(void)now;
+	if (call->is_answered || call->is_gone ||
+	    w->entries[call->entry].life != call->life)
+		return;
+	call->is_gone = true;
+	w->entries[call->entry].waiting--;
+	msg = msg_new(MSG_CALLER_GONE);
+	msg->u.caller = caller;
+	world_send(w, call->entry, world_chance(w, 300, 1200), msg);
+}
+
+static void on_arrival(void *ctx, uint64_t unused, cs_time now)
+{
+	struct world *w = ctx;
+	int team = world_percent(w, 8) ? -1 :
+					 world_chance(w, 0, w->opt.teams - 1);
+	int job, entry = choose_entry(w);
+
+	(void)unused;
+	(void)now;
+	if (w->is_ending)
+		return;
+	job = callers_new_job(w, team, team >= 0 && world_percent(w, 1.5));
+	if (entry >= 0) {
+		callers_submit(w, job, entry);
+		if (*job_at(w, job)->request_id && world_percent(w, 10))
+			world_after(w, world_chance(w, 0, 4000) * CS_MSEC,
+				    on_repeat, w, (uint64_t)job);
+		if (world_percent(w, 2))
+			world_after(w, world_chance(w, 5, 500) * CS_MSEC,
+				    on_hang_up, w, w->calls->len);
+	}
+	world_after(w, world_chance(w, ARRIVAL_MIN, ARRIVAL_MAX), on_arrival, w,
+		    0);
+}
+
+void callers_begin(struct world *w)
+{
+	world_after(w, 3 * CS_SEC, on_arrival, w, 0);
+}
+
+static void check_answer(struct world *w, int index, const struct reply *reply)
+{
+	char expected[64];
+	const char *data;
+	gsize len = 0;
+
+	g_snprintf(expected, sizeof(expected), "answer to job %d", index);
+	data = reply->body ? g_bytes_get_data(reply->body, &len) : NULL;
+	check(w, INV_WHOLE_ANSWER,
+	      data && len == strlen(expected) && !memcmp(data, expected, len),
+	      "job %d was answered with \"%.*s\"", index, (int)len,
+	      data ? data : "");
+}
+
+void callers_on_reply(struct world *w, int entry, struct reply *reply)
+{
+	struct model_call *call;
+	struct model_job *job;
+
+	if (!reply->caller || reply->caller > w->calls->len)
+		return;
+	call = &g_array_index(w->calls, struct model_call, reply->caller - 1);
+	job = job_at(w, call->job);
+	check(w, INV_WHOLE_ANSWER,
+	      call->entry == entry && call->life == w->entries[entry].life &&
+		      !call->is_answered,
+	      "job %d: answer to the wrong caller", call->job);
+	call->is_answered = true;
+	if (!call->is_gone)
+		w->entries[entry].waiting--;
+	switch (reply->outcome) {
+	case OUTCOME_ANSWERED:
+		w->answered++;
+		if (reply->status < 500)
+			check_answer(w, call->job, reply);
+		check(w, INV_WITHDRAWN, !call->key_was_withdrawn,
+		      "job %d ran for a key that was withdrawn", call->job);
+		break;
+	case OUTCOME_ACCEPTED:
+		job->is_accepted = true;
+		cs_copy(job->job_id, sizeof(job->job_id), reply->job);
+		check(w, INV_WITHDRAWN, !call->key_was_withdrawn,
+		      "job %d accepted for a withdrawn key", call->job);
+		break;
+	case OUTCOME_NOT_RUN:
+		w->refused++;
+		call->was_refused = true;
+		/*
+		 * For identified work that must not run twice, the word
+		 * covers earlier submissions as well.
+		 */
+		check(w, INV_NOT_RUN,
+		      !call->has_run &&
+			      (job->is_idempotent || !*job->request_id ||
+			       !job->runs ||
+			       job->first_call_run > (int)reply->caller - 1),
+		      "job %d: \"not run\" (%s), but it ran", call->job,
+		      reply->reason);
+		break;
+	case OUTCOME_UNKNOWN:
+		w->unknown++;
+		break;
+	}
+}
+
+void callers_entry_died(struct world *w, int entry)
+{
+	w->entries[entry].waiting = 0;
+}
--- /dev/null
+++ b/tests/soak/faults.c
@@ -0,0 +1,470 @@
+#include "world.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "../../src/base/error.h"
+
+/* Time between two faults. */
+#define FAULT_MIN_MS 300
+#define FAULT_MAX_MS 3000
+
+static int random_entry(struct world *w)
+{
+	return world_chance(w, 0, w->opt.entries - 1);
+}
+
+static struct model_worker *random_worker(struct world *w)
+{
+	return &w->workers[world_chance(w, 0, w->workers_nr - 1)];
+}
+
+/* Marks all entries of a data centre as touched by a fault. */
+static void disturb_place(struct world *w, int place)
+{
+	int i;
+
+	w->places[place].disturbed = w->now;
+	for (i = 0; i < w->opt.entries; i++)
+		if (w->entries[i].place == place)
+			w->entries[i].disturbed = w->now;
+}
+
+static void on_restart(void *ctx, uint64_t entry, cs_time now)
+{
+	struct world *w = ctx;
+
+	(void)now;
+	if (!w->entries[entry].core)
+		world_start_entry(w, (int)entry);
+}
+
+static void strike_kill(struct world *w)
+{
+	int i = random_entry(w);
+
+	if (!w->entries[i].core)
+		return;
+	world_kill_entry(w, i);
+	world_after(w, world_chance(w, 200, 20000) * CS_MSEC, on_restart, w,
+		    (uint64_t)i);
+	w->strikes[FAULT_KILL]++;
+}
+
+static void on_resume(void *ctx, uint64_t entry, cs_time now)
+{
+	(void)now;
+	world_pause_entry(ctx, (int)entry, false);
+}
+
+static void strike_pause(struct world *w)
+{
+	int i = random_entry(w);
+
+	if (!w->entries[i].core || w->entries[i].is_paused)
+		return;
+	world_pause_entry(w, i, true);
+	world_after(w, world_chance(w, 100, 25000) * CS_MSEC, on_resume, w,
+		    (uint64_t)i);
+	w->strikes[FAULT_PAUSE]++;
+}
+
+static void cut(struct world *w, int a, int b, bool is_cut)
+{
+	w->places[a].is_cut[b] = w->places[b].is_cut[a] = is_cut;
+	disturb_place(w, a);
+	disturb_place(w, b);
+	world_note(w, "cut %d-%d %s", a, b, is_cut ? "begins" : "ends");
+}
+
+static void on_uncut(void *ctx, uint64_t pair, cs_time now)
+{
+	(void)now;
+	cut(ctx, (int)(pair / 16), (int)(pair % 16), false);
+}
+
+/* One data centre is cut off from all others. */
+static void strike_place_cut(struct world *w)
+{
+	int a = world_chance(w, 0, w->opt.places - 1), b;
+	cs_time span = world_chance(w, 500, 30000) * CS_MSEC;
+
+	for (b = 0; b < w->opt.places; b++) {
+		if (b == a)
+			continue;
+		cut(w, a, b, true);
+		world_after(w, span, on_uncut, w, (uint64_t)(a * 16 + b));
+	}
+	w->strikes[FAULT_PLACE_CUT]++;
+}
+
+static void on_platform_back(void *ctx, uint64_t place, cs_time now)
+{
+	struct world *w = ctx;
+
+	(void)now;
+	w->places[place].is_platform_cut = false;
+	disturb_place(w, (int)place);
+}
+
+static void strike_platform_cut(struct world *w)
+{
+	int a = world_chance(w, 0, w->opt.places - 1);
+
+	if (w->places[a].is_platform_cut)
+		return;
+	w->places[a].is_platform_cut = true;
+	disturb_place(w, a);
+	world_after(w, world_chance(w, 500, 30000) * CS_MSEC, on_platform_back,
+		    w, (uint64_t)a);
+	w->strikes[FAULT_PLATFORM_CUT]++;
+}
+
+static void on_outage_end(void *ctx, uint64_t unused, cs_time now)
+{
+	struct world *w = ctx;
+	int i;
+
+	(void)unused;
+	(void)now;
+	kv_model_set(w->kv, false, false);
+	for (i = 0; i < w->opt.places; i++)
+		disturb_place(w, i);
+	world_note(w, "platform is back");
+}
+
+static void begin_outage(struct world *w, bool is_out)
+{
+	int i;
+
+	kv_model_set(w->kv, is_out, !is_out);
+	for (i = 0; i < w->opt.places; i++)
+		disturb_place(w, i);
+	world_note(w, is_out ? "platform is down" : "platform is slow");
+	world_after(w, world_chance(w, 500, 20000) * CS_MSEC, on_outage_end, w,
+		    0);
+}
+
+static void strike_outage(struct world *w)
+{
+	begin_outage(w, true);
+	w->strikes[FAULT_OUTAGE]++;
+}
+
+static void strike_slow_platform(struct world *w)
+{
+	begin_outage(w, false);
+	w->strikes[FAULT_SLOW_PLATFORM]++;
+}
+
+static void on_worker_well(void *ctx, uint64_t worker, cs_time now)
+{
+	struct world *w = ctx;
+	struct model_worker *wk = &w->workers[worker];
+
+	(void)now;
+	wk->is_down = wk->fails_all = wk->is_silent = false;
+	wk->leaving_since = 0;
+}
+
+static void worker_well_later(struct world *w, const struct model_worker *wk)
+{
+	world_after(w, world_chance(w, 1000, 15000) * CS_MSEC, on_worker_well,
+		    w, (uint64_t)(wk - w->workers));
+}
+
+/* A worker that goes down loses its tasks with its processes. */
+static void drop_tasks(struct world *w, const struct model_worker *wk)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, w->tasks);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct model_task *t = value;
+
+		if (!t->is_running || &w->workers[t->worker] != wk)
+			continue;
+		t->is_running = false;
+		t->state = TASK_STATE_MISSING;
+		w->workers[t->worker].running--;
+		w->teams[t->team].running--;
+	}
+}
+
+static void strike_worker_down(struct world *w)
+{
+	struct model_worker *wk = random_worker(w);
+
+	wk->is_down = true;
+	drop_tasks(w, wk);
+	worker_well_later(w, wk);
+	w->strikes[FAULT_WORKER_DOWN]++;
+}
+
+static void strike_worker_fails(struct world *w)
+{
+	struct model_worker *wk = random_worker(w);
+
+	wk->fails_all = true;
+	worker_well_later(w, wk);
+	w->strikes[FAULT_WORKER_FAILS]++;
+}
+
+static void strike_worker_silent(struct world *w)
+{
+	struct model_worker *wk = random_worker(w);
+
+	wk->is_silent = true;
+	worker_well_later(w, wk);
+	w->strikes[FAULT_WORKER_SILENT]++;
+}
+
+static void strike_worker_leaves(struct world *w)
+{
+	struct model_worker *wk = random_worker(w);
+
+	if (wk->leaving_since)
+		return;
+	wk->leaving_since = w->now;
+	world_after(w, world_chance(w, 8000, 25000) * CS_MSEC, on_worker_well,
+		    w, (uint64_t)(wk - w->workers));
+	w->strikes[FAULT_WORKER_LEAVES]++;
+}
+
+void faults_change(struct world *w, int entry, const struct change *change,
+		   uint64_t expected)
+{
+	struct msg *msg = msg_new(MSG_ADMIN_CALL);
+
+	msg->u.admin_call.caller = 1;
+	msg->u.admin_call.op = ADMIN_CHANGE;
+	msg->u.admin_call.revision = expected;
+	msg->u.admin_call.changes = g_memdup2(change, sizeof(*change));
+	msg->u.admin_call.changes_nr = 1;
+	world_send(w, entry, world_chance(w, 300, 1500), msg);
+}
+
+void faults_on_admin(struct world *w, int entry, struct admin_reply *reply)
+{
+	gsize len = 0;
+	const char *text = reply->body ? g_bytes_get_data(reply->body, &len) :
+					 "";
+
+	world_note(w, "operator at %s: %d %.*s", w->entries[entry].id,
+		   reply->status, (int)MIN(len, 120), text);
+}
+
+static struct change place_change(const struct world *w, int place, bool is_out)
+{
+	struct change c = { .op = is_out ? CHANGE_DATA_CENTRE_OUT :
+					   CHANGE_DATA_CENTRE_IN };
+
+	cs_copy(c.name, sizeof(c.name), w->places[place].name);
+	return c;
+}
+
+static void on_place_back(void *ctx, uint64_t place, cs_time now)
+{
+	struct world *w = ctx;
+	struct change c = place_change(w, (int)place, false);
+
+	(void)now;
+	faults_change(w, random_entry(w), &c, 0);
+	if (!w->is_ending)
+		return;
+	/* At the end all come back, whatever is lost on the way. */
+	if (w->places[place].out_since)
+		world_after(w, CS_SEC, on_place_back, w, place);
+}
+
+static void strike_place_out(struct world *w)
+{
+	int place = world_chance(w, 0, w->opt.places - 1), i;
+	struct change c = place_change(w, place, true);
+
+	for (i = 0; i < w->opt.places; i++)
+		if (w->places[i].out_since)
+			return; /* one at a time, as operators do */
+	faults_change(w, random_entry(w), &c, 0);
+	world_after(w, world_chance(w, 8000, 30000) * CS_MSEC, on_place_back, w,
+		    (uint64_t)place);
+	w->strikes[FAULT_PLACE_OUT]++;
+}
+
+static struct change key_change(const struct world *w, int team, int key,
+				bool is_grant)
+{
+	struct change c = { .op = is_grant ? CHANGE_KEY_GRANT :
+					     CHANGE_KEY_WITHDRAW,
+			    .has_digest = true };
+
+	cs_copy(c.name, sizeof(c.name), w->teams[team].name);
+	g_snprintf(c.label, sizeof(c.label), "k%d", key);
+	memcpy(c.digest, w->teams[team].keys[key], sizeof(c.digest));
+	return c;
+}
+
+static void on_key_back(void *ctx, uint64_t which, cs_time now)
+{
+	struct world *w = ctx;
+	struct change c = key_change(w, (int)(which / KEYS_PER_TEAM),
+				     (int)(which % KEYS_PER_TEAM), true);
+
+	(void)now;
+	faults_change(w, random_entry(w), &c, 0);
+}
+
+static void strike_key_withdrawn(struct world *w)
+{
+	int team = world_chance(w, 0, w->opt.teams - 1);
+	int key = world_chance(w, 0, KEYS_PER_TEAM - 1);
+	struct change c = key_change(w, team, key, false);
+
+	faults_change(w, random_entry(w), &c, 0);
+	world_after(w, world_chance(w, 8000, 20000) * CS_MSEC, on_key_back, w,
+		    (uint64_t)(team * KEYS_PER_TEAM + key));
+	w->strikes[FAULT_KEY_WITHDRAWN]++;
+}
+
+static void strike_limit_changed(struct world *w)
+{
+	struct model_team *t = &w->teams[world_chance(w, 0, w->opt.teams - 1)];
+	struct change c = { .op = CHANGE_TEAM_SET, .share = t->share };
+
+	cs_copy(c.name, sizeof(c.name), t->name);
+	c.limit = world_chance(w, 1, 24);
+	faults_change(w, random_entry(w), &c, 0);
+	w->strikes[FAULT_LIMIT_CHANGED]++;
+}
+
+/* Two operators change the same thing from the same revision. */
+static void strike_operator_race(struct world *w)
+{
+	struct change c = { .op = CHANGE_PRESET };
+	uint64_t expected = w->doc ? document_revision(w->doc) : 0;
+	int i;
+
+	for (i = 0; i < 2; i++) {
+		cs_copy(c.name, sizeof(c.name),
+			preset_name((enum preset)world_chance(w, 0, 2)));
+		faults_change(w, random_entry(w), &c, expected);
+	}
+	w->strikes[FAULT_OPERATOR_RACE]++;
+}
+
+static void on_drain_check(void *ctx, uint64_t which, cs_time now)
+{
+	struct world *w = ctx;
+	struct model_entry *e = &w->entries[which % 16];
+
+	(void)now;
+	if (!e->core || !e->drain_began || e->life != which / 16)
+		return;
+	if (e->is_paused || !entry_is_drained(e->core)) {
+		/* Long work may have nowhere to go; operators give up then. */
+		if (w->now - e->drain_began < 40 * CS_SEC) {
+			world_after(w, 50 * CS_MSEC, on_drain_check, w, which);
+			return;
+		}
+	} else {
+		check(w, INV_GRACEFUL, e->waiting == 0,
+		      "entry %s ended with %d callers waiting", e->id,
+		      e->waiting);
+	}
+	world_kill_entry(w, e->index);
+	world_after(w, world_chance(w, 200, 5000) * CS_MSEC, on_restart, w,
+		    (uint64_t)e->index);
+}
+
+static void strike_drain(struct world *w)
+{
+	struct model_entry *e = &w->entries[random_entry(w)];
+
+	if (!e->core || e->is_paused || e->drain_began)
+		return;
+	e->drain_began = w->now;
+	e->disturbed = w->now;
+	world_note(w, "drain entry=%s", e->id);
+	world_send(w, e->index, 1, msg_new(MSG_DRAIN));
+	world_after(w, CS_SEC, on_drain_check, w,
+		    e->life * 16 + (uint64_t)e->index);
+	w->strikes[FAULT_DRAIN]++;
+}
+
+/* Many callers of one entry hang up at once. */
+static void strike_cancel_wave(struct world *w)
+{
+	int entry = random_entry(w);
+	struct model_call *call;
+	struct msg *msg;
+	guint i = w->calls->len > 300 ? w->calls->len - 300 : 0;
+
+	for (; i < w->calls->len; i++) {
+		call = &g_array_index(w->calls, struct model_call, i);
+		if (call->entry != entry || call->is_answered ||
+		    call->is_gone || call->life != w->entries[entry].life)
+			continue;
+		call->is_gone = true;
+		w->entries[entry].waiting--;
+		msg = msg_new(MSG_CALLER_GONE);
+		msg->u.caller = i + 1;
+		world_send(w, entry, 1 + i % 7, msg);
+	}
+	w->strikes[FAULT_CANCEL_WAVE]++;
+}
+
+typedef void (*strike_fn)(struct world *w);
+
+static const strike_fn strikes[] = {
+	strike_kill,	      strike_pause,	    strike_place_cut,
+	strike_platform_cut,  strike_outage,	    strike_slow_platform,
+	strike_worker_down,   strike_worker_fails,  strike_worker_silent,
+	strike_worker_leaves, strike_place_out,	    strike_key_withdrawn,
+	strike_limit_changed, strike_operator_race, strike_drain,
+	strike_cancel_wave,
+};
+
+static void on_fault(void *ctx, uint64_t unused, cs_time now)
+{
+	struct world *w = ctx;
+
+	(void)unused;
+	(void)now;
+	if (w->is_ending)
+		return;
+	strikes[world_chance(w, 0, G_N_ELEMENTS(strikes) - 1)](w);
+	/* Now and then two come at once. */
+	if (world_percent(w, 20))
+		strikes[world_chance(w, 0, G_N_ELEMENTS(strikes) - 1)](w);
+	world_after(w, world_chance(w, FAULT_MIN_MS, FAULT_MAX_MS) * CS_MSEC,
+		    on_fault, w, 0);
+}
+
+void faults_begin(struct world *w)
+{
+	world_after(w, 8 * CS_SEC, on_fault, w, 0);
+}
+
+void faults_heal(struct world *w)
+{
+	int i, b;
+
+	w->is_ending = true;
+	kv_model_set(w->kv, false, false);
+	for (i = 0; i < w->opt.places; i++) {
+		w->places[i].is_platform_cut = false;
+		for (b = 0; b < w->opt.places; b++)
+			w->places[i].is_cut[b] = false;
+		disturb_place(w, i);
+		if (w->places[i].out_since)
+			on_place_back(w, (uint64_t)i, w->now);
+	}
+	for (i = 0; i < w->workers_nr; i++)
+		on_worker_well(w, (uint64_t)i, w->now);
+	for (i = 0; i < w->opt.entries; i++) {
+		world_pause_entry(w, i, false);
+		if (!w->entries[i].core)
+			world_start_entry(w, i);
+	}
+}
--- /dev/null
+++ b/tests/soak/invariants.c
@@ -0,0 +1,313 @@
+#include "world.h"
+
+#include <inttypes.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../../src/job/long_record.h"
+
+/* The bounds of docs/design.md 1.1. */
+#define FEW_SECONDS (5 * CS_SEC)
+#define CONFIG_BOUND (7 * CS_SEC)
+
+/* Calm time after which a lowered limit must be in use everywhere. */
+#define LOWER_TIME (30 * CS_SEC)
+
+static const char *const invariant_names[INV_NR] = {
+	[INV_BUDGET] = "I1-availability-budget",
+	[INV_ONE_POOL] = "I2-one-pool-per-host",
+	[INV_KEY] = "I3-work-only-for-its-key",
+	[INV_WITHDRAWN] = "I4-withdrawn-key",
+	[INV_LIMIT] = "I5-upper-limit",
+	[INV_OUT] = "I6-data-centre-out",
+	[INV_WHOLE_ANSWER] = "I7-own-whole-answer",
+	[INV_NOT_RUN] = "I8-not-run-is-true",
+	[INV_AT_MOST_ONCE] = "I9-at-most-once",
+	[INV_LEAVING] = "I10-leaving-worker",
+	[INV_GRACEFUL] = "I11-graceful-stop",
+	[INV_IN_FORCE] = "I12-in-force-within-7s",
+	[INV_NO_REVERT] = "I12-never-reverts",
+	[INV_LONG_KEPT] = "long-work-kept",
+	[INV_INTERNAL] = "asserted-in-the-core",
+};
+
+static const char *const fault_names[FAULT_NR] = {
+	[FAULT_KILL] = "entry-killed",
+	[FAULT_PAUSE] = "entry-paused",
+	[FAULT_PLACE_CUT] = "data-centre-cut-off",
+	[FAULT_PLATFORM_CUT] = "platform-cut-off",
+	[FAULT_OUTAGE] = "platform-outage",
+	[FAULT_SLOW_PLATFORM] = "platform-slow",
+	[FAULT_LOST_ANSWER] = "write-answer-lost",
+	[FAULT_LATE_WRITE] = "write-applied-late",
+	[FAULT_WORKER_DOWN] = "worker-down",
+	[FAULT_WORKER_FAILS] = "worker-fails-all",
+	[FAULT_WORKER_SILENT] = "worker-silent",
+	[FAULT_WORKER_LEAVES] = "worker-leaves",
+	[FAULT_ANSWER_LOST] = "worker-answer-lost",
+	[FAULT_PLACE_OUT] = "data-centre-out",
+	[FAULT_KEY_WITHDRAWN] = "key-withdrawn",
+	[FAULT_LIMIT_CHANGED] = "limit-changed",
+	[FAULT_OPERATOR_RACE] = "operator-race",
+	[FAULT_DRAIN] = "entry-drained",
+	[FAULT_CANCEL_WAVE] = "cancel-wave",
+	[FAULT_REPEAT] = "request-repeated",
+};
+
+const char *fault_name(enum fault fault)
+{
+	return fault_names[fault];
+}
+
+bool check(struct world *w, enum invariant invariant, bool holds,
+	   const char *fmt, ...)
+{
+	GString *text;
+	va_list args;
+	unsigned i;
+
+	w->checks[invariant]++;
+	if (holds)
+		return true;
+	if (w->violations++)
+		return false;
+	text = g_string_new(NULL);
+	va_start(args, fmt);
+	g_string_vprintf(text, fmt, args);
+	va_end(args);
+	printf("violation invariant=%s seed=%u step=%" PRIu64
+	       " time=%.6f what=\"%s\"\n",
+	       invariant_names[invariant], w->opt.seed, w->steps,
+	       (double)w->now / (double)CS_SEC, text->str);
+	for (i = 0; i < EVENT_LINES; i++) {
+		const char *line = w->lines[(w->line_next + i) % EVENT_LINES];
+
+		if (line)
+			printf("  %s\n", line);
+	}
+	g_string_free(text, TRUE);
+	return false;
+}
+
+/* True if no fault touched the data centre for the last span. */
+static bool place_was_calm(const struct world *w, int place, cs_time span)
+{
+	const struct model_place *p = &w->places[place];
+	int i, other;
+
+	if (p->is_platform_cut || w->now - p->disturbed < span)
+		return false;
+	for (other = 0; other < w->opt.places; other++)
+		if (p->is_cut[other])
+			return false;
+	for (i = 0; i < w->opt.entries; i++)
+		if (w->entries[i].place == place && w->entries[i].core &&
+		    w->entries[i].is_paused)
+			return false;
+	return true;
+}
+
+/*
+ * True if the data centre could not know of a change: neither the platform
+ * nor another data centre could be reached at some time in the last span.
+ */
+static bool place_may_be_isolated(const struct world *w, int place,
+				  cs_time span)
+{
+	const struct model_place *p = &w->places[place];
+
+	return p->is_platform_cut || w->now - p->disturbed < span;
+}
+
+static void check_limit(struct world *w, int team)
+{
+	struct model_team *t = &w->teams[team];
+	int i;
+
+	/*
+	 * A lowered limit is in use once every data centre was calm for long
+	 * enough to give its permits back; until then the old one holds.
+	 */
+	if (t->allowed > t->limit && w->now - t->lowered > LOWER_TIME &&
+	    t->running <= t->limit) {
+		for (i = 0; i < w->opt.places; i++)
+			if (!place_was_calm(w, i, LOWER_TIME))
+				break;
+		if (i == w->opt.places)
+			t->allowed = t->limit;
+	}
+	check(w, INV_LIMIT, t->running <= t->allowed,
+	      "%s runs %d tasks, limit %d (highest that may be in use: %d)",
+	      t->name, t->running, t->limit, t->allowed);
+}
+
+void check_start(struct world *w, const struct model_task *task,
+		 const struct model_job *job, const struct model_worker *wk)
+{
+	const struct model_place *p = &w->places[wk->place];
+	const struct doc_queue *q = document_queue(w->doc, job->queue);
+	const struct doc_host *h = document_host(w->doc, wk->host);
+	cs_time withdrawn =
+		job->team < 0 ? 0 : w->teams[job->team].withdrawn[job->key];
+
+	check_limit(w, task->team);
+	check(w, INV_AT_MOST_ONCE, job->is_idempotent || job->runs <= 1,
+	      "non-idempotent job %d runs for the %dth time (task %s)",
+	      task->job, job->runs, task->id);
+	check(w, INV_KEY, job->team >= 0 || q->is_open,
+	      "job %d ran on %s without a key", task->job, job->queue);
+	check(w, INV_ONE_POOL,
+	      strcmp(h->pool, q->pool) == 0 ||
+		      w->now - w->doc_time < FEW_SECONDS ||
+		      place_may_be_isolated(w, wk->place, FEW_SECONDS),
+	      "job %d of pool %s ran on host %s of pool %s", task->job, q->pool,
+	      h->name, h->pool);
+	if (p->out_since && !place_may_be_isolated(w, wk->place, FEW_SECONDS))
+		check(w, INV_OUT, w->now - p->out_since <= FEW_SECONDS,
+		      "task %s started in %s, out for %.3f s", task->id,
+		      p->name,
+		      (double)(w->now - p->out_since) / (double)CS_SEC);
+	if (wk->leaving_since &&
+	    !place_may_be_isolated(w, wk->place, FEW_SECONDS))
+		check(w, INV_LEAVING, w->now - wk->leaving_since <= FEW_SECONDS,
+		      "task %s started on %s, leaving for %.3f s", task->id,
+		      wk->name,
+		      (double)(w->now - wk->leaving_since) / (double)CS_SEC);
+	if (withdrawn && !task->is_long &&
+	    !place_may_be_isolated(w, wk->place, FEW_SECONDS))
+		check(w, INV_WITHDRAWN, w->now - withdrawn <= FEW_SECONDS,
+		      "task %s started for a key withdrawn %.3f s ago",
+		      task->id, (double)(w->now - withdrawn) / (double)CS_SEC);
+}
+
+/* Hosts of a pool, and those of them that planned stops keep out of work. */
+static void count_pool(const struct document *doc, const char *pool, int *all,
+		       int *down)
+{
+	const struct doc_data_centre *dc;
+	const struct doc_host *h;
+	size_t nr, i;
+
+	*all = *down = 0;
+	h = document_hosts(doc, &nr);
+	for (i = 0; i < nr; i++) {
+		dc = document_data_centre(doc, h[i].data_centre);
+		if (strcmp(h[i].pool, pool) || (dc && dc->is_out))
+			continue;
+		++*all;
+		*down += h[i].state != HOST_ASSIGNED;
+	}
+}
+
+void check_document(struct world *w, const struct document *before,
+		    const struct document *after)
+{
+	const struct doc_pool *pools;
+	const struct doc_host *h;
+	size_t nr, i;
+	int all, down, was_all, was_down, most;
+
+	check(w, INV_NO_REVERT,
+	      document_revision(after) > document_revision(before),
+	      "revision %" PRIu64 " was accepted after %" PRIu64,
+	      document_revision(after), document_revision(before));
+	pools = document_pools(after, &nr);
+	for (i = 0; i < nr; i++) {
+		count_pool(after, pools[i].name, &all, &down);
+		count_pool(before, pools[i].name, &was_all, &was_down);
+		most = all * pools[i].budget_percent / 100;
+		if (!most && all > 1)
+			most = 1;
+		/* Only a planned stop counts, not a data centre that leaves. */
+		check(w, INV_BUDGET, down <= most || down <= was_down,
+		      "pool %s: %d of %d hosts are stopped, at most %d may",
+		      pools[i].name, down, all, most);
+	}
+	h = document_hosts(after, &nr);
+	for (i = 0; i < nr; i++)
+		check(w, INV_ONE_POOL, document_pool(after, h[i].pool) != NULL,
+		      "host %s names no pool", h[i].name);
+}
+
+void check_periodic(struct world *w)
+{
+	cs_time age = w->now - w->doc_time;
+	struct model_entry *e;
+	uint64_t revision;
+	int i;
+
+	for (i = 0; i < w->opt.entries; i++) {
+		e = &w->entries[i];
+		if (!e->core)
+			continue;
+		revision = entry_revision(e->core);
+		check(w, INV_NO_REVERT, revision >= e->revision,
+		      "entry %s went back from revision %" PRIu64
+		      " to %" PRIu64,
+		      e->id, e->revision, revision);
+		e->revision = revision;
+		if (e->is_paused || age < CONFIG_BOUND ||
+		    w->now - e->disturbed < CONFIG_BOUND ||
+		    !place_was_calm(w, e->place, CONFIG_BOUND))
+			continue;
+		check(w, INV_IN_FORCE, revision >= document_revision(w->doc),
+		      "entry %s has revision %" PRIu64 ", accepted %" PRIu64
+		      " %.3f s ago",
+		      e->id, revision, document_revision(w->doc),
+		      (double)age / (double)CS_SEC);
+	}
+}
+
+static void check_record(const char *key, GBytes *value, void *arg)
+{
+	struct world *w = arg;
+	struct long_record r;
+
+	if (long_record_decode(value, &r, NULL)) {
+		check(w, INV_LONG_KEPT, false, "%s is broken", key);
+		return;
+	}
+	check(w, INV_LONG_KEPT, long_state_is_final(r.state),
+	      "%s is still %s after the end, owner %s", key,
+	      long_state_name(r.state), r.owner);
+}
+
+void check_end(struct world *w)
+{
+	struct model_job *job;
+	char key[128];
+	guint i;
+
+	kv_model_each(w->kv, "jobs/", check_record, w);
+	for (i = 0; i < w->jobs->len; i++) {
+		job = &g_array_index(w->jobs, struct model_job, i);
+		if (!job->is_accepted)
+			continue;
+		g_snprintf(key, sizeof(key), "jobs/%s", job->job_id);
+		check(w, INV_LONG_KEPT, kv_model_value(w->kv, key) != NULL,
+		      "accepted long job %u has no record", i);
+	}
+	for (i = 0; i < (guint)w->opt.teams; i++)
+		check(w, INV_LIMIT, w->teams[i].running == 0,
+		      "%s still runs %d tasks after the end", w->teams[i].name,
+		      w->teams[i].running);
+}
+
+void report(const struct world *w)
+{
+	int i;
+
+	for (i = 0; i < INV_NR; i++)
+		printf("invariant=%s checks=%" PRIu64 "\n", invariant_names[i],
+		       w->checks[i]);
+	for (i = 0; i < FAULT_NR; i++)
+		printf("fault=%s strikes=%" PRIu64 "\n", fault_names[i],
+		       w->strikes[i]);
+	printf("steps=%" PRIu64 " time_s=%.3f jobs=%u answered=%" PRIu64
+	       " refused=%" PRIu64 " unknown=%" PRIu64 " long_done=%" PRIu64
+	       " kv_calls=%" PRIu64 "\n",
+	       w->steps, (double)w->now / (double)CS_SEC, w->jobs->len,
+	       w->answered, w->refused, w->unknown, w->long_done, w->kv_calls);
+}
--- /dev/null
+++ b/tests/soak/model_kv.c
@@ -0,0 +1,429 @@
+#include "world.h"
+
+#include <string.h>
+
+#include "../../src/base/error.h"
+
+/* A call without an answer ends after this long at the entry. */
+#define CALL_TIMEOUT CS_SEC
+
+/* A write that hangs may still be applied this much later. */
+#define LATE_WRITE_MAX (4 * CS_SEC)
+
+/* How far the host list is behind. */
+#define HOST_LAG (2 * CS_SEC)
+
+/* A host without its process leaves the list after this long. */
+#define HOST_DROP (6 * CS_SEC)
+
+struct kv_value {
+	uint64_t version;
+	uint64_t modified; /* revision of the last write */
+	GBytes *value; /* NULL: deleted */
+};
+
+struct kv_watch {
+	int entry;
+	uint64_t life;
+	struct kv_call call;
+	bool is_done;
+};
+
+struct kv_model {
+	struct world *w;
+	GTree *values; /* key -> struct kv_value */
+	uint64_t revision;
+	GPtrArray *watches;
+	bool is_out, is_slow;
+};
+
+static gint compare_keys(gconstpointer a, gconstpointer b, gpointer unused)
+{
+	(void)unused;
+	return strcmp(a, b);
+}
+
+static void free_value(gpointer p)
+{
+	struct kv_value *v = p;
+
+	if (v->value)
+		g_bytes_unref(v->value);
+	g_free(v);
+}
+
+struct kv_model *kv_model_create(struct world *w)
+{
+	struct kv_model *kv = g_new0(struct kv_model, 1);
+
+	kv->w = w;
+	kv->values = g_tree_new_full(compare_keys, NULL, g_free, free_value);
+	kv->watches = g_ptr_array_new_with_free_func(g_free);
+	return kv;
+}
+
+void kv_model_destroy(struct kv_model *kv)
+{
+	g_tree_destroy(kv->values);
+	g_ptr_array_free(kv->watches, TRUE);
+	g_free(kv);
+}
+
+void kv_model_set(struct kv_model *kv, bool is_out, bool is_slow)
+{
+	kv->is_out = is_out;
+	kv->is_slow = is_slow;
+}
+
+GBytes *kv_model_value(const struct kv_model *kv, const char *key)
+{
+	const struct kv_value *v = g_tree_lookup(kv->values, key);
+
+	return v ? v->value : NULL;
+}
+
+static struct msg *answer_to(const struct kv_call *call, enum kv_result result)
+{
+	struct msg *msg = msg_new(MSG_KV_DONE);
+	struct kv_done *d = &msg->u.kv_done;
+
+	d->part = call->part;
+	d->token = call->token;
+	d->op = call->op;
+	d->result = result;
+	cs_copy(d->key, sizeof(d->key), call->key);
+	return msg;
+}
+
+static void fill_row(struct kv_row *row, const char *key,
+		     const struct kv_value *v)
+{
+	cs_copy(row->key, sizeof(row->key), key);
+	row->version = v->value ? v->version : 0;
+	row->value = v->value ? g_bytes_ref(v->value) : NULL;
+}
+
+static void one_row(struct kv_done *d, const struct kv_value *v)
+{
+	if (!v || !v->value)
+		return;
+	d->rows = g_new0(struct kv_row, 1);
+	d->rows_nr = 1;
+	d->version = v->version;
+	fill_row(&d->rows[0], d->key, v);
+}
+
+struct gather {
+	const char *prefix;
+	uint64_t since;
+	bool with_deleted;
+	GArray *rows;
+};
+
+static gboolean gather_row(gpointer key, gpointer value, gpointer data)
+{
+	struct gather *g = data;
+	struct kv_value *v = value;
+	struct kv_row row = { 0 };
+
+	if (!g_str_has_prefix(key, g->prefix) || v->modified <= g->since ||
+	    (!v->value && !g->with_deleted))
+		return FALSE;
+	fill_row(&row, key, v);
+	g_array_append_val(g->rows, row);
+	return FALSE;
+}
+
+static void fill_rows(struct kv_model *kv, struct kv_done *d,
+		      const char *prefix, uint64_t since, bool with_deleted)
+{
+	struct gather g = { prefix, since, with_deleted,
+			    g_array_new(FALSE, TRUE, sizeof(struct kv_row)) };
+
+	g_tree_foreach(kv->values, gather_row, &g);
+	d->rows_nr = g.rows->len;
+	d->rows = (struct kv_row *)(void *)g_array_free(g.rows, FALSE);
+	d->revision = kv->revision;
+}
+
+/* Answers the watches that a change concerns. */
+static void notify(struct kv_model *kv, const char *key)
+{
+	struct kv_watch *watch;
+	struct msg *msg;
+	guint i;
+
+	for (i = 0; i < kv->watches->len;) {
+		watch = g_ptr_array_index(kv->watches, i);
+		if (!g_str_has_prefix(key, watch->call.key)) {
+			i++;
+			continue;
+		}
+		if (!watch->is_done &&
+		    kv->w->entries[watch->entry].life == watch->life &&
+		    !kv->w->places[kv->w->entries[watch->entry].place]
+			     .is_platform_cut) {
+			msg = answer_to(&watch->call, KV_OK);
+			fill_rows(kv, &msg->u.kv_done, watch->call.key,
+				  watch->call.version, true);
+			world_send(kv->w, watch->entry,
+				   world_chance(kv->w, 1000, 4000), msg);
+		}
+		watch->is_done = true;
+		g_ptr_array_remove_index_fast(kv->watches, i);
+	}
+}
+
+static void write_value(struct kv_model *kv, const char *key, GBytes *value)
+{
+	struct kv_value *v = g_tree_lookup(kv->values, key);
+
+	if (!v) {
+		v = g_new0(struct kv_value, 1);
+		g_tree_insert(kv->values, g_strdup(key), v);
+	}
+	if (v->value)
+		g_bytes_unref(v->value);
+	v->value = value ? g_bytes_ref(value) : NULL;
+	v->version++;
+	v->modified = ++kv->revision;
+	if (value && !strcmp(key, "config/fleet"))
+		world_accept(kv->w, value);
+	notify(kv, key);
+}
+
+void kv_model_put(struct world *w, const char *key, GBytes *value)
+{
+	write_value(w->kv, key, value);
+	g_bytes_unref(value);
+}
+
+/* Applies a write and gives its answer. */
+static struct msg *apply(struct kv_model *kv, const struct kv_call *call)
+{
+	struct kv_value *v = g_tree_lookup(kv->values, call->key);
+	uint64_t version = v && v->value ? v->version : 0;
+	struct msg *msg;
+
+	if (version != call->version) {
+		msg = answer_to(call, KV_CONFLICT);
+		one_row(&msg->u.kv_done, v);
+		return msg;
+	}
+	write_value(kv, call->key, call->op == KV_DELETE ? NULL : call->value);
+	v = g_tree_lookup(kv->values, call->key);
+	msg = answer_to(call, KV_OK);
+	msg->u.kv_done.version = v->version;
+	return msg;
+}
+
+static bool is_write(const struct kv_call *call)
+{
+	return call->op == KV_CAS || call->op == KV_DELETE;
+}
+
+static struct msg *read_answer(struct kv_model *kv, const struct kv_call *call)
+{
+	struct kv_value *v = g_tree_lookup(kv->values, call->key);
+	struct msg *msg;
+
+	if (call->op == KV_LIST) {
+		msg = answer_to(call, KV_OK);
+		fill_rows(kv, &msg->u.kv_done, call->key, 0, false);
+		return msg;
+	}
+	msg = answer_to(call, v && v->value ? KV_OK : KV_MISSING);
+	one_row(&msg->u.kv_done, v);
+	return msg;
+}
+
+static void add_host(struct kv_done *d, const char *name, const char *place,
+		     bool is_leaving)
+{
+	struct kv_host *h = &d->hosts[d->hosts_nr++];
+
+	cs_copy(h->host, sizeof(h->host), name);
+	cs_copy(h->data_centre, sizeof(h->data_centre), place);
+	h->is_leaving = is_leaving;
+}
+
+static struct msg *hosts_answer(struct world *w, const struct kv_call *call)
+{
+	struct msg *msg = answer_to(call, KV_OK);
+	struct kv_done *d = &msg->u.kv_done;
+	int i;
+
+	d->hosts = g_new0(struct kv_host,
+			  (size_t)w->workers_nr + (size_t)w->opt.entries);
+	for (i = 0; i < w->workers_nr; i++) {
+		const struct model_worker *wk = &w->workers[i];
+
+		add_host(d, wk->host, w->places[wk->place].name,
+			 wk->leaving_since &&
+				 w->now - wk->leaving_since > HOST_LAG);
+	}
+	for (i = 0; i < w->opt.entries; i++) {
+		const struct model_entry *e = &w->entries[i];
+
+		if (e->core || w->now - e->gone < HOST_DROP)
+			add_host(d, e->id, w->places[e->place].name, false);
+	}
+	return msg;
+}
+
+/* A copy of a call that is applied later. */
+struct pending {
+	struct world *w;
+	int entry;
+	struct kv_call call;
+	bool is_answered; /* the entry was told already */
+};
+
+static void on_pending(void *ctx, uint64_t unused, cs_time now)
+{
+	struct pending *p = ctx;
+	struct msg *msg;
+
+	(void)unused;
+	(void)now;
+	msg = apply(p->w->kv, &p->call);
+	if (p->is_answered)
+		msg_free(msg);
+	else
+		world_send(p->w, p->entry, world_chance(p->w, 500, 2000), msg);
+	if (p->call.value)
+		g_bytes_unref(p->call.value);
+	g_free(p);
+}
+
+static void apply_later(struct world *w, int entry, const struct kv_call *call,
+			cs_time delay, bool is_answered)
+{
+	struct pending *p = g_new0(struct pending, 1);
+
+	p->w = w;
+	p->entry = entry;
+	p->call = *call;
+	if (p->call.value)
+		g_bytes_ref(p->call.value);
+	p->is_answered = is_answered;
+	world_after(w, delay, on_pending, p, 0);
+}
+
+/* The entry gets no answer; a write may be applied now, later or never. */
+static void lose_call(struct world *w, int entry, const struct kv_call *call,
+		      bool is_lost)
+{
+	enum kv_result result = is_write(call) ? KV_UNKNOWN : KV_UNAVAILABLE;
+
+	world_send(w, entry, CALL_TIMEOUT, answer_to(call, result));
+	if (!is_write(call) || is_lost)
+		return;
+	if (world_percent(w, 50)) {
+		w->strikes[FAULT_LATE_WRITE]++;
+		apply_later(w, entry, call,
+			    world_chance(w, 0, (int)LATE_WRITE_MAX), true);
+	} else {
+		w->strikes[FAULT_LOST_ANSWER]++;
+		apply_later(w, entry, call, world_chance(w, 500, 3000), true);
+	}
+}
+
+static void on_watch_end(void *ctx, uint64_t unused, cs_time now)
+{
+	struct kv_watch *watch = ctx;
+	struct kv_model *kv;
+	struct msg *msg;
+	guint i;
+
+	(void)unused;
+	(void)now;
+	kv = (struct kv_model *)(uintptr_t)watch->call.lease;
+	if (!g_ptr_array_find(kv->watches, watch, &i))
+		return;
+	msg = answer_to(&watch->call, KV_OK);
+	msg->u.kv_done.revision = kv->revision;
+	world_send(kv->w, watch->entry, 1000, msg);
+	g_ptr_array_remove_index_fast(kv->watches, i);
+}
+
+static void begin_watch(struct world *w, int entry, const struct kv_call *call)
+{
+	struct kv_model *kv = w->kv;
+	struct msg *msg = answer_to(call, KV_OK);
+	struct kv_watch *watch;
+
+	fill_rows(kv, &msg->u.kv_done, call->key, call->version, true);
+	if (msg->u.kv_done.rows_nr) {
+		world_send(w, entry, world_chance(w, 1000, 4000), msg);
+		return;
+	}
+	msg_free(msg);
+	watch = g_new0(struct kv_watch, 1);
+	watch->entry = entry;
+	watch->life = w->entries[entry].life;
+	watch->call = *call;
+	watch->call.value = NULL;
+	watch->call.lease = (uint64_t)(uintptr_t)kv;
+	g_ptr_array_add(kv->watches, watch);
+	world_after(w, call->wait_ms * CS_MSEC, on_watch_end, watch, 0);
+}
+
+void kv_model_call(struct world *w, int entry, const struct kv_call *call)
+{
+	struct kv_model *kv = w->kv;
+	cs_time delay = world_chance(w, 1000, 4000);
+
+	if (w->places[w->entries[entry].place].is_platform_cut) {
+		lose_call(w, entry, call, true);
+		return;
+	}
+	if (kv->is_out) {
+		/* Refused at once, or hanging, as an outage may be. */
+		if (world_percent(w, 50))
+			world_send(w, entry, delay,
+				   answer_to(call, KV_UNAVAILABLE));
+		else
+			lose_call(w, entry, call, world_percent(w, 70));
+		return;
+	}
+	if (!w->opt.no_faults && !w->is_ending && world_percent(w, 0.5)) {
+		lose_call(w, entry, call, false);
+		return;
+	}
+	if (kv->is_slow)
+		delay += world_chance(w, 100, 800) * CS_MSEC;
+	if (call->op == KV_WATCH)
+		begin_watch(w, entry, call);
+	else if (call->op == KV_HOSTS)
+		world_send(w, entry, delay, hosts_answer(w, call));
+	else if (is_write(call))
+		apply_later(w, entry, call, delay, false);
+	else
+		world_send(w, entry, delay, read_answer(kv, call));
+}
+
+struct each {
+	const char *prefix;
+	void (*fn)(const char *key, GBytes *value, void *arg);
+	void *arg;
+};
+
+static gboolean each_row(gpointer key, gpointer value, gpointer data)
+{
+	struct each *e = data;
+	struct kv_value *v = value;
+
+	if (v->value && g_str_has_prefix(key, e->prefix))
+		e->fn(key, v->value, e->arg);
+	return FALSE;
+}
+
+void kv_model_each(const struct kv_model *kv, const char *prefix,
+		   void (*fn)(const char *key, GBytes *value, void *arg),
+		   void *arg)
+{
+	struct each e = { prefix, fn, arg };
+
+	g_tree_foreach(kv->values, each_row, &e);
+}
--- /dev/null
+++ b/tests/soak/world.h
@@ -0,0 +1,292 @@
+#ifndef SOAK_WORLD_H
+#define SOAK_WORLD_H
+
+#include <glib.h>
+
+#include "../../src/base/timers.h"
+#include "../../src/config/document.h"
+#include "../../src/entry/message.h"
+
+/*
+ * A small model around several decision cores: a platform, workers, callers
+ * and operators, with virtual time and one seeded source of chance. One event
+ * is one step. It exists to run the decisions under faults; sockets and
+ * codecs are tested elsewhere.
+ */
+
+#define ENTRIES_MAX 8
+#define PLACES_MAX 4 /* data centres */
+#define TEAMS_MAX 8
+#define KEYS_PER_TEAM 2
+#define EVENT_LINES 40
+
+struct world;
+
+/* One entry process. */
+struct model_entry {
+	struct world *w;
+	int index;
+	char id[CS_NAME_MAX];
+	int place;
+	struct entry *core; /* NULL while it is dead */
+	uint64_t life; /* rises with every start */
+	uint64_t incarnation;
+	cs_time offset; /* its clock, against the world's */
+	bool is_paused;
+	GQueue inbox; /* messages that came while it was paused */
+	cs_time wake; /* when the core is to be called next */
+	cs_time disturbed; /* last moment at which a fault touched it */
+	cs_time drain_began; /* 0: not draining */
+	cs_time gone; /* when it died, for the host list */
+	uint64_t revision; /* highest seen in force in this life */
+	int waiting; /* callers without an answer */
+};
+
+struct model_link {
+	bool is_up;
+	uint64_t epoch; /* of the connection */
+	cs_time unreachable_since; /* 0: reachable */
+	cs_time last_arrival[2];
+};
+
+/* A unit of work of a caller, however often it is submitted. */
+struct model_job {
+	int team; /* -1: open queue, charged to team 0 */
+	int key;
+	char queue[16];
+	bool is_idempotent, is_long, is_urgent;
+	char request_id[32]; /* "" if none */
+	cs_time run_time;
+	bool is_hopeless; /* fails wherever it runs */
+	int runs;
+	int first_call_run; /* first submission that ran, -1: none */
+	int submissions;
+	bool is_accepted; /* long work */
+	char job_id[CS_NAME_MAX];
+	cs_time progress; /* of long work, saved at the last planned stop */
+	bool is_cleanly_stopped;
+	bool is_done;
+	bool is_cancelled;
+	cs_time first_start;
+	cs_time submitted;
+};
+
+/* One submission of a job. */
+struct model_call {
+	int job;
+	int entry;
+	uint64_t life;
+	cs_time sent;
+	bool is_answered;
+	bool is_gone; /* the caller hung up */
+	bool has_run;
+	bool was_refused; /* the caller was told "not run" */
+	bool key_was_withdrawn; /* long enough before it was sent */
+};
+
+/* One task on a worker. */
+struct model_task {
+	char id[CS_NAME_MAX];
+	int job;
+	int team;
+	int worker;
+	bool is_running;
+	bool is_long;
+	cs_time started, ends, lease_end;
+	cs_time done; /* progress of long work */
+	enum task_state state;
+	uint64_t timer_check; /* tells a superseded end event */
+	cs_time touched;
+};
+
+struct model_worker {
+	char name[CS_NAME_MAX];
+	char address[CS_ADDRESS_MAX];
+	char host[CS_NAME_MAX];
+	int place;
+	int slots, running;
+	bool is_down, fails_all, is_silent;
+	cs_time leaving_since; /* 0: not leaving */
+};
+
+struct model_team {
+	char name[CS_NAME_MAX];
+	uint8_t keys[KEYS_PER_TEAM][CS_DIGEST_LEN];
+	cs_time withdrawn[KEYS_PER_TEAM]; /* 0: in force */
+	int share;
+	int limit; /* in the newest document */
+	int allowed; /* highest limit that may still be in use */
+	cs_time lowered; /* when it was last lowered */
+	int running; /* tasks on all workers */
+	double used; /* slot seconds, for measurements */
+};
+
+struct model_place {
+	char name[CS_NAME_MAX];
+	cs_time out_since; /* 0: in service */
+	bool is_platform_cut;
+	bool is_cut[PLACES_MAX];
+	cs_time disturbed;
+};
+
+struct kv_model; /* model_kv.c */
+
+enum invariant {
+	INV_BUDGET, /* I1 */
+	INV_ONE_POOL, /* I2 */
+	INV_KEY, /* I3 */
+	INV_WITHDRAWN, /* I4 */
+	INV_LIMIT, /* I5 */
+	INV_OUT, /* I6 */
+	INV_WHOLE_ANSWER, /* I7 */
+	INV_NOT_RUN, /* I8 */
+	INV_AT_MOST_ONCE, /* I9 */
+	INV_LEAVING, /* I10 */
+	INV_GRACEFUL, /* I11 */
+	INV_IN_FORCE, /* I12: within 7 s */
+	INV_NO_REVERT, /* I12: never reverts */
+	INV_LONG_KEPT, /* no accepted long job is lost */
+	INV_INTERNAL, /* asserted by the core itself */
+	INV_NR
+};
+
+enum fault {
+	FAULT_KILL,
+	FAULT_PAUSE,
+	FAULT_PLACE_CUT,
+	FAULT_PLATFORM_CUT,
+	FAULT_OUTAGE,
+	FAULT_SLOW_PLATFORM,
+	FAULT_LOST_ANSWER,
+	FAULT_LATE_WRITE,
+	FAULT_WORKER_DOWN,
+	FAULT_WORKER_FAILS,
+	FAULT_WORKER_SILENT,
+	FAULT_WORKER_LEAVES,
+	FAULT_ANSWER_LOST,
+	FAULT_PLACE_OUT,
+	FAULT_KEY_WITHDRAWN,
+	FAULT_LIMIT_CHANGED,
+	FAULT_OPERATOR_RACE,
+	FAULT_DRAIN,
+	FAULT_CANCEL_WAVE,
+	FAULT_REPEAT,
+	FAULT_NR
+};
+
+struct world_options {
+	uint32_t seed;
+	uint64_t steps;
+	const char *mutant; /* NULL: none */
+	int entries, places, teams, workers; /* workers per pool and place */
+	bool no_faults;
+	bool no_load; /* a measurement brings its own load */
+	int limit_share; /* percent of all slots that each team may run */
+	bool is_quiet; /* prints nothing on success */
+};
+
+struct world {
+	struct world_options opt;
+	GRand *rng;
+	struct timers *timers;
+	cs_time now;
+	uint64_t steps;
+	struct model_entry entries[ENTRIES_MAX];
+	struct model_link links[ENTRIES_MAX][ENTRIES_MAX]; /* [low][high] */
+	struct model_place places[PLACES_MAX];
+	struct model_team teams[TEAMS_MAX];
+	struct model_worker *workers;
+	int workers_nr;
+	GArray *jobs; /* struct model_job */
+	GArray *calls; /* struct model_call; caller handle is index + 1 */
+	GHashTable *tasks; /* id -> struct model_task */
+	struct kv_model *kv;
+	struct document *doc; /* newest accepted */
+	cs_time doc_time; /* when it was accepted */
+	uint64_t checks[INV_NR];
+	uint64_t strikes[FAULT_NR];
+	uint64_t violations;
+	bool is_ending; /* no new faults and no new load */
+	char *lines[EVENT_LINES]; /* the last events */
+	unsigned line_next;
+	uint64_t answered, refused, unknown; /* answers to callers */
+	uint64_t long_done;
+	double work_done; /* slot seconds of work that counted */
+	double work_wasted;
+	uint64_t kv_calls;
+	uint64_t peer_bytes; /* rough size of peer messages */
+};
+
+/* world.c */
+struct world *world_create(const struct world_options *options);
+void world_destroy(struct world *w);
+/* Runs one event. Returns false if there is none. */
+bool world_step(struct world *w);
+/* Runs events until the time is reached. */
+void world_run_until(struct world *w, cs_time end);
+/* Calls fn once after delay. */
+void world_after(struct world *w, cs_time delay, timer_fn fn, void *ctx,
+		 uint64_t arg);
+/* Hands a message to an entry after delay, unless it has died meanwhile. */
+void world_send(struct world *w, int entry, cs_time delay, struct msg *msg);
+void world_start_entry(struct world *w, int entry);
+void world_kill_entry(struct world *w, int entry);
+void world_pause_entry(struct world *w, int entry, bool is_paused);
+bool world_reachable(const struct world *w, int a, int b);
+/* Between lo and hi, both included. */
+int world_chance(struct world *w, int lo, int hi);
+bool world_percent(struct world *w, double percent);
+/* Notes an event for the report of a violation. */
+void world_note(struct world *w, const char *fmt, ...)
+	__attribute__((format(printf, 2, 3)));
+/* Takes the newest accepted document. */
+void world_accept(struct world *w, GBytes *value);
+
+/* model_kv.c */
+struct kv_model *kv_model_create(struct world *w);
+void kv_model_destroy(struct kv_model *kv);
+void kv_model_call(struct world *w, int entry, const struct kv_call *call);
+GBytes *kv_model_value(const struct kv_model *kv, const char *key);
+void kv_model_put(struct world *w, const char *key, GBytes *value);
+void kv_model_set(struct kv_model *kv, bool is_out, bool is_slow);
+/* Calls fn for each stored key with that prefix. */
+void kv_model_each(const struct kv_model *kv, const char *prefix,
+		   void (*fn)(const char *key, GBytes *value, void *arg),
+		   void *arg);
+
+/* model_worker.c */
+void worker_model_start(struct world *w, int entry, struct task_start *start);
+void worker_model_control(struct world *w, int entry,
+			  const struct task_control *control);
+void worker_model_poll(struct world *w, int entry,
+		       const struct usage_poll *poll);
+
+/* callers.c */
+void callers_begin(struct world *w);
+void callers_submit(struct world *w, int job, int entry);
+int callers_new_job(struct world *w, int team, bool is_long);
+void callers_on_reply(struct world *w, int entry, struct reply *reply);
+void callers_entry_died(struct world *w, int entry);
+
+/* faults.c */
+void faults_begin(struct world *w);
+void faults_heal(struct world *w);
+void faults_on_admin(struct world *w, int entry, struct admin_reply *reply);
+/* Sends an operator's change through an entry. */
+void faults_change(struct world *w, int entry, const struct change *change,
+		   uint64_t expected);
+
+/* invariants.c */
+/* Counts a check of the invariant, and a violation if it does not hold. */
+bool check(struct world *w, enum invariant invariant, bool holds,
+	   const char *fmt, ...) __attribute__((format(printf, 4, 5)));
+void check_start(struct world *w, const struct model_task *task,
+		 const struct model_job *job, const struct model_worker *wk);
+void check_document(struct world *w, const struct document *before,
+		    const struct document *after);
+void check_periodic(struct world *w);
+void check_end(struct world *w);
+void report(const struct world *w);
+const char *fault_name(enum fault fault);
+
+#endif
