Add the fleet document, its codecs and the team index

The core needs the document as rules, apart from sockets and encodings. Fields of rows and changes are described once (schema.c), so that the JSON and INI encodings, the checks and the differences can't drift apart; one encoder per table was ruled out for that reason.

A draining host becomes empty by the new CHANGE_HOST_EMPTY. document_check_replace() keeps a whole document that an operator applies from stopping hosts past the availability budgets.

--- a/src/config/codec.h
+++ b/src/config/codec.h
@@ -30,4 +30,7 @@
 			struct cs_error *err);
 GBytes *changes_encode_json(const struct change *changes, size_t nr);
 
+/* "team-set" and so on; "invalid" for an unknown operation. */
+const char *change_op_name(enum change_op op);
+
 #endif
--- /dev/null
+++ b/src/config/codec_json.c
@@ -0,0 +1,301 @@
+#include "codec.h"
+
+#include <inttypes.h>
+#include <jansson.h>
+#include <string.h>
+
+#include "../base/error.h"
+#include "codec_value.h"
+#include "schema.h"
+
+/* One run of the decoder. */
+struct decode_state {
+	const char *source;
+	GString *faults;
+	size_t nr;
+	struct document *doc;
+};
+
+static void fault(struct decode_state *st, const char *path, const char *fmt,
+		  ...) __attribute__((format(printf, 3, 4)));
+
+/* Appends "SOURCE: PATH: ..." as one line. */
+static void fault(struct decode_state *st, const char *path, const char *fmt,
+		  ...)
+{
+	va_list args;
+
+	g_string_append_printf(st->faults, "%s: %s: ", st->source, path);
+	va_start(args, fmt);
+	g_string_append_vprintf(st->faults, fmt, args);
+	va_end(args);
+	g_string_append_c(st->faults, '\n');
+	st->nr++;
+}
+
+/* Faults for every key of an object that is not in the list. */
+static void check_known(struct decode_state *st, json_t *object,
+			const char *path, const char *const *known)
+{
+	const char *key;
+	json_t *value;
+
+	json_object_foreach(object, key, value)
+	{
+		if (!g_strv_contains(known, key))
+			fault(st, path, "unknown field \"%.64s\"", key);
+	}
+}
+
+/* "teams[3]" and the like: long enough for every name that is used. */
+#define PATH_MAX_LEN 96
+
+/* The keys of one team, each by its own label. */
+static void decode_keys(struct decode_state *st, json_t *list,
+			struct doc_team *team, const char *path)
+{
+	static const char *const known[] = { "label", "digest", NULL };
+	uint8_t digest[CS_DIGEST_LEN];
+	char at[PATH_MAX_LEN];
+	json_t *item;
+	size_t i;
+
+	if (!json_is_array(list)) {
+		fault(st, path, "keys is not an array");
+		return;
+	}
+	json_array_foreach(list, i, item)
+	{
+		const char *label, *hex;
+
+		g_snprintf(at, sizeof(at), "%s.keys[%zu]", path, i);
+		if (!json_is_object(item)) {
+			fault(st, at, "is not an object");
+			continue;
+		}
+		check_known(st, item, at, known);
+		label = json_string_value(json_object_get(item, "label"));
+		hex = json_string_value(json_object_get(item, "digest"));
+		if (!label || !schema_is_name(label))
+			fault(st, at, "label is not %s", field_name.expected);
+		else if (doc_team_key(team, label))
+			fault(st, at, "duplicate label %s", label);
+		else if (!hex || !schema_digest_parse(hex, digest))
+			fault(st, at, "digest is not %s",
+			      field_digest.expected);
+		else
+			doc_team_put_key(team, label, digest);
+	}
+}
+
+/* All keys that a row of that table may have. */
+static void check_known_row(struct decode_state *st, enum doc_table table,
+			    json_t *item, const char *path)
+{
+	const struct row_schema *schema = &row_schemas[table];
+	const char *known[8] = { "name" };
+	size_t i, nr = 1;
+
+	for (i = 0; i < schema->fields_nr; i++)
+		known[nr++] = schema->fields[i].name;
+	if (table == DOC_TEAMS)
+		known[nr++] = "keys";
+	known[nr] = NULL;
+	check_known(st, item, path, known);
+}
+
+/* One row; the faults of its fields are collected in why. */
+static void decode_row(struct decode_state *st, enum doc_table table,
+		       json_t *item, const char *path, GHashTable *names)
+{
+	const struct row_schema *schema = &row_schemas[table];
+	GString *why;
+	const char *name;
+	json_t *keys;
+	void *row;
+	size_t i;
+
+	if (!json_is_object(item)) {
+		fault(st, path, "is not an object");
+		return;
+	}
+	check_known_row(st, table, item, path);
+	name = json_string_value(json_object_get(item, "name"));
+	if (!name || !schema_is_name(name)) {
+		fault(st, path, "name is not %s", field_name.expected);
+		name = "";
+	} else if (!g_hash_table_add(names, (void *)name)) {
+		fault(st, path, "duplicate name %s", name);
+	}
+	row = doc_append(st->doc, table, name);
+	why = g_string_new(NULL);
+	for (i = 0; i < schema->fields_nr; i++) {
+		g_string_truncate(why, 0);
+		if (!codec_value_read(&schema->fields[i], item, row, why))
+			fault(st, path, "%s", why->str);
+	}
+	g_string_free(why, TRUE);
+	keys = table == DOC_TEAMS ? json_object_get(item, "keys") : NULL;
+	if (keys)
+		decode_keys(st, keys, row, path);
+}
+
+static void decode_table(struct decode_state *st, enum doc_table table,
+			 json_t *list)
+{
+	const char *name = row_schemas[table].json_name;
+	GHashTable *names;
+	char path[PATH_MAX_LEN];
+	json_t *item;
+	size_t i;
+
+	if (!list)
+		return;
+	if (!json_is_array(list)) {
+		fault(st, name, "is not an array");
+		return;
+	}
+	names = g_hash_table_new(g_str_hash, g_str_equal);
+	json_array_foreach(list, i, item)
+	{
+		g_snprintf(path, sizeof(path), "%s[%zu]", name, i);
+		decode_row(st, table, item, path, names);
+	}
+	g_hash_table_destroy(names);
+}
+
+/* Revision, change identifier and preset. */
+static void decode_head(struct decode_state *st, json_t *root)
+{
+	const json_t *revision = json_object_get(root, "revision");
+	const json_t *change_id = json_object_get(root, "change_id");
+	const json_t *preset = json_object_get(root, "preset");
+	const char *text = json_string_value(preset);
+
+	if (!json_is_integer(revision) || json_integer_value(revision) < 0)
+		fault(st, "revision", "is not an integer of at least 0");
+	else
+		st->doc->revision = (uint64_t)json_integer_value(revision);
+	if (change_id &&
+	    (!json_is_string(change_id) ||
+	     json_string_length(change_id) >= DOCUMENT_CHANGE_ID_MAX))
+		fault(st, "change_id", "is not a string of at most %d bytes",
+		      DOCUMENT_CHANGE_ID_MAX - 1);
+	else
+		document_set_change_id(st->doc, json_string_value(change_id));
+	if (!text || preset_parse(&st->doc->preset, text))
+		fault(st, "preset", "is not ordinary, peak or maintenance");
+}
+
+static void decode_root(struct decode_state *st, json_t *root)
+{
+	const char *known[4 + DOC_TABLE_NR] = { "revision", "change_id",
+						"preset" };
+	size_t i;
+
+	if (!json_is_object(root)) {
+		fault(st, "document", "is not an object");
+		return;
+	}
+	for (i = 0; i < DOC_TABLE_NR; i++)
+		known[3 + i] = row_schemas[i].json_name;
+	check_known(st, root, "document", known);
+	decode_head(st, root);
+	for (i = 0; i < DOC_TABLE_NR; i++)
+		decode_table(st, i,
+			     json_object_get(root, row_schemas[i].json_name));
+}
+
+/* jansson stops at the first fault of syntax; all others are listed. */
+static struct document *decode(GBytes *bytes, const char *source,
+			       GString *faults)
+{
+	struct decode_state st = { .source = source, .faults = faults };
+	json_error_t error;
+	gsize len;
+	const char *data = g_bytes_get_data(bytes, &len);
+	json_t *root;
+
+	if (len > (gsize)CS_VALUE_MAX) {
+		fault(&st, "document", "is longer than %d bytes", CS_VALUE_MAX);
+		return NULL;
+	}
+	root = json_loadb(data ? data : "", len, JSON_REJECT_DUPLICATES,
+			  &error);
+	if (!root) {
+		fault(&st, "document", "line %d: %s", error.line, error.text);
+		return NULL;
+	}
+	st.doc = document_create();
+	decode_root(&st, root);
+	json_decref(root);
+	if (st.nr) {
+		document_destroy(st.doc);
+		return NULL;
+	}
+	doc_sort(st.doc);
+	return st.doc;
+}
+
+static json_t *encode_row(const struct document *doc, enum doc_table table,
+			  size_t i)
+{
+	const struct row_schema *schema = &row_schemas[table];
+	const void *row = doc_at(doc, table, i);
+	json_t *object = json_object();
+	size_t k;
+
+	json_object_set_new(object, "name", json_string(row));
+	for (k = 0; k < schema->fields_nr; k++)
+		codec_value_write(&schema->fields[k], row, object);
+	return object;
+}
+
+static json_t *encode_keys(const struct doc_team *team)
+{
+	GString *hex = g_string_new(NULL);
+	json_t *list = json_array();
+	size_t i;
+
+	for (i = 0; i < team->keys_nr; i++) {
+		json_t *key = json_object();
+
+		g_string_truncate(hex, 0);
+		schema_digest_format(team->keys[i].digest, hex);
+		json_object_set_new(key, "label",
+				    json_string(team->keys[i].label));
+		json_object_set_new(key, "digest", json_string(hex->str));
+		json_array_append_new(list, key);
+	}
+	g_string_free(hex, TRUE);
+	return list;
+}
+
+static GBytes *encode(const struct document *doc)
+{
+	json_t *root = json_object();
+	size_t table, i;
+
+	json_object_set_new(root, "revision",
+			    json_integer((json_int_t)doc->revision));
+	json_object_set_new(root, "change_id", json_string(doc->change_id));
+	json_object_set_new(root, "preset",
+			    json_string(preset_name(doc->preset)));
+	for (table = 0; table < DOC_TABLE_NR; table++) {
+		json_t *list = json_array();
+
+		for (i = 0; i < doc->tables[table].nr; i++) {
+			json_t *row = encode_row(doc, table, i);
+
+			if (table == DOC_TEAMS)
+				json_object_set_new(
+					row, "keys",
+					encode_keys(doc_at(doc, table, i)));
+			json_array_append_new(list, row);
+		}
+		json_object_set_new(root, row_schemas[table].json_name, list);
+	}
+	return codec_value_dump(root);
+}
+
+const struct document_codec document_codec_json = { "json", decode, encode };
--- a/src/config/document.h
+++ b/src/config/document.h
@@ -75,6 +75,14 @@
 
 uint64_t document_revision(const struct document *doc);
 void document_set_revision(struct document *doc, uint64_t revision);
+/*
+ * The identifier of the change that wrote this revision, "" if unknown. It
+ * tells a writer whose answer was lost whether its write took effect.
+ */
+#define DOCUMENT_CHANGE_ID_MAX 48
+const char *document_change_id(const struct document *doc);
+void document_set_change_id(struct document *doc, const char *change_id);
+
 enum preset document_preset(const struct document *doc);
 const char *preset_name(enum preset preset);
 int preset_parse(enum preset *preset, const char *name);
@@ -119,6 +127,17 @@
  */
 size_t document_check(const struct document *doc, GString *faults);
 
+/*
+ * Checks that next may replace doc as a whole: a host is added in service,
+ * leaves the document or changes rack, data centre or pool only while it is
+ * empty, and is drained or emptied only by its own change, where the
+ * availability budgets are checked. Appends one line for each fault and
+ * returns their number. Without this a whole document could stop hosts
+ * beyond the budgets.
+ */
+size_t document_check_replace(const struct document *doc,
+			      const struct document *next, GString *faults);
+
 /* Appends one line for each difference from a to b, in a stable order. */
 void document_diff(const struct document *a, const struct document *b,
 		   GString *out);
--- /dev/null
+++ b/src/config/document_rules.c
@@ -0,0 +1,303 @@
+#include "document_rules.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "document_rows.h"
+#include "schema.h"
+
+/*
+ * At most a fifth of a data centre may be down for planned work, so that the
+ * rest can carry its load.
+ */
+#define DATA_CENTRE_BUDGET_PERCENT 20
+
+/* Hosts of one rack, pool or data centre, without those of one that is out. */
+struct budget_count {
+	int64_t hosts, down;
+};
+
+/*
+ * Rounded down, but a group of two or more hosts may always have one down:
+ * otherwise a small group could never be maintained.
+ */
+static int64_t budget_of(int64_t hosts, int percent)
+{
+	int64_t budget = hosts * percent / 100;
+
+	return budget > 0 || hosts < 2 ? budget : 1;
+}
+
+static void count_host(struct budget_count *count, const struct doc_host *host)
+{
+	count->hosts++;
+	count->down += host->state != HOST_ASSIGNED;
+}
+
+static bool is_out(const struct document *doc, const char *data_centre)
+{
+	const struct doc_data_centre *dc;
+
+	dc = document_data_centre(doc, data_centre);
+	return dc && dc->is_out;
+}
+
+/* Appends the reason and returns false if one more would be too many. */
+static bool has_room(const struct budget_count *count, int64_t budget,
+		     const char *kind, const char *name, GString *why)
+{
+	if (count->down + 1 <= budget)
+		return true;
+	g_string_append_printf(why,
+			       "%s %s has %" PRId64 " of %" PRId64
+			       " hosts down and its budget is %" PRId64,
+			       kind, name, count->down, count->hosts, budget);
+	return false;
+}
+
+/*
+ * A rack belongs to its data centre: the same rack name elsewhere is another
+ * rack. Nothing limits a data centre that is out, since it does no work.
+ */
+bool document_allows_stop(const struct document *doc,
+			  const struct doc_host *host, GString *why)
+{
+	struct budget_count rack = { 0 }, pool = { 0 }, dc = { 0 };
+	const struct doc_pool *pool_row = document_pool(doc, host->pool);
+	const struct doc_host *hosts;
+	size_t i, nr;
+
+	if (is_out(doc, host->data_centre))
+		return true;
+	hosts = document_hosts(doc, &nr);
+	for (i = 0; i < nr; i++) {
+		bool same_dc = !strcmp(hosts[i].data_centre, host->data_centre);
+
+		if (same_dc)
+			count_host(&dc, &hosts[i]);
+		if (same_dc && !strcmp(hosts[i].rack, host->rack))
+			count_host(&rack, &hosts[i]);
+		if (!strcmp(hosts[i].pool, host->pool) &&
+		    !is_out(doc, hosts[i].data_centre))
+			count_host(&pool, &hosts[i]);
+	}
+	return has_room(&rack, 1, "rack", host->rack, why) &&
+	       has_room(&pool,
+			budget_of(pool.hosts,
+				  pool_row ? pool_row->budget_percent : 0),
+			"pool", host->pool, why) &&
+	       has_room(&dc, budget_of(dc.hosts, DATA_CENTRE_BUDGET_PERCENT),
+			"data centre", host->data_centre, why);
+}
+
+const struct doc_team *document_key_holder(const struct document *doc,
+					   const uint8_t digest[CS_DIGEST_LEN])
+{
+	const struct doc_team *teams;
+	size_t i, nr;
+
+	teams = document_teams(doc, &nr);
+	for (i = 0; i < nr; i++)
+		if (doc_team_key_by_digest(&teams[i], digest))
+			return &teams[i];
+	return NULL;
+}
+
+/* What a check works on. */
+struct check_state {
+	const struct document *doc;
+	GString *faults;
+	size_t nr;
+	int64_t slots; /* of the fleet */
+	GHashTable *keys; /* digest -> struct doc_team */
+};
+
+static void fault(struct check_state *st, const char *kind, const char *name,
+		  const char *fmt, ...) __attribute__((format(printf, 4, 5)));
+
+/* Appends "KIND NAME: ..." as one line. */
+static void fault(struct check_state *st, const char *kind, const char *name,
+		  const char *fmt, ...)
+{
+	va_list args;
+
+	g_string_append_printf(st->faults, "%s %s: ", kind, name);
+	va_start(args, fmt);
+	g_string_append_vprintf(st->faults, fmt, args);
+	va_end(args);
+	g_string_append_c(st->faults, '\n');
+	st->nr++;
+}
+
+/* Each name and field by itself. */
+static void check_fields(struct check_state *st)
+{
+	GString *expected = g_string_new(NULL);
+	size_t table, i;
+
+	for (table = 0; table < DOC_TABLE_NR; table++) {
+		const struct row_schema *schema = &row_schemas[table];
+
+		for (i = 0; i < st->doc->tables[table].nr; i++) {
+			const char *row = doc_at(st->doc, table, i);
+			const struct field *broken = schema_broken_field(
+				schema->fields, schema->fields_nr, row);
+
+			if (!schema_is_name(row))
+				fault(st, schema->label, row,
+				      "the name is not %s",
+				      field_name.expected);
+			if (!broken)
+				continue;
+			g_string_truncate(expected, 0);
+			schema_expected(broken, expected);
+			fault(st, schema->label, row, "%s is not %s",
+			      broken->name, expected->str);
+		}
+	}
+	g_string_free(expected, TRUE);
+}
+
+/* That the row which a field names exists. */
+static void check_reference(struct check_state *st, enum doc_table from,
+			    const char *row, enum doc_table to,
+			    const char *name)
+{
+	if (!doc_find(st->doc, to, name))
+		fault(st, row_schemas[from].label, row,
+		      "%s \"%s\" does not exist", row_schemas[to].label, name);
+}
+
+static void check_host(struct check_state *st, const void *row)
+{
+	const struct doc_host *host = row;
+
+	check_reference(st, DOC_HOSTS, host->name, DOC_POOLS, host->pool);
+	check_reference(st, DOC_HOSTS, host->name, DOC_DATA_CENTRES,
+			host->data_centre);
+}
+
+static void check_worker(struct check_state *st, const void *row)
+{
+	const struct doc_worker *worker = row;
+
+	check_reference(st, DOC_WORKERS, worker->name, DOC_HOSTS, worker->host);
+}
+
+static void check_queue(struct check_state *st, const void *row)
+{
+	const struct doc_queue *queue = row;
+
+	check_reference(st, DOC_QUEUES, queue->name, DOC_POOLS, queue->pool);
+	if (queue->is_open || *queue->team)
+		check_reference(st, DOC_QUEUES, queue->name, DOC_TEAMS,
+				queue->team);
+}
+
+static void check_keys(struct check_state *st, const struct doc_team *team)
+{
+	size_t i;
+
+	for (i = 0; i < team->keys_nr; i++) {
+		const struct doc_key *key = &team->keys[i];
+		GBytes *digest = g_bytes_new_static(key->digest, CS_DIGEST_LEN);
+		const struct doc_team *other =
+			g_hash_table_lookup(st->keys, digest);
+
+		if (!schema_is_name(key->label))
+			fault(st, "team", team->name,
+			      "the key label \"%s\" is not %s", key->label,
+			      field_name.expected);
+		if (i && !strcmp(key->label, team->keys[i - 1].label))
+			fault(st, "team", team->name,
+			      "two keys have the label %s", key->label);
+		if (other)
+			fault(st, "team", team->name,
+			      "key %s is also granted to team %s", key->label,
+			      other->name);
+		g_hash_table_insert(st->keys, digest, (void *)team);
+	}
+}
+
+static void check_team(struct check_state *st, const void *row)
+{
+	const struct doc_team *team = row;
+
+	check_keys(st, team);
+	if (team->limit > st->slots)
+		fault(st, "team", team->name,
+		      "limit %d is above the %" PRId64 " slots of the fleet",
+		      team->limit, st->slots);
+}
+
+static void (*const row_checks[DOC_TABLE_NR])(struct check_state *st,
+					      const void *row) = {
+	[DOC_HOSTS] = check_host,
+	[DOC_WORKERS] = check_worker,
+	[DOC_QUEUES] = check_queue,
+	[DOC_TEAMS] = check_team,
+};
+
+size_t document_check(const struct document *doc, GString *faults)
+{
+	struct check_state st = { .doc = doc, .faults = faults };
+	const struct doc_worker *workers;
+	size_t i, nr, table;
+
+	st.keys = g_hash_table_new_full(g_bytes_hash, g_bytes_equal,
+					(GDestroyNotify)g_bytes_unref, NULL);
+	workers = document_workers(doc, &nr);
+	for (i = 0; i < nr; i++)
+		st.slots += workers[i].slots;
+	check_fields(&st);
+	for (table = 0; table < DOC_TABLE_NR; table++)
+		for (i = 0; row_checks[table] && i < doc->tables[table].nr; i++)
+			row_checks[table](&st, doc_at(doc, table, i));
+	g_hash_table_destroy(st.keys);
+	return st.nr;
+}
+
+bool document_host_is_moved(const struct doc_host *a, const struct doc_host *b)
+{
+	return strcmp(a->rack, b->rack) != 0 ||
+	       strcmp(a->data_centre, b->data_centre) != 0 ||
+	       strcmp(a->pool, b->pool) != 0;
+}
+
+/* One host that both documents have. */
+static void check_same_host(struct check_state *st, const struct doc_host *old,
+			    const struct doc_host *host)
+{
+	if (document_host_is_moved(old, host) && old->state != HOST_EMPTY)
+		fault(st, "host", host->name,
+		      "must be empty before its rack, data centre or pool "
+		      "changes");
+	if (host->state != old->state && host->state != HOST_ASSIGNED)
+		fault(st, "host", host->name,
+		      "is stopped only by host-drain and host-empty");
+}
+
+size_t document_check_replace(const struct document *doc,
+			      const struct document *next, GString *faults)
+{
+	struct check_state st = { .doc = doc, .faults = faults };
+	const struct doc_host *hosts, *other;
+	size_t i, nr;
+
+	hosts = document_hosts(doc, &nr);
+	for (i = 0; i < nr; i++) {
+		other = document_host(next, hosts[i].name);
+		if (other)
+			check_same_host(&st, &hosts[i], other);
+		else if (hosts[i].state != HOST_EMPTY)
+			fault(&st, "host", hosts[i].name,
+			      "must be empty before it is removed");
+	}
+	hosts = document_hosts(next, &nr);
+	for (i = 0; i < nr; i++)
+		if (hosts[i].state != HOST_ASSIGNED &&
+		    !document_host(doc, hosts[i].name))
+			fault(&st, "host", hosts[i].name,
+			      "is new and must be assigned");
+	return st.nr;
+}
--- /dev/null
+++ b/tests/unit/test_document.c
@@ -0,0 +1,310 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <string.h>
+
+#include "sample_fleet.h"
+
+static int apply(struct document *doc, struct change change)
+{
+	struct document *before = document_copy(doc);
+	GString *diff = g_string_new(NULL);
+	struct cs_error err = { 0 };
+	int ret = document_apply(doc, &change, &err);
+
+	document_diff(before, doc, diff);
+	if (ret) {
+		assert_int_equal(diff->len, 0);
+		assert_true(err.message[0]);
+		assert_string_equal(err.step, "change");
+	}
+	g_string_free(diff, TRUE);
+	document_destroy(before);
+	return ret;
+}
+
+static int host_op(struct document *doc, enum change_op op, const char *name,
+		   const char *pool)
+{
+	struct change c = { .op = op };
+
+	g_strlcpy(c.name, name, CS_NAME_MAX);
+	g_strlcpy(c.pool, pool, CS_NAME_MAX);
+	return apply(doc, c);
+}
+
+#define INVALID(doc, ...)                                                      \
+	assert_int_equal(apply(doc, (struct change){ __VA_ARGS__ }),           \
+			 CS_ERR_INVALID)
+#define MISSING(doc, ...)                                                      \
+	assert_int_equal(apply(doc, (struct change){ __VA_ARGS__ }),           \
+			 CS_ERR_MISSING)
+
+/* A value out of its range must not reach the fleet. */
+static void values_are_bounded(void **state)
+{
+	struct document *doc = sample_fleet(2, 8, 2, 2);
+
+	(void)state;
+	INVALID(doc, .op = CHANGE_TEAM_SET, .name = "Upper", .share = 1);
+	INVALID(doc, .op = CHANGE_TEAM_SET, .name = "", .share = 1);
+	INVALID(doc, .op = CHANGE_TEAM_SET, .name = "t", .share = 0);
+	INVALID(doc, .op = CHANGE_TEAM_SET, .name = "t", .share = 1001);
+	INVALID(doc, .op = CHANGE_TEAM_SET, .name = "t", .share = 1,
+		.limit = -1);
+	INVALID(doc, .op = CHANGE_TEAM_SET, .name = "t", .share = 1,
+		.limit = 1000001);
+	INVALID(doc, .op = CHANGE_POOL_SET, .name = "p", .budget_percent = 101);
+	INVALID(doc, .op = CHANGE_WORKER_SET, .name = "w", .host = "host-0",
+		.address = "localhost:80", .slots = 1);
+	INVALID(doc, .op = CHANGE_WORKER_SET, .name = "w", .host = "host-0",
+		.address = "10.0.0.1:80", .slots = 0);
+	INVALID(doc, .op = CHANGE_PRESET, .name = "none");
+	INVALID(doc, .op = CHANGE_OP_NR);
+	document_destroy(doc);
+}
+
+/* A row that names nothing would be found only when work needs it. */
+static void references_exist(void **state)
+{
+	struct document *doc = sample_fleet(2, 8, 2, 2);
+
+	(void)state;
+	MISSING(doc, .op = CHANGE_QUEUE_SET, .name = "q", .pool = "none");
+	MISSING(doc, .op = CHANGE_QUEUE_SET, .name = "q", .pool = "pool-0",
+		.is_open = true);
+	MISSING(doc, .op = CHANGE_HOST_SET, .name = "h", .pool = "none");
+	MISSING(doc, .op = CHANGE_HOST_MOVE, .name = "host-0", .pool = "none");
+	MISSING(doc, .op = CHANGE_HOST_DRAIN, .name = "none");
+	MISSING(doc, .op = CHANGE_WORKER_SET, .name = "w", .host = "none");
+	MISSING(doc, .op = CHANGE_DATA_CENTRE_OUT, .name = "z");
+	MISSING(doc, .op = CHANGE_TEAM_REMOVE, .name = "none");
+	MISSING(doc, .op = CHANGE_KEY_WITHDRAW, .name = "team-0",
+		.label = "none");
+	assert_int_equal(apply(doc, (struct change){ .op = CHANGE_QUEUE_SET,
+						     .name = "open",
+						     .pool = "pool-0",
+						     .team = "team-0",
+						     .is_open = true }),
+			 CS_OK);
+	INVALID(doc, .op = CHANGE_TEAM_REMOVE, .name = "team-0");
+	document_destroy(doc);
+}
+
+/* One key for two teams would let one be charged for the other (I3). */
+static void key_has_one_team(void **state)
+{
+	struct document *doc = sample_fleet(1, 4, 1, 2);
+	struct change c = { .op = CHANGE_KEY_GRANT,
+			    .name = "team-1",
+			    .label = "stolen",
+			    .has_digest = true };
+
+	(void)state;
+	memcpy(c.digest, document_team(doc, "team-0")->keys[0].digest,
+	       CS_DIGEST_LEN);
+	assert_int_equal(apply(doc, c), CS_ERR_INVALID);
+	c.op = CHANGE_KEY_WITHDRAW;
+	strcpy(c.name, "team-0");
+	assert_int_equal(apply(doc, c), CS_OK);
+	assert_int_equal(document_team(doc, "team-0")->keys_nr, 1);
+	c.op = CHANGE_KEY_GRANT;
+	strcpy(c.name, "team-1");
+	assert_int_equal(apply(doc, c), CS_OK);
+	document_destroy(doc);
+}
+
+/* Planned stops beyond rack, pool or data centre budgets (I1). */
+static void drains_keep_budgets(void **state)
+{
+	/* a: hosts 0, 2, ... in racks of 4; pool-0 is all of a. */
+	struct document *doc = sample_fleet(2, 40, 2, 0);
+	struct change out = { .op = CHANGE_DATA_CENTRE_OUT, .name = "a" };
+
+	(void)state;
+	assert_int_equal(host_op(doc, CHANGE_HOST_DRAIN, "host-0", ""), CS_OK);
+	/* the same rack */
+	assert_int_equal(host_op(doc, CHANGE_HOST_DRAIN, "host-2", ""),
+			 CS_ERR_INVALID);
+	/* the rack of that name in another data centre */
+	assert_int_equal(host_op(doc, CHANGE_HOST_DRAIN, "host-1", ""), CS_OK);
+	assert_int_equal(host_op(doc, CHANGE_HOST_DRAIN, "host-8", ""), CS_OK);
+	assert_int_equal(host_op(doc, CHANGE_HOST_DRAIN, "host-16", ""), CS_OK);
+	assert_int_equal(host_op(doc, CHANGE_HOST_DRAIN, "host-24", ""), CS_OK);
+	/* 20% of 20 hosts are down */
+	assert_int_equal(host_op(doc, CHANGE_HOST_DRAIN, "host-32", ""),
+			 CS_ERR_INVALID);
+	sample_apply(doc, out);
+	assert_int_equal(host_op(doc, CHANGE_HOST_DRAIN, "host-32", ""), CS_OK);
+	assert_int_equal(host_op(doc, CHANGE_HOST_DRAIN, "host-2", ""), CS_OK);
+	document_destroy(doc);
+}
+
+/* The pool's own budget counts hosts of every data centre in service. */
+static void drains_keep_pool_budget(void **state)
+{
+	/* pool-0: hosts 0, 10 and 20, in a, b and c; 25% of 3 is 1 at least */
+	struct document *doc = sample_fleet(3, 30, 10, 0);
+	struct change out = { .op = CHANGE_DATA_CENTRE_OUT, .name = "a" };
+
+	(void)state;
+	assert_int_equal(host_op(doc, CHANGE_HOST_DRAIN, "host-0", ""), CS_OK);
+	assert_int_equal(host_op(doc, CHANGE_HOST_DRAIN, "host-10", ""),
+			 CS_ERR_INVALID);
+	sample_apply(doc, out);
+	assert_int_equal(host_op(doc, CHANGE_HOST_DRAIN, "host-10", ""), CS_OK);
+	document_destroy(doc);
+}
+
+/* The only host of a pool may not stop unless the budget is 100%. */
+static void single_host_stays(void **state)
+{
+	struct document *doc = sample_fleet(1, 4, 4, 0);
+	struct change c = { .op = CHANGE_POOL_SET,
+			    .name = "pool-0",
+			    .budget_percent = 99 };
+
+	(void)state;
+	sample_apply(doc, c);
+	assert_int_equal(host_op(doc, CHANGE_HOST_DRAIN, "host-0", ""),
+			 CS_ERR_INVALID);
+	c.budget_percent = 100;
+	sample_apply(doc, c);
+	assert_int_equal(host_op(doc, CHANGE_HOST_DRAIN, "host-0", ""), CS_OK);
+	document_destroy(doc);
+}
+
+/* A host that moves while work runs on it would interrupt the work (I2). */
+static void moves_need_an_empty_host(void **state)
+{
+	struct document *doc = sample_fleet(1, 20, 2, 0);
+	struct change set = { .op = CHANGE_HOST_SET,
+			      .name = "host-0",
+			      .rack = "rack-0",
+			      .data_centre = "a",
+			      .pool = "pool-1" };
+
+	(void)state;
+	assert_int_equal(apply(doc, set), CS_ERR_INVALID);
+	assert_int_equal(host_op(doc, CHANGE_HOST_MOVE, "host-0", "pool-1"),
+			 CS_ERR_INVALID);
+	assert_int_equal(host_op(doc, CHANGE_HOST_EMPTY, "host-0", ""),
+			 CS_ERR_INVALID);
+	assert_int_equal(host_op(doc, CHANGE_HOST_RETURN, "host-0", ""),
+			 CS_ERR_INVALID);
+	assert_int_equal(host_op(doc, CHANGE_HOST_DRAIN, "host-0", ""), CS_OK);
+	assert_int_equal(host_op(doc, CHANGE_HOST_DRAIN, "host-0", ""),
+			 CS_ERR_INVALID);
+	assert_int_equal(host_op(doc, CHANGE_HOST_MOVE, "host-0", "pool-1"),
+			 CS_ERR_INVALID);
+	assert_string_equal(document_host(doc, "host-0")->pool, "pool-0");
+	assert_int_equal(host_op(doc, CHANGE_HOST_EMPTY, "host-0", ""), CS_OK);
+	assert_int_equal(host_op(doc, CHANGE_HOST_MOVE, "host-0", "pool-1"),
+			 CS_OK);
+	assert_string_equal(document_host(doc, "host-0")->pool, "pool-1");
+	assert_int_equal(host_op(doc, CHANGE_HOST_RETURN, "host-0", ""), CS_OK);
+	assert_int_equal(document_host(doc, "host-0")->state, HOST_ASSIGNED);
+	document_destroy(doc);
+}
+
+/* Applying a whole document must not be a way around the budgets (I1). */
+static void replacing_stops_no_host(void **state)
+{
+	struct document *doc = sample_fleet(1, 8, 2, 0);
+	struct document *next = document_copy(doc);
+	struct document *fewer = sample_fleet(1, 7, 2, 0);
+	GString *faults = g_string_new(NULL);
+
+	(void)state;
+	assert_int_equal(document_check_replace(doc, next, faults), 0);
+	assert_int_equal(document_check_replace(fewer, doc, faults), 0);
+	assert_int_equal(document_check_replace(doc, fewer, faults), 1);
+	assert_int_equal(host_op(next, CHANGE_HOST_DRAIN, "host-0", ""), CS_OK);
+	assert_int_equal(document_check_replace(doc, next, faults), 1);
+	assert_int_equal(document_check_replace(next, doc, faults), 0);
+	assert_int_equal(host_op(next, CHANGE_HOST_EMPTY, "host-0", ""), CS_OK);
+	assert_int_equal(host_op(next, CHANGE_HOST_MOVE, "host-0", "pool-1"),
+			 CS_OK);
+	assert_int_equal(document_check_replace(doc, next, faults), 2);
+	assert_non_null(strstr(faults->str, "host host-7: must be empty"));
+	g_string_free(faults, TRUE);
+	document_destroy(doc);
+	document_destroy(next);
+	document_destroy(fewer);
+}
+
+/* A limit that the fleet can't hold hides that the team gets less. */
+static void limits_fit_the_fleet(void **state)
+{
+	struct document *doc = sample_fleet(1, 1, 1, 1);
+	struct change c = { .op = CHANGE_TEAM_SET,
+			    .name = "team-0",
+			    .share = 1,
+			    .limit = 33 };
+	GString *faults = g_string_new(NULL);
+
+	(void)state;
+	assert_int_equal(document_check(doc, faults), 0);
+	sample_apply(doc, c);
+	assert_int_equal(document_check(doc, faults), 1);
+	assert_string_equal(faults->str, "team team-0: limit 33 is above the "
+					 "32 slots of the fleet\n");
+	g_string_free(faults, TRUE);
+	document_destroy(doc);
+}
+
+/* Operators who race are shown exactly what differs. */
+static void diff_names_each_difference(void **state)
+{
+	struct document *a = sample_fleet(1, 2, 1, 2);
+	struct document *b = document_copy(a);
+	struct change team = { .op = CHANGE_TEAM_SET,
+			       .name = "team-0",
+			       .share = 9,
+			       .limit = 4 };
+	struct change gone = { .op = CHANGE_TEAM_REMOVE, .name = "team-1" };
+	struct change preset = { .op = CHANGE_PRESET, .name = "peak" };
+	struct change pool = { .op = CHANGE_POOL_SET,
+			       .name = "extra",
+			       .is_spare = true };
+	GString *out = g_string_new(NULL);
+
+	(void)state;
+	document_diff(a, b, out);
+	assert_int_equal(out->len, 0);
+	sample_apply(b, team);
+	sample_apply(b, gone);
+	sample_apply(b, preset);
+	sample_apply(b, pool);
+	document_diff(a, b, out);
+	assert_string_equal(out->str,
+			    "~ preset: ordinary -> peak\n"
+			    "+ pool extra is_spare=true budget_percent=0\n"
+			    "~ team team-0: share 1 -> 9\n"
+			    "- team team-1\n"
+			    "- key team-1/key-0 01000000...\n"
+			    "- key team-1/key-1 01000000...\n");
+	g_string_free(out, TRUE);
+	document_destroy(a);
+	document_destroy(b);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(values_are_bounded),
+		cmocka_unit_test(references_exist),
+		cmocka_unit_test(key_has_one_team),
+		cmocka_unit_test(drains_keep_budgets),
+		cmocka_unit_test(drains_keep_pool_budget),
+		cmocka_unit_test(single_host_stays),
+		cmocka_unit_test(moves_need_an_empty_host),
+		cmocka_unit_test(replacing_stops_no_host),
+		cmocka_unit_test(limits_fit_the_fleet),
+		cmocka_unit_test(diff_names_each_difference),
+	};
+
+	return cmocka_run_group_tests_name("document", tests, NULL, NULL);
+}
