Add the config part: watch, relay, operators' changes

The document of each entry must follow the platform's within 7 s and never go back. The part is pure: messages and a time in, messages out.

--- /dev/null
+++ b/src/config/config_relay.c
@@ -0,0 +1,353 @@
+#include "config_state.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "../base/error.h"
+
+/*
+ * A peer that no other rule addresses gets a heartbeat after this time: at
+ * every second tick of 500 ms. The peer task ends a connection after 2 s.
+ */
+#define ADDRESS_AFTER (750 * CS_MSEC)
+
+/* A document that was sent but not acknowledged is sent again after this. */
+#define RESEND_AFTER (2 * CS_SEC)
+
+/*
+ * An entry that is behind gets the document from the one that is responsible
+ * for it. All others wait this long, or it would get a copy from each.
+ */
+#define HELP_AFTER (1 * CS_SEC)
+
+/*
+ * How old the holder's last answer of the platform may be when it says that
+ * the platform is up: the probe interval with the tick.
+ */
+#define HOLDER_ANSWER_AGE (2 * CS_SEC)
+
+static int compare_peers(const void *a, const void *b)
+{
+	const struct config_peer *x = a, *y = b;
+
+	return strcmp(x->id, y->id);
+}
+
+void config_relay_create(struct part_ctx *ctx)
+{
+	struct config_sync *s = ctx->parts.config;
+	const struct entry_options *options = ctx->options;
+	size_t i;
+
+	s->peers = g_new0(struct config_peer, options->peers_nr);
+	for (i = 0; i < options->peers_nr; i++) {
+		const struct entry_peer *peer = &options->peers[i];
+		struct config_peer *row = &s->peers[s->peers_nr];
+
+		if (!strcmp(peer->id, options->id))
+			continue;
+		cs_copy(row->id, sizeof(row->id), peer->id);
+		cs_copy(row->data_centre, sizeof(row->data_centre),
+			peer->data_centre);
+		row->is_local =
+			!strcmp(peer->data_centre, options->data_centre);
+		s->peers_nr++;
+	}
+	if (s->peers_nr)
+		qsort(s->peers, s->peers_nr, sizeof(*s->peers), compare_peers);
+}
+
+struct config_peer *config_peer(const struct config_sync *s, const char *id)
+{
+	size_t i;
+
+	for (i = 0; i < s->peers_nr; i++)
+		if (!strcmp(s->peers[i].id, id))
+			return &s->peers[i];
+	return NULL;
+}
+
+/* True for the lowest id that is up in its data centre. */
+static bool is_contact(const struct config_sync *s,
+		       const struct config_peer *peer)
+{
+	const struct config_peer *p;
+
+	for (p = s->peers; p < peer; p++)
+		if (p->is_up && !strcmp(p->data_centre, peer->data_centre))
+			return false;
+	return true;
+}
+
+/* True if this entry is the contact of its own data centre. */
+static bool is_own_contact(const struct part_ctx *ctx)
+{
+	const struct config_sync *s = ctx->parts.config;
+	size_t i;
+
+	for (i = 0; i < s->peers_nr; i++)
+		if (s->peers[i].is_local && s->peers[i].is_up &&
+		    strcmp(s->peers[i].id, ctx->options->id) < 0)
+			return false;
+	return true;
+}
+
+/*
+ * Followers learn from the holder's heartbeat that the platform answers. So
+ * the holder must not say so on an old answer when it may be isolated.
+ */
+static bool may_say_platform_up(const struct part_ctx *ctx)
+{
+	const struct config_sync *s = ctx->parts.config;
+	cs_time heard = MAX(s->platform_heard_at, s->outside_heard_at);
+
+	return s->is_platform_up && ctx->now - heard <= HOLDER_ANSWER_AGE;
+}
+
+static void send_heartbeat(struct part_ctx *ctx, struct config_peer *peer,
+			   uint64_t ref)
+{
+	const struct config_sync *s = ctx->parts.config;
+	struct msg *msg = part_peer_msg(PEER_HEARTBEAT, peer->id);
+
+	msg->u.peer.ref = ref;
+	msg->u.peer.u.heartbeat.revision = document_revision(s->doc);
+	msg->u.peer.u.heartbeat.holds_watch = s->holds_watch;
+	msg->u.peer.u.heartbeat.platform_up = may_say_platform_up(ctx);
+	msg->u.peer.u.heartbeat.is_draining = ctx->is_draining;
+	peer->addressed_at = ctx->now;
+	part_emit(ctx, msg);
+}
+
+static void send_document(struct part_ctx *ctx, struct config_peer *peer)
+{
+	const struct config_sync *s = ctx->parts.config;
+	struct msg *msg;
+
+	if (!s->bytes || MUTANT(ctx, "config-no-relay"))
+		return;
+	msg = part_peer_msg(PEER_CONFIG, peer->id);
+	msg->u.peer.u.config.revision = document_revision(s->doc);
+	msg->u.peer.u.config.version = s->version;
+	msg->u.peer.u.config.document = g_bytes_ref(s->bytes);
+	peer->sent_revision = document_revision(s->doc);
+	peer->sent_at = ctx->now;
+	peer->addressed_at = ctx->now;
+	counters_add(ctx->counters, "config_documents_sent_total", "", 1);
+	part_emit(ctx, msg);
+}
+
+static void send_ack(struct part_ctx *ctx, struct config_peer *peer,
+		     uint64_t ref)
+{
+	struct msg *msg = part_peer_msg(PEER_CONFIG_ACK, peer->id);
+
+	msg->u.peer.ref = ref;
+	msg->u.peer.u.config_ack.revision =
+		document_revision(ctx->parts.config->doc);
+	part_emit(ctx, msg);
+}
+
+/*
+ * A document of our own data centre has been relayed here by its sender, and
+ * one from outside is for this data centre only.
+ */
+void config_relay(struct part_ctx *ctx, const struct config_peer *from)
+{
+	struct config_sync *s = ctx->parts.config;
+	uint64_t revision = document_revision(s->doc);
+	size_t i;
+
+	if (from && from->is_local)
+		return;
+	for (i = 0; i < s->peers_nr; i++) {
+		struct config_peer *peer = &s->peers[i];
+		bool is_target = peer->is_local ||
+				 (!from && is_contact(s, peer));
+
+		if (peer->is_up && is_target && peer->revision < revision)
+			send_document(ctx, peer);
+	}
+}
+
+void config_heartbeat_local(struct part_ctx *ctx)
+{
+	struct config_sync *s = ctx->parts.config;
+	size_t i;
+
+	for (i = 0; i < s->peers_nr; i++)
+		if (s->peers[i].is_local && s->peers[i].is_up)
+			send_heartbeat(ctx, &s->peers[i], 0);
+}
+
+/* A heartbeat with a number is answered at once with that number. */
+void config_ask_outside(struct part_ctx *ctx)
+{
+	struct config_sync *s = ctx->parts.config;
+	size_t i;
+
+	s->fresh_ref = ++s->last_ref;
+	for (i = 0; i < s->peers_nr; i++) {
+		struct config_peer *peer = &s->peers[i];
+
+		if (!peer->is_local && peer->is_up && is_contact(s, peer))
+			send_heartbeat(ctx, peer, s->fresh_ref);
+	}
+}
+
+void config_relay_tick(struct part_ctx *ctx)
+{
+	struct config_sync *s = ctx->parts.config;
+	size_t i;
+
+	for (i = 0; i < s->peers_nr; i++) {
+		struct config_peer *peer = &s->peers[i];
+		bool is_due = peer->is_local || is_contact(s, peer) ||
+			      ctx->now - peer->addressed_at >= ADDRESS_AFTER;
+
+		if (peer->is_up && is_due)
+			send_heartbeat(ctx, peer, 0);
+	}
+}
+
+/* The peer told an older revision than ours. */
+static void bring_up_to_date(struct part_ctx *ctx, struct config_peer *peer)
+{
+	struct config_sync *s = ctx->parts.config;
+	bool is_responsible = peer->is_local ? s->holds_watch :
+					       is_own_contact(ctx) &&
+						       is_contact(s, peer);
+	bool is_sent = peer->sent_revision == document_revision(s->doc) &&
+		       ctx->now - peer->sent_at < RESEND_AFTER;
+
+	if (!peer->behind_since)
+		peer->behind_since = ctx->now;
+	if (is_sent)
+		return;
+	if (is_responsible || ctx->now - peer->behind_since >= HELP_AFTER)
+		send_document(ctx, peer);
+}
+
+/* What a peer says to have in force; a newer one is asked for. */
+static void note_revision(struct part_ctx *ctx, struct config_peer *peer,
+			  uint64_t revision)
+{
+	uint64_t own = document_revision(ctx->parts.config->doc);
+
+	peer->revision = revision;
+	peer->heard_at = ctx->now;
+	if (revision >= own)
+		peer->behind_since = 0;
+	if (revision > own)
+		send_heartbeat(ctx, peer, 0);
+	else if (revision < own)
+		bring_up_to_date(ctx, peer);
+}
+
+/* What the holder of this data centre's watch says. */
+static void note_holder(struct part_ctx *ctx, const struct config_peer *peer,
+			bool is_platform_up)
+{
+	struct config_sync *s = ctx->parts.config;
+
+	s->is_holder_lost = false;
+	s->holder_heard_at = ctx->now;
+	if (s->holds_watch) {
+		if (strcmp(peer->id, ctx->options->id) < 0)
+			config_watch_yield(ctx);
+		return;
+	}
+	s->is_platform_up = is_platform_up;
+	if (is_platform_up)
+		s->platform_heard_at =
+			MAX(s->platform_heard_at, ctx->now - HOLDER_ANSWER_AGE);
+}
+
+static void on_heartbeat(struct part_ctx *ctx, struct config_peer *peer,
+			 struct peer_msg *msg)
+{
+	peer->holds_watch = msg->u.heartbeat.holds_watch;
+	if (peer->is_local && peer->holds_watch)
+		note_holder(ctx, peer, msg->u.heartbeat.platform_up);
+	note_revision(ctx, peer, msg->u.heartbeat.revision);
+	if (msg->ref)
+		send_ack(ctx, peer, msg->ref);
+}
+
+static void on_config(struct part_ctx *ctx, struct config_peer *peer,
+		      struct peer_msg *msg)
+{
+	if (!msg->u.config.document)
+		return;
+	/* The sender has it, so that it must not be sent back. */
+	peer->revision = msg->u.config.revision;
+	peer->heard_at = ctx->now;
+	config_take(ctx, msg->u.config.document, msg->u.config.version, peer);
+	send_ack(ctx, peer, msg->ref);
+}
+
+/*
+ * An answer to our question makes the document fresh, unless it shows that
+ * a newer one exists.
+ */
+static void on_ack(struct part_ctx *ctx, struct config_peer *peer,
+		   struct peer_msg *msg)
+{
+	struct config_sync *s = ctx->parts.config;
+
+	note_revision(ctx, peer, msg->u.config_ack.revision);
+	if (!msg->ref || msg->ref != s->fresh_ref)
+		return;
+	if (peer->revision <= document_revision(s->doc))
+		config_set_fresh(s);
+	else
+		s->fresh_revision = peer->revision;
+}
+
+static void (*const peer_handlers[PEER_KIND_NR])(struct part_ctx *ctx,
+						 struct config_peer *peer,
+						 struct peer_msg *msg) = {
+	[PEER_HEARTBEAT] = on_heartbeat,
+	[PEER_CONFIG] = on_config,
+	[PEER_CONFIG_ACK] = on_ack,
+};
+
+void config_on_peer(struct part_ctx *ctx, struct peer_msg *msg)
+{
+	struct config_sync *s = ctx->parts.config;
+	struct config_peer *peer = config_peer(s, msg->peer);
+
+	if (!peer || (unsigned)msg->kind >= PEER_KIND_NR ||
+	    !peer_handlers[msg->kind]) {
+		counters_add(ctx->counters, "config_unknown_peers_total", "",
+			     1);
+		return;
+	}
+	if (!peer->is_local)
+		s->outside_heard_at = ctx->now;
+	peer_handlers[msg->kind](ctx, peer, msg);
+}
+
+void config_on_peer_state(struct part_ctx *ctx, const struct peer_state *state)
+{
+	struct config_sync *s = ctx->parts.config;
+	struct config_peer *peer = config_peer(s, state->peer);
+
+	if (!peer)
+		return;
+	peer->is_up = state->is_up;
+	if (state->is_up) {
+		/* A new connection may have lost what the old one carried. */
+		peer->sent_revision = 0;
+		peer->behind_since = 0;
+		if (peer->incarnation != state->incarnation)
+			peer->revision = 0;
+		peer->incarnation = state->incarnation;
+		send_heartbeat(ctx, peer, 0);
+		return;
+	}
+	if (peer->is_local && peer->holds_watch)
+		s->is_holder_lost = true;
+	peer->holds_watch = false;
+	config_elect(ctx);
+}
--- /dev/null
+++ b/src/config/config_watch.c
@@ -0,0 +1,234 @@
+#include "config_state.h"
+
+#include <string.h>
+
+#include "../base/log.h"
+
+/* Each waiting watch counts as a call, so one call lasts this long. */
+#define WATCH_WAIT_MS 10000
+
+/* A watch with no answer this long after its wait is taken for lost. */
+#define WATCH_LOST_AFTER (WATCH_WAIT_MS * CS_MSEC + 5 * CS_SEC)
+
+/*
+ * Pause before the watch is tried again. The longest leaves 5 s of the 7 s
+ * in which a change must be in force once the platform is back.
+ */
+#define BACKOFF_MIN (200 * CS_MSEC)
+#define BACKOFF_MAX (2 * CS_SEC)
+
+/* An empty answer earlier than this must not lead to a quick next call. */
+#define WATCH_EARLY (1 * CS_SEC)
+
+/* A follower that hears no holder this long takes over (design 3.3). */
+#define HOLDER_SILENT_AFTER (2 * CS_SEC)
+
+/*
+ * With no other data centre heard, a waiting watch says nothing for 10 s, but
+ * isolation must be known after 5 s. A probe is then sent this long after the
+ * last answer.
+ */
+#define PROBE_AFTER (1 * CS_SEC)
+
+/* A call of the platform takes milliseconds; this is no slow answer. */
+#define PROBE_LOST_AFTER (2 * CS_SEC)
+
+uint64_t config_read(struct part_ctx *ctx)
+{
+	uint64_t token = config_token(ctx);
+
+	part_emit(ctx, part_kv_call(PART_CONFIG, KV_GET, CONFIG_KEY, token));
+	return token;
+}
+
+const struct kv_row *config_row(const struct kv_done *done)
+{
+	bool has_many = done->op == KV_WATCH || done->op == KV_LIST;
+	size_t i;
+
+	for (i = 0; i < done->rows_nr; i++)
+		if (done->rows[i].version && done->rows[i].value &&
+		    !strcmp(has_many ? done->rows[i].key : done->key,
+			    CONFIG_KEY))
+			return &done->rows[i];
+	return NULL;
+}
+
+/* Starts the watch if this entry holds it and none waits. */
+static void watch(struct part_ctx *ctx)
+{
+	struct config_sync *s = ctx->parts.config;
+	struct msg *msg;
+
+	if (!s->holds_watch || s->watch_token || s->watch_timer)
+		return;
+	s->watch_token = config_token(ctx);
+	s->watch_sent_at = ctx->now;
+	msg = part_kv_call(PART_CONFIG, KV_WATCH, CONFIG_PREFIX,
+			   s->watch_token);
+	msg->u.kv_call.version = s->watch_revision;
+	msg->u.kv_call.wait_ms = WATCH_WAIT_MS;
+	part_emit(ctx, msg);
+}
+
+static void watch_again(void *arg, uint64_t unused, cs_time now)
+{
+	struct part_ctx *ctx = arg;
+
+	(void)unused;
+	(void)now;
+	ctx->parts.config->watch_timer = 0;
+	watch(ctx);
+}
+
+/* Jitter keeps the holders from calling together when the platform returns. */
+static void watch_later(struct part_ctx *ctx)
+{
+	struct config_sync *s = ctx->parts.config;
+	cs_time wait;
+
+	if (!s->holds_watch || s->watch_timer)
+		return;
+	s->backoff = CLAMP(2 * s->backoff, BACKOFF_MIN, BACKOFF_MAX);
+	wait = s->backoff / 2 +
+	       g_rand_int_range(ctx->rng, 0, (gint32)(s->backoff / 2));
+	s->watch_timer = timers_subscribe(ctx->timers, ctx->now + wait,
+					  watch_again, ctx, 0);
+}
+
+/*
+ * Rows are taken even from a watch that was given up: revisions only rise.
+ * After a failure the next watch reads all again, since it is not known what
+ * the platform kept.
+ */
+void config_watch_done(struct part_ctx *ctx, const struct kv_done *done)
+{
+	struct config_sync *s = ctx->parts.config;
+	const struct kv_row *row = config_row(done);
+	bool is_early;
+
+	if (row)
+		config_take(ctx, row->value, row->version, NULL);
+	if (done->token != s->watch_token)
+		return;
+	s->watch_token = 0;
+	if (done->result != KV_OK) {
+		counters_add(ctx->counters, "config_watch_failures_total", "",
+			     1);
+		s->watch_revision = 0;
+		watch_later(ctx);
+		return;
+	}
+	is_early = !done->rows_nr && ctx->now - s->watch_sent_at < WATCH_EARLY;
+	s->watch_revision = done->revision;
+	if (is_early) {
+		watch_later(ctx);
+		return;
+	}
+	s->backoff = 0;
+	watch(ctx);
+}
+
+static void log_watch(struct part_ctx *ctx, const char *event)
+{
+	GString *pairs = g_string_new(NULL);
+
+	log_pair(pairs, "event", event);
+	part_event(ctx, LOG_INFO, "config_watch", NULL, NULL, pairs);
+}
+
+static void claim(struct part_ctx *ctx)
+{
+	struct config_sync *s = ctx->parts.config;
+
+	s->holds_watch = true;
+	s->is_holder_lost = false;
+	s->watch_revision = 0;
+	s->backoff = 0;
+	log_watch(ctx, "watch_claimed");
+	watch(ctx);
+	config_heartbeat_local(ctx);
+}
+
+/* The watch that waits is left to end by itself. */
+void config_watch_yield(struct part_ctx *ctx)
+{
+	struct config_sync *s = ctx->parts.config;
+
+	s->holds_watch = false;
+	s->watch_token = 0;
+	timers_cancel(ctx->timers, s->watch_timer);
+	s->watch_timer = 0;
+	log_watch(ctx, "watch_yielded");
+}
+
+/* True if no peer of this data centre, or none that is up, has a lower id. */
+static bool is_lowest(const struct part_ctx *ctx, bool only_up)
+{
+	const struct config_sync *s = ctx->parts.config;
+	size_t i;
+
+	for (i = 0; i < s->peers_nr; i++)
+		if (s->peers[i].is_local && (s->peers[i].is_up || !only_up) &&
+		    strcmp(s->peers[i].id, ctx->options->id) < 0)
+			return false;
+	return true;
+}
+
+/*
+ * The lowest id always claims. If the holder is lost, the lowest that is up
+ * claims at once; the others wait for silence, in case it does not.
+ */
+void config_elect(struct part_ctx *ctx)
+{
+	struct config_sync *s = ctx->parts.config;
+	bool is_silent = ctx->now - s->holder_heard_at >= HOLDER_SILENT_AFTER;
+
+	if (s->holds_watch)
+		return;
+	if (is_lowest(ctx, false)) {
+		claim(ctx);
+		return;
+	}
+	if (MUTANT(ctx, "config-no-takeover"))
+		return;
+	if (is_silent || (s->is_holder_lost && is_lowest(ctx, true)))
+		claim(ctx);
+}
+
+/* Checks that the platform answers while nothing else would show it. */
+static void probe(struct part_ctx *ctx)
+{
+	struct config_sync *s = ctx->parts.config;
+	cs_time heard = MAX(s->platform_heard_at, s->outside_heard_at);
+
+	if (s->probe_token && ctx->now - s->probe_sent_at < PROBE_LOST_AFTER)
+		return;
+	if (s->probe_token)
+		s->is_platform_up = false;
+	s->probe_token = 0;
+	if (ctx->now - heard < PROBE_AFTER)
+		return;
+	s->probe_token = config_token(ctx);
+	s->probe_sent_at = ctx->now;
+	part_emit(ctx, part_kv_call(PART_CONFIG, KV_LIST, CONFIG_PREFIX "probe",
+				    s->probe_token));
+}
+
+void config_watch_tick(struct part_ctx *ctx)
+{
+	struct config_sync *s = ctx->parts.config;
+
+	if (!s->holds_watch)
+		return;
+	if (s->watch_token && ctx->now - s->watch_sent_at > WATCH_LOST_AFTER) {
+		counters_add(ctx->counters, "config_watch_failures_total", "",
+			     1);
+		s->watch_token = 0;
+		s->watch_revision = 0;
+		s->is_platform_up = false;
+		watch_later(ctx);
+	}
+	watch(ctx);
+	probe(ctx);
+}
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -172,6 +172,15 @@
 			part_table[i]->on_peer_state(&e->ctx, state);
 }
 
+void part_config_changed(struct part_ctx *ctx, const struct document *doc)
+{
+	int i;
+
+	for (i = 0; i < PART_NR; i++)
+		if (part_table[i]->on_config)
+			part_table[i]->on_config(ctx, doc);
+}
+
 static void drain(struct entry *e)
 {
 	int i;
--- a/src/entry/part.h
+++ b/src/entry/part.h
@@ -113,6 +113,9 @@
 /* Emits msg to the tasks; ownership passes. */
 void part_emit(struct part_ctx *ctx, struct msg *msg);
 
+/* Tells every part, in the order of the table, of the document in force. */
+void part_config_changed(struct part_ctx *ctx, const struct document *doc);
+
 /* A new platform call of that part, to be filled in and emitted. */
 struct msg *part_kv_call(enum part_id part, enum kv_op op, const char *key,
 			 uint64_t token);
