--- /dev/null
+++ b/tests/unit/test_config_sync.c
@@ -0,0 +1,731 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <string.h>
+
+#include "../../src/config/codec.h"
+#include "../../src/config/config_sync.h"
+#include "fake_config_kv.h"
+#include "sample_fleet.h"
+
+/*
+ * Config parts of several entries, joined by a queue of messages and a fake
+ * platform. Entries 0 and 1 are in data centre a, 2 and 3 in b, 4 and 5 in c.
+ */
+#define NODES 6
+
+struct cluster;
+
+struct node {
+	struct part_ctx ctx;
+	struct entry_options options;
+	struct cluster *cluster;
+	int index;
+	bool is_paused; /* takes no message and runs no timer */
+	bool is_platform_cut;
+	int changed; /* calls of part_config_changed() */
+	int code; /* of the last change, 1 while none has ended */
+	int answers;
+	uint64_t revision;
+	char detail[2048];
+};
+
+struct cluster {
+	struct node nodes[NODES];
+	struct entry_peer peers[NODES];
+	int nr;
+	bool is_up[NODES][NODES];
+	cs_time addressed[NODES][NODES];
+	cs_time longest_gap;
+	cs_time now;
+	GQueue mail; /* messages that an entry emitted, with its index */
+	struct fake_config_kv kv;
+};
+
+struct mail {
+	int from;
+	struct msg *msg;
+};
+
+/* The core's own function tells all parts; here it only counts. */
+void part_config_changed(struct part_ctx *ctx, const struct document *doc)
+{
+	assert_ptr_equal(doc, config_sync_document(ctx));
+	((struct node *)ctx)->changed++;
+}
+
+static void emit(void *arg, struct msg *msg)
+{
+	struct node *n = arg;
+	struct mail *mail = g_new0(struct mail, 1);
+
+	mail->from = n->index;
+	mail->msg = msg;
+	g_queue_push_tail(&n->cluster->mail, mail);
+}
+
+static const struct outbox_ops outbox = { emit };
+
+static void answer_kv(struct cluster *c, int node, struct msg *msg)
+{
+	if (!msg)
+		return;
+	c->nodes[node].ctx.now = c->now;
+	if (!c->nodes[node].is_paused)
+		config_sync_part.on_kv(&c->nodes[node].ctx, &msg->u.kv_done);
+	msg_free(msg);
+}
+
+static void deliver_peer(struct cluster *c, int from, struct msg *msg)
+{
+	int to = msg->u.peer.peer[1] - '0';
+
+	c->addressed[from][to] = c->now;
+	if (!c->is_up[from][to] || c->nodes[to].is_paused)
+		return;
+	g_strlcpy(msg->u.peer.peer, c->nodes[from].options.id, CS_NAME_MAX);
+	c->nodes[to].ctx.now = c->now;
+	config_sync_part.on_peer(&c->nodes[to].ctx, &msg->u.peer);
+}
+
+/* Delivers until nothing is under way. */
+static void pump(struct cluster *c)
+{
+	struct fake_config_answer ended;
+	struct mail *mail;
+
+	do {
+		while ((mail = g_queue_pop_head(&c->mail))) {
+			struct msg *msg = mail->msg;
+			struct node *n = &c->nodes[mail->from];
+
+			if (msg->type == MSG_PEER) {
+				deliver_peer(c, n->index, msg);
+			} else if (msg->type == MSG_KV_CALL) {
+				bool was_down = c->kv.is_down;
+
+				c->kv.is_down |= n->is_platform_cut;
+				answer_kv(c, n->index,
+					  fake_config_kv_call(&c->kv, n->index,
+							      &msg->u.kv_call,
+							      c->now));
+				c->kv.is_down = was_down;
+			}
+			msg_free(msg);
+			g_free(mail);
+		}
+		ended = fake_config_kv_poll(&c->kv, c->now);
+		if (ended.msg && c->nodes[ended.node].is_platform_cut)
+			ended.msg->u.kv_done.result = KV_UNKNOWN;
+		answer_kv(c, ended.node, ended.msg);
+	} while (ended.msg || !g_queue_is_empty(&c->mail));
+}
+
+static void run(struct cluster *c, int64_t ms)
+{
+	cs_time end = c->now + ms * CS_MSEC;
+	int i, k;
+
+	while (c->now < end) {
+		c->now += 10 * CS_MSEC;
+		for (i = 0; i < c->nr; i++) {
+			c->nodes[i].ctx.now = c->now;
+			if (!c->nodes[i].is_paused)
+				timers_advance(c->nodes[i].ctx.timers, c->now);
+		}
+		pump(c);
+		for (i = 0; i < c->nr; i++)
+			for (k = 0; k < c->nr; k++)
+				if (i != k && c->is_up[i][k])
+					c->longest_gap = MAX(
+						c->longest_gap,
+						c->now - c->addressed[i][k]);
+	}
+}
+
+static void set_link(struct cluster *c, int a, int b, bool is_up)
+{
+	int ends[2] = { a, b }, i;
+
+	if (c->is_up[a][b] == is_up)
+		return;
+	c->is_up[a][b] = c->is_up[b][a] = is_up;
+	for (i = 0; i < 2; i++) {
+		struct peer_state st = { .is_up = is_up, .incarnation = 1 };
+
+		g_strlcpy(st.peer, c->peers[ends[!i]].id, CS_NAME_MAX);
+		c->nodes[ends[i]].ctx.now = c->now;
+		config_sync_part.on_peer_state(&c->nodes[ends[i]].ctx, &st);
+	}
+}
+
+static void set_links(struct cluster *c, int a, bool is_up)
+{
+	int b;
+
+	for (b = 0; b < c->nr; b++)
+		if (b != a)
+			set_link(c, a, b, is_up);
+}
+
+static void add_node(struct cluster *c, int i)
+{
+	struct node *n = &c->nodes[i];
+
+	n->cluster = c;
+	n->index = i;
+	n->options.incarnation = 1;
+	n->options.peers = c->peers;
+	n->options.peers_nr = (size_t)c->nr;
+	g_strlcpy(n->options.id, c->peers[i].id, CS_NAME_MAX);
+	g_strlcpy(n->options.data_centre, c->peers[i].data_centre, CS_NAME_MAX);
+	n->ctx.options = &n->options;
+	n->ctx.timers = timers_create();
+	n->ctx.counters = counters_create();
+	n->ctx.rng = g_rand_new_with_seed(1);
+	n->ctx.outbox = &outbox;
+	n->ctx.outbox_ctx = n;
+	n->ctx.now = c->now;
+	assert_int_equal(config_sync_part.create(&n->ctx, NULL), CS_OK);
+}
+
+static void put_document(struct cluster *c, struct document *doc,
+			 uint64_t revision)
+{
+	GBytes *bytes;
+
+	document_set_revision(doc, revision);
+	bytes = document_codec_json.encode(doc);
+	fake_config_kv_put(&c->kv, "config/fleet", bytes);
+	g_bytes_unref(bytes);
+	document_destroy(doc);
+}
+
+/* A started cluster; the platform holds a document of revision 1. */
+static struct cluster *cluster_create(int nr, bool is_down)
+{
+	struct cluster *c = g_new0(struct cluster, 1);
+	int i, k;
+
+	c->nr = nr;
+	c->now = 100 * CS_SEC;
+	g_queue_init(&c->mail);
+	fake_config_kv_init(&c->kv);
+	put_document(c, sample_fleet(2, 8, 2, 2), 1);
+	c->kv.is_down = is_down;
+	for (i = 0; i < nr; i++) {
+		g_snprintf(c->peers[i].id, CS_NAME_MAX, "e%d", i);
+		g_snprintf(c->peers[i].data_centre, CS_NAME_MAX, "%c",
+			   'a' + i / 2);
+	}
+	for (i = 0; i < nr; i++)
+		add_node(c, i);
+	for (i = 0; i < nr; i++)
+		config_sync_part.start(&c->nodes[i].ctx);
+	for (i = 0; i < nr; i++)
+		for (k = 0; k < i; k++)
+			set_link(c, i, k, true);
+	pump(c);
+	return c;
+}
+
+static void cluster_destroy(struct cluster *c)
+{
+	struct mail *mail;
+	int i;
+
+	for (i = 0; i < c->nr; i++) {
+		config_sync_part.destroy(&c->nodes[i].ctx);
+		timers_destroy(c->nodes[i].ctx.timers);
+		counters_destroy(c->nodes[i].ctx.counters);
+		g_rand_free(c->nodes[i].ctx.rng);
+	}
+	while ((mail = g_queue_pop_head(&c->mail))) {
+		msg_free(mail->msg);
+		g_free(mail);
+	}
+	fake_config_kv_clear(&c->kv);
+	g_free(c);
+}
+
+static uint64_t revision(const struct cluster *c, int i)
+{
+	return document_revision(config_sync_document(&c->nodes[i].ctx));
+}
+
+static int64_t counter(const struct cluster *c, int i, const char *name,
+		       const char *labels)
+{
+	return counters_value(c->nodes[i].ctx.counters, name, labels);
+}
+
+static void changed(struct part_ctx *ctx, uint64_t ref, int code, uint64_t rev,
+		    const char *detail)
+{
+	struct node *n = (struct node *)ctx;
+
+	(void)ref;
+	n->answers++;
+	n->code = code;
+	n->revision = rev;
+	g_strlcpy(n->detail, detail, sizeof(n->detail));
+}
+
+/* Asks entry i for a pool of that name; the answer comes with run(). */
+static void ask(struct cluster *c, int i, const char *pool, uint64_t expected)
+{
+	struct change change = { .op = CHANGE_POOL_SET, .budget_percent = 10 };
+	struct node *n = &c->nodes[i];
+
+	g_strlcpy(change.name, pool, CS_NAME_MAX);
+	n->code = 1;
+	n->answers = 0;
+	n->ctx.now = c->now;
+	config_sync_change(&n->ctx, 7, &change, 1, expected, false, changed);
+}
+
+static bool has_pool(const struct cluster *c, int i, const char *pool)
+{
+	return document_pool(config_sync_document(&c->nodes[i].ctx), pool);
+}
+
+static void expect_all(const struct cluster *c, uint64_t expected)
+{
+	int i;
+
+	for (i = 0; i < c->nr; i++)
+		if (!c->nodes[i].is_paused)
+			assert_int_equal(revision(c, i), expected);
+}
+
+/* An accepted change must be in force everywhere, and be seen so (I12). */
+static void change_reaches_all(void **state)
+{
+	struct cluster *c = cluster_create(NODES, false);
+	GString *json = g_string_new(NULL);
+	cs_time age;
+	int i, calls;
+
+	(void)state;
+	expect_all(c, 1);
+	run(c, 5000);
+	calls = c->kv.calls;
+	c->longest_gap = 0;
+	run(c, 20000);
+	/* one watch of 10 s for each of 3 data centres, and no other call */
+	assert_in_range(c->kv.calls - calls, 3, 9);
+	assert_true(c->longest_gap <= 1 * CS_SEC);
+	ask(c, 3, "new", 1);
+	run(c, 10);
+	assert_int_equal(c->nodes[3].code, CS_OK);
+	assert_int_equal(c->nodes[3].revision, 2);
+	assert_string_equal(c->nodes[3].detail,
+			    "+ pool new is_spare=false budget_percent=10\n");
+	expect_all(c, 2);
+	run(c, 1000);
+	for (i = 0; i < NODES; i++) {
+		assert_int_equal(c->nodes[i].changed, 2);
+		if (i == 3)
+			continue;
+		assert_int_equal(config_sync_peer_revision(&c->nodes[3].ctx,
+							   c->peers[i].id,
+							   &age),
+				 2);
+		assert_true(age <= 1 * CS_SEC);
+	}
+	config_sync_history(&c->nodes[0].ctx, json);
+	assert_non_null(strstr(json->str, "\"revision\":2"));
+	assert_non_null(strstr(json->str, "+ pool new is_spare"));
+	g_string_free(json, TRUE);
+	cluster_destroy(c);
+}
+
+/* With the watch gone everywhere, heartbeats must still bring a change. */
+static void heartbeats_bring_a_change(void **state)
+{
+	struct cluster *c = cluster_create(NODES, false);
+	int i;
+
+	(void)state;
+	for (i = 1; i < NODES; i++)
+		c->nodes[i].is_platform_cut = true;
+	/* 0 is cut off from all but 5, which is no contact of c */
+	for (i = 1; i < 5; i++)
+		set_link(c, 0, i, false);
+	ask(c, 0, "new", 0);
+	run(c, 5000);
+	expect_all(c, 2);
+	cluster_destroy(c);
+}
+
+/* Of two operators one must learn what the other did, not overwrite it. */
+static void operators_race(void **state)
+{
+	struct cluster *c = cluster_create(NODES, false);
+	int winner, loser, i;
+
+	(void)state;
+	ask(c, 1, "one", 1);
+	ask(c, 4, "two", 1);
+	run(c, 10);
+	winner = c->nodes[1].code == CS_OK ? 1 : 4;
+	loser = 5 - winner;
+	assert_int_equal(c->nodes[winner].code, CS_OK);
+	assert_int_equal(c->nodes[loser].code, CS_ERR_CONFLICT);
+	assert_non_null(strstr(c->nodes[loser].detail,
+			       "revision 1 was expected, 2 is present\n"
+			       "+ pool "));
+	expect_all(c, 2);
+	for (i = 0; i < NODES; i++)
+		ask(c, i, c->peers[i].id, 0);
+	run(c, 1000);
+	for (i = 0; i < NODES; i++) {
+		assert_int_equal(c->nodes[i].answers, 1);
+		if (c->nodes[i].code == CS_OK)
+			assert_true(has_pool(c, 2, c->peers[i].id));
+		else
+			assert_false(has_pool(c, 2, c->peers[i].id));
+	}
+	/* five tries are enough for five others that write once each */
+	assert_int_equal(revision(c, 2) >= 2 + 5, 1);
+	cluster_destroy(c);
+}
+
+/* A lost answer is no failure: the change is in force (I12). */
+static void lost_answer_is_settled(void **state)
+{
+	struct cluster *c = cluster_create(2, false);
+
+	(void)state;
+	c->kv.lose_answers = 1;
+	ask(c, 0, "one", 0);
+	run(c, 10);
+	assert_int_equal(c->nodes[0].code, CS_OK);
+	assert_int_equal(c->nodes[0].revision, 2);
+	/* the call itself was lost: it is made again */
+	c->kv.lose_calls = 1;
+	ask(c, 1, "two", 2);
+	run(c, 10);
+	assert_int_equal(c->nodes[1].code, CS_OK);
+	assert_int_equal(c->nodes[1].revision, 3);
+	expect_all(c, 3);
+	/* lost for good: the outcome stays unknown, and is said to be so */
+	c->kv.lose_calls = 1000;
+	ask(c, 1, "three", 0);
+	run(c, 4900);
+	assert_int_equal(c->nodes[1].answers, 0);
+	run(c, 700);
+	assert_int_equal(c->nodes[1].code, CS_ERR_TIMEOUT);
+	assert_int_equal(c->nodes[1].answers, 1);
+	expect_all(c, 3);
+	cluster_destroy(c);
+}
+
+/* A lost answer whose row another operator has replaced since. */
+static void lost_answer_behind_another_change(void **state)
+{
+	struct cluster *c = cluster_create(NODES, false);
+
+	(void)state;
+	c->kv.lose_answers = 1;
+	ask(c, 0, "one", 0);
+	ask(c, 5, "two", 0);
+	run(c, 1000);
+	assert_int_equal(c->nodes[0].code, CS_OK);
+	assert_int_equal(c->nodes[5].code, CS_OK);
+	assert_int_equal(c->nodes[0].answers, 1);
+	assert_true(has_pool(c, 3, "one") && has_pool(c, 3, "two"));
+	expect_all(c, 3);
+	cluster_destroy(c);
+}
+
+/* While the platform is down nothing may be accepted, nor wait for ever. */
+static void platform_down_refuses_changes(void **state)
+{
+	struct cluster *c = cluster_create(2, false);
+
+	(void)state;
+	c->kv.is_down = true;
+	ask(c, 0, "one", 0);
+	run(c, 1000);
+	assert_int_equal(c->nodes[0].code, CS_ERR_IO);
+	assert_false(config_sync_platform_up(&c->nodes[0].ctx));
+	assert_false(config_sync_platform_up(&c->nodes[1].ctx));
+	c->kv.is_down = false;
+	run(c, 3000);
+	assert_true(config_sync_platform_up(&c->nodes[0].ctx));
+	assert_true(config_sync_platform_up(&c->nodes[1].ctx));
+	expect_all(c, 1);
+	cluster_destroy(c);
+}
+
+static void send_config(struct cluster *c, int from, int to, GBytes *bytes,
+			uint64_t rev)
+{
+	struct peer_msg msg = { .kind = PEER_CONFIG };
+
+	g_strlcpy(msg.peer, c->peers[from].id, CS_NAME_MAX);
+	msg.u.config.revision = rev;
+	msg.u.config.document = bytes;
+	config_sync_part.on_peer(&c->nodes[to].ctx, &msg);
+	g_bytes_unref(bytes);
+}
+
+static GBytes *encoded(struct document *doc, uint64_t rev)
+{
+	GBytes *bytes;
+
+	document_set_revision(doc, rev);
+	bytes = document_codec_json.encode(doc);
+	document_destroy(doc);
+	return bytes;
+}
+
+/* No source may bring back an old document or a damaged one (I12). */
+static void bad_documents_are_refused(void **state)
+{
+	struct cluster *c = cluster_create(2, false);
+	struct document *invalid = sample_fleet(2, 8, 2, 2);
+	struct change limit = { .op = CHANGE_TEAM_SET,
+				.name = "team-0",
+				.share = 1,
+				.limit = 1000000 };
+
+	(void)state;
+	ask(c, 0, "one", 0);
+	run(c, 10);
+	send_config(c, 1, 0, encoded(sample_fleet(2, 8, 2, 2), 1), 1);
+	send_config(c, 1, 0, encoded(sample_fleet(2, 8, 2, 2), 2), 2);
+	send_config(c, 1, 0, g_bytes_new_static("{\"a\":", 5), 9);
+	sample_apply(invalid, limit);
+	send_config(c, 1, 0, encoded(invalid, 3), 3);
+	assert_int_equal(revision(c, 0), 2);
+	assert_true(has_pool(c, 0, "one"));
+	assert_int_equal(
+		counter(c, 0, "config_refused_total", "reason=\"older\""), 1);
+	assert_int_equal(
+		counter(c, 0, "config_refused_total", "reason=\"content\""), 1);
+	assert_int_equal(
+		counter(c, 0, "config_refused_total", "reason=\"decode\""), 1);
+	assert_int_equal(
+		counter(c, 0, "config_refused_total", "reason=\"check\""), 1);
+	/* the platform was restored to an older state */
+	put_document(c, sample_fleet(2, 8, 2, 2), 1);
+	run(c, 1000);
+	expect_all(c, 2);
+	ask(c, 1, "two", 0);
+	run(c, 10);
+	assert_int_equal(c->nodes[1].revision, 3);
+	assert_true(has_pool(c, 0, "one"));
+	cluster_destroy(c);
+}
+
+/* An entry that starts while the platform is down asks its peers (3.3). */
+static void starts_without_platform(void **state)
+{
+	struct cluster *c = cluster_create(4, true);
+
+	(void)state;
+	run(c, 3000);
+	expect_all(c, 0);
+	send_config(c, 2, 3, encoded(sample_fleet(2, 8, 2, 2), 4), 4);
+	send_config(c, 2, 3, encoded(sample_fleet(2, 8, 2, 2), 5), 5);
+	run(c, 2000);
+	expect_all(c, 5);
+	cluster_destroy(c);
+}
+
+/* A holder that dies or hangs must not stop changes from arriving (I12). */
+static void watch_is_taken_over(void **state)
+{
+	struct cluster *c = cluster_create(NODES, false);
+	int i;
+
+	(void)state;
+	run(c, 1000);
+	/* killed: its connections end */
+	c->nodes[0].is_paused = true;
+	set_links(c, 0, false);
+	/* hangs: nothing but silence */
+	c->nodes[2].is_paused = true;
+	run(c, 1900);
+	/* only the watches of this data centre's followers may bring it */
+	for (i = 0; i < 4; i++)
+		c->is_up[i][4] = c->is_up[i][5] = c->is_up[4][i] =
+			c->is_up[5][i] = false;
+	c->is_up[1][3] = c->is_up[3][1] = false;
+	put_document(c, sample_fleet(2, 9, 2, 2), 2);
+	run(c, 1600);
+	expect_all(c, 2);
+	/* the lowest id returns and the watch is held once again */
+	for (i = 0; i < NODES; i++)
+		c->nodes[i].is_paused = false;
+	set_links(c, 0, true);
+	run(c, 12000);
+	i = c->kv.calls;
+	run(c, 20000);
+	assert_in_range(c->kv.calls - i, 3, 9);
+	expect_all(c, 2);
+	cluster_destroy(c);
+}
+
+/* Isolation must be known after 5 s, and never be claimed wrongly (3.3). */
+static void isolation_is_known(void **state)
+{
+	struct cluster *c = cluster_create(4, false);
+	int i, k;
+
+	(void)state;
+	run(c, 20000);
+	for (i = 0; i < 2; i++) {
+		c->nodes[i].is_platform_cut = true;
+		for (k = 2; k < 4; k++)
+			set_link(c, i, k, false);
+	}
+	run(c, 2500);
+	assert_false(config_sync_is_isolated(&c->nodes[0].ctx));
+	assert_false(config_sync_is_isolated(&c->nodes[1].ctx));
+	run(c, 2600);
+	assert_true(config_sync_is_isolated(&c->nodes[0].ctx));
+	assert_true(config_sync_is_isolated(&c->nodes[1].ctx));
+	assert_false(config_sync_is_isolated(&c->nodes[3].ctx));
+	set_link(c, 1, 3, true);
+	run(c, 1000);
+	assert_false(config_sync_is_isolated(&c->nodes[1].ctx));
+	assert_true(config_sync_is_isolated(&c->nodes[0].ctx));
+	cluster_destroy(c);
+}
+
+/* With one data centre only the platform shows that it is not isolated. */
+static void single_data_centre_is_not_isolated(void **state)
+{
+	struct cluster *c = cluster_create(2, false);
+	int i;
+
+	(void)state;
+	for (i = 0; i < 200; i++) {
+		run(c, 100);
+		assert_false(config_sync_is_isolated(&c->nodes[0].ctx));
+		assert_false(config_sync_is_isolated(&c->nodes[1].ctx));
+	}
+	c->kv.is_down = true;
+	run(c, 5100);
+	assert_true(config_sync_is_isolated(&c->nodes[0].ctx));
+	assert_true(config_sync_is_isolated(&c->nodes[1].ctx));
+	cluster_destroy(c);
+}
+
+static void jump(struct cluster *c, int i)
+{
+	c->nodes[i].ctx.now = c->now;
+	config_sync_part.on_jump(&c->nodes[i].ctx);
+	assert_false(config_sync_is_fresh(&c->nodes[i].ctx));
+}
+
+/* A resumed entry must not work with an old document (I4, I6). */
+static void jump_asks_again(void **state)
+{
+	struct cluster *c = cluster_create(4, false);
+	int i;
+
+	(void)state;
+	run(c, 3000);
+	/* the platform answers */
+	c->nodes[1].is_paused = true;
+	run(c, 5000);
+	ask(c, 2, "one", 0);
+	run(c, 3000);
+	c->nodes[1].is_paused = false;
+	assert_int_equal(revision(c, 1), 1);
+	jump(c, 1);
+	pump(c);
+	assert_true(config_sync_is_fresh(&c->nodes[1].ctx));
+	assert_int_equal(revision(c, 1), 2);
+	/* only an entry of another data centre answers */
+	c->nodes[1].is_platform_cut = true;
+	jump(c, 1);
+	pump(c);
+	assert_true(config_sync_is_fresh(&c->nodes[1].ctx));
+	/* nobody answers */
+	for (i = 2; i < 4; i++)
+		set_link(c, 1, i, false);
+	jump(c, 1);
+	run(c, 900);
+	assert_false(config_sync_is_fresh(&c->nodes[1].ctx));
+	run(c, 100);
+	assert_true(config_sync_is_fresh(&c->nodes[1].ctx));
+	cluster_destroy(c);
+}
+
+/* All faults of a request at once, and nothing written for a dry run. */
+static void refusals_and_dry_runs_write_nothing(void **state)
+{
+	static const struct change bad[] = {
+		{ .op = CHANGE_HOST_MOVE, .name = "host-0", .pool = "pool-1" },
+		{ .op = CHANGE_TEAM_REMOVE, .name = "none" },
+		{ .op = CHANGE_TEAM_SET,
+		  .name = "team-0",
+		  .share = 1,
+		  .limit = 1000 },
+	};
+	struct cluster *c = cluster_create(2, false);
+	struct part_ctx *ctx = &c->nodes[0].ctx;
+	struct document *doc = sample_fleet(2, 7, 2, 2);
+
+	(void)state;
+	config_sync_change(ctx, 1, bad, 3, 0, false, changed);
+	run(c, 10);
+	assert_int_equal(c->nodes[0].code, CS_ERR_INVALID);
+	assert_string_equal(
+		c->nodes[0].detail,
+		"change 1 (host-move): host host-0 is not empty\n"
+		"change 2 (team-remove): team \"none\" does not exist\n"
+		"team team-0: limit 1000 is above the 256 slots of the "
+		"fleet\n");
+	config_sync_replace(ctx, 1, doc, 0, false, changed);
+	run(c, 10);
+	assert_int_equal(c->nodes[0].code, CS_ERR_INVALID);
+	assert_non_null(strstr(c->nodes[0].detail, "host host-7: must be "));
+	document_destroy(doc);
+	doc = sample_fleet(2, 9, 2, 2);
+	config_sync_replace(ctx, 1, doc, 0, true, changed);
+	run(c, 10);
+	assert_int_equal(c->nodes[0].code, CS_OK);
+	assert_int_equal(c->nodes[0].revision, 2);
+	assert_non_null(strstr(c->nodes[0].detail, "+ host host-8"));
+	expect_all(c, 1);
+	config_sync_replace(ctx, 1, doc, 1, false, changed);
+	run(c, 10);
+	assert_int_equal(c->nodes[0].code, CS_OK);
+	expect_all(c, 2);
+	/* the same once more changes nothing and writes nothing */
+	config_sync_replace(ctx, 1, doc, 2, false, changed);
+	run(c, 10);
+	assert_int_equal(c->nodes[0].code, CS_OK);
+	expect_all(c, 2);
+	document_destroy(doc);
+	cluster_destroy(c);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(change_reaches_all),
+		cmocka_unit_test(heartbeats_bring_a_change),
+		cmocka_unit_test(operators_race),
+		cmocka_unit_test(lost_answer_is_settled),
+		cmocka_unit_test(lost_answer_behind_another_change),
+		cmocka_unit_test(platform_down_refuses_changes),
+		cmocka_unit_test(bad_documents_are_refused),
+		cmocka_unit_test(starts_without_platform),
+		cmocka_unit_test(watch_is_taken_over),
+		cmocka_unit_test(isolation_is_known),
+		cmocka_unit_test(single_data_centre_is_not_isolated),
+		cmocka_unit_test(jump_asks_again),
+		cmocka_unit_test(refusals_and_dry_runs_write_nothing),
+	};
+
+	return cmocka_run_group_tests_name("config_sync", tests, NULL, NULL);
+}
