--- a/tests/unit/sample_fleet.c
+++ b/tests/unit/sample_fleet.c
@@ -1,10 +1,5 @@
 #include "sample_fleet.h"
 
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stddef.h>
-#include <stdint.h>
-#include <cmocka.h>
 #include <string.h>
 
 #define NAME(change, ...) g_snprintf((change).name, CS_NAME_MAX, __VA_ARGS__)
--- a/tests/unit/sample_fleet.h
+++ b/tests/unit/sample_fleet.h
@@ -1,6 +1,12 @@
 #ifndef SAMPLE_FLEET_H
 #define SAMPLE_FLEET_H
 
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
 #include "../../src/config/document.h"
 
 /* Applies one change and asserts that it is taken. */
--- a/tests/unit/test_codec.c
+++ b/tests/unit/test_codec.c
@@ -1,8 +1,3 @@
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stddef.h>
-#include <stdint.h>
-#include <cmocka.h>
 #include <string.h>
 
 #include "../../src/config/codec.h"
--- a/tests/unit/test_config_sync.c
+++ b/tests/unit/test_config_sync.c
@@ -1,8 +1,3 @@
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stddef.h>
-#include <stdint.h>
-#include <cmocka.h>
 #include <string.h>
 
 #include "../../src/config/codec.h"
@@ -40,15 +35,10 @@
 	cs_time addressed[NODES][NODES];
 	cs_time longest_gap;
 	cs_time now;
-	GQueue mail; /* messages that an entry emitted, with its index */
+	GQueue mail; /* an entry and its message in turn */
 	struct fake_config_kv kv;
 };
 
-struct mail {
-	int from;
-	struct msg *msg;
-};
-
 /* The core's own function tells all parts; here it only counts. */
 void part_config_changed(struct part_ctx *ctx, const struct document *doc)
 {
@@ -59,11 +49,9 @@
 static void emit(void *arg, struct msg *msg)
 {
 	struct node *n = arg;
-	struct mail *mail = g_new0(struct mail, 1);
 
-	mail->from = n->index;
-	mail->msg = msg;
-	g_queue_push_tail(&n->cluster->mail, mail);
+	g_queue_push_tail(&n->cluster->mail, n);
+	g_queue_push_tail(&n->cluster->mail, msg);
 }
 
 static const struct outbox_ops outbox = { emit };
@@ -90,31 +78,32 @@
 	config_sync_part.on_peer(&c->nodes[to].ctx, &msg->u.peer);
 }
 
+static void call_kv(struct cluster *c, struct node *n,
+		    const struct kv_call *call)
+{
+	bool was_down = c->kv.is_down;
+
+	c->kv.is_down |= n->is_platform_cut;
+	answer_kv(c, n->index,
+		  fake_config_kv_call(&c->kv, n->index, call, c->now));
+	c->kv.is_down = was_down;
+}
+
 /* Delivers until nothing is under way. */
 static void pump(struct cluster *c)
 {
 	struct fake_config_answer ended;
-	struct mail *mail;
+	struct node *n;
 
 	do {
-		while ((mail = g_queue_pop_head(&c->mail))) {
-			struct msg *msg = mail->msg;
-			struct node *n = &c->nodes[mail->from];
+		while ((n = g_queue_pop_head(&c->mail))) {
+			struct msg *msg = g_queue_pop_head(&c->mail);
 
-			if (msg->type == MSG_PEER) {
+			if (msg->type == MSG_PEER)
 				deliver_peer(c, n->index, msg);
-			} else if (msg->type == MSG_KV_CALL) {
-				bool was_down = c->kv.is_down;
-
-				c->kv.is_down |= n->is_platform_cut;
-				answer_kv(c, n->index,
-					  fake_config_kv_call(&c->kv, n->index,
-							      &msg->u.kv_call,
-							      c->now));
-				c->kv.is_down = was_down;
-			}
+			else if (msg->type == MSG_KV_CALL)
+				call_kv(c, n, &msg->u.kv_call);
 			msg_free(msg);
-			g_free(mail);
 		}
 		ended = fake_config_kv_poll(&c->kv, c->now);
 		if (ended.msg && c->nodes[ended.node].is_platform_cut)
@@ -191,16 +180,23 @@
 	assert_int_equal(config_sync_part.create(&n->ctx, NULL), CS_OK);
 }
 
-static void put_document(struct cluster *c, struct document *doc,
-			 uint64_t revision)
+/* The encoding of doc as that revision; doc is released. */
+static GBytes *encoded(struct document *doc, uint64_t rev)
 {
 	GBytes *bytes;
 
-	document_set_revision(doc, revision);
+	document_set_revision(doc, rev);
 	bytes = document_codec_json.encode(doc);
+	document_destroy(doc);
+	return bytes;
+}
+
+static void put_document(struct cluster *c, struct document *doc, uint64_t rev)
+{
+	GBytes *bytes = encoded(doc, rev);
+
 	fake_config_kv_put(&c->kv, "config/fleet", bytes);
 	g_bytes_unref(bytes);
-	document_destroy(doc);
 }
 
 /* A started cluster; the platform holds a document of revision 1. */
@@ -233,7 +229,6 @@
 
 static void cluster_destroy(struct cluster *c)
 {
-	struct mail *mail;
 	int i;
 
 	for (i = 0; i < c->nr; i++) {
@@ -242,10 +237,8 @@
 		counters_destroy(c->nodes[i].ctx.counters);
 		g_rand_free(c->nodes[i].ctx.rng);
 	}
-	while ((mail = g_queue_pop_head(&c->mail))) {
-		msg_free(mail->msg);
-		g_free(mail);
-	}
+	while (g_queue_pop_head(&c->mail))
+		msg_free(g_queue_pop_head(&c->mail));
 	fake_config_kv_clear(&c->kv);
 	g_free(c);
 }
@@ -255,10 +248,15 @@
 	return document_revision(config_sync_document(&c->nodes[i].ctx));
 }
 
-static int64_t counter(const struct cluster *c, int i, const char *name,
-		       const char *labels)
+/* One document was refused for that reason. */
+static void expect_refused(const struct cluster *c, int i, const char *reason)
 {
-	return counters_value(c->nodes[i].ctx.counters, name, labels);
+	char labels[48];
+
+	g_snprintf(labels, sizeof(labels), "reason=\"%s\"", reason);
+	assert_int_equal(counters_value(c->nodes[i].ctx.counters,
+					"config_refused_total", labels),
+			 1);
 }
 
 static void changed(struct part_ctx *ctx, uint64_t ref, int code, uint64_t rev,
@@ -473,16 +471,6 @@
 	g_bytes_unref(bytes);
 }
 
-static GBytes *encoded(struct document *doc, uint64_t rev)
-{
-	GBytes *bytes;
-
-	document_set_revision(doc, rev);
-	bytes = document_codec_json.encode(doc);
-	document_destroy(doc);
-	return bytes;
-}
-
 /* No source may bring back an old document or a damaged one (I12). */
 static void bad_documents_are_refused(void **state)
 {
@@ -503,14 +491,10 @@
 	send_config(c, 1, 0, encoded(invalid, 3), 3);
 	assert_int_equal(revision(c, 0), 2);
 	assert_true(has_pool(c, 0, "one"));
-	assert_int_equal(
-		counter(c, 0, "config_refused_total", "reason=\"older\""), 1);
-	assert_int_equal(
-		counter(c, 0, "config_refused_total", "reason=\"content\""), 1);
-	assert_int_equal(
-		counter(c, 0, "config_refused_total", "reason=\"decode\""), 1);
-	assert_int_equal(
-		counter(c, 0, "config_refused_total", "reason=\"check\""), 1);
+	expect_refused(c, 0, "older");
+	expect_refused(c, 0, "content");
+	expect_refused(c, 0, "decode");
+	expect_refused(c, 0, "check");
 	/* the platform was restored to an older state */
 	put_document(c, sample_fleet(2, 8, 2, 2), 1);
 	run(c, 1000);
--- a/tests/unit/test_document.c
+++ b/tests/unit/test_document.c
@@ -1,8 +1,3 @@
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stddef.h>
-#include <stdint.h>
-#include <cmocka.h>
 #include <string.h>
 
 #include "sample_fleet.h"
@@ -35,6 +30,8 @@
 	return apply(doc, c);
 }
 
+#define HOST(op, host, pool, code)                                             \
+	assert_int_equal(host_op(doc, CHANGE_HOST_##op, host, pool), code)
 #define INVALID(doc, ...)                                                      \
 	assert_int_equal(apply(doc, (struct change){ __VA_ARGS__ }),           \
 			 CS_ERR_INVALID)
@@ -124,21 +121,19 @@
 	struct change out = { .op = CHANGE_DATA_CENTRE_OUT, .name = "a" };
 
 	(void)state;
-	assert_int_equal(host_op(doc, CHANGE_HOST_DRAIN, "host-0", ""), CS_OK);
+	HOST(DRAIN, "host-0", "", CS_OK);
 	/* the same rack */
-	assert_int_equal(host_op(doc, CHANGE_HOST_DRAIN, "host-2", ""),
-			 CS_ERR_INVALID);
+	HOST(DRAIN, "host-2", "", CS_ERR_INVALID);
 	/* the rack of that name in another data centre */
-	assert_int_equal(host_op(doc, CHANGE_HOST_DRAIN, "host-1", ""), CS_OK);
-	assert_int_equal(host_op(doc, CHANGE_HOST_DRAIN, "host-8", ""), CS_OK);
-	assert_int_equal(host_op(doc, CHANGE_HOST_DRAIN, "host-16", ""), CS_OK);
-	assert_int_equal(host_op(doc, CHANGE_HOST_DRAIN, "host-24", ""), CS_OK);
+	HOST(DRAIN, "host-1", "", CS_OK);
+	HOST(DRAIN, "host-8", "", CS_OK);
+	HOST(DRAIN, "host-16", "", CS_OK);
+	HOST(DRAIN, "host-24", "", CS_OK);
 	/* 20% of 20 hosts are down */
-	assert_int_equal(host_op(doc, CHANGE_HOST_DRAIN, "host-32", ""),
-			 CS_ERR_INVALID);
+	HOST(DRAIN, "host-32", "", CS_ERR_INVALID);
 	sample_apply(doc, out);
-	assert_int_equal(host_op(doc, CHANGE_HOST_DRAIN, "host-32", ""), CS_OK);
-	assert_int_equal(host_op(doc, CHANGE_HOST_DRAIN, "host-2", ""), CS_OK);
+	HOST(DRAIN, "host-32", "", CS_OK);
+	HOST(DRAIN, "host-2", "", CS_OK);
 	document_destroy(doc);
 }
 
@@ -150,11 +145,10 @@
 	struct change out = { .op = CHANGE_DATA_CENTRE_OUT, .name = "a" };
 
 	(void)state;
-	assert_int_equal(host_op(doc, CHANGE_HOST_DRAIN, "host-0", ""), CS_OK);
-	assert_int_equal(host_op(doc, CHANGE_HOST_DRAIN, "host-10", ""),
-			 CS_ERR_INVALID);
+	HOST(DRAIN, "host-0", "", CS_OK);
+	HOST(DRAIN, "host-10", "", CS_ERR_INVALID);
 	sample_apply(doc, out);
-	assert_int_equal(host_op(doc, CHANGE_HOST_DRAIN, "host-10", ""), CS_OK);
+	HOST(DRAIN, "host-10", "", CS_OK);
 	document_destroy(doc);
 }
 
@@ -168,11 +162,10 @@
 
 	(void)state;
 	sample_apply(doc, c);
-	assert_int_equal(host_op(doc, CHANGE_HOST_DRAIN, "host-0", ""),
-			 CS_ERR_INVALID);
+	HOST(DRAIN, "host-0", "", CS_ERR_INVALID);
 	c.budget_percent = 100;
 	sample_apply(doc, c);
-	assert_int_equal(host_op(doc, CHANGE_HOST_DRAIN, "host-0", ""), CS_OK);
+	HOST(DRAIN, "host-0", "", CS_OK);
 	document_destroy(doc);
 }
 
@@ -188,23 +181,17 @@
 
 	(void)state;
 	assert_int_equal(apply(doc, set), CS_ERR_INVALID);
-	assert_int_equal(host_op(doc, CHANGE_HOST_MOVE, "host-0", "pool-1"),
-			 CS_ERR_INVALID);
-	assert_int_equal(host_op(doc, CHANGE_HOST_EMPTY, "host-0", ""),
-			 CS_ERR_INVALID);
-	assert_int_equal(host_op(doc, CHANGE_HOST_RETURN, "host-0", ""),
-			 CS_ERR_INVALID);
-	assert_int_equal(host_op(doc, CHANGE_HOST_DRAIN, "host-0", ""), CS_OK);
-	assert_int_equal(host_op(doc, CHANGE_HOST_DRAIN, "host-0", ""),
-			 CS_ERR_INVALID);
-	assert_int_equal(host_op(doc, CHANGE_HOST_MOVE, "host-0", "pool-1"),
-			 CS_ERR_INVALID);
+	HOST(MOVE, "host-0", "pool-1", CS_ERR_INVALID);
+	HOST(EMPTY, "host-0", "", CS_ERR_INVALID);
+	HOST(RETURN, "host-0", "", CS_ERR_INVALID);
+	HOST(DRAIN, "host-0", "", CS_OK);
+	HOST(DRAIN, "host-0", "", CS_ERR_INVALID);
+	HOST(MOVE, "host-0", "pool-1", CS_ERR_INVALID);
 	assert_string_equal(document_host(doc, "host-0")->pool, "pool-0");
-	assert_int_equal(host_op(doc, CHANGE_HOST_EMPTY, "host-0", ""), CS_OK);
-	assert_int_equal(host_op(doc, CHANGE_HOST_MOVE, "host-0", "pool-1"),
-			 CS_OK);
+	HOST(EMPTY, "host-0", "", CS_OK);
+	HOST(MOVE, "host-0", "pool-1", CS_OK);
 	assert_string_equal(document_host(doc, "host-0")->pool, "pool-1");
-	assert_int_equal(host_op(doc, CHANGE_HOST_RETURN, "host-0", ""), CS_OK);
+	HOST(RETURN, "host-0", "", CS_OK);
 	assert_int_equal(document_host(doc, "host-0")->state, HOST_ASSIGNED);
 	document_destroy(doc);
 }
