--- a/src/entry/part.h
+++ b/src/entry/part.h
@@ -133,6 +133,9 @@
 /* Emits msg to the tasks; ownership passes. */
 void part_emit(struct part_ctx *ctx, struct msg *msg);
 
+/* Tells every part, in the order of the table, of the document in force. */
+void part_config_changed(struct part_ctx *ctx, const struct document *doc);
+
 /* A new platform call of that part, to be filled in and emitted. */
 struct msg *part_kv_call(enum part_id part, enum kv_op op, const char *key,
 			 uint64_t token);
