--- /dev/null
+++ b/src/ledger/ledger.c
@@ -0,0 +1,426 @@
+#include "ledger.h"
+
+#include <assert.h>
+#include <string.h>
+
+#include "../base/error.h"
+
+static GArray *rows_create(size_t size)
+{
+	return g_array_new(FALSE, TRUE, (guint)size);
+}
+
+/* Row of that name, or the place where it belongs through pos. */
+static void *rows_find(const GArray *rows, const char *name, guint *pos)
+{
+	guint size = g_array_get_element_size((GArray *)rows);
+	guint low = 0, high = rows->len;
+
+	while (low < high) {
+		guint mid = low + (high - low) / 2;
+		char *row = rows->data + (size_t)mid * size;
+		int order = strcmp(row, name);
+
+		if (!order)
+			return row;
+		if (order < 0)
+			low = mid + 1;
+		else
+			high = mid;
+	}
+	if (pos)
+		*pos = low;
+	return NULL;
+}
+
+/* Finds or inserts a row whose first field is its name. */
+static void *rows_make(GArray *rows, const char *name)
+{
+	guint size = g_array_get_element_size(rows), pos = 0;
+	char zero[256] = "";
+	void *row = rows_find(rows, name, &pos);
+
+	if (row)
+		return row;
+	assert(size <= sizeof(zero));
+	cs_copy(zero, CS_NAME_MAX, name);
+	g_array_insert_vals(rows, pos, zero, 1);
+	return rows->data + (size_t)pos * size;
+}
+
+struct ledger *ledger_create(const char *account)
+{
+	struct ledger *l = g_new0(struct ledger, 1);
+
+	cs_copy(l->account, sizeof(l->account), account);
+	l->teams = rows_create(sizeof(struct ledger_team));
+	l->holders = rows_create(sizeof(struct ledger_holder));
+	l->outgoing = rows_create(sizeof(struct ledger_transfer));
+	l->receipts = rows_create(sizeof(struct ledger_receipt));
+	return l;
+}
+
+struct ledger *ledger_copy(const struct ledger *l)
+{
+	struct ledger *copy = g_memdup2(l, sizeof(*l));
+	guint i;
+
+	copy->teams = g_array_copy(l->teams);
+	copy->holders = g_array_copy(l->holders);
+	copy->outgoing = g_array_copy(l->outgoing);
+	copy->receipts = g_array_copy(l->receipts);
+	for (i = 0; i < copy->holders->len; i++) {
+		struct ledger_holder *h =
+			&g_array_index(copy->holders, struct ledger_holder, i);
+
+		h->shares = g_array_copy(h->shares);
+	}
+	return copy;
+}
+
+void ledger_destroy(struct ledger *l)
+{
+	guint i;
+
+	if (!l)
+		return;
+	for (i = 0; i < l->holders->len; i++)
+		g_array_unref(g_array_index(l->holders, struct ledger_holder, i)
+				      .shares);
+	g_array_unref(l->teams);
+	g_array_unref(l->holders);
+	g_array_unref(l->outgoing);
+	g_array_unref(l->receipts);
+	g_free(l);
+}
+
+bool ledger_is_reserve(const struct ledger *l)
+{
+	return !strcmp(l->account, LEDGER_RESERVE);
+}
+
+const struct ledger_team *ledger_team(const struct ledger *l, const char *team)
+{
+	return rows_find(l->teams, team, NULL);
+}
+
+struct ledger_team *ledger_team_make(struct ledger *l, const char *team)
+{
+	return rows_make(l->teams, team);
+}
+
+/* Index of a holder, or the place where it belongs through pos. */
+static bool find_holder(const struct ledger *l, const char *entry,
+			uint64_t incarnation, guint *pos)
+{
+	guint i;
+
+	for (i = 0; i < l->holders->len; i++) {
+		const struct ledger_holder *h =
+			&g_array_index(l->holders, struct ledger_holder, i);
+		int order = strcmp(h->entry, entry);
+
+		if (order > 0 || (!order && h->incarnation >= incarnation)) {
+			*pos = i;
+			return !order && h->incarnation == incarnation;
+		}
+	}
+	*pos = i;
+	return false;
+}
+
+const struct ledger_holder *ledger_holder(const struct ledger *l,
+					  const char *entry,
+					  uint64_t incarnation)
+{
+	guint pos;
+
+	if (!find_holder(l, entry, incarnation, &pos))
+		return NULL;
+	return &g_array_index(l->holders, struct ledger_holder, pos);
+}
+
+struct ledger_holder *ledger_holder_make(struct ledger *l, const char *entry,
+					 uint64_t incarnation)
+{
+	struct ledger_holder h = { .incarnation = incarnation };
+	guint pos;
+
+	if (!find_holder(l, entry, incarnation, &pos)) {
+		cs_copy(h.entry, sizeof(h.entry), entry);
+		h.shares = rows_create(sizeof(struct ledger_share));
+		g_array_insert_val(l->holders, pos, h);
+	}
+	return &g_array_index(l->holders, struct ledger_holder, pos);
+}
+
+const struct ledger_share *ledger_share(const struct ledger_holder *h,
+					const char *team)
+{
+	return h ? rows_find(h->shares, team, NULL) : NULL;
+}
+
+struct ledger_share *ledger_share_make(struct ledger_holder *h,
+				       const char *team)
+{
+	return rows_make(h->shares, team);
+}
+
+int64_t ledger_balance(const struct ledger *l, const char *team)
+{
+	const struct ledger_team *t = ledger_team(l, team);
+
+	return t ? t->balance : 0;
+}
+
+uint64_t ledger_received(const struct ledger *l, const char *giver)
+{
+	const struct ledger_receipt *r = rows_find(l->receipts, giver, NULL);
+
+	return r ? r->upto : 0;
+}
+
+bool ledger_is_superseded(const struct ledger *l, const char *entry,
+			  uint64_t incarnation)
+{
+	guint i;
+
+	for (i = 0; i < l->holders->len; i++) {
+		const struct ledger_holder *h =
+			&g_array_index(l->holders, struct ledger_holder, i);
+
+		if (!strcmp(h->entry, entry) && h->incarnation > incarnation)
+			return true;
+	}
+	return false;
+}
+
+/* Permits of a team in this document, with those on their way out. */
+static int64_t sum_of(const struct ledger *l, const char *team)
+{
+	int64_t sum = ledger_balance(l, team);
+	guint i;
+
+	for (i = 0; i < l->holders->len; i++) {
+		const struct ledger_share *s = ledger_share(
+			&g_array_index(l->holders, struct ledger_holder, i),
+			team);
+
+		sum += s ? s->balance : 0;
+	}
+	for (i = 0; i < l->outgoing->len; i++) {
+		const struct ledger_transfer *t =
+			&g_array_index(l->outgoing, struct ledger_transfer, i);
+
+		if (!strcmp(t->team, team))
+			sum += t->n;
+	}
+	return sum;
+}
+
+/* Asserts the sum of one team after a step that adds change to it. */
+static void assert_step(struct ledger *l, const char *team, int64_t change)
+{
+	struct ledger_team *t = ledger_team_make(l, team);
+
+	t->expected += change;
+	assert(sum_of(l, team) == t->expected);
+	assert(ledger_is_reserve(l) || t->balance >= 0);
+}
+
+static int64_t find_limit(const struct ledger_limit *limits, size_t nr,
+			  const char *team)
+{
+	size_t i;
+
+	for (i = 0; i < nr; i++)
+		if (!strcmp(limits[i].team, team))
+			return limits[i].limit;
+	return 0;
+}
+
+int ledger_set_limits(struct ledger *l, uint64_t revision,
+		      const struct ledger_limit *limits, size_t nr)
+{
+	size_t i;
+
+	if (revision <= l->revision)
+		return CS_ERR_STALE;
+	for (i = 0; i < nr; i++)
+		ledger_team_make(l, limits[i].team);
+	for (i = 0; i < l->teams->len; i++) {
+		struct ledger_team *t =
+			&g_array_index(l->teams, struct ledger_team, i);
+		int64_t change = find_limit(limits, nr, t->team) - t->limit;
+
+		t->limit += change;
+		t->balance += change;
+		assert_step(l, t->team, change);
+	}
+	l->revision = revision;
+	return CS_OK;
+}
+
+int ledger_take(struct ledger *l, struct ledger_holder *h, const char *team,
+		int64_t n)
+{
+	struct ledger_team *t = ledger_team_make(l, team);
+
+	if (n <= 0 || t->balance < n)
+		return CS_ERR_LIMIT;
+	t->balance -= n;
+	ledger_share_make(h, team)->balance += n;
+	assert_step(l, team, 0);
+	return CS_OK;
+}
+
+int ledger_give(struct ledger *l, struct ledger_holder *h, const char *team,
+		int64_t n)
+{
+	struct ledger_share *s = ledger_share_make(h, team);
+
+	if (n <= 0 || s->balance < n)
+		return CS_ERR_LIMIT;
+	s->balance -= n;
+	ledger_team_make(l, team)->balance += n;
+	assert_step(l, team, 0);
+	return CS_OK;
+}
+
+void ledger_want(struct ledger_holder *h, const char *team, int64_t n)
+{
+	ledger_share_make(h, team)->wanted = n;
+}
+
+int ledger_send(struct ledger *l, const char *team, const char *to, int64_t n)
+{
+	struct ledger_team *t = ledger_team_make(l, team);
+	struct ledger_transfer transfer = { .n = n };
+
+	if (n <= 0 || t->balance < n)
+		return CS_ERR_LIMIT;
+	if (l->outgoing->len >= LEDGER_OUTGOING_MAX)
+		return CS_ERR_FULL;
+	transfer.id = ++l->sequence;
+	cs_copy(transfer.to, sizeof(transfer.to), to);
+	cs_copy(transfer.team, sizeof(transfer.team), team);
+	t->balance -= n;
+	g_array_append_val(l->outgoing, transfer);
+	assert_step(l, team, 0);
+	return CS_OK;
+}
+
+int64_t ledger_receive(struct ledger *l, const struct ledger *giver)
+{
+	uint64_t upto = ledger_received(l, giver->account);
+	int64_t sum = 0;
+	guint i;
+
+	for (i = 0; i < giver->outgoing->len; i++) {
+		const struct ledger_transfer *t = &g_array_index(
+			giver->outgoing, struct ledger_transfer, i);
+		struct ledger_receipt *r;
+
+		if (t->id <= upto || strcmp(t->to, l->account))
+			continue;
+		r = rows_make(l->receipts, giver->account);
+		r->upto = upto = t->id;
+		ledger_team_make(l, t->team)->balance += t->n;
+		assert_step(l, t->team, t->n);
+		sum += t->n;
+	}
+	return sum;
+}
+
+size_t ledger_clear(struct ledger *l, const struct ledger *receiver)
+{
+	uint64_t upto = ledger_received(receiver, l->account);
+	size_t cleared = 0;
+	guint i = 0;
+
+	while (i < l->outgoing->len) {
+		struct ledger_transfer t =
+			g_array_index(l->outgoing, struct ledger_transfer, i);
+
+		if (t.id > upto || strcmp(t.to, receiver->account)) {
+			i++;
+			continue;
+		}
+		g_array_remove_index(l->outgoing, i);
+		assert_step(l, t.team, -t.n);
+		cleared++;
+	}
+	return cleared;
+}
+
+void ledger_mark(struct ledger *l, struct ledger_holder *h)
+{
+	h->mark = ++l->marks;
+}
+
+void ledger_unmark(struct ledger_holder *h)
+{
+	h->mark = 0;
+}
+
+int ledger_reclaim(struct ledger *l, const char *entry, uint64_t incarnation)
+{
+	struct ledger_holder *h;
+	guint pos, i;
+
+	if (!find_holder(l, entry, incarnation, &pos))
+		return CS_ERR_MISSING;
+	h = &g_array_index(l->holders, struct ledger_holder, pos);
+	for (i = 0; i < h->shares->len; i++) {
+		struct ledger_share *s =
+			&g_array_index(h->shares, struct ledger_share, i);
+
+		if (s->balance)
+			ledger_give(l, h, s->team, s->balance);
+	}
+	g_array_unref(h->shares);
+	g_array_remove_index(l->holders, pos);
+	return CS_OK;
+}
+
+bool ledger_is_balanced(const struct ledger *l)
+{
+	guint i;
+
+	for (i = 0; i < l->teams->len; i++) {
+		const struct ledger_team *t =
+			&g_array_index(l->teams, struct ledger_team, i);
+
+		if (sum_of(l, t->team) != t->expected)
+			return false;
+		if (t->balance < 0 && !ledger_is_reserve(l))
+			return false;
+	}
+	return true;
+}
+
+void ledger_settle(struct ledger *l)
+{
+	guint i, k;
+
+	for (i = 0; i < l->holders->len; i++) {
+		GArray *shares =
+			g_array_index(l->holders, struct ledger_holder, i)
+				.shares;
+
+		for (k = 0; k < shares->len; k++)
+			ledger_team_make(
+				l, g_array_index(shares, struct ledger_share, k)
+					   .team);
+	}
+	for (i = 0; i < l->outgoing->len; i++)
+		ledger_team_make(l, g_array_index(l->outgoing,
+						  struct ledger_transfer, i)
+					    .team);
+	for (i = 0; i < l->teams->len; i++) {
+		struct ledger_team *t =
+			&g_array_index(l->teams, struct ledger_team, i);
+
+		t->expected = sum_of(l, t->team);
+	}
+}
