--- /dev/null
+++ b/src/ledger/ledger_account.c
@@ -0,0 +1,222 @@
+#include "ledger_account.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "../base/error.h"
+#include "../base/log.h"
+#include "ledger_codec.h"
+
+/* Documents are written at most once a second by each entry. */
+#define WRITE_INTERVAL CS_SEC
+/* Spreads the writes of entries that react to the same change. */
+#define WRITE_JITTER_MS 100
+/* After a conflict nothing was written; the next try follows at once. */
+#define CONFLICT_DELAY_MS 20
+
+static cs_time jitter(struct part_ctx *ctx, int max_ms)
+{
+	return g_rand_int_range(ctx->rng, 0, max_ms) * CS_MSEC;
+}
+
+struct ledger_account *ledger_account_create(const char *name)
+{
+	struct ledger_account *a = g_new0(struct ledger_account, 1);
+
+	g_snprintf(a->key, sizeof(a->key), "ledger/%s", name);
+	a->doc = ledger_create(name);
+	a->unsettled =
+		g_ptr_array_new_with_free_func((GDestroyNotify)ledger_destroy);
+	a->due = CS_TIME_NEVER;
+	return a;
+}
+
+void ledger_account_destroy(struct ledger_account *a)
+{
+	if (!a)
+		return;
+	ledger_destroy(a->doc);
+	ledger_destroy(a->candidate);
+	g_ptr_array_unref(a->unsettled);
+	g_free(a);
+}
+
+/* A newer version rules out that older writes take effect later. */
+static void set_version(struct ledger_account *a, uint64_t version)
+{
+	a->version = version;
+	a->is_known = true;
+	a->is_bad = false;
+	if (version > a->unsettled_version) {
+		g_ptr_array_set_size(a->unsettled, 0);
+		a->must_write = false;
+	}
+}
+
+static void report_bad(struct part_ctx *ctx, const struct ledger_account *a,
+		       const struct cs_error *err)
+{
+	GString *pairs = g_string_new(NULL);
+
+	log_pair(pairs, "event", "bad_document");
+	log_pair(pairs, "key", a->key);
+	log_pair(pairs, "message", err->message);
+	part_event(ctx, LOG_ERROR, err->step, err->peer, NULL, pairs);
+	counters_add(ctx->counters, "ledger_bad_documents_total", "", 1);
+}
+
+bool ledger_account_adopt(struct part_ctx *ctx, struct ledger_account *a,
+			  uint64_t version, GBytes *value)
+{
+	struct cs_error err = { 0 };
+	struct ledger *l;
+
+	if (version <= a->version)
+		return false;
+	l = ledger_decode(value, a->doc->account, &err);
+	if (!l) {
+		report_bad(ctx, a, &err);
+		set_version(a, version);
+		a->is_known = false;
+		a->is_bad = true;
+		return true;
+	}
+	ledger_destroy(a->doc);
+	a->doc = l;
+	set_version(a, version);
+	return true;
+}
+
+void ledger_account_read(struct part_ctx *ctx, struct ledger_account *a,
+			 uint64_t token)
+{
+	a->token = token;
+	a->is_write = false;
+	a->must_read = false;
+	part_emit(ctx, part_kv_call(PART_LEDGER, KV_GET, a->key, token));
+}
+
+void ledger_account_write(struct part_ctx *ctx, struct ledger_account *a,
+			  struct ledger *candidate, uint64_t token)
+{
+	struct msg *msg = part_kv_call(PART_LEDGER, KV_CAS, a->key, token);
+	struct kv_call *call = &msg->u.kv_call;
+
+	g_snprintf(candidate->change_id, sizeof(candidate->change_id),
+		   "%.16s-%" PRIx64 "-%" PRIx64, ctx->options->id,
+		   ctx->options->incarnation, token);
+	cs_copy(call->change_id, sizeof(call->change_id), candidate->change_id);
+	call->version = a->version;
+	call->value = ledger_encode(candidate);
+	a->token = token;
+	a->is_write = true;
+	a->write_version = a->version;
+	a->candidate = candidate;
+	a->due = CS_TIME_NEVER;
+	a->next_write =
+		ctx->now + WRITE_INTERVAL + jitter(ctx, WRITE_JITTER_MS);
+	counters_add(ctx->counters, "ledger_writes_total", "", 1);
+	part_emit(ctx, msg);
+}
+
+static void write_confirmed(struct ledger_account *a, uint64_t version)
+{
+	if (version <= a->version)
+		return;
+	ledger_destroy(a->doc);
+	a->doc = a->candidate;
+	a->candidate = NULL;
+	set_version(a, version);
+}
+
+/* Keeps the write as one that may have taken or may yet take effect. */
+static void write_lost(struct part_ctx *ctx, struct ledger_account *a)
+{
+	counters_add(ctx->counters, "ledger_writes_lost_total", "", 1);
+	if (MUTANT(ctx, "ledger-assume-lost-write-failed"))
+		return;
+	a->must_read = true;
+	a->unsettled_version = a->version;
+	g_ptr_array_add(a->unsettled, a->candidate);
+	a->candidate = NULL;
+}
+
+static bool answer_write(struct part_ctx *ctx, struct ledger_account *a,
+			 const struct kv_done *done)
+{
+	bool changed = false;
+
+	switch (done->result) {
+	case KV_OK:
+		write_confirmed(a, done->version);
+		changed = true;
+		break;
+	case KV_CONFLICT:
+		a->next_write = ctx->now + jitter(ctx, CONFLICT_DELAY_MS);
+		counters_add(ctx->counters, "ledger_conflicts_total", "", 1);
+		if (done->rows_nr && done->rows[0].version)
+			changed = ledger_account_adopt(ctx, a,
+						       done->rows[0].version,
+						       done->rows[0].value);
+		else
+			a->must_read = true;
+		break;
+	case KV_UNAVAILABLE:
+		break;
+	default:
+		/* A watch may have shown a newer version meanwhile. */
+		if (a->version == a->write_version)
+			write_lost(ctx, a);
+		break;
+	}
+	ledger_destroy(a->candidate);
+	a->candidate = NULL;
+	return changed;
+}
+
+static bool answer_read(struct part_ctx *ctx, struct ledger_account *a,
+			const struct kv_done *done)
+{
+	bool changed = false;
+
+	if (done->result == KV_OK && done->rows_nr) {
+		changed = ledger_account_adopt(ctx, a, done->rows[0].version,
+					       done->rows[0].value);
+		if (done->rows[0].version == a->version)
+			a->is_known = !a->is_bad;
+	} else if (done->result == KV_MISSING && !a->version) {
+		a->is_known = true;
+	} else {
+		/* A document is never removed; without it nothing starts. */
+		if (done->result == KV_MISSING)
+			a->is_known = false;
+		a->must_read = true;
+		a->next_write = ctx->now + WRITE_INTERVAL +
+				jitter(ctx, WRITE_JITTER_MS);
+		return false;
+	}
+	a->must_write = a->unsettled->len > 0;
+	return changed;
+}
+
+bool ledger_account_answer(struct part_ctx *ctx, struct ledger_account *a,
+			   const struct kv_done *done)
+{
+	a->token = 0;
+	if (!a->is_write)
+		return answer_read(ctx, a, done);
+	return answer_write(ctx, a, done);
+}
+
+void ledger_account_each(const struct ledger_account *a,
+			 void (*fn)(void *ctx, const struct ledger *l),
+			 void *ctx)
+{
+	guint i;
+
+	fn(ctx, a->doc);
+	if (a->candidate)
+		fn(ctx, a->candidate);
+	for (i = 0; i < a->unsettled->len; i++)
+		fn(ctx, g_ptr_array_index(a->unsettled, i));
+}
--- /dev/null
+++ b/src/ledger/ledger_plan.c
@@ -0,0 +1,517 @@
+#include "ledger_plan.h"
+
+#include <string.h>
+
+/*
+ * An entry that has work for its permits gives a part of them up only after
+ * others have lacked theirs for this long: idle permits move first.
+ */
+#define CONTENDED_AFTER (2 * CS_SEC)
+
+/*
+ * Unused permits above the base go back after this time. Bursts are about
+ * as far apart, and a permit that went back costs a write to get again.
+ */
+#define IDLE_AFTER (30 * CS_SEC)
+
+/* A refusal counts as one waiting request for this long. */
+#define ASKED_FOR (2 * CS_SEC)
+
+/* Figures of one team over all documents, as seen by this entry. */
+struct figures {
+	int64_t limit;
+	int64_t held; /* by this entry */
+	int64_t busy; /* permits that its work could use */
+	int64_t demand; /* what the other live entries hold or want */
+	int64_t locked; /* held by entries that do not answer */
+	int64_t wanted_here; /* in this data centre, by other entries */
+	int64_t wanted; /* everywhere, by other entries */
+	int64_t on_way_here; /* transfers to this data centre */
+	int64_t debt; /* of the reserve, less what is on its way there */
+	bool starved; /* an entry that wants permits holds none */
+};
+
+static enum ledger_urgency most(enum ledger_urgency a, enum ledger_urgency b)
+{
+	return a > b ? a : b;
+}
+
+/* The document of an account, or NULL if it was not read. */
+static const struct ledger *find_account(const struct ledger_world *w,
+					 const struct ledger *own,
+					 const char *account)
+{
+	guint i;
+
+	if (!strcmp(account, own->account))
+		return own;
+	if (!strcmp(account, LEDGER_RESERVE))
+		return w->reserve;
+	for (i = 0; i < w->others->len; i++) {
+		const struct ledger *l = g_ptr_array_index(w->others, i);
+
+		if (!strcmp(l->account, account))
+			return l;
+	}
+	return NULL;
+}
+
+/* Permits of a team that giver has sent to an account, not yet received. */
+static int64_t sent_to(const struct ledger_world *w, const struct ledger *own,
+		       const struct ledger *giver, const char *account,
+		       const char *team)
+{
+	const struct ledger *receiver = find_account(w, own, account);
+	uint64_t upto = receiver ? ledger_received(receiver, giver->account) :
+				   0;
+	int64_t sum = 0;
+	guint i;
+
+	for (i = 0; i < giver->outgoing->len; i++) {
+		const struct ledger_transfer *t = &g_array_index(
+			giver->outgoing, struct ledger_transfer, i);
+
+		if (t->id > upto && !strcmp(t->to, account) &&
+		    !strcmp(t->team, team))
+			sum += t->n;
+	}
+	return sum;
+}
+
+/* The same from every giver. */
+static int64_t on_way_to(const struct ledger_world *w, const struct ledger *own,
+			 const char *account, const char *team)
+{
+	int64_t sum = sent_to(w, own, own, account, team);
+	guint i;
+
+	if (w->reserve)
+		sum += sent_to(w, own, w->reserve, account, team);
+	for (i = 0; i < w->others->len; i++)
+		sum += sent_to(w, own, g_ptr_array_index(w->others, i), account,
+			       team);
+	return sum;
+}
+
+static bool is_self(const struct ledger_world *w, const struct ledger_holder *h)
+{
+	return h->incarnation == w->incarnation && !strcmp(h->entry, w->entry);
+}
+
+/* Adds the holders of one document; returns what they want. */
+static int64_t add_holders(const struct ledger_world *w, struct figures *f,
+			   const struct ledger *l, const char *team)
+{
+	int64_t wanted = 0;
+	guint i;
+
+	for (i = 0; i < l->holders->len; i++) {
+		const struct ledger_holder *h =
+			&g_array_index(l->holders, struct ledger_holder, i);
+		const struct ledger_share *s = ledger_share(h, team);
+
+		if (!s || is_self(w, h))
+			continue;
+		if (h->mark || !w->is_live(w->ctx, h->entry, h->incarnation)) {
+			f->locked += s->balance;
+			continue;
+		}
+		f->demand += s->balance + s->wanted;
+		wanted += s->wanted;
+		if (s->wanted && !s->balance)
+			f->starved = true;
+	}
+	return wanted;
+}
+
+/* Waiting work, with a refusal of the last seconds counted as one. */
+static int64_t waiting_of(const struct ledger_world *w,
+			  const struct ledger_use *use)
+{
+	if (!use->waiting && use->asked && w->now - use->asked < ASKED_FOR)
+		return 1;
+	return use->waiting;
+}
+
+static struct figures figures_of(const struct ledger_world *w,
+				 const struct ledger *own,
+				 const struct ledger_use *use)
+{
+	const char *team = use->team;
+	const struct ledger_share *share = ledger_share(
+		ledger_holder(own, w->entry, w->incarnation), team);
+	const struct ledger_team *t =
+		w->reserve ? ledger_team(w->reserve, team) : NULL;
+	struct figures f = { 0 };
+	guint i;
+
+	f.limit = t ? t->limit : 0;
+	f.held = share ? share->balance : 0;
+	f.busy = use->used + waiting_of(w, use);
+	f.wanted_here = add_holders(w, &f, own, team);
+	f.wanted = f.wanted_here;
+	for (i = 0; i < w->others->len; i++)
+		f.wanted += add_holders(w, &f, g_ptr_array_index(w->others, i),
+					team);
+	f.on_way_here = on_way_to(w, own, own->account, team);
+	if (t)
+		f.debt = MAX(0, -t->balance - on_way_to(w, own, LEDGER_RESERVE,
+							team));
+	return f;
+}
+
+int64_t ledger_base(const struct ledger_world *w, int64_t limit)
+{
+	if (w->is_draining)
+		return 0;
+	return limit / w->entries + (w->rank < limit % w->entries);
+}
+
+/*
+ * Permits that this entry keeps when others ask: those its work can use, or
+ * while there are too few for all, its part in proportion to demand.
+ */
+static int64_t keep_of(const struct ledger_world *w, struct ledger_use *use,
+		       const struct figures *f)
+{
+	int64_t total = MAX(0, f->limit - f->locked);
+	int64_t all = f->demand + f->busy;
+	int64_t keep, slack;
+
+	if (all <= total || !all || (!f->wanted && !f->debt)) {
+		use->contended = 0;
+		return f->busy;
+	}
+	keep = MIN(f->busy, total * f->busy / all);
+	if (f->debt)
+		return keep;
+	/* Hysteresis keeps permits from moving for small differences. */
+	slack = f->starved ? 0 : 1 + keep / 8;
+	if (f->held - keep <= slack) {
+		use->contended = 0;
+		return f->busy;
+	}
+	if (!use->contended)
+		use->contended = w->now;
+	return w->now - use->contended < CONTENDED_AFTER ? f->busy : keep;
+}
+
+/* Takes permits of the account's balance for waiting work or the base. */
+static enum ledger_urgency take(const struct ledger_world *w,
+				struct ledger *own, struct ledger_holder *me,
+				const struct ledger_use *use, struct figures *f)
+{
+	int64_t free = ledger_balance(own, use->team);
+	int64_t need = f->busy - f->held, n;
+	int64_t base = ledger_base(w, f->limit) - f->held;
+	enum ledger_urgency urgency = LEDGER_NOW;
+
+	if (free <= 0 || f->debt)
+		return LEDGER_UNCHANGED;
+	if (need > 0) {
+		/* Part of it in proportion to what others here want. */
+		n = MIN(need, (free * need + f->wanted_here + need - 1) /
+				      (need + f->wanted_here));
+	} else if (base > 0 && !f->wanted) {
+		n = base;
+		urgency = LEDGER_LAZY;
+	} else {
+		return LEDGER_UNCHANGED;
+	}
+	n = MIN(n, free);
+	if (ledger_take(own, me, use->team, n))
+		return LEDGER_UNCHANGED;
+	f->held += n;
+	return urgency;
+}
+
+/* Gives up to n of the entry's free permits to the account's balance. */
+static int64_t release_free(struct ledger *own, struct ledger_holder *me,
+			    const struct ledger_use *use, struct figures *f,
+			    int64_t n)
+{
+	n = MIN(n, f->held - use->used);
+	if (n <= 0 || ledger_give(own, me, use->team, n))
+		return 0;
+	f->held -= n;
+	return n;
+}
+
+/*
+ * Sends up to n permits to an account: unassigned ones first, then the free
+ * ones above keep. Returns how many were sent.
+ */
+static int64_t send_surplus(struct ledger *own, struct ledger_holder *me,
+			    const struct ledger_use *use, struct figures *f,
+			    const char *to, int64_t n, int64_t keep)
+{
+	int64_t balance = ledger_balance(own, use->team);
+
+	if (n > balance)
+		release_free(own, me, use, f, MIN(n - balance, f->held - keep));
+	n = MIN(n, ledger_balance(own, use->team));
+	if (n <= 0 || ledger_send(own, use->team, to, n))
+		return 0;
+	return n;
+}
+
+/* Sends permits to the other data centres that want them. */
+static enum ledger_urgency help_others(const struct ledger_world *w,
+				       struct ledger *own,
+				       struct ledger_holder *me,
+				       const struct ledger_use *use,
+				       struct figures *f, int64_t keep,
+				       int64_t *gap)
+{
+	enum ledger_urgency urgency = LEDGER_UNCHANGED;
+	guint i;
+
+	for (i = 0; i < w->others->len; i++) {
+		const struct ledger *l = g_ptr_array_index(w->others, i);
+		struct figures scratch = { 0 };
+		int64_t n = add_holders(w, &scratch, l, use->team);
+
+		n -= ledger_balance(l, use->team) +
+		     on_way_to(w, own, l->account, use->team);
+		if (n <= 0)
+			continue;
+		*gap += n;
+		if (send_surplus(own, me, use, f, l->account, n, keep))
+			urgency = LEDGER_SOON;
+	}
+	return urgency;
+}
+
+/* Returns to the reserve what nobody has used for some time. */
+static enum ledger_urgency return_idle(const struct ledger_world *w,
+				       struct ledger *own,
+				       struct ledger_holder *me,
+				       struct ledger_use *use,
+				       struct figures *f)
+{
+	int64_t keep = MAX(f->busy, ledger_base(w, f->limit));
+	int64_t n = MAX(0, f->held - keep) + ledger_balance(own, use->team);
+
+	if (!n || !w->reserve) {
+		use->idle = 0;
+		return LEDGER_UNCHANGED;
+	}
+	if (!use->idle)
+		use->idle = w->now;
+	if (w->now - use->idle < IDLE_AFTER && !w->is_draining)
+		return LEDGER_UNCHANGED;
+	if (!send_surplus(own, me, use, f, LEDGER_RESERVE, n, keep))
+		return LEDGER_UNCHANGED;
+	return w->is_draining ? LEDGER_NOW : LEDGER_LAZY;
+}
+
+/* Hands out what this entry need not keep. */
+static enum ledger_urgency give(const struct ledger_world *w,
+				struct ledger *own, struct ledger_holder *me,
+				struct ledger_use *use, struct figures *f)
+{
+	int64_t keep = keep_of(w, use, f), held = f->held;
+	int64_t gap = MAX(0, f->wanted_here - ledger_balance(own, use->team));
+	enum ledger_urgency urgency = LEDGER_UNCHANGED;
+	int64_t lacking = f->debt + gap;
+
+	if (f->debt &&
+	    send_surplus(own, me, use, f, LEDGER_RESERVE, f->debt, keep))
+		urgency = LEDGER_SOON;
+	if (gap && release_free(own, me, use, f, MIN(gap, f->held - keep)))
+		urgency = LEDGER_SOON;
+	if (!f->wanted_here && !f->debt)
+		urgency = most(urgency,
+			       help_others(w, own, me, use, f, keep, &lacking));
+	/* Only permits that would be used again at once need holding back. */
+	use->hold_back = 0;
+	if (keep < f->busy)
+		use->hold_back = (int)CLAMP(MIN(held - keep, lacking), 0, held);
+	if (lacking) {
+		use->idle = 0;
+		return urgency;
+	}
+	return most(urgency, return_idle(w, own, me, use, f));
+}
+
+/* Says in the document how many more permits the entry could use. */
+static enum ledger_urgency want(const struct ledger_world *w,
+				struct ledger_holder *me,
+				const struct ledger_use *use,
+				const struct figures *f,
+				enum ledger_urgency urgency)
+{
+	const struct ledger_share *s = ledger_share(me, use->team);
+	int64_t old = s ? s->wanted : 0;
+	int64_t n = f->busy - f->held - f->on_way_here;
+
+	/* What lies in the reserve is fetched without asking others. */
+	if (w->reserve)
+		n -= MAX(0, ledger_balance(w->reserve, use->team));
+	n = w->is_draining ? 0 : CLAMP(n, 0, f->limit);
+	if (n == old)
+		return urgency;
+	if (urgency == LEDGER_UNCHANGED && n && old &&
+	    ABS(n - old) <= 1 + old / 2)
+		return urgency;
+	ledger_want(me, use->team, n);
+	return most(urgency, n > old ? LEDGER_NOW : LEDGER_LAZY);
+}
+
+/* Marks and reclaims dead holders; superseded ones count as dead. */
+static enum ledger_urgency bury(const struct ledger_world *w,
+				struct ledger *own)
+{
+	enum ledger_urgency urgency = LEDGER_UNCHANGED;
+	guint i = 0;
+
+	while (i < own->holders->len) {
+		struct ledger_holder *h =
+			&g_array_index(own->holders, struct ledger_holder, i);
+
+		if (is_self(w, h) ||
+		    (!ledger_is_superseded(own, h->entry, h->incarnation) &&
+		     !w->is_dead(w->ctx, h->entry))) {
+			i++;
+			continue;
+		}
+		if (!h->mark) {
+			ledger_mark(own, h);
+			urgency = LEDGER_LAZY;
+		} else if (w->is_expired(w->ctx, h)) {
+			char entry[CS_NAME_MAX];
+
+			memcpy(entry, h->entry, sizeof(entry));
+			ledger_reclaim(own, entry, h->incarnation);
+			urgency = LEDGER_LAZY;
+			continue;
+		}
+		i++;
+	}
+	return urgency;
+}
+
+/* Credits transfers to l and removes those of l that were credited. */
+static enum ledger_urgency settle_transfers(const struct ledger_world *w,
+					    struct ledger *l,
+					    const struct ledger *own)
+{
+	enum ledger_urgency urgency = LEDGER_UNCHANGED;
+	const struct ledger *peers[2] = { w->reserve, own };
+	guint i;
+
+	for (i = 0; i < w->others->len + 2; i++) {
+		const struct ledger *peer =
+			i < 2 ? peers[i] : g_ptr_array_index(w->others, i - 2);
+
+		if (!peer || !strcmp(peer->account, l->account))
+			continue;
+		if (ledger_receive(l, peer))
+			urgency = LEDGER_LAZY;
+		if (ledger_clear(l, peer))
+			urgency = most(urgency, LEDGER_LAZY);
+	}
+	return urgency;
+}
+
+/* Removes the own row of a draining entry once it holds nothing. */
+static enum ledger_urgency leave(const struct ledger_world *w,
+				 struct ledger *own)
+{
+	const struct ledger_holder *me =
+		ledger_holder(own, w->entry, w->incarnation);
+	guint i;
+
+	if (!me)
+		return LEDGER_UNCHANGED;
+	for (i = 0; i < me->shares->len; i++)
+		if (g_array_index(me->shares, struct ledger_share, i).balance)
+			return LEDGER_UNCHANGED;
+	ledger_reclaim(own, w->entry, w->incarnation);
+	return LEDGER_NOW;
+}
+
+enum ledger_urgency ledger_plan_own(struct ledger_world *w, struct ledger *own)
+{
+	enum ledger_urgency urgency = settle_transfers(w, own, own);
+	struct ledger_holder *me;
+	guint i;
+
+	if (w->is_draining && !ledger_holder(own, w->entry, w->incarnation))
+		return LEDGER_UNCHANGED;
+	urgency = most(urgency, bury(w, own));
+	if (!ledger_holder(own, w->entry, w->incarnation))
+		urgency = most(urgency, LEDGER_SOON);
+	me = ledger_holder_make(own, w->entry, w->incarnation);
+	if (me->mark) {
+		ledger_unmark(me);
+		urgency = LEDGER_NOW;
+	}
+	for (i = 0; i < w->uses->len; i++) {
+		struct ledger_use *use =
+			&g_array_index(w->uses, struct ledger_use, i);
+		struct figures f = figures_of(w, own, use);
+		enum ledger_urgency step = take(w, own, me, use, &f);
+
+		step = most(step, give(w, own, me, use, &f));
+		step = want(w, me, use, &f, step);
+		urgency = most(urgency, step);
+	}
+	if (w->run_ms > me->run_ms) {
+		me->run_ms = w->run_ms;
+		urgency = LEDGER_NOW;
+	} else if (urgency != LEDGER_UNCHANGED) {
+		/* Lowering saves nothing while the entry lives. */
+		me->run_ms = w->run_ms;
+	}
+	return w->is_draining ? most(urgency, leave(w, own)) : urgency;
+}
+
+/* Sends permits of one team from the reserve to the own data centre. */
+static enum ledger_urgency fetch(const struct ledger_world *w,
+				 struct ledger *reserve,
+				 const struct ledger *own,
+				 const struct ledger_use *use)
+{
+	struct figures f = figures_of(w, own, use);
+	int64_t here = f.held + f.on_way_here + ledger_balance(own, use->team);
+	int64_t balance = ledger_balance(reserve, use->team);
+	int64_t need = f.busy - here;
+	enum ledger_urgency urgency = LEDGER_NOW;
+
+	if (balance <= 0 || w->is_draining)
+		return LEDGER_UNCHANGED;
+	if (need <= 0) {
+		if (f.wanted)
+			return LEDGER_UNCHANGED;
+		need = ledger_base(w, f.limit) - here;
+		urgency = LEDGER_LAZY;
+	}
+	if (need <= 0 ||
+	    ledger_send(reserve, use->team, own->account, MIN(need, balance)))
+		return LEDGER_UNCHANGED;
+	return urgency;
+}
+
+enum ledger_urgency ledger_plan_reserve(struct ledger_world *w,
+					struct ledger *reserve,
+					const struct ledger *own,
+					uint64_t revision,
+					const struct ledger_limit *limits,
+					size_t limits_nr)
+{
+	enum ledger_urgency urgency = settle_transfers(w, reserve, own);
+	const struct ledger *before = w->reserve;
+	guint i;
+
+	if (!ledger_set_limits(reserve, revision, limits, limits_nr))
+		urgency = most(urgency, LEDGER_SOON);
+	w->reserve = reserve;
+	for (i = 0; i < w->uses->len; i++)
+		urgency = most(
+			urgency,
+			fetch(w, reserve, own,
+			      &g_array_index(w->uses, struct ledger_use, i)));
+	w->reserve = before;
+	return urgency;
+}
--- /dev/null
+++ b/src/ledger/ledger_plan.h
@@ -0,0 +1,69 @@
+#ifndef LEDGER_PLAN_H
+#define LEDGER_PLAN_H
+
+#include "ledger.h"
+
+/*
+ * Decides how one entry changes the ledger documents: what it takes, gives,
+ * asks for, sends and reclaims. The functions work on a copy of a document
+ * and know nothing of how it is written; when the write is refused, the same
+ * rules are applied to the newer document.
+ */
+
+/* One team as this entry uses it. */
+struct ledger_use {
+	char team[CS_NAME_MAX];
+	int used; /* permits of running tasks */
+	int waiting; /* more that queued work could use now */
+	int hold_back; /* permits not to be used again, to be given up */
+	cs_time asked; /* last refusal for want of a permit */
+	cs_time contended; /* since when others lack a fair part; 0: not */
+	cs_time idle; /* since when permits lie unused; 0: not */
+};
+
+/* What an entry knows when it plans. */
+struct ledger_world {
+	const char *entry;
+	uint64_t incarnation;
+	cs_time now;
+	const struct ledger *reserve; /* NULL: not known yet */
+	GPtrArray *others; /* struct ledger: the other data centres */
+	GArray *uses; /* struct ledger_use, by team */
+	int rank, entries; /* place among all configured entries */
+	int64_t run_ms; /* longest run of tasks that run or wait */
+	bool is_draining;
+	/* True if that incarnation answers peers. */
+	bool (*is_live)(void *ctx, const char *entry, uint64_t incarnation);
+	/* True if the entry is confirmed dead. */
+	bool (*is_dead)(void *ctx, const char *entry);
+	/* True if the mark was seen for so long that tasks have ended. */
+	bool (*is_expired)(void *ctx, const struct ledger_holder *h);
+	void *ctx;
+};
+
+/* How soon a change should be written. */
+enum ledger_urgency {
+	LEDGER_UNCHANGED,
+	LEDGER_LAZY, /* within seconds, so that entries don't race */
+	LEDGER_SOON, /* at once but for a short jitter */
+	LEDGER_NOW
+};
+
+/* Permits that stay at an entry while nobody asks for them. */
+int64_t ledger_base(const struct ledger_world *w, int64_t limit);
+
+/* Changes own, a copy of the document of this entry's data centre. */
+enum ledger_urgency ledger_plan_own(struct ledger_world *w, struct ledger *own);
+
+/*
+ * Changes reserve, a copy of the reserve; own is the document of this entry's
+ * data centre. limits are those of the fleet document in force.
+ */
+enum ledger_urgency ledger_plan_reserve(struct ledger_world *w,
+					struct ledger *reserve,
+					const struct ledger *own,
+					uint64_t revision,
+					const struct ledger_limit *limits,
+					size_t limits_nr);
+
+#endif
--- /dev/null
+++ b/src/ledger/ledger_sync.c
@@ -0,0 +1,758 @@
+#include "ledger_sync.h"
+
+#include <string.h>
+
+#include "../base/error.h"
+#include "../base/log.h"
+#include "../config/config_sync.h"
+#include "../fleet/fleet.h"
+#include "../job/dispatch.h"
+#include "ledger_account.h"
+#include "ledger_plan.h"
+
+/* Time-dependent rules are looked at this often; this makes no call. */
+#define TICK CS_SEC
+
+/* A watch returns after this long without a change. */
+#define WATCH_WAIT_MS 30000
+
+/* Between attempts to read while the platform does not answer. */
+#define RETRY_DELAY CS_SEC
+
+/*
+ * How long a task may run, rounded up. The document row of an entry names
+ * one of these before a task of that length starts. All are durations: a
+ * reader counts them on its own clock from the moment it saw the mark of the
+ * dead holder, so clocks of different hosts are never compared. The first
+ * covers the default deadline of 30 s.
+ */
+static const int64_t run_classes[] = { 30000, 300000, 3600000,
+				       LEDGER_RUN_MAX_MS };
+#define RUN_CLASSES G_N_ELEMENTS(run_classes)
+
+/* Keeps a raised run class until the task that asked for it has started. */
+#define RUN_ASKED_FOR (10 * CS_SEC)
+
+/* Added to the wait for a dead holder: clock drift, delays of sending. */
+#define EXPIRY_MARGIN (5 * CS_SEC)
+
+/* A peer that answers. */
+struct live_peer {
+	char entry[CS_NAME_MAX];
+	uint64_t incarnation;
+};
+
+/* When this entry first saw a mark; see ledger_mark(). */
+struct seen_mark {
+	char entry[CS_NAME_MAX];
+	uint64_t incarnation;
+	uint64_t mark;
+	cs_time since;
+};
+
+struct ledger_sync {
+	struct ledger_account *own, *reserve;
+	GPtrArray *others; /* struct ledger_account: other data centres */
+	GArray *uses; /* struct ledger_use, by team */
+	GArray *peers; /* struct live_peer */
+	GArray *marks; /* struct seen_mark */
+	GArray *limits; /* struct ledger_limit, of the document in force */
+	uint64_t config_revision;
+	cs_time run_until[RUN_CLASSES]; /* end of the last task begun */
+	cs_time run_asked[RUN_CLASSES]; /* last time a class was needed */
+	uint64_t last_token;
+	uint64_t watch_token; /* of the list or watch in flight */
+	uint64_t watch_revision; /* 0: list first */
+	cs_time watch_retry;
+	uint64_t reread_token; /* the read that ends staleness */
+	bool is_stale;
+	bool is_cut_off; /* the last call was not answered */
+	cs_handle timer;
+	cs_time timer_due;
+	int rank, entries;
+};
+
+static void on_timer(void *arg, uint64_t unused, cs_time now);
+
+/* Runs the plan at that time or earlier. */
+static void schedule(struct part_ctx *ctx, cs_time due)
+{
+	struct ledger_sync *ls = ctx->parts.ledger;
+
+	if (ls->timer && ls->timer_due <= due)
+		return;
+	if (ls->timer)
+		timers_cancel(ctx->timers, ls->timer);
+	ls->timer = timers_subscribe(ctx->timers, due, on_timer, ctx, 0);
+	ls->timer_due = due;
+}
+
+/* The use row of a team; with make, one is added if there is none. */
+static struct ledger_use *find_use(const struct ledger_sync *ls,
+				   const char *team, bool make)
+{
+	struct ledger_use zero = { .used = 0 };
+	guint low = 0, high = ls->uses->len;
+
+	while (low < high) {
+		guint mid = low + (high - low) / 2;
+		struct ledger_use *u =
+			&g_array_index(ls->uses, struct ledger_use, mid);
+		int order = strcmp(u->team, team);
+
+		if (!order)
+			return u;
+		if (order < 0)
+			low = mid + 1;
+		else
+			high = mid;
+	}
+	if (!make)
+		return NULL;
+	cs_copy(zero.team, sizeof(zero.team), team);
+	g_array_insert_val(ls->uses, low, zero);
+	return &g_array_index(ls->uses, struct ledger_use, low);
+}
+
+/* What every possible state of the own document allows. */
+struct granted {
+	const struct part_ctx *ctx;
+	const char *team;
+	int64_t balance;
+	int64_t run_ms;
+	bool is_marked;
+};
+
+static void add_granted(void *arg, const struct ledger *l)
+{
+	struct granted *g = arg;
+	const struct ledger_holder *h = ledger_holder(
+		l, g->ctx->options->id, g->ctx->options->incarnation);
+	const struct ledger_share *s = ledger_share(h, g->team);
+
+	g->balance = MIN(g->balance, s ? s->balance : 0);
+	g->run_ms = MIN(g->run_ms, h ? h->run_ms : 0);
+	g->is_marked = g->is_marked || (h && h->mark);
+}
+
+static struct granted granted(const struct part_ctx *ctx, const char *team)
+{
+	const struct ledger_sync *ls = ctx->parts.ledger;
+	struct granted g = { .ctx = ctx,
+			     .team = team,
+			     .balance = INT64_MAX,
+			     .run_ms = INT64_MAX };
+
+	ledger_account_each(ls->own, add_granted, &g);
+	return g;
+}
+
+/* True once a newer incarnation of this entry has its row. */
+static bool is_fenced(const struct part_ctx *ctx)
+{
+	const struct ledger_sync *ls = ctx->parts.ledger;
+
+	if (MUTANT(ctx, "ledger-no-fence"))
+		return false;
+	return ledger_is_superseded(ls->own->doc, ctx->options->id,
+				    ctx->options->incarnation);
+}
+
+/* True if nothing may start before the own document was read. */
+static bool is_blocked(const struct part_ctx *ctx, const struct granted *g)
+{
+	const struct ledger_sync *ls = ctx->parts.ledger;
+
+	return ls->is_stale || !ls->own->is_known || is_fenced(ctx) ||
+	       (g->is_marked && !MUTANT(ctx, "ledger-ignore-mark"));
+}
+
+int ledger_sync_acquire_for(struct part_ctx *ctx, const char *team,
+			    int64_t run_ms)
+{
+	struct ledger_sync *ls = ctx->parts.ledger;
+	const struct doc_team *row =
+		document_team(config_sync_document(ctx), team);
+	struct granted g = granted(ctx, team);
+	struct ledger_use *use;
+	size_t class = 0;
+
+	if (!row)
+		return CS_ERR_MISSING;
+	if (run_ms < 1 || run_ms > LEDGER_RUN_MAX_MS)
+		return CS_ERR_INVALID;
+	if (is_blocked(ctx, &g))
+		return CS_ERR_STALE;
+	use = find_use(ls, team, true);
+	while (run_classes[class] < run_ms)
+		class ++;
+	ls->run_asked[class] = ctx->now;
+	if (use->used >= g.balance - use->hold_back ||
+	    use->used >= row->limit ||
+	    (run_classes[class] > g.run_ms &&
+	     !MUTANT(ctx, "ledger-ignore-run-class"))) {
+		use->asked = ctx->now;
+		schedule(ctx, ctx->now);
+		return CS_ERR_LIMIT;
+	}
+	use->used++;
+	use->asked = 0;
+	ls->run_until[class] =
+		MAX(ls->run_until[class], ctx->now + run_ms * CS_MSEC);
+	return CS_OK;
+}
+
+int ledger_sync_acquire(struct part_ctx *ctx, const char *team)
+{
+	return ledger_sync_acquire_for(ctx, team, LEDGER_RUN_MAX_MS);
+}
+
+void ledger_sync_release(struct part_ctx *ctx, const char *team)
+{
+	struct ledger_use *use = find_use(ctx->parts.ledger, team, false);
+
+	if (!use || !part_invariant(ctx, "I5-permit-held", use->used > 0))
+		return;
+	use->used--;
+	if (use->hold_back || ctx->is_draining)
+		schedule(ctx, ctx->now);
+}
+
+void ledger_sync_demand(struct part_ctx *ctx, const char *team, int waiting)
+{
+	struct ledger_sync *ls = ctx->parts.ledger;
+	struct ledger_use *use = find_use(ls, team, waiting > 0);
+
+	if (!use || use->waiting == waiting)
+		return;
+	use->waiting = MAX(0, waiting);
+	/* Falling demand is seen at the next tick. */
+	if (use->used + waiting > granted(ctx, team).balance)
+		schedule(ctx, ctx->now);
+}
+
+int ledger_sync_held(const struct part_ctx *ctx, const char *team)
+{
+	return (int)granted(ctx, team).balance;
+}
+
+int ledger_sync_used(const struct part_ctx *ctx, const char *team)
+{
+	const struct ledger_use *use = find_use(ctx->parts.ledger, team, false);
+
+	return use ? use->used : 0;
+}
+
+static bool is_peer_live(void *arg, const char *entry, uint64_t incarnation)
+{
+	const struct part_ctx *ctx = arg;
+	const struct ledger_sync *ls = ctx->parts.ledger;
+	guint i;
+
+	for (i = 0; i < ls->peers->len; i++) {
+		const struct live_peer *p =
+			&g_array_index(ls->peers, struct live_peer, i);
+
+		if (!strcmp(p->entry, entry))
+			return !incarnation || p->incarnation == incarnation;
+	}
+	return false;
+}
+
+/* Dropped from the host list, and silent: neither alone is enough. */
+static bool is_entry_dead(void *arg, const char *entry)
+{
+	return fleet_is_entry_dropped(arg, entry) &&
+	       !is_peer_live(arg, entry, 0);
+}
+
+/* The first sight of a mark, noted now if it is new. */
+static cs_time seen_since(const struct part_ctx *ctx, GArray *marks,
+			  const struct ledger_holder *h)
+{
+	struct seen_mark m = { .incarnation = h->incarnation,
+			       .mark = h->mark,
+			       .since = ctx->now };
+	guint i;
+
+	for (i = 0; i < marks->len; i++) {
+		struct seen_mark *s =
+			&g_array_index(marks, struct seen_mark, i);
+
+		if (s->incarnation != h->incarnation ||
+		    strcmp(s->entry, h->entry))
+			continue;
+		if (s->mark != h->mark) {
+			s->mark = h->mark;
+			s->since = ctx->now;
+		}
+		return s->since;
+	}
+	cs_copy(m.entry, sizeof(m.entry), h->entry);
+	g_array_append_val(marks, m);
+	return m.since;
+}
+
+/* Notes the marks of the own document as read from the platform. */
+static void note_marks(struct part_ctx *ctx)
+{
+	struct ledger_sync *ls = ctx->parts.ledger;
+	const GArray *holders = ls->own->doc->holders;
+	guint i;
+
+	for (i = 0; i < ls->marks->len;) {
+		const struct seen_mark *s =
+			&g_array_index(ls->marks, struct seen_mark, i);
+		const struct ledger_holder *h =
+			ledger_holder(ls->own->doc, s->entry, s->incarnation);
+
+		if (!h || h->mark != s->mark)
+			g_array_remove_index_fast(ls->marks, i);
+		else
+			i++;
+	}
+	for (i = 0; i < holders->len; i++) {
+		const struct ledger_holder *h =
+			&g_array_index(holders, struct ledger_holder, i);
+
+		if (h->mark)
+			seen_since(ctx, ls->marks, h);
+	}
+}
+
+/*
+ * True if every task that the dead holder can have started has ended: all of
+ * them began before the mark was written, and none runs longer than run_ms,
+ * which the holder raises in the document before it starts a longer one. A
+ * holder that was only paused reads its row before it starts anything, finds
+ * the mark, and removes it first, which ends this wait.
+ */
+static bool is_expired(void *arg, const struct ledger_holder *h)
+{
+	struct part_ctx *ctx = arg;
+	cs_time wait = h->run_ms * CS_MSEC;
+
+	if (MUTANT(ctx, "ledger-early-reclaim"))
+		return true;
+	wait += wait / 64 + EXPIRY_MARGIN;
+	return ctx->now - seen_since(ctx, ctx->parts.ledger->marks, h) >= wait;
+}
+
+/* Longest run of a task that is running or was asked for just now. */
+static int64_t run_needed(const struct part_ctx *ctx)
+{
+	const struct ledger_sync *ls = ctx->parts.ledger;
+	size_t i;
+
+	for (i = RUN_CLASSES - 1; i > 0; i--)
+		if (ls->run_until[i] > ctx->now ||
+		    (ls->run_asked[i] &&
+		     ctx->now - ls->run_asked[i] < RUN_ASKED_FOR))
+			break;
+	return run_classes[i];
+}
+
+/* Fills in what the plan needs; w->others is to be released. */
+static void look(struct part_ctx *ctx, struct ledger_world *w)
+{
+	struct ledger_sync *ls = ctx->parts.ledger;
+	guint i;
+
+	*w = (struct ledger_world){
+		.entry = ctx->options->id,
+		.incarnation = ctx->options->incarnation,
+		.now = ctx->now,
+		.reserve = ls->reserve->is_known ? ls->reserve->doc : NULL,
+		.others = g_ptr_array_new(),
+		.uses = ls->uses,
+		.rank = ls->rank,
+		.entries = ls->entries,
+		.run_ms = run_needed(ctx),
+		.is_draining = ctx->is_draining,
+		.is_live = is_peer_live,
+		.is_dead = is_entry_dead,
+		.is_expired = is_expired,
+		.ctx = ctx,
+	};
+	for (i = 0; i < ls->others->len; i++) {
+		struct ledger_account *a = g_ptr_array_index(ls->others, i);
+
+		if (a->is_known)
+			g_ptr_array_add(w->others, a->doc);
+	}
+}
+
+/* When a change of that urgency should be written. */
+static cs_time write_time(struct part_ctx *ctx, enum ledger_urgency urgency)
+{
+	switch (urgency) {
+	case LEDGER_NOW:
+		return ctx->now;
+	case LEDGER_SOON:
+		return ctx->now + g_rand_int_range(ctx->rng, 0, 100) * CS_MSEC;
+	case LEDGER_LAZY:
+		return ctx->now +
+		       g_rand_int_range(ctx->rng, 1000, 3000) * CS_MSEC;
+	default:
+		return CS_TIME_NEVER;
+	}
+}
+
+/* Writes the candidate if it is due, else drops it and waits. */
+static void write_if_due(struct part_ctx *ctx, struct ledger_account *a,
+			 struct ledger *candidate, enum ledger_urgency urgency)
+{
+	struct ledger_sync *ls = ctx->parts.ledger;
+
+	if (urgency == LEDGER_UNCHANGED)
+		a->due = CS_TIME_NEVER;
+	else
+		a->due = MIN(a->due, write_time(ctx, urgency));
+	if (a->due > ctx->now || a->next_write > ctx->now ||
+	    !part_invariant(ctx, "I5-ledger-sum",
+			    ledger_is_balanced(candidate))) {
+		ledger_destroy(candidate);
+		return;
+	}
+	ledger_account_write(ctx, a, candidate, ++ls->last_token);
+	if (MUTANT(ctx, "ledger-transfer-credit-first") && a == ls->reserve) {
+		ledger_destroy(a->doc);
+		a->doc = ledger_copy(candidate);
+	}
+}
+
+/* True if the account is free for a plan; starts a read that is due. */
+static bool is_ready(struct part_ctx *ctx, struct ledger_account *a)
+{
+	struct ledger_sync *ls = ctx->parts.ledger;
+
+	if (a->token)
+		return false;
+	if (a->must_read) {
+		if (a->next_write > ctx->now && a != ls->own)
+			return false;
+		ledger_account_read(ctx, a, ++ls->last_token);
+		if (a == ls->own)
+			ls->reread_token = a->token;
+		return false;
+	}
+	return a->is_known;
+}
+
+static void plan_reserve(struct part_ctx *ctx, struct ledger_world *w)
+{
+	struct ledger_sync *ls = ctx->parts.ledger;
+	enum ledger_urgency urgency;
+	struct ledger *candidate;
+
+	if (!is_ready(ctx, ls->reserve))
+		return;
+	candidate = ledger_copy(ls->reserve->doc);
+	urgency = ledger_plan_reserve(
+		w, candidate, ls->own->doc, ls->config_revision,
+		(const struct ledger_limit *)ls->limits->data, ls->limits->len);
+	if (ls->reserve->must_write)
+		urgency = LEDGER_NOW;
+	write_if_due(ctx, ls->reserve, candidate, urgency);
+}
+
+static void plan_own(struct part_ctx *ctx, struct ledger_world *w)
+{
+	struct ledger_sync *ls = ctx->parts.ledger;
+	enum ledger_urgency urgency;
+	struct ledger *candidate;
+
+	if (!is_ready(ctx, ls->own) || ls->is_stale || is_fenced(ctx))
+		return;
+	candidate = ledger_copy(ls->own->doc);
+	urgency = ledger_plan_own(w, candidate);
+	if (ls->own->must_write)
+		urgency = LEDGER_NOW;
+	write_if_due(ctx, ls->own, candidate, urgency);
+}
+
+static void watch(struct part_ctx *ctx)
+{
+	struct ledger_sync *ls = ctx->parts.ledger;
+	struct msg *msg;
+
+	if (ls->watch_token || ls->watch_retry > ctx->now)
+		return;
+	ls->watch_token = ++ls->last_token;
+	msg = part_kv_call(PART_LEDGER, ls->watch_revision ? KV_WATCH : KV_LIST,
+			   "ledger/", ls->watch_token);
+	msg->u.kv_call.version = ls->watch_revision;
+	msg->u.kv_call.wait_ms = WATCH_WAIT_MS;
+	part_emit(ctx, msg);
+}
+
+static cs_time account_due(const struct part_ctx *ctx,
+			   const struct ledger_account *a)
+{
+	if (a->token || (a->due == CS_TIME_NEVER && !a->must_read))
+		return CS_TIME_NEVER;
+	return MAX(ctx->now + CS_MSEC,
+		   MAX(a->must_read ? 0 : a->due, a->next_write));
+}
+
+/* Applies all rules to what is known, and emits the calls that are due. */
+static void plan(struct part_ctx *ctx)
+{
+	struct ledger_sync *ls = ctx->parts.ledger;
+	struct ledger_world w;
+
+	watch(ctx);
+	look(ctx, &w);
+	plan_reserve(ctx, &w);
+	w.reserve = ls->reserve->is_known ? ls->reserve->doc : NULL;
+	plan_own(ctx, &w);
+	g_ptr_array_unref(w.others);
+	schedule(ctx, MIN(ctx->now + TICK, MIN(account_due(ctx, ls->own),
+					       account_due(ctx, ls->reserve))));
+}
+
+static void on_timer(void *arg, uint64_t unused, cs_time now)
+{
+	struct part_ctx *ctx = arg;
+
+	(void)unused;
+	(void)now;
+	ctx->parts.ledger->timer = 0;
+	plan(ctx);
+}
+
+/* Makes a use row for every team that this entry holds or may hold. */
+static void add_uses(struct ledger_sync *ls)
+{
+	const GArray *teams[] = { ls->own->doc->teams,
+				  ls->reserve->doc->teams };
+	guint i, k;
+
+	for (i = 0; i < 2; i++)
+		for (k = 0; k < teams[i]->len; k++)
+			find_use(ls,
+				 g_array_index(teams[i], struct ledger_team, k)
+					 .team,
+				 true);
+}
+
+/* Takes notice of documents that changed. */
+static void documents_changed(struct part_ctx *ctx)
+{
+	add_uses(ctx->parts.ledger);
+	note_marks(ctx);
+	schedule(ctx, ctx->now);
+}
+
+/* The account of a key of the platform; NULL for a key that is none. */
+static struct ledger_account *find_account(struct ledger_sync *ls,
+					   const char *key)
+{
+	struct ledger_account *a;
+	guint i;
+
+	if (!g_str_has_prefix(key, "ledger/") ||
+	    strlen(key) - strlen("ledger/") - 1 >= CS_NAME_MAX - 1)
+		return NULL;
+	if (!strcmp(key, ls->own->key))
+		return ls->own;
+	if (!strcmp(key, ls->reserve->key))
+		return ls->reserve;
+	for (i = 0; i < ls->others->len; i++) {
+		a = g_ptr_array_index(ls->others, i);
+		if (!strcmp(a->key, key))
+			return a;
+	}
+	a = ledger_account_create(key + strlen("ledger/"));
+	g_ptr_array_add(ls->others, a);
+	return a;
+}
+
+/* Takes the answer to the list or watch; on failure the list is read again. */
+static void watch_answered(struct part_ctx *ctx, const struct kv_done *done)
+{
+	struct ledger_sync *ls = ctx->parts.ledger;
+	size_t i;
+
+	ls->watch_token = 0;
+	if (done->result != KV_OK) {
+		ls->watch_revision = 0;
+		ls->watch_retry = ctx->now + RETRY_DELAY +
+				  g_rand_int_range(ctx->rng, 0, 500) * CS_MSEC;
+		return;
+	}
+	for (i = 0; i < done->rows_nr; i++) {
+		const struct kv_row *row = &done->rows[i];
+		struct ledger_account *a = find_account(ls, row->key);
+
+		if (a && row->version)
+			ledger_account_adopt(ctx, a, row->version, row->value);
+		else if (a)
+			a->must_read = true;
+	}
+	if (done->op == KV_LIST) {
+		ls->own->is_known |= !ls->own->version;
+		ls->reserve->is_known |= !ls->reserve->version;
+	}
+	ls->watch_revision = done->revision;
+	watch(ctx);
+}
+
+static void on_kv(struct part_ctx *ctx, const struct kv_done *done)
+{
+	struct ledger_sync *ls = ctx->parts.ledger;
+	struct ledger_account *a = NULL;
+
+	if (!done->token)
+		return;
+	ls->is_cut_off = done->result == KV_UNKNOWN ||
+			 done->result == KV_UNAVAILABLE;
+	if (done->token == ls->own->token)
+		a = ls->own;
+	else if (done->token == ls->reserve->token)
+		a = ls->reserve;
+	if (done->token == ls->watch_token)
+		watch_answered(ctx, done);
+	else if (a)
+		ledger_account_answer(ctx, a, done);
+	else
+		return;
+	if (ls->is_stale && done->token == ls->reread_token && a->is_known &&
+	    !a->must_read)
+		ls->is_stale = false;
+	documents_changed(ctx);
+	/* Permits may have come, for which work is waiting. */
+	dispatch_kick_all(ctx);
+}
+
+static void on_peer_state(struct part_ctx *ctx, const struct peer_state *state)
+{
+	struct ledger_sync *ls = ctx->parts.ledger;
+	struct live_peer p = { .incarnation = state->incarnation };
+	guint i;
+
+	for (i = 0; i < ls->peers->len; i++)
+		if (!strcmp(g_array_index(ls->peers, struct live_peer, i).entry,
+			    state->peer))
+			g_array_remove_index_fast(ls->peers, i--);
+	if (!state->is_up)
+		return;
+	cs_copy(p.entry, sizeof(p.entry), state->peer);
+	g_array_append_val(ls->peers, p);
+}
+
+static void on_config(struct part_ctx *ctx, const struct document *doc)
+{
+	struct ledger_sync *ls = ctx->parts.ledger;
+	size_t nr, i;
+	const struct doc_team *teams = document_teams(doc, &nr);
+
+	ls->config_revision = document_revision(doc);
+	g_array_set_size(ls->limits, 0);
+	for (i = 0; i < nr; i++) {
+		struct ledger_limit limit = { .limit = teams[i].limit };
+
+		cs_copy(limit.team, sizeof(limit.team), teams[i].name);
+		g_array_append_val(ls->limits, limit);
+		find_use(ls, limit.team, true);
+	}
+	schedule(ctx, ctx->now);
+}
+
+/*
+ * While the process was paused others may have taken it for dead and taken
+ * its permits: only a read that begins after the pause shows that they did
+ * not.
+ */
+static void on_jump(struct part_ctx *ctx)
+{
+	struct ledger_sync *ls = ctx->parts.ledger;
+
+	if (MUTANT(ctx, "ledger-no-reread"))
+		return;
+	ls->is_stale = true;
+	ls->reread_token = 0;
+	ls->own->must_read = true;
+	schedule(ctx, ctx->now);
+}
+
+static void drain(struct part_ctx *ctx)
+{
+	schedule(ctx, ctx->now);
+}
+
+static bool is_drained(struct part_ctx *ctx)
+{
+	const struct ledger_sync *ls = ctx->parts.ledger;
+	guint i;
+
+	for (i = 0; i < ls->uses->len; i++)
+		if (g_array_index(ls->uses, struct ledger_use, i).used)
+			return false;
+	/* Without the platform nothing can be given back. */
+	return ls->is_cut_off || !ls->own->is_known || is_fenced(ctx) ||
+	       (!ls->own->token &&
+		!ledger_holder(ls->own->doc, ctx->options->id,
+			       ctx->options->incarnation));
+}
+
+static void start(struct part_ctx *ctx)
+{
+	plan(ctx);
+}
+
+static int create(struct part_ctx *ctx, struct cs_error *err)
+{
+	const struct entry_options *o = ctx->options;
+	struct ledger_sync *ls;
+	size_t i;
+
+	if (!*o->data_centre || !strcmp(o->data_centre, LEDGER_RESERVE))
+		return cs_error_set(err, CS_ERR_INVALID, "ledger_create", NULL,
+				    "a data centre can't be named \"%s\"",
+				    o->data_centre);
+	ls = g_new0(struct ledger_sync, 1);
+	ls->own = ledger_account_create(o->data_centre);
+	ls->reserve = ledger_account_create(LEDGER_RESERVE);
+	ls->others = g_ptr_array_new_with_free_func(
+		(GDestroyNotify)ledger_account_destroy);
+	ls->uses = g_array_new(FALSE, TRUE, sizeof(struct ledger_use));
+	ls->peers = g_array_new(FALSE, TRUE, sizeof(struct live_peer));
+	ls->marks = g_array_new(FALSE, TRUE, sizeof(struct seen_mark));
+	ls->limits = g_array_new(FALSE, TRUE, sizeof(struct ledger_limit));
+	ls->entries = (int)o->peers_nr + 1;
+	for (i = 0; i < o->peers_nr; i++)
+		ls->rank += strcmp(o->peers[i].id, o->id) < 0;
+	ctx->parts.ledger = ls;
+	return CS_OK;
+}
+
+static void destroy(struct part_ctx *ctx)
+{
+	struct ledger_sync *ls = ctx->parts.ledger;
+
+	if (!ls)
+		return;
+	ledger_account_destroy(ls->own);
+	ledger_account_destroy(ls->reserve);
+	g_ptr_array_unref(ls->others);
+	g_array_unref(ls->uses);
+	g_array_unref(ls->peers);
+	g_array_unref(ls->marks);
+	g_array_unref(ls->limits);
+	g_free(ls);
+	ctx->parts.ledger = NULL;
+}
+
+const struct part_ops ledger_sync_part = {
+	.name = "ledger",
+	.create = create,
+	.destroy = destroy,
+	.start = start,
+	.on_kv = on_kv,
+	.on_peer_state = on_peer_state,
+	.on_config = on_config,
+	.on_jump = on_jump,
+	.drain = drain,
+	.is_drained = is_drained,
+};
