--- a/src/ledger/ledger_account.c
+++ b/src/ledger/ledger_account.c
@@ -11,6 +11,8 @@
 #define WRITE_INTERVAL CS_SEC
 /* Spreads the writes of entries that react to the same change. */
 #define WRITE_JITTER_MS 100
+/* Between reads while the platform does not answer. */
+#define READ_RETRY (CS_SEC / 2)
 /* After a conflict nothing was written; the next try follows at once. */
 #define CONFLICT_DELAY_MS 20
 
@@ -191,8 +193,8 @@
 		if (done->result == KV_MISSING)
 			a->is_known = false;
 		a->must_read = true;
-		a->next_write = ctx->now + WRITE_INTERVAL +
-				jitter(ctx, WRITE_JITTER_MS);
+		a->next_read =
+			ctx->now + READ_RETRY + jitter(ctx, WRITE_JITTER_MS);
 		return false;
 	}
 	a->must_write = a->unsettled->len > 0;
--- a/src/ledger/ledger_account.h
+++ b/src/ledger/ledger_account.h
@@ -26,6 +26,7 @@
 	bool must_write; /* a read has left writes unsettled */
 	cs_time due; /* when the planned change should be written */
 	cs_time next_write; /* not before: the limit on writes */
+	cs_time next_read; /* not before: delay after a failed read */
 };
 
 struct ledger_account *ledger_account_create(const char *name);
--- a/src/ledger/ledger_sync.c
+++ b/src/ledger/ledger_sync.c
@@ -429,7 +429,7 @@
 	if (a->token)
 		return false;
 	if (a->must_read) {
-		if (a->next_write > ctx->now && a != ls->own)
+		if (a->next_read > ctx->now)
 			return false;
 		ledger_account_read(ctx, a, ++ls->last_token);
 		if (a == ls->own)
@@ -462,7 +462,7 @@
 	enum ledger_urgency urgency;
 	struct ledger *candidate;
 
-	if (!is_ready(ctx, ls->own) || ls->is_stale || is_fenced(ctx))
+	if (!is_ready(ctx, ls->own) || ls->is_stale)
 		return;
 	candidate = ledger_copy(ls->own->doc);
 	urgency = ledger_plan_own(w, candidate);
@@ -486,13 +486,17 @@
 	part_emit(ctx, msg);
 }
 
+/* When the account needs the plan to run again. */
 static cs_time account_due(const struct part_ctx *ctx,
 			   const struct ledger_account *a)
 {
-	if (a->token || (a->due == CS_TIME_NEVER && !a->must_read))
+	if (a->token)
+		return CS_TIME_NEVER;
+	if (a->must_read)
+		return MAX(ctx->now, a->next_read);
+	if (a->due == CS_TIME_NEVER)
 		return CS_TIME_NEVER;
-	return MAX(ctx->now + CS_MSEC,
-		   MAX(a->must_read ? 0 : a->due, a->next_write));
+	return MAX(ctx->now, MAX(a->due, a->next_write));
 }
 
 /* Applies all rules to what is known, and emits the calls that are due. */
@@ -502,6 +506,8 @@
 	struct ledger_world w;
 
 	watch(ctx);
+	if (is_fenced(ctx))
+		return;
 	look(ctx, &w);
 	plan_reserve(ctx, &w);
 	w.reserve = ls->reserve->is_known ? ls->reserve->doc : NULL;
@@ -598,6 +604,21 @@
 	watch(ctx);
 }
 
+static bool is_work_waiting(const struct part_ctx *ctx)
+{
+	const GArray *uses = ctx->parts.ledger->uses;
+	guint i;
+
+	for (i = 0; i < uses->len; i++) {
+		const struct ledger_use *u =
+			&g_array_index(uses, struct ledger_use, i);
+
+		if (u->waiting || u->asked)
+			return true;
+	}
+	return false;
+}
+
 static void on_kv(struct part_ctx *ctx, const struct kv_done *done)
 {
 	struct ledger_sync *ls = ctx->parts.ledger;
@@ -621,8 +642,9 @@
 	    !a->must_read)
 		ls->is_stale = false;
 	documents_changed(ctx);
-	/* Permits may have come, for which work is waiting. */
-	dispatch_kick_all(ctx);
+	/* Permits may have come. */
+	if (is_work_waiting(ctx))
+		dispatch_kick_all(ctx);
 }
 
 static void on_peer_state(struct part_ctx *ctx, const struct peer_state *state)
--- /dev/null
+++ b/tests/unit/test_ledger.c
@@ -0,0 +1,175 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <string.h>
+
+#include "../../src/ledger/ledger_codec.h"
+
+static const struct ledger_limit ten[] = { { "red", 10 } };
+
+/* A reserve with ten permits of one team. */
+static struct ledger *make_reserve(void)
+{
+	struct ledger *l = ledger_create(LEDGER_RESERVE);
+
+	assert_int_equal(ledger_set_limits(l, 1, ten, 1), CS_OK);
+	return l;
+}
+
+/* A reader with an old copy of the giver must not credit a transfer twice. */
+static void transfer_is_credited_once(void **state)
+{
+	struct ledger *reserve = make_reserve(), *old;
+	struct ledger *dc = ledger_create("dc1");
+
+	(void)state;
+	assert_int_equal(ledger_send(reserve, "red", "dc1", 4), CS_OK);
+	assert_int_equal(ledger_send(reserve, "red", "dc2", 3), CS_OK);
+	old = ledger_copy(reserve);
+	assert_int_equal(ledger_receive(dc, reserve), 4);
+	assert_int_equal(ledger_receive(dc, reserve), 0);
+	assert_int_equal(ledger_clear(reserve, dc), 1);
+	assert_int_equal(ledger_receive(dc, old), 0);
+	assert_int_equal(ledger_balance(dc, "red"), 4);
+	assert_int_equal(ledger_balance(reserve, "red"), 3);
+	assert_int_equal(reserve->outgoing->len, 1);
+	assert_true(ledger_is_balanced(reserve) && ledger_is_balanced(dc));
+	ledger_destroy(old);
+	ledger_destroy(dc);
+	ledger_destroy(reserve);
+}
+
+/* An entry with an older fleet document must not undo a newer limit. */
+static void older_limits_are_refused(void **state)
+{
+	struct ledger *l = make_reserve();
+
+	(void)state;
+	assert_int_equal(ledger_send(l, "red", "dc1", 8), CS_OK);
+	assert_int_equal(ledger_set_limits(l, 3, NULL, 0), CS_OK);
+	assert_int_equal(ledger_balance(l, "red"), -8);
+	assert_int_equal(ledger_set_limits(l, 2, ten, 1), CS_ERR_STALE);
+	assert_int_equal(ledger_balance(l, "red"), -8);
+	assert_int_equal(ledger_send(l, "red", "dc1", 1), CS_ERR_LIMIT);
+	ledger_destroy(l);
+}
+
+/* Nobody can move permits that the source does not have. */
+static void moves_are_bounded(void **state)
+{
+	struct ledger *l = ledger_create("dc1"), *reserve = make_reserve();
+	struct ledger_holder *h;
+
+	(void)state;
+	ledger_send(reserve, "red", "dc1", 5);
+	ledger_receive(l, reserve);
+	h = ledger_holder_make(l, "e1", 7);
+	assert_int_equal(ledger_take(l, h, "red", 6), CS_ERR_LIMIT);
+	assert_int_equal(ledger_take(l, h, "red", -1), CS_ERR_LIMIT);
+	assert_int_equal(ledger_take(l, h, "red", 5), CS_OK);
+	assert_int_equal(ledger_give(l, h, "red", 6), CS_ERR_LIMIT);
+	assert_int_equal(ledger_give(l, h, "red", 1), CS_OK);
+	assert_int_equal(ledger_reclaim(l, "e1", 6), CS_ERR_MISSING);
+	assert_int_equal(ledger_reclaim(l, "e1", 7), CS_OK);
+	assert_int_equal(ledger_balance(l, "red"), 5);
+	ledger_destroy(l);
+	ledger_destroy(reserve);
+}
+
+/* What is written must be read back as it was. */
+static void document_survives_codec(void **state)
+{
+	struct ledger *reserve = make_reserve(), *l = ledger_create("dc1");
+	struct ledger_holder *h;
+	GBytes *a, *b;
+	struct ledger *copy;
+
+	(void)state;
+	ledger_send(reserve, "red", "dc1", 9);
+	ledger_receive(l, reserve);
+	h = ledger_holder_make(l, "e2", 3);
+	h->run_ms = 30000;
+	ledger_take(l, h, "red", 5);
+	ledger_want(h, "red", 2);
+	ledger_mark(l, h);
+	ledger_send(l, "red", LEDGER_RESERVE, 2);
+	a = ledger_encode(l);
+	copy = ledger_decode(a, "dc1", NULL);
+	assert_non_null(copy);
+	assert_true(ledger_is_balanced(copy));
+	b = ledger_encode(copy);
+	assert_true(g_bytes_equal(a, b));
+	assert_int_equal(ledger_received(copy, LEDGER_RESERVE), 1);
+	g_bytes_unref(a);
+	g_bytes_unref(b);
+	ledger_destroy(copy);
+	ledger_destroy(l);
+	ledger_destroy(reserve);
+}
+
+#define DOCUMENT(teams, holders, outgoing)                                     \
+	"{\"account\":\"dc1\",\"change\":\"c\",\"revision\":0,"                \
+	"\"sequence\":5,\"marks\":0,\"teams\":" teams ",\"holders\":" holders  \
+	",\"outgoing\":" outgoing ",\"received\":{}}"
+
+/* A damaged document is an error; it must not crash or be half read. */
+static void bad_documents_are_errors(void **state)
+{
+	static const char *const bad[] = {
+		"",
+		"[]",
+		"{\"account\":\"dc1\"",
+		"{\"account\":\"dc2\"}",
+		DOCUMENT("{\"red\":[-1,0]}", "[]", "[]"),
+		DOCUMENT("{\"red\":[1.5,0]}", "[]", "[]"),
+		DOCUMENT("{\"red\":[1]}", "[]", "[]"),
+		DOCUMENT("{\"\":[1,0]}", "[]", "[]"),
+		DOCUMENT("{\"red\":[1,0],\"red\":[1,0]}", "[]", "[]"),
+		DOCUMENT("{}", "[7]", "[]"),
+		DOCUMENT("{}", "{}", "[]"),
+		DOCUMENT("{}", "[]", "[[6,\"dc2\",\"red\",1]]"),
+		DOCUMENT("{}", "[]", "[[0,\"dc2\",\"red\",1]]"),
+		DOCUMENT("{}", "[]", "[[2,\"a\",\"r\",1],[2,\"a\",\"r\",1]]"),
+		DOCUMENT("{}", "[]", "[[1,\"dc2\",\"red\",0]]"),
+	};
+	static const char good[] = DOCUMENT("{\"red\":[1,0]}", "[]", "[]");
+	struct cs_error err;
+	struct ledger *l;
+	GBytes *bytes;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(bad); i++) {
+		bytes = g_bytes_new_static(bad[i], strlen(bad[i]));
+		assert_null(ledger_decode(bytes, "dc1", &err));
+		assert_int_equal(err.code, CS_ERR_INVALID);
+		g_bytes_unref(bytes);
+	}
+	assert_null(ledger_decode(NULL, "dc1", &err));
+	bytes = g_bytes_new_static(good, strlen(good));
+	l = ledger_decode(bytes, "dc1", &err);
+	assert_non_null(l);
+	ledger_destroy(l);
+	for (i = 0; i < strlen(good); i++) {
+		GBytes *part = g_bytes_new_from_bytes(bytes, 0, i);
+
+		assert_null(ledger_decode(part, "dc1", &err));
+		g_bytes_unref(part);
+	}
+	g_bytes_unref(bytes);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(transfer_is_credited_once),
+		cmocka_unit_test(older_limits_are_refused),
+		cmocka_unit_test(moves_are_bounded),
+		cmocka_unit_test(document_survives_codec),
+		cmocka_unit_test(bad_documents_are_errors),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/unit/test_ledger_sync.c
@@ -0,0 +1,759 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../../src/base/error.h"
+#include "../../src/config/config_sync.h"
+#include "../../src/fleet/fleet.h"
+#include "../../src/job/dispatch.h"
+#include "../../src/ledger/ledger_codec.h"
+#include "../../src/ledger/ledger_sync.h"
+#include "fake_fleet.h"
+
+/*
+ * Stand-ins for the other parts. The fleet document is one team row; each
+ * entry has its own copy, so that one can lag behind.
+ */
+struct document {
+	uint64_t revision;
+	size_t nr;
+	struct doc_team team;
+};
+
+/* Tasks of the one team: they end at a time, whatever becomes of the entry. */
+struct load {
+	struct document doc;
+	int wanted; /* tasks the entry would like to have running */
+	int run_ms;
+	bool is_dropped; /* from the host list */
+};
+
+struct task_row {
+	struct fake_node *node;
+	uint64_t incarnation;
+	cs_time end;
+};
+
+static GArray *tasks; /* struct task_row */
+static bool must_hold; /* the checks fail the test */
+static int violations;
+
+#define TEAM "red"
+
+static struct load *load_of(const struct part_ctx *ctx)
+{
+	return ((const struct fake_node *)ctx)->test;
+}
+
+const struct document *config_sync_document(const struct part_ctx *ctx)
+{
+	return &load_of(ctx)->doc;
+}
+
+uint64_t document_revision(const struct document *doc)
+{
+	return doc->revision;
+}
+
+const struct doc_team *document_teams(const struct document *doc, size_t *nr)
+{
+	*nr = doc->nr;
+	return &doc->team;
+}
+
+const struct doc_team *document_team(const struct document *doc,
+				     const char *name)
+{
+	return doc->nr && !strcmp(name, doc->team.name) ? &doc->team : NULL;
+}
+
+bool fleet_is_entry_dropped(const struct part_ctx *ctx, const char *entry)
+{
+	const struct fake_fleet *f = ((const struct fake_node *)ctx)->fleet;
+	int i;
+
+	for (i = 0; i < f->nodes_nr; i++)
+		if (!strcmp(f->nodes[i]->options.id, entry))
+			return ((struct load *)f->nodes[i]->test)->is_dropped;
+	return false;
+}
+
+void dispatch_kick_all(struct part_ctx *ctx)
+{
+	struct fake_node *n = (struct fake_node *)ctx;
+	struct load *l = n->test;
+	struct task_row row = { .node = n,
+				.incarnation = n->options.incarnation };
+
+	while (ledger_sync_used(ctx, TEAM) < l->wanted &&
+	       !ledger_sync_acquire_for(ctx, TEAM, l->run_ms)) {
+		row.end = n->fleet->now + l->run_ms * CS_MSEC;
+		g_array_append_val(tasks, row);
+	}
+	ledger_sync_demand(ctx, TEAM,
+			   MAX(0, l->wanted - ledger_sync_used(ctx, TEAM)));
+}
+
+static void want(struct fake_node *n, int wanted)
+{
+	((struct load *)n->test)->wanted = wanted;
+	if (!n->is_alive || n->is_paused)
+		return;
+	fake_node_turn(n);
+	dispatch_kick_all(&n->ctx);
+}
+
+/* Ends tasks that are over; a live, running entry releases their permits. */
+static void end_tasks(const struct fake_fleet *f, cs_time now)
+{
+	guint i = 0;
+
+	while (i < tasks->len) {
+		struct task_row t = g_array_index(tasks, struct task_row, i);
+		bool is_same = t.node->is_alive &&
+			       t.incarnation == t.node->options.incarnation;
+
+		if (t.end > now || (is_same && t.node->is_paused)) {
+			i++;
+			continue;
+		}
+		g_array_remove_index_fast(tasks, i);
+		if (is_same) {
+			fake_node_turn(t.node);
+			ledger_sync_release(&t.node->ctx, TEAM);
+		}
+	}
+	(void)f;
+}
+
+/* Ends some tasks of a node before their time. */
+static void finish(struct fake_node *n, int nr)
+{
+	guint i = 0;
+
+	for (i = tasks->len; i-- && nr;) {
+		struct task_row *t = &g_array_index(tasks, struct task_row, i);
+
+		if (t->node != n || t->incarnation != n->options.incarnation)
+			continue;
+		t->end = n->fleet->now;
+		nr--;
+	}
+}
+
+static int running(const struct fake_fleet *f)
+{
+	int nr = 0;
+	guint i;
+
+	for (i = 0; i < tasks->len; i++)
+		nr += g_array_index(tasks, struct task_row, i).end > f->now;
+	return nr;
+}
+
+static struct ledger *read_account(const struct fake_fleet *f,
+				   const char *account)
+{
+	char key[128];
+	GBytes *value;
+	struct ledger *l;
+
+	g_snprintf(key, sizeof(key), "ledger/%s", account);
+	value = fake_fleet_value(f, key);
+	if (!value)
+		return ledger_create(account);
+	l = ledger_decode(value, account, NULL);
+	assert_non_null(l);
+	return l;
+}
+
+/* All documents of the platform. */
+static GPtrArray *read_all(const struct fake_fleet *f)
+{
+	GPtrArray *all =
+		g_ptr_array_new_with_free_func((GDestroyNotify)ledger_destroy);
+	GHashTableIter it;
+	gpointer key;
+
+	g_hash_table_iter_init(&it, f->rows);
+	while (g_hash_table_iter_next(&it, &key, NULL))
+		g_ptr_array_add(all, read_account(f, strchr(key, '/') + 1));
+	return all;
+}
+
+static int64_t held_in(const struct ledger *l)
+{
+	int64_t sum = ledger_balance(l, TEAM);
+	guint i;
+
+	for (i = 0; i < l->holders->len; i++) {
+		const struct ledger_share *s = ledger_share(
+			&g_array_index(l->holders, struct ledger_holder, i),
+			TEAM);
+
+		sum += s ? s->balance : 0;
+	}
+	return sum;
+}
+
+/* Balances plus transfers not received yet, over all documents. */
+static int64_t sum_of_all(const struct fake_fleet *f, int64_t *limit)
+{
+	GPtrArray *all = read_all(f);
+	int64_t sum = 0;
+	guint i, k, m;
+
+	*limit = 0;
+	for (i = 0; i < all->len; i++) {
+		struct ledger *l = g_ptr_array_index(all, i);
+
+		sum += held_in(l);
+		if (ledger_is_reserve(l) && ledger_team(l, TEAM))
+			*limit = ledger_team(l, TEAM)->limit;
+		for (k = 0; k < l->outgoing->len; k++) {
+			struct ledger_transfer *t = &g_array_index(
+				l->outgoing, struct ledger_transfer, k);
+			uint64_t upto = 0;
+
+			for (m = 0; m < all->len; m++) {
+				struct ledger *to = g_ptr_array_index(all, m);
+
+				if (!strcmp(to->account, t->to))
+					upto = ledger_received(to, l->account);
+			}
+			sum += t->id > upto ? t->n : 0;
+		}
+	}
+	g_ptr_array_unref(all);
+	return sum;
+}
+
+static int64_t highest_limit; /* the limit cannot be below what runs */
+
+static void check(struct fake_fleet *f)
+{
+	int64_t limit, sum;
+
+	end_tasks(f, f->now);
+	sum = sum_of_all(f, &limit);
+	if (sum == limit && running(f) <= highest_limit)
+		return;
+	violations++;
+	if (must_hold)
+		fail_msg("at %" G_GINT64_FORMAT ": sum %" G_GINT64_FORMAT
+			 ", limit %" G_GINT64_FORMAT ", running %d of "
+			 "%" G_GINT64_FORMAT,
+			 f->now, sum, limit, running(f), highest_limit);
+}
+
+static void set_limit(struct fake_node *n, uint64_t revision, int limit)
+{
+	struct load *l = n->test;
+
+	l->doc.revision = revision;
+	l->doc.nr = limit > 0;
+	cs_copy(l->doc.team.name, CS_NAME_MAX, TEAM);
+	l->doc.team.limit = limit;
+	if (!n->is_alive || n->is_paused)
+		return;
+	fake_node_turn(n);
+	n->fleet->part->on_config(&n->ctx, &l->doc);
+}
+
+static void start_node(struct fake_node *n, const char *mutant)
+{
+	struct load *l = n->test;
+
+	fake_node_start(n, mutant);
+	set_limit(n, l->doc.revision, l->doc.team.limit);
+}
+
+/* nr entries, in data centres dc0, dc1, ... of per entries each. */
+static struct fake_fleet *make_fleet(int nr, int per, int limit, uint32_t seed,
+				     const char *mutant)
+{
+	struct fake_fleet *f = fake_fleet_create(&ledger_sync_part, seed);
+	char id[16], dc[16];
+	int i;
+
+	tasks = g_array_new(FALSE, TRUE, sizeof(struct task_row));
+	must_hold = !mutant;
+	violations = 0;
+	highest_limit = limit;
+	for (i = 0; i < nr; i++) {
+		struct load *l = g_new0(struct load, 1);
+
+		l->run_ms = 20000;
+		g_snprintf(id, sizeof(id), "e%d", i);
+		g_snprintf(dc, sizeof(dc), "dc%d", i / per);
+		fake_node_add(f, id, dc)->test = l;
+		set_limit(f->nodes[i], 1, limit);
+	}
+	f->after_step = check;
+	for (i = 0; i < nr; i++)
+		start_node(f->nodes[i], mutant);
+	return f;
+}
+
+static void drop_fleet(struct fake_fleet *f)
+{
+	int i;
+
+	for (i = 0; i < f->nodes_nr; i++)
+		g_free(f->nodes[i]->test);
+	g_array_unref(tasks);
+	fake_fleet_destroy(f);
+}
+
+/* Permits that lie idle elsewhere must reach a busy entry within 2 s. */
+static void permits_follow_demand(void **state)
+{
+	struct fake_fleet *f = make_fleet(6, 2, 100, 1, NULL);
+	uint64_t calls;
+
+	(void)state;
+	fake_fleet_run(f, 20 * CS_SEC);
+	assert_true(ledger_sync_held(&f->nodes[0]->ctx, TEAM) >= 16);
+	assert_true(ledger_sync_held(&f->nodes[5]->ctx, TEAM) >= 16);
+	calls = f->calls;
+	fake_fleet_run(f, 60 * CS_SEC);
+	assert_int_equal(f->calls, calls); /* idle entries make no calls */
+	want(f->nodes[0], 1000);
+	fake_fleet_run(f, 2500 * CS_MSEC);
+	assert_true(running(f) >= 98);
+	want(f->nodes[0], 0);
+	finish(f->nodes[0], 1000);
+	want(f->nodes[4], 1000);
+	fake_fleet_run(f, 2500 * CS_MSEC);
+	assert_true(running(f) >= 98);
+	drop_fleet(f);
+}
+
+/* One entry that holds all must not keep the others without any for good. */
+static void crowded_limit_is_divided(void **state)
+{
+	struct fake_fleet *f = make_fleet(4, 2, 40, 2, NULL);
+	int i, low = 0;
+
+	(void)state;
+	for (i = 0; i < 4; i++)
+		((struct load *)f->nodes[i]->test)->run_ms = 500;
+	want(f->nodes[0], 1000);
+	fake_fleet_run(f, 10 * CS_SEC);
+	for (i = 1; i < 4; i++)
+		want(f->nodes[i], 1000);
+	fake_fleet_run(f, 15 * CS_SEC);
+	for (i = 0; i < 4; i++)
+		assert_true(ledger_sync_held(&f->nodes[i]->ctx, TEAM) >= 5);
+	for (i = 0; i < 300; i++) {
+		fake_fleet_run(f, 100 * CS_MSEC);
+		low += running(f) < 39; /* 98 % of 40 */
+	}
+	assert_int_equal(low, 0);
+	drop_fleet(f);
+}
+
+/* Writes of lost outcome: each way to lose one, at each document. */
+static void lost_answers_keep_the_sum(void **state)
+{
+	static const char *const keys[] = { "ledger/reserve", "ledger/dc0",
+					    "ledger/dc1" };
+	int fault, key, round;
+
+	(void)state;
+	for (fault = FAKE_LOST_APPLIED; fault <= FAKE_LOST_LATE; fault++)
+		for (key = 0; key < 3; key++) {
+			struct fake_fleet *f =
+				make_fleet(4, 2, 30, (uint32_t)fault, NULL);
+
+			f->fault_key = keys[key];
+			for (round = 0; round < 8; round++) {
+				f->next_fault = fault;
+				want(f->nodes[round % 4], 60);
+				fake_fleet_run(f, 3 * CS_SEC);
+				want(f->nodes[round % 4], 0);
+				finish(f->nodes[round % 4], 60);
+				fake_fleet_run(f, 100 * CS_MSEC);
+			}
+			want(f->nodes[0], 60);
+			fake_fleet_run(f, 8 * CS_SEC);
+			assert_true(running(f) >= 29);
+			drop_fleet(f);
+		}
+}
+
+/* Free permits given up in a write that is late must not be used meanwhile. */
+static void late_write_is_not_taken_for_failed(void **state)
+{
+	struct fake_fleet *f = make_fleet(2, 2, 20, 5, NULL);
+
+	(void)state;
+	fake_fleet_run(f, 10 * CS_SEC);
+	f->fault_key = "ledger/dc0";
+	f->next_fault = FAKE_LOST_LATE;
+	want(f->nodes[1], 20);
+	fake_fleet_run(f, 50 * CS_MSEC);
+	want(f->nodes[0], 20);
+	f->next_fault = FAKE_LOST_LATE;
+	fake_fleet_run(f, 60 * CS_SEC);
+	assert_true(running(f) >= 19);
+	drop_fleet(f);
+}
+
+/*
+ * A paused entry is taken for dead; its permits go to another after the
+ * longest run. On resume it must not start on what it remembers.
+ */
+static void paused_entry_loses_its_permits(void **state)
+{
+	struct fake_fleet *f = make_fleet(2, 2, 10, 3, NULL);
+	struct load *l;
+
+	(void)state;
+	fake_fleet_run(f, 5 * CS_SEC);
+	want(f->nodes[0], 5);
+	fake_fleet_run(f, CS_SEC);
+	l = f->nodes[0]->test;
+	l->is_dropped = true;
+	fake_node_pause(f->nodes[0]);
+	want(f->nodes[1], 10);
+	fake_fleet_run(f, 25 * CS_SEC);
+	assert_int_equal(ledger_sync_held(&f->nodes[1]->ctx, TEAM), 5);
+	fake_fleet_run(f, 30 * CS_SEC);
+	assert_int_equal(ledger_sync_held(&f->nodes[1]->ctx, TEAM), 10);
+	fake_node_resume(f->nodes[0]);
+	fake_node_turn(f->nodes[0]);
+	assert_int_equal(ledger_sync_acquire_for(&f->nodes[0]->ctx, TEAM, 1000),
+			 CS_ERR_STALE);
+	l->is_dropped = false;
+	want(f->nodes[1], 2);
+	fake_fleet_run(f, 60 * CS_SEC);
+	assert_int_equal(ledger_sync_used(&f->nodes[0]->ctx, TEAM), 5);
+	drop_fleet(f);
+}
+
+/* A pause that ends before the reclaim: the mark is removed, nothing lost. */
+static void resumed_entry_removes_the_mark(void **state)
+{
+	struct fake_fleet *f = make_fleet(2, 2, 10, 4, NULL);
+	struct load *l;
+
+	(void)state;
+	fake_fleet_run(f, 5 * CS_SEC);
+	l = f->nodes[0]->test;
+	l->is_dropped = true;
+	fake_node_pause(f->nodes[0]);
+	want(f->nodes[1], 10);
+	fake_fleet_run(f, 33 * CS_SEC);
+	fake_node_resume(f->nodes[0]);
+	want(f->nodes[0], 5);
+	fake_fleet_run(f, 15 * CS_SEC);
+	assert_true(ledger_sync_used(&f->nodes[0]->ctx, TEAM) >= 4);
+	drop_fleet(f);
+}
+
+/* A restarted entry must not get the permits of tasks that still run. */
+static void restarted_entry_waits_for_old_tasks(void **state)
+{
+	struct fake_fleet *f = make_fleet(2, 1, 10, 6, NULL);
+	struct load *l;
+
+	(void)state;
+	fake_fleet_run(f, 5 * CS_SEC);
+	l = f->nodes[0]->test;
+	l->run_ms = 200000;
+	want(f->nodes[0], 10);
+	fake_fleet_run(f, 5 * CS_SEC);
+	assert_int_equal(running(f), 10);
+	fake_node_kill(f->nodes[0]);
+	start_node(f->nodes[0], NULL);
+	l->run_ms = 1000;
+	fake_fleet_run(f, 100 * CS_SEC);
+	assert_int_equal(ledger_sync_held(&f->nodes[0]->ctx, TEAM), 0);
+	fake_fleet_run(f, 230 * CS_SEC);
+	assert_true(ledger_sync_held(&f->nodes[0]->ctx, TEAM) >= 9);
+	drop_fleet(f);
+}
+
+/* The giver or the receiver ends at any step of a transfer. */
+static void interrupted_transfer_keeps_the_sum(void **state)
+{
+	int step;
+
+	(void)state;
+	for (step = 0; step < 40; step++) {
+		struct fake_fleet *f =
+			make_fleet(3, 1, 30, (uint32_t)step + 10, NULL);
+		struct fake_node *victim = f->nodes[step % 2];
+
+		fake_fleet_run(f, 10 * CS_SEC);
+		want(f->nodes[0], 30);
+		fake_fleet_run(f, step / 2 * 80 * CS_MSEC);
+		fake_node_kill(victim);
+		fake_fleet_run(f, CS_SEC);
+		start_node(victim, NULL);
+		fake_fleet_run(f, 80 * CS_SEC);
+		want(f->nodes[0], 30);
+		fake_fleet_run(f, 10 * CS_SEC);
+		assert_true(running(f) >= 29);
+		drop_fleet(f);
+	}
+}
+
+/* The part that can be reached lowers; the rest follows on return. */
+static void lowered_limit_reaches_a_cut_off_data_centre(void **state)
+{
+	struct fake_fleet *f = make_fleet(4, 2, 40, 7, NULL);
+	int i;
+
+	(void)state;
+	fake_fleet_run(f, 10 * CS_SEC);
+	for (i = 0; i < 4; i++)
+		want(f->nodes[i], 10);
+	fake_fleet_run(f, CS_SEC);
+	assert_int_equal(running(f), 40);
+	for (i = 2; i < 4; i++) {
+		f->nodes[i]->is_cut = true;
+		fake_node_set_island(f->nodes[i], 1);
+	}
+	set_limit(f->nodes[0], 2, 12);
+	set_limit(f->nodes[1], 2, 12);
+	fake_fleet_run(f, 45 * CS_SEC);
+	/* Those cut off keep the 20 they hold, which is above 12. */
+	assert_int_equal(ledger_sync_used(&f->nodes[0]->ctx, TEAM), 0);
+	assert_int_equal(ledger_sync_used(&f->nodes[3]->ctx, TEAM), 10);
+	for (i = 2; i < 4; i++) {
+		f->nodes[i]->is_cut = false;
+		fake_node_set_island(f->nodes[i], 0);
+		set_limit(f->nodes[i], 2, 12);
+	}
+	fake_fleet_run(f, 45 * CS_SEC);
+	assert_true(running(f) <= 12);
+	assert_true(running(f) >= 11);
+	drop_fleet(f);
+}
+
+/* A removed team starts nothing; its permits end with its tasks. */
+static void removed_team_ends(void **state)
+{
+	struct fake_fleet *f = make_fleet(2, 1, 10, 8, NULL);
+	struct ledger *l;
+	int i;
+
+	(void)state;
+	fake_fleet_run(f, 10 * CS_SEC);
+	want(f->nodes[0], 10);
+	fake_fleet_run(f, 5 * CS_SEC);
+	for (i = 0; i < 2; i++)
+		set_limit(f->nodes[i], 2, 0);
+	assert_int_equal(ledger_sync_acquire(&f->nodes[0]->ctx, TEAM),
+			 CS_ERR_MISSING);
+	fake_fleet_run(f, 60 * CS_SEC);
+	l = read_account(f, "dc0");
+	assert_int_equal(held_in(l), 0);
+	ledger_destroy(l);
+	drop_fleet(f);
+}
+
+/* Entries serve on with what they hold while the platform is down. */
+static void outage_does_not_stop_starts(void **state)
+{
+	struct fake_fleet *f = make_fleet(4, 2, 40, 9, NULL);
+	int i;
+
+	(void)state;
+	fake_fleet_run(f, 10 * CS_SEC);
+	f->is_down = true;
+	fake_fleet_run(f, 30 * CS_SEC);
+	for (i = 0; i < 4; i++)
+		want(f->nodes[i], 10);
+	fake_fleet_run(f, 30 * CS_SEC);
+	assert_int_equal(running(f), 40);
+	f->is_down = false;
+	fake_fleet_run(f, 30 * CS_SEC);
+	assert_true(running(f) >= 39);
+	drop_fleet(f);
+}
+
+/* A drained entry leaves nothing behind. */
+static void drained_entry_gives_all_back(void **state)
+{
+	struct fake_fleet *f = make_fleet(2, 1, 10, 11, NULL);
+	struct fake_node *n = f->nodes[0];
+	struct ledger *l;
+
+	(void)state;
+	fake_fleet_run(f, 10 * CS_SEC);
+	want(n, 3);
+	fake_fleet_run(f, CS_SEC);
+	((struct load *)n->test)->wanted = 0;
+	n->ctx.is_draining = true;
+	ledger_sync_part.drain(&n->ctx);
+	assert_false(ledger_sync_part.is_drained(&n->ctx));
+	fake_fleet_run(f, 25 * CS_SEC);
+	assert_true(ledger_sync_part.is_drained(&n->ctx));
+	l = read_account(f, "dc0");
+	assert_int_equal(l->holders->len, 0);
+	assert_int_equal(held_in(l), 0);
+	ledger_destroy(l);
+	drop_fleet(f);
+}
+
+/* A document that nobody can read stops new starts, and recovers. */
+static void bad_document_stops_starts(void **state)
+{
+	struct fake_fleet *f = make_fleet(1, 1, 10, 12, NULL);
+	struct part_ctx *ctx = &f->nodes[0]->ctx;
+	struct kv_row row = { .version = 1000 };
+	struct kv_done done = { .op = KV_WATCH,
+				.result = KV_OK,
+				.rows = &row,
+				.rows_nr = 1 };
+
+	(void)state;
+	fake_fleet_run(f, 10 * CS_SEC);
+	cs_copy(row.key, sizeof(row.key), "ledger/dc0");
+	row.value = g_bytes_new_static("{", 1);
+	for (done.token = 1; done.token < 1000; done.token++)
+		ledger_sync_part.on_kv(ctx, &done);
+	assert_int_equal(ledger_sync_acquire_for(ctx, TEAM, 1000),
+			 CS_ERR_STALE);
+	g_bytes_unref(row.value);
+	drop_fleet(f);
+}
+
+/* One random action: load, kills, pauses, cuts, limits. */
+static void act(struct fake_fleet *f, const char *mutant, uint64_t *revision)
+{
+	struct fake_node *n =
+		f->nodes[g_rand_int_range(f->rng, 0, f->nodes_nr)];
+	struct load *l = n->test;
+	int i, limit;
+
+	switch (g_rand_int_range(f->rng, 0, 14)) {
+	case 0:
+		if (n->is_alive)
+			fake_node_kill(n);
+		else
+			start_node(n, mutant);
+		break;
+	case 1:
+		if (!n->is_alive)
+			break;
+		if (n->is_paused)
+			fake_node_resume(n);
+		else
+			fake_node_pause(n);
+		break;
+	case 2:
+		n->is_cut = !n->is_cut && g_rand_boolean(f->rng);
+		break;
+	case 3:
+		f->is_down = !f->is_down && g_rand_boolean(f->rng);
+		break;
+	case 4:
+		limit = g_rand_int_range(f->rng, 10, 60);
+		highest_limit = MAX(highest_limit, limit);
+		(*revision)++;
+		for (i = 0; i < f->nodes_nr; i++)
+			set_limit(f->nodes[i], *revision, limit);
+		break;
+	case 5:
+		finish(n, g_rand_int_range(f->rng, 0, 30));
+		break;
+	case 6:
+		l->run_ms = g_rand_int_range(f->rng, 100, 200000);
+		break;
+	default:
+		want(n, g_rand_int_range(f->rng, 0, 3) ?
+				g_rand_int_range(f->rng, 0, 60) :
+				0);
+		break;
+	}
+	/* The host list drops entries that are dead or paused. */
+	for (i = 0; i < f->nodes_nr; i++)
+		((struct load *)f->nodes[i]->test)->is_dropped =
+			!f->nodes[i]->is_alive || f->nodes[i]->is_paused;
+}
+
+static int run_random(uint32_t seed, int steps, const char *mutant)
+{
+	struct fake_fleet *f = make_fleet(5, 2, 40, seed, mutant);
+	uint64_t revision = 1;
+	int i;
+
+	f->lost_percent = 20;
+	for (i = 0; i < steps && !violations; i++) {
+		act(f, mutant, &revision);
+		fake_fleet_run(f, g_rand_int_range(f->rng, 1, 8000) * CS_MSEC);
+	}
+	drop_fleet(f);
+	return violations;
+}
+
+/* The sum rule and the limit after every step of a random history. */
+static void random_history_keeps_the_limit(void **state)
+{
+	uint32_t seed;
+
+	(void)state;
+	for (seed = 1; seed <= 20; seed++)
+		assert_int_equal(run_random(seed, 150, NULL), 0);
+}
+
+/* The checks above must notice when a mechanism is missing (soak build). */
+static void mutants_are_caught(void **state)
+{
+#ifdef CS_SOAK
+	static const char *const mutants[] = {
+		"ledger-no-reread",
+		"ledger-early-reclaim",
+		"ledger-assume-lost-write-failed",
+		"ledger-transfer-credit-first",
+		"ledger-ignore-run-class",
+		"ledger-ignore-mark",
+		"ledger-no-fence",
+	};
+	size_t i;
+	uint32_t seed;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(mutants); i++) {
+		for (seed = 1; seed <= 200; seed++)
+			if (run_random(seed, 300, mutants[i]))
+				break;
+		print_message("%s: seed %u\n", mutants[i], seed);
+		assert_true(seed <= 200);
+	}
+#else
+	(void)state;
+	skip();
+#endif
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(permits_follow_demand),
+		cmocka_unit_test(crowded_limit_is_divided),
+		cmocka_unit_test(lost_answers_keep_the_sum),
+		cmocka_unit_test(late_write_is_not_taken_for_failed),
+		cmocka_unit_test(paused_entry_loses_its_permits),
+		cmocka_unit_test(resumed_entry_removes_the_mark),
+		cmocka_unit_test(restarted_entry_waits_for_old_tasks),
+		cmocka_unit_test(interrupted_transfer_keeps_the_sum),
+		cmocka_unit_test(lowered_limit_reaches_a_cut_off_data_centre),
+		cmocka_unit_test(removed_team_ends),
+		cmocka_unit_test(outage_does_not_stop_starts),
+		cmocka_unit_test(drained_entry_gives_all_back),
+		cmocka_unit_test(bad_document_stops_starts),
+		cmocka_unit_test(random_history_keeps_the_limit),
+		cmocka_unit_test(mutants_are_caught),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
