--- /dev/null
+++ b/src/base/http_client.c
@@ -0,0 +1,678 @@
+#include "http_client.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdio.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+
+#include "error.h"
+#include "slots.h"
+#include "task.h"
+
+/*
+ * evhttp does not report whether a failed request was sent. It puts a request
+ * into the output buffer of its bufferevent only when the connection is
+ * established, and it disables the bufferevent before it discards what is
+ * left there. A callback on that buffer can therefore tell that a connection
+ * was established (bytes added) and that bytes were passed to the socket
+ * (bytes removed while writing is enabled).
+ */
+
+/* Calls and connections at once; rows are allocated as they are needed. */
+#define CALLS_MAX (1u << 20)
+#define CONNS_MAX (1u << 17)
+
+/* A connection without an answer for this long may have gone silent. */
+#define LIVE_US (1 * CS_SEC)
+
+/* Idle connections are closed, so that workers keep room for others. */
+#define IDLE_US (30 * CS_SEC)
+
+/*
+ * evhttp's own timeout (50 s by default) is set beyond the longest deadline
+ * of a request, 24 h, since calls have their own timers.
+ */
+#define EVHTTP_TIMEOUT_S (2 * 86400)
+
+/* Longest path with its query, in bytes; more is refused. */
+#define PATH_MAX_LEN 8192
+
+struct pool {
+	char key[CS_ADDRESS_MAX + 8];
+	char address[CS_ADDRESS_MAX];
+	char host[CS_ADDRESS_MAX];
+	uint16_t port;
+	int lane;
+	int open; /* connections, idle and busy */
+	bool is_dirty; /* in the client's list of pools to serve */
+	GQueue waiting; /* struct call, oldest first */
+	GQueue idle; /* struct conn, last used first */
+};
+
+struct conn {
+	struct http_client *client;
+	struct pool *pool; /* NULL once it no longer counts */
+	cs_handle self;
+	struct evhttp_connection *evcon;
+	struct evbuffer_cb_entry *output_cb;
+	struct event *timer; /* connect timeout, then idle timeout */
+	bool is_connected;
+	bool is_closed; /* must not be used again */
+	/* Bytes of the present call that evhttp wrote and the socket took. */
+	size_t queued, written;
+	struct call *call; /* NULL while idle */
+	cs_time last_answer;
+};
+
+struct call {
+	struct http_client *client;
+	struct pool *pool;
+	struct conn *conn; /* NULL while waiting */
+	cs_handle self;
+	struct evhttp_request *req;
+	enum evhttp_cmd_type cmd;
+	char *path;
+	struct event *timer;
+	cs_time deadline;
+	bool needs_live;
+	int evhttp_error; /* enum evhttp_request_error, -1: none reported */
+	http_done_fn done;
+	void *ctx;
+	uint64_t ref;
+};
+
+struct http_client {
+	struct event_base *base;
+	struct http_client_options options;
+	struct slots *calls;
+	struct slots *conns;
+	GHashTable *pools; /* key -> struct pool */
+	struct event *turn; /* releases the dead and serves dirty pools */
+	GQueue dead; /* struct conn */
+	GQueue dirty; /* struct pool */
+};
+
+const char *http_result_name(enum http_result result)
+{
+	static const char *const names[] = { "answered", "not_sent",
+					     "unknown" };
+
+	return names[result];
+}
+
+int http_address_parse(const char *address, char host[CS_ADDRESS_MAX],
+		       uint16_t *port)
+{
+	struct sockaddr_storage ss;
+	int len = sizeof(ss);
+	const void *ip;
+
+	if (evutil_parse_sockaddr_port(address, (struct sockaddr *)&ss, &len))
+		return CS_ERR_INVALID;
+	if (ss.ss_family == AF_INET6) {
+		ip = &((struct sockaddr_in6 *)&ss)->sin6_addr;
+		*port = ntohs(((struct sockaddr_in6 *)&ss)->sin6_port);
+	} else {
+		ip = &((struct sockaddr_in *)&ss)->sin_addr;
+		*port = ntohs(((struct sockaddr_in *)&ss)->sin_port);
+	}
+	if (!*port || !evutil_inet_ntop(ss.ss_family, ip, host, CS_ADDRESS_MAX))
+		return CS_ERR_INVALID;
+	return CS_OK;
+}
+
+static void arm(struct event *timer, cs_time delay)
+{
+	struct timeval tv;
+
+	if (delay < 0)
+		delay = 0;
+	tv.tv_sec = delay / CS_SEC;
+	tv.tv_usec = delay % CS_SEC;
+	event_add(timer, &tv);
+}
+
+static void wake_pool(struct http_client *c, struct pool *pool)
+{
+	if (!pool->is_dirty) {
+		pool->is_dirty = true;
+		g_queue_push_tail(&c->dirty, pool);
+	}
+	event_active(c->turn, EV_TIMEOUT, 0);
+}
+
+/* Closes the socket. Not to be called from a callback of this connection. */
+static void conn_shut(struct conn *conn)
+{
+	if (!conn->evcon)
+		return;
+	evhttp_connection_set_closecb(conn->evcon, NULL, NULL);
+	evbuffer_remove_cb_entry(
+		bufferevent_get_output(
+			evhttp_connection_get_bufferevent(conn->evcon)),
+		conn->output_cb);
+	evhttp_connection_free(conn->evcon);
+	conn->evcon = NULL;
+}
+
+/*
+ * Takes a connection out of its pool. The rest is released by the next turn,
+ * because evhttp may still be using it further up the stack.
+ */
+static void conn_retire(struct conn *conn)
+{
+	struct http_client *c = conn->client;
+	struct pool *pool = conn->pool;
+
+	if (!pool)
+		return;
+	event_del(conn->timer);
+	g_queue_remove(&pool->idle, conn);
+	pool->open--;
+	conn->pool = NULL;
+	conn->is_closed = true;
+	g_queue_push_tail(&c->dead, conn);
+	wake_pool(c, pool);
+}
+
+static void conn_free(struct conn *conn)
+{
+	conn_shut(conn);
+	event_free(conn->timer);
+	slots_free(conn->client->conns, conn->self);
+}
+
+static void on_output(struct evbuffer *buffer,
+		      const struct evbuffer_cb_info *info, void *arg)
+{
+	struct conn *conn = arg;
+	struct bufferevent *bev =
+		evhttp_connection_get_bufferevent(conn->evcon);
+	int one = 1;
+
+	(void)buffer;
+	if (info->n_added && !conn->is_connected) {
+		conn->is_connected = true;
+		event_del(conn->timer);
+		setsockopt(bufferevent_getfd(bev), IPPROTO_TCP, TCP_NODELAY,
+			   &one, sizeof(one));
+	}
+	conn->queued += info->n_added;
+	if (info->n_deleted && (bufferevent_get_enabled(bev) & EV_WRITE))
+		conn->written += info->n_deleted;
+}
+
+/* The peer or evhttp closed the connection. */
+static void on_close(struct evhttp_connection *evcon, void *arg)
+{
+	struct conn *conn = arg;
+
+	(void)evcon;
+	conn->is_closed = true;
+	if (!conn->call)
+		conn_retire(conn);
+}
+
+/* The connection of a finished call becomes idle or is retired. */
+static void conn_release(struct conn *conn)
+{
+	conn->call = NULL;
+	if (conn->is_closed) {
+		conn_retire(conn);
+		return;
+	}
+	g_queue_push_head(&conn->pool->idle, conn);
+	arm(conn->timer, IDLE_US);
+	wake_pool(conn->client, conn->pool);
+}
+
+/* Releases the call and tells its owner. */
+static void call_finish(struct call *call, const struct http_answer *answer)
+{
+	http_done_fn done = call->done;
+	void *ctx = call->ctx;
+	uint64_t ref = call->ref;
+
+	if (call->conn)
+		conn_release(call->conn);
+	else if (call->pool)
+		g_queue_remove(&call->pool->waiting, call);
+	if (call->req)
+		evhttp_request_free(call->req);
+	event_free(call->timer);
+	g_free(call->path);
+	slots_free(call->client->calls, call->self);
+	done(ctx, ref, answer);
+}
+
+/* Ends a call without an answer; what was sent decides the result. */
+static void call_fail(struct call *call, int code, const char *message)
+{
+	struct http_answer answer = { .result = HTTP_NOT_SENT };
+	struct conn *conn = call->conn;
+	const char *step = "connect";
+
+	if (conn && conn->is_connected)
+		step = conn->written < conn->queued || !conn->queued ?
+			       "send" :
+			       "receive";
+	if (conn && conn->written)
+		answer.result = HTTP_UNKNOWN;
+	cs_error_set(&answer.error, code, step,
+		     call->pool ? call->pool->address : NULL, "%s", message);
+	if (conn)
+		conn->is_closed = true;
+	call_finish(call, &answer);
+}
+
+/* The same from outside evhttp, which must forget the request first. */
+static void call_abort(struct call *call, int code, const char *message)
+{
+	if (call->conn) {
+		conn_shut(call->conn);
+		call->req = NULL;
+	}
+	call_fail(call, code, message);
+}
+
+static void on_deadline(evutil_socket_t fd, short what, void *arg)
+{
+	struct call *call = arg;
+	cs_time now = task_now();
+
+	(void)fd;
+	(void)what;
+	if (now < call->deadline) {
+		arm(call->timer, call->deadline - now);
+		return;
+	}
+	call_abort(call, CS_ERR_TIMEOUT,
+		   call->conn ? "no whole answer before the deadline" :
+				"no free connection before the deadline");
+}
+
+/* Connect timeout while connecting, idle timeout while idle. */
+static void on_conn_timer(evutil_socket_t fd, short what, void *arg)
+{
+	struct conn *conn = arg;
+
+	(void)fd;
+	(void)what;
+	if (!conn->call)
+		conn_retire(conn);
+	else if (!conn->is_connected)
+		call_abort(conn->call, CS_ERR_TIMEOUT, "connect timeout");
+}
+
+static struct conn *conn_open(struct http_client *c, struct pool *pool)
+{
+	struct timeval tv = { .tv_sec = EVHTTP_TIMEOUT_S };
+	struct conn *conn;
+	cs_handle self = slots_take(c->conns, (void **)&conn);
+
+	if (!self)
+		return NULL;
+	conn->client = c;
+	conn->self = self;
+	conn->evcon = evhttp_connection_base_bufferevent_new(
+		c->base, NULL, NULL, pool->host, pool->port);
+	conn->timer = evtimer_new(c->base, on_conn_timer, conn);
+	if (!conn->evcon || !conn->timer)
+		goto fail;
+	conn->output_cb = evbuffer_add_cb(
+		bufferevent_get_output(
+			evhttp_connection_get_bufferevent(conn->evcon)),
+		on_output, conn);
+	if (!conn->output_cb)
+		goto fail;
+	evhttp_connection_set_retries(conn->evcon, 0);
+	evhttp_connection_set_timeout_tv(conn->evcon, &tv);
+	evhttp_connection_set_max_body_size(conn->evcon,
+					    (ev_ssize_t)c->options.answer_max);
+	evhttp_connection_set_closecb(conn->evcon, on_close, conn);
+	conn->pool = pool;
+	pool->open++;
+	arm(conn->timer, c->options.connect_timeout_ms * CS_MSEC);
+	return conn;
+fail:
+	if (conn->evcon)
+		evhttp_connection_free(conn->evcon);
+	if (conn->timer)
+		event_free(conn->timer);
+	slots_free(c->conns, self);
+	return NULL;
+}
+
+/* True if an answer of this status has a body that evhttp delimits. */
+static bool is_whole(struct evhttp_request *req, size_t len)
+{
+	struct evkeyvalq *headers = evhttp_request_get_input_headers(req);
+	const char *value = evhttp_find_header(headers, "Transfer-Encoding");
+	int status = evhttp_request_get_response_code(req);
+
+	if (value && !strcasecmp(value, "chunked"))
+		return true;
+	value = evhttp_find_header(headers, "Content-Length");
+	if (value)
+		return g_ascii_strtoull(value, NULL, 10) == len;
+	/*
+	 * A body that ends with the connection looks the same when the worker
+	 * died in the middle of it.
+	 */
+	return status == 204 || status == 304;
+}
+
+static void on_error(enum evhttp_request_error error, void *arg)
+{
+	((struct call *)arg)->evhttp_error = (int)error;
+}
+
+static const char *error_text(int error)
+{
+	switch (error) {
+	case EVREQ_HTTP_TIMEOUT:
+		return "timeout";
+	case EVREQ_HTTP_EOF:
+		return "connection closed or reset";
+	case EVREQ_HTTP_INVALID_HEADER:
+		return "malformed answer";
+	case EVREQ_HTTP_DATA_TOO_LONG:
+		return "answer too long";
+	default:
+		return "connection failed";
+	}
+}
+
+/*
+ * evhttp is done with the request. A failure is reported either as NULL or,
+ * when the connection was not established, as a request without a status.
+ */
+static void on_done(struct evhttp_request *req, void *arg)
+{
+	struct call *call = arg;
+	struct http_answer answer = { .result = HTTP_ANSWERED };
+	struct evbuffer *input;
+	size_t len;
+	void *data;
+
+	call->req = NULL;
+	if (!req || !evhttp_request_get_response_code(req)) {
+		call_fail(call, CS_ERR_IO, error_text(call->evhttp_error));
+		return;
+	}
+	input = evhttp_request_get_input_buffer(req);
+	len = evbuffer_get_length(input);
+	if (!is_whole(req, len)) {
+		call_fail(call, CS_ERR_IO, "answer has no length");
+		return;
+	}
+	data = g_malloc(len);
+	evbuffer_remove(input, data, len);
+	answer.body = g_bytes_new_take(data, len);
+	answer.status = evhttp_request_get_response_code(req);
+	cs_copy(answer.content_type, sizeof(answer.content_type),
+		evhttp_find_header(evhttp_request_get_input_headers(req),
+				   "Content-Type"));
+	call->conn->last_answer = task_now();
+	call_finish(call, &answer);
+	g_bytes_unref(answer.body);
+}
+
+/*
+ * The connection to use for a call: an idle one, or a new one if there is
+ * room. Returns NULL if the call has to wait (is_full) or none can be made.
+ */
+static struct conn *pick(struct http_client *c, struct pool *pool,
+			 const struct call *call, bool *is_full)
+{
+	struct conn *conn = g_queue_peek_head(&pool->idle);
+	int max = c->options.connections_max[pool->lane];
+
+	*is_full = false;
+	if (conn &&
+	    (!call->needs_live || task_now() - conn->last_answer <= LIVE_US)) {
+		g_queue_pop_head(&pool->idle);
+		event_del(conn->timer);
+		return conn;
+	}
+	if (pool->open >= max) {
+		if (!conn) {
+			*is_full = true;
+			return NULL;
+		}
+		conn_retire(g_queue_peek_tail(&pool->idle));
+	}
+	return conn_open(c, pool);
+}
+
+static void serve(struct http_client *c, struct pool *pool)
+{
+	struct call *call;
+	struct conn *conn;
+	struct evhttp_request *req;
+	bool is_full;
+
+	while ((call = g_queue_peek_head(&pool->waiting))) {
+		conn = pick(c, pool, call, &is_full);
+		if (is_full)
+			return;
+		if (!conn) {
+			call_fail(call, CS_ERR_NOMEM,
+				  "no connection can be "
+				  "made");
+			continue;
+		}
+		g_queue_pop_head(&pool->waiting);
+		call->conn = conn;
+		conn->call = call;
+		conn->queued = 0;
+		conn->written = 0;
+		req = call->req;
+		/* evhttp owns the request now, and may finish it at once. */
+		if (evhttp_make_request(conn->evcon, req, call->cmd,
+					call->path)) {
+			call->req = NULL;
+			call_fail(call, CS_ERR_IO, "cannot open a socket");
+		}
+	}
+}
+
+static void on_turn(evutil_socket_t fd, short what, void *arg)
+{
+	struct http_client *c = arg;
+	struct conn *conn;
+	struct pool *pool;
+
+	(void)fd;
+	(void)what;
+	while ((conn = g_queue_pop_head(&c->dead)))
+		conn_free(conn);
+	while ((pool = g_queue_pop_head(&c->dirty))) {
+		pool->is_dirty = false;
+		serve(c, pool);
+		if (!pool->open && !pool->waiting.length && !pool->is_dirty)
+			g_hash_table_remove(c->pools, pool->key);
+	}
+}
+
+static void pool_key(char *key, size_t size, const char *address, int lane)
+{
+	snprintf(key, size, "%d %s", lane, address);
+}
+
+/* Finds or makes the pool. NULL if the address is not "IP:PORT". */
+static struct pool *find_pool(struct http_client *c, const char *address,
+			      int lane)
+{
+	char key[CS_ADDRESS_MAX + 8];
+	char host[CS_ADDRESS_MAX];
+	struct pool *pool;
+	uint16_t port;
+
+	pool_key(key, sizeof(key), address, lane);
+	pool = g_hash_table_lookup(c->pools, key);
+	if (pool)
+		return pool;
+	if (http_address_parse(address, host, &port))
+		return NULL;
+	pool = g_new0(struct pool, 1);
+	cs_copy(pool->key, sizeof(pool->key), key);
+	cs_copy(pool->address, sizeof(pool->address), address);
+	cs_copy(pool->host, sizeof(pool->host), host);
+	pool->port = port;
+	pool->lane = lane;
+	g_hash_table_insert(c->pools, pool->key, pool);
+	return pool;
+}
+
+int http_client_connections(const struct http_client *c, const char *address,
+			    int lane)
+{
+	char key[CS_ADDRESS_MAX + 8];
+	const struct pool *pool;
+
+	pool_key(key, sizeof(key), address, lane);
+	pool = g_hash_table_lookup(c->pools, key);
+	return pool ? pool->open : 0;
+}
+
+static struct evhttp_request *build(const struct http_call *in,
+				    struct call *call)
+{
+	struct evhttp_request *req = evhttp_request_new(on_done, call);
+	struct evkeyvalq *headers;
+	char traceparent[TRACEPARENT_LEN];
+	gconstpointer data;
+	gsize len;
+	size_t i;
+
+	if (!req)
+		return NULL;
+	evhttp_request_set_error_cb(req, on_error);
+	headers = evhttp_request_get_output_headers(req);
+	evhttp_add_header(headers, "Host", in->address);
+	if (in->content_type && *in->content_type)
+		evhttp_add_header(headers, "Content-Type", in->content_type);
+	for (i = 0; i < in->headers_nr; i++)
+		evhttp_add_header(headers, in->headers[i].name,
+				  in->headers[i].value);
+	if (in->trace && in->trace->span) {
+		trace_format(in->trace, traceparent);
+		evhttp_add_header(headers, "traceparent", traceparent);
+	}
+	if (in->body) {
+		data = g_bytes_get_data(in->body, &len);
+		evbuffer_add(evhttp_request_get_output_buffer(req), data, len);
+	}
+	return req;
+}
+
+void http_client_call(struct http_client *c, const struct http_call *in,
+		      http_done_fn done, void *ctx, uint64_t ref)
+{
+	static const enum evhttp_cmd_type cmds[] = {
+		[HTTP_GET] = EVHTTP_REQ_GET,
+		[HTTP_POST] = EVHTTP_REQ_POST,
+		[HTTP_PUT] = EVHTTP_REQ_PUT,
+		[HTTP_DELETE] = EVHTTP_REQ_DELETE,
+	};
+	struct http_answer refused = { .result = HTTP_NOT_SENT };
+	cs_time now = task_now();
+	struct call *call = NULL;
+	struct pool *pool = find_pool(c, in->address, in->lane);
+	cs_handle self;
+	int code = CS_ERR_INVALID;
+	const char *message = "malformed address or path";
+
+	if (!pool || strlen(in->path) > PATH_MAX_LEN)
+		goto refuse;
+	code = CS_ERR_TIMEOUT;
+	message = "the deadline has passed";
+	if (in->deadline <= now)
+		goto refuse;
+	code = CS_ERR_NOMEM;
+	message = "too many calls";
+	self = slots_take(c->calls, (void **)&call);
+	if (!self)
+		goto refuse;
+	call->client = c;
+	call->self = self;
+	call->pool = pool;
+	call->cmd = cmds[in->method];
+	call->deadline = in->deadline;
+	call->needs_live = in->needs_live;
+	call->evhttp_error = -1;
+	call->done = done;
+	call->ctx = ctx;
+	call->ref = ref;
+	call->req = build(in, call);
+	call->timer = evtimer_new(c->base, on_deadline, call);
+	if (!call->req || !call->timer)
+		goto refuse_call;
+	call->path = g_strdup(in->path);
+	if (in->deadline != CS_TIME_NEVER)
+		arm(call->timer, in->deadline - now);
+	g_queue_push_tail(&pool->waiting, call);
+	serve(c, pool);
+	return;
+refuse_call:
+	if (call->req)
+		evhttp_request_free(call->req);
+	if (call->timer)
+		event_free(call->timer);
+	slots_free(c->calls, self);
+refuse:
+	if (pool)
+		wake_pool(c, pool);
+	cs_error_set(&refused.error, code, "connect", in->address, "%s",
+		     message);
+	done(ctx, ref, &refused);
+}
+
+struct http_client *http_client_create(
+	struct event_base *base, const struct http_client_options *options)
+{
+	struct http_client *c = g_new0(struct http_client, 1);
+
+	c->base = base;
+	c->options = *options;
+	c->calls = slots_create(sizeof(struct call), CALLS_MAX);
+	c->conns = slots_create(sizeof(struct conn), CONNS_MAX);
+	c->pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	c->turn = event_new(base, -1, 0, on_turn, c);
+	if (!c->calls || !c->conns || !c->turn) {
+		http_client_destroy(c);
+		return NULL;
+	}
+	return c;
+}
+
+void http_client_destroy(struct http_client *c)
+{
+	struct conn *conn;
+	cs_handle h;
+
+	if (!c)
+		return;
+	for (h = 0; c->calls && (h = slots_next(c->calls, h));)
+		call_abort(slots_get(c->calls, h), CS_ERR_IO,
+			   "the client is closing");
+	for (h = 0; c->conns && (h = slots_next(c->conns, h));) {
+		conn = slots_get(c->conns, h);
+		conn_free(conn);
+	}
+	g_queue_clear(&c->dead);
+	g_queue_clear(&c->dirty);
+	if (c->turn)
+		event_free(c->turn);
+	g_hash_table_destroy(c->pools);
+	slots_destroy(c->calls);
+	slots_destroy(c->conns);
+	g_free(c);
+}
--- /dev/null
+++ b/src/worker/worker_client.c
@@ -0,0 +1,525 @@
+#include "worker_client.h"
+
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "../base/counters.h"
+#include "../base/error.h"
+#include "../base/http_client.h"
+#include "../base/slots.h"
+#include "../base/task.h"
+
+/*
+ * Control calls have connections of their own, since a lease must be renewed
+ * while long answers hold all the others.
+ */
+enum lane { LANE_WORK, LANE_CONTROL };
+
+/* Of many connections to a worker, those for control. */
+#define CONTROL_CONNECTIONS 2
+
+/* Leases are renewed every 2 s; a later answer has been overtaken. */
+#define CONTROL_TIMEOUT_US (2 * CS_SEC)
+
+/* A result can be large, and nothing waits for it but its caller. */
+#define RESULT_TIMEOUT_US (10 * CS_SEC)
+
+/* Bytes of an answer; protects the small hosts of the entries. */
+#define ANSWER_MAX (16u * 1024 * 1024)
+
+/* Calls at once. Rows are allocated as they are needed. */
+#define CALLS_MAX (1u << 20)
+
+/* "/tasks/" and a task identifier and checkpoint, all escaped, at most. */
+#define PATH_SIZE 2048
+
+struct worker_client {
+	struct worker_client_options options;
+	struct bus *bus;
+	struct task *task;
+	struct http_client *http;
+	struct counters *counters;
+	struct slots *calls;
+	GRand *rng;
+};
+
+struct worker_call {
+	const struct call_ops *ops;
+	struct msg *request;
+	struct trace trace; /* of this hop */
+	cs_time start;
+};
+
+/* One row for each kind of call, indexed by the message that asks for it. */
+struct call_ops {
+	const char *name;
+	/* Fills call and path (PATH_SIZE bytes). */
+	void (*encode)(const struct msg *request, cs_time now,
+		       struct http_call *call, char *path);
+	/* Tells the core of the end. */
+	void (*answer)(struct worker_client *client, struct worker_call *call,
+		       const struct http_answer *answer);
+};
+
+/* Appends a formatted piece to a path of PATH_SIZE bytes. */
+static void __attribute__((format(printf, 2, 3)))
+append(char *path, const char *fmt, ...)
+{
+	size_t len = strlen(path);
+	va_list args;
+
+	va_start(args, fmt);
+	vsnprintf(path + len, PATH_SIZE - len, fmt, args);
+	va_end(args);
+}
+
+static void append_escaped(char *path, const char *text)
+{
+	char *escaped =
+		g_uri_escape_bytes((const guint8 *)text, strlen(text), NULL);
+
+	append(path, "%s", escaped);
+	g_free(escaped);
+}
+
+static void start_encode(const struct msg *request, cs_time now,
+			 struct http_call *call, char *path)
+{
+	const struct task_start *t = &request->u.task_start;
+
+	(void)now;
+	call->method = HTTP_POST;
+	call->lane = LANE_WORK;
+	call->address = t->address;
+	call->content_type = t->content_type;
+	call->body = t->body;
+	call->deadline = t->deadline;
+	call->needs_live = t->needs_live_connection;
+	append(path, "/tasks/");
+	append_escaped(path, t->task_id);
+	append(path, "?lease_ms=%" PRId64 "&mode=%s", t->lease_ms,
+	       t->work == WORK_LONG ? "long" : "short");
+	if (*t->checkpoint) {
+		append(path, "&checkpoint=");
+		append_escaped(path, t->checkpoint);
+	}
+}
+
+static enum task_result task_result(const struct http_answer *answer)
+{
+	if (answer->result == HTTP_NOT_SENT)
+		return TASK_NOT_SENT;
+	if (answer->result == HTTP_UNKNOWN)
+		return TASK_UNKNOWN;
+	return answer->status == 429 ? TASK_REFUSED : TASK_ANSWERED;
+}
+
+static void start_answer(struct worker_client *client, struct worker_call *call,
+			 const struct http_answer *answer)
+{
+	static const char *const names[] = { "answered", "refused", "not_sent",
+					     "unknown" };
+	const struct task_start *t = &call->request->u.task_start;
+	enum task_result result = task_result(answer);
+	struct msg *span = msg_new(MSG_SPAN);
+	struct msg *m = msg_new(MSG_TASK_DONE);
+	struct task_done *d = &m->u.task_done;
+	char labels[48];
+
+	cs_copy(span->u.span.name, sizeof(span->u.span.name), "worker_call");
+	cs_copy(span->u.span.peer, sizeof(span->u.span.peer), t->address);
+	cs_copy(span->u.span.result, sizeof(span->u.span.result),
+		names[result]);
+	span->u.span.trace = call->trace;
+	span->u.span.start = call->start;
+	span->u.span.end = task_now();
+	bus_post(client->bus, BUS_WORKER, span);
+	snprintf(labels, sizeof(labels), "result=\"%s\"", names[result]);
+	counters_add(client->counters, "camphorshed_worker_tasks_total", labels,
+		     1);
+
+	d->attempt = t->attempt;
+	d->result = result;
+	d->status = answer->status;
+	d->error = answer->error;
+	if (result == TASK_REFUSED)
+		cs_error_set(&d->error, CS_ERR_FULL, "receive", t->address,
+			     "the worker has no free slot");
+	if (result == TASK_ANSWERED) {
+		cs_copy(d->content_type, sizeof(d->content_type),
+			answer->content_type);
+		d->body = g_bytes_ref(answer->body);
+	}
+	bus_post(client->bus, BUS_WORKER, m);
+}
+
+/* How each control operation looks on the wire. */
+static const struct control_op {
+	const char *name;
+	enum http_method method;
+	cs_time timeout;
+	bool is_json; /* the answer is a JSON object */
+} control_ops[] = {
+	[TASK_RENEW] = { "renew", HTTP_POST, CONTROL_TIMEOUT_US, true },
+	[TASK_CHECKPOINT] = { "checkpoint", HTTP_POST, CONTROL_TIMEOUT_US,
+			      true },
+	[TASK_THROTTLE] = { "throttle", HTTP_POST, CONTROL_TIMEOUT_US, false },
+	[TASK_STOP] = { "stop", HTTP_POST, CONTROL_TIMEOUT_US, false },
+	[TASK_RESULT] = { "result", HTTP_GET, RESULT_TIMEOUT_US, false },
+};
+
+static void control_encode(const struct msg *request, cs_time now,
+			   struct http_call *call, char *path)
+{
+	const struct task_control *t = &request->u.task_control;
+	const struct control_op *op = &control_ops[t->op];
+
+	call->method = op->method;
+	call->lane = LANE_CONTROL;
+	call->address = t->address;
+	call->deadline = now + op->timeout;
+	append(path, "/tasks/");
+	append_escaped(path, t->task_id);
+	append(path, "/%s", op->name);
+	if (t->op == TASK_RENEW)
+		append(path, "?lease_ms=%" PRId64, t->lease_ms);
+	else if (t->op == TASK_THROTTLE)
+		append(path, "?percent=%d", t->percent);
+}
+
+/* The JSON object in an answer, or NULL. The caller releases it. */
+static json_t *decode_object(GBytes *body)
+{
+	gsize len;
+	const char *data = g_bytes_get_data(body, &len);
+	json_t *root = data ? json_loadb(data, len, 0, NULL) : NULL;
+
+	if (json_is_object(root))
+		return root;
+	json_decref(root);
+	return NULL;
+}
+
+static bool state_parse(const char *name, enum task_state *state)
+{
+	static const char *const names[] = {
+		[TASK_STATE_RUNNING] = "running",
+		[TASK_STATE_DONE] = "done",
+		[TASK_STATE_FAILED] = "failed",
+		[TASK_STATE_STOPPED] = "stopped",
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(names); i++) {
+		if (!strcmp(names[i], name)) {
+			*state = (enum task_state)i;
+			return true;
+		}
+	}
+	return false;
+}
+
+/* Reads what a control answer says of the task. False if it is malformed. */
+static bool control_decode(struct task_control_done *d, GBytes *body)
+{
+	json_t *root = decode_object(body);
+	const char *state = NULL, *checkpoint = NULL;
+	bool is_valid = false;
+
+	if (!root)
+		return false;
+	if (d->op == TASK_RENEW)
+		is_valid = !json_unpack(root, "{s:s, s:i, s?:s}", "state",
+					&state, "progress", &d->progress,
+					"checkpoint", &checkpoint) &&
+			   state_parse(state, &d->state) && d->progress >= 0 &&
+			   d->progress <= 100;
+	else
+		is_valid =
+			!json_unpack(root, "{s:s}", "checkpoint", &checkpoint);
+	/* Part of a checkpoint would resume the task at the wrong place. */
+	if (checkpoint && strlen(checkpoint) >= sizeof(d->checkpoint))
+		is_valid = false;
+	cs_copy(d->checkpoint, sizeof(d->checkpoint), checkpoint);
+	json_decref(root);
+	return is_valid;
+}
+
+/* Writes a failed call to the log and counts it. */
+static void report(struct worker_client *client, const char *call,
+		   const struct cs_error *err)
+{
+	struct msg *m = msg_new(MSG_EVENT);
+	struct event_line *e = &m->u.event;
+	char labels[96];
+
+	e->level = LOG_WARN;
+	cs_copy(e->step, sizeof(e->step), err->step);
+	cs_copy(e->peer, sizeof(e->peer), err->peer);
+	e->pairs = g_string_new(NULL);
+	log_pair(e->pairs, "event", "worker_call_failed");
+	log_pair(e->pairs, "call", call);
+	log_pair(e->pairs, "code", cs_code_name(err->code));
+	log_pair(e->pairs, "message", err->message);
+	bus_post(client->bus, BUS_WORKER, m);
+	snprintf(labels, sizeof(labels), "call=\"%s\",step=\"%s\"", call,
+		 err->step);
+	counters_add(client->counters, "camphorshed_worker_failures_total",
+		     labels, 1);
+}
+
+static void report_status(struct worker_client *client, const char *call,
+			  const char *address, int status, const char *message)
+{
+	struct cs_error err;
+
+	cs_error_set(&err, CS_ERR_IO, "receive", address, "%s, status %d",
+		     message, status);
+	report(client, call, &err);
+}
+
+static void control_answer(struct worker_client *client,
+			   struct worker_call *call,
+			   const struct http_answer *answer)
+{
+	const struct task_control *t = &call->request->u.task_control;
+	struct msg *m = msg_new(MSG_TASK_CONTROL_DONE);
+	struct task_control_done *d = &m->u.task_control_done;
+	const struct control_op *op = &control_ops[t->op];
+
+	d->attempt = t->attempt;
+	d->op = t->op;
+	d->code = CS_OK;
+	if (answer->result != HTTP_ANSWERED) {
+		d->code = answer->error.code == CS_ERR_TIMEOUT ?
+				  CS_ERR_TIMEOUT :
+				  CS_ERR_IO;
+	} else if (answer->status == 404) {
+		d->state = TASK_STATE_MISSING;
+	} else if (answer->status != 200 && answer->status != 202) {
+		d->code = CS_ERR_IO;
+		report_status(client, op->name, t->address, answer->status,
+			      "unexpected status");
+	} else if (op->is_json && !control_decode(d, answer->body)) {
+		d->code = CS_ERR_IO;
+		d->checkpoint[0] = '\0';
+		report_status(client, op->name, t->address, answer->status,
+			      "malformed answer");
+	} else if (t->op == TASK_RESULT) {
+		d->state = TASK_STATE_DONE;
+		cs_copy(d->content_type, sizeof(d->content_type),
+			answer->content_type);
+		d->body = g_bytes_ref(answer->body);
+	} else if (t->op == TASK_STOP) {
+		d->state = TASK_STATE_STOPPED;
+	}
+	bus_post(client->bus, BUS_WORKER, m);
+}
+
+static void usage_encode(const struct msg *request, cs_time now,
+			 struct http_call *call, char *path)
+{
+	call->method = HTTP_GET;
+	call->lane = LANE_CONTROL;
+	call->address = request->u.usage_poll.address;
+	call->deadline = now + CONTROL_TIMEOUT_US;
+	append(path, "/usage");
+}
+
+static void usage_answer(struct worker_client *client, struct worker_call *call,
+			 const struct http_answer *answer)
+{
+	const struct usage_poll *poll = &call->request->u.usage_poll;
+	struct msg *m = msg_new(MSG_USAGE);
+	struct usage *u = &m->u.usage;
+	json_int_t age = 0;
+	json_t *root;
+
+	u->worker = poll->worker;
+	u->code = CS_ERR_IO;
+	if (answer->result != HTTP_ANSWERED) {
+		if (answer->error.code == CS_ERR_TIMEOUT)
+			u->code = CS_ERR_TIMEOUT;
+		goto post;
+	}
+	root = decode_object(answer->body);
+	if (answer->status == 200 && root &&
+	    !json_unpack(root, "{s:i, s:i, s:I}", "slots", &u->slots, "running",
+			 &u->running, "age_ms", &age) &&
+	    u->slots >= 0 && u->running >= 0 && age >= 0) {
+		u->code = CS_OK;
+		u->age_ms = age;
+	} else {
+		u->slots = 0;
+		u->running = 0;
+		report_status(client, "usage", poll->address, answer->status,
+			      "malformed answer");
+	}
+	json_decref(root);
+post:
+	bus_post(client->bus, BUS_WORKER, m);
+}
+
+static const struct call_ops start_ops = { "start", start_encode,
+					   start_answer };
+static const struct call_ops control_call_ops = { "control", control_encode,
+						  control_answer };
+static const struct call_ops usage_ops = { "usage", usage_encode,
+					   usage_answer };
+
+static const struct call_ops *const ops_by_type[MSG_TYPE_NR] = {
+	[MSG_TASK_START] = &start_ops,
+	[MSG_TASK_CONTROL] = &control_call_ops,
+	[MSG_USAGE_POLL] = &usage_ops,
+};
+
+static void on_done(void *ctx, uint64_t ref, const struct http_answer *answer)
+{
+	struct worker_client *client = ctx;
+	struct worker_call *call = slots_get(client->calls, ref);
+
+	if (answer->result != HTTP_ANSWERED)
+		report(client, call->ops->name, &answer->error);
+	call->ops->answer(client, call, answer);
+	msg_free(call->request);
+	slots_free(client->calls, ref);
+}
+
+/* Refuses a call that finds the table full; nothing has been sent. */
+static void refuse(struct worker_client *client, const struct call_ops *ops,
+		   struct msg *m)
+{
+	struct worker_call call = { .ops = ops, .request = m };
+	struct http_answer answer = { .result = HTTP_NOT_SENT };
+
+	call.start = task_now();
+	cs_error_set(&answer.error, CS_ERR_FULL, "connect", NULL,
+		     "too many calls");
+	report(client, ops->name, &answer.error);
+	ops->answer(client, &call, &answer);
+	msg_free(m);
+}
+
+static void begin(struct worker_client *client, const struct call_ops *ops,
+		  struct msg *m)
+{
+	char path[PATH_SIZE] = "";
+	struct http_call out = { .trace = NULL };
+	struct worker_call *call;
+	cs_handle h = slots_take(client->calls, (void **)&call);
+
+	if (!h) {
+		refuse(client, ops, m);
+		return;
+	}
+	call->ops = ops;
+	call->request = m;
+	call->start = task_now();
+	if (m->type == MSG_TASK_START && m->u.task_start.trace.span) {
+		call->trace = trace_child(&m->u.task_start.trace, client->rng);
+		out.trace = &call->trace;
+	}
+	ops->encode(m, call->start, &out, path);
+	out.path = path;
+	http_client_call(client->http, &out, on_done, client, h);
+}
+
+static void answer_metrics(struct worker_client *client, cs_handle caller)
+{
+	struct msg *m = msg_new(MSG_METRICS_REPLY);
+	GString *text = g_string_new(NULL);
+
+	counters_set(client->counters, "camphorshed_worker_calls_open", "",
+		     slots_count(client->calls));
+	counters_render(client->counters, text);
+	m->u.metrics_reply.caller = caller;
+	m->u.metrics_reply.source = BUS_WORKER;
+	m->u.metrics_reply.text = g_string_free_to_bytes(text);
+	bus_post(client->bus, BUS_WORKER, m);
+}
+
+static void on_msg(void *state, struct task *task, void *msg)
+{
+	struct worker_client *client = state;
+	struct msg *m = msg;
+	const struct call_ops *ops = ops_by_type[m->type];
+
+	(void)task;
+	if (ops) {
+		begin(client, ops, m);
+		return;
+	}
+	if (m->type == MSG_METRICS_CALL)
+		answer_metrics(client, m->u.metrics_call.caller);
+	msg_free(m);
+}
+
+static int start(void *state, struct task *task, struct cs_error *err)
+{
+	struct worker_client *client = state;
+	int max = client->options.connections_max;
+	int control = max > CONTROL_CONNECTIONS ? CONTROL_CONNECTIONS : 1;
+	struct http_client_options options = {
+		.connections_max = { [LANE_WORK] =
+					     max > control ? max - control : 1,
+				     [LANE_CONTROL] = control },
+		.connect_timeout_ms = client->options.connect_timeout_ms,
+		.answer_max = ANSWER_MAX,
+	};
+
+	client->http = http_client_create(task_base(task), &options);
+	if (!client->http)
+		return cs_error_set(err, CS_ERR_NOMEM, "worker_client", NULL,
+				    "out of memory");
+	return CS_OK;
+}
+
+static void stop(void *state, struct task *task)
+{
+	struct worker_client *client = state;
+
+	(void)task;
+	http_client_destroy(client->http);
+	client->http = NULL;
+}
+
+static const struct task_ops task_ops = { "worker", start, on_msg, stop };
+
+struct worker_client *worker_client_create(
+	const struct worker_client_options *options, struct bus *bus,
+	struct cs_error *err)
+{
+	struct worker_client *client = g_new0(struct worker_client, 1);
+
+	client->options = *options;
+	client->bus = bus;
+	client->counters = counters_create();
+	client->rng = g_rand_new();
+	client->calls = slots_create(sizeof(struct worker_call), CALLS_MAX);
+	if (!client->calls)
+		cs_error_set(err, CS_ERR_NOMEM, "worker_client", NULL,
+			     "out of memory");
+	else
+		client->task = task_create(&task_ops, client,
+					   bus_mailbox(bus, BUS_WORKER), err);
+	if (!client->task) {
+		worker_client_destroy(client);
+		return NULL;
+	}
+	return client;
+}
+
+/* Calls that are still open end with what is known of them. */
+void worker_client_destroy(struct worker_client *client)
+{
+	if (!client)
+		return;
+	task_destroy(client->task);
+	slots_destroy(client->calls);
+	counters_destroy(client->counters);
+	g_rand_free(client->rng);
+	g_free(client);
+}
