--- a/src/platform/platform_client.c
+++ b/src/platform/platform_client.c
@@ -219,6 +219,10 @@
 		d->done->result = KV_CONFLICT;
 		return decode_present(d);
 	}
+	if (d->status == 404) {
+		d->done->result = KV_MISSING; /* the lease has ended */
+		return true;
+	}
 	return d->status == 200 &&
 	       read_number(d->root, "version", &d->done->version);
 }
--- /dev/null
+++ b/tests/standin/server.c
@@ -0,0 +1,236 @@
+#include "standin.h"
+
+#include <event2/bufferevent.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+/* Above the platform's 1 MB after JSON escaping. */
+#define BODY_MAX (8 * 1024 * 1024)
+
+struct server {
+	struct event_base *base;
+	struct evhttp *http;
+	struct evhttp_bound_socket *socket;
+	char host[CS_ADDRESS_MAX];
+	uint16_t port;
+	server_handler handler;
+	void *ctx;
+	GHashTable *conns; /* struct evhttp_connection -> struct hold or NULL */
+};
+
+struct hold {
+	struct server *server;
+	struct evhttp_connection *conn;
+	struct evhttp_request *req;
+	struct event *timer;
+	hold_fn fn;
+	void *ctx;
+};
+
+/* Releases the hold and calls its function. */
+static void end_hold(struct hold *h, struct evhttp_request *req)
+{
+	hold_fn fn = h->fn;
+	void *ctx = h->ctx;
+
+	if (g_hash_table_contains(h->server->conns, h->conn))
+		g_hash_table_insert(h->server->conns, h->conn, NULL);
+	event_free(h->timer);
+	g_free(h);
+	fn(ctx, req);
+}
+
+static void on_hold_timer(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	server_resume(arg);
+}
+
+void server_resume(struct hold *h)
+{
+	end_hold(h, h->req);
+}
+
+struct hold *server_hold(struct server *s, struct evhttp_request *req,
+			 int64_t delay_ms, hold_fn fn, void *ctx)
+{
+	struct timeval tv = { delay_ms / 1000, delay_ms % 1000 * 1000 };
+	struct hold *h = g_new0(struct hold, 1);
+
+	h->server = s;
+	h->req = req;
+	h->conn = evhttp_request_get_connection(req);
+	h->fn = fn;
+	h->ctx = ctx;
+	h->timer = evtimer_new(s->base, on_hold_timer, h);
+	if (delay_ms >= 0)
+		event_add(h->timer, &tv);
+	g_hash_table_insert(s->conns, h->conn, h);
+	return h;
+}
+
+static void on_close(struct evhttp_connection *conn, void *arg)
+{
+	struct server *s = arg;
+	struct hold *h = g_hash_table_lookup(s->conns, conn);
+
+	g_hash_table_remove(s->conns, conn);
+	if (h)
+		end_hold(h, NULL);
+}
+
+/* A connection must not be freed inside its own callback. */
+static void on_drop(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	evhttp_connection_free(arg);
+}
+
+void server_drop(struct server *s, struct evhttp_request *req)
+{
+	struct timeval now = { 0, 0 };
+
+	event_base_once(s->base, -1, EV_TIMEOUT, on_drop,
+			evhttp_request_get_connection(req), &now);
+}
+
+static void on_request(struct evhttp_request *req, void *arg)
+{
+	struct server *s = arg;
+	struct evhttp_connection *conn = evhttp_request_get_connection(req);
+
+	if (!g_hash_table_contains(s->conns, conn)) {
+		g_hash_table_insert(s->conns, conn, NULL);
+		evhttp_connection_set_closecb(conn, on_close, s);
+	}
+	s->handler(s->ctx, req);
+}
+
+int server_connections(const struct server *s)
+{
+	return (int)g_hash_table_size(s->conns);
+}
+
+int server_listen(struct server *s, bool is_open)
+{
+	if (!is_open && s->socket) {
+		evhttp_del_accept_socket(s->http, s->socket);
+		s->socket = NULL;
+	} else if (is_open && !s->socket) {
+		s->socket = evhttp_bind_socket_with_handle(s->http, s->host,
+							   s->port);
+	}
+	return is_open && !s->socket ? CS_ERR_IO : CS_OK;
+}
+
+struct server *server_create(struct event_base *base, const char *address,
+			     server_handler handler, void *ctx)
+{
+	struct server *s = g_new0(struct server, 1);
+
+	s->base = base;
+	s->handler = handler;
+	s->ctx = ctx;
+	s->conns = g_hash_table_new(NULL, NULL);
+	s->http = evhttp_new(base);
+	evhttp_set_gencb(s->http, on_request, s);
+	evhttp_set_max_body_size(s->http, BODY_MAX);
+	if (http_address_parse(address, s->host, &s->port) ||
+	    server_listen(s, true)) {
+		fprintf(stderr, "camphorshed-standin: cannot listen on %s\n",
+			address);
+		server_destroy(s);
+		return NULL;
+	}
+	return s;
+}
+
+void server_destroy(struct server *s)
+{
+	if (!s)
+		return;
+	evhttp_free(s->http);
+	g_hash_table_destroy(s->conns);
+	g_free(s);
+}
+
+static void on_signal(evutil_socket_t sig, short what, void *arg)
+{
+	(void)sig;
+	(void)what;
+	event_base_loopbreak(arg);
+}
+
+void server_run(struct event_base *base)
+{
+	struct event *term = evsignal_new(base, SIGTERM, on_signal, base);
+	struct event *intr = evsignal_new(base, SIGINT, on_signal, base);
+
+	event_add(term, NULL);
+	event_add(intr, NULL);
+	event_base_dispatch(base);
+	event_free(term);
+	event_free(intr);
+}
+
+void reply_json(struct evhttp_request *req, int status, json_t *root)
+{
+	char *text = json_dumps(root, JSON_COMPACT);
+	struct evbuffer *out = evbuffer_new();
+
+	evbuffer_add(out, text, strlen(text));
+	evhttp_add_header(evhttp_request_get_output_headers(req),
+			  "Content-Type", "application/json");
+	evhttp_send_reply(req, status, NULL, out);
+	evbuffer_free(out);
+	free(text);
+	json_decref(root);
+}
+
+char *query_string(struct evhttp_request *req, const char *name)
+{
+	const char *query =
+		evhttp_uri_get_query(evhttp_request_get_evhttp_uri(req));
+	struct evkeyvalq params;
+	char *value = NULL;
+
+	if (!query || evhttp_parse_query_str(query, &params))
+		return NULL;
+	value = g_strdup(evhttp_find_header(&params, name));
+	evhttp_clear_headers(&params);
+	return value;
+}
+
+int64_t query_number(struct evhttp_request *req, const char *name,
+		     int64_t otherwise)
+{
+	char *text = query_string(req, name);
+	int64_t value = text ? g_ascii_strtoll(text, NULL, 10) : otherwise;
+
+	g_free(text);
+	return value;
+}
+
+char *request_path(struct evhttp_request *req)
+{
+	const char *path =
+		evhttp_uri_get_path(evhttp_request_get_evhttp_uri(req));
+	char *unescaped = path ? g_uri_unescape_string(path, NULL) : NULL;
+
+	return unescaped ? unescaped : g_strdup("");
+}
+
+char *request_body(struct evhttp_request *req, size_t *len)
+{
+	struct evbuffer *input = evhttp_request_get_input_buffer(req);
+	char *body;
+
+	*len = evbuffer_get_length(input);
+	body = g_malloc(*len + 1);
+	evbuffer_copyout(input, body, *len);
+	body[*len] = '\0';
+	return body;
+}
--- /dev/null
+++ b/tests/standin/worker.c
@@ -0,0 +1,546 @@
+#include "standin.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Started tasks that /control/runs can list; later ones are only counted. */
+#define RUNS_MAX 1000000
+
+/* Usage reports are this old. */
+#define USAGE_LAG_US (1 * CS_SEC)
+
+enum fault { FAULT_NONE, FAULT_FAIL, FAULT_SILENT, FAULT_TRUNCATE };
+
+static const char *const fault_names[] = { "none", "fail", "silent",
+					   "truncate" };
+
+static const char *const state_names[] = { "running", "done", "failed",
+					   "stopped" };
+
+enum state { RUNNING, DONE, FAILED, STOPPED };
+
+/* One started task, for /control/runs. */
+struct run {
+	char *task, *id, *team;
+	cs_time start, end; /* 0: still running */
+};
+
+struct sample {
+	cs_time time;
+	int running;
+};
+
+struct worker {
+	struct event_base *base;
+	struct server *server;
+	char *name;
+	int slots, connections;
+	int running;
+	GHashTable *tasks; /* long tasks: name -> struct task_row */
+	GHashTable *counts; /* id -> number of runs */
+	GArray *runs;
+	int64_t runs_nr;
+	GQueue samples; /* struct sample, oldest first */
+	enum fault fault;
+	int64_t delay_ms;
+};
+
+struct task_row {
+	struct worker *worker;
+	char *name, *id, *echo;
+	guint run; /* index in runs, RUNS_MAX if not listed */
+	int64_t ran;
+	bool is_failing;
+	/* Long work. */
+	enum state state;
+	int step, steps;
+	int checkpoint;
+	int64_t step_ms;
+	int percent; /* speed */
+	struct event *step_timer;
+	struct event *lease_timer;
+	bool holds_slot;
+};
+
+static void free_run(gpointer p)
+{
+	struct run *run = p;
+
+	g_free(run->task);
+	g_free(run->id);
+	g_free(run->team);
+}
+
+static void free_task(gpointer p)
+{
+	struct task_row *t = p;
+
+	if (t->step_timer)
+		event_free(t->step_timer);
+	if (t->lease_timer)
+		event_free(t->lease_timer);
+	g_free(t->name);
+	g_free(t->id);
+	g_free(t->echo);
+	g_free(t);
+}
+
+/* Records the number of running tasks; keeps what usage still needs. */
+static void sample(struct worker *w, int delta)
+{
+	struct sample *s = g_new(struct sample, 1);
+	struct sample *next;
+
+	w->running += delta;
+	s->time = task_now();
+	s->running = w->running;
+	g_queue_push_tail(&w->samples, s);
+	while ((next = g_queue_peek_nth(&w->samples, 1)) &&
+	       next->time <= s->time - USAGE_LAG_US)
+		g_free(g_queue_pop_head(&w->samples));
+}
+
+/* The value of "name=" in a body of space-separated words, or NULL. */
+static char *body_word(const char *body, const char *name)
+{
+	size_t len = strlen(name);
+	const char *p = body;
+
+	while (*p) {
+		if (!strncmp(p, name, len) && p[len] == '=')
+			return g_strndup(p + len + 1,
+					 strcspn(p + len + 1, " \r\n"));
+		p += strcspn(p, " \r\n");
+		p += strspn(p, " \r\n");
+	}
+	return NULL;
+}
+
+static int64_t body_number(const char *body, const char *name,
+			   int64_t otherwise)
+{
+	char *text = body_word(body, name);
+	int64_t value = text ? g_ascii_strtoll(text, NULL, 10) : otherwise;
+
+	g_free(text);
+	return value;
+}
+
+/* Takes a slot and records the start of a task. */
+static struct task_row *begin_task(struct worker *w, const char *name,
+				   const char *body)
+{
+	struct task_row *t = g_new0(struct task_row, 1);
+	struct run run = { 0 };
+
+	t->worker = w;
+	t->name = g_strdup(name);
+	t->id = body_word(body, "id");
+	t->echo = body_word(body, "echo");
+	t->ran = 1;
+	t->run = RUNS_MAX;
+	t->holds_slot = true;
+	sample(w, 1);
+	if (t->id) {
+		t->ran +=
+			GPOINTER_TO_SIZE(g_hash_table_lookup(w->counts, t->id));
+		g_hash_table_insert(w->counts, g_strdup(t->id),
+				    GSIZE_TO_POINTER(t->ran));
+	}
+	w->runs_nr++;
+	if (w->runs->len < RUNS_MAX) {
+		run.task = g_strdup(name);
+		run.id = g_strdup(t->id);
+		run.team = body_word(body, "team");
+		run.start = task_now();
+		t->run = w->runs->len;
+		g_array_append_val(w->runs, run);
+	}
+	return t;
+}
+
+/* Gives the slot back and records the end. */
+static void end_task(struct task_row *t, enum state state)
+{
+	struct worker *w = t->worker;
+
+	if (!t->holds_slot)
+		return;
+	t->holds_slot = false;
+	t->state = state;
+	sample(w, -1);
+	if (t->run < RUNS_MAX)
+		g_array_index(w->runs, struct run, t->run).end = task_now();
+	if (t->step_timer)
+		event_del(t->step_timer);
+	if (t->lease_timer)
+		event_del(t->lease_timer);
+}
+
+static json_t *result_json(const struct task_row *t)
+{
+	return json_pack("{s:s, s:s, s:s, s:I}", "worker", t->worker->name,
+			 "task", t->name, "echo", t->echo ? t->echo : "", "ran",
+			 (json_int_t)t->ran);
+}
+
+static json_t *error_json(const char *reason)
+{
+	return json_pack("{s:s}", "error", reason);
+}
+
+static void never(void *ctx, struct evhttp_request *req)
+{
+	(void)ctx;
+	(void)req;
+}
+
+/* Announces more bytes than follow, then closes the connection. */
+static void truncate_answer(struct evhttp_request *req)
+{
+	struct evkeyvalq *headers = evhttp_request_get_output_headers(req);
+
+	evhttp_add_header(headers, "Content-Length", "1000");
+	evhttp_add_header(headers, "Connection", "close");
+}
+
+/* The answer to a task: as it should be, or as the fault has it. */
+static void answer_task(struct worker *w, struct evhttp_request *req,
+			int status, json_t *root)
+{
+	if (w->fault == FAULT_SILENT) {
+		json_decref(root);
+		server_hold(w->server, req, -1, never, NULL);
+		return;
+	}
+	if (w->fault == FAULT_TRUNCATE)
+		truncate_answer(req);
+	reply_json(req, status, root);
+}
+
+/* Short work is over, or its caller is gone; the work itself was done. */
+static void end_short(void *ctx, struct evhttp_request *req)
+{
+	struct task_row *t = ctx;
+
+	end_task(t, DONE);
+	if (req && t->is_failing)
+		answer_task(t->worker, req, 500, error_json("failed"));
+	else if (req)
+		answer_task(t->worker, req, 200, result_json(t));
+	free_task(t);
+}
+
+static void arm_ms(struct event *timer, int64_t ms)
+{
+	struct timeval tv = { ms / 1000, ms % 1000 * 1000 };
+
+	event_add(timer, &tv);
+}
+
+/* Schedules the next step; a task throttled to 0 percent stands still. */
+static void arm_step(struct task_row *t)
+{
+	if (t->percent > 0)
+		arm_ms(t->step_timer, t->step_ms * 100 / t->percent);
+	else
+		event_del(t->step_timer);
+}
+
+static void on_step(evutil_socket_t fd, short what, void *arg)
+{
+	struct task_row *t = arg;
+
+	(void)fd;
+	(void)what;
+	t->step++;
+	if (t->is_failing)
+		end_task(t, FAILED);
+	else if (t->step >= t->steps)
+		end_task(t, DONE);
+	else
+		arm_step(t);
+}
+
+static void on_lease_end(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	end_task(arg, STOPPED);
+}
+
+static void start_long(struct worker *w, struct evhttp_request *req,
+		       struct task_row *t, const char *body)
+{
+	int64_t run_ms = body_number(body, "run_ms", 1000);
+
+	t->steps = (int)body_number(body, "steps", 100);
+	if (t->steps < 1)
+		t->steps = 1;
+	t->step = (int)query_number(req, "checkpoint", 0);
+	t->checkpoint = t->step;
+	t->step_ms = run_ms / t->steps;
+	t->percent = 100;
+	t->step_timer = evtimer_new(w->base, on_step, t);
+	t->lease_timer = evtimer_new(w->base, on_lease_end, t);
+	arm_step(t);
+	arm_ms(t->lease_timer, query_number(req, "lease_ms", 6000));
+	g_hash_table_insert(w->tasks, t->name, t);
+	answer_task(w, req, 202, json_pack("{s:s}", "task", t->name));
+}
+
+static void start_task(struct worker *w, struct evhttp_request *req,
+		       const char *name)
+{
+	struct task_row *t;
+	char *mode, *body;
+	size_t len;
+
+	if (server_connections(w->server) > w->connections) {
+		evhttp_add_header(evhttp_request_get_output_headers(req),
+				  "Connection", "close");
+		reply_json(req, 429, error_json("connections"));
+		return;
+	}
+	if (w->running >= w->slots) {
+		reply_json(req, 429, error_json("slots"));
+		return;
+	}
+	if (g_hash_table_contains(w->tasks, name)) {
+		reply_json(req, 409, error_json("task exists"));
+		return;
+	}
+	body = request_body(req, &len);
+	mode = query_string(req, "mode");
+	t = begin_task(w, name, body);
+	t->is_failing = w->fault == FAULT_FAIL;
+	if (mode && !strcmp(mode, "long"))
+		start_long(w, req, t, body);
+	else if (t->is_failing)
+		end_short(t, req);
+	else
+		server_hold(w->server, req,
+			    body_number(body, "run_ms", 0) + w->delay_ms,
+			    end_short, t);
+	g_free(mode);
+	g_free(body);
+}
+
+static void renew_task(struct task_row *t, struct evhttp_request *req)
+{
+	char checkpoint[16];
+
+	if (t->state == RUNNING)
+		arm_ms(t->lease_timer, query_number(req, "lease_ms", 6000));
+	snprintf(checkpoint, sizeof(checkpoint), "%d", t->checkpoint);
+	reply_json(req, 200,
+		   json_pack("{s:s, s:i, s:s}", "state", state_names[t->state],
+			     "progress",
+			     MIN(t->step, t->steps) * 100 / t->steps,
+			     "checkpoint", checkpoint));
+}
+
+static void checkpoint_task(struct task_row *t, struct evhttp_request *req)
+{
+	char checkpoint[16];
+
+	t->checkpoint = t->step;
+	snprintf(checkpoint, sizeof(checkpoint), "%d", t->checkpoint);
+	reply_json(req, 200, json_pack("{s:s}", "checkpoint", checkpoint));
+}
+
+static void throttle_task(struct task_row *t, struct evhttp_request *req)
+{
+	t->percent = (int)query_number(req, "percent", 100);
+	if (t->state == RUNNING)
+		arm_step(t);
+	reply_json(req, 200, json_object());
+}
+
+static void stop_task(struct task_row *t, struct evhttp_request *req)
+{
+	end_task(t, STOPPED);
+	reply_json(req, 200, json_object());
+}
+
+static void send_result(struct task_row *t, struct evhttp_request *req)
+{
+	if (t->state == DONE)
+		reply_json(req, 200, result_json(t));
+	else
+		reply_json(req, 409, error_json(state_names[t->state]));
+}
+
+static const struct action {
+	const char *name;
+	void (*run)(struct task_row *t, struct evhttp_request *req);
+} actions[] = {
+	{ "renew", renew_task },       { "checkpoint", checkpoint_task },
+	{ "throttle", throttle_task }, { "stop", stop_task },
+	{ "result", send_result },
+};
+
+/* "/tasks/ID" or "/tasks/ID/ACTION". */
+static void on_task(struct worker *w, struct evhttp_request *req, char *rest)
+{
+	char *action = strchr(rest, '/');
+	struct task_row *t;
+	size_t i;
+
+	if (!action) {
+		start_task(w, req, rest);
+		return;
+	}
+	*action++ = '\0';
+	t = g_hash_table_lookup(w->tasks, rest);
+	for (i = 0; t && i < G_N_ELEMENTS(actions); i++) {
+		if (!strcmp(action, actions[i].name)) {
+			if (w->fault == FAULT_SILENT)
+				server_hold(w->server, req, -1, never, NULL);
+			else
+				actions[i].run(t, req);
+			return;
+		}
+	}
+	reply_json(req, 404, error_json("task"));
+}
+
+static void on_usage(struct worker *w, struct evhttp_request *req, char *rest)
+{
+	cs_time then = task_now() - USAGE_LAG_US;
+	const struct sample *s;
+	int running = 0;
+	guint i;
+
+	(void)rest;
+	if (w->fault == FAULT_SILENT) {
+		server_hold(w->server, req, -1, never, NULL);
+		return;
+	}
+	for (i = 0; (s = g_queue_peek_nth(&w->samples, i)); i++) {
+		if (s->time > then)
+			break;
+		running = s->running;
+	}
+	reply_json(req, 200,
+		   json_pack("{s:i, s:i, s:I}", "slots", w->slots, "running",
+			     running, "age_ms",
+			     (json_int_t)(USAGE_LAG_US / CS_MSEC)));
+}
+
+static void list_runs(struct worker *w, struct evhttp_request *req)
+{
+	json_t *array = json_array();
+	const struct run *run;
+	guint i;
+
+	for (i = 0; i < w->runs->len; i++) {
+		run = &g_array_index(w->runs, struct run, i);
+		json_array_append_new(
+			array, json_pack("{s:s, s:s, s:I, s:I, s:s}", "task",
+					 run->task, "id",
+					 run->id ? run->id : run->task, "start",
+					 (json_int_t)run->start, "end",
+					 (json_int_t)run->end, "team",
+					 run->team ? run->team : ""));
+	}
+	reply_json(req, 200,
+		   json_pack("{s:I, s:o}", "started", (json_int_t)w->runs_nr,
+			     "runs", array));
+}
+
+static void set_fault(struct worker *w, struct evhttp_request *req)
+{
+	char *mode = query_string(req, "mode");
+	size_t i = 0;
+
+	while (mode && i < G_N_ELEMENTS(fault_names) &&
+	       strcmp(mode, fault_names[i]))
+		i++;
+	g_free(mode);
+	if (mode && i == G_N_ELEMENTS(fault_names)) {
+		reply_json(req, 400, error_json("mode"));
+		return;
+	}
+	if (mode)
+		w->fault = (enum fault)i;
+	w->delay_ms = query_number(req, "delay_ms", 0);
+	reply_json(req, 200, json_object());
+}
+
+static void on_control(struct worker *w, struct evhttp_request *req, char *rest)
+{
+	if (!strcmp(rest, "fault"))
+		set_fault(w, req);
+	else if (!strcmp(rest, "runs"))
+		list_runs(w, req);
+	else
+		reply_json(req, 404, error_json("path"));
+}
+
+static const struct route {
+	const char *prefix;
+	void (*handle)(struct worker *w, struct evhttp_request *req,
+		       char *rest);
+} routes[] = {
+	{ "/tasks/", on_task },
+	{ "/usage", on_usage },
+	{ "/control/", on_control },
+};
+
+static void on_request(void *ctx, struct evhttp_request *req)
+{
+	char *path = request_path(req);
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(routes); i++) {
+		if (g_str_has_prefix(path, routes[i].prefix)) {
+			routes[i].handle(ctx, req,
+					 path + strlen(routes[i].prefix));
+			break;
+		}
+	}
+	if (i == G_N_ELEMENTS(routes))
+		reply_json(req, 404, error_json("path"));
+	g_free(path);
+}
+
+int worker_main(int argc, char **argv)
+{
+	struct worker w = { .slots = 8, .connections = 64 };
+	char *listen = NULL;
+	const GOptionEntry entries[] = {
+		{ "listen", 0, 0, G_OPTION_ARG_STRING, &listen, "address",
+		  "ADDR" },
+		{ "name", 0, 0, G_OPTION_ARG_STRING, &w.name, "name", "NAME" },
+		{ "slots", 0, 0, G_OPTION_ARG_INT, &w.slots, "tasks at once",
+		  "N" },
+		{ "connections", 0, 0, G_OPTION_ARG_INT, &w.connections,
+		  "connections at once", "N" },
+		{ NULL },
+	};
+	bool is_ok;
+
+	if (!parse_options(&argc, &argv, entries) || !listen || !w.name)
+		return 2;
+	w.base = event_base_new();
+	w.tasks =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_task);
+	w.counts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	w.runs = g_array_new(FALSE, FALSE, sizeof(struct run));
+	g_array_set_clear_func(w.runs, free_run);
+	w.server = server_create(w.base, listen, on_request, &w);
+	is_ok = w.server;
+	if (is_ok)
+		server_run(w.base);
+	server_destroy(w.server);
+	g_hash_table_destroy(w.tasks);
+	g_hash_table_destroy(w.counts);
+	g_array_free(w.runs, TRUE);
+	g_queue_clear_full(&w.samples, g_free);
+	event_base_free(w.base);
+	g_free(w.name);
+	g_free(listen);
+	return is_ok ? 0 : 1;
+}
