--- a/tests/standin/load.c
+++ b/tests/standin/load.c
@@ -206,7 +206,7 @@
 
 	snprintf(l->prefix, sizeof(l->prefix), "load-%08x", g_random_int());
 	l->total = (int64_t)(l->rate * l->seconds);
-	l->base = event_base_new();
+	l->base = base_create();
 	l->refused =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	l->latencies = g_array_new(FALSE, FALSE, sizeof(int64_t));
--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -635,7 +635,7 @@
 					 lease_free);
 	if (hosts && !read_hosts(&s, hosts))
 		return 2;
-	s.base = event_base_new();
+	s.base = base_create();
 	s.server = server_create(s.base, listen, on_request, &s);
 	s.control = control ? server_create(s.base, control, on_control_request,
 					    &s) :
--- a/tests/standin/server.c
+++ b/tests/standin/server.c
@@ -157,6 +157,21 @@
 	g_free(s);
 }
 
+/*
+ * By default libevent rounds timers up to 1 ms and reads a clock with steps
+ * of 4 ms, which would add up to 5 ms to each task of 5 ms.
+ */
+struct event_base *base_create(void)
+{
+	struct event_config *config = event_config_new();
+	struct event_base *base;
+
+	event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+	base = event_base_new_with_config(config);
+	event_config_free(config);
+	return base;
+}
+
 static void on_signal(evutil_socket_t sig, short what, void *arg)
 {
 	(void)sig;
--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -44,6 +44,9 @@
 /* Closes the connection of a request without an answer. */
 void server_drop(struct server *server, struct evhttp_request *req);
 
+/* An event base whose timers are exact to less than a millisecond. */
+struct event_base *base_create(void);
+
 /* Runs the loop until SIGTERM or SIGINT. */
 void server_run(struct event_base *base);
 
--- a/tests/standin/worker.c
+++ b/tests/standin/worker.c
@@ -524,7 +524,7 @@
 
 	if (!parse_options(&argc, &argv, entries) || !listen || !w.name)
 		return 2;
-	w.base = event_base_new();
+	w.base = base_create();
 	w.tasks =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_task);
 	w.counts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
