--- a/src/base/http_client.c
+++ b/src/base/http_client.c
@@ -6,6 +6,8 @@
 #include <event2/http.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <pthread.h>
+#include <signal.h>
 #include <stdio.h>
 #include <string.h>
 #include <strings.h>
@@ -639,6 +641,15 @@
 	struct event_base *base, const struct http_client_options *options)
 {
 	struct http_client *c = g_new0(struct http_client, 1);
+	sigset_t set;
+
+	/*
+	 * libevent writes with writev(), which raises SIGPIPE in the writing
+	 * thread when the peer has reset the connection.
+	 */
+	sigemptyset(&set);
+	sigaddset(&set, SIGPIPE);
+	pthread_sigmask(SIG_BLOCK, &set, NULL);
 
 	c->base = base;
 	c->options = *options;
--- a/src/base/http_client.h
+++ b/src/base/http_client.h
@@ -68,7 +68,10 @@
 typedef void (*http_done_fn)(void *ctx, uint64_t ref,
 			     const struct http_answer *answer);
 
-/* NULL if out of memory. base must outlive the client. */
+/*
+ * NULL if out of memory. base must outlive the client. SIGPIPE is blocked in
+ * the calling thread, which must be the one that runs base.
+ */
 struct http_client *http_client_create(
 	struct event_base *base, const struct http_client_options *options);
 
--- /dev/null
+++ b/tests/unit/test_worker_client.c
@@ -0,0 +1,705 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <arpa/inet.h>
+#include <inttypes.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "../../src/base/error.h"
+#include "../../src/base/task.h"
+#include "../../src/worker/worker_client.h"
+#include "scripted_server.h"
+
+/* Lengths of time in these tests, in ms. */
+#define CONNECT_TIMEOUT_MS 150
+#define SHORT_MS 200 /* a deadline that passes */
+#define LONG_MS 5000 /* a deadline that doesn't */
+
+struct fixture {
+	struct bus *bus;
+	struct worker_client *client;
+	struct scripted *server;
+};
+
+/* The group holds the log, as log4c can be started only once in a process. */
+static void begin(struct fixture *f, void **state, script_fn script,
+		  int connections_max)
+{
+	struct worker_client_options options = {
+		.connections_max = connections_max,
+		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
+	};
+	struct cs_error err;
+
+	f->bus = bus_create(*state, &err);
+	f->client = worker_client_create(&options, f->bus, &err);
+	assert_non_null(f->client);
+	f->server = script ? scripted_start(script) : NULL;
+}
+
+static void end(struct fixture *f)
+{
+	worker_client_destroy(f->client);
+	if (f->server)
+		scripted_stop(f->server);
+	bus_destroy(f->bus);
+}
+
+static struct msg *task_msg(const char *address, cs_handle attempt,
+			    const char *body, int64_t deadline_ms)
+{
+	struct msg *m = msg_new(MSG_TASK_START);
+	struct task_start *t = &m->u.task_start;
+
+	t->attempt = attempt;
+	cs_copy(t->address, sizeof(t->address), address);
+	snprintf(t->task_id, sizeof(t->task_id), "task-%" PRIu64, attempt);
+	cs_copy(t->content_type, sizeof(t->content_type), "text/plain");
+	t->lease_ms = 6000;
+	t->deadline = task_now() + deadline_ms * CS_MSEC;
+	t->body = g_bytes_new(body, strlen(body));
+	return m;
+}
+
+static void post(struct fixture *f, struct msg *m)
+{
+	assert_int_equal(bus_post(f->bus, BUS_CORE, m), CS_OK);
+}
+
+/* Sends one task to the script and returns the end of it. */
+static struct msg *call(struct fixture *f, int64_t deadline_ms)
+{
+	struct msg *m;
+
+	post(f, task_msg(scripted_address(f->server), 7, "work", deadline_ms));
+	m = core_message(f->bus);
+	assert_non_null(m);
+	assert_int_equal(m->type, MSG_TASK_DONE);
+	assert_int_equal(m->u.task_done.attempt, 7);
+	return m;
+}
+
+static void expect_failure(struct msg *m, enum task_result result, int code,
+			   const char *step, const char *peer)
+{
+	const struct task_done *d = &m->u.task_done;
+
+	assert_int_equal(d->result, result);
+	assert_int_equal(d->error.code, code);
+	assert_string_equal(d->error.step, step);
+	assert_string_equal(d->error.peer, peer);
+	assert_null(d->body);
+	msg_free(m);
+}
+
+/* Runs one call against a script that breaks the answer off. */
+static void expect_unknown(void **state, script_fn script)
+{
+	struct fixture f;
+
+	begin(&f, state, script, 4);
+	expect_failure(call(&f, LONG_MS), TASK_UNKNOWN, CS_ERR_IO, "receive",
+		       scripted_address(f.server));
+	assert_int_equal(scripted_requests(f.server), 1);
+	end(&f);
+}
+
+/* A worker that is down must not use up the request's one attempt. */
+static void refused_connection_is_not_sent(void **state)
+{
+	const char *address = unused_address();
+	struct fixture f;
+
+	begin(&f, state, NULL, 4);
+	post(&f, task_msg(address, 1, "work", LONG_MS));
+	expect_failure(core_message(f.bus), TASK_NOT_SENT, CS_ERR_IO, "connect",
+		       address);
+	end(&f);
+}
+
+/* A host that has vanished doesn't refuse, it never answers the SYN. */
+static void connect_timeout_is_not_sent(void **state)
+{
+	struct sockaddr_in sin = { .sin_family = AF_INET };
+	socklen_t len = sizeof(sin);
+	char address[CS_ADDRESS_MAX];
+	int fds[4], listener = socket(AF_INET, SOCK_STREAM, 0);
+	struct fixture f;
+	size_t i;
+
+	begin(&f, state, NULL, 4);
+	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	assert_int_equal(bind(listener, (struct sockaddr *)&sin, len), 0);
+	getsockname(listener, (struct sockaddr *)&sin, &len);
+	listen(listener, 0);
+	/* A full backlog makes the kernel drop further SYNs. */
+	for (i = 0; i < 4; i++) {
+		fds[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+		(void)!connect(fds[i], (struct sockaddr *)&sin, len);
+	}
+	snprintf(address, sizeof(address), "127.0.0.1:%u", ntohs(sin.sin_port));
+	post(&f, task_msg(address, 1, "work", LONG_MS));
+	expect_failure(core_message(f.bus), TASK_NOT_SENT, CS_ERR_TIMEOUT,
+		       "connect", address);
+	/* The deadline may come before the connect timeout. */
+	post(&f, task_msg(address, 1, "work", CONNECT_TIMEOUT_MS / 3));
+	expect_failure(core_message(f.bus), TASK_NOT_SENT, CS_ERR_TIMEOUT,
+		       "connect", address);
+	end(&f);
+	for (i = 0; i < 4; i++)
+		close(fds[i]);
+	close(listener);
+}
+
+static void malformed_address_is_not_sent(void **state)
+{
+	struct fixture f;
+
+	begin(&f, state, NULL, 4);
+	post(&f, task_msg("localhost", 1, "work", LONG_MS));
+	expect_failure(core_message(f.bus), TASK_NOT_SENT, CS_ERR_INVALID,
+		       "connect", "localhost");
+	end(&f);
+}
+
+static atomic_bool closed_by_client;
+
+static void silent(struct scripted *s, int fd)
+{
+	g_free(scripted_read(s, fd));
+	atomic_store(&closed_by_client, scripted_is_closed_by_client(fd));
+}
+
+/* A silent connection must end at the deadline and not be used again. */
+static void silent_worker_is_unknown_at_deadline(void **state)
+{
+	struct fixture f;
+	cs_time start = task_now();
+
+	begin(&f, state, silent, 4);
+	atomic_store(&closed_by_client, false);
+	expect_failure(call(&f, SHORT_MS), TASK_UNKNOWN, CS_ERR_TIMEOUT,
+		       "receive", scripted_address(f.server));
+	assert_true(task_now() - start >= SHORT_MS * CS_MSEC);
+	scripted_stop(f.server);
+	f.server = NULL;
+	assert_true(atomic_load(&closed_by_client));
+	end(&f);
+}
+
+static void late_answer(struct scripted *s, int fd)
+{
+	char *request = scripted_read(s, fd);
+
+	if (request && strstr(request, "/task-7?")) {
+		g_usleep(2 * SHORT_MS * 1000);
+		scripted_answer(fd, 200, "late");
+	} else {
+		scripted_answer(fd, 200, "on time");
+	}
+	g_free(request);
+}
+
+/* A late answer must not reach the request that comes next. */
+static void answer_after_deadline_is_dropped(void **state)
+{
+	struct fixture f;
+	struct msg *m;
+
+	begin(&f, state, late_answer, 4);
+	expect_failure(call(&f, SHORT_MS), TASK_UNKNOWN, CS_ERR_TIMEOUT,
+		       "receive", scripted_address(f.server));
+	g_usleep(2 * SHORT_MS * 1000);
+	post(&f, task_msg(scripted_address(f.server), 8, "work", LONG_MS));
+	m = core_message(f.bus);
+	assert_int_equal(m->u.task_done.attempt, 8);
+	assert_int_equal(m->u.task_done.result, TASK_ANSWERED);
+	assert_memory_equal(g_bytes_get_data(m->u.task_done.body, NULL),
+			    "on time", 7);
+	msg_free(m);
+	end(&f);
+}
+
+static void close_after_request(struct scripted *s, int fd)
+{
+	g_free(scripted_read(s, fd));
+}
+
+/* A request whose connection breaks must not be sent twice. */
+static void lost_answer_is_unknown_and_not_retried(void **state)
+{
+	expect_unknown(state, close_after_request);
+}
+
+static void reset_in_answer(struct scripted *s, int fd)
+{
+	g_free(scripted_read(s, fd));
+	scripted_write(fd, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
+	g_usleep(20000);
+	scripted_reset(fd);
+}
+
+static void reset_in_answer_is_unknown(void **state)
+{
+	expect_unknown(state, reset_in_answer);
+}
+
+static void truncated_length(struct scripted *s, int fd)
+{
+	g_free(scripted_read(s, fd));
+	scripted_write(fd, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
+}
+
+static void truncated_chunks(struct scripted *s, int fd)
+{
+	g_free(scripted_read(s, fd));
+	scripted_write(fd, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+			   "\r\n4\r\nhalf\r\n");
+}
+
+static void broken_chunks(struct scripted *s, int fd)
+{
+	g_free(scripted_read(s, fd));
+	scripted_write(fd, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+			   "\r\n4\r\nhalf\r\nzz\r\n");
+	scripted_is_closed_by_client(fd);
+}
+
+static void no_length(struct scripted *s, int fd)
+{
+	g_free(scripted_read(s, fd));
+	scripted_write(fd, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf");
+}
+
+static void truncated_refusal(struct scripted *s, int fd)
+{
+	g_free(scripted_read(s, fd));
+	scripted_write(fd, "HTTP/1.1 429 B\r\nContent-Length: 10\r\n\r\nhalf");
+}
+
+static void not_http(struct scripted *s, int fd)
+{
+	g_free(scripted_read(s, fd));
+	scripted_write(fd, "who are you\r\n\r\n");
+	scripted_is_closed_by_client(fd);
+}
+
+/* Part of an answer must never be passed on as the answer. */
+static void truncated_answers_are_unknown(void **state)
+{
+	expect_unknown(state, truncated_length);
+	expect_unknown(state, truncated_chunks);
+	expect_unknown(state, broken_chunks);
+	expect_unknown(state, no_length);
+	expect_unknown(state, truncated_refusal);
+	expect_unknown(state, not_http);
+}
+
+static void reset_without_reading(struct scripted *s, int fd)
+{
+	(void)s;
+	g_usleep(50000);
+	scripted_reset(fd);
+}
+
+/* A request of which a part was sent may have run. */
+static void reset_while_sending_is_unknown(void **state)
+{
+	char *body = g_strnfill(16 * 1024 * 1024, 'x');
+	struct fixture f;
+	struct msg *m;
+
+	begin(&f, state, reset_without_reading, 4);
+	post(&f, task_msg(scripted_address(f.server), 1, body, LONG_MS));
+	m = core_message(f.bus);
+	expect_failure(m, TASK_UNKNOWN, CS_ERR_IO, "send",
+		       scripted_address(f.server));
+	end(&f);
+	g_free(body);
+}
+
+static void busy(struct scripted *s, int fd)
+{
+	g_free(scripted_read(s, fd));
+	scripted_answer(fd, 429, "{}");
+}
+
+static void status_429_is_refused(void **state)
+{
+	struct fixture f;
+
+	begin(&f, state, busy, 4);
+	expect_failure(call(&f, LONG_MS), TASK_REFUSED, CS_ERR_FULL, "receive",
+		       scripted_address(f.server));
+	end(&f);
+}
+
+/* Answers each request with its own body, and the path where asked. */
+static void echo(struct scripted *s, int fd)
+{
+	char *request;
+	const char *body;
+
+	while ((request = scripted_read(s, fd))) {
+		body = strstr(request, "\r\n\r\n") + 4;
+		if (g_str_has_prefix(body, "show"))
+			scripted_answer(fd, 200, request);
+		else
+			scripted_answer(fd, 200, body);
+		g_free(request);
+	}
+}
+
+static void chunked(struct scripted *s, int fd)
+{
+	g_free(scripted_read(s, fd));
+	scripted_write(fd, "HTTP/1.1 500 E\r\nTransfer-Encoding: chunked\r\n"
+			   "\r\n4\r\nwhol\r\n1\r\ne\r\n0\r\n\r\n");
+}
+
+/* A failure that the worker itself reports is its answer. */
+static void chunked_answer_is_whole(void **state)
+{
+	struct fixture f;
+	struct msg *m;
+
+	begin(&f, state, chunked, 4);
+	m = call(&f, LONG_MS);
+	assert_int_equal(m->u.task_done.result, TASK_ANSWERED);
+	assert_int_equal(m->u.task_done.status, 500);
+	assert_int_equal(g_bytes_get_size(m->u.task_done.body), 5);
+	msg_free(m);
+	end(&f);
+}
+
+/* The worker must see the trace, and identifiers must not break the path. */
+static void request_carries_trace_and_escaped_path(void **state)
+{
+	struct fixture f;
+	struct msg *m;
+	const char *text;
+
+	begin(&f, state, echo, 4);
+	m = task_msg(scripted_address(f.server), 1, "show", LONG_MS);
+	cs_copy(m->u.task_start.task_id, CS_NAME_MAX, "a/b c");
+	cs_copy(m->u.task_start.checkpoint, 256, "1&x");
+	m->u.task_start.work = WORK_LONG;
+	m->u.task_start.trace = (struct trace){ .id_high = 0xabc,
+						.id_low = 0xdef,
+						.span = 5,
+						.flags = 1 };
+	post(&f, m);
+	m = core_message(f.bus);
+	text = g_bytes_get_data(m->u.task_done.body, NULL);
+	assert_non_null(g_strstr_len(text, 200,
+				     "POST /tasks/a%2Fb%20c?lease_ms=6000"
+				     "&mode=long&checkpoint=1%26x HTTP/1.1"));
+	assert_non_null(g_strstr_len(
+		text, (gssize)g_bytes_get_size(m->u.task_done.body),
+		"traceparent: 00-0000000000000abc"
+		"0000000000000def-"));
+	msg_free(m);
+	end(&f);
+}
+
+static void shuffled(struct scripted *s, int fd)
+{
+	char *request;
+	const char *body;
+
+	while ((request = scripted_read(s, fd))) {
+		body = strstr(request, "\r\n\r\n") + 4;
+		g_usleep((g_ascii_strtoull(body, NULL, 10) * 7919 % 13) * 1000);
+		scripted_answer(fd, 200, body);
+		g_free(request);
+	}
+}
+
+/* Answers that overtake each other must reach their own requests. */
+static void answers_out_of_order_match_their_calls(void **state)
+{
+	enum { CALLS = 200, CONNECTIONS = 10 };
+	bool seen[CALLS + 1] = { false };
+	struct fixture f;
+	char body[16];
+	uint64_t i, attempt;
+	bool is_shuffled = false;
+	struct msg *m;
+
+	begin(&f, state, shuffled, CONNECTIONS);
+	for (i = 1; i <= CALLS; i++) {
+		snprintf(body, sizeof(body), "%" PRIu64, i);
+		post(&f,
+		     task_msg(scripted_address(f.server), i, body, LONG_MS));
+	}
+	for (i = 1; i <= CALLS; i++) {
+		m = core_message(f.bus);
+		assert_non_null(m);
+		assert_int_equal(m->u.task_done.result, TASK_ANSWERED);
+		attempt = m->u.task_done.attempt;
+		snprintf(body, sizeof(body), "%" PRIu64, attempt);
+		assert_int_equal(g_bytes_get_size(m->u.task_done.body),
+				 strlen(body));
+		assert_memory_equal(g_bytes_get_data(m->u.task_done.body, NULL),
+				    body, strlen(body));
+		assert_false(seen[attempt]);
+		seen[attempt] = true;
+		is_shuffled |= attempt != i;
+		msg_free(m);
+	}
+	assert_true(is_shuffled);
+	assert_in_range(scripted_connections(f.server), 2, CONNECTIONS);
+	assert_int_equal(scripted_requests(f.server), CALLS);
+	end(&f);
+}
+
+/* A call that waits for a connection until its deadline was not sent. */
+static void waiting_call_is_not_sent(void **state)
+{
+	struct fixture f;
+
+	begin(&f, state, silent, 1);
+	post(&f, task_msg(scripted_address(f.server), 1, "a", 2 * SHORT_MS));
+	post(&f, task_msg(scripted_address(f.server), 2, "b", SHORT_MS));
+	expect_failure(core_message(f.bus), TASK_NOT_SENT, CS_ERR_TIMEOUT,
+		       "connect", scripted_address(f.server));
+	expect_failure(core_message(f.bus), TASK_UNKNOWN, CS_ERR_TIMEOUT,
+		       "receive", scripted_address(f.server));
+	end(&f);
+}
+
+/* Work that may run once must not be sent into a silent old connection. */
+static void live_connection_is_recent_or_new(void **state)
+{
+	static const struct {
+		int wait_ms;
+		bool needs_live;
+		int connections; /* made so far */
+	} steps[] = {
+		{ 0, true, 1 },
+		{ 0, true, 1 }, /* proof of life is recent */
+		{ 1200, false, 1 }, /* other work may reuse it */
+		{ 1200, true, 2 },
+	};
+	struct fixture f;
+	struct msg *m;
+	size_t i;
+
+	begin(&f, state, echo, 1);
+	for (i = 0; i < G_N_ELEMENTS(steps); i++) {
+		g_usleep((gulong)steps[i].wait_ms * 1000);
+		m = task_msg(scripted_address(f.server), 1, "x", LONG_MS);
+		m->u.task_start.needs_live_connection = steps[i].needs_live;
+		post(&f, m);
+		m = core_message(f.bus);
+		assert_int_equal(m->u.task_done.result, TASK_ANSWERED);
+		msg_free(m);
+		assert_int_equal(scripted_connections(f.server),
+				 steps[i].connections);
+	}
+	end(&f);
+}
+
+static void answer_once(struct scripted *s, int fd)
+{
+	g_free(scripted_read(s, fd));
+	scripted_answer(fd, 200, "first");
+	g_free(scripted_read(s, fd));
+}
+
+/* A reused connection that breaks must not hide a second attempt. */
+static void reused_connection_that_breaks_is_unknown(void **state)
+{
+	struct fixture f;
+	struct msg *m;
+
+	begin(&f, state, answer_once, 4);
+	m = call(&f, LONG_MS);
+	assert_int_equal(m->u.task_done.result, TASK_ANSWERED);
+	msg_free(m);
+	expect_failure(call(&f, LONG_MS), TASK_UNKNOWN, CS_ERR_IO, "receive",
+		       scripted_address(f.server));
+	assert_int_equal(scripted_connections(f.server), 1);
+	assert_int_equal(scripted_requests(f.server), 2);
+	end(&f);
+}
+
+/* Calls that are open at the end of the task must still be answered. */
+static void destroy_ends_open_calls(void **state)
+{
+	struct fixture f;
+
+	begin(&f, state, silent, 4);
+	post(&f, task_msg(scripted_address(f.server), 1, "x", LONG_MS));
+	while (!scripted_requests(f.server))
+		g_usleep(1000);
+	worker_client_destroy(f.client);
+	f.client = NULL;
+	expect_failure(core_message(f.bus), TASK_UNKNOWN, CS_ERR_IO, "receive",
+		       scripted_address(f.server));
+	end(&f);
+}
+
+/* Answers of control calls, by path. */
+static void control(struct scripted *s, int fd)
+{
+	char *request;
+
+	while ((request = scripted_read(s, fd))) {
+		if (strstr(request, "/good/renew?lease_ms=6000 "))
+			scripted_answer(fd, 200,
+					"{\"state\":\"stopped\",\"progress\":40"
+					",\"checkpoint\":\"c4\"}");
+		else if (strstr(request, "/good/checkpoint "))
+			scripted_answer(fd, 200, "{\"checkpoint\":\"c5\"}");
+		else if (strstr(request, "/good/result "))
+			scripted_answer(fd, 200, "result");
+		else if (strstr(request, "/bad/"))
+			scripted_answer(fd, 200,
+					"{\"state\":\"running\",\"progress\":"
+					"\"much\"}");
+		else if (strstr(request, "GET /usage "))
+			scripted_answer(fd, 200,
+					"{\"slots\":8,\"running\":3,"
+					"\"age_ms\":1000}");
+		else
+			scripted_answer(fd, 404, "{}");
+		g_free(request);
+	}
+}
+
+static struct msg *control_call(struct fixture *f, enum task_op op,
+				const char *task)
+{
+	struct msg *m = msg_new(MSG_TASK_CONTROL);
+
+	m->u.task_control.attempt = 3;
+	m->u.task_control.op = op;
+	m->u.task_control.lease_ms = 6000;
+	cs_copy(m->u.task_control.address, CS_ADDRESS_MAX,
+		scripted_address(f->server));
+	cs_copy(m->u.task_control.task_id, CS_NAME_MAX, task);
+	post(f, m);
+	m = core_message(f->bus);
+	assert_int_equal(m->type, MSG_TASK_CONTROL_DONE);
+	assert_int_equal(m->u.task_control_done.attempt, 3);
+	assert_int_equal(m->u.task_control_done.op, op);
+	return m;
+}
+
+/* A malformed control answer must not pass for a state of the task. */
+static void control_calls_report_task_state(void **state)
+{
+	struct fixture f;
+	struct msg *m;
+
+	begin(&f, state, control, 4);
+	m = control_call(&f, TASK_RENEW, "good");
+	assert_int_equal(m->u.task_control_done.code, CS_OK);
+	assert_int_equal(m->u.task_control_done.state, TASK_STATE_STOPPED);
+	assert_int_equal(m->u.task_control_done.progress, 40);
+	assert_string_equal(m->u.task_control_done.checkpoint, "c4");
+	msg_free(m);
+	m = control_call(&f, TASK_CHECKPOINT, "good");
+	assert_int_equal(m->u.task_control_done.code, CS_OK);
+	assert_string_equal(m->u.task_control_done.checkpoint, "c5");
+	msg_free(m);
+	m = control_call(&f, TASK_RESULT, "good");
+	assert_int_equal(m->u.task_control_done.code, CS_OK);
+	assert_int_equal(g_bytes_get_size(m->u.task_control_done.body), 6);
+	msg_free(m);
+	m = control_call(&f, TASK_RENEW, "bad");
+	assert_int_equal(m->u.task_control_done.code, CS_ERR_IO);
+	msg_free(m);
+	m = control_call(&f, TASK_STOP, "other");
+	assert_int_equal(m->u.task_control_done.code, CS_OK);
+	assert_int_equal(m->u.task_control_done.state, TASK_STATE_MISSING);
+	msg_free(m);
+	m = msg_new(MSG_USAGE_POLL);
+	m->u.usage_poll.worker = 9;
+	cs_copy(m->u.usage_poll.address, CS_ADDRESS_MAX,
+		scripted_address(f.server));
+	post(&f, m);
+	m = core_message(f.bus);
+	assert_int_equal(m->type, MSG_USAGE);
+	assert_int_equal(m->u.usage.worker, 9);
+	assert_int_equal(m->u.usage.code, CS_OK);
+	assert_int_equal(m->u.usage.running, 3);
+	assert_int_equal(m->u.usage.age_ms, 1000);
+	msg_free(m);
+	end(&f);
+}
+
+/* Failures must be countable by operators. */
+static void metrics_count_results(void **state)
+{
+	struct fixture f;
+	struct msg *m;
+	void *item = NULL;
+	const char *text;
+	int i;
+
+	begin(&f, state, busy, 4);
+	msg_free(call(&f, LONG_MS));
+	bus_ask_metrics(f.bus, BUS_WORKER, 4);
+	for (i = 0;
+	     i < 5000 && !mailbox_take(bus_mailbox(f.bus, BUS_ADMIN), &item, 1);
+	     i++)
+		g_usleep(1000);
+	m = item;
+	assert_non_null(m);
+	assert_int_equal(m->u.metrics_reply.caller, 4);
+	assert_int_equal(m->u.metrics_reply.source, BUS_WORKER);
+	text = g_bytes_get_data(m->u.metrics_reply.text, NULL);
+	assert_non_null(g_strstr_len(
+		text, (gssize)g_bytes_get_size(m->u.metrics_reply.text),
+		"camphorshed_worker_tasks_total{result=\"refused\"} 1\n"));
+	msg_free(m);
+	end(&f);
+}
+
+static int open_log(void **state)
+{
+	*state = log_create(LOG_FATAL, NULL);
+	return *state ? 0 : -1;
+}
+
+static int close_log(void **state)
+{
+	log_destroy(*state);
+	return 0;
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(refused_connection_is_not_sent),
+		cmocka_unit_test(connect_timeout_is_not_sent),
+		cmocka_unit_test(malformed_address_is_not_sent),
+		cmocka_unit_test(silent_worker_is_unknown_at_deadline),
+		cmocka_unit_test(answer_after_deadline_is_dropped),
+		cmocka_unit_test(lost_answer_is_unknown_and_not_retried),
+		cmocka_unit_test(reset_in_answer_is_unknown),
+		cmocka_unit_test(truncated_answers_are_unknown),
+		cmocka_unit_test(reset_while_sending_is_unknown),
+		cmocka_unit_test(status_429_is_refused),
+		cmocka_unit_test(chunked_answer_is_whole),
+		cmocka_unit_test(request_carries_trace_and_escaped_path),
+		cmocka_unit_test(answers_out_of_order_match_their_calls),
+		cmocka_unit_test(waiting_call_is_not_sent),
+		cmocka_unit_test(live_connection_is_recent_or_new),
+		cmocka_unit_test(reused_connection_that_breaks_is_unknown),
+		cmocka_unit_test(destroy_ends_open_calls),
+		cmocka_unit_test(control_calls_report_task_state),
+		cmocka_unit_test(metrics_count_results),
+	};
+
+	return cmocka_run_group_tests(tests, open_log, close_log);
+}
