--- a/src/peer/peer_codec.h
+++ b/src/peer/peer_codec.h
@@ -4,7 +4,7 @@
 #include "../entry/message.h"
 
 /* Longest frame after the length field, in bytes. */
-#define PEER_FRAME_MAX (2u * 1024 * 1024)
+#define PEER_FRAME_MAX ((size_t)2 * 1024 * 1024)
 
 /* Encodes a message as one msgpack array, without the length field. */
 GBytes *peer_encode(const struct peer_msg *msg);
