Add an HTTP server on libevhtp and the callers' task

Requests become plain data in base/http_server.c, so that the front decodes and encodes without a socket.

--- /dev/null
+++ b/src/base/http_server.c
@@ -0,0 +1,584 @@
+#include "http_server.h"
+
+#include <errno.h>
+#include <evhtp.h>
+#include <signal.h>
+#include <string.h>
+
+#include "error.h"
+#include "slots.h"
+
+/* All headers of one request; the parser limits a single one to 8 KB. */
+#define HEADERS_MAX (16 * 1024)
+
+/* Connections that wait for accept(). */
+#define BACKLOG 1024
+
+/*
+ * Seconds without a byte before a connection without a request is closed,
+ * longer than the keep-alive of usual load balancers (60 s), so that they
+ * close first and never send into a closing connection.
+ */
+#define IDLE_TIMEOUT 75
+
+/* Seconds that a caller may take to read any part of its answer. */
+#define SEND_TIMEOUT 30
+
+/*
+ * Bytes of an oversized body that are read and thrown away before the
+ * refusal. Closing earlier would reset the connection and lose the refusal.
+ */
+#define DISCARD_MAX (16 * 1024 * 1024)
+
+/* Input held for a connection whose request waits for its answer. */
+#define READ_AHEAD_MAX (256 * 1024)
+
+struct http_server {
+	evhtp_t *htp;
+	struct slots *connections;
+	struct slots *exchanges;
+	struct http_server_options options;
+	const struct http_server_ops *ops;
+	void *ctx;
+};
+
+/* One accepted connection. */
+struct connection {
+	struct http_server *server;
+	cs_handle self;
+	evhtp_connection_t *conn;
+	cs_handle exchange; /* request without an answer, or 0 */
+	size_t header_bytes;
+	uint64_t body_bytes;
+	bool is_in_message; /* no whole request has come since the last one */
+	int fault_status; /* set by a hook that stops the parser */
+	const char *fault;
+	char peer[CS_ADDRESS_MAX];
+};
+
+/* One request. The owner's row follows it. */
+struct exchange {
+	struct connection *connection;
+	evhtp_request_t *req;
+	bool is_paused;
+};
+
+/* Where the owner's row begins, aligned for any type. */
+#define ROW_OFFSET ((sizeof(struct exchange) + 15) & ~(size_t)15)
+
+static const struct timeval idle_timeout = { .tv_sec = IDLE_TIMEOUT };
+static const struct timeval send_timeout = { .tv_sec = SEND_TIMEOUT };
+
+/* The row that post_accept gave to all hooks of the connection. */
+static struct connection *connection_of(const evhtp_request_t *req)
+{
+	return req->conn->hooks->on_connection_fini_arg;
+}
+
+/* Stops the parser; the refusal is sent when the connection is freed. */
+static evhtp_res stop_with(struct connection *c, int status, const char *fault)
+{
+	c->fault_status = status;
+	c->fault = fault;
+	return EVHTP_RES_BADREQ;
+}
+
+static evhtp_res on_header(evhtp_request_t *req, evhtp_header_t *header,
+			   void *arg)
+{
+	struct connection *c = arg;
+
+	(void)req;
+	c->header_bytes += header->klen + header->vlen;
+	if (c->header_bytes > HEADERS_MAX)
+		return stop_with(c, 431, "header_too_large");
+	return EVHTP_RES_OK;
+}
+
+static evhtp_res on_headers(evhtp_request_t *req, evhtp_headers_t *headers,
+			    void *arg)
+{
+	struct connection *c = arg;
+	size_t body_max = c->server->options.body_max;
+
+	if (evhtp_header_find(headers, "Transfer-Encoding") &&
+	    evhtp_header_find(headers, "Content-Length"))
+		return stop_with(c, 400, "ambiguous_length");
+	if (evhtp_request_content_len(req) > body_max + DISCARD_MAX)
+		return stop_with(c, 413, "body_too_large");
+	/* Without a query libevhtp reads a form body as one. */
+	if (!req->uri->query)
+		req->uri->query = evhtp_query_new();
+	return EVHTP_RES_OK;
+}
+
+static evhtp_res on_read(evhtp_request_t *req, struct evbuffer *buf, void *arg)
+{
+	struct connection *c = arg;
+	size_t body_max = c->server->options.body_max;
+
+	c->body_bytes += evbuffer_get_length(buf);
+	if (c->body_bytes <= body_max)
+		return EVHTP_RES_OK;
+	if (c->body_bytes > body_max + DISCARD_MAX)
+		return stop_with(c, 413, "body_too_large");
+	evbuffer_drain(buf, evbuffer_get_length(buf));
+	evbuffer_drain(req->buffer_in, evbuffer_get_length(req->buffer_in));
+	return EVHTP_RES_OK;
+}
+
+static evhtp_res on_request_fini(evhtp_request_t *req, void *arg)
+{
+	struct connection *c = arg;
+
+	(void)req;
+	c->is_in_message = true;
+	c->header_bytes = 0;
+	c->body_bytes = 0;
+	return EVHTP_RES_OK;
+}
+
+/* Ends an exchange without an answer. */
+static void lose_exchange(struct connection *c)
+{
+	struct http_server *s = c->server;
+	cs_handle h = c->exchange;
+
+	if (!h)
+		return;
+	s->ops->on_gone(s->ctx, h);
+	c->exchange = 0;
+	slots_free(s->exchanges, h);
+}
+
+/*
+ * The connection failed. libevhtp keeps a paused connection, so the request
+ * is resumed, which lets it free the connection.
+ */
+static evhtp_res on_conn_error(evhtp_connection_t *conn, evhtp_error_flags type,
+			       void *arg)
+{
+	struct connection *c = arg;
+	struct exchange *x = slots_get(c->server->exchanges, c->exchange);
+
+	(void)conn;
+	(void)type;
+	if (x && x->is_paused) {
+		evhtp_request_t *req = x->req;
+
+		lose_exchange(c);
+		evhtp_request_resume(req);
+	}
+	return EVHTP_RES_OK;
+}
+
+/*
+ * Writes a refusal to the socket itself, since libevhtp closes a connection
+ * that it can't parse without an answer. What the socket still holds is read
+ * first: unread input would turn the close into a reset.
+ */
+static void send_refusal(struct connection *c,
+			 const struct http_refusal *refusal)
+{
+	GBytes *body = http_refusal_body(refusal);
+	GString *out = g_string_new(NULL);
+	char sink[16384];
+	size_t total = 0;
+	ssize_t n;
+
+	g_string_append_printf(out,
+			       "HTTP/1.1 %d %s\r\n"
+			       "Content-Type: application/json\r\n"
+			       "Content-Length: %zu\r\n"
+			       "Connection: close\r\n",
+			       refusal->status,
+			       http_status_text(refusal->status),
+			       g_bytes_get_size(body));
+	if (refusal->retry_after_ms > 0)
+		g_string_append(out, "Retry-After: 1\r\n");
+	g_string_append(out, "\r\n");
+	g_string_append_len(out, g_bytes_get_data(body, NULL),
+			    (gssize)g_bytes_get_size(body));
+	do {
+		n = recv(c->conn->sock, sink, sizeof(sink), MSG_DONTWAIT);
+		if (n > 0)
+			total += (size_t)n;
+	} while (n > 0 && total < READ_AHEAD_MAX);
+	/* A caller that takes no answer loses only its own. */
+	(void)!send(c->conn->sock, out->str, out->len,
+		    MSG_DONTWAIT | MSG_NOSIGNAL);
+	g_string_free(out, TRUE);
+	g_bytes_unref(body);
+}
+
+static void refuse_connection(struct connection *c, int status,
+			      const char *reason, int64_t retry_after_ms)
+{
+	struct http_server *s = c->server;
+	struct http_refusal refusal = {
+		.status = status,
+		.reason = reason,
+		.outcome = "not_run",
+		.step = s->options.name,
+		.peer = c->peer,
+		.retry_after_ms = retry_after_ms,
+	};
+
+	send_refusal(c, &refusal);
+	if (s->ops->on_refused)
+		s->ops->on_refused(s->ctx, &refusal);
+}
+
+static evhtp_res on_connection_fini(evhtp_connection_t *conn, void *arg)
+{
+	struct connection *c = arg;
+	htpparse_error error = htparse_error_none;
+
+	lose_exchange(c);
+	if (conn->parser)
+		error = htparser_get_error(conn->parser);
+	if (c->fault)
+		refuse_connection(c, c->fault_status, c->fault, 0);
+	else if (c->is_in_message && error == htparse_error_too_big)
+		refuse_connection(c, 431, "header_too_large", 0);
+	else if (c->is_in_message && error != htparse_error_none &&
+		 error != htparse_error_user)
+		refuse_connection(c, 400, "bad_http", 0);
+	slots_free(c->server->connections, c->self);
+	return EVHTP_RES_OK;
+}
+
+/* Refuses with a row on the stack, as the table has no room for one. */
+static void refuse_full(struct http_server *s, evhtp_connection_t *conn)
+{
+	struct connection c = { .server = s, .conn = conn };
+
+	http_address_format(conn->saddr, c.peer);
+	refuse_connection(&c, 503, "too_many_connections", CS_SEC / CS_MSEC);
+}
+
+static evhtp_res post_accept(evhtp_connection_t *conn, void *arg)
+{
+	static const struct {
+		evhtp_hook_type type;
+		evhtp_hook hook;
+	} hooks[] = {
+		{ evhtp_hook_on_header, (evhtp_hook)on_header },
+		{ evhtp_hook_on_headers, (evhtp_hook)on_headers },
+		{ evhtp_hook_on_read, (evhtp_hook)on_read },
+		{ evhtp_hook_on_request_fini, (evhtp_hook)on_request_fini },
+		{ evhtp_hook_on_conn_error, (evhtp_hook)on_conn_error },
+		{ evhtp_hook_on_connection_fini,
+		  (evhtp_hook)on_connection_fini },
+	};
+	struct http_server *s = arg;
+	struct connection *c;
+	cs_handle h;
+	size_t i;
+
+	h = slots_take(s->connections, (void **)&c);
+	if (!h) {
+		refuse_full(s, conn);
+		return EVHTP_RES_ERROR;
+	}
+	c->server = s;
+	c->self = h;
+	c->conn = conn;
+	c->is_in_message = true;
+	http_address_format(conn->saddr, c->peer);
+	for (i = 0; i < G_N_ELEMENTS(hooks); i++)
+		evhtp_connection_set_hook(conn, hooks[i].type, hooks[i].hook,
+					  c);
+	bufferevent_setwatermark(conn->bev, EV_READ, 0, READ_AHEAD_MAX);
+	return EVHTP_RES_OK;
+}
+
+static enum http_method method_of(evhtp_request_t *req)
+{
+	switch (evhtp_request_get_method(req)) {
+	case htp_method_GET:
+		return HTTP_GET;
+	case htp_method_HEAD:
+		return HTTP_HEAD;
+	case htp_method_POST:
+		return HTTP_POST;
+	case htp_method_PUT:
+		return HTTP_PUT;
+	case htp_method_DELETE:
+		return HTTP_DELETE;
+	default:
+		return HTTP_OTHER;
+	}
+}
+
+static int add_header(evhtp_kv_t *kv, void *arg)
+{
+	struct http_header header = { kv->key ? kv->key : "",
+				      kv->val ? kv->val : "" };
+
+	g_array_append_val((GArray *)arg, header);
+	return 0;
+}
+
+static GBytes *take_body(struct evbuffer *buf)
+{
+	size_t len = evbuffer_get_length(buf);
+	void *data = g_malloc(len ? len : 1);
+
+	evbuffer_remove(buf, data, len);
+	return g_bytes_new_take(data, len);
+}
+
+/* Gives the request to the owner, as plain data. */
+static void present(struct connection *c, cs_handle h, evhtp_request_t *req)
+{
+	struct http_server *s = c->server;
+	GArray *headers = g_array_new(FALSE, FALSE, sizeof(struct http_header));
+	const evhtp_path_t *path = req->uri->path;
+	const char *query = (const char *)req->uri->query_raw;
+	struct http_request r = {
+		.method = method_of(req),
+		.path = path && path->full ? path->full : "",
+		.query = query ? query : "",
+		.body = take_body(req->buffer_in),
+	};
+
+	evhtp_kvs_for_each(req->headers_in, add_header, headers);
+	r.headers = (const struct http_header *)(void *)headers->data;
+	r.headers_nr = headers->len;
+	cs_copy(r.peer, sizeof(r.peer), c->peer);
+	s->ops->on_request(s->ctx, h, &r);
+	g_bytes_unref(r.body);
+	g_array_free(headers, TRUE);
+}
+
+/* Answers a whole request that is over a limit, and closes afterwards. */
+static void refuse_exchange(struct connection *c, cs_handle h, int status,
+			    const char *reason)
+{
+	struct http_server *s = c->server;
+	struct http_refusal refusal = {
+		.status = status,
+		.reason = reason,
+		.outcome = "not_run",
+		.step = s->options.name,
+		.peer = c->peer,
+	};
+	struct exchange *x = slots_get(s->exchanges, h);
+
+	evhtp_request_set_keepalive(x->req, 0);
+	if (s->ops->on_refused)
+		s->ops->on_refused(s->ctx, &refusal);
+	http_server_refuse(s, h, &refusal);
+}
+
+static void on_request(evhtp_request_t *req, void *arg)
+{
+	struct http_server *s = arg;
+	struct connection *c = connection_of(req);
+	struct exchange *x;
+	cs_handle h;
+
+	c->is_in_message = false;
+	h = slots_take(s->exchanges, (void **)&x);
+	if (!h) {
+		/* Not reached: a connection has one exchange at a time. */
+		evhtp_request_set_keepalive(req, 0);
+		evhtp_send_reply(req, EVHTP_RES_SERVUNAVAIL);
+		return;
+	}
+	x->connection = c;
+	x->req = req;
+	c->exchange = h;
+	if (c->body_bytes > s->options.body_max) {
+		refuse_exchange(c, h, 413, "body_too_large");
+		return;
+	}
+	present(c, h, req);
+	x = slots_get(s->exchanges, h);
+	if (!x)
+		return; /* answered at once */
+	x->is_paused = true;
+	evhtp_request_pause(req);
+	/* The answer may take longer than an idle connection is kept. */
+	bufferevent_set_timeouts(req->conn->bev, NULL, &send_timeout);
+}
+
+static void unref_body(const void *data, size_t len, void *bytes)
+{
+	(void)data;
+	(void)len;
+	g_bytes_unref(bytes);
+}
+
+static void add_out(evhtp_request_t *req, const char *name, const char *value)
+{
+	evhtp_headers_add_header(req->headers_out,
+				 evhtp_header_new(name, value, 0, 1));
+}
+
+/* A content type comes from a worker; a line break in it would end the head. */
+static bool is_header_value(const char *s)
+{
+	for (; *s; s++)
+		if (!g_ascii_isprint(*s))
+			return false;
+	return true;
+}
+
+static void fill_response(evhtp_request_t *req, const struct http_response *r)
+{
+	const char *type = r->content_type;
+	char seconds[24];
+	size_t len = 0;
+	const void *data;
+
+	if (!type || !*type || !is_header_value(type))
+		type = "application/octet-stream";
+	add_out(req, "Content-Type", type);
+	if (r->allow)
+		add_out(req, "Allow", r->allow);
+	if (r->status == 401)
+		add_out(req, "WWW-Authenticate", "Bearer");
+	if (r->retry_after_ms > 0) {
+		g_snprintf(seconds, sizeof(seconds), "%" G_GINT64_FORMAT,
+			   (r->retry_after_ms + 999) / 1000);
+		add_out(req, "Retry-After", seconds);
+	}
+	if (!r->body ||
+	    !evhtp_response_needs_body((evhtp_res)r->status,
+				       evhtp_request_get_method(req)))
+		return;
+	data = g_bytes_get_data(r->body, &len);
+	if (len)
+		evbuffer_add_reference(req->buffer_out, data, len, unref_body,
+				       g_bytes_ref(r->body));
+}
+
+bool http_server_reply(struct http_server *s, cs_handle h,
+		       const struct http_response *response)
+{
+	struct exchange *x = slots_get(s->exchanges, h);
+	evhtp_request_t *req;
+	bool was_paused;
+	int status = response->status;
+
+	if (!x)
+		return false;
+	req = x->req;
+	was_paused = x->is_paused;
+	x->connection->exchange = 0;
+	slots_free(s->exchanges, h);
+	if (status < 200 || status > 599)
+		status = 500;
+	fill_response(req, response);
+	evhtp_send_reply(req, (evhtp_res)status);
+	if (was_paused) {
+		bufferevent_set_timeouts(req->conn->bev, &idle_timeout,
+					 &send_timeout);
+		/* libevhtp wants the answer before the resume. */
+		evhtp_request_resume(req);
+	}
+	return true;
+}
+
+bool http_server_refuse(struct http_server *s, cs_handle h,
+			const struct http_refusal *refusal)
+{
+	struct http_response response = {
+		.status = refusal->status,
+		.content_type = "application/json",
+		.allow = refusal->allow,
+		.retry_after_ms = refusal->retry_after_ms,
+		.body = http_refusal_body(refusal),
+	};
+	bool was_open = http_server_reply(s, h, &response);
+
+	g_bytes_unref(response.body);
+	return was_open;
+}
+
+void *http_server_row(const struct http_server *s, cs_handle h)
+{
+	struct exchange *x = slots_get(s->exchanges, h);
+
+	return x ? (char *)x + ROW_OFFSET : NULL;
+}
+
+uint32_t http_server_connections(const struct http_server *s)
+{
+	return slots_count(s->connections);
+}
+
+static int listen_at(struct http_server *s, const char *address,
+		     struct cs_error *err)
+{
+	struct sockaddr_storage sa;
+	socklen_t len;
+	int code;
+
+	code = http_address_parse(address, &sa, &len, err);
+	if (code)
+		return code;
+	if (evhtp_bind_sockaddr(s->htp, (struct sockaddr *)&sa, len, BACKLOG))
+		return cs_error_set(err, CS_ERR_IO, s->options.name, address,
+				    "cannot listen: %s", strerror(errno));
+	return CS_OK;
+}
+
+struct http_server *http_server_create(
+	struct event_base *base, const struct http_server_options *options,
+	const struct http_server_ops *ops, void *ctx, struct cs_error *err)
+{
+	struct http_server *s = g_new0(struct http_server, 1);
+	sigset_t pipe_signal;
+
+	/* A write to a closed connection reports an error to its own thread. */
+	sigemptyset(&pipe_signal);
+	sigaddset(&pipe_signal, SIGPIPE);
+	pthread_sigmask(SIG_BLOCK, &pipe_signal, NULL);
+	s->options = *options;
+	s->ops = ops;
+	s->ctx = ctx;
+	s->connections = slots_create(sizeof(struct connection),
+				      options->connections_max);
+	s->exchanges = slots_create(ROW_OFFSET + options->row_size,
+				    options->connections_max);
+	s->htp = evhtp_new(base, s);
+	if (!s->connections || !s->exchanges || !s->htp) {
+		cs_error_set(err, CS_ERR_NOMEM, options->name, NULL,
+			     "out of memory");
+		goto fail;
+	}
+	evhtp_enable_flag(s->htp, EVHTP_FLAG_ENABLE_NODELAY);
+	evhtp_set_timeouts(s->htp, &idle_timeout, &send_timeout);
+	evhtp_set_post_accept_cb(s->htp, post_accept, s);
+	evhtp_set_gencb(s->htp, on_request, s);
+	if (listen_at(s, options->address, err))
+		goto fail;
+	return s;
+fail:
+	http_server_destroy(s);
+	return NULL;
+}
+
+void http_server_destroy(struct http_server *s)
+{
+	cs_handle h;
+
+	if (!s)
+		return;
+	if (s->htp && s->htp->server)
+		evhtp_unbind_socket(s->htp);
+	for (h = s->connections ? slots_next(s->connections, 0) : 0; h;
+	     h = slots_next(s->connections, h)) {
+		struct connection *c = slots_get(s->connections, h);
+
+		evhtp_connection_free(c->conn);
+	}
+	if (s->htp)
+		evhtp_free(s->htp);
+	slots_destroy(s->exchanges);
+	slots_destroy(s->connections);
+	g_free(s);
+}
--- /dev/null
+++ b/src/front/front.c
@@ -0,0 +1,256 @@
+#include "front.h"
+
+#include <sodium.h>
+#include <string.h>
+
+#include "../base/counters.h"
+#include "../base/error.h"
+#include "../base/http_server.h"
+#include "../base/task.h"
+#include "front_decode.h"
+#include "front_reply.h"
+
+/*
+ * Wait that is advised when the core's mailbox is full, in ms. It holds
+ * seconds of work, so an earlier attempt would mostly be refused again.
+ */
+#define OVERLOAD_RETRY_MS 1000
+
+struct front {
+	struct front_options options;
+	struct bus *bus;
+	struct task *task;
+	struct http_server *server;
+	struct counters *counters;
+	GRand *rng;
+};
+
+/* The front's row of each exchange. */
+struct front_row {
+	struct trace trace; /* the front's own span */
+	cs_time start;
+	char peer[CS_ADDRESS_MAX];
+};
+
+static void emit_span(struct front *f, const struct front_row *row,
+		      const char *result)
+{
+	struct msg *msg = msg_new(MSG_SPAN);
+	struct span *span = &msg->u.span;
+
+	cs_copy(span->name, sizeof(span->name), "front");
+	cs_copy(span->peer, sizeof(span->peer), row->peer);
+	cs_copy(span->result, sizeof(span->result), result);
+	span->trace = row->trace;
+	span->start = row->start;
+	span->end = task_now();
+	bus_post(f->bus, BUS_FRONT, msg);
+}
+
+static void count_status(struct front *f, int status)
+{
+	char labels[32];
+
+	g_snprintf(labels, sizeof(labels), "class=\"%dxx\"", status / 100);
+	counters_add(f->counters, "front_requests_total", labels, 1);
+}
+
+/* A reason may come from another entry; a quote in it would break the text. */
+static void count_refusal(struct front *f, const char *reason)
+{
+	char labels[64];
+
+	g_snprintf(labels, sizeof(labels), "reason=\"%s\"",
+		   http_is_word(reason, 33) ? reason : "other");
+	counters_add(f->counters, "front_refusals_total", labels, 1);
+}
+
+static void on_refused(void *ctx, const struct http_refusal *refusal)
+{
+	struct front *f = ctx;
+
+	count_status(f, refusal->status);
+	count_refusal(f, refusal->reason);
+}
+
+static void refuse(struct front *f, cs_handle exchange,
+		   const struct http_refusal *refusal)
+{
+	on_refused(f, refusal);
+	emit_span(f, http_server_row(f->server, exchange), refusal->reason);
+	http_server_refuse(f->server, exchange, refusal);
+}
+
+/*
+ * The core has no room. A job that a query names may well have run, so only
+ * a refused submission is "not_run".
+ */
+static void refuse_overload(struct front *f, cs_handle exchange,
+			    const struct msg *msg, const char *peer)
+{
+	struct http_refusal refusal = {
+		.status = 503,
+		.reason = "overloaded",
+		.outcome = msg->type == MSG_SUBMIT ? "not_run" : "unknown",
+		.step = "submit",
+		.peer = peer,
+		.retry_after_ms = OVERLOAD_RETRY_MS,
+	};
+
+	refuse(f, exchange, &refusal);
+}
+
+static void on_request(void *ctx, cs_handle exchange,
+		       const struct http_request *req)
+{
+	struct front *f = ctx;
+	struct front_row *row = http_server_row(f->server, exchange);
+	struct http_refusal refusal;
+	struct msg *msg;
+
+	row->trace = http_trace(req, f->rng);
+	row->start = task_now();
+	cs_copy(row->peer, sizeof(row->peer), req->peer);
+	msg = front_decode(req, exchange, &row->trace, &refusal);
+	if (!msg) {
+		refuse(f, exchange, &refusal);
+		return;
+	}
+	if (bus_post(f->bus, BUS_FRONT, msg)) {
+		refuse_overload(f, exchange, msg, req->peer);
+		msg_free(msg);
+	}
+}
+
+static void on_gone(void *ctx, cs_handle exchange)
+{
+	struct front *f = ctx;
+	struct msg *msg = msg_new(MSG_CALLER_GONE);
+
+	counters_add(f->counters, "front_callers_gone_total", "", 1);
+	emit_span(f, http_server_row(f->server, exchange), "gone");
+	msg->u.caller = exchange;
+	bus_post(f->bus, BUS_FRONT, msg);
+}
+
+static void on_reply(struct front *f, const struct reply *reply)
+{
+	const struct front_row *row = http_server_row(f->server, reply->caller);
+	struct http_response response;
+
+	if (!row) {
+		counters_add(f->counters, "front_late_replies_total", "", 1);
+		return;
+	}
+	front_reply_encode(reply, &response);
+	count_status(f, response.status);
+	if (reply->outcome == OUTCOME_NOT_RUN ||
+	    reply->outcome == OUTCOME_UNKNOWN)
+		count_refusal(f, reply->reason);
+	emit_span(f, row, front_outcome_name(reply->outcome));
+	http_server_reply(f->server, reply->caller, &response);
+	g_bytes_unref(response.body);
+}
+
+static void reply_metrics(struct front *f, cs_handle caller)
+{
+	struct msg *msg = msg_new(MSG_METRICS_REPLY);
+	GString *text = g_string_new(NULL);
+
+	counters_set(f->counters, "front_open_connections", "",
+		     http_server_connections(f->server));
+	counters_render(f->counters, text);
+	msg->u.metrics_reply.caller = caller;
+	msg->u.metrics_reply.source = BUS_FRONT;
+	msg->u.metrics_reply.text = g_string_free_to_bytes(text);
+	bus_post(f->bus, BUS_FRONT, msg);
+}
+
+static void on_msg(void *state, struct task *task, void *item)
+{
+	struct front *f = state;
+	struct msg *msg = item;
+
+	(void)task;
+	switch (msg->type) {
+	case MSG_REPLY:
+		on_reply(f, &msg->u.reply);
+		break;
+	case MSG_METRICS_CALL:
+		reply_metrics(f, msg->u.metrics_call.caller);
+		break;
+	default:
+		break;
+	}
+	msg_free(msg);
+}
+
+static int start(void *state, struct task *task, struct cs_error *err)
+{
+	static const struct http_server_ops ops = {
+		.on_request = on_request,
+		.on_gone = on_gone,
+		.on_refused = on_refused,
+	};
+	struct front *f = state;
+	struct http_server_options options = {
+		.name = "front",
+		.address = f->options.address,
+		.body_max = f->options.body_max,
+		.connections_max = (uint32_t)MAX(f->options.connections_max, 1),
+		.row_size = sizeof(struct front_row),
+	};
+
+	f->server =
+		http_server_create(task_base(task), &options, &ops, f, err);
+	return f->server ? CS_OK : CS_ERR_IO;
+}
+
+static void stop(void *state, struct task *task)
+{
+	struct front *f = state;
+
+	(void)task;
+	http_server_destroy(f->server);
+}
+
+static const struct task_ops front_task = {
+	.name = "front",
+	.start = start,
+	.on_msg = on_msg,
+	.stop = stop,
+};
+
+struct front *front_create(const struct front_options *options, struct bus *bus,
+			   struct cs_error *err)
+{
+	struct front *f;
+
+	if (sodium_init() < 0) {
+		cs_error_set(err, CS_ERR_IO, "front", NULL,
+			     "libsodium can't be initialised");
+		return NULL;
+	}
+	f = g_new0(struct front, 1);
+	f->options = *options;
+	f->bus = bus;
+	f->counters = counters_create();
+	f->rng = g_rand_new();
+	f->task =
+		task_create(&front_task, f, bus_mailbox(bus, BUS_FRONT), err);
+	if (!f->task) {
+		front_destroy(f);
+		return NULL;
+	}
+	return f;
+}
+
+void front_destroy(struct front *f)
+{
+	if (!f)
+		return;
+	task_destroy(f->task);
+	g_rand_free(f->rng);
+	counters_destroy(f->counters);
+	g_free(f);
+}
