Notice callers that leave while their request waits

libevhtp stops reading a paused connection and only flags one that ended, so no MSG_CALLER_GONE was sent. The server now reads on and acts in the event hook. A bad Content-Length no longer passes for an oversized header.

--- a/src/base/http_server.c
+++ b/src/base/http_server.c
@@ -8,9 +8,15 @@
 #include "error.h"
 #include "slots.h"
 
-/* All headers of one request; the parser limits a single one to 8 KB. */
+/* All headers of one request. */
 #define HEADERS_MAX (16 * 1024)
 
+/*
+ * Longest single field that the parser takes. Its error for a longer one
+ * stands for bad numbers too, so the size tells them apart.
+ */
+#define PARSER_FIELD_MAX (8 * 1024)
+
 /* Connections that wait for accept(). */
 #define BACKLOG 1024
 
@@ -47,9 +53,11 @@
 	struct http_server *server;
 	cs_handle self;
 	evhtp_connection_t *conn;
+	struct event *watch; /* reads on while the request is paused */
 	cs_handle exchange; /* request without an answer, or 0 */
 	size_t header_bytes;
 	uint64_t body_bytes;
+	size_t input_bytes; /* read for this message, with headers */
 	bool is_in_message; /* no whole request has come since the last one */
 	int fault_status; /* set by a hook that stops the parser */
 	const char *fault;
@@ -135,6 +143,7 @@
 	c->is_in_message = true;
 	c->header_bytes = 0;
 	c->body_bytes = 0;
+	c->input_bytes = 0;
 	return EVHTP_RES_OK;
 }
 
@@ -152,24 +161,24 @@
 }
 
 /*
- * The connection failed. libevhtp keeps a paused connection, so the request
- * is resumed, which lets it free the connection.
+ * The connection ended or failed. libevhtp keeps a paused connection, so the
+ * request is resumed, which lets it free the connection.
  */
-static evhtp_res on_conn_error(evhtp_connection_t *conn, evhtp_error_flags type,
-			       void *arg)
+static void on_event(evhtp_connection_t *conn, short events, void *arg)
 {
 	struct connection *c = arg;
 	struct exchange *x = slots_get(c->server->exchanges, c->exchange);
+	struct evbuffer *in = bufferevent_get_input(conn->bev);
+	evhtp_request_t *req;
 
-	(void)conn;
-	(void)type;
-	if (x && x->is_paused) {
-		evhtp_request_t *req = x->req;
-
-		lose_exchange(c);
-		evhtp_request_resume(req);
-	}
-	return EVHTP_RES_OK;
+	if (!x || !x->is_paused ||
+	    !(events & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)))
+		return;
+	req = x->req;
+	lose_exchange(c);
+	/* Requests that were sent ahead would have no one to answer to. */
+	evbuffer_drain(in, evbuffer_get_length(in));
+	evhtp_request_resume(req);
 }
 
 /*
@@ -239,15 +248,32 @@
 		error = htparser_get_error(conn->parser);
 	if (c->fault)
 		refuse_connection(c, c->fault_status, c->fault, 0);
-	else if (c->is_in_message && error == htparse_error_too_big)
+	else if (c->is_in_message && error == htparse_error_too_big &&
+		 c->input_bytes > PARSER_FIELD_MAX)
 		refuse_connection(c, 431, "header_too_large", 0);
 	else if (c->is_in_message && error != htparse_error_none &&
 		 error != htparse_error_user)
 		refuse_connection(c, 400, "bad_http", 0);
+	event_free(c->watch);
 	slots_free(c->server->connections, c->self);
 	return EVHTP_RES_OK;
 }
 
+/*
+ * A pause stops reading, and then the end of the connection goes unnoticed.
+ * So reading is turned on again once libevhtp has returned; what arrives
+ * waits in the buffer, up to READ_AHEAD_MAX.
+ */
+static void watch_paused(evutil_socket_t fd, short events, void *arg)
+{
+	struct connection *c = arg;
+
+	(void)fd;
+	(void)events;
+	if (c->exchange)
+		bufferevent_enable(c->conn->bev, EV_READ);
+}
+
 /* Refuses with a row on the stack, as the table has no room for one. */
 static void refuse_full(struct http_server *s, evhtp_connection_t *conn)
 {
@@ -257,6 +283,15 @@
 	refuse_connection(&c, 503, "too_many_connections", CS_SEC / CS_MSEC);
 }
 
+static void count_input(struct evbuffer *buf,
+			const struct evbuffer_cb_info *info, void *arg)
+{
+	struct connection *c = arg;
+
+	(void)buf;
+	c->input_bytes += info->n_added;
+}
+
 static evhtp_res post_accept(evhtp_connection_t *conn, void *arg)
 {
 	static const struct {
@@ -267,7 +302,7 @@
 		{ evhtp_hook_on_headers, (evhtp_hook)on_headers },
 		{ evhtp_hook_on_read, (evhtp_hook)on_read },
 		{ evhtp_hook_on_request_fini, (evhtp_hook)on_request_fini },
-		{ evhtp_hook_on_conn_error, (evhtp_hook)on_conn_error },
+		{ evhtp_hook_on_event, (evhtp_hook)(void (*)(void))on_event },
 		{ evhtp_hook_on_connection_fini,
 		  (evhtp_hook)on_connection_fini },
 	};
@@ -285,10 +320,16 @@
 	c->self = h;
 	c->conn = conn;
 	c->is_in_message = true;
+	c->watch = evtimer_new(conn->evbase, watch_paused, c);
+	if (!c->watch) {
+		slots_free(s->connections, h);
+		return EVHTP_RES_ERROR;
+	}
 	http_address_format(conn->saddr, c->peer);
 	for (i = 0; i < G_N_ELEMENTS(hooks); i++)
 		evhtp_connection_set_hook(conn, hooks[i].type, hooks[i].hook,
 					  c);
+	evbuffer_add_cb(bufferevent_get_input(conn->bev), count_input, c);
 	bufferevent_setwatermark(conn->bev, EV_READ, 0, READ_AHEAD_MAX);
 	return EVHTP_RES_OK;
 }
@@ -402,6 +443,7 @@
 	evhtp_request_pause(req);
 	/* The answer may take longer than an idle connection is kept. */
 	bufferevent_set_timeouts(req->conn->bev, NULL, &send_timeout);
+	event_active(c->watch, EV_TIMEOUT, 0);
 }
 
 static void unref_body(const void *data, size_t len, void *bytes)
--- a/src/front/front.c
+++ b/src/front/front.c
@@ -201,8 +201,7 @@
 		.row_size = sizeof(struct front_row),
 	};
 
-	f->server =
-		http_server_create(task_base(task), &options, &ops, f, err);
+	f->server = http_server_create(task_base(task), &options, &ops, f, err);
 	return f->server ? CS_OK : CS_ERR_IO;
 }
 
@@ -236,8 +235,7 @@
 	f->bus = bus;
 	f->counters = counters_create();
 	f->rng = g_rand_new();
-	f->task =
-		task_create(&front_task, f, bus_mailbox(bus, BUS_FRONT), err);
+	f->task = task_create(&front_task, f, bus_mailbox(bus, BUS_FRONT), err);
 	if (!f->task) {
 		front_destroy(f);
 		return NULL;
--- a/tests/unit/test_front.c
+++ b/tests/unit/test_front.c
@@ -20,8 +20,10 @@
 #define EMPTY "Content-Length: 0\r\n\r\n"
 #define TRACE_ID "0123456789abcdef0123456789abcdef"
 
+/* log4c can be opened only once in a process, so all tests share one log. */
+static struct log *shared_log;
+
 struct fixture {
-	struct log *log;
 	struct bus *bus;
 	struct front *front;
 	struct front_options options;
@@ -31,8 +33,7 @@
 {
 	struct fixture *f = g_new0(struct fixture, 1);
 
-	f->log = log_create(LOG_INFO, NULL);
-	f->bus = bus_create(f->log, NULL);
+	f->bus = bus_create(shared_log, NULL);
 	f->options.body_max = BODY_MAX;
 	f->options.connections_max = CONNECTIONS;
 	client_free_address(f->options.address);
@@ -48,11 +49,24 @@
 
 	front_destroy(f->front);
 	bus_destroy(f->bus);
-	log_destroy(f->log);
 	g_free(f);
 	return 0;
 }
 
+static int open_log(void **state)
+{
+	(void)state;
+	shared_log = log_create(LOG_INFO, NULL);
+	return shared_log ? 0 : -1;
+}
+
+static int close_log(void **state)
+{
+	(void)state;
+	log_destroy(shared_log);
+	return 0;
+}
+
 static struct msg *take(struct fixture *f, enum msg_type type)
 {
 	struct msg *msg = client_take(f->bus, BUS_CORE);
@@ -92,9 +106,9 @@
 		assert_int_equal(msg->u.metrics_reply.caller, 7);
 		assert_int_equal(msg->u.metrics_reply.source, BUS_FRONT);
 		g_free(text);
-		text = g_strndup(
-			g_bytes_get_data(msg->u.metrics_reply.text, NULL),
-			g_bytes_get_size(msg->u.metrics_reply.text));
+		text = g_strndup(g_bytes_get_data(msg->u.metrics_reply.text,
+						  NULL),
+				 g_bytes_get_size(msg->u.metrics_reply.text));
 		msg_free(msg);
 		found = strstr(text, line);
 		if (!found)
@@ -114,15 +128,14 @@
 	struct submit *s;
 	int fd;
 
-	fd = client_send(f->options.address,
-			 POST "Authorization: Bearer secret-key\r\n"
-			      "Request-Id: a.b_c-1\r\nIdempotent: yes\r\n"
-			      "Urgent: yes\r\nWork: long\r\n"
-			      "Deadline-Ms: 86400000\r\n"
-			      "Content-Type: text/plain\r\n"
-			      "traceparent: 00-" TRACE_ID
-			      "-00000000000000aa-01\r\n"
-			      "Content-Length: 5\r\n\r\nhello");
+	fd = client_send(f->options.address, POST
+			 "Authorization: Bearer secret-key\r\n"
+			 "Request-Id: a.b_c-1\r\nIdempotent: yes\r\n"
+			 "Urgent: yes\r\nWork: long\r\n"
+			 "Deadline-Ms: 86400000\r\n"
+			 "Content-Type: text/plain\r\n"
+			 "traceparent: 00-" TRACE_ID "-00000000000000aa-01\r\n"
+			 "Content-Length: 5\r\n\r\nhello");
 	msg = take(f, MSG_SUBMIT);
 	s = &msg->u.submit;
 	assert_string_equal(s->queue, "q");
@@ -205,7 +218,7 @@
 	struct fixture *f = *state;
 	cs_handle callers[4];
 	int fds[4], i;
-	char text[16];
+	char text[32];
 
 	for (i = 0; i < 4; i++) {
 		struct msg *msg;
@@ -291,6 +304,22 @@
 	expect_metric(f, "front_callers_gone_total 1\n");
 }
 
+/* Requests sent ahead by a caller that left must not be run for no one. */
+static void gone_caller_loses_what_it_sent_ahead(void **state)
+{
+	struct fixture *f = *state;
+	int fd = client_send(f->options.address, POST EMPTY POST EMPTY);
+	void *msg;
+
+	msg_free(take(f, MSG_SUBMIT));
+	client_write(fd, POST EMPTY, strlen(POST EMPTY));
+	close(fd);
+	msg_free(take(f, MSG_CALLER_GONE));
+	expect_metric(f, "front_open_connections 0\n");
+	assert_int_equal(mailbox_take(bus_mailbox(f->bus, BUS_CORE), &msg, 1),
+			 0);
+}
+
 /* The core's refusals must reach the caller with every field. */
 static void refusal_of_the_core_is_passed_on(void **state)
 {
@@ -600,6 +629,7 @@
 		TEST(connection_serves_one_request_after_another),
 		TEST(connection_close_is_honoured),
 		TEST(gone_caller_is_told_and_late_reply_dropped),
+		TEST(gone_caller_loses_what_it_sent_ahead),
 		TEST(refusal_of_the_core_is_passed_on),
 		TEST(accepted_long_work_is_named),
 		TEST(malformed_requests_are_refused),
@@ -613,5 +643,5 @@
 		TEST(bad_address_is_an_error),
 	};
 
-	return cmocka_run_group_tests(tests, NULL, NULL);
+	return cmocka_run_group_tests(tests, open_log, close_log);
 }
