Add the operators' task

Changes, document, status, plan, history, wait, metrics, health and readiness on the HTTP server of base/. Counting of answers and refusals moved from the front to base/http_util.c, since both tasks need it.

--- /dev/null
+++ b/src/admin/admin_decode.c
@@ -0,0 +1,197 @@
+#include "admin_decode.h"
+
+#include <sodium.h>
+#include <string.h>
+
+#include "../base/error.h"
+#include "../config/codec.h"
+#include "../team/team.h"
+
+/* Waits in ms. Probes ask again, and take silence for a failure. */
+#define PROBE_WAIT 1000
+/* A question that the core answers from memory, even when it is behind. */
+#define READ_WAIT 5000
+/* A change reads and writes the platform, with retries after conflicts. */
+#define CHANGE_WAIT 30000
+/* A configuration is in force within 7 s unless entries are cut off. */
+#define FORCE_WAIT 60000
+
+/* Query parameters that a path takes. */
+#define PARAM_CHANGE 1 /* expected and dry_run */
+#define PARAM_REVISION 2
+
+/* No revision was given. */
+#define REVISION_NONE UINT64_MAX
+
+static int refuse(struct http_refusal *refusal, int status, const char *reason)
+{
+	refusal->status = status;
+	refusal->reason = reason;
+	return CS_ERR_INVALID;
+}
+
+/* Reads the body of a change list. */
+static int read_changes(const struct http_request *req, struct admin_call *call,
+			struct http_refusal *refusal)
+{
+	struct cs_error err = { 0 };
+
+	if (!changes_decode_json(req->body, &call->changes, &call->changes_nr,
+				 &err))
+		return CS_OK;
+	cs_copy(refusal->message, sizeof(refusal->message), err.message);
+	return refuse(refusal, 400, "bad_changes");
+}
+
+/* The document is decoded by the core, which lists every fault in it. */
+static int read_document(const struct http_request *req,
+			 struct admin_call *call, struct http_refusal *refusal)
+{
+	if (!g_bytes_get_size(req->body))
+		return refuse(refusal, 400, "empty_body");
+	call->body = g_bytes_ref(req->body);
+	return CS_OK;
+}
+
+struct route {
+	enum http_method method;
+	const char *path;
+	enum admin_target target;
+	enum admin_op op;
+	unsigned params;
+	int64_t wait_ms;
+	/* Reads the body; NULL if the path takes none. */
+	int (*read_body)(const struct http_request *req,
+			 struct admin_call *call, struct http_refusal *refusal);
+};
+
+static const struct route routes[] = {
+	{ HTTP_POST, "/v1/changes", ADMIN_TARGET_CORE, ADMIN_CHANGE,
+	  PARAM_CHANGE, CHANGE_WAIT, read_changes },
+	{ HTTP_PUT, "/v1/document", ADMIN_TARGET_CORE, ADMIN_APPLY,
+	  PARAM_CHANGE, CHANGE_WAIT, read_document },
+	{ HTTP_GET, "/v1/document", ADMIN_TARGET_CORE, ADMIN_CONFIG_GET, 0,
+	  READ_WAIT, NULL },
+	{ HTTP_GET, "/v1/status", ADMIN_TARGET_CORE, ADMIN_STATUS, 0, READ_WAIT,
+	  NULL },
+	{ HTTP_GET, "/v1/plan", ADMIN_TARGET_CORE, ADMIN_PLAN, 0, READ_WAIT,
+	  NULL },
+	{ HTTP_GET, "/v1/history", ADMIN_TARGET_CORE, ADMIN_HISTORY, 0,
+	  CHANGE_WAIT, NULL },
+	{ HTTP_GET, "/v1/wait", ADMIN_TARGET_CORE, ADMIN_WAIT, PARAM_REVISION,
+	  FORCE_WAIT, NULL },
+	{ HTTP_GET, "/readyz", ADMIN_TARGET_CORE, ADMIN_READY, 0, PROBE_WAIT,
+	  NULL },
+	{ HTTP_GET, "/metrics", ADMIN_TARGET_TASKS, 0, 0, PROBE_WAIT, NULL },
+	{ HTTP_GET, "/healthz", ADMIN_TARGET_SELF, 0, 0, 0, NULL },
+};
+
+/*
+ * Digests are compared in constant time; they have one length, so that the
+ * time does not tell the length of the token either.
+ */
+static bool is_allowed(const struct http_request *req,
+		       const uint8_t *token_digest)
+{
+	uint8_t digest[CS_DIGEST_LEN];
+	const char *token;
+
+	if (!token_digest || http_bearer(req, &token) || !token)
+		return false;
+	team_key_digest(token, strlen(token), digest);
+	return !sodium_memcmp(digest, token_digest, CS_DIGEST_LEN);
+}
+
+static const struct route *find_route(const struct http_request *req,
+				      struct http_refusal *refusal)
+{
+	const struct route *r;
+	const char *other = NULL;
+
+	for (r = routes; r < routes + G_N_ELEMENTS(routes); r++) {
+		if (strcmp(r->path, req->path))
+			continue;
+		if (r->method == req->method)
+			return r;
+		other = other ? "GET, PUT" : http_method_name(r->method);
+	}
+	refusal->allow = other;
+	refuse(refusal, other ? 405 : 404,
+	       other ? "method_not_allowed" : "unknown_path");
+	return NULL;
+}
+
+/* Reads the parameters that the route takes, and no others. */
+static int read_query(const struct route *r, const char *query,
+		      struct admin_call *call)
+{
+	uint64_t dry_run = 0, revision = 0;
+	const struct http_param change[] = {
+		/* 0 stands for any revision, so it can't be expected. */
+		{ "expected", 1, REVISION_NONE - 1, &revision },
+		{ "dry_run", 0, 1, &dry_run },
+	};
+	const struct http_param wait[] = {
+		{ "revision", 0, REVISION_NONE - 1, &revision },
+	};
+	int code;
+
+	if (r->params == PARAM_REVISION) {
+		revision = REVISION_NONE;
+		code = http_query(query, wait, G_N_ELEMENTS(wait));
+		if (revision == REVISION_NONE)
+			return CS_ERR_INVALID;
+	} else {
+		code = http_query(query, change,
+				  r->params ? G_N_ELEMENTS(change) : 0);
+	}
+	call->revision = revision;
+	call->is_dry_run = dry_run;
+	return code;
+}
+
+int admin_decode(const struct http_request *req, cs_handle caller,
+		 const struct trace *trace, const uint8_t *token_digest,
+		 struct admin_request *out, struct http_refusal *refusal)
+{
+	const struct route *r;
+	struct admin_call *call;
+
+	memset(out, 0, sizeof(*out));
+	memset(refusal, 0, sizeof(*refusal));
+	refusal->outcome = "not_run";
+	refusal->step = "decode";
+	refusal->peer = req->peer;
+	if (g_str_has_prefix(req->path, "/v1") &&
+	    !is_allowed(req, token_digest))
+		return refuse(refusal, 401, "unauthorized");
+	r = find_route(req, refusal);
+	if (!r)
+		return CS_ERR_INVALID;
+	out->msg = msg_new(MSG_ADMIN_CALL);
+	call = &out->msg->u.admin_call;
+	if (read_query(r, req->query, call)) {
+		refuse(refusal, 400, "bad_query");
+		goto fail;
+	}
+	if (r->read_body && r->read_body(req, call, refusal))
+		goto fail;
+	call->caller = caller;
+	call->op = r->op;
+	call->trace = *trace;
+	out->target = r->target;
+	out->timeout_ms = r->wait_ms;
+	/* What was sent to the core may still take effect. */
+	out->late_outcome = r->params == PARAM_CHANGE && !call->is_dry_run ?
+				    "unknown" :
+				    "not_run";
+	if (r->target != ADMIN_TARGET_CORE) {
+		msg_free(out->msg);
+		out->msg = NULL;
+	}
+	return CS_OK;
+fail:
+	msg_free(out->msg);
+	out->msg = NULL;
+	return CS_ERR_INVALID;
+}
--- a/src/base/http_server.c
+++ b/src/base/http_server.c
@@ -40,6 +40,7 @@
 #define READ_AHEAD_MAX (256 * 1024)
 
 struct http_server {
+	struct event_base *base;
 	evhtp_t *htp;
 	struct slots *connections;
 	struct slots *exchanges;
@@ -579,6 +580,7 @@
 	sigemptyset(&pipe_signal);
 	sigaddset(&pipe_signal, SIGPIPE);
 	pthread_sigmask(SIG_BLOCK, &pipe_signal, NULL);
+	s->base = base;
 	s->options = *options;
 	s->ops = ops;
 	s->ctx = ctx;
@@ -606,10 +608,12 @@
 
 void http_server_destroy(struct http_server *s)
 {
+	bool had_connections;
 	cs_handle h;
 
 	if (!s)
 		return;
+	had_connections = s->connections && slots_count(s->connections);
 	if (s->htp && s->htp->server)
 		evhtp_unbind_socket(s->htp);
 	for (h = s->connections ? slots_next(s->connections, 0) : 0; h;
@@ -618,6 +622,9 @@
 
 		evhtp_connection_free(c->conn);
 	}
+	/* libevent releases a bufferevent in the next turn of its loop. */
+	if (had_connections)
+		event_base_loop(s->base, EVLOOP_NONBLOCK);
 	if (s->htp)
 		evhtp_free(s->htp);
 	slots_destroy(s->exchanges);
--- a/src/base/http_util.c
+++ b/src/base/http_util.c
@@ -105,6 +105,25 @@
 	return CS_OK;
 }
 
+void http_count_status(struct counters *counters, const char *name, int status)
+{
+	char labels[32];
+
+	g_snprintf(labels, sizeof(labels), "class=\"%dxx\"", status / 100);
+	counters_add(counters, name, labels, 1);
+}
+
+/* A reason may come from another entry; a quote in it would break the text. */
+void http_count_refusal(struct counters *counters, const char *name,
+			const char *reason)
+{
+	char labels[64];
+
+	g_snprintf(labels, sizeof(labels), "reason=\"%s\"",
+		   http_is_word(reason, 33) ? reason : "other");
+	counters_add(counters, name, labels, 1);
+}
+
 int http_number(const char *s, uint64_t min, uint64_t max, uint64_t *value)
 {
 	guint64 v;
@@ -133,7 +152,7 @@
 		if (*seen & (UINT64_C(1) << i))
 			return CS_ERR_INVALID;
 		*seen |= UINT64_C(1) << i;
-		return http_number(equals + 1, 0, params[i].max,
+		return http_number(equals + 1, params[i].min, params[i].max,
 				   params[i].value);
 	}
 	return CS_ERR_INVALID;
--- a/src/base/http_util.h
+++ b/src/base/http_util.h
@@ -4,6 +4,7 @@
 #include <glib.h>
 #include <sys/socket.h>
 
+#include "counters.h"
 #include "trace.h"
 
 /*
@@ -81,17 +82,25 @@
 /* A query parameter that a request may have, and where its value goes. */
 struct http_param {
 	const char *name;
-	uint64_t max;
+	uint64_t min, max;
 	uint64_t *value; /* left alone if the parameter is absent */
 };
 
 /*
  * Reads the query. Returns CS_ERR_INVALID for an unknown or repeated name or
- * a value that is not a number up to max: a misspelt "dry_run" must not pass
+ * a value that is not a number in its range: a misspelt "dry_run" must not pass
  * for a real change.
  */
 int http_query(const char *query, const struct http_param *params, size_t nr);
 
+/*
+ * Counts one answer under name{class="2xx"}, one refusal under
+ * name{reason="..."}.
+ */
+void http_count_status(struct counters *counters, const char *name, int status);
+void http_count_refusal(struct counters *counters, const char *name,
+			const char *reason);
+
 /* A decimal number without sign or spaces, from min to max. */
 int http_number(const char *s, uint64_t min, uint64_t max, uint64_t *value);
 
--- a/src/front/front.c
+++ b/src/front/front.c
@@ -16,6 +16,9 @@
  */
 #define OVERLOAD_RETRY_MS 1000
 
+static const char requests_total[] = "front_requests_total";
+static const char refusals_total[] = "front_refusals_total";
+
 struct front {
 	struct front_options options;
 	struct bus *bus;
@@ -47,30 +50,12 @@
 	bus_post(f->bus, BUS_FRONT, msg);
 }
 
-static void count_status(struct front *f, int status)
-{
-	char labels[32];
-
-	g_snprintf(labels, sizeof(labels), "class=\"%dxx\"", status / 100);
-	counters_add(f->counters, "front_requests_total", labels, 1);
-}
-
-/* A reason may come from another entry; a quote in it would break the text. */
-static void count_refusal(struct front *f, const char *reason)
-{
-	char labels[64];
-
-	g_snprintf(labels, sizeof(labels), "reason=\"%s\"",
-		   http_is_word(reason, 33) ? reason : "other");
-	counters_add(f->counters, "front_refusals_total", labels, 1);
-}
-
 static void on_refused(void *ctx, const struct http_refusal *refusal)
 {
 	struct front *f = ctx;
 
-	count_status(f, refusal->status);
-	count_refusal(f, refusal->reason);
+	http_count_status(f->counters, requests_total, refusal->status);
+	http_count_refusal(f->counters, refusals_total, refusal->reason);
 }
 
 static void refuse(struct front *f, cs_handle exchange,
@@ -143,10 +128,10 @@
 		return;
 	}
 	front_reply_encode(reply, &response);
-	count_status(f, response.status);
+	http_count_status(f->counters, requests_total, response.status);
 	if (reply->outcome == OUTCOME_NOT_RUN ||
 	    reply->outcome == OUTCOME_UNKNOWN)
-		count_refusal(f, reply->reason);
+		http_count_refusal(f->counters, refusals_total, reply->reason);
 	emit_span(f, row, front_outcome_name(reply->outcome));
 	http_server_reply(f->server, reply->caller, &response);
 	g_bytes_unref(response.body);
--- /dev/null
+++ b/tests/unit/test_admin.c
@@ -0,0 +1,376 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "../../src/admin/admin.h"
+#include "../../src/admin/metrics_merge.h"
+#include "../../src/base/error.h"
+#include "../../src/base/task.h"
+#include "../../src/config/codec.h"
+#include "http_client.h"
+
+#define AUTH "Authorization: Bearer operator-token\r\n"
+#define JSON_BODY "Content-Length: 2\r\n\r\n[]"
+
+/*
+ * Stands in for src/config/ until that is merged: "[]" is a list of one
+ * change, anything else is a fault.
+ */
+__attribute__((weak)) int changes_decode_json(GBytes *bytes,
+					      struct change **changes,
+					      size_t *nr, struct cs_error *err)
+{
+	if (g_bytes_get_size(bytes) != 2)
+		return cs_error_set(err, CS_ERR_INVALID, "changes", NULL,
+				    "not a list");
+	*changes = g_new0(struct change, 1);
+	*nr = 1;
+	return CS_OK;
+}
+
+struct fixture {
+	struct bus *bus;
+	struct admin *admin;
+	struct admin_options options;
+};
+
+static int set_up(void **state)
+{
+	struct fixture *f = g_new0(struct fixture, 1);
+
+	f->bus = bus_create(NULL, NULL); /* nothing is logged */
+	client_free_address(f->options.address);
+	cs_copy(f->options.token, sizeof(f->options.token), "operator-token");
+	f->admin = admin_create(&f->options, f->bus, NULL);
+	assert_non_null(f->admin);
+	*state = f;
+	return 0;
+}
+
+static int tear_down(void **state)
+{
+	struct fixture *f = *state;
+
+	admin_destroy(f->admin);
+	bus_destroy(f->bus);
+	g_free(f);
+	return 0;
+}
+
+static struct msg *take_call(struct fixture *f, enum admin_op op)
+{
+	struct msg *msg = client_take(f->bus, BUS_CORE);
+
+	assert_non_null(msg);
+	assert_int_equal(msg->type, MSG_ADMIN_CALL);
+	assert_int_equal(msg->u.admin_call.op, op);
+	assert_true(msg->u.admin_call.trace.span);
+	return msg;
+}
+
+static void answer(struct fixture *f, cs_handle caller, int status,
+		   const char *json)
+{
+	struct msg *msg = msg_new(MSG_ADMIN_REPLY);
+
+	msg->u.admin_reply.caller = caller;
+	msg->u.admin_reply.status = status;
+	msg->u.admin_reply.body = g_bytes_new(json, strlen(json));
+	bus_post(f->bus, BUS_CORE, msg);
+}
+
+/* Each path must ask the core for what it names, with its parameters. */
+static void paths_become_calls(void **state)
+{
+	static const struct {
+		const char *text;
+		enum admin_op op;
+		uint64_t revision;
+		bool is_dry_run, has_changes, has_body;
+	} cases[] = {
+		{ "POST /v1/changes HTTP/1.1\r\n" AUTH JSON_BODY, ADMIN_CHANGE,
+		  0, false, true, false },
+		{ "POST /v1/changes?expected=7&dry_run=1 HTTP/1.1\r\n" AUTH
+		  "Content-Type: application/x-www-form-urlencoded\r\n" JSON_BODY,
+		  ADMIN_CHANGE, 7, true, true, false },
+		{ "POST /v1/changes HTTP/1.1\r\n" AUTH
+		  "Content-Type: application/x-www-form-urlencoded\r\n" JSON_BODY,
+		  ADMIN_CHANGE, 0, false, true, false },
+		{ "PUT /v1/document?expected=3 HTTP/1.1\r\n" AUTH JSON_BODY,
+		  ADMIN_APPLY, 3, false, false, true },
+		{ "GET /v1/document HTTP/1.1\r\n" AUTH "\r\n", ADMIN_CONFIG_GET,
+		  0, false, false, false },
+		{ "GET /v1/status HTTP/1.1\r\n" AUTH "\r\n", ADMIN_STATUS, 0,
+		  false, false, false },
+		{ "GET /v1/plan HTTP/1.1\r\n" AUTH "\r\n", ADMIN_PLAN, 0, false,
+		  false, false },
+		{ "GET /v1/history HTTP/1.1\r\n" AUTH "\r\n", ADMIN_HISTORY, 0,
+		  false, false, false },
+		{ "GET /v1/wait?revision=12 HTTP/1.1\r\n" AUTH "\r\n",
+		  ADMIN_WAIT, 12, false, false, false },
+		{ "GET /readyz HTTP/1.1\r\n\r\n", ADMIN_READY, 0, false, false,
+		  false },
+	};
+	struct fixture *f = *state;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		int fd = client_send(f->options.address, cases[i].text);
+		struct msg *msg = take_call(f, cases[i].op);
+		const struct admin_call *call = &msg->u.admin_call;
+
+		assert_int_equal(call->revision, cases[i].revision);
+		assert_int_equal(call->is_dry_run, cases[i].is_dry_run);
+		assert_int_equal(call->changes_nr > 0, cases[i].has_changes);
+		assert_int_equal(call->body != NULL, cases[i].has_body);
+		answer(f, call->caller, 409, "{\"revision\":9}");
+		msg_free(msg);
+		client_expect(fd, " 409 ", "application/json",
+			      "\r\n\r\n{\"revision\":9}", NULL);
+	}
+}
+
+/* Nothing under /v1 may be read or changed without the right token. */
+static void token_is_required(void **state)
+{
+	static const char *const headers[] = {
+		"",
+		"Authorization: Bearer operator-toke\r\n",
+		"Authorization: Bearer operator-token2\r\n",
+		"Authorization: Basic operator-token\r\n",
+		"Authorization: Bearer \r\n",
+		AUTH AUTH,
+	};
+	struct fixture *f = *state;
+	char text[256];
+	void *msg;
+	size_t i;
+
+	for (i = 0; i < sizeof(headers) / sizeof(headers[0]); i++) {
+		snprintf(text, sizeof(text),
+			 "GET /v1/status HTTP/1.1\r\n%s\r\n", headers[i]);
+		client_expect(
+			client_send(f->options.address, text), " 401 ",
+			"WWW-Authenticate: Bearer", "\"unauthorized\"",
+			"\"step\":\"decode\",\"peer\":\"127.0.0.1:", NULL);
+	}
+	assert_int_equal(mailbox_take(bus_mailbox(f->bus, BUS_CORE), &msg, 1),
+			 0);
+}
+
+/* An entry without a token must not accept an empty one. */
+static void empty_token_refuses_all(void **state)
+{
+	struct fixture *f = *state;
+
+	admin_destroy(f->admin);
+	f->options.token[0] = '\0';
+	f->admin = admin_create(&f->options, f->bus, NULL);
+	assert_non_null(f->admin);
+	client_expect(client_send(f->options.address,
+				  "GET /v1/status HTTP/1.1\r\n"
+				  "Authorization: Bearer \r\n\r\n"),
+		      " 401 ", NULL);
+	client_expect(client_send(f->options.address,
+				  "GET /healthz HTTP/1.1\r\n\r\n"),
+		      " 200 ", "\r\n\r\nok\n", NULL);
+}
+
+/* A misspelt request must not become a real change. */
+static void malformed_requests_are_refused(void **state)
+{
+	static const struct {
+		const char *line, *status, *reason;
+	} cases[] = {
+		{ "GET /nothing", "404", "unknown_path" },
+		{ "GET /v1/nothing", "404", "unknown_path" },
+		{ "DELETE /v1/document", "405", "method_not_allowed" },
+		{ "HEAD /v1/status", "405", NULL },
+		{ "POST /v1/changes?dryrun=1", "400", "bad_query" },
+		{ "POST /v1/changes?dry_run=2", "400", "bad_query" },
+		{ "POST /v1/changes?dry_run", "400", "bad_query" },
+		{ "POST /v1/changes?expected=0", "400", "bad_query" },
+		{ "POST /v1/changes?expected=-1", "400", "bad_query" },
+		{ "POST /v1/changes?expected=1&expected=2", "400",
+		  "bad_query" },
+		{ "GET /v1/wait", "400", "bad_query" },
+		{ "GET /v1/wait?revision=x", "400", "bad_query" },
+		{ "GET /v1/status?revision=1", "400", "bad_query" },
+		{ "POST /v1/changes", "400", "bad_changes" },
+		{ "PUT /v1/document", "400", "empty_body" },
+	};
+	struct fixture *f = *state;
+	char text[256], error[64];
+	void *msg;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		snprintf(text, sizeof(text),
+			 "%s HTTP/1.1\r\n" AUTH "Content-Length: 0\r\n\r\n",
+			 cases[i].line);
+		snprintf(error, sizeof(error), "{\"error\":\"%s\"",
+			 cases[i].reason ? cases[i].reason : "");
+		client_expect(client_send(f->options.address, text),
+			      cases[i].status,
+			      cases[i].reason ? error : "Allow: GET", NULL);
+	}
+	assert_int_equal(mailbox_take(bus_mailbox(f->bus, BUS_CORE), &msg, 1),
+			 0);
+}
+
+/* I7 for operators; a late answer must not reach a freed row's successor. */
+static void answers_reach_their_callers(void **state)
+{
+	static const char text[] = "GET /v1/status HTTP/1.1\r\n" AUTH "\r\n";
+	struct fixture *f = *state;
+	struct msg *first, *second;
+	int a = client_send(f->options.address, text), b;
+	cs_handle old;
+
+	first = take_call(f, ADMIN_STATUS);
+	b = client_send(f->options.address, text);
+	second = take_call(f, ADMIN_STATUS);
+	answer(f, second->u.admin_call.caller, 200, "\"second\"");
+	answer(f, first->u.admin_call.caller, 200, "\"first\"");
+	client_expect(a, "\"first\"", NULL);
+	client_expect(b, "\"second\"", NULL);
+	old = first->u.admin_call.caller;
+	msg_free(first);
+	msg_free(second);
+	a = client_send(f->options.address, text);
+	first = take_call(f, ADMIN_STATUS);
+	answer(f, old, 200, "\"stale\"");
+	answer(f, first->u.admin_call.caller, 200, "\"fresh\"");
+	client_expect(a, "\r\n\r\n\"fresh\"", NULL);
+	msg_free(first);
+	close(client_send(f->options.address, text));
+	first = take_call(f, ADMIN_STATUS);
+	answer(f, first->u.admin_call.caller, 200, "\"gone\"");
+	msg_free(first);
+}
+
+static void reply_metrics(struct fixture *f, enum bus_task task,
+			  const char *text)
+{
+	struct msg *call = client_take(f->bus, task);
+	struct msg *reply = msg_new(MSG_METRICS_REPLY);
+
+	assert_non_null(call);
+	assert_int_equal(call->type, MSG_METRICS_CALL);
+	reply->u.metrics_reply.caller = call->u.metrics_call.caller;
+	reply->u.metrics_reply.source = task;
+	reply->u.metrics_reply.text = g_bytes_new(text, strlen(text));
+	msg_free(call);
+	bus_post(f->bus, task, reply);
+}
+
+/* All tasks' texts must come, at once when all have answered. */
+static void metrics_of_all_tasks_are_joined(void **state)
+{
+	struct fixture *f = *state;
+	cs_time start = task_now();
+	int fd = client_send(f->options.address, "GET /metrics HTTP/1.1\r\n"
+						 "\r\n");
+	int i;
+
+	for (i = 0; i < BUS_TASK_NR; i++)
+		if (i != BUS_ADMIN)
+			reply_metrics(f, i,
+				      "# TYPE x_total counter\nx_total 1\n");
+	client_expect(fd, " 200 ", "text/plain; version=0.0.4",
+		      "admin_open_connections 1\n",
+		      "# TYPE x_total counter\nx_total 1\nx_total 1\nx_total 1"
+		      "\nx_total 1\nx_total 1\n",
+		      NULL);
+	assert_true(task_now() - start < CS_SEC);
+}
+
+/* One stuck task must not hide the others' metrics. */
+static void metrics_come_without_a_stuck_task(void **state)
+{
+	struct fixture *f = *state;
+	int fd = client_send(f->options.address, "GET /metrics HTTP/1.1\r\n"
+						 "\r\n");
+
+	reply_metrics(f, BUS_FRONT, "front_x 5\n");
+	client_expect(fd, " 200 ", "front_x 5\n",
+		      "admin_metrics_missing_total{task=\"core\"} 1\n", NULL);
+}
+
+/* A core that hangs must make the entry not ready, not the probe hang. */
+static void silent_core_is_not_ready(void **state)
+{
+	struct fixture *f = *state;
+
+	client_expect(
+		client_send(f->options.address, "GET /readyz HTTP/1.1\r\n\r\n"),
+		" 504 ", "{\"error\":\"no_answer\"", "\"step\":\"core\"", NULL);
+}
+
+static void full_mailbox_refuses(void **state)
+{
+	struct fixture *f = *state;
+	struct mailbox *box = bus_mailbox(f->bus, BUS_CORE);
+	struct msg *filler;
+
+	do {
+		filler = msg_new(MSG_SUBMIT);
+	} while (!mailbox_post(box, filler));
+	msg_free(filler);
+	client_expect(
+		client_send(f->options.address,
+			    "POST /v1/changes HTTP/1.1\r\n" AUTH JSON_BODY),
+		" 503 ", "\"error\":\"overloaded\"", "\"outcome\":\"not_run\"",
+		"Retry-After: 1", NULL);
+	client_expect(client_send(f->options.address,
+				  "GET /healthz HTTP/1.1\r\n\r\n"),
+		      " 200 ", NULL);
+}
+
+/* Prometheus rejects a text with a metric's TYPE line twice. */
+static void merge_keeps_one_type_line(void **state)
+{
+	GBytes *texts[] = {
+		g_bytes_new_static("# TYPE b counter\nb{l=\"1\"} 1\n"
+				   "# TYPE c gauge\nc 3",
+				   47),
+		NULL,
+		g_bytes_new_static("# HELP b x\n# TYPE b counter\n"
+				   "b{l=\"2\"} 2\na 1\n\n",
+				   45),
+	};
+	GString *out = g_string_new(NULL);
+
+	(void)state;
+	metrics_merge(texts, 3, out);
+	assert_string_equal(out->str, "a 1\n# TYPE b counter\nb{l=\"1\"} 1\n"
+				      "b{l=\"2\"} 2\n# TYPE c gauge\nc 3\n");
+	g_string_free(out, TRUE);
+	g_bytes_unref(texts[0]);
+	g_bytes_unref(texts[2]);
+}
+
+#define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		TEST(paths_become_calls),
+		TEST(token_is_required),
+		TEST(empty_token_refuses_all),
+		TEST(malformed_requests_are_refused),
+		TEST(answers_reach_their_callers),
+		TEST(metrics_of_all_tasks_are_joined),
+		TEST(metrics_come_without_a_stuck_task),
+		TEST(silent_core_is_not_ready),
+		TEST(full_mailbox_refuses),
+		cmocka_unit_test(merge_keeps_one_type_line),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
