Add availability budgets and the decision on moves and maintenance

A host changes its pool in the step that puts it back in service and so holds budget tokens only in its old pool.

--- a/src/config/change.h
+++ b/src/config/change.h
@@ -16,6 +16,7 @@
 	CHANGE_DATA_CENTRE_IN, /* name */
 	CHANGE_HOST_SET, /* name, rack, data_centre, pool */
 	CHANGE_HOST_DRAIN, /* name */
+	CHANGE_HOST_EMPTY, /* name; sent when nothing runs there any more */
 	CHANGE_HOST_RETURN, /* name */
 	CHANGE_HOST_MOVE, /* name, pool */
 	CHANGE_WORKER_SET, /* name, host, address, slots */
--- /dev/null
+++ b/src/pool/plan.c
@@ -0,0 +1,232 @@
+#include "plan.h"
+
+#include <string.h>
+
+#include "plan_round.h"
+
+/*
+ * A host that was never seen to leave the host list is put back after this
+ * long: the list lags, and a quick reboot can fall between two answers.
+ */
+#define REBOOT_TIME_MAX (15 * 60 * CS_SEC)
+
+#define DAY (24 * 3600 * CS_SEC)
+
+/*
+ * Hosts must be maintained once in 14 days. The period leaves two days for
+ * failures, outages of the platform and busy pools.
+ */
+static const struct plan_policy policies[PRESET_NR] = {
+	[PRESET_ORDINARY] = {
+		.short_time = 10 * CS_SEC,
+		.surplus_time = 60 * CS_SEC,
+		.peak_half_life = 60 * CS_SEC,
+		.gain_factor = 1.0,
+		.burst_percent = 0,
+		.period = 12 * DAY,
+		.maintain_percent = 2,
+	},
+	[PRESET_PEAK] = {
+		.short_time = 4 * CS_SEC,
+		.surplus_time = 20 * CS_SEC,
+		.peak_half_life = 20 * CS_SEC,
+		.gain_factor = 0.5,
+		.burst_percent = 0,
+		.period = 0,
+		.maintain_percent = 0,
+	},
+	[PRESET_MAINTENANCE] = {
+		.short_time = 10 * CS_SEC,
+		.surplus_time = 60 * CS_SEC,
+		.peak_half_life = 60 * CS_SEC,
+		.gain_factor = 1.0,
+		.burst_percent = 50,
+		.period = 3 * DAY,
+		.maintain_percent = 10,
+	},
+};
+
+static const char *const reason_names[REASON_NR] = {
+	[REASON_LEND_SPARE] = "lend_spare",
+	[REASON_LEND_IDLE] = "lend_idle",
+	[REASON_GO_HOME] = "go_home",
+	[REASON_MAINTENANCE_DUE] = "maintenance_due",
+	[REASON_MAINTENANCE_LATE] = "maintenance_late",
+	[REASON_NOTHING_RUNS] = "nothing_runs",
+	[REASON_REBOOTED] = "rebooted",
+	[REASON_REBOOT_TIME_OVER] = "reboot_time_over",
+	[REASON_NO_RACK_BUDGET] = "no_rack_budget",
+	[REASON_NO_POOL_BUDGET] = "no_pool_budget",
+	[REASON_NO_DATA_CENTRE_BUDGET] = "no_data_centre_budget",
+	[REASON_SHORTAGE_TOO_NEW] = "shortage_too_new",
+	[REASON_COST_EXCEEDS_GAIN] = "cost_exceeds_gain",
+	[REASON_NOT_A_BURST] = "not_a_burst",
+	[REASON_NO_HOST_TO_SPARE] = "no_host_to_spare",
+	[REASON_SLOTS_NEEDED] = "slots_needed",
+	[REASON_MAINTENANCE_FULL] = "maintenance_full",
+	[REASON_STILL_RUNNING] = "still_running",
+	[REASON_REBOOTING] = "rebooting",
+};
+
+const struct plan_policy *plan_policy(enum preset preset)
+{
+	return &policies[preset];
+}
+
+const char *plan_reason_name(enum plan_reason reason)
+{
+	return reason_names[reason];
+}
+
+struct plan *plan_create(void)
+{
+	struct plan *p = g_new0(struct plan, 1);
+
+	p->steps = g_array_new(FALSE, FALSE, sizeof(struct plan_step));
+	p->refusals = g_array_new(FALSE, FALSE, sizeof(struct plan_step));
+	return p;
+}
+
+void plan_destroy(struct plan *p)
+{
+	if (!p)
+		return;
+	g_array_free(p->steps, TRUE);
+	g_array_free(p->refusals, TRUE);
+	g_free(p);
+}
+
+int plan_pool_slots(const struct plan_round *r, int pool)
+{
+	return r->service[pool] + r->arriving[pool];
+}
+
+bool plan_can_stop(const struct plan_round *r, int host)
+{
+	const struct plan_host *h = &r->in->hosts[host];
+
+	return h->state == HOST_ASSIGNED && !h->is_failed && !r->is_taken[host];
+}
+
+void plan_refuse(struct plan_round *r, enum plan_purpose purpose, int host,
+		 int pool, enum plan_reason reason)
+{
+	struct plan_step s = { PLAN_REFUSED, purpose, host, pool, reason };
+
+	g_array_append_val(r->plan->refusals, s);
+}
+
+static void add_step(struct plan_round *r, enum plan_op op, int host, int pool,
+		     enum plan_reason reason)
+{
+	struct plan_step s = { op, r->in->hosts[host].purpose, host, pool,
+			       reason };
+
+	r->is_taken[host] = true;
+	g_array_append_val(r->plan->steps, s);
+}
+
+bool plan_drain(struct plan_round *r, int host, enum plan_purpose purpose,
+		int pool, enum plan_reason reason)
+{
+	static const enum plan_reason refusals[] = {
+		[BUDGET_NO_RACK] = REASON_NO_RACK_BUDGET,
+		[BUDGET_NO_POOL] = REASON_NO_POOL_BUDGET,
+		[BUDGET_NO_DATA_CENTRE] = REASON_NO_DATA_CENTRE_BUDGET,
+	};
+	const struct plan_host *h = &r->in->hosts[host];
+	struct plan_step s = { PLAN_DRAIN, purpose, host, pool, reason };
+	enum budget_verdict verdict = budget_take(r->budget, &h->place);
+
+	if (verdict != BUDGET_GRANTED && !r->in->ignores_budget) {
+		plan_refuse(r, purpose, host, pool, refusals[verdict]);
+		return false;
+	}
+	r->is_taken[host] = true;
+	if (!r->in->is_out[h->place.data_centre]) {
+		r->service[h->place.pool] -= h->slots;
+		r->assigned[h->place.pool]--;
+		r->arriving[pool] += h->slots;
+	}
+	g_array_append_val(r->plan->steps, s);
+	return true;
+}
+
+/* Counts tokens and slots as they are before the round. */
+static void count_hosts(struct plan_round *r)
+{
+	const struct plan_input *in = r->in;
+	const struct plan_host *h;
+	size_t i;
+
+	for (i = 0; i < in->pools_nr; i++)
+		budget_set_pool(r->budget, (int)i, in->pools[i].budget_percent);
+	for (i = 0; i < in->data_centres_nr; i++)
+		if (in->is_out[i])
+			budget_set_out(r->budget, (int)i);
+	for (i = 0; i < in->hosts_nr; i++) {
+		h = &in->hosts[i];
+		budget_add(r->budget, &h->place,
+			   h->is_failed || h->state != HOST_ASSIGNED);
+		if (h->is_failed || in->is_out[h->place.data_centre])
+			continue;
+		if (h->state == HOST_ASSIGNED) {
+			r->service[h->place.pool] += h->slots;
+			r->assigned[h->place.pool]++;
+		} else if (h->purpose == PURPOSE_MOVE) {
+			r->arriving[h->target] += h->slots;
+		} else if (h->purpose == PURPOSE_MAINTAIN) {
+			r->arriving[h->place.pool] += h->slots;
+		}
+	}
+}
+
+/* Takes a host that is out of service one step further. */
+static void continue_stop(struct plan_round *r, int host)
+{
+	const struct plan_host *h = &r->in->hosts[host];
+	int pool = h->purpose == PURPOSE_MOVE ? h->target : h->place.pool;
+
+	if (h->state == HOST_DRAINING) {
+		if (h->running == 0)
+			add_step(r, PLAN_EMPTY, host, pool,
+				 REASON_NOTHING_RUNS);
+		else
+			plan_refuse(r, h->purpose, host, pool,
+				    REASON_STILL_RUNNING);
+	} else if (h->is_rebooted) {
+		add_step(r, PLAN_ASSIGN, host, pool, REASON_REBOOTED);
+	} else if (h->empty_for >= REBOOT_TIME_MAX) {
+		add_step(r, PLAN_ASSIGN, host, pool, REASON_REBOOT_TIME_OVER);
+	} else {
+		plan_refuse(r, h->purpose, host, pool, REASON_REBOOTING);
+	}
+}
+
+void plan_decide(struct plan *plan, struct plan_input *in)
+{
+	struct plan_round r = { .in = in, .plan = plan };
+	size_t i;
+
+	g_array_set_size(plan->steps, 0);
+	g_array_set_size(plan->refusals, 0);
+	r.budget =
+		budget_create(in->racks_nr, in->pools_nr, in->data_centres_nr);
+	r.service = g_new0(int, in->pools_nr + 1);
+	r.arriving = g_new0(int, in->pools_nr + 1);
+	r.assigned = g_new0(int, in->pools_nr + 1);
+	r.is_taken = g_new0(bool, in->hosts_nr + 1);
+	count_hosts(&r);
+	for (i = 0; i < in->hosts_nr; i++)
+		if (in->hosts[i].state != HOST_ASSIGNED &&
+		    in->hosts[i].purpose != PURPOSE_NONE)
+			continue_stop(&r, (int)i);
+	plan_moves(&r);
+	if (in->policy.period)
+		plan_maintenance(&r);
+	budget_destroy(r.budget);
+	g_free(r.service);
+	g_free(r.arriving);
+	g_free(r.assigned);
+	g_free(r.is_taken);
+}
--- /dev/null
+++ b/src/pool/plan_move.c
@@ -0,0 +1,329 @@
+#include <math.h>
+#include <stdlib.h>
+
+#include "plan_round.h"
+
+/*
+ * Slots that a host does not serve while it drains and reboots: short tasks
+ * end within seconds, and a reboot takes about a minute.
+ */
+#define MOVE_TIME (90 * CS_SEC)
+
+/* A host that was lent has to come back, at the same price. */
+#define MOVES_PER_LOAN 2
+
+/* How far ahead the gain of a move is counted: bursts last for minutes. */
+#define GAIN_HORIZON (10 * 60 * CS_SEC)
+
+/* A pool keeps this much more than the highest demand it saw lately. */
+#define DONOR_MARGIN 1.25
+
+/* The hosts of a pool, those that empty first in front. */
+struct donor {
+	int pool;
+	int *hosts;
+	int nr, next;
+	int spare_slots; /* that the pool can do without */
+	bool is_ready; /* the surplus has lasted */
+	bool is_spare;
+};
+
+struct borrower {
+	int pool;
+	int shortage; /* slots */
+};
+
+struct move_round {
+	struct plan_round *r;
+	struct donor *donors; /* for each pool */
+	struct donor **order; /* donors, the best first */
+	size_t order_nr, first; /* donors before first are used up */
+	int *hosts; /* all host indices, by pool */
+	struct borrower *borrowers;
+	size_t borrowers_nr;
+};
+
+/* Slots that the pool should keep, by its demand now and of late. */
+static double slots_wanted(const struct plan_pool *p)
+{
+	if (p->memory.peak <= p->demand)
+		return p->demand * DONOR_MARGIN;
+	return p->memory.peak * DONOR_MARGIN;
+}
+
+static void start_or_clear(cs_time *since, bool is_true, cs_time now)
+{
+	if (!is_true)
+		*since = 0;
+	else if (!*since)
+		*since = now;
+}
+
+/* Carries what is remembered of each pool forward to now. */
+static void update_memory(struct move_round *m)
+{
+	struct plan_input *in = m->r->in;
+	cs_time half_life = in->policy.peak_half_life;
+	struct plan_memory *mem;
+	size_t i;
+
+	for (i = 0; i < in->pools_nr; i++) {
+		mem = &in->pools[i].memory;
+		if (!half_life || !mem->counted)
+			mem->peak = 0;
+		else
+			mem->peak *= exp2(-(double)(in->now - mem->counted) /
+					  (double)half_life);
+		if (mem->peak < in->pools[i].demand)
+			mem->peak = in->pools[i].demand;
+		mem->counted = in->now;
+		start_or_clear(&mem->short_since,
+			       in->pools[i].demand > m->r->service[i], in->now);
+		start_or_clear(&mem->surplus_since,
+			       slots_wanted(&in->pools[i]) < m->r->service[i],
+			       in->now);
+	}
+}
+
+static int compare_hosts(gconstpointer a, gconstpointer b, gpointer arg)
+{
+	const struct plan_input *in = arg;
+	const struct plan_host *x = &in->hosts[*(const int *)a];
+	const struct plan_host *y = &in->hosts[*(const int *)b];
+
+	if (x->place.pool != y->place.pool)
+		return x->place.pool - y->place.pool;
+	/* Hosts on loan are passed on or sent home before a pool's own. */
+	if ((x->home != x->place.pool) != (y->home != y->place.pool))
+		return x->home != x->place.pool ? -1 : 1;
+	if (x->running != y->running)
+		return x->running - y->running;
+	return *(const int *)a - *(const int *)b;
+}
+
+static int compare_donors(const void *a, const void *b)
+{
+	const struct donor *x = *(struct donor *const *)a;
+	const struct donor *y = *(struct donor *const *)b;
+
+	if (x->is_spare != y->is_spare)
+		return x->is_spare ? -1 : 1;
+	if (x->spare_slots != y->spare_slots)
+		return y->spare_slots - x->spare_slots;
+	return x->pool - y->pool;
+}
+
+static int compare_borrowers(const void *a, const void *b)
+{
+	const struct borrower *x = a, *y = b;
+
+	if (x->shortage != y->shortage)
+		return y->shortage - x->shortage;
+	return x->pool - y->pool;
+}
+
+/* Fills the tables of donors and their hosts. */
+static void gather_donors(struct move_round *m)
+{
+	struct plan_round *r = m->r;
+	struct plan_input *in = r->in;
+	struct donor *d;
+	size_t i;
+
+	m->donors = g_new0(struct donor, in->pools_nr + 1);
+	m->order = g_new0(struct donor *, in->pools_nr + 1);
+	m->hosts = g_new0(int, in->hosts_nr + 1);
+	for (i = 0; i < in->hosts_nr; i++)
+		m->hosts[i] = (int)i;
+	g_qsort_with_data(m->hosts, (int)in->hosts_nr, sizeof(int),
+			  compare_hosts, in);
+	for (i = 0; i < in->hosts_nr; i++) {
+		d = &m->donors[in->hosts[m->hosts[i]].place.pool];
+		if (!d->nr++)
+			d->hosts = &m->hosts[i];
+	}
+	for (i = 0; i < in->pools_nr; i++) {
+		const struct plan_pool *p = &in->pools[i];
+
+		d = &m->donors[i];
+		d->pool = (int)i;
+		d->is_spare = p->is_spare;
+		d->spare_slots = r->service[i] - (int)ceil(slots_wanted(p));
+		d->is_ready = p->is_spare ||
+			      (p->memory.surplus_since &&
+			       in->now - p->memory.surplus_since >=
+				       in->policy.surplus_time);
+		if (d->spare_slots > 0)
+			m->order[m->order_nr++] = d;
+	}
+	qsort(m->order, m->order_nr, sizeof(struct donor *), compare_donors);
+}
+
+/*
+ * The next host that the donor can do without and that may stop. A host that
+ * was refused stays refused for this round, since budgets only shrink in it.
+ */
+static bool lend_one(struct move_round *m, struct donor *d, int pool)
+{
+	const struct plan_host *h;
+	int host, slots;
+
+	while (d->next < d->nr) {
+		host = d->hosts[d->next];
+		h = &m->r->in->hosts[host];
+		if (h->slots > d->spare_slots)
+			return false;
+		/* A pool of work keeps a host, so that it is never without. */
+		if (!d->is_spare && m->r->assigned[d->pool] < 2)
+			return false;
+		d->next++;
+		slots = h->slots;
+		if (!plan_can_stop(m->r, host) || !slots ||
+		    m->r->in->is_out[h->place.data_centre])
+			continue;
+		if (plan_drain(m->r, host, PURPOSE_MOVE, pool,
+			       d->is_spare ? REASON_LEND_SPARE :
+					     REASON_LEND_IDLE)) {
+			d->spare_slots -= slots;
+			return true;
+		}
+	}
+	return false;
+}
+
+/* True if that shortage, served by one host more, is worth a move. */
+static bool is_worth_it(const struct plan_input *in, int shortage, int slots)
+{
+	double gain = (double)(shortage < slots ? shortage : slots) *
+		      (double)(GAIN_HORIZON - MOVE_TIME);
+	double cost = (double)slots * (double)MOVE_TIME * MOVES_PER_LOAN;
+
+	return gain > cost * in->policy.gain_factor;
+}
+
+/* Slots of the donor's next host, 0 if it has none. */
+static int next_slots(const struct move_round *m, const struct donor *d)
+{
+	return d->next < d->nr ? m->r->in->hosts[d->hosts[d->next]].slots : 0;
+}
+
+/* Gives the borrower one host. Returns false when it gets no more. */
+static bool serve_borrower(struct move_round *m, struct borrower *b)
+{
+	struct plan_round *r = m->r;
+	struct donor *d;
+	size_t i;
+
+	while (m->first < m->order_nr &&
+	       (!m->order[m->first]->is_ready ||
+		m->order[m->first]->next >= m->order[m->first]->nr ||
+		m->order[m->first]->spare_slots <= 0))
+		m->first++;
+	for (i = m->first; i < m->order_nr; i++) {
+		d = m->order[i];
+		if (!d->is_ready || d->pool == b->pool)
+			continue;
+		if (next_slots(m, d) &&
+		    !is_worth_it(r->in, b->shortage, next_slots(m, d))) {
+			plan_refuse(r, PURPOSE_MOVE, -1, b->pool,
+				    REASON_COST_EXCEEDS_GAIN);
+			return false;
+		}
+		if (lend_one(m, d, b->pool)) {
+			b->shortage = r->in->pools[b->pool].demand -
+				      plan_pool_slots(r, b->pool);
+			return b->shortage > 0;
+		}
+		d->is_ready = false; /* nothing more in this round */
+	}
+	plan_refuse(r, PURPOSE_MOVE, -1, b->pool, REASON_NO_HOST_TO_SPARE);
+	return false;
+}
+
+static void gather_borrowers(struct move_round *m)
+{
+	const struct plan_input *in = m->r->in;
+	const struct plan_policy *policy = &in->policy;
+	struct borrower b;
+	size_t i;
+
+	m->borrowers = g_new0(struct borrower, in->pools_nr + 1);
+	for (i = 0; i < in->pools_nr; i++) {
+		const struct plan_memory *mem = &in->pools[i].memory;
+
+		b.pool = (int)i;
+		b.shortage =
+			in->pools[i].demand - plan_pool_slots(m->r, b.pool);
+		if (in->pools[i].is_spare || b.shortage <= 0)
+			continue;
+		if (in->now - mem->short_since < policy->short_time)
+			plan_refuse(m->r, PURPOSE_MOVE, -1, b.pool,
+				    REASON_SHORTAGE_TOO_NEW);
+		else if ((long)b.shortage * 100 <
+			 (long)plan_pool_slots(m->r, b.pool) *
+				 policy->burst_percent)
+			plan_refuse(m->r, PURPOSE_MOVE, -1, b.pool,
+				    REASON_NOT_A_BURST);
+		else
+			m->borrowers[m->borrowers_nr++] = b;
+	}
+	qsort(m->borrowers, m->borrowers_nr, sizeof(struct borrower),
+	      compare_borrowers);
+}
+
+/* One host for each borrower in turn, so that none waits for another. */
+static void lend(struct move_round *m)
+{
+	size_t i, kept;
+
+	while (m->borrowers_nr) {
+		kept = 0;
+		for (i = 0; i < m->borrowers_nr; i++)
+			if (serve_borrower(m, &m->borrowers[i]))
+				m->borrowers[kept++] = m->borrowers[i];
+		m->borrowers_nr = kept;
+	}
+}
+
+/* Sends hosts home from pools that have done without them for long enough. */
+static void send_home(struct move_round *m)
+{
+	const struct plan_host *h;
+	struct donor *d;
+	size_t i;
+
+	for (i = 0; i < m->order_nr; i++) {
+		d = m->order[i];
+		/* Not ready also stands for a donor that budgets refuse. */
+		if (!d->is_ready)
+			continue;
+		for (; d->next < d->nr; d->next++) {
+			int host = d->hosts[d->next];
+
+			h = &m->r->in->hosts[host];
+			if (h->home == h->place.pool ||
+			    h->slots > d->spare_slots)
+				break;
+			if (plan_can_stop(m->r, host) &&
+			    m->r->assigned[d->pool] > 1 &&
+			    plan_drain(m->r, host, PURPOSE_MOVE, h->home,
+				       REASON_GO_HOME))
+				d->spare_slots -= h->slots;
+		}
+	}
+}
+
+void plan_moves(struct plan_round *r)
+{
+	struct move_round m = { .r = r };
+
+	update_memory(&m);
+	gather_donors(&m);
+	gather_borrowers(&m);
+	lend(&m);
+	send_home(&m);
+	g_free(m.donors);
+	g_free(m.order);
+	g_free(m.hosts);
+	g_free(m.borrowers);
+}
