--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -32,6 +32,12 @@
 /* An unreachable worker is tried again after this long. */
 #define UNREACHABLE_RETRY CS_SEC
 
+/*
+ * A drain is in force everywhere this long after it is known here. A report
+ * of no tasks counts only if it is younger.
+ */
+#define DRAIN_IN_FORCE_TIME (5 * CS_SEC)
+
 /* At most this part of a pool's workers is ejected, and at least one. */
 #define EJECT_PART 5
 
@@ -56,6 +62,9 @@
 	int own; /* tasks of this entry */
 	int others; /* estimate of tasks of other entries */
 	bool is_usable; /* assigned, not leaving */
+	cs_time usable_changed;
+	cs_time reported; /* when the last usage report was true; 0: none */
+	int reported_running;
 	bool is_removed; /* no longer in the document; kept while own > 0 */
 	bool has_busy_timer;
 	struct health health;
@@ -158,12 +167,13 @@
 		w->pool->ejected += sign;
 }
 
-static void set_usable(struct worker_row *w, bool is_usable)
+static void set_usable(struct worker_row *w, bool is_usable, cs_time now)
 {
 	if (w->is_usable == is_usable)
 		return;
 	w->pool->slots += is_usable ? w->slots : -w->slots;
 	w->is_usable = is_usable;
+	w->usable_changed = now;
 	replace_in_heap(w);
 }
 
@@ -211,6 +221,7 @@
 		w->pool = pool;
 		w->slots = dw->slots;
 		w->is_usable = is_usable;
+		w->usable_changed = ctx->now;
 		count_worker(w, 1);
 		g_hash_table_insert(f->by_name, w->name,
 				    (gpointer)(uintptr_t)h);
@@ -222,7 +233,7 @@
 		w->slots = dw->slots;
 	}
 	w->generation = f->generation;
-	set_usable(w, is_usable);
+	set_usable(w, is_usable, ctx->now);
 	replace_in_heap(w);
 }
 
@@ -521,6 +532,45 @@
 	return host_list_is_leaving(ctx->parts.fleet->hosts, host);
 }
 
+bool fleet_is_host_away(const struct part_ctx *ctx, const char *host)
+{
+	return host_list_is_away(ctx->parts.fleet->hosts, host);
+}
+
+bool fleet_is_host_live(const struct part_ctx *ctx, const char *host)
+{
+	return host_list_is_live(ctx->parts.fleet->hosts, host);
+}
+
+static bool is_worker_idle(const struct worker_row *w)
+{
+	return !w->is_usable && !w->own && !w->reported_running &&
+	       w->reported > w->usable_changed + DRAIN_IN_FORCE_TIME;
+}
+
+void fleet_for_each_load(const struct part_ctx *ctx,
+			 void (*fn)(void *arg, const struct fleet_load *load),
+			 void *arg)
+{
+	struct slots *workers = ctx->parts.fleet->workers;
+	const struct worker_row *w;
+	struct fleet_load load;
+	cs_handle h;
+
+	for (h = slots_next(workers, 0); h; h = slots_next(workers, h)) {
+		w = get_worker(ctx, h);
+		/* A removed worker still counts while tasks end on it. */
+		if (w->is_removed && !w->own)
+			continue;
+		load.host = w->host;
+		load.running = w->own + w->others;
+		load.is_idle = is_worker_idle(w);
+		load.is_failed = !w->is_removed &&
+				 w->health.state == HEALTH_EJECTED;
+		fn(arg, &load);
+	}
+}
+
 static const char *worker_state(const struct worker_row *w)
 {
 	if (!w->is_usable)
@@ -583,7 +633,7 @@
 			worker_event(ctx, w, LOG_INFO,
 				     is_usable ? "worker_returned" :
 						 "worker_leaving");
-		set_usable(w, is_usable);
+		set_usable(w, is_usable, ctx->now);
 	}
 }
 
@@ -604,6 +654,8 @@
 	if (!w || w->is_removed || u->code)
 		return;
 	w->others = u->running > w->own ? u->running - w->own : 0;
+	w->reported = ctx->now - u->age_ms * CS_MSEC;
+	w->reported_running = u->running;
 	replace_in_heap(w);
 }
 
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -66,6 +66,25 @@
 /* True if the host list marks the host as leaving. */
 bool fleet_is_host_leaving(const struct part_ctx *ctx, const char *host);
 
+/* The host list knows the host, and has it missing or leaving at present. */
+bool fleet_is_host_away(const struct part_ctx *ctx, const char *host);
+
+/* The last answer of the host list has the host, and not as leaving. */
+bool fleet_is_host_live(const struct part_ctx *ctx, const char *host);
+
+/* What this entry knows of one worker of its data centre. */
+struct fleet_load {
+	const char *host;
+	int running; /* tasks, of this entry and by the last report */
+	bool is_idle; /* drained, and a report since then shows no task */
+	bool is_failed; /* ejected or unreachable */
+};
+
+/* Calls fn for each worker of this data centre, in no given order. */
+void fleet_for_each_load(const struct part_ctx *ctx,
+			 void (*fn)(void *arg, const struct fleet_load *load),
+			 void *arg);
+
 /* Ejected workers of the pool, for status and for the budgets. */
 int fleet_pool_ejected(const struct part_ctx *ctx, const char *pool);
 
--- a/src/fleet/host_list.c
+++ b/src/fleet/host_list.c
@@ -9,6 +9,12 @@
 /* Answers that must have been without it, so that one gap does not count. */
 #define HOST_GONE_ANSWERS 3
 
+/*
+ * Answers without a host after which it counts as away for now. One may come
+ * from a replica that is behind.
+ */
+#define HOST_AWAY_ANSWERS 2
+
 struct host_row {
 	bool is_leaving;
 	cs_time seen; /* last answer that held it */
@@ -66,6 +72,21 @@
 	return row && row->is_leaving;
 }
 
+bool host_list_is_away(const struct host_list *l, const char *host)
+{
+	const struct host_row *row = g_hash_table_lookup(l->rows, host);
+
+	return row && (row->is_leaving ||
+		       l->answers - row->seen_answer >= HOST_AWAY_ANSWERS);
+}
+
+bool host_list_is_live(const struct host_list *l, const char *host)
+{
+	const struct host_row *row = g_hash_table_lookup(l->rows, host);
+
+	return row && !row->is_leaving && row->seen_answer == l->answers;
+}
+
 bool host_list_is_gone(const struct host_list *l, const char *host, cs_time now)
 {
 	const struct host_row *row = g_hash_table_lookup(l->rows, host);
--- a/src/pool/plan.c
+++ b/src/pool/plan.c
@@ -10,6 +10,15 @@
  */
 #define REBOOT_TIME_MAX (15 * 60 * CS_SEC)
 
+/*
+ * A host that is to change its pool and is still in the host list after this
+ * long is not being rebooted: the list lags by a few seconds.
+ */
+#define MOVE_REBOOT_WAIT (30 * CS_SEC)
+
+/* A move that has not begun to reboot by then comes too late for a burst. */
+#define MOVE_DRAIN_MAX (10 * 60 * CS_SEC)
+
 #define DAY (24 * 3600 * CS_SEC)
 
 /*
@@ -21,6 +30,7 @@
 		.short_time = 10 * CS_SEC,
 		.surplus_time = 60 * CS_SEC,
 		.peak_half_life = 60 * CS_SEC,
+		.donor_margin = 1.25,
 		.gain_factor = 1.0,
 		.burst_percent = 0,
 		.period = 12 * DAY,
@@ -30,6 +40,7 @@
 		.short_time = 4 * CS_SEC,
 		.surplus_time = 20 * CS_SEC,
 		.peak_half_life = 20 * CS_SEC,
+		.donor_margin = 1.25,
 		.gain_factor = 0.5,
 		.burst_percent = 0,
 		.period = 0,
@@ -39,6 +50,7 @@
 		.short_time = 10 * CS_SEC,
 		.surplus_time = 60 * CS_SEC,
 		.peak_half_life = 60 * CS_SEC,
+		.donor_margin = 1.25,
 		.gain_factor = 1.0,
 		.burst_percent = 50,
 		.period = 3 * DAY,
@@ -50,11 +62,14 @@
 	[REASON_LEND_SPARE] = "lend_spare",
 	[REASON_LEND_IDLE] = "lend_idle",
 	[REASON_GO_HOME] = "go_home",
+	[REASON_COVER_SINGLE_HOST] = "cover_single_host",
 	[REASON_MAINTENANCE_DUE] = "maintenance_due",
 	[REASON_MAINTENANCE_LATE] = "maintenance_late",
 	[REASON_NOTHING_RUNS] = "nothing_runs",
 	[REASON_REBOOTED] = "rebooted",
 	[REASON_REBOOT_TIME_OVER] = "reboot_time_over",
+	[REASON_NO_REBOOT_SEEN] = "no_reboot_seen",
+	[REASON_DRAIN_TOO_LONG] = "drain_too_long",
 	[REASON_NO_RACK_BUDGET] = "no_rack_budget",
 	[REASON_NO_POOL_BUDGET] = "no_pool_budget",
 	[REASON_NO_DATA_CENTRE_BUDGET] = "no_data_centre_budget",
@@ -105,7 +120,8 @@
 {
 	const struct plan_host *h = &r->in->hosts[host];
 
-	return h->state == HOST_ASSIGNED && !h->is_failed && !r->is_taken[host];
+	return h->state == HOST_ASSIGNED && !h->is_failed && !h->is_held &&
+	       !r->is_taken[host];
 }
 
 void plan_refuse(struct plan_round *r, enum plan_purpose purpose, int host,
@@ -168,7 +184,10 @@
 		h = &in->hosts[i];
 		budget_add(r->budget, &h->place,
 			   h->is_failed || h->state != HOST_ASSIGNED);
-		if (h->is_failed || in->is_out[h->place.data_centre])
+		if (in->is_out[h->place.data_centre])
+			continue;
+		r->members[h->place.pool]++;
+		if (h->is_failed)
 			continue;
 		if (h->state == HOST_ASSIGNED) {
 			r->service[h->place.pool] += h->slots;
@@ -181,26 +200,44 @@
 	}
 }
 
-/* Takes a host that is out of service one step further. */
+/* Says how a drain goes on: it ends by itself, or is given up. */
+static void continue_drain(struct plan_round *r, int host, int pool)
+{
+	const struct plan_host *h = &r->in->hosts[host];
+
+	if (h->running == 0)
+		add_step(r, PLAN_EMPTY, host, pool, REASON_NOTHING_RUNS);
+	else if (h->purpose == PURPOSE_MOVE && h->in_state_for > MOVE_DRAIN_MAX)
+		add_step(r, PLAN_ASSIGN, host, h->place.pool,
+			 REASON_DRAIN_TOO_LONG);
+	else
+		plan_refuse(r, h->purpose, host, pool, REASON_STILL_RUNNING);
+}
+
+/*
+ * Takes a host that is out of service one step further. A host that an
+ * operator stopped becomes empty here, but only the operator returns it.
+ */
 static void continue_stop(struct plan_round *r, int host)
 {
 	const struct plan_host *h = &r->in->hosts[host];
 	int pool = h->purpose == PURPOSE_MOVE ? h->target : h->place.pool;
 
-	if (h->state == HOST_DRAINING) {
-		if (h->running == 0)
-			add_step(r, PLAN_EMPTY, host, pool,
-				 REASON_NOTHING_RUNS);
-		else
-			plan_refuse(r, h->purpose, host, pool,
-				    REASON_STILL_RUNNING);
-	} else if (h->is_rebooted) {
+	if (h->is_held)
+		return;
+	if (h->state == HOST_DRAINING)
+		continue_drain(r, host, pool);
+	else if (h->purpose == PURPOSE_NONE)
+		return;
+	else if (h->is_rebooted)
 		add_step(r, PLAN_ASSIGN, host, pool, REASON_REBOOTED);
-	} else if (h->empty_for >= REBOOT_TIME_MAX) {
+	else if (h->in_state_for >= REBOOT_TIME_MAX)
 		add_step(r, PLAN_ASSIGN, host, pool, REASON_REBOOT_TIME_OVER);
-	} else {
+	else if (h->purpose == PURPOSE_MOVE && !h->is_away &&
+		 h->in_state_for >= MOVE_REBOOT_WAIT)
+		add_step(r, PLAN_ASSIGN, host, pool, REASON_NO_REBOOT_SEEN);
+	else
 		plan_refuse(r, h->purpose, host, pool, REASON_REBOOTING);
-	}
 }
 
 void plan_decide(struct plan *plan, struct plan_input *in)
@@ -215,11 +252,11 @@
 	r.service = g_new0(int, in->pools_nr + 1);
 	r.arriving = g_new0(int, in->pools_nr + 1);
 	r.assigned = g_new0(int, in->pools_nr + 1);
+	r.members = g_new0(int, in->pools_nr + 1);
 	r.is_taken = g_new0(bool, in->hosts_nr + 1);
 	count_hosts(&r);
 	for (i = 0; i < in->hosts_nr; i++)
-		if (in->hosts[i].state != HOST_ASSIGNED &&
-		    in->hosts[i].purpose != PURPOSE_NONE)
+		if (in->hosts[i].state != HOST_ASSIGNED)
 			continue_stop(&r, (int)i);
 	plan_moves(&r);
 	if (in->policy.period)
@@ -228,5 +265,6 @@
 	g_free(r.service);
 	g_free(r.arriving);
 	g_free(r.assigned);
+	g_free(r.members);
 	g_free(r.is_taken);
 }
--- a/src/pool/plan.h
+++ b/src/pool/plan.h
@@ -47,8 +47,10 @@
 	int home; /* pool it returns to after a burst */
 	enum plan_purpose purpose;
 	int target; /* pool a move goes to */
+	bool is_held; /* the document refused its last step: leave it alone */
+	bool is_away; /* empty, and not in the host list at present */
 	bool is_rebooted; /* seen to leave and come back while empty */
-	cs_time empty_for; /* how long it has been empty */
+	cs_time in_state_for; /* how long it has been in its state */
 	cs_time age; /* since its last maintenance */
 };
 
@@ -57,6 +59,7 @@
 	cs_time short_time; /* a shortage must last this long */
 	cs_time surplus_time; /* a surplus must last this long */
 	cs_time peak_half_life; /* how long a peak of demand is remembered */
+	double donor_margin; /* a donor keeps its peak demand times this */
 	double gain_factor; /* gain of a move must exceed cost times this */
 	int burst_percent; /* least shortage, of the pool's slots */
 	cs_time period; /* each host is maintained once in it; 0: never */
@@ -83,11 +86,14 @@
 	REASON_LEND_SPARE,
 	REASON_LEND_IDLE,
 	REASON_GO_HOME,
+	REASON_COVER_SINGLE_HOST,
 	REASON_MAINTENANCE_DUE,
 	REASON_MAINTENANCE_LATE,
 	REASON_NOTHING_RUNS,
 	REASON_REBOOTED,
 	REASON_REBOOT_TIME_OVER,
+	REASON_NO_REBOOT_SEEN,
+	REASON_DRAIN_TOO_LONG,
 	/* of refusals */
 	REASON_NO_RACK_BUDGET,
 	REASON_NO_POOL_BUDGET,
--- a/src/pool/plan_maintain.c
+++ b/src/pool/plan_maintain.c
@@ -44,16 +44,9 @@
 	return compare_age(a, b, arg);
 }
 
-/* Hosts that are in maintenance already. */
-static int count_begun(const struct plan_input *in)
+static bool is_begun(const struct plan_host *h)
 {
-	size_t i;
-	int nr = 0;
-
-	for (i = 0; i < in->hosts_nr; i++)
-		nr += in->hosts[i].state != HOST_ASSIGNED &&
-		      in->hosts[i].purpose == PURPOSE_MAINTAIN;
-	return nr;
+	return h->state != HOST_ASSIGNED && h->purpose == PURPOSE_MAINTAIN;
 }
 
 /*
@@ -110,19 +103,23 @@
 
 void plan_maintenance(struct plan_round *r)
 {
-	struct maintenance m = { .r = r, .nr = r->in->hosts_nr };
+	const struct plan_input *in = r->in;
+	struct maintenance m = { .r = r };
 	size_t i, window;
 	int due, room;
 
-	if (!m.nr)
+	m.hosts = g_new(int, in->hosts_nr + 1);
+	for (i = 0; i < in->hosts_nr; i++)
+		if (!is_begun(&in->hosts[i]))
+			m.hosts[m.nr++] = (int)i;
+	if (!m.nr) {
+		g_free(m.hosts);
 		return;
-	m.hosts = g_new(int, m.nr);
-	for (i = 0; i < m.nr; i++)
-		m.hosts[i] = (int)i;
+	}
 	g_qsort_with_data(m.hosts, (int)m.nr, sizeof(int), compare_age, r->in);
 	due = count_due(&m);
-	room = budget_limit((int)m.nr, r->in->policy.maintain_percent) -
-	       count_begun(r->in);
+	room = budget_limit((int)in->hosts_nr, in->policy.maintain_percent) -
+	       (int)(in->hosts_nr - m.nr);
 	window = m.nr / CANDIDATE_PART + (size_t)due;
 	if (window > m.nr)
 		window = m.nr;
--- a/src/pool/plan_move.c
+++ b/src/pool/plan_move.c
@@ -15,9 +15,6 @@
 /* How far ahead the gain of a move is counted: bursts last for minutes. */
 #define GAIN_HORIZON (10 * 60 * CS_SEC)
 
-/* A pool keeps this much more than the highest demand it saw lately. */
-#define DONOR_MARGIN 1.25
-
 /* The hosts of a pool, those that empty first in front. */
 struct donor {
 	int pool;
@@ -31,6 +28,7 @@
 struct borrower {
 	int pool;
 	int shortage; /* slots */
+	bool is_cover; /* wants one host while its only one is maintained */
 };
 
 struct move_round {
@@ -44,11 +42,9 @@
 };
 
 /* Slots that the pool should keep, by its demand now and of late. */
-static double slots_wanted(const struct plan_pool *p)
+static double slots_wanted(const struct plan_input *in, size_t pool)
 {
-	if (p->memory.peak <= p->demand)
-		return p->demand * DONOR_MARGIN;
-	return p->memory.peak * DONOR_MARGIN;
+	return in->pools[pool].memory.peak * in->policy.donor_margin;
 }
 
 static void start_or_clear(cs_time *since, bool is_true, cs_time now)
@@ -80,8 +76,7 @@
 		start_or_clear(&mem->short_since,
 			       in->pools[i].demand > m->r->service[i], in->now);
 		start_or_clear(&mem->surplus_since,
-			       slots_wanted(&in->pools[i]) < m->r->service[i],
-			       in->now);
+			       slots_wanted(in, i) < m->r->service[i], in->now);
 	}
 }
 
@@ -148,7 +143,7 @@
 		d = &m->donors[i];
 		d->pool = (int)i;
 		d->is_spare = p->is_spare;
-		d->spare_slots = r->service[i] - (int)ceil(slots_wanted(p));
+		d->spare_slots = r->service[i] - (int)ceil(slots_wanted(in, i));
 		d->is_ready = p->is_spare ||
 			      (p->memory.surplus_since &&
 			       in->now - p->memory.surplus_since >=
@@ -163,8 +158,12 @@
  * The next host that the donor can do without and that may stop. A host that
  * was refused stays refused for this round, since budgets only shrink in it.
  */
-static bool lend_one(struct move_round *m, struct donor *d, int pool)
+static bool lend_one(struct move_round *m, struct donor *d,
+		     const struct borrower *b)
 {
+	enum plan_reason reason = b->is_cover ? REASON_COVER_SINGLE_HOST :
+				  d->is_spare ? REASON_LEND_SPARE :
+						REASON_LEND_IDLE;
 	const struct plan_host *h;
 	int host, slots;
 
@@ -181,9 +180,7 @@
 		if (!plan_can_stop(m->r, host) || !slots ||
 		    m->r->in->is_out[h->place.data_centre])
 			continue;
-		if (plan_drain(m->r, host, PURPOSE_MOVE, pool,
-			       d->is_spare ? REASON_LEND_SPARE :
-					     REASON_LEND_IDLE)) {
+		if (plan_drain(m->r, host, PURPOSE_MOVE, b->pool, reason)) {
 			d->spare_slots -= slots;
 			return true;
 		}
@@ -229,10 +226,10 @@
 				    REASON_COST_EXCEEDS_GAIN);
 			return false;
 		}
-		if (lend_one(m, d, b->pool)) {
+		if (lend_one(m, d, b)) {
 			b->shortage = r->in->pools[b->pool].demand -
 				      plan_pool_slots(r, b->pool);
-			return b->shortage > 0;
+			return !b->is_cover && b->shortage > 0;
 		}
 		d->is_ready = false; /* nothing more in this round */
 	}
@@ -240,6 +237,29 @@
 	return false;
 }
 
+/*
+ * The only host of a pool may not stop, so when it is late for maintenance
+ * the pool borrows another for that time.
+ */
+static void gather_covers(struct move_round *m)
+{
+	const struct plan_input *in = m->r->in;
+	const struct plan_host *h;
+	size_t i;
+
+	for (i = 0; i < in->hosts_nr; i++) {
+		struct borrower b = { in->hosts[i].place.pool,
+				      in->hosts[i].slots, true };
+
+		h = &in->hosts[i];
+		if (h->age >= in->policy.period && m->r->members[b.pool] == 1 &&
+		    plan_can_stop(m->r, (int)i) && !m->r->arriving[b.pool] &&
+		    !in->pools[b.pool].is_spare &&
+		    !in->is_out[h->place.data_centre])
+			m->borrowers[m->borrowers_nr++] = b;
+	}
+}
+
 static void gather_borrowers(struct move_round *m)
 {
 	const struct plan_input *in = m->r->in;
@@ -247,10 +267,12 @@
 	struct borrower b;
 	size_t i;
 
-	m->borrowers = g_new0(struct borrower, in->pools_nr + 1);
+	/* A pool is short, or is to be covered, or both. */
+	m->borrowers = g_new0(struct borrower, 2 * in->pools_nr + 1);
 	for (i = 0; i < in->pools_nr; i++) {
 		const struct plan_memory *mem = &in->pools[i].memory;
 
+		b.is_cover = false;
 		b.pool = (int)i;
 		b.shortage =
 			in->pools[i].demand - plan_pool_slots(m->r, b.pool);
@@ -267,6 +289,8 @@
 		else
 			m->borrowers[m->borrowers_nr++] = b;
 	}
+	if (policy->period)
+		gather_covers(m);
 	qsort(m->borrowers, m->borrowers_nr, sizeof(struct borrower),
 	      compare_borrowers);
 }
--- a/src/pool/plan_round.h
+++ b/src/pool/plan_round.h
@@ -14,6 +14,7 @@
 	int *service; /* slots in service, for each pool */
 	int *arriving; /* slots on their way into each pool */
 	int *assigned; /* hosts in service, for each pool */
+	int *members; /* hosts in any state, for each pool */
 	bool *is_taken; /* hosts with a step in this round */
 };
 
--- a/src/team/share.c
+++ b/src/team/share.c
@@ -186,6 +186,38 @@
 	return best;
 }
 
+int share_pool_demand(const struct part_ctx *ctx, const char *pool,
+		      const char *data_centre)
+{
+	const struct share *sh = ctx->parts.share;
+	const struct share_pool *p = share_table_pool(&sh->table, pool);
+	bool is_own = !strcmp(data_centre, ctx->options->data_centre);
+	const struct share_source *s;
+	const struct share_row *row;
+	int queued, running, sum = 0;
+	GHashTableIter it;
+	gpointer value;
+	guint i;
+
+	if (!p)
+		return 0;
+	for (i = 0; is_own && i < p->rows->len; i++) {
+		row = g_ptr_array_index(p->rows, i);
+		sum += row->queued + row->running;
+	}
+	g_hash_table_iter_init(&it, sh->table.sources);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		s = value;
+		if (is_own ? s->is_data_centre :
+			     !s->is_data_centre ||
+				     strcmp(s->name, data_centre) != 0)
+			continue;
+		sum_source(s, p, &queued, &running);
+		sum += queued + running;
+	}
+	return sum;
+}
+
 /* Demand of the teams of one pool at this entry and at one other source. */
 struct demand_table {
 	struct share_pool *pool;
--- a/src/team/share.h
+++ b/src/team/share.h
@@ -47,6 +47,13 @@
 const char *share_spare_data_centre(const struct part_ctx *ctx,
 				    const char *pool);
 
+/*
+ * Tasks queued and running in the pool, of all teams and entries, in that
+ * data centre, by the last summaries.
+ */
+int share_pool_demand(const struct part_ctx *ctx, const char *pool,
+		      const char *data_centre);
+
 /* Decayed slot time of a team in a pool fleet-wide, in ms. For status. */
 int64_t share_usage_ms(struct part_ctx *ctx, const char *pool,
 		       const char *team);
