--- a/src/base/http_client.c
+++ b/src/base/http_client.c
@@ -108,7 +108,7 @@
 	return names[result];
 }
 
-int http_address_parse(const char *address, char host[CS_ADDRESS_MAX],
+int http_address_split(const char *address, char host[CS_ADDRESS_MAX],
 		       uint16_t *port)
 {
 	struct sockaddr_storage ss;
@@ -521,7 +521,7 @@
 	pool = g_hash_table_lookup(c->pools, key);
 	if (pool)
 		return pool;
-	if (http_address_parse(address, host, &port))
+	if (http_address_split(address, host, &port))
 		return NULL;
 	pool = g_new0(struct pool, 1);
 	cs_copy(pool->key, sizeof(pool->key), key);
--- a/src/base/http_client.h
+++ b/src/base/http_client.h
@@ -93,7 +93,7 @@
 const char *http_result_name(enum http_result result);
 
 /* Splits "IP:PORT" or "[IP]:PORT". Returns CS_OK or CS_ERR_INVALID. */
-int http_address_parse(const char *address, char host[CS_ADDRESS_MAX],
+int http_address_split(const char *address, char host[CS_ADDRESS_MAX],
 		       uint16_t *port);
 
 #endif
--- a/src/claim/claim_sync.c
+++ b/src/claim/claim_sync.c
@@ -320,6 +320,46 @@
 	send_claim(ctx, PEER_CLAIM, h);
 }
 
+static void send_release(struct part_ctx *ctx, const char *to,
+			 const uint8_t digest[16], const char *holder)
+{
+	struct msg *msg = part_peer_msg(PEER_CLAIM_RELEASE, to);
+
+	msg->u.peer.u.claim.map_version = ctx->parts.claim->version;
+	msg->u.peer.u.claim.partition = claim_partition_of(digest);
+	memcpy(msg->u.peer.u.claim.digest, digest, 16);
+	cs_copy(msg->u.peer.u.claim.holder, CS_NAME_MAX, holder);
+	part_emit(ctx, msg);
+}
+
+/* As owner: forgets the claim here and at the copy. */
+static void release(struct part_ctx *ctx, const uint8_t digest[16],
+		    const char *holder)
+{
+	struct claim_sync *cs = ctx->parts.claim;
+	const struct claim_partition *p =
+		&cs->map.partitions[claim_partition_of(digest)];
+
+	if (claim_table_remove(cs->table, digest, holder) &&
+	    !claim_member_is_none(&p->copy))
+		send_release(ctx, p->copy.entry, digest, holder);
+}
+
+void claim_sync_release(struct part_ctx *ctx, const char *request_id)
+{
+	struct claim_sync *cs = ctx->parts.claim;
+	uint8_t digest[16];
+	uint32_t partition;
+
+	claim_digest(request_id, digest);
+	partition = claim_partition_of(digest);
+	if (is_owner(ctx, partition))
+		release(ctx, digest, ctx->options->id);
+	else if (cs->is_known)
+		send_release(ctx, cs->map.partitions[partition].owner.entry,
+			     digest, ctx->options->id);
+}
+
 /* Asks again after a refusal that recorded nothing; the map moved on. */
 static void on_retry(void *arg, uint64_t handle, cs_time now)
 {
@@ -477,6 +517,25 @@
 	      seen ? seen : "");
 }
 
+/*
+ * The holder gives a claim back to the owner, or the owner tells its copy.
+ * Messages of one sender arrive in order, so a release never undoes a claim
+ * that was made after it.
+ */
+static void take_release(struct part_ctx *ctx, const struct peer_msg *peer)
+{
+	const uint8_t *digest = peer->u.claim.digest;
+	uint32_t partition = claim_partition_of(digest);
+
+	if (is_owner(ctx, partition)) {
+		if (!strcmp(peer->u.claim.holder, peer->peer))
+			release(ctx, digest, peer->peer);
+	} else if (is_copy_for(ctx, peer, partition)) {
+		claim_table_remove(ctx->parts.claim->table, digest,
+				   peer->u.claim.holder);
+	}
+}
+
 static void on_peer(struct part_ctx *ctx, struct peer_msg *peer)
 {
 	switch (peer->kind) {
@@ -492,6 +551,9 @@
 	case PEER_CLAIM_COPY_ACK:
 		take_copy_ack(ctx, peer);
 		break;
+	case PEER_CLAIM_RELEASE:
+		take_release(ctx, peer);
+		break;
 	default:
 		break;
 	}
--- a/src/claim/claim_table.c
+++ b/src/claim/claim_table.c
@@ -10,6 +10,7 @@
 	uint8_t digest[16];
 	const char *holder; /* in names: there are few entries */
 	cs_time seen;
+	bool is_released; /* no longer in by_digest */
 	cs_handle next; /* in the partition, in the order they came */
 };
 
@@ -80,7 +81,8 @@
 	q->first = row->next;
 	if (!q->first)
 		q->last = 0;
-	g_hash_table_remove(t->by_digest, row->digest);
+	if (!row->is_released)
+		g_hash_table_remove(t->by_digest, row->digest);
 	slots_free(t->rows, first);
 }
 
@@ -139,6 +141,19 @@
 	return CS_OK;
 }
 
+bool claim_table_remove(struct claim_table *t, const uint8_t digest[16],
+			const char *holder)
+{
+	struct claim_row *row = g_hash_table_lookup(t->by_digest, digest);
+
+	if (!row || strcmp(row->holder, holder))
+		return false;
+	/* The row keeps its place, in the order of time, until it expires. */
+	g_hash_table_remove(t->by_digest, row->digest);
+	row->is_released = true;
+	return true;
+}
+
 cs_handle claim_table_next(const struct claim_table *t, uint32_t partition,
 			   cs_handle after, uint8_t digest[16],
 			   const char **holder)
@@ -148,6 +163,10 @@
 			      t->queues[partition].first;
 
 	row = slots_get(t->rows, h);
+	while (row && row->is_released) {
+		h = row->next;
+		row = slots_get(t->rows, h);
+	}
 	if (!row)
 		return 0;
 	memcpy(digest, row->digest, 16);
--- a/src/claim/claim_table.h
+++ b/src/claim/claim_table.h
@@ -31,6 +31,13 @@
 int claim_table_add(struct claim_table *t, const uint8_t digest[16],
 		    const char *holder, cs_time now);
 
+/*
+ * Forgets a claim that its holder gives back. Returns false if there is none
+ * or another entry holds it.
+ */
+bool claim_table_remove(struct claim_table *t, const uint8_t digest[16],
+			const char *holder);
+
 /*
  * Walks the claims of a partition in the order they came: pass 0 first, then
  * the last result; 0 means the end. The table must not change meanwhile.
--- a/src/config/codec_change.c
+++ b/src/config/codec_change.c
@@ -167,7 +167,7 @@
 	*nr = 0;
 	if (len > (gsize)CS_VALUE_MAX)
 		return cs_error_set(err, CS_ERR_INVALID, "changes_decode", NULL,
-				    "longer than %d bytes", CS_VALUE_MAX);
+				    "longer than %zu bytes", CS_VALUE_MAX);
 	root = json_loadb(data ? data : "", len, JSON_REJECT_DUPLICATES,
 			  &error);
 	if (!root)
--- a/src/config/codec_ini.c
+++ b/src/config/codec_ini.c
@@ -270,7 +270,7 @@
 
 	st.next = g_bytes_get_data(bytes, &len);
 	if (len > (gsize)CS_VALUE_MAX) {
-		fault(&st, 1, "longer than %d bytes", CS_VALUE_MAX);
+		fault(&st, 1, "longer than %zu bytes", CS_VALUE_MAX);
 		return NULL;
 	}
 	st.end = st.next + len;
--- a/src/config/codec_json.c
+++ b/src/config/codec_json.c
@@ -217,7 +217,8 @@
 	json_t *root;
 
 	if (len > (gsize)CS_VALUE_MAX) {
-		fault(&st, "document", "is longer than %d bytes", CS_VALUE_MAX);
+		fault(&st, "document", "is longer than %zu bytes",
+		      CS_VALUE_MAX);
 		return NULL;
 	}
 	root = json_loadb(data ? data : "", len, JSON_REJECT_DUPLICATES,
--- a/src/entry/message.c
+++ b/src/entry/message.c
@@ -180,6 +180,7 @@
 		[PEER_CLAIM_REPLY] = "claim_reply",
 		[PEER_CLAIM_COPY] = "claim_copy",
 		[PEER_CLAIM_COPY_ACK] = "claim_copy_ack",
+		[PEER_CLAIM_RELEASE] = "claim_release",
 		[PEER_JOB_COPY] = "job_copy",
 		[PEER_JOB_COPY_ACK] = "job_copy_ack",
 	};
--- a/src/entry/message.h
+++ b/src/entry/message.h
@@ -259,6 +259,7 @@
 	PEER_CLAIM_REPLY,
 	PEER_CLAIM_COPY,
 	PEER_CLAIM_COPY_ACK,
+	PEER_CLAIM_RELEASE,
 	PEER_JOB_COPY,
 	PEER_JOB_COPY_ACK,
 	PEER_KIND_NR
@@ -313,7 +314,7 @@
 			uint32_t partition;
 			uint8_t digest[16]; /* of the request identifier */
 			char holder[CS_NAME_MAX]; /* entry that asks */
-		} claim; /* PEER_CLAIM and PEER_CLAIM_COPY */
+		} claim; /* PEER_CLAIM, _COPY and _RELEASE */
 		struct {
 			uint64_t map_version;
 			enum claim_verdict verdict;
--- a/src/peer/peer_codec.c
+++ b/src/peer/peer_codec.c
@@ -57,7 +57,7 @@
 	const struct summary_row *row = msg->u.summary.rows;
 	size_t i;
 
-	pack_bool(pk, msg->u.summary.is_data_centre);
+	peer_write_str(pk, msg->u.summary.data_centre);
 	msgpack_pack_array(pk, msg->u.summary.rows_nr);
 	for (i = 0; i < msg->u.summary.rows_nr; i++, row++) {
 		msgpack_pack_array(pk, SUMMARY_ROW_FIELDS);
@@ -84,7 +84,8 @@
 	struct peer_fields rows, row;
 	uint32_t i, nr;
 
-	msg->u.summary.is_data_centre = peer_read_bool(f, "is_data_centre");
+	peer_read_str(f, "data_centre", msg->u.summary.data_centre,
+		      sizeof(msg->u.summary.data_centre));
 	nr = peer_fields_enter(f, "rows", SUMMARY_ROWS_MAX, &rows);
 	if (!nr)
 		return;
@@ -291,6 +292,7 @@
 	[PEER_CLAIM_REPLY] = { 3, encode_claim_reply, decode_claim_reply,
 			       NULL },
 	[PEER_CLAIM_COPY] = { 4, encode_claim, decode_claim, NULL },
+	[PEER_CLAIM_RELEASE] = { 4, encode_claim, decode_claim, NULL },
 	[PEER_CLAIM_COPY_ACK] = { 3, encode_claim_reply, decode_claim_reply,
 				  NULL },
 	[PEER_JOB_COPY] = { 3, encode_job_copy, decode_job_copy, NULL },
--- a/src/worker/worker_client.c
+++ b/src/worker/worker_client.c
@@ -141,6 +141,7 @@
 	counters_add(client->counters, "camphorshed_worker_tasks_total", labels,
 		     1);
 
+	d->part = t->part;
 	d->attempt = t->attempt;
 	d->result = result;
 	d->status = answer->status;
@@ -290,6 +291,7 @@
 	struct task_control_done *d = &m->u.task_control_done;
 	const struct control_op *op = &control_ops[t->op];
 
+	d->part = t->part;
 	d->attempt = t->attempt;
 	d->op = t->op;
 	d->code = CS_OK;
--- a/tests/soak/model_kv.c
+++ b/tests/soak/model_kv.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "../../src/base/error.h"
+#include "../../src/base/slots.h"
 
 /* A call without an answer ends after this long at the entry. */
 #define CALL_TIMEOUT CS_SEC
@@ -26,14 +27,13 @@
 	int entry;
 	uint64_t life;
 	struct kv_call call;
-	bool is_done;
 };
 
 struct kv_model {
 	struct world *w;
 	GTree *values; /* key -> struct kv_value */
 	uint64_t revision;
-	GPtrArray *watches;
+	struct slots *watches; /* struct kv_watch */
 	bool is_out, is_slow;
 };
 
@@ -58,14 +58,14 @@
 
 	kv->w = w;
 	kv->values = g_tree_new_full(compare_keys, NULL, g_free, free_value);
-	kv->watches = g_ptr_array_new_with_free_func(g_free);
+	kv->watches = slots_create(sizeof(struct kv_watch), 4096);
 	return kv;
 }
 
 void kv_model_destroy(struct kv_model *kv)
 {
 	g_tree_destroy(kv->values);
-	g_ptr_array_free(kv->watches, TRUE);
+	slots_destroy(kv->watches);
 	g_free(kv);
 }
 
@@ -149,28 +149,27 @@
 /* Answers the watches that a change concerns. */
 static void notify(struct kv_model *kv, const char *key)
 {
+	struct world *w = kv->w;
 	struct kv_watch *watch;
+	struct model_entry *e;
+	cs_handle h, next;
 	struct msg *msg;
-	guint i;
 
-	for (i = 0; i < kv->watches->len;) {
-		watch = g_ptr_array_index(kv->watches, i);
-		if (!g_str_has_prefix(key, watch->call.key)) {
-			i++;
+	for (h = slots_next(kv->watches, 0); h; h = next) {
+		next = slots_next(kv->watches, h);
+		watch = slots_get(kv->watches, h);
+		if (!g_str_has_prefix(key, watch->call.key))
 			continue;
-		}
-		if (!watch->is_done &&
-		    kv->w->entries[watch->entry].life == watch->life &&
-		    !kv->w->places[kv->w->entries[watch->entry].place]
-			     .is_platform_cut) {
+		e = &w->entries[watch->entry];
+		if (e->life == watch->life &&
+		    !w->places[e->place].is_platform_cut) {
 			msg = answer_to(&watch->call, KV_OK);
 			fill_rows(kv, &msg->u.kv_done, watch->call.key,
 				  watch->call.version, true);
-			world_send(kv->w, watch->entry,
-				   world_chance(kv->w, 1000, 4000), msg);
+			world_send(w, watch->entry, world_chance(w, 1000, 4000),
+				   msg);
 		}
-		watch->is_done = true;
-		g_ptr_array_remove_index_fast(kv->watches, i);
+		slots_free(kv->watches, h);
 	}
 }
 
@@ -329,22 +328,22 @@
 	}
 }
 
-static void on_watch_end(void *ctx, uint64_t unused, cs_time now)
+static void on_watch_end(void *ctx, uint64_t handle, cs_time now)
 {
-	struct kv_watch *watch = ctx;
-	struct kv_model *kv;
+	struct kv_model *kv = ctx;
+	struct kv_watch *watch = slots_get(kv->watches, handle);
 	struct msg *msg;
-	guint i;
 
-	(void)unused;
 	(void)now;
-	kv = (struct kv_model *)(uintptr_t)watch->call.lease;
-	if (!g_ptr_array_find(kv->watches, watch, &i))
+	if (!watch)
 		return;
 	msg = answer_to(&watch->call, KV_OK);
 	msg->u.kv_done.revision = kv->revision;
-	world_send(kv->w, watch->entry, 1000, msg);
-	g_ptr_array_remove_index_fast(kv->watches, i);
+	if (kv->w->entries[watch->entry].life == watch->life)
+		world_send(kv->w, watch->entry, 1000, msg);
+	else
+		msg_free(msg);
+	slots_free(kv->watches, handle);
 }
 
 static void begin_watch(struct world *w, int entry, const struct kv_call *call)
@@ -352,6 +351,7 @@
 	struct kv_model *kv = w->kv;
 	struct msg *msg = answer_to(call, KV_OK);
 	struct kv_watch *watch;
+	cs_handle h;
 
 	fill_rows(kv, &msg->u.kv_done, call->key, call->version, true);
 	if (msg->u.kv_done.rows_nr) {
@@ -359,14 +359,12 @@
 		return;
 	}
 	msg_free(msg);
-	watch = g_new0(struct kv_watch, 1);
+	h = slots_take(kv->watches, (void **)&watch);
 	watch->entry = entry;
 	watch->life = w->entries[entry].life;
 	watch->call = *call;
 	watch->call.value = NULL;
-	watch->call.lease = (uint64_t)(uintptr_t)kv;
-	g_ptr_array_add(kv->watches, watch);
-	world_after(w, call->wait_ms * CS_MSEC, on_watch_end, watch, 0);
+	world_after(w, call->wait_ms * CS_MSEC, on_watch_end, kv, h);
 }
 
 void kv_model_call(struct world *w, int entry, const struct kv_call *call)
--- a/tests/standin/server.c
+++ b/tests/standin/server.c
@@ -138,7 +138,7 @@
 	s->http = evhttp_new(base);
 	evhttp_set_gencb(s->http, on_request, s);
 	evhttp_set_max_body_size(s->http, BODY_MAX);
-	if (http_address_parse(address, s->host, &s->port) ||
+	if (http_address_split(address, s->host, &s->port) ||
 	    server_listen(s, true)) {
 		fprintf(stderr, "camphorshed-standin: cannot listen on %s\n",
 			address);
--- a/tests/unit/test_http_client.c
+++ b/tests/unit/test_http_client.c
@@ -85,17 +85,17 @@
 	uint16_t port;
 
 	(void)state;
-	assert_int_equal(http_address_parse("127.0.0.1:80", host, &port),
+	assert_int_equal(http_address_split("127.0.0.1:80", host, &port),
 			 CS_OK);
 	assert_string_equal(host, "127.0.0.1");
 	assert_int_equal(port, 80);
-	assert_int_equal(http_address_parse("[::1]:8080", host, &port), CS_OK);
+	assert_int_equal(http_address_split("[::1]:8080", host, &port), CS_OK);
 	assert_string_equal(host, "::1");
-	assert_int_equal(http_address_parse("host:80", host, &port),
+	assert_int_equal(http_address_split("host:80", host, &port),
 			 CS_ERR_INVALID);
-	assert_int_equal(http_address_parse("127.0.0.1", host, &port),
+	assert_int_equal(http_address_split("127.0.0.1", host, &port),
 			 CS_ERR_INVALID);
-	assert_int_equal(http_address_parse("", host, &port), CS_ERR_INVALID);
+	assert_int_equal(http_address_split("", host, &port), CS_ERR_INVALID);
 }
 
 int main(void)
--- a/tests/unit/test_peer_codec.c
+++ b/tests/unit/test_peer_codec.c
@@ -5,6 +5,7 @@
 #include <cmocka.h>
 #include <string.h>
 
+#include "../../src/base/error.h"
 #include "../../src/peer/peer_codec.h"
 
 static void fill(char *s, size_t size)
@@ -26,7 +27,8 @@
 {
 	size_t i;
 
-	m->u.summary.is_data_centre = true;
+	cs_copy(m->u.summary.data_centre, sizeof(m->u.summary.data_centre),
+		"dc-a");
 	m->u.summary.rows_nr = 3;
 	m->u.summary.rows = g_new0(struct summary_row, 3);
 	for (i = 0; i < 3; i++) {
@@ -104,6 +106,7 @@
 		break;
 	case PEER_CLAIM:
 	case PEER_CLAIM_COPY:
+	case PEER_CLAIM_RELEASE:
 		m->u.claim.map_version = UINT64_MAX;
 		m->u.claim.partition = UINT32_MAX;
 		memset(m->u.claim.digest, 0x5a, sizeof(m->u.claim.digest));
