Add the operators' command line

Tables: verbs with the options that they need and take, options with the field of the change that they fill, actions with their functions. Parsing neither prints nor sends, so it is tested alone; output goes through the two streams that ctl_main() passes in. Tables for people come from any JSON, in an order that depends on its content only.

A change is sent once and never repeated: a lost answer ends with exit code 4 and a hint to the history. document apply expects the revision that the file was made from unless another is given.

--- /dev/null
+++ b/src/ctl/ctl_change.c
@@ -0,0 +1,263 @@
+#include <inttypes.h>
+#include <sodium.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "../base/task.h"
+#include "../config/codec.h"
+#include "../team/team.h"
+#include "ctl.h"
+#include "ctl_run.h"
+
+/* Bytes of a random key, shown as twice as many hexadecimal digits. */
+#define KEY_LEN 32
+
+/*
+ * Shortest time between two questions whether a revision is in force, for
+ * an entry that answers without waiting.
+ */
+#define WAIT_STEP_USEC 250000
+
+/* Longest time of one such question, so that progress is shown. */
+#define WAIT_CALL_MAX_S 5
+
+/* How an answer without acceptance ends: by its HTTP status. */
+static int exit_of_refusal(int status)
+{
+	return status == 409 ? CTL_CONFLICT : CTL_REFUSED;
+}
+
+/* Counts the data centres where the revision is in force. */
+static void count_in_force(const json_t *data_centres, size_t *in, size_t *all)
+{
+	size_t i;
+
+	*in = 0;
+	*all = json_array_size(data_centres);
+	for (i = 0; i < *all; i++)
+		*in += json_is_true(json_object_get(
+			json_array_get(data_centres, i), "in_force"));
+}
+
+/* One line that overwrites itself, on a terminal only. */
+static void show_progress(struct ctl *ctl, uint64_t revision,
+			  const json_t *answer)
+{
+	size_t in, all;
+
+	if (ctl->request->as_json || !isatty(fileno(ctl->err)))
+		return;
+	count_in_force(json_object_get(answer, "data_centres"), &in, &all);
+	fprintf(ctl->err,
+		"\rrevision %" PRIu64 ": in force in %zu of %zu data centres",
+		revision, in, all);
+	fflush(ctl->err);
+}
+
+static void end_progress(struct ctl *ctl)
+{
+	if (!ctl->request->as_json && isatty(fileno(ctl->err)))
+		fputc('\n', ctl->err);
+}
+
+/*
+ * Asks until the revision is in force everywhere or the time is over. Calls
+ * that fail are tried again: the entry may be about to be replaced. The last
+ * answer is left in *last; the caller releases it.
+ */
+static int wait_in_force(struct ctl *ctl, uint64_t revision, json_t **last)
+{
+	cs_time end = task_now() + ctl->request->timeout_s * CS_SEC;
+	int status = 0, result = CTL_UNREACHABLE;
+	cs_time began, left;
+	json_t *answer;
+	char path[64];
+
+	*last = NULL;
+	g_snprintf(path, sizeof(path), "/v1/wait?revision=%" PRIu64, revision);
+	ctl->is_quiet = true;
+	do {
+		began = task_now();
+		left = MIN((end - began) / CS_SEC + 1, WAIT_CALL_MAX_S);
+		if (!ctl_call(ctl, "GET", path, NULL, (int)left, &status,
+			      &answer) &&
+		    answer && status < 500) {
+			json_decref(*last);
+			*last = answer;
+			if (status >= 400)
+				return CTL_REFUSED;
+			show_progress(ctl, revision, answer);
+			if (json_is_true(json_object_get(answer, "in_force")))
+				return CTL_DONE;
+			result = CTL_NOT_IN_FORCE;
+		} else {
+			json_decref(answer);
+		}
+		left = WAIT_STEP_USEC - (task_now() - began);
+		if (left > 0)
+			g_usleep((gulong)left);
+	} while (task_now() < end);
+	return result;
+}
+
+/* Waits, and tells where the revision is not in force. */
+static int wait_and_tell(struct ctl *ctl, uint64_t revision, json_t *result)
+{
+	json_t *answer;
+	int code = wait_in_force(ctl, revision, &answer);
+
+	end_progress(ctl);
+	if (ctl->request->as_json) {
+		json_object_set_new(result, "in_force",
+				    json_boolean(code == CTL_DONE));
+		if (json_is_object(answer))
+			json_object_update_missing(result, answer);
+	} else if (code == CTL_DONE) {
+		fprintf(ctl->out, "revision %" PRIu64 " is in force\n",
+			revision);
+	} else if (code == CTL_UNREACHABLE) {
+		fprintf(ctl->err, "wait: %s: no answer within %d s\n",
+			ctl->request->entry, ctl->request->timeout_s);
+	} else {
+		fprintf(ctl->out,
+			"revision %" PRIu64 " is not in force everywhere\n",
+			revision);
+		if (json_is_array(json_object_get(answer, "data_centres")))
+			ctl_print(ctl, json_object_get(answer, "data_centres"));
+	}
+	json_decref(answer);
+	return code;
+}
+
+int ctl_run_wait(struct ctl *ctl)
+{
+	uint64_t revision = ctl->request->revision;
+	json_t *result = json_object();
+	int code;
+
+	json_object_set_new(result, "revision",
+			    json_integer((json_int_t)revision));
+	code = wait_and_tell(ctl, revision, result);
+	if (ctl->request->as_json)
+		ctl_print(ctl, result);
+	json_decref(result);
+	return code;
+}
+
+int ctl_finish_change(struct ctl *ctl, int status, json_t *json,
+		      const char *key)
+{
+	const struct ctl_request *rq = ctl->request;
+	const char *detail = json_string_value(json_object_get(json, "detail"));
+	uint64_t revision =
+		(uint64_t)json_integer_value(json_object_get(json, "revision"));
+	bool is_accepted = status < 400 &&
+			   json_is_true(json_object_get(json, "accepted"));
+	json_t *result = json_is_object(json) ? json_incref(json) :
+						json_object();
+	int code = CTL_DONE;
+
+	if (!is_accepted) {
+		fprintf(ctl->err, "not accepted: %s: status %d%s%s\n",
+			rq->entry, status, detail ? ": " : "",
+			detail ? detail : "");
+		code = exit_of_refusal(status);
+	} else if (!rq->as_json) {
+		fprintf(ctl->out, "%s as revision %" PRIu64 "%s%s\n",
+			rq->is_dry_run ? "would be accepted" : "accepted",
+			revision, detail && *detail ? ": " : "",
+			detail ? detail : "");
+	}
+	if (is_accepted && !rq->is_dry_run) {
+		if (key && rq->as_json)
+			json_object_set_new(result, "key", json_string(key));
+		else if (key)
+			fprintf(ctl->out, "key: %s\n", key);
+		fflush(ctl->out);
+		if (!rq->is_no_wait && wait_and_tell(ctl, revision, result))
+			code = CTL_NOT_IN_FORCE;
+	}
+	if (rq->as_json)
+		ctl_print(ctl, result);
+	json_decref(result);
+	json_decref(json);
+	return code;
+}
+
+/* Sends one change and finishes it. */
+static int send_change(struct ctl *ctl, const struct change *change,
+		       const char *key)
+{
+	const struct ctl_request *rq = ctl->request;
+	GString *path = g_string_new("/v1/changes");
+	GBytes *body = changes_encode_json(change, 1);
+	int status, code;
+	json_t *json;
+
+	if (rq->expected)
+		g_string_append_printf(path, "?expected=%" PRId64,
+				       rq->expected);
+	if (rq->is_dry_run)
+		g_string_append_printf(path, "%sdry_run=1",
+				       rq->expected ? "&" : "?");
+	code = ctl_call(ctl, "POST", path->str, body, CTL_CALL_TIMEOUT_S,
+			&status, &json);
+	if (!code)
+		code = ctl_finish_change(ctl, status, json, key);
+	g_bytes_unref(body);
+	g_string_free(path, TRUE);
+	return code;
+}
+
+int ctl_run_change(struct ctl *ctl)
+{
+	return send_change(ctl, &ctl->request->change, NULL);
+}
+
+/* A new random key, or the one in the file. NULL after the fault. */
+static char *get_key(struct ctl *ctl)
+{
+	uint8_t bytes[KEY_LEN];
+	GError *error = NULL;
+	char *key;
+
+	if (ctl->request->key_file) {
+		if (!g_file_get_contents(ctl->request->key_file, &key, NULL,
+					 &error)) {
+			fprintf(ctl->err, "key file: %s\n", error->message);
+			g_error_free(error);
+			return NULL;
+		}
+		if (*g_strstrip(key))
+			return key;
+		fputs("key file: the key is empty\n", ctl->err);
+		g_free(key);
+		return NULL;
+	}
+	if (sodium_init() < 0) {
+		fputs("libsodium does not start\n", ctl->err);
+		return NULL;
+	}
+	key = g_malloc(2 * KEY_LEN + 1);
+	randombytes_buf(bytes, sizeof(bytes));
+	sodium_bin2hex(key, 2 * KEY_LEN + 1, bytes, sizeof(bytes));
+	sodium_memzero(bytes, sizeof(bytes));
+	return key;
+}
+
+/* Only the digest leaves this process; a key from a file is not shown. */
+int ctl_run_key_grant(struct ctl *ctl)
+{
+	struct change change = ctl->request->change;
+	char *key = get_key(ctl);
+	int code;
+
+	if (!key)
+		return CTL_USAGE;
+	team_key_digest(key, strlen(key), change.digest);
+	change.has_digest = true;
+	code = send_change(ctl, &change, ctl->request->key_file ? NULL : key);
+	sodium_memzero(key, strlen(key));
+	g_free(key);
+	return code;
+}
--- /dev/null
+++ b/src/ctl/ctl_document.c
@@ -0,0 +1,159 @@
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../config/codec.h"
+#include "ctl.h"
+#include "ctl_run.h"
+
+static const struct document_codec *codec_of(const char *path)
+{
+	return g_str_has_suffix(path, ".json") ? &document_codec_json :
+						 &document_codec_ini;
+}
+
+/*
+ * Reads a document: JSON if the name ends in ".json", else INI. NULL after
+ * every fault was printed, with the exit code.
+ */
+static struct document *read_file(struct ctl *ctl, const char *path, int *code)
+{
+	GString *faults = g_string_new(NULL);
+	struct document *doc = NULL;
+	GError *error = NULL;
+	GBytes *bytes;
+	gchar *text;
+	gsize len;
+
+	if (!g_file_get_contents(path, &text, &len, &error)) {
+		g_string_append_printf(faults, "%s\n", error->message);
+		g_error_free(error);
+		*code = CTL_USAGE;
+	} else {
+		bytes = g_bytes_new_take(text, len);
+		doc = codec_of(path)->decode(bytes, path, faults);
+		g_bytes_unref(bytes);
+		*code = doc ? CTL_DONE : CTL_REFUSED;
+	}
+	fputs(faults->str, ctl->err);
+	g_string_free(faults, TRUE);
+	return doc;
+}
+
+/* The document of the entry. NULL after the fault, with the exit code. */
+static struct document *fetch(struct ctl *ctl, int *code)
+{
+	GString *faults;
+	struct document *doc;
+	GBytes *bytes;
+	json_t *json;
+	char *text;
+
+	*code = ctl_get(ctl, "/v1/document", &json);
+	if (*code)
+		return NULL;
+	text = json_dumps(json, JSON_ENCODE_ANY);
+	json_decref(json);
+	bytes = g_bytes_new_with_free_func(text, text ? strlen(text) : 0, free,
+					   text);
+	faults = g_string_new(NULL);
+	doc = document_codec_json.decode(bytes, ctl->request->entry, faults);
+	if (!doc)
+		*code = CTL_UNREACHABLE;
+	fputs(faults->str, ctl->err);
+	g_string_free(faults, TRUE);
+	g_bytes_unref(bytes);
+	return doc;
+}
+
+/* JSON as it is, or the INI form that operators can edit and apply. */
+int ctl_run_document_get(struct ctl *ctl)
+{
+	struct document *doc;
+	GBytes *bytes;
+	json_t *json;
+	int code;
+
+	if (ctl->request->as_json) {
+		code = ctl_get(ctl, "/v1/document", &json);
+		if (!code)
+			ctl_print(ctl, json);
+		json_decref(json);
+		return code;
+	}
+	doc = fetch(ctl, &code);
+	if (!doc)
+		return code;
+	bytes = document_codec_ini.encode(doc);
+	fwrite(g_bytes_get_data(bytes, NULL), 1, g_bytes_get_size(bytes),
+	       ctl->out);
+	g_bytes_unref(bytes);
+	document_destroy(doc);
+	return CTL_DONE;
+}
+
+int ctl_run_document_check(struct ctl *ctl)
+{
+	int code;
+	struct document *doc = read_file(ctl, ctl->request->file, &code);
+
+	if (doc)
+		fprintf(ctl->out, "%s: no faults\n", ctl->request->file);
+	document_destroy(doc);
+	return code;
+}
+
+/* Prints each difference from the document in force to the file. */
+int ctl_run_document_diff(struct ctl *ctl)
+{
+	struct document *present, *wanted;
+	GString *text;
+	int code;
+
+	wanted = read_file(ctl, ctl->request->file, &code);
+	if (!wanted)
+		return code;
+	present = fetch(ctl, &code);
+	if (present) {
+		text = g_string_new(NULL);
+		document_diff(present, wanted, text);
+		fputs(text->str, ctl->out);
+		g_string_free(text, TRUE);
+	}
+	document_destroy(present);
+	document_destroy(wanted);
+	return code;
+}
+
+/*
+ * Replaces the document in force. The revision that the file was made from
+ * is expected unless another was given, so that a change that came in
+ * between is not undone by accident.
+ */
+int ctl_run_document_apply(struct ctl *ctl)
+{
+	const struct ctl_request *rq = ctl->request;
+	struct document *doc;
+	uint64_t expected;
+	char path[64] = "/v1/document";
+	GBytes *body;
+	int status, code;
+	json_t *json;
+
+	if (rq->is_dry_run)
+		return ctl_run_document_diff(ctl);
+	doc = read_file(ctl, rq->file, &code);
+	if (!doc)
+		return code;
+	expected = rq->expected ? (uint64_t)rq->expected :
+				  document_revision(doc);
+	if (expected)
+		g_snprintf(path, sizeof(path), "/v1/document?expected=%" PRIu64,
+			   expected);
+	body = document_codec_json.encode(doc);
+	document_destroy(doc);
+	code = ctl_call(ctl, "PUT", path, body, CTL_CALL_TIMEOUT_S, &status,
+			&json);
+	g_bytes_unref(body);
+	return code ? code : ctl_finish_change(ctl, status, json, NULL);
+}
--- /dev/null
+++ b/src/ctl/ctl_run.c
@@ -0,0 +1,153 @@
+#include "ctl_run.h"
+
+#include <sodium.h>
+#include <string.h>
+
+#include "ctl.h"
+#include "ctl_table.h"
+
+/* Reads the token file, without the line end. False after the fault. */
+static bool read_token(struct ctl *ctl)
+{
+	GError *error = NULL;
+
+	if (!ctl->request->token_file)
+		return true;
+	if (!g_file_get_contents(ctl->request->token_file, &ctl->token, NULL,
+				 &error)) {
+		fprintf(ctl->err, "token file: %s\n", error->message);
+		g_error_free(error);
+		return false;
+	}
+	g_strstrip(ctl->token);
+	return true;
+}
+
+int ctl_call(struct ctl *ctl, const char *method, const char *path,
+	     GBytes *body, int timeout_s, int *status, json_t **json)
+{
+	struct ctl_call call = { .address = ctl->request->entry,
+				 .token = ctl->token,
+				 .method = method,
+				 .path = path,
+				 .body = body,
+				 .timeout_s = timeout_s };
+	struct ctl_answer answer;
+	struct cs_error err = { 0 };
+	gsize len;
+	const char *text;
+
+	*json = NULL;
+	if (ctl_http_call(&call, &answer, &err)) {
+		if (!ctl->is_quiet)
+			fprintf(ctl->err, "%s: %s: %s\n", err.step, err.peer,
+				err.message);
+		if (answer.is_sent && body)
+			fputs("the change may have been accepted; see "
+			      "\"ctl history\"\n",
+			      ctl->err);
+		return CTL_UNREACHABLE;
+	}
+	*status = answer.status;
+	text = g_bytes_get_data(answer.body, &len);
+	*json = json_loadb(text ? text : "", len, JSON_DECODE_ANY, NULL);
+	g_bytes_unref(answer.body);
+	return CTL_DONE;
+}
+
+int ctl_get(struct ctl *ctl, const char *path, json_t **json)
+{
+	int status, code;
+
+	code = ctl_call(ctl, "GET", path, NULL, CTL_CALL_TIMEOUT_S, &status,
+			json);
+	if (code)
+		return code;
+	if (status == 200 && *json)
+		return CTL_DONE;
+	fprintf(ctl->err, "%s: %s: status %d%s\n", path, ctl->request->entry,
+		status, *json ? "" : ", no JSON");
+	json_decref(*json);
+	*json = NULL;
+	return status == 200 ? CTL_UNREACHABLE : CTL_REFUSED;
+}
+
+void ctl_print(struct ctl *ctl, const json_t *json)
+{
+	GString *text;
+
+	if (ctl->request->as_json) {
+		json_dumpf(json, ctl->out,
+			   JSON_INDENT(2) | JSON_SORT_KEYS | JSON_ENCODE_ANY);
+		fputc('\n', ctl->out);
+		return;
+	}
+	text = g_string_new(NULL);
+	ctl_table_append(text, json);
+	fputs(text->str, ctl->out);
+	g_string_free(text, TRUE);
+}
+
+static int show(struct ctl *ctl, const char *path)
+{
+	json_t *json;
+	int code = ctl_get(ctl, path, &json);
+
+	if (code)
+		return code;
+	ctl_print(ctl, json);
+	json_decref(json);
+	return CTL_DONE;
+}
+
+static int run_status(struct ctl *ctl)
+{
+	return show(ctl, "/v1/status");
+}
+
+static int run_plan(struct ctl *ctl)
+{
+	return show(ctl, "/v1/plan");
+}
+
+static int run_history(struct ctl *ctl)
+{
+	return show(ctl, "/v1/history");
+}
+
+static int run_help(struct ctl *ctl)
+{
+	GString *text = g_string_new(NULL);
+
+	ctl_usage(text);
+	fputs(text->str, ctl->out);
+	g_string_free(text, TRUE);
+	return CTL_DONE;
+}
+
+static int (*const actions[CTL_ACTION_NR])(struct ctl *ctl) = {
+	[CTL_STATUS] = run_status,
+	[CTL_PLAN] = run_plan,
+	[CTL_HISTORY] = run_history,
+	[CTL_CHANGE] = ctl_run_change,
+	[CTL_KEY_GRANT] = ctl_run_key_grant,
+	[CTL_DOCUMENT_GET] = ctl_run_document_get,
+	[CTL_DOCUMENT_CHECK] = ctl_run_document_check,
+	[CTL_DOCUMENT_APPLY] = ctl_run_document_apply,
+	[CTL_DOCUMENT_DIFF] = ctl_run_document_diff,
+	[CTL_WAIT] = ctl_run_wait,
+	[CTL_HELP] = run_help,
+};
+
+int ctl_run(const struct ctl_request *request, FILE *out, FILE *err)
+{
+	struct ctl ctl = { .request = request, .out = out, .err = err };
+	int code = CTL_USAGE;
+
+	if (read_token(&ctl))
+		code = actions[request->action](&ctl);
+	if (ctl.token)
+		sodium_memzero(ctl.token, strlen(ctl.token));
+	g_free(ctl.token);
+	return code;
+}
