Refuse an older incarnation that proves itself late

Cause: the incarnation was compared only when the hello arrived. Of two handshakes at the same time, the older process could finish last and replace the connection of the newer one. The comparison is repeated when the proof has been checked.

--- a/src/peer/peer_link.c
+++ b/src/peer/peer_link.c
@@ -210,7 +210,10 @@
 	return CS_OK;
 }
 
-/* The peer is known from here on, since the proof covers its hello. */
+/*
+ * The peer is known from here on, since the proof covers its hello. Its
+ * incarnation is compared again: a newer one may have connected in between.
+ */
 static void on_up(void *owner, struct peer_conn *conn)
 {
 	struct peer_link *link = owner;
@@ -219,6 +222,12 @@
 	struct cs_error err = { 0 };
 
 	conn->peer = peer;
+	if (conn->remote.incarnation < peer->incarnation) {
+		cs_error_set(&err, CS_ERR_STALE, "peer_link", conn->address,
+			     "of an older incarnation");
+		end_conn(link, conn, &err);
+		return;
+	}
 	if (old) {
 		cs_error_set(&err, CS_ERR_CONFLICT, "peer_link", old->address,
 			     "replaced by a newer connection");
--- a/tests/unit/test_peer_link.c
+++ b/tests/unit/test_peer_link.c
@@ -471,12 +471,12 @@
 	close(unproved);
 }
 
-/* Connects as e1 with a handshake of the test's own. */
-static int raw_handshake(struct node *n)
+/* Connects as e1 and exchanges hellos; the proof is left in *proof. */
+static int raw_hello(struct node *n, uint64_t incarnation, GBytes **proof)
 {
 	struct peer_hello mine = { .id = "e1",
 				   .data_centre = "dc0",
-				   .incarnation = 100 };
+				   .incarnation = incarnation };
 	struct peer_hello theirs;
 	uint8_t buf[PEER_HANDSHAKE_FRAME_MAX];
 	int fd = raw_connect(n);
@@ -488,12 +488,41 @@
 	assert_int_equal(recv(fd, buf, ntohl(head), MSG_WAITALL), ntohl(head));
 	assert_int_equal(peer_hello_decode(buf, ntohl(head), &theirs, NULL),
 			 CS_OK);
-	write_frame(fd, peer_proof_encode(n->options.secret, PEER_ROLE_OPENER,
-					  &mine, &theirs));
+	*proof = peer_proof_encode(n->options.secret, PEER_ROLE_OPENER, &mine,
+				   &theirs);
+	return fd;
+}
+
+static int raw_handshake(struct node *n)
+{
+	GBytes *proof;
+	int fd = raw_hello(n, 100, &proof);
+
+	write_frame(fd, proof);
 	assert_int_equal(wait_state(n, "e1", true, WAIT), 100);
 	return fd;
 }
 
+/* A replaced process must not take its place back by a slow handshake. */
+static void older_incarnation_stays_out(void **state)
+{
+	GBytes *old_proof, *new_proof;
+	int old, new;
+
+	(void)state;
+	start_link(&nodes[1]);
+	old = raw_hello(&nodes[1], 100, &old_proof);
+	new = raw_hello(&nodes[1], 101, &new_proof);
+	write_frame(new, new_proof);
+	assert_int_equal(wait_state(&nodes[1], "e1", true, WAIT), 101);
+	write_frame(old, old_proof);
+	assert_true(is_closed_within(old, CS_SEC));
+	assert_int_equal(wait_state(&nodes[1], "e1", false, 0), 0);
+	assert_int_equal(metric(&nodes[1], "peers_up "), 1);
+	close(old);
+	close(new);
+}
+
 /* After a silent loss the peer must not wait until its old path is closed. */
 static void newer_connection_replaces_the_older(void **state)
 {
@@ -576,6 +605,7 @@
 		LINK_TEST(dropped_forward_is_answered_not_run),
 		LINK_TEST(strangers_are_cut_off),
 		LINK_TEST(newer_connection_replaces_the_older),
+		LINK_TEST(older_incarnation_stays_out),
 		LINK_TEST(slow_reader_is_closed),
 		cmocka_unit_test(proof_covers_role_and_hello),
 	};
