Add the planner part, its tests and a model of hosts

Decisions come from plan_decide(); planner.c only gathers tables, writes the purpose of a stop before it begins and sends the steps with the revision on which they were planned. A pool that borrows a host to have its only one maintained keeps it until then.

--- a/Makefile
+++ b/Makefile
@@ -67,7 +67,8 @@
 $(B)/camphorshed-soak: $(SOAK_OBJ) $(B)/libcamphorshed.a
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 
-$(B)/camphorshed-bench: $(BENCH_OBJ) $(B)/libcamphorshed.a
+$(B)/camphorshed-bench: $(BENCH_OBJ) $(B)/tests/unit/plan_model.o \
+		$(B)/libcamphorshed.a
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 
 $(B)/unit/%: $(B)/tests/unit/%.o $(UNIT_COMMON:%.c=$(B)/%.o) \
--- /dev/null
+++ b/src/pool/down_report.c
@@ -0,0 +1,187 @@
+#include <jansson.h>
+#include <string.h>
+
+#include "../base/error.h"
+#include "../fleet/fleet.h"
+#include "planner_state.h"
+
+/*
+ * Only the entries of a data centre connect to its workers, so the lead entry
+ * of each tells the planner through the platform which hosts have failed.
+ */
+
+/*
+ * A host stays in the report this long after its last failure, so that a
+ * worker that comes and goes does not cause a write each time.
+ */
+#define REPORT_HOLD (60 * CS_SEC)
+
+/* Least time between two writes; failures of a rack fall into one. */
+#define REPORT_INTERVAL (10 * CS_SEC)
+
+static void add_load(void *arg, const struct fleet_load *load)
+{
+	struct part_ctx *ctx = arg;
+	struct host_load *row =
+		g_hash_table_lookup(ctx->parts.planner->loads, load->host);
+
+	if (!row) {
+		row = g_new0(struct host_load, 1);
+		row->is_idle = true;
+		g_hash_table_insert(ctx->parts.planner->loads,
+				    g_strdup(load->host), row);
+	}
+	row->running += load->running;
+	row->is_idle = row->is_idle && load->is_idle;
+	if (load->is_failed) {
+		row->is_failed = true;
+		row->failed_at = ctx->now;
+	}
+}
+
+void down_report_update_loads(struct part_ctx *ctx)
+{
+	struct planner *p = ctx->parts.planner;
+	struct host_load *row;
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, p->loads);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		row = value;
+		row->running = 0;
+		row->is_idle = true;
+		row->is_failed = row->failed_at &&
+				 ctx->now - row->failed_at < REPORT_HOLD;
+		if (!row->is_failed)
+			g_hash_table_iter_remove(&it);
+	}
+	fleet_for_each_load(ctx, add_load, ctx);
+}
+
+static int compare_names(gconstpointer a, gconstpointer b)
+{
+	return strcmp(*(const char *const *)a, *(const char *const *)b);
+}
+
+/* The report as JSON, which the caller frees. */
+static char *encode(const struct part_ctx *ctx)
+{
+	GHashTable *loads = ctx->parts.planner->loads;
+	json_t *list = json_array();
+	const struct host_load *row;
+	guint nr, i;
+	gpointer *names = g_hash_table_get_keys_as_array(loads, &nr);
+	char *text;
+
+	qsort(names, nr, sizeof(*names), compare_names);
+	for (i = 0; i < nr; i++) {
+		row = g_hash_table_lookup(loads, names[i]);
+		if (row->is_failed)
+			json_array_append_new(list, json_string(names[i]));
+	}
+	text = json_dumps(list, JSON_COMPACT);
+	json_decref(list);
+	g_free(names);
+	return text;
+}
+
+static void report_key(const struct part_ctx *ctx, char *key, size_t size)
+{
+	g_snprintf(key, size, DOWN_PREFIX "%s", ctx->options->data_centre);
+}
+
+void down_report_send(struct part_ctx *ctx)
+{
+	struct down_report *r = &ctx->parts.planner->report;
+	char key[128], *text;
+	struct msg *msg;
+
+	if (ctx->now - r->called < REPORT_INTERVAL && r->called)
+		return;
+	report_key(ctx, key, sizeof(key));
+	if (!r->is_known || r->is_waiting) {
+		r->is_known = false;
+		r->is_waiting = true;
+		r->called = ctx->now;
+		part_emit(ctx, planner_call(ctx, CALL_REPORT, KV_GET, key));
+		return;
+	}
+	text = encode(ctx);
+	if (r->text && !strcmp(text, r->text)) {
+		free(text);
+		return;
+	}
+	msg = planner_call(ctx, CALL_REPORT, KV_CAS, key);
+	msg->u.kv_call.version = r->version;
+	msg->u.kv_call.value = g_bytes_new(text, strlen(text));
+	g_free(r->sent);
+	r->sent = g_strdup(text);
+	free(text);
+	r->is_waiting = true;
+	r->called = ctx->now;
+	part_emit(ctx, msg);
+}
+
+void down_report_on_kv(struct part_ctx *ctx, const struct kv_done *done)
+{
+	struct down_report *r = &ctx->parts.planner->report;
+	gsize len;
+	const char *data;
+
+	r->is_waiting = false;
+	if (done->op == KV_CAS) {
+		r->is_known = done->result == KV_OK;
+		if (!r->is_known)
+			return;
+		r->version = done->version;
+		g_free(r->text);
+		r->text = r->sent;
+		r->sent = NULL;
+		return;
+	}
+	if (done->result != KV_OK && done->result != KV_MISSING)
+		return;
+	r->is_known = true;
+	r->version = done->result == KV_OK ? done->version : 0;
+	/* No report means that no host is down, and need not be written. */
+	g_free(r->text);
+	r->text = g_strdup("[]");
+	if (done->result == KV_OK && done->rows_nr && done->rows[0].value) {
+		data = g_bytes_get_data(done->rows[0].value, &len);
+		g_free(r->text);
+		r->text = g_strndup(data, len);
+	}
+	r->called = 0; /* a difference is written at once */
+}
+
+static void take_report(struct planner *p, GBytes *value)
+{
+	gsize len;
+	const char *data = g_bytes_get_data(value, &len);
+	json_t *list = json_loadb(data, len, 0, NULL);
+	const char *name;
+	size_t i;
+
+	for (i = 0; i < json_array_size(list); i++) {
+		name = json_string_value(json_array_get(list, i));
+		if (name)
+			g_hash_table_add(p->down, g_strdup(name));
+	}
+	json_decref(list);
+}
+
+void down_report_read(struct part_ctx *ctx, const struct kv_done *done)
+{
+	struct planner *p = ctx->parts.planner;
+	char own[128];
+	size_t i;
+
+	if (done->result != KV_OK && done->result != KV_MISSING)
+		return;
+	report_key(ctx, own, sizeof(own));
+	g_hash_table_remove_all(p->down);
+	for (i = 0; i < done->rows_nr; i++)
+		if (done->rows[i].value && strcmp(done->rows[i].key, own) != 0)
+			take_report(p, done->rows[i].value);
+}
--- a/src/pool/plan.c
+++ b/src/pool/plan.c
@@ -81,6 +81,7 @@
 	[REASON_MAINTENANCE_FULL] = "maintenance_full",
 	[REASON_STILL_RUNNING] = "still_running",
 	[REASON_REBOOTING] = "rebooting",
+	[REASON_HOST_FAILED] = "host_failed",
 };
 
 const struct plan_policy *plan_policy(enum preset preset)
@@ -88,6 +89,16 @@
 	return &policies[preset];
 }
 
+void plan_policy_drop_hysteresis(struct plan_policy *policy)
+{
+	policy->short_time = 0;
+	policy->surplus_time = 0;
+	policy->peak_half_life = 0;
+	policy->donor_margin = 1.0;
+	policy->gain_factor = 0;
+	policy->burst_percent = 0;
+}
+
 const char *plan_reason_name(enum plan_reason reason)
 {
 	return reason_names[reason];
@@ -214,6 +225,21 @@
 		plan_refuse(r, h->purpose, host, pool, REASON_STILL_RUNNING);
 }
 
+/*
+ * A failed host would bring its failure into the budget of the new pool, so
+ * it waits, and goes back to its old pool if it does not recover.
+ */
+static void continue_failed_move(struct plan_round *r, int host)
+{
+	const struct plan_host *h = &r->in->hosts[host];
+
+	if (h->in_state_for >= REBOOT_TIME_MAX)
+		add_step(r, PLAN_ASSIGN, host, h->place.pool,
+			 REASON_REBOOT_TIME_OVER);
+	else
+		plan_refuse(r, h->purpose, host, h->target, REASON_HOST_FAILED);
+}
+
 /*
  * Takes a host that is out of service one step further. A host that an
  * operator stopped becomes empty here, but only the operator returns it.
@@ -229,6 +255,8 @@
 		continue_drain(r, host, pool);
 	else if (h->purpose == PURPOSE_NONE)
 		return;
+	else if (h->purpose == PURPOSE_MOVE && h->is_failed)
+		continue_failed_move(r, host);
 	else if (h->is_rebooted)
 		add_step(r, PLAN_ASSIGN, host, pool, REASON_REBOOTED);
 	else if (h->in_state_for >= REBOOT_TIME_MAX)
--- a/src/pool/plan.h
+++ b/src/pool/plan.h
@@ -68,6 +68,9 @@
 
 const struct plan_policy *plan_policy(enum preset preset);
 
+/* Removes what keeps the planner from moving at every change of demand. */
+void plan_policy_drop_hysteresis(struct plan_policy *policy);
+
 struct plan_input {
 	cs_time now;
 	struct plan_policy policy;
@@ -106,6 +109,7 @@
 	REASON_MAINTENANCE_FULL,
 	REASON_STILL_RUNNING,
 	REASON_REBOOTING,
+	REASON_HOST_FAILED,
 	REASON_NR
 };
 
@@ -142,4 +146,10 @@
  */
 void plan_decide(struct plan *plan, struct plan_input *in);
 
+/*
+ * Counts again, without tokens, whether no group that a drain of the plan
+ * touches has more hosts down than its budget. O(n).
+ */
+bool plan_keeps_budgets(const struct plan *plan, const struct plan_input *in);
+
 #endif
--- a/src/pool/plan_move.c
+++ b/src/pool/plan_move.c
@@ -117,6 +117,24 @@
 	return x->pool - y->pool;
 }
 
+/*
+ * True if one of two hosts of a pool is late for maintenance: the other one
+ * has to stay until that is done. Whether it was lent for this or not makes
+ * no difference.
+ */
+static bool is_covering(const struct plan_round *r, const struct donor *d)
+{
+	const struct plan_input *in = r->in;
+	int i;
+
+	if (!in->policy.period || r->members[d->pool] != 2)
+		return false;
+	for (i = 0; i < d->nr; i++)
+		if (in->hosts[d->hosts[i]].age >= in->policy.period)
+			return true;
+	return false;
+}
+
 /* Fills the tables of donors and their hosts. */
 static void gather_donors(struct move_round *m)
 {
@@ -148,6 +166,8 @@
 			      (p->memory.surplus_since &&
 			       in->now - p->memory.surplus_since >=
 				       in->policy.surplus_time);
+		if (!p->is_spare && is_covering(r, d))
+			d->is_ready = false;
 		if (d->spare_slots > 0)
 			m->order[m->order_nr++] = d;
 	}
--- /dev/null
+++ b/src/pool/planner.c
@@ -0,0 +1,640 @@
+#include "planner.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "../base/error.h"
+#include "../base/log.h"
+#include "../config/config_sync.h"
+#include "../fleet/fleet.h"
+#include "planner_state.h"
+
+/*
+ * Plans are made at one entry at a time to save work. That is not what makes
+ * them safe: every step is a compare-and-swap of the fleet document with the
+ * revision on which it was planned.
+ */
+
+/* Bursts last for minutes, and a drain takes seconds. */
+#define ROUND_INTERVAL (2 * CS_SEC)
+#define ROUND_JITTER_MS 200
+
+/* After a jump of the clock, demand and host list are first heard anew. */
+#define QUIET_AFTER_JUMP (10 * CS_SEC)
+
+/*
+ * When the outcome of a change is not known, nothing is planned until its
+ * effect, if any, has certainly arrived: the bound for configuration is 7 s.
+ */
+#define QUIET_AFTER_UNKNOWN (10 * CS_SEC)
+
+/* A state that waits for answers is left after this long. */
+#define CALL_PATIENCE (20 * CS_SEC)
+
+/* How often failures in other data centres are asked for. */
+#define DOWN_READ_INTERVAL (10 * CS_SEC)
+
+/* At most this much of the records' clock is lost with a planner. */
+#define RECORD_INTERVAL (3600 * CS_SEC)
+
+/* Steps in one change of the document; the rest follows in later rounds. */
+#define STEPS_MAX 32
+
+/* A host whose step the document refused is left alone for this long. */
+#define HOLD_TIME (60 * CS_SEC)
+
+struct msg *planner_call(struct part_ctx *ctx, enum planner_call kind,
+			 enum kv_op op, const char *key)
+{
+	struct planner *p = ctx->parts.planner;
+	struct msg *msg =
+		part_kv_call(PART_PLANNER, op, key, p->epoch * CALL_NR + kind);
+
+	if (op == KV_CAS)
+		g_snprintf(msg->u.kv_call.change_id,
+			   sizeof(msg->u.kv_call.change_id),
+			   "p%08x-%" PRIx64 "-%" PRIx64,
+			   g_str_hash(ctx->options->id),
+			   ctx->options->incarnation, (uint64_t)ctx->now);
+	return msg;
+}
+
+static void enter(struct part_ctx *ctx, enum planner_state state)
+{
+	struct planner *p = ctx->parts.planner;
+
+	p->state = state;
+	p->since = ctx->now;
+	p->calls = 0;
+}
+
+/* Forgets the plan under way; the document says how far it came. */
+static void go_idle(struct part_ctx *ctx, const char *reason)
+{
+	struct planner *p = ctx->parts.planner;
+
+	p->idle_reason = reason;
+	if (p->state == PLANNER_IDLE)
+		return;
+	p->epoch++;
+	enter(ctx, PLANNER_IDLE);
+	g_array_set_size(p->changes, 0);
+	g_hash_table_remove_all(p->dirty);
+	g_hash_table_remove_all(p->records);
+	g_hash_table_remove_all(p->memory);
+	g_hash_table_remove_all(p->seen);
+	g_free(p->last);
+	p->last = NULL;
+}
+
+static void read_down(struct part_ctx *ctx)
+{
+	ctx->parts.planner->down_read = ctx->now;
+	part_emit(ctx, planner_call(ctx, CALL_DOWN, KV_LIST, DOWN_PREFIX));
+}
+
+static void begin_reading(struct part_ctx *ctx)
+{
+	struct planner *p = ctx->parts.planner;
+
+	p->epoch++;
+	g_array_set_size(p->changes, 0);
+	enter(ctx, PLANNER_READING);
+	p->calls = 2;
+	part_emit(ctx, planner_call(ctx, CALL_RECORDS, KV_LIST, RECORD_PREFIX));
+	read_down(ctx);
+}
+
+/* True if this entry is the lead of the lowest data centre in service. */
+static bool is_planner(const struct part_ctx *ctx)
+{
+	const struct doc_data_centre *dcs;
+	const char *lead;
+	size_t nr, i;
+
+	dcs = document_data_centres(config_sync_document(ctx), &nr);
+	for (i = 0; i < nr; i++) {
+		if (dcs[i].is_out)
+			continue;
+		lead = part_lead_entry(ctx, dcs[i].name);
+		if (lead)
+			return !strcmp(lead, ctx->options->id);
+	}
+	return false;
+}
+
+static bool is_lead(const struct part_ctx *ctx)
+{
+	return !strcmp(part_lead_entry(ctx, ctx->options->data_centre),
+		       ctx->options->id);
+}
+
+/* Why this entry is not sure enough of the state to change it, or NULL. */
+static const char *doubt(const struct part_ctx *ctx)
+{
+	const struct planner *p = ctx->parts.planner;
+
+	if (ctx->is_draining)
+		return "draining";
+	if (!document_revision(config_sync_document(ctx)))
+		return "no_document";
+	if (!config_sync_platform_up(ctx))
+		return "platform_down";
+	if (config_sync_is_isolated(ctx))
+		return "isolated";
+	if (!config_sync_is_fresh(ctx))
+		return "configuration_not_fresh";
+	if (ctx->now < p->quiet_until)
+		return "clock_jump_or_unknown_outcome";
+	return NULL;
+}
+
+static void step_event(struct part_ctx *ctx, const struct change *c,
+		       enum plan_reason reason)
+{
+	static const char *const names[CHANGE_OP_NR] = {
+		[CHANGE_HOST_DRAIN] = "host_drain",
+		[CHANGE_HOST_EMPTY] = "host_empty",
+		[CHANGE_HOST_RETURN] = "host_return",
+		[CHANGE_HOST_MOVE] = "host_move",
+	};
+	GString *pairs = g_string_new(NULL);
+
+	log_pair(pairs, "event", names[c->op]);
+	log_pair(pairs, "host", c->name);
+	if (*c->pool)
+		log_pair(pairs, "pool", c->pool);
+	log_pair(pairs, "reason", plan_reason_name(reason));
+	part_event(ctx, LOG_INFO, "planner", NULL, NULL, pairs);
+}
+
+static void add_change(struct part_ctx *ctx, enum change_op op,
+		       const char *host, const char *pool,
+		       enum plan_reason reason)
+{
+	struct change c = { .op = op };
+
+	cs_copy(c.name, sizeof(c.name), host);
+	cs_copy(c.pool, sizeof(c.pool), pool);
+	g_array_append_val(ctx->parts.planner->changes, c);
+	step_event(ctx, &c, reason);
+}
+
+/* Records why the host is stopped, before it is. */
+static void record_drain(struct part_ctx *ctx, const struct doc_host *host,
+			 const struct plan_step *s, const char *pool)
+{
+	struct host_record *row = planner_record(ctx, host);
+	bool is_home = !*row->home;
+
+	row->purpose = s->purpose;
+	if (s->purpose == PURPOSE_MOVE) {
+		if (is_home)
+			cs_copy(row->home, sizeof(row->home), host->pool);
+		cs_copy(row->target, sizeof(row->target), pool);
+	}
+}
+
+/* Translates one step into changes and records. */
+static void take_step(struct part_ctx *ctx, const struct plan_step *s)
+{
+	struct planner *p = ctx->parts.planner;
+	const struct document *doc = config_sync_document(ctx);
+	const struct doc_host *host;
+	const struct doc_pool *pool;
+	struct host_record *row;
+	size_t nr;
+
+	host = &document_hosts(doc, &nr)[s->host];
+	pool = &document_pools(doc, &nr)[s->pool];
+	if ((size_t)s->pool >= nr)
+		return; /* a host in a pool that the document lacks */
+	if (s->op == PLAN_EMPTY) {
+		add_change(ctx, CHANGE_HOST_EMPTY, host->name, "", s->reason);
+		return;
+	}
+	row = planner_record(ctx, host);
+	g_hash_table_add(p->dirty, ((struct record_table *)g_hash_table_lookup(
+					    p->records, host->data_centre))
+					   ->data_centre);
+	if (s->op == PLAN_DRAIN) {
+		record_drain(ctx, host, s, pool->name);
+		add_change(ctx, CHANGE_HOST_DRAIN, host->name, "", s->reason);
+		return;
+	}
+	row->is_returning = true;
+	if (s->purpose == PURPOSE_MOVE)
+		cs_copy(row->target, sizeof(row->target), pool->name);
+	if (s->purpose == PURPOSE_MAINTAIN)
+		row->maintained = record_table_clock(
+			g_hash_table_lookup(p->records, host->data_centre),
+			ctx->now);
+	if (strcmp(pool->name, host->pool) != 0)
+		add_change(ctx, CHANGE_HOST_MOVE, host->name, pool->name,
+			   s->reason);
+	add_change(ctx, CHANGE_HOST_RETURN, host->name, "", s->reason);
+}
+
+/* Leaves alone for a while the hosts that a refused change list names. */
+static void hold_hosts(struct part_ctx *ctx)
+{
+	struct planner *p = ctx->parts.planner;
+	struct seen_host *seen;
+	guint i;
+
+	for (i = 0; i < p->changes->len; i++) {
+		seen = g_hash_table_lookup(
+			p->seen,
+			g_array_index(p->changes, struct change, i).name);
+		if (seen)
+			seen->held_until = ctx->now + HOLD_TIME;
+	}
+}
+
+static void on_changed(struct part_ctx *ctx, uint64_t ref, int code,
+		       uint64_t revision, const char *detail)
+{
+	struct planner *p = ctx->parts.planner;
+	GString *pairs;
+	char labels[64];
+
+	g_snprintf(labels, sizeof(labels), "result=\"%s\"",
+		   code ? cs_code_name(code) : "ok");
+	counters_add(ctx->counters, "planner_changes_total", labels, 1);
+	if (ref != p->epoch || p->state != PLANNER_CHANGING)
+		return;
+	if (code == CS_OK)
+		p->wait_revision = revision;
+	else if (code == CS_ERR_TIMEOUT)
+		p->quiet_until = ctx->now + QUIET_AFTER_UNKNOWN;
+	else if (code == CS_ERR_INVALID)
+		hold_hosts(ctx);
+	if (code) {
+		pairs = g_string_new(NULL);
+		log_pair(pairs, "event", "plan_refused");
+		log_pair(pairs, "code", cs_code_name(code));
+		log_pair(pairs, "detail", detail ? detail : "");
+		part_event(ctx, LOG_INFO, "planner", NULL, NULL, pairs);
+	}
+	enter(ctx, PLANNER_READY);
+}
+
+static void send_changes(struct part_ctx *ctx)
+{
+	struct planner *p = ctx->parts.planner;
+
+	if (!p->changes->len) {
+		enter(ctx, PLANNER_READY);
+		return;
+	}
+	enter(ctx, PLANNER_CHANGING);
+	config_sync_change(ctx, p->epoch, (struct change *)p->changes->data,
+			   p->changes->len, p->expected, false, on_changed);
+}
+
+/* Writes the records that changed; the changes follow when all are stored. */
+static void write_records(struct part_ctx *ctx)
+{
+	struct planner *p = ctx->parts.planner;
+	const struct record_table *t;
+	GHashTableIter it;
+	gpointer value;
+	struct msg *msg;
+	char key[128];
+
+	enter(ctx, PLANNER_RECORDING);
+	g_hash_table_iter_init(&it, p->dirty);
+	while (g_hash_table_iter_next(&it, &value, NULL)) {
+		t = g_hash_table_lookup(p->records, value);
+		g_snprintf(key, sizeof(key), RECORD_PREFIX "%s",
+			   t->data_centre);
+		msg = planner_call(ctx, CALL_RECORDS, KV_CAS, key);
+		msg->u.kv_call.version = t->version;
+		msg->u.kv_call.value = record_table_encode(t, ctx->now);
+		p->calls++;
+		part_emit(ctx, msg);
+	}
+	counters_add(ctx->counters, "planner_record_writes_total", "",
+		     p->calls);
+	g_hash_table_remove_all(p->dirty);
+}
+
+/* Writes every table now and then, so that its clock is not lost. */
+static void touch_records(struct part_ctx *ctx)
+{
+	struct planner *p = ctx->parts.planner;
+	GHashTableIter it;
+	gpointer key;
+
+	if (ctx->now - p->recorded < RECORD_INTERVAL)
+		return;
+	p->recorded = ctx->now;
+	g_hash_table_iter_init(&it, p->records);
+	while (g_hash_table_iter_next(&it, &key, NULL))
+		g_hash_table_add(p->dirty, key);
+}
+
+static void plan_now(struct part_ctx *ctx)
+{
+	struct planner *p = ctx->parts.planner;
+	struct plan_input in;
+	guint i;
+
+	planner_input_gather(ctx, &in);
+	plan_decide(p->plan, &in);
+	planner_input_keep(ctx, &in);
+	g_free(p->last);
+	p->last = planner_render(ctx);
+	if (part_invariant(ctx, "availability-budget",
+			   plan_keeps_budgets(p->plan, &in))) {
+		p->expected = document_revision(config_sync_document(ctx));
+		g_array_set_size(p->changes, 0);
+		for (i = 0; i < p->plan->steps->len && i < STEPS_MAX; i++)
+			take_step(ctx, &g_array_index(p->plan->steps,
+						      struct plan_step, i));
+		touch_records(ctx);
+		if (g_hash_table_size(p->dirty))
+			write_records(ctx);
+		else
+			send_changes(ctx);
+	}
+	planner_input_clear(&in);
+}
+
+static void run_planner(struct part_ctx *ctx)
+{
+	struct planner *p = ctx->parts.planner;
+
+	switch (p->state) {
+	case PLANNER_IDLE:
+		p->recorded = ctx->now;
+		begin_reading(ctx);
+		break;
+	case PLANNER_READY:
+		if (document_revision(config_sync_document(ctx)) <
+		    p->wait_revision)
+			break;
+		if (ctx->now - p->down_read >= DOWN_READ_INTERVAL)
+			read_down(ctx);
+		plan_now(ctx);
+		break;
+	default:
+		if (ctx->now - p->since >= CALL_PATIENCE)
+			begin_reading(ctx);
+		break;
+	}
+}
+
+static void on_emptied(struct part_ctx *ctx, uint64_t ref, int code,
+		       uint64_t revision, const char *detail)
+{
+	(void)ref;
+	(void)code; /* the next round tries again on the new document */
+	(void)revision;
+	(void)detail;
+	ctx->parts.planner->is_emptying = false;
+}
+
+/* Marks the drained hosts of this data centre on which nothing runs. */
+static void empty_own_hosts(struct part_ctx *ctx)
+{
+	struct planner *p = ctx->parts.planner;
+	const struct document *doc = config_sync_document(ctx);
+	const struct host_load *load;
+	const struct doc_host *hosts;
+	struct change changes[STEPS_MAX];
+	size_t nr, i, n = 0;
+
+	hosts = document_hosts(doc, &nr);
+	for (i = 0; i < nr && n < STEPS_MAX; i++) {
+		if (hosts[i].state != HOST_DRAINING ||
+		    strcmp(hosts[i].data_centre, ctx->options->data_centre) !=
+			    0)
+			continue;
+		load = g_hash_table_lookup(p->loads, hosts[i].name);
+		if (load && !load->is_idle)
+			continue;
+		memset(&changes[n], 0, sizeof(changes[n]));
+		changes[n].op = CHANGE_HOST_EMPTY;
+		cs_copy(changes[n].name, sizeof(changes[n].name),
+			hosts[i].name);
+		step_event(ctx, &changes[n++], REASON_NOTHING_RUNS);
+	}
+	if (!n)
+		return;
+	p->is_emptying = true;
+	config_sync_change(ctx, 0, changes, n, document_revision(doc), false,
+			   on_emptied);
+}
+
+/* What every lead entry does for its own data centre. */
+static void serve_own(struct part_ctx *ctx, bool plans)
+{
+	struct planner *p = ctx->parts.planner;
+
+	down_report_send(ctx);
+	if (!plans && !p->is_emptying)
+		empty_own_hosts(ctx);
+}
+
+static void on_round(void *arg, uint64_t unused, cs_time now)
+{
+	struct part_ctx *ctx = arg;
+	const char *reason;
+	bool plans;
+
+	(void)unused;
+	ctx->now = now;
+	timers_subscribe(ctx->timers,
+			 now + ROUND_INTERVAL +
+				 g_rand_int_range(ctx->rng, -ROUND_JITTER_MS,
+						  ROUND_JITTER_MS) *
+					 CS_MSEC,
+			 on_round, ctx, 0);
+	reason = doubt(ctx);
+	plans = !reason && is_planner(ctx);
+	if (!plans)
+		go_idle(ctx, reason ? reason : "another_entry_plans");
+	if (reason || !is_lead(ctx)) {
+		ctx->parts.planner->report.is_known = false;
+		return;
+	}
+	down_report_update_loads(ctx);
+	serve_own(ctx, plans);
+	if (plans)
+		run_planner(ctx);
+}
+
+/* Takes the records that the platform holds. */
+static void take_records(struct part_ctx *ctx, const struct kv_done *done)
+{
+	struct planner *p = ctx->parts.planner;
+	struct record_table *t;
+	struct cs_error err;
+	GString *pairs;
+	size_t i;
+
+	g_hash_table_remove_all(p->dirty);
+	g_hash_table_remove_all(p->records);
+	for (i = 0; i < done->rows_nr; i++) {
+		const struct kv_row *row = &done->rows[i];
+
+		if (!row->version || !row->value ||
+		    !g_str_has_prefix(row->key, RECORD_PREFIX))
+			continue;
+		t = record_table_create(row->key + strlen(RECORD_PREFIX),
+					ctx->now);
+		t->version = row->version;
+		g_hash_table_replace(p->records, t->data_centre, t);
+		if (!record_table_decode(t, row->value, ctx->now, &err))
+			continue;
+		/* A malformed table is replaced: its hosts count as new. */
+		pairs = g_string_new(NULL);
+		log_pair(pairs, "event", "record_malformed");
+		log_pair(pairs, "message", err.message);
+		part_event(ctx, LOG_ERROR, err.step, row->key, NULL, pairs);
+	}
+}
+
+static void on_records(struct part_ctx *ctx, const struct kv_done *done)
+{
+	struct planner *p = ctx->parts.planner;
+	struct record_table *t;
+
+	if (done->op == KV_LIST && p->state == PLANNER_READING &&
+	    (done->result == KV_OK || done->result == KV_MISSING)) {
+		take_records(ctx, done);
+		if (!--p->calls)
+			enter(ctx, PLANNER_READY);
+		return;
+	}
+	t = g_str_has_prefix(done->key, RECORD_PREFIX) ?
+		    g_hash_table_lookup(p->records,
+					done->key + strlen(RECORD_PREFIX)) :
+		    NULL;
+	if (done->op == KV_CAS && p->state == PLANNER_RECORDING && t &&
+	    done->result == KV_OK) {
+		t->version = done->version;
+		if (!--p->calls)
+			send_changes(ctx);
+		return;
+	}
+	/* Another planner wrote, or the outcome is unknown: begin anew. */
+	go_idle(ctx, "records_not_current");
+}
+
+static void planner_on_kv(struct part_ctx *ctx, const struct kv_done *done)
+{
+	struct planner *p = ctx->parts.planner;
+
+	switch ((enum planner_call)(done->token % CALL_NR)) {
+	case CALL_REPORT:
+		down_report_on_kv(ctx, done);
+		break;
+	case CALL_DOWN:
+		if (done->token / CALL_NR != p->epoch)
+			break;
+		down_report_read(ctx, done);
+		if (p->state == PLANNER_READING && !--p->calls)
+			enter(ctx, PLANNER_READY);
+		break;
+	case CALL_RECORDS:
+		if (done->token / CALL_NR == p->epoch)
+			on_records(ctx, done);
+		break;
+	default:
+		break;
+	}
+}
+
+void planner_describe(const struct part_ctx *ctx, GString *out)
+{
+	const struct planner *p = ctx->parts.planner;
+
+	if (p->last)
+		g_string_append(out, p->last);
+	else
+		g_string_append_printf(out,
+				       "{\"planning\":false,\"reason\":\"%s\","
+				       "\"steps\":[],\"refusals\":[]}",
+				       p->idle_reason ? p->idle_reason :
+							"starting");
+}
+
+/* What was known before the pause may have been changed by others. */
+static void planner_on_jump(struct part_ctx *ctx)
+{
+	go_idle(ctx, "clock_jump");
+	ctx->parts.planner->quiet_until = ctx->now + QUIET_AFTER_JUMP;
+}
+
+static void planner_drain(struct part_ctx *ctx)
+{
+	go_idle(ctx, "draining");
+}
+
+static void planner_start(struct part_ctx *ctx)
+{
+	timers_subscribe(ctx->timers,
+			 ctx->now +
+				 g_rand_int_range(ctx->rng, 1, 2000) * CS_MSEC,
+			 on_round, ctx, 0);
+}
+
+static void free_table(gpointer table)
+{
+	record_table_destroy(table);
+}
+
+static int planner_create(struct part_ctx *ctx, struct cs_error *err)
+{
+	struct planner *p = g_new0(struct planner, 1);
+
+	(void)err;
+	ctx->parts.planner = p;
+	p->epoch = 1;
+	p->records = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					   free_table);
+	p->dirty = g_hash_table_new(g_str_hash, g_str_equal);
+	p->memory =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	p->seen =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	p->loads =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	p->down = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	p->changes = g_array_new(FALSE, FALSE, sizeof(struct change));
+	p->plan = plan_create();
+	return CS_OK;
+}
+
+static void planner_destroy(struct part_ctx *ctx)
+{
+	struct planner *p = ctx->parts.planner;
+
+	if (!p)
+		return;
+	g_hash_table_destroy(p->dirty);
+	g_hash_table_destroy(p->records);
+	g_hash_table_destroy(p->memory);
+	g_hash_table_destroy(p->seen);
+	g_hash_table_destroy(p->loads);
+	g_hash_table_destroy(p->down);
+	g_array_free(p->changes, TRUE);
+	plan_destroy(p->plan);
+	g_free(p->last);
+	g_free(p->report.text);
+	g_free(p->report.sent);
+	g_free(p);
+	ctx->parts.planner = NULL;
+}
+
+const struct part_ops planner_part = {
+	.name = "planner",
+	.create = planner_create,
+	.destroy = planner_destroy,
+	.start = planner_start,
+	.on_kv = planner_on_kv,
+	.on_jump = planner_on_jump,
+	.drain = planner_drain,
+};
--- /dev/null
+++ b/src/pool/planner_input.c
@@ -0,0 +1,256 @@
+#include <string.h>
+
+#include "../base/error.h"
+#include "../config/config_sync.h"
+#include "../fleet/fleet.h"
+#include "../team/share.h"
+#include "planner_state.h"
+
+/* An index of a row; past the last one if the name is unknown. */
+#define ROW_INDEX(row, rows, nr) ((row) ? (int)((row) - (rows)) : (int)(nr))
+
+struct host_record *planner_record(struct part_ctx *ctx,
+				   const struct doc_host *host)
+{
+	struct planner *p = ctx->parts.planner;
+	struct record_table *t =
+		g_hash_table_lookup(p->records, host->data_centre);
+	cs_time period = plan_policy(PRESET_ORDINARY)->period;
+	struct host_record *row;
+	bool is_new;
+
+	if (!t) {
+		t = record_table_create(host->data_centre, ctx->now);
+		g_hash_table_insert(p->records, t->data_centre, t);
+	}
+	row = record_table_get(t, host->name, period, ctx->now, &is_new);
+	if (is_new)
+		g_hash_table_add(p->dirty, t->data_centre);
+	return row;
+}
+
+/* Forgets what was done, or what operators have overruled. */
+static void tidy_record(const struct document *doc, struct host_record *row,
+			const struct doc_host *host)
+{
+	if (host->state == HOST_ASSIGNED) {
+		/* The drain that was recorded did not come about. */
+		if (row->purpose == PURPOSE_MOVE && !row->is_returning)
+			cs_copy(row->target, sizeof(row->target), host->pool);
+		row->purpose = PURPOSE_NONE;
+		row->is_returning = false;
+	}
+	if (row->purpose != PURPOSE_NONE || !*row->home)
+		return;
+	/* The target of the last move tells a loan from an operator's move. */
+	if (!strcmp(row->home, host->pool) || strcmp(row->target, host->pool) ||
+	    !document_pool(doc, row->home))
+		*row->home = '\0';
+}
+
+static struct seen_host *update_seen(struct part_ctx *ctx,
+				     const struct doc_host *host)
+{
+	struct planner *p = ctx->parts.planner;
+	struct seen_host *seen = g_hash_table_lookup(p->seen, host->name);
+
+	if (!seen) {
+		seen = g_new0(struct seen_host, 1);
+		seen->state = host->state;
+		seen->since = ctx->now;
+		g_hash_table_insert(p->seen, g_strdup(host->name), seen);
+	}
+	if (seen->state != host->state) {
+		seen->state = host->state;
+		seen->since = ctx->now;
+		seen->was_away = seen->is_rebooted = false;
+	}
+	if (host->state == HOST_EMPTY) {
+		if (fleet_is_host_away(ctx, host->name))
+			seen->was_away = true;
+		else if (seen->was_away && fleet_is_host_live(ctx, host->name))
+			seen->is_rebooted = true;
+	}
+	return seen;
+}
+
+/*
+ * Tasks on the host, -1 if not known. The lead entry of each data centre
+ * empties its own hosts; a host that is gone has no tasks any more.
+ */
+static int running_on(const struct part_ctx *ctx, const struct doc_host *host,
+		      bool is_gone)
+{
+	const struct host_load *load;
+
+	if (is_gone)
+		return 0;
+	if (strcmp(host->data_centre, ctx->options->data_centre) != 0)
+		return -1;
+	load = g_hash_table_lookup(ctx->parts.planner->loads, host->name);
+	if (!load)
+		return 0;
+	if (host->state == HOST_DRAINING && !load->is_idle)
+		return load->running > 0 ? load->running : 1;
+	return load->running;
+}
+
+static void fill_host(struct part_ctx *ctx, const struct document *doc,
+		      const struct doc_host *host, struct plan_host *out)
+{
+	struct planner *p = ctx->parts.planner;
+	struct host_record *row = planner_record(ctx, host);
+	const struct record_table *t =
+		g_hash_table_lookup(p->records, host->data_centre);
+	const struct host_load *load =
+		g_hash_table_lookup(p->loads, host->name);
+	bool is_gone = fleet_is_entry_dropped(ctx, host->name);
+	struct seen_host *seen = update_seen(ctx, host);
+	const struct doc_pool *pools, *home, *target;
+	size_t pools_nr;
+
+	pools = document_pools(doc, &pools_nr);
+	tidy_record(doc, row, host);
+	home = document_pool(doc, row->home);
+	target = document_pool(doc, row->target);
+	out->state = host->state;
+	out->is_failed = is_gone || (load && load->is_failed) ||
+			 g_hash_table_contains(p->down, host->name) ||
+			 (host->state == HOST_ASSIGNED &&
+			  fleet_is_host_leaving(ctx, host->name));
+	out->running = running_on(ctx, host, is_gone);
+	out->home = home ? (int)(home - pools) : out->place.pool;
+	out->purpose = row->purpose;
+	out->target = target ? (int)(target - pools) : out->place.pool;
+	out->is_held = seen->held_until > ctx->now;
+	out->is_away = fleet_is_host_away(ctx, host->name);
+	out->is_rebooted = seen->is_rebooted || row->is_returning;
+	out->in_state_for = ctx->now - seen->since;
+	out->age =
+		(cs_time)((record_table_clock(t, ctx->now) - row->maintained) *
+			  (double)CS_SEC);
+}
+
+/* Numbers the racks; a rack name counts within its data centre. */
+static int rack_index(GHashTable *racks, const struct doc_host *host)
+{
+	char *key = g_strdup_printf("%s %s", host->rack, host->data_centre);
+	gpointer value;
+
+	if (g_hash_table_lookup_extended(racks, key, NULL, &value)) {
+		g_free(key);
+		return GPOINTER_TO_INT(value);
+	}
+	value = GINT_TO_POINTER((int)g_hash_table_size(racks));
+	g_hash_table_insert(racks, key, value);
+	return GPOINTER_TO_INT(value);
+}
+
+static void gather_hosts(struct part_ctx *ctx, const struct document *doc,
+			 struct plan_input *in)
+{
+	GHashTable *racks =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	const struct doc_data_centre *dcs;
+	const struct doc_worker *workers;
+	const struct doc_host *hosts, *host;
+	const struct doc_pool *pools;
+	struct plan_host *rows;
+	size_t nr, dcs_nr, pools_nr, i;
+
+	dcs = document_data_centres(doc, &dcs_nr);
+	pools = document_pools(doc, &pools_nr);
+	hosts = document_hosts(doc, &in->hosts_nr);
+	rows = g_new0(struct plan_host, in->hosts_nr + 1);
+	for (i = 0; i < in->hosts_nr; i++) {
+		rows[i].place.rack = rack_index(racks, &hosts[i]);
+		rows[i].place.pool = ROW_INDEX(
+			document_pool(doc, hosts[i].pool), pools, pools_nr);
+		rows[i].place.data_centre = ROW_INDEX(
+			document_data_centre(doc, hosts[i].data_centre), dcs,
+			dcs_nr);
+		fill_host(ctx, doc, &hosts[i], &rows[i]);
+	}
+	workers = document_workers(doc, &nr);
+	for (i = 0; i < nr; i++) {
+		host = document_host(doc, workers[i].host);
+		if (host)
+			rows[host - hosts].slots += workers[i].slots;
+	}
+	in->hosts = rows;
+	in->racks_nr = g_hash_table_size(racks);
+	g_hash_table_destroy(racks);
+}
+
+/* Demand in all data centres: work is forwarded to where slots are. */
+static int pool_demand(const struct part_ctx *ctx, const struct document *doc,
+		       const char *pool)
+{
+	const struct doc_data_centre *dcs;
+	size_t nr, i;
+	int sum = 0;
+
+	dcs = document_data_centres(doc, &nr);
+	for (i = 0; i < nr; i++)
+		sum += share_pool_demand(ctx, pool, dcs[i].name);
+	return sum;
+}
+
+void planner_input_gather(struct part_ctx *ctx, struct plan_input *in)
+{
+	const struct document *doc = config_sync_document(ctx);
+	const struct doc_data_centre *dcs;
+	const struct plan_memory *memory;
+	const struct doc_pool *pools;
+	size_t nr, i;
+	bool *is_out;
+
+	memset(in, 0, sizeof(*in));
+	in->now = ctx->now;
+	in->policy = *plan_policy(document_preset(doc));
+	in->ignores_budget = MUTANT(ctx, "planner-ignore-budget");
+	if (MUTANT(ctx, "planner-no-hysteresis"))
+		plan_policy_drop_hysteresis(&in->policy);
+	/* One row more stands for a name that the document lacks. */
+	dcs = document_data_centres(doc, &nr);
+	in->data_centres_nr = nr + 1;
+	is_out = g_new0(bool, nr + 1);
+	for (i = 0; i < nr; i++)
+		is_out[i] = dcs[i].is_out;
+	in->is_out = is_out;
+	pools = document_pools(doc, &nr);
+	in->pools_nr = nr + 1;
+	in->pools = g_new0(struct plan_pool, nr + 1);
+	for (i = 0; i < nr; i++) {
+		in->pools[i].is_spare = pools[i].is_spare;
+		in->pools[i].budget_percent = pools[i].budget_percent;
+		in->pools[i].demand = pool_demand(ctx, doc, pools[i].name);
+		memory = g_hash_table_lookup(ctx->parts.planner->memory,
+					     pools[i].name);
+		if (memory)
+			in->pools[i].memory = *memory;
+	}
+	gather_hosts(ctx, doc, in);
+}
+
+void planner_input_keep(struct part_ctx *ctx, const struct plan_input *in)
+{
+	struct planner *p = ctx->parts.planner;
+	const struct doc_pool *pools;
+	size_t nr, i;
+
+	pools = document_pools(config_sync_document(ctx), &nr);
+	g_hash_table_remove_all(p->memory);
+	for (i = 0; i < nr; i++)
+		g_hash_table_insert(p->memory, g_strdup(pools[i].name),
+				    g_memdup2(&in->pools[i].memory,
+					      sizeof(in->pools[i].memory)));
+}
+
+void planner_input_clear(struct plan_input *in)
+{
+	g_free(in->pools);
+	g_free((void *)in->hosts);
+	g_free((void *)in->is_out);
+	memset(in, 0, sizeof(*in));
+}
--- /dev/null
+++ b/tests/unit/plan_model.c
@@ -0,0 +1,237 @@
+#include "plan_model.h"
+
+#include <string.h>
+
+#define HOST_SLOTS 8
+#define RACK_HOSTS 4
+#define BUDGET_PERCENT 20
+#define TASK_TIME (2 * CS_SEC)
+
+struct plan_model *plan_model_create(uint32_t seed, struct model_pool *pools,
+				     size_t pools_nr, size_t data_centres,
+				     const struct plan_policy *policy)
+{
+	struct plan_model *m = g_new0(struct plan_model, 1);
+	size_t p, i, n = 0;
+	int k;
+
+	m->rng = g_rand_new_with_seed(seed);
+	m->plan = plan_create();
+	m->pools = pools;
+	m->reboot_time = 60 * CS_SEC;
+	m->in.now = CS_SEC;
+	m->in.policy = *policy;
+	m->in.pools_nr = pools_nr;
+	m->in.pools = g_new0(struct plan_pool, pools_nr);
+	m->in.data_centres_nr = data_centres;
+	m->in.is_out = g_new0(bool, data_centres);
+	for (p = 0; p < pools_nr; p++) {
+		m->in.pools[p].is_spare = pools[p].is_spare;
+		m->in.pools[p].budget_percent = BUDGET_PERCENT;
+		m->in.hosts_nr += (size_t)pools[p].hosts;
+	}
+	n = m->in.hosts_nr;
+	m->in.racks_nr = (n + RACK_HOSTS - 1) / RACK_HOSTS;
+	m->in.hosts = m->hosts = g_new0(struct plan_host, n);
+	m->since = g_new0(cs_time, n);
+	m->failed_until = g_new0(cs_time, n);
+	m->pool_before = g_new0(int, n);
+	m->state_before = g_new0(enum host_state, n);
+	/* Pools are dealt over the racks, as operators do. */
+	for (p = 0, i = 0; p < pools_nr; p++)
+		for (k = 0; k < pools[p].hosts; k++, i++) {
+			struct plan_host *h = &m->hosts[i];
+
+			h->place.pool = h->home = h->target = (int)p;
+			h->place.rack = (int)(i % m->in.racks_nr);
+			h->place.data_centre =
+				h->place.rack % (int)data_centres;
+			h->slots = HOST_SLOTS;
+		}
+	return m;
+}
+
+void plan_model_destroy(struct plan_model *m)
+{
+	g_rand_free(m->rng);
+	plan_destroy(m->plan);
+	g_free(m->in.pools);
+	g_free((void *)m->in.is_out);
+	g_free(m->hosts);
+	g_free(m->since);
+	g_free(m->failed_until);
+	g_free(m->pool_before);
+	g_free(m->state_before);
+	g_free(m);
+}
+
+int plan_model_service(const struct plan_model *m, int pool)
+{
+	int sum = 0;
+	size_t i;
+
+	for (i = 0; i < m->in.hosts_nr; i++)
+		if (m->hosts[i].place.pool == pool &&
+		    m->hosts[i].state == HOST_ASSIGNED &&
+		    !m->hosts[i].is_failed)
+			sum += m->hosts[i].slots;
+	return sum;
+}
+
+void plan_model_fail_rack(struct plan_model *m, int rack, cs_time until)
+{
+	size_t i;
+
+	for (i = 0; i < m->in.hosts_nr; i++)
+		if (m->hosts[i].place.rack == rack)
+			m->failed_until[i] = until;
+}
+
+/* Tasks arrive with noise and are done as far as there are slots. */
+static void pass_load(struct plan_model *m, cs_time dt)
+{
+	double turns = (double)dt / (double)TASK_TIME;
+	struct model_pool *p;
+	double arrived, done;
+	size_t i;
+
+	for (i = 0; i < m->in.pools_nr; i++) {
+		p = &m->pools[i];
+		arrived =
+			p->load * turns * g_rand_double_range(m->rng, 0.8, 1.2);
+		done = plan_model_service(m, (int)i) * turns;
+		p->tasks += arrived;
+		if (turns > 1) /* steady state within one long step */
+			p->tasks = p->load;
+		else
+			p->tasks -= done < p->tasks * turns ? done :
+							      p->tasks * turns;
+		m->in.pools[i].demand = (int)(p->tasks + 0.5);
+	}
+}
+
+static void pass_hosts(struct plan_model *m, cs_time dt)
+{
+	struct plan_host *h;
+	int service;
+	size_t i;
+
+	for (i = 0; i < m->in.hosts_nr; i++) {
+		h = &m->hosts[i];
+		h->age += dt;
+		h->in_state_for = m->in.now - m->since[i];
+		h->is_failed = m->failed_until[i] > m->in.now;
+		h->is_away = h->state == HOST_EMPTY;
+		h->is_rebooted = h->state == HOST_EMPTY &&
+				 h->in_state_for >= m->reboot_time;
+		if (h->state == HOST_DRAINING) {
+			h->running = dt >= TASK_TIME ? h->running / 2 :
+						       h->running - 1;
+			if (h->running < 0 || h->is_failed)
+				h->running = 0;
+			continue;
+		}
+		service = plan_model_service(m, h->place.pool);
+		h->running = service ? (int)(m->pools[h->place.pool].tasks *
+					     h->slots / service) :
+				       0;
+		if (h->running > h->slots)
+			h->running = h->slots;
+	}
+}
+
+static void take_step(struct plan_model *m, const struct plan_step *s)
+{
+	struct plan_host *h = &m->hosts[s->host];
+
+	m->since[s->host] = m->in.now;
+	if (s->op == PLAN_DRAIN) {
+		m->drains++;
+		h->state = HOST_DRAINING;
+		h->purpose = s->purpose;
+		h->target = s->pool;
+	} else if (s->op == PLAN_EMPTY) {
+		h->state = HOST_EMPTY;
+	} else {
+		m->moves += h->place.pool != s->pool;
+		if (h->purpose == PURPOSE_MAINTAIN) {
+			m->maintained++;
+			h->age = 0;
+		}
+		h->state = HOST_ASSIGNED;
+		h->place.pool = s->pool;
+		h->purpose = PURPOSE_NONE;
+	}
+}
+
+void plan_model_step(struct plan_model *m, cs_time dt)
+{
+	size_t i;
+	guint k;
+
+	m->in.now += dt;
+	pass_load(m, dt);
+	pass_hosts(m, dt);
+	for (i = 0; i < m->in.hosts_nr; i++) {
+		m->pool_before[i] = m->hosts[i].place.pool;
+		m->state_before[i] = m->hosts[i].state;
+	}
+	plan_decide(m->plan, &m->in);
+	for (k = 0; k < m->plan->steps->len && !m->is_static; k++)
+		take_step(m,
+			  &g_array_index(m->plan->steps, struct plan_step, k));
+}
+
+/* True if more hosts are down than the budget of a group allows. */
+static bool is_over(const struct plan_model *m, size_t host, bool with_failed,
+		    int group, int percent)
+{
+	const struct budget_place *at = &m->hosts[host].place, *x;
+	const struct plan_host *h;
+	int all = 0, down = 0, limit;
+	size_t i;
+
+	for (i = 0; i < m->in.hosts_nr; i++) {
+		h = &m->hosts[i];
+		x = &h->place;
+		if (group == 0 ? x->rack != at->rack :
+		    group == 1 ? x->pool != at->pool :
+				 x->data_centre != at->data_centre)
+			continue;
+		all++;
+		down += h->state != HOST_ASSIGNED ||
+			(with_failed && h->is_failed);
+	}
+	limit = group == 0 ? 1 : all * percent / 100;
+	if (limit < 1 && all > 1)
+		limit = 1;
+	return down > limit;
+}
+
+const char *plan_model_fault(const struct plan_model *m)
+{
+	static const char *const names[] = { "rack", "pool", "data_centre" };
+	const struct plan_host *h;
+	bool is_new;
+	size_t i;
+	int g;
+
+	for (i = 0; i < m->in.hosts_nr; i++) {
+		h = &m->hosts[i];
+		is_new = h->state == HOST_DRAINING &&
+			 m->state_before[i] == HOST_ASSIGNED;
+		for (g = 0; g < 3 && h->state != HOST_ASSIGNED; g++)
+			if (is_over(m, i, is_new, g, BUDGET_PERCENT))
+				return names[g];
+		if (h->place.pool < 0 ||
+		    (size_t)h->place.pool >= m->in.pools_nr ||
+		    (h->place.pool != m->pool_before[i] &&
+		     (m->state_before[i] != HOST_EMPTY ||
+		      h->state != HOST_ASSIGNED)))
+			return "one_pool";
+		if (m->state_before[i] == HOST_ASSIGNED &&
+		    h->state == HOST_EMPTY)
+			return "skipped_drain";
+	}
+	return NULL;
+}
--- /dev/null
+++ b/tests/unit/test_budget.c
@@ -0,0 +1,112 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "../../src/pool/budget.h"
+
+/* Two data centres, ten hosts each on racks of their own, one pool. */
+static struct budget *make_fleet(int failed, bool second_is_out)
+{
+	struct budget *b = budget_create(20, 1, 2);
+	int i;
+
+	budget_set_pool(b, 0, 25);
+	if (second_is_out)
+		budget_set_out(b, 1);
+	for (i = 0; i < 20; i++)
+		budget_add(b, &(struct budget_place){ i, 0, i / 10 },
+			   i < failed);
+	return b;
+}
+
+/* Rounding up would stop more of a pool than its operators allow. */
+static void limit_rounds_down(void **state)
+{
+	(void)state;
+	assert_int_equal(budget_limit(9, 25), 2);
+	assert_int_equal(budget_limit(3, 25), 1);
+	assert_int_equal(budget_limit(2, 0), 1);
+	assert_int_equal(budget_limit(1, 25), 0);
+	assert_int_equal(budget_limit(0, 25), 0);
+}
+
+/* Two hosts of a rack must not stop together: they may serve one another. */
+static void rack_stops_one_host_at_a_time(void **state)
+{
+	struct budget *b = budget_create(1, 2, 1);
+	struct budget_place place = { 0, 0, 0 };
+	int i;
+
+	(void)state;
+	budget_set_pool(b, 0, 100);
+	for (i = 0; i < 10; i++)
+		budget_add(b, &place, false);
+	assert_int_equal(budget_take(b, &place), BUDGET_GRANTED);
+	assert_int_equal(budget_take(b, &place), BUDGET_NO_RACK);
+	budget_destroy(b);
+}
+
+/* A fifth of a data centre is the most, also when the pool allows more. */
+static void data_centre_keeps_four_fifths(void **state)
+{
+	struct budget *b = make_fleet(0, false);
+	int i;
+
+	(void)state;
+	for (i = 0; i < 2; i++)
+		assert_int_equal(budget_take(b,
+					     &(struct budget_place){ i, 0, 0 }),
+				 BUDGET_GRANTED);
+	assert_int_equal(budget_take(b, &(struct budget_place){ 2, 0, 0 }),
+			 BUDGET_NO_DATA_CENTRE);
+	assert_int_equal(budget_take(b, &(struct budget_place){ 10, 0, 1 }),
+			 BUDGET_GRANTED);
+	budget_destroy(b);
+}
+
+/* Planned work must not go on while a wave of failures takes hosts down. */
+static void failures_halt_planned_stops(void **state)
+{
+	struct budget *b = make_fleet(5, false);
+
+	(void)state;
+	assert_int_equal(budget_take(b, &(struct budget_place){ 10, 0, 1 }),
+			 BUDGET_NO_POOL);
+	budget_destroy(b);
+}
+
+/* Hosts that are out of service would use up the budget of those in it. */
+static void data_centre_that_is_out_does_not_count(void **state)
+{
+	struct budget *b = make_fleet(0, true);
+	int i;
+
+	(void)state;
+	for (i = 10; i < 20; i++)
+		assert_int_equal(budget_take(b,
+					     &(struct budget_place){ i, 0, 1 }),
+				 BUDGET_GRANTED);
+	assert_int_equal(budget_take(b, &(struct budget_place){ 0, 0, 0 }),
+			 BUDGET_GRANTED);
+	budget_destroy(b);
+	/* The pool has ten hosts that count, so two may stop and not five. */
+	b = make_fleet(2, true);
+	assert_int_equal(budget_take(b, &(struct budget_place){ 2, 0, 0 }),
+			 BUDGET_NO_POOL);
+	budget_destroy(b);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(limit_rounds_down),
+		cmocka_unit_test(rack_stops_one_host_at_a_time),
+		cmocka_unit_test(data_centre_keeps_four_fifths),
+		cmocka_unit_test(failures_halt_planned_stops),
+		cmocka_unit_test(data_centre_that_is_out_does_not_count),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
