--- a/src/pool/plan.h
+++ b/src/pool/plan.h
@@ -38,6 +38,16 @@
 	struct plan_memory memory; /* updated by plan_decide() */
 };
 
+/*
+ * The pace of maintenance: one host for each credit, and credit grows by one
+ * host every period / hosts. Late hosts do not wait for credit but use it
+ * up, so that the mean pace stays. Zero at first.
+ */
+struct plan_pace {
+	cs_time counted;
+	double credit;
+};
+
 struct plan_host {
 	struct budget_place place;
 	enum host_state state;
@@ -75,6 +85,7 @@
 	cs_time now;
 	struct plan_policy policy;
 	bool ignores_budget; /* only for a test that must see it fail */
+	struct plan_pace pace; /* updated by plan_decide() */
 	struct plan_pool *pools;
 	size_t pools_nr;
 	const struct plan_host *hosts;
--- a/src/pool/plan_maintain.c
+++ b/src/pool/plan_maintain.c
@@ -12,12 +12,6 @@
 /* What stays of a pool must hold this much of its demand, in percent. */
 #define DEMAND_MARGIN_PERCENT 110
 
-struct maintenance {
-	struct plan_round *r;
-	int *hosts; /* the oldest first */
-	size_t nr;
-};
-
 static int compare_age(gconstpointer a, gconstpointer b, gpointer arg)
 {
 	const struct plan_input *in = arg;
@@ -50,28 +44,22 @@
 }
 
 /*
- * How many hosts must begin now. With one host every period / n, the k-th
- * oldest has its turn k intervals from now; as soon as it would then be older
- * than the period, the schedule is behind by the difference. This spreads
- * maintenance evenly whatever the ages are at first.
+ * Credit grows evenly. What could not be used, since budgets or demand were
+ * against it, is kept up to most hosts; debt is bounded by one round of all.
  */
-static int count_due(const struct maintenance *m)
+static void update_pace(struct plan_input *in, int most)
 {
-	const struct plan_input *in = m->r->in;
-	cs_time interval = in->policy.period / (cs_time)m->nr;
-	cs_time late, most = -1;
-	size_t k;
-
-	for (k = 0; k < m->nr; k++) {
-		late = in->hosts[m->hosts[k]].age + (cs_time)k * interval -
-		       in->policy.period;
-		if (late > most)
-			most = late;
-	}
-	if (most < 0)
-		return 0;
-	most = most / (interval ? interval : 1) + 1;
-	return most < (cs_time)m->nr ? (int)most : (int)m->nr;
+	struct plan_pace *pace = &in->pace;
+	double nr = (double)in->hosts_nr;
+
+	if (pace->counted)
+		pace->credit += (double)(in->now - pace->counted) * nr /
+				(double)in->policy.period;
+	pace->counted = in->now;
+	if (pace->credit > most)
+		pace->credit = most;
+	if (pace->credit < -nr)
+		pace->credit = -nr;
 }
 
 /* True if the pool can do its present work without the host. */
@@ -103,36 +91,40 @@
 
 void plan_maintenance(struct plan_round *r)
 {
-	const struct plan_input *in = r->in;
-	struct maintenance m = { .r = r };
-	size_t i, window;
-	int due, room;
+	struct plan_input *in = r->in;
+	int *hosts = g_new(int, in->hosts_nr + 1);
+	size_t i, nr = 0, window;
+	int limit, room;
+	bool is_late;
 
-	m.hosts = g_new(int, in->hosts_nr + 1);
 	for (i = 0; i < in->hosts_nr; i++)
 		if (!is_begun(&in->hosts[i]))
-			m.hosts[m.nr++] = (int)i;
-	if (!m.nr) {
-		g_free(m.hosts);
-		return;
-	}
-	g_qsort_with_data(m.hosts, (int)m.nr, sizeof(int), compare_age, r->in);
-	due = count_due(&m);
-	room = budget_limit((int)in->hosts_nr, in->policy.maintain_percent) -
-	       (int)(in->hosts_nr - m.nr);
-	window = m.nr / CANDIDATE_PART + (size_t)due;
-	if (window > m.nr)
-		window = m.nr;
-	g_qsort_with_data(m.hosts, (int)window, sizeof(int), compare_candidates,
-			  r->in);
-	for (i = 0; i < window && due > 0 && room > 0; i++) {
-		if (!begin(r, m.hosts[i]))
+			hosts[nr++] = (int)i;
+	limit = budget_limit((int)in->hosts_nr, in->policy.maintain_percent);
+	room = limit - (int)(in->hosts_nr - nr);
+	update_pace(in, limit);
+	g_qsort_with_data(hosts, (int)nr, sizeof(int), compare_age, in);
+	window = nr / CANDIDATE_PART + 1;
+	while (window < nr && in->hosts[hosts[window]].age >= in->policy.period)
+		window++;
+	if (window > nr)
+		window = nr;
+	g_qsort_with_data(hosts, (int)window, sizeof(int), compare_candidates,
+			  in);
+	for (i = 0; i < window; i++) {
+		is_late = in->hosts[hosts[i]].age >= in->policy.period;
+		if (!is_late && in->pace.credit < 1)
+			break;
+		if (room <= 0) {
+			plan_refuse(r, PURPOSE_MAINTAIN, hosts[i],
+				    in->hosts[hosts[i]].place.pool,
+				    REASON_MAINTENANCE_FULL);
+			break;
+		}
+		if (!begin(r, hosts[i]))
 			continue;
-		due--;
+		in->pace.credit -= 1;
 		room--;
 	}
-	if (due > 0 && room <= 0)
-		plan_refuse(r, PURPOSE_MAINTAIN, -1, -1,
-			    REASON_MAINTENANCE_FULL);
-	g_free(m.hosts);
+	g_free(hosts);
 }
--- a/src/pool/planner.c
+++ b/src/pool/planner.c
@@ -81,6 +81,7 @@
 	g_array_set_size(p->changes, 0);
 	g_hash_table_remove_all(p->dirty);
 	g_hash_table_remove_all(p->records);
+	memset(&p->pace, 0, sizeof(p->pace));
 	g_hash_table_remove_all(p->memory);
 	g_hash_table_remove_all(p->seen);
 	g_free(p->last);
--- a/src/pool/planner_input.c
+++ b/src/pool/planner_input.c
@@ -207,6 +207,7 @@
 
 	memset(in, 0, sizeof(*in));
 	in->now = ctx->now;
+	in->pace = ctx->parts.planner->pace;
 	in->policy = *plan_policy(document_preset(doc));
 	in->ignores_budget = MUTANT(ctx, "planner-ignore-budget");
 	if (MUTANT(ctx, "planner-no-hysteresis"))
@@ -240,6 +241,7 @@
 	size_t nr, i;
 
 	pools = document_pools(config_sync_document(ctx), &nr);
+	p->pace = in->pace;
 	g_hash_table_remove_all(p->memory);
 	for (i = 0; i < nr; i++)
 		g_hash_table_insert(p->memory, g_strdup(pools[i].name),
--- a/src/pool/planner_state.h
+++ b/src/pool/planner_state.h
@@ -53,6 +53,7 @@
 	GHashTable *records; /* data centre -> struct record_table */
 	GHashTable *dirty; /* data centres whose records must be written */
 	cs_time recorded; /* last write of all records */
+	struct plan_pace pace;
 	GHashTable *memory; /* pool -> struct plan_memory */
 	GHashTable *seen; /* host -> struct seen_host */
 	GHashTable *down; /* hosts that other data centres report */
