--- a/src/pool/plan.h
+++ b/src/pool/plan.h
@@ -38,6 +38,16 @@
 	struct plan_memory memory; /* updated by plan_decide() */
 };
 
+/*
+ * The pace of maintenance: one host for each credit, and credit grows by one
+ * host every period / hosts. Late hosts do not wait for credit but use it
+ * up, so that the mean pace stays. Zero at first.
+ */
+struct plan_pace {
+	cs_time counted;
+	double credit;
+};
+
 struct plan_host {
 	struct budget_place place;
 	enum host_state state;
@@ -68,10 +78,14 @@
 
 const struct plan_policy *plan_policy(enum preset preset);
 
+/* Removes what keeps the planner from moving at every change of demand. */
+void plan_policy_drop_hysteresis(struct plan_policy *policy);
+
 struct plan_input {
 	cs_time now;
 	struct plan_policy policy;
 	bool ignores_budget; /* only for a test that must see it fail */
+	struct plan_pace pace; /* updated by plan_decide() */
 	struct plan_pool *pools;
 	size_t pools_nr;
 	const struct plan_host *hosts;
@@ -106,6 +120,7 @@
 	REASON_MAINTENANCE_FULL,
 	REASON_STILL_RUNNING,
 	REASON_REBOOTING,
+	REASON_HOST_FAILED,
 	REASON_NR
 };
 
@@ -142,4 +157,10 @@
  */
 void plan_decide(struct plan *plan, struct plan_input *in);
 
+/*
+ * Counts again, without tokens, whether no group that a drain of the plan
+ * touches has more hosts down than its budget. O(n).
+ */
+bool plan_keeps_budgets(const struct plan *plan, const struct plan_input *in);
+
 #endif
