--- /dev/null
+++ b/scripts/site.sh
@@ -0,0 +1,203 @@
+# Sets up a small site on loopback for the demo and the process tests. To be
+# sourced. The caller may set SITE_DIR, PORT_BASE, VARIANT, PLACES and WORKERS.
+
+VARIANT=${VARIANT:-rel}
+BIN=$PWD/build/$VARIANT/camphorshed
+STANDIN=$PWD/build/$VARIANT/camphorshed-standin
+SITE_DIR=${SITE_DIR:-$(mktemp -d)}
+# Sites that run at the same time must not share ports.
+PORT_BASE=${PORT_BASE:-$((20000 + ($$ % 200) * 100))}
+PLACES=${PLACES:-"dc1 dc2"}
+WORKERS=${WORKERS:-2} # per data centre
+TOKEN=demo-token-0123456789
+PLATFORM=127.0.0.1:$PORT_BASE
+PLATFORM_CONTROL=127.0.0.1:$((PORT_BASE + 1))
+PIDS=
+
+# Ports of entry N: callers, operators, peers.
+front_port() { echo $((PORT_BASE + 10 + 3 * $1)); }
+admin_port() { echo $((PORT_BASE + 11 + 3 * $1)); }
+peer_port() { echo $((PORT_BASE + 12 + 3 * $1)); }
+worker_port() { echo $((PORT_BASE + 60 + $1)); }
+
+# start NAME COMMAND...: runs a process in the background with its own log.
+start() {
+	site_name=$1
+	shift
+	"$@" >"$SITE_DIR/$site_name.log" 2>&1 &
+	eval "PID_$site_name=$!"
+	PIDS="$PIDS $!"
+}
+
+pid_of() { eval "echo \$PID_$1"; }
+
+# data_centre_of N: entries 1 and 2 stand in the first, 3 and 4 in the second.
+data_centre_of() {
+	# shellcheck disable=SC2086
+	set -- $(( ($1 - 1) / 2 + 1 )) $PLACES
+	shift "$1"
+	echo "$1"
+}
+
+write_settings() {
+	f=$SITE_DIR/e$1.ini
+	cat >"$f" <<-END
+	[entry]
+	id = e$1
+	data_centre = $(data_centre_of "$1")
+	drain = 20s
+	[front]
+	listen = 127.0.0.1:$(front_port "$1")
+	[admin]
+	listen = 127.0.0.1:$(admin_port "$1")
+	token = $TOKEN
+	[peer]
+	listen = 127.0.0.1:$(peer_port "$1")
+	secret = demo-peer-secret-0123456789
+	[platform]
+	address = $PLATFORM
+	timeout = 1s
+	END
+	for other in $ENTRIES; do
+		[ "$other" = "$1" ] || cat >>"$f" <<-END
+		[peer e$other]
+		address = 127.0.0.1:$(peer_port "$other")
+		data_centre = $(data_centre_of "$other")
+		END
+	done
+	chmod 600 "$f"
+}
+
+# One host with one worker each; all in pool "main".
+write_document() {
+	f=$SITE_DIR/site.fleet.ini
+	printf '[preset]\nname = ordinary\n[pool main]\nbudget_percent = 50\n[pool spare]\nis_spare = true\nbudget_percent = 50\n' >"$f"
+	n=0
+	for place in $PLACES; do
+		printf '[data-centre %s]\nregion = south\n' "$place" >>"$f"
+		i=0
+		while [ $i -lt "$WORKERS" ]; do
+			cat >>"$f" <<-END
+			[host h-$place-$i]
+			rack = r-$place-$i
+			data_centre = $place
+			pool = main
+			[worker w-$place-$i]
+			host = h-$place-$i
+			address = 127.0.0.1:$(worker_port $n)
+			slots = 8
+			END
+			echo "h-$place-$i 127.0.0.1:$(worker_port $n) $place" \
+				>>"$SITE_DIR/hosts"
+			i=$((i + 1))
+			n=$((n + 1))
+		done
+	done
+	printf '[queue jobs]\npool = main\n' >>"$f"
+}
+
+ctl() {
+	"$BIN" ctl --entry "127.0.0.1:$(admin_port 1)" \
+		--token-file "$SITE_DIR/token" "$@"
+}
+
+# wait_for SECONDS COMMAND...: tries until the command passes.
+wait_for() {
+	tries=$(($1 * 20))
+	shift
+	while [ $tries -gt 0 ]; do
+		"$@" >/dev/null 2>&1 && return 0
+		sleep 0.05
+		tries=$((tries - 1))
+	done
+	echo "timeout: $*" >&2
+	return 1
+}
+
+entry_ready() {
+	curl -fsS -o /dev/null "http://127.0.0.1:$(admin_port "$1")/readyz"
+}
+
+entry_healthy() {
+	curl -fsS -o /dev/null "http://127.0.0.1:$(admin_port "$1")/healthz"
+}
+
+platform_up() {
+	curl -fsS -o /dev/null "http://$PLATFORM/hosts"
+}
+
+start_entry() { start "e$1" "$BIN" entry -c "$SITE_DIR/e$1.ini"; }
+
+# Starts platform, workers and entries, and applies the first document.
+start_site() {
+	ENTRIES=
+	n=0
+	for place in $PLACES; do
+		ENTRIES="$ENTRIES $((n + 1)) $((n + 2))"
+		n=$((n + 2))
+	done
+	: >"$SITE_DIR/hosts"
+	echo "$TOKEN" >"$SITE_DIR/token"
+	chmod 600 "$SITE_DIR/token"
+	write_document
+	for n in $ENTRIES; do
+		write_settings "$n"
+		echo "e$n 127.0.0.1:$(peer_port "$n") $(data_centre_of "$n")" \
+			>>"$SITE_DIR/hosts"
+	done
+	start platform "$STANDIN" platform --listen "$PLATFORM" \
+		--control "$PLATFORM_CONTROL" --hosts "$SITE_DIR/hosts"
+	n=0
+	for place in $PLACES; do
+		i=0
+		while [ $i -lt "$WORKERS" ]; do
+			start "w$n" "$STANDIN" worker \
+				--listen "127.0.0.1:$(worker_port $n)" \
+				--name "w-$place-$i"
+			i=$((i + 1))
+			n=$((n + 1))
+		done
+	done
+	wait_for 5 platform_up || return 1
+	for n in $ENTRIES; do start_entry "$n"; done
+	for n in $ENTRIES; do wait_for 5 entry_healthy "$n" || return 1; done
+	ctl document apply "$SITE_DIR/site.fleet.ini" >/dev/null || return 1
+	for n in $ENTRIES; do wait_for 8 entry_ready "$n" || return 1; done
+}
+
+# Ends every process by its id, gracefully, and reports how each ended.
+stop_site() {
+	site_rc=0
+	for n in $ENTRIES; do
+		pid=$(pid_of "e$n")
+		kill -TERM "$pid" 2>/dev/null || continue
+	done
+	for n in $ENTRIES; do
+		pid=$(pid_of "e$n")
+		wait "$pid" || { echo "e$n ended with $?" >&2; site_rc=1; }
+	done
+	for pid in $PIDS; do
+		kill -TERM "$pid" 2>/dev/null
+	done
+	wait
+	return $site_rc
+}
+
+# For a trap: ends what is left after a failure.
+abort_site() {
+	for pid in $PIDS; do
+		kill -KILL "$pid" 2>/dev/null
+	done
+	wait 2>/dev/null
+}
+
+# submit ENTRY KEY BODY [CURL OPTIONS]: one short request.
+submit() {
+	submit_entry=$1
+	submit_key=$2
+	submit_body=$3
+	shift 3
+	curl -sS -m 30 -H "Authorization: Bearer $submit_key" "$@" \
+		--data-binary "$submit_body" \
+		"http://127.0.0.1:$(front_port "$submit_entry")/v1/queues/jobs/jobs"
+}
