Give permits back when no work waits, and name what a drain waits for

Cause: the demo's entries ended only at the drain limit of 20 s. The ledger kept permits for work that had long started, because dispatch told it of demand but never that the demand was gone.

Ruled out: a permit that was not released (the counts were right), and the claims map (it waited 0.25 s).

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -67,5 +67,5 @@
 title "stop everything gracefully"
 stop_site
 trap - EXIT
-rm -rf "$SITE_DIR"
+[ -n "${KEEP:-}" ] || rm -rf "$SITE_DIR"
 echo "all processes ended with exit code 0"
--- a/scripts/site.sh
+++ b/scripts/site.sh
@@ -170,14 +170,14 @@
 	site_rc=0
 	for n in $ENTRIES; do
 		pid=$(pid_of "e$n")
-		kill -TERM "$pid" 2>/dev/null || continue
+		kill -TERM "$pid" 2>/dev/null || :
 	done
 	for n in $ENTRIES; do
 		pid=$(pid_of "e$n")
 		wait "$pid" || { echo "e$n ended with $?" >&2; site_rc=1; }
 	done
 	for pid in $PIDS; do
-		kill -TERM "$pid" 2>/dev/null
+		kill -TERM "$pid" 2>/dev/null || :
 	done
 	wait
 	return $site_rc
@@ -186,9 +186,9 @@
 # For a trap: ends what is left after a failure.
 abort_site() {
 	for pid in $PIDS; do
-		kill -KILL "$pid" 2>/dev/null
+		kill -KILL "$pid" 2>/dev/null || :
 	done
-	wait 2>/dev/null
+	wait 2>/dev/null || :
 }
 
 # submit ENTRY KEY BODY [CURL OPTIONS]: one short request.
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -2,6 +2,7 @@
 
 #include <inttypes.h>
 #include <log4c.h>
+#include <stdio.h>
 #include <string.h>
 
 #include "error.h"
@@ -28,6 +29,19 @@
 	return event->evt_msg;
 }
 
+/* Writes the line as it is; log4c's own appender puts its name before it. */
+static int append_line(log4c_appender_t *appender,
+		       const log4c_logging_event_t *event)
+{
+	(void)appender;
+	return fputs(event->evt_rendered_msg, stderr) < 0 ? -1 : 0;
+}
+
+static const log4c_appender_type_t line_appender = {
+	.name = "camphorshed.stderr",
+	.append = append_line
+};
+
 static const log4c_layout_type_t line_layout = { "camphorshed.line",
 						 format_line };
 
@@ -52,10 +66,11 @@
 		goto fail;
 	log->level = level;
 	log->category = log4c_category_get("camphorshed");
-	log->appender = log4c_appender_get("stderr");
+	log->appender = log4c_appender_get("camphorshed.stderr");
 	log->layout = log4c_layout_get("camphorshed.line");
 	if (!log->category || !log->appender || !log->layout)
 		goto fail;
+	log4c_appender_set_type(log->appender, &line_appender);
 	log4c_layout_set_type(log->layout, &line_layout);
 	log4c_appender_set_layout(log->appender, log->layout);
 	log4c_category_set_appender(log->category, log->appender);
--- a/src/camphorshed.h
+++ b/src/camphorshed.h
@@ -134,9 +134,15 @@
 /* The time at which entry_advance() has work next, or CS_TIME_NEVER. */
 cs_time entry_next_due(const struct entry *entry);
 
+/* True once a drain has been asked for. */
+bool entry_is_draining(const struct entry *entry);
+
 /* True once a drain has been asked for and nothing is in flight any more. */
 bool entry_is_drained(const struct entry *entry);
 
+/* The part that a drain still waits for, or NULL. For logs. */
+const char *entry_drain_blocker(const struct entry *entry);
+
 /* Revision of the fleet document in force at this entry; 0: none yet. */
 uint64_t entry_revision(const struct entry *entry);
 
--- a/src/entry/core_task.c
+++ b/src/entry/core_task.c
@@ -17,6 +17,7 @@
 	cs_time armed; /* when the timer is due, CS_TIME_NEVER if it is not */
 	int drained_fd;
 	bool is_drained;
+	const char *blocker; /* part that the drain waits for */
 };
 
 static void emit(void *ctx, struct msg *msg)
@@ -29,6 +30,27 @@
 
 static const struct outbox_ops outbox = { emit };
 
+/* Logs what a drain waits for, once for each part. */
+static void note_drain(struct core_task *c)
+{
+	const char *blocker = entry_is_draining(c->entry) ?
+				      entry_drain_blocker(c->entry) :
+				      NULL;
+	GString *pairs;
+
+	if (blocker == c->blocker)
+		return;
+	c->blocker = blocker;
+	if (!blocker)
+		return;
+	pairs = g_string_new(NULL);
+	log_pair(pairs, "event", "drain_waits");
+	log_pair(pairs, "part", blocker);
+	log_write(bus_log(c->bus), LOG_INFO, "core", "drain", NULL, NULL,
+		  pairs->str);
+	g_string_free(pairs, TRUE);
+}
+
 /* Sets the timer for the core's next due time, and tells of a drain's end. */
 static void settle(struct core_task *c, cs_time now)
 {
@@ -36,6 +58,7 @@
 	struct timeval tv = { 0, 0 };
 	uint64_t one = 1;
 
+	note_drain(c);
 	if (entry_is_drained(c->entry) && !c->is_drained) {
 		c->is_drained = true;
 		if (write(c->drained_fd, &one, sizeof(one)) < 0)
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -256,18 +256,26 @@
 	return timers_next_due(e->ctx.timers);
 }
 
-bool entry_is_drained(const struct entry *e)
+const char *entry_drain_blocker(const struct entry *e)
 {
 	struct part_ctx *ctx = (struct part_ctx *)&e->ctx;
 	int i;
 
-	if (!e->is_drain_told)
-		return false;
 	for (i = 0; i < PART_NR; i++)
 		if (part_table[i]->is_drained &&
 		    !part_table[i]->is_drained(ctx))
-			return false;
-	return true;
+			return part_table[i]->name;
+	return NULL;
+}
+
+bool entry_is_draining(const struct entry *e)
+{
+	return e->is_drain_told;
+}
+
+bool entry_is_drained(const struct entry *e)
+{
+	return e->is_drain_told && !entry_drain_blocker(e);
 }
 
 uint64_t entry_revision(const struct entry *e)
--- a/src/job/dispatch.c
+++ b/src/job/dispatch.c
@@ -154,6 +154,12 @@
 			ctx->timers, ctx->now + TICK_INTERVAL, on_tick, ctx, 0);
 }
 
+void dispatch_tell_demand(struct part_ctx *ctx, const struct team_queue *q)
+{
+	ledger_sync_demand(ctx, q->team,
+			   q->budget->queued + q->budget->long_waiting);
+}
+
 void dispatch_enqueue(struct part_ctx *ctx, struct request *r, bool at_head)
 {
 	const struct document *doc = config_sync_document(ctx);
@@ -178,6 +184,8 @@
 	q->share_row = share_row(ctx, pool, team, dt ? dt->share : 1);
 	q->long_waiting += delta;
 	p->long_waiting += delta;
+	q->budget->long_waiting += delta;
+	dispatch_tell_demand(ctx, q);
 	share_queued(ctx, q->share_row, delta);
 	arm_tick(ctx);
 }
@@ -340,8 +348,7 @@
 			q->is_blocked = false;
 			share_unblock(ctx, q->share_row);
 		}
-		ledger_sync_demand(ctx, q->team,
-				   q->budget->queued + q->long_waiting);
+		dispatch_tell_demand(ctx, q);
 	}
 }
 
--- a/src/job/dispatch_private.h
+++ b/src/job/dispatch_private.h
@@ -56,6 +56,9 @@
 /* Frees a request without an answer: the caller is gone. */
 void dispatch_drop(struct part_ctx *ctx, struct request *request);
 
+/* Tells the ledger how much of the team's work waits for a permit. */
+void dispatch_tell_demand(struct part_ctx *ctx, const struct team_queue *q);
+
 /* Queues a request that has passed all checks, or that runs once more. */
 void dispatch_enqueue(struct part_ctx *ctx, struct request *request,
 		      bool at_head);
--- a/src/job/dispatch_run.c
+++ b/src/job/dispatch_run.c
@@ -159,7 +159,10 @@
 			   &r->placement);
 	if (code)
 		return code;
-	code = ledger_sync_acquire(ctx, r->team->team);
+	/* The lease, which ends at the deadline, ends the task at the worker.
+	 */
+	code = ledger_sync_acquire_for(
+		ctx, r->team->team, MAX(1, (r->deadline - ctx->now) / CS_MSEC));
 	if (code) {
 		fleet_finish(ctx, r->placement.worker, FLEET_NEUTRAL);
 		return code;
@@ -168,6 +171,8 @@
 		       r->submit.is_idempotent || !r->may_have_run);
 	request_dequeue(d->table, r);
 	share_queued(ctx, r->team->share_row, -1);
+	if (!r->team->budget->queued)
+		dispatch_tell_demand(ctx, r->team);
 	share_started(ctx, r->team->share_row);
 	r->team->budget->running++;
 	dispatch_span(ctx, r, "queue", "", r->attempts ? ctx->now : r->arrived,
@@ -212,13 +217,15 @@
 {
 	request_dequeue(ctx->parts.dispatch->table, r);
 	share_queued(ctx, r->team->share_row, -1);
+	if (!r->team->budget->queued)
+		dispatch_tell_demand(ctx, r->team);
 }
 
 static void block_team(struct part_ctx *ctx, struct team_queue *q)
 {
 	q->is_blocked = true;
 	share_block(ctx, q->share_row);
-	ledger_sync_demand(ctx, q->team, q->budget->queued + q->long_waiting);
+	dispatch_tell_demand(ctx, q);
 	counters_add(ctx->counters, "permit_waits_total", "", 1);
 }
 
--- a/src/job/long_move.c
+++ b/src/job/long_move.c
@@ -327,7 +327,7 @@
 static bool take_running(struct part_ctx *ctx, const struct long_record *r,
 			 struct placement *placement)
 {
-	if (ledger_sync_acquire(ctx, r->team))
+	if (ledger_sync_acquire_for(ctx, r->team, LONG_LEASE / CS_MSEC))
 		return false;
 	if (!fleet_take_over(ctx, r->worker, placement))
 		return true;
--- a/src/job/long_work.c
+++ b/src/job/long_work.c
@@ -182,7 +182,8 @@
 	code = fleet_place(ctx, pool, job->failed_workers, 3, &job->placement);
 	if (code)
 		return code;
-	code = ledger_sync_acquire(ctx, team);
+	/* A dead owner renews no lease. */
+	code = ledger_sync_acquire_for(ctx, team, LONG_LEASE / CS_MSEC);
 	if (code) {
 		fleet_finish(ctx, job->placement.worker, FLEET_NEUTRAL);
 		return code;
--- a/src/job/request.h
+++ b/src/job/request.h
@@ -74,6 +74,7 @@
 	char team[CS_NAME_MAX];
 	struct retry_budget retry;
 	int queued, running;
+	int long_waiting; /* long jobs that wait for a slot */
 };
 
 struct pool_queue {
