--- a/src/pool/plan.c
+++ b/src/pool/plan.c
@@ -74,6 +74,7 @@
 	[REASON_NO_POOL_BUDGET] = "no_pool_budget",
 	[REASON_NO_DATA_CENTRE_BUDGET] = "no_data_centre_budget",
 	[REASON_SHORTAGE_TOO_NEW] = "shortage_too_new",
+	[REASON_DEMAND_FALLING] = "demand_falling",
 	[REASON_COST_EXCEEDS_GAIN] = "cost_exceeds_gain",
 	[REASON_NOT_A_BURST] = "not_a_burst",
 	[REASON_NO_HOST_TO_SPARE] = "no_host_to_spare",
--- a/src/pool/plan_move.c
+++ b/src/pool/plan_move.c
@@ -15,6 +15,16 @@
 /* How far ahead the gain of a move is counted: bursts last for minutes. */
 #define GAIN_HORIZON (10 * 60 * CS_SEC)
 
+/*
+ * Waiting tasks do not say how many slots would do: a backlog of short tasks
+ * is gone in seconds once there are a few slots more. So a pool grows to at
+ * most this many times its slots in service, and again when those came.
+ */
+#define GROWTH_MAX 1.5
+
+/* Below this part of its peak, demand falls: what came is clearing it. */
+#define FALLING_PART 0.95
+
 /* The hosts of a pool, those that empty first in front. */
 struct donor {
 	int pool;
@@ -47,6 +57,23 @@
 	return in->pools[pool].memory.peak * in->policy.donor_margin;
 }
 
+/* Slots that the pool lacks, counting those on their way. */
+static int shortage_of(const struct plan_round *r, int pool)
+{
+	int wanted = r->in->pools[pool].demand;
+	int most = (int)ceil(r->service[pool] * GROWTH_MAX);
+
+	/* A pool without any host grows by what it asks for. */
+	if (r->service[pool] && wanted > most)
+		wanted = most;
+	return wanted - plan_pool_slots(r, pool);
+}
+
+static bool is_falling(const struct plan_pool *p)
+{
+	return p->demand < p->memory.peak * FALLING_PART;
+}
+
 static void start_or_clear(cs_time *since, bool is_true, cs_time now)
 {
 	if (!is_true)
@@ -247,8 +274,7 @@
 			return false;
 		}
 		if (lend_one(m, d, b)) {
-			b->shortage = r->in->pools[b->pool].demand -
-				      plan_pool_slots(r, b->pool);
+			b->shortage = shortage_of(r, b->pool);
 			return !b->is_cover && b->shortage > 0;
 		}
 		d->is_ready = false; /* nothing more in this round */
@@ -294,13 +320,15 @@
 
 		b.is_cover = false;
 		b.pool = (int)i;
-		b.shortage =
-			in->pools[i].demand - plan_pool_slots(m->r, b.pool);
+		b.shortage = shortage_of(m->r, b.pool);
 		if (in->pools[i].is_spare || b.shortage <= 0)
 			continue;
 		if (in->now - mem->short_since < policy->short_time)
 			plan_refuse(m->r, PURPOSE_MOVE, -1, b.pool,
 				    REASON_SHORTAGE_TOO_NEW);
+		else if (is_falling(&in->pools[i]))
+			plan_refuse(m->r, PURPOSE_MOVE, -1, b.pool,
+				    REASON_DEMAND_FALLING);
 		else if ((long)b.shortage * 100 <
 			 (long)plan_pool_slots(m->r, b.pool) *
 				 policy->burst_percent)
--- /dev/null
+++ b/tests/bench/bench.c
@@ -0,0 +1,37 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "bench.h"
+
+struct bench {
+	const char *name;
+	int (*run)(void);
+};
+
+static const struct bench benches[] = {
+	{ "plan", bench_plan },
+};
+
+/* Runs the measurements named, or all. */
+int main(int argc, char **argv)
+{
+	size_t nr = sizeof(benches) / sizeof(benches[0]), i;
+	int faults = 0, known, a;
+
+	for (i = 0; i < nr && argc < 2; i++)
+		faults += benches[i].run();
+	for (a = 1; a < argc; a++) {
+		known = 0;
+		for (i = 0; i < nr; i++) {
+			if (strcmp(benches[i].name, argv[a]) != 0)
+				continue;
+			known = 1;
+			faults += benches[i].run();
+		}
+		if (!known) {
+			fprintf(stderr, "unknown measurement: %s\n", argv[a]);
+			return 2;
+		}
+	}
+	return faults ? 1 : 0;
+}
--- /dev/null
+++ b/tests/bench/bench.h
@@ -0,0 +1,7 @@
+#ifndef BENCH_BENCH_H
+#define BENCH_BENCH_H
+
+/* Each measurement prints key=value lines and returns 0, or 1 on a fault. */
+int bench_plan(void);
+
+#endif
--- a/tests/unit/plan_model.c
+++ b/tests/unit/plan_model.c
@@ -7,6 +7,9 @@
 #define BUDGET_PERCENT 20
 #define TASK_TIME (2 * CS_SEC)
 
+/* Tasks that wait for a pool before more are refused. */
+#define QUEUE_MAX 256
+
 struct plan_model *plan_model_create(uint32_t seed, struct model_pool *pools,
 				     size_t pools_nr, size_t data_centres,
 				     const struct plan_policy *policy)
@@ -36,7 +39,7 @@
 	m->since = g_new0(cs_time, n);
 	m->failed_until = g_new0(cs_time, n);
 	m->pool_before = g_new0(int, n);
-	m->state_before = g_new0(enum host_state, n);
+	m->state_before = g_malloc0(n * sizeof(*m->state_before));
 	/* Pools are dealt over the racks, as operators do. */
 	for (p = 0, i = 0; p < pools_nr; p++)
 		for (k = 0; k < pools[p].hosts; k++, i++) {
@@ -87,25 +90,32 @@
 			m->failed_until[i] = until;
 }
 
-/* Tasks arrive with noise and are done as far as there are slots. */
+/* What ran is done, as far as there were slots; new tasks arrive. */
 static void pass_load(struct plan_model *m, cs_time dt)
 {
 	double turns = (double)dt / (double)TASK_TIME;
+	double arrived, done, most, slots;
 	struct model_pool *p;
-	double arrived, done;
 	size_t i;
 
 	for (i = 0; i < m->in.pools_nr; i++) {
 		p = &m->pools[i];
+		slots = plan_model_service(m, (int)i);
 		arrived =
 			p->load * turns * g_rand_double_range(m->rng, 0.8, 1.2);
-		done = plan_model_service(m, (int)i) * turns;
-		p->tasks += arrived;
-		if (turns > 1) /* steady state within one long step */
+		done = p->tasks < slots ? p->tasks * turns : slots * turns;
+		if (turns > 1) {
+			/* Many task times in one step: the steady state. */
 			p->tasks = p->load;
-		else
-			p->tasks -= done < p->tasks * turns ? done :
-							      p->tasks * turns;
+		} else {
+			p->tasks += arrived - done;
+		}
+		p->arrived += arrived;
+		most = slots + QUEUE_MAX;
+		if (p->tasks > most) {
+			p->refused += p->tasks - most;
+			p->tasks = most;
+		}
 		m->in.pools[i].demand = (int)(p->tasks + 0.5);
 	}
 }
--- a/tests/unit/plan_model.h
+++ b/tests/unit/plan_model.h
@@ -12,6 +12,7 @@
 	int hosts;
 	double load; /* offered, in slots */
 	double tasks; /* queued and running */
+	double arrived, refused; /* sums; refused by the full queue */
 	bool is_spare;
 };
 
