--- a/tests/unit/test_plan.c
+++ b/tests/unit/test_plan.c
@@ -7,6 +7,7 @@
 
 #include "plan_model.h"
 
+#include "../../src/base/error.h"
 #include "../../src/pool/host_record.h"
 
 #define ROUND (2 * CS_SEC)
@@ -215,6 +216,12 @@
 	(void)state;
 	f->m->in.ignores_budget = true;
 	f->pools[0].load = 200;
+	/* The audit in the program sees it before a step is taken. */
+	f->m->is_static = true;
+	for (i = 0; i < 10; i++)
+		plan_model_step(f->m, ROUND);
+	assert_false(plan_keeps_budgets(f->m->plan, &f->m->in));
+	f->m->is_static = false;
 	for (i = 0; i < 60 && !fault; i++) {
 		plan_model_step(f->m, ROUND);
 		fault = plan_model_fault(f->m);
@@ -300,8 +307,8 @@
 	row = record_table_get(a, "h1", 0, 0, NULL);
 	row->purpose = PURPOSE_MOVE;
 	row->is_returning = true;
-	strcpy(row->home, "spare");
-	strcpy(row->target, "p1");
+	cs_copy(row->home, CS_NAME_MAX, "spare");
+	cs_copy(row->target, CS_NAME_MAX, "p1");
 	bytes = record_table_encode(a, 100 * CS_SEC);
 	/* The clock goes on from where it was, whatever the boot time. */
 	assert_int_equal(record_table_decode(b, bytes, 7 * CS_SEC, &err),
