Close a connection that sends more than its answer

evhttp leaves further bytes in the input buffer and reads them as the answer to the next request on that connection, so a stray answer reached another call. Found by stray_answer_does_not_reach_next_call, which failed before the change.

--- a/src/base/http_client.c
+++ b/src/base/http_client.c
@@ -129,6 +129,7 @@
 	return CS_OK;
 }
 
+/* Starts a timer that runs once after delay, in us; negative: at once. */
 static void arm(struct event *timer, cs_time delay)
 {
 	struct timeval tv;
@@ -140,6 +141,17 @@
 	event_add(timer, &tv);
 }
 
+/* Releases a pool whose calls and connections are released elsewhere. */
+static void pool_free(gpointer p)
+{
+	struct pool *pool = p;
+
+	g_queue_clear(&pool->waiting);
+	g_queue_clear(&pool->idle);
+	g_free(pool);
+}
+
+/* Has the pool served by the next turn. */
 static void wake_pool(struct http_client *c, struct pool *pool)
 {
 	if (!pool->is_dirty) {
@@ -183,6 +195,7 @@
 	wake_pool(c, pool);
 }
 
+/* Releases a connection that is in no pool any more. */
 static void conn_free(struct conn *conn)
 {
 	conn_shut(conn);
@@ -190,6 +203,7 @@
 	slots_free(conn->client->conns, conn->self);
 }
 
+/* Follows a call through the output buffer, see the top of this file. */
 static void on_output(struct evbuffer *buffer,
 		      const struct evbuffer_cb_info *info, void *arg)
 {
@@ -283,6 +297,10 @@
 	call_fail(call, code, message);
 }
 
+/*
+ * Ends a call at its deadline. libevent's clock stops while the host is
+ * suspended and can run a few ms ahead, so the time is checked.
+ */
 static void on_deadline(evutil_socket_t fd, short what, void *arg)
 {
 	struct call *call = arg;
@@ -312,6 +330,7 @@
 		call_abort(conn->call, CS_ERR_TIMEOUT, "connect timeout");
 }
 
+/* A connection that connects when it gets a call. NULL if none can be made. */
 static struct conn *conn_open(struct http_client *c, struct pool *pool)
 {
 	struct timeval tv = { .tv_sec = EVHTTP_TIMEOUT_S };
@@ -370,6 +389,7 @@
 	return status == 204 || status == 304;
 }
 
+/* Notes why evhttp failed a request; on_done() follows. */
 static void on_error(enum evhttp_request_error error, void *arg)
 {
 	((struct call *)arg)->evhttp_error = (int)error;
@@ -422,6 +442,10 @@
 		evhttp_find_header(evhttp_request_get_input_headers(req),
 				   "Content-Type"));
 	call->conn->last_answer = task_now();
+	/* evhttp would read further bytes as the answer to the next call. */
+	if (evbuffer_get_length(bufferevent_get_input(
+		    evhttp_connection_get_bufferevent(call->conn->evcon))))
+		call->conn->is_closed = true;
 	call_finish(call, &answer);
 	g_bytes_unref(answer.body);
 }
@@ -453,6 +477,7 @@
 	return conn_open(c, pool);
 }
 
+/* Starts calls that wait, oldest first, as far as there are connections. */
 static void serve(struct http_client *c, struct pool *pool)
 {
 	struct call *call;
@@ -485,6 +510,7 @@
 	}
 }
 
+/* Runs outside evhttp's callbacks, so it may release connections. */
 static void on_turn(evutil_socket_t fd, short what, void *arg)
 {
 	struct http_client *c = arg;
@@ -544,6 +570,7 @@
 	return pool ? pool->open : 0;
 }
 
+/* The evhttp request with its headers and body. NULL if out of memory. */
 static struct evhttp_request *build(const struct http_call *in,
 				    struct call *call)
 {
@@ -655,7 +682,8 @@
 	c->options = *options;
 	c->calls = slots_create(sizeof(struct call), CALLS_MAX);
 	c->conns = slots_create(sizeof(struct conn), CONNS_MAX);
-	c->pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	c->pools =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, pool_free);
 	c->turn = event_new(base, -1, 0, on_turn, c);
 	if (!c->calls || !c->conns || !c->turn) {
 		http_client_destroy(c);
--- a/tests/unit/test_worker_client.c
+++ b/tests/unit/test_worker_client.c
@@ -508,6 +508,43 @@
 	end(&f);
 }
 
+static void answer_twice(struct scripted *s, int fd)
+{
+	char *request;
+	const char *body;
+
+	while ((request = scripted_read(s, fd))) {
+		body = strstr(request, "\r\n\r\n") + 4;
+		scripted_write(
+			fd,
+			"HTTP/1.1 200 S\r\nContent-Length: %zu\r\n\r\n%s"
+			"HTTP/1.1 200 S\r\nContent-Length: 5\r\n\r\nstray",
+			strlen(body), body);
+		g_free(request);
+	}
+}
+
+/* evhttp would read a stray answer as the answer to the next request. */
+static void stray_answer_does_not_reach_next_call(void **state)
+{
+	struct fixture f;
+	struct msg *m;
+	int i;
+
+	begin(&f, state, answer_twice, 1);
+	post(&f, task_msg(scripted_address(f.server), 1, "one", LONG_MS));
+	post(&f, task_msg(scripted_address(f.server), 2, "two", LONG_MS));
+	for (i = 0; i < 2; i++) {
+		m = core_message(f.bus);
+		assert_int_equal(m->u.task_done.result, TASK_ANSWERED);
+		assert_int_equal(g_bytes_get_size(m->u.task_done.body), 3);
+		assert_memory_equal(g_bytes_get_data(m->u.task_done.body, NULL),
+				    i ? "two" : "one", 3);
+		msg_free(m);
+	}
+	end(&f);
+}
+
 static void answer_once(struct scripted *s, int fd)
 {
 	g_free(scripted_read(s, fd));
@@ -697,6 +734,7 @@
 		cmocka_unit_test(waiting_call_is_not_sent),
 		cmocka_unit_test(live_connection_is_recent_or_new),
 		cmocka_unit_test(reused_connection_that_breaks_is_unknown),
+		cmocka_unit_test(stray_answer_does_not_reach_next_call),
 		cmocka_unit_test(destroy_ends_open_calls),
 		cmocka_unit_test(control_calls_report_task_state),
 		cmocka_unit_test(metrics_count_results),
