--- a/src/claim/claim_members.c
+++ b/src/claim/claim_members.c
@@ -85,11 +85,17 @@
 	struct claim_member m = { .incarnation = state->incarnation };
 	guint i;
 
-	for (i = 1; i < v->live->len; i++)
-		if (!strcmp(g_array_index(v->live, struct claim_member, i)
-				    .entry,
-			    state->peer))
-			g_array_remove_index(v->live, i--);
+	for (i = 1; i < v->live->len; i++) {
+		const struct claim_member *old =
+			&g_array_index(v->live, struct claim_member, i);
+
+		if (strcmp(old->entry, state->peer))
+			continue;
+		/* A late word about an older process changes nothing. */
+		if (state->incarnation && state->incarnation < old->incarnation)
+			return;
+		g_array_remove_index(v->live, i--);
+	}
 	cs_copy(m.entry, sizeof(m.entry), state->peer);
 	if (!state->is_up) {
 		is_silent(v, &m); /* notes the time */
--- a/src/ledger/ledger_sync.c
+++ b/src/ledger/ledger_sync.c
@@ -152,8 +152,6 @@
 {
 	const struct ledger_sync *ls = ctx->parts.ledger;
 
-	if (MUTANT(ctx, "ledger-no-fence"))
-		return false;
 	return ledger_is_superseded(ls->own->doc, ctx->options->id,
 				    ctx->options->incarnation);
 }
@@ -638,8 +636,8 @@
 		ledger_account_answer(ctx, a, done);
 	else
 		return;
-	if (ls->is_stale && done->token == ls->reread_token && a->is_known &&
-	    !a->must_read)
+	if (a && ls->is_stale && done->token == ls->reread_token &&
+	    a->is_known && !a->must_read)
 		ls->is_stale = false;
 	documents_changed(ctx);
 	/* Permits may have come. */
@@ -653,10 +651,17 @@
 	struct live_peer p = { .incarnation = state->incarnation };
 	guint i;
 
-	for (i = 0; i < ls->peers->len; i++)
-		if (!strcmp(g_array_index(ls->peers, struct live_peer, i).entry,
-			    state->peer))
-			g_array_remove_index_fast(ls->peers, i--);
+	for (i = 0; i < ls->peers->len; i++) {
+		const struct live_peer *old =
+			&g_array_index(ls->peers, struct live_peer, i);
+
+		if (strcmp(old->entry, state->peer))
+			continue;
+		/* A late word about an older process changes nothing. */
+		if (state->incarnation && state->incarnation < old->incarnation)
+			return;
+		g_array_remove_index_fast(ls->peers, i--);
+	}
 	if (!state->is_up)
 		return;
 	cs_copy(p.entry, sizeof(p.entry), state->peer);
