Continue non-idempotent long work only from a checkpoint that was asked for

Ruled out: an adoption after the lease (the owner released the record).

Change: without an answered checkpoint such a job ends as unknown; idempotent jobs go on. Refused questions about a job no longer say "not run".

--- a/src/job/long_private.h
+++ b/src/job/long_private.h
@@ -70,6 +70,7 @@
 	bool is_writing;
 	bool wants_write;
 	enum long_next next;
+	bool is_checkpointed; /* the worker answered the checkpoint */
 	bool is_forgotten; /* another entry owns the record now */
 	char failed_hosts[3][CS_NAME_MAX];
 	cs_handle failed_workers[3];
--- a/src/job/long_query.c
+++ b/src/job/long_query.c
@@ -32,7 +32,8 @@
 	struct msg *msg = msg_new(MSG_REPLY);
 
 	msg->u.reply.caller = query->caller;
-	msg->u.reply.outcome = body ? OUTCOME_ANSWERED : OUTCOME_NOT_RUN;
+	/* A refused question says nothing about the job. */
+	msg->u.reply.outcome = body ? OUTCOME_ANSWERED : OUTCOME_UNKNOWN;
 	msg->u.reply.status = status;
 	msg->u.reply.body = body;
 	msg->u.reply.trace = query->trace;
--- a/src/job/long_run.c
+++ b/src/job/long_run.c
@@ -371,6 +371,7 @@
 	if (job->phase != PHASE_CHECKPOINTING ||
 	    ended_by_itself(ctx, job, done))
 		return;
+	job->is_checkpointed = !done->code;
 	if (!done->code)
 		note_progress(ctx, job, done);
 	job->phase = PHASE_STOPPING;
@@ -397,8 +398,12 @@
 		return;
 	}
 	long_run_free_slot(ctx, job, FLEET_NEUTRAL);
-	if (job->record.is_cancelled)
-		end_job(ctx, job, LONG_CANCELLED, "cancelled");
+	/*
+	 * Without the checkpoint that was asked for, the last one known may be
+	 * older than what the task has done.
+	 */
+	if (job->record.is_cancelled || !job->is_checkpointed)
+		continue_or_end(ctx, job, job->is_checkpointed);
 	else
 		long_move_release(ctx, job);
 }
@@ -435,6 +440,7 @@
 	timers_cancel(ctx->timers, job->renew_timer);
 	job->renew_timer = 0;
 	job->phase = PHASE_CHECKPOINTING;
+	job->is_checkpointed = false;
 	send_control(ctx, job, TASK_CHECKPOINT);
 }
 
--- a/src/job/long_store.c
+++ b/src/job/long_store.c
@@ -239,8 +239,7 @@
 		retry(ctx, done->token);
 		break;
 	default:
-		long_job_reply(ctx, job, OUTCOME_NOT_RUN, 503, "platform_down");
-		long_job_forget(ctx, job);
+		refuse_unrecorded(ctx, job);
 		break;
 	}
 }
