--- a/tests/soak/model_kv.c
+++ b/tests/soak/model_kv.c
@@ -161,14 +161,23 @@
 		if (!g_str_has_prefix(key, watch->call.key))
 			continue;
 		e = &w->entries[watch->entry];
-		if (e->life == watch->life &&
-		    !w->places[e->place].is_platform_cut) {
-			msg = answer_to(&watch->call, KV_OK);
+		msg = answer_to(&watch->call,
+				w->places[e->place].is_platform_cut ?
+					KV_UNAVAILABLE :
+					KV_OK);
+		if (msg->u.kv_done.result == KV_OK)
 			fill_rows(kv, &msg->u.kv_done, watch->call.key,
 				  watch->call.version, true);
-			world_send(w, watch->entry, world_chance(w, 1000, 4000),
+		/* Through a cut the client waits until its time is up. */
+		if (e->life == watch->life)
+			world_send(w, watch->entry,
+				   msg->u.kv_done.result == KV_OK ?
+					   world_chance(w, 1000, 4000) :
+					   watch->call.wait_ms * CS_MSEC +
+						   CALL_TIMEOUT,
 				   msg);
-		}
+		else
+			msg_free(msg);
 		slots_free(kv->watches, h);
 	}
 }
