Bring ejected workers back to trial, and run long work in small pools

Change: the trial timer is set again; a worker that failed the job is used when there is no other, with a limit of 6 failures.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -418,8 +418,14 @@
 	if (!w || w->health.state != HEALTH_EJECTED)
 		return;
 	health_tick(&w->health, now);
-	if (w->health.state == HEALTH_EJECTED || w->is_removed)
+	if (w->is_removed)
 		return;
+	if (w->health.state == HEALTH_EJECTED) {
+		/* Ejected again meanwhile, for longer. */
+		timers_subscribe(ctx->timers, w->health.until, on_trial_timer,
+				 ctx, worker);
+		return;
+	}
 	w->pool->ejected--;
 	replace_in_heap(w);
 	worker_event(ctx, w, LOG_INFO, "worker_trial");
--- a/src/job/long_run.c
+++ b/src/job/long_run.c
@@ -9,6 +9,9 @@
 /* A job that failed on this many hosts is itself at fault. */
 #define HOPELESS_HOSTS 3
 
+/* The same where there are fewer hosts to try. */
+#define HOPELESS_FAILURES 6
+
 /* Pause before a failed job runs again. */
 #define FAILED_WAIT CS_SEC
 
@@ -218,6 +221,7 @@
 	note_failed_host(job);
 	long_run_free_slot(ctx, job, FLEET_FAILED);
 	if (*job->failed_hosts[HOPELESS_HOSTS - 1] ||
+	    job->record.failures >= HOPELESS_FAILURES ||
 	    (!job->record.is_idempotent && job->record.failures)) {
 		for (i = 0; i < HOPELESS_HOSTS; i++)
 			fleet_pardon(ctx, job->failed_workers[i]);
