Refuse long work after a pause until the configuration is known again

Ruled out: the relay (the document arrived 85 ms after the resume).

Change: long work is refused with configuration_stale until then; short work already waits in its queue. The driver no longer counts a key that was granted again after the call.

--- a/src/job/dispatch.c
+++ b/src/job/dispatch.c
@@ -282,6 +282,10 @@
 		OUTCOME_NOT_RUN, 503, "data_centre_out",
 		"admission",	 "",  RETRY_AFTER_MS
 	};
+	static const struct refusal stale = {
+		OUTCOME_NOT_RUN, 503, "configuration_stale",
+		"admission",	 "",  RETRY_AFTER_MS
+	};
 	static const struct refusal full = {
 		OUTCOME_NOT_RUN, 429, "queue_full",
 		"admission",	 "",  RETRY_AFTER_MS
@@ -312,6 +316,12 @@
 		refuse_submit(ctx, submit, origin, origin_ref, &refusal);
 		return;
 	}
+	if (submit->work == WORK_LONG && !config_sync_is_fresh(ctx) &&
+	    !MUTANT(ctx, "long-accept-stale")) {
+		/* The key may have been withdrawn during the pause. */
+		refuse_submit(ctx, submit, origin, origin_ref, &stale);
+		return;
+	}
 	if (submit->work == WORK_LONG) {
 		long_work_submit(ctx, submit, adm.team, adm.pool);
 		return;
--- a/tests/soak/world.c
+++ b/tests/soak/world.c
@@ -470,6 +470,8 @@
 				if (!memcmp(dt->keys[k].digest, t->keys[key],
 					    CS_DIGEST_LEN))
 					is_there = true;
+			if (is_there && t->withdrawn[key])
+				t->granted[key] = w->now;
 			if (is_there)
 				t->withdrawn[key] = 0;
 			else if (!t->withdrawn[key])
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -114,6 +114,7 @@
 	char name[CS_NAME_MAX];
 	uint8_t keys[KEYS_PER_TEAM][CS_DIGEST_LEN];
 	cs_time withdrawn[KEYS_PER_TEAM]; /* 0: in force */
+	cs_time granted[KEYS_PER_TEAM]; /* last time */
 	int share;
 	int limit; /* in the newest document */
 	int allowed; /* highest limit that may still be in use */
