Find long jobs that a living owner has forgotten

Change: the scan shows a record that did not change for 60 s to its owner once more, which adopts it again if its job is gone; only a running task can be checkpointed. Records that are gone are forgotten by the scan.

--- a/src/job/long_move.c
+++ b/src/job/long_move.c
@@ -20,6 +20,12 @@
 /* Finished jobs are deleted after callers had this long to fetch them. */
 #define FINISHED_KEEP (3600 * CS_SEC)
 
+/*
+ * A running job writes its progress every 10 s, so a record that is the same
+ * for this long may have been forgotten by its owner.
+ */
+#define REMIND_AFTER (60 * CS_SEC)
+
 /* True if the owner of the record will certainly not come back. */
 static bool is_owner_dead(const struct part_ctx *ctx,
 			  const struct long_record *r)
@@ -35,18 +41,30 @@
 	return fleet_is_entry_dropped(ctx, r->owner);
 }
 
-/* How long the job has been seen in its present state by this entry. */
-static cs_time seen_for(struct part_ctx *ctx, const char *id)
+/* A record as the scans of this entry have seen it. */
+struct seen_record {
+	cs_time first;
+	uint64_t version;
+	uint64_t scan; /* last one that held it */
+};
+
+/* Since when the record has been as it is; an older sight does not count. */
+static struct seen_record *see(struct part_ctx *ctx, const char *id,
+			       uint64_t version)
 {
-	GHashTable *orphans = ctx->parts.long_work->orphans;
-	cs_time *first = g_hash_table_lookup(orphans, id);
+	GHashTable *seen = ctx->parts.long_work->seen;
+	struct seen_record *s = g_hash_table_lookup(seen, id);
 
-	if (!first) {
-		first = g_new0(cs_time, 1);
-		*first = ctx->now;
-		g_hash_table_insert(orphans, g_strdup(id), first);
+	if (!s) {
+		s = g_new0(struct seen_record, 1);
+		g_hash_table_insert(seen, g_strdup(id), s);
+	}
+	s->scan = ctx->parts.long_work->scans;
+	if (s->version != version) {
+		s->version = version;
+		s->first = ctx->now;
 	}
-	return ctx->now - *first;
+	return s;
 }
 
 /* Writes this entry as the owner; the body is loaded once that succeeded. */
@@ -140,7 +158,6 @@
 		return;
 	}
 	job->version = version;
-	g_hash_table_remove(lw->orphans, job->record.id);
 	counters_add(ctx->counters, "long_adopted_total", "", 1);
 	if (long_state_is_final(job->record.state))
 		long_job_forget(ctx, job);
@@ -148,51 +165,104 @@
 		long_store_load_body(ctx, job);
 }
 
+/* Shows a record to another entry, which may adopt it at that version. */
+static void send_record(struct part_ctx *ctx, const struct long_record *r,
+			uint64_t version, const char *peer)
+{
+	struct msg *msg = part_peer_msg(PEER_JOB_COPY, peer);
+
+	cs_copy(msg->u.peer.u.job_copy.job, sizeof(msg->u.peer.u.job_copy.job),
+		r->id);
+	msg->u.peer.u.job_copy.version = version;
+	msg->u.peer.u.job_copy.record = long_record_encode(r);
+	part_emit(ctx, msg);
+}
+
+/* Deletes a finished job and what it left. */
+static void delete_job(struct part_ctx *ctx, const char *id, uint64_t version)
+{
+	struct msg *msg;
+	char key[128];
+
+	g_snprintf(key, sizeof(key), "jobs/%s", id);
+	msg = part_kv_call(PART_LONG_WORK, KV_DELETE, key,
+			   long_token(TOKEN_DELETE, 0));
+	msg->u.kv_call.version = version;
+	part_emit(ctx, msg);
+}
+
+/*
+ * The owner is alive. It may still have lost sight of the job: an adoption
+ * whose write had no answer can be applied after it was given up. A record
+ * that has not changed for long is shown to its owner once more.
+ */
+static bool remind_owner(struct part_ctx *ctx, const struct long_record *r,
+			 struct seen_record *seen)
+{
+	bool is_own = !strcmp(r->owner, ctx->options->id);
+
+	if (ctx->now - seen->first < REMIND_AFTER)
+		return false;
+	if (is_own)
+		return !g_hash_table_contains(ctx->parts.long_work->by_id,
+					      r->id) &&
+		       adopt(ctx, r, seen->version, NULL);
+	seen->first = ctx->now;
+	if (part_peer_is_up(ctx, r->owner))
+		send_record(ctx, r, seen->version, r->owner);
+	return false;
+}
+
 /* Looks at one record of the scan. Returns true if it was adopted. */
 static bool scan_record(struct part_ctx *ctx, const struct kv_row *row)
 {
+	struct seen_record *seen;
 	struct long_record r;
-	char key[128];
 
 	if (long_record_decode(row->value, &r, NULL)) {
 		counters_add(ctx->counters, "long_bad_records_total", "", 1);
 		return false;
 	}
+	seen = see(ctx, r.id, row->version);
 	if (long_state_is_final(r.state)) {
-		if (seen_for(ctx, r.id) < FINISHED_KEEP)
-			return false;
-		g_snprintf(key, sizeof(key), "jobs/%s", r.id);
-		struct msg *msg = part_kv_call(PART_LONG_WORK, KV_DELETE, key,
-					       long_token(TOKEN_DELETE, 0));
-
-		msg->u.kv_call.version = row->version;
-		part_emit(ctx, msg);
-		return false;
-	}
-	if (!*r.owner) {
-		if (!fleet_has_room_for_long(ctx, r.pool))
-			return false;
-		return adopt(ctx, &r, row->version, NULL);
-	}
-	if (!is_owner_dead(ctx, &r)) {
-		g_hash_table_remove(ctx->parts.long_work->orphans, r.id);
+		if (ctx->now - seen->first >= FINISHED_KEEP)
+			delete_job(ctx, r.id, row->version);
 		return false;
 	}
-	if (seen_for(ctx, r.id) < LONG_LEASE + LONG_LEASE_MARGIN &&
+	if (!*r.owner)
+		return fleet_has_room_for_long(ctx, r.pool) &&
+		       adopt(ctx, &r, row->version, NULL);
+	if (!is_owner_dead(ctx, &r))
+		return remind_owner(ctx, &r, seen);
+	if (ctx->now - seen->first < LONG_LEASE + LONG_LEASE_MARGIN &&
 	    !MUTANT(ctx, "long-adopt-early"))
 		return false;
 	return adopt(ctx, &r, row->version, NULL);
 }
 
+static gboolean was_not_scanned(gpointer id, gpointer value, gpointer arg)
+{
+	const struct seen_record *seen = value;
+
+	(void)id;
+	return seen->scan != *(const uint64_t *)arg;
+}
+
 void long_move_on_list(struct part_ctx *ctx, const struct kv_done *done)
 {
+	struct long_work *lw = ctx->parts.long_work;
 	size_t i;
 	int n = 0;
 
 	if (done->result != KV_OK || ctx->is_draining)
 		return;
+	lw->scans++;
 	for (i = 0; i < done->rows_nr && n < ADOPT_PER_SCAN; i++)
 		n += scan_record(ctx, &done->rows[i]);
+	/* Records that are gone need not be remembered. */
+	if (i == done->rows_nr)
+		g_hash_table_foreach_remove(lw->seen, was_not_scanned,
+					    &lw->scans);
 }
 
 static void on_scan(void *arg, uint64_t unused, cs_time now)
@@ -244,17 +314,6 @@
 	return chosen;
 }
 
-static void offer(struct part_ctx *ctx, struct long_job *job, const char *peer)
-{
-	struct msg *msg = part_peer_msg(PEER_JOB_COPY, peer);
-
-	cs_copy(msg->u.peer.u.job_copy.job, sizeof(msg->u.peer.u.job_copy.job),
-		job->record.id);
-	msg->u.peer.u.job_copy.version = job->version;
-	msg->u.peer.u.job_copy.record = long_record_encode(&job->record);
-	part_emit(ctx, msg);
-}
-
 /*
  * The record has no owner now. Another entry is told, so that it need not
  * find it by its next scan; whether it takes the job is its own affair.
@@ -267,7 +326,7 @@
 	if (!peer)
 		peer = choose_entry(ctx, ctx->options->data_centre);
 	if (peer)
-		offer(ctx, job, peer);
+		send_record(ctx, &job->record, job->version, peer);
 	counters_add(ctx->counters, "long_released_total", "", 1);
 	long_job_forget(ctx, job);
 }
@@ -301,7 +360,7 @@
 	cs_copy(job->offered_to, sizeof(job->offered_to), peer);
 	job->timer = timers_subscribe(ctx->timers, ctx->now + OFFER_WAIT,
 				      on_offer_end, ctx, job->self);
-	offer(ctx, job, peer);
+	send_record(ctx, &job->record, job->version, peer);
 }
 
 void long_move_leave(struct part_ctx *ctx)
@@ -344,7 +403,10 @@
 		counters_add(ctx->counters, "long_bad_records_total", "", 1);
 		return;
 	}
-	is_running = *r.owner;
+	if (g_hash_table_contains(ctx->parts.long_work->by_id, r.id))
+		return; /* reminded of a job that is here */
+	/* Our own record whose job is not here: its attempt has ended. */
+	is_running = *r.owner && strcmp(r.owner, ctx->options->id);
 	is_taken = !ctx->is_draining && config_sync_is_fresh(ctx) &&
 		   !config_sync_is_out(ctx, ctx->options->data_centre);
 	if (is_taken && is_running)
--- a/src/job/long_private.h
+++ b/src/job/long_private.h
@@ -85,7 +85,8 @@
 	GHashTable *by_id; /* record.id -> struct long_job */
 	struct slots *queries; /* struct long_query */
 	struct team_index *teams;
-	GHashTable *orphans; /* id -> cs_time first seen without an owner */
+	GHashTable *seen; /* id -> struct seen_record, see long_move.c */
+	uint64_t scans; /* lists of all records that were looked at */
 	uint64_t next_change;
 };
 
--- a/src/job/long_run.c
+++ b/src/job/long_run.c
@@ -375,7 +375,8 @@
 	if (job->phase != PHASE_CHECKPOINTING ||
 	    ended_by_itself(ctx, job, done))
 		return;
-	job->is_checkpointed = !done->code;
+	/* A task that its lease ended can't write down what it had done. */
+	job->is_checkpointed = !done->code && done->state == TASK_STATE_RUNNING;
 	if (!done->code)
 		note_progress(ctx, job, done);
 	job->phase = PHASE_STOPPING;
--- a/src/job/long_work.c
+++ b/src/job/long_work.c
@@ -311,7 +311,7 @@
 
 	ctx->parts.long_work = lw;
 	lw->by_id = g_hash_table_new(g_str_hash, g_str_equal);
-	lw->orphans =
+	lw->seen =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	lw->teams = team_index_create(empty);
 	document_destroy(empty);
@@ -340,7 +340,7 @@
 	slots_destroy(lw->jobs);
 	slots_destroy(lw->queries);
 	g_hash_table_destroy(lw->by_id);
-	g_hash_table_destroy(lw->orphans);
+	g_hash_table_destroy(lw->seen);
 	team_index_destroy(lw->teams);
 	g_free(lw);
 	ctx->parts.long_work = NULL;
