--- a/scripts/site.sh
+++ b/scripts/site.sh
@@ -1,14 +1,34 @@
 # Sets up a small site on loopback for the demo and the process tests. To be
-# sourced. The caller may set SITE_DIR, PORT_BASE, VARIANT, PLACES and WORKERS.
+# sourced. The caller may set SITE_DIR, PORT_BASE, VARIANT, PLACES, WORKERS and
+# SLOTS (of each worker).
 
 VARIANT=${VARIANT:-rel}
 BIN=$PWD/build/$VARIANT/camphorshed
 STANDIN=$PWD/build/$VARIANT/camphorshed-standin
 SITE_DIR=${SITE_DIR:-$(mktemp -d)}
-# Sites that run at the same time must not share ports.
-PORT_BASE=${PORT_BASE:-$((20000 + ($$ % 200) * 100))}
+
+# Sites that run at the same time must not share ports. Each takes a lock on a
+# block of 100 ports below the range of outgoing connections, and its processes
+# inherit the lock, so that the block is free again when the last one has ended.
+lock_ports() {
+	lock_dir=${TMPDIR:-/tmp}/camphorshed-ports
+	mkdir -p "$lock_dir"
+	lock_nr=$(($$ % 120))
+	lock_end=$((lock_nr + 120))
+	while [ $lock_nr -lt $lock_end ]; do
+		PORT_BASE=$((20000 + lock_nr % 120 * 100))
+		exec 9>"$lock_dir/$PORT_BASE"
+		flock -n 9 && return 0
+		lock_nr=$((lock_nr + 1))
+	done
+	echo "no free block of ports" >&2
+	exit 1
+}
+[ -n "${PORT_BASE:-}" ] || lock_ports
 PLACES=${PLACES:-"dc1 dc2"}
 WORKERS=${WORKERS:-2} # per data centre
+SLOTS=${SLOTS:-8}
+CTL_ENTRY=${CTL_ENTRY:-1} # the entry that ctl talks to
 TOKEN=demo-token-0123456789
 PLATFORM=127.0.0.1:$PORT_BASE
 PLATFORM_CONTROL=127.0.0.1:$((PORT_BASE + 1))
@@ -85,7 +105,7 @@
 			[worker w-$place-$i]
 			host = h-$place-$i
 			address = 127.0.0.1:$(worker_port $n)
-			slots = 8
+			slots = $SLOTS
 			END
 			echo "h-$place-$i 127.0.0.1:$(worker_port $n) $place" \
 				>>"$SITE_DIR/hosts"
@@ -97,7 +117,7 @@
 }
 
 ctl() {
-	"$BIN" ctl --entry "127.0.0.1:$(admin_port 1)" \
+	"$BIN" ctl --entry "127.0.0.1:$(admin_port "$CTL_ENTRY")" \
 		--token-file "$SITE_DIR/token" "$@"
 }
 
@@ -128,8 +148,8 @@
 
 start_entry() { start "e$1" "$BIN" entry -c "$SITE_DIR/e$1.ini"; }
 
-# Starts platform, workers and entries, and applies the first document.
-start_site() {
+# Writes all files; starts platform and workers.
+start_backends() {
 	ENTRIES=
 	n=0
 	for place in $PLACES; do
@@ -153,18 +173,52 @@
 		while [ $i -lt "$WORKERS" ]; do
 			start "w$n" "$STANDIN" worker \
 				--listen "127.0.0.1:$(worker_port $n)" \
-				--name "w-$place-$i"
+				--name "w-$place-$i" --slots "$SLOTS"
 			i=$((i + 1))
 			n=$((n + 1))
 		done
 	done
-	wait_for 5 platform_up || return 1
+	wait_for 5 platform_up
+}
+
+# Starts platform, workers and entries, and applies the first document.
+start_site() {
+	start_backends || return 1
 	for n in $ENTRIES; do start_entry "$n"; done
 	for n in $ENTRIES; do wait_for 5 entry_healthy "$n" || return 1; done
 	ctl document apply "$SITE_DIR/site.fleet.ini" >/dev/null || return 1
 	for n in $ENTRIES; do wait_for 8 entry_ready "$n" || return 1; done
 }
 
+# Removes a process that has ended from the list of those to end.
+forget() {
+	left=
+	for pid in $PIDS; do
+		[ "$pid" = "$1" ] || left="$left $pid"
+	done
+	PIDS=$left
+}
+
+# finish NAME: waits for the end of a process; its exit code.
+finish() {
+	ended=$(pid_of "$1")
+	finish_rc=0
+	wait "$ended" || finish_rc=$?
+	forget "$ended"
+	return $finish_rc
+}
+
+# kill_entry N: ends an entry as a crash does. stop_site won't wait for it.
+kill_entry() {
+	kill -KILL "$(pid_of "e$1")"
+	finish "e$1" 2>/dev/null || :
+	left=
+	for n in $ENTRIES; do
+		[ "$n" = "$1" ] || left="$left $n"
+	done
+	ENTRIES=$left
+}
+
 # Ends every process by its id, gracefully, and reports how each ended.
 stop_site() {
 	site_rc=0
@@ -175,6 +229,7 @@
 	for n in $ENTRIES; do
 		pid=$(pid_of "e$n")
 		wait "$pid" || { echo "e$n ended with $?" >&2; site_rc=1; }
+		forget "$pid"
 	done
 	for pid in $PIDS; do
 		kill -TERM "$pid" 2>/dev/null || :
--- /dev/null
+++ b/tests/process/lib.sh
@@ -0,0 +1,145 @@
+# Common to the process tests, which source it from the root of the tree: a
+# site, checks that print one line each, and questions to the stand-ins.
+
+. scripts/site.sh
+trap abort_site EXIT
+trap 'exit 1' INT TERM HUP
+failures=0
+
+# check TEXT COMMAND...: one line, and a note of the failure.
+check() {
+	check_text=$1
+	shift
+	if "$@"; then
+		echo "ok      $check_text"
+	else
+		echo "FAILED  $check_text"
+		failures=$((failures + 1))
+	fi
+}
+
+is_equal() {
+	[ "$1" = "$2" ] || { echo "got \"$1\", expected \"$2\"" >&2; return 1; }
+}
+
+is_at_most() {
+	[ "$1" -le "$2" ] || { echo "got $1, limit $2" >&2; return 1; }
+}
+
+is_at_least() {
+	[ "$1" -ge "$2" ] || { echo "got $1, minimum $2" >&2; return 1; }
+}
+
+# Nothing can be tested without a site.
+begin() {
+	"$@" || { echo "FAILED  the site starts; logs in $SITE_DIR"; exit 1; }
+}
+
+# Ends the site, which is a check of its own, and the test.
+end_test() {
+	check "every entry ends with exit code 0 at SIGTERM" stop_site
+	trap - EXIT
+	if [ $failures -gt 0 ]; then
+		echo "logs in $SITE_DIR"
+		exit 1
+	fi
+	rm -rf "$SITE_DIR"
+	exit 0
+}
+
+# Microseconds of the clock that the stand-ins report times in.
+now_us() {
+	read -r now_up now_idle </proc/uptime
+	echo "$(echo "$now_up" | tr -d .)0000"
+}
+
+# grant TEAM LIMIT: creates a team and prints a key of it.
+grant() {
+	ctl team set "$1" --share 1 --limit "$2" >/dev/null &&
+		ctl key grant "$1" --label desk | sed -n 's/^key: *//p'
+}
+
+control_worker() {
+	curl -fsS -o /dev/null \
+		"http://127.0.0.1:$(worker_port "$1")/control/$2"
+}
+
+control_platform() {
+	curl -fsS -o /dev/null "http://$PLATFORM_CONTROL/control/$1"
+}
+
+# What ran: lines "WORKER ID TEAM START END TASK"; times in us, END 0 if it
+# still runs, "-" for no team.
+runs() {
+	runs_n=0
+	while [ $runs_n -lt $((WORKERS * $(echo "$PLACES" | wc -w))) ]; do
+		curl -fsS "http://127.0.0.1:$(worker_port $runs_n)/control/runs" \
+			>"$SITE_DIR/runs.$runs_n" || return 1
+		runs_n=$((runs_n + 1))
+	done
+	python3 - "$SITE_DIR" "$runs_n" <<-'END'
+	import json, sys
+	for n in range(int(sys.argv[2])):
+	    with open("%s/runs.%d" % (sys.argv[1], n)) as f:
+	        for r in json.load(f)["runs"]:
+	            print("w%d" % n, r["id"], r["team"] or "-", r["start"],
+	                  r["end"], r["task"])
+	END
+}
+
+# runs_of ID: how often work with this id was started.
+runs_of() { runs | awk -v id="$1" '$2 == id { n++ } END { print n + 0 }'; }
+
+# The largest number of runs with the same id.
+runs_max() {
+	runs | awk '{ if (++n[$2] > max) max = n[$2] } END { print max + 0 }'
+}
+
+# revision N: the revision in force at entry N.
+revision() {
+	"$BIN" ctl --entry "127.0.0.1:$(admin_port "$1")" status |
+		awk '$1 == "revision" { print $2 }'
+}
+
+has_revision() { [ "$(revision "$1")" -ge "$2" ]; }
+
+# field NAME FILE: a value of a report of lines NAME=VALUE; 0 if absent.
+field() {
+	awk -F= -v name="$1" '$1 == name { v = $2 } END { print v + 0 }' "$2"
+}
+
+# start_load NAME ENTRY KEY OPTIONS...: open-loop load; report in NAME.log.
+start_load() {
+	load_name=$1
+	load_entry=$2
+	load_key=$3
+	shift 3
+	start "$load_name" "$STANDIN" load \
+		--target "127.0.0.1:$(front_port "$load_entry")" \
+		--key "$load_key" --queue jobs "$@"
+}
+
+# all_answered NAME: every request of a finished load got its own answer.
+all_answered() {
+	finish "$1"
+	log=$SITE_DIR/$1.log
+	[ "$(field sent "$log")" -gt 0 ] &&
+		[ "$(field sent "$log")" = "$(field answered "$log")" ] &&
+		[ "$(field mismatched "$log")" = 0 ] && return 0
+	cat "$log" >&2
+	return 1
+}
+
+# submit_as FILE ENTRY KEY BODY [CURL OPTIONS]: submits in the background; the
+# answer and the exit code of curl go to FILE and FILE.rc. wait_submits waits.
+submit_as() {
+	as_file=$SITE_DIR/$1
+	shift
+	{ submit "$@" >"$as_file" 2>/dev/null 9>&-; echo $? >"$as_file.rc"; } &
+	SUBMITS="${SUBMITS:-} $!"
+}
+
+wait_submits() {
+	for pid in ${SUBMITS:-}; do wait "$pid"; done
+	SUBMITS=
+}
--- /dev/null
+++ b/tests/process/test_entry_killed.sh
@@ -0,0 +1,60 @@
+#!/bin/sh
+# Guards against: an entry that crashes in the middle of calls stops others,
+# makes them run non-idempotent work a second time, or lets a caller believe
+# that work did not run which did (I8, I9).
+set -u
+cd "$(dirname "$0")/../.."
+. tests/process/lib.sh
+begin start_site
+KEY=$(grant desk 24)
+
+# resend ROUND ENTRY: submits every identifier again.
+resend() {
+	for i in $ids; do
+		submit_as "$1.$i" "$2" "$KEY" "run_ms=100 id=k$i" \
+			-H "Request-Id: k$i" -H "Deadline-Ms: 3000"
+	done
+	wait_submits
+	runs >"$SITE_DIR/runs.$1"
+}
+
+# False if a "not_run" of the round is about work that has run by then.
+not_run_is_true() {
+	for i in $ids; do
+		grep -q '"not_run"' "$SITE_DIR/$1.$i" || continue
+		! grep -q " k$i " "$SITE_DIR/runs.$1" || {
+			echo "k$i: $(cat "$SITE_DIR/$1.$i")" >&2
+			return 1
+		}
+	done
+}
+
+started_some() { [ "$(runs | grep -c ' k[0-9]')" -ge 4 ]; }
+
+ids=$(seq 1 40)
+start_load load1 1 "$KEY" --rate 30 --seconds 6 --idempotent
+start_load load3 3 "$KEY" --rate 30 --seconds 6 --idempotent
+for i in $ids; do
+	submit_as "first.$i" 2 "$KEY" "run_ms=400 id=k$i" -H "Request-Id: k$i"
+done
+check "work runs before the entry is killed" wait_for 3 started_some
+kill_entry 2
+wait_submits
+runs >"$SITE_DIR/runs.first"
+broken=0
+for i in $ids; do
+	[ "$(cat "$SITE_DIR/first.$i.rc")" = 0 ] || broken=$((broken + 1))
+done
+check "calls were open when it was killed: $broken" [ "$broken" -gt 0 ]
+check "no broken caller was told not_run of work that ran" \
+	not_run_is_true first
+resend second 1
+check "through another entry: not_run is true" not_run_is_true second
+resend third 3
+check "through another data centre: not_run is true" not_run_is_true third
+check "no identified work ran twice" is_equal \
+	"$(runs | grep ' k[0-9]' | awk '{ print $2 }' | sort | uniq -d)" ""
+check "the other entry of the data centre answered everything" \
+	all_answered load1
+check "the other data centre answered everything" all_answered load3
+end_test
--- /dev/null
+++ b/tests/process/test_entry_paused.sh
@@ -0,0 +1,57 @@
+#!/bin/sh
+# Guards against: an entry that was paused while a key was withdrawn and its
+# data centre was taken out goes on with the old document when it resumes (I4,
+# I6). It is paused for longer than the bound of 5 s, so nothing at all may
+# start at what was taken away from the moment it resumes.
+set -u
+cd "$(dirname "$0")/../.."
+. tests/process/lib.sh
+begin start_site
+KEY1=$(grant errata 16)
+KEY2=$(grant verify 16)
+
+answers() { submit "$1" "$2" "run_ms=5 team=$3" | grep -q '"ran"'; }
+
+check "the key is accepted at first" answers 4 "$KEY1" errata
+check "the data centre works at first" answers 4 "$KEY2" verify
+# What waits inside the entry while it is paused.
+for i in $(seq 1 40); do
+	submit_as "before1.$i" 4 "$KEY1" "run_ms=300 team=errata"
+	submit_as "before2.$i" 4 "$KEY2" "run_ms=300 team=verify"
+done
+sleep 0.2
+kill -STOP "$(pid_of e4)"
+check "the key is withdrawn" ctl --no-wait key withdraw errata --label desk \
+	>/dev/null
+check "the data centre is taken out" ctl --no-wait data-centre out dc2 \
+	>/dev/null
+changed=$(now_us)
+# What waits outside of it, in its sockets.
+for i in $(seq 1 20); do
+	submit_as "during1.$i" 4 "$KEY1" "run_ms=5 team=errata"
+	submit_as "during2.$i" 4 "$KEY2" "run_ms=5 team=verify"
+done
+sleep 5.2
+kill -CONT "$(pid_of e4)"
+for i in $(seq 1 20); do
+	submit_as "after1.$i" 4 "$KEY1" "run_ms=5 team=errata"
+	submit_as "after2.$i" 4 "$KEY2" "run_ms=5 team=verify"
+	sleep 0.05
+done
+check "other work is served through the entry again" \
+	wait_for 5 answers 4 "$KEY2" verify
+wait_submits
+runs >"$SITE_DIR/runs.all"
+late() {
+	awk -v bound=$((changed + 5000000)) -v team="$1" -v workers="$2" \
+		'$4 > bound && (team == "" || $3 == team) &&
+		 (workers == "" || $1 ~ workers)' "$SITE_DIR/runs.all"
+}
+check "no work of the withdrawn key starts later than 5 s" \
+	is_equal "$(late errata '')" ""
+check "no work starts in the data centre later than 5 s" \
+	is_equal "$(late '' '^w[23]$')" ""
+check "every later call with the key is refused as not run" is_equal \
+	"$(cat "$SITE_DIR"/after1.*[0-9] | grep -o '"outcome":"[a-z_]*"' |
+		sort | uniq -c | tr -s ' ')" ' 20 "outcome":"not_run"'
+end_test
