--- a/src/job/long_private.h
+++ b/src/job/long_private.h
@@ -50,6 +50,7 @@
 	cs_handle self;
 	enum long_phase phase;
 	struct long_record record;
+	struct long_record sent; /* what the write in flight holds */
 	uint64_t version; /* of the record in the platform */
 	GBytes *body;
 	GBytes *result;
@@ -65,10 +66,11 @@
 	cs_handle timer; /* of the phase */
 	cs_handle renew_timer;
 	bool has_request_id;
-	bool is_first; /* no earlier submission can have been recorded */
+	bool may_be_recorded; /* a write of the record had no answer */
 	bool is_writing;
 	bool wants_write;
 	enum long_next next;
+	bool is_checkpointed; /* the worker answered the checkpoint */
 	bool is_forgotten; /* another entry owns the record now */
 	char failed_hosts[3][CS_NAME_MAX];
 	cs_handle failed_workers[3];
@@ -88,6 +90,8 @@
 };
 
 /* long_work.c */
+/* Makes a change id that no other write has, whichever entry made it. */
+void long_change_id(struct part_ctx *ctx, char out[48]);
 struct long_job *long_job_add(struct part_ctx *ctx,
 			      const struct long_record *record);
 void long_job_forget(struct part_ctx *ctx, struct long_job *job);
--- a/src/job/long_store.c
+++ b/src/job/long_store.c
@@ -46,16 +46,20 @@
 	part_emit(ctx, value_call(KV_GET, "job-bodies/", job, TOKEN_LOAD));
 }
 
+/*
+ * Sends the write, also once more after its answer was lost. It is then the
+ * same to the byte: the platform may apply the first one late, and a change
+ * id must stand for one content.
+ */
 static void write_record(struct part_ctx *ctx, struct long_job *job)
 {
 	struct msg *msg = value_call(KV_CAS, "jobs/", job, TOKEN_RECORD);
 
 	job->is_writing = true;
-	job->wants_write = false;
 	cs_copy(msg->u.kv_call.change_id, sizeof(msg->u.kv_call.change_id),
-		job->record.change_id);
+		job->sent.change_id);
 	msg->u.kv_call.version = job->version;
-	msg->u.kv_call.value = long_record_encode(&job->record);
+	msg->u.kv_call.value = long_record_encode(&job->sent);
 	part_emit(ctx, msg);
 }
 
@@ -69,9 +73,9 @@
 		job->wants_write = true;
 		return;
 	}
-	g_snprintf(job->record.change_id, sizeof(job->record.change_id),
-		   "%s-%" PRIx64 "-%" PRIx64, "l", ctx->options->incarnation,
-		   ++ctx->parts.long_work->next_change);
+	long_change_id(ctx, job->record.change_id);
+	job->sent = job->record;
+	job->wants_write = false;
 	write_record(ctx, job);
 }
 
@@ -152,7 +156,7 @@
 		retry(ctx, done->token);
 		return;
 	}
-	if (!strcmp(present.change_id, job->record.change_id)) {
+	if (!strcmp(present.change_id, job->sent.change_id)) {
 		record_written(ctx, job, done->rows[0].version);
 		return;
 	}
@@ -179,13 +183,12 @@
 }
 
 /*
- * The platform can't be reached, so the job is not accepted. An earlier
- * submission may have been, unless this one is known to be the first.
+ * The platform can't be reached, so the job is not accepted. Another
+ * submission of the same identifier may have been.
  */
 static void refuse_unrecorded(struct part_ctx *ctx, struct long_job *job)
 {
-	bool is_not_run = job->is_first || job->record.is_idempotent ||
-			  !job->has_request_id;
+	bool is_not_run = job->record.is_idempotent || !job->has_request_id;
 
 	long_job_reply(ctx, job, is_not_run ? OUTCOME_NOT_RUN : OUTCOME_UNKNOWN,
 		       503, "platform_down");
@@ -204,11 +207,19 @@
 		record_conflict(ctx, job, done);
 		break;
 	default:
-		/* Nothing is known of a new job yet, so it can be refused. */
+		job->may_be_recorded |= done->result == KV_UNKNOWN;
 		if (job->phase == PHASE_RECORDING &&
 		    done->result == KV_UNAVAILABLE) {
-			refuse_unrecorded(ctx, job);
-			break;
+			if (!job->may_be_recorded) {
+				refuse_unrecorded(ctx, job);
+				break;
+			}
+			/*
+			 * The record may exist or still be applied, so the
+			 * job is kept until that is known.
+			 */
+			long_job_reply(ctx, job, OUTCOME_UNKNOWN, 503,
+				       "platform_down");
 		}
 		job->is_writing = true;
 		retry(ctx, done->token);
@@ -228,8 +239,7 @@
 		retry(ctx, done->token);
 		break;
 	default:
-		long_job_reply(ctx, job, OUTCOME_NOT_RUN, 503, "platform_down");
-		long_job_forget(ctx, job);
+		refuse_unrecorded(ctx, job);
 		break;
 	}
 }
