--- a/tests/process/lib.sh
+++ b/tests/process/lib.sh
@@ -18,6 +18,8 @@
 	fi
 }
 
+quietly() { "$@" >/dev/null; }
+
 is_equal() {
 	[ "$1" = "$2" ] || { echo "got \"$1\", expected \"$2\"" >&2; return 1; }
 }
@@ -30,20 +32,21 @@
 	[ "$1" -ge "$2" ] || { echo "got $1, minimum $2" >&2; return 1; }
 }
 
-# Nothing can be tested without a site.
+# For a step without which nothing can be tested.
 begin() {
-	"$@" || { echo "FAILED  the site starts; logs in $SITE_DIR"; exit 1; }
+	"$@" || { echo "FAILED  $*; logs in $SITE_DIR" >&2; exit 1; }
 }
 
 # Ends the site, which is a check of its own, and the test.
 end_test() {
 	check "every entry ends with exit code 0 at SIGTERM" stop_site
 	trap - EXIT
+	[ -z "${KEEP:-}" ] || echo "logs in $SITE_DIR"
 	if [ $failures -gt 0 ]; then
 		echo "logs in $SITE_DIR"
 		exit 1
 	fi
-	rm -rf "$SITE_DIR"
+	[ -n "${KEEP:-}" ] || rm -rf "$SITE_DIR"
 	exit 0
 }
 
@@ -53,10 +56,11 @@
 	echo "$(echo "$now_up" | tr -d .)0000"
 }
 
-# grant TEAM LIMIT: creates a team and prints a key of it.
+# grant TEAM LIMIT: creates a team with a key and sets KEY_TEAM to the key.
 grant() {
-	ctl team set "$1" --share 1 --limit "$2" >/dev/null &&
-		ctl key grant "$1" --label desk | sed -n 's/^key: *//p'
+	begin ctl team set "$1" --share 1 --limit "$2" >/dev/null
+	begin ctl key grant "$1" --label desk >"$SITE_DIR/key"
+	eval "KEY_$1=$(sed -n 's/^key: *//p' "$SITE_DIR/key")"
 }
 
 control_worker() {
@@ -95,10 +99,17 @@
 	runs | awk '{ if (++n[$2] > max) max = n[$2] } END { print max + 0 }'
 }
 
+# ctl_at ENTRY ARGUMENTS...: ctl through another entry than usual.
+ctl_at() {
+	at_entry=$1
+	shift
+	"$BIN" ctl --entry "127.0.0.1:$(admin_port "$at_entry")" \
+		--token-file "$SITE_DIR/token" "$@"
+}
+
 # revision N: the revision in force at entry N.
 revision() {
-	"$BIN" ctl --entry "127.0.0.1:$(admin_port "$1")" status |
-		awk '$1 == "revision" { print $2 }'
+	ctl_at "$1" status | awk '$1 == "revision" { print $2 }'
 }
 
 has_revision() { [ "$(revision "$1")" -ge "$2" ]; }
--- /dev/null
+++ b/tests/process/test_sigterm.sh
@@ -0,0 +1,55 @@
+#!/bin/sh
+# Guards against: an entry that is asked to end cuts a request in flight, turns
+# away what still comes before the balancer has seen that it is not ready, or
+# takes its long work with it (I11).
+set -u
+cd "$(dirname "$0")/../.."
+. tests/process/lib.sh
+begin start_site
+grant desk 24
+JOB=$(submit 1 "$KEY_desk" "run_ms=8000 steps=80 echo=kept id=long" \
+	-H "Work: long" -H "Idempotent: no" |
+	sed 's/.*"job":"\([^"]*\)".*/\1/')
+
+job_get() {
+	curl -sS -m 5 -H "Authorization: Bearer $KEY_desk" \
+		"http://127.0.0.1:$(front_port 2)/v1/jobs/$JOB$1"
+}
+job_in_state() { job_get "" | grep -q "\"state\":\"$1\""; }
+not_ready() { ! entry_ready 1; }
+
+check "long work runs" wait_for 5 job_in_state running
+# The entry holds permits for its share of the load when the signal comes.
+start_load warm 1 "$KEY_desk" --rate 40 --seconds 2 \
+	--body "run_ms=300 echo={id} id={id}"
+sleep 2
+# Until 1 s after the signal; each takes 0.3 s.
+start_load load 1 "$KEY_desk" --rate 40 --seconds 2 \
+	--body "run_ms=300 echo={id} id={id}"
+sleep 1
+kill -TERM "$(pid_of e1)"
+check "readiness becomes false" wait_for 1 not_ready
+check "before the signal: every request was answered" all_answered warm
+check "no request was cut or turned away" all_answered load
+check "the entry ends with exit code 0" finish e1
+ENTRIES="2 3 4"
+CTL_ENTRY=2
+check "the long work goes on elsewhere and is done" \
+	wait_for 15 job_in_state done
+check "its result is there" grep -q '"echo":"kept"' <<-END
+	$(job_get /result)
+END
+# It is handed over while it runs, or goes on from a checkpoint; from the start
+# it would run for as long again as its first part took.
+runs | sort -k 4n | awk '$2 == "long" {
+	if (!first) first = $5 - $4
+	if ($4 < end) overlap = 1
+	end = $5
+	sum += $5 - $4
+} END { print sum, 8000000 + first / 2, overlap + 0 }' >"$SITE_DIR/long"
+read -r sum most overlap <"$SITE_DIR/long"
+check "the long work was not started again" is_at_most "$sum" "${most%.*}"
+check "the long work never ran at two workers at once" is_equal "$overlap" 0
+check "no short work ran twice" is_equal \
+	"$(runs | awk '$2 != "long" { print $2 }' | sort | uniq -d)" ""
+end_test
