Check the key again before work returns to the queue

Cause: a request whose key is withdrawn is refused while it waits, but not while it is at another entry, at a worker or waits for its claim. When it came back as not run it was queued without a look at its key.

Ruled out: a lost forward reply. The log of the paused entry shows the peer_relay span end with not_run 5 ms after it resumed, and the entry span end with deadline 30 s after arrival.

Change: dispatch_requeue() admits the request once more, and refuses it if its key, queue or team is gone.

--- a/src/job/dispatch.c
+++ b/src/job/dispatch.c
@@ -172,6 +172,22 @@
 	arm_tick(ctx);
 }
 
+bool dispatch_requeue(struct part_ctx *ctx, struct request *r, bool at_head)
+{
+	struct refusal refusal = { OUTCOME_NOT_RUN, 0, NULL, "queue", "", 0 };
+	struct admission adm;
+
+	dispatch_admit(ctx, &r->submit, &adm);
+	if (!adm.status) {
+		dispatch_enqueue(ctx, r, at_head);
+		return true;
+	}
+	refusal.status = adm.status;
+	refusal.reason = adm.reason;
+	dispatch_refuse(ctx, r, &refusal);
+	return false;
+}
+
 void dispatch_long_waiting(struct part_ctx *ctx, const char *pool,
 			   const char *team, int delta)
 {
@@ -248,6 +264,7 @@
 		"claim",	 "",  RETRY_AFTER_MS
 	};
 	struct request *r = request_get(ctx->parts.dispatch->table, ref);
+	struct pool_queue *pool;
 	struct refusal refusal;
 
 	if (!r) /* refused or dropped meanwhile; the claim stays taken */
@@ -256,8 +273,9 @@
 		return;
 	if (verdict == CLAIM_GRANTED) {
 		r->is_claimed = true;
-		dispatch_enqueue(ctx, r, false);
-		dispatch_schedule(ctx, r->pool);
+		pool = r->pool;
+		if (dispatch_requeue(ctx, r, false))
+			dispatch_schedule(ctx, pool);
 		return;
 	}
 	refusal = verdict == CLAIM_DUPLICATE ? duplicate : unavailable;
--- a/src/job/dispatch_forward.c
+++ b/src/job/dispatch_forward.c
@@ -117,6 +117,7 @@
 {
 	struct request *r = request_get(ctx->parts.dispatch->table, peer->ref);
 	struct reply reply = peer->u.forward_reply;
+	struct pool_queue *pool;
 
 	if (!r || r->state != REQUEST_FORWARDED ||
 	    strcmp(r->forwarded_to, peer->peer)) {
@@ -129,8 +130,9 @@
 	r->state = REQUEST_BACKOFF; /* the other entry is done with it */
 	if (reply.outcome == OUTCOME_NOT_RUN && ctx->now < r->deadline) {
 		r->is_forward_refused = true;
-		dispatch_enqueue(ctx, r, true);
-		dispatch_schedule(ctx, r->pool);
+		pool = r->pool;
+		if (dispatch_requeue(ctx, r, true))
+			dispatch_schedule(ctx, pool);
 		return;
 	}
 	if (reply.outcome == OUTCOME_UNKNOWN)
@@ -175,6 +177,7 @@
 	const struct refusal lost = { OUTCOME_UNKNOWN, 502,
 				      "peer_lost",     "peer_relay",
 				      r->forwarded_to, 0 };
+	struct pool_queue *pool = r->pool;
 
 	r->state = REQUEST_BACKOFF;
 	r->may_have_run = true;
@@ -184,8 +187,8 @@
 		return;
 	}
 	r->is_forward_refused = true;
-	dispatch_enqueue(ctx, r, true);
-	dispatch_schedule(ctx, r->pool);
+	if (dispatch_requeue(ctx, r, true))
+		dispatch_schedule(ctx, pool);
 }
 
 void dispatch_peer_lost(struct part_ctx *ctx, const char *peer)
--- a/src/job/dispatch_private.h
+++ b/src/job/dispatch_private.h
@@ -63,6 +63,13 @@
 void dispatch_enqueue(struct part_ctx *ctx, struct request *request,
 		      bool at_head);
 
+/*
+ * Queues a request after a time in which its key may have been withdrawn, or
+ * its queue or team removed. Such a request is refused, and freed: false.
+ */
+bool dispatch_requeue(struct part_ctx *ctx, struct request *request,
+		      bool at_head);
+
 /* dispatch_run.c: attempts */
 
 void dispatch_schedule(struct part_ctx *ctx, struct pool_queue *pool);
--- a/src/job/dispatch_run.c
+++ b/src/job/dispatch_run.c
@@ -197,13 +197,15 @@
 {
 	struct part_ctx *ctx = arg;
 	struct request *r = request_get(ctx->parts.dispatch->table, handle);
+	struct pool_queue *pool;
 
 	ctx->now = now;
 	if (!r || r->state != REQUEST_BACKOFF)
 		return;
 	r->wait_timer = 0;
-	dispatch_enqueue(ctx, r, true);
-	dispatch_schedule(ctx, r->pool);
+	pool = r->pool;
+	if (dispatch_requeue(ctx, r, true))
+		dispatch_schedule(ctx, pool);
 }
 
 static void back_off(struct part_ctx *ctx, struct request *r, cs_time wait)
@@ -484,7 +486,7 @@
 	if (!is_refused)
 		note_tried(r);
 	count_retry(ctx, is_refused ? "busy" : "not_sent");
-	dispatch_enqueue(ctx, r, true);
+	dispatch_requeue(ctx, r, true);
 }
 
 void dispatch_task_done(struct part_ctx *ctx, struct task_done *done)
