Tell the ledger when forwarded work leaves the queue

Cause: a request that was forwarded left the queue without a word to the ledger, which went on counting it as waiting. An entry whose whole queue was forwarded, as in a data centre that is taken out, kept its permits for work that was not there, and at SIGTERM waited its whole drain time for them.

Ruled out: permits held for tasks with an unknown end (all 7 tasks of the entry had been answered) and a lost write (the reserve had taken back the permits of the other team in the same drain).

Change: dispatch_forward_waiting() reports the demand when the queue of the team is empty, as a started or refused request does.

--- a/src/job/dispatch_forward.c
+++ b/src/job/dispatch_forward.c
@@ -105,10 +105,14 @@
 			continue;
 		request_dequeue(d->table, r);
 		share_queued(ctx, r->team->share_row, -1);
-		if (!dispatch_forward(ctx, r, target))
+		if (!dispatch_forward(ctx, r, target)) {
 			dispatch_enqueue(ctx, r, true);
-		else
-			n++;
+			continue;
+		}
+		n++;
+		/* Else the ledger would keep permits for work that has left. */
+		if (!r->team->budget->queued)
+			dispatch_tell_demand(ctx, r->team);
 	}
 }
 
--- a/tests/process/test_entry_paused.sh
+++ b/tests/process/test_entry_paused.sh
@@ -62,4 +62,11 @@
 check "every later call with the key is refused as not run" is_equal \
 	"$(cat "$SITE_DIR"/after1.*[0-9] | grep -o '"outcome":"[a-z_]*"' |
 		sort | uniq -c | tr -s ' ')" ' 20 "outcome":"not_run"'
+
+# Work that was forwarded still counted as waiting here, so that the entry kept
+# permits which nothing used, and waited for them at SIGTERM.
+has_ended() { grep -q event=stopped "$SITE_DIR/$1.log"; }
+kill -TERM "$(pid_of e4)"
+check "the entry gives its permits back and ends before its drain time" \
+	wait_for 10 has_ended e4
 end_test
--- a/tests/process/test_sigterm.sh
+++ b/tests/process/test_sigterm.sh
@@ -46,9 +46,9 @@
 	if ($4 < end) overlap = 1
 	end = $5
 	sum += $5 - $4
-} END { print sum, 8000000 + first / 2, overlap + 0 }' >"$SITE_DIR/long"
+} END { printf "%d %d %d\n", sum, 8000000 + first / 2, overlap }' >"$SITE_DIR/long"
 read -r sum most overlap <"$SITE_DIR/long"
-check "the long work was not started again" is_at_most "$sum" "${most%.*}"
+check "the long work was not started again" is_at_most "$sum" "$most"
 check "the long work never ran at two workers at once" is_equal "$overlap" 0
 check "no short work ran twice" is_equal \
 	"$(runs | awk '$2 != "long" { print $2 }' | sort | uniq -d)" ""
