--- a/src/job/dispatch_forward.c
+++ b/src/job/dispatch_forward.c
@@ -105,10 +105,14 @@
 			continue;
 		request_dequeue(d->table, r);
 		share_queued(ctx, r->team->share_row, -1);
-		if (!dispatch_forward(ctx, r, target))
+		if (!dispatch_forward(ctx, r, target)) {
 			dispatch_enqueue(ctx, r, true);
-		else
-			n++;
+			continue;
+		}
+		n++;
+		/* Else the ledger would keep permits for work that has left. */
+		if (!r->team->budget->queued)
+			dispatch_tell_demand(ctx, r->team);
 	}
 }
 
@@ -117,6 +121,7 @@
 {
 	struct request *r = request_get(ctx->parts.dispatch->table, peer->ref);
 	struct reply reply = peer->u.forward_reply;
+	struct pool_queue *pool;
 
 	if (!r || r->state != REQUEST_FORWARDED ||
 	    strcmp(r->forwarded_to, peer->peer)) {
@@ -129,8 +134,9 @@
 	r->state = REQUEST_BACKOFF; /* the other entry is done with it */
 	if (reply.outcome == OUTCOME_NOT_RUN && ctx->now < r->deadline) {
 		r->is_forward_refused = true;
-		dispatch_enqueue(ctx, r, true);
-		dispatch_schedule(ctx, r->pool);
+		pool = r->pool;
+		if (dispatch_requeue(ctx, r, true))
+			dispatch_schedule(ctx, pool);
 		return;
 	}
 	if (reply.outcome == OUTCOME_UNKNOWN)
@@ -175,6 +181,7 @@
 	const struct refusal lost = { OUTCOME_UNKNOWN, 502,
 				      "peer_lost",     "peer_relay",
 				      r->forwarded_to, 0 };
+	struct pool_queue *pool = r->pool;
 
 	r->state = REQUEST_BACKOFF;
 	r->may_have_run = true;
@@ -184,8 +191,8 @@
 		return;
 	}
 	r->is_forward_refused = true;
-	dispatch_enqueue(ctx, r, true);
-	dispatch_schedule(ctx, r->pool);
+	if (dispatch_requeue(ctx, r, true))
+		dispatch_schedule(ctx, pool);
 }
 
 void dispatch_peer_lost(struct part_ctx *ctx, const char *peer)
