Use real documents in the tests of the ledger and the planner

The tests now build documents with document_apply() through rows of sample_fleet.c, so the planner's changes also pass the document's own budget checks. The weak placeholder of changes_decode_json() in test_admin.c is gone; its body is one real change, and exactly one is expected.

--- a/tests/unit/sample_fleet.h
+++ b/tests/unit/sample_fleet.h
@@ -12,6 +12,15 @@
 /* Applies one change and asserts that it is taken. */
 void sample_apply(struct document *doc, struct change change);
 
+/* Rows by name; a host's state is "assigned". */
+void sample_pool(struct document *doc, const char *name, bool is_spare,
+		 int budget_percent);
+void sample_host(struct document *doc, const char *name, const char *rack,
+		 const char *data_centre, const char *pool);
+void sample_worker(struct document *doc, const char *name, const char *host,
+		   const char *address, int slots);
+void sample_team(struct document *doc, const char *name, int share, int limit);
+
 /*
  * A valid document: data centres a, b, ... of one region's making, hosts
  * spread over racks of four, four workers of 8 slots on each host, teams with
--- a/tests/unit/test_admin.c
+++ b/tests/unit/test_admin.c
@@ -8,23 +8,9 @@
 
 #define AUTH "Authorization: Bearer operator-token\r\n"
 #define METRICS "GET /metrics HTTP/1.1\r\n\r\n"
-#define JSON_BODY "Content-Length: 2\r\n\r\n[]"
-
-/*
- * Stands in for src/config/ until that is merged: "[]" is a list of one
- * change, anything else is a fault.
- */
-__attribute__((weak)) int changes_decode_json(GBytes *bytes,
-					      struct change **changes,
-					      size_t *nr, struct cs_error *err)
-{
-	if (g_bytes_get_size(bytes) != 2)
-		return cs_error_set(err, CS_ERR_INVALID, "changes", NULL,
-				    "not a list");
-	*changes = g_new0(struct change, 1);
-	*nr = 1;
-	return CS_OK;
-}
+#define JSON_BODY                                                              \
+	"Content-Length: 32\r\n\r\n"                                           \
+	"[{\"op\":\"host-drain\",\"name\":\"h\"}]"
 
 struct fixture {
 	struct bus *bus;
@@ -116,7 +102,7 @@
 		call = &msg->u.admin_call;
 		assert_int_equal(call->revision, cases[i].revision);
 		assert_int_equal(call->is_dry_run, cases[i].is_dry_run);
-		assert_int_equal(call->changes_nr > 0, cases[i].has_changes);
+		assert_int_equal(call->changes_nr, cases[i].has_changes);
 		assert_int_equal(call->body != NULL, cases[i].has_body);
 		answer(f, call->caller, 409, "{\"revision\":9}");
 		msg_free(msg);
--- a/tests/unit/test_ledger_sync.c
+++ b/tests/unit/test_ledger_sync.c
@@ -1,8 +1,3 @@
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stddef.h>
-#include <stdint.h>
-#include <cmocka.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -13,20 +8,11 @@
 #include "../../src/ledger/ledger_codec.h"
 #include "../../src/ledger/ledger_sync.h"
 #include "fake_fleet.h"
-
-/*
- * Stand-ins for the other parts. The fleet document is one team row; each
- * entry has its own copy, so that one can lag behind.
- */
-struct document {
-	uint64_t revision;
-	size_t nr;
-	struct doc_team team;
-};
+#include "sample_fleet.h"
 
 /* Tasks of the one team: they end at a time, whatever becomes of the entry. */
 struct load {
-	struct document doc;
+	struct document *doc; /* one copy per entry: it can lag behind */
 	int wanted; /* tasks the entry would like to have running */
 	int run_ms;
 	bool is_dropped; /* from the host list */
@@ -51,24 +37,7 @@
 
 const struct document *config_sync_document(const struct part_ctx *ctx)
 {
-	return &load_of(ctx)->doc;
-}
-
-uint64_t document_revision(const struct document *doc)
-{
-	return doc->revision;
-}
-
-const struct doc_team *document_teams(const struct document *doc, size_t *nr)
-{
-	*nr = doc->nr;
-	return &doc->team;
-}
-
-const struct doc_team *document_team(const struct document *doc,
-				     const char *name)
-{
-	return doc->nr && !strcmp(name, doc->team.name) ? &doc->team : NULL;
+	return load_of(ctx)->doc;
 }
 
 bool fleet_is_entry_dropped(const struct part_ctx *ctx, const char *entry)
@@ -250,26 +219,32 @@
 			 f->now, sum, limit, running(f), highest_limit);
 }
 
-static void set_limit(struct fake_node *n, uint64_t revision, int limit)
+/* Tells the part of a live, running entry its fleet document. */
+static void configure(struct fake_node *n)
 {
-	struct load *l = n->test;
-
-	l->doc.revision = revision;
-	l->doc.nr = limit > 0;
-	cs_copy(l->doc.team.name, CS_NAME_MAX, TEAM);
-	l->doc.team.limit = limit;
 	if (!n->is_alive || n->is_paused)
 		return;
 	fake_node_turn(n);
-	n->fleet->part->on_config(&n->ctx, &l->doc);
+	n->fleet->part->on_config(&n->ctx, load_of(&n->ctx)->doc);
 }
 
-static void start_node(struct fake_node *n, const char *mutant)
+/* Puts a document in force at an entry; with limit 0 it has no team. */
+static void set_limit(struct fake_node *n, uint64_t revision, int limit)
 {
 	struct load *l = n->test;
 
+	document_destroy(l->doc);
+	l->doc = document_create();
+	document_set_revision(l->doc, revision);
+	if (limit)
+		sample_team(l->doc, TEAM, 1, limit);
+	configure(n);
+}
+
+static void start_node(struct fake_node *n, const char *mutant)
+{
 	fake_node_start(n, mutant);
-	set_limit(n, l->doc.revision, l->doc.team.limit);
+	configure(n);
 }
 
 /* nr entries, in data centres dc0, dc1, ... of per entries each. */
@@ -303,8 +278,10 @@
 {
 	int i;
 
-	for (i = 0; i < f->nodes_nr; i++)
+	for (i = 0; i < f->nodes_nr; i++) {
+		document_destroy(((struct load *)f->nodes[i]->test)->doc);
 		g_free(f->nodes[i]->test);
+	}
 	g_array_unref(tasks);
 	fake_fleet_destroy(f);
 }
--- a/tests/unit/test_planner.c
+++ b/tests/unit/test_planner.c
@@ -1,8 +1,3 @@
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stddef.h>
-#include <stdint.h>
-#include <cmocka.h>
 #include <string.h>
 
 #include "../../src/base/error.h"
@@ -10,6 +5,7 @@
 #include "../../src/fleet/fleet.h"
 #include "../../src/pool/planner.h"
 #include "../../src/team/share.h"
+#include "sample_fleet.h"
 
 /*
  * The planner part against doubles of the parts around it: a document of one
@@ -18,17 +14,9 @@
 
 #define HOSTS 4
 
-struct document {
-	uint64_t revision;
-	struct doc_host hosts[HOSTS];
-	struct doc_worker workers[HOSTS];
-	struct doc_pool pools[2];
-	struct doc_data_centre dc;
-};
-
 /* What the doubles report; the part under test has no other input. */
 static struct {
-	struct document doc;
+	struct document *doc;
 	int demand; /* of pool "a" */
 	bool is_platform_up, is_idle, has_conflict;
 	GHashTable *kv; /* key -> GBytes */
@@ -36,81 +24,10 @@
 	GString *log; /* changes that were accepted */
 } world;
 
-uint64_t document_revision(const struct document *doc)
-{
-	return doc->revision;
-}
-
-enum preset document_preset(const struct document *doc)
-{
-	(void)doc;
-	return PRESET_PEAK; /* moves alone, and quickly */
-}
-
-const char *preset_name(enum preset preset)
-{
-	(void)preset;
-	return "peak";
-}
-
-const struct doc_data_centre *document_data_centres(const struct document *doc,
-						    size_t *nr)
-{
-	*nr = 1;
-	return &doc->dc;
-}
-
-const struct doc_host *document_hosts(const struct document *doc, size_t *nr)
-{
-	*nr = HOSTS;
-	return doc->hosts;
-}
-
-const struct doc_worker *document_workers(const struct document *doc,
-					  size_t *nr)
-{
-	*nr = HOSTS;
-	return doc->workers;
-}
-
-const struct doc_pool *document_pools(const struct document *doc, size_t *nr)
-{
-	*nr = 2;
-	return doc->pools;
-}
-
-const struct doc_data_centre *document_data_centre(const struct document *doc,
-						   const char *name)
-{
-	return strcmp(doc->dc.name, name) ? NULL : &doc->dc;
-}
-
-const struct doc_host *document_host(const struct document *doc,
-				     const char *name)
-{
-	int i;
-
-	for (i = 0; i < HOSTS; i++)
-		if (!strcmp(doc->hosts[i].name, name))
-			return &doc->hosts[i];
-	return NULL;
-}
-
-const struct doc_pool *document_pool(const struct document *doc,
-				     const char *name)
-{
-	int i;
-
-	for (i = 0; i < 2; i++)
-		if (!strcmp(doc->pools[i].name, name))
-			return &doc->pools[i];
-	return NULL;
-}
-
 const struct document *config_sync_document(const struct part_ctx *ctx)
 {
 	(void)ctx;
-	return &world.doc;
+	return world.doc;
 }
 
 bool config_sync_is_isolated(const struct part_ctx *ctx)
@@ -136,31 +53,22 @@
 			uint64_t expected, bool is_dry_run,
 			config_changed_fn fn)
 {
-	struct doc_host *h;
+	uint64_t revision = document_revision(world.doc);
 	size_t i;
 
 	assert_false(is_dry_run);
-	assert_int_equal(expected, world.doc.revision);
+	assert_int_equal(expected, revision);
+	document_set_revision(world.doc, ++revision);
 	if (world.has_conflict) {
-		world.doc.revision++;
 		fn(ctx, ref, CS_ERR_CONFLICT, 0, "other");
 		return;
 	}
 	for (i = 0; i < nr; i++) {
-		h = (struct doc_host *)document_host(&world.doc,
-						     changes[i].name);
+		sample_apply(world.doc, changes[i]);
 		g_string_append_printf(world.log, "%d:%s ", changes[i].op,
-				       h->name);
-		if (changes[i].op == CHANGE_HOST_DRAIN)
-			h->state = HOST_DRAINING;
-		else if (changes[i].op == CHANGE_HOST_EMPTY)
-			h->state = HOST_EMPTY;
-		else if (changes[i].op == CHANGE_HOST_RETURN)
-			h->state = HOST_ASSIGNED;
-		else
-			cs_copy(h->pool, CS_NAME_MAX, changes[i].pool);
+				       changes[i].name);
 	}
-	fn(ctx, ref, CS_OK, ++world.doc.revision, NULL);
+	fn(ctx, ref, CS_OK, revision, NULL);
 }
 
 bool fleet_is_entry_dropped(const struct part_ctx *ctx, const char *entry)
@@ -190,11 +98,13 @@
 			 void *arg)
 {
 	struct fleet_load load = { .is_idle = world.is_idle };
-	int i;
+	const struct doc_host *hosts;
+	size_t i, nr;
 
 	(void)ctx;
-	for (i = 0; i < HOSTS; i++) {
-		load.host = world.doc.hosts[i].name;
+	hosts = document_hosts(world.doc, &nr);
+	for (i = 0; i < nr; i++) {
+		load.host = hosts[i].name;
 		fn(arg, &load);
 	}
 }
@@ -285,24 +195,24 @@
 
 static int setup(void **state)
 {
+	static const struct change preset = { .op = CHANGE_PRESET,
+					      .name = "peak" };
+	char host[8], rack[8];
 	int i;
 
 	(void)state;
 	memset(&world, 0, sizeof(world));
-	world.doc.revision = 1;
-	cs_copy(world.doc.dc.name, CS_NAME_MAX, "dc1");
-	cs_copy(world.doc.pools[0].name, CS_NAME_MAX, "a");
-	cs_copy(world.doc.pools[1].name, CS_NAME_MAX, "spare");
-	world.doc.pools[1].is_spare = true;
+	world.doc = document_create();
+	document_set_revision(world.doc, 1);
+	sample_apply(world.doc, preset); /* moves alone, and quickly */
+	sample_pool(world.doc, "a", false, 0);
+	sample_pool(world.doc, "spare", true, 0);
 	for (i = 0; i < HOSTS; i++) {
-		struct doc_host *h = &world.doc.hosts[i];
-
-		g_snprintf(h->name, sizeof(h->name), "h%d", i);
-		g_snprintf(h->rack, sizeof(h->rack), "r%d", i);
-		cs_copy(h->data_centre, CS_NAME_MAX, "dc1");
-		cs_copy(h->pool, CS_NAME_MAX, i < 2 ? "a" : "spare");
-		cs_copy(world.doc.workers[i].host, CS_NAME_MAX, h->name);
-		world.doc.workers[i].slots = 8;
+		g_snprintf(host, sizeof(host), "h%d", i);
+		g_snprintf(rack, sizeof(rack), "r%d", i);
+		sample_host(world.doc, host, rack, "dc1",
+			    i < 2 ? "a" : "spare");
+		sample_worker(world.doc, host, host, "10.0.0.1:8000", 8);
 	}
 	world.is_platform_up = true;
 	world.demand = 24;
@@ -316,6 +226,7 @@
 static int teardown(void **state)
 {
 	(void)state;
+	document_destroy(world.doc);
 	g_hash_table_destroy(world.kv);
 	g_queue_free_full(world.out, msg_free_item);
 	g_string_free(world.log, TRUE);
@@ -342,7 +253,7 @@
 		   CHANGE_HOST_DRAIN, CHANGE_HOST_EMPTY, CHANGE_HOST_MOVE,
 		   CHANGE_HOST_RETURN);
 	assert_string_equal(world.log->str, expected);
-	assert_string_equal(world.doc.hosts[2].pool, "a");
+	assert_string_equal(document_host(world.doc, "h2")->pool, "a");
 	stop(ctx);
 }
 
@@ -353,18 +264,18 @@
 
 	(void)state;
 	run(ctx, 30 * CS_SEC);
-	assert_int_equal(world.doc.hosts[2].state, HOST_DRAINING);
+	assert_int_equal(document_host(world.doc, "h2")->state, HOST_DRAINING);
 	stop(ctx);
 	world.is_idle = true;
 	ctx = start(900 * CS_SEC);
 	run(ctx, 60 * CS_SEC);
-	assert_string_equal(world.doc.hosts[2].pool, "a");
+	assert_string_equal(document_host(world.doc, "h2")->pool, "a");
 	stop(ctx);
 	world.demand = 1;
 	ctx = start(5 * CS_SEC);
 	run(ctx, 200 * CS_SEC);
-	assert_string_equal(world.doc.hosts[2].pool, "spare");
-	assert_int_equal(world.doc.hosts[2].state, HOST_ASSIGNED);
+	assert_string_equal(document_host(world.doc, "h2")->pool, "spare");
+	assert_int_equal(document_host(world.doc, "h2")->state, HOST_ASSIGNED);
 	stop(ctx);
 }
 
