Share one key-value double and the constructors of answers

fake_fleet and the configuration tests each had a key-value service of their own, with rows, watches and lost answers. Both now use fake_kv, in which a version is the revision of the service, as in the stand-in. The answers of the doubles, of the soak model and of the platform client were built by four copies of the same code, and the answer with a task's counters by five; msg_kv_done() and msg_metrics_reply() replace them. The order of events in the simulated fleet is as before.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -204,17 +204,6 @@
 			part_table[i]->drain(&e->ctx);
 }
 
-static void reply_metrics(struct entry *e, cs_handle caller)
-{
-	struct msg *msg = msg_new(MSG_METRICS_REPLY);
-	GString *text = g_string_new(NULL);
-
-	counters_render(e->ctx.counters, text);
-	msg->u.metrics_reply.caller = caller;
-	msg->u.metrics_reply.text = g_string_free_to_bytes(text);
-	part_emit(&e->ctx, msg);
-}
-
 void entry_handle(struct entry *e, struct msg *msg, cs_time now)
 {
 	int part;
@@ -234,7 +223,9 @@
 		drain(e);
 		break;
 	case MSG_METRICS_CALL:
-		reply_metrics(e, msg->u.metrics_call.caller);
+		/* 0 is BUS_CORE; the core itself knows no bus. */
+		part_emit(&e->ctx, msg_metrics_reply(msg->u.metrics_call.caller,
+						     0, e->ctx.counters));
 		break;
 	default:
 		part = part_of_msg(msg);
--- a/src/entry/message.c
+++ b/src/entry/message.c
@@ -1,5 +1,7 @@
 #include "message.h"
 
+#include "../base/error.h"
+
 #include <string.h>
 
 struct msg *msg_new(enum msg_type type)
@@ -161,6 +163,32 @@
 	}
 }
 
+struct msg *msg_kv_done(const struct kv_call *call, enum kv_result result)
+{
+	struct msg *msg = msg_new(MSG_KV_DONE);
+	struct kv_done *done = &msg->u.kv_done;
+
+	done->part = call->part;
+	done->token = call->token;
+	done->op = call->op;
+	done->result = result;
+	cs_copy(done->key, sizeof(done->key), call->key);
+	return msg;
+}
+
+struct msg *msg_metrics_reply(cs_handle caller, int source,
+			      const struct counters *counters)
+{
+	struct msg *msg = msg_new(MSG_METRICS_REPLY);
+	GString *text = g_string_new(NULL);
+
+	counters_render(counters, text);
+	msg->u.metrics_reply.caller = caller;
+	msg->u.metrics_reply.source = source;
+	msg->u.metrics_reply.text = g_string_free_to_bytes(text);
+	return msg;
+}
+
 const char *msg_type_name(enum msg_type type)
 {
 	return (unsigned)type < MSG_TYPE_NR ? msg_types[type].name : "invalid";
--- a/src/entry/message.h
+++ b/src/entry/message.h
@@ -3,6 +3,7 @@
 
 #include <glib.h>
 
+#include "../base/counters.h"
 #include "../base/trace.h"
 #include "../camphorshed.h"
 #include "../config/change.h"
@@ -428,6 +429,13 @@
 /* A zeroed message of that type. Never NULL: GLib ends the process first. */
 struct msg *msg_new(enum msg_type type);
 
+/* The end of a call of the platform, without rows. */
+struct msg *msg_kv_done(const struct kv_call *call, enum kv_result result);
+
+/* A task's counters as text for the caller; source is an enum bus_task. */
+struct msg *msg_metrics_reply(cs_handle caller, int source,
+			      const struct counters *counters);
+
 /* Releases a message and all that it holds. Accepts NULL. */
 void msg_free(struct msg *msg);
 
--- a/src/front/front.c
+++ b/src/front/front.c
@@ -139,16 +139,10 @@
 
 static void reply_metrics(struct front *f, cs_handle caller)
 {
-	struct msg *msg = msg_new(MSG_METRICS_REPLY);
-	GString *text = g_string_new(NULL);
-
 	counters_set(f->counters, "front_open_connections", "",
 		     http_server_connections(f->server));
-	counters_render(f->counters, text);
-	msg->u.metrics_reply.caller = caller;
-	msg->u.metrics_reply.source = BUS_FRONT;
-	msg->u.metrics_reply.text = g_string_free_to_bytes(text);
-	bus_post(f->bus, BUS_FRONT, msg);
+	bus_post(f->bus, BUS_FRONT,
+		 msg_metrics_reply(caller, BUS_FRONT, f->counters));
 }
 
 static void on_msg(void *state, struct task *task, void *item)
--- a/src/peer/peer_link.c
+++ b/src/peer/peer_link.c
@@ -433,18 +433,13 @@
 
 static void send_metrics(struct peer_link *link, cs_handle caller)
 {
-	struct msg *msg = msg_new(MSG_METRICS_REPLY);
-	GString *text = g_string_new(NULL);
 	size_t i, up = 0;
 
 	for (i = 0; i < link->peers_nr; i++)
 		up += link->peers[i].up != 0;
 	counters_set(link->counters, "peers_up", "", (int64_t)up);
-	counters_render(link->counters, text);
-	msg->u.metrics_reply.caller = caller;
-	msg->u.metrics_reply.source = BUS_PEER;
-	msg->u.metrics_reply.text = g_string_free_to_bytes(text);
-	bus_post(link->bus, BUS_PEER, msg);
+	bus_post(link->bus, BUS_PEER,
+		 msg_metrics_reply(caller, BUS_PEER, link->counters));
 }
 
 static void on_msg(void *state, struct task *task, void *item)
--- a/src/platform/platform_client.c
+++ b/src/platform/platform_client.c
@@ -333,18 +333,6 @@
 		       decode_hosts },
 };
 
-static struct msg *make_done(const struct kv_call *call)
-{
-	struct msg *m = msg_new(MSG_KV_DONE);
-	struct kv_done *d = &m->u.kv_done;
-
-	d->part = call->part;
-	d->token = call->token;
-	d->op = call->op;
-	cs_copy(d->key, sizeof(d->key), call->key);
-	return m;
-}
-
 /* Posts the end of a call and counts it. */
 static void finish(struct platform_client *client, struct msg *m)
 {
@@ -408,10 +396,9 @@
 	struct platform_call *row = slots_get(client->calls, ref);
 	const struct kv_call *call = &row->request->u.kv_call;
 	bool is_write = kv_ops[call->op].is_write;
-	struct msg *m = make_done(call);
+	struct msg *m = msg_kv_done(call, KV_OK);
 	struct cs_error err;
 
-	m->u.kv_done.result = KV_OK;
 	if (answer->result != HTTP_ANSWERED) {
 		m->u.kv_done.result = is_write && answer->result ==
 							      HTTP_UNKNOWN ?
@@ -421,8 +408,7 @@
 	} else if (!decode(call, answer, &m->u.kv_done)) {
 		/* Rows that were read before the fault must not be used. */
 		msg_free(m);
-		m = make_done(call);
-		m->u.kv_done.result = is_write ? KV_UNKNOWN : KV_UNAVAILABLE;
+		m = msg_kv_done(call, is_write ? KV_UNKNOWN : KV_UNAVAILABLE);
 		cs_error_set(&err, CS_ERR_INVALID, "decode",
 			     client->options.address,
 			     "malformed or unexpected answer, status %d",
@@ -438,10 +424,9 @@
 static void refuse(struct platform_client *client, struct msg *request,
 		   int code, const char *message)
 {
-	struct msg *m = make_done(&request->u.kv_call);
+	struct msg *m = msg_kv_done(&request->u.kv_call, KV_UNAVAILABLE);
 	struct cs_error err;
 
-	m->u.kv_done.result = KV_UNAVAILABLE;
 	cs_error_set(&err, code, "encode", client->options.address, "%s",
 		     message);
 	report(client, &request->u.kv_call, &err);
@@ -518,16 +503,10 @@
 
 static void answer_metrics(struct platform_client *client, cs_handle caller)
 {
-	struct msg *m = msg_new(MSG_METRICS_REPLY);
-	GString *text = g_string_new(NULL);
-
 	counters_set(client->counters, "camphorshed_platform_calls_open", "",
 		     slots_count(client->calls));
-	counters_render(client->counters, text);
-	m->u.metrics_reply.caller = caller;
-	m->u.metrics_reply.source = BUS_PLATFORM;
-	m->u.metrics_reply.text = g_string_free_to_bytes(text);
-	bus_post(client->bus, BUS_PLATFORM, m);
+	bus_post(client->bus, BUS_PLATFORM,
+		 msg_metrics_reply(caller, BUS_PLATFORM, client->counters));
 }
 
 static void on_msg(void *state, struct task *task, void *msg)
--- a/src/worker/worker_client.c
+++ b/src/worker/worker_client.c
@@ -431,16 +431,10 @@
 
 static void answer_metrics(struct worker_client *client, cs_handle caller)
 {
-	struct msg *m = msg_new(MSG_METRICS_REPLY);
-	GString *text = g_string_new(NULL);
-
 	counters_set(client->counters, "camphorshed_worker_calls_open", "",
 		     slots_count(client->calls));
-	counters_render(client->counters, text);
-	m->u.metrics_reply.caller = caller;
-	m->u.metrics_reply.source = BUS_WORKER;
-	m->u.metrics_reply.text = g_string_free_to_bytes(text);
-	bus_post(client->bus, BUS_WORKER, m);
+	bus_post(client->bus, BUS_WORKER,
+		 msg_metrics_reply(caller, BUS_WORKER, client->counters));
 }
 
 static void on_msg(void *state, struct task *task, void *msg)
--- a/tests/soak/model_kv.c
+++ b/tests/soak/model_kv.c
@@ -82,19 +82,6 @@
 	return v ? v->value : NULL;
 }
 
-static struct msg *answer_to(const struct kv_call *call, enum kv_result result)
-{
-	struct msg *msg = msg_new(MSG_KV_DONE);
-	struct kv_done *d = &msg->u.kv_done;
-
-	d->part = call->part;
-	d->token = call->token;
-	d->op = call->op;
-	d->result = result;
-	cs_copy(d->key, sizeof(d->key), call->key);
-	return msg;
-}
-
 static void fill_row(struct kv_row *row, const char *key,
 		     const struct kv_value *v)
 {
@@ -163,7 +150,7 @@
 		e = &w->entries[watch->entry];
 		if (e->life == watch->life &&
 		    !w->places[e->place].is_platform_cut) {
-			msg = answer_to(&watch->call, KV_OK);
+			msg = msg_kv_done(&watch->call, KV_OK);
 			fill_rows(kv, &msg->u.kv_done, watch->call.key,
 				  watch->call.version, true);
 			world_send(w, watch->entry, world_chance(w, 1000, 4000),
@@ -205,13 +192,13 @@
 	struct msg *msg;
 
 	if (version != call->version) {
-		msg = answer_to(call, KV_CONFLICT);
+		msg = msg_kv_done(call, KV_CONFLICT);
 		one_row(&msg->u.kv_done, v);
 		return msg;
 	}
 	write_value(kv, call->key, call->op == KV_DELETE ? NULL : call->value);
 	v = g_tree_lookup(kv->values, call->key);
-	msg = answer_to(call, KV_OK);
+	msg = msg_kv_done(call, KV_OK);
 	msg->u.kv_done.version = v->version;
 	return msg;
 }
@@ -227,11 +214,11 @@
 	struct msg *msg;
 
 	if (call->op == KV_LIST) {
-		msg = answer_to(call, KV_OK);
+		msg = msg_kv_done(call, KV_OK);
 		fill_rows(kv, &msg->u.kv_done, call->key, 0, false);
 		return msg;
 	}
-	msg = answer_to(call, v && v->value ? KV_OK : KV_MISSING);
+	msg = msg_kv_done(call, v && v->value ? KV_OK : KV_MISSING);
 	one_row(&msg->u.kv_done, v);
 	return msg;
 }
@@ -248,7 +235,7 @@
 
 static struct msg *hosts_answer(struct world *w, const struct kv_call *call)
 {
-	struct msg *msg = answer_to(call, KV_OK);
+	struct msg *msg = msg_kv_done(call, KV_OK);
 	struct kv_done *d = &msg->u.kv_done;
 	int i;
 
@@ -315,7 +302,7 @@
 {
 	enum kv_result result = is_write(call) ? KV_UNKNOWN : KV_UNAVAILABLE;
 
-	world_send(w, entry, CALL_TIMEOUT, answer_to(call, result));
+	world_send(w, entry, CALL_TIMEOUT, msg_kv_done(call, result));
 	if (!is_write(call) || is_lost)
 		return;
 	if (world_percent(w, 50)) {
@@ -337,7 +324,7 @@
 	(void)now;
 	if (!watch)
 		return;
-	msg = answer_to(&watch->call, KV_OK);
+	msg = msg_kv_done(&watch->call, KV_OK);
 	msg->u.kv_done.revision = kv->revision;
 	if (kv->w->entries[watch->entry].life == watch->life)
 		world_send(kv->w, watch->entry, 1000, msg);
@@ -349,7 +336,7 @@
 static void begin_watch(struct world *w, int entry, const struct kv_call *call)
 {
 	struct kv_model *kv = w->kv;
-	struct msg *msg = answer_to(call, KV_OK);
+	struct msg *msg = msg_kv_done(call, KV_OK);
 	struct kv_watch *watch;
 	cs_handle h;
 
@@ -380,7 +367,7 @@
 		/* Refused at once, or hanging, as an outage may be. */
 		if (world_percent(w, 50))
 			world_send(w, entry, delay,
-				   answer_to(call, KV_UNAVAILABLE));
+				   msg_kv_done(call, KV_UNAVAILABLE));
 		else
 			lose_call(w, entry, call, world_percent(w, 70));
 		return;
--- a/tests/unit/fake_fleet.c
+++ b/tests/unit/fake_fleet.c
@@ -4,11 +4,6 @@
 
 #include "../../src/base/error.h"
 
-struct fake_row {
-	uint64_t version, revision;
-	GBytes *value;
-};
-
 /* A message on its way to the platform or to a node. */
 struct fake_event {
 	cs_time due;
@@ -20,21 +15,6 @@
 	bool is_mute; /* the call's answer was given already */
 };
 
-struct fake_watch {
-	struct fake_node *node;
-	uint64_t incarnation;
-	struct kv_call call;
-	cs_time until;
-};
-
-static void free_row(void *data)
-{
-	struct fake_row *row = data;
-
-	g_bytes_unref(row->value);
-	g_free(row);
-}
-
 static void free_event(void *data)
 {
 	struct fake_event *e = data;
@@ -120,10 +100,8 @@
 	f->part = part;
 	f->now = CS_SEC;
 	f->rng = g_rand_new_with_seed(seed);
-	f->rows = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					free_row);
+	fake_kv_init(&f->kv);
 	f->events = g_ptr_array_new_with_free_func(free_event);
-	f->watches = g_ptr_array_new_with_free_func(g_free);
 	return f;
 }
 
@@ -136,8 +114,7 @@
 	for (i = 0; i < f->nodes_nr; i++)
 		g_free(f->nodes[i]);
 	g_ptr_array_unref(f->events);
-	g_ptr_array_unref(f->watches);
-	g_hash_table_unref(f->rows);
+	fake_kv_clear(&f->kv);
 	g_rand_free(f->rng);
 	g_free(f);
 }
@@ -246,87 +223,21 @@
 		n->fleet->part->on_jump(&n->ctx);
 }
 
-static struct msg *answer_to(const struct kv_call *call, enum kv_result result)
+static bool is_cut(const void *caller)
 {
-	struct msg *msg = msg_new(MSG_KV_DONE);
-	struct kv_done *d = &msg->u.kv_done;
-
-	d->part = call->part;
-	d->token = call->token;
-	d->op = call->op;
-	d->result = result;
-	cs_copy(d->key, sizeof(d->key), call->key);
-	return msg;
-}
+	const struct fake_node *n = caller;
 
-static void add_row(struct kv_done *d, const char *key,
-		    const struct fake_row *row)
-{
-	struct kv_row *r;
-
-	d->rows = g_renew(struct kv_row, d->rows, d->rows_nr + 1);
-	r = &d->rows[d->rows_nr++];
-	memset(r, 0, sizeof(*r));
-	cs_copy(r->key, sizeof(r->key), key);
-	r->version = row->version;
-	r->value = g_bytes_ref(row->value);
-}
-
-/* Adds the rows of a prefix that changed after a revision. */
-static void add_rows(const struct fake_fleet *f, struct kv_done *d,
-		     const char *prefix, uint64_t since)
-{
-	GHashTableIter it;
-	gpointer key, value;
-
-	g_hash_table_iter_init(&it, f->rows);
-	while (g_hash_table_iter_next(&it, &key, &value)) {
-		struct fake_row *row = value;
-
-		if (g_str_has_prefix(key, prefix) && row->revision > since)
-			add_row(d, key, row);
-	}
-	d->revision = f->revision;
+	return n->fleet->is_down || n->is_cut;
 }
 
 static void answer_watches(struct fake_fleet *f)
 {
-	guint i = 0;
-
-	while (i < f->watches->len) {
-		struct fake_watch *w = g_ptr_array_index(f->watches, i);
-		bool is_lost = f->is_down || w->node->is_cut;
-		struct msg *msg =
-			answer_to(&w->call, is_lost ? KV_UNAVAILABLE : KV_OK);
-
-		if (!is_lost)
-			add_rows(f, &msg->u.kv_done, w->call.key,
-				 w->call.version);
-		if (!is_lost && !msg->u.kv_done.rows_nr && w->until > f->now) {
-			msg_free(msg);
-			i++;
-			continue;
-		}
-		post(f, NULL, w->node, msg, delay(f))->incarnation =
-			w->incarnation;
-		g_ptr_array_remove_index_fast(f->watches, i);
-	}
-}
+	struct fake_watch w;
+	struct msg *msg;
 
-static enum kv_result compare_and_swap(struct fake_fleet *f,
-				       const struct kv_call *call)
-{
-	struct fake_row *row = g_hash_table_lookup(f->rows, call->key);
-
-	if ((row ? row->version : 0) != call->version)
-		return KV_CONFLICT;
-	row = g_new0(struct fake_row, 1);
-	row->version = call->version + 1;
-	row->revision = ++f->revision;
-	row->value = g_bytes_ref(call->value);
-	g_hash_table_replace(f->rows, g_strdup(call->key), row);
-	answer_watches(f);
-	return KV_OK;
+	while ((msg = fake_kv_poll(&f->kv, f->now, is_cut, &w)))
+		post(f, NULL, w.caller, msg, delay(f))->incarnation =
+			w.incarnation;
 }
 
 static enum fake_fault choose_fault(struct fake_fleet *f,
@@ -346,14 +257,17 @@
 	return FAKE_NONE;
 }
 
-/* Executes a compare-and-swap with its fault; returns the answer. */
-static struct msg *do_cas(struct fake_fleet *f, struct fake_event *e)
+/* The answer, or NULL if there is none yet. */
+static struct msg *do_call(struct fake_fleet *f, struct fake_event *e)
 {
 	const struct kv_call *call = &e->msg->u.kv_call;
-	enum fake_fault fault = e->is_mute ? FAKE_NONE : choose_fault(f, call);
-	struct fake_row *row;
-	struct msg *msg;
+	enum fake_fault fault = FAKE_NONE;
+	struct msg *msg = NULL;
 
+	if (!e->is_mute && is_cut(e->from))
+		return msg_kv_done(call, KV_UNAVAILABLE);
+	if (!e->is_mute)
+		fault = choose_fault(f, call);
 	if (fault == FAKE_LOST_LATE) {
 		struct msg *late = msg_new(MSG_KV_CALL);
 
@@ -361,55 +275,14 @@
 		late->u.kv_call.value = g_bytes_ref(call->value);
 		post(f, e->from, NULL, late, 3 * CS_SEC)->is_mute = true;
 	}
-	if (fault == FAKE_LOST_LATE || fault == FAKE_LOST_DROPPED)
-		return answer_to(call, KV_UNKNOWN);
-	msg = answer_to(call, compare_and_swap(f, call));
-	row = g_hash_table_lookup(f->rows, call->key);
-	if (fault == FAKE_LOST_APPLIED)
-		msg->u.kv_done.result = KV_UNKNOWN;
-	else if (msg->u.kv_done.result == KV_CONFLICT && row)
-		add_row(&msg->u.kv_done, call->key, row);
-	else if (row)
-		msg->u.kv_done.version = row->version;
+	if (call->op == KV_WATCH)
+		fake_kv_watch(&f->kv, call, e->from, e->incarnation, f->now);
+	else
+		msg = fake_kv_call(&f->kv, call, fault);
+	answer_watches(f);
 	return msg;
 }
 
-static struct msg *do_call(struct fake_fleet *f, struct fake_event *e)
-{
-	const struct kv_call *call = &e->msg->u.kv_call;
-	struct fake_row *row;
-	struct fake_watch *w;
-	struct msg *msg;
-
-	if (!e->is_mute && (f->is_down || e->from->is_cut))
-		return answer_to(call, KV_UNAVAILABLE);
-	switch (call->op) {
-	case KV_GET:
-		row = g_hash_table_lookup(f->rows, call->key);
-		msg = answer_to(call, row ? KV_OK : KV_MISSING);
-		if (row)
-			add_row(&msg->u.kv_done, call->key, row);
-		return msg;
-	case KV_LIST:
-		msg = answer_to(call, KV_OK);
-		add_rows(f, &msg->u.kv_done, call->key, 0);
-		return msg;
-	case KV_WATCH:
-		w = g_new0(struct fake_watch, 1);
-		w->node = e->from;
-		w->incarnation = e->incarnation;
-		w->call = *call;
-		w->until = f->now + call->wait_ms * CS_MSEC;
-		g_ptr_array_add(f->watches, w);
-		answer_watches(f);
-		return NULL;
-	case KV_CAS:
-		return do_cas(f, e);
-	default:
-		return answer_to(call, KV_UNAVAILABLE);
-	}
-}
-
 static void deliver(struct fake_fleet *f, struct fake_event *e)
 {
 	struct fake_node *n = e->to;
@@ -500,10 +373,3 @@
 	}
 	f->now = end;
 }
-
-GBytes *fake_fleet_value(const struct fake_fleet *f, const char *key)
-{
-	struct fake_row *row = g_hash_table_lookup(f->rows, key);
-
-	return row ? row->value : NULL;
-}
--- a/tests/unit/fake_fleet.h
+++ b/tests/unit/fake_fleet.h
@@ -2,6 +2,7 @@
 #define FAKE_FLEET_H
 
 #include "../../src/entry/part.h"
+#include "fake_kv.h"
 
 /*
  * Several entries with one part each, a key-value service and links between
@@ -11,14 +12,6 @@
 
 #define FAKE_NODES_MAX 16
 
-/* What happens to one compare-and-swap. */
-enum fake_fault {
-	FAKE_NONE,
-	FAKE_LOST_APPLIED, /* takes effect, the answer is lost */
-	FAKE_LOST_DROPPED, /* has no effect, the answer is lost */
-	FAKE_LOST_LATE /* the answer is lost, the effect comes 3 s later */
-};
-
 struct fake_fleet;
 
 struct fake_node {
@@ -40,10 +33,8 @@
 	GRand *rng;
 	struct fake_node *nodes[FAKE_NODES_MAX];
 	int nodes_nr;
-	GHashTable *rows; /* key -> struct fake_row */
-	uint64_t revision;
+	struct fake_kv kv;
 	GPtrArray *events; /* struct fake_event, unsorted */
-	GPtrArray *watches; /* struct fake_watch */
 	uint64_t sequence;
 	uint64_t calls; /* of the platform, watches not counted */
 	bool is_down;
@@ -76,7 +67,4 @@
 /* Runs events and timers for that long. */
 void fake_fleet_run(struct fake_fleet *f, cs_time duration);
 
-/* The value of a key, or NULL. */
-GBytes *fake_fleet_value(const struct fake_fleet *f, const char *key);
-
 #endif
--- a/tests/unit/http_client.h
+++ b/tests/unit/http_client.h
@@ -1,11 +1,8 @@
 #ifndef HTTP_CLIENT_H
 #define HTTP_CLIENT_H
 
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stddef.h>
-#include <stdint.h>
-#include <cmocka.h>
+#include "unit.h"
+
 #include <stdio.h>
 #include <string.h>
 #include <unistd.h>
--- a/tests/unit/sample_fleet.h
+++ b/tests/unit/sample_fleet.h
@@ -1,11 +1,7 @@
 #ifndef SAMPLE_FLEET_H
 #define SAMPLE_FLEET_H
 
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stddef.h>
-#include <stdint.h>
-#include <cmocka.h>
+#include "unit.h"
 
 #include "../../src/config/document.h"
 
--- a/tests/unit/test_budget.c
+++ b/tests/unit/test_budget.c
@@ -1,8 +1,4 @@
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stddef.h>
-#include <stdint.h>
-#include <cmocka.h>
+#include "unit.h"
 
 #include "../../src/pool/budget.h"
 
--- a/tests/unit/test_claim.c
+++ b/tests/unit/test_claim.c
@@ -1,8 +1,5 @@
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stddef.h>
-#include <stdint.h>
-#include <cmocka.h>
+#include "unit.h"
+
 #include <string.h>
 
 #include "../../src/base/error.h"
@@ -120,7 +117,7 @@
 
 static void read_map(const struct fake_fleet *f, struct claim_map *map)
 {
-	assert_int_equal(claim_map_decode(fake_fleet_value(f, "claims/map"),
+	assert_int_equal(claim_map_decode(fake_kv_value(&f->kv, "claims/map"),
 					  map, NULL),
 			 CS_OK);
 }
--- a/tests/unit/test_config_sync.c
+++ b/tests/unit/test_config_sync.c
@@ -2,7 +2,7 @@
 
 #include "../../src/config/codec.h"
 #include "../../src/config/config_sync.h"
-#include "fake_config_kv.h"
+#include "fake_kv.h"
 #include "sample_fleet.h"
 
 /*
@@ -36,7 +36,11 @@
 	cs_time longest_gap;
 	cs_time now;
 	GQueue mail; /* an entry and its message in turn */
-	struct fake_config_kv kv;
+	struct fake_kv kv;
+	bool is_down; /* the platform */
+	int lose_answers; /* of the next writes, which take effect */
+	int lose_calls; /* of the next writes, which take no effect */
+	int calls; /* of the platform */
 };
 
 /* The core's own function tells all parts; here it only counts. */
@@ -56,13 +60,13 @@
 
 static const struct outbox_ops outbox = { emit };
 
-static void answer_kv(struct cluster *c, int node, struct msg *msg)
+static void answer_kv(struct node *n, struct msg *msg)
 {
 	if (!msg)
 		return;
-	c->nodes[node].ctx.now = c->now;
-	if (!c->nodes[node].is_paused)
-		config_sync_part.on_kv(&c->nodes[node].ctx, &msg->u.kv_done);
+	n->ctx.now = n->cluster->now;
+	if (!n->is_paused)
+		config_sync_part.on_kv(&n->ctx, &msg->u.kv_done);
 	msg_free(msg);
 }
 
@@ -78,21 +82,46 @@
 	config_sync_part.on_peer(&c->nodes[to].ctx, &msg->u.peer);
 }
 
+static enum fake_fault next_fault(struct cluster *c)
+{
+	if (c->lose_calls > 0) {
+		c->lose_calls--;
+		return FAKE_LOST_DROPPED;
+	}
+	if (c->lose_answers > 0) {
+		c->lose_answers--;
+		return FAKE_LOST_APPLIED;
+	}
+	return FAKE_NONE;
+}
+
 static void call_kv(struct cluster *c, struct node *n,
 		    const struct kv_call *call)
 {
-	bool was_down = c->kv.is_down;
+	struct msg *msg = NULL;
 
-	c->kv.is_down |= n->is_platform_cut;
-	answer_kv(c, n->index,
-		  fake_config_kv_call(&c->kv, n->index, call, c->now));
-	c->kv.is_down = was_down;
+	c->calls++;
+	if (c->is_down || n->is_platform_cut)
+		msg = msg_kv_done(call, KV_UNAVAILABLE);
+	else if (call->op == KV_WATCH)
+		fake_kv_watch(&c->kv, call, n, 1, c->now);
+	else
+		msg = fake_kv_call(&c->kv, call,
+				   call->op == KV_CAS ? next_fault(c) :
+							FAKE_NONE);
+	answer_kv(n, msg);
+}
+
+static bool is_down(const void *caller)
+{
+	return ((const struct node *)caller)->cluster->is_down;
 }
 
 /* Delivers until nothing is under way. */
 static void pump(struct cluster *c)
 {
-	struct fake_config_answer ended;
+	struct fake_watch ended;
+	struct msg *answer;
 	struct node *n;
 
 	do {
@@ -105,11 +134,14 @@
 				call_kv(c, n, &msg->u.kv_call);
 			msg_free(msg);
 		}
-		ended = fake_config_kv_poll(&c->kv, c->now);
-		if (ended.msg && c->nodes[ended.node].is_platform_cut)
-			ended.msg->u.kv_done.result = KV_UNKNOWN;
-		answer_kv(c, ended.node, ended.msg);
-	} while (ended.msg || !g_queue_is_empty(&c->mail));
+		answer = fake_kv_poll(&c->kv, c->now, is_down, &ended);
+		if (answer) {
+			n = ended.caller;
+			if (n->is_platform_cut)
+				answer->u.kv_done.result = KV_UNKNOWN;
+			answer_kv(n, answer);
+		}
+	} while (answer || !g_queue_is_empty(&c->mail));
 }
 
 static void run(struct cluster *c, int64_t ms)
@@ -195,7 +227,7 @@
 {
 	GBytes *bytes = encoded(doc, rev);
 
-	fake_config_kv_put(&c->kv, "config/fleet", bytes);
+	fake_kv_put(&c->kv, "config/fleet", bytes);
 	g_bytes_unref(bytes);
 }
 
@@ -208,9 +240,9 @@
 	c->nr = nr;
 	c->now = 100 * CS_SEC;
 	g_queue_init(&c->mail);
-	fake_config_kv_init(&c->kv);
+	fake_kv_init(&c->kv);
 	put_document(c, sample_fleet(2, 8, 2, 2), 1);
-	c->kv.is_down = is_down;
+	c->is_down = is_down;
 	for (i = 0; i < nr; i++) {
 		g_snprintf(c->peers[i].id, CS_NAME_MAX, "e%d", i);
 		g_snprintf(c->peers[i].data_centre, CS_NAME_MAX, "%c",
@@ -239,7 +271,7 @@
 	}
 	while (g_queue_pop_head(&c->mail))
 		msg_free(g_queue_pop_head(&c->mail));
-	fake_config_kv_clear(&c->kv);
+	fake_kv_clear(&c->kv);
 	g_free(c);
 }
 
@@ -309,11 +341,11 @@
 	(void)state;
 	expect_all(c, 1);
 	run(c, 5000);
-	calls = c->kv.calls;
+	calls = c->calls;
 	c->longest_gap = 0;
 	run(c, 20000);
 	/* one watch of 10 s for each of 3 data centres, and no other call */
-	assert_in_range(c->kv.calls - calls, 3, 9);
+	assert_in_range(c->calls - calls, 3, 9);
 	assert_true(c->longest_gap <= 1 * CS_SEC);
 	ask(c, 3, "new", 1);
 	run(c, 10);
@@ -397,20 +429,20 @@
 	struct cluster *c = cluster_create(2, false);
 
 	(void)state;
-	c->kv.lose_answers = 1;
+	c->lose_answers = 1;
 	ask(c, 0, "one", 0);
 	run(c, 10);
 	assert_int_equal(c->nodes[0].code, CS_OK);
 	assert_int_equal(c->nodes[0].revision, 2);
 	/* the call itself was lost: it is made again */
-	c->kv.lose_calls = 1;
+	c->lose_calls = 1;
 	ask(c, 1, "two", 2);
 	run(c, 10);
 	assert_int_equal(c->nodes[1].code, CS_OK);
 	assert_int_equal(c->nodes[1].revision, 3);
 	expect_all(c, 3);
 	/* lost for good: the outcome stays unknown, and is said to be so */
-	c->kv.lose_calls = 1000;
+	c->lose_calls = 1000;
 	ask(c, 1, "three", 0);
 	run(c, 4900);
 	assert_int_equal(c->nodes[1].answers, 0);
@@ -427,7 +459,7 @@
 	struct cluster *c = cluster_create(NODES, false);
 
 	(void)state;
-	c->kv.lose_answers = 1;
+	c->lose_answers = 1;
 	ask(c, 0, "one", 0);
 	ask(c, 5, "two", 0);
 	run(c, 1000);
@@ -445,13 +477,13 @@
 	struct cluster *c = cluster_create(2, false);
 
 	(void)state;
-	c->kv.is_down = true;
+	c->is_down = true;
 	ask(c, 0, "one", 0);
 	run(c, 1000);
 	assert_int_equal(c->nodes[0].code, CS_ERR_IO);
 	assert_false(config_sync_platform_up(&c->nodes[0].ctx));
 	assert_false(config_sync_platform_up(&c->nodes[1].ctx));
-	c->kv.is_down = false;
+	c->is_down = false;
 	run(c, 3000);
 	assert_true(config_sync_platform_up(&c->nodes[0].ctx));
 	assert_true(config_sync_platform_up(&c->nodes[1].ctx));
@@ -548,9 +580,9 @@
 		c->nodes[i].is_paused = false;
 	set_links(c, 0, true);
 	run(c, 12000);
-	i = c->kv.calls;
+	i = c->calls;
 	run(c, 20000);
-	assert_in_range(c->kv.calls - i, 3, 9);
+	assert_in_range(c->calls - i, 3, 9);
 	expect_all(c, 2);
 	cluster_destroy(c);
 }
@@ -568,7 +600,7 @@
 	run(c, 5000);
 	for (i = 0; i < 4; i++)
 		set_link(c, i / 2, 2 + i % 2, false);
-	g_queue_clear_full(&c->kv.watches, g_free);
+	g_ptr_array_set_size(c->kv.watches, 0);
 	put_document(c, sample_fleet(2, 9, 2, 2), 2);
 	run(c, 7000);
 	expect_all(c, 2);
@@ -614,7 +646,7 @@
 		assert_false(config_sync_is_isolated(&c->nodes[0].ctx));
 		assert_false(config_sync_is_isolated(&c->nodes[1].ctx));
 	}
-	c->kv.is_down = true;
+	c->is_down = true;
 	run(c, 5100);
 	assert_true(config_sync_is_isolated(&c->nodes[0].ctx));
 	assert_true(config_sync_is_isolated(&c->nodes[1].ctx));
--- a/tests/unit/test_http_client.c
+++ b/tests/unit/test_http_client.c
@@ -1,8 +1,5 @@
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stddef.h>
-#include <stdint.h>
-#include <cmocka.h>
+#include "unit.h"
+
 #include <event2/event.h>
 #include <stdatomic.h>
 
--- a/tests/unit/test_ledger.c
+++ b/tests/unit/test_ledger.c
@@ -1,8 +1,5 @@
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stddef.h>
-#include <stdint.h>
-#include <cmocka.h>
+#include "unit.h"
+
 #include <string.h>
 
 #include "../../src/ledger/ledger_codec.h"
--- a/tests/unit/test_ledger_sync.c
+++ b/tests/unit/test_ledger_sync.c
@@ -132,7 +132,7 @@
 	struct ledger *l;
 
 	g_snprintf(key, sizeof(key), "ledger/%s", account);
-	value = fake_fleet_value(f, key);
+	value = fake_kv_value(&f->kv, key);
 	if (!value)
 		return ledger_create(account);
 	l = ledger_decode(value, account, NULL);
@@ -148,7 +148,7 @@
 	GHashTableIter it;
 	gpointer key;
 
-	g_hash_table_iter_init(&it, f->rows);
+	g_hash_table_iter_init(&it, f->kv.rows);
 	while (g_hash_table_iter_next(&it, &key, NULL))
 		g_ptr_array_add(all, read_account(f, strchr(key, '/') + 1));
 	return all;
--- a/tests/unit/test_platform_client.c
+++ b/tests/unit/test_platform_client.c
@@ -1,8 +1,5 @@
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stddef.h>
-#include <stdint.h>
-#include <cmocka.h>
+#include "unit.h"
+
 #include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
