--- a/tests/unit/http_client.c
+++ b/tests/unit/http_client.c
@@ -6,7 +6,7 @@
 
 #include "../../src/base/http_util.h"
 
-void client_free_address(char out[CS_ADDRESS_MAX])
+int client_bind(char out[CS_ADDRESS_MAX])
 {
 	struct sockaddr_in sa = { .sin_family = AF_INET };
 	socklen_t len = sizeof(sa);
@@ -15,8 +15,13 @@
 	sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	assert_int_equal(bind(fd, (struct sockaddr *)&sa, len), 0);
 	assert_int_equal(getsockname(fd, (struct sockaddr *)&sa, &len), 0);
-	close(fd);
 	http_address_format((struct sockaddr *)&sa, out);
+	return fd;
+}
+
+void client_free_address(char out[CS_ADDRESS_MAX])
+{
+	close(client_bind(out));
 }
 
 void client_write(int fd, const char *text)
@@ -104,6 +109,36 @@
 	return msg;
 }
 
+char *client_metrics(struct bus *bus, enum bus_task task)
+{
+	enum { CALLER = 7 };
+	struct msg *msg;
+	GBytes *bytes;
+	char *text;
+
+	bus_ask_metrics(bus, task, CALLER);
+	msg = client_take(bus, BUS_ADMIN, MSG_METRICS_REPLY);
+	assert_int_equal(msg->u.metrics_reply.caller, CALLER);
+	assert_int_equal(msg->u.metrics_reply.source, task);
+	bytes = msg->u.metrics_reply.text;
+	text = g_strndup(g_bytes_get_data(bytes, NULL),
+			 g_bytes_get_size(bytes));
+	msg_free(msg);
+	return text;
+}
+
+int client_open_log(void **state)
+{
+	*state = log_create(LOG_FATAL, NULL);
+	return *state ? 0 : -1;
+}
+
+int client_close_log(void **state)
+{
+	log_destroy(*state);
+	return 0;
+}
+
 void client_expect_idle_core(struct bus *bus)
 {
 	void *msg;
--- a/tests/unit/http_client.h
+++ b/tests/unit/http_client.h
@@ -11,6 +11,9 @@
 
 /* A caller made of one blocking socket, for tests of the HTTP servers. */
 
+/* A socket bound to a free loopback port, whose address goes to out. */
+int client_bind(char out[CS_ADDRESS_MAX]);
+
 /* Writes "127.0.0.1:PORT" with a port that is free now. */
 void client_free_address(char out[CS_ADDRESS_MAX]);
 
@@ -33,6 +36,13 @@
 struct msg *client_take(struct bus *bus, enum bus_task task,
 			enum msg_type type);
 
+/* The counters of a task as text, to be released with g_free(). */
+char *client_metrics(struct bus *bus, enum bus_task task);
+
+/* Group set-up and tear-down: log4c can be started only once in a process. */
+int client_open_log(void **state);
+int client_close_log(void **state);
+
 /* Fails if a message waits for the core. */
 void client_expect_idle_core(struct bus *bus);
 
--- a/tests/unit/scripted_server.c
+++ b/tests/unit/scripted_server.c
@@ -1,6 +1,5 @@
 #include "scripted_server.h"
 
-#include <arpa/inet.h>
 #include <poll.h>
 #include <pthread.h>
 #include <stdarg.h>
@@ -10,6 +9,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "http_client.h"
+
 #define CONNECTIONS_MAX 128
 
 struct scripted {
@@ -30,28 +31,6 @@
 	int fd;
 };
 
-static int bound_socket(char address[CS_ADDRESS_MAX])
-{
-	struct sockaddr_in sin = { .sin_family = AF_INET };
-	socklen_t len = sizeof(sin);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	if (fd < 0 || bind(fd, (struct sockaddr *)&sin, sizeof(sin)) ||
-	    getsockname(fd, (struct sockaddr *)&sin, &len))
-		g_error("cannot bind a loopback port");
-	snprintf(address, CS_ADDRESS_MAX, "127.0.0.1:%u", ntohs(sin.sin_port));
-	return fd;
-}
-
-const char *unused_address(void)
-{
-	static char address[CS_ADDRESS_MAX];
-
-	close(bound_socket(address));
-	return address;
-}
-
 static void *serve(void *arg)
 {
 	struct served *served = arg;
@@ -92,7 +71,7 @@
 	struct scripted *s = g_new0(struct scripted, 1);
 
 	s->script = script;
-	s->listener = bound_socket(s->address);
+	s->listener = client_bind(s->address);
 	listen(s->listener, CONNECTIONS_MAX);
 	pthread_mutex_init(&s->lock, NULL);
 	pthread_create(&s->acceptor, NULL, accept_loop, s);
@@ -203,15 +182,3 @@
 
 	setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
 }
-
-struct msg *core_message(struct bus *bus)
-{
-	struct mailbox *mailbox = bus_mailbox(bus, BUS_CORE);
-	struct pollfd p = { .fd = mailbox_fd(mailbox), .events = POLLIN };
-	void *item;
-
-	if (mailbox_take(mailbox, &item, 1))
-		return item;
-	poll(&p, 1, 5000);
-	return mailbox_take(mailbox, &item, 1) ? item : NULL;
-}
--- a/tests/unit/scripted_server.h
+++ b/tests/unit/scripted_server.h
@@ -31,10 +31,4 @@
 /* Closes with RST instead of FIN when the script returns. */
 void scripted_reset(int fd);
 
-/* An address of a loopback port at which nothing listens. */
-const char *unused_address(void);
-
-/* Waits up to 5 s for a message to the core; NULL if none comes. */
-struct msg *core_message(struct bus *bus);
-
 #endif
--- a/tests/unit/test_front.c
+++ b/tests/unit/test_front.c
@@ -84,17 +84,10 @@
 	int i;
 
 	for (i = 0; i < 100 && !found; i++) {
-		struct msg *msg;
-		GBytes *text;
-
-		bus_ask_metrics(f->bus, BUS_FRONT, 7);
-		msg = client_take(f->bus, BUS_ADMIN, MSG_METRICS_REPLY);
-		assert_int_equal(msg->u.metrics_reply.caller, 7);
-		assert_int_equal(msg->u.metrics_reply.source, BUS_FRONT);
-		text = msg->u.metrics_reply.text;
-		found = g_strstr_len(g_bytes_get_data(text, NULL),
-				     (gssize)g_bytes_get_size(text), line);
-		msg_free(msg);
+		char *text = client_metrics(f->bus, BUS_FRONT);
+
+		found = strstr(text, line);
+		g_free(text);
 		if (!found)
 			usleep(50000);
 	}
--- a/tests/unit/test_peer_link.c
+++ b/tests/unit/test_peer_link.c
@@ -1,11 +1,7 @@
-#include "unit.h"
+#include "http_client.h"
 
 #include <arpa/inet.h>
-#include <netinet/in.h>
 #include <poll.h>
-#include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include "../../src/base/error.h"
 #include "../../src/base/task.h"
@@ -30,20 +26,6 @@
 
 static struct node nodes[3];
 
-/* A port that was free a moment ago. */
-static void free_address(char *out)
-{
-	struct sockaddr_in a = { .sin_family = AF_INET };
-	socklen_t len = sizeof(a);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	assert_int_equal(bind(fd, (struct sockaddr *)&a, len), 0);
-	assert_int_equal(getsockname(fd, (struct sockaddr *)&a, &len), 0);
-	close(fd);
-	g_snprintf(out, CS_ADDRESS_MAX, "127.0.0.1:%d", ntohs(a.sin_port));
-}
-
 static void start_link(struct node *n)
 {
 	struct cs_error err = { 0 };
@@ -65,7 +47,7 @@
 
 		g_snprintf(o->id, sizeof(o->id), "e%d", i + 1);
 		g_snprintf(o->data_centre, sizeof(o->data_centre), "dc%d", i);
-		free_address(o->address);
+		client_free_address(o->address);
 		o->incarnation = 100;
 		memset(o->secret, 's', sizeof(o->secret));
 		nodes[i].bus = bus_create(NULL, NULL);
@@ -205,28 +187,17 @@
 /* The value of one of the link's counters; -1 if there is none. */
 static int64_t metric(struct node *n, const char *name)
 {
-	struct mailbox *box = bus_mailbox(n->bus, BUS_ADMIN);
-	struct pollfd p = { .fd = mailbox_fd(box), .events = POLLIN };
-	void *item = NULL;
+	char *text = client_metrics(n->bus, BUS_PEER);
+	char **lines = g_strsplit(text, "\n", -1);
 	int64_t value = -1;
-	struct msg *msg;
-	char **lines;
 	int i;
 
-	bus_ask_metrics(n->bus, BUS_PEER, 1);
-	assert_int_equal(poll(&p, 1, (int)(WAIT / CS_MSEC)), 1);
-	assert_int_equal(mailbox_take(box, &item, 1), 1);
-	msg = item;
-	assert_int_equal(msg->type, MSG_METRICS_REPLY);
-	assert_int_equal(msg->u.metrics_reply.source, BUS_PEER);
-	lines = g_strsplit(g_bytes_get_data(msg->u.metrics_reply.text, NULL),
-			   "\n", -1);
 	for (i = 0; lines[i]; i++)
 		if (g_str_has_prefix(lines[i], name))
 			value = g_ascii_strtoll(lines[i] + strlen(name), NULL,
 						10);
 	g_strfreev(lines);
-	msg_free(msg);
+	g_free(text);
 	return value;
 }
 
@@ -405,17 +376,6 @@
 	assert_null(take_kind(&nodes[1], PEER_CLAIM, 0));
 }
 
-static int raw_connect(struct node *n)
-{
-	struct sockaddr_in a = { .sin_family = AF_INET };
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	a.sin_port = htons((uint16_t)atoi(strchr(n->options.address, ':') + 1));
-	assert_int_equal(connect(fd, (struct sockaddr *)&a, sizeof(a)), 0);
-	return fd;
-}
-
 /* Reads until the other side closes; returns false if it takes too long. */
 static bool is_closed_within(int fd, cs_time limit)
 {
@@ -452,11 +412,11 @@
 
 	(void)state;
 	start_link(&nodes[1]);
-	silent = raw_connect(&nodes[1]);
-	large = raw_connect(&nodes[1]);
+	silent = client_send(nodes[1].options.address, "");
+	large = client_send(nodes[1].options.address, "");
 	assert_int_equal(write(large, "\0\1\0\0", 4), 4);
 	assert_true(is_closed_within(large, CS_SEC));
-	unproved = raw_connect(&nodes[1]);
+	unproved = client_send(nodes[1].options.address, "");
 	write_frame(unproved, peer_hello_encode(&hello));
 	write_frame(unproved, peer_encode(&claim));
 	assert_true(is_closed_within(unproved, CS_SEC));
@@ -476,7 +436,7 @@
 				   .incarnation = incarnation };
 	struct peer_hello theirs;
 	uint8_t buf[PEER_HANDSHAKE_FRAME_MAX];
-	int fd = raw_connect(n);
+	int fd = client_send(n->options.address, "");
 	uint32_t head;
 
 	write_frame(fd, peer_hello_encode(&mine));
--- a/tests/unit/test_platform_client.c
+++ b/tests/unit/test_platform_client.c
@@ -1,8 +1,6 @@
-#include "unit.h"
+#include "http_client.h"
 
 #include <inttypes.h>
-#include <stdio.h>
-#include <string.h>
 
 #include "../../src/base/error.h"
 #include "../../src/base/task.h"
@@ -21,7 +19,6 @@
 	struct scripted *server;
 };
 
-/* The group holds the log, as log4c can be started only once in a process. */
 static void begin(struct fixture *f, void **state, script_fn script,
 		  int64_t timeout_ms)
 {
@@ -29,8 +26,10 @@
 	struct cs_error err;
 
 	f->server = script ? scripted_start(script) : NULL;
-	cs_copy(options.address, sizeof(options.address),
-		script ? scripted_address(f->server) : unused_address());
+	client_free_address(options.address);
+	if (script)
+		cs_copy(options.address, sizeof(options.address),
+			scripted_address(f->server));
 	f->bus = bus_create(*state, &err);
 	f->client = platform_client_create(&options, f->bus, &err);
 	assert_non_null(f->client);
@@ -44,6 +43,11 @@
 	bus_destroy(f->bus);
 }
 
+static struct msg *take_done(const struct fixture *f)
+{
+	return client_take(f->bus, BUS_CORE, MSG_KV_DONE);
+}
+
 static void post(struct fixture *f, enum kv_op op, uint64_t token,
 		 const char *key, GBytes *value)
 {
@@ -63,35 +67,47 @@
 	assert_int_equal(bus_post(f->bus, BUS_CORE, m), CS_OK);
 }
 
-static struct msg *call(struct fixture *f, enum kv_op op, const char *key)
+static void expect_answer_to(const struct msg *m, enum kv_op op,
+			     const char *key)
 {
-	struct msg *m;
-
-	post(f, op, 5, key, op == KV_CAS ? g_bytes_new("v", 1) : NULL);
-	m = core_message(f->bus);
-	assert_non_null(m);
-	assert_int_equal(m->type, MSG_KV_DONE);
 	assert_int_equal(m->u.kv_done.part, 2);
 	assert_int_equal(m->u.kv_done.token, 5);
 	assert_int_equal(m->u.kv_done.op, op);
 	assert_string_equal(m->u.kv_done.key, key);
-	return m;
 }
 
-static void expect(struct fixture *f, enum kv_op op, const char *key,
-		   enum kv_result result)
+static struct msg *call(struct fixture *f, enum kv_op op, const char *key)
 {
-	struct msg *m = call(f, op, key);
+	struct msg *m;
+
+	post(f, op, 5, key, op == KV_CAS ? g_bytes_new("v", 1) : NULL);
+	m = take_done(f);
+	expect_answer_to(m, op, key);
+	return m;
+}
 
+static void expect_result(const struct msg *m, enum kv_result result)
+{
 	assert_int_equal(m->u.kv_done.result, result);
 	if (result == KV_UNKNOWN || result == KV_UNAVAILABLE) {
 		assert_int_equal(m->u.kv_done.rows_nr, 0);
 		assert_int_equal(m->u.kv_done.hosts_nr, 0);
 	}
+}
+
+static void expect(struct fixture *f, enum kv_op op, const char *key,
+		   enum kv_result result)
+{
+	struct msg *m = call(f, op, key);
+
+	expect_result(m, result);
 	msg_free(m);
 }
 
-/* Every operation against one script: writes and reads end differently. */
+/*
+ * Every operation against one script, all at once: writes and reads end
+ * differently.
+ */
 static void expect_all(void **state, script_fn script, int64_t timeout_ms,
 		       enum kv_result write, enum kv_result read)
 {
@@ -104,12 +120,26 @@
 		{ KV_GET, false },	  { KV_LIST, false },
 		{ KV_HOSTS, false },
 	};
+	bool seen[G_N_ELEMENTS(ops)] = { false };
 	struct fixture f;
-	size_t i;
+	size_t i, k;
 
 	begin(&f, state, script, timeout_ms);
 	for (i = 0; i < G_N_ELEMENTS(ops); i++)
-		expect(&f, ops[i].op, "k", ops[i].is_write ? write : read);
+		post(&f, ops[i].op, 5, "k",
+		     ops[i].op == KV_CAS ? g_bytes_new("v", 1) : NULL);
+	for (i = 0; i < G_N_ELEMENTS(ops); i++) {
+		struct msg *m = take_done(&f);
+
+		for (k = 0; k < G_N_ELEMENTS(ops); k++)
+			if (ops[k].op == m->u.kv_done.op && !seen[k])
+				break;
+		assert_in_range(k, 0, G_N_ELEMENTS(ops) - 1);
+		seen[k] = true;
+		expect_answer_to(m, ops[k].op, "k");
+		expect_result(m, ops[k].is_write ? write : read);
+		msg_free(m);
+	}
 	if (script)
 		assert_int_equal(scripted_requests(f.server),
 				 G_N_ELEMENTS(ops));
@@ -258,18 +288,18 @@
 
 	begin(&f, state, accept_write, LONG_MS);
 	post(&f, KV_CAS, 1, "k", g_bytes_new(text, CS_VALUE_MAX + 1));
-	m = core_message(f.bus);
+	m = take_done(&f);
 	assert_int_equal(m->u.kv_done.result, KV_UNAVAILABLE);
 	msg_free(m);
 	assert_int_equal(scripted_connections(f.server), 0);
 	post(&f, KV_CAS, 1, "k", g_bytes_new(text, (gsize)CS_VALUE_MAX));
-	m = core_message(f.bus);
+	m = take_done(&f);
 	assert_int_equal(m->u.kv_done.result, KV_OK);
 	assert_int_equal(m->u.kv_done.version, 5);
 	msg_free(m);
 	/* JSON can't hold a value that is not UTF-8. */
 	post(&f, KV_CAS, 1, "k", g_bytes_new("\xff\xfe", 2));
-	m = core_message(f.bus);
+	m = take_done(&f);
 	assert_int_equal(m->u.kv_done.result, KV_UNAVAILABLE);
 	msg_free(m);
 	assert_int_equal(scripted_requests(f.server), 1);
@@ -408,7 +438,7 @@
 	platform_client_destroy(f.client);
 	f.client = NULL;
 	for (i = 0; i < 40; i++) {
-		m = core_message(f.bus);
+		m = take_done(&f);
 		assert_int_equal(m->u.kv_done.op, KV_WATCH);
 		assert_int_equal(m->u.kv_done.result, KV_UNAVAILABLE);
 		msg_free(m);
@@ -447,8 +477,7 @@
 		post(&f, KV_GET, i, key, NULL);
 	}
 	for (i = 1; i <= CALLS; i++) {
-		m = core_message(f.bus);
-		assert_non_null(m);
+		m = take_done(&f);
 		assert_int_equal(m->u.kv_done.result, KV_OK);
 		assert_int_equal(m->u.kv_done.version, m->u.kv_done.token);
 		is_shuffled |= m->u.kv_done.token != i;
@@ -462,45 +491,20 @@
 static void metrics_count_operations_and_results(void **state)
 {
 	struct fixture f;
-	struct msg *m;
-	void *item = NULL;
 	char *text;
-	int i;
 
 	begin(&f, state, outage, LONG_MS);
 	expect(&f, KV_CAS, "k", KV_UNKNOWN);
-	bus_ask_metrics(f.bus, BUS_PLATFORM, 4);
-	for (i = 0;
-	     i < 5000 && !mailbox_take(bus_mailbox(f.bus, BUS_ADMIN), &item, 1);
-	     i++)
-		g_usleep(1000);
-	m = item;
-	assert_non_null(m);
-	assert_int_equal(m->u.metrics_reply.source, BUS_PLATFORM);
-	text = g_strndup(g_bytes_get_data(m->u.metrics_reply.text, NULL),
-			 g_bytes_get_size(m->u.metrics_reply.text));
+	text = client_metrics(f.bus, BUS_PLATFORM);
 	assert_non_null(strstr(text, "camphorshed_platform_calls_total{"
 				     "op=\"cas\",result=\"unknown\"} 1\n"));
 	assert_non_null(strstr(text, "camphorshed_platform_failures_total{"
 				     "op=\"cas\",step=\"decode\","
 				     "code=\"invalid\"} 1\n"));
 	g_free(text);
-	msg_free(m);
 	end(&f);
 }
 
-static int open_log(void **state)
-{
-	*state = log_create(LOG_FATAL, NULL);
-	return *state ? 0 : -1;
-}
-
-static int close_log(void **state)
-{
-	log_destroy(*state);
-	return 0;
-}
-
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -519,5 +523,5 @@
 		cmocka_unit_test(metrics_count_operations_and_results),
 	};
 
-	return cmocka_run_group_tests(tests, open_log, close_log);
+	return cmocka_run_group_tests(tests, client_open_log, client_close_log);
 }
--- a/tests/unit/test_worker_client.c
+++ b/tests/unit/test_worker_client.c
@@ -1,13 +1,10 @@
-#include "unit.h"
+#include "http_client.h"
 
-#include <arpa/inet.h>
+#include <netinet/in.h>
 #include <inttypes.h>
 #include <stdatomic.h>
-#include <stdio.h>
 #include <stdlib.h>
-#include <string.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include "../../src/base/error.h"
 #include "../../src/base/task.h"
@@ -25,7 +22,6 @@
 	struct scripted *server;
 };
 
-/* The group holds the log, as log4c can be started only once in a process. */
 static void begin(struct fixture *f, void **state, script_fn script,
 		  int connections_max)
 {
@@ -65,6 +61,11 @@
 	return m;
 }
 
+static struct msg *take_done(const struct fixture *f)
+{
+	return client_take(f->bus, BUS_CORE, MSG_TASK_DONE);
+}
+
 static void post(struct fixture *f, struct msg *m)
 {
 	assert_int_equal(bus_post(f->bus, BUS_CORE, m), CS_OK);
@@ -76,9 +77,7 @@
 	struct msg *m;
 
 	post(f, task_msg(scripted_address(f->server), 7, "work", deadline_ms));
-	m = core_message(f->bus);
-	assert_non_null(m);
-	assert_int_equal(m->type, MSG_TASK_DONE);
+	m = take_done(f);
 	assert_int_equal(m->u.task_done.attempt, 7);
 	return m;
 }
@@ -111,12 +110,13 @@
 /* A worker that is down must not use up the request's one attempt. */
 static void refused_connection_is_not_sent(void **state)
 {
-	const char *address = unused_address();
+	char address[CS_ADDRESS_MAX];
 	struct fixture f;
 
+	client_free_address(address);
 	begin(&f, state, NULL, 4);
 	post(&f, task_msg(address, 1, "work", LONG_MS));
-	expect_failure(core_message(f.bus), TASK_NOT_SENT, CS_ERR_IO, "connect",
+	expect_failure(take_done(&f), TASK_NOT_SENT, CS_ERR_IO, "connect",
 		       address);
 	end(&f);
 }
@@ -127,13 +127,11 @@
 	struct sockaddr_in sin = { .sin_family = AF_INET };
 	socklen_t len = sizeof(sin);
 	char address[CS_ADDRESS_MAX];
-	int fds[4], listener = socket(AF_INET, SOCK_STREAM, 0);
+	int fds[4], listener = client_bind(address);
 	struct fixture f;
 	size_t i;
 
 	begin(&f, state, NULL, 4);
-	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	assert_int_equal(bind(listener, (struct sockaddr *)&sin, len), 0);
 	getsockname(listener, (struct sockaddr *)&sin, &len);
 	listen(listener, 0);
 	/* A full backlog makes the kernel drop further SYNs. */
@@ -141,14 +139,13 @@
 		fds[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
 		(void)!connect(fds[i], (struct sockaddr *)&sin, len);
 	}
-	snprintf(address, sizeof(address), "127.0.0.1:%u", ntohs(sin.sin_port));
 	post(&f, task_msg(address, 1, "work", LONG_MS));
-	expect_failure(core_message(f.bus), TASK_NOT_SENT, CS_ERR_TIMEOUT,
-		       "connect", address);
+	expect_failure(take_done(&f), TASK_NOT_SENT, CS_ERR_TIMEOUT, "connect",
+		       address);
 	/* The deadline may come before the connect timeout. */
 	post(&f, task_msg(address, 1, "work", CONNECT_TIMEOUT_MS / 3));
-	expect_failure(core_message(f.bus), TASK_NOT_SENT, CS_ERR_TIMEOUT,
-		       "connect", address);
+	expect_failure(take_done(&f), TASK_NOT_SENT, CS_ERR_TIMEOUT, "connect",
+		       address);
 	end(&f);
 	for (i = 0; i < 4; i++)
 		close(fds[i]);
@@ -161,8 +158,8 @@
 
 	begin(&f, state, NULL, 4);
 	post(&f, task_msg("localhost", 1, "work", LONG_MS));
-	expect_failure(core_message(f.bus), TASK_NOT_SENT, CS_ERR_INVALID,
-		       "connect", "localhost");
+	expect_failure(take_done(&f), TASK_NOT_SENT, CS_ERR_INVALID, "connect",
+		       "localhost");
 	end(&f);
 }
 
@@ -215,7 +212,7 @@
 		       "receive", scripted_address(f.server));
 	g_usleep((gulong)2 * SHORT_MS * 1000);
 	post(&f, task_msg(scripted_address(f.server), 8, "work", LONG_MS));
-	m = core_message(f.bus);
+	m = take_done(&f);
 	assert_int_equal(m->u.task_done.attempt, 8);
 	assert_int_equal(m->u.task_done.result, TASK_ANSWERED);
 	assert_memory_equal(g_bytes_get_data(m->u.task_done.body, NULL),
@@ -248,55 +245,41 @@
 	expect_unknown(state, reset_in_answer);
 }
 
-static void truncated_length(struct scripted *s, int fd)
-{
-	g_free(scripted_read(s, fd));
-	scripted_write(fd, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
-}
-
-static void truncated_chunks(struct scripted *s, int fd)
-{
-	g_free(scripted_read(s, fd));
-	scripted_write(fd, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
-			   "\r\n4\r\nhalf\r\n");
-}
-
-static void broken_chunks(struct scripted *s, int fd)
-{
-	g_free(scripted_read(s, fd));
-	scripted_write(fd, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
-			   "\r\n4\r\nhalf\r\nzz\r\n");
-	scripted_is_closed_by_client(fd);
-}
-
-static void no_length(struct scripted *s, int fd)
-{
-	g_free(scripted_read(s, fd));
-	scripted_write(fd, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf");
-}
+/* An answer that is not whole, and whether its connection stays open. */
+struct broken_answer {
+	const char *text;
+	bool is_open;
+};
 
-static void truncated_refusal(struct scripted *s, int fd)
-{
-	g_free(scripted_read(s, fd));
-	scripted_write(fd, "HTTP/1.1 429 B\r\nContent-Length: 10\r\n\r\nhalf");
-}
+static const struct broken_answer *broken; /* of the script below */
 
-static void not_http(struct scripted *s, int fd)
+static void send_broken(struct scripted *s, int fd)
 {
 	g_free(scripted_read(s, fd));
-	scripted_write(fd, "who are you\r\n\r\n");
-	scripted_is_closed_by_client(fd);
+	scripted_write(fd, "%s", broken->text);
+	if (broken->is_open)
+		scripted_is_closed_by_client(fd);
 }
 
 /* Part of an answer must never be passed on as the answer. */
 static void truncated_answers_are_unknown(void **state)
 {
-	expect_unknown(state, truncated_length);
-	expect_unknown(state, truncated_chunks);
-	expect_unknown(state, broken_chunks);
-	expect_unknown(state, no_length);
-	expect_unknown(state, truncated_refusal);
-	expect_unknown(state, not_http);
+#define OK_LINE "HTTP/1.1 200 OK\r\n"
+#define CHUNKS OK_LINE "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"
+	static const struct broken_answer answers[] = {
+		{ OK_LINE "Content-Length: 10\r\n\r\nhalf", false },
+		{ CHUNKS, false },
+		{ CHUNKS "zz\r\n", true },
+		{ OK_LINE "Connection: close\r\n\r\nhalf", false },
+		{ "HTTP/1.1 429 B\r\nContent-Length: 10\r\n\r\nhalf", false },
+		{ "who are you\r\n\r\n", true },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(answers); i++) {
+		broken = &answers[i];
+		expect_unknown(state, send_broken);
+	}
 }
 
 static void reset_without_reading(struct scripted *s, int fd)
@@ -315,7 +298,7 @@
 
 	begin(&f, state, reset_without_reading, 4);
 	post(&f, task_msg(scripted_address(f.server), 1, body, LONG_MS));
-	m = core_message(f.bus);
+	m = take_done(&f);
 	expect_failure(m, TASK_UNKNOWN, CS_ERR_IO, "send",
 		       scripted_address(f.server));
 	end(&f);
@@ -393,7 +376,7 @@
 						.span = 5,
 						.flags = 1 };
 	post(&f, m);
-	m = core_message(f.bus);
+	m = take_done(&f);
 	text = g_bytes_get_data(m->u.task_done.body, NULL);
 	assert_non_null(g_strstr_len(text, 200,
 				     "POST /tasks/a%2Fb%20c?lease_ms=6000"
@@ -437,8 +420,7 @@
 		     task_msg(scripted_address(f.server), i, body, LONG_MS));
 	}
 	for (i = 1; i <= CALLS; i++) {
-		m = core_message(f.bus);
-		assert_non_null(m);
+		m = take_done(&f);
 		assert_int_equal(m->u.task_done.result, TASK_ANSWERED);
 		attempt = m->u.task_done.attempt;
 		snprintf(body, sizeof(body), "%" PRIu64, attempt);
@@ -466,10 +448,10 @@
 	post(&f, task_msg(scripted_address(f.server), 1, "a",
 			  (int64_t)2 * SHORT_MS));
 	post(&f, task_msg(scripted_address(f.server), 2, "b", SHORT_MS));
-	expect_failure(core_message(f.bus), TASK_NOT_SENT, CS_ERR_TIMEOUT,
-		       "connect", scripted_address(f.server));
-	expect_failure(core_message(f.bus), TASK_UNKNOWN, CS_ERR_TIMEOUT,
-		       "receive", scripted_address(f.server));
+	expect_failure(take_done(&f), TASK_NOT_SENT, CS_ERR_TIMEOUT, "connect",
+		       scripted_address(f.server));
+	expect_failure(take_done(&f), TASK_UNKNOWN, CS_ERR_TIMEOUT, "receive",
+		       scripted_address(f.server));
 	end(&f);
 }
 
@@ -496,7 +478,7 @@
 		m = task_msg(scripted_address(f.server), 1, "x", LONG_MS);
 		m->u.task_start.needs_live_connection = steps[i].needs_live;
 		post(&f, m);
-		m = core_message(f.bus);
+		m = take_done(&f);
 		assert_int_equal(m->u.task_done.result, TASK_ANSWERED);
 		msg_free(m);
 		assert_int_equal(scripted_connections(f.server),
@@ -532,7 +514,7 @@
 	post(&f, task_msg(scripted_address(f.server), 1, "one", LONG_MS));
 	post(&f, task_msg(scripted_address(f.server), 2, "two", LONG_MS));
 	for (i = 0; i < 2; i++) {
-		m = core_message(f.bus);
+		m = take_done(&f);
 		assert_int_equal(m->u.task_done.result, TASK_ANSWERED);
 		assert_int_equal(g_bytes_get_size(m->u.task_done.body), 3);
 		assert_memory_equal(g_bytes_get_data(m->u.task_done.body, NULL),
@@ -577,7 +559,7 @@
 		g_usleep(1000);
 	worker_client_destroy(f.client);
 	f.client = NULL;
-	expect_failure(core_message(f.bus), TASK_UNKNOWN, CS_ERR_IO, "receive",
+	expect_failure(take_done(&f), TASK_UNKNOWN, CS_ERR_IO, "receive",
 		       scripted_address(f.server));
 	end(&f);
 }
@@ -622,8 +604,7 @@
 		scripted_address(f->server));
 	cs_copy(m->u.task_control.task_id, CS_NAME_MAX, task);
 	post(f, m);
-	m = core_message(f->bus);
-	assert_int_equal(m->type, MSG_TASK_CONTROL_DONE);
+	m = client_take(f->bus, BUS_CORE, MSG_TASK_CONTROL_DONE);
 	assert_int_equal(m->u.task_control_done.attempt, 3);
 	assert_int_equal(m->u.task_control_done.op, op);
 	return m;
@@ -662,8 +643,7 @@
 	cs_copy(m->u.usage_poll.address, CS_ADDRESS_MAX,
 		scripted_address(f.server));
 	post(&f, m);
-	m = core_message(f.bus);
-	assert_int_equal(m->type, MSG_USAGE);
+	m = client_take(f.bus, BUS_CORE, MSG_USAGE);
 	assert_int_equal(m->u.usage.worker, 9);
 	assert_int_equal(m->u.usage.code, CS_OK);
 	assert_int_equal(m->u.usage.running, 3);
@@ -676,42 +656,17 @@
 static void metrics_count_results(void **state)
 {
 	struct fixture f;
-	struct msg *m;
-	void *item = NULL;
-	const char *text;
-	int i;
+	char *text;
 
 	begin(&f, state, busy, 4);
 	msg_free(call(&f, LONG_MS));
-	bus_ask_metrics(f.bus, BUS_WORKER, 4);
-	for (i = 0;
-	     i < 5000 && !mailbox_take(bus_mailbox(f.bus, BUS_ADMIN), &item, 1);
-	     i++)
-		g_usleep(1000);
-	m = item;
-	assert_non_null(m);
-	assert_int_equal(m->u.metrics_reply.caller, 4);
-	assert_int_equal(m->u.metrics_reply.source, BUS_WORKER);
-	text = g_bytes_get_data(m->u.metrics_reply.text, NULL);
-	assert_non_null(g_strstr_len(
-		text, (gssize)g_bytes_get_size(m->u.metrics_reply.text),
-		"camphorshed_worker_tasks_total{result=\"refused\"} 1\n"));
-	msg_free(m);
+	text = client_metrics(f.bus, BUS_WORKER);
+	assert_non_null(strstr(text, "camphorshed_worker_tasks_total{"
+				     "result=\"refused\"} 1\n"));
+	g_free(text);
 	end(&f);
 }
 
-static int open_log(void **state)
-{
-	*state = log_create(LOG_FATAL, NULL);
-	return *state ? 0 : -1;
-}
-
-static int close_log(void **state)
-{
-	log_destroy(*state);
-	return 0;
-}
-
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -737,5 +692,5 @@
 		cmocka_unit_test(metrics_count_results),
 	};
 
-	return cmocka_run_group_tests(tests, open_log, close_log);
+	return cmocka_run_group_tests(tests, client_open_log, client_close_log);
 }
