--- a/tests/unit/test_ledger_sync.c
+++ b/tests/unit/test_ledger_sync.c
@@ -1,8 +1,3 @@
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stddef.h>
-#include <stdint.h>
-#include <cmocka.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -13,20 +8,11 @@
 #include "../../src/ledger/ledger_codec.h"
 #include "../../src/ledger/ledger_sync.h"
 #include "fake_fleet.h"
-
-/*
- * Stand-ins for the other parts. The fleet document is one team row; each
- * entry has its own copy, so that one can lag behind.
- */
-struct document {
-	uint64_t revision;
-	size_t nr;
-	struct doc_team team;
-};
+#include "sample_fleet.h"
 
 /* Tasks of the one team: they end at a time, whatever becomes of the entry. */
 struct load {
-	struct document doc;
+	struct document *doc; /* one copy per entry: it can lag behind */
 	int wanted; /* tasks the entry would like to have running */
 	int run_ms;
 	bool is_dropped; /* from the host list */
@@ -51,24 +37,7 @@
 
 const struct document *config_sync_document(const struct part_ctx *ctx)
 {
-	return &load_of(ctx)->doc;
-}
-
-uint64_t document_revision(const struct document *doc)
-{
-	return doc->revision;
-}
-
-const struct doc_team *document_teams(const struct document *doc, size_t *nr)
-{
-	*nr = doc->nr;
-	return &doc->team;
-}
-
-const struct doc_team *document_team(const struct document *doc,
-				     const char *name)
-{
-	return doc->nr && !strcmp(name, doc->team.name) ? &doc->team : NULL;
+	return load_of(ctx)->doc;
 }
 
 bool fleet_is_entry_dropped(const struct part_ctx *ctx, const char *entry)
@@ -163,7 +132,7 @@
 	struct ledger *l;
 
 	g_snprintf(key, sizeof(key), "ledger/%s", account);
-	value = fake_fleet_value(f, key);
+	value = fake_kv_value(&f->kv, key);
 	if (!value)
 		return ledger_create(account);
 	l = ledger_decode(value, account, NULL);
@@ -179,7 +148,7 @@
 	GHashTableIter it;
 	gpointer key;
 
-	g_hash_table_iter_init(&it, f->rows);
+	g_hash_table_iter_init(&it, f->kv.rows);
 	while (g_hash_table_iter_next(&it, &key, NULL))
 		g_ptr_array_add(all, read_account(f, strchr(key, '/') + 1));
 	return all;
@@ -234,12 +203,26 @@
 
 static int64_t highest_limit; /* the limit cannot be below what runs */
 
+/*
+ * The sum is a function of the documents, so it is taken once for each
+ * revision: decoding them at every event took most of the test's time.
+ */
+static struct {
+	uint64_t revision;
+	int64_t sum, limit;
+} summed;
+
 static void check(struct fake_fleet *f)
 {
 	int64_t limit, sum;
 
 	end_tasks(f->now);
-	sum = sum_of_all(f, &limit);
+	if (summed.revision != f->kv.revision) {
+		summed.sum = sum_of_all(f, &summed.limit);
+		summed.revision = f->kv.revision;
+	}
+	sum = summed.sum;
+	limit = summed.limit;
 	if (sum == limit && running(f) <= highest_limit)
 		return;
 	violations++;
@@ -250,26 +233,32 @@
 			 f->now, sum, limit, running(f), highest_limit);
 }
 
-static void set_limit(struct fake_node *n, uint64_t revision, int limit)
+/* Tells the part of a live, running entry its fleet document. */
+static void configure(struct fake_node *n)
 {
-	struct load *l = n->test;
-
-	l->doc.revision = revision;
-	l->doc.nr = limit > 0;
-	cs_copy(l->doc.team.name, CS_NAME_MAX, TEAM);
-	l->doc.team.limit = limit;
 	if (!n->is_alive || n->is_paused)
 		return;
 	fake_node_turn(n);
-	n->fleet->part->on_config(&n->ctx, &l->doc);
+	n->fleet->part->on_config(&n->ctx, load_of(&n->ctx)->doc);
 }
 
-static void start_node(struct fake_node *n, const char *mutant)
+/* Puts a document in force at an entry; with limit 0 it has no team. */
+static void set_limit(struct fake_node *n, uint64_t revision, int limit)
 {
 	struct load *l = n->test;
 
+	document_destroy(l->doc);
+	l->doc = document_create();
+	document_set_revision(l->doc, revision);
+	if (limit)
+		sample_team(l->doc, TEAM, 1, limit);
+	configure(n);
+}
+
+static void start_node(struct fake_node *n, const char *mutant)
+{
 	fake_node_start(n, mutant);
-	set_limit(n, l->doc.revision, l->doc.team.limit);
+	configure(n);
 }
 
 /* nr entries, in data centres dc0, dc1, ... of per entries each. */
@@ -284,6 +273,7 @@
 	must_hold = !mutant;
 	violations = 0;
 	highest_limit = limit;
+	memset(&summed, 0, sizeof(summed));
 	for (i = 0; i < nr; i++) {
 		struct load *l = g_new0(struct load, 1);
 
@@ -303,8 +293,10 @@
 {
 	int i;
 
-	for (i = 0; i < f->nodes_nr; i++)
+	for (i = 0; i < f->nodes_nr; i++) {
+		document_destroy(((struct load *)f->nodes[i]->test)->doc);
 		g_free(f->nodes[i]->test);
+	}
 	g_array_unref(tasks);
 	fake_fleet_destroy(f);
 }
