--- a/src/job/admission.c
+++ b/src/job/admission.c
@@ -60,6 +60,7 @@
 	const struct document *doc = config_sync_document(ctx);
 	const struct doc_queue *queue;
 	const char *team = NULL;
+	size_t nr;
 
 	memset(out, 0, sizeof(*out));
 	if (!document_revision(doc)) {
@@ -74,7 +75,7 @@
 	if (submit->has_key && !MUTANT(ctx, "admit-any-key"))
 		team = team_index_by_key(d->teams, submit->key_digest);
 	else if (submit->has_key)
-		team = queue->team;
+		team = document_teams(doc, &nr)->name;
 	if (submit->has_key && !team) {
 		refuse(out, "key_not_accepted", 401);
 		return;
--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -146,8 +146,12 @@
 	job = callers_new_job(w, team, team >= 0 && world_percent(w, 0.4));
 	if (entry >= 0) {
 		callers_submit(w, job, entry);
-		if (*job_at(w, job)->request_id && world_percent(w, 10))
-			world_after(w, world_chance(w, 0, 4000) * CS_MSEC,
+		if (*job_at(w, job)->request_id && world_percent(w, 20))
+			world_after(w,
+				    world_chance(w, 0,
+						 world_percent(w, 50) ? 2000 :
+									20000) *
+					    CS_MSEC,
 				    on_repeat, w, (uint64_t)job);
 		if (world_percent(w, 2))
 			world_after(w, world_chance(w, 5, 500) * CS_MSEC,
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -67,8 +67,12 @@
 	if (!w->entries[i].core || w->entries[i].is_paused)
 		return;
 	world_pause_entry(w, i, true);
-	world_after(w, world_chance(w, 100, 25000) * CS_MSEC, on_resume, w,
-		    (uint64_t)i);
+	/* Some are so long that others have acted on the silence. */
+	world_after(w,
+		    (world_percent(w, 25) ? world_chance(w, 20000, 90000) :
+					    world_chance(w, 100, 20000)) *
+			    CS_MSEC,
+		    on_resume, w, (uint64_t)i);
 	w->strikes[FAULT_PAUSE]++;
 }
 
--- a/tests/soak/invariants.c
+++ b/tests/soak/invariants.c
@@ -30,6 +30,7 @@
 	[INV_IN_FORCE] = "I12-in-force-within-7s",
 	[INV_NO_REVERT] = "I12-never-reverts",
 	[INV_LONG_KEPT] = "long-work-kept",
+	[INV_LONG_SINGLE] = "long-work-runs-once-at-a-time",
 	[INV_INTERNAL] = "asserted-in-the-core",
 };
 
@@ -54,6 +55,7 @@
 	[FAULT_DRAIN] = "entry-drained",
 	[FAULT_CANCEL_WAVE] = "cancel-wave",
 	[FAULT_REPEAT] = "request-repeated",
+	[FAULT_SLOW_LINK] = "peer-message-delayed",
 };
 
 const char *fault_name(enum fault fault)
@@ -167,6 +169,23 @@
 	      (double)(w->now - wk->leaving_since) / (double)CS_SEC);
 }
 
+/* An adopter must wait until the attempt before has ended. */
+static void check_single(struct world *w, const struct model_task *task)
+{
+	GHashTableIter it;
+	gpointer value;
+	int others = 0;
+
+	g_hash_table_iter_init(&it, w->tasks);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct model_task *t = value;
+
+		others += t != task && t->is_running && t->job == task->job;
+	}
+	check(w, INV_LONG_SINGLE, !others,
+	      "long job %d runs twice at once (task %s)", task->job, task->id);
+}
+
 void check_start(struct world *w, const struct model_task *task,
 		 const struct model_job *job, const struct model_worker *wk)
 {
@@ -187,6 +206,8 @@
 		      place_may_be_isolated(w, wk->place, FEW_SECONDS),
 	      "job %d of pool %s ran on host %s of pool %s", task->job, q->pool,
 	      h->name, h->pool);
+	if (task->is_long)
+		check_single(w, task);
 	check_place_start(w, wk->place, task->id);
 	check_worker_start(w, wk, task->id);
 	if (withdrawn && !task->is_long &&
--- a/tests/soak/model_kv.c
+++ b/tests/soak/model_kv.c
@@ -260,7 +260,9 @@
 	for (i = 0; i < w->opt.entries; i++) {
 		const struct model_entry *e = &w->entries[i];
 
-		if (e->core || w->now - e->gone < HOST_DROP)
+		/* The platform takes a host that hangs for a dead one. */
+		if (e->is_paused ? w->now - e->paused < HOST_DROP :
+				   e->core || w->now - e->gone < HOST_DROP)
 			add_host(d, e->id, w->places[e->place].name, false);
 	}
 	return msg;
--- a/tests/soak/world.c
+++ b/tests/soak/world.c
@@ -213,6 +213,11 @@
 	msg->u.peer.incarnation = e->incarnation;
 	last = &link->last_arrival[e->index < to];
 	arrival = w->now + world_chance(w, 200, 2000);
+	/* A lost packet holds up all that follows it. */
+	if (!w->opt.no_faults && !w->is_ending && world_percent(w, 0.2)) {
+		arrival += world_chance(w, 50, 1200) * CS_MSEC;
+		w->strikes[FAULT_SLOW_LINK]++;
+	}
 	if (arrival <= *last)
 		arrival = *last + 1;
 	*last = arrival;
@@ -419,6 +424,7 @@
 		return;
 	world_note(w, "%s entry=%s", is_paused ? "pause" : "resume", e->id);
 	e->is_paused = is_paused;
+	e->paused = w->now;
 	e->disturbed = w->now;
 	if (is_paused)
 		return;
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -33,6 +33,7 @@
 	uint64_t incarnation;
 	cs_time offset; /* its clock, against the world's */
 	bool is_paused;
+	cs_time paused; /* when the pause began */
 	GQueue inbox; /* messages that came while it was paused */
 	cs_time wake; /* when the core is to be called next */
 	cs_time disturbed; /* last moment at which a fault touched it */
@@ -149,6 +150,7 @@
 	INV_IN_FORCE, /* I12: within 7 s */
 	INV_NO_REVERT, /* I12: never reverts */
 	INV_LONG_KEPT, /* no accepted long job is lost */
+	INV_LONG_SINGLE, /* never two attempts of one long job at once */
 	INV_INTERNAL, /* asserted by the core itself */
 	INV_NR
 };
@@ -174,6 +176,7 @@
 	FAULT_DRAIN,
 	FAULT_CANCEL_WAVE,
 	FAULT_REPEAT,
+	FAULT_SLOW_LINK,
 	FAULT_NR
 };
 
