ctl: print help and history as people read them

History was one table whose column was as wide as the longest change, 1,000 characters for a first document of four hosts; each difference now has its own line. A refused question shows the reason of the entry, not only the HTTP status.

--- a/src/cmd/main.c
+++ b/src/cmd/main.c
@@ -1,4 +1,5 @@
 #include <glib.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -15,16 +16,17 @@
 	const char *arguments;
 	const char *summary;
 	int (*run)(int argc, char **argv);
+	void (*help)(FILE *out); /* NULL: the usage line says it all */
 };
 
 static int entry_main(int argc, char **argv);
 
 static const struct command commands[] = {
-	{ "entry", "-c FILE", "run an entry until SIGTERM", entry_main },
+	{ "entry", "-c FILE", "run an entry until SIGTERM", entry_main, NULL },
 	{ "check-config", "FILE", "check a settings file or fleet document",
-	  check_config_main },
+	  check_config_main, NULL },
 	{ "ctl", "VERB ...", "operate a site through one of its entries",
-	  ctl_main },
+	  ctl_main, ctl_help },
 };
 
 static void print_usage(FILE *out)
@@ -32,7 +34,7 @@
 	size_t i;
 
 	fputs("usage: camphorshed COMMAND [ARGUMENTS]\n"
-	      "       camphorshed --help | --version\n\ncommands:\n",
+	      "       camphorshed [COMMAND] --help | --version\n\ncommands:\n",
 	      out);
 	for (i = 0; i < G_N_ELEMENTS(commands); i++)
 		fprintf(out, "  %-13s %-9s %s\n", commands[i].name,
@@ -42,32 +44,27 @@
 static int entry_main(int argc, char **argv)
 {
 	char *file = NULL;
-	gboolean show_version = FALSE;
-	const GOptionEntry options[] = {
-		{ "config", 'c', 0, G_OPTION_ARG_FILENAME, &file,
-		  "settings file", "FILE" },
-		{ "version", 0, 0, G_OPTION_ARG_NONE, &show_version,
-		  "print the version", NULL },
-		G_OPTION_ENTRY_NULL
-	};
-	GOptionContext *parser = g_option_context_new("- run an entry");
+	const GOptionEntry options[] = { { "config", 'c', 0,
+					   G_OPTION_ARG_FILENAME, &file,
+					   "settings file", "FILE" },
+					 G_OPTION_ENTRY_NULL };
+	GOptionContext *parser = g_option_context_new(NULL);
 	struct settings *settings = NULL;
 	struct cs_error err = { 0 };
 	GString *faults = g_string_new(NULL);
 	GError *error = NULL;
 	int code = EXIT_USAGE;
 
+	g_option_context_set_help_enabled(parser, FALSE);
 	g_option_context_add_main_entries(parser, options, NULL);
 	if (!g_option_context_parse(parser, &argc, &argv, &error)) {
-		fprintf(stderr, "camphorshed entry: %s\n", error->message);
+		fprintf(stderr,
+			"camphorshed entry: %s\n"
+			"usage: camphorshed entry -c FILE\n",
+			error->message);
 		g_error_free(error);
 		goto out;
 	}
-	if (show_version) {
-		puts("camphorshed " CAMPHORSHED_VERSION);
-		code = EXIT_OK;
-		goto out;
-	}
 	if (!file || argc != 1) {
 		fputs("usage: camphorshed entry -c FILE\n", stderr);
 		goto out;
@@ -91,25 +88,48 @@
 	return code;
 }
 
+static bool is_word(const char *arg, const char *a, const char *b)
+{
+	return arg && (!strcmp(arg, a) || (b && !strcmp(arg, b)));
+}
+
+/* "camphorshed COMMAND --help" and "--version", alike for all commands. */
+static int run_command(const struct command *c, int argc, char **argv)
+{
+	const char *first = argc > 1 ? argv[1] : NULL;
+
+	if (is_word(first, "--version", NULL)) {
+		puts("camphorshed " CAMPHORSHED_VERSION);
+		return EXIT_OK;
+	}
+	if (!is_word(first, "--help", "-h"))
+		return c->run(argc, argv);
+	if (c->help)
+		c->help(stdout);
+	else
+		printf("usage: camphorshed %s %s\n\n%s\n", c->name,
+		       c->arguments, c->summary);
+	return EXIT_OK;
+}
+
 int main(int argc, char **argv)
 {
+	const char *first = argc > 1 ? argv[1] : NULL;
 	size_t i;
 
-	if (argc > 1 && !strcmp(argv[1], "--version")) {
+	if (is_word(first, "--version", NULL)) {
 		puts("camphorshed " CAMPHORSHED_VERSION);
 		return EXIT_OK;
 	}
-	if (argc > 1 &&
-	    (!strcmp(argv[1], "--help") || !strcmp(argv[1], "-h"))) {
+	if (is_word(first, "--help", "-h")) {
 		print_usage(stdout);
 		return EXIT_OK;
 	}
-	for (i = 0; argc > 1 && i < G_N_ELEMENTS(commands); i++)
-		if (!strcmp(argv[1], commands[i].name))
-			return commands[i].run(argc - 1, argv + 1);
-	if (argc > 1)
-		fprintf(stderr, "camphorshed: unknown command \"%s\"\n",
-			argv[1]);
+	for (i = 0; first && i < G_N_ELEMENTS(commands); i++)
+		if (!strcmp(first, commands[i].name))
+			return run_command(&commands[i], argc - 1, argv + 1);
+	if (first)
+		fprintf(stderr, "camphorshed: unknown command \"%s\"\n", first);
 	print_usage(stderr);
 	return EXIT_USAGE;
 }
--- a/src/ctl/ctl.c
+++ b/src/ctl/ctl.c
@@ -1,17 +1,46 @@
 #include "ctl.h"
 
-#include <stdio.h>
+#include <string.h>
 
 #include "ctl_run.h"
 
+void ctl_help(FILE *out)
+{
+	GString *text = g_string_new(NULL);
+
+	ctl_usage(text);
+	fputs(text->str, out);
+	g_string_free(text, TRUE);
+}
+
+/* True for "ctl VERB --help", which needs no other option. */
+static bool wants_help(int argc, char **argv)
+{
+	int i;
+
+	for (i = 1; i < argc && strcmp(argv[i], "--"); i++)
+		if (!strcmp(argv[i], "--help") || !strcmp(argv[i], "-h"))
+			return true;
+	return false;
+}
+
 int ctl_main(int argc, char **argv)
 {
 	struct ctl_request request;
 	GString *fault = g_string_new(NULL);
 	int code = CTL_USAGE;
 
+	if (wants_help(argc, argv)) {
+		ctl_help(stdout);
+		g_string_free(fault, TRUE);
+		return CTL_DONE;
+	}
 	if (ctl_parse(argc, argv, &request, fault))
-		fprintf(stderr, "ctl: %s\n", fault->str);
+		fprintf(stderr,
+			"ctl: %s\n"
+			"usage: camphorshed ctl --entry ADDRESS [OPTION ...] "
+			"VERB; see \"camphorshed ctl --help\"\n",
+			fault->str);
 	else
 		code = ctl_run(&request, stdout, stderr);
 	ctl_request_clear(&request);
--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -1,6 +1,8 @@
 #ifndef CTL_H
 #define CTL_H
 
+#include <stdio.h>
+
 /*
  * The operators' command line: "camphorshed ctl OPTIONS VERB ...". It talks
  * to the admin port of one entry. argv[0] is the command itself ("ctl").
@@ -8,6 +10,9 @@
  */
 int ctl_main(int argc, char **argv);
 
+/* Prints the options, the verbs and the exit codes. */
+void ctl_help(FILE *out);
+
 /* Exit codes. Scripts depend on them, so they never change. */
 enum ctl_exit {
 	CTL_DONE = 0, /* done, and in force if it was a change */
--- a/src/ctl/ctl_change.c
+++ b/src/ctl/ctl_change.c
@@ -148,7 +148,8 @@
 		      const char *key)
 {
 	const struct ctl_request *rq = ctl->request;
-	const char *detail = json_string_value(json_object_get(json, "detail"));
+	const char *detail = json_string_value(json_object_get(
+		json, json_object_get(json, "detail") ? "detail" : "error"));
 	uint64_t revision =
 		(uint64_t)json_integer_value(json_object_get(json, "revision"));
 	bool is_accepted = status < 400 &&
--- a/src/ctl/ctl_run.c
+++ b/src/ctl/ctl_run.c
@@ -57,6 +57,7 @@
 
 int ctl_get(struct ctl *ctl, const char *path, json_t **json)
 {
+	const char *reason;
 	int status, code;
 
 	code = ctl_call(ctl, "GET", path, NULL, CTL_CALL_TIMEOUT_S, &status,
@@ -65,8 +66,12 @@
 		return code;
 	if (status == 200 && *json)
 		return CTL_DONE;
-	fprintf(ctl->err, "%s: %s: status %d%s\n", path, ctl->request->entry,
-		status, *json ? "" : ", no JSON");
+	reason = json_string_value(json_object_get(*json, "error"));
+	fprintf(ctl->err, "%s: %s: status %d: %s\n", path, ctl->request->entry,
+		status,
+		reason ? reason :
+		*json  ? "no reason" :
+			 "no JSON");
 	json_decref(*json);
 	*json = NULL;
 	return status == 200 ? CTL_UNREACHABLE : CTL_REFUSED;
@@ -110,18 +115,53 @@
 	return show(ctl, "/v1/plan");
 }
 
+/*
+ * Appends one change: its revision, its age and each difference on a line of
+ * its own, since one change of a whole document can hold hundreds.
+ */
+static void append_change(GString *text, const json_t *row)
+{
+	const json_t *diff = json_object_get(row, "diff");
+	size_t i;
+
+	g_string_append_printf(
+		text,
+		"revision %" JSON_INTEGER_FORMAT ", %" JSON_INTEGER_FORMAT
+		" s ago, change ",
+		json_integer_value(json_object_get(row, "revision")),
+		json_integer_value(json_object_get(row, "age_ms")) / 1000);
+	ctl_table_append(text, json_object_get(row, "change_id"));
+	for (i = 0; i < json_array_size(diff); i++) {
+		g_string_append(text, "    ");
+		ctl_table_append(text, json_array_get(diff, i));
+	}
+}
+
 static int run_history(struct ctl *ctl)
 {
-	return show(ctl, "/v1/history");
+	GString *text;
+	json_t *json;
+	size_t i;
+	int code = ctl_get(ctl, "/v1/history", &json);
+
+	if (code)
+		return code;
+	if (ctl->request->as_json) {
+		ctl_print(ctl, json);
+	} else {
+		text = g_string_new(NULL);
+		for (i = 0; i < json_array_size(json); i++)
+			append_change(text, json_array_get(json, i));
+		fputs(text->str, ctl->out);
+		g_string_free(text, TRUE);
+	}
+	json_decref(json);
+	return CTL_DONE;
 }
 
 static int run_help(struct ctl *ctl)
 {
-	GString *text = g_string_new(NULL);
-
-	ctl_usage(text);
-	fputs(text->str, ctl->out);
-	g_string_free(text, TRUE);
+	ctl_help(ctl->out);
 	return CTL_DONE;
 }
 
--- a/src/settings/check_config.c
+++ b/src/settings/check_config.c
@@ -61,7 +61,8 @@
 
 int check_config_main(int argc, char **argv)
 {
-	if (argc != 2) {
+	/* A word in the form of an option is a mistake, not a file. */
+	if (argc != 2 || argv[1][0] == '-') {
 		fputs("usage: camphorshed check-config FILE\n", stderr);
 		return CHECK_FAULTS;
 	}
