--- a/src/ctl/ctl_change.c
+++ b/src/ctl/ctl_change.c
@@ -144,12 +144,22 @@
 	return code;
 }
 
+/* What the entry says about the change, without the line end. */
+static char *detail_of(const json_t *json)
+{
+	const json_t *text = json_object_get(json, "detail");
+
+	if (!text)
+		text = json_object_get(json, "error");
+	return g_strchomp(
+		g_strdup(json_is_string(text) ? json_string_value(text) : ""));
+}
+
 int ctl_finish_change(struct ctl *ctl, int status, json_t *json,
 		      const char *key)
 {
 	const struct ctl_request *rq = ctl->request;
-	const char *detail = json_string_value(json_object_get(
-		json, json_object_get(json, "detail") ? "detail" : "error"));
+	char *detail = detail_of(json);
 	uint64_t revision =
 		(uint64_t)json_integer_value(json_object_get(json, "revision"));
 	bool is_accepted = status < 400 &&
@@ -160,14 +170,12 @@
 
 	if (!is_accepted) {
 		fprintf(ctl->err, "not accepted: %s: status %d%s%s\n",
-			rq->entry, status, detail ? ": " : "",
-			detail ? detail : "");
+			rq->entry, status, *detail ? ": " : "", detail);
 		code = exit_of_refusal(status);
 	} else if (!rq->as_json) {
 		fprintf(ctl->out, "%s as revision %" PRIu64 "%s%s\n",
 			rq->is_dry_run ? "would be accepted" : "accepted",
-			revision, detail && *detail ? ": " : "",
-			detail ? detail : "");
+			revision, *detail ? ": " : "", detail);
 	}
 	if (is_accepted && !rq->is_dry_run) {
 		if (key && rq->as_json)
@@ -180,6 +188,7 @@
 	}
 	if (rq->as_json)
 		ctl_print(ctl, result);
+	g_free(detail);
 	json_decref(result);
 	json_decref(json);
 	return code;
--- a/src/entry/admin_part.c
+++ b/src/entry/admin_part.c
@@ -24,8 +24,12 @@
 /* How often a wait looks whether its revision is in force everywhere. */
 #define WAIT_INTERVAL (100 * CS_MSEC)
 
-/* A wait is answered after this long with how far the change has come. */
-#define WAIT_MAX (7 * CS_SEC)
+/*
+ * A wait is answered after this long with how far the change has come. It is
+ * below the shortest time that "ctl" gives a call, else ctl could not tell a
+ * revision that is not in force from an entry that does not answer.
+ */
+#define WAIT_MAX CS_SEC
 
 struct waiting_call {
 	cs_handle caller;
