Fuzz every decoder of input from outside the process

The decoders of worker and platform answers are static functions of their clients and are not covered.

Found: an empty fleet document in INI form led to arithmetic on a null pointer; a unit test holds it.

--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,9 @@
 CFLAGS_asan = -O1 -g -fsanitize=address,undefined -fno-sanitize-recover=all \
 	-fno-omit-frame-pointer
 CFLAGS_tsan = -O1 -g -fsanitize=thread
+# libFuzzer comes with clang only.
+CFLAGS_fuzz = -O1 -g -fsanitize=fuzzer-no-link,address,undefined \
+	-fno-sanitize-recover=all -fno-omit-frame-pointer
 CFLAGS_soak = -O2 -g -DCS_SOAK
 CFLAGS_soakasan = $(CFLAGS_asan) -DCS_SOAK
 
@@ -23,6 +26,10 @@
 	-D_GNU_SOURCE $(CFLAGS_$(VARIANT)) $(PKG_CFLAGS)
 LDFLAGS = $(filter -fsanitize%,$(CFLAGS_$(VARIANT)))
 
+ifeq ($(VARIANT),fuzz)
+CC = clang
+endif
+
 B = build/$(VARIANT)
 
 LIB_SRC := $(sort $(wildcard src/*/*.c))
@@ -34,12 +41,14 @@
 UNIT_COMMON := $(filter-out $(UNIT_SRC),$(wildcard tests/unit/*.c))
 STANDIN_OBJ := $(patsubst %.c,$(B)/%.o,$(wildcard tests/standin/*.c))
 SOAK_OBJ := $(patsubst %.c,$(B)/%.o,$(wildcard tests/soak/*.c))
+FUZZ_OBJ := $(patsubst %.c,$(B)/%.o,$(wildcard tests/fuzz/*.c))
 BENCH_OBJ := $(patsubst %.c,$(B)/%.o,$(wildcard tests/bench/*.c))
 C_FILES := $(shell find src tests -name '*.c' -o -name '*.h' | sort)
 
 SEED = 1
 STEPS = 1000000
 MUTATE =
+RUNS = 200000
 
 all: deps $(B)/camphorshed $(if $(STANDIN_OBJ),$(B)/camphorshed-standin)
 
@@ -71,6 +80,9 @@
 		$(B)/libcamphorshed.a
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 
+build/fuzz/camphorshed-fuzz: $(FUZZ_OBJ) build/fuzz/libcamphorshed.a
+	$(CC) -fsanitize=fuzzer $(LDFLAGS) -o $@ $^ $(LIBS)
+
 $(B)/unit/%: $(B)/tests/unit/%.o $(UNIT_COMMON:%.c=$(B)/%.o) \
 		$(B)/libcamphorshed.a
 	@mkdir -p $(@D)
@@ -99,6 +111,10 @@
 	$(MAKE) -s $(B)/camphorshed-bench
 	tests/bench/bench.sh
 
+fuzz:
+	$(MAKE) -s VARIANT=fuzz build/fuzz/camphorshed-fuzz
+	tests/fuzz/run.sh $(RUNS)
+
 lint:
 	scripts/lint.sh
 
@@ -116,10 +132,10 @@
 		$(DESTDIR)$(PREFIX)/lib/systemd/system/camphorshed.service
 
 clean:
-	rm -rf build/rel build/asan build/tsan build/soak build/soakasan
+	rm -rf build/rel build/asan build/tsan build/soak build/soakasan build/fuzz
 
 -include $(shell find build -name '*.d' 2>/dev/null)
 
-.PHONY: all deps unit programs check demo soak mutants bench lint format \
+.PHONY: all deps unit programs check demo soak mutants bench fuzz lint format \
 	install clean
 .SECONDARY:
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -47,7 +47,8 @@
 		run "unit $v $(basename "$t")" "$t"
 	done
 done
-for t in tests/process/test_*.sh tests/soak/test_*.sh tests/bench/test_*.sh; do
+for t in tests/process/test_*.sh tests/soak/test_*.sh tests/bench/test_*.sh \
+	tests/fuzz/test_*.sh; do
 	[ -f "$t" ] || continue
 	run "${t#tests/}" "$t"
 done
--- a/scripts/install-deps.sh
+++ b/scripts/install-deps.sh
@@ -5,7 +5,7 @@
 
 packages="gcc make pkg-config libevent-dev libevhtp-dev libmsgpack-dev
 liblog4c-dev libinih-dev libglib2.0-dev libcmocka-dev libxxhash-dev
-libsodium-dev libjansson-dev libonig-dev libssl-dev clang clang-format
+libsodium-dev libjansson-dev libonig-dev libssl-dev clang libclang-rt-14-dev clang-format
 clang-tidy cppcheck python3 curl procps man-db"
 
 missing=
--- a/src/config/codec_ini.c
+++ b/src/config/codec_ini.c
@@ -269,6 +269,8 @@
 	gsize len;
 
 	st.next = g_bytes_get_data(bytes, &len);
+	if (!st.next)
+		st.next = ""; /* no bytes */
 	if (len > (gsize)CS_VALUE_MAX) {
 		fault(&st, 1, "longer than %zu bytes", CS_VALUE_MAX);
 		return NULL;
--- a/tests/unit/test_codec.c
+++ b/tests/unit/test_codec.c
@@ -176,6 +176,23 @@
 	document_destroy(doc);
 }
 
+/*
+ * Guards against arithmetic on the null pointer that GBytes gives for no
+ * bytes; the fuzz target document_ini found it.
+ */
+static void empty_input_is_refused(void **state)
+{
+	GBytes *empty = g_bytes_new(NULL, 0);
+	GString *faults = g_string_new(NULL);
+
+	(void)state;
+	assert_null(document_codec_ini.decode(empty, "empty", faults));
+	assert_string_equal(faults->str, "empty:1: [preset] is missing\n");
+	assert_null(document_codec_json.decode(empty, "empty", faults));
+	g_string_free(faults, TRUE);
+	g_bytes_unref(empty);
+}
+
 /* A change must reach the entry as the operator gave it. */
 static void changes_round_trip(void **state)
 {
@@ -267,6 +284,7 @@
 		cmocka_unit_test(ini_lists_every_fault),
 		cmocka_unit_test(json_lists_every_fault),
 		cmocka_unit_test(damaged_input_is_refused),
+		cmocka_unit_test(empty_input_is_refused),
 		cmocka_unit_test(changes_round_trip),
 		cmocka_unit_test(design_size_fits),
 	};
