--- a/Makefile
+++ b/Makefile
@@ -121,6 +121,7 @@
 format:
 	clang-format -i $(C_FILES)
 
+# The unit names the program by its path, so the prefix is put in.
 install: $(B)/camphorshed
 	install -D -m 755 $(B)/camphorshed \
 		$(DESTDIR)$(PREFIX)/bin/camphorshed
@@ -128,8 +129,12 @@
 		$(DESTDIR)$(PREFIX)/share/man/man1/camphorshed.1
 	install -D -m 644 etc/entry.ini \
 		$(DESTDIR)$(PREFIX)/share/camphorshed/entry.ini
-	install -D -m 644 etc/camphorshed.service \
-		$(DESTDIR)$(PREFIX)/lib/systemd/system/camphorshed.service
+	install -D -m 644 etc/site.fleet.ini \
+		$(DESTDIR)$(PREFIX)/share/camphorshed/site.fleet.ini
+	install -d $(DESTDIR)$(PREFIX)/lib/systemd/system
+	sed 's|/usr/local/|$(PREFIX)/|' etc/camphorshed.service \
+		>$(DESTDIR)$(PREFIX)/lib/systemd/system/camphorshed.service
+	chmod 644 $(DESTDIR)$(PREFIX)/lib/systemd/system/camphorshed.service
 
 clean:
 	rm -rf build/rel build/asan build/tsan build/soak build/soakasan build/fuzz
