Let a stopped task say how it ended, and do not send old decisions

Cause 1: the worker's answer to a stop was taken as "stopped" whatever had happened, so a job that had just finished would have run again elsewhere. Cause 2: a process paused between the core's decision and the send started the task on resume, when its permit or the key may be gone.

Ruled out: checking in the core (its clock stands still with the process).

Change: checkpoint and stop answer with state, progress and checkpoint like a renewal; the worker client refuses decisions older than 2 s as not sent. The stand-in ends short tasks with their lease.

--- a/src/entry/message.h
+++ b/src/entry/message.h
@@ -113,6 +113,7 @@
 	enum work_kind work;
 	int64_t lease_ms;
 	bool needs_live_connection; /* non-idempotent work */
+	cs_time decided; /* when the core chose to start it */
 	cs_time deadline;
 	char content_type[64];
 	char checkpoint[256]; /* "" starts from the beginning */
--- a/src/job/dispatch_run.c
+++ b/src/job/dispatch_run.c
@@ -135,6 +135,7 @@
 	s->work = WORK_SHORT;
 	s->lease_ms = (r->deadline - ctx->now) / CS_MSEC;
 	s->needs_live_connection = !r->submit.is_idempotent;
+	s->decided = ctx->now;
 	s->deadline = r->deadline;
 	s->trace = r->submit.trace;
 	s->body = g_bytes_ref(r->submit.body);
--- a/src/job/long_run.c
+++ b/src/job/long_run.c
@@ -111,6 +111,7 @@
 	s->work = WORK_LONG;
 	s->lease_ms = LONG_LEASE / CS_MSEC;
 	s->needs_live_connection = true;
+	s->decided = ctx->now;
 	s->deadline = ctx->now + LONG_RENEW_INTERVAL;
 	s->trace = job->trace;
 	s->body = g_bytes_ref(job->body);
--- a/src/worker/worker_client.c
+++ b/src/worker/worker_client.c
@@ -157,6 +157,12 @@
 	bus_post(client->bus, BUS_WORKER, m);
 }
 
+/*
+ * A start that was decided longer ago than this is not sent: the process was
+ * paused in between, and its permit or the key may be gone.
+ */
+#define DECISION_MAX_AGE (2 * CS_SEC)
+
 /* How each control operation looks on the wire. */
 static const struct control_op {
 	const char *name;
@@ -168,7 +174,7 @@
 	[TASK_CHECKPOINT] = { "checkpoint", CONTROL_TIMEOUT_US, HTTP_POST,
 			      true },
 	[TASK_THROTTLE] = { "throttle", CONTROL_TIMEOUT_US, HTTP_POST, false },
-	[TASK_STOP] = { "stop", CONTROL_TIMEOUT_US, HTTP_POST, false },
+	[TASK_STOP] = { "stop", CONTROL_TIMEOUT_US, HTTP_POST, true },
 	[TASK_RESULT] = { "result", RESULT_TIMEOUT_US, HTTP_GET, false },
 };
 
@@ -232,15 +238,11 @@
 
 	if (!root)
 		return false;
-	if (d->op == TASK_RENEW)
-		is_valid = !json_unpack(root, "{s:s, s:i, s?:s}", "state",
-					&state, "progress", &d->progress,
-					"checkpoint", &checkpoint) &&
-			   state_parse(state, &d->state) && d->progress >= 0 &&
-			   d->progress <= 100;
-	else
-		is_valid =
-			!json_unpack(root, "{s:s}", "checkpoint", &checkpoint);
+	is_valid = !json_unpack(root, "{s:s, s:i, s?:s}", "state", &state,
+				"progress", &d->progress, "checkpoint",
+				&checkpoint) &&
+		   state_parse(state, &d->state) && d->progress >= 0 &&
+		   d->progress <= 100;
 	/* Part of a checkpoint would resume the task at the wrong place. */
 	if (checkpoint && strlen(checkpoint) >= sizeof(d->checkpoint))
 		is_valid = false;
@@ -315,8 +317,6 @@
 		cs_copy(d->content_type, sizeof(d->content_type),
 			answer->content_type);
 		d->body = g_bytes_ref(answer->body);
-	} else if (t->op == TASK_STOP) {
-		d->state = TASK_STATE_STOPPED;
 	}
 	bus_post(client->bus, BUS_WORKER, m);
 }
@@ -390,16 +390,15 @@
 	slots_free(client->calls, ref);
 }
 
-/* Refuses a call that finds the table full; nothing has been sent. */
+/* Refuses a call before anything of it has been sent. */
 static void refuse(struct worker_client *client, const struct call_ops *ops,
-		   struct msg *m)
+		   struct msg *m, int code, const char *why)
 {
 	struct worker_call call = { .ops = ops, .request = m };
 	struct http_answer answer = { .result = HTTP_NOT_SENT };
 
 	call.start = task_now();
-	cs_error_set(&answer.error, CS_ERR_FULL, "connect", NULL,
-		     "too many calls");
+	cs_error_set(&answer.error, code, "connect", NULL, "%s", why);
 	report(client, ops->name, &answer.error);
 	ops->answer(client, &call, &answer);
 	msg_free(m);
@@ -411,10 +410,16 @@
 	char path[PATH_SIZE] = "";
 	struct http_call out = { .trace = NULL };
 	struct worker_call *call;
-	cs_handle h = slots_take(client->calls, (void **)&call);
+	cs_handle h;
 
+	if (m->type == MSG_TASK_START &&
+	    task_now() - m->u.task_start.decided > DECISION_MAX_AGE) {
+		refuse(client, ops, m, CS_ERR_STALE, "the decision is too old");
+		return;
+	}
+	h = slots_take(client->calls, (void **)&call);
 	if (!h) {
-		refuse(client, ops, m);
+		refuse(client, ops, m, CS_ERR_FULL, "too many calls");
 		return;
 	}
 	call->ops = ops;
--- a/tests/standin/worker.c
+++ b/tests/standin/worker.c
@@ -224,6 +224,8 @@
 {
 	struct task_row *t = ctx;
 
+	if (t->state == STOPPED)
+		t->is_failing = true;
 	end_task(t, DONE);
 	if (req && t->is_failing)
 		answer_task(t->worker, req, 500, error_json("failed"));
@@ -290,6 +292,17 @@
 	answer_task(w, req, 202, json_pack("{s:s}", "task", t->name));
 }
 
+/* A short task ends with its run time, or fails with its lease. */
+static void hold_short(struct worker *w, struct evhttp_request *req,
+		       struct task_row *t, const char *body)
+{
+	long run_ms = body_number(body, "run_ms", 0) + w->delay_ms;
+	long lease_ms = query_number(req, "lease_ms", 30000);
+
+	t->is_failing = run_ms > lease_ms;
+	server_hold(w->server, req, MIN(run_ms, lease_ms), end_short, t);
+}
+
 static void start_task(struct worker *w, struct evhttp_request *req,
 		       const char *name)
 {
@@ -320,34 +333,36 @@
 	else if (t->is_failing)
 		end_short(t, req);
 	else
-		server_hold(w->server, req,
-			    body_number(body, "run_ms", 0) + w->delay_ms,
-			    end_short, t);
+		hold_short(w, req, t, body);
 	g_free(mode);
 	g_free(body);
 }
 
-static void renew_task(struct task_row *t, struct evhttp_request *req)
+/* Answers with the task's state, its progress and its last checkpoint. */
+static void reply_state(struct task_row *t, struct evhttp_request *req)
 {
 	char checkpoint[16];
 
-	if (t->state == RUNNING)
-		arm_ms(t->lease_timer, query_number(req, "lease_ms", 6000));
 	snprintf(checkpoint, sizeof(checkpoint), "%d", t->checkpoint);
 	reply_json(req, 200,
 		   json_pack("{s:s, s:i, s:s}", "state", state_names[t->state],
 			     "progress",
-			     MIN(t->step, t->steps) * 100 / t->steps,
+			     MIN(t->step, t->steps) * 100 / MAX(t->steps, 1),
 			     "checkpoint", checkpoint));
 }
 
-static void checkpoint_task(struct task_row *t, struct evhttp_request *req)
+static void renew_task(struct task_row *t, struct evhttp_request *req)
 {
-	char checkpoint[16];
+	if (t->state == RUNNING && t->lease_timer)
+		arm_ms(t->lease_timer, query_number(req, "lease_ms", 6000));
+	reply_state(t, req);
+}
 
-	t->checkpoint = t->step;
-	snprintf(checkpoint, sizeof(checkpoint), "%d", t->checkpoint);
-	reply_json(req, 200, json_pack("{s:s}", "checkpoint", checkpoint));
+static void checkpoint_task(struct task_row *t, struct evhttp_request *req)
+{
+	if (t->state == RUNNING)
+		t->checkpoint = t->step;
+	reply_state(t, req);
 }
 
 static void throttle_task(struct task_row *t, struct evhttp_request *req)
@@ -361,7 +376,7 @@
 static void stop_task(struct task_row *t, struct evhttp_request *req)
 {
 	end_task(t, STOPPED);
-	reply_json(req, 200, json_object());
+	reply_state(t, req);
 }
 
 static void send_result(struct task_row *t, struct evhttp_request *req)
--- a/tests/unit/test_worker_client.c
+++ b/tests/unit/test_worker_client.c
@@ -56,6 +56,7 @@
 	snprintf(t->task_id, sizeof(t->task_id), "task-%" PRIu64, attempt);
 	cs_copy(t->content_type, sizeof(t->content_type), "text/plain");
 	t->lease_ms = 6000;
+	t->decided = task_now();
 	t->deadline = task_now() + deadline_ms * CS_MSEC;
 	t->body = g_bytes_new(body, strlen(body));
 	return m;
@@ -564,6 +565,29 @@
 	end(&f);
 }
 
+static void control(struct scripted *s, int fd);
+
+/*
+ * A process that is paused between the decision and the send must not start
+ * the task: its permit or the key may be gone.
+ */
+static void old_decision_is_not_sent(void **state)
+{
+	struct fixture f;
+	struct msg *m;
+
+	begin(&f, state, control, 4);
+	m = task_msg(scripted_address(f.server), 7, "work", LONG_MS);
+	m->u.task_start.decided -= 3 * CS_SEC;
+	post(&f, m);
+	m = take_done(&f);
+	assert_int_equal(m->u.task_done.result, TASK_NOT_SENT);
+	assert_int_equal(m->u.task_done.error.code, CS_ERR_STALE);
+	assert_int_equal(scripted_requests(f.server), 0);
+	msg_free(m);
+	end(&f);
+}
+
 /* Answers of control calls, by path. */
 static void control(struct scripted *s, int fd)
 {
@@ -575,7 +599,13 @@
 					"{\"state\":\"stopped\",\"progress\":40"
 					",\"checkpoint\":\"c4\"}");
 		else if (strstr(request, "/good/checkpoint "))
-			scripted_answer(fd, 200, "{\"checkpoint\":\"c5\"}");
+			scripted_answer(fd, 200,
+					"{\"state\":\"running\",\"progress\":50"
+					",\"checkpoint\":\"c5\"}");
+		else if (strstr(request, "/good/stop "))
+			scripted_answer(
+				fd, 200,
+				"{\"state\":\"done\",\"progress\":100}");
 		else if (strstr(request, "/good/result "))
 			scripted_answer(fd, 200, "result");
 		else if (strstr(request, "/bad/"))
@@ -627,6 +657,11 @@
 	assert_int_equal(m->u.task_control_done.code, CS_OK);
 	assert_string_equal(m->u.task_control_done.checkpoint, "c5");
 	msg_free(m);
+	/* A task that ended before its stop must not run again. */
+	m = control_call(&f, TASK_STOP, "good");
+	assert_int_equal(m->u.task_control_done.code, CS_OK);
+	assert_int_equal(m->u.task_control_done.state, TASK_STATE_DONE);
+	msg_free(m);
 	m = control_call(&f, TASK_RESULT, "good");
 	assert_int_equal(m->u.task_control_done.code, CS_OK);
 	assert_int_equal(g_bytes_get_size(m->u.task_control_done.body), 6);
@@ -688,6 +723,7 @@
 		cmocka_unit_test(reused_connection_that_breaks_is_unknown),
 		cmocka_unit_test(stray_answer_does_not_reach_next_call),
 		cmocka_unit_test(destroy_ends_open_calls),
+		cmocka_unit_test(old_decision_is_not_sent),
 		cmocka_unit_test(control_calls_report_task_state),
 		cmocka_unit_test(metrics_count_results),
 	};
