front: a full core mailbox says "unknown" for identified work

A refusal that says "not run" covers earlier submissions of a non-idempotent request (I8). The refusal of an overloaded entry did not follow that rule: it said "not_run" for every submission. It now uses submit_refusal_outcome() as the other refusals do.

--- a/src/front/front.c
+++ b/src/front/front.c
@@ -67,16 +67,20 @@
 }
 
 /*
- * The core has no room. A job that a query names may well have run, so only
- * a refused submission is "not_run".
+ * The core has no room. A job that a query names may well have run, and so
+ * may an earlier submission of a non-idempotent request.
  */
 static void refuse_overload(struct front *f, cs_handle exchange,
 			    const struct msg *msg, const char *peer)
 {
+	enum outcome outcome =
+		msg->type == MSG_SUBMIT ?
+			submit_refusal_outcome(&msg->u.submit, false) :
+			OUTCOME_UNKNOWN;
 	struct http_refusal refusal = {
 		.status = 503,
 		.reason = "overloaded",
-		.outcome = msg->type == MSG_SUBMIT ? "not_run" : "unknown",
+		.outcome = front_outcome_name(outcome),
 		.step = "submit",
 		.peer = peer,
 		.retry_after_ms = OVERLOAD_RETRY_MS,
--- a/tests/unit/test_front.c
+++ b/tests/unit/test_front.c
@@ -430,7 +430,11 @@
 		     "Retry-After: 1\r\n|\"retry_after_ms\":1000");
 	client_check(f->options.address, "GET /v1/jobs/j HTTP/1.1\r\n\r\n",
 		     " 503 |\"outcome\":\"unknown\"");
-	expect_metric(f, "{reason=\"overloaded\"} 2\n");
+	/* An earlier submission of this identifier may have run. */
+	client_check(f->options.address, POST "Request-Id: r-1\r\n" EMPTY,
+		     " 503 |{\"error\":\"overloaded\",\"outcome\":\"unknown\"|"
+		     "Retry-After: 1\r\n");
+	expect_metric(f, "{reason=\"overloaded\"} 3\n");
 }
 
 /* Stopping with requests in flight must not hang, leak or lose the news. */
