--- /dev/null
+++ b/tests/process/test_pages.sh
@@ -0,0 +1,61 @@
+#!/bin/sh
+# Runs every "sh" block of the pages, in order and in one shell per page, and
+# looks for each line of the "text" block behind it in its output. Numbers and
+# long hexadecimal words are taken as equal. Guards against pages that promise
+# what the programs no longer do.
+set -u
+cd "$(dirname "$0")/../.."
+dir=$(mktemp -d)
+trap 'rm -rf "$dir"' EXIT
+failed=0
+
+# Lines with what differs from run to run replaced.
+normal() {
+	sed -E 's/"task":"[^"]*"/"task":T/; s/[0-9a-f]{12,}/X/g; s/[0-9]+/N/g; s/ +/ /g; s/[ \r]+$//'
+}
+
+check_page() {
+	page=$1
+	rm -rf "$dir"/*
+	awk -v dir="$dir" '
+		/^```sh$/ { n++; kind = "sh"; print "echo \"@@ " n "\""; next }
+		/^```text$/ { kind = "text"; next }
+		/^```/ { kind = ""; next }
+		kind == "sh" { print }
+		kind == "text" { print > (dir "/text." n) }
+	' "$page" >"$dir/script"
+	# A page that fails in the middle must leave no process behind.
+	{
+		echo 'set -u; trap abort_site EXIT'
+		cat "$dir/script"
+		echo 'trap - EXIT; echo "@@ end"'
+	} >"$dir/run"
+	SITE_DIR=$dir/site
+	export SITE_DIR
+	mkdir "$SITE_DIR"
+	bash "$dir/run" >"$dir/out" 2>&1
+	grep -qx '@@ end' "$dir/out" || {
+		echo "FAILED $page: not run to its end"
+		failed=1
+	}
+	for text in "$dir"/text.*; do
+		n=${text##*.}
+		awk -v n="$n" '/^@@ / { on = ($2 == n); next } on' "$dir/out" |
+			normal >"$dir/got"
+		normal <"$text" >"$dir/wanted"
+		while IFS= read -r line; do
+			grep -qxF -- "$line" "$dir/got" || {
+				echo "FAILED $page, block $n: no line \"$line\" in"
+				cat "$dir/got"
+				failed=1
+			}
+		done <"$dir/wanted"
+	done
+	echo "$page: $(grep -c '^@@ [0-9]' "$dir/out") blocks run"
+	[ -z "${SHOW:-}" ] || cat "$dir/out"
+}
+
+for page in docs/callers.md; do
+	check_page "$page"
+done
+exit $failed
