--- a/src/base/http_util.c
+++ b/src/base/http_util.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "error.h"
+#include "json.h"
 
 /* Longest bearer token taken: keys are far shorter, and hashing is not free. */
 #define TOKEN_MAX 512
@@ -49,7 +50,6 @@
 {
 	json_t *object = json_object();
 	GBytes *body;
-	char *text;
 
 	set_text(object, "error", r->reason);
 	set_text(object, "outcome", r->outcome);
@@ -60,11 +60,8 @@
 				    json_integer(r->retry_after_ms));
 	if (*r->message)
 		set_text(object, "message", r->message);
-	text = json_dumps(object, JSON_COMPACT);
-	json_decref(object);
-	body = g_bytes_new(text ? text : "{}", text ? strlen(text) : 2);
-	free(text);
-	return body;
+	body = json_to_bytes(object, 0);
+	return body ? body : g_bytes_new_static("{}", 2);
 }
 
 int http_header(const struct http_request *req, const char *name,
--- a/src/claim/claim_codec.c
+++ b/src/claim/claim_codec.c
@@ -4,11 +4,11 @@
 #include <string.h>
 
 #include "../base/error.h"
+#include "../base/json.h"
 
 GBytes *claim_map_encode(const struct claim_map *map)
 {
 	json_t *rows = json_array(), *leaving = json_array(), *root;
-	char *text;
 	size_t i;
 
 	for (i = 0; i < CLAIM_PARTITIONS; i++) {
@@ -28,9 +28,7 @@
 				  (json_int_t)map->leaving[i].incarnation));
 	root = json_pack("{s:s,s:o,s:o}", "change", map->change_id,
 			 "partitions", rows, "leaving", leaving);
-	text = json_dumps(root, JSON_COMPACT);
-	json_decref(root);
-	return g_bytes_new_with_free_func(text, strlen(text), free, text);
+	return json_to_bytes(root, 0);
 }
 
 static bool decode_member(const json_t *row, size_t at, struct claim_member *m)
@@ -61,11 +59,7 @@
 int claim_map_decode(GBytes *bytes, struct claim_map *map, struct cs_error *err)
 {
 	struct claim_map out = { .change_id = "" };
-	gsize size = 0;
-	const char *data = bytes ? g_bytes_get_data(bytes, &size) : NULL;
-	json_error_t fault;
-	json_t *root = json_loadb(data ? data : "", size,
-				  JSON_REJECT_DUPLICATES, &fault);
+	json_t *root = json_from_bytes(bytes, JSON_REJECT_DUPLICATES, NULL);
 	const json_t *rows = json_object_get(root, "partitions");
 	const json_t *leaving = json_object_get(root, "leaving");
 	const char *change = json_string_value(json_object_get(root, "change"));
--- a/src/config/codec_value.c
+++ b/src/config/codec_value.c
@@ -2,6 +2,8 @@
 
 #include <stdlib.h>
 
+#include "../base/json.h"
+
 /* The text form of a JSON value of the right type; false for another type. */
 static bool value_text(const struct field *field, const json_t *value,
 		       char *text, size_t size)
@@ -67,11 +69,7 @@
 
 GBytes *codec_value_dump(json_t *root)
 {
-	char *text = json_dumps(root, JSON_COMPACT);
-	GBytes *bytes = text ? g_bytes_new(text, strlen(text)) :
-			       g_bytes_new(NULL, 0);
+	GBytes *bytes = json_to_bytes(root, 0);
 
-	free(text);
-	json_decref(root);
-	return bytes;
+	return bytes ? bytes : g_bytes_new(NULL, 0);
 }
--- a/src/config/schema.c
+++ b/src/config/schema.c
@@ -1,6 +1,7 @@
 #include "schema.h"
 
 #include <errno.h>
+#include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -158,27 +159,19 @@
 
 void schema_digest_format(const uint8_t digest[CS_DIGEST_LEN], GString *out)
 {
-	size_t i;
+	char text[2 * CS_DIGEST_LEN + 1];
 
-	for (i = 0; i < CS_DIGEST_LEN; i++)
-		g_string_append_printf(out, "%02x", digest[i]);
+	sodium_bin2hex(text, sizeof(text), digest, CS_DIGEST_LEN);
+	g_string_append(out, text);
 }
 
 bool schema_digest_parse(const char *text, uint8_t digest[CS_DIGEST_LEN])
 {
-	size_t i;
-
-	if (strlen(text) != 2 * (size_t)CS_DIGEST_LEN)
-		return false;
-	for (i = 0; i < CS_DIGEST_LEN; i++) {
-		int high = g_ascii_xdigit_value(text[2 * i]);
-		int low = g_ascii_xdigit_value(text[2 * i + 1]);
+	size_t len = strlen(text), bytes;
 
-		if (high < 0 || low < 0)
-			return false;
-		digest[i] = (uint8_t)(high << 4 | low);
-	}
-	return true;
+	return len == 2 * (size_t)CS_DIGEST_LEN &&
+	       !sodium_hex2bin(digest, CS_DIGEST_LEN, text, len, NULL, &bytes,
+			       NULL);
 }
 
 static bool parse_digest(const struct field *field, const char *text, void *row)
--- a/src/front/front_reply.c
+++ b/src/front/front_reply.c
@@ -3,6 +3,8 @@
 #include <jansson.h>
 #include <string.h>
 
+#include "../base/json.h"
+
 const char *front_outcome_name(enum outcome outcome)
 {
 	static const char *const names[] = {
@@ -24,19 +26,14 @@
 
 static void encode_accepted(const struct reply *r, struct http_response *out)
 {
-	json_t *object;
-	char *text;
-
 	if (r->body) {
 		encode_answer(r, out);
 		return;
 	}
-	object = json_pack("{s:s}", "job", r->job);
-	text = object ? json_dumps(object, JSON_COMPACT) : NULL;
-	json_decref(object);
 	out->content_type = "application/json";
-	out->body = g_bytes_new(text ? text : "{}", text ? strlen(text) : 2);
-	free(text);
+	out->body = json_to_bytes(json_pack("{s:s}", "job", r->job), 0);
+	if (!out->body)
+		out->body = g_bytes_new_static("{}", 2);
 }
 
 static void encode_refusal(const struct reply *r, struct http_response *out)
--- a/src/job/long_record.c
+++ b/src/job/long_record.c
@@ -6,6 +6,7 @@
 #include <xxhash.h>
 
 #include "../base/error.h"
+#include "../base/json.h"
 
 static const char *const state_names[LONG_STATE_NR] = {
 	"waiting", "running", "done", "cancelled", "held", "unknown",
@@ -81,7 +82,6 @@
 GBytes *long_record_encode(const struct long_record *r)
 {
 	json_t *root = json_object();
-	char *text;
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(fields); i++)
@@ -89,9 +89,7 @@
 				    encode_field(r, &fields[i]));
 	json_object_set_new(root, "state",
 			    json_string(long_state_name(r->state)));
-	text = json_dumps(root, JSON_COMPACT | JSON_SORT_KEYS);
-	json_decref(root);
-	return g_bytes_new_with_free_func(text, strlen(text), free, text);
+	return json_to_bytes(root, JSON_SORT_KEYS);
 }
 
 static bool decode_field(struct long_record *r, const struct field *f,
@@ -142,17 +140,14 @@
 		       struct cs_error *err)
 {
 	const char *bad = NULL;
-	json_error_t error;
-	const char *data;
 	json_t *root;
-	size_t len, i;
+	size_t i;
 
 	memset(r, 0, sizeof(*r));
 	if (!bytes)
 		return cs_error_set(err, CS_ERR_INVALID, "long_record", NULL,
 				    "no value");
-	data = g_bytes_get_data(bytes, &len);
-	root = json_loadb(data ? data : "", len, 0, &error);
+	root = json_from_bytes(bytes, 0, NULL);
 	if (!json_is_object(root)) {
 		json_decref(root);
 		return cs_error_set(err, CS_ERR_INVALID, "long_record", NULL,
@@ -194,7 +189,6 @@
 void long_record_describe(const struct long_record *r, GString *json)
 {
 	json_t *root = json_object();
-	char *text;
 
 	json_object_set_new(root, "job", json_string(r->id));
 	json_object_set_new(root, "state",
@@ -205,10 +199,7 @@
 		json_object_set_new(root, "reason", json_string(r->reason));
 	if (r->is_cancelled)
 		json_object_set_new(root, "cancelled", json_true());
-	text = json_dumps(root, JSON_COMPACT | JSON_SORT_KEYS);
-	g_string_append(json, text);
-	free(text);
-	json_decref(root);
+	json_append(json, root, JSON_SORT_KEYS);
 }
 
 void long_record_id(const char *team, const char *request_id, GRand *rng,
--- a/src/ledger/ledger_codec.c
+++ b/src/ledger/ledger_codec.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "../base/error.h"
+#include "../base/json.h"
 
 static json_t *encode_holder(const struct ledger_holder *h)
 {
@@ -48,7 +49,6 @@
 {
 	json_t *holders = json_array(), *outgoing = json_array();
 	json_t *receipts = json_object(), *root;
-	char *text;
 	guint i;
 
 	for (i = 0; i < l->holders->len; i++)
@@ -76,9 +76,7 @@
 			 (json_int_t)l->sequence, "marks", (json_int_t)l->marks,
 			 "teams", encode_teams(l), "holders", holders,
 			 "outgoing", outgoing, "received", receipts);
-	text = json_dumps(root, JSON_COMPACT);
-	json_decref(root);
-	return g_bytes_new_with_free_func(text, strlen(text), free, text);
+	return json_to_bytes(root, 0);
 }
 
 /* True for a name that fits and is not empty. */
@@ -254,10 +252,7 @@
 	struct ledger *l = ledger_create(account);
 	json_error_t fault;
 	const char *name, *change;
-	gsize size = 0;
-	const char *data = bytes ? g_bytes_get_data(bytes, &size) : NULL;
-	json_t *root = json_loadb(data ? data : "", size,
-				  JSON_REJECT_DUPLICATES, &fault);
+	json_t *root = json_from_bytes(bytes, JSON_REJECT_DUPLICATES, &fault);
 
 	name = json_string_value(json_object_get(root, "account"));
 	change = json_string_value(json_object_get(root, "change"));
--- a/src/ledger/ledger_plan.c
+++ b/src/ledger/ledger_plan.c
@@ -439,26 +439,36 @@
 	return urgency;
 }
 
-/* Credits transfers to l and removes those of l that were credited. */
+/*
+ * Credits transfers from peer to l and removes those of l that peer has
+ * credited. peer is NULL if its document was not read.
+ */
+static enum ledger_urgency settle_with(struct ledger *l,
+				       const struct ledger *peer)
+{
+	enum ledger_urgency urgency = LEDGER_UNCHANGED;
+
+	if (!peer || !strcmp(peer->account, l->account))
+		return urgency;
+	if (ledger_receive(l, peer))
+		urgency = LEDGER_LAZY;
+	if (ledger_clear(l, peer))
+		urgency = most(urgency, LEDGER_LAZY);
+	return urgency;
+}
+
+/* Settles the transfers of l with every other document. */
 static enum ledger_urgency settle_transfers(const struct ledger_world *w,
 					    struct ledger *l,
 					    const struct ledger *own)
 {
-	enum ledger_urgency urgency = LEDGER_UNCHANGED;
-	const struct ledger *peers[2] = { w->reserve, own };
+	enum ledger_urgency urgency = settle_with(l, w->reserve);
 	guint i;
 
-	for (i = 0; i < w->others->len + 2; i++) {
-		const struct ledger *peer =
-			i < 2 ? peers[i] : g_ptr_array_index(w->others, i - 2);
-
-		if (!peer || !strcmp(peer->account, l->account))
-			continue;
-		if (ledger_receive(l, peer))
-			urgency = LEDGER_LAZY;
-		if (ledger_clear(l, peer))
-			urgency = most(urgency, LEDGER_LAZY);
-	}
+	urgency = most(urgency, settle_with(l, own));
+	for (i = 0; i < w->others->len; i++)
+		urgency = most(urgency,
+			       settle_with(l, g_ptr_array_index(w->others, i)));
 	return urgency;
 }
 
--- a/src/ledger/ledger_sync.c
+++ b/src/ledger/ledger_sync.c
@@ -638,8 +638,8 @@
 		ledger_account_answer(ctx, a, done);
 	else
 		return;
-	if (ls->is_stale && done->token == ls->reread_token && a->is_known &&
-	    !a->must_read)
+	if (ls->is_stale && a && done->token == ls->reread_token &&
+	    a->is_known && !a->must_read)
 		ls->is_stale = false;
 	documents_changed(ctx);
 	/* Permits may have come. */
--- a/src/platform/platform_client.c
+++ b/src/platform/platform_client.c
@@ -9,6 +9,7 @@
 #include "../base/counters.h"
 #include "../base/error.h"
 #include "../base/http_client.h"
+#include "../base/json.h"
 #include "../base/slots.h"
 #include "../base/task.h"
 
@@ -376,15 +377,11 @@
 static bool decode(const struct kv_call *call, const struct http_answer *answer,
 		   struct kv_done *done)
 {
-	gsize len;
-	const char *data = g_bytes_get_data(answer->body, &len);
 	struct decoder d = { call, answer->status, NULL, done };
 	bool is_valid;
 
-	if (data)
-		d.root = json_loadb(data, len,
-				    JSON_REJECT_DUPLICATES | JSON_ALLOW_NUL,
-				    NULL);
+	d.root = json_from_bytes(answer->body,
+				 JSON_REJECT_DUPLICATES | JSON_ALLOW_NUL, NULL);
 	is_valid = json_is_object(d.root) && kv_ops[call->op].decode(&d);
 	json_decref(d.root);
 	return is_valid;
@@ -439,8 +436,6 @@
 		       const char **message)
 {
 	const struct kv_op_row *op = &kv_ops[call->op];
-	json_t *root;
-	char *text;
 
 	*body = NULL;
 	if (!op->body)
@@ -450,15 +445,11 @@
 		*message = "value over 1 MB";
 		return CS_ERR_TOO_LARGE;
 	}
-	root = op->body(call);
-	text = root ? json_dumps(root, JSON_COMPACT) : NULL;
-	json_decref(root);
-	if (!text) {
+	*body = json_to_bytes(op->body(call), 0);
+	if (!*body) {
 		*message = "value is not UTF-8 text";
 		return CS_ERR_INVALID;
 	}
-	*body = g_bytes_new(text, strlen(text));
-	free(text);
 	return CS_OK;
 }
 
--- a/src/pool/down_report.c
+++ b/src/pool/down_report.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "../base/error.h"
+#include "../base/json.h"
 #include "../fleet/fleet.h"
 #include "planner_state.h"
 
@@ -157,9 +158,7 @@
 
 static void take_report(struct planner *p, GBytes *value)
 {
-	gsize len;
-	const char *data = g_bytes_get_data(value, &len);
-	json_t *list = json_loadb(data, len, 0, NULL);
+	json_t *list = json_from_bytes(value, 0, NULL);
 	const char *name;
 	size_t i;
 
--- a/src/pool/host_record.c
+++ b/src/pool/host_record.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "../base/error.h"
+#include "../base/json.h"
 
 #define STEP "host_record"
 
@@ -89,8 +90,6 @@
 	json_t *doc = json_object(), *hosts = json_array();
 	guint nr, i;
 	gpointer *names = g_hash_table_get_keys_as_array(t->rows, &nr);
-	char *text;
-	GBytes *out;
 
 	qsort(names, nr, sizeof(*names), compare_names);
 	for (i = 0; i < nr; i++)
@@ -100,12 +99,8 @@
 		doc, "clock",
 		json_integer((json_int_t)record_table_clock(t, now)));
 	json_object_set_new(doc, "hosts", hosts);
-	text = json_dumps(doc, JSON_COMPACT);
-	out = g_bytes_new(text, strlen(text));
-	free(text);
-	json_decref(doc);
 	g_free(names);
-	return out;
+	return json_to_bytes(doc, 0);
 }
 
 /* Copies an optional string. Returns false if it is of another kind. */
@@ -150,9 +145,7 @@
 int record_table_decode(struct record_table *t, GBytes *json, cs_time now,
 			struct cs_error *err)
 {
-	gsize len;
-	const char *text = g_bytes_get_data(json, &len);
-	json_t *doc = json_loadb(text, len, JSON_REJECT_DUPLICATES, NULL);
+	json_t *doc = json_from_bytes(json, JSON_REJECT_DUPLICATES, NULL);
 	const json_t *clock = json_object_get(doc, "clock");
 	const json_t *hosts = json_object_get(doc, "hosts");
 	struct record_table *fresh = record_table_create(t->data_centre, now);
--- a/src/worker/worker_client.c
+++ b/src/worker/worker_client.c
@@ -9,6 +9,7 @@
 #include "../base/counters.h"
 #include "../base/error.h"
 #include "../base/http_client.h"
+#include "../base/json.h"
 #include "../base/slots.h"
 #include "../base/task.h"
 
@@ -194,9 +195,7 @@
 /* The JSON object in an answer, or NULL. The caller releases it. */
 static json_t *decode_object(GBytes *body)
 {
-	gsize len;
-	const char *data = g_bytes_get_data(body, &len);
-	json_t *root = data ? json_loadb(data, len, 0, NULL) : NULL;
+	json_t *root = json_from_bytes(body, 0, NULL);
 
 	if (json_is_object(root))
 		return root;
