--- a/src/base/timers.c
+++ b/src/base/timers.c
@@ -2,28 +2,44 @@
 
 #include <stdlib.h>
 
+#include "heap.h"
 #include "slots.h"
 
 /* Far above what one entry subscribes: a few per request in flight. */
 #define TIMERS_MAX (1u << 22)
 
 struct timer_row {
+	struct heap_node node;
 	cs_time due;
 	uint64_t sequence; /* order of subscription */
 	timer_fn fn;
 	void *ctx;
 	uint64_t arg;
-	size_t pos; /* place in the heap */
 	cs_handle self;
 };
 
 struct timers {
 	struct slots *rows;
-	struct timer_row **heap;
-	size_t nr, alloc;
+	struct heap heap; /* struct timer_row */
 	uint64_t sequence;
 };
 
+static bool is_before(const struct heap_node *a, const struct heap_node *b)
+{
+	const struct timer_row *x = (const struct timer_row *)a;
+	const struct timer_row *y = (const struct timer_row *)b;
+
+	if (x->due != y->due)
+		return x->due < y->due;
+	return x->sequence < y->sequence;
+}
+
+/* The row that is due first, or NULL. */
+static struct timer_row *first_row(const struct timers *t)
+{
+	return t->heap.nr ? (struct timer_row *)t->heap.nodes[0] : NULL;
+}
+
 struct timers *timers_create(void)
 {
 	struct timers *t = calloc(1, sizeof(*t));
@@ -35,6 +51,7 @@
 		free(t);
 		return NULL;
 	}
+	t->heap.is_before = is_before;
 	return t;
 }
 
@@ -43,78 +60,16 @@
 	if (!t)
 		return;
 	slots_destroy(t->rows);
-	free(t->heap);
+	heap_clear(&t->heap);
 	free(t);
 }
 
-static bool is_before(const struct timer_row *a, const struct timer_row *b)
-{
-	if (a->due != b->due)
-		return a->due < b->due;
-	return a->sequence < b->sequence;
-}
-
-static void put(struct timers *t, size_t pos, struct timer_row *row)
-{
-	t->heap[pos] = row;
-	row->pos = pos;
-}
-
-static void sift_up(struct timers *t, size_t pos)
-{
-	struct timer_row *row = t->heap[pos];
-
-	while (pos && is_before(row, t->heap[(pos - 1) / 2])) {
-		put(t, pos, t->heap[(pos - 1) / 2]);
-		pos = (pos - 1) / 2;
-	}
-	put(t, pos, row);
-}
-
-static void sift_down(struct timers *t, size_t pos)
-{
-	struct timer_row *row = t->heap[pos];
-	size_t child;
-
-	while ((child = 2 * pos + 1) < t->nr) {
-		if (child + 1 < t->nr &&
-		    is_before(t->heap[child + 1], t->heap[child]))
-			child++;
-		if (!is_before(t->heap[child], row))
-			break;
-		put(t, pos, t->heap[child]);
-		pos = child;
-	}
-	put(t, pos, row);
-}
-
-static void heap_remove(struct timers *t, size_t pos)
-{
-	struct timer_row *last = t->heap[--t->nr];
-
-	if (pos == t->nr)
-		return;
-	put(t, pos, last);
-	sift_down(t, pos);
-	sift_up(t, last->pos);
-}
-
 cs_handle timers_subscribe(struct timers *t, cs_time due, timer_fn fn,
 			   void *ctx, uint64_t arg)
 {
-	struct timer_row *row, **heap;
-	cs_handle h;
-
-	if (t->nr == t->alloc) {
-		size_t alloc = t->alloc ? 2 * t->alloc : 64;
+	struct timer_row *row;
+	cs_handle h = slots_take(t->rows, (void **)&row);
 
-		heap = realloc(t->heap, alloc * sizeof(*heap));
-		if (!heap)
-			return 0;
-		t->heap = heap;
-		t->alloc = alloc;
-	}
-	h = slots_take(t->rows, (void **)&row);
 	if (!h)
 		return 0;
 	row->due = due;
@@ -123,8 +78,10 @@
 	row->ctx = ctx;
 	row->arg = arg;
 	row->self = h;
-	put(t, t->nr, row);
-	sift_up(t, t->nr++);
+	if (!heap_insert(&t->heap, &row->node)) {
+		slots_free(t->rows, h);
+		return 0;
+	}
 	return h;
 }
 
@@ -134,18 +91,18 @@
 
 	if (!row)
 		return false;
-	heap_remove(t, row->pos);
+	heap_remove(&t->heap, &row->node);
 	return slots_free(t->rows, h);
 }
 
 bool timers_run_one(struct timers *t, cs_time now)
 {
-	struct timer_row row;
+	struct timer_row *first = first_row(t), row;
 
-	if (!t->nr || t->heap[0]->due > now)
+	if (!first || first->due > now)
 		return false;
-	row = *t->heap[0];
-	heap_remove(t, 0);
+	row = *first;
+	heap_remove(&t->heap, &first->node);
 	slots_free(t->rows, row.self);
 	row.fn(row.ctx, row.arg, now);
 	return true;
@@ -154,13 +111,16 @@
 void timers_advance(struct timers *t, cs_time now)
 {
 	uint64_t end = t->sequence;
+	const struct timer_row *first;
 
-	while (t->nr && t->heap[0]->sequence < end)
+	while ((first = first_row(t)) && first->sequence < end)
 		if (!timers_run_one(t, now))
 			break;
 }
 
 cs_time timers_next_due(const struct timers *t)
 {
-	return t->nr ? t->heap[0]->due : CS_TIME_NEVER;
+	const struct timer_row *first = first_row(t);
+
+	return first ? first->due : CS_TIME_NEVER;
 }
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -46,7 +46,7 @@
 
 struct fleet_pool {
 	char name[CS_NAME_MAX];
-	struct load_heap heap;
+	struct heap heap; /* struct load_key */
 	int slots; /* of usable workers in this data centre */
 	int running; /* tasks of this entry */
 	int workers; /* assigned in this data centre */
@@ -107,6 +107,7 @@
 	if (p)
 		return p;
 	p = g_new0(struct fleet_pool, 1);
+	p->heap.is_before = load_key_is_before;
 	cs_copy(p->name, sizeof(p->name), name);
 	g_hash_table_insert(f->pools, p->name, p);
 	return p;
@@ -116,7 +117,7 @@
 {
 	struct fleet_pool *p = data;
 
-	load_heap_clear(&p->heap);
+	heap_clear(&p->heap);
 	g_free(p);
 }
 
@@ -135,18 +136,21 @@
 	}
 }
 
-/* Puts the worker where its load and state say. */
+/*
+ * Puts the worker where its load and state say. Without memory it gets no
+ * work until its state changes again.
+ */
 static void replace_in_heap(struct worker_row *w)
 {
-	struct load_heap *heap = &w->pool->heap;
+	struct heap *heap = &w->pool->heap;
 
 	w->key.load = (double)(w->own + w->others) / (w->slots ? w->slots : 1);
 	if (!is_open(w))
-		load_heap_remove(heap, &w->key);
-	else if (w->key.pos == LOAD_HEAP_OUT)
-		load_heap_insert(heap, &w->key);
+		heap_remove(heap, &w->key.node);
+	else if (w->key.node.pos == HEAP_OUT)
+		heap_insert(heap, &w->key.node);
 	else
-		load_heap_update(heap, &w->key);
+		heap_update(heap, &w->key.node);
 }
 
 static void worker_event(struct part_ctx *ctx, const struct worker_row *w,
@@ -186,7 +190,7 @@
 		count_worker(w, -1);
 		w->is_removed = true;
 		w->is_usable = false;
-		load_heap_remove(&w->pool->heap, &w->key);
+		heap_remove(&w->pool->heap, &w->key.node);
 		g_hash_table_remove(f->by_name, w->name);
 	}
 	if (!w->own)
@@ -219,7 +223,7 @@
 		cs_copy(w->name, sizeof(w->name), dw->name);
 		cs_copy(w->address, sizeof(w->address), dw->address);
 		w->key.worker = h;
-		w->key.pos = LOAD_HEAP_OUT;
+		w->key.node.pos = HEAP_OUT;
 		w->key.tie = tie_of(ctx->options->id, dw->name);
 		w->pool = pool;
 		w->slots = dw->slots;
--- a/src/ledger/ledger_plan.c
+++ b/src/ledger/ledger_plan.c
@@ -491,7 +491,7 @@
 
 enum ledger_urgency ledger_plan_own(struct ledger_world *w, struct ledger *own)
 {
-	enum ledger_urgency urgency = settle_transfers(w, own, own);
+	enum ledger_urgency urgency = settle_transfers(w, own, NULL);
 	struct ledger_holder *me;
 	guint i;
 
--- a/tests/unit/test_base.c
+++ b/tests/unit/test_base.c
@@ -5,6 +5,7 @@
 
 #include "../../src/base/counters.h"
 #include "../../src/base/error.h"
+#include "../../src/base/heap.h"
 #include "../../src/base/log.h"
 #include "../../src/base/mailbox.h"
 #include "../../src/base/slots.h"
@@ -264,6 +265,51 @@
 	assert_string_equal(cs_code_name(-99), "unknown");
 }
 
+struct heap_row {
+	struct heap_node node;
+	uint32_t key;
+};
+
+static bool is_lower(const struct heap_node *a, const struct heap_node *b)
+{
+	return ((const struct heap_row *)a)->key <
+	       ((const struct heap_row *)b)->key;
+}
+
+/* A row that keeps a wrong place would hide the least one. */
+static void heap_keeps_its_order(void **state)
+{
+	enum { ROWS = 50 };
+	struct heap heap = { .is_before = is_lower };
+	struct heap_row rows[ROWS], *row;
+	GRand *rng = g_rand_new_with_seed(1);
+	uint32_t least;
+	int i, step;
+
+	(void)state;
+	for (i = 0; i < ROWS; i++)
+		rows[i].node.pos = HEAP_OUT;
+	for (step = 0; step < 5000; step++) {
+		row = &rows[g_rand_int_range(rng, 0, ROWS)];
+		row->key = g_rand_int(rng);
+		if (row->node.pos == HEAP_OUT)
+			assert_true(heap_insert(&heap, &row->node));
+		else if (step % 3)
+			heap_update(&heap, &row->node);
+		else
+			heap_remove(&heap, &row->node);
+		least = UINT32_MAX;
+		for (i = 0; i < ROWS; i++)
+			if (rows[i].node.pos != HEAP_OUT)
+				least = MIN(least, rows[i].key);
+		if (heap.nr)
+			assert_int_equal(
+				((struct heap_row *)heap.nodes[0])->key, least);
+	}
+	heap_clear(&heap);
+	g_rand_free(rng);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -277,6 +323,7 @@
 		cmocka_unit_test(log_values_are_quoted),
 		cmocka_unit_test(counters_render_sorted),
 		cmocka_unit_test(error_text_is_bounded),
+		cmocka_unit_test(heap_keeps_its_order),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
