--- a/tests/bench/bench.c
+++ b/tests/bench/bench.c
@@ -9,6 +9,8 @@
 };
 
 static const struct bench benches[] = {
+	{ "slope", bench_slope },
+	{ "place", bench_place },
 	{ "plan", bench_plan },
 };
 
--- a/tests/bench/bench.h
+++ b/tests/bench/bench.h
@@ -3,5 +3,7 @@
 
 /* Each measurement prints key=value lines and returns 0, or 1 on a fault. */
 int bench_plan(void);
+int bench_slope(void);
+int bench_place(void);
 
 #endif
