ledger: add up transfers only for a lack

Cause: the plan of one entry, which runs with every ledger document that changes, added up all transfers on their way for each team and each data centre. After a start the reserve's list holds up to 2,048 of them, so one plan with 370 teams and 11 data centres compared some 10^8 names.

Change: a gap, a debt and the permits on the way here are worked out only when what comes before leaves a lack; the results are the same.

--- a/src/ledger/ledger_plan.c
+++ b/src/ledger/ledger_plan.c
@@ -30,7 +30,6 @@
 	int64_t part; /* of this entry, in proportion to its demand */
 	int64_t lack_here; /* of the others in this data centre */
 	int64_t lack_elsewhere; /* of the other data centres, uncovered */
-	int64_t on_way_here; /* transfers to this data centre */
 	int64_t debt; /* of the reserve, less what is on its way there */
 	bool starved; /* an entry that wants permits holds none */
 };
@@ -160,13 +159,22 @@
 	return lack;
 }
 
-/* The lack of another data centre that nothing covers yet. */
+/*
+ * The lack of another data centre that nothing covers yet. Transfers are
+ * added up only for a lack that its balance leaves: their lists can hold
+ * thousands of rows, and most teams lack nothing.
+ */
 static int64_t gap_at(const struct ledger_world *w, const struct figures *f,
 		      const struct ledger *own, const struct ledger *l,
 		      const char *team)
 {
-	return MAX(0, lack_in(w, f, l, team) - ledger_balance(l, team) -
-			      on_way_to(w, own, l->account, team));
+	int64_t gap = lack_in(w, f, l, team);
+
+	if (gap > 0)
+		gap -= ledger_balance(l, team);
+	if (gap > 0)
+		gap -= on_way_to(w, own, l->account, team);
+	return MAX(0, gap);
 }
 
 /* Waiting work, with a refusal of the last seconds counted as one. */
@@ -204,8 +212,7 @@
 	for (i = 0; i < w->others->len; i++)
 		f.lack_elsewhere += gap_at(
 			w, &f, own, g_ptr_array_index(w->others, i), team);
-	f.on_way_here = on_way_to(w, own, own->account, team);
-	if (t)
+	if (t && t->balance < 0)
 		f.debt = MAX(0, -t->balance - on_way_to(w, own, LEDGER_RESERVE,
 							team));
 	return f;
@@ -384,6 +391,7 @@
 
 /* Says in the document how many more permits the entry could use. */
 static enum ledger_urgency want(const struct ledger_world *w,
+				const struct ledger *own,
 				struct ledger_holder *me,
 				const struct ledger_use *use,
 				const struct figures *f,
@@ -391,8 +399,10 @@
 {
 	const struct ledger_share *s = ledger_share(me, use->team);
 	int64_t old = s ? s->wanted : 0;
-	int64_t n = f->busy - f->held - f->on_way_here;
+	int64_t n = f->busy - f->held;
 
+	if (n > 0)
+		n -= on_way_to(w, own, own->account, use->team);
 	/* What lies in the reserve is fetched without asking others. */
 	if (w->reserve)
 		n -= MAX(0, ledger_balance(w->reserve, use->team));
@@ -502,7 +512,7 @@
 		enum ledger_urgency step = take(w, own, me, use, &f);
 
 		step = most(step, give(w, own, me, use, &f));
-		step = want(w, me, use, &f, step);
+		step = want(w, own, me, use, &f, step);
 		urgency = most(urgency, step);
 	}
 	if (w->run_ms > me->run_ms) {
@@ -521,14 +531,17 @@
 				 const struct ledger *own,
 				 const struct ledger_use *use)
 {
-	struct figures f = figures_of(w, own, use);
-	int64_t here = f.held + f.on_way_here + ledger_balance(own, use->team);
 	int64_t balance = ledger_balance(reserve, use->team);
-	int64_t need = f.busy - here;
 	enum ledger_urgency urgency = LEDGER_NOW;
+	struct figures f;
+	int64_t here, need;
 
 	if (balance <= 0 || w->is_draining)
 		return LEDGER_UNCHANGED;
+	f = figures_of(w, own, use);
+	here = f.held + ledger_balance(own, use->team) +
+	       on_way_to(w, own, own->account, use->team);
+	need = f.busy - here;
 	if (need <= 0) {
 		if (f.wanted)
 			return LEDGER_UNCHANGED;
--- a/tests/bench/bench_slope.c
+++ b/tests/bench/bench_slope.c
@@ -218,8 +218,7 @@
 		       ((double)WINDOW / (double)CS_SEC));
 	printf("%s.answered_share=%.4f\n", what,
 	       (double)answered / (double)submits);
-	printf("%s.core_us_per_request_all=%.1f\n", what,
-	       us / (double)submits);
+	printf("%s.core_us_per_request_all=%.1f\n", what, us / (double)submits);
 	measure_change(s, what);
 	site_set_load(s, NULL);
 	site_destroy(s);
@@ -333,8 +332,7 @@
 	printf("item.claim.bytes_owner_and_copy=%.0f\n",
 	       ((double)site_heap() - (double)before) / N);
 	printf("item.claim.core_us_both_entries=%.1f\n",
-	       (s->entries[0].tally.busy_us + s->entries[1].tally.busy_us) /
-		       N);
+	       (s->entries[0].tally.busy_us + s->entries[1].tally.busy_us) / N);
 	printf("item.claim.peer_bytes=%.0f\n",
 	       (double)(site_peer_bytes(&s->entries[0].tally) +
 			site_peer_bytes(&s->entries[1].tally)) /
--- a/tests/bench/site.c
+++ b/tests/bench/site.c
@@ -412,8 +412,7 @@
 	if (e->s->load.is_stuck && !is_long)
 		msg_free(msg);
 	else
-		send_later(e,
-			   is_long ? CS_MSEC : e->s->load.run_ms * CS_MSEC,
+		send_later(e, is_long ? CS_MSEC : e->s->load.run_ms * CS_MSEC,
 			   msg);
 }
 
@@ -426,8 +425,7 @@
 	d->part = c->part;
 	d->attempt = c->attempt;
 	d->op = c->op;
-	d->state = c->op == TASK_STOP ? TASK_STATE_STOPPED :
-					TASK_STATE_RUNNING;
+	d->state = c->op == TASK_STOP ? TASK_STATE_STOPPED : TASK_STATE_RUNNING;
 	d->progress = 50;
 	cs_copy(d->checkpoint, sizeof(d->checkpoint), "50");
 	send_later(e, CS_MSEC, msg);
@@ -490,9 +488,8 @@
 		break;
 	case MSG_REPLY:
 		e->tally.replies++;
-		e->tally.answered +=
-			msg->u.reply.outcome == OUTCOME_ANSWERED ||
-			msg->u.reply.outcome == OUTCOME_ACCEPTED;
+		e->tally.answered += msg->u.reply.outcome == OUTCOME_ANSWERED ||
+				     msg->u.reply.outcome == OUTCOME_ACCEPTED;
 		break;
 	default:
 		break;
