--- a/src/ledger/ledger_plan.c
+++ b/src/ledger/ledger_plan.c
@@ -406,7 +406,7 @@
 	/* What lies in the reserve is fetched without asking others. */
 	if (w->reserve)
 		n -= MAX(0, ledger_balance(w->reserve, use->team));
-	n = w->is_draining ? 0 : CLAMP(n, 0, f->limit);
+	n = CLAMP(n, 0, f->limit);
 	if (n == old)
 		return urgency;
 	if (urgency == LEDGER_UNCHANGED && n && old &&
@@ -543,7 +543,7 @@
 	struct figures f;
 	int64_t here, need;
 
-	if (balance <= 0 || w->is_draining)
+	if (balance <= 0)
 		return LEDGER_UNCHANGED;
 	f = figures_of(w, own, use);
 	here = f.held + ledger_balance(own, use->team) +
