ledger: compare incarnations before names of peers

Cause: the plan asks for each holder of each team whether it answers, which compared names with up to 21 peers; 370 teams and 22 holders make some 10^5 comparisons a plan, once a second.

Ruled out: the look-up of shares, which is a binary search.

--- a/src/ledger/ledger_sync.c
+++ b/src/ledger/ledger_sync.c
@@ -253,8 +253,11 @@
 		const struct live_peer *p =
 			&g_array_index(ls->peers, struct live_peer, i);
 
+		/* The plan asks this for each holder of each team. */
+		if (incarnation && p->incarnation != incarnation)
+			continue;
 		if (!strcmp(p->entry, entry))
-			return !incarnation || p->incarnation == incarnation;
+			return true;
 	}
 	return false;
 }
