config: send a document to another data centre only if it lacks it

Cause: each data centre has its own watch, and each watch holder also sent the whole document to one entry of every other data centre.

Ruled out: sending a difference, which needs a form of its own; the copies are not needed in the first place.

Change: the holder announces the revision with a heartbeat of 12 bytes and sends the document after 200 ms to those that have not reported it by then. A data centre without the platform has it 0.2 s later than before.

--- a/src/config/config_relay.c
+++ b/src/config/config_relay.c
@@ -20,6 +20,13 @@
  */
 #define HELP_AFTER (1 * CS_SEC)
 
+/*
+ * Every data centre has its own watch, so the others usually have a new
+ * document within milliseconds. They are told of its revision, and get the
+ * document only if they have not reported that revision after this time.
+ */
+#define OUTSIDE_AFTER (200 * CS_MSEC)
+
 /*
  * How old the holder's last answer of the platform may be when it says that
  * the platform is up: the probe interval with the tick.
@@ -148,6 +155,42 @@
 	part_emit(ctx, msg);
 }
 
+/* Sends the document to the contacts outside that did not report it. */
+static void on_outside_timer(void *arg, uint64_t unused, cs_time now)
+{
+	struct part_ctx *ctx = arg;
+	struct config_sync *s = ctx->parts.config;
+	size_t i;
+
+	(void)unused;
+	ctx->now = now;
+	s->outside_timer = 0;
+	for (i = 0; i < s->peers_nr; i++) {
+		struct config_peer *peer = &s->peers[i];
+
+		if (peer->is_up && !peer->is_local && is_contact(s, peer) &&
+		    peer->revision < document_revision(s->doc) &&
+		    peer->sent_revision != document_revision(s->doc))
+			send_document(ctx, peer);
+	}
+}
+
+/* Tells the contacts outside of the revision; see OUTSIDE_AFTER. */
+static void announce_outside(struct part_ctx *ctx)
+{
+	struct config_sync *s = ctx->parts.config;
+	size_t i;
+
+	for (i = 0; i < s->peers_nr; i++)
+		if (s->peers[i].is_up && !s->peers[i].is_local &&
+		    is_contact(s, &s->peers[i]))
+			send_heartbeat(ctx, &s->peers[i], 0);
+	if (!s->outside_timer)
+		s->outside_timer = timers_subscribe(ctx->timers,
+						    ctx->now + OUTSIDE_AFTER,
+						    on_outside_timer, ctx, 0);
+}
+
 /*
  * A document of our own data centre has been relayed here by its sender, and
  * one from outside is for this data centre only.
@@ -162,12 +205,12 @@
 		return;
 	for (i = 0; i < s->peers_nr; i++) {
 		struct config_peer *peer = &s->peers[i];
-		bool is_target = peer->is_local ||
-				 (!from && is_contact(s, peer));
 
-		if (peer->is_up && is_target && peer->revision < revision)
+		if (peer->is_up && peer->is_local && peer->revision < revision)
 			send_document(ctx, peer);
 	}
+	if (!from)
+		announce_outside(ctx);
 }
 
 void config_heartbeat_local(struct part_ctx *ctx)
@@ -224,6 +267,9 @@
 		peer->behind_since = ctx->now;
 	if (is_sent)
 		return;
+	/* Its own watch is likely to bring it; the timer sends it if not. */
+	if (!peer->is_local && s->outside_timer)
+		return;
 	if (is_responsible || ctx->now - peer->behind_since >= HELP_AFTER)
 		send_document(ctx, peer);
 }
--- a/src/config/config_state.h
+++ b/src/config/config_state.h
@@ -71,6 +71,7 @@
 
 	uint64_t last_token, last_ref, last_change;
 	cs_time next_tick;
+	cs_handle outside_timer; /* 0: no document waits to go outside */
 	GQueue ops; /* struct config_op, the first one at work */
 
 	struct config_history_row history[CONFIG_HISTORY_MAX];
--- a/tests/unit/test_config_sync.c
+++ b/tests/unit/test_config_sync.c
@@ -340,6 +340,42 @@
 	cluster_destroy(c);
 }
 
+static int64_t documents_sent(const struct cluster *c)
+{
+	int64_t sum = 0;
+	int i;
+
+	for (i = 0; i < c->nr; i++)
+		sum += counters_value(c->nodes[i].ctx.counters,
+				      "config_documents_sent_total", "");
+	return sum;
+}
+
+/*
+ * Each data centre reads the document from its own watch. A copy from every
+ * other data centre as well would spend the 3 KB/s of a node many times over
+ * (1.3), so it comes only where the platform can't be reached.
+ */
+static void document_crosses_once(void **state)
+{
+	struct cluster *c = cluster_create(NODES, false);
+	int64_t sent;
+
+	(void)state;
+	run(c, 1000);
+	sent = documents_sent(c);
+	ask(c, 0, "one", 0);
+	run(c, 1000);
+	expect_all(c, 2);
+	/* one for the follower in each of three data centres */
+	assert_int_equal(documents_sent(c) - sent, 3);
+	c->nodes[2].is_platform_cut = c->nodes[3].is_platform_cut = true;
+	ask(c, 0, "two", 0);
+	run(c, 1000); /* a relay takes effect well within that, see 1.1 */
+	expect_all(c, 3);
+	cluster_destroy(c);
+}
+
 /* With the watch gone everywhere, heartbeats must still bring a change. */
 static void heartbeats_bring_a_change(void **state)
 {
@@ -717,6 +753,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(change_reaches_all),
+		cmocka_unit_test(document_crosses_once),
 		cmocka_unit_test(heartbeats_bring_a_change),
 		cmocka_unit_test(operators_race),
 		cmocka_unit_test(lost_answer_is_settled),
