--- a/tests/bench/bench_slope.c
+++ b/tests/bench/bench_slope.c
@@ -14,7 +14,7 @@
 #define SEED 7
 
 /* Time for permits, claims map and watch to settle. */
-#define SETTLE (8 * CS_SEC)
+#define SETTLE (60 * CS_SEC)
 #define WINDOW (20 * CS_SEC)
 
 static const struct site_size sizes[] = {
