--- a/tests/bench/bench_slope.c
+++ b/tests/bench/bench_slope.c
@@ -86,6 +86,13 @@
 			double seconds)
 {
 	const struct site_tally *t = &e->tally;
+	static const char *const kinds[PEER_KIND_NR] = {
+		"heartbeat",	  "summary",	    "config",
+		"config_ack",	  "forward",	    "forward_reply",
+		"forward_cancel", "claim",	    "claim_reply",
+		"claim_copy",	  "claim_copy_ack", "claim_release",
+		"job_copy",	  "job_copy_ack"
+	};
 	uint64_t out = 0, writes, reads;
 	char name[96];
 	int k;
@@ -103,9 +110,12 @@
 	printf("%s.peer_in_per_s=%.1f\n%s.peer_in_bytes_per_s=%.0f\n", name,
 	       (double)t->peer_in / seconds, name,
 	       (double)t->peer_in_bytes / seconds);
-	printf("%s.heartbeat_bytes_per_s=%.0f\n%s.summary_bytes_per_s=%.0f\n",
-	       name, (double)t->peer_bytes[PEER_HEARTBEAT] / seconds, name,
-	       (double)t->peer_bytes[PEER_SUMMARY] / seconds);
+	for (k = 0; k < PEER_KIND_NR; k++)
+		if (t->peer_nr[k])
+			printf("%s.out_%s_bytes_per_s=%.0f\n", name, kinds[k],
+			       (double)t->peer_bytes[k] / seconds);
+	printf("%s.host_list_bytes_per_s=%.0f\n", name,
+	       (double)t->hosts_bytes / seconds);
 	printf("%s.platform_writes_per_s=%.2f\n%s.platform_reads_per_s=%.2f\n",
 	       name, (double)writes / seconds, name, (double)reads / seconds);
 	printf("%s.platform_value_bytes_per_s=%.0f\n", name,
--- a/tests/bench/site.c
+++ b/tests/bench/site.c
@@ -215,6 +215,14 @@
 			e->tally.kv_bytes +=
 				g_bytes_get_size(msg->u.kv_done.rows[i].value);
 	e->tally.hosts_rows += msg->u.kv_done.hosts_nr;
+	/* The JSON form that the platform sends, see the design page, 2.5. */
+	for (i = 0; i < msg->u.kv_done.hosts_nr; i++)
+		e->tally.hosts_bytes +=
+			sizeof("{'host':'','address':'','state':'live',"
+			       "'data_centre':''}") +
+			strlen(msg->u.kv_done.hosts[i].host) +
+			strlen(msg->u.kv_done.hosts[i].address) +
+			strlen(msg->u.kv_done.hosts[i].data_centre);
 }
 
 static void answer(struct site_entry *e, cs_time delay, struct msg *msg)
@@ -300,6 +308,8 @@
 		struct kv_host *h = &d->hosts[d->hosts_nr++];
 
 		cs_copy(h->host, sizeof(h->host), hosts[i].name);
+		g_snprintf(h->address, sizeof(h->address), "10.0.%zu.%zu:8000",
+			   i / 256, i % 256);
 		cs_copy(h->data_centre, sizeof(h->data_centre),
 			hosts[i].data_centre);
 	}
--- a/tests/bench/site.h
+++ b/tests/bench/site.h
@@ -43,7 +43,7 @@
 	uint64_t peer_in, peer_in_bytes;
 	uint64_t kv_nr[KV_HOSTS + 1];
 	uint64_t kv_bytes; /* of values, both ways, without headers */
-	uint64_t hosts_rows;
+	uint64_t hosts_rows, hosts_bytes;
 	uint64_t tasks, controls, polls, replies, answered, submits;
 	uint64_t calls; /* of the core */
 	double busy_us, longest_us; /* processor time */
