Check again before a recorded attempt starts, and move waiting long work

Change: the start is valid for 2 s and only while worker, data centre and configuration still allow it; a job that has waited 5 s is released to a data centre with slots to spare, four in a scan.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -349,6 +349,13 @@
 	return CS_OK;
 }
 
+bool fleet_is_usable(const struct part_ctx *ctx, cs_handle worker)
+{
+	const struct worker_row *w = get_worker(ctx, worker);
+
+	return w && w->is_usable && !w->is_removed;
+}
+
 bool fleet_has_room_for_long(const struct part_ctx *ctx, const char *pool)
 {
 	const struct fleet_pool *p = find_pool(ctx, pool);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -43,6 +43,9 @@
  */
 bool fleet_has_room_for_long(const struct part_ctx *ctx, const char *pool);
 
+/* True if a task may still be started on the worker. */
+bool fleet_is_usable(const struct part_ctx *ctx, cs_handle worker);
+
 enum fleet_result {
 	FLEET_WORKED, /* an answer that is the worker's own success */
 	FLEET_BUSY, /* the worker refused for want of a slot */
--- a/src/job/long_move.c
+++ b/src/job/long_move.c
@@ -14,6 +14,10 @@
 /* Jobs adopted in one scan, so that a returning data centre fills slowly. */
 #define ADOPT_PER_SCAN 32
 
+/* A job waits this long for a slot before it is offered elsewhere. */
+#define MOVE_AFTER (5 * CS_SEC)
+#define MOVE_PER_SCAN 4
+
 /* How long another entry has to accept a running job. */
 #define OFFER_WAIT (2 * CS_SEC)
 
@@ -265,6 +269,29 @@
 					    &lw->scans);
 }
 
+/*
+ * Releases jobs that have waited here while another data centre has slots to
+ * spare; a few at a time, since its load is known a second late.
+ */
+static void move_waiting(struct part_ctx *ctx)
+{
+	struct long_work *lw = ctx->parts.long_work;
+	struct long_job *job;
+	cs_handle h, next;
+	int n = 0;
+
+	for (h = slots_next(lw->jobs, 0); h && n < MOVE_PER_SCAN; h = next) {
+		next = slots_next(lw->jobs, h);
+		job = slots_get(lw->jobs, h);
+		if (job->phase != PHASE_WAITING ||
+		    ctx->now - job->waiting_since < MOVE_AFTER ||
+		    !share_spare_data_centre(ctx, job->record.pool))
+			continue;
+		long_move_release(ctx, job);
+		n++;
+	}
+}
+
 static void on_scan(void *arg, uint64_t unused, cs_time now)
 {
 	struct part_ctx *ctx = arg;
@@ -276,6 +303,7 @@
 	    !config_sync_is_out(ctx, ctx->options->data_centre))
 		part_emit(ctx, part_kv_call(PART_LONG_WORK, KV_LIST, "jobs/",
 					    long_token(TOKEN_LIST, 0)));
+	move_waiting(ctx);
 	timers_subscribe(ctx->timers,
 			 now + SCAN_INTERVAL +
 				 g_rand_int_range(ctx->rng, 0, 500) * CS_MSEC,
--- a/src/job/long_private.h
+++ b/src/job/long_private.h
@@ -57,6 +57,7 @@
 	cs_handle caller; /* that waits for the acknowledgement, or 0 */
 	struct trace trace;
 	cs_time arrived;
+	cs_time waiting_since;
 	struct placement placement;
 	bool has_slot; /* a permit and a place on a worker are held */
 	bool is_queued; /* counted as waiting in dispatch */
--- a/src/job/long_run.c
+++ b/src/job/long_run.c
@@ -99,11 +99,31 @@
 	long_job_wait(ctx, job);
 }
 
+/*
+ * True if what was decided before the attempt was recorded still holds. The
+ * write can take long, or the process may have been paused meanwhile.
+ */
+static bool is_start_valid(struct part_ctx *ctx, const struct long_job *job)
+{
+	return ctx->now - job->started <= PART_JUMP_MAX &&
+	       fleet_is_usable(ctx, job->placement.worker) &&
+	       config_sync_is_fresh(ctx) && fleet_is_fresh(ctx) &&
+	       !config_sync_is_out(ctx, ctx->options->data_centre) &&
+	       !job->record.is_cancelled;
+}
+
 void long_run_start(struct part_ctx *ctx, struct long_job *job)
 {
-	struct msg *msg = msg_new(MSG_TASK_START);
-	struct task_start *s = &msg->u.task_start;
+	struct msg *msg;
+	struct task_start *s;
 
+	if (!is_start_valid(ctx, job) && !MUTANT(ctx, "long-start-stale")) {
+		long_run_free_slot(ctx, job, FLEET_NEUTRAL);
+		continue_or_end(ctx, job, true);
+		return;
+	}
+	msg = msg_new(MSG_TASK_START);
+	s = &msg->u.task_start;
 	job->phase = PHASE_STARTING;
 	job->last_renewed = ctx->now;
 	s->part = PART_LONG_WORK;
--- a/src/job/long_work.c
+++ b/src/job/long_work.c
@@ -66,6 +66,7 @@
 	job->share_row = share_row(ctx, job->record.pool, job->record.team,
 				   team ? team->share : 1);
 	job->is_queued = true;
+	job->waiting_since = ctx->now;
 	dispatch_long_waiting(ctx, job->record.pool, job->record.team, 1);
 }
 
