--- a/scripts/site.sh
+++ b/scripts/site.sh
@@ -7,9 +7,14 @@
 STANDIN=$PWD/build/$VARIANT/camphorshed-standin
 SITE_DIR=${SITE_DIR:-$(mktemp -d)}
 
+is_listening() {
+	grep -q ":$(printf %04X "$1") 00000000:0000 0A" /proc/net/tcp
+}
+
 # Sites that run at the same time must not share ports. Each takes a lock on a
 # block of 100 ports below the range of outgoing connections, and its processes
 # inherit the lock, so that the block is free again when the last one has ended.
+# A site of another tree, which takes no lock, shows by its platform's port.
 lock_ports() {
 	lock_dir=${TMPDIR:-/tmp}/camphorshed-ports
 	mkdir -p "$lock_dir"
@@ -18,7 +23,7 @@
 	while [ $lock_nr -lt $lock_end ]; do
 		PORT_BASE=$((20000 + lock_nr % 120 * 100))
 		exec 9>"$lock_dir/$PORT_BASE"
-		flock -n 9 && return 0
+		flock -n 9 && ! is_listening $PORT_BASE && return 0
 		lock_nr=$((lock_nr + 1))
 	done
 	echo "no free block of ports" >&2
