--- a/tests/process/test_pages.sh
+++ b/tests/process/test_pages.sh
@@ -11,7 +11,8 @@
 
 # Lines with what differs from run to run replaced.
 normal() {
-	sed -E 's/"task":"[^"]*"/"task":T/; s/[0-9a-f]{12,}/X/g; s/[0-9]+/N/g; s/ +/ /g; s/[ \r]+$//'
+	sed -E 's/"task":"[^"]*"/"task":T/; s/[0-9a-f]{12,}|[0-9a-f]{8}[.]{3}/X/g
+		s/[0-9]+/N/g; s/ +/ /g; s/[ \r]+$//'
 }
 
 check_page() {
@@ -26,7 +27,7 @@
 	' "$page" >"$dir/script"
 	# A page that fails in the middle must leave no process behind.
 	{
-		echo 'set -u; trap abort_site EXIT'
+		echo 'set -eu; trap abort_site EXIT'
 		cat "$dir/script"
 		echo 'trap - EXIT; echo "@@ end"'
 	} >"$dir/run"
@@ -55,7 +56,7 @@
 	[ -z "${SHOW:-}" ] || cat "$dir/out"
 }
 
-for page in docs/callers.md; do
+for page in docs/callers.md docs/operators.md; do
 	check_page "$page"
 done
 exit $failed
