--- a/tests/fuzz/run.sh
+++ b/tests/fuzz/run.sh
@@ -3,7 +3,7 @@
 # no longer than SECONDS each, starting from its own seeds. An input that
 # breaks a rule is kept as build/fuzz/TARGET-crash-*; the exit code is then 1.
 set -u
-cd "$(dirname "$0")/../.."
+cd "$(dirname "$0")/../.." || exit 2
 runs=$1
 seconds=${2:-600}
 bin=build/fuzz/camphorshed-fuzz
--- a/tests/process/test_pages.sh
+++ b/tests/process/test_pages.sh
@@ -4,7 +4,7 @@
 # long hexadecimal words are taken as equal. Guards against pages that promise
 # what the programs no longer do.
 set -u
-cd "$(dirname "$0")/../.."
+cd "$(dirname "$0")/../.." || exit 2
 dir=$(mktemp -d)
 trap 'rm -rf "$dir"' EXIT
 failed=0
@@ -17,7 +17,7 @@
 
 check_page() {
 	page=$1
-	rm -rf "$dir"/*
+	rm -rf "${dir:?}"/*
 	awk -v dir="$dir" '
 		/^```sh$/ { n++; kind = "sh"; print "echo \"@@ " n "\""; next }
 		/^```text$/ { kind = "text"; next }
