--- a/src/job/dispatch.c
+++ b/src/job/dispatch.c
@@ -206,6 +206,10 @@
 	arm_tick(ctx);
 }
 
+/*
+ * Refuses a request at its deadline. A forwarded one may have run at the other
+ * entry, so its outcome is then "unknown".
+ */
 static void on_deadline(void *arg, uint64_t handle, cs_time now)
 {
 	static const struct refusal late = {
@@ -253,6 +257,11 @@
 	dispatch_schedule(ctx, r->pool);
 }
 
+/*
+ * Queues a request whose claim was granted and refuses any other with
+ * "unknown", because an earlier submission may have run. The holder is the
+ * entry that has the claim; NULL or "" if it is not known.
+ */
 static void on_claim(struct part_ctx *ctx, uint64_t ref,
 		     enum claim_verdict verdict, const char *holder)
 {
@@ -432,6 +441,10 @@
 		dispatch_drop(ctx, r);
 }
 
+/*
+ * Submissions of long work come here too. Results of tasks come only for
+ * attempts that this part started, since the message names the part.
+ */
 static void dispatch_on_msg(struct part_ctx *ctx, struct msg *msg)
 {
 	switch (msg->type) {
@@ -504,6 +517,7 @@
 	return is_past_drain(ctx) && !request_count(d->table);
 }
 
+/* The team index starts empty and is replaced by the first configuration. */
 static int dispatch_create(struct part_ctx *ctx, struct cs_error *err)
 {
 	struct dispatch *d = g_new0(struct dispatch, 1);
@@ -524,6 +538,7 @@
 	return CS_OK;
 }
 
+/* Held permits are not released: the ledger part of this entry ends as well. */
 static void dispatch_destroy(struct part_ctx *ctx)
 {
 	struct dispatch *d = ctx->parts.dispatch;
--- a/src/job/dispatch_run.c
+++ b/src/job/dispatch_run.c
@@ -34,6 +34,7 @@
 		      result == FLEET_WORKED ? "answered" : "failed");
 }
 
+/* Gives back a held permit once its task has certainly ended. */
 static void on_hold_end(void *arg, uint64_t handle, cs_time now)
 {
 	struct part_ctx *ctx = arg;
@@ -122,6 +123,10 @@
 		end_hold(ctx, (cs_handle)(uintptr_t)held);
 }
 
+/*
+ * Starts the placed attempt under a new task id, which is unique across
+ * restarts. The lease ends at the request's deadline.
+ */
 static void send_task(struct part_ctx *ctx, struct request *r)
 {
 	struct dispatch *d = ctx->parts.dispatch;
@@ -194,6 +199,7 @@
 	return config_sync_is_fresh(ctx) && fleet_is_fresh(ctx);
 }
 
+/* Ends a backoff: the request goes back to the head of its queue. */
 static void on_wait_end(void *arg, uint64_t handle, cs_time now)
 {
 	struct part_ctx *ctx = arg;
@@ -443,6 +449,10 @@
 	dispatch_refuse(ctx, r, &lost);
 }
 
+/*
+ * Any status below 500 is the worker's answer and goes to the caller. A status
+ * of 500 or above is a failed attempt that may have run.
+ */
 static void on_answered(struct part_ctx *ctx, struct request *r,
 			struct task_done *done)
 {
--- a/src/job/long_move.c
+++ b/src/job/long_move.c
@@ -265,6 +265,10 @@
 					    &lw->scans);
 }
 
+/*
+ * Lists all records of long work. Only the lead entry of a data centre in
+ * service does so, to keep the number of reads low.
+ */
 static void on_scan(void *arg, uint64_t unused, cs_time now)
 {
 	struct part_ctx *ctx = arg;
@@ -391,6 +395,11 @@
 	return false;
 }
 
+/*
+ * Decides whether to adopt a job that another entry offers. A running task
+ * needs a permit and its worker's slot first. The answer to a job that is taken
+ * follows once the record is written; a refusal is sent at once.
+ */
 static void on_offer(struct part_ctx *ctx, const struct peer_msg *peer)
 {
 	struct placement placement;
@@ -427,6 +436,11 @@
 	cs_copy(job->offered_to, sizeof(job->offered_to), peer->peer);
 }
 
+/*
+ * Version 0 refuses the job, which is then moved by a checkpoint and a stop.
+ * Any other version means that the peer's record is written and the job is no
+ * longer ours.
+ */
 static void on_offer_answer(struct part_ctx *ctx, const struct peer_msg *peer)
 {
 	struct long_job *job = g_hash_table_lookup(ctx->parts.long_work->by_id,
--- a/src/job/long_query.c
+++ b/src/job/long_query.c
@@ -25,6 +25,10 @@
 	return lw->queries != NULL;
 }
 
+/*
+ * Answers a query; NULL as body means a refusal with that reason. Takes over
+ * the reference to the body.
+ */
 static void reply(struct part_ctx *ctx, const struct job_query *query,
 		  int status, const char *type, GBytes *body,
 		  const char *reason)
@@ -62,6 +66,10 @@
 	      "");
 }
 
+/*
+ * Sends a call for the queried job's key under the prefix. The version is used
+ * by a compare-and-swap only, which writes the query's record.
+ */
 static void call(struct part_ctx *ctx, enum kv_op op, const char *prefix,
 		 const struct long_query *q, cs_handle h, uint64_t version)
 {
@@ -127,6 +135,10 @@
 	slots_free(ctx->parts.long_work->queries, h);
 }
 
+/*
+ * After a conflict the mark is set again in the record that was found. Ends the
+ * query otherwise.
+ */
 static void on_cancel_written(struct part_ctx *ctx, struct long_query *q,
 			      cs_handle h, const struct kv_done *done)
 {
@@ -142,6 +154,10 @@
 	slots_free(ctx->parts.long_work->queries, h);
 }
 
+/*
+ * Answers from the record, or marks it as cancelled. Another team's job is
+ * answered like a missing one.
+ */
 static void on_record_value(struct part_ctx *ctx, struct long_query *q,
 			    cs_handle h, const struct kv_done *done)
 {
--- a/src/job/long_record.c
+++ b/src/job/long_record.c
@@ -63,6 +63,7 @@
 	TEXT(change_id),
 };
 
+/* Any type but text, int and bool is stored as a 64-bit number. */
 static json_t *encode_field(const struct long_record *r, const struct field *f)
 {
 	const char *p = (const char *)r + f->offset;
@@ -92,6 +93,7 @@
 	return json_to_bytes(root, JSON_SORT_KEYS);
 }
 
+/* Refuses values of the wrong type, texts that do not fit and negative ints. */
 static bool decode_field(struct long_record *r, const struct field *f,
 			 const json_t *v)
 {
@@ -122,6 +124,7 @@
 	}
 }
 
+/* Returns false for a name that is not a state. */
 static bool decode_state(struct long_record *r, const json_t *v)
 {
 	const char *name = json_string_value(v);
--- a/src/job/long_run.c
+++ b/src/job/long_run.c
@@ -35,6 +35,7 @@
 	return slots_get(ctx->parts.long_work->jobs, handle);
 }
 
+/* The lease matters to a renewal only. */
 static void send_control(struct part_ctx *ctx, const struct long_job *job,
 			 enum task_op op)
 {
@@ -160,6 +161,11 @@
 			on_lost_end);
 }
 
+/*
+ * Renews the worker's lease, or gives the attempt up as lost when no renewal
+ * succeeded for a whole lease. Jobs on offer are renewed too, so that the task
+ * still runs when a peer takes it.
+ */
 static void on_renew_timer(void *arg, uint64_t handle, cs_time now)
 {
 	struct part_ctx *ctx = arg;
@@ -267,6 +273,10 @@
 	}
 }
 
+/*
+ * Keeps progress and checkpoint. A new checkpoint is written to the record at
+ * most every PROGRESS_INTERVAL; the progress alone is not worth a write.
+ */
 static void note_progress(struct part_ctx *ctx, struct long_job *job,
 			  const struct task_control_done *done)
 {
@@ -282,6 +292,10 @@
 		long_store_record(ctx, job, NEXT_NOTHING);
 }
 
+/*
+ * Acts on the state that a renewal reports. A stopped or missing task goes on
+ * elsewhere from its last checkpoint, if it may.
+ */
 static void on_renewed(struct part_ctx *ctx, struct long_job *job,
 		       const struct task_control_done *done)
 {
@@ -319,6 +333,10 @@
 		send_control(ctx, job, TASK_RESULT);
 }
 
+/*
+ * Stores the result of a finished task and frees its slot. A failed fetch is
+ * repeated every second for five leases.
+ */
 static void on_result(struct part_ctx *ctx, struct long_job *job,
 		      struct task_control_done *done)
 {
@@ -384,6 +402,10 @@
 	send_control(ctx, job, TASK_STOP);
 }
 
+/*
+ * Handles the answer to a stop, which was sent either to a task given up as
+ * lost or to one that is to move or be cancelled.
+ */
 static void on_stopped(struct part_ctx *ctx, struct long_job *job,
 		       const struct task_control_done *done)
 {
--- a/src/job/long_store.c
+++ b/src/job/long_store.c
@@ -79,6 +79,7 @@
 	write_record(ctx, job);
 }
 
+/* Repeats the call of the token's kind, unless the job is gone. */
 static void on_retry(void *arg, uint64_t token, cs_time now)
 {
 	struct part_ctx *ctx = arg;
@@ -195,6 +196,11 @@
 	long_job_forget(ctx, job);
 }
 
+/*
+ * Takes the outcome of a write. A new job is refused only if no write of its
+ * record can have had an effect; otherwise the write is repeated until its
+ * outcome is known.
+ */
 static void on_record(struct part_ctx *ctx, struct long_job *job,
 		      const struct kv_done *done)
 {
@@ -227,6 +233,10 @@
 	}
 }
 
+/*
+ * The record is written after the body, so that a record never lacks one. An
+ * unknown outcome is safe to repeat.
+ */
 static void on_body(struct part_ctx *ctx, struct long_job *job,
 		    const struct kv_done *done)
 {
@@ -256,6 +266,10 @@
 	long_store_record(ctx, job, NEXT_FORGET);
 }
 
+/*
+ * Continues an adopted job once its body is loaded. A job without a body can't
+ * run and is held.
+ */
 static void on_load(struct part_ctx *ctx, struct long_job *job,
 		    const struct kv_done *done)
 {
--- a/src/job/long_work.c
+++ b/src/job/long_work.c
@@ -238,6 +238,10 @@
 	return (int)slots_count(ctx->parts.long_work->jobs);
 }
 
+/*
+ * Results of tasks come only for attempts that this part started, since the
+ * message names the part. Submissions come through dispatch.
+ */
 static void long_on_msg(struct part_ctx *ctx, struct msg *msg)
 {
 	switch (msg->type) {
@@ -258,6 +262,7 @@
 	}
 }
 
+/* Routes a result by the kind in its token. */
 static void long_on_kv(struct part_ctx *ctx, const struct kv_done *done)
 {
 	switch (long_token_kind(done->token)) {
@@ -304,6 +309,7 @@
 	return !slots_count(ctx->parts.long_work->jobs);
 }
 
+/* The team index starts empty and is replaced by the first configuration. */
 static int long_create(struct part_ctx *ctx, struct cs_error *err)
 {
 	struct long_work *lw = g_new0(struct long_work, 1);
@@ -322,6 +328,7 @@
 	return CS_OK;
 }
 
+/* Jobs hold references to their bodies and results. */
 static void long_destroy(struct part_ctx *ctx)
 {
 	struct long_work *lw = ctx->parts.long_work;
--- a/src/job/request.c
+++ b/src/job/request.c
@@ -192,6 +192,10 @@
 	return is_urgent ? &r->urgent_links : &r->links;
 }
 
+/*
+ * Links a request at the head or the tail. A request has one pair of links for
+ * the list of urgent requests and one for the list of all; is_urgent chooses.
+ */
 static void list_insert(struct request_table *t, struct request_list *list,
 			struct request *r, bool is_urgent, bool at_head)
 {
@@ -212,6 +216,7 @@
 	list->nr++;
 }
 
+/* The request must be in this list. */
 static void list_remove(struct request_table *t, struct request_list *list,
 			struct request *r, bool is_urgent)
 {
