--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -272,6 +272,11 @@
 			    GINT_TO_POINTER(n + slots));
 }
 
+/*
+ * Rebuilds the worker rows from the document. Rows exist only for workers of
+ * this data centre; slots are counted for all of them. A row whose worker is no
+ * longer named is removed.
+ */
 static void fleet_on_config(struct part_ctx *ctx, const struct document *doc)
 {
 	struct fleet *f = ctx->parts.fleet;
@@ -362,6 +367,10 @@
 	return p->running + reserve < quota;
 }
 
+/*
+ * Halves the estimate of other entries' tasks until it is 0, since a worker
+ * does not report when their tasks end.
+ */
 static void on_busy_timer(void *arg, uint64_t worker, cs_time now)
 {
 	struct part_ctx *ctx = arg;
@@ -414,6 +423,10 @@
 	return bad / all;
 }
 
+/*
+ * Puts an ejected worker on trial, which makes it available for placement
+ * again.
+ */
 static void on_trial_timer(void *arg, uint64_t worker, cs_time now)
 {
 	struct part_ctx *ctx = arg;
@@ -453,6 +466,10 @@
 	return p->ejected < (most ? most : 1) && p->workers > 1;
 }
 
+/*
+ * Counts a result for the pool and the worker, and ejects a worker that failed
+ * its trial or is much worse than its peers.
+ */
 static void note_result(struct part_ctx *ctx, cs_handle h, struct worker_row *w,
 			bool is_good)
 {
@@ -688,6 +705,10 @@
 	}
 }
 
+/*
+ * Takes a new host list. A list that was asked for after a clock jump also ends
+ * the pause in placements, even if the platform could not answer.
+ */
 static void fleet_on_kv(struct part_ctx *ctx, const struct kv_done *done)
 {
 	if (done->op != KV_HOSTS)
@@ -771,6 +792,10 @@
 	on_usage_timer(ctx, 0, ctx->now);
 }
 
+/*
+ * After an error the partly built fleet stays in the context; the core calls
+ * fleet_destroy() for it.
+ */
 static int fleet_create(struct part_ctx *ctx, struct cs_error *err)
 {
 	struct fleet *f = g_new0(struct fleet, 1);
@@ -789,6 +814,7 @@
 	return CS_OK;
 }
 
+/* The by_name table borrows its keys and rows from the workers' slots. */
 static void fleet_destroy(struct part_ctx *ctx)
 {
 	struct fleet *f = ctx->parts.fleet;
