--- a/src/team/share.c
+++ b/src/team/share.c
@@ -376,6 +376,10 @@
 	return false;
 }
 
+/*
+ * Computes how many of the pool's slots this entry may use while work waits for
+ * them. A pool without contention has no quota (-1).
+ */
 static void set_quota(struct part_ctx *ctx, struct share_pool *p)
 {
 	struct share *sh = ctx->parts.share;
@@ -495,7 +499,10 @@
 	part_emit(ctx, msg);
 }
 
-/* Calls send for each entry that a summary of that scope goes to. */
+/*
+ * Sends the rows to each live entry that summaries of that scope go to; NULL
+ * sends nothing. Returns the number of these entries.
+ */
 static size_t for_each_receiver(struct part_ctx *ctx, enum share_scope scope,
 				const struct summary_row *rows, size_t nr)
 {
@@ -519,6 +526,10 @@
 	return count;
 }
 
+/*
+ * Sends the rows that changed most to the receivers of the scope, as many as
+ * SUMMARY_BYTES_PER_SECOND allows; the others wait for a later tick.
+ */
 static void send_summaries(struct part_ctx *ctx, enum share_scope scope)
 {
 	struct share *sh = ctx->parts.share;
@@ -557,6 +568,10 @@
 	g_array_free(changed, TRUE);
 }
 
+/*
+ * Updates usage and quotas, and sends summaries: to entries at every tick, to
+ * other data centres only from the lead entry and every DATA_CENTRE_TICKS.
+ */
 static void on_tick(void *arg, uint64_t unused, cs_time now)
 {
 	struct part_ctx *ctx = arg;
@@ -598,6 +613,11 @@
 				     peer->u.summary.rows_nr);
 }
 
+/*
+ * Takes the rows of a summary. One that names a data centre is an aggregate of
+ * it; without a name it is the sender's own. An aggregate that comes from
+ * another data centre is relayed within this one.
+ */
 static void share_on_peer(struct part_ctx *ctx, struct peer_msg *peer)
 {
 	struct share *sh = ctx->parts.share;
--- a/src/team/share_table.c
+++ b/src/team/share_table.c
@@ -137,6 +137,7 @@
 	put(p, pos, row);
 }
 
+/* Moves a row towards the leaves. The root has the lowest usage per share. */
 static void sift_down(struct share_pool *p, size_t pos, double scale)
 {
 	struct share_row *row = p->heap[pos];
