--- a/src/entry/admin_part.c
+++ b/src/entry/admin_part.c
@@ -68,6 +68,7 @@
 	g_string_append_c(out, '"');
 }
 
+/* The HTTP status for a result of a change. */
 static int status_of(int code)
 {
 	switch (code) {
@@ -85,6 +86,10 @@
 	}
 }
 
+/*
+ * Answers an operator whose change was accepted or refused. Accepted does not
+ * mean in force; ADMIN_WAIT waits for that.
+ */
 static void on_changed(struct part_ctx *ctx, uint64_t ref, int code,
 		       uint64_t revision, const char *detail)
 {
@@ -150,6 +155,10 @@
 	return all;
 }
 
+/*
+ * Answers once the revision is in force everywhere or the wait is over; looks
+ * again every WAIT_INTERVAL.
+ */
 static void on_wait(void *arg, uint64_t handle, cs_time now)
 {
 	struct part_ctx *ctx = arg;
@@ -179,6 +188,10 @@
 	slots_free(ctx->parts.admin->calls, handle);
 }
 
+/*
+ * Permits, running and queued work are those of this entry only. Names need no
+ * escaping: the document's rules restrict their characters.
+ */
 static void describe_teams(struct part_ctx *ctx, GString *json)
 {
 	const struct doc_team *team;
@@ -200,6 +213,10 @@
 	}
 }
 
+/*
+ * Slots and ejected workers are those of this data centre, running tasks those
+ * of this entry.
+ */
 static void describe_pools(struct part_ctx *ctx, GString *json)
 {
 	const struct doc_pool *pool;
@@ -218,6 +235,7 @@
 			fleet_pool_ejected(ctx, pool[i].name));
 }
 
+/* Answers with one JSON document of everything that this entry knows. */
 static void on_status(struct part_ctx *ctx, const struct admin_call *call)
 {
 	const struct document *doc = config_sync_document(ctx);
@@ -293,6 +311,10 @@
 				   on_changed);
 }
 
+/*
+ * Replaces the whole document if it is valid and the revision is still the one
+ * that the operator saw. All faults are reported at once.
+ */
 static void on_apply(struct part_ctx *ctx, const struct admin_call *call)
 {
 	GString *faults = g_string_new(NULL);
@@ -334,6 +356,7 @@
 	reply_json(ctx, call->caller, 200, json);
 }
 
+/* A call whose operation has no handler gets no answer. */
 static void admin_on_msg(struct part_ctx *ctx, struct msg *msg)
 {
 	static void (*const handlers[])(struct part_ctx *,
--- a/src/entry/core_task.c
+++ b/src/entry/core_task.c
@@ -90,6 +90,7 @@
 	settle(c, now);
 }
 
+/* Runs on the core's thread. The timer is created disarmed. */
 static int core_start(void *state, struct task *task, struct cs_error *err)
 {
 	struct core_task *c = state;
--- a/src/entry/entry_run.c
+++ b/src/entry/entry_run.c
@@ -54,6 +54,10 @@
 	o->peers_nr = s->peers_nr;
 }
 
+/*
+ * Starts the tasks that connect to others. After an error the caller stops
+ * those that were started.
+ */
 static int start_clients(struct tasks *t, const struct settings *s,
 			 uint64_t incarnation, struct cs_error *err)
 {
@@ -82,6 +86,10 @@
 	return t->peer ? CS_OK : err->code;
 }
 
+/*
+ * Starts the listening tasks, the admin interface first, so that health can be
+ * asked before requests are taken.
+ */
 static int start_servers(struct tasks *t, const struct settings *s,
 			 struct cs_error *err)
 {
@@ -99,6 +107,10 @@
 	return t->front ? CS_OK : err->code;
 }
 
+/*
+ * Starts the core last, when all tasks that it sends to are there. After an
+ * error the caller stops those that were started.
+ */
 static int start_all(struct tasks *t, const struct settings *s,
 		     struct cs_error *err)
 {
