--- a/src/claim/claim_members.c
+++ b/src/claim/claim_members.c
@@ -24,6 +24,10 @@
 	struct claim_members members;
 };
 
+/*
+ * A member's death is confirmed when a newer incarnation is live or the host
+ * list has dropped the entry.
+ */
 static bool is_dead(void *arg, const struct claim_member *m)
 {
 	const struct claim_view *v = arg;
@@ -39,6 +43,10 @@
 	return fleet_is_entry_dropped(v->ctx, m->entry);
 }
 
+/*
+ * True once a member that is not live was first asked about at least
+ * SILENT_AFTER ago. The first question starts that time.
+ */
 static bool is_silent(void *arg, const struct claim_member *m)
 {
 	struct claim_view *v = arg;
--- a/src/claim/claim_sync.c
+++ b/src/claim/claim_sync.c
@@ -141,6 +141,10 @@
 	       claim_member_is(&cs->map.partitions[partition].owner, &self);
 }
 
+/*
+ * Takes a row for a question and starts its deadline, after which the verdict
+ * is "unknown". Returns 0 when the table is full.
+ */
 static cs_handle take_ask(struct part_ctx *ctx, enum ask_phase phase,
 			  struct ask **row)
 {
@@ -418,6 +422,10 @@
 			ctx->timers, ctx->now + RETRY_DELAY, on_retry, ctx, h);
 }
 
+/*
+ * The owner's verdict on our claim. A stale one means that our maps differ, so
+ * the question is repeated later.
+ */
 static void take_reply(struct part_ctx *ctx, const struct peer_msg *peer)
 {
 	struct ask *ask = find_asked(ctx, peer, true);
@@ -432,6 +440,10 @@
 		       peer->u.claim_reply.holder);
 }
 
+/*
+ * The copy's answer, either to a claim that this entry decides as owner or to a
+ * row sent to bring a new copy up to date.
+ */
 static void take_copy_ack(struct part_ctx *ctx, const struct peer_msg *peer)
 {
 	const struct claim_sync *cs = ctx->parts.claim;
@@ -538,6 +550,7 @@
 	}
 }
 
+/* All kinds that the core routes to this part; see peer_parts in entry.c. */
 static void on_peer(struct part_ctx *ctx, struct peer_msg *peer)
 {
 	switch (peer->kind) {
@@ -597,6 +610,10 @@
 	}
 }
 
+/*
+ * Counts a row that the new copy has; a duplicate is one it had before. Any
+ * other verdict abandons the round.
+ */
 static void sync_acked(struct part_ctx *ctx, const struct ask *ask,
 		       enum claim_verdict verdict)
 {
@@ -689,6 +706,10 @@
 	part_emit(ctx, part_kv_call(PART_CLAIM, KV_GET, MAP_KEY, cs->token));
 }
 
+/*
+ * Writes a changed map by compare-and-swap. It comes into force here when the
+ * write is confirmed, or when it is read back.
+ */
 static void write_map(struct part_ctx *ctx, struct claim_map *map)
 {
 	struct claim_sync *cs = ctx->parts.claim;
@@ -738,6 +759,10 @@
 	       claim_map_assign(map, &self, m, MUTANT(ctx, "claim-forget"));
 }
 
+/*
+ * Keeps one watch open on the map. A list comes first, since a watch needs a
+ * revision to begin at.
+ */
 static void watch(struct part_ctx *ctx)
 {
 	struct claim_sync *cs = ctx->parts.claim;
@@ -809,6 +834,10 @@
 	watch(ctx);
 }
 
+/*
+ * Takes the map that was read. An entry that was paused ends its pause only
+ * with a read that began after the jump.
+ */
 static void read_answered(struct part_ctx *ctx, const struct kv_done *done)
 {
 	struct claim_sync *cs = ctx->parts.claim;
@@ -828,6 +857,10 @@
 	cs->next_read = ctx->now + READ_RETRY;
 }
 
+/*
+ * Takes the outcome of write_map(). A conflict delivers the newer map; no
+ * change is lost, since the next tick plans again.
+ */
 static void write_answered(struct part_ctx *ctx, const struct kv_done *done)
 {
 	struct claim_sync *cs = ctx->parts.claim;
@@ -854,6 +887,10 @@
 	}
 }
 
+/*
+ * Apart from the watch, only one call is on its way at a time. A late answer to
+ * an earlier one is ignored.
+ */
 static void on_kv(struct part_ctx *ctx, const struct kv_done *done)
 {
 	struct claim_sync *cs = ctx->parts.claim;
@@ -911,6 +948,11 @@
 	schedule(ctx, ctx->now);
 }
 
+/*
+ * Drained when no question is open and all partitions with a synchronised live
+ * copy have been handed to it. Without the platform, or after a pause, no map
+ * can be written, so that does not hold the end up.
+ */
 static bool is_drained(struct part_ctx *ctx)
 {
 	const struct claim_sync *cs = ctx->parts.claim;
@@ -936,6 +978,7 @@
 	plan(ctx);
 }
 
+/* Open questions are dropped without a verdict. */
 static void destroy(struct part_ctx *ctx)
 {
 	struct claim_sync *cs = ctx->parts.claim;
@@ -952,6 +995,7 @@
 	ctx->parts.claim = NULL;
 }
 
+/* Frees everything again when it fails. */
 static int create(struct part_ctx *ctx, struct cs_error *err)
 {
 	struct claim_sync *cs = g_new0(struct claim_sync, 1);
