--- a/src/ledger/ledger_account.c
+++ b/src/ledger/ledger_account.c
@@ -143,6 +143,11 @@
 	a->candidate = NULL;
 }
 
+/*
+ * Takes the outcome of a write; returns whether the document may have changed.
+ * The candidate is freed unless it became the document or is of unknown
+ * outcome.
+ */
 static bool answer_write(struct part_ctx *ctx, struct ledger_account *a,
 			 const struct kv_done *done)
 {
@@ -176,6 +181,11 @@
 	return changed;
 }
 
+/*
+ * Takes a document that was read; returns whether it changed. Missing is a
+ * valid state only for a document never seen before. If writes remain
+ * unsettled, a write is due, because only a newer version settles them.
+ */
 static bool answer_read(struct part_ctx *ctx, struct ledger_account *a,
 			const struct kv_done *done)
 {
--- a/src/ledger/ledger_codec.c
+++ b/src/ledger/ledger_codec.c
@@ -6,6 +6,7 @@
 #include "../base/error.h"
 #include "../base/json.h"
 
+/* A team is [balance, wanted]; teams with neither are left out. */
 static json_t *encode_holder(const struct ledger_holder *h)
 {
 	json_t *shares = json_object();
@@ -27,6 +28,7 @@
 			 "teams", shares);
 }
 
+/* A team is [balance, limit]; teams with neither are left out. */
 static json_t *encode_teams(const struct ledger *l)
 {
 	json_t *teams = json_object();
@@ -106,6 +108,7 @@
 	return true;
 }
 
+/* Only the reserve may have limits, and negative balances. */
 static bool decode_teams(struct ledger *l, json_t *teams)
 {
 	int64_t min = ledger_is_reserve(l) ? -LEDGER_FIGURE_MAX : 0;
@@ -132,6 +135,7 @@
 	return true;
 }
 
+/* Balances and wants are never negative. */
 static bool decode_shares(struct ledger_holder *h, json_t *shares)
 {
 	const char *name;
@@ -157,6 +161,7 @@
 	return true;
 }
 
+/* Refuses a second row for the same incarnation of an entry. */
 static bool decode_holders(struct ledger *l, json_t *holders)
 {
 	size_t i;
@@ -187,6 +192,10 @@
 	return true;
 }
 
+/*
+ * Transfers are [id, to, team, n], with ids that rise and do not exceed the
+ * document's sequence, which must be decoded before.
+ */
 static bool decode_outgoing(struct ledger *l, json_t *outgoing)
 {
 	uint64_t last = 0;
@@ -224,6 +233,7 @@
 	return strcmp(x->giver, y->giver);
 }
 
+/* A receipt is the highest number credited from a giver. */
 static bool decode_receipts(struct ledger *l, json_t *receipts)
 {
 	const char *name;
--- a/src/ledger/ledger_plan.c
+++ b/src/ledger/ledger_plan.c
@@ -186,6 +186,11 @@
 	return use->waiting;
 }
 
+/*
+ * Gathers what the plan needs to know of a team, in permits: limit, demand,
+ * what this entry holds and uses, and what is lacking here and in other data
+ * centres.
+ */
 static struct figures figures_of(const struct ledger_world *w,
 				 const struct ledger *own,
 				 const struct ledger_use *use)
--- a/src/ledger/ledger_sync.c
+++ b/src/ledger/ledger_sync.c
@@ -241,6 +241,7 @@
 	return use ? use->used : 0;
 }
 
+/* Incarnation 0 stands for any. */
 static bool is_peer_live(void *arg, const char *entry, uint64_t incarnation)
 {
 	const struct part_ctx *ctx = arg;
@@ -440,6 +441,10 @@
 	return a->is_known;
 }
 
+/*
+ * Plans a change of the reserve and writes it when due; write_if_due() takes
+ * over the candidate.
+ */
 static void plan_reserve(struct part_ctx *ctx, struct ledger_world *w)
 {
 	struct ledger_sync *ls = ctx->parts.ledger;
@@ -457,6 +462,10 @@
 	write_if_due(ctx, ls->reserve, candidate, urgency);
 }
 
+/*
+ * Plans a change of this data centre's document. After a clock jump nothing is
+ * planned until it was read again.
+ */
 static void plan_own(struct part_ctx *ctx, struct ledger_world *w)
 {
 	struct ledger_sync *ls = ctx->parts.ledger;
@@ -472,6 +481,10 @@
 	write_if_due(ctx, ls->own, candidate, urgency);
 }
 
+/*
+ * Keeps one watch open on all ledger documents. A list comes first, since a
+ * watch needs a revision to begin at.
+ */
 static void watch(struct part_ctx *ctx)
 {
 	struct ledger_sync *ls = ctx->parts.ledger;
@@ -605,6 +618,7 @@
 	watch(ctx);
 }
 
+/* True if any team has work here that lacks a permit. */
 static bool is_work_waiting(const struct part_ctx *ctx)
 {
 	const GArray *uses = ctx->parts.ledger->uses;
@@ -620,6 +634,10 @@
 	return false;
 }
 
+/*
+ * Routes an answer to the watch or to the account that asked. The pause after a
+ * clock jump ends only with a read that began after it.
+ */
 static void on_kv(struct part_ctx *ctx, const struct kv_done *done)
 {
 	struct ledger_sync *ls = ctx->parts.ledger;
@@ -648,6 +666,7 @@
 		dispatch_kick_all(ctx);
 }
 
+/* Keeps one row per entry that is up, with its newest incarnation. */
 static void on_peer_state(struct part_ctx *ctx, const struct peer_state *state)
 {
 	struct ledger_sync *ls = ctx->parts.ledger;
@@ -671,6 +690,7 @@
 	g_array_append_val(ls->peers, p);
 }
 
+/* Takes the limits of all teams, and makes a row of use for each. */
 static void on_config(struct part_ctx *ctx, const struct document *doc)
 {
 	struct ledger_sync *ls = ctx->parts.ledger;
@@ -711,6 +731,10 @@
 	schedule(ctx, ctx->now);
 }
 
+/*
+ * Drained when no permit is in use and this entry's row is gone from the
+ * document.
+ */
 static bool is_drained(struct part_ctx *ctx)
 {
 	const struct ledger_sync *ls = ctx->parts.ledger;
@@ -731,6 +755,11 @@
 	plan(ctx);
 }
 
+/*
+ * The reserve's name is not allowed for a data centre, because their documents
+ * would have the same key. The rank is this entry's place in the order of ids;
+ * the plan uses it to split a limit's remainder.
+ */
 static int create(struct part_ctx *ctx, struct cs_error *err)
 {
 	const struct entry_options *o = ctx->options;
@@ -757,6 +786,10 @@
 	return CS_OK;
 }
 
+/*
+ * Permits that were not given back stay in the document until this
+ * incarnation's death is confirmed.
+ */
 static void destroy(struct part_ctx *ctx)
 {
 	struct ledger_sync *ls = ctx->parts.ledger;
