Catch the mutant ledger-ignore-run-class by a directed test

In the soak build mutants_are_caught of test_ledger_sync failed: 60 random histories do not reach a start before the longer run is written.

--- a/tests/unit/test_ledger_sync.c
+++ b/tests/unit/test_ledger_sync.c
@@ -508,6 +508,40 @@
 	drop_fleet(f);
 }
 
+/*
+ * An entry ends as soon as it may start long tasks. Its permits must not
+ * pass to another after the shorter run that its row still names.
+ */
+static int run_unwritten_class(const char *mutant)
+{
+	struct fake_fleet *f = make_fleet(2, 2, 10, 13, mutant);
+	struct load *l = f->nodes[0]->test;
+
+	fake_fleet_run(f, 5 * CS_SEC);
+	l->run_ms = 1000;
+	want(f->nodes[0], 5);
+	fake_fleet_run(f, 5 * CS_SEC);
+	want(f->nodes[0], 0);
+	fake_fleet_run(f, 2 * CS_SEC);
+	assert_true(ledger_sync_held(&f->nodes[0]->ctx, TEAM) >= 4);
+	l->run_ms = 200000;
+	want(f->nodes[0], 10);
+	fake_node_kill(f->nodes[0]);
+	l->is_dropped = true;
+	want(f->nodes[1], 10);
+	fake_fleet_run(f, 100 * CS_SEC);
+	if (!mutant)
+		assert_int_equal(running(f), 10);
+	drop_fleet(f);
+	return violations;
+}
+
+static void long_task_waits_for_its_class(void **state)
+{
+	(void)state;
+	assert_int_equal(run_unwritten_class(NULL), 0);
+}
+
 /* The giver or the receiver ends at any step of a transfer. */
 static void interrupted_transfer_keeps_the_sum(void **state)
 {
@@ -757,7 +791,10 @@
 
 	(void)state;
 	for (i = 0; i < G_N_ELEMENTS(mutants); i++) {
-		seed = run_lost_gift(FAKE_LOST_LATE, mutants[i]) ? 0 : 1;
+		seed = run_lost_gift(FAKE_LOST_LATE, mutants[i]) ||
+				       run_unwritten_class(mutants[i]) ?
+			       0 :
+			       1;
 		while (seed && seed <= 60 && !run_random(seed, 300, mutants[i]))
 			seed++;
 		print_message("%s: seed %u\n", mutants[i], seed);
@@ -779,6 +816,7 @@
 		cmocka_unit_test(paused_entry_loses_its_permits),
 		cmocka_unit_test(resumed_entry_removes_the_mark),
 		cmocka_unit_test(restarted_entry_waits_for_old_tasks),
+		cmocka_unit_test(long_task_waits_for_its_class),
 		cmocka_unit_test(interrupted_transfer_keeps_the_sum),
 		cmocka_unit_test(lowered_limit_reaches_a_cut_off_data_centre),
 		cmocka_unit_test(removed_team_ends),
