Ask after an idempotent attempt whose worker may have gone silent

Cause: an attempt could take the whole deadline of its request, so requests at a silent worker or with a lost answer were never retried elsewhere (2 to 4 of 8 in test_worker_silent_retry, listed as red).

Ruled out: a time limit for an attempt (run times are far off what is declared, so honest work would be ended), and TCP keepalive (the process can hang while its host answers).

Change: after 1 s and every 2 s the worker is asked on another connection; no answer, or a task that has ended without its answer, ends the attempt.

Before: the test fails.

--- a/src/job/dispatch_private.h
+++ b/src/job/dispatch_private.h
@@ -79,6 +79,17 @@
 /* Takes a request out of whatever state it is in, so that it can be freed. */
 void dispatch_detach(struct part_ctx *ctx, struct request *request);
 
+/* The attempt has ended with an unknown outcome, as if its call had failed. */
+void dispatch_give_up(struct part_ctx *ctx, struct request *request,
+		      const char *step);
+
+/* dispatch_probe.c: attempts at workers that may have gone silent */
+
+/* Begins to ask after the running attempt of an idempotent request. */
+void dispatch_probe_start(struct part_ctx *ctx, struct request *request);
+void dispatch_probe_done(struct part_ctx *ctx,
+			 const struct task_control_done *done);
+
 /* dispatch_forward.c: requests that another entry serves */
 
 /* Forwards a request that is not queued to that data centre; false: can't. */
--- /dev/null
+++ b/src/job/dispatch_probe.c
@@ -0,0 +1,85 @@
+#include "dispatch_private.h"
+
+#include "../base/error.h"
+
+/*
+ * An open connection can go silent for good while new ones work, and then an
+ * attempt would take the whole deadline of its request. So the worker is
+ * asked after the task on another connection. Run times are far off what is
+ * expected, so a limit on the time of an attempt would end honest work.
+ */
+
+/* The first question; most answers are here long before. */
+#define PROBE_AFTER CS_SEC
+
+/* Between questions while the task runs. */
+#define PROBE_INTERVAL (2 * CS_SEC)
+
+/* An answer that is on its way arrives within this time. */
+#define ANSWER_TIME (500 * CS_MSEC)
+
+static void ask(void *arg, uint64_t handle, cs_time now)
+{
+	struct part_ctx *ctx = arg;
+	struct request *r = request_get(ctx->parts.dispatch->table, handle);
+	struct msg *msg;
+
+	ctx->now = now;
+	if (!r || r->state != REQUEST_RUNNING)
+		return;
+	r->probe_timer = 0;
+	r->probes_open++;
+	msg = msg_new(MSG_TASK_CONTROL);
+	msg->u.task_control.part = PART_DISPATCH;
+	msg->u.task_control.attempt = r->self;
+	msg->u.task_control.op = TASK_RENEW;
+	msg->u.task_control.lease_ms = MAX(1, (r->deadline - now) / CS_MSEC);
+	cs_copy(msg->u.task_control.address,
+		sizeof(msg->u.task_control.address), r->placement.address);
+	cs_copy(msg->u.task_control.task_id,
+		sizeof(msg->u.task_control.task_id), r->task_id);
+	part_emit(ctx, msg);
+}
+
+static void ask_later(struct part_ctx *ctx, struct request *r, cs_time wait)
+{
+	r->probe_timer = timers_subscribe(ctx->timers, ctx->now + wait, ask,
+					  ctx, r->self);
+}
+
+void dispatch_probe_start(struct part_ctx *ctx, struct request *r)
+{
+	/* Nothing could be done about a lost attempt of other work. */
+	if (!r->submit.is_idempotent || MUTANT(ctx, "dispatch-no-probe"))
+		return;
+	r->lost_answers = 0;
+	ask_later(ctx, r, PROBE_AFTER);
+}
+
+/*
+ * A worker that does not answer, or a task that has ended while its answer is
+ * not here after ANSWER_TIME: the attempt is lost.
+ */
+void dispatch_probe_done(struct part_ctx *ctx,
+			 const struct task_control_done *done)
+{
+	struct request *r =
+		request_get(ctx->parts.dispatch->table, done->attempt);
+
+	if (!r)
+		return;
+	/* An answer about an earlier attempt says nothing of this one. */
+	if (--r->probes_open > 0 || r->state != REQUEST_RUNNING ||
+	    r->probe_timer)
+		return;
+	if (!done->code && done->state == TASK_STATE_RUNNING) {
+		ask_later(ctx, r, PROBE_INTERVAL);
+		return;
+	}
+	if (!done->code && !r->lost_answers++) {
+		ask_later(ctx, r, ANSWER_TIME);
+		return;
+	}
+	counters_add(ctx->counters, "lost_attempts_total", "", 1);
+	dispatch_give_up(ctx, r, done->code ? "probe" : "answer");
+}
--- a/src/job/dispatch_run.c
+++ b/src/job/dispatch_run.c
@@ -27,6 +27,7 @@
 static void finish_attempt(struct part_ctx *ctx, struct request *r,
 			   enum fleet_result result)
 {
+	timers_cancel(ctx->timers, r->probe_timer);
 	fleet_finish(ctx, r->placement.worker, result);
 	share_ended(ctx, r->team->share_row, ctx->now - r->started);
 	r->team->budget->running--;
@@ -102,6 +103,10 @@
 void dispatch_control_done(struct part_ctx *ctx,
 			   const struct task_control_done *done)
 {
+	if (done->op == TASK_RENEW) {
+		dispatch_probe_done(ctx, done);
+		return;
+	}
 	if (done->code || done->op != TASK_STOP ||
 	    done->state == TASK_STATE_RUNNING ||
 	    done->state == TASK_STATE_MISSING)
@@ -187,6 +192,7 @@
 	r->started = ctx->now;
 	r->attempts++;
 	send_task(ctx, r);
+	dispatch_probe_start(ctx, r);
 	return CS_OK;
 }
 
@@ -523,6 +529,17 @@
 	dispatch_schedule(ctx, p);
 }
 
+void dispatch_give_up(struct part_ctx *ctx, struct request *r, const char *step)
+{
+	struct task_done done = { .result = TASK_UNKNOWN };
+	struct pool_queue *p = r->pool;
+
+	cs_error_set(&done.error, CS_ERR_TIMEOUT, step, r->placement.address,
+		     "no sign of the attempt");
+	on_unknown(ctx, r, &done);
+	dispatch_schedule(ctx, p);
+}
+
 void dispatch_detach(struct part_ctx *ctx, struct request *r)
 {
 	switch (r->state) {
--- a/src/job/request.h
+++ b/src/job/request.h
@@ -48,6 +48,9 @@
 	struct placement placement; /* of the running attempt */
 	char task_id[CS_NAME_MAX];
 	cs_time started; /* of the running attempt */
+	cs_handle probe_timer; /* asks after the running attempt */
+	int probes_open; /* questions without an answer, of all attempts */
+	int lost_answers; /* probes that found the task ended, not answered */
 	char forwarded_to[CS_NAME_MAX];
 	bool is_forward_refused; /* the other entry did not run it */
 };
