--- a/tests/fuzz/fuzz_main.c
+++ b/tests/fuzz/fuzz_main.c
@@ -61,8 +61,8 @@
 	g_ptr_array_free(seeds, TRUE);
 }
 
-/* The prototype is libFuzzer's. NOLINTNEXTLINE(readability-non-const-parameter)
- */
+/* The prototype is given by libFuzzer. */
+/* NOLINTNEXTLINE(readability-non-const-parameter) */
 int LLVMFuzzerInitialize(int *argc, char ***argv)
 {
 	const char *name = getenv("CAMPHORSHED_FUZZ");
