--- a/src/peer/peer_codec.c
+++ b/src/peer/peer_codec.c
@@ -52,6 +52,7 @@
 	msg->u.heartbeat.is_draining = peer_read_bool(f, "is_draining");
 }
 
+/* used_ms is in milliseconds of slot time. */
 static void encode_summary(msgpack_packer *pk, const struct peer_msg *msg)
 {
 	const struct summary_row *row = msg->u.summary.rows;
@@ -79,6 +80,9 @@
 	row->used_ms = peer_read_i64(f, "used_ms", INT64_MIN, INT64_MAX);
 }
 
+/*
+ * At most SUMMARY_ROWS_MAX rows are allocated, whatever length the peer claims.
+ */
 static void decode_summary(struct peer_fields *f, struct peer_msg *msg)
 {
 	struct peer_fields rows, row;
@@ -123,6 +127,10 @@
 	msg->u.config_ack.revision = peer_read_u64(f, "revision", UINT64_MAX);
 }
 
+/*
+ * The order of the fields is part of the protocol. The key goes as a digest,
+ * never in clear.
+ */
 static void encode_forward(msgpack_packer *pk, const struct peer_msg *msg)
 {
 	const struct submit *s = &msg->u.forward;
@@ -141,6 +149,9 @@
 	peer_write_bytes(pk, s->body);
 }
 
+/*
+ * The body is a new reference. Faults are kept in f and checked by the caller.
+ */
 static void decode_forward(struct peer_fields *f, struct peer_msg *msg)
 {
 	struct submit *s = &msg->u.forward;
@@ -165,6 +176,7 @@
 	return &msg->u.forward.trace;
 }
 
+/* The order of the fields is part of the protocol. */
 static void encode_forward_reply(msgpack_packer *pk, const struct peer_msg *msg)
 {
 	const struct reply *r = &msg->u.forward_reply;
@@ -181,6 +193,9 @@
 	peer_write_bytes(pk, r->body);
 }
 
+/*
+ * The body is a new reference. Faults are kept in f and checked by the caller.
+ */
 static void decode_forward_reply(struct peer_fields *f, struct peer_msg *msg)
 {
 	struct reply *r = &msg->u.forward_reply;
@@ -314,6 +329,7 @@
 	msgpack_pack_uint8(pk, t->flags);
 }
 
+/* Without t the message must carry an empty trace. */
 static void decode_trace(struct peer_fields *f, struct trace *t)
 {
 	struct peer_fields sub;
--- a/src/peer/peer_conn.c
+++ b/src/peer/peer_conn.c
@@ -73,6 +73,10 @@
 	return conn->role == PEER_ROLE_OPENER ? &conn->remote : &conn->local;
 }
 
+/*
+ * Answers the peer's hello with the proof that this side knows the secret,
+ * unless the owner rejects the peer.
+ */
 static int take_hello(struct peer_conn *conn, const uint8_t *data, size_t len,
 		      struct cs_error *err)
 {
@@ -89,6 +93,10 @@
 			err);
 }
 
+/*
+ * Once the peer has proved that it knows the secret, the connection is up and
+ * the time limit of the handshake is replaced by one on silence.
+ */
 static int take_proof(struct peer_conn *conn, const uint8_t *data, size_t len,
 		      struct cs_error *err)
 {
@@ -159,6 +167,10 @@
 	return send_own(conn, peer_hello_encode(&conn->local), err);
 }
 
+/*
+ * Connects, or ends the connection with an error that names the step of the
+ * handshake in which it broke.
+ */
 static void on_event(struct bufferevent *bev, short events, void *arg)
 {
 	struct peer_conn *conn = arg;
--- a/src/peer/peer_link.c
+++ b/src/peer/peer_link.c
@@ -92,6 +92,7 @@
 		     (int64_t)bytes);
 }
 
+/* Logs an event of the link; id and err may be NULL. */
 static void log_peer(struct peer_link *link, enum log_level level,
 		     const char *event, const char *id,
 		     const struct cs_error *err)
@@ -292,6 +293,10 @@
 	return conn;
 }
 
+/*
+ * Opens a connection to the peer. An error that is known at once ends the
+ * attempt like a later one.
+ */
 static void on_retry(evutil_socket_t fd, short events, void *arg)
 {
 	struct peer_row *peer = arg;
@@ -310,6 +315,10 @@
 		end_conn(peer->link, conn, &err);
 }
 
+/*
+ * The peer of an accepted connection is known only after its hello, so the
+ * connection has no peer row yet.
+ */
 static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
 		      struct sockaddr *addr, int len, void *arg)
 {
@@ -455,6 +464,10 @@
 	msg_free(msg);
 }
 
+/*
+ * Connections that are up are flushed first, so that the last messages of a
+ * drain reach the peers.
+ */
 static void stop(void *state, struct task *task)
 {
 	struct peer_link *link = state;
