--- a/src/platform/platform_client.c
+++ b/src/platform/platform_client.c
@@ -214,6 +214,7 @@
 	return d->status == 200 && decode_present(d);
 }
 
+/* A conflict carries the row that is stored. */
 static bool decode_cas(const struct decoder *d)
 {
 	if (d->status == 409) {
@@ -285,6 +286,7 @@
 	return d->status == 200;
 }
 
+/* Refuses a host whose state is neither "live" nor "leaving". */
 static bool read_host(const json_t *object, struct kv_host *host)
 {
 	char state[16];
@@ -300,6 +302,7 @@
 	return host->is_leaving || !strcmp(state, "live");
 }
 
+/* The array is freed with the message, also after a failure. */
 static bool decode_hosts(const struct decoder *d)
 {
 	const json_t *array = json_object_get(d->root, "hosts");
@@ -387,6 +390,11 @@
 	return is_valid;
 }
 
+/*
+ * Turns the answer into the call's result. A write without a usable answer is
+ * unknown, since it may have taken effect; a read or a write that was not sent
+ * is unavailable.
+ */
 static void on_done(void *ctx, uint64_t ref, const struct http_answer *answer)
 {
 	struct platform_client *client = ctx;
@@ -453,6 +461,10 @@
 	return CS_OK;
 }
 
+/*
+ * Sends a call; takes over the message. A watch may take its waiting time in
+ * addition to the usual limit.
+ */
 static void begin(struct platform_client *client, struct msg *m)
 {
 	const struct kv_call *call = &m->u.kv_call;
@@ -500,6 +512,7 @@
 		 msg_metrics_reply(caller, BUS_PLATFORM, client->counters));
 }
 
+/* A call is kept until its answer; any other message is freed here. */
 static void on_msg(void *state, struct task *task, void *msg)
 {
 	struct platform_client *client = state;
@@ -515,6 +528,9 @@
 	msg_free(m);
 }
 
+/*
+ * Watches have connections of their own, so that calls do not wait behind them.
+ */
 static int start(void *state, struct task *task, struct cs_error *err)
 {
 	struct platform_client *client = state;
