--- a/src/worker/worker_client.c
+++ b/src/worker/worker_client.c
@@ -86,6 +86,7 @@
 	g_free(escaped);
 }
 
+/* The call refers to the request, which must outlive it. */
 static void start_encode(const struct msg *request, cs_time now,
 			 struct http_call *call, char *path)
 {
@@ -118,6 +119,10 @@
 	return answer->status == 429 ? TASK_REFUSED : TASK_ANSWERED;
 }
 
+/*
+ * Reports the span, counts the result and sends the outcome to the part that
+ * started the task.
+ */
 static void start_answer(struct worker_client *client, struct worker_call *call,
 			 const struct http_answer *answer)
 {
@@ -179,6 +184,9 @@
 	[TASK_RESULT] = { "result", RESULT_TIMEOUT_US, HTTP_GET, false },
 };
 
+/*
+ * The limit on time is that of the operation, in place of the task's deadline.
+ */
 static void control_encode(const struct msg *request, cs_time now,
 			   struct http_call *call, char *path)
 {
@@ -209,6 +217,7 @@
 	return NULL;
 }
 
+/* Returns false for a name that is not a state. */
 static bool state_parse(const char *name, enum task_state *state)
 {
 	static const char *const names[] = {
@@ -283,6 +292,10 @@
 	report(client, call, &err);
 }
 
+/*
+ * A task that the worker does not know is a definite answer (missing); any
+ * other status than success is an I/O error.
+ */
 static void control_answer(struct worker_client *client,
 			   struct worker_call *call,
 			   const struct http_answer *answer)
@@ -330,6 +343,7 @@
 	append(path, "/usage");
 }
 
+/* Slots and running are 0 unless the answer is complete and valid. */
 static void usage_answer(struct worker_client *client, struct worker_call *call,
 			 const struct http_answer *answer)
 {
@@ -403,6 +417,11 @@
 	msg_free(m);
 }
 
+/*
+ * Sends a call; takes over the message. A start that was decided too long ago
+ * is refused, since the process was paused in between and the placement may be
+ * void.
+ */
 static void begin(struct worker_client *client, const struct call_ops *ops,
 		  struct msg *m)
 {
@@ -441,6 +460,7 @@
 		 msg_metrics_reply(caller, BUS_WORKER, client->counters));
 }
 
+/* A call is kept until its answer; any other message is freed here. */
 static void on_msg(void *state, struct task *task, void *msg)
 {
 	struct worker_client *client = state;
@@ -457,6 +477,11 @@
 	msg_free(m);
 }
 
+/*
+ * Splits the connections of a worker in two lanes, so that control calls do not
+ * wait behind work. Each lane gets at least one, so a limit of 1 results in two
+ * connections.
+ */
 static int start(void *state, struct task *task, struct cs_error *err)
 {
 	struct worker_client *client = state;
