--- a/src/front/front.c
+++ b/src/front/front.c
@@ -35,6 +35,7 @@
 	char peer[CS_ADDRESS_MAX];
 };
 
+/* The span covers the time from the complete request to the reply. */
 static void emit_span(struct front *f, const struct front_row *row,
 		      const char *result)
 {
@@ -89,6 +90,10 @@
 	refuse(f, exchange, &refusal);
 }
 
+/*
+ * Decodes a request and posts it to the core. When the core's mailbox is full,
+ * the request is refused here.
+ */
 static void on_request(void *ctx, cs_handle exchange,
 		       const struct http_request *req)
 {
@@ -122,6 +127,10 @@
 	bus_post(f->bus, BUS_FRONT, msg);
 }
 
+/*
+ * Sends the core's reply. A caller that has gone, or whose exchange has ended,
+ * has no row any more.
+ */
 static void on_reply(struct front *f, const struct reply *reply)
 {
 	const struct front_row *row = http_server_row(f->server, reply->caller);
@@ -149,6 +158,7 @@
 		 msg_metrics_reply(caller, BUS_FRONT, f->counters));
 }
 
+/* The message is freed here. */
 static void on_msg(void *state, struct task *task, void *item)
 {
 	struct front *f = state;
@@ -168,6 +178,7 @@
 	msg_free(msg);
 }
 
+/* Runs on the front task's thread, which owns the server. */
 static int start(void *state, struct task *task, struct cs_error *err)
 {
 	static const struct http_server_ops ops = {
--- a/src/front/front_decode.c
+++ b/src/front/front_decode.c
@@ -95,6 +95,10 @@
 	return CS_OK;
 }
 
+/*
+ * Reads headers, body and key of a submission. Returns 0, or nonzero with the
+ * refusal filled.
+ */
 static int decode_submit(const struct http_request *req, const char *name,
 			 struct msg *msg, struct http_refusal *refusal)
 {
