--- a/src/admin/admin.c
+++ b/src/admin/admin.c
@@ -151,6 +151,10 @@
 	return row->deadline && !evtimer_add(row->deadline, &wait);
 }
 
+/*
+ * Passes a call to the core. When the core's mailbox is full the call is
+ * refused at once with "not_run".
+ */
 static void call_core(struct admin *a, struct admin_row *row, struct msg *msg)
 {
 	struct http_refusal refusal = {
@@ -177,6 +181,10 @@
 			bus_ask_metrics(a->bus, i, exchange);
 }
 
+/*
+ * Answers health itself, asks the tasks for metrics, and passes all other calls
+ * to the core with a deadline.
+ */
 static void on_request(void *ctx, cs_handle exchange,
 		       const struct http_request *req)
 {
@@ -247,6 +255,10 @@
 	answer_metrics(a, row);
 }
 
+/*
+ * Replies for exchanges that have ended meanwhile are dropped; the message is
+ * freed here.
+ */
 static void on_msg(void *state, struct task *task, void *item)
 {
 	struct admin *a = state;
@@ -266,6 +278,7 @@
 	msg_free(msg);
 }
 
+/* Runs on the admin task's thread, which owns the server. */
 static int start(void *state, struct task *task, struct cs_error *err)
 {
 	static const struct http_server_ops ops = {
--- a/src/admin/admin_decode.c
+++ b/src/admin/admin_decode.c
@@ -106,6 +106,10 @@
 	return !sodium_memcmp(digest, token_digest, CS_DIGEST_LEN);
 }
 
+/*
+ * NULL fills the refusal: 405 with the methods allowed for a known path, else
+ * 404. A path with two routes has GET and PUT.
+ */
 static const struct route *find_route(const struct http_request *req,
 				      struct http_refusal *refusal)
 {
--- a/src/admin/metrics_merge.c
+++ b/src/admin/metrics_merge.c
@@ -38,6 +38,10 @@
 	return f;
 }
 
+/*
+ * Sorts a line of one task's metrics into its family, so that a family that
+ * several tasks count is announced once.
+ */
 static void add_line(GTree *families, const char *line)
 {
 	static const char type[] = "# TYPE ";
