--- a/src/config/codec_ini.c
+++ b/src/config/codec_ini.c
@@ -211,6 +211,10 @@
 	st->has_preset = true;
 }
 
+/*
+ * Stores a field in the current row. An unknown, repeated or invalid one is
+ * added to the faults, and reading goes on.
+ */
 static void take_field(struct decode_state *st, const char *name,
 		       const char *value)
 {
@@ -260,6 +264,10 @@
 	return 1;
 }
 
+/*
+ * Reads a whole fleet document; NULL if there is any fault. All faults are
+ * listed, each with its line.
+ */
 static struct document *decode(GBytes *bytes, const char *source,
 			       GString *faults)
 {
--- a/src/config/codec_json.c
+++ b/src/config/codec_json.c
@@ -140,6 +140,7 @@
 		decode_keys(st, keys, row, path);
 }
 
+/* Rows of a table; one that is left out is empty. */
 static void decode_table(struct decode_state *st, enum doc_table table,
 			 json_t *list)
 {
@@ -187,6 +188,9 @@
 		fault(st, "preset", "is not ordinary, peak or maintenance");
 }
 
+/*
+ * Unknown members are faults, so that a misspelt name is not silently ignored.
+ */
 static void decode_root(struct decode_state *st, json_t *root)
 {
 	const char *known[4 + DOC_TABLE_NR] = { "revision", "change_id",
@@ -252,6 +256,7 @@
 	return object;
 }
 
+/* Keys as label and digest; the key itself is never stored. */
 static json_t *encode_keys(const struct doc_team *team)
 {
 	GString *hex = g_string_new(NULL);
@@ -272,6 +277,7 @@
 	return list;
 }
 
+/* The rows are in the document's order, so equal documents give equal bytes. */
 static GBytes *encode(const struct document *doc)
 {
 	json_t *root = json_object();
--- a/src/config/config_change.c
+++ b/src/config/config_change.c
@@ -295,6 +295,11 @@
 	op->token = config_read(ctx);
 }
 
+/*
+ * Takes the outcome of a change's write. A conflict with a row that carries the
+ * change's own id means that an earlier attempt was applied; an unknown outcome
+ * is settled by reading back.
+ */
 static void write_done(struct part_ctx *ctx, struct config_op *op,
 		       const struct kv_done *done)
 {
@@ -351,6 +356,7 @@
 		finish(ctx, op, CS_OK, op->revision, op->diff);
 }
 
+/* Takes an answer while the outcome of an earlier write is unknown. */
 static void settle_done(struct part_ctx *ctx, struct config_op *op,
 			const struct kv_done *done)
 {
@@ -423,6 +429,10 @@
 	g_list_free(ops);
 }
 
+/*
+ * Takes over the operation; changes are worked on one at a time. A full queue
+ * refuses it at once.
+ */
 static void enqueue(struct part_ctx *ctx, struct config_op *op)
 {
 	struct config_sync *s = ctx->parts.config;
--- a/src/config/config_relay.c
+++ b/src/config/config_relay.c
@@ -111,6 +111,11 @@
 	return s->is_platform_up && ctx->now - heard <= HOLDER_ANSWER_AGE;
 }
 
+/*
+ * Tells a peer which revision is in force here and whether this entry holds the
+ * watch. A ref other than 0 asks the peer to send it back, which proves that
+ * its answer is newer than the question.
+ */
 static void send_heartbeat(struct part_ctx *ctx, struct config_peer *peer,
 			   uint64_t ref)
 {
@@ -126,6 +131,10 @@
 	part_emit(ctx, msg);
 }
 
+/*
+ * Sends the document in force as it is stored. Before any was read there is
+ * nothing to send.
+ */
 static void send_document(struct part_ctx *ctx, struct config_peer *peer)
 {
 	const struct config_sync *s = ctx->parts.config;
--- a/src/config/config_sync.c
+++ b/src/config/config_sync.c
@@ -146,6 +146,7 @@
 	return CS_OK;
 }
 
+/* Changes that wait are dropped without an answer. */
 static void destroy(struct part_ctx *ctx)
 {
 	struct config_sync *s = state(ctx);
@@ -203,6 +204,10 @@
 		s->platform_heard_at = ctx->now;
 }
 
+/*
+ * Every result also shows whether the platform can be reached. A read after a
+ * clock jump makes the configuration fresh again.
+ */
 static void on_kv(struct part_ctx *ctx, const struct kv_done *done)
 {
 	struct config_sync *s = state(ctx);
--- a/src/config/document_apply.c
+++ b/src/config/document_apply.c
@@ -133,6 +133,10 @@
 	return CS_OK;
 }
 
+/*
+ * Removes the key with that digest, or with that label if the change has no
+ * digest.
+ */
 static int apply_key_withdraw(struct document *doc, const struct change *change,
 			      struct cs_error *err)
 {
@@ -269,6 +273,10 @@
 	return CS_OK;
 }
 
+/*
+ * Planned stops must keep the availability budgets (I1). The state itself is
+ * checked by step_host().
+ */
 static int apply_host_drain(struct document *doc, const struct change *change,
 			    struct cs_error *err)
 {
--- a/src/config/document_rules.c
+++ b/src/config/document_rules.c
@@ -194,6 +194,10 @@
 				queue->team);
 }
 
+/*
+ * A digest may belong to one team only; labels are sorted, so equal ones are
+ * neighbours.
+ */
 static void check_keys(struct check_state *st, const struct doc_team *team)
 {
 	size_t i;
--- a/src/config/schema.c
+++ b/src/config/schema.c
@@ -80,6 +80,10 @@
 	return true;
 }
 
+/*
+ * Accepts decimal digits with a sign; unlike strtol() alone, no spaces and no
+ * plus.
+ */
 static bool parse_integer(const struct field *field, const char *text,
 			  void *row)
 {
@@ -132,6 +136,7 @@
 	[HOST_EMPTY] = "empty",
 };
 
+/* Returns false for a name that is not a state. */
 static bool parse_host_state(const struct field *field, const char *text,
 			     void *row)
 {
