--- a/src/pool/down_report.c
+++ b/src/pool/down_report.c
@@ -20,6 +20,10 @@
 /* Least time between two writes; failures of a rack fall into one. */
 #define REPORT_INTERVAL (10 * CS_SEC)
 
+/*
+ * Adds a worker's load to that of its host. A host is idle if all its workers
+ * are and failed if one of them is.
+ */
 static void add_load(void *arg, const struct fleet_load *load)
 {
 	struct part_ctx *ctx = arg;
@@ -156,6 +160,9 @@
 	r->called = 0; /* a difference is written at once */
 }
 
+/*
+ * Adds the hosts of a report. A value that is not a list of names adds nothing.
+ */
 static void take_report(struct planner *p, GBytes *value)
 {
 	json_t *list = json_from_bytes(value, 0, NULL);
--- a/src/pool/host_record.c
+++ b/src/pool/host_record.c
@@ -64,6 +64,7 @@
 	return strcmp(*(const char *const *)a, *(const char *const *)b);
 }
 
+/* Empty fields are left out, to keep the document short. */
 static json_t *encode_row(const struct host_record *row)
 {
 	json_t *o = json_object();
@@ -117,6 +118,10 @@
 	return true;
 }
 
+/*
+ * Refuses a row without a host or maintenance time, and one with an unknown
+ * purpose.
+ */
 static bool decode_row(const json_t *o, struct host_record *row)
 {
 	char purpose[CS_NAME_MAX];
--- a/src/pool/plan_move.c
+++ b/src/pool/plan_move.c
@@ -107,6 +107,10 @@
 	}
 }
 
+/*
+ * Orders host numbers by pool; within a pool the host that is cheapest to give
+ * away comes first.
+ */
 static int compare_hosts(gconstpointer a, gconstpointer b, gpointer arg)
 {
 	const struct plan_input *in = arg;
@@ -306,6 +310,10 @@
 	}
 }
 
+/*
+ * Finds the pools that may ask for hosts. A pool that is short but does not
+ * qualify yet gets a refusal with the reason, for the operators.
+ */
 static void gather_borrowers(struct move_round *m)
 {
 	const struct plan_input *in = m->r->in;
--- a/src/pool/planner.c
+++ b/src/pool/planner.c
@@ -150,6 +150,7 @@
 	return NULL;
 }
 
+/* Logs a step when it is planned. Its change may still be refused. */
 static void step_event(struct part_ctx *ctx, const struct change *c,
 		       enum plan_reason reason)
 {
@@ -252,6 +253,11 @@
 	}
 }
 
+/*
+ * Takes the result of a set of changes. After a timeout the planner is quiet
+ * for a while, because the change may still take effect; hosts of an invalid
+ * change are held back.
+ */
 static void on_changed(struct part_ctx *ctx, uint64_t ref, int code,
 		       uint64_t revision, const char *detail)
 {
@@ -335,6 +341,11 @@
 		g_hash_table_add(p->dirty, key);
 }
 
+/*
+ * Plans and sends the steps, or nothing if the plan would break a budget.
+ * Records are written before changes, so that another planner can finish what
+ * this one began.
+ */
 static void plan_now(struct part_ctx *ctx)
 {
 	struct planner *p = ctx->parts.planner;
@@ -362,6 +373,10 @@
 	planner_input_clear(&in);
 }
 
+/*
+ * One round as planner. A call without an answer for CALL_PATIENCE makes it
+ * read everything anew.
+ */
 static void run_planner(struct part_ctx *ctx)
 {
 	struct planner *p = ctx->parts.planner;
@@ -438,6 +453,10 @@
 		empty_own_hosts(ctx);
 }
 
+/*
+ * Each round decides anew whether this entry plans, and whether it leads its
+ * data centre and reports its hosts.
+ */
 static void on_round(void *arg, uint64_t unused, cs_time now)
 {
 	struct part_ctx *ctx = arg;
@@ -497,6 +516,10 @@
 	}
 }
 
+/*
+ * Takes the results of reading and writing records. Anything unexpected sends
+ * the planner back to the beginning.
+ */
 static void on_records(struct part_ctx *ctx, const struct kv_done *done)
 {
 	struct planner *p = ctx->parts.planner;
@@ -524,6 +547,10 @@
 	go_idle(ctx, "records_not_current");
 }
 
+/*
+ * Routes a result by the kind in its token. What an earlier epoch asked for is
+ * ignored, except for reports of this entry, which do not depend on a plan.
+ */
 static void planner_on_kv(struct part_ctx *ctx, const struct kv_done *done)
 {
 	struct planner *p = ctx->parts.planner;
@@ -587,6 +614,10 @@
 	record_table_destroy(table);
 }
 
+/*
+ * The dirty table borrows its keys from the records; the other tables own
+ * theirs.
+ */
 static int planner_create(struct part_ctx *ctx, struct cs_error *err)
 {
 	struct planner *p = g_new0(struct planner, 1);
@@ -609,6 +640,7 @@
 	return CS_OK;
 }
 
+/* The dirty table goes before the records, whose keys it borrows. */
 static void planner_destroy(struct part_ctx *ctx)
 {
 	struct planner *p = ctx->parts.planner;
--- a/src/pool/planner_input.c
+++ b/src/pool/planner_input.c
@@ -48,6 +48,10 @@
 		*row->home = '\0';
 }
 
+/*
+ * Notes when a host's state changed. A host counts as rebooted when it was away
+ * and came back while it was empty.
+ */
 static struct seen_host *update_seen(struct part_ctx *ctx,
 				     const struct doc_host *host)
 {
@@ -95,6 +99,11 @@
 	return load->running;
 }
 
+/*
+ * Fills a row of the plan's input; out->place must be set. Pools are given by
+ * their index in the document, and age is the time since the last maintenance
+ * on the data centre's own clock.
+ */
 static void fill_host(struct part_ctx *ctx, const struct document *doc,
 		      const struct doc_host *host, struct plan_host *out)
 {
@@ -146,6 +155,10 @@
 	return GPOINTER_TO_INT(value);
 }
 
+/*
+ * Rows are in the document's order, so that steps can name hosts by index.
+ * planner_input_clear() frees them.
+ */
 static void gather_hosts(struct part_ctx *ctx, const struct document *doc,
 			 struct plan_input *in)
 {
--- a/src/pool/planner_render.c
+++ b/src/pool/planner_render.c
@@ -16,6 +16,10 @@
 	[PURPOSE_MAINTAIN] = "maintain",
 };
 
+/*
+ * Indices of steps refer to the document that was planned on, which must be the
+ * one passed in.
+ */
 static json_t *render_steps(const struct document *doc, const GArray *steps)
 {
 	const struct doc_host *hosts;
