--- a/src/settings/check_config.c
+++ b/src/settings/check_config.c
@@ -13,6 +13,7 @@
 	settings_destroy(settings_read(path, faults));
 }
 
+/* The document is only checked; nothing is kept. */
 static void check_fleet_document(const char *path, GString *faults)
 {
 	GError *error = NULL;
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -156,6 +156,10 @@
 	return g_strdup_printf("%s.%s", s->name, key->name);
 }
 
+/*
+ * A value of NULL means that the key is missing. Values of secret keys are not
+ * shown.
+ */
 static void add_key_fault(struct reading *r, int line, const struct section *s,
 			  const struct settings_key *key, const char *value)
 {
@@ -201,6 +205,10 @@
 	return NULL;
 }
 
+/*
+ * Sections of other entries get a row in others, which the section refers to by
+ * index because the array may move.
+ */
 static struct section *add_section(struct reading *r, const char *name,
 				   const struct section_row *row, int line)
 {
--- a/src/settings/settings_value.c
+++ b/src/settings/settings_value.c
@@ -168,6 +168,7 @@
 	g_string_append(out, "debug, info, warn, error or fatal");
 }
 
+/* Returns false for a name that is not a mode. */
 static bool parse_isolated(const struct settings_key *key, const char *value,
 			   void *field)
 {
