--- a/src/ctl/ctl_args.c
+++ b/src/ctl/ctl_args.c
@@ -137,6 +137,7 @@
 	return true;
 }
 
+/* The revision to wait for; revisions start at 1. */
 static bool take_revision(struct ctl_request *rq, const char *value,
 			  GString *fault)
 {
@@ -381,6 +382,10 @@
 	return true;
 }
 
+/*
+ * Reads the verb, its options and its argument. Returns false with the fault
+ * filled.
+ */
 static bool parse_verb(char ***args, struct ctl_request *rq, GString *fault)
 {
 	const struct verb *verb;
--- a/src/ctl/ctl_run.c
+++ b/src/ctl/ctl_run.c
@@ -137,6 +137,7 @@
 	}
 }
 
+/* Returns CTL_DONE or the code of the failed request. */
 static int run_history(struct ctl *ctl)
 {
 	GString *text;
--- a/src/ctl/ctl_table.c
+++ b/src/ctl/ctl_table.c
@@ -93,6 +93,7 @@
 		g_string_append_c(out, ' ');
 }
 
+/* Orders objects by the first of first_keys that both have. */
 static gint compare_rows(gconstpointer a, gconstpointer b)
 {
 	const json_t *x = *(json_t *const *)a, *y = *(json_t *const *)b;
@@ -120,6 +121,10 @@
 	return rows;
 }
 
+/*
+ * Appends an array of objects as columns with a heading. Keys that only some
+ * objects have leave blanks.
+ */
 static void append_table(GString *out, const json_t *array)
 {
 	GPtrArray *rows = sorted_rows(array);
