--- a/src/base/counters.c
+++ b/src/base/counters.c
@@ -91,6 +91,10 @@
 	char last[128]; /* metric whose TYPE line was written last */
 };
 
+/*
+ * Rows come in the order of their names, so a type line is due whenever the
+ * name before the labels changes.
+ */
 static gboolean render_row(gpointer key, gpointer value, gpointer data)
 {
 	const struct counter_row *row = value;
--- a/src/base/http_client.c
+++ b/src/base/http_client.c
@@ -395,6 +395,10 @@
 	((struct call *)arg)->evhttp_error = (int)error;
 }
 
+/*
+ * Text for evhttp's error code; any other value means that the connection
+ * failed.
+ */
 static const char *error_text(int error)
 {
 	switch (error) {
--- a/src/base/http_server.c
+++ b/src/base/http_server.c
@@ -104,6 +104,10 @@
 	return EVHTP_RES_OK;
 }
 
+/*
+ * Refuses a request before its body is read: one with two statements of its
+ * length, which a proxy might read differently, or one too long to discard.
+ */
 static evhtp_res on_headers(evhtp_request_t *req, evhtp_headers_t *headers,
 			    void *arg)
 {
@@ -121,6 +125,10 @@
 	return EVHTP_RES_OK;
 }
 
+/*
+ * A body over the limit is discarded up to DISCARD_MAX more bytes, so that the
+ * caller gets the refusal; after that the connection ends.
+ */
 static evhtp_res on_read(evhtp_request_t *req, struct evbuffer *buf, void *arg)
 {
 	struct connection *c = arg;
@@ -221,6 +229,7 @@
 	g_bytes_unref(body);
 }
 
+/* Answers a request that never became an exchange. */
 static void refuse_connection(struct connection *c, int status,
 			      const char *reason, int64_t retry_after_ms)
 {
@@ -239,6 +248,10 @@
 		s->ops->on_refused(s->ctx, &refusal);
 }
 
+/*
+ * Frees the row when libevhtp closes the connection. Faults of the parser are
+ * answered here, since no earlier hook sees them.
+ */
 static evhtp_res on_connection_fini(evhtp_connection_t *conn, void *arg)
 {
 	struct connection *c = arg;
@@ -293,6 +306,7 @@
 	c->input_bytes += info->n_added;
 }
 
+/* Makes the row of a new connection. Any error closes it. */
 static evhtp_res post_accept(evhtp_connection_t *conn, void *arg)
 {
 	static const struct {
@@ -335,6 +349,7 @@
 	return EVHTP_RES_OK;
 }
 
+/* A method that the servers do not use becomes HTTP_OTHER. */
 static enum http_method method_of(evhtp_request_t *req)
 {
 	switch (evhtp_request_get_method(req)) {
@@ -414,6 +429,10 @@
 	http_server_refuse(s, h, &refusal);
 }
 
+/*
+ * Runs when a request is complete. Unless it is answered at once, the
+ * connection is paused until the reply.
+ */
 static void on_request(evhtp_request_t *req, void *arg)
 {
 	struct http_server *s = arg;
@@ -469,6 +488,10 @@
 	return true;
 }
 
+/*
+ * The body is referenced, not copied. Retry-After is in whole seconds, rounded
+ * up.
+ */
 static void fill_response(evhtp_request_t *req, const struct http_response *r)
 {
 	const char *type = r->content_type;
@@ -553,6 +576,7 @@
 	return slots_count(s->connections);
 }
 
+/* CS_OK, or an error with err filled. */
 static int listen_at(struct http_server *s, const char *address,
 		     struct cs_error *err)
 {
--- a/src/base/http_util.c
+++ b/src/base/http_util.c
@@ -133,6 +133,10 @@
 	return CS_OK;
 }
 
+/*
+ * Reads one name=value pair. CS_ERR_INVALID for an unknown or repeated name, or
+ * a value out of range; seen has a bit per parameter.
+ */
 static int read_param(const char *pair, const struct http_param *params,
 		      size_t nr, uint64_t *seen)
 {
--- a/src/base/task.c
+++ b/src/base/task.c
@@ -38,6 +38,10 @@
 	return (cs_time)ts.tv_sec * CS_SEC + ts.tv_nsec / 1000;
 }
 
+/*
+ * Handles at most BATCH_MAX messages, so that sockets and timers get their
+ * turn; mailbox_take() keeps the eventfd readable while more wait.
+ */
 static void on_wake(evutil_socket_t fd, short events, void *arg)
 {
 	struct task *t = arg;
@@ -53,6 +57,10 @@
 		event_base_loopbreak(t->base);
 }
 
+/*
+ * The thread of the task. Its creator waits until start() has returned; if that
+ * failed, stop() is not called.
+ */
 static void *run(void *arg)
 {
 	struct task *t = arg;
