--- a/src/cmd/main.c
+++ b/src/cmd/main.c
@@ -41,6 +41,7 @@
 			commands[i].arguments, commands[i].summary);
 }
 
+/* Runs an entry until it has drained; returns the exit code. */
 static int entry_main(int argc, char **argv)
 {
 	char *file = NULL;
@@ -112,6 +113,10 @@
 	return EXIT_OK;
 }
 
+/*
+ * Options are recognised only as the first word; the rest belongs to the
+ * command.
+ */
 int main(int argc, char **argv)
 {
 	const char *first = argc > 1 ? argv[1] : NULL;
