--- a/src/job/dispatch.c
+++ b/src/job/dispatch.c
@@ -244,6 +244,10 @@
 	return !r->submit.is_idempotent && *r->submit.request_id && !*r->origin;
 }
 
+/*
+ * Starts an admitted request: it asks for its claim first if it needs one, else
+ * it is queued. Each request earns a part of a retry.
+ */
 static void begin(struct part_ctx *ctx, struct request *r)
 {
 	retry_budget_earn(&r->pool->retry);
@@ -495,6 +499,10 @@
 	}
 }
 
+/*
+ * Waiting requests whose key, team or queue is gone are refused at once (I4);
+ * any other request is checked when it is queued again.
+ */
 static void dispatch_on_config(struct part_ctx *ctx, const struct document *doc)
 {
 	struct dispatch *d = ctx->parts.dispatch;
--- a/src/job/dispatch_run.c
+++ b/src/job/dispatch_run.c
@@ -340,6 +340,10 @@
 			break;
 }
 
+/*
+ * Once FLEET_EXCLUDE_MAX workers were tried, further ones are not kept and may
+ * be chosen again.
+ */
 static void note_tried(struct request *r)
 {
 	size_t i = r->tried_nr;
@@ -384,6 +388,10 @@
 	counters_add(ctx->counters, "retries_total", labels, 1);
 }
 
+/*
+ * The wait is random between BACKOFF_MIN_MS and an upper end that doubles with
+ * each attempt: 10 ms after the first, 160 ms from the fifth on.
+ */
 static void retry_later(struct part_ctx *ctx, struct request *r,
 			const char *reason)
 {
--- a/src/job/long_move.c
+++ b/src/job/long_move.c
@@ -335,6 +335,10 @@
 	long_job_forget(ctx, job);
 }
 
+/*
+ * No answer to the offer came in time: the job is moved by a checkpoint and a
+ * stop.
+ */
 static void on_offer_end(void *arg, uint64_t handle, cs_time now)
 {
 	struct part_ctx *ctx = arg;
--- a/src/job/long_store.c
+++ b/src/job/long_store.c
@@ -254,6 +254,7 @@
 	}
 }
 
+/* A conflict means that an earlier write of the same result took effect. */
 static void on_result(struct part_ctx *ctx, struct long_job *job,
 		      const struct kv_done *done)
 {
