--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -181,6 +181,7 @@
 		w->pool->ejected += sign;
 }
 
+/* Keeps the pool's count of usable slots and the placement heap in step. */
 static void set_usable(struct worker_row *w, bool is_usable, cs_time now)
 {
 	if (w->is_usable == is_usable)
@@ -191,6 +192,10 @@
 	replace_in_heap(w);
 }
 
+/*
+ * Takes a worker out of placement. Its row stays until the last task of this
+ * entry on it has ended.
+ */
 static void remove_worker(struct fleet *f, cs_handle h, struct worker_row *w)
 {
 	if (!w->is_removed) {
@@ -260,6 +265,7 @@
 		!host_list_is_leaving(ctx->parts.fleet->hosts, dh->name));
 }
 
+/* Adds to the slots that the document gives a pool in one data centre. */
 static void add_place_slots(struct fleet *f, const struct doc_host *dh,
 			    int slots)
 {
@@ -400,6 +406,9 @@
 			 on_busy_timer, ctx, h);
 }
 
+/*
+ * Results fade over 20 s, so that a pool's failure rate is that of recent work.
+ */
 static void decay_pool(struct fleet_pool *p, cs_time now)
 {
 	/* Linear within a step is near enough for a pool's mean. */
@@ -723,6 +732,10 @@
 	apply_host_list(ctx);
 }
 
+/*
+ * A usage report replaces the estimate of other entries' tasks. Its age is
+ * kept, because reports lag.
+ */
 static void fleet_on_msg(struct part_ctx *ctx, struct msg *msg)
 {
 	const struct usage *u = &msg->u.usage;
