--- a/src/team/share_table.c
+++ b/src/team/share_table.c
@@ -167,6 +167,10 @@
 	sift_up(p, p->nr++, scale);
 }
 
+/*
+ * The last row takes the place of the removed one and may have to move either
+ * way.
+ */
 static void heap_remove(struct share_pool *p, struct share_row *row,
 			double scale)
 {
