--- a/src/entry/admin_part.c
+++ b/src/entry/admin_part.c
@@ -41,6 +41,7 @@
 	struct slots *calls;
 };
 
+/* Takes over the JSON text. */
 static void reply_json(struct part_ctx *ctx, cs_handle caller, int status,
 		       GString *json)
 {
@@ -262,6 +263,10 @@
 	reply_json(ctx, call->caller, 200, json);
 }
 
+/*
+ * Ready once a document was read, until the drain begins; load balancers ask
+ * this.
+ */
 static void on_ready(struct part_ctx *ctx, const struct admin_call *call)
 {
 	bool is_ready = !ctx->is_draining &&
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -191,6 +191,7 @@
 			part_table[i]->on_config(ctx, doc);
 }
 
+/* Told once, however often SIGTERM comes. */
 static void drain(struct entry *e)
 {
 	int i;
--- a/src/entry/entry_run.c
+++ b/src/entry/entry_run.c
@@ -131,6 +131,10 @@
 	return t->core ? CS_OK : err->code;
 }
 
+/*
+ * The tasks that take requests end first, the bus last. Each function ignores
+ * NULL, so that this also serves after a failed start.
+ */
 static void stop_all(struct tasks *t)
 {
 	front_destroy(t->front);
