--- a/src/claim/claim_codec.c
+++ b/src/claim/claim_codec.c
@@ -31,6 +31,7 @@
 	return json_to_bytes(root, 0);
 }
 
+/* A member takes two elements of the row, from at on: entry and incarnation. */
 static bool decode_member(const json_t *row, size_t at, struct claim_member *m)
 {
 	const char *entry = json_string_value(json_array_get(row, at));
@@ -44,6 +45,10 @@
 	return true;
 }
 
+/*
+ * A row is owner, copy, is_synced and is_blank; a member counts as two
+ * elements.
+ */
 static bool decode_partition(const json_t *row, struct claim_partition *p)
 {
 	if (json_array_size(row) != 6 || !decode_member(row, 0, &p->owner) ||
--- a/src/claim/claim_sync.c
+++ b/src/claim/claim_sync.c
@@ -113,6 +113,7 @@
 	return m;
 }
 
+/* Plans at due, or earlier if an earlier time is set already. */
 static void schedule(struct part_ctx *ctx, cs_time due)
 {
 	struct claim_sync *cs = ctx->parts.claim;
@@ -171,6 +172,7 @@
 	slots_free(cs->asks, h);
 }
 
+/* Sends a verdict of the kind given; ref is the asker's. */
 static void reply(struct part_ctx *ctx, enum peer_kind kind, const char *peer,
 		  uint64_t ref, enum claim_verdict verdict, const char *holder)
 {
@@ -217,6 +219,10 @@
 	finish(ctx, handle, CLAIM_UNKNOWN, "");
 }
 
+/*
+ * Sends the question of row h to the member it asks. The handle goes along as
+ * the reference of the reply.
+ */
 static void send_claim(struct part_ctx *ctx, enum peer_kind kind, cs_handle h)
 {
 	const struct ask *ask = slots_get(ctx->parts.claim->asks, h);
--- a/src/claim/claim_table.c
+++ b/src/claim/claim_table.c
@@ -86,6 +86,10 @@
 	slots_free(t->rows, first);
 }
 
+/*
+ * Claims are in the order in which they were last seen, so the first one that
+ * is still in its window ends the walk.
+ */
 static void expire_queue(struct claim_table *t, struct claim_queue *q,
 			 cs_time now)
 {
