--- a/src/ledger/ledger.c
+++ b/src/ledger/ledger.c
@@ -228,6 +228,7 @@
 	assert(ledger_is_reserve(l) || t->balance >= 0);
 }
 
+/* A team that is not in the list was removed, so its limit is 0. */
 static int64_t find_limit(const struct ledger_limit *limits, size_t nr,
 			  const char *team)
 {
--- a/src/ledger/ledger_account.c
+++ b/src/ledger/ledger_account.c
@@ -121,6 +121,10 @@
 	part_emit(ctx, msg);
 }
 
+/*
+ * A watch may have shown this or a newer version before the answer came; the
+ * candidate is then of no use.
+ */
 static void write_confirmed(struct ledger_account *a, uint64_t version)
 {
 	if (version <= a->version)
--- a/src/ledger/ledger_sync.c
+++ b/src/ledger/ledger_sync.c
@@ -123,6 +123,7 @@
 	bool is_marked;
 };
 
+/* Lowers what is granted to what this version of the document grants. */
 static void add_granted(void *arg, const struct ledger *l)
 {
 	struct granted *g = arg;
@@ -135,6 +136,10 @@
 	g->is_marked = g->is_marked || (h && h->mark);
 }
 
+/*
+ * The least that the document grants under all outcomes of writes that are not
+ * settled. Only that is safe to use (I5).
+ */
 static struct granted granted(const struct part_ctx *ctx, const char *team)
 {
 	const struct ledger_sync *ls = ctx->parts.ledger;
