--- a/src/peer/peer_handshake.c
+++ b/src/peer/peer_handshake.c
@@ -61,6 +61,7 @@
 	crypto_generichash_update(st, (const uint8_t *)s, len);
 }
 
+/* The order of the fields is part of the protocol. */
 static void hash_hello(crypto_generichash_state *st,
 		       const struct peer_hello *hello)
 {
--- a/src/peer/peer_link.c
+++ b/src/peer/peer_link.c
@@ -342,6 +342,10 @@
 		end_conn(link, conn, &err);
 }
 
+/*
+ * Stops accepting for a moment: an error like "too many open files" would
+ * otherwise repeat at once and keep the thread busy.
+ */
 static void on_accept_error(struct evconnlistener *listener, void *arg)
 {
 	static const struct timeval pause = { 0, ACCEPT_PAUSE_MSEC * CS_MSEC };
