--- a/src/platform/platform_client.c
+++ b/src/platform/platform_client.c
@@ -276,6 +276,7 @@
 	       read_number(d->root, "lease", &d->done->lease) && d->done->lease;
 }
 
+/* A lease that has ended is missing and can't be renewed. */
 static bool decode_renew(const struct decoder *d)
 {
 	if (d->status == 404) {
