--- a/src/worker/worker_client.c
+++ b/src/worker/worker_client.c
@@ -391,6 +391,7 @@
 	[MSG_USAGE_POLL] = &usage_ops,
 };
 
+/* Ends a call: the answer goes to the core, and the request is freed. */
 static void on_done(void *ctx, uint64_t ref, const struct http_answer *answer)
 {
 	struct worker_client *client = ctx;
