--- a/src/front/front.c
+++ b/src/front/front.c
@@ -116,6 +116,7 @@
 	}
 }
 
+/* The core drops the caller's request if it still waits. */
 static void on_gone(void *ctx, cs_handle exchange)
 {
 	struct front *f = ctx;
