--- a/src/config/config_relay.c
+++ b/src/config/config_relay.c
@@ -318,6 +318,10 @@
 			MAX(s->platform_heard_at, ctx->now - HOLDER_ANSWER_AGE);
 }
 
+/*
+ * Only the holder within this data centre counts for the election; a peer
+ * elsewhere has its own.
+ */
 static void on_heartbeat(struct part_ctx *ctx, struct config_peer *peer,
 			 struct peer_msg *msg)
 {
--- a/src/config/config_sync.c
+++ b/src/config/config_sync.c
@@ -180,6 +180,10 @@
 	config_ops_tick(ctx);
 }
 
+/*
+ * The times of last contact begin now, so that an entry that starts during an
+ * outage does not count as isolated at once.
+ */
 static void start(struct part_ctx *ctx)
 {
 	struct config_sync *s = state(ctx);
--- a/src/config/document_apply.c
+++ b/src/config/document_apply.c
@@ -197,6 +197,7 @@
 	return CS_OK;
 }
 
+/* Takes a data centre out of service (I6), or back in. */
 static int set_out(struct document *doc, const char *name, bool is_out,
 		   struct cs_error *err)
 {
--- a/src/config/document_rules.c
+++ b/src/config/document_rules.c
@@ -184,6 +184,7 @@
 	check_reference(st, DOC_WORKERS, worker->name, DOC_HOSTS, worker->host);
 }
 
+/* Only an open queue must name a team; any other queue may. */
 static void check_queue(struct check_state *st, const void *row)
 {
 	const struct doc_queue *queue = row;
@@ -223,6 +224,7 @@
 	}
 }
 
+/* st->slots is the sum over all workers of the document. */
 static void check_team(struct check_state *st, const void *row)
 {
 	const struct doc_team *team = row;
