--- a/src/pool/plan_check.c
+++ b/src/pool/plan_check.c
@@ -22,6 +22,9 @@
 	a->dc_down[h->place.data_centre] += down;
 }
 
+/*
+ * True if the host's rack, pool and data centre are all within their budgets.
+ */
 static bool holds_for(const struct audit *a, const struct plan_input *in,
 		      const struct plan_host *h)
 {
--- a/src/pool/plan_maintain.c
+++ b/src/pool/plan_maintain.c
@@ -12,6 +12,7 @@
 /* What stays of a pool must hold this much of its demand, in percent. */
 #define DEMAND_MARGIN_PERCENT 110
 
+/* The host whose last maintenance is longest ago comes first. */
 static int compare_age(gconstpointer a, gconstpointer b, gpointer arg)
 {
 	const struct plan_input *in = arg;
--- a/src/pool/plan_move.c
+++ b/src/pool/plan_move.c
@@ -127,6 +127,7 @@
 	return *(const int *)a - *(const int *)b;
 }
 
+/* Spare pools come first, then the pool with the most slots to spare. */
 static int compare_donors(const void *a, const void *b)
 {
 	const struct donor *x = *(struct donor *const *)a;
--- a/src/pool/planner.c
+++ b/src/pool/planner.c
@@ -94,6 +94,10 @@
 	part_emit(ctx, planner_call(ctx, CALL_DOWN, KV_LIST, DOWN_PREFIX));
 }
 
+/*
+ * A new epoch makes late answers to earlier calls void. Two answers are
+ * awaited: records and reports of failed hosts.
+ */
 static void begin_reading(struct part_ctx *ctx)
 {
 	struct planner *p = ctx->parts.planner;
@@ -286,6 +290,7 @@
 	enter(ctx, PLANNER_READY);
 }
 
+/* All steps are one change: they are applied together or not at all. */
 static void send_changes(struct part_ctx *ctx)
 {
 	struct planner *p = ctx->parts.planner;
