--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -227,6 +227,7 @@
 	return s;
 }
 
+/* All sections of other entries ("peer NAME") share one row. */
 static const struct section_row *find_section_row(const char *name)
 {
 	bool is_other = g_str_has_prefix(name, "peer ");
@@ -426,6 +427,10 @@
 	}
 }
 
+/*
+ * Makes sections that the file lacks, so that their defaults apply and missing
+ * keys are reported.
+ */
 static void complete_sections(struct reading *r)
 {
 	size_t i;
--- a/src/settings/settings_value.c
+++ b/src/settings/settings_value.c
@@ -104,6 +104,7 @@
 	append_range(out, key, "a number", no_units);
 }
 
+/* min and max bound the length here. */
 static bool parse_name(const struct settings_key *key, const char *value,
 		       void *field)
 {
