--- a/src/ctl/ctl_table.c
+++ b/src/ctl/ctl_table.c
@@ -43,6 +43,7 @@
 		g_ptr_array_add(keys, (gpointer)key);
 }
 
+/* True for an array that is not empty and holds only objects. */
 static bool is_table(const json_t *value)
 {
 	size_t i;
