--- a/src/base/http_server.c
+++ b/src/base/http_server.c
@@ -144,6 +144,7 @@
 	return EVHTP_RES_OK;
 }
 
+/* The connection may carry another request, so its counts begin anew. */
 static evhtp_res on_request_fini(evhtp_request_t *req, void *arg)
 {
 	struct connection *c = arg;
--- a/src/base/mailbox.c
+++ b/src/base/mailbox.c
@@ -73,6 +73,10 @@
 	} while (n < 0 && errno == EINTR);
 }
 
+/*
+ * Reading an eventfd resets it to 0. It does not block, so an fd that is 0
+ * already is no error.
+ */
 static void clear_fd(int fd)
 {
 	uint64_t count;
--- a/src/base/timers.c
+++ b/src/base/timers.c
@@ -24,6 +24,10 @@
 	uint64_t sequence;
 };
 
+/*
+ * Timers due at the same time run in the order of subscription, which keeps
+ * seeded runs repeatable.
+ */
 static bool is_before(const struct heap_node *a, const struct heap_node *b)
 {
 	const struct timer_row *x = (const struct timer_row *)a;
