job: rename job_of() of the long work's timers to timer_job()

It also sets the part's time, so the old name told half of what it does. It is static and has four callers. Comments on short functions are added; behaviour is unchanged.

--- a/src/job/dispatch.c
+++ b/src/job/dispatch.c
@@ -518,6 +518,10 @@
 	ctx->parts.dispatch->drain_began = ctx->now;
 }
 
+/*
+ * Not drained before the grace period ends, since callers may still be sent
+ * here.
+ */
 static bool dispatch_is_drained(struct part_ctx *ctx)
 {
 	struct dispatch *d = ctx->parts.dispatch;
--- a/src/job/dispatch_run.c
+++ b/src/job/dispatch_run.c
@@ -24,6 +24,7 @@
  */
 #define HOLD_MARGIN (5 * CS_SEC)
 
+/* Ends the counts of an attempt. The caller releases or holds its permit. */
 static void finish_attempt(struct part_ctx *ctx, struct request *r,
 			   enum fleet_result result)
 {
@@ -230,6 +231,10 @@
 		dispatch_tell_demand(ctx, r->team);
 }
 
+/*
+ * The team's queue is passed over until a permit may be there; the ledger
+ * learns of the demand.
+ */
 static void block_team(struct part_ctx *ctx, struct team_queue *q)
 {
 	q->is_blocked = true;
@@ -477,6 +482,10 @@
 	attempt_failed(ctx, r, done);
 }
 
+/*
+ * The worker is judged as for a failure, and the permit is held until the task
+ * has certainly ended (I5).
+ */
 static void on_unknown(struct part_ctx *ctx, struct request *r,
 		       struct task_done *done)
 {
--- a/src/job/long_move.c
+++ b/src/job/long_move.c
@@ -240,6 +240,7 @@
 	return adopt(ctx, &r, row->version, NULL);
 }
 
+/* True for a record that the scan in arg did not list: it was deleted. */
 static gboolean was_not_scanned(gpointer id, gpointer value, gpointer arg)
 {
 	const struct seen_record *seen = value;
--- a/src/job/long_run.c
+++ b/src/job/long_run.c
@@ -28,8 +28,12 @@
 				      job->self);
 }
 
-static struct long_job *job_of(struct part_ctx *ctx, uint64_t handle,
-			       cs_time now)
+/*
+ * The job that a timer belongs to, or NULL if it is gone. Also sets the part's
+ * time to now.
+ */
+static struct long_job *timer_job(struct part_ctx *ctx, uint64_t handle,
+				  cs_time now)
 {
 	ctx->now = now;
 	return slots_get(ctx->parts.long_work->jobs, handle);
@@ -137,7 +141,7 @@
 static void on_lost_end(void *arg, uint64_t handle, cs_time now)
 {
 	struct part_ctx *ctx = arg;
-	struct long_job *job = job_of(ctx, handle, now);
+	struct long_job *job = timer_job(ctx, handle, now);
 
 	if (!job || job->phase != PHASE_LOST)
 		return;
@@ -169,7 +173,7 @@
 static void on_renew_timer(void *arg, uint64_t handle, cs_time now)
 {
 	struct part_ctx *ctx = arg;
-	struct long_job *job = job_of(ctx, handle, now);
+	struct long_job *job = timer_job(ctx, handle, now);
 
 	if (!job)
 		return;
@@ -192,10 +196,14 @@
 			on_renew_timer, ctx, job->self);
 }
 
+/*
+ * A failed attempt shares PHASE_LOST with one that was lost; its end is known,
+ * so there is no lease to wait for.
+ */
 static void on_failed_wait(void *arg, uint64_t handle, cs_time now)
 {
 	struct part_ctx *ctx = arg;
-	struct long_job *job = job_of(ctx, handle, now);
+	struct long_job *job = timer_job(ctx, handle, now);
 
 	if (job && job->phase == PHASE_LOST)
 		continue_or_end(ctx, job, true);
@@ -327,7 +335,7 @@
 static void on_fetch_retry(void *arg, uint64_t handle, cs_time now)
 {
 	struct part_ctx *ctx = arg;
-	struct long_job *job = job_of(ctx, handle, now);
+	struct long_job *job = timer_job(ctx, handle, now);
 
 	if (job && job->phase == PHASE_FETCHING)
 		send_control(ctx, job, TASK_RESULT);
