--- a/src/ledger/ledger_plan.c
+++ b/src/ledger/ledger_plan.c
@@ -34,7 +34,9 @@
 	bool starved; /* an entry that wants permits holds none */
 };
 
-static enum ledger_urgency most(enum ledger_urgency a, enum ledger_urgency b)
+/* The urgencies are in rising order. */
+static enum ledger_urgency more_urgent(enum ledger_urgency a,
+				       enum ledger_urgency b)
 {
 	return a > b ? a : b;
 }
@@ -382,7 +384,8 @@
 	if (gap && release_free(own, me, use, f, MIN(gap, f->held - keep)))
 		urgency = LEDGER_SOON;
 	if (f->lack_elsewhere && !f->debt)
-		urgency = most(urgency, help_others(w, own, me, use, f, keep));
+		urgency = more_urgent(urgency,
+				      help_others(w, own, me, use, f, keep));
 	/* Only permits that would be used again at once need holding back. */
 	use->hold_back = 0;
 	if (keep < f->busy)
@@ -391,7 +394,7 @@
 		use->idle = 0;
 		return urgency;
 	}
-	return most(urgency, return_idle(w, own, me, use, f));
+	return more_urgent(urgency, return_idle(w, own, me, use, f));
 }
 
 /* Says in the document how many more permits the entry could use. */
@@ -418,7 +421,7 @@
 	    ABS(n - old) <= 1 + old / 2)
 		return urgency;
 	ledger_want(me, use->team, n);
-	return most(urgency, n > old ? LEDGER_NOW : LEDGER_LAZY);
+	return more_urgent(urgency, n > old ? LEDGER_NOW : LEDGER_LAZY);
 }
 
 /* Marks and reclaims dead holders; superseded ones count as dead. */
@@ -477,10 +480,11 @@
 	guint i;
 
 	if (w->reserve)
-		urgency = most(urgency, settle_with(l, w->reserve));
+		urgency = more_urgent(urgency, settle_with(l, w->reserve));
 	for (i = 0; i < w->others->len; i++)
-		urgency = most(urgency,
-			       settle_with(l, g_ptr_array_index(w->others, i)));
+		urgency = more_urgent(
+			urgency,
+			settle_with(l, g_ptr_array_index(w->others, i)));
 	return urgency;
 }
 
@@ -509,9 +513,9 @@
 
 	if (w->is_draining && !ledger_holder(own, w->entry, w->incarnation))
 		return LEDGER_UNCHANGED;
-	urgency = most(urgency, bury(w, own));
+	urgency = more_urgent(urgency, bury(w, own));
 	if (!ledger_holder(own, w->entry, w->incarnation))
-		urgency = most(urgency, LEDGER_SOON);
+		urgency = more_urgent(urgency, LEDGER_SOON);
 	me = ledger_holder_make(own, w->entry, w->incarnation);
 	if (me->mark) {
 		ledger_unmark(me);
@@ -523,9 +527,9 @@
 		struct figures f = figures_of(w, own, use);
 		enum ledger_urgency step = take(w, own, me, use, &f);
 
-		step = most(step, give(w, own, me, use, &f));
+		step = more_urgent(step, give(w, own, me, use, &f));
 		step = want(w, own, me, use, &f, step);
-		urgency = most(urgency, step);
+		urgency = more_urgent(urgency, step);
 	}
 	if (w->run_ms > me->run_ms) {
 		me->run_ms = w->run_ms;
@@ -534,7 +538,7 @@
 		/* Lowering saves nothing while the entry lives. */
 		me->run_ms = w->run_ms;
 	}
-	return w->is_draining ? most(urgency, leave(w, own)) : urgency;
+	return w->is_draining ? more_urgent(urgency, leave(w, own)) : urgency;
 }
 
 /* Sends permits of one team from the reserve to the own data centre. */
@@ -578,10 +582,10 @@
 	guint i;
 
 	if (!ledger_set_limits(reserve, revision, limits, limits_nr))
-		urgency = most(urgency, LEDGER_SOON);
+		urgency = more_urgent(urgency, LEDGER_SOON);
 	w->reserve = reserve;
 	for (i = 0; i < w->uses->len; i++)
-		urgency = most(
+		urgency = more_urgent(
 			urgency,
 			fetch(w, reserve, own,
 			      &g_array_index(w->uses, struct ledger_use, i)));
