--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -209,6 +209,10 @@
 		slots_free(f->workers, h);
 }
 
+/*
+ * Equally loaded workers are in another order at each entry, so that entries
+ * rarely choose the same one.
+ */
 static uint32_t tie_of(const char *entry, const char *worker)
 {
 	return g_str_hash(worker) * 2654435761u ^ g_str_hash(entry) * 40503u;
@@ -374,8 +378,8 @@
 }
 
 /*
- * Halves the estimate of other entries' tasks until it is 0, since a worker
- * does not report when their tasks end.
+ * Halves the estimate of other entries' tasks until it is 0, since nothing
+ * tells when their tasks end before the next usage report.
  */
 static void on_busy_timer(void *arg, uint64_t worker, cs_time now)
 {
@@ -458,6 +462,9 @@
 	worker_event(ctx, w, LOG_INFO, "worker_trial");
 }
 
+/*
+ * The caller has set the state and end of the ejection in the worker's health.
+ */
 static void eject(struct part_ctx *ctx, cs_handle h, struct worker_row *w,
 		  const char *event)
 {
@@ -619,6 +626,10 @@
 	return host_list_is_live(ctx->parts.fleet->hosts, host);
 }
 
+/*
+ * Only a report that is younger than the drain counts, since other entries may
+ * have started tasks until it was in force.
+ */
 static bool is_worker_idle(const struct worker_row *w)
 {
 	return !w->is_usable && !w->own && !w->reported_running &&
