--- a/src/team/share.c
+++ b/src/team/share.c
@@ -456,6 +456,7 @@
 	double change;
 };
 
+/* The largest change first; handles make the order of equal ones repeatable. */
 static int compare_change(gconstpointer a, gconstpointer b)
 {
 	const struct candidate *x = a, *y = b;
@@ -528,7 +529,8 @@
 
 /*
  * Sends the rows that changed most to the receivers of the scope, as many as
- * SUMMARY_BYTES_PER_SECOND allows; the others wait for a later tick.
+ * SUMMARY_BYTES_PER_SECOND allows, but at least ROWS_MIN; the others wait for a
+ * later tick.
  */
 static void send_summaries(struct part_ctx *ctx, enum share_scope scope)
 {
@@ -691,6 +693,10 @@
 	}
 }
 
+/*
+ * The first tick is at a random time, so that entries started together do not
+ * send at once.
+ */
 static void share_start(struct part_ctx *ctx)
 {
 	ctx->parts.share->table.epoch = ctx->now;
