--- a/src/entry/entry_run.c
+++ b/src/entry/entry_run.c
@@ -86,10 +86,7 @@
 	return t->peer ? CS_OK : err->code;
 }
 
-/*
- * Starts the listening tasks, the admin interface first, so that health can be
- * asked before requests are taken.
- */
+/* Starts the tasks that listen. */
 static int start_servers(struct tasks *t, const struct settings *s,
 			 struct cs_error *err)
 {
@@ -171,6 +168,10 @@
 	return n > 0;
 }
 
+/*
+ * Waits for at most s->drain_ms. Then the tasks linger for a moment, so that
+ * the last replies leave.
+ */
 static void drain(struct tasks *t, const struct settings *s)
 {
 	write_event(t, s, "draining");
