--- a/src/claim/claim_sync.c
+++ b/src/claim/claim_sync.c
@@ -236,6 +236,10 @@
 	part_emit(ctx, msg);
 }
 
+/*
+ * A blank owner took over without the claims granted before; for one window it
+ * can't tell a first submission from a repeated one.
+ */
 static bool is_blank(const struct part_ctx *ctx, uint32_t partition)
 {
 	cs_time since = ctx->parts.claim->blank_since[partition];
@@ -580,6 +584,10 @@
 	}
 }
 
+/*
+ * The next round has another number, so that late acknowledgements do not
+ * count.
+ */
 static void stop_sync(struct sync *s)
 {
 	memset(&s->copy, 0, sizeof(s->copy));
