--- a/src/worker/worker_client.c
+++ b/src/worker/worker_client.c
@@ -110,6 +110,10 @@
 	}
 }
 
+/*
+ * Only a 429 says that the worker declined before it ran anything; any other
+ * status is its answer.
+ */
 static enum task_result task_result(const struct http_answer *answer)
 {
 	if (answer->result == HTTP_NOT_SENT)
