--- a/src/config/config_change.c
+++ b/src/config/config_change.c
@@ -289,6 +289,7 @@
 		       "the platform can't be reached\n");
 }
 
+/* The outcome of a write is unknown: it is read back by its change id. */
 static void settle(struct part_ctx *ctx, struct config_op *op)
 {
 	enter(ctx, op, OP_SETTLING);
