--- a/src/pool/plan.c
+++ b/src/pool/plan.c
@@ -144,6 +144,7 @@
 	g_array_append_val(r->plan->refusals, s);
 }
 
+/* A host gets at most one step per plan. */
 static void add_step(struct plan_round *r, enum plan_op op, int host, int pool,
 		     enum plan_reason reason)
 {
--- a/src/pool/plan_move.c
+++ b/src/pool/plan_move.c
@@ -74,6 +74,10 @@
 	return p->demand < p->memory.peak * FALLING_PART;
 }
 
+/*
+ * since is the time from which a condition has held without a break; 0 while it
+ * does not.
+ */
 static void start_or_clear(cs_time *since, bool is_true, cs_time now)
 {
 	if (!is_true)
--- a/src/pool/planner.c
+++ b/src/pool/planner.c
@@ -59,6 +59,7 @@
 	return msg;
 }
 
+/* No answer is awaited in a new state until the caller sets p->calls. */
 static void enter(struct part_ctx *ctx, enum planner_state state)
 {
 	struct planner *p = ctx->parts.planner;
@@ -406,6 +407,10 @@
 	}
 }
 
+/*
+ * A refused change needs no action: the next round finds the same hosts
+ * draining and tries again.
+ */
 static void on_emptied(struct part_ctx *ctx, uint64_t ref, int code,
 		       uint64_t revision, const char *detail)
 {
@@ -606,6 +611,10 @@
 	go_idle(ctx, "draining");
 }
 
+/*
+ * The first round is at a random time, so that entries started together do not
+ * read at once.
+ */
 static void planner_start(struct part_ctx *ctx)
 {
 	timers_subscribe(ctx->timers,
