--- a/src/settings/settings_value.c
+++ b/src/settings/settings_value.c
@@ -65,6 +65,7 @@
 	append_number(out, key->max, units);
 }
 
+/* The field is in milliseconds. */
 static bool parse_duration(const struct settings_key *key, const char *value,
 			   void *field)
 {
@@ -218,6 +219,10 @@
 	return true;
 }
 
+/*
+ * The field gets the secret's digest, which serves as key; the secret itself is
+ * not kept.
+ */
 static bool parse_secret(const struct settings_key *key, const char *value,
 			 void *field)
 {
