--- a/src/base/http_server.c
+++ b/src/base/http_server.c
@@ -250,8 +250,8 @@
 }
 
 /*
- * Frees the row when libevhtp closes the connection. Faults of the parser are
- * answered here, since no earlier hook sees them.
+ * Frees the row when libevhtp closes the connection. A fault that libevhtp's
+ * parser found is answered here.
  */
 static evhtp_res on_connection_fini(evhtp_connection_t *conn, void *arg)
 {
--- a/src/base/trace.c
+++ b/src/base/trace.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Random and never 0. */
 static uint64_t random_u64(GRand *rng)
 {
 	uint64_t v = ((uint64_t)g_rand_int(rng) << 32) | g_rand_int(rng);
