--- a/src/config/document_rules.c
+++ b/src/config/document_rules.c
@@ -184,6 +184,7 @@
 	check_reference(st, DOC_WORKERS, worker->name, DOC_HOSTS, worker->host);
 }
 
+/* Only an open queue must name a team; any other queue may. */
 static void check_queue(struct check_state *st, const void *row)
 {
 	const struct doc_queue *queue = row;
@@ -194,6 +195,10 @@
 				queue->team);
 }
 
+/*
+ * A digest may belong to one team only; labels are sorted, so equal ones are
+ * neighbours.
+ */
 static void check_keys(struct check_state *st, const struct doc_team *team)
 {
 	size_t i;
@@ -219,6 +224,7 @@
 	}
 }
 
+/* st->slots is the sum over all workers of the document. */
 static void check_team(struct check_state *st, const void *row)
 {
 	const struct doc_team *team = row;
--- a/src/entry/entry_run.c
+++ b/src/entry/entry_run.c
@@ -86,10 +86,7 @@
 	return t->peer ? CS_OK : err->code;
 }
 
-/*
- * Starts the listening tasks, the admin interface first, so that health can be
- * asked before requests are taken.
- */
+/* Starts the tasks that listen. */
 static int start_servers(struct tasks *t, const struct settings *s,
 			 struct cs_error *err)
 {
@@ -131,6 +128,10 @@
 	return t->core ? CS_OK : err->code;
 }
 
+/*
+ * The tasks that take requests end first, the bus last. Each function ignores
+ * NULL, so that this also serves after a failed start.
+ */
 static void stop_all(struct tasks *t)
 {
 	front_destroy(t->front);
@@ -167,6 +168,10 @@
 	return n > 0;
 }
 
+/*
+ * Waits for at most s->drain_ms. Then the tasks linger for a moment, so that
+ * the last replies leave.
+ */
 static void drain(struct tasks *t, const struct settings *s)
 {
 	write_event(t, s, "draining");
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -181,6 +181,7 @@
 		w->pool->ejected += sign;
 }
 
+/* Keeps the pool's count of usable slots and the placement heap in step. */
 static void set_usable(struct worker_row *w, bool is_usable, cs_time now)
 {
 	if (w->is_usable == is_usable)
@@ -191,6 +192,10 @@
 	replace_in_heap(w);
 }
 
+/*
+ * Takes a worker out of placement. Its row stays until the last task of this
+ * entry on it has ended.
+ */
 static void remove_worker(struct fleet *f, cs_handle h, struct worker_row *w)
 {
 	if (!w->is_removed) {
@@ -204,6 +209,10 @@
 		slots_free(f->workers, h);
 }
 
+/*
+ * Equally loaded workers are in another order at each entry, so that entries
+ * rarely choose the same one.
+ */
 static uint32_t tie_of(const char *entry, const char *worker)
 {
 	return g_str_hash(worker) * 2654435761u ^ g_str_hash(entry) * 40503u;
@@ -260,6 +269,7 @@
 		!host_list_is_leaving(ctx->parts.fleet->hosts, dh->name));
 }
 
+/* Adds to the slots that the document gives a pool in one data centre. */
 static void add_place_slots(struct fleet *f, const struct doc_host *dh,
 			    int slots)
 {
@@ -375,8 +385,8 @@
 }
 
 /*
- * Halves the estimate of other entries' tasks until it is 0, since a worker
- * does not report when their tasks end.
+ * Halves the estimate of other entries' tasks until it is 0, since nothing
+ * tells when their tasks end before the next usage report.
  */
 static void on_busy_timer(void *arg, uint64_t worker, cs_time now)
 {
@@ -407,6 +417,9 @@
 			 on_busy_timer, ctx, h);
 }
 
+/*
+ * Results fade over 20 s, so that a pool's failure rate is that of recent work.
+ */
 static void decay_pool(struct fleet_pool *p, cs_time now)
 {
 	/* Linear within a step is near enough for a pool's mean. */
@@ -456,6 +469,9 @@
 	worker_event(ctx, w, LOG_INFO, "worker_trial");
 }
 
+/*
+ * The caller has set the state and end of the ejection in the worker's health.
+ */
 static void eject(struct part_ctx *ctx, cs_handle h, struct worker_row *w,
 		  const char *event)
 {
@@ -617,6 +633,10 @@
 	return host_list_is_live(ctx->parts.fleet->hosts, host);
 }
 
+/*
+ * Only a report that is younger than the drain counts, since other entries may
+ * have started tasks until it was in force.
+ */
 static bool is_worker_idle(const struct worker_row *w)
 {
 	return !w->is_usable && !w->own && !w->reported_running &&
@@ -730,6 +750,10 @@
 	apply_host_list(ctx);
 }
 
+/*
+ * A usage report replaces the estimate of other entries' tasks. Its age is
+ * kept, because reports lag.
+ */
 static void fleet_on_msg(struct part_ctx *ctx, struct msg *msg)
 {
 	const struct usage *u = &msg->u.usage;
--- a/src/job/dispatch_run.c
+++ b/src/job/dispatch_run.c
@@ -24,6 +24,7 @@
  */
 #define HOLD_MARGIN (5 * CS_SEC)
 
+/* Ends the counts of an attempt. The caller releases or holds its permit. */
 static void finish_attempt(struct part_ctx *ctx, struct request *r,
 			   enum fleet_result result)
 {
@@ -236,6 +237,10 @@
 		dispatch_tell_demand(ctx, r->team);
 }
 
+/*
+ * The team's queue is passed over until a permit may be there; the ledger
+ * learns of the demand.
+ */
 static void block_team(struct part_ctx *ctx, struct team_queue *q)
 {
 	q->is_blocked = true;
@@ -346,6 +351,10 @@
 			break;
 }
 
+/*
+ * Once FLEET_EXCLUDE_MAX workers were tried, further ones are not kept and may
+ * be chosen again.
+ */
 static void note_tried(struct request *r)
 {
 	size_t i = r->tried_nr;
@@ -390,6 +399,10 @@
 	counters_add(ctx->counters, "retries_total", labels, 1);
 }
 
+/*
+ * The wait is random between BACKOFF_MIN_MS and an upper end that doubles with
+ * each attempt: 10 ms after the first, 160 ms from the fifth on.
+ */
 static void retry_later(struct part_ctx *ctx, struct request *r,
 			const char *reason)
 {
@@ -475,6 +488,10 @@
 	attempt_failed(ctx, r, done);
 }
 
+/*
+ * The worker is judged as for a failure, and the permit is held until the task
+ * has certainly ended (I5).
+ */
 static void on_unknown(struct part_ctx *ctx, struct request *r,
 		       struct task_done *done)
 {
--- a/src/job/long_move.c
+++ b/src/job/long_move.c
@@ -244,6 +244,7 @@
 	return adopt(ctx, &r, row->version, NULL);
 }
 
+/* True for a record that the scan in arg did not list: it was deleted. */
 static gboolean was_not_scanned(gpointer id, gpointer value, gpointer arg)
 {
 	const struct seen_record *seen = value;
@@ -363,6 +364,10 @@
 	long_job_forget(ctx, job);
 }
 
+/*
+ * No answer to the offer came in time: the job is moved by a checkpoint and a
+ * stop.
+ */
 static void on_offer_end(void *arg, uint64_t handle, cs_time now)
 {
 	struct part_ctx *ctx = arg;
--- a/src/pool/plan_move.c
+++ b/src/pool/plan_move.c
@@ -74,6 +74,10 @@
 	return p->demand < p->memory.peak * FALLING_PART;
 }
 
+/*
+ * since is the time from which a condition has held without a break; 0 while it
+ * does not.
+ */
 static void start_or_clear(cs_time *since, bool is_true, cs_time now)
 {
 	if (!is_true)
@@ -107,6 +111,10 @@
 	}
 }
 
+/*
+ * Orders host numbers by pool; within a pool the host that is cheapest to give
+ * away comes first.
+ */
 static int compare_hosts(gconstpointer a, gconstpointer b, gpointer arg)
 {
 	const struct plan_input *in = arg;
@@ -123,6 +131,7 @@
 	return *(const int *)a - *(const int *)b;
 }
 
+/* Spare pools come first, then the pool with the most slots to spare. */
 static int compare_donors(const void *a, const void *b)
 {
 	const struct donor *x = *(struct donor *const *)a;
@@ -306,6 +315,10 @@
 	}
 }
 
+/*
+ * Finds the pools that may ask for hosts. A pool that is short but does not
+ * qualify yet gets a refusal with the reason, for the operators.
+ */
 static void gather_borrowers(struct move_round *m)
 {
 	const struct plan_input *in = m->r->in;
--- a/src/pool/planner.c
+++ b/src/pool/planner.c
@@ -59,6 +59,7 @@
 	return msg;
 }
 
+/* No answer is awaited in a new state until the caller sets p->calls. */
 static void enter(struct part_ctx *ctx, enum planner_state state)
 {
 	struct planner *p = ctx->parts.planner;
@@ -94,6 +95,10 @@
 	part_emit(ctx, planner_call(ctx, CALL_DOWN, KV_LIST, DOWN_PREFIX));
 }
 
+/*
+ * A new epoch makes late answers to earlier calls void. Two answers are
+ * awaited: records and reports of failed hosts.
+ */
 static void begin_reading(struct part_ctx *ctx)
 {
 	struct planner *p = ctx->parts.planner;
@@ -150,6 +155,7 @@
 	return NULL;
 }
 
+/* Logs a step when it is planned. Its change may still be refused. */
 static void step_event(struct part_ctx *ctx, const struct change *c,
 		       enum plan_reason reason)
 {
@@ -252,6 +258,11 @@
 	}
 }
 
+/*
+ * Takes the result of a set of changes. After a timeout the planner is quiet
+ * for a while, because the change may still take effect; hosts of an invalid
+ * change are held back.
+ */
 static void on_changed(struct part_ctx *ctx, uint64_t ref, int code,
 		       uint64_t revision, const char *detail)
 {
@@ -280,6 +291,7 @@
 	enter(ctx, PLANNER_READY);
 }
 
+/* All steps are one change: they are applied together or not at all. */
 static void send_changes(struct part_ctx *ctx)
 {
 	struct planner *p = ctx->parts.planner;
@@ -335,6 +347,11 @@
 		g_hash_table_add(p->dirty, key);
 }
 
+/*
+ * Plans and sends the steps, or nothing if the plan would break a budget.
+ * Records are written before changes, so that another planner can finish what
+ * this one began.
+ */
 static void plan_now(struct part_ctx *ctx)
 {
 	struct planner *p = ctx->parts.planner;
@@ -362,6 +379,10 @@
 	planner_input_clear(&in);
 }
 
+/*
+ * One round as planner. A call without an answer for CALL_PATIENCE makes it
+ * read everything anew.
+ */
 static void run_planner(struct part_ctx *ctx)
 {
 	struct planner *p = ctx->parts.planner;
@@ -386,6 +407,10 @@
 	}
 }
 
+/*
+ * A refused change needs no action: the next round finds the same hosts
+ * draining and tries again.
+ */
 static void on_emptied(struct part_ctx *ctx, uint64_t ref, int code,
 		       uint64_t revision, const char *detail)
 {
@@ -438,6 +463,10 @@
 		empty_own_hosts(ctx);
 }
 
+/*
+ * Each round decides anew whether this entry plans, and whether it leads its
+ * data centre and reports its hosts.
+ */
 static void on_round(void *arg, uint64_t unused, cs_time now)
 {
 	struct part_ctx *ctx = arg;
@@ -497,6 +526,10 @@
 	}
 }
 
+/*
+ * Takes the results of reading and writing records. Anything unexpected sends
+ * the planner back to the beginning.
+ */
 static void on_records(struct part_ctx *ctx, const struct kv_done *done)
 {
 	struct planner *p = ctx->parts.planner;
@@ -524,6 +557,10 @@
 	go_idle(ctx, "records_not_current");
 }
 
+/*
+ * Routes a result by the kind in its token. What an earlier epoch asked for is
+ * ignored, except for reports of this entry, which do not depend on a plan.
+ */
 static void planner_on_kv(struct part_ctx *ctx, const struct kv_done *done)
 {
 	struct planner *p = ctx->parts.planner;
@@ -574,6 +611,10 @@
 	go_idle(ctx, "draining");
 }
 
+/*
+ * The first round is at a random time, so that entries started together do not
+ * read at once.
+ */
 static void planner_start(struct part_ctx *ctx)
 {
 	timers_subscribe(ctx->timers,
@@ -587,6 +628,10 @@
 	record_table_destroy(table);
 }
 
+/*
+ * The dirty table borrows its keys from the records; the other tables own
+ * theirs.
+ */
 static int planner_create(struct part_ctx *ctx, struct cs_error *err)
 {
 	struct planner *p = g_new0(struct planner, 1);
@@ -609,6 +654,7 @@
 	return CS_OK;
 }
 
+/* The dirty table goes before the records, whose keys it borrows. */
 static void planner_destroy(struct part_ctx *ctx)
 {
 	struct planner *p = ctx->parts.planner;
--- a/src/settings/settings_value.c
+++ b/src/settings/settings_value.c
@@ -65,6 +65,7 @@
 	append_number(out, key->max, units);
 }
 
+/* The field is in milliseconds. */
 static bool parse_duration(const struct settings_key *key, const char *value,
 			   void *field)
 {
@@ -104,6 +105,7 @@
 	append_range(out, key, "a number", no_units);
 }
 
+/* min and max bound the length here. */
 static bool parse_name(const struct settings_key *key, const char *value,
 		       void *field)
 {
@@ -168,6 +170,7 @@
 	g_string_append(out, "debug, info, warn, error or fatal");
 }
 
+/* Returns false for a name that is not a mode. */
 static bool parse_isolated(const struct settings_key *key, const char *value,
 			   void *field)
 {
@@ -216,6 +219,10 @@
 	return true;
 }
 
+/*
+ * The field gets the secret's digest, which serves as key; the secret itself is
+ * not kept.
+ */
 static bool parse_secret(const struct settings_key *key, const char *value,
 			 void *field)
 {
