--- a/src/team/share.c
+++ b/src/team/share.c
@@ -64,10 +64,26 @@
 	share_row_touch(&ctx->parts.share->table, row, ctx->now);
 }
 
+/* A waiting team by the length of its queue, as the order of arrival does. */
+static cs_handle next_by_queue(struct part_ctx *ctx, const struct share_pool *p)
+{
+	int sum = 0, n;
+	size_t i;
+
+	for (i = 0; i < p->nr; i++)
+		sum += p->heap[i]->queued;
+	n = sum ? g_rand_int_range(ctx->rng, 0, sum) : 0;
+	for (i = 0; i + 1 < p->nr && n >= p->heap[i]->queued; i++)
+		n -= p->heap[i]->queued;
+	return p->heap[i]->self;
+}
+
 cs_handle share_next(struct part_ctx *ctx, const char *pool)
 {
 	struct share_pool *p = share_table_pool(&ctx->parts.share->table, pool);
 
+	if (p && p->nr && MUTANT(ctx, "share-fcfs"))
+		return next_by_queue(ctx, p);
 	return p && p->nr ? p->heap[0]->self : 0;
 }
 
@@ -612,6 +628,7 @@
 		const struct summary_row *r = &peer->u.summary.rows[i];
 		const struct doc_team *team = document_team(doc, r->team);
 		struct share_row *row;
+		int64_t used_ms = MUTANT(ctx, "share-local") ? 0 : r->used_ms;
 
 		if (!team || !document_pool(doc, r->pool) || r->queued < 0 ||
 		    r->running < 0 || r->used_ms < 0)
@@ -620,7 +637,7 @@
 				      ctx->now);
 		if (row)
 			share_source_set(&sh->table, source, row, r->queued,
-					 r->running, r->used_ms, ctx->now);
+					 r->running, used_ms, ctx->now);
 	}
 	if (*place && strcmp(ctx->options->peers[sender].data_centre,
 			     ctx->options->data_centre))
