dispatch: use a permit that came free at once

Cause: a team without a permit is passed over until the next tick of 20 ms, also when a permit of its own came free before that. After each task a permit lay unused for 10 ms on average: 10% of the limit with tasks of 100 ms.

Change: the end of a task of a team that waits for a permit ends that wait in its pool.

--- a/src/job/dispatch_run.c
+++ b/src/job/dispatch_run.c
@@ -440,10 +440,24 @@
 	dispatch_refuse(ctx, r, &lost);
 }
 
+/*
+ * Gives the permit of a task that has ended back. The next request of the
+ * team can have it at once: waiting for the tick would leave a part of the
+ * limit unused after each task.
+ */
+static void release_permit(struct part_ctx *ctx, struct team_queue *q)
+{
+	ledger_sync_release(ctx, q->team);
+	if (!q->is_blocked)
+		return;
+	q->is_blocked = false;
+	share_unblock(ctx, q->share_row);
+}
+
 static void on_answered(struct part_ctx *ctx, struct request *r,
 			struct task_done *done)
 {
-	ledger_sync_release(ctx, r->team->team);
+	release_permit(ctx, r->team);
 	if (done->status < 500) {
 		finish_attempt(ctx, r, FLEET_WORKED);
 		r->state = REQUEST_BACKOFF; /* nothing to detach */
@@ -474,7 +488,7 @@
 					     "worker",	      "",  1000 };
 	bool is_refused = done->result == TASK_REFUSED;
 
-	ledger_sync_release(ctx, r->team->team);
+	release_permit(ctx, r->team);
 	finish_attempt(ctx, r, is_refused ? FLEET_BUSY : FLEET_UNREACHABLE);
 	r->state = REQUEST_BACKOFF;
 	if (ctx->now >= r->deadline) {
