--- a/tests/bench/bench_share.c
+++ b/tests/bench/bench_share.c
@@ -17,7 +17,9 @@
 #define WARM_UP (30 * CS_SEC)
 #define WINDOW (10 * CS_SEC)
 #define WINDOWS 18
-#define SAMPLE (10 * CS_MSEC)
+
+/* Samples of one window. */
+#define SAMPLES 1000.0
 
 /* Two workers of four slots in each data centre serve queue "qa". */
 #define SLOTS (PLACES * 2 * 4)
@@ -95,7 +97,7 @@
 	}
 	for (i = 0; i < w->workers_nr; i++)
 		r->place_used[w->workers[i].place] += w->workers[i].running;
-	world_after(w, SAMPLE, on_sample, r, 0);
+	world_after(w, WINDOW / (cs_time)SAMPLES, on_sample, r, 0);
 }
 
 static void begin(struct run *r, double rate)
@@ -115,7 +117,7 @@
 }
 
 /* Slot time of a window if all slots are in use, in samples. */
-#define FULL ((double)SLOTS * (double)(WINDOW / SAMPLE))
+#define FULL ((double)SLOTS * SAMPLES)
 
 static int measure_distance(const char *name, const char *mutant)
 {
