--- a/tests/bench/bench_share.c
+++ b/tests/bench/bench_share.c
@@ -160,8 +160,7 @@
 	begin(&r, RATE);
 	for (i = 0; i < WINDOWS; i++) {
 		next_window(&r);
-		part = r.total /
-		       ((double)r.w->teams[0].limit * (WINDOW / SAMPLE));
+		part = r.total / ((double)r.w->teams[0].limit * SAMPLES);
 		sum += part;
 		least = MIN(least, part);
 	}
