--- a/Makefile
+++ b/Makefile
@@ -77,7 +77,7 @@
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 
 $(B)/camphorshed-bench: $(BENCH_OBJ) $(B)/tests/unit/plan_model.o \
-		$(B)/libcamphorshed.a
+		$(filter-out %/main.o,$(SOAK_OBJ)) $(B)/libcamphorshed.a
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 
 build/fuzz/camphorshed-fuzz: $(FUZZ_OBJ) build/fuzz/libcamphorshed.a
@@ -109,6 +109,7 @@
 
 bench: all
 	$(MAKE) -s $(B)/camphorshed-bench
+	$(MAKE) -s VARIANT=soak build/soak/camphorshed-bench
 	tests/bench/bench.sh
 
 fuzz:
