Read the host list before the first start; mend retries and forwards

An idempotent request that had failed on every worker waited for its deadline. A request without a permit waited while the platform was down though other entries held some. The first retry always waited exactly 10 ms. A job that failed on one host pardoned its worker.

Change: a new entry holds starts until the host list was asked for, as after a pause; the answer is passed on when no worker is left; such requests are forwarded inside the data centre after 0.5 s.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -596,6 +596,13 @@
 	return p ? p->slots : 0;
 }
 
+int fleet_pool_workers(const struct part_ctx *ctx, const char *pool)
+{
+	const struct fleet_pool *p = find_pool(ctx, pool);
+
+	return p ? p->workers - p->ejected : 0;
+}
+
 int fleet_pool_ejected(const struct part_ctx *ctx, const char *pool)
 {
 	const struct fleet_pool *p = find_pool(ctx, pool);
@@ -819,6 +826,8 @@
 
 static void fleet_start(struct part_ctx *ctx)
 {
+	/* A new entry knows no more of the hosts than one that was paused. */
+	fleet_on_jump(ctx);
 	on_host_list_timer(ctx, 0, ctx->now);
 	on_usage_timer(ctx, 0, ctx->now);
 }
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -67,6 +67,9 @@
 /* Tasks of this entry on the pool's workers. */
 int fleet_pool_running(const struct part_ctx *ctx, const char *pool);
 
+/* Workers of the pool in this data centre that are not ejected. */
+int fleet_pool_workers(const struct part_ctx *ctx, const char *pool);
+
 /* Slots of usable workers of the pool in this data centre. */
 int fleet_pool_slots(const struct part_ctx *ctx, const char *pool);
 
--- a/src/job/dispatch_forward.c
+++ b/src/job/dispatch_forward.c
@@ -7,6 +7,9 @@
 /* A request waits this long before another data centre is asked. */
 #define FORWARD_AFTER (100 * CS_MSEC)
 
+/* The same for a permit that can't come because the platform is down. */
+#define PERMIT_WAIT (500 * CS_MSEC)
+
 /*
  * Requests of one pool that are forwarded in one tick of 20 ms. The other
  * data centre's load is known a second late, so it is filled in small steps.
@@ -82,26 +85,44 @@
 	return share_spare_data_centre(ctx, p->name);
 }
 
+/*
+ * Where a waiting request should go now; NULL: it stays. Without a permit it
+ * would wait as long elsewhere, but while the platform is down no permit
+ * comes here, and another entry of this data centre may hold some.
+ */
+static const char *target_of(struct part_ctx *ctx, const struct request *r,
+			     const char *spare, bool is_forced)
+{
+	cs_time waited = ctx->now - r->arrived;
+
+	if (is_forced)
+		return spare;
+	if (!r->team->is_blocked)
+		return waited >= FORWARD_AFTER ? spare : NULL;
+	if (config_sync_platform_up(ctx) || waited < PERMIT_WAIT)
+		return NULL;
+	return ctx->options->data_centre;
+}
+
 void dispatch_forward_waiting(struct part_ctx *ctx, struct pool_queue *p)
 {
 	struct dispatch *d = ctx->parts.dispatch;
-	const char *target;
+	const char *spare, *target;
 	struct request *r;
 	cs_handle h, next;
 	bool is_forced;
 	int n = 0;
 
-	target = forward_target(ctx, p, &is_forced);
-	if (!target)
-		return;
+	spare = forward_target(ctx, p, &is_forced);
 	for (h = request_next(d->table, 0); h; h = next) {
 		next = request_next(d->table, h);
 		r = request_get(d->table, h);
 		if (r->pool != p || r->state != REQUEST_QUEUED ||
-		    r->team->is_blocked)
+		    r->is_forward_refused ||
+		    (!is_forced && n >= FORWARD_PER_TICK))
 			continue;
-		if (!is_forced && (n >= FORWARD_PER_TICK ||
-				   ctx->now - r->arrived < FORWARD_AFTER))
+		target = target_of(ctx, r, spare, is_forced);
+		if (!target)
 			continue;
 		request_dequeue(d->table, r);
 		share_queued(ctx, r->team->share_row, -1);
--- a/src/job/dispatch_run.c
+++ b/src/job/dispatch_run.c
@@ -406,7 +406,7 @@
 static void retry_later(struct part_ctx *ctx, struct request *r,
 			const char *reason)
 {
-	int ms = BACKOFF_MIN_MS << (r->attempts < 5 ? r->attempts - 1 : 4);
+	int ms = BACKOFF_MIN_MS << (r->attempts < 5 ? r->attempts : 5);
 
 	if (ms > BACKOFF_MAX_MS)
 		ms = BACKOFF_MAX_MS;
@@ -443,7 +443,10 @@
 
 	r->failures++;
 	note_tried(r);
-	if (failed_hosts(r) >= HOPELESS_HOSTS) {
+	if (r->tried_nr >= (size_t)fleet_pool_workers(ctx, r->pool->name)) {
+		/* No worker is left that has not been tried. */
+		counters_add(ctx->counters, "no_worker_left_total", "", 1);
+	} else if (failed_hosts(r) >= HOPELESS_HOSTS) {
 		pardon_workers(ctx, r);
 		counters_add(ctx->counters, "hopeless_total", "", 1);
 	} else if ((r->submit.is_idempotent ||
--- a/src/job/long_run.c
+++ b/src/job/long_run.c
@@ -255,11 +255,13 @@
 	job->record.failures++;
 	note_failed_host(job);
 	long_run_free_slot(ctx, job, FLEET_FAILED);
+	/* Unrelated hosts can't all be at fault, so the job is. */
+	for (i = 0;
+	     *job->failed_hosts[HOPELESS_HOSTS - 1] && i < HOPELESS_HOSTS; i++)
+		fleet_pardon(ctx, job->failed_workers[i]);
 	if (*job->failed_hosts[HOPELESS_HOSTS - 1] ||
 	    job->record.failures >= HOPELESS_FAILURES ||
-	    (!job->record.is_idempotent && job->record.failures)) {
-		for (i = 0; i < HOPELESS_HOSTS; i++)
-			fleet_pardon(ctx, job->failed_workers[i]);
+	    !job->record.is_idempotent) {
 		end_job(ctx, job, LONG_HELD, "failed_on_workers");
 		return;
 	}
