--- /dev/null
+++ b/src/fleet/fleet_place.c
@@ -0,0 +1,293 @@
+#include "fleet_private.h"
+
+#include <string.h>
+
+#include "../base/error.h"
+#include "../base/log.h"
+#include "../team/share.h"
+
+/*
+ * After a refusal for want of a slot, the estimate of other entries' tasks
+ * falls by half in each of these, so that the worker is tried again soon.
+ */
+#define BUSY_DECAY_INTERVAL (10 * CS_MSEC)
+
+/* An unreachable worker is tried again after this long. */
+#define UNREACHABLE_RETRY CS_SEC
+
+/* At most this part of a pool's workers is ejected, and at least one. */
+#define EJECT_PART 5
+
+/* Part of a pool's slots that long work leaves free, and at least one. */
+#define RESERVE_PART 20
+
+/* Counts one more task of this entry on the worker. */
+static void count_task(struct worker_row *w, struct placement *out)
+{
+	w->own++;
+	w->pool->running++;
+	fleet_replace(w);
+	out->worker = w->key.worker;
+	cs_copy(out->name, sizeof(out->name), w->name);
+	cs_copy(out->address, sizeof(out->address), w->address);
+	cs_copy(out->host, sizeof(out->host), w->host);
+}
+
+int fleet_place(struct part_ctx *ctx, const char *pool,
+		const cs_handle *exclude, size_t exclude_nr,
+		struct placement *out)
+{
+	struct fleet_pool *p = fleet_find_pool(ctx, pool);
+	struct load_key *key;
+	struct worker_row *w;
+
+	if (!p || !p->slots)
+		return CS_ERR_MISSING;
+	if (p->running >= share_quota(ctx, pool, p->slots))
+		return CS_ERR_FULL;
+	key = load_heap_best(&p->heap, exclude, exclude_nr);
+	if (!key)
+		return CS_ERR_FULL;
+	w = fleet_worker(ctx, key->worker);
+	if (!part_invariant(ctx, "worker-usable", w && w->is_usable) || !w)
+		return CS_ERR_MISSING;
+	count_task(w, out);
+	return CS_OK;
+}
+
+int fleet_take_over(struct part_ctx *ctx, const char *worker,
+		    struct placement *out)
+{
+	gpointer h = g_hash_table_lookup(ctx->parts.fleet->by_name, worker);
+	struct worker_row *w = fleet_worker(ctx, fleet_handle(h));
+
+	if (!w)
+		return CS_ERR_MISSING;
+	count_task(w, out);
+	return CS_OK;
+}
+
+bool fleet_is_usable(const struct part_ctx *ctx, cs_handle worker)
+{
+	const struct worker_row *w = fleet_worker(ctx, worker);
+
+	return w && w->is_usable && !w->is_removed;
+}
+
+bool fleet_has_room_for_long(const struct part_ctx *ctx, const char *pool)
+{
+	const struct fleet_pool *p = fleet_find_pool(ctx, pool);
+	int reserve = 0, quota;
+
+	if (!p)
+		return false;
+	quota = share_quota(ctx, pool, p->slots);
+	/*
+	 * The reserve is one of the data centre, not of each entry, so the
+	 * lead entry keeps it. Of a single slot nothing can be kept free, or
+	 * none would ever run.
+	 */
+	if (quota > 1 &&
+	    !strcmp(part_lead_entry(ctx, ctx->options->data_centre),
+		    ctx->options->id))
+		reserve = MAX(p->slots / RESERVE_PART, 1);
+	return p->running + reserve < quota;
+}
+
+/*
+ * Halves the estimate of other entries' tasks until it is 0, since nothing
+ * tells when their tasks end before the next usage report.
+ */
+static void on_busy_timer(void *arg, uint64_t worker, cs_time now)
+{
+	struct part_ctx *ctx = arg;
+	struct worker_row *w = fleet_worker(ctx, worker);
+
+	ctx->now = now;
+	if (!w)
+		return;
+	w->others /= 2;
+	w->has_busy_timer = w->others > 0;
+	if (w->has_busy_timer)
+		timers_subscribe(ctx->timers, now + BUSY_DECAY_INTERVAL,
+				 on_busy_timer, ctx, worker);
+	if (!w->is_removed)
+		fleet_replace(w);
+}
+
+/* The worker said that it has no free slot: others fill what we do not. */
+static void note_busy(struct part_ctx *ctx, cs_handle h, struct worker_row *w)
+{
+	counters_add(ctx->counters, "worker_busy_total", "", 1);
+	w->others = w->slots > w->own ? w->slots - w->own : 0;
+	if (w->has_busy_timer || !w->others)
+		return;
+	w->has_busy_timer = true;
+	timers_subscribe(ctx->timers, ctx->now + BUSY_DECAY_INTERVAL,
+			 on_busy_timer, ctx, h);
+}
+
+/*
+ * Results fade over 20 s, so that a pool's failure rate is that of recent work.
+ */
+static void decay_pool(struct fleet_pool *p, cs_time now)
+{
+	/* Linear within a step is near enough for a pool's mean. */
+	double keep = 1.0 - (double)(now - p->counted) / (double)(20 * CS_SEC);
+
+	if (keep < 0)
+		keep = 0;
+	p->good *= keep;
+	p->bad *= keep;
+	p->counted = now;
+}
+
+/* Failure rate of the pool without what this worker added to it. */
+static double peers_rate(const struct fleet_pool *p, const struct health *h)
+{
+	double bad = p->bad - h->bad;
+	double all = p->good + p->bad - h->good - h->bad;
+
+	if (all < 1 || bad <= 0)
+		return 0;
+	return bad / all;
+}
+
+/*
+ * Puts an ejected worker on trial, which makes it available for placement
+ * again.
+ */
+static void on_trial_timer(void *arg, uint64_t worker, cs_time now)
+{
+	struct part_ctx *ctx = arg;
+	struct worker_row *w = fleet_worker(ctx, worker);
+
+	ctx->now = now;
+	if (!w || w->health.state != HEALTH_EJECTED)
+		return;
+	health_tick(&w->health, now);
+	if (w->is_removed)
+		return;
+	if (w->health.state == HEALTH_EJECTED) {
+		/* Ejected again meanwhile, for longer. */
+		timers_subscribe(ctx->timers, w->health.until, on_trial_timer,
+				 ctx, worker);
+		return;
+	}
+	w->pool->ejected--;
+	fleet_replace(w);
+	fleet_worker_event(ctx, w, LOG_INFO, "worker_trial");
+}
+
+/*
+ * The caller has set the state and end of the ejection in the worker's health.
+ */
+static void eject(struct part_ctx *ctx, cs_handle h, struct worker_row *w,
+		  const char *event)
+{
+	counters_add(ctx->counters, "worker_ejections_total", "", 1);
+	w->pool->ejected++;
+	timers_subscribe(ctx->timers, w->health.until, on_trial_timer, ctx, h);
+	fleet_worker_event(ctx, w, LOG_WARN, event);
+}
+
+/* Ejecting more than a part of a pool would break its availability. */
+static bool may_eject(const struct fleet_pool *p)
+{
+	int most = p->workers / EJECT_PART;
+
+	return p->ejected < (most ? most : 1) && p->workers > 1;
+}
+
+/*
+ * Counts a result for the pool and the worker, and ejects a worker that failed
+ * its trial or is much worse than its peers.
+ */
+static void note_result(struct part_ctx *ctx, cs_handle h, struct worker_row *w,
+			bool is_good)
+{
+	enum health_state before = w->health.state;
+	struct fleet_pool *p = w->pool;
+
+	decay_pool(p, ctx->now);
+	if (is_good)
+		p->good += 1;
+	else
+		p->bad += 1;
+	w->health.is_unreachable = false;
+	health_note(&w->health, is_good, ctx->now);
+	if (before == HEALTH_TRIAL && w->health.state == HEALTH_EJECTED) {
+		eject(ctx, h, w, "worker_trial_failed");
+	} else if (!is_good && may_eject(p) &&
+		   health_should_eject(&w->health, peers_rate(p, &w->health),
+				       ctx->now) &&
+		   !MUTANT(ctx, "fleet-no-ejection")) {
+		health_eject(&w->health, ctx->now);
+		eject(ctx, h, w, "worker_ejected");
+	}
+}
+
+/*
+ * No connection is a definite sign, so it needs no rate; the worker is tried
+ * again soon, since a restart takes seconds.
+ */
+static void note_unreachable(struct part_ctx *ctx, cs_handle h,
+			     struct worker_row *w)
+{
+	bool was_ejected = w->health.state == HEALTH_EJECTED;
+
+	w->health.state = HEALTH_EJECTED;
+	w->health.is_unreachable = true;
+	w->health.until = ctx->now + UNREACHABLE_RETRY;
+	w->health.trial_passes = 0;
+	if (!was_ejected)
+		eject(ctx, h, w, "worker_unreachable");
+}
+
+void fleet_finish(struct part_ctx *ctx, cs_handle h, enum fleet_result result)
+{
+	struct worker_row *w = fleet_worker(ctx, h);
+
+	if (!w)
+		return;
+	part_invariant(ctx, "worker-count", w->own > 0);
+	w->own--;
+	w->pool->running--;
+	if (w->is_removed) {
+		fleet_remove_worker(ctx->parts.fleet, h, w);
+		return;
+	}
+	switch (result) {
+	case FLEET_WORKED:
+		note_result(ctx, h, w, true);
+		break;
+	case FLEET_BUSY:
+		note_busy(ctx, h, w);
+		break;
+	case FLEET_FAILED:
+		note_result(ctx, h, w, false);
+		break;
+	case FLEET_UNREACHABLE:
+		note_unreachable(ctx, h, w);
+		break;
+	case FLEET_NEUTRAL:
+		break;
+	}
+	fleet_replace(w);
+}
+
+void fleet_pardon(struct part_ctx *ctx, cs_handle h)
+{
+	struct worker_row *w = fleet_worker(ctx, h);
+	bool was_ejected;
+
+	if (!w || w->is_removed)
+		return;
+	was_ejected = w->health.state == HEALTH_EJECTED;
+	health_pardon(&w->health, ctx->now);
+	if (w->pool->bad > 1)
+		w->pool->bad -= 1;
+	if (was_ejected && w->health.state != HEALTH_EJECTED)
+		w->pool->ejected--;
+	fleet_replace(w);
+}
--- /dev/null
+++ b/src/fleet/fleet_private.h
@@ -0,0 +1,68 @@
+#ifndef FLEET_PRIVATE_H
+#define FLEET_PRIVATE_H
+
+#include "../base/slots.h"
+#include "fleet.h"
+#include "health.h"
+#include "host_list.h"
+#include "load_heap.h"
+
+/* Shared by the files of the fleet part; nobody else includes this. */
+
+struct fleet_pool {
+	char name[CS_NAME_MAX];
+	struct heap heap; /* struct load_key */
+	int slots; /* of usable workers in this data centre */
+	int running; /* tasks of this entry */
+	int workers; /* assigned in this data centre */
+	int ejected;
+	double good, bad; /* decaying sums over the pool's workers */
+	cs_time counted;
+};
+
+struct worker_row {
+	struct load_key key;
+	char name[CS_NAME_MAX];
+	char host[CS_NAME_MAX];
+	char address[CS_ADDRESS_MAX];
+	struct fleet_pool *pool;
+	int slots;
+	int own; /* tasks of this entry */
+	int others; /* estimate of tasks of other entries */
+	bool is_usable; /* assigned, not leaving */
+	cs_time usable_changed;
+	cs_time reported; /* when the last usage report was true; 0: none */
+	int reported_running;
+	bool is_removed; /* no longer in the document; kept while own > 0 */
+	bool has_busy_timer;
+	struct health health;
+	uint64_t generation; /* of the document that named it last */
+};
+
+struct fleet {
+	struct slots *workers;
+	GHashTable *by_name; /* worker name -> cs_handle, in a GSIZE pointer */
+	GHashTable *pools; /* pool name -> struct fleet_pool */
+	GHashTable *slots_by_place; /* "pool data_centre" -> slots */
+	struct host_list *hosts;
+	uint64_t generation;
+	cs_time stale_until; /* after a clock jump, see fleet_is_fresh() */
+	cs_handle poll_next; /* worker whose usage is asked for next */
+};
+
+/* A worker's handle as it lies in a hash table. */
+cs_handle fleet_handle(gpointer p);
+/* The row of a worker, or NULL for a stale handle. */
+struct worker_row *fleet_worker(const struct part_ctx *ctx, cs_handle handle);
+struct fleet_pool *fleet_find_pool(const struct part_ctx *ctx,
+				   const char *name);
+/* Puts the worker where its load and state say in its pool's heap. */
+void fleet_replace(struct worker_row *worker);
+/* Logs an event of a worker. */
+void fleet_worker_event(struct part_ctx *ctx, const struct worker_row *worker,
+			int level, const char *event);
+/* Frees the row, or keeps it until its last task has ended. */
+void fleet_remove_worker(struct fleet *fleet, cs_handle handle,
+			 struct worker_row *worker);
+
+#endif
