--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 
 B = build/$(VARIANT)
 
-LIB_SRC := $(sort $(wildcard src/*/*.c))
+LIB_SRC := $(sort $(wildcard src/*/*.c platform/*.c))
 LIB_SRC := $(filter-out src/cmd/%,$(LIB_SRC))
 LIB_OBJ := $(LIB_SRC:%.c=$(B)/%.o)
 CMD_OBJ := $(patsubst %.c,$(B)/%.o,$(wildcard src/cmd/*.c))
@@ -43,7 +43,7 @@
 SOAK_OBJ := $(patsubst %.c,$(B)/%.o,$(wildcard tests/soak/*.c))
 FUZZ_OBJ := $(patsubst %.c,$(B)/%.o,$(wildcard tests/fuzz/*.c))
 BENCH_OBJ := $(patsubst %.c,$(B)/%.o,$(wildcard bench/*.c))
-C_FILES := $(shell find src tests bench -name '*.c' -o -name '*.h' | sort)
+C_FILES := $(shell find src platform tests bench -name '*.c' -o -name '*.h' | sort)
 
 SEED = 1
 STEPS = 1000000
@@ -92,6 +92,11 @@
 
 programs: $(B)/camphorshed $(if $(STANDIN_OBJ),$(B)/camphorshed-standin)
 
+# The program alone, without tests, at a fixed place: what a platform builds.
+target: $(B)/camphorshed
+	mkdir -p target
+	cp $(B)/camphorshed target/camphorshed
+
 check: deps
 	scripts/check.sh
 
@@ -142,6 +147,6 @@
 
 -include $(shell find build -name '*.d' 2>/dev/null)
 
-.PHONY: all deps unit programs check demo soak mutants bench fuzz lint format \
+.PHONY: all deps unit programs target check demo soak mutants bench fuzz lint format \
 	install clean
 .SECONDARY:
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -3,8 +3,8 @@
 set -eu
 cd "$(dirname "$0")/.."
 
-files=$(find src tests bench -name '*.c' -o -name '*.h' | sort)
-sources=$(find src tests bench -name '*.c' | sort)
+files=$(find src platform tests bench -name '*.c' -o -name '*.h' | sort)
+sources=$(find src platform tests bench -name '*.c' | sort)
 
 # shellcheck disable=SC2086
 clang-format --dry-run --Werror $files
@@ -22,7 +22,7 @@
 # Unchanged files are not checked again: a stamp holds the last clean run.
 mkdir -p build/tidy
 stale=
-newest=$(find src tests bench -name '*.h' -newer build/tidy/.headers 2>/dev/null |
+newest=$(find src platform tests bench -name '*.h' -newer build/tidy/.headers 2>/dev/null |
 	head -n 1)
 [ -f build/tidy/.headers ] && [ -z "$newest" ] || rm -f build/tidy/*.ok
 for f in $sources; do
--- a/src/base/http_server.c
+++ b/src/base/http_server.c
@@ -47,6 +47,7 @@
 	struct http_server_options options;
 	const struct http_server_ops *ops;
 	void *ctx;
+	bool is_draining;
 };
 
 /* One accepted connection. */
@@ -539,6 +540,10 @@
 	if (status < 200 || status > 599)
 		status = 500;
 	fill_response(req, response);
+	if (s->is_draining) {
+		evhtp_request_set_keepalive(req, 0);
+		add_out(req, "Connection", "close");
+	}
 	evhtp_send_reply(req, (evhtp_res)status);
 	if (was_paused) {
 		bufferevent_set_timeouts(req->conn->bev, &idle_timeout,
@@ -572,6 +577,16 @@
 	return x ? (char *)x + ROW_OFFSET : NULL;
 }
 
+void http_server_drain(struct http_server *s)
+{
+	s->is_draining = true;
+}
+
+uint32_t http_server_exchanges(const struct http_server *s)
+{
+	return slots_count(s->exchanges);
+}
+
 uint32_t http_server_connections(const struct http_server *s)
 {
 	return slots_count(s->connections);
--- a/src/base/http_server.h
+++ b/src/base/http_server.h
@@ -35,6 +35,15 @@
 	struct event_base *base, const struct http_server_options *options,
 	const struct http_server_ops *ops, void *ctx, struct cs_error *err);
 
+/*
+ * From now on each answer asks its caller to close the connection, so that
+ * callers go elsewhere before the process ends.
+ */
+void http_server_drain(struct http_server *server);
+
+/* Requests without an answer. */
+uint32_t http_server_exchanges(const struct http_server *server);
+
 /* Closes the listener and all connections; on_gone is called as usual. */
 void http_server_destroy(struct http_server *server);
 
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -1,9 +1,12 @@
 #include "log.h"
 
+#include <fcntl.h>
 #include <inttypes.h>
 #include <log4c.h>
+#include <pthread.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "error.h"
 
@@ -12,6 +15,12 @@
 	log4c_appender_t *appender;
 	log4c_layout_t *layout;
 	enum log_level level;
+	int fd; /* -1: standard error, blocking */
+	int lines_max; /* a second; 0: no bound */
+	pthread_mutex_t lock; /* of what follows */
+	gint64 second; /* that lines counts */
+	int lines;
+	int64_t dropped; /* since the last line that was written */
 };
 
 static const char *const level_names[] = { "debug", "info", "warn", "error",
@@ -29,11 +38,55 @@
 	return event->evt_msg;
 }
 
+/* True if this second's lines are used up. The lock is held. */
+static bool is_over_bound(struct log *log, gint64 second)
+{
+	if (second != log->second) {
+		log->second = second;
+		log->lines = 0;
+	}
+	return log->lines_max && log->lines++ >= log->lines_max;
+}
+
+/*
+ * Writes a line in one call, so that lines of several threads stay whole, and
+ * drops it if the descriptor is full.
+ */
+static int append_bounded(struct log *log, const char *line)
+{
+	char note[48];
+	size_t len = strlen(line);
+	int n, code = -1;
+
+	pthread_mutex_lock(&log->lock);
+	if (is_over_bound(log, g_get_monotonic_time() / G_USEC_PER_SEC)) {
+		log->dropped++;
+		goto out;
+	}
+	if (log->dropped) {
+		n = snprintf(note, sizeof(note),
+			     "event=log_dropped lines=%" PRId64 "\n",
+			     log->dropped);
+		if (write(log->fd, note, (size_t)n) == n)
+			log->dropped = 0;
+	}
+	if (write(log->fd, line, len) == (ssize_t)len)
+		code = 0;
+	else
+		log->dropped++;
+out:
+	pthread_mutex_unlock(&log->lock);
+	return code;
+}
+
 /* Writes the line as it is; log4c's own appender puts its name before it. */
 static int append_line(log4c_appender_t *appender,
 		       const log4c_logging_event_t *event)
 {
-	(void)appender;
+	struct log *log = log4c_appender_get_udata(appender);
+
+	if (log->fd >= 0)
+		return append_bounded(log, event->evt_rendered_msg);
 	return fputs(event->evt_rendered_msg, stderr) < 0 ? -1 : 0;
 }
 
@@ -59,9 +112,21 @@
 }
 
 struct log *log_create(enum log_level level, struct cs_error *err)
+{
+	return log_create_bounded(level, -1, 0, err);
+}
+
+struct log *log_create_bounded(enum log_level level, int fd, int lines_max,
+			       struct cs_error *err)
 {
 	struct log *log = g_new0(struct log, 1);
 
+	log->fd = fd;
+	log->lines_max = lines_max;
+	pthread_mutex_init(&log->lock, NULL);
+	if (fd >= 0)
+		fcntl(fd, F_SETFL, fcntl(fd, F_GETFL) | O_NONBLOCK);
+
 	if (log4c_init())
 		goto fail;
 	log->level = level;
@@ -73,6 +138,7 @@
 	log4c_appender_set_type(log->appender, &line_appender);
 	log4c_layout_set_type(log->layout, &line_layout);
 	log4c_appender_set_layout(log->appender, log->layout);
+	log4c_appender_set_udata(log->appender, log);
 	log4c_category_set_appender(log->category, log->appender);
 	log4c_category_set_additivity(log->category, 0);
 	log4c_category_set_priority(log->category, priorities[level]);
@@ -80,6 +146,7 @@
 fail:
 	cs_error_set(err, CS_ERR_IO, "log_create", NULL,
 		     "log4c cannot be started");
+	pthread_mutex_destroy(&log->lock);
 	g_free(log);
 	return NULL;
 }
@@ -89,6 +156,7 @@
 	if (!log)
 		return;
 	log4c_fini();
+	pthread_mutex_destroy(&log->lock);
 	g_free(log);
 }
 
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -18,6 +18,15 @@
  * process, since log4c keeps its categories per process. NULL on failure.
  */
 struct log *log_create(enum log_level level, struct cs_error *err);
+
+/*
+ * The same, to a descriptor, with at most lines_max lines a second; 0: no
+ * bound. A line that the descriptor does not take at once is dropped, so that
+ * a reader which does not read never blocks the process. The next line that
+ * is written says how many were dropped.
+ */
+struct log *log_create_bounded(enum log_level level, int fd, int lines_max,
+			       struct cs_error *err);
 void log_destroy(struct log *log);
 
 /* True if lines of that level are written. */
--- /dev/null
+++ b/src/batch/batch.c
@@ -0,0 +1,412 @@
+#include "batch.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "../base/error.h"
+
+struct batch_spec *batch_spec_create(int steps_nr)
+{
+	struct batch_spec *spec = g_new0(struct batch_spec, 1);
+	int i;
+
+	spec->steps = g_new0(struct batch_step, steps_nr > 0 ? steps_nr : 1);
+	spec->steps_nr = steps_nr;
+	for (i = 0; i < steps_nr; i++)
+		spec->steps[i].unavailable_max = -1;
+	return spec;
+}
+
+void batch_spec_destroy(struct batch_spec *spec)
+{
+	int i;
+
+	if (!spec)
+		return;
+	for (i = 0; i < spec->steps_nr; i++)
+		g_free(spec->steps[i].after);
+	g_free(spec->steps);
+	g_free(spec->payload);
+	g_free(spec);
+}
+
+/*
+ * Repeatedly marks the steps whose predecessors are all marked. Steps that
+ * are left wait for each other.
+ */
+static bool has_circle(const struct batch_spec *spec)
+{
+	bool is_marked[BATCH_STEPS_MAX] = { false };
+	int marked = 0, before, i, k;
+
+	do {
+		before = marked;
+		for (i = 0; i < spec->steps_nr; i++) {
+			const struct batch_step *s = &spec->steps[i];
+
+			if (is_marked[i])
+				continue;
+			for (k = 0; k < s->after_nr; k++)
+				if (!is_marked[s->after[k]])
+					break;
+			if (k == s->after_nr) {
+				is_marked[i] = true;
+				marked++;
+			}
+		}
+	} while (marked > before);
+	return marked < spec->steps_nr;
+}
+
+static int check_step(const struct batch_spec *spec, int i,
+		      struct cs_error *err)
+{
+	const struct batch_step *s = &spec->steps[i];
+	int k;
+
+	if (s->count < 1 || s->count > BATCH_TASKS_MAX)
+		return cs_error_set(err, CS_ERR_INVALID, "batch_check", NULL,
+				    "step %d: count %d is not 1 to %d", i,
+				    s->count, BATCH_TASKS_MAX);
+	if (s->need.cpu < 0 || s->need.memory_mb < 0 ||
+	    s->need.accelerators < 0 || s->estimate_ms < 0 ||
+	    s->per_server_max < 0)
+		return cs_error_set(err, CS_ERR_INVALID, "batch_check", NULL,
+				    "step %d: a negative amount", i);
+	for (k = 0; k < s->after_nr; k++)
+		if (s->after[k] < 0 || s->after[k] >= spec->steps_nr)
+			return cs_error_set(err, CS_ERR_INVALID, "batch_check",
+					    NULL, "step %d: no step %d", i,
+					    s->after[k]);
+	return CS_OK;
+}
+
+int batch_spec_check(const struct batch_spec *spec, struct cs_error *err)
+{
+	int64_t tasks = 0;
+	int i, code;
+
+	if (spec->steps_nr < 1 || spec->steps_nr > BATCH_STEPS_MAX)
+		return cs_error_set(err, CS_ERR_INVALID, "batch_check", NULL,
+				    "%d steps are not 1 to %d", spec->steps_nr,
+				    BATCH_STEPS_MAX);
+	if (spec->payload && strlen(spec->payload) > BATCH_PAYLOAD_MAX)
+		return cs_error_set(err, CS_ERR_INVALID, "batch_check", NULL,
+				    "the payload exceeds %d bytes",
+				    BATCH_PAYLOAD_MAX);
+	for (i = 0; i < spec->steps_nr; i++) {
+		code = check_step(spec, i, err);
+		if (code)
+			return code;
+		tasks += spec->steps[i].count;
+	}
+	if (tasks > BATCH_TASKS_MAX)
+		return cs_error_set(err, CS_ERR_INVALID, "batch_check", NULL,
+				    "more than %d tasks", BATCH_TASKS_MAX);
+	if (spec->repeats < 0 || spec->repeats > BATCH_TASKS_MAX ||
+	    spec->interval_ms < 0)
+		return cs_error_set(err, CS_ERR_INVALID, "batch_check", NULL,
+				    "repeats or interval out of range");
+	if (has_circle(spec))
+		return cs_error_set(err, CS_ERR_INVALID, "batch_check", NULL,
+				    "steps wait for each other in a circle");
+	return CS_OK;
+}
+
+bool batch_id_is_valid(const char *id)
+{
+	size_t i;
+
+	for (i = 0; i < BATCH_ID_MAX - 1; i++)
+		if (!g_ascii_isxdigit(id[i]))
+			return false;
+	return id[i] == '\0';
+}
+
+struct batch *batch_create(const char *id, const char *queue,
+			   const char *workspace, int64_t submitted_unix_ms,
+			   struct batch_spec *spec)
+{
+	struct batch *b = g_new0(struct batch, 1);
+	int i;
+
+	cs_copy(b->id, sizeof(b->id), id);
+	cs_copy(b->queue, sizeof(b->queue), queue);
+	cs_copy(b->workspace, sizeof(b->workspace), workspace);
+	b->submitted_unix_ms = submitted_unix_ms;
+	b->spec = spec;
+	b->offsets = g_new(int, spec->steps_nr);
+	for (i = 0; i < spec->steps_nr; i++) {
+		b->offsets[i] = b->round_tasks;
+		b->round_tasks += spec->steps[i].count;
+	}
+	b->rounds_nr = spec->repeats > 0 ? spec->repeats : 1;
+	b->rounds = g_new0(struct batch_round, b->rounds_nr);
+	return b;
+}
+
+/* Releases the tasks of an occurrence; its result stays. */
+static void close_round(struct batch *b, struct batch_round *r)
+{
+	int i;
+
+	for (i = 0; r->tasks && i < b->round_tasks; i++)
+		g_free(r->tasks[i].checkpoint);
+	g_free(r->tasks);
+	g_free(r->left);
+	r->tasks = NULL;
+	r->left = NULL;
+}
+
+void batch_destroy(struct batch *b)
+{
+	int i;
+
+	if (!b)
+		return;
+	for (i = 0; i < b->rounds_nr; i++)
+		close_round(b, &b->rounds[i]);
+	g_free(b->rounds);
+	g_free(b->offsets);
+	batch_spec_destroy(b->spec);
+	g_free(b);
+}
+
+int64_t batch_due_unix_ms(const struct batch *b, int round)
+{
+	if (b->spec->repeats <= 0)
+		return b->spec->start_unix_ms;
+	return b->spec->start_unix_ms + round * b->spec->interval_ms;
+}
+
+void batch_open_round(struct batch *b, int round)
+{
+	struct batch_round *r = &b->rounds[round];
+	int i;
+
+	if (r->is_done || r->tasks)
+		return;
+	r->tasks = g_new0(struct batch_task, b->round_tasks);
+	r->left = g_new(int, b->spec->steps_nr);
+	for (i = 0; i < b->spec->steps_nr; i++)
+		r->left[i] = b->spec->steps[i].count;
+	r->steps_left = b->spec->steps_nr;
+}
+
+struct batch_task *batch_task(struct batch *b, int round, int step, int index)
+{
+	if (round < 0 || round >= b->rounds_nr || step < 0 ||
+	    step >= b->spec->steps_nr || index < 0 ||
+	    index >= b->spec->steps[step].count || !b->rounds[round].tasks)
+		return NULL;
+	return &b->rounds[round].tasks[b->offsets[step] + index];
+}
+
+bool batch_step_is_ready(const struct batch *b, int round, int step)
+{
+	const struct batch_round *r = &b->rounds[round];
+	const struct batch_step *s = &b->spec->steps[step];
+	int i;
+
+	if (!r->tasks || !r->left[step])
+		return false;
+	for (i = 0; i < s->after_nr; i++)
+		if (r->left[s->after[i]])
+			return false;
+	return true;
+}
+
+bool batch_is_final(const struct batch *b)
+{
+	return b->state >= BATCH_DONE;
+}
+
+void batch_task_started(struct batch *b, struct batch_task *t, uint32_t run)
+{
+	if (t->state != BATCH_TASK_RUNNING)
+		b->running++;
+	t->state = BATCH_TASK_RUNNING;
+	t->run = run;
+	if (b->state == BATCH_QUEUED) {
+		b->state = BATCH_RUNNING;
+		b->version++;
+	}
+}
+
+/* Marks the task as done, and what becomes done with it. */
+static void finish_task(struct batch *b, int round, int step,
+			struct batch_task *t)
+{
+	struct batch_round *r = &b->rounds[round];
+
+	t->state = BATCH_TASK_DONE;
+	g_free(t->checkpoint);
+	t->checkpoint = NULL;
+	if (--r->left[step])
+		return;
+	if (--r->steps_left)
+		return;
+	r->is_done = true;
+	if (++b->rounds_done == b->rounds_nr && !batch_is_final(b))
+		b->state = BATCH_DONE;
+}
+
+/* Marks every task that is left of a gang as done with its first end. */
+static void finish_gang(struct batch *b, int round, int step)
+{
+	int i;
+
+	for (i = 0; i < b->spec->steps[step].count; i++) {
+		struct batch_task *t = batch_task(b, round, step, i);
+
+		if (t->state == BATCH_TASK_DONE)
+			continue;
+		if (t->state == BATCH_TASK_RUNNING)
+			b->running--;
+		finish_task(b, round, step, t);
+	}
+}
+
+/* Adds a failed end. A gang fails as one, counted at its first task. */
+static void count_failure(struct batch *b, int round, int step,
+			  struct batch_task *t, uint32_t run, int attempts_max)
+{
+	const struct batch_step *s = &b->spec->steps[step];
+
+	if (s->is_lasting)
+		return;
+	if (s->is_gang) {
+		t = batch_task(b, round, step, 0);
+		if (t->counted_run >= run && t->failures)
+			return;
+		t->counted_run = run;
+	}
+	t->failures++;
+	if (t->failures >= attempts_max && !batch_is_final(b))
+		b->state = BATCH_FAILED;
+}
+
+bool batch_task_ended(struct batch *b, int round, int step,
+		      struct batch_task *t, uint32_t run, enum batch_end how,
+		      const char *saved, int attempts_max)
+{
+	const struct batch_step *s = &b->spec->steps[step];
+	bool is_present = t->state == BATCH_TASK_RUNNING && run >= t->run;
+
+	if (run > t->run)
+		t->run = run;
+	if (t->state == BATCH_TASK_DONE)
+		return false;
+	if (run < t->counted_run || (run == t->counted_run && !is_present))
+		return false;
+	/* An earlier run may end while a later one is running. */
+	if (is_present || (t->state == BATCH_TASK_RUNNING &&
+			   how == BATCH_END_DONE && !s->is_lasting)) {
+		b->running--;
+		t->state = BATCH_TASK_WAITING;
+	}
+	if (b->state == BATCH_QUEUED)
+		b->state = BATCH_RUNNING;
+	b->version++;
+	if (how == BATCH_END_DONE) {
+		t->counted_run = run;
+		if (s->is_lasting)
+			return true;
+		finish_task(b, round, step, t);
+		if (s->is_gang)
+			finish_gang(b, round, step);
+		if (b->rounds[round].is_done)
+			close_round(b, &b->rounds[round]);
+		return true;
+	}
+	if (saved && *saved) {
+		g_free(t->checkpoint);
+		t->checkpoint = g_strdup(saved);
+	}
+	if (how == BATCH_END_FAILED)
+		count_failure(b, round, step, t, run, attempts_max);
+	t->counted_run = run;
+	return true;
+}
+
+bool batch_cancel(struct batch *b)
+{
+	if (batch_is_final(b))
+		return false;
+	b->state = BATCH_CANCELLED;
+	b->version++;
+	return true;
+}
+
+/* The longest chain that ends with a step; steps form no circle. */
+static int64_t chain_to(const struct batch *b, const struct batch_round *r,
+			int step, int64_t *known)
+{
+	const struct batch_step *s = &b->spec->steps[step];
+	int64_t best = 0, ms;
+	int i;
+
+	if (known[step] >= 0)
+		return known[step];
+	for (i = 0; i < s->after_nr; i++) {
+		ms = chain_to(b, r, s->after[i], known);
+		if (ms > best)
+			best = ms;
+	}
+	if (!r || !r->left || r->left[step])
+		best += s->estimate_ms;
+	known[step] = best;
+	return best;
+}
+
+int64_t batch_chain_ms(const struct batch *b, int round, bool is_whole)
+{
+	const struct batch_round *r = is_whole ? NULL : &b->rounds[round];
+	int64_t known[BATCH_STEPS_MAX], best = 0, ms;
+	int i;
+
+	for (i = 0; i < b->spec->steps_nr; i++)
+		known[i] = -1;
+	for (i = 0; i < b->spec->steps_nr; i++) {
+		ms = chain_to(b, r, i, known);
+		if (ms > best)
+			best = ms;
+	}
+	return best;
+}
+
+void batch_task_name(const struct batch *b, int round, int step, int index,
+		     char out[BATCH_TASK_NAME_MAX])
+{
+	snprintf(out, BATCH_TASK_NAME_MAX, "%s.%d.%d.%d", b->id, round, step,
+		 index);
+}
+
+int batch_task_name_parse(const char *name, char id[BATCH_ID_MAX], int *round,
+			  int *step, int *index)
+{
+	int end = 0;
+
+	if (sscanf(name, "%16[0-9a-fA-F].%d.%d.%d%n", id, round, step, index,
+		   &end) != 4 ||
+	    name[end] || strlen(id) != BATCH_ID_MAX - 1)
+		return CS_ERR_INVALID;
+	return *round < 0 || *step < 0 || *index < 0 ? CS_ERR_INVALID : CS_OK;
+}
+
+const char *batch_state_name(enum batch_state state)
+{
+	static const char *const names[] = { "queued", "running", "done",
+					     "failed", "cancelled" };
+
+	return names[state];
+}
+
+const char *batch_end_name(enum batch_end how)
+{
+	static const char *const names[] = { "done",   "failed", "stopped",
+					     "lapsed", "broken", "alone",
+					     "lost" };
+
+	return names[how];
+}
--- /dev/null
+++ b/src/batch/batch_codec.c
@@ -0,0 +1,379 @@
+#include "batch_codec.h"
+
+#include <msgpack.h>
+#include <string.h>
+
+#include "../base/error.h"
+
+/* Format numbers; a change of the layout needs a new one. */
+#define SUBMISSION_FORMAT 1
+#define PROGRESS_FORMAT 1
+/* Elements of the arrays below. */
+#define SUBMISSION_LEN 10
+#define PROGRESS_LEN 3
+
+static void pack_text(msgpack_packer *pk, const char *s)
+{
+	size_t len = s ? strlen(s) : 0;
+
+	msgpack_pack_str(pk, len);
+	msgpack_pack_str_body(pk, s ? s : "", len);
+}
+
+static void pack_bool(msgpack_packer *pk, bool value)
+{
+	if (value)
+		msgpack_pack_true(pk);
+	else
+		msgpack_pack_false(pk);
+}
+
+static void pack_step(msgpack_packer *pk, const struct batch_step *s)
+{
+	unsigned int flags =
+		(s->is_checkpointing ? 1U : 0U) | (s->is_gang ? 2U : 0U) |
+		(s->needs_one_rack ? 4U : 0U) | (s->may_copy ? 8U : 0U) |
+		(s->is_lasting ? 16U : 0U) | (s->is_filling ? 32U : 0U);
+	int i;
+
+	msgpack_pack_array(pk, 13);
+	msgpack_pack_int(pk, s->count);
+	msgpack_pack_int64(pk, s->need.cpu);
+	msgpack_pack_int64(pk, s->need.memory_mb);
+	msgpack_pack_int64(pk, s->need.accelerators);
+	msgpack_pack_int64(pk, s->estimate_ms);
+	msgpack_pack_array(pk, (size_t)s->after_nr);
+	for (i = 0; i < s->after_nr; i++)
+		msgpack_pack_int(pk, s->after[i]);
+	msgpack_pack_unsigned_int(pk, flags);
+	msgpack_pack_int(pk, s->per_server_max);
+	msgpack_pack_int(pk, s->unavailable_max);
+	msgpack_pack_int64(pk, s->tail_target_ms);
+	pack_text(pk, s->label);
+	pack_text(pk, s->rack);
+	pack_text(pk, s->image);
+}
+
+/* Copies what was packed, and releases the buffer. */
+static GBytes *take_buffer(msgpack_sbuffer *buf)
+{
+	GBytes *bytes = g_bytes_new(buf->data, buf->size);
+
+	msgpack_sbuffer_destroy(buf);
+	return bytes;
+}
+
+GBytes *batch_encode_submission(const struct batch *b)
+{
+	msgpack_sbuffer buf;
+	msgpack_packer pk;
+	int i;
+
+	msgpack_sbuffer_init(&buf);
+	msgpack_packer_init(&pk, &buf, msgpack_sbuffer_write);
+	msgpack_pack_array(&pk, SUBMISSION_LEN);
+	msgpack_pack_int(&pk, SUBMISSION_FORMAT);
+	pack_text(&pk, b->id);
+	pack_text(&pk, b->queue);
+	pack_text(&pk, b->workspace);
+	msgpack_pack_int64(&pk, b->submitted_unix_ms);
+	pack_text(&pk, b->spec->payload);
+	msgpack_pack_int(&pk, b->spec->repeats);
+	msgpack_pack_int64(&pk, b->spec->start_unix_ms);
+	msgpack_pack_int64(&pk, b->spec->interval_ms);
+	msgpack_pack_array(&pk, (size_t)b->spec->steps_nr);
+	for (i = 0; i < b->spec->steps_nr; i++)
+		pack_step(&pk, &b->spec->steps[i]);
+	return take_buffer(&buf);
+}
+
+/* Each reader returns false when the element has another type. */
+static bool read_int(const msgpack_object *o, int64_t *value)
+{
+	if (o->type != MSGPACK_OBJECT_POSITIVE_INTEGER &&
+	    o->type != MSGPACK_OBJECT_NEGATIVE_INTEGER)
+		return false;
+	*value = o->via.i64;
+	return true;
+}
+
+static bool read_text(const msgpack_object *o, char *out, size_t size)
+{
+	if (o->type != MSGPACK_OBJECT_STR || o->via.str.size >= size ||
+	    memchr(o->via.str.ptr, '\0', o->via.str.size))
+		return false;
+	memcpy(out, o->via.str.ptr, o->via.str.size);
+	out[o->via.str.size] = '\0';
+	return true;
+}
+
+static bool is_array(const msgpack_object *o, uint32_t min)
+{
+	return o->type == MSGPACK_OBJECT_ARRAY && o->via.array.size >= min;
+}
+
+static bool read_after(const msgpack_object *o, struct batch_step *s)
+{
+	int64_t value;
+	uint32_t i;
+
+	if (!is_array(o, 0) || o->via.array.size > BATCH_STEPS_MAX)
+		return false;
+	s->after = g_new0(int, o->via.array.size);
+	for (i = 0; i < o->via.array.size; i++) {
+		if (!read_int(&o->via.array.ptr[i], &value))
+			return false;
+		s->after[i] = (int)value;
+		s->after_nr++;
+	}
+	return true;
+}
+
+static bool read_step(const msgpack_object *o, struct batch_step *s)
+{
+	const msgpack_object *f;
+	int64_t count, flags, per_server, unavailable;
+
+	if (!is_array(o, 13))
+		return false;
+	f = o->via.array.ptr;
+	if (!read_int(&f[0], &count) || !read_int(&f[1], &s->need.cpu) ||
+	    !read_int(&f[2], &s->need.memory_mb) ||
+	    !read_int(&f[3], &s->need.accelerators) ||
+	    !read_int(&f[4], &s->estimate_ms) || !read_after(&f[5], s) ||
+	    !read_int(&f[6], &flags) || !read_int(&f[7], &per_server) ||
+	    !read_int(&f[8], &unavailable) ||
+	    !read_int(&f[9], &s->tail_target_ms) ||
+	    !read_text(&f[10], s->label, sizeof(s->label)) ||
+	    !read_text(&f[11], s->rack, sizeof(s->rack)) ||
+	    !read_text(&f[12], s->image, sizeof(s->image)))
+		return false;
+	s->count = (int)count;
+	s->per_server_max = (int)per_server;
+	s->unavailable_max = (int)unavailable;
+	s->is_checkpointing = flags & 1;
+	s->is_gang = flags & 2;
+	s->needs_one_rack = flags & 4;
+	s->may_copy = flags & 8;
+	s->is_lasting = flags & 16;
+	s->is_filling = flags & 32;
+	return true;
+}
+
+static struct batch *read_submission(const msgpack_object *o)
+{
+	char id[BATCH_ID_MAX], queue[CS_NAME_MAX], workspace[CS_NAME_MAX];
+	char payload[BATCH_PAYLOAD_MAX + 1];
+	struct batch_spec *spec = NULL;
+	const msgpack_object *f;
+	int64_t format, submitted, repeats;
+	uint32_t i;
+
+	if (!is_array(o, SUBMISSION_LEN))
+		return NULL;
+	f = o->via.array.ptr;
+	if (!read_int(&f[0], &format) || format != SUBMISSION_FORMAT ||
+	    !read_text(&f[1], id, sizeof(id)) || !batch_id_is_valid(id) ||
+	    !read_text(&f[2], queue, sizeof(queue)) ||
+	    !read_text(&f[3], workspace, sizeof(workspace)) ||
+	    !read_int(&f[4], &submitted) ||
+	    !read_text(&f[5], payload, sizeof(payload)) ||
+	    !read_int(&f[6], &repeats) || !is_array(&f[9], 1) ||
+	    f[9].via.array.size > BATCH_STEPS_MAX)
+		return NULL;
+	spec = batch_spec_create((int)f[9].via.array.size);
+	spec->payload = g_strdup(payload);
+	spec->repeats = (int)repeats;
+	if (!read_int(&f[7], &spec->start_unix_ms) ||
+	    !read_int(&f[8], &spec->interval_ms))
+		goto fail;
+	for (i = 0; i < f[9].via.array.size; i++)
+		if (!read_step(&f[9].via.array.ptr[i], &spec->steps[i]))
+			goto fail;
+	if (batch_spec_check(spec, NULL))
+		goto fail;
+	return batch_create(id, queue, workspace, submitted, spec);
+fail:
+	batch_spec_destroy(spec);
+	return NULL;
+}
+
+struct batch *batch_decode_submission(const void *data, size_t size)
+{
+	struct batch *b = NULL;
+	msgpack_unpacked un;
+	size_t off = 0;
+
+	msgpack_unpacked_init(&un);
+	if (msgpack_unpack_next(&un, data, size, &off) ==
+	    MSGPACK_UNPACK_SUCCESS)
+		b = read_submission(&un.data);
+	msgpack_unpacked_destroy(&un);
+	return b;
+}
+
+/* A task that was never started and never failed need not be stored. */
+static bool is_worth_storing(const struct batch_task *t)
+{
+	return t->state == BATCH_TASK_DONE || t->run || t->failures ||
+	       t->checkpoint;
+}
+
+/* [index, done, run, failures, counted run, checkpoint] for each task. */
+static void pack_round(msgpack_packer *pk, const struct batch *b,
+		       const struct batch_round *r)
+{
+	size_t n = 0;
+	int i;
+
+	for (i = 0; r->tasks && i < b->round_tasks; i++)
+		n += is_worth_storing(&r->tasks[i]);
+	msgpack_pack_array(pk, 2);
+	pack_bool(pk, r->is_done);
+	msgpack_pack_array(pk, n);
+	for (i = 0; r->tasks && i < b->round_tasks; i++) {
+		const struct batch_task *t = &r->tasks[i];
+
+		if (!is_worth_storing(t))
+			continue;
+		msgpack_pack_array(pk, 6);
+		msgpack_pack_int(pk, i);
+		pack_bool(pk, t->state == BATCH_TASK_DONE);
+		msgpack_pack_uint32(pk, t->run);
+		msgpack_pack_int(pk, t->failures);
+		msgpack_pack_uint32(pk, t->counted_run);
+		pack_text(pk, t->checkpoint);
+	}
+}
+
+GBytes *batch_encode_progress(const struct batch *b)
+{
+	msgpack_sbuffer buf;
+	msgpack_packer pk;
+	bool is_final = batch_is_final(b);
+	int i;
+
+	msgpack_sbuffer_init(&buf);
+	msgpack_packer_init(&pk, &buf, msgpack_sbuffer_write);
+	msgpack_pack_array(&pk, PROGRESS_LEN);
+	msgpack_pack_int(&pk, PROGRESS_FORMAT);
+	msgpack_pack_int(&pk, b->state);
+	msgpack_pack_array(&pk, is_final ? 0 : (size_t)b->rounds_nr);
+	for (i = 0; !is_final && i < b->rounds_nr; i++)
+		pack_round(&pk, b, &b->rounds[i]);
+	return take_buffer(&buf);
+}
+
+static bool read_task(struct batch *b, struct batch_round *r,
+		      const msgpack_object *o)
+{
+	char checkpoint[BATCH_PAYLOAD_MAX + 1];
+	const msgpack_object *f;
+	int64_t index, run, failures, counted;
+	struct batch_task *t;
+	int step;
+
+	if (!is_array(o, 6))
+		return false;
+	f = o->via.array.ptr;
+	if (!read_int(&f[0], &index) || f[1].type != MSGPACK_OBJECT_BOOLEAN ||
+	    !read_int(&f[2], &run) || !read_int(&f[3], &failures) ||
+	    !read_int(&f[4], &counted) ||
+	    !read_text(&f[5], checkpoint, sizeof(checkpoint)) || index < 0 ||
+	    index >= b->round_tasks)
+		return false;
+	t = &r->tasks[index];
+	t->run = (uint32_t)run;
+	t->failures = (uint16_t)failures;
+	t->counted_run = (uint32_t)counted;
+	if (*checkpoint) {
+		g_free(t->checkpoint);
+		t->checkpoint = g_strdup(checkpoint);
+	}
+	if (!f[1].via.boolean || t->state == BATCH_TASK_DONE)
+		return true;
+	t->state = BATCH_TASK_DONE;
+	for (step = b->spec->steps_nr - 1; b->offsets[step] > index; step--)
+		;
+	if (!--r->left[step])
+		r->steps_left--;
+	return true;
+}
+
+static bool read_round(struct batch *b, int round, const msgpack_object *o)
+{
+	const msgpack_object *f;
+	uint32_t i;
+
+	if (!is_array(o, 2))
+		return false;
+	f = o->via.array.ptr;
+	if (f[0].type != MSGPACK_OBJECT_BOOLEAN || !is_array(&f[1], 0))
+		return false;
+	if (f[0].via.boolean) {
+		b->rounds[round].is_done = true;
+		b->rounds_done++;
+		return true;
+	}
+	if (!f[1].via.array.size)
+		return true;
+	batch_open_round(b, round);
+	for (i = 0; i < f[1].via.array.size; i++)
+		if (!read_task(b, &b->rounds[round], &f[1].via.array.ptr[i]))
+			return false;
+	return true;
+}
+
+static bool read_progress(struct batch *b, const msgpack_object *o,
+			  enum batch_state *state)
+{
+	const msgpack_object *f;
+	int64_t format, value;
+	uint32_t i;
+
+	if (!is_array(o, PROGRESS_LEN))
+		return false;
+	f = o->via.array.ptr;
+	if (!read_int(&f[0], &format) || format != PROGRESS_FORMAT ||
+	    !read_int(&f[1], &value) || value < BATCH_QUEUED ||
+	    value > BATCH_CANCELLED || !is_array(&f[2], 0))
+		return false;
+	*state = (enum batch_state)value;
+	if (!b)
+		return true;
+	b->state = *state;
+	if (f[2].via.array.size > (uint32_t)b->rounds_nr)
+		return false;
+	for (i = 0; i < f[2].via.array.size; i++)
+		if (!read_round(b, (int)i, &f[2].via.array.ptr[i]))
+			return false;
+	return true;
+}
+
+/* Reads stored progress; b may be NULL if only the state matters. */
+static int decode_progress(struct batch *b, const void *data, size_t size,
+			   enum batch_state *state)
+{
+	msgpack_unpacked un;
+	size_t off = 0;
+	bool is_read;
+
+	msgpack_unpacked_init(&un);
+	is_read = msgpack_unpack_next(&un, data, size, &off) ==
+			  MSGPACK_UNPACK_SUCCESS &&
+		  read_progress(b, &un.data, state);
+	msgpack_unpacked_destroy(&un);
+	return is_read ? CS_OK : CS_ERR_INVALID;
+}
+
+int batch_decode_progress(struct batch *b, const void *data, size_t size)
+{
+	enum batch_state state;
+
+	return decode_progress(b, data, size, &state);
+}
+
+int batch_decode_state(const void *data, size_t size, enum batch_state *state)
+{
+	return decode_progress(NULL, data, size, state);
+}
--- a/src/cmd/main.c
+++ b/src/cmd/main.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "../camphorshed.h"
+#include "../../platform/node_run.h"
 #include "../ctl/ctl.h"
 #include "../entry/entry_run.h"
 #include "../settings/check_config.h"
@@ -20,9 +21,12 @@
 };
 
 static int entry_main(int argc, char **argv);
+static int node_main(int argc, char **argv);
 
 static const struct command commands[] = {
 	{ "entry", "-c FILE", "run an entry until SIGTERM", entry_main, NULL },
+	{ "node", "[-c FILE]", "run an entry on a shared platform", node_main,
+	  NULL },
 	{ "check-config", "FILE", "check a settings file or fleet document",
 	  check_config_main, NULL },
 	{ "ctl", "VERB ...", "operate a site through one of its entries",
@@ -89,6 +93,58 @@
 	return code;
 }
 
+/* Where a platform puts the settings file, unless -c names one. */
+#define BOOT_VARIABLE "CAMPHORSHED_BOOT"
+
+/* Runs an entry on a shared platform until SIGTERM; returns the exit code. */
+static int node_main(int argc, char **argv)
+{
+	char *file = NULL;
+	const GOptionEntry options[] = { { "config", 'c', 0,
+					   G_OPTION_ARG_FILENAME, &file,
+					   "settings file", "FILE" },
+					 G_OPTION_ENTRY_NULL };
+	GOptionContext *parser = g_option_context_new(NULL);
+	struct node_settings *settings = NULL;
+	struct cs_error err = { 0 };
+	GString *faults = g_string_new(NULL);
+	GError *error = NULL;
+	int code = EXIT_USAGE;
+
+	g_option_context_set_help_enabled(parser, FALSE);
+	g_option_context_add_main_entries(parser, options, NULL);
+	if (!g_option_context_parse(parser, &argc, &argv, &error)) {
+		fprintf(stderr, "camphorshed node: %s\n", error->message);
+		g_error_free(error);
+		goto out;
+	}
+	if (!file)
+		file = g_strdup(g_getenv(BOOT_VARIABLE));
+	if (!file || argc != 1) {
+		fputs("usage: camphorshed node [-c FILE]\n"
+		      "Without -c, " BOOT_VARIABLE " names the file.\n",
+		      stderr);
+		goto out;
+	}
+	settings = node_settings_read(file, faults);
+	if (!settings) {
+		fputs(faults->str, stderr);
+		goto out;
+	}
+	code = EXIT_OK;
+	if (node_run(settings, file, &err)) {
+		fprintf(stderr, "camphorshed node: %s %s: %s\n", err.step,
+			err.peer, err.message);
+		code = EXIT_FAILED;
+	}
+out:
+	node_settings_destroy(settings);
+	g_string_free(faults, TRUE);
+	g_option_context_free(parser);
+	g_free(file);
+	return code;
+}
+
 static bool is_word(const char *arg, const char *a, const char *b)
 {
 	return arg && (!strcmp(arg, a) || (b && !strcmp(arg, b)));
--- /dev/null
+++ b/src/node/commit.c
@@ -0,0 +1,303 @@
+#include "node_private.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "../base/error.h"
+#include "../base/log.h"
+#include "../batch/batch_codec.h"
+
+/*
+ * The owner's writes. One transaction is open at a time; it carries all that
+ * has changed since the last one, up to the store's limit, on the condition
+ * that the owner's key is still the one of this term. Each progress is also
+ * conditional on its own last revision, so that a transaction without an
+ * answer, carried out late, can't undo a later one.
+ */
+
+/* A batch takes a condition and a write; one condition is for the owner. */
+#define BATCHES_MAX ((STORE_TXN_MAX - 1) / 2)
+#define GRANTS_MAX (STORE_TXN_MAX - 2)
+/* Between two transactions, so that changes gather. */
+#define COMMIT_GAP_US (10 * CS_MSEC)
+#define RETRY_MIN_US (50 * CS_MSEC)
+#define RETRY_MAX_US (800 * CS_MSEC)
+
+static void on_committed(void *ctx, uint64_t arg, const struct store_done *d,
+			 cs_time now);
+
+void commit_reset(struct node *n)
+{
+	struct commit *c = &n->commit;
+
+	timers_cancel(n->timers, c->timer);
+	if (c->batches)
+		g_array_free(c->batches, TRUE);
+	if (c->grants)
+		g_array_free(c->grants, TRUE);
+	g_free(c->ended_grant);
+	memset(c, 0, sizeof(*c));
+}
+
+static void add_batches(struct node *n, struct store_call *call)
+{
+	cs_handle rows[BATCHES_MAX];
+	size_t nr = sched_take_changed(n->sched, rows, BATCHES_MAX), i;
+
+	for (i = 0; i < nr; i++) {
+		const struct batch *b = sched_batch(n->sched, rows[i]);
+		struct commit_row row = { .batch = rows[i],
+					  .version = b->version };
+
+		g_snprintf(row.key, sizeof(row.key), KEY_PROGRESS "%s", b->id);
+		store_call_expect(call, row.key,
+				  sched_stored_revision(n->sched, rows[i]));
+		store_call_write(call, row.key, batch_encode_progress(b), 0);
+		g_array_append_val(n->commit.batches, row);
+	}
+}
+
+static void add_grants(struct node *n, struct store_call *call)
+{
+	cs_handle h = 0;
+	const char *ended;
+
+	while (call->entries->len < GRANTS_MAX &&
+	       (h = sched_next_grant(n->sched, h))) {
+		const struct server_info *info = sched_server(n->sched, h);
+		char *key = g_strconcat(KEY_GRANTS, info->id, NULL);
+
+		if (strlen(key) <= STORE_KEY_MAX) {
+			store_call_write(
+				call, key,
+				g_bytes_new(info->pool, strlen(info->pool)), 0);
+			g_array_append_val(n->commit.grants, h);
+		}
+		g_free(key);
+	}
+	ended = sched_ended_grant(n->sched);
+	if (ended && call->entries->len < GRANTS_MAX) {
+		char *key = g_strconcat(KEY_GRANTS, ended, NULL);
+
+		n->commit.ended_grant = g_strdup(ended);
+		store_call_remove(call, key);
+		g_free(key);
+	}
+}
+
+/* Removes all keys of a batch that nobody may ask for any more. */
+static void add_expired(struct node *n, struct store_call *call, cs_time now)
+{
+	cs_handle h = sched_next_expired(n->sched, now);
+	const struct batch *b;
+	char key[STORE_KEY_MAX];
+
+	if (!h || call->entries->len + 3 > STORE_TXN_MAX)
+		return;
+	b = sched_batch(n->sched, h);
+	n->commit.expired = h;
+	g_snprintf(key, sizeof(key), KEY_JOBS "%s", b->id);
+	store_call_remove(call, key);
+	g_snprintf(key, sizeof(key), KEY_PROGRESS "%s", b->id);
+	store_call_remove(call, key);
+	g_snprintf(key, sizeof(key), KEY_CANCELS "%s", b->id);
+	store_call_remove(call, key);
+}
+
+static void on_timer(void *ctx, uint64_t arg, cs_time now)
+{
+	struct node *n = ctx;
+
+	(void)arg;
+	(void)now;
+	n->commit.timer = 0; /* node_turn() follows every timer */
+}
+
+void commit_turn(struct node *n, cs_time now)
+{
+	struct commit *c = &n->commit;
+	struct store_call *call;
+
+	if (n->owner.state != OWNER_ACTIVE || c->is_open)
+		return;
+	if (now < c->not_before) {
+		if (!c->timer)
+			c->timer = timers_subscribe(n->timers, c->not_before,
+						    on_timer, n, 0);
+		return;
+	}
+	if (!c->batches) {
+		c->batches =
+			g_array_new(FALSE, FALSE, sizeof(struct commit_row));
+		c->grants = g_array_new(FALSE, FALSE, sizeof(cs_handle));
+		c->retry_pause = RETRY_MIN_US;
+	}
+	call = store_call_new(STORE_TXN, NULL, STORE_TIMEOUT_MS);
+	store_call_expect(call, KEY_OWNER, n->owner.key_revision);
+	add_batches(n, call);
+	if (call->entries->len < GRANTS_MAX)
+		add_grants(n, call);
+	add_expired(n, call, now);
+	if (call->entries->len == 1) {
+		store_call_free(call);
+		return;
+	}
+	c->is_open = true;
+	counters_add(n->counters, "camphorshed_commits_total", "", 1);
+	store_calls_send(n->calls, call, on_committed, n, n->owner.term);
+}
+
+/* The revision that a failed condition reports for a key; else known. */
+static uint64_t present_revision(const struct store_done *d, const char *key,
+				 uint64_t known)
+{
+	guint i;
+
+	for (i = 0; d->result == STORE_CONFLICT && i < d->items->len; i++) {
+		const struct store_item *item = g_ptr_array_index(d->items, i);
+
+		if (!strcmp(item->key, key))
+			return item->value ? item->revision : 0;
+	}
+	return d->result == STORE_CONFLICT ? 0 : known;
+}
+
+static void take_result(struct node *n, const struct store_done *d, cs_time now)
+{
+	struct commit *c = &n->commit;
+	bool is_stored = d->result == STORE_OK;
+	guint i;
+
+	for (i = 0; i < c->batches->len; i++) {
+		const struct commit_row *row =
+			&g_array_index(c->batches, struct commit_row, i);
+		uint64_t known = sched_stored_revision(n->sched, row->batch);
+
+		if (is_stored)
+			sched_stored(n->sched, row->batch, row->version,
+				     d->revision, now);
+		else
+			sched_store_failed(n->sched, row->batch,
+					   present_revision(d, row->key,
+							    known));
+	}
+	for (i = 0; is_stored && i < c->grants->len; i++)
+		sched_grant_stored(n->sched,
+				   g_array_index(c->grants, cs_handle, i));
+	if (is_stored && c->ended_grant)
+		sched_ended_grant_removed(n->sched, c->ended_grant);
+	if (is_stored && c->expired)
+		sched_expired_removed(n->sched, c->expired);
+	g_array_set_size(c->batches, 0);
+	g_array_set_size(c->grants, 0);
+	g_free(c->ended_grant);
+	c->ended_grant = NULL;
+	c->expired = 0;
+}
+
+static void log_failed(struct node *n, const struct store_done *d)
+{
+	GString *pairs = g_string_new(NULL);
+
+	log_pair_int(pairs, "term", (int64_t)n->owner.term);
+	log_pair(pairs, "result", store_result_name(d->result));
+	log_pair_int(pairs, "batches", n->commit.batches->len);
+	log_pair(pairs, "step", d->error.step);
+	log_pair(pairs, "message", d->error.message);
+	node_log(n, "commit_failed", pairs);
+}
+
+static void on_committed(void *ctx, uint64_t arg, const struct store_done *d,
+			 cs_time now)
+{
+	struct node *n = ctx;
+	struct commit *c = &n->commit;
+
+	if (n->owner.state != OWNER_ACTIVE || arg != n->owner.term)
+		return;
+	c->is_open = false;
+	c->not_before = now + COMMIT_GAP_US;
+	if (d->result == STORE_CONFLICT &&
+	    present_revision(d, KEY_OWNER, n->owner.key_revision) !=
+		    n->owner.key_revision) {
+		owner_lost(n, "a write found another owner", now);
+		return;
+	}
+	if (d->result == STORE_OK) {
+		owner_confirm(n, d->sent);
+		c->retry_pause = RETRY_MIN_US;
+	} else {
+		log_failed(n, d);
+		if (d->result != STORE_CONFLICT) {
+			c->not_before = now + c->retry_pause;
+			c->retry_pause = MIN(2 * c->retry_pause, RETRY_MAX_US);
+		}
+	}
+	take_result(n, d, now);
+}
+
+/* Wave states are few and may be written again, so they have own calls. */
+struct wave_write {
+	uint64_t wave;
+	char *done;
+	bool is_done;
+};
+
+static void on_wave_written(void *ctx, uint64_t arg, const struct store_done *d,
+			    cs_time now);
+
+static void write_wave(struct node *n, struct wave_write *w)
+{
+	struct store_call *call =
+		store_call_new(STORE_TXN, NULL, STORE_TIMEOUT_MS);
+	char *status = g_strdup_printf("%s%" PRIu64,
+				       n->formats->wave_status_prefix, w->wave);
+	char *mark = g_strdup_printf(KEY_WAVES "%" PRIu64, w->wave);
+
+	store_call_expect(call, KEY_OWNER, n->owner.key_revision);
+	store_call_write(call, status,
+			 n->formats->write_wave_status(w->is_done), 0);
+	store_call_write(call, mark, g_bytes_new(w->done, strlen(w->done)), 0);
+	store_calls_send(n->calls, call, on_wave_written, n,
+			 GPOINTER_TO_SIZE(w));
+	g_free(status);
+	g_free(mark);
+}
+
+static void on_wave_written(void *ctx, uint64_t arg, const struct store_done *d,
+			    cs_time now)
+{
+	struct node *n = ctx;
+	struct wave_write *w = GSIZE_TO_POINTER(arg);
+	GString *pairs;
+
+	(void)now;
+	if (d->result == STORE_OK || d->result == STORE_CONFLICT ||
+	    n->owner.state != OWNER_ACTIVE) {
+		g_free(w->done);
+		g_free(w);
+		return;
+	}
+	pairs = g_string_new(NULL);
+	log_pair_int(pairs, "wave", (int64_t)w->wave);
+	log_pair(pairs, "result", store_result_name(d->result));
+	node_log(n, "wave_write_failed", pairs);
+	write_wave(n, w);
+}
+
+void commit_wave(void *ctx, uint64_t wave, const GPtrArray *done, bool is_done)
+{
+	struct node *n = ctx;
+	struct wave_write *w = g_new0(struct wave_write, 1);
+	GString *names = g_string_new(NULL);
+	guint i;
+
+	for (i = 0; i < done->len; i++)
+		g_string_append_printf(names, "%s\n",
+				       (const char *)g_ptr_array_index(done,
+								       i));
+	w->wave = wave;
+	w->done = g_string_free(names, FALSE);
+	w->is_done = is_done;
+	write_wave(n, w);
+}
--- /dev/null
+++ b/src/node/desk.c
@@ -0,0 +1,477 @@
+#include "node_private.h"
+
+#include <string.h>
+
+#include "../base/error.h"
+#include "../base/log.h"
+#include "../batch/batch_codec.h"
+
+/*
+ * Callers' requests. Each is answered from the store, which every entry
+ * reaches alike, so that no answer depends on which entry is the owner. A
+ * submission is accepted once its key is stored; the key is written only if it
+ * is absent, so that a repeated submission stays one job.
+ */
+
+/* Open requests; each belongs to a connection of the front. */
+#define REQUESTS_MAX (1u << 16)
+/* Of the caller's time, the part that is left to the answer's way back. */
+#define REPLY_MARGIN_MS 150
+/* Used when the caller does not say how long it waits. */
+#define TIMEOUT_MS 3000
+/* A call that the store refused is made again while time is left. */
+#define RETRY_US (60 * CS_MSEC)
+/* The front is told to send callers elsewhere when belief is older. */
+#define READY_AGE_US (2500 * CS_MSEC)
+#define RETRY_AFTER_MS 1000
+
+struct open_request {
+	struct node *node;
+	cs_handle self;
+	struct desk_request *request;
+	const char *id; /* of the job, in the request's path */
+	char workspace[CS_NAME_MAX];
+	char queue[CS_NAME_MAX];
+	cs_time answer_by;
+	bool was_unknown; /* a write may have been done */
+	bool is_second; /* the second read of two */
+};
+
+struct desk_request *desk_request_new(enum desk_kind kind)
+{
+	struct desk_request *r = g_new0(struct desk_request, 1);
+
+	r->kind = kind;
+	return r;
+}
+
+void desk_request_free(struct desk_request *r)
+{
+	if (!r)
+		return;
+	g_free(r->host);
+	g_free(r->path);
+	g_free(r->key);
+	batch_spec_destroy(r->spec);
+	g_free(r);
+}
+
+const char *desk_kind_name(enum desk_kind kind)
+{
+	static const char *const names[] = { "submit", "state", "cancel",
+					     "ready" };
+
+	return names[kind];
+}
+
+const char *desk_result_name(enum desk_result result)
+{
+	static const char *const names[] = { "ok",	    "no_queue",
+					     "no_job",	    "denied",
+					     "invalid",	    "overloaded",
+					     "unavailable", "unknown" };
+
+	return names[result];
+}
+
+static void log_reply(struct node *n, const struct desk_request *r,
+		      const struct desk_reply *reply, const char *queue,
+		      const char *workspace, const char *id, cs_time now)
+{
+	GString *pairs = g_string_new(NULL);
+
+	log_pair(pairs, "kind", desk_kind_name(r->kind));
+	log_pair(pairs, "job", id ? id : "");
+	log_pair(pairs, "queue", queue);
+	log_pair(pairs, "workspace", workspace);
+	log_pair(pairs, "result", desk_result_name(reply->result));
+	if (reply->has_state)
+		log_pair(pairs, "state", batch_state_name(reply->state));
+	if (reply->reason)
+		log_pair(pairs, "reason", reply->reason);
+	log_pair_int(pairs, "site_version",
+		     n->site ? (int64_t)site_version(n->site) : -1);
+	log_pair_int(pairs, "site_age_ms",
+		     (now - view_current_at(n->operators)) / CS_MSEC);
+	log_pair_int(pairs, "took_ms", (now - r->received) / CS_MSEC);
+	node_log(n, "request", pairs);
+}
+
+/* Answers a request that was not kept, and releases it. */
+static void reply_now(struct node *n, struct desk_request *r,
+		      struct desk_reply *reply, const char *queue,
+		      const char *workspace, const char *id, cs_time now)
+{
+	struct desk_reply *out = g_memdup2(reply, sizeof(*reply));
+
+	out->kind = r->kind;
+	out->exchange = r->exchange;
+	if (r->kind != DESK_READY)
+		log_reply(n, r, reply, queue, workspace, id, now);
+	n->ops->reply(n->ctx, out);
+	desk_request_free(r);
+}
+
+static void finish(struct open_request *o, struct desk_reply *reply,
+		   cs_time now)
+{
+	struct node *n = o->node;
+
+	reply_now(n, o->request, reply, o->queue, o->workspace, o->id, now);
+	slots_free(n->requests, o->self);
+}
+
+static void finish_with(struct open_request *o, enum desk_result result,
+			const char *reason, cs_time now)
+{
+	struct desk_reply reply = { .result = result, .reason = reason };
+
+	if (result == DESK_OVERLOADED || result == DESK_UNAVAILABLE)
+		reply.retry_after_ms = RETRY_AFTER_MS;
+	finish(o, &reply, now);
+}
+
+static void finish_state(struct open_request *o, enum batch_state state,
+			 cs_time now)
+{
+	struct desk_reply reply = { .result = DESK_OK,
+				    .has_state = true,
+				    .state = state };
+
+	finish(o, &reply, now);
+}
+
+/* The time that a call of the request may take; 0 when none is left. */
+static int64_t time_left(const struct open_request *o, cs_time now)
+{
+	int64_t left = (o->answer_by - now) / CS_MSEC;
+
+	if (left > STORE_TIMEOUT_MS)
+		left = STORE_TIMEOUT_MS;
+	return left < 1 ? 0 : left;
+}
+
+static void submit(struct open_request *o, cs_time now);
+static void look(struct open_request *o, cs_time now);
+static void cancel(struct open_request *o, cs_time now);
+
+static void go_on(struct open_request *o, cs_time now)
+{
+	switch (o->request->kind) {
+	case DESK_SUBMIT:
+		submit(o, now);
+		break;
+	case DESK_STATE:
+		look(o, now);
+		break;
+	case DESK_CANCEL:
+		if (o->is_second)
+			cancel(o, now);
+		else
+			look(o, now);
+		break;
+	case DESK_READY:
+		break;
+	}
+}
+
+static void on_retry(void *ctx, uint64_t arg, cs_time now)
+{
+	struct node *n = ctx;
+	struct open_request *o = slots_get(n->requests, arg);
+
+	if (o)
+		go_on(o, now);
+}
+
+/* Calls again shortly, or says that the store can't be used. */
+static void retry(struct open_request *o, const char *reason, cs_time now)
+{
+	if (now + RETRY_US < o->answer_by) {
+		timers_subscribe(o->node->timers, now + RETRY_US, on_retry,
+				 o->node, o->self);
+		return;
+	}
+	finish_with(o, o->was_unknown ? DESK_UNKNOWN : DESK_UNAVAILABLE, reason,
+		    now);
+}
+
+static void on_submitted(void *ctx, uint64_t arg, const struct store_done *d,
+			 cs_time now)
+{
+	struct node *n = ctx;
+	struct open_request *o = slots_get(n->requests, arg);
+
+	if (!o)
+		return;
+	switch (d->result) {
+	case STORE_OK:
+	case STORE_CONFLICT: /* it was stored before: still one job */
+		finish_with(o, DESK_OK,
+			    d->result == STORE_OK ? "stored" : "known", now);
+		break;
+	case STORE_UNKNOWN:
+		o->was_unknown = true;
+		retry(o, "no answer from the store", now);
+		break;
+	default:
+		retry(o, "the store refused the write", now);
+	}
+}
+
+/* The submission as it is stored; the same bytes at each attempt. */
+static GBytes *submission(const struct open_request *o)
+{
+	const struct desk_request *r = o->request;
+	struct batch view = { .submitted_unix_ms =
+				      node_unix_ms(o->node, r->received),
+			      .spec = r->spec };
+
+	cs_copy(view.id, sizeof(view.id), o->id);
+	cs_copy(view.queue, sizeof(view.queue), o->queue);
+	cs_copy(view.workspace, sizeof(view.workspace), o->workspace);
+	return batch_encode_submission(&view);
+}
+
+static void submit(struct open_request *o, cs_time now)
+{
+	struct store_call *c;
+	char *key;
+
+	if (!time_left(o, now)) {
+		retry(o, "no time left", now);
+		return;
+	}
+	key = g_strconcat(KEY_JOBS, o->id, NULL);
+	c = store_call_new(STORE_TXN, NULL, time_left(o, now));
+	store_call_expect(c, key, 0);
+	store_call_write(c, key, submission(o), 0);
+	g_free(key);
+	store_calls_send(o->node->calls, c, on_submitted, o->node, o->self);
+}
+
+static void on_cancelled(void *ctx, uint64_t arg, const struct store_done *d,
+			 cs_time now)
+{
+	struct node *n = ctx;
+	struct open_request *o = slots_get(n->requests, arg);
+
+	if (!o)
+		return;
+	if (d->result == STORE_OK || d->result == STORE_CONFLICT)
+		finish_with(o, DESK_OK, NULL, now);
+	else
+		retry(o, "the cancellation could not be stored", now);
+}
+
+static void cancel(struct open_request *o, cs_time now)
+{
+	struct store_call *c;
+	char *key;
+
+	if (!time_left(o, now)) {
+		retry(o, "no time left", now);
+		return;
+	}
+	key = g_strconcat(KEY_CANCELS, o->id, NULL);
+	c = store_call_new(STORE_TXN, NULL, time_left(o, now));
+	store_call_expect(c, key, 0);
+	store_call_write(c, key, g_bytes_new("", 0), 0);
+	g_free(key);
+	store_calls_send(o->node->calls, c, on_cancelled, o->node, o->self);
+}
+
+/* The job's key, read after its progress was found to be absent. */
+static void on_job_read(struct open_request *o, const struct store_done *d,
+			cs_time now)
+{
+	if (d->result == STORE_MISSING) {
+		finish_with(o, DESK_NO_JOB, NULL, now);
+	} else if (o->request->kind == DESK_CANCEL) {
+		cancel(o, now);
+	} else {
+		finish_state(o, BATCH_QUEUED, now);
+	}
+}
+
+static void on_progress_read(struct open_request *o, const struct store_done *d,
+			     cs_time now)
+{
+	const struct store_item *item = g_ptr_array_index(d->items, 0);
+	enum batch_state state;
+	gsize size;
+	const void *data = g_bytes_get_data(item->value, &size);
+
+	if (batch_decode_state(data, size, &state))
+		finish_with(o, DESK_UNAVAILABLE,
+			    "the stored state can't be read", now);
+	else
+		finish_state(o, state, now);
+}
+
+static void on_looked(void *ctx, uint64_t arg, const struct store_done *d,
+		      cs_time now)
+{
+	struct node *n = ctx;
+	struct open_request *o = slots_get(n->requests, arg);
+	bool is_found = d->result == STORE_OK && d->items->len;
+
+	if (!o)
+		return;
+	if (!is_found && d->result != STORE_MISSING) {
+		retry(o, "the store could not be read", now);
+		return;
+	}
+	if (o->is_second) {
+		on_job_read(o, d, now);
+	} else if (is_found) {
+		on_progress_read(o, d, now);
+	} else {
+		o->is_second = true;
+		look(o, now);
+	}
+}
+
+/* Reads the progress first, then the job itself; a cancel needs only that. */
+static void look(struct open_request *o, cs_time now)
+{
+	const char *prefix;
+	char *key;
+
+	if (!time_left(o, now)) {
+		retry(o, "no time left", now);
+		return;
+	}
+	if (o->request->kind == DESK_CANCEL)
+		o->is_second = true;
+	prefix = o->is_second ? KEY_JOBS : KEY_PROGRESS;
+	key = g_strconcat(prefix, o->id, NULL);
+	store_calls_send(o->node->calls,
+			 store_call_new(STORE_GET, key, time_left(o, now)),
+			 on_looked, o->node, o->self);
+	g_free(key);
+}
+
+/* The owner knows states itself; only stored ones may be shown. */
+static bool answer_as_owner(struct open_request *o, cs_time now)
+{
+	struct node *n = o->node;
+	enum batch_state state;
+	bool is_stored;
+
+	if (n->owner.state != OWNER_ACTIVE || o->request->kind != DESK_STATE ||
+	    !sched_find(n->sched, o->id, &state, &is_stored))
+		return false;
+	if (!is_stored && state >= BATCH_DONE)
+		state = BATCH_RUNNING;
+	finish_state(o, state, now);
+	return true;
+}
+
+/* DESK_OK if the key allows the call; *workspace is set to its owner. */
+static enum desk_result check_key(const struct node *n,
+				  const struct site_queue *q, const char *key,
+				  const char **workspace)
+{
+	const struct site_workspace *w = key ? site_key_owner(n->site, key) :
+					       NULL;
+
+	*workspace = w ? w->name : "";
+	return w || q->is_open ? DESK_OK : DESK_DENIED;
+}
+
+static void answer_count(struct node *n, struct desk_request *r,
+			 const struct site_queue *q, cs_time now)
+{
+	const struct queue_load *load = g_hash_table_lookup(n->loads, q->name);
+	struct desk_reply reply = { .result = DESK_OK,
+				    .has_pending = true,
+				    .pending = load ? load->pending : 0 };
+
+	reply_now(n, r, &reply, q->name, "", NULL, now);
+}
+
+static void refuse(struct node *n, struct desk_request *r,
+		   enum desk_result result, const char *reason, cs_time now)
+{
+	struct desk_reply reply = { .result = result, .reason = reason };
+
+	if (result == DESK_OVERLOADED || result == DESK_UNAVAILABLE)
+		reply.retry_after_ms = RETRY_AFTER_MS;
+	reply_now(n, r, &reply, "", "", NULL, now);
+}
+
+static bool is_ready(const struct node *n, cs_time now)
+{
+	return n->site && !n->is_draining &&
+	       now - view_current_at(n->operators) < READY_AGE_US;
+}
+
+/* Keeps a request until the store has answered. */
+static void open_request(struct node *n, struct desk_request *r,
+			 const struct site_queue *q, const char *workspace,
+			 const char *id, cs_time now)
+{
+	struct open_request *o;
+	int64_t timeout = r->timeout_ms > 0 ? r->timeout_ms : TIMEOUT_MS;
+	cs_handle h;
+
+	if (!n->requests)
+		n->requests = slots_create(sizeof(*o), REQUESTS_MAX);
+	h = slots_take(n->requests, (void **)&o);
+	if (!h) {
+		refuse(n, r, DESK_OVERLOADED, "too many open requests", now);
+		return;
+	}
+	o->node = n;
+	o->self = h;
+	o->request = r;
+	o->id = id;
+	o->answer_by = r->received + (timeout - REPLY_MARGIN_MS) * CS_MSEC;
+	cs_copy(o->workspace, sizeof(o->workspace), workspace);
+	cs_copy(o->queue, sizeof(o->queue), q->name);
+	if (!answer_as_owner(o, now))
+		go_on(o, now);
+}
+
+void desk_handle(struct node *n, struct desk_request *r, cs_time now)
+{
+	const struct site_queue *q;
+	const char *rest, *workspace;
+	enum desk_result result;
+
+	if (r->kind == DESK_READY) {
+		refuse(n, r, is_ready(n, now) ? DESK_OK : DESK_UNAVAILABLE,
+		       NULL, now);
+		return;
+	}
+	if (!n->site) {
+		refuse(n, r, DESK_UNAVAILABLE, "no configuration yet", now);
+		return;
+	}
+	q = site_route(n->site, r->host, r->path, &rest);
+	if (!q) {
+		refuse(n, r, DESK_NO_QUEUE, "no such queue", now);
+		return;
+	}
+	result = check_key(n, q, r->key, &workspace);
+	if (result != DESK_OK) {
+		refuse(n, r, result, "the key is missing or unknown", now);
+		return;
+	}
+	if (r->kind == DESK_STATE && !*rest) {
+		answer_count(n, r, q, now);
+		return;
+	}
+	if (!batch_id_is_valid(rest)) {
+		refuse(n, r,
+		       r->kind == DESK_SUBMIT ? DESK_INVALID : DESK_NO_JOB,
+		       "not a job identifier", now);
+		return;
+	}
+	if (r->kind == DESK_SUBMIT && !r->spec) {
+		refuse(n, r, DESK_INVALID, "the job can't be read", now);
+		return;
+	}
+	open_request(n, r, q, workspace, rest, now);
+}
--- /dev/null
+++ b/src/node/desk.h
@@ -0,0 +1,55 @@
+#ifndef NODE_DESK_H
+#define NODE_DESK_H
+
+#include "../batch/batch.h"
+
+/*
+ * What callers ask for and what they are told, without any encoding.
+ */
+enum desk_kind {
+	DESK_SUBMIT,
+	DESK_STATE,
+	DESK_CANCEL,
+	DESK_READY /* may callers be sent here */
+};
+
+struct desk_request {
+	enum desk_kind kind;
+	uint64_t exchange; /* returned with the reply */
+	char *host; /* of the address that the caller used */
+	char *path;
+	char *key; /* NULL: none was sent */
+	struct batch_spec *spec; /* of a submission; NULL: can't be read */
+	char fault[128]; /* why it can't be read */
+	int64_t timeout_ms; /* until the caller gives up; 0: not told */
+	cs_time received;
+};
+
+enum desk_result {
+	DESK_OK, /* also: accepted */
+	DESK_NO_QUEUE,
+	DESK_NO_JOB,
+	DESK_DENIED, /* the key is missing or unknown */
+	DESK_INVALID,
+	DESK_OVERLOADED, /* not accepted, and never runs */
+	DESK_UNAVAILABLE, /* the same; the entry can't serve now */
+	DESK_UNKNOWN /* it may have been accepted; ask again */
+};
+
+struct desk_reply {
+	enum desk_kind kind;
+	uint64_t exchange;
+	enum desk_result result;
+	bool has_state, has_pending;
+	enum batch_state state;
+	int64_t pending; /* jobs of the queue without a start */
+	int64_t retry_after_ms; /* 0: none */
+	const char *reason; /* static text for people and logs */
+};
+
+struct desk_request *desk_request_new(enum desk_kind kind);
+void desk_request_free(struct desk_request *request);
+const char *desk_kind_name(enum desk_kind kind);
+const char *desk_result_name(enum desk_result result);
+
+#endif
--- /dev/null
+++ b/src/node/node.c
@@ -0,0 +1,298 @@
+#include "node_private.h"
+
+#include <string.h>
+
+#include "../base/error.h"
+#include "../base/log.h"
+
+/*
+ * All entries watch the operators' prefix and the control prefix. The wait of
+ * one watch and its slack bound how long a connection that has gone silent can
+ * hide a change: configurations must be in force within 2 s.
+ */
+#define WATCH_WAIT_MS 900
+#define WATCH_SLACK_MS 500
+/* Turns run again while the scheduler has more to start. */
+#define TURNS_MAX 8
+
+static void send_store_call(void *ctx, struct store_call *call)
+{
+	struct node *n = ctx;
+
+	counters_add(n->counters, "camphorshed_store_calls_total", "", 1);
+	n->ops->store_call(n->ctx, call);
+}
+
+static const struct store_port store_port = { send_store_call };
+
+void node_log(struct node *n, const char *event, GString *pairs)
+{
+	n->ops->log(n->ctx, event, pairs->str);
+	g_string_free(pairs, TRUE);
+}
+
+int64_t node_unix_ms(const struct node *n, cs_time now)
+{
+	return n->unix_ms + (now - n->unix_at) / CS_MSEC;
+}
+
+static void bytes_free(void *bytes)
+{
+	g_bytes_unref(bytes);
+}
+
+struct node *node_create(const struct node_options *options,
+			 const struct node_ops *ops, void *ctx,
+			 const struct node_formats *formats)
+{
+	struct node *n = g_new0(struct node, 1);
+
+	n->options = *options;
+	n->ops = ops;
+	n->ctx = ctx;
+	n->formats = formats;
+	n->timers = timers_create();
+	n->counters = counters_create();
+	n->calls = store_calls_create(&store_port, n);
+	n->rng = g_rand_new_with_seed(options->seed);
+	n->evacuated =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	n->waves = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					 bytes_free);
+	n->loads =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	return n;
+}
+
+/* Requests that are still open are dropped; their connections end anyway. */
+static void free_requests(struct node *n)
+{
+	slots_destroy(n->requests);
+}
+
+void node_destroy(struct node *n)
+{
+	if (!n)
+		return;
+	term_end(n);
+	if (n->operators)
+		view_destroy(n->operators);
+	if (n->control)
+		view_destroy(n->control);
+	if (n->requests)
+		free_requests(n);
+	store_calls_destroy(n->calls);
+	timers_destroy(n->timers);
+	counters_destroy(n->counters);
+	g_rand_free(n->rng);
+	g_hash_table_destroy(n->evacuated);
+	g_hash_table_destroy(n->waves);
+	g_hash_table_destroy(n->loads);
+	g_free(n->published);
+	site_unref(n->site);
+	g_free(n);
+}
+
+/* A configuration replaces one of a lower version only. */
+static void read_site(struct node *n, GBytes *value, uint64_t revision,
+		      cs_time now)
+{
+	struct cs_error err = { 0 };
+	struct site *site = n->formats->read_site(value, &err);
+	GString *pairs = g_string_new(NULL);
+
+	log_pair_int(pairs, "revision", (int64_t)revision);
+	if (!site) {
+		log_pair(pairs, "message", err.message);
+		node_log(n, "configuration_unreadable", pairs);
+		return;
+	}
+	log_pair_int(pairs, "version", (int64_t)site_version(site));
+	if (n->site && site_version(site) < site_version(n->site)) {
+		node_log(n, "configuration_older", pairs);
+		site_unref(site);
+		return;
+	}
+	node_log(n, "configuration_in_force", pairs);
+	site_unref(n->site);
+	n->site = site;
+	if (n->sched)
+		sched_set_site(n->sched, site, now);
+}
+
+static void set_evacuated(struct node *n, const char *data_centre,
+			  bool is_evacuated, cs_time now)
+{
+	GString *pairs = g_string_new(NULL);
+
+	log_pair(pairs, "data_centre", data_centre);
+	log_pair_int(pairs, "evacuated", is_evacuated);
+	node_log(n, "evacuation", pairs);
+	if (is_evacuated)
+		g_hash_table_add(n->evacuated, g_strdup(data_centre));
+	else
+		g_hash_table_remove(n->evacuated, data_centre);
+	if (n->sched)
+		sched_set_evacuated(n->sched, data_centre, is_evacuated, now);
+}
+
+static void on_operator_put(void *ctx, const struct store_item *item,
+			    cs_time now)
+{
+	struct node *n = ctx;
+	const struct node_formats *f = n->formats;
+
+	if (!strcmp(item->key, f->configuration_key)) {
+		read_site(n, item->value, item->revision, now);
+	} else if (g_str_has_prefix(item->key, f->evacuation_prefix)) {
+		set_evacuated(n, item->key + strlen(f->evacuation_prefix), true,
+			      now);
+	} else if (g_str_has_prefix(item->key, f->wave_prefix)) {
+		const char *number = item->key + strlen(f->wave_prefix);
+
+		g_hash_table_insert(n->waves, g_strdup(number),
+				    g_bytes_ref(item->value));
+		if (n->owner.state == OWNER_ACTIVE)
+			term_add_wave(n, number, item->value, now);
+	}
+}
+
+static void on_operator_delete(void *ctx, const char *key, cs_time now)
+{
+	struct node *n = ctx;
+	const struct node_formats *f = n->formats;
+
+	if (g_str_has_prefix(key, f->evacuation_prefix)) {
+		set_evacuated(n, key + strlen(f->evacuation_prefix), false,
+			      now);
+	} else if (g_str_has_prefix(key, f->wave_prefix)) {
+		const char *number = key + strlen(f->wave_prefix);
+
+		g_hash_table_remove(n->waves, number);
+		if (n->owner.state == OWNER_ACTIVE)
+			sched_wave_gone(n->sched,
+					g_ascii_strtoull(number, NULL, 10));
+	}
+}
+
+static void on_control_put(void *ctx, const struct store_item *item,
+			   cs_time now)
+{
+	struct node *n = ctx;
+
+	if (!strcmp(item->key, KEY_QUEUES))
+		queues_read(n, item->value);
+	else
+		owner_on_put(n, item, now);
+}
+
+static void on_control_delete(void *ctx, const char *key, cs_time now)
+{
+	owner_on_delete(ctx, key, now);
+}
+
+static void on_control_synced(void *ctx, cs_time now)
+{
+	owner_on_synced(ctx, now);
+}
+
+static void on_operator_synced(void *ctx, cs_time now)
+{
+	owner_on_synced(ctx, now);
+}
+
+static const struct view_ops operator_ops = { on_operator_put,
+					      on_operator_delete,
+					      on_operator_synced };
+static const struct view_ops control_ops = { on_control_put, on_control_delete,
+					     on_control_synced };
+
+void node_start(struct node *n, int64_t unix_ms, cs_time now)
+{
+	struct view_options o = { .wait_ms = WATCH_WAIT_MS,
+				  .slack_ms = WATCH_SLACK_MS };
+
+	n->unix_ms = unix_ms;
+	n->unix_at = now;
+	o.prefix = n->formats->operator_prefix;
+	n->operators =
+		view_create(&o, n->calls, n->timers, &operator_ops, n, now);
+	o.prefix = KEY_CONTROL;
+	n->control = view_create(&o, n->calls, n->timers, &control_ops, n, now);
+}
+
+void node_request(struct node *n, struct desk_request *request, cs_time now)
+{
+	desk_handle(n, request, now);
+}
+
+/* One line when the store is lost, and one when it answers again. */
+static void note_store(struct node *n, const struct store_done *d, cs_time now)
+{
+	bool is_lost = d->result == STORE_REFUSED || d->result == STORE_UNKNOWN;
+	GString *pairs;
+
+	if (is_lost == (n->store_lost_at != 0))
+		return;
+	pairs = g_string_new(NULL);
+	log_pair(pairs, "dependency", "store");
+	log_pair(pairs, "call", store_op_name(d->op));
+	log_pair(pairs, "result", store_result_name(d->result));
+	if (is_lost) {
+		log_pair(pairs, "message", d->error.message);
+	} else {
+		log_pair_int(pairs, "lost_for_ms",
+			     (now - n->store_lost_at) / CS_MSEC);
+	}
+	n->store_lost_at = is_lost ? now : 0;
+	node_log(n, is_lost ? "dependency_lost" : "dependency_regained", pairs);
+}
+
+void node_store_done(struct node *n, const struct store_done *d, cs_time now)
+{
+	note_store(n, d, now);
+	store_calls_answer(n->calls, d, now);
+}
+
+/* An order of an earlier term carries a token that is not ours any more. */
+void node_order_done(struct node *n, const struct order_done *d, cs_time now)
+{
+	if (n->sched && d->token == n->owner.term)
+		sched_order_done(n->sched, d, now);
+}
+
+void node_drain(struct node *n, cs_time now)
+{
+	n->is_draining = true;
+	owner_release(n, now);
+}
+
+bool node_is_drained(const struct node *n)
+{
+	return n->is_draining && (!n->requests || !slots_count(n->requests));
+}
+
+void node_turn(struct node *n, int64_t unix_ms, cs_time now)
+{
+	int i;
+
+	n->unix_ms = unix_ms;
+	n->unix_at = now;
+	timers_advance(n->timers, now);
+	owner_turn(n, now);
+	term_turn(n, now);
+	for (i = 0; n->sched && i < TURNS_MAX; i++)
+		sched_turn(n->sched, unix_ms, now);
+	commit_turn(n, now);
+	queues_publish(n, now);
+}
+
+cs_time node_next_due(const struct node *n)
+{
+	return timers_next_due(n->timers);
+}
+
+struct counters *node_counters(struct node *n)
+{
+	return n->counters;
+}
--- /dev/null
+++ b/src/node/node.h
@@ -0,0 +1,79 @@
+#ifndef NODE_NODE_H
+#define NODE_NODE_H
+
+#include "../base/counters.h"
+#include "../sched/sched.h"
+#include "../store/store.h"
+#include "desk.h"
+
+/*
+ * The decision core of an entry on a platform with a shared store. It answers
+ * callers, takes part in the choice of the owner, and while it is the owner
+ * runs the scheduler. It has no socket, thread or clock: a host passes it
+ * messages and the time, and takes its output through node_ops. What the
+ * operators and servers write to the store is decoded by node_formats.
+ */
+struct node;
+
+/* The output. Each function takes over what it is given. */
+struct node_ops {
+	void (*store_call)(void *ctx, struct store_call *call);
+	void (*order)(void *ctx, struct order *order);
+	void (*reply)(void *ctx, struct desk_reply *reply);
+	void (*log)(void *ctx, const char *event, const char *pairs);
+};
+
+/*
+ * How the platform spells what others than entries write to the store, and
+ * where. Functions return false, or NULL, for what can't be read.
+ */
+struct node_formats {
+	const char *operator_prefix;
+	const char *configuration_key;
+	const char *evacuation_prefix; /* the data centre follows */
+	const char *wave_prefix; /* the number follows */
+	const char *server_prefix; /* the identifier follows */
+	const char *wave_status_prefix;
+	struct site *(*read_site)(GBytes *value, struct cs_error *err);
+	bool (*read_server)(const char *id, GBytes *value,
+			    struct server_info *info);
+	/* hosts of the result belongs to the caller. */
+	bool (*read_wave)(GBytes *value, struct wave_info *wave);
+	GBytes *(*write_wave_status)(bool is_done);
+};
+
+struct node_options {
+	char name[CS_NAME_MAX];
+	uint64_t incarnation; /* differs between starts of one entry */
+	uint32_t seed;
+	int64_t lease_min_ms; /* shortest lease that the store grants */
+	struct sched_bounds bounds;
+};
+
+struct node *node_create(const struct node_options *options,
+			 const struct node_ops *ops, void *ctx,
+			 const struct node_formats *formats);
+void node_destroy(struct node *node);
+
+/* Begins to read the store. Called once, before any other message. */
+void node_start(struct node *node, int64_t unix_ms, cs_time now);
+
+/* Messages. node_request() takes over the request. */
+void node_request(struct node *node, struct desk_request *request, cs_time now);
+void node_store_done(struct node *node, const struct store_done *done,
+		     cs_time now);
+void node_order_done(struct node *node, const struct order_done *done,
+		     cs_time now);
+
+/* Gives up ownership and reports itself as not ready. */
+void node_drain(struct node *node, cs_time now);
+/* True when nothing of this entry waits any more. */
+bool node_is_drained(const struct node *node);
+
+/* Runs what is due. Called after messages, and at node_next_due(). */
+void node_turn(struct node *node, int64_t unix_ms, cs_time now);
+cs_time node_next_due(const struct node *node);
+
+struct counters *node_counters(struct node *node);
+
+#endif
--- /dev/null
+++ b/src/node/node_bus.c
@@ -0,0 +1,122 @@
+#include "node_bus.h"
+
+#include "../base/mailbox.h"
+
+/* Messages that wait for one task; only callers' requests are bounded by it. */
+#define MAILBOX_MAX 4096
+
+struct node_bus {
+	struct mailbox *boxes[NODE_TASK_NR];
+	struct log *log;
+};
+
+static void metrics_free(void *body)
+{
+	struct node_metrics *m = body;
+
+	if (m->text)
+		g_string_free(m->text, TRUE);
+	g_free(m);
+}
+
+static void free_request(void *body)
+{
+	desk_request_free(body);
+}
+
+static void free_store_call(void *body)
+{
+	store_call_free(body);
+}
+
+static void free_store_done(void *body)
+{
+	store_done_free(body);
+}
+
+static void free_order(void *body)
+{
+	order_free(body);
+}
+
+static void free_order_done(void *body)
+{
+	order_done_free(body);
+}
+
+static void (*const free_body[NODE_MSG_NR])(void *) = {
+	[NODE_REQUEST] = free_request,
+	[NODE_REPLY] = g_free,
+	[NODE_STORE_CALL] = free_store_call,
+	[NODE_STORE_DONE] = free_store_done,
+	[NODE_ORDER] = free_order,
+	[NODE_ORDER_DONE] = free_order_done,
+	[NODE_METRICS] = metrics_free,
+};
+
+void node_msg_free(struct node_msg *msg)
+{
+	if (msg->body && free_body[msg->type])
+		free_body[msg->type](msg->body);
+	g_free(msg);
+}
+
+static void free_item(void *item)
+{
+	node_msg_free(item);
+}
+
+struct node_bus *node_bus_create(struct log *log, struct cs_error *err)
+{
+	struct node_bus *bus = g_new0(struct node_bus, 1);
+	int i;
+
+	bus->log = log;
+	for (i = 0; i < NODE_TASK_NR; i++) {
+		bus->boxes[i] = mailbox_create(MAILBOX_MAX, free_item, err);
+		if (!bus->boxes[i]) {
+			node_bus_destroy(bus);
+			return NULL;
+		}
+	}
+	return bus;
+}
+
+void node_bus_destroy(struct node_bus *bus)
+{
+	int i;
+
+	if (!bus)
+		return;
+	for (i = 0; i < NODE_TASK_NR; i++)
+		mailbox_destroy(bus->boxes[i]);
+	g_free(bus);
+}
+
+struct mailbox *node_bus_mailbox(struct node_bus *bus, enum node_task task)
+{
+	return bus->boxes[task];
+}
+
+struct log *node_bus_log(struct node_bus *bus)
+{
+	return bus->log;
+}
+
+int node_bus_post(struct node_bus *bus, enum node_task to,
+		  enum node_msg_type type, void *body)
+{
+	struct node_msg *msg = g_new(struct node_msg, 1);
+
+	msg->type = type;
+	msg->body = body;
+	if (type != NODE_REQUEST) {
+		mailbox_post_answer(bus->boxes[to], msg);
+		return CS_OK;
+	}
+	if (mailbox_post(bus->boxes[to], msg)) {
+		g_free(msg);
+		return CS_ERR_FULL;
+	}
+	return CS_OK;
+}
--- /dev/null
+++ b/src/node/node_bus.h
@@ -0,0 +1,53 @@
+#ifndef NODE_NODE_BUS_H
+#define NODE_NODE_BUS_H
+
+#include "../base/log.h"
+#include "node.h"
+
+/*
+ * The mailboxes of an entry's tasks, and the messages between them. A message
+ * is a type and a body, whose ownership moves to the receiver.
+ */
+enum node_task { NODE_CORE, NODE_FRONT, NODE_STORE, NODE_FLEET, NODE_TASK_NR };
+
+enum node_msg_type {
+	NODE_REQUEST, /* struct desk_request, to the core */
+	NODE_REPLY, /* struct desk_reply, to the front */
+	NODE_STORE_CALL, /* struct store_call, to the store client */
+	NODE_STORE_DONE, /* struct store_done, to the core */
+	NODE_ORDER, /* struct order, to the fleet client */
+	NODE_ORDER_DONE, /* struct order_done, to the core */
+	NODE_DRAIN, /* no body, to the core and the front */
+	NODE_METRICS, /* struct node_metrics, to the core and back */
+	NODE_MSG_NR
+};
+
+struct node_metrics {
+	uint64_t exchange;
+	GString *text;
+};
+
+struct node_msg {
+	enum node_msg_type type;
+	void *body;
+};
+
+struct node_bus;
+
+struct node_bus *node_bus_create(struct log *log, struct cs_error *err);
+void node_bus_destroy(struct node_bus *bus);
+struct mailbox;
+struct mailbox *node_bus_mailbox(struct node_bus *bus, enum node_task task);
+struct log *node_bus_log(struct node_bus *bus);
+
+/*
+ * Sends a message. Only a caller's request can be refused, with CS_ERR_FULL,
+ * when the core has too many; the body then stays the sender's.
+ */
+int node_bus_post(struct node_bus *bus, enum node_task to,
+		  enum node_msg_type type, void *body);
+
+/* Releases a message with its body, or without it. */
+void node_msg_free(struct node_msg *msg);
+
+#endif
--- /dev/null
+++ b/src/node/node_core.h
@@ -0,0 +1,20 @@
+#ifndef NODE_NODE_CORE_H
+#define NODE_NODE_CORE_H
+
+#include "node_bus.h"
+
+/*
+ * The task that owns the decision core of an entry: it turns messages and
+ * time into calls of struct node, and its output into messages.
+ */
+struct node_core;
+
+struct node_core *node_core_create(const struct node_options *options,
+				   const struct node_formats *formats,
+				   struct node_bus *bus, struct cs_error *err);
+void node_core_destroy(struct node_core *core);
+
+/* Readable once the core has drained. */
+int node_core_drained_fd(const struct node_core *core);
+
+#endif
--- /dev/null
+++ b/src/node/ownership.c
@@ -0,0 +1,342 @@
+#include "node_private.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "../base/error.h"
+#include "../base/log.h"
+
+/*
+ * The owner's key is written under a lease of the store, so that it goes when
+ * its writer does. The term rises with each owner and is the fencing token of
+ * its orders. An owner that has not been confirmed for a while pauses: it
+ * neither starts tasks nor extends leases.
+ */
+
+/*
+ * Life of the owner's lease. Shorter loses the ownership to short outages,
+ * longer leaves the fleet without decisions after a crash.
+ */
+#define OWNER_LEASE_MS 2000
+/* Renewals, and after one that failed. */
+#define RENEW_US (600 * CS_MSEC)
+#define RENEW_RETRY_US (200 * CS_MSEC)
+/*
+ * How long an owner that the store does not confirm goes on. Outages of the
+ * store last up to about 9 s, in which nobody else can become the owner
+ * either; but a successor waits this long for servers it can't reach.
+ */
+#define OWNER_VALID_US (5 * CS_SEC)
+/* Leases of servers (see sched_private.h) and their clock error, rounded up. */
+#define SERVER_LEASE_US (3700 * CS_MSEC)
+/* Entries try to become the owner at different times, to spare the store. */
+#define TAKE_SPREAD_US (120 * CS_MSEC)
+#define TAKE_RETRY_US (300 * CS_MSEC)
+
+static void take(struct node *n, cs_time now);
+
+/* "NAME INCARNATION", by which an entry knows its own key again. */
+static char *owner_text(const struct node *n)
+{
+	return g_strdup_printf("%s %" PRIu64, n->options.name,
+			       n->options.incarnation);
+}
+
+static bool is_ours(const struct node *n, const struct store_item *item)
+{
+	char *text = owner_text(n);
+	gsize size;
+	const char *data = g_bytes_get_data(item->value, &size);
+	bool is_same = size == strlen(text) && !memcmp(data, text, size);
+
+	g_free(text);
+	return is_same;
+}
+
+static void on_timer(void *ctx, uint64_t arg, cs_time now)
+{
+	struct node *n = ctx;
+
+	(void)arg;
+	n->owner.timer = 0;
+	take(n, now);
+}
+
+/* Plans an attempt to become the owner, if nobody is. */
+static void want(struct node *n, cs_time at)
+{
+	if (n->is_draining || n->owner.timer || n->owner.call ||
+	    n->owner.state != OWNER_OTHER)
+		return;
+	n->owner.timer = timers_subscribe(n->timers, at, on_timer, n, 0);
+}
+
+static void plan(struct node *n, cs_time now)
+{
+	if (view_is_synced(n->control) && !n->owner.is_key_present && n->site)
+		want(n, now + g_rand_int_range(n->rng, 0, TAKE_SPREAD_US));
+}
+
+static void on_kept(void *ctx, uint64_t arg, const struct store_done *d,
+		    cs_time now);
+
+static void on_renew(void *ctx, uint64_t arg, cs_time now)
+{
+	struct node *n = ctx;
+	struct store_call *c;
+
+	(void)arg;
+	(void)now;
+	n->owner.timer = 0;
+	c = store_call_new(STORE_KEEP, NULL, STORE_TIMEOUT_MS);
+	c->lease = n->owner.lease;
+	n->owner.call = store_calls_send(n->calls, c, on_kept, n, 0);
+}
+
+static void renew_at(struct node *n, cs_time at)
+{
+	timers_cancel(n->timers, n->owner.timer);
+	n->owner.timer = timers_subscribe(n->timers, at, on_renew, n, 0);
+}
+
+static void on_kept(void *ctx, uint64_t arg, const struct store_done *d,
+		    cs_time now)
+{
+	struct node *n = ctx;
+
+	(void)arg;
+	n->owner.call = 0;
+	if (n->owner.state < OWNER_LOADING)
+		return;
+	if (d->result == STORE_MISSING) {
+		owner_lost(n, "the lease has ended", now);
+		return;
+	}
+	if (d->result != STORE_OK) {
+		renew_at(n, now + RENEW_RETRY_US);
+		return;
+	}
+	owner_confirm(n, d->sent);
+	renew_at(n, now + RENEW_US);
+}
+
+void owner_confirm(struct node *n, cs_time sent)
+{
+	if (sent > n->owner.confirmed_at)
+		n->owner.confirmed_at = sent;
+}
+
+static void log_owner(struct node *n, const char *event, const char *why)
+{
+	GString *pairs = g_string_new(NULL);
+
+	log_pair_int(pairs, "term", (int64_t)n->owner.term);
+	log_pair_int(pairs, "key_revision", (int64_t)n->owner.key_revision);
+	log_pair(pairs, "why", why);
+	node_log(n, event, pairs);
+}
+
+/* The key is ours: the term begins. */
+static void taken(struct node *n, uint64_t revision, cs_time sent, cs_time now)
+{
+	n->owner.state = OWNER_LOADING;
+	n->owner.is_key_present = true;
+	n->owner.key_revision = revision;
+	n->owner.term = n->owner.taking_term;
+	n->owner.taken_at = now;
+	n->owner.confirmed_at = 0;
+	owner_confirm(n, sent);
+	log_owner(n, "owner_taken", "nobody held the key");
+	counters_add(n->counters, "camphorshed_owner_terms_total", "", 1);
+	renew_at(n, sent ? now + RENEW_US : now);
+	term_begin(n, now);
+}
+
+/* Gives the attempt up; the lease is left to end by itself. */
+static void give_up(struct node *n, cs_time now)
+{
+	n->owner.state = OWNER_OTHER;
+	n->owner.lease = 0;
+	if (!n->owner.is_key_present)
+		want(n, now + TAKE_RETRY_US);
+}
+
+static void on_taken(void *ctx, uint64_t arg, const struct store_done *d,
+		     cs_time now)
+{
+	struct node *n = ctx;
+
+	(void)arg;
+	n->owner.call = 0;
+	if (n->owner.state != OWNER_TAKING)
+		return;
+	if (d->result == STORE_OK) {
+		taken(n, d->revision, d->sent, now);
+		return;
+	}
+	/*
+	 * Without an answer the key may become ours yet, and the view will show
+	 * it; until its lease has ended nobody else can take it.
+	 */
+	give_up(n, now);
+}
+
+static void on_lease(void *ctx, uint64_t arg, const struct store_done *d,
+		     cs_time now)
+{
+	struct node *n = ctx;
+	struct store_call *c;
+	char *text, *term;
+
+	(void)arg;
+	n->owner.call = 0;
+	if (n->owner.state != OWNER_TAKING)
+		return;
+	if (d->result != STORE_OK || n->owner.is_key_present) {
+		give_up(n, now);
+		return;
+	}
+	n->owner.lease = d->lease;
+	n->owner.taking_term = n->owner.term + 1;
+	text = owner_text(n);
+	term = g_strdup_printf("%" PRIu64, n->owner.taking_term);
+	c = store_call_new(STORE_TXN, NULL, STORE_TIMEOUT_MS);
+	store_call_expect(c, KEY_OWNER, 0);
+	store_call_expect(c, KEY_TERM, n->owner.term_revision);
+	store_call_write(c, KEY_OWNER, g_bytes_new_take(text, strlen(text)),
+			 n->owner.lease);
+	store_call_write(c, KEY_TERM, g_bytes_new_take(term, strlen(term)), 0);
+	n->owner.call = store_calls_send(n->calls, c, on_taken, n, 0);
+}
+
+/* Begins an attempt: a lease first, then the key under it. */
+static void take(struct node *n, cs_time now)
+{
+	struct store_call *c;
+
+	(void)now;
+	if (n->owner.state != OWNER_OTHER || n->owner.is_key_present ||
+	    n->is_draining)
+		return;
+	n->owner.state = OWNER_TAKING;
+	c = store_call_new(STORE_LEASE, NULL, STORE_TIMEOUT_MS);
+	c->wait_ms = OWNER_LEASE_MS;
+	if (c->wait_ms < n->options.lease_min_ms)
+		c->wait_ms = n->options.lease_min_ms;
+	n->owner.call = store_calls_send(n->calls, c, on_lease, n, 0);
+}
+
+void owner_on_put(struct node *n, const struct store_item *item, cs_time now)
+{
+	char text[24] = "";
+	gsize size;
+	const char *data = g_bytes_get_data(item->value, &size);
+
+	if (!strcmp(item->key, KEY_TERM)) {
+		memcpy(text, data, MIN(size, sizeof(text) - 1));
+		n->owner.term_revision = item->revision;
+		if (n->owner.state < OWNER_LOADING)
+			n->owner.term = g_ascii_strtoull(text, NULL, 10);
+		return;
+	}
+	if (strcmp(item->key, KEY_OWNER))
+		return;
+	n->owner.is_key_present = true;
+	if (is_ours(n, item)) {
+		/* Ours by a transaction whose answer was lost or late. */
+		if (n->owner.state < OWNER_LOADING && !n->is_draining) {
+			store_calls_forget(n->calls, n->owner.call);
+			n->owner.call = 0;
+			n->owner.lease = item->lease;
+			taken(n, item->revision, 0, now);
+		}
+		return;
+	}
+	if (n->owner.state >= OWNER_LOADING &&
+	    item->revision > n->owner.key_revision)
+		owner_lost(n, "another entry wrote the key", now);
+	n->owner.is_key_present = true;
+}
+
+void owner_on_delete(struct node *n, const char *key, cs_time now)
+{
+	if (strcmp(key, KEY_OWNER))
+		return;
+	n->owner.is_key_present = false;
+	if (n->owner.state >= OWNER_LOADING)
+		owner_lost(n, "the key was removed", now);
+	plan(n, now);
+}
+
+void owner_on_synced(struct node *n, cs_time now)
+{
+	plan(n, now);
+}
+
+/* Ends the term without touching the store. */
+static void end_term(struct node *n)
+{
+	n->owner.state = OWNER_OTHER;
+	store_calls_forget(n->calls, n->owner.call);
+	n->owner.call = 0;
+	timers_cancel(n->timers, n->owner.timer);
+	n->owner.timer = 0;
+	n->owner.lease = 0;
+	term_end(n);
+}
+
+void owner_lost(struct node *n, const char *why, cs_time now)
+{
+	if (n->owner.state < OWNER_LOADING)
+		return;
+	log_owner(n, "owner_lost", why);
+	end_term(n);
+	plan(n, now);
+}
+
+static void on_released(void *ctx, uint64_t arg, const struct store_done *d,
+			cs_time now)
+{
+	struct node *n = ctx;
+	GString *pairs = g_string_new(NULL);
+
+	(void)arg;
+	(void)now;
+	log_pair(pairs, "result", store_result_name(d->result));
+	node_log(n, "owner_released", pairs);
+}
+
+/* Removes the key, so that another entry can follow at once. */
+void owner_release(struct node *n, cs_time now)
+{
+	struct store_call *c;
+
+	(void)now;
+	if (n->owner.state < OWNER_LOADING)
+		return;
+	c = store_call_new(STORE_TXN, NULL, STORE_TIMEOUT_MS);
+	store_call_expect(c, KEY_OWNER, n->owner.key_revision);
+	store_call_remove(c, KEY_OWNER);
+	end_term(n);
+	store_calls_send(n->calls, c, on_released, n, 0);
+}
+
+void owner_turn(struct node *n, cs_time now)
+{
+	if (n->owner.state == OWNER_OTHER)
+		plan(n, now);
+	if (n->sched)
+		sched_set_paused(n->sched,
+				 now - n->owner.confirmed_at > OWNER_VALID_US);
+}
+
+/*
+ * Until when a predecessor may have extended leases of servers, seen from the
+ * moment at which this entry became the owner: the predecessor's last
+ * confirmation was at least the store lease earlier.
+ */
+cs_time owner_predecessor_end(const struct node *n)
+{
+	return n->owner.taken_at + OWNER_VALID_US - OWNER_LEASE_MS * CS_MSEC +
+	       SERVER_LEASE_US;
+}
--- /dev/null
+++ b/src/node/queues.c
@@ -0,0 +1,83 @@
+#include "node_private.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+/*
+ * What the owner tells all entries about the queues: jobs that wait for a
+ * first start, and the wait that a new job would have. One line a queue:
+ * "NAME PENDING WAIT_MS".
+ */
+
+/* Counts may be 2 s old where they are asked for; the way takes some ms. */
+#define PUBLISH_US (400 * CS_MSEC)
+
+static void add_line(void *ctx, const char *queue, int pending, int64_t wait_ms)
+{
+	g_string_append_printf(ctx, "%s %d %" PRId64 "\n", queue, pending,
+			       wait_ms);
+}
+
+static void on_published(void *ctx, uint64_t arg, const struct store_done *d,
+			 cs_time now)
+{
+	struct node *n = ctx;
+
+	(void)arg;
+	(void)now;
+	if (d->result == STORE_OK) {
+		owner_confirm(n, d->sent);
+		return;
+	}
+	g_free(n->published); /* written again at the next turn */
+	n->published = NULL;
+}
+
+void queues_publish(struct node *n, cs_time now)
+{
+	struct store_call *call;
+	GString *text;
+
+	if (n->owner.state != OWNER_ACTIVE || now < n->publish_at)
+		return;
+	n->publish_at = now + PUBLISH_US;
+	text = g_string_new(NULL);
+	sched_queues(n->sched, add_line, text);
+	if (n->published && !strcmp(n->published, text->str)) {
+		g_string_free(text, TRUE);
+		return;
+	}
+	call = store_call_new(STORE_TXN, NULL, STORE_TIMEOUT_MS);
+	store_call_expect(call, KEY_OWNER, n->owner.key_revision);
+	store_call_write(call, KEY_QUEUES, g_bytes_new(text->str, text->len),
+			 0);
+	g_free(n->published);
+	n->published = g_string_free(text, FALSE);
+	store_calls_send(n->calls, call, on_published, n, 0);
+}
+
+void queues_read(struct node *n, GBytes *value)
+{
+	char *text = g_strndup(g_bytes_get_data(value, NULL),
+			       g_bytes_get_size(value));
+	char **lines = g_strsplit(text, "\n", 0);
+	char name[CS_NAME_MAX];
+	int64_t pending, wait_ms;
+	int i;
+
+	g_hash_table_remove_all(n->loads);
+	for (i = 0; lines[i]; i++) {
+		struct queue_load *load;
+
+		if (sscanf(lines[i], "%63s %" SCNd64 " %" SCNd64, name,
+			   &pending, &wait_ms) != 3)
+			continue;
+		load = g_new(struct queue_load, 1);
+		load->pending = pending;
+		load->wait_ms = wait_ms;
+		g_hash_table_insert(n->loads, g_strdup(name), load);
+	}
+	g_strfreev(lines);
+	g_free(text);
+}
--- /dev/null
+++ b/src/node/term.c
@@ -0,0 +1,386 @@
+#include "node_private.h"
+
+#include <string.h>
+
+#include "../base/error.h"
+#include "../base/log.h"
+#include "../batch/batch_codec.h"
+
+/*
+ * The beginning of a term: the new owner reads all that its predecessors
+ * stored. Nobody else can write progress from now on, since each of these
+ * writes is conditional on the owner's key. When all has been read, the jobs
+ * are handed to the scheduler, and later ones as they come.
+ */
+
+/* Views of the owner wait this long in one watch, ms. */
+#define WATCH_WAIT_MS 1000
+#define WATCH_SLACK_MS 700
+/* Views that are only read once do not wait. */
+#define ONCE_WAIT_MS 0
+
+static void bytes_free(void *bytes)
+{
+	g_bytes_unref(bytes);
+}
+
+struct found {
+	GBytes *value;
+	uint64_t revision;
+};
+
+static void found_free(void *row)
+{
+	struct found *f = row;
+
+	g_bytes_unref(f->value);
+	g_free(f);
+}
+
+static void keep_found(GHashTable *table, const char *id,
+		       const struct store_item *item)
+{
+	struct found *f = g_new(struct found, 1);
+
+	f->value = g_bytes_ref(item->value);
+	f->revision = item->revision;
+	g_hash_table_insert(table, g_strdup(id), f);
+}
+
+/* Hands one job to the scheduler, with its progress if there is any. */
+static void add_job(struct node *n, const char *id, GBytes *value,
+		    uint64_t revision, const struct found *progress,
+		    cs_time now)
+{
+	gsize size;
+	const void *data = g_bytes_get_data(value, &size);
+	struct batch *b = batch_decode_submission(data, size);
+	GString *pairs;
+
+	if (b && progress) {
+		data = g_bytes_get_data(progress->value, &size);
+		if (batch_decode_progress(b, data, size)) {
+			batch_destroy(b);
+			b = NULL;
+		}
+	}
+	if (!b || strcmp(b->id, id)) {
+		pairs = g_string_new(NULL);
+		log_pair(pairs, "job", id);
+		log_pair_int(pairs, "revision", (int64_t)revision);
+		log_pair(pairs, "part", b ? "id" : "encoding");
+		node_log(n, "job_unreadable", pairs);
+		batch_destroy(b);
+		return;
+	}
+	sched_add(n->sched, b, revision, progress ? progress->revision : 0,
+		  node_unix_ms(n, now), now);
+}
+
+static void on_work_put(void *ctx, const struct store_item *item, cs_time now)
+{
+	struct node *n = ctx;
+	bool is_loading = n->owner.state == OWNER_LOADING;
+
+	if (g_str_has_prefix(item->key, KEY_JOBS)) {
+		const char *id = item->key + strlen(KEY_JOBS);
+
+		if (is_loading)
+			keep_found(n->found_jobs, id, item);
+		else
+			add_job(n, id, item->value, item->revision, NULL, now);
+	} else if (g_str_has_prefix(item->key, KEY_CANCELS)) {
+		const char *id = item->key + strlen(KEY_CANCELS);
+
+		if (is_loading)
+			g_hash_table_add(n->found_cancels, g_strdup(id));
+		else
+			sched_cancel(n->sched, id, now);
+	}
+}
+
+static void on_server_put(void *ctx, const struct store_item *item, cs_time now)
+{
+	struct node *n = ctx;
+	const char *id = item->key + strlen(n->formats->server_prefix);
+	struct server_info info = { 0 };
+	GString *pairs;
+
+	if (n->formats->read_server(id, item->value, &info)) {
+		sched_server_seen(n->sched, &info, now);
+		return;
+	}
+	pairs = g_string_new(NULL);
+	log_pair(pairs, "server", id);
+	log_pair_int(pairs, "revision", (int64_t)item->revision);
+	node_log(n, "server_unreadable", pairs);
+	sched_server_gone(n->sched, id, now);
+}
+
+static void on_server_delete(void *ctx, const char *key, cs_time now)
+{
+	struct node *n = ctx;
+
+	sched_server_gone(n->sched, key + strlen(n->formats->server_prefix),
+			  now);
+}
+
+static void on_progress_put(void *ctx, const struct store_item *item,
+			    cs_time now)
+{
+	struct node *n = ctx;
+
+	(void)now;
+	keep_found(n->found_progress, item->key + strlen(KEY_PROGRESS), item);
+}
+
+static void on_grant_put(void *ctx, const struct store_item *item, cs_time now)
+{
+	struct node *n = ctx;
+	gsize size;
+	const char *data = g_bytes_get_data(item->value, &size);
+
+	(void)now;
+	g_hash_table_insert(n->found_grants,
+			    g_strdup(item->key + strlen(KEY_GRANTS)),
+			    g_strndup(data, size));
+}
+
+static void on_mark_put(void *ctx, const struct store_item *item, cs_time now)
+{
+	struct node *n = ctx;
+
+	(void)now;
+	g_hash_table_insert(n->found_marks,
+			    g_strdup(item->key + strlen(KEY_WAVES)),
+			    g_bytes_ref(item->value));
+}
+
+static void ignore_delete(void *ctx, const char *key, cs_time now)
+{
+	(void)ctx;
+	(void)key;
+	(void)now;
+}
+
+/* What was read is used by term_turn(), outside the views' calls. */
+static void ignore_synced(void *ctx, cs_time now)
+{
+	(void)ctx;
+	(void)now;
+}
+
+static const struct view_ops work_ops = { on_work_put, ignore_delete,
+					  ignore_synced };
+static const struct view_ops server_ops = { on_server_put, on_server_delete,
+					    ignore_synced };
+static const struct view_ops progress_ops = { on_progress_put, ignore_delete,
+					      ignore_synced };
+static const struct view_ops grant_ops = { on_grant_put, ignore_delete,
+					   ignore_synced };
+static const struct view_ops mark_ops = { on_mark_put, ignore_delete,
+					  ignore_synced };
+
+static struct view *open_view(struct node *n, const char *prefix,
+			      int64_t wait_ms, const struct view_ops *ops,
+			      cs_time now)
+{
+	struct view_options options = { .prefix = prefix,
+					.wait_ms = wait_ms,
+					.slack_ms = WATCH_SLACK_MS };
+
+	return view_create(&options, n->calls, n->timers, ops, n, now);
+}
+
+static GHashTable *new_table(GDestroyNotify free_row)
+{
+	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_row);
+}
+
+static void on_order(void *ctx, struct order *order)
+{
+	struct node *n = ctx;
+
+	order->token = n->owner.term;
+	n->ops->order(n->ctx, order);
+}
+
+static void on_log(void *ctx, const char *event, const char *pairs)
+{
+	struct node *n = ctx;
+
+	n->ops->log(n->ctx, event, pairs);
+}
+
+/* The store has the last word; it is asked by the next renewal. */
+static void on_fenced(void *ctx)
+{
+	struct node *n = ctx;
+	GString *pairs = g_string_new(NULL);
+
+	log_pair_int(pairs, "term", (int64_t)n->owner.term);
+	node_log(n, "owner_fenced", pairs);
+	n->owner.confirmed_at = 0;
+}
+
+static const struct sched_ops sched_ops = { on_order, on_log, on_fenced,
+					    commit_wave };
+
+void term_begin(struct node *n, cs_time now)
+{
+	struct sched_options o = { .token = n->owner.term,
+				   .revision = n->owner.key_revision,
+				   .predecessor_end = owner_predecessor_end(n),
+				   .bounds = n->options.bounds };
+	GHashTableIter it;
+	void *key;
+
+	cs_copy(o.holder, sizeof(o.holder), n->options.name);
+	if (n->owner.term == 1)
+		o.predecessor_end = 0; /* the first owner has none */
+	n->sched = sched_create(&o, &sched_ops, n, n->timers, n->counters, now);
+	if (n->site)
+		sched_set_site(n->sched, n->site, now);
+	g_hash_table_iter_init(&it, n->evacuated);
+	while (g_hash_table_iter_next(&it, &key, NULL))
+		sched_set_evacuated(n->sched, key, true, now);
+	n->found_jobs = new_table(found_free);
+	n->found_progress = new_table(found_free);
+	n->found_grants = new_table(g_free);
+	n->found_cancels = new_table(NULL);
+	n->found_marks = new_table(bytes_free);
+	n->work = open_view(n, KEY_ROOT, WATCH_WAIT_MS, &work_ops, now);
+	n->servers = open_view(n, n->formats->server_prefix, WATCH_WAIT_MS,
+			       &server_ops, now);
+	n->progress =
+		open_view(n, KEY_PROGRESS, ONCE_WAIT_MS, &progress_ops, now);
+	n->grants = open_view(n, KEY_GRANTS, ONCE_WAIT_MS, &grant_ops, now);
+	n->wave_marks = open_view(n, KEY_WAVES, ONCE_WAIT_MS, &mark_ops, now);
+}
+
+static void close_view(struct view **v)
+{
+	if (*v)
+		view_destroy(*v);
+	*v = NULL;
+}
+
+static void close_table(GHashTable **table)
+{
+	if (*table)
+		g_hash_table_destroy(*table);
+	*table = NULL;
+}
+
+/* Releases what was only needed to begin the term. */
+static void end_loading(struct node *n)
+{
+	close_view(&n->progress);
+	close_view(&n->grants);
+	close_view(&n->wave_marks);
+	close_table(&n->found_jobs);
+	close_table(&n->found_progress);
+	close_table(&n->found_grants);
+	close_table(&n->found_cancels);
+}
+
+void term_end(struct node *n)
+{
+	end_loading(n);
+	close_table(&n->found_marks);
+	close_view(&n->work);
+	close_view(&n->servers);
+	commit_reset(n);
+	g_free(n->published);
+	n->published = NULL;
+	sched_destroy(n->sched);
+	n->sched = NULL;
+}
+
+/* The names of hosts that a predecessor noted as done, one a line. */
+static GPtrArray *marked_hosts(struct node *n, const char *number)
+{
+	GPtrArray *hosts = g_ptr_array_new_with_free_func(g_free);
+	GBytes *value = n->found_marks ?
+				g_hash_table_lookup(n->found_marks, number) :
+				NULL;
+	char *text, **lines;
+	int i;
+
+	if (!value)
+		return hosts;
+	text = g_strndup(g_bytes_get_data(value, NULL),
+			 g_bytes_get_size(value));
+	lines = g_strsplit(text, "\n", 0);
+	for (i = 0; lines[i]; i++)
+		if (*lines[i])
+			g_ptr_array_add(hosts, g_strdup(lines[i]));
+	g_strfreev(lines);
+	g_free(text);
+	return hosts;
+}
+
+/* Passes a wave on to the scheduler. */
+void term_add_wave(struct node *n, const char *number, GBytes *value,
+		   cs_time now)
+{
+	struct wave_info info = { 0 };
+	GString *pairs;
+
+	if (!n->formats->read_wave(value, &info)) {
+		pairs = g_string_new(NULL);
+		log_pair(pairs, "wave", number);
+		node_log(n, "wave_unreadable", pairs);
+		return;
+	}
+	info.done = marked_hosts(n, number);
+	sched_wave(n->sched, &info, now);
+	g_ptr_array_free(info.done, TRUE);
+	g_ptr_array_free(info.hosts, TRUE);
+}
+
+static bool is_loaded(const struct node *n)
+{
+	return view_is_synced(n->work) && view_is_synced(n->servers) &&
+	       view_is_synced(n->progress) && view_is_synced(n->grants) &&
+	       view_is_synced(n->wave_marks);
+}
+
+/* Adds the jobs that were found, and begins to decide. */
+static void activate(struct node *n, cs_time now)
+{
+	GString *pairs = g_string_new(NULL);
+	GHashTableIter it;
+	void *key, *row;
+
+	n->owner.state = OWNER_ACTIVE;
+	log_pair_int(pairs, "term", (int64_t)n->owner.term);
+	log_pair_int(pairs, "jobs", g_hash_table_size(n->found_jobs));
+	log_pair_int(pairs, "grants", g_hash_table_size(n->found_grants));
+	log_pair_int(pairs, "took_ms", (now - n->owner.taken_at) / CS_MSEC);
+	node_log(n, "term_loaded", pairs);
+	g_hash_table_iter_init(&it, n->found_jobs);
+	while (g_hash_table_iter_next(&it, &key, &row)) {
+		const struct found *f = row;
+
+		add_job(n, key, f->value, f->revision,
+			g_hash_table_lookup(n->found_progress, key), now);
+	}
+	g_hash_table_iter_init(&it, n->found_grants);
+	while (g_hash_table_iter_next(&it, &key, &row))
+		sched_server_granted(n->sched, key, row, now);
+	sched_ready(n->sched, now);
+	g_hash_table_iter_init(&it, n->found_cancels);
+	while (g_hash_table_iter_next(&it, &key, NULL))
+		sched_cancel(n->sched, key, now);
+	g_hash_table_iter_init(&it, n->waves);
+	while (g_hash_table_iter_next(&it, &key, &row))
+		term_add_wave(n, key, row, now);
+	end_loading(n);
+}
+
+void term_turn(struct node *n, cs_time now)
+{
+	if (n->owner.state == OWNER_LOADING && is_loaded(n))
+		activate(n, now);
+}
--- /dev/null
+++ b/src/sched/fill.c
@@ -0,0 +1,227 @@
+#include "sched_private.h"
+
+#include "../base/log.h"
+
+/*
+ * Gives room to waiting tasks, pool by pool, the most urgent job first. A task
+ * that finds no room does not hold back smaller ones behind it.
+ */
+
+/* Starts ordered in one turn; the rest follows after the answers. */
+#define STARTS_MAX 64
+/* Jobs without room in a row, after which the pool counts as full. */
+#define MISSES_MAX 24
+
+/* The run number of a term's first start; leaves room for its successors. */
+#define RUNS_PER_TERM 1024
+
+/*
+ * A number above every run that a predecessor can have ordered: each term has
+ * its own range.
+ */
+static uint32_t next_run(const struct sched *s, const struct batch_task *t)
+{
+	uint64_t base = (s->options.token - 1) * RUNS_PER_TERM;
+
+	return (t->run > base ? t->run : (uint32_t)base) + 1;
+}
+
+static void log_start(struct sched *s, const struct job *j, const struct run *r,
+		      const struct server *v, cs_time now)
+{
+	char task[BATCH_TASK_NAME_MAX];
+	GString *pairs = g_string_new(NULL);
+
+	batch_task_name(j->batch, r->round, r->step, r->index, task);
+	log_pair(pairs, "job", j->batch->id);
+	log_pair(pairs, "task", task);
+	log_pair_int(pairs, "run", r->number);
+	log_pair(pairs, "server", v->info.id);
+	log_pair(pairs, "data_centre", v->info.data_centre);
+	log_pair_int(pairs, "cpu_left", v->info.room.cpu - v->used.cpu);
+	log_pair_int(pairs, "slack_ms",
+		     (j->objective_at - now) / CS_MSEC - j->chain_ms);
+	log_pair_int(pairs, "server_age_ms", (now - v->answered_at) / CS_MSEC);
+	sched_log(s, "task_start", pairs);
+}
+
+static bool may_start(const struct job *j, const struct batch_task *t,
+		      bool is_settled, cs_time now)
+{
+	if (t->state != BATCH_TASK_WAITING || now < t->not_before || t->run_row)
+		return false;
+	/* A predecessor's run of it may be where nobody answers. */
+	return !j->is_old || is_settled;
+}
+
+/* Starts the tasks of a step that find room. Returns how many. */
+static int fill_step(struct sched *s, struct job *j, int round, int step,
+		     bool is_settled, cs_time now, int max)
+{
+	const struct batch_step *st = &j->batch->spec->steps[step];
+	const struct site_queue *q = sched_queue_of(s, j);
+	int started = 0, i;
+
+	for (i = 0; i < st->count && started < max; i++) {
+		struct batch_task *t = batch_task(j->batch, round, step, i);
+		struct server *v;
+		struct run *r;
+
+		if (!may_start(j, t, is_settled, now))
+			continue;
+		if (!place_within_limit(s, j, st->need))
+			break;
+		v = place_choose(s, j, round, step, t, now);
+		if (!v) {
+			if (q && q->advice.validity_ms)
+				advice_want(s, j, round, step, now);
+			break;
+		}
+		r = runs_start(s, j, round, step, i, v, next_run(s, t),
+			       advice_ticket(s, j, round, step, v, now), now);
+		if (!r)
+			break;
+		log_start(s, j, r, v, now);
+		started++;
+	}
+	return started;
+}
+
+/*
+ * Starts all members of a gang, or none: it takes their room one by one, and
+ * gives it back if the last one finds none.
+ */
+static int fill_gang(struct sched *s, struct job *j, int round, int step,
+		     bool is_settled, cs_time now)
+{
+	const struct batch_step *st = &j->batch->spec->steps[step];
+	struct server **chosen = g_new0(struct server *, st->count);
+	struct site_room all = { 0 };
+	uint32_t number = 0;
+	int i, placed = 0;
+
+	for (i = 0; i < st->count; i++) {
+		struct batch_task *t = batch_task(j->batch, round, step, i);
+
+		if (!may_start(j, t, is_settled, now))
+			goto out;
+		all = site_room_add(all, st->need);
+		if (next_run(s, t) > number)
+			number = next_run(s, t);
+	}
+	if (!place_within_limit(s, j, all))
+		goto out;
+	for (i = 0; i < st->count; i++) {
+		chosen[i] = place_choose(s, j, round, step,
+					 batch_task(j->batch, round, step, i),
+					 now);
+		if (!chosen[i])
+			break;
+		chosen[i]->used = site_room_add(chosen[i]->used, st->need);
+		placed++;
+	}
+	for (i = 0; i < placed; i++)
+		chosen[i]->used = site_room_sub(chosen[i]->used, st->need);
+	if (placed < st->count) {
+		const struct site_queue *q = sched_queue_of(s, j);
+
+		if (q && q->advice.validity_ms)
+			advice_want(s, j, round, step, now);
+		placed = 0;
+		goto out;
+	}
+	for (i = 0; i < st->count; i++) {
+		struct run *r = runs_start(
+			s, j, round, step, i, chosen[i], number,
+			advice_ticket(s, j, round, step, chosen[i], now), now);
+
+		if (r)
+			log_start(s, j, r, chosen[i], now);
+	}
+out:
+	g_free(chosen);
+	return placed;
+}
+
+/* Opens the occurrences that are due. Returns the first that is not done. */
+static int open_due(struct sched *s, struct job *j)
+{
+	struct batch *b = j->batch;
+	int before = j->round_first, k;
+
+	while (j->round_first < b->rounds_nr - 1 &&
+	       b->rounds[j->round_first].is_done)
+		j->round_first++;
+	if (j->round_first != before)
+		sched_set_objective(s, j);
+	for (k = j->round_first; k < b->rounds_nr; k++) {
+		if (batch_due_unix_ms(b, k) > s->unix_ms)
+			break;
+		batch_open_round(b, k);
+	}
+	return j->round_first;
+}
+
+/* Starts what it can of one job; *wanted says whether a task was waiting. */
+static int fill_job(struct sched *s, struct job *j, bool is_settled,
+		    cs_time now, int max, bool *wanted)
+{
+	struct batch *b = j->batch;
+	int started = 0, round, step;
+
+	*wanted = false;
+	for (round = open_due(s, j); round < b->rounds_nr && started < max;
+	     round++) {
+		if (!b->rounds[round].tasks)
+			continue;
+		for (step = 0; step < b->spec->steps_nr && started < max;
+		     step++) {
+			if (!batch_step_is_ready(b, round, step))
+				continue;
+			if (b->running < b->rounds[round].left[step])
+				*wanted = true;
+			if (b->spec->steps[step].is_gang)
+				started += fill_gang(s, j, round, step,
+						     is_settled, now);
+			else
+				started += fill_step(s, j, round, step,
+						     is_settled, now,
+						     max - started);
+		}
+	}
+	return started;
+}
+
+static int fill_pool(struct sched *s, struct pool *p, cs_time now, int max)
+{
+	bool is_settled = servers_pool_settled(s, p, now);
+	int started = 0, misses = 0, n;
+	bool wanted;
+	guint i;
+
+	if (!p->jobs->len || !p->servers->len)
+		return 0;
+	rank_jobs(p->jobs, s, now);
+	for (i = 0; i < p->jobs->len && started < max && misses < MISSES_MAX;
+	     i++) {
+		n = fill_job(s, g_ptr_array_index(p->jobs, i), is_settled, now,
+			     max - started, &wanted);
+		started += n;
+		if (wanted && !n)
+			misses++;
+	}
+	return started;
+}
+
+void fill_turn(struct sched *s, cs_time now)
+{
+	int left = STARTS_MAX;
+	GHashTableIter it;
+	void *row;
+
+	g_hash_table_iter_init(&it, s->pools);
+	while (left > 0 && g_hash_table_iter_next(&it, NULL, &row))
+		left -= fill_pool(s, row, now, left);
+	if (left <= 0)
+		sched_wake(s);
+}
--- /dev/null
+++ b/src/sched/pacing.c
@@ -0,0 +1,113 @@
+#include "sched_private.h"
+
+#include "../base/error.h"
+#include "../base/log.h"
+
+/*
+ * Filling tasks slow down the serving tasks beside them, by amounts that
+ * differ by image and change within seconds. The tail that a server reports
+ * for its serving tasks steers the pace of all filling tasks there: halved
+ * when a target is near, raised step by step while all tails are well below.
+ */
+
+/* Shares of the target, percent. */
+#define TAIL_HIGH 80 /* halve the pace */
+#define TAIL_LOW 55 /* raise it */
+/* A pace below this is set to 0, as the work done would be negligible. */
+#define PACE_MIN 12
+#define PACE_STEP 12
+/* Reported tails cover half a second, so a change shows only after that. */
+#define PACE_INTERVAL_US (600 * CS_MSEC)
+
+/* The highest tail of a serving task, as percent of its target; -1: none. */
+static int64_t worst_tail(const struct sched *s, const struct server *v)
+{
+	int64_t worst = -1, share;
+	guint i;
+
+	for (i = 0; i < v->runs->len; i++) {
+		const struct run *r =
+			run_row(s, g_array_index(v->runs, cs_handle, i));
+		const struct job *j = slots_get(s->jobs, r->job);
+		const struct batch_step *st = &j->batch->spec->steps[r->step];
+
+		if (!st->tail_target_ms || st->is_filling || r->percent < 100)
+			continue;
+		share = r->measure * 100 / st->tail_target_ms;
+		if (share > worst)
+			worst = share;
+	}
+	return worst;
+}
+
+static void order_pace(struct sched *s, const struct server *v, struct run *r)
+{
+	const struct job *j = slots_get(s->jobs, r->job);
+	struct order *o = order_new(ORDER_PACE);
+
+	o->server = v->self;
+	o->ref = r->self;
+	cs_copy(o->address, sizeof(o->address), v->info.address);
+	cs_copy(o->instance, sizeof(o->instance), v->info.id);
+	o->token = s->options.token;
+	o->timeout_ms = ORDER_TIMEOUT_MS;
+	o->run = r->number;
+	o->percent = v->fill_pace;
+	batch_task_name(j->batch, r->round, r->step, r->index, o->task);
+	r->pace = v->fill_pace;
+	r->is_pace_open = true;
+	s->ops->send(s->ctx, o);
+}
+
+/* Brings every filling task of the server to the server's pace. */
+static void apply(struct sched *s, const struct server *v)
+{
+	guint i;
+
+	for (i = 0; i < v->runs->len; i++) {
+		struct run *r =
+			run_row(s, g_array_index(v->runs, cs_handle, i));
+		const struct job *j = slots_get(s->jobs, r->job);
+
+		if (j->batch->spec->steps[r->step].is_filling &&
+		    r->state == RUN_ON && !r->is_pace_open &&
+		    r->pace != v->fill_pace)
+			order_pace(s, v, r);
+	}
+}
+
+void pacing_on_hold(struct sched *s, struct server *v, cs_time now)
+{
+	int64_t tail = worst_tail(s, v);
+	int pace = v->fill_pace;
+	GString *pairs;
+
+	if (now - v->fill_changed_at >= PACE_INTERVAL_US) {
+		if (tail > TAIL_HIGH)
+			pace = pace / 2 < PACE_MIN ? 0 : pace / 2;
+		else if (tail < TAIL_LOW)
+			pace = pace + PACE_STEP > 100 ? 100 : pace + PACE_STEP;
+	}
+	if (pace != v->fill_pace) {
+		v->fill_pace = pace;
+		v->fill_changed_at = now;
+		pairs = g_string_new(NULL);
+		log_pair(pairs, "server", v->info.id);
+		log_pair_int(pairs, "tail_percent_of_target", tail);
+		log_pair_int(pairs, "pace", pace);
+		sched_log(s, "fill_pace", pairs);
+	}
+	apply(s, v);
+}
+
+/* A pace that was not taken, or may not have been, is ordered again. */
+void pacing_on_done(struct sched *s, const struct order_done *d)
+{
+	struct run *r = run_row(s, d->ref);
+
+	if (!r)
+		return;
+	r->is_pace_open = false;
+	if (d->result != ORDER_DONE)
+		r->pace = -1;
+}
--- /dev/null
+++ b/src/sched/place.c
@@ -0,0 +1,178 @@
+#include "sched_private.h"
+
+#include <string.h>
+
+/*
+ * Which server a task gets. Short tasks fill servers up, so that wide tasks
+ * find room elsewhere; lasting tasks are spread over racks, so that the loss of
+ * one takes few of them; filling tasks go where most is unused and where they
+ * disturb the fewest serving tasks.
+ */
+
+/* Weights of a score, in thousandths of a core; less is better. */
+#define REMOTE_COST 10000000 /* a rack away from the data */
+#define SAME_SERVER_COST 400000 /* for each task of the step there */
+#define SAME_RACK_COST 100000 /* for each in the same rack */
+#define SERVING_COST 50000 /* a filling task beside a serving one */
+#define AVOID_COST 5000000 /* where this task failed last */
+
+/* True if the server can be given a start now. */
+bool place_is_usable(const struct sched *s, const struct server *v, cs_time now)
+{
+	return v->is_listed && v->is_ours && v->is_granted && !v->is_dead &&
+	       !v->is_cordoned && !v->info.is_draining && !v->misses &&
+	       v->clock_ms >= 0 && now >= v->suspect_until &&
+	       now >= v->refused_until &&
+	       !g_hash_table_contains(s->evacuated, v->info.data_centre);
+}
+
+static bool has_label(const struct server *v, const char *label)
+{
+	int i;
+
+	for (i = 0; i < v->info.labels_nr; i++)
+		if (!strcmp(v->info.labels[i], label))
+			return true;
+	return false;
+}
+
+/* What a task takes of a server: a filling task's processor is not counted. */
+static struct site_room taken(const struct batch_step *st)
+{
+	struct site_room need = st->need;
+
+	if (st->is_filling)
+		need.cpu = 0;
+	return need;
+}
+
+/* Runs of the step, or of any serving or filling kind, on a server. */
+struct neighbours {
+	int same_step, serving, filling;
+};
+
+static struct neighbours look_around(const struct sched *s,
+				     const struct server *v,
+				     const struct job *j, int round, int step)
+{
+	struct neighbours n = { 0 };
+	guint i;
+
+	for (i = 0; i < v->runs->len; i++) {
+		const struct run *r =
+			run_row(s, g_array_index(v->runs, cs_handle, i));
+		const struct job *other = slots_get(s->jobs, r->job);
+		const struct batch_step *st =
+			&other->batch->spec->steps[r->step];
+
+		n.same_step += r->job == j->self && r->round == round &&
+			       r->step == step;
+		n.serving += st->tail_target_ms > 0;
+		n.filling += st->is_filling;
+	}
+	return n;
+}
+
+/* Runs of a step in a rack. */
+static int runs_in_rack(const struct sched *s, const struct pool *p,
+			const char *rack, const struct job *j, int round,
+			int step)
+{
+	int n = 0;
+	guint i;
+
+	for (i = 0; i < p->servers->len; i++) {
+		const struct server *v = g_ptr_array_index(p->servers, i);
+
+		if (!strcmp(v->info.rack, rack))
+			n += runs_of_step(s, v, j, round, step);
+	}
+	return n;
+}
+
+static int64_t score(const struct sched *s, const struct server *v,
+		     const struct job *j, int round, int step,
+		     const struct batch_task *t, const struct neighbours *n)
+{
+	const struct batch_step *st = &j->batch->spec->steps[step];
+	int64_t left = v->info.room.cpu - v->used.cpu;
+	int64_t cost = 0;
+
+	if (*st->rack && strcmp(st->rack, v->info.rack))
+		cost += REMOTE_COST;
+	if (t->avoid == v->self)
+		cost += AVOID_COST;
+	if (st->is_filling)
+		return cost - left + (int64_t)SERVING_COST * n->serving +
+		       (int64_t)SAME_SERVER_COST * n->filling;
+	if (st->is_lasting)
+		return cost - left + (int64_t)SAME_SERVER_COST * n->same_step +
+		       (int64_t)SAME_RACK_COST * runs_in_rack(s, j->pool,
+							      v->info.rack, j,
+							      round, step) +
+		       (int64_t)SERVING_COST * n->filling;
+	return cost + left;
+}
+
+/* The server with the lowest score, or NULL if none can take the task. */
+struct server *place_choose(const struct sched *s, const struct job *j,
+			    int round, int step, const struct batch_task *t,
+			    cs_time now)
+{
+	const struct batch_step *st = &j->batch->spec->steps[step];
+	const struct site_queue *q = sched_queue_of(s, j);
+	struct server *best = NULL;
+	int64_t best_score = 0, points;
+	guint i;
+
+	for (i = 0; i < j->pool->servers->len; i++) {
+		struct server *v = g_ptr_array_index(j->pool->servers, i);
+		struct neighbours n;
+
+		if (!place_is_usable(s, v, now) ||
+		    !site_room_fits(taken(st),
+				    site_room_sub(v->info.room, v->used)) ||
+		    (*st->label && !has_label(v, st->label)))
+			continue;
+		n = look_around(s, v, j, round, step);
+		if (st->per_server_max && n.same_step >= st->per_server_max)
+			continue;
+		if (q && q->advice.validity_ms &&
+		    !advice_ticket(s, j, round, step, v, now))
+			continue;
+		points = score(s, v, j, round, step, t, &n);
+		if (best && points >= best_score)
+			continue;
+		best = v;
+		best_score = points;
+	}
+	return best;
+}
+
+/* True if one dimension of a limit is respected; 0 is no limit. */
+static bool within(int64_t used, int64_t need, int64_t limit)
+{
+	return !limit || used + need <= limit;
+}
+
+/* True if the job's workspace may have need more running. */
+bool place_within_limit(const struct sched *s, const struct job *j,
+			struct site_room need)
+{
+	static const struct site_room none;
+	const struct site_workspace *w =
+		s->site && *j->batch->workspace ?
+			site_workspace(s->site, j->batch->workspace) :
+			NULL;
+	const struct site_room *used;
+
+	if (!w)
+		return true;
+	used = g_hash_table_lookup(s->usage, w->name);
+	if (!used)
+		used = &none;
+	return within(used->cpu, need.cpu, w->limit.cpu) &&
+	       within(used->memory_mb, need.memory_mb, w->limit.memory_mb) &&
+	       within(used->accelerators, need.accelerators,
+		      w->limit.accelerators);
+}
--- /dev/null
+++ b/src/sched/rank.c
@@ -0,0 +1,81 @@
+#include "sched_private.h"
+
+/*
+ * The order in which jobs get room. It answers load beyond what a pool holds:
+ * then work that can still meet its objective goes first, the most urgent
+ * ahead, and work that can't any more follows, so that a backlog does not make
+ * every later job miss its objective as well.
+ */
+
+/* A job counts as late with credit up to this multiple of its objective. */
+#define LATE_FACTOR 3
+
+enum rank_class {
+	RANK_LASTING, /* few, and each second away is service lost */
+	RANK_ON_TIME,
+	RANK_LATE, /* past its objective, of some use yet */
+	RANK_OVERDUE
+};
+
+int64_t rank_chain_left(const struct job *j)
+{
+	return batch_chain_ms(j->batch, j->round_first, false);
+}
+
+static enum rank_class class_of(const struct job *j, cs_time now)
+{
+	cs_time budget = j->objective_at - j->submitted;
+	cs_time end = now + j->chain_ms * CS_MSEC;
+
+	if (j->batch->spec->steps[0].is_lasting)
+		return RANK_LASTING;
+	if (end <= j->objective_at)
+		return RANK_ON_TIME;
+	if (end <= j->submitted + LATE_FACTOR * budget)
+		return RANK_LATE;
+	return RANK_OVERDUE;
+}
+
+struct rank_key {
+	struct job *job;
+	int class;
+	int priority;
+	cs_time urgency; /* lowest first */
+};
+
+static int compare(const void *a, const void *b)
+{
+	const struct rank_key *x = a, *y = b;
+
+	if (x->class != y->class)
+		return x->class < y->class ? -1 : 1;
+	if (x->priority != y->priority)
+		return x->priority < y->priority ? -1 : 1;
+	if (x->urgency != y->urgency)
+		return x->urgency < y->urgency ? -1 : 1;
+	return x->job->self < y->job->self ? -1 : x->job->self > y->job->self;
+}
+
+/* Sorts the jobs of a pool, the first to get room at the front. */
+void rank_jobs(GPtrArray *jobs, const struct sched *s, cs_time now)
+{
+	struct rank_key *keys = g_new(struct rank_key, jobs->len + 1);
+	guint i;
+
+	for (i = 0; i < jobs->len; i++) {
+		struct job *j = g_ptr_array_index(jobs, i);
+		const struct site_queue *q = sched_queue_of(s, j);
+
+		keys[i].job = j;
+		keys[i].class = class_of(j, now);
+		keys[i].priority = q ? q->priority : 0;
+		keys[i].urgency =
+			keys[i].class == RANK_ON_TIME ?
+				j->objective_at - j->chain_ms * CS_MSEC :
+				j->submitted;
+	}
+	qsort(keys, jobs->len, sizeof(*keys), compare);
+	for (i = 0; i < jobs->len; i++)
+		jobs->pdata[i] = keys[i].job;
+	g_free(keys);
+}
--- /dev/null
+++ b/src/sched/runs.c
@@ -0,0 +1,609 @@
+#include "sched_private.h"
+
+#include <string.h>
+
+#include "../base/error.h"
+#include "../base/log.h"
+
+/* A task waits this long after a failed run, times the failures so far. */
+#define FAILURE_PAUSE_US (100 * CS_MSEC)
+/* A stop without effect is ordered again after this. */
+#define STOP_AGAIN_US (500 * CS_MSEC)
+/* A server that had no room, whatever we counted, gets no start until then. */
+#define NO_ROOM_PAUSE_US (150 * CS_MSEC)
+#define OVERLOADED_PAUSE_US (1 * CS_SEC)
+
+struct run *run_row(const struct sched *s, cs_handle h)
+{
+	return slots_get(s->runs, h);
+}
+
+static struct job *job_of(const struct sched *s, const struct run *r)
+{
+	return slots_get(s->jobs, r->job);
+}
+
+static const struct batch_step *step_of(const struct job *j, int step)
+{
+	return &j->batch->spec->steps[step];
+}
+
+/* What a run takes of its server. */
+static struct site_room server_need(const struct batch_step *st)
+{
+	struct site_room need = st->need;
+
+	if (st->is_filling)
+		need.cpu = 0;
+	return need;
+}
+
+static void use_limit(struct sched *s, const struct job *j,
+		      struct site_room need, int sign)
+{
+	struct site_room *used;
+
+	if (!*j->batch->workspace)
+		return;
+	used = g_hash_table_lookup(s->usage, j->batch->workspace);
+	if (!used) {
+		used = g_new0(struct site_room, 1);
+		g_hash_table_insert(s->usage, g_strdup(j->batch->workspace),
+				    used);
+	}
+	*used = sign > 0 ? site_room_add(*used, need) :
+			   site_room_sub(*used, need);
+}
+
+/* Makes the row of a run and takes its room. */
+static struct run *new_run(struct sched *s, struct job *j, int round, int step,
+			   int index, struct server *v, uint32_t number,
+			   cs_time now)
+{
+	const struct batch_step *st = step_of(j, step);
+	struct batch_task *t = batch_task(j->batch, round, step, index);
+	struct run *r;
+	cs_handle h = slots_take(s->runs, (void **)&r);
+
+	if (!h)
+		return NULL;
+	r->self = h;
+	r->job = j->self;
+	r->server = v->self;
+	r->round = round;
+	r->step = step;
+	r->index = index;
+	r->number = number;
+	r->sent_at = now;
+	r->pace = 100;
+	r->need = server_need(st);
+	v->used = site_room_add(v->used, r->need);
+	use_limit(s, j, st->need, 1);
+	g_array_append_val(v->runs, h);
+	t->run_row = h;
+	batch_task_started(j->batch, t, number);
+	sched_note_change(s, j, now);
+	return r;
+}
+
+static struct order *new_order(const struct sched *s, enum order_type type,
+			       const struct server *v)
+{
+	struct order *o = order_new(type);
+
+	o->server = v->self;
+	cs_copy(o->address, sizeof(o->address), v->info.address);
+	cs_copy(o->instance, sizeof(o->instance), v->info.id);
+	o->token = s->options.token;
+	o->timeout_ms = ORDER_TIMEOUT_MS;
+	return o;
+}
+
+/* Orders a start. Returns NULL if the table is full. */
+struct run *runs_start(struct sched *s, struct job *j, int round, int step,
+		       int index, struct server *v, uint32_t number,
+		       const char *ticket, cs_time now)
+{
+	struct batch_task *t = batch_task(j->batch, round, step, index);
+	struct run *r = new_run(s, j, round, step, index, v, number, now);
+	struct order *o;
+
+	if (!r)
+		return NULL;
+	r->state = RUN_SENT;
+	o = new_order(s, ORDER_START, v);
+	o->ref = r->self;
+	o->run = number;
+	o->payload = g_strdup(j->batch->spec->payload);
+	o->checkpoint = g_strdup(t->checkpoint);
+	o->ticket = g_strdup(ticket);
+	o->deadline_ms = servers_deadline(v, now);
+	batch_task_name(j->batch, round, step, index, o->task);
+	s->ops->send(s->ctx, o);
+	counters_add(s->counters, "camphorshed_task_starts_total", "", 1);
+	servers_hold_soon(s, v, now);
+	return r;
+}
+
+/* Makes the row of a run that a predecessor started. */
+struct run *runs_adopt(struct sched *s, struct job *j, int round, int step,
+		       int index, struct server *v, uint32_t number,
+		       cs_time now)
+{
+	struct run *r = new_run(s, j, round, step, index, v, number, now);
+	GString *pairs;
+
+	if (!r)
+		return NULL;
+	r->state = RUN_ON;
+	r->sure_at = now;
+	pairs = g_string_new(NULL);
+	log_pair(pairs, "job", j->batch->id);
+	log_pair_int(pairs, "step", step);
+	log_pair_int(pairs, "index", index);
+	log_pair_int(pairs, "run", number);
+	log_pair(pairs, "server", v->info.id);
+	sched_log(s, "task_adopted", pairs);
+	return r;
+}
+
+void runs_stop(struct sched *s, struct run *r, const char *why, cs_time now)
+{
+	struct server *v = server_row(s, r->server);
+	struct job *j = job_of(s, r);
+	struct order *o;
+	GString *pairs;
+
+	if (r->stop_at && now - r->stop_at < STOP_AGAIN_US)
+		return;
+	if (!r->stop_at) {
+		pairs = g_string_new(NULL);
+		log_pair(pairs, "job", j->batch->id);
+		log_pair_int(pairs, "step", r->step);
+		log_pair_int(pairs, "index", r->index);
+		log_pair_int(pairs, "run", r->number);
+		log_pair(pairs, "server", v->info.id);
+		log_pair(pairs, "why", why);
+		log_pair_int(pairs, "percent", r->percent);
+		sched_log(s, "task_stop", pairs);
+		counters_add(s->counters, "camphorshed_task_stops_total", "",
+			     1);
+	}
+	if (r->state != RUN_UNSURE && r->state != RUN_SENT)
+		r->state = RUN_STOPPING;
+	r->stop_at = now;
+	o = new_order(s, ORDER_STOP, v);
+	o->ref = r->self;
+	o->run = r->number;
+	batch_task_name(j->batch, r->round, r->step, r->index, o->task);
+	s->ops->send(s->ctx, o);
+}
+
+void runs_stop_stray(struct sched *s, struct server *v, const char *task,
+		     uint32_t number, cs_time now)
+{
+	struct order *o = new_order(s, ORDER_STOP, v);
+	GString *pairs = g_string_new(NULL);
+
+	(void)now;
+	o->run = number;
+	cs_copy(o->task, sizeof(o->task), task);
+	s->ops->send(s->ctx, o);
+	log_pair(pairs, "task", task);
+	log_pair_int(pairs, "run", number);
+	log_pair(pairs, "server", v->info.id);
+	sched_log(s, "stray_run_stopped", pairs);
+	counters_add(s->counters, "camphorshed_stray_runs_total", "", 1);
+}
+
+void runs_stop_all(struct sched *s, struct job *j, const char *why, cs_time now)
+{
+	int round, i;
+
+	for (round = 0; round < j->batch->rounds_nr; round++) {
+		struct batch_task *tasks = j->batch->rounds[round].tasks;
+
+		for (i = 0; tasks && i < j->batch->round_tasks; i++) {
+			struct run *r = run_row(s, tasks[i].run_row);
+
+			if (r)
+				runs_stop(s, r, why, now);
+		}
+	}
+}
+
+/* Gives back the room of a run and frees its row. */
+static void release(struct sched *s, struct run *r)
+{
+	struct server *v = server_row(s, r->server);
+	struct job *j = job_of(s, r);
+	struct batch_task *t =
+		batch_task(j->batch, r->round, r->step, r->index);
+	guint i;
+
+	if (t && t->run_row == r->self)
+		t->run_row = 0;
+	use_limit(s, j, step_of(j, r->step)->need, -1);
+	v->used = site_room_sub(v->used, r->need);
+	for (i = 0; i < v->runs->len; i++) {
+		if (g_array_index(v->runs, cs_handle, i) != r->self)
+			continue;
+		g_array_remove_index_fast(v->runs, i);
+		break;
+	}
+	slots_free(s->runs, r->self);
+}
+
+/* Members of a gang that has ended done need no further order. */
+static void release_gang(struct sched *s, struct job *j, int round, int step)
+{
+	int i;
+
+	for (i = 0; i < step_of(j, step)->count; i++) {
+		struct batch_task *t = batch_task(j->batch, round, step, i);
+		struct run *r = t ? run_row(s, t->run_row) : NULL;
+
+		if (r)
+			release(s, r);
+	}
+}
+
+static void log_end(struct sched *s, const struct job *j, int round, int step,
+		    int index, uint32_t number, enum batch_end how,
+		    const char *server)
+{
+	GString *pairs = g_string_new(NULL);
+
+	log_pair(pairs, "job", j->batch->id);
+	log_pair_int(pairs, "round", round);
+	log_pair_int(pairs, "step", step);
+	log_pair_int(pairs, "index", index);
+	log_pair_int(pairs, "run", number);
+	log_pair(pairs, "how", batch_end_name(how));
+	log_pair(pairs, "server", server);
+	sched_log(s, "task_end", pairs);
+}
+
+/* Notes an end at its batch, and what follows from it for the job. */
+static void note_end(struct sched *s, struct job *j, int round, int step,
+		     int index, uint32_t number, enum batch_end how,
+		     const char *saved, cs_handle server, cs_time now)
+{
+	struct batch_task *t = batch_task(j->batch, round, step, index);
+	const struct site_queue *q = sched_queue_of(s, j);
+	bool was_final = batch_is_final(j->batch);
+	GString *pairs;
+
+	if (!t)
+		return;
+	if (how == BATCH_END_FAILED) {
+		t->avoid = server;
+		t->not_before =
+			now + FAILURE_PAUSE_US * (cs_time)(t->failures + 1);
+	}
+	if (how == BATCH_END_DONE && step_of(j, step)->is_gang)
+		release_gang(s, j, round, step);
+	batch_task_ended(j->batch, round, step, t, number, how, saved,
+			 q ? q->attempts_max : 1);
+	j->chain_ms = rank_chain_left(j);
+	if (batch_is_final(j->batch) && !was_final) {
+		pairs = g_string_new(NULL);
+		log_pair(pairs, "job", j->batch->id);
+		log_pair(pairs, "state", batch_state_name(j->batch->state));
+		log_pair_int(pairs, "age_ms", (now - j->submitted) / CS_MSEC);
+		log_pair_int(pairs, "slack_ms",
+			     (j->objective_at - now) / CS_MSEC);
+		sched_log(s, "job_end", pairs);
+		if (j->batch->state == BATCH_FAILED)
+			runs_stop_all(s, j, "job failed", now);
+	}
+	sched_note_change(s, j, now);
+	sched_wake(s);
+}
+
+void runs_ended(struct sched *s, struct run *r, enum batch_end how,
+		const char *saved, cs_time now)
+{
+	struct job *j = job_of(s, r);
+	struct server *v = server_row(s, r->server);
+	int round = r->round, step = r->step, index = r->index;
+	uint32_t number = r->number;
+	cs_handle server = r->server;
+
+	log_end(s, j, round, step, index, number, how, v->info.id);
+	release(s, r);
+	note_end(s, j, round, step, index, number, how, saved, server, now);
+}
+
+/*
+ * The start certainly had no effect: the task waits again. It keeps its run
+ * number, which is above all that were ordered.
+ */
+static void undo_start(struct sched *s, struct run *r, cs_time now)
+{
+	struct job *j = job_of(s, r);
+	struct batch_task *t =
+		batch_task(j->batch, r->round, r->step, r->index);
+
+	release(s, r);
+	if (t && t->state == BATCH_TASK_RUNNING) {
+		t->state = BATCH_TASK_WAITING;
+		j->batch->running--;
+	}
+	sched_note_change(s, j, now);
+	sched_wake(s);
+}
+
+static void log_refused(struct sched *s, const struct run *r,
+			const struct server *v, const struct order_done *d)
+{
+	GString *pairs = g_string_new(NULL);
+
+	log_pair(pairs, "job", job_of(s, r)->batch->id);
+	log_pair_int(pairs, "step", r->step);
+	log_pair_int(pairs, "index", r->index);
+	log_pair_int(pairs, "run", r->number);
+	log_pair(pairs, "server", v->info.id);
+	log_pair(pairs, "result", order_result_name(d->result));
+	log_pair(pairs, "reason", order_reason_name(d->reason));
+	log_pair_int(pairs, "took_ms", (d->received - d->sent) / CS_MSEC);
+	sched_log(s, "start_refused", pairs);
+}
+
+/* What a refused start says of its server. */
+static void learn_refusal(struct sched *s, struct server *v,
+			  const struct run *r, const struct order_done *d,
+			  cs_time now)
+{
+	switch (d->reason) {
+	case ORDER_REASON_FENCED:
+		s->is_fenced = true;
+		s->ops->fenced(s->ctx);
+		break;
+	case ORDER_REASON_NO_ROOM:
+		v->refused_until = now + NO_ROOM_PAUSE_US;
+		break;
+	case ORDER_REASON_OVERLOADED:
+		v->refused_until = now + OVERLOADED_PAUSE_US;
+		break;
+	case ORDER_REASON_TICKET:
+		advice_drop(s, job_of(s, r), r->round, r->step, v);
+		break;
+	case ORDER_REASON_INSTANCE:
+		servers_died(s, v, "another incarnation", now);
+		break;
+	default:
+		break;
+	}
+}
+
+void runs_on_start(struct sched *s, struct server *v,
+		   const struct order_done *d, cs_time now)
+{
+	struct run *r = run_row(s, d->ref);
+
+	if (!r)
+		return;
+	if (d->result == ORDER_DONE) {
+		r->sure_at = now;
+		if (r->state == RUN_SENT)
+			r->state = r->stop_at ? RUN_STOPPING : RUN_ON;
+		return;
+	}
+	log_refused(s, r, v, d);
+	if (d->result == ORDER_UNKNOWN) {
+		r->state = RUN_UNSURE;
+		runs_stop(s, r, "start without answer", now);
+		servers_hold_soon(s, v, now);
+		return;
+	}
+	learn_refusal(s, v, r, d, now);
+	r = run_row(s, d->ref); /* the server may have been found dead */
+	if (r)
+		undo_start(s, r, now);
+}
+
+void runs_on_stop(struct sched *s, struct server *v, const struct order_done *d,
+		  cs_time now)
+{
+	struct run *r = run_row(s, d->ref);
+
+	if (!r)
+		return;
+	if (d->result == ORDER_REFUSED && d->reason == ORDER_REASON_INSTANCE) {
+		servers_died(s, v, "another incarnation", now);
+		return;
+	}
+	if (d->result != ORDER_DONE)
+		return; /* servers_turn() orders it again */
+	r->is_stop_answered = true;
+	r->stop_answered_at = now;
+	servers_hold_soon(s, v, now);
+}
+
+/* The listed run is the one of a row: takes over what is said of it. */
+static void update_run(struct sched *s, struct run *r,
+		       const struct order_run *seen, cs_time now)
+{
+	struct job *j = job_of(s, r);
+	struct batch_task *t =
+		batch_task(j->batch, r->round, r->step, r->index);
+
+	if (r->state == RUN_SENT || r->state == RUN_UNSURE) {
+		r->state = r->stop_at ? RUN_STOPPING : RUN_ON;
+		r->sure_at = now;
+	}
+	if (seen->percent == 100 && r->percent != 100)
+		r->at_work_since = now;
+	r->percent = seen->percent;
+	r->measure = seen->measure;
+	if (t && seen->saved && *seen->saved &&
+	    (!t->checkpoint || strcmp(t->checkpoint, seen->saved))) {
+		g_free(t->checkpoint);
+		t->checkpoint = g_strdup(seen->saved);
+	}
+}
+
+/* A listed run without a row here: adopted if its task needs it. */
+static void take_unknown(struct sched *s, struct server *v,
+			 const struct order_run *seen, cs_time now)
+{
+	char id[BATCH_ID_MAX];
+	int round, step, index;
+	struct batch_task *t = NULL;
+	struct job *j = NULL;
+	struct run *r;
+
+	if (!batch_task_name_parse(seen->task, id, &round, &step, &index))
+		j = g_hash_table_lookup(s->job_by_id, id);
+	if (j && !batch_is_final(j->batch) && round < j->batch->rounds_nr) {
+		batch_open_round(j->batch, round);
+		t = batch_task(j->batch, round, step, index);
+	}
+	if (t && t->state == BATCH_TASK_WAITING && !t->run_row &&
+	    seen->run >= t->run && seen->run > t->counted_run) {
+		r = runs_adopt(s, j, round, step, index, v, seen->run, now);
+		if (r)
+			update_run(s, r, seen, now);
+		return;
+	}
+	runs_stop_stray(s, v, seen->task, seen->run, now);
+}
+
+static struct run *find_run(const struct sched *s, const struct server *v,
+			    const char *task, uint32_t number)
+{
+	char id[BATCH_ID_MAX];
+	int round, step, index;
+	struct batch_task *t;
+	struct job *j;
+	struct run *r;
+
+	if (batch_task_name_parse(task, id, &round, &step, &index))
+		return NULL;
+	j = g_hash_table_lookup(s->job_by_id, id);
+	t = j ? batch_task(j->batch, round, step, index) : NULL;
+	r = t ? run_row(s, t->run_row) : NULL;
+	return r && r->server == v->self && r->number == number ? r : NULL;
+}
+
+/* True if a list that was asked for at sent must hold the run if it is on. */
+static bool is_missing_for_good(const struct run *r, cs_time sent)
+{
+	if (r->state == RUN_ON || r->state == RUN_STOPPING)
+		return r->sure_at && r->sure_at <= sent &&
+		       (!r->stop_at || !r->is_stop_answered ||
+			r->stop_answered_at <= sent);
+	/* Never answered: only an answered stop rules out a late start. */
+	return r->is_stop_answered && r->stop_answered_at <= sent;
+}
+
+void runs_reconcile(struct sched *s, struct server *v,
+		    const struct order_done *d, cs_time now)
+{
+	GHashTable *listed = g_hash_table_new(g_int64_hash, g_int64_equal);
+	guint i;
+
+	for (i = 0; i < d->runs->len; i++) {
+		const struct order_run *seen = g_ptr_array_index(d->runs, i);
+		struct run *r = find_run(s, v, seen->task, seen->run);
+
+		if (r) {
+			update_run(s, r, seen, now);
+			g_hash_table_add(listed, &r->self);
+		} else if (s->is_ready) {
+			take_unknown(s, v, seen, now);
+		}
+	}
+	for (i = v->runs->len; i-- > 0;) {
+		struct run *r =
+			run_row(s, g_array_index(v->runs, cs_handle, i));
+
+		if (r->sent_at < d->sent &&
+		    !g_hash_table_contains(listed, &r->self) &&
+		    is_missing_for_good(r, d->sent)) {
+			runs_ended(s, r, BATCH_END_LOST, NULL, now);
+			i = v->runs->len; /* others may have ended with it */
+		}
+	}
+	g_hash_table_destroy(listed);
+}
+
+/* Remembers that an end can be forgotten once its batch is stored. */
+static void keep_unstored(struct server *v, uint64_t number,
+			  const struct job *j)
+{
+	struct unstored_end u = { .number = number };
+
+	if (j && j->batch->version != j->stored_version) {
+		u.job = j->self;
+		u.version = j->batch->version;
+	}
+	g_array_append_val(v->unstored, u);
+}
+
+static void take_end(struct sched *s, struct server *v,
+		     const struct order_end *e, cs_time now)
+{
+	char id[BATCH_ID_MAX];
+	int round, step, index;
+	struct job *j = NULL;
+	struct run *r;
+
+	if (!batch_task_name_parse(e->task, id, &round, &step, &index))
+		j = g_hash_table_lookup(s->job_by_id, id);
+	if (j && round < j->batch->rounds_nr &&
+	    step < j->batch->spec->steps_nr &&
+	    index < j->batch->spec->steps[step].count) {
+		r = find_run(s, v, e->task, e->run);
+		if (r) {
+			runs_ended(s, r, e->how, e->saved, now);
+		} else {
+			struct batch_task *t;
+
+			batch_open_round(j->batch, round);
+			t = batch_task(j->batch, round, step, index);
+			r = t ? run_row(s, t->run_row) : NULL;
+			if (r && e->how == BATCH_END_DONE)
+				runs_stop(s, r, "done elsewhere", now);
+			log_end(s, j, round, step, index, e->run, e->how,
+				v->info.id);
+			note_end(s, j, round, step, index, e->run, e->how,
+				 e->saved, v->self, now);
+		}
+		health_on_end(s, v, e->how, now);
+	}
+	keep_unstored(v, e->number, j);
+}
+
+void runs_take_ends(struct sched *s, struct server *v,
+		    const struct order_done *d, cs_time now)
+{
+	guint i;
+
+	if (!s->is_ready)
+		return; /* the jobs are not known yet; they are listed again */
+	for (i = 0; i < d->ends->len; i++) {
+		const struct order_end *e = g_ptr_array_index(d->ends, i);
+
+		if (e->number <= v->seen)
+			continue;
+		take_end(s, v, e, now);
+		v->seen = e->number;
+	}
+}
+
+int runs_of_step(const struct sched *s, const struct server *v,
+		 const struct job *j, int round, int step)
+{
+	int n = 0;
+	guint i;
+
+	for (i = 0; i < v->runs->len; i++) {
+		const struct run *r =
+			run_row(s, g_array_index(v->runs, cs_handle, i));
+
+		n += r->job == j->self && r->round == round && r->step == step;
+	}
+	return n;
+}
--- /dev/null
+++ b/src/sched/sched.c
@@ -0,0 +1,510 @@
+#include "sched_private.h"
+
+#include <string.h>
+
+#include "../base/error.h"
+#include "../base/log.h"
+
+/* Rows at once; rows are allocated as they are needed. */
+#define SERVERS_MAX (1u << 14)
+#define JOBS_MAX (1u << 18)
+#define RUNS_MAX (1u << 18)
+
+/* The scheduler looks at what time alone makes due this often. */
+#define TURN_US (50 * CS_MSEC)
+
+/*
+ * How long a batch can be asked for after its end. The platform's pages call
+ * for 120 s; the margin covers clocks that differ between entries.
+ */
+#define KEEP_FINAL_US (130 * CS_SEC)
+
+static void pool_free(void *row)
+{
+	struct pool *p = row;
+
+	g_ptr_array_free(p->servers, TRUE);
+	g_ptr_array_free(p->jobs, TRUE);
+	g_free(p);
+}
+
+static void on_turn_timer(void *ctx, uint64_t arg, cs_time now)
+{
+	struct sched *s = ctx;
+
+	(void)arg;
+	s->is_turn_due = true;
+	s->turn_timer =
+		timers_subscribe(s->timers, now + TURN_US, on_turn_timer, s, 0);
+}
+
+struct sched *sched_create(const struct sched_options *options,
+			   const struct sched_ops *ops, void *ctx,
+			   struct timers *timers, struct counters *counters,
+			   cs_time now)
+{
+	struct sched *s = g_new0(struct sched, 1);
+
+	s->options = *options;
+	s->ops = ops;
+	s->ctx = ctx;
+	s->timers = timers;
+	s->counters = counters;
+	s->started_at = now;
+	s->servers = slots_create(sizeof(struct server), SERVERS_MAX);
+	s->jobs = slots_create(sizeof(struct job), JOBS_MAX);
+	s->runs = slots_create(sizeof(struct run), RUNS_MAX);
+	s->server_by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	s->job_by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	s->pools =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, pool_free);
+	s->evacuated =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	s->usage =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	s->grants_left =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	s->ended_grants = g_ptr_array_new_with_free_func(g_free);
+	s->upkeep = upkeep_create(s);
+	s->advice = advice_create();
+	s->turn_timer =
+		timers_subscribe(timers, now + TURN_US, on_turn_timer, s, 0);
+	return s;
+}
+
+void sched_destroy(struct sched *s)
+{
+	cs_handle h;
+
+	if (!s)
+		return;
+	timers_cancel(s->timers, s->turn_timer);
+	for (h = slots_next(s->servers, 0); h; h = slots_next(s->servers, h)) {
+		struct server *v = slots_get(s->servers, h);
+
+		timers_cancel(s->timers, v->hold_timer);
+		g_array_free(v->runs, TRUE);
+		g_array_free(v->unstored, TRUE);
+	}
+	for (h = slots_next(s->jobs, 0); h; h = slots_next(s->jobs, h)) {
+		struct job *j = slots_get(s->jobs, h);
+
+		batch_destroy(j->batch);
+	}
+	upkeep_destroy(s->upkeep);
+	advice_destroy(s->advice);
+	g_hash_table_destroy(s->server_by_id);
+	g_hash_table_destroy(s->job_by_id);
+	g_hash_table_destroy(s->pools);
+	g_hash_table_destroy(s->evacuated);
+	g_hash_table_destroy(s->usage);
+	g_hash_table_destroy(s->grants_left);
+	g_ptr_array_free(s->ended_grants, TRUE);
+	g_queue_clear(&s->changed);
+	g_queue_clear(&s->final);
+	slots_destroy(s->servers);
+	slots_destroy(s->jobs);
+	slots_destroy(s->runs);
+	site_unref(s->site);
+	g_free(s);
+}
+
+/* The pool of that name, made at its first mention. */
+struct pool *sched_pool(struct sched *s, const char *name)
+{
+	struct pool *p = g_hash_table_lookup(s->pools, name);
+
+	if (p)
+		return p;
+	p = g_new0(struct pool, 1);
+	cs_copy(p->name, sizeof(p->name), name);
+	p->servers = g_ptr_array_new();
+	p->jobs = g_ptr_array_new();
+	g_hash_table_insert(s->pools, p->name, p);
+	return p;
+}
+
+/* The next call of sched_turn() looks at all queues. */
+void sched_wake(struct sched *s)
+{
+	s->is_turn_due = true;
+}
+
+/* Writes an event and releases its pairs. */
+void sched_log(struct sched *s, const char *event, GString *pairs)
+{
+	s->ops->log(s->ctx, event, pairs->str);
+	g_string_free(pairs, TRUE);
+}
+
+const struct site_queue *sched_queue_of(const struct sched *s,
+					const struct job *j)
+{
+	return s->site ? site_queue(s->site, j->batch->queue) : NULL;
+}
+
+/* Puts the job into the list of those to store, and notes its end. */
+void sched_note_change(struct sched *s, struct job *j, cs_time now)
+{
+	if (j->batch->version != j->stored_version && !j->is_changed &&
+	    !j->is_being_stored) {
+		j->is_changed = true;
+		g_queue_push_tail(&s->changed,
+				  GSIZE_TO_POINTER((gsize)j->self));
+	}
+	if (!batch_is_final(j->batch) || j->final_at)
+		return;
+	j->final_at = now;
+	g_queue_push_tail(&s->final, GSIZE_TO_POINTER((gsize)j->self));
+	if (j->pool)
+		g_ptr_array_remove_fast(j->pool->jobs, j);
+}
+
+/* Moves a job that is not final to the pool that its queue names now. */
+static void set_pool(struct sched *s, struct job *j)
+{
+	const struct site_queue *q = sched_queue_of(s, j);
+	struct pool *p;
+
+	if (!q || j->final_at)
+		return; /* a removed queue's jobs stay where they are */
+	p = sched_pool(s, q->pool);
+	if (p == j->pool)
+		return;
+	if (j->pool)
+		g_ptr_array_remove_fast(j->pool->jobs, j);
+	j->pool = p;
+	g_ptr_array_add(p->jobs, j);
+}
+
+/*
+ * Sets the objective of the present occurrence: stretch times its longest
+ * chain of work, and the queue's target on top.
+ */
+void sched_set_objective(struct sched *s, struct job *j)
+{
+	const struct site_queue *q = sched_queue_of(s, j);
+	double stretch = q ? q->stretch : 1.0;
+	int64_t target = q ? q->target_ms : 0;
+	int64_t due = batch_due_unix_ms(j->batch, j->round_first);
+	cs_time from = j->submitted;
+
+	if (due > 0 && s->unix_ms > 0 &&
+	    s->unix_at + (due - s->unix_ms) * CS_MSEC > from)
+		from = s->unix_at + (due - s->unix_ms) * CS_MSEC;
+	j->objective_at =
+		from +
+		(int64_t)(stretch * (double)batch_chain_ms(
+					    j->batch, j->round_first, true)) *
+			CS_MSEC +
+		target * CS_MSEC;
+}
+
+void sched_set_site(struct sched *s, struct site *site, cs_time now)
+{
+	cs_handle h;
+
+	(void)now;
+	site_unref(s->site);
+	s->site = site_ref(site);
+	for (h = slots_next(s->jobs, 0); h; h = slots_next(s->jobs, h)) {
+		struct job *j = slots_get(s->jobs, h);
+
+		set_pool(s, j);
+		sched_set_objective(s, j);
+	}
+	sched_wake(s);
+}
+
+void sched_set_evacuated(struct sched *s, const char *data_centre,
+			 bool is_evacuated, cs_time now)
+{
+	(void)now;
+	if (is_evacuated)
+		g_hash_table_add(s->evacuated, g_strdup(data_centre));
+	else
+		g_hash_table_remove(s->evacuated, data_centre);
+	sched_wake(s);
+}
+
+void sched_add(struct sched *s, struct batch *b, uint64_t revision,
+	       uint64_t stored_revision, int64_t unix_ms, cs_time now)
+{
+	struct job *j;
+	cs_handle h;
+
+	if (g_hash_table_contains(s->job_by_id, b->id)) {
+		batch_destroy(b);
+		return;
+	}
+	h = slots_take(s->jobs, (void **)&j);
+	if (!h) {
+		batch_destroy(b);
+		return;
+	}
+	s->unix_ms = unix_ms;
+	s->unix_at = now;
+	j->self = h;
+	j->batch = b;
+	j->revision = revision;
+	j->stored_revision = stored_revision;
+	j->stored_version = b->version;
+	j->is_old = revision <= s->options.revision;
+	j->submitted = now - (unix_ms - b->submitted_unix_ms) * CS_MSEC;
+	if (j->submitted > now)
+		j->submitted = now; /* the other entry's clock is ahead */
+	g_hash_table_insert(s->job_by_id, b->id, j);
+	set_pool(s, j);
+	if (batch_is_final(b)) {
+		sched_note_change(s, j, now);
+	} else {
+		sched_set_objective(s, j);
+		j->chain_ms = rank_chain_left(j);
+	}
+	sched_wake(s);
+}
+
+void sched_cancel(struct sched *s, const char *id, cs_time now)
+{
+	struct job *j = g_hash_table_lookup(s->job_by_id, id);
+	GString *pairs;
+
+	if (!j || !batch_cancel(j->batch))
+		return;
+	pairs = g_string_new(NULL);
+	log_pair(pairs, "job", id);
+	log_pair_int(pairs, "running", j->batch->running);
+	sched_log(s, "job_cancelled", pairs);
+	runs_stop_all(s, j, "cancelled", now);
+	sched_note_change(s, j, now);
+}
+
+void sched_ready(struct sched *s, cs_time now)
+{
+	(void)now;
+	s->is_ready = true;
+	sched_wake(s);
+}
+
+void sched_set_paused(struct sched *s, bool is_paused)
+{
+	if (s->is_paused != is_paused)
+		sched_wake(s);
+	s->is_paused = is_paused;
+}
+
+void sched_order_done(struct sched *s, const struct order_done *d, cs_time now)
+{
+	struct server *v = server_row(s, d->server);
+
+	if (v)
+		servers_on_answer(s, v, d, now);
+	switch (d->type) {
+	case ORDER_START:
+		if (v)
+			runs_on_start(s, v, d, now);
+		break;
+	case ORDER_STOP:
+		if (v)
+			runs_on_stop(s, v, d, now);
+		break;
+	case ORDER_HOLD:
+		if (v)
+			servers_on_hold(s, v, d, now);
+		break;
+	case ORDER_PACE:
+		pacing_on_done(s, d);
+		break;
+	case ORDER_ADVISE:
+		advice_on_done(s, d, now);
+		break;
+	case ORDER_LIST_HOSTS:
+	case ORDER_MOVE_HOST:
+	case ORDER_MAINTAIN_HOST:
+		upkeep_on_done(s, d, now);
+		break;
+	}
+	sched_wake(s);
+}
+
+void sched_turn(struct sched *s, int64_t unix_ms, cs_time now)
+{
+	if (!s->is_turn_due)
+		return;
+	s->is_turn_due = false;
+	s->unix_ms = unix_ms;
+	s->unix_at = now;
+	servers_turn(s, now);
+	if (s->is_ready && !s->is_paused && !s->is_fenced)
+		fill_turn(s, now);
+}
+
+size_t sched_take_changed(struct sched *s, cs_handle *out, size_t max)
+{
+	size_t n = 0;
+
+	while (n < max && !g_queue_is_empty(&s->changed)) {
+		cs_handle h = (cs_handle)GPOINTER_TO_SIZE(
+			g_queue_pop_head(&s->changed));
+		struct job *j = slots_get(s->jobs, h);
+
+		if (!j)
+			continue;
+		j->is_changed = false;
+		j->is_being_stored = true;
+		out[n++] = h;
+	}
+	return n;
+}
+
+const struct batch *sched_batch(const struct sched *s, cs_handle h)
+{
+	const struct job *j = slots_get(s->jobs, h);
+
+	return j ? j->batch : NULL;
+}
+
+uint64_t sched_stored_revision(const struct sched *s, cs_handle h)
+{
+	const struct job *j = slots_get(s->jobs, h);
+
+	return j ? j->stored_revision : 0;
+}
+
+/* Ends of stored jobs may now be forgotten by their servers. */
+static void forget_ends(struct sched *s, cs_time now)
+{
+	cs_handle h;
+
+	for (h = slots_next(s->servers, 0); h; h = slots_next(s->servers, h))
+		servers_forget_stored(s, slots_get(s->servers, h), now);
+}
+
+void sched_stored(struct sched *s, cs_handle h, uint32_t version,
+		  uint64_t revision, cs_time now)
+{
+	struct job *j = slots_get(s->jobs, h);
+
+	if (j) {
+		j->is_being_stored = false;
+		j->stored_version = version;
+		j->stored_revision = revision;
+		sched_note_change(s, j, now);
+	}
+	forget_ends(s, now);
+}
+
+void sched_store_failed(struct sched *s, cs_handle h, uint64_t revision)
+{
+	struct job *j = slots_get(s->jobs, h);
+
+	if (!j)
+		return;
+	j->is_being_stored = false;
+	j->stored_revision = revision;
+	j->is_changed = true;
+	g_queue_push_tail(&s->changed, GSIZE_TO_POINTER((gsize)h));
+}
+
+cs_handle sched_next_expired(struct sched *s, cs_time now)
+{
+	cs_handle h = (cs_handle)GPOINTER_TO_SIZE(g_queue_peek_head(&s->final));
+	struct job *j = slots_get(s->jobs, h);
+
+	if (!j || now - j->final_at < KEEP_FINAL_US || j->batch->running ||
+	    j->is_being_stored || j->batch->version != j->stored_version)
+		return 0;
+	return h;
+}
+
+void sched_expired_removed(struct sched *s, cs_handle h)
+{
+	struct job *j = slots_get(s->jobs, h);
+
+	if (!j)
+		return;
+	g_queue_remove(&s->final, GSIZE_TO_POINTER((gsize)h));
+	g_hash_table_remove(s->job_by_id, j->batch->id);
+	batch_destroy(j->batch);
+	slots_free(s->jobs, h);
+}
+
+bool sched_find(const struct sched *s, const char *id, enum batch_state *state,
+		bool *is_stored)
+{
+	const struct job *j = g_hash_table_lookup(s->job_by_id, id);
+
+	if (!j)
+		return false;
+	*state = j->batch->state;
+	*is_stored = j->batch->version == j->stored_version;
+	return true;
+}
+
+/* True if an occurrence that is due waits for its first start. */
+static bool is_pending(const struct sched *s, const struct job *j)
+{
+	if (j->batch->state != BATCH_QUEUED)
+		return false;
+	return batch_due_unix_ms(j->batch, 0) <= s->unix_ms;
+}
+
+/* Core-milliseconds that a job's present occurrence still needs. */
+static double work_left(const struct job *j)
+{
+	const struct batch_round *r = &j->batch->rounds[j->round_first];
+	double work = 0;
+	int i;
+
+	for (i = 0; i < j->batch->spec->steps_nr; i++) {
+		const struct batch_step *st = &j->batch->spec->steps[i];
+		int left = r->left ? r->left[i] : st->count;
+
+		if (!st->is_lasting && !st->is_filling)
+			work += (double)left * (double)st->need.cpu *
+				(double)st->estimate_ms;
+	}
+	return work;
+}
+
+/* Thousandths of a core that a pool has for work that ends. */
+static double pool_cpu(const struct sched *s, const struct pool *p, cs_time now)
+{
+	double cpu = 0;
+	guint i;
+
+	for (i = 0; i < p->servers->len; i++) {
+		const struct server *v = g_ptr_array_index(p->servers, i);
+
+		if (place_is_usable(s, v, now))
+			cpu += (double)v->info.room.cpu;
+	}
+	return cpu;
+}
+
+void sched_queues(const struct sched *s, sched_queue_fn fn, void *ctx)
+{
+	const struct site_queue *q;
+	guint i, k;
+
+	for (i = 0; s->site && (q = site_queue_at(s->site, i)); i++) {
+		struct pool *p = g_hash_table_lookup(s->pools, q->pool);
+		double work = 0, cpu;
+		int pending = 0;
+		bool is_used = false;
+
+		for (k = 0; p && k < p->jobs->len; k++) {
+			const struct job *j = g_ptr_array_index(p->jobs, k);
+
+			work += work_left(j);
+			if (strcmp(j->batch->queue, q->name))
+				continue;
+			is_used = true;
+			pending += is_pending(s, j);
+		}
+		if (!is_used)
+			continue;
+		cpu = pool_cpu(s, p, s->unix_at);
+		fn(ctx, q->name, pending, cpu > 0 ? (int64_t)(work / cpu) : 0);
+	}
+}
--- /dev/null
+++ b/src/sched/sched_private.h
@@ -0,0 +1,243 @@
+#ifndef SCHED_SCHED_PRIVATE_H
+#define SCHED_SCHED_PRIVATE_H
+
+#include "../base/slots.h"
+#include "sched.h"
+
+/* Rows of the scheduler's tables, shared by the files of this folder only. */
+
+/*
+ * Length of a lease. It must outlast the loss of an owner: 2 s until its
+ * store lease ends, and about 0.7 s until the successor has called every
+ * server; a task on a lost server can't restart before it has passed.
+ */
+#define LEASE_MS 3500
+/* Server clocks may be 2% slow; a little more covers rounding. */
+#define CLOCK_ERROR 0.021
+/* Added to a computed end of a lease, for delays on the way. */
+#define LEASE_SLACK_US (100 * CS_MSEC)
+/* Until a start or stop must be answered; usual answers take milliseconds. */
+#define ORDER_TIMEOUT_MS 1000
+
+enum run_state {
+	RUN_SENT, /* start ordered, no answer yet */
+	RUN_ON, /* the server has it */
+	RUN_UNSURE, /* the start had no answer */
+	RUN_STOPPING /* stop ordered; its end is not known yet */
+};
+
+/* One run of a task on a server, from its order until its end is known. */
+struct run {
+	cs_handle self;
+	cs_handle job, server;
+	int round, step, index;
+	uint32_t number;
+	enum run_state state;
+	cs_time sent_at; /* the start */
+	cs_time sure_at; /* its answer came; 0: not yet */
+	cs_time stop_at; /* the last stop order; 0: none */
+	bool is_stop_answered;
+	cs_time stop_answered_at;
+	struct site_room need; /* taken on the server */
+	int percent; /* of its work */
+	cs_time at_work_since; /* a lasting task's percent became 100 */
+	int64_t measure;
+	int pace; /* as ordered last, percent */
+	bool is_pace_open; /* a pace order has no answer yet */
+};
+
+/* An end that was handled, but whose batch is not stored yet. */
+struct unstored_end {
+	uint64_t number;
+	cs_handle job;
+	uint32_t version;
+};
+
+struct server {
+	cs_handle self;
+	struct server_info info;
+	bool is_listed; /* in the register */
+	bool is_ours; /* has answered under this term's token */
+	bool is_granted; /* the store knows that it may hold our orders */
+	bool is_grant_open; /* the grant is being stored */
+	bool is_dead; /* its incarnation has ended for certain */
+	bool is_cordoned; /* gets no starts: maintenance or a move */
+	cs_time unlisted_at;
+	/* Clock: the reading lies between sent and received. */
+	int64_t clock_ms; /* -1: none yet */
+	cs_time clock_sent, clock_received;
+	int64_t deadline_ms; /* highest ever sent, on its clock */
+	cs_time unknown_until; /* a predecessor's lease may last until then */
+	/* Holds. */
+	bool is_hold_open;
+	cs_handle hold_timer;
+	cs_time answered_at;
+	int misses; /* calls without an answer since the last one */
+	uint64_t seen; /* the highest end that was handled */
+	GArray *unstored; /* struct unstored_end, oldest first */
+	/* Load. */
+	struct site_room used;
+	GArray *runs; /* cs_handle */
+	/* Health. */
+	int failed_in_row;
+	cs_time suspect_until;
+	cs_time refused_until; /* it had no room, whatever we thought */
+	/* Pacing of filling tasks. */
+	int fill_pace; /* percent */
+	cs_time fill_changed_at;
+};
+
+/* A batch under the scheduler's care. */
+struct job {
+	cs_handle self;
+	struct batch *batch;
+	struct pool *pool;
+	uint64_t revision; /* of the submission */
+	uint64_t stored_revision; /* of the progress; 0: none */
+	uint32_t stored_version;
+	bool is_changed; /* in the list of changed jobs */
+	bool is_being_stored;
+	bool is_old; /* a predecessor may have started its tasks */
+	cs_time submitted;
+	cs_time objective_at; /* of the present occurrence */
+	int64_t chain_ms; /* the longest chain that is left */
+	cs_time final_at;
+	int round_first; /* occurrences before it are done */
+};
+
+struct pool {
+	char name[CS_NAME_MAX];
+	GPtrArray *servers; /* struct server */
+	GPtrArray *jobs; /* struct job, not final */
+};
+
+struct sched {
+	struct sched_options options;
+	const struct sched_ops *ops;
+	void *ctx;
+	struct timers *timers;
+	struct counters *counters;
+	struct site *site;
+	bool is_ready, is_paused, is_fenced;
+	bool is_turn_due;
+	cs_time started_at;
+	int64_t unix_ms; /* at the last turn */
+	cs_time unix_at;
+	struct slots *servers, *jobs, *runs;
+	GHashTable *server_by_id; /* -> struct server */
+	GHashTable *job_by_id; /* -> struct job */
+	GHashTable *pools; /* name -> struct pool */
+	GHashTable *evacuated; /* data centre names */
+	GHashTable *usage; /* workspace -> struct site_room */
+	GHashTable *grants_left; /* id -> pool: of a predecessor, not listed */
+	GPtrArray *ended_grants; /* identifiers to remove from the store */
+	GQueue changed; /* handles of jobs, oldest change first */
+	GQueue final; /* handles of jobs, oldest end first */
+	struct upkeep *upkeep;
+	struct advice *advice;
+	cs_handle turn_timer;
+};
+
+/* sched.c */
+struct pool *sched_pool(struct sched *s, const char *name);
+void sched_note_change(struct sched *s, struct job *j, cs_time now);
+void sched_wake(struct sched *s);
+void sched_set_objective(struct sched *s, struct job *j);
+void sched_log(struct sched *s, const char *event, GString *pairs);
+const struct site_queue *sched_queue_of(const struct sched *s,
+					const struct job *j);
+
+/* servers.c */
+struct server *server_row(const struct sched *s, cs_handle h);
+void servers_hold_soon(struct sched *s, struct server *v, cs_time at);
+void servers_on_hold(struct sched *s, struct server *v,
+		     const struct order_done *d, cs_time now);
+/* Takes the clock reading and the sign of life from any answer. */
+void servers_on_answer(struct sched *s, struct server *v,
+		       const struct order_done *d, cs_time now);
+void servers_forget_stored(struct sched *s, struct server *v, cs_time now);
+/* The deadline to send with an order, on the server's clock; 0: unknown. */
+int64_t servers_deadline(struct server *v, cs_time now);
+/* When everything there has ended if it is not heard of again. */
+cs_time servers_lease_end(const struct sched *s, const struct server *v);
+/* The incarnation has ended: all its runs are lost. */
+void servers_died(struct sched *s, struct server *v, const char *why,
+		  cs_time now);
+/* Checks leases and removes rows that are no longer needed. */
+void servers_turn(struct sched *s, cs_time now);
+/* True if no predecessor's order can be unknown in the pool. */
+bool servers_pool_settled(const struct sched *s, const struct pool *p,
+			  cs_time now);
+
+/* runs.c */
+struct run *run_row(const struct sched *s, cs_handle h);
+struct run *runs_start(struct sched *s, struct job *j, int round, int step,
+		       int index, struct server *v, uint32_t number,
+		       const char *ticket, cs_time now);
+struct run *runs_adopt(struct sched *s, struct job *j, int round, int step,
+		       int index, struct server *v, uint32_t number,
+		       cs_time now);
+void runs_stop(struct sched *s, struct run *r, const char *why, cs_time now);
+/* The run has ended; its row is freed. */
+void runs_ended(struct sched *s, struct run *r, enum batch_end how,
+		const char *saved, cs_time now);
+void runs_on_start(struct sched *s, struct server *v,
+		   const struct order_done *d, cs_time now);
+void runs_on_stop(struct sched *s, struct server *v, const struct order_done *d,
+		  cs_time now);
+/* Compares a complete list of a server with our rows. */
+void runs_reconcile(struct sched *s, struct server *v,
+		    const struct order_done *d, cs_time now);
+void runs_take_ends(struct sched *s, struct server *v,
+		    const struct order_done *d, cs_time now);
+void runs_stop_all(struct sched *s, struct job *j, const char *why,
+		   cs_time now);
+/* Stops a run of which we have no row. */
+void runs_stop_stray(struct sched *s, struct server *v, const char *task,
+		     uint32_t number, cs_time now);
+int runs_of_step(const struct sched *s, const struct server *v,
+		 const struct job *j, int round, int step);
+
+/* place.c: decisions, without side effects */
+bool place_is_usable(const struct sched *s, const struct server *v,
+		     cs_time now);
+struct server *place_choose(const struct sched *s, const struct job *j,
+			    int round, int step, const struct batch_task *t,
+			    cs_time now);
+bool place_within_limit(const struct sched *s, const struct job *j,
+			struct site_room need);
+
+/* rank.c: decisions, without side effects */
+int64_t rank_chain_left(const struct job *j);
+void rank_jobs(GPtrArray *jobs, const struct sched *s, cs_time now);
+
+/* fill.c */
+void fill_turn(struct sched *s, cs_time now);
+
+/* pacing.c */
+void pacing_on_hold(struct sched *s, struct server *v, cs_time now);
+void pacing_on_done(struct sched *s, const struct order_done *d);
+
+/* health.c */
+void health_on_end(struct sched *s, struct server *v, enum batch_end how,
+		   cs_time now);
+
+/* upkeep.c */
+struct upkeep *upkeep_create(struct sched *s);
+void upkeep_destroy(struct upkeep *u);
+void upkeep_on_done(struct sched *s, const struct order_done *d, cs_time now);
+
+/* advice.c */
+struct advice *advice_create(void);
+void advice_destroy(struct advice *a);
+/* The valid ticket of a server for a step, or NULL. */
+const char *advice_ticket(const struct sched *s, const struct job *j, int round,
+			  int step, const struct server *v, cs_time now);
+/* Asks the advisor about a step unless a valid answer is known or awaited. */
+void advice_want(struct sched *s, const struct job *j, int round, int step,
+		 cs_time now);
+void advice_drop(struct sched *s, const struct job *j, int round, int step,
+		 const struct server *v);
+void advice_on_done(struct sched *s, const struct order_done *d, cs_time now);
+
+#endif
--- /dev/null
+++ b/src/sched/servers.c
@@ -0,0 +1,520 @@
+#include "sched_private.h"
+
+#include <string.h>
+
+#include "../base/error.h"
+#include "../base/log.h"
+
+/*
+ * Holds: a call that extends the lease of a server with runs, and returns as
+ * soon as a run ends there. A server without runs is only asked whether it is
+ * there, rarely.
+ */
+#define HOLD_WAIT_MS 700
+#define IDLE_WAIT_MS 2000
+/* Beyond the wait, until a hold counts as unanswered. */
+#define HOLD_SLACK_MS 900
+/* Between two holds, so that ends which come together are handled together. */
+#define HOLD_GAP_US (15 * CS_MSEC)
+/* While ends wait for the store. */
+#define UNSTORED_GAP_US (200 * CS_MSEC)
+/* After a failed call; it is short, as a lease may be running out. */
+#define HOLD_RETRY_US (150 * CS_MSEC)
+
+struct server *server_row(const struct sched *s, cs_handle h)
+{
+	return slots_get(s->servers, h);
+}
+
+static void on_hold_timer(void *ctx, uint64_t arg, cs_time now);
+
+/* Calls the server at that time, or earlier if that was planned. */
+void servers_hold_soon(struct sched *s, struct server *v, cs_time at)
+{
+	if (v->is_hold_open || v->is_dead)
+		return;
+	timers_cancel(s->timers, v->hold_timer);
+	v->hold_timer =
+		timers_subscribe(s->timers, at, on_hold_timer, s, v->self);
+}
+
+/*
+ * The lease that an order brings: LEASE_MS from now on the server's clock,
+ * of which the last reading is known. The reading is at most as old as its
+ * call, so time since the call was sent is added.
+ */
+int64_t servers_deadline(struct server *v, cs_time now)
+{
+	int64_t at;
+
+	if (v->clock_ms < 0)
+		return 0;
+	at = v->clock_ms + (now - v->clock_sent) / CS_MSEC + LEASE_MS;
+	if (at > v->deadline_ms)
+		v->deadline_ms = at;
+	return at;
+}
+
+cs_time servers_lease_end(const struct sched *s, const struct server *v)
+{
+	cs_time end = v->unknown_until;
+	cs_time left;
+
+	(void)s;
+	if (v->clock_ms >= 0 && v->deadline_ms) {
+		left = (v->deadline_ms - v->clock_ms) * CS_MSEC;
+		left += (cs_time)((double)left * CLOCK_ERROR) + LEASE_SLACK_US;
+		if (v->clock_received + left > end)
+			end = v->clock_received + left;
+	}
+	return end;
+}
+
+/* How many of the oldest unstored ends belong to batches stored by now. */
+static guint stored_ends(const struct sched *s, const struct server *v)
+{
+	guint n;
+
+	for (n = 0; n < v->unstored->len; n++) {
+		const struct unstored_end *u =
+			&g_array_index(v->unstored, struct unstored_end, n);
+		const struct job *j = slots_get(s->jobs, u->job);
+
+		/* Versions wrap; the difference tells which one is later. */
+		if (j && (int32_t)(j->stored_version - u->version) < 0)
+			break;
+	}
+	return n;
+}
+
+static void send_hold(struct sched *s, struct server *v, cs_time now)
+{
+	struct order *o = order_new(ORDER_HOLD);
+	bool is_waiting_for_store;
+	guint n = stored_ends(s, v);
+
+	o->server = v->self;
+	cs_copy(o->address, sizeof(o->address), v->info.address);
+	cs_copy(o->instance, sizeof(o->instance), v->info.id);
+	o->token = s->options.token;
+	o->seen = v->unstored->len ?
+			  g_array_index(v->unstored, struct unstored_end, 0)
+					  .number -
+				  1 :
+			  v->seen;
+	if (n)
+		o->seen = g_array_index(v->unstored, struct unstored_end, n - 1)
+				  .number;
+	is_waiting_for_store = n < v->unstored->len;
+	if (v->runs->len)
+		o->deadline_ms = servers_deadline(v, now);
+	if (v->is_ours && !is_waiting_for_store)
+		o->wait_ms = v->runs->len ? HOLD_WAIT_MS : IDLE_WAIT_MS;
+	o->timeout_ms = o->wait_ms + HOLD_SLACK_MS;
+	o->ref = n;
+	v->is_hold_open = true;
+	counters_add(s->counters, "camphorshed_server_holds_total", "", 1);
+	s->ops->send(s->ctx, o);
+}
+
+static void on_hold_timer(void *ctx, uint64_t arg, cs_time now)
+{
+	struct sched *s = ctx;
+	struct server *v = server_row(s, arg);
+
+	if (!v || v->is_hold_open || v->is_dead)
+		return;
+	v->hold_timer = 0;
+	send_hold(s, v, now);
+}
+
+static void log_server(struct sched *s, const char *event,
+		       const struct server *v, const char *why, cs_time now)
+{
+	GString *pairs = g_string_new(NULL);
+
+	log_pair(pairs, "server", v->info.id);
+	log_pair(pairs, "pool", v->info.pool);
+	log_pair(pairs, "address", v->info.address);
+	log_pair(pairs, "why", why);
+	log_pair_int(pairs, "runs", v->runs->len);
+	log_pair_int(pairs, "answered_age_ms",
+		     v->answered_at ? (now - v->answered_at) / CS_MSEC : -1);
+	sched_log(s, event, pairs);
+}
+
+void servers_on_answer(struct sched *s, struct server *v,
+		       const struct order_done *d, cs_time now)
+{
+	if (d->result == ORDER_NOT_SENT || d->result == ORDER_UNKNOWN) {
+		if (!v->misses++)
+			log_server(s, "server_unreachable", v,
+				   order_type_name(d->type), now);
+		return;
+	}
+	if (d->reason == ORDER_REASON_INSTANCE)
+		return;
+	if (v->misses) {
+		log_server(s, "server_reachable", v, order_type_name(d->type),
+			   now);
+		sched_wake(s);
+	}
+	v->misses = 0;
+	v->answered_at = now;
+	/* Answers may overtake each other; an older reading adds nothing. */
+	if (d->clock_ms >= 0 && d->sent >= v->clock_sent) {
+		v->clock_ms = d->clock_ms;
+		v->clock_sent = d->sent;
+		v->clock_received = d->received;
+	}
+}
+
+/* Frees all rows of runs on a server whose incarnation has ended. */
+static void lose_runs(struct sched *s, struct server *v, cs_time now)
+{
+	while (v->runs->len) {
+		struct run *r =
+			run_row(s, g_array_index(v->runs, cs_handle, 0));
+
+		runs_ended(s, r, BATCH_END_LOST, NULL, now);
+	}
+}
+
+void servers_died(struct sched *s, struct server *v, const char *why,
+		  cs_time now)
+{
+	if (v->is_dead)
+		return;
+	log_server(s, "server_dead", v, why, now);
+	v->is_dead = true;
+	v->unknown_until = 0;
+	v->deadline_ms = 0;
+	timers_cancel(s->timers, v->hold_timer);
+	v->hold_timer = 0;
+	lose_runs(s, v, now);
+	sched_wake(s);
+}
+
+/* A new incarnation under the old identifier knows nothing of before. */
+static void reborn(struct sched *s, struct server *v, uint64_t born,
+		   cs_time now)
+{
+	log_server(s, "server_reborn", v, "its start time changed", now);
+	v->info.born = born;
+	lose_runs(s, v, now);
+	v->is_dead = false;
+	v->clock_ms = -1;
+	v->clock_sent = v->clock_received = 0;
+	v->deadline_ms = 0;
+	v->unknown_until = 0;
+	v->is_ours = false;
+	v->seen = 0;
+	g_array_set_size(v->unstored, 0);
+	v->failed_in_row = 0;
+	v->suspect_until = 0;
+	v->fill_pace = 100;
+	servers_hold_soon(s, v, now);
+}
+
+void servers_on_hold(struct sched *s, struct server *v,
+		     const struct order_done *d, cs_time now)
+{
+	cs_time next = now + HOLD_GAP_US;
+
+	v->is_hold_open = false;
+	if (d->result == ORDER_REFUSED && d->reason == ORDER_REASON_INSTANCE) {
+		servers_died(s, v, "another incarnation", now);
+		return;
+	}
+	if (d->result == ORDER_REFUSED && d->reason == ORDER_REASON_FENCED) {
+		s->is_fenced = true;
+		s->ops->fenced(s->ctx);
+		return;
+	}
+	if (d->result != ORDER_DONE) {
+		servers_hold_soon(s, v, now + HOLD_RETRY_US);
+		return;
+	}
+	if (d->born && v->info.born && d->born != v->info.born) {
+		reborn(s, v, d->born, now);
+		return;
+	}
+	if (!v->info.born)
+		v->info.born = d->born;
+	if (d->ref && d->ref <= v->unstored->len)
+		g_array_remove_range(v->unstored, 0, (guint)d->ref);
+	runs_take_ends(s, v, d, now);
+	runs_reconcile(s, v, d, now);
+	if (s->is_ready && !v->is_ours) {
+		v->is_ours = true;
+		v->unknown_until = 0;
+		log_server(s, "server_taken", v, "answered under our token",
+			   now);
+	}
+	pacing_on_hold(s, v, now);
+	if (v->unstored->len)
+		next = now + UNSTORED_GAP_US;
+	servers_hold_soon(s, v, next);
+}
+
+/* Ends whose batches are stored now are acknowledged by the next hold. */
+void servers_forget_stored(struct sched *s, struct server *v, cs_time now)
+{
+	if (v->unstored->len && !v->is_hold_open &&
+	    stored_ends(s, v) == v->unstored->len)
+		servers_hold_soon(s, v, now);
+}
+
+/* An address belongs to one incarnation; an older one there has ended. */
+static void bury_former(struct sched *s, const struct server *v, cs_time now)
+{
+	cs_handle h;
+
+	for (h = slots_next(s->servers, 0); h; h = slots_next(s->servers, h)) {
+		struct server *other = server_row(s, h);
+
+		if (other != v &&
+		    !strcmp(other->info.address, v->info.address) &&
+		    !other->is_listed)
+			servers_died(s, other, "its address has a new server",
+				     now);
+	}
+}
+
+static struct server *new_server(struct sched *s,
+				 const struct server_info *info, cs_time now)
+{
+	struct server *v;
+	cs_handle h = slots_take(s->servers, (void **)&v);
+	struct pool *p;
+
+	if (!h)
+		return NULL;
+	v->self = h;
+	v->info = *info;
+	v->clock_ms = -1;
+	v->fill_pace = 100;
+	v->runs = g_array_new(FALSE, FALSE, sizeof(cs_handle));
+	v->unstored = g_array_new(FALSE, FALSE, sizeof(struct unstored_end));
+	v->is_listed = true;
+	if (g_hash_table_remove(s->grants_left, info->id)) {
+		v->is_granted = true;
+		v->unknown_until = s->options.predecessor_end;
+	}
+	g_hash_table_insert(s->server_by_id, v->info.id, v);
+	p = sched_pool(s, info->pool);
+	g_ptr_array_add(p->servers, v);
+	bury_former(s, v, now);
+	servers_hold_soon(s, v, now);
+	log_server(s, "server_listed", v, info->data_centre, now);
+	return v;
+}
+
+/* Takes what may change while an incarnation lives. */
+static void update_info(struct sched *s, struct server *v,
+			const struct server_info *info, cs_time now)
+{
+	if (info->is_draining && !v->info.is_draining)
+		log_server(s, "server_draining", v, info->data_centre, now);
+	v->info.room = info->room;
+	v->info.is_draining = info->is_draining;
+	v->info.remaining_ms = info->remaining_ms;
+	cs_copy(v->info.version, sizeof(v->info.version), info->version);
+	cs_copy(v->info.address, sizeof(v->info.address), info->address);
+}
+
+void sched_server_seen(struct sched *s, const struct server_info *info,
+		       cs_time now)
+{
+	struct server *v = g_hash_table_lookup(s->server_by_id, info->id);
+
+	if (!v) {
+		new_server(s, info, now);
+		sched_wake(s);
+		return;
+	}
+	if (!v->is_listed) {
+		v->is_listed = true;
+		log_server(s, "server_listed", v, "again", now);
+	}
+	if (info->born && v->info.born && info->born > v->info.born)
+		reborn(s, v, info->born, now);
+	update_info(s, v, info, now);
+	servers_hold_soon(s, v, now);
+	sched_wake(s);
+}
+
+void sched_server_gone(struct sched *s, const char *id, cs_time now)
+{
+	struct server *v = g_hash_table_lookup(s->server_by_id, id);
+
+	if (!v || !v->is_listed)
+		return;
+	v->is_listed = false;
+	v->unlisted_at = now;
+	log_server(s, "server_unlisted", v, "removed from the register", now);
+	sched_wake(s);
+}
+
+void sched_server_granted(struct sched *s, const char *id, const char *pool,
+			  cs_time now)
+{
+	struct server *v = g_hash_table_lookup(s->server_by_id, id);
+
+	(void)now;
+	if (!v) {
+		g_hash_table_insert(s->grants_left, g_strdup(id),
+				    g_strdup(pool));
+		return;
+	}
+	v->is_granted = true;
+	if (!v->is_ours)
+		v->unknown_until = s->options.predecessor_end;
+}
+
+cs_handle sched_next_grant(const struct sched *s, cs_handle after)
+{
+	cs_handle h;
+
+	for (h = slots_next(s->servers, after); h;
+	     h = slots_next(s->servers, h)) {
+		struct server *v = server_row(s, h);
+
+		if (!v->is_granted && v->is_listed && !v->is_dead &&
+		    !v->info.is_draining)
+			return h;
+	}
+	return 0;
+}
+
+const struct server_info *sched_server(const struct sched *s, cs_handle h)
+{
+	const struct server *v = server_row(s, h);
+
+	return v ? &v->info : NULL;
+}
+
+void sched_grant_stored(struct sched *s, cs_handle h)
+{
+	struct server *v = server_row(s, h);
+
+	if (v)
+		v->is_granted = true;
+	sched_wake(s);
+}
+
+const char *sched_ended_grant(const struct sched *s)
+{
+	return s->ended_grants->len ? g_ptr_array_index(s->ended_grants, 0) :
+				      NULL;
+}
+
+void sched_ended_grant_removed(struct sched *s, const char *id)
+{
+	guint i;
+
+	for (i = 0; i < s->ended_grants->len; i++) {
+		if (strcmp(g_ptr_array_index(s->ended_grants, i), id))
+			continue;
+		g_ptr_array_remove_index(s->ended_grants, i);
+		return;
+	}
+}
+
+bool servers_pool_settled(const struct sched *s, const struct pool *p,
+			  cs_time now)
+{
+	GHashTableIter it;
+	void *pool;
+	guint i;
+
+	for (i = 0; i < p->servers->len; i++) {
+		const struct server *v = g_ptr_array_index(p->servers, i);
+
+		if (!v->is_ours && !v->is_dead && now < v->unknown_until)
+			return false;
+	}
+	if (now >= s->options.predecessor_end)
+		return true;
+	g_hash_table_iter_init(&it, s->grants_left);
+	while (g_hash_table_iter_next(&it, NULL, &pool))
+		if (!strcmp(pool, p->name))
+			return false;
+	return true;
+}
+
+/* A row whose incarnation is over and whose grant has ended. */
+static void remove_server(struct sched *s, struct server *v)
+{
+	if (v->is_granted)
+		g_ptr_array_add(s->ended_grants, g_strdup(v->info.id));
+	timers_cancel(s->timers, v->hold_timer);
+	g_ptr_array_remove_fast(sched_pool(s, v->info.pool)->servers, v);
+	g_hash_table_remove(s->server_by_id, v->info.id);
+	g_array_free(v->runs, TRUE);
+	g_array_free(v->unstored, TRUE);
+	slots_free(s->servers, v->self);
+}
+
+/* Lasting tasks leave a server that is about to end. */
+static void empty_draining(struct sched *s, struct server *v, cs_time now)
+{
+	guint i;
+
+	for (i = 0; i < v->runs->len; i++) {
+		struct run *r =
+			run_row(s, g_array_index(v->runs, cs_handle, i));
+		const struct job *j = slots_get(s->jobs, r->job);
+		const struct batch_step *st = &j->batch->spec->steps[r->step];
+
+		if (st->is_lasting && r->state == RUN_ON)
+			runs_stop(s, r, "server draining", now);
+	}
+}
+
+static void repeat_stops(struct sched *s, struct server *v, cs_time now)
+{
+	guint i;
+
+	for (i = 0; i < v->runs->len; i++) {
+		struct run *r =
+			run_row(s, g_array_index(v->runs, cs_handle, i));
+
+		if (r->stop_at && !r->is_stop_answered)
+			runs_stop(s, r, "again", now);
+	}
+}
+
+static void turn_one(struct sched *s, struct server *v, cs_time now)
+{
+	if (v->runs->len && v->misses && now >= servers_lease_end(s, v)) {
+		log_server(s, "server_lease_ended", v, "no answer", now);
+		lose_runs(s, v, now);
+	}
+	repeat_stops(s, v, now);
+	if (v->info.is_draining)
+		empty_draining(s, v, now);
+	if (!v->is_listed && !v->runs->len &&
+	    (v->is_dead ||
+	     (v->misses && now >= servers_lease_end(s, v) && !v->is_hold_open)))
+		remove_server(s, v);
+}
+
+void servers_turn(struct sched *s, cs_time now)
+{
+	cs_handle h, next;
+	GHashTableIter it;
+	void *id;
+
+	for (h = slots_next(s->servers, 0); h; h = next) {
+		next = slots_next(s->servers, h);
+		turn_one(s, server_row(s, h), now);
+	}
+	if (now < s->options.predecessor_end || !s->is_ready)
+		return;
+	g_hash_table_iter_init(&it, s->grants_left);
+	while (g_hash_table_iter_next(&it, &id, NULL)) {
+		g_ptr_array_add(s->ended_grants, g_strdup(id));
+		g_hash_table_iter_remove(&it);
+	}
+}
--- /dev/null
+++ b/src/sched/upkeep.c
@@ -0,0 +1,551 @@
+#include "sched_private.h"
+
+#include <string.h>
+
+#include "../base/error.h"
+#include "../base/log.h"
+
+/*
+ * Maintenance waves. A host is taken in three steps: its server gets no more
+ * starts; short tasks end by themselves, and lasting ones are stopped as far
+ * as their steps allow, so that they start again elsewhere; then the host is
+ * ordered to be maintained. No more hosts of a wave are down at once than the
+ * wave allows.
+ */
+
+/* How often waves are looked at, and the list of hosts is read meanwhile. */
+#define LOOK_US (200 * CS_MSEC)
+#define LIST_INTERVAL_US (1200 * CS_MSEC)
+/* Until the host service must have answered. */
+#define HOST_TIMEOUT_MS 2000
+/* Hosts being emptied beyond those that may be down, to keep the flow up. */
+#define AHEAD 1
+/* In the last part of a wave's time, short work is ended for it as well. */
+#define HURRY_SHARE 0.7
+
+enum wave_host_state { WAVE_WAITING, WAVE_EMPTYING, WAVE_ORDERED, WAVE_BEGUN };
+
+struct wave_host {
+	char name[CS_NAME_MAX];
+	enum wave_host_state state;
+	cs_time begun_at;
+	cs_time again_at; /* an order without an answer is repeated; 0: no */
+	char server[CS_NAME_MAX]; /* the one that was on it when it began */
+	bool is_back;
+};
+
+struct wave {
+	uint64_t number;
+	cs_time begun_at, ends_at;
+	int at_once_max;
+	GPtrArray *hosts; /* struct wave_host */
+	bool is_reported; /* as running */
+	bool is_done;
+};
+
+struct upkeep {
+	struct sched *sched;
+	GPtrArray *waves; /* struct wave */
+	GHashTable *hosts; /* name -> struct order_host, as listed last */
+	GPtrArray *page_hosts; /* of the list that is being read */
+	bool is_list_open;
+	cs_time list_sent_at; /* first page of the last complete list */
+	cs_time list_begun_at;
+	cs_time next_list_at;
+	cs_handle timer;
+};
+
+static void on_look(void *ctx, uint64_t arg, cs_time now);
+
+static void wave_free(void *row)
+{
+	struct wave *w = row;
+
+	g_ptr_array_free(w->hosts, TRUE);
+	g_free(w);
+}
+
+struct upkeep *upkeep_create(struct sched *s)
+{
+	struct upkeep *u = g_new0(struct upkeep, 1);
+
+	u->sched = s;
+	u->waves = g_ptr_array_new_with_free_func(wave_free);
+	u->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	u->page_hosts = g_ptr_array_new_with_free_func(g_free);
+	return u;
+}
+
+void upkeep_destroy(struct upkeep *u)
+{
+	timers_cancel(u->sched->timers, u->timer);
+	g_ptr_array_free(u->waves, TRUE);
+	g_ptr_array_free(u->page_hosts, TRUE);
+	g_hash_table_destroy(u->hosts);
+	g_free(u);
+}
+
+static struct wave *find_wave(const struct upkeep *u, uint64_t number)
+{
+	guint i;
+
+	for (i = 0; i < u->waves->len; i++) {
+		struct wave *w = g_ptr_array_index(u->waves, i);
+
+		if (w->number == number)
+			return w;
+	}
+	return NULL;
+}
+
+static void log_wave(struct sched *s, const char *event, const struct wave *w,
+		     const struct wave_host *h, cs_time now)
+{
+	GString *pairs = g_string_new(NULL);
+	int left = 0;
+	guint i;
+
+	for (i = 0; i < w->hosts->len; i++) {
+		const struct wave_host *other = g_ptr_array_index(w->hosts, i);
+
+		left += other->state < WAVE_BEGUN;
+	}
+	log_pair_int(pairs, "wave", (int64_t)w->number);
+	if (h)
+		log_pair(pairs, "host", h->name);
+	log_pair_int(pairs, "hosts_left", left);
+	log_pair_int(pairs, "at_once_max", w->at_once_max);
+	log_pair_int(pairs, "time_left_ms", (w->ends_at - now) / CS_MSEC);
+	sched_log(s, event, pairs);
+}
+
+/* Begins to look at waves, unless it does already. */
+static void look_at(struct upkeep *u, cs_time at)
+{
+	if (!u->timer)
+		u->timer =
+			timers_subscribe(u->sched->timers, at, on_look, u, 0);
+}
+
+void sched_wave(struct sched *s, const struct wave_info *info, cs_time now)
+{
+	struct upkeep *u = s->upkeep;
+	struct wave *w = find_wave(u, info->number);
+	guint i, k;
+
+	if (w)
+		return;
+	w = g_new0(struct wave, 1);
+	w->number = info->number;
+	w->begun_at = now;
+	w->ends_at = now + info->duration_ms * CS_MSEC;
+	w->at_once_max = info->at_once_max > 0 ? info->at_once_max : 1;
+	w->hosts = g_ptr_array_new_with_free_func(g_free);
+	for (i = 0; i < info->hosts->len; i++) {
+		struct wave_host *h = g_new0(struct wave_host, 1);
+
+		cs_copy(h->name, sizeof(h->name),
+			g_ptr_array_index(info->hosts, i));
+		for (k = 0; info->done && k < info->done->len; k++)
+			if (!strcmp(h->name,
+				    g_ptr_array_index(info->done, k))) {
+				h->state = WAVE_BEGUN;
+				h->begun_at = now;
+			}
+		g_ptr_array_add(w->hosts, h);
+	}
+	g_ptr_array_add(u->waves, w);
+	log_wave(s, "wave_asked", w, NULL, now);
+	look_at(u, now + LOOK_US);
+}
+
+static struct server *server_on(const struct sched *s, const char *host)
+{
+	const struct order_host *row =
+		g_hash_table_lookup(s->upkeep->hosts, host);
+
+	if (!row || !*row->server)
+		return NULL;
+	return g_hash_table_lookup(s->server_by_id, row->server);
+}
+
+static void set_cordon(struct sched *s, const char *host, bool is_cordoned)
+{
+	struct server *v = server_on(s, host);
+
+	if (v)
+		v->is_cordoned = is_cordoned;
+	sched_wake(s);
+}
+
+void sched_wave_gone(struct sched *s, uint64_t number)
+{
+	struct wave *w = find_wave(s->upkeep, number);
+	guint i;
+
+	if (!w)
+		return;
+	for (i = 0; i < w->hosts->len; i++) {
+		const struct wave_host *h = g_ptr_array_index(w->hosts, i);
+
+		if (h->state == WAVE_EMPTYING)
+			set_cordon(s, h->name, false);
+	}
+	g_ptr_array_remove(s->upkeep->waves, w);
+}
+
+static void list_hosts(struct upkeep *u, const char *page, cs_time now)
+{
+	struct order *o = order_new(ORDER_LIST_HOSTS);
+
+	o->page = g_strdup(page);
+	o->timeout_ms = HOST_TIMEOUT_MS;
+	if (!page) {
+		g_ptr_array_set_size(u->page_hosts, 0);
+		u->list_begun_at = now;
+	}
+	u->is_list_open = true;
+	u->sched->ops->send(u->sched->ctx, o);
+}
+
+/* The reference of an order: wave and index of the host in it. */
+static uint64_t host_ref(const struct wave *w, guint i)
+{
+	return w->number << 16 | i;
+}
+
+static void order_maintenance(struct sched *s, const struct wave *w, guint i)
+{
+	const struct wave_host *h = g_ptr_array_index(w->hosts, i);
+	struct order *o = order_new(ORDER_MAINTAIN_HOST);
+
+	o->ref = host_ref(w, i);
+	o->timeout_ms = HOST_TIMEOUT_MS;
+	o->token = s->options.token;
+	o->wave = w->number;
+	cs_copy(o->host, sizeof(o->host), h->name);
+	cs_copy(o->holder, sizeof(o->holder), s->options.holder);
+	s->ops->send(s->ctx, o);
+}
+
+/* Tasks of the run's step that are not at work, the run itself apart. */
+static int others_away(const struct sched *s, const struct job *j,
+		       const struct run *r, cs_time now)
+{
+	const struct batch_step *st = &j->batch->spec->steps[r->step];
+	int away = 0, i;
+
+	for (i = 0; i < st->count; i++) {
+		const struct batch_task *t =
+			batch_task(j->batch, r->round, r->step, i);
+		const struct run *other = t ? run_row(s, t->run_row) : NULL;
+
+		if (other == r)
+			continue;
+		if (!other || other->state != RUN_ON || other->percent < 100 ||
+		    now - other->at_work_since < 300 * CS_MSEC)
+			away++;
+	}
+	return away;
+}
+
+/* True if a lasting run may be stopped now without breaking its budget. */
+static bool may_stop(const struct sched *s, const struct run *r, cs_time now)
+{
+	const struct job *j = slots_get(s->jobs, r->job);
+	const struct batch_step *st = &j->batch->spec->steps[r->step];
+
+	if (batch_is_final(j->batch) || st->unavailable_max < 0 ||
+	    r->percent < 100)
+		return true;
+	return others_away(s, j, r, now) < st->unavailable_max;
+}
+
+/* Stops what may be stopped on a server. True if nothing is left there. */
+static bool empty_server(struct sched *s, struct server *v, bool in_hurry,
+			 cs_time now)
+{
+	guint i;
+
+	for (i = 0; i < v->runs->len; i++) {
+		struct run *r =
+			run_row(s, g_array_index(v->runs, cs_handle, i));
+		const struct job *j = slots_get(s->jobs, r->job);
+		const struct batch_step *st = &j->batch->spec->steps[r->step];
+
+		if (r->state != RUN_ON)
+			continue;
+		if (st->is_lasting ? may_stop(s, r, now) :
+				     in_hurry || st->is_checkpointing)
+			runs_stop(s, r, "maintenance", now);
+	}
+	return !v->runs->len;
+}
+
+/* A host that began is back when a newer list shows it up. */
+static void note_return(const struct upkeep *u, struct wave_host *h)
+{
+	const struct order_host *row = g_hash_table_lookup(u->hosts, h->name);
+
+	if (h->state == WAVE_BEGUN && !h->is_back &&
+	    u->list_begun_at >= h->begun_at && !u->is_list_open &&
+	    u->list_sent_at >= h->begun_at && (!row || row->state == HOST_UP))
+		h->is_back = true;
+}
+
+struct wave_count {
+	int emptying, down, left;
+};
+
+static struct wave_count count_wave(const struct upkeep *u, struct wave *w)
+{
+	struct wave_count c = { 0 };
+	guint i;
+
+	for (i = 0; i < w->hosts->len; i++) {
+		struct wave_host *h = g_ptr_array_index(w->hosts, i);
+
+		note_return(u, h);
+		c.emptying += h->state == WAVE_EMPTYING;
+		c.down += h->state == WAVE_ORDERED ||
+			  (h->state == WAVE_BEGUN && !h->is_back);
+		c.left += h->state < WAVE_BEGUN;
+	}
+	return c;
+}
+
+/* The waiting host with the least on it, or NULL. */
+static struct wave_host *next_host(const struct sched *s, const struct wave *w)
+{
+	struct wave_host *best = NULL;
+	int64_t best_load = INT64_MAX;
+	guint i;
+
+	for (i = 0; i < w->hosts->len; i++) {
+		struct wave_host *h = g_ptr_array_index(w->hosts, i);
+		const struct order_host *row =
+			g_hash_table_lookup(s->upkeep->hosts, h->name);
+		const struct server *v = server_on(s, h->name);
+		int64_t load;
+
+		if (h->state != WAVE_WAITING || !row || row->state != HOST_UP)
+			continue;
+		load = v ? v->used.cpu + (int64_t)v->runs->len * 1000 : 0;
+		if (load >= best_load)
+			continue;
+		best = h;
+		best_load = load;
+	}
+	return best;
+}
+
+static void report(struct sched *s, const struct wave *w)
+{
+	GPtrArray *done = g_ptr_array_new();
+	guint i;
+
+	for (i = 0; i < w->hosts->len; i++) {
+		struct wave_host *h = g_ptr_array_index(w->hosts, i);
+
+		if (h->state == WAVE_BEGUN)
+			g_ptr_array_add(done, h->name);
+	}
+	s->ops->wave_advanced(s->ctx, w->number, done, w->is_done);
+	g_ptr_array_free(done, TRUE);
+}
+
+static void begin(struct sched *s, struct wave *w, guint i)
+{
+	struct wave_host *h = g_ptr_array_index(w->hosts, i);
+	const struct order_host *row =
+		g_hash_table_lookup(s->upkeep->hosts, h->name);
+
+	if (h->state != WAVE_ORDERED)
+		cs_copy(h->server, sizeof(h->server), row ? row->server : "");
+	h->state = WAVE_ORDERED;
+	h->again_at = 0;
+	order_maintenance(s, w, i);
+}
+
+static void turn_wave(struct sched *s, struct wave *w, cs_time now)
+{
+	struct wave_count c = count_wave(s->upkeep, w);
+	bool in_hurry = (double)(now - w->begun_at) >
+			HURRY_SHARE * (double)(w->ends_at - w->begun_at);
+	struct wave_host *h;
+	guint i;
+
+	if (!w->is_reported) {
+		w->is_reported = true;
+		report(s, w);
+	}
+	while (c.emptying + c.down < w->at_once_max + AHEAD &&
+	       (h = next_host(s, w))) {
+		h->state = WAVE_EMPTYING;
+		c.emptying++;
+		set_cordon(s, h->name, true);
+		log_wave(s, "host_emptying", w, h, now);
+	}
+	for (i = 0; i < w->hosts->len; i++) {
+		struct server *v;
+
+		h = g_ptr_array_index(w->hosts, i);
+		if (h->state == WAVE_ORDERED && h->again_at &&
+		    now >= h->again_at)
+			begin(s, w, i);
+		if (h->state != WAVE_EMPTYING)
+			continue;
+		v = server_on(s, h->name);
+		if (v)
+			v->is_cordoned = true;
+		if (v && !empty_server(s, v, in_hurry, now))
+			continue;
+		if (c.down >= w->at_once_max)
+			continue;
+		c.down++;
+		begin(s, w, i);
+	}
+	if (c.left || w->is_done)
+		return;
+	w->is_done = true;
+	log_wave(s, "wave_done", w, NULL, now);
+	report(s, w);
+}
+
+/* Hosts that have left the site for good can't be maintained. */
+static void drop_missing(const struct upkeep *u, struct wave *w)
+{
+	guint i;
+
+	if (!u->list_sent_at || u->list_sent_at < w->begun_at)
+		return;
+	for (i = 0; i < w->hosts->len; i++) {
+		struct wave_host *h = g_ptr_array_index(w->hosts, i);
+
+		if (h->state < WAVE_ORDERED &&
+		    !g_hash_table_contains(u->hosts, h->name)) {
+			h->state = WAVE_BEGUN;
+			h->is_back = true;
+		}
+	}
+}
+
+static bool has_open_wave(const struct upkeep *u)
+{
+	guint i;
+
+	for (i = 0; i < u->waves->len; i++) {
+		const struct wave *w = g_ptr_array_index(u->waves, i);
+
+		if (!w->is_done)
+			return true;
+	}
+	return false;
+}
+
+static void on_look(void *ctx, uint64_t arg, cs_time now)
+{
+	struct upkeep *u = ctx;
+	struct sched *s = u->sched;
+	guint i;
+
+	(void)arg;
+	u->timer = 0;
+	if (!has_open_wave(u))
+		return;
+	if (!u->is_list_open && now >= u->next_list_at) {
+		u->next_list_at = now + LIST_INTERVAL_US;
+		list_hosts(u, NULL, now);
+	}
+	/* Two holders in turn within the pause would contradict each other. */
+	if (s->is_ready && !s->is_paused && !s->is_fenced && u->list_sent_at &&
+	    now - s->started_at >= s->options.bounds.holder_pause_ms * CS_MSEC)
+		for (i = 0; i < u->waves->len; i++) {
+			struct wave *w = g_ptr_array_index(u->waves, i);
+
+			if (w->is_done)
+				continue;
+			drop_missing(u, w);
+			turn_wave(s, w, now);
+		}
+	look_at(u, now + LOOK_US);
+}
+
+static void on_hosts(struct sched *s, const struct order_done *d, cs_time now)
+{
+	struct upkeep *u = s->upkeep;
+	guint i;
+
+	u->is_list_open = false;
+	if (d->result != ORDER_DONE)
+		return;
+	for (i = 0; i < d->hosts->len; i++)
+		g_ptr_array_add(u->page_hosts,
+				g_memdup2(g_ptr_array_index(d->hosts, i),
+					  sizeof(struct order_host)));
+	if (d->next_page) {
+		list_hosts(u, d->next_page, now);
+		return;
+	}
+	g_hash_table_remove_all(u->hosts);
+	for (i = 0; i < u->page_hosts->len; i++) {
+		struct order_host *h = g_memdup2(
+			g_ptr_array_index(u->page_hosts, i), sizeof(*h));
+
+		g_hash_table_insert(u->hosts, h->name, h);
+	}
+	u->list_sent_at = u->list_begun_at;
+}
+
+static void on_maintained(struct sched *s, const struct order_done *d,
+			  cs_time now)
+{
+	struct wave *w = find_wave(s->upkeep, d->ref >> 16);
+	struct wave_host *h;
+	struct server *v;
+	GString *pairs;
+
+	if (!w || (d->ref & 0xffff) >= w->hosts->len)
+		return;
+	h = g_ptr_array_index(w->hosts, d->ref & 0xffff);
+	pairs = g_string_new(NULL);
+	log_pair_int(pairs, "wave", (int64_t)w->number);
+	log_pair(pairs, "host", h->name);
+	log_pair(pairs, "result", order_result_name(d->result));
+	log_pair(pairs, "reason", order_reason_name(d->reason));
+	sched_log(s, "host_maintenance", pairs);
+	if (d->result == ORDER_DONE) {
+		h->state = WAVE_BEGUN;
+		h->begun_at = now;
+		v = g_hash_table_lookup(s->server_by_id, h->server);
+		if (v)
+			servers_died(s, v, "its host is maintained", now);
+		report(s, w);
+		return;
+	}
+	if (d->result == ORDER_REFUSED && (d->reason == ORDER_REASON_WAVE ||
+					   d->reason == ORDER_REASON_INVALID)) {
+		h->state = WAVE_BEGUN; /* not ours to maintain any more */
+		h->begun_at = now;
+		h->is_back = true;
+		return;
+	}
+	if (d->result == ORDER_REFUSED && d->reason == ORDER_REASON_FENCED) {
+		s->is_fenced = true;
+		s->ops->fenced(s->ctx);
+		return;
+	}
+	/* It may have begun, so the host counts as down until an answer. */
+	if (d->result == ORDER_UNKNOWN)
+		h->again_at = now + LIST_INTERVAL_US;
+	else
+		h->state = WAVE_EMPTYING;
+}
+
+void upkeep_on_done(struct sched *s, const struct order_done *d, cs_time now)
+{
+	if (d->type == ORDER_LIST_HOSTS)
+		on_hosts(s, d, now);
+	else if (d->type == ORDER_MAINTAIN_HOST)
+		on_maintained(s, d, now);
+}
--- /dev/null
+++ b/src/settings/node_settings.c
@@ -0,0 +1,99 @@
+#include "node_settings.h"
+
+#include "settings_file.h"
+
+#define FIELD(name) offsetof(struct node_settings, name)
+
+#define NAME(name, offset)                                                     \
+	{                                                                      \
+		name, &settings_name, offset, 1, CS_NAME_MAX - 1,              \
+			"characters", NULL                                     \
+	}
+#define ADDRESS(name, offset, fallback)                                        \
+	{                                                                      \
+		name, &settings_address, offset, 0, 0, "", fallback            \
+	}
+/* Bounds of the platform; their fallbacks are its usual figures. */
+#define BOUND(name, offset, max, fallback)                                     \
+	{                                                                      \
+		name, &settings_duration, offset, 0, max, "ms", fallback       \
+	}
+
+static const struct settings_key node_keys[] = {
+	NAME("name", FIELD(name)),
+	NAME("data_centre", FIELD(data_centre)),
+	{ "log_level", &settings_log_level, FIELD(log_level), 0, 0, "",
+	  "info" },
+	/* Five lines a task at 400 tasks a second. */
+	{ "log_lines_max", &settings_count, FIELD(log_lines_max), 10, 100000,
+	  "lines a second", "2000" },
+	/* The platform kills a process 6 s after it asked it to stop. */
+	{ "drain", &settings_duration, FIELD(drain_ms), 100, 60000, "ms",
+	  "4s" },
+};
+
+static const struct settings_key front_keys[] = {
+	ADDRESS("listen", FIELD(front_address), NULL),
+	ADDRESS("readiness", FIELD(readiness_address), NULL),
+	ADDRESS("metrics", FIELD(metrics_address), ""),
+	/* A process may have some 4,000 descriptors in all. */
+	{ "connections_max", &settings_count, FIELD(connections_max), 1, 65536,
+	  "connections", "3000" },
+	{ "body_max", &settings_size, FIELD(body_max), 1024,
+	  INT64_C(1024) * 1024, "bytes", "256k" },
+};
+
+static const struct settings_key store_keys[] = {
+	ADDRESS("address", FIELD(store_address), NULL),
+	BOUND("lease_min", FIELD(lease_min_ms), 600000, "1s"),
+};
+
+static const struct settings_key hosts_keys[] = {
+	ADDRESS("address", FIELD(hosts_address), ""),
+};
+
+static const struct settings_key advisor_keys[] = {
+	ADDRESS("address", FIELD(advisor_address), ""),
+};
+
+static const struct settings_key bound_keys[] = {
+	BOUND("hold_max", FIELD(hold_max_ms), 3600000, "10s"),
+	BOUND("stop_grace", FIELD(stop_grace_ms), 600000, "1s"),
+	BOUND("early", FIELD(early_ms), 60000, "250ms"),
+	BOUND("holder_pause", FIELD(holder_pause_ms), 600000, "3s"),
+	BOUND("unavailable", FIELD(unavailable_ms), 600000, "4500ms"),
+};
+
+#define SECTION(name, keys)                                                    \
+	{                                                                      \
+		name, keys, G_N_ELEMENTS(keys), false                          \
+	}
+
+static const struct settings_section sections[] = {
+	SECTION("node", node_keys),	  SECTION("front", front_keys),
+	SECTION("store", store_keys),	  SECTION("hosts", hosts_keys),
+	SECTION("advisor", advisor_keys), SECTION("bounds", bound_keys),
+};
+
+static const struct settings_schema schema = {
+	sections,
+	G_N_ELEMENTS(sections),
+	"[node], [front], [store], [hosts], [advisor], [bounds]",
+	false,
+	NULL,
+};
+
+struct node_settings *node_settings_read(const char *path, GString *faults)
+{
+	struct node_settings *st = g_new0(struct node_settings, 1);
+
+	if (settings_file_read(path, &schema, st, NULL, faults))
+		return st;
+	node_settings_destroy(st);
+	return NULL;
+}
+
+void node_settings_destroy(struct node_settings *settings)
+{
+	g_free(settings);
+}
--- /dev/null
+++ b/src/settings/node_settings.h
@@ -0,0 +1,31 @@
+#ifndef NODE_SETTINGS_H
+#define NODE_SETTINGS_H
+
+#include "../base/log.h"
+#include "../sched/sched.h"
+
+/* What the settings file of an entry on a shared platform says, checked. */
+struct node_settings {
+	char name[CS_NAME_MAX];
+	char data_centre[CS_NAME_MAX];
+	char front_address[CS_ADDRESS_MAX];
+	char readiness_address[CS_ADDRESS_MAX];
+	char metrics_address[CS_ADDRESS_MAX]; /* "": none */
+	char store_address[CS_ADDRESS_MAX];
+	char hosts_address[CS_ADDRESS_MAX]; /* "": no host service */
+	char advisor_address[CS_ADDRESS_MAX]; /* "": no advisor */
+	enum log_level log_level;
+	int log_lines_max; /* a second */
+	int connections_max; /* callers */
+	int64_t body_max; /* bytes */
+	int64_t drain_ms;
+	int64_t lease_min_ms;
+	int64_t hold_max_ms, stop_grace_ms, early_ms, holder_pause_ms,
+		unavailable_ms;
+};
+
+/* Like settings_read(); the file holds no secrets. */
+struct node_settings *node_settings_read(const char *path, GString *faults);
+void node_settings_destroy(struct node_settings *settings);
+
+#endif
