--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -1,15 +1,9 @@
 #include "settings.h"
 
-#include <errno.h>
-#include <ini.h>
 #include <sodium.h>
-#include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
-#include <sys/stat.h>
 
-#include "../base/error.h"
-#include "settings_value.h"
+#include "settings_file.h"
 
 #define FIELD(name) offsetof(struct settings, name)
 #define PEER_FIELD(name) offsetof(struct entry_peer, name)
@@ -84,20 +78,12 @@
 	NAME("data_centre", PEER_FIELD(data_centre)),
 };
 
-/* A section: its keys are fields of struct settings, or of an entry_peer. */
-struct section_row {
-	const char *name;
-	const struct settings_key *keys;
-	size_t keys_nr;
-	bool is_other; /* [peer NAME], one for each other entry */
-};
-
 #define SECTION(name, keys, is_other)                                          \
 	{                                                                      \
 		name, keys, G_N_ELEMENTS(keys), is_other                       \
 	}
 
-static const struct section_row section_rows[] = {
+static const struct settings_section section_rows[] = {
 	SECTION("entry", entry_keys, false),
 	SECTION("front", front_keys, false),
 	SECTION("admin", admin_keys, false),
@@ -107,483 +93,101 @@
 	SECTION("peer NAME", other_keys, true),
 };
 
-#define KEYS_MAX 8
-
-/* A section of the file, or one that is missing (line 0). */
-struct section {
-	const struct section_row *row;
-	char *name;
+/* An address that a process listens at, and who does. */
+struct listener {
+	const char *address;
+	const char *section;
 	int line;
-	size_t other; /* index in others */
-	int key_lines[KEYS_MAX]; /* where each key was set, 0: not yet */
 };
 
-/* The state of one reading of a file. */
-struct reading {
-	const char *path;
-	FILE *file;
-	GString *faults;
-	bool has_fault;
-	int line;
-	char *buf; /* the present line */
-	size_t buf_size;
-	struct settings *settings;
-	GArray *others; /* struct entry_peer */
-	GPtrArray *sections; /* struct section */
-	struct section *current; /* NULL: none yet, or an unknown one */
-	bool has_header; /* a section header was seen */
+struct check {
+	struct settings_reading *reading;
+	const struct settings *settings;
+	GArray *listeners; /* struct listener */
 };
 
-/* Appends "FILE:LINE: section.key: got ..., expected ...". */
-static void G_GNUC_PRINTF(4, 5)
-	add_fault(struct reading *r, int line, const char *what,
-		  const char *fmt, ...)
-{
-	va_list args;
-
-	r->has_fault = true;
-	g_string_append_printf(r->faults, "%s:%d: %s: got ", r->path, line,
-			       what);
-	va_start(args, fmt);
-	g_string_append_vprintf(r->faults, fmt, args);
-	va_end(args);
-	g_string_append_c(r->faults, '\n');
-}
-
-/* What a fault calls a key: "entry.id". The caller frees it. */
-static char *key_title(const struct section *s, const struct settings_key *key)
-{
-	return g_strdup_printf("%s.%s", s->name, key->name);
-}
-
-/*
- * A value of NULL means that the key is missing. Values of secret keys are not
- * shown.
- */
-static void add_key_fault(struct reading *r, int line, const struct section *s,
-			  const struct settings_key *key, const char *value)
-{
-	char *title = key_title(s, key);
-	GString *expected = g_string_new(NULL);
-
-	key->kind->describe(key, expected);
-	if (!value)
-		add_fault(r, line, title, "nothing, expected %s",
-			  expected->str);
-	else
-		add_fault(r, line, title, "\"%s\", expected %s",
-			  key->kind->is_hidden ? "(hidden)" : value,
-			  expected->str);
-	g_string_free(expected, TRUE);
-	g_free(title);
-}
-
-static void *section_base(struct reading *r, const struct section *s)
-{
-	if (s->row->is_other)
-		return &g_array_index(r->others, struct entry_peer, s->other);
-	return r->settings;
-}
-
-static bool parse_key(struct reading *r, const struct section *s,
-		      const struct settings_key *key, const char *value)
-{
-	return key->kind->parse(key, value,
-				(char *)section_base(r, s) + key->offset);
-}
-
-static struct section *find_section(struct reading *r, const char *name)
-{
-	struct section *s;
-	guint i;
-
-	for (i = 0; i < r->sections->len; i++) {
-		s = g_ptr_array_index(r->sections, i);
-		if (!strcmp(s->name, name))
-			return s;
-	}
-	return NULL;
-}
-
-/*
- * Sections of other entries get a row in others, which the section refers to by
- * index because the array may move.
- */
-static struct section *add_section(struct reading *r, const char *name,
-				   const struct section_row *row, int line)
+/* Collects listeners, and reports an entry that names itself as another. */
+static void check_section(void *ctx, const struct settings_section *row,
+			  const char *name, int line, const void *fields)
 {
-	struct section *s = g_new0(struct section, 1);
-	struct entry_peer other = { 0 };
+	struct check *c = ctx;
+	const struct settings *st = c->settings;
+	struct listener l = { .section = name, .line = line };
+	char *message;
 
-	s->row = row;
-	s->name = g_strdup(name);
-	s->line = line;
 	if (row->is_other) {
-		s->other = r->others->len;
-		cs_copy(other.id, sizeof(other.id), name + strlen("peer "));
-		g_array_append_val(r->others, other);
-	}
-	g_ptr_array_add(r->sections, s);
-	return s;
-}
-
-/* All sections of other entries ("peer NAME") share one row. */
-static const struct section_row *find_section_row(const char *name)
-{
-	bool is_other = g_str_has_prefix(name, "peer ");
-	size_t i;
-
-	for (i = 0; i < G_N_ELEMENTS(section_rows); i++)
-		if (section_rows[i].is_other ?
-			    is_other :
-			    !strcmp(section_rows[i].name, name))
-			return &section_rows[i];
-	return NULL;
-}
-
-/* Begins the section of a header line. Faulty sections are passed over. */
-static void begin_section(struct reading *r, const char *name)
-{
-	static const struct settings_key other_name =
-		NAME("NAME", PEER_FIELD(id));
-	const struct section_row *row = find_section_row(name);
-	char id[CS_NAME_MAX];
-	struct section *s;
-
-	r->has_header = true;
-	r->current = NULL;
-	if (!row) {
-		add_fault(r, r->line, name,
-			  "\"[%s]\", expected one of [entry], [front], "
-			  "[admin], [peer], [platform], [worker], [peer NAME]",
-			  name);
-		return;
-	}
-	s = find_section(r, name);
-	if (s) {
-		add_fault(r, r->line, name,
-			  "\"[%s]\" again, expected it once (see line %d)",
-			  name, s->line);
-		return;
-	}
-	s = add_section(r, name, row, r->line);
-	if (row->is_other &&
-	    !other_name.kind->parse(&other_name, name + strlen("peer "), id))
-		add_key_fault(r, r->line, s, &other_name,
-			      name + strlen("peer "));
-	r->current = s;
-}
-
-/* Ends the line at a comment: ";" or "#" first, or ";" after a space. */
-static void cut_comment(char *line)
-{
-	char *p = line;
-
-	if (*line == ';' || *line == '#')
-		*line = '\0';
-	while ((p = strchr(p, ';'))) {
-		if (p > line && g_ascii_isspace(p[-1])) {
-			*p = '\0';
-			return;
+		const struct entry_peer *other = fields;
+
+		l.address = other->address;
+		if (*st->id && !strcmp(other->id, st->id)) {
+			message = g_strdup_printf("\"%s\", expected another "
+						  "entry than entry.id",
+						  st->id);
+			settings_fault(c->reading, line, name, message);
+			g_free(message);
 		}
-		p++;
+	} else if (row->keys == front_keys) {
+		l.address = st->front_address;
+	} else if (row->keys == admin_keys) {
+		l.address = st->admin_address;
+	} else if (row->keys == peer_keys) {
+		l.address = st->peer_address;
 	}
+	if (l.address && *l.address)
+		g_array_append_val(c->listeners, l);
 }
 
-/*
- * Checks the form of a line before inih sees it, since inih tells neither
- * line numbers nor empty sections, and stops counting faults at the first.
- * Returns false if the line is not to be parsed.
- */
-static bool check_line(struct reading *r, char *line, size_t max)
+/* Checks what no single key can show: each address has one listener. */
+static void check_whole(struct settings_reading *r, void *fields)
 {
-	char *close;
-
-	if (strlen(line) + 3 > max) {
-		add_fault(r, r->line, "line",
-			  "%zu characters, expected at most %zu", strlen(line),
-			  max - 3);
-		return false;
-	}
-	cut_comment(line);
-	g_strchomp(line);
-	if (!*line)
-		return false;
-	if (*line != '[') {
-		if (strpbrk(line, "=:"))
-			return true;
-		add_fault(r, r->line, "line",
-			  "no \"=\", expected [section] or key = value");
-		return false;
-	}
-	close = strchr(line, ']');
-	if (!close) {
-		r->current = NULL;
-		r->has_header = true;
-		add_fault(r, r->line, "line",
-			  "\"[\" without \"]\", expected "
-			  "[section]");
-		return false;
-	}
-	*close = '\0';
-	begin_section(r, g_strstrip(line + 1));
-	return false;
-}
-
-/* The line source of inih: lines in their form, others as empty ones. */
-static char *next_line(char *out, int size, void *stream)
-{
-	struct reading *r = stream;
-	char *line;
-
-	if (getline(&r->buf, &r->buf_size, r->file) < 0)
-		return NULL;
-	r->line++;
-	line = r->buf;
-	if (r->line == 1 && g_str_has_prefix(line, "\xef\xbb\xbf"))
-		line += 3; /* byte order mark */
-	while (g_ascii_isspace(*line))
-		line++;
-	if (!check_line(r, line, (size_t)size))
-		line = "";
-	g_snprintf(out, (gulong)size, "%s\n", line);
-	return out;
-}
-
-/* Names all keys of a section, for the fault of an unknown one. */
-static char *list_keys(const struct section_row *row)
-{
-	GString *out = g_string_new(NULL);
-	size_t i;
-
-	for (i = 0; i < row->keys_nr; i++)
-		g_string_append_printf(out, "%s%s", i ? ", " : "",
-				       row->keys[i].name);
-	return g_string_free(out, FALSE);
-}
-
-/*
- * Takes one key. The value of an unknown key is not shown: it may be a
- * secret under a misspelt name.
- */
-static int take_key(void *user, const char *unused, const char *name,
-		    const char *value)
-{
-	struct reading *r = user;
-	struct section *s = r->current;
-	const struct settings_key *key;
-	char *title, *keys;
-	size_t i;
-
-	(void)unused; /* inih cuts section names at 49 characters */
-	if (!s) {
-		if (!r->has_header)
-			add_fault(r, r->line, name,
-				  "\"%s\", expected a "
-				  "[section] before it",
-				  name);
-		return 1;
-	}
-	for (i = 0; i < s->row->keys_nr; i++)
-		if (!strcmp(s->row->keys[i].name, name))
-			break;
-	title = g_strdup_printf("%s.%s", s->name, name);
-	if (i == s->row->keys_nr) {
-		keys = list_keys(s->row);
-		add_fault(r, r->line, title, "\"%s\", expected one of %s", name,
-			  keys);
-		g_free(keys);
-		g_free(title);
-		return 1;
-	}
-	key = &s->row->keys[i];
-	if (s->key_lines[i])
-		add_fault(r, r->line, title,
-			  "\"%s\" again, expected it once (see line %d)", name,
-			  s->key_lines[i]);
-	else if (!parse_key(r, s, key, value))
-		add_key_fault(r, r->line, s, key, value);
-	if (!s->key_lines[i])
-		s->key_lines[i] = r->line;
-	g_free(title);
-	return 1;
-}
-
-/* Sets the keys that were not given, or says that they are missing. */
-static void complete_section(struct reading *r, const struct section *s)
-{
-	const struct settings_key *key;
-	size_t i;
-
-	for (i = 0; i < s->row->keys_nr; i++) {
-		key = &s->row->keys[i];
-		if (s->key_lines[i])
-			continue;
-		if (!key->fallback)
-			add_key_fault(r, s->line ? s->line : r->line, s, key,
-				      NULL);
-		else if (*key->fallback)
-			parse_key(r, s, key, key->fallback);
-	}
-}
-
-/*
- * Makes sections that the file lacks, so that their defaults apply and missing
- * keys are reported.
- */
-static void complete_sections(struct reading *r)
-{
-	size_t i;
-
-	for (i = 0; i < G_N_ELEMENTS(section_rows); i++)
-		if (!section_rows[i].is_other &&
-		    !find_section(r, section_rows[i].name))
-			add_section(r, section_rows[i].name, &section_rows[i],
-				    0);
-	for (i = 0; i < r->sections->len; i++)
-		complete_section(r, g_ptr_array_index(r->sections, i));
-}
-
-/* An address that a process listens at, and who does. */
-struct listener {
-	const char *address;
-	const struct section *section;
-};
-
-/* Reports an address that is given to two listeners. */
-static void check_addresses(struct reading *r)
-{
-	GArray *all = g_array_new(FALSE, TRUE, sizeof(struct listener));
-	struct settings *st = r->settings;
-	struct listener l;
+	struct check c = { .reading = r, .settings = fields };
+	char *message;
 	guint i, j;
 
-	for (i = 0; i < r->sections->len; i++) {
-		l.section = g_ptr_array_index(r->sections, i);
-		if (l.section->row->is_other)
-			l.address = g_array_index(r->others, struct entry_peer,
-						  l.section->other)
-					    .address;
-		else if (l.section->row->keys == front_keys)
-			l.address = st->front_address;
-		else if (l.section->row->keys == admin_keys)
-			l.address = st->admin_address;
-		else if (l.section->row->keys == peer_keys)
-			l.address = st->peer_address;
-		else
-			continue;
-		if (*l.address)
-			g_array_append_val(all, l);
-	}
-	for (i = 0; i < all->len; i++) {
+	c.listeners = g_array_new(FALSE, TRUE, sizeof(struct listener));
+	settings_walk(r, check_section, &c);
+	for (i = 0; i < c.listeners->len; i++) {
 		for (j = 0; j < i; j++) {
 			const struct listener *a, *b;
 
-			a = &g_array_index(all, struct listener, i);
-			b = &g_array_index(all, struct listener, j);
+			a = &g_array_index(c.listeners, struct listener, i);
+			b = &g_array_index(c.listeners, struct listener, j);
 			if (strcmp(a->address, b->address))
 				continue;
-			add_fault(r, a->section->line, a->section->name,
-				  "\"%s\", expected another address than [%s]",
-				  a->address, b->section->name);
+			message = g_strdup_printf(
+				"\"%s\", expected another address than [%s]",
+				a->address, b->section);
+			settings_fault(r, a->line, a->section, message);
+			g_free(message);
 		}
 	}
-	g_array_free(all, TRUE);
-}
-
-/* Checks what no single key can show. */
-static void check_whole(struct reading *r)
-{
-	const struct section *s;
-	guint i;
-
-	for (i = 0; i < r->sections->len; i++) {
-		s = g_ptr_array_index(r->sections, i);
-		if (s->row->is_other && *r->settings->id &&
-		    !strcmp(s->name + strlen("peer "), r->settings->id))
-			add_fault(r, s->line, s->name,
-				  "\"%s\", expected another entry than "
-				  "entry.id",
-				  r->settings->id);
-	}
-	check_addresses(r);
-}
-
-/*
- * Opens the file and checks who may read it. The mode is taken from the open
- * file, so that the file can't be replaced in between.
- */
-static bool open_file(struct reading *r)
-{
-	struct stat st;
-
-	r->file = fopen(r->path, "re");
-	if (!r->file || fstat(fileno(r->file), &st)) {
-		add_fault(r, 0, "file", "\"%s\", expected a readable file",
-			  g_strerror(errno));
-		return false;
-	}
-	if (!S_ISREG(st.st_mode)) {
-		add_fault(r, 0, "file", "no regular file, expected one");
-		return false;
-	}
-	if (st.st_mode & 077)
-		add_fault(r, 0, "file",
-			  "mode %04o, expected 0600, since it holds secrets",
-			  st.st_mode & 07777);
-	return true;
+	g_array_free(c.listeners, TRUE);
 }
 
-static void free_section(void *item)
-{
-	struct section *s = item;
-
-	g_free(s->name);
-	g_free(s);
-}
+static const struct settings_schema entry_schema = {
+	section_rows,
+	G_N_ELEMENTS(section_rows),
+	"[entry], [front], [admin], [peer], [platform], [worker], "
+	"[peer NAME]",
+	true,
+	check_whole,
+};
 
-/* Hands the peers over and releases the rest. */
-static struct settings *finish(struct reading *r)
+struct settings *settings_read(const char *path, GString *faults)
 {
-	struct settings *st = r->settings;
+	struct settings *st = g_new0(struct settings, 1);
+	GArray *others = g_array_new(FALSE, TRUE, sizeof(struct entry_peer));
+	bool is_read =
+		settings_file_read(path, &entry_schema, st, others, faults);
 
-	st->peers_nr = r->others->len;
-	st->peers = (struct entry_peer *)g_array_free(r->others, FALSE);
-	if (r->file)
-		fclose(r->file);
-	if (r->buf)
-		sodium_memzero(r->buf, r->buf_size);
-	free(r->buf);
-	g_ptr_array_free(r->sections, TRUE);
-	if (!r->has_fault)
+	st->peers_nr = others->len;
+	st->peers = (struct entry_peer *)g_array_free(others, FALSE);
+	if (is_read)
 		return st;
 	settings_destroy(st);
 	return NULL;
 }
 
-struct settings *settings_read(const char *path, GString *faults)
-{
-	struct reading r = { .path = path, .faults = faults };
-	int line;
-
-	r.settings = g_new0(struct settings, 1);
-	r.others = g_array_new(FALSE, TRUE, sizeof(struct entry_peer));
-	r.sections = g_ptr_array_new_with_free_func(free_section);
-	if (sodium_init() < 0) {
-		add_fault(&r, 0, "file", "no libsodium, expected it to start");
-		return finish(&r);
-	}
-	if (!open_file(&r))
-		return finish(&r);
-	line = ini_parse_stream(next_line, &r, take_key, &r);
-	if (line && !r.has_fault)
-		add_fault(&r, MAX(line, 0), "line",
-			  "a line in another form, expected key = value");
-	complete_sections(&r);
-	check_whole(&r);
-	return finish(&r);
-}
-
 void settings_destroy(struct settings *settings)
 {
 	if (!settings)
--- /dev/null
+++ b/src/settings/settings_file.c
@@ -0,0 +1,446 @@
+#include "settings_file.h"
+
+#include <errno.h>
+#include <ini.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+
+#include "../base/error.h"
+
+#define PEER_FIELD(name) offsetof(struct entry_peer, name)
+#define NAME(name, offset)                                                     \
+	{                                                                      \
+		name, &settings_name, offset, 1, CS_NAME_MAX - 1,              \
+			"characters", NULL                                     \
+	}
+
+/* A section of the file, or one that is missing (line 0). */
+struct section {
+	const struct settings_section *row;
+	char *name;
+	int line;
+	size_t other; /* index in others */
+	int key_lines[SETTINGS_KEYS_MAX]; /* where it was set, 0: not yet */
+};
+
+/* The state of one reading of a file. */
+struct settings_reading {
+	const char *path;
+	const struct settings_schema *schema;
+	FILE *file;
+	GString *faults;
+	bool has_fault;
+	int line;
+	char *buf; /* the present line */
+	size_t buf_size;
+	void *fields; /* the struct that is filled in */
+	GArray *others; /* struct entry_peer */
+	GPtrArray *sections; /* struct section */
+	struct section *current; /* NULL: none yet, or an unknown one */
+	bool has_header; /* a section header was seen */
+};
+
+/* Appends "FILE:LINE: section.key: got ..., expected ...". */
+static void G_GNUC_PRINTF(4, 5)
+	add_fault(struct settings_reading *r, int line, const char *what,
+		  const char *fmt, ...)
+{
+	va_list args;
+
+	r->has_fault = true;
+	g_string_append_printf(r->faults, "%s:%d: %s: got ", r->path, line,
+			       what);
+	va_start(args, fmt);
+	g_string_append_vprintf(r->faults, fmt, args);
+	va_end(args);
+	g_string_append_c(r->faults, '\n');
+}
+
+/* What a fault calls a key: "entry.id". The caller frees it. */
+static char *key_title(const struct section *s, const struct settings_key *key)
+{
+	return g_strdup_printf("%s.%s", s->name, key->name);
+}
+
+/*
+ * A value of NULL means that the key is missing. Values of secret keys are not
+ * shown.
+ */
+static void add_key_fault(struct settings_reading *r, int line,
+			  const struct section *s,
+			  const struct settings_key *key, const char *value)
+{
+	char *title = key_title(s, key);
+	GString *expected = g_string_new(NULL);
+
+	key->kind->describe(key, expected);
+	if (!value)
+		add_fault(r, line, title, "nothing, expected %s",
+			  expected->str);
+	else
+		add_fault(r, line, title, "\"%s\", expected %s",
+			  key->kind->is_hidden ? "(hidden)" : value,
+			  expected->str);
+	g_string_free(expected, TRUE);
+	g_free(title);
+}
+
+static void *section_base(struct settings_reading *r, const struct section *s)
+{
+	if (s->row->is_other)
+		return &g_array_index(r->others, struct entry_peer, s->other);
+	return r->fields;
+}
+
+static bool parse_key(struct settings_reading *r, const struct section *s,
+		      const struct settings_key *key, const char *value)
+{
+	return key->kind->parse(key, value,
+				(char *)section_base(r, s) + key->offset);
+}
+
+static struct section *find_section(struct settings_reading *r,
+				    const char *name)
+{
+	struct section *s;
+	guint i;
+
+	for (i = 0; i < r->sections->len; i++) {
+		s = g_ptr_array_index(r->sections, i);
+		if (!strcmp(s->name, name))
+			return s;
+	}
+	return NULL;
+}
+
+/*
+ * Sections of other entries get a row in others, which the section refers to by
+ * index because the array may move.
+ */
+static struct section *add_section(struct settings_reading *r, const char *name,
+				   const struct settings_section *row, int line)
+{
+	struct section *s = g_new0(struct section, 1);
+	struct entry_peer other = { 0 };
+
+	s->row = row;
+	s->name = g_strdup(name);
+	s->line = line;
+	if (row->is_other) {
+		s->other = r->others->len;
+		cs_copy(other.id, sizeof(other.id), name + strlen("peer "));
+		g_array_append_val(r->others, other);
+	}
+	g_ptr_array_add(r->sections, s);
+	return s;
+}
+
+/* All sections of other entries ("peer NAME") share one row. */
+static const struct settings_section *find_section_row(
+	const struct settings_schema *schema, const char *name)
+{
+	bool is_other = g_str_has_prefix(name, "peer ");
+	size_t i;
+
+	for (i = 0; i < schema->sections_nr; i++)
+		if (schema->sections[i].is_other ?
+			    is_other :
+			    !strcmp(schema->sections[i].name, name))
+			return &schema->sections[i];
+	return NULL;
+}
+
+/* Begins the section of a header line. Faulty sections are passed over. */
+static void begin_section(struct settings_reading *r, const char *name)
+{
+	static const struct settings_key other_name =
+		NAME("NAME", PEER_FIELD(id));
+	const struct settings_section *row = find_section_row(r->schema, name);
+	char id[CS_NAME_MAX];
+	struct section *s;
+
+	r->has_header = true;
+	r->current = NULL;
+	if (!row) {
+		add_fault(r, r->line, name, "\"[%s]\", expected one of %s",
+			  name, r->schema->expected);
+		return;
+	}
+	s = find_section(r, name);
+	if (s) {
+		add_fault(r, r->line, name,
+			  "\"[%s]\" again, expected it once (see line %d)",
+			  name, s->line);
+		return;
+	}
+	s = add_section(r, name, row, r->line);
+	if (row->is_other &&
+	    !other_name.kind->parse(&other_name, name + strlen("peer "), id))
+		add_key_fault(r, r->line, s, &other_name,
+			      name + strlen("peer "));
+	r->current = s;
+}
+
+/* Ends the line at a comment: ";" or "#" first, or ";" after a space. */
+static void cut_comment(char *line)
+{
+	char *p = line;
+
+	if (*line == ';' || *line == '#')
+		*line = '\0';
+	while ((p = strchr(p, ';'))) {
+		if (p > line && g_ascii_isspace(p[-1])) {
+			*p = '\0';
+			return;
+		}
+		p++;
+	}
+}
+
+/*
+ * Checks the form of a line before inih sees it, since inih tells neither
+ * line numbers nor empty sections, and stops counting faults at the first.
+ * Returns false if the line is not to be parsed.
+ */
+static bool check_line(struct settings_reading *r, char *line, size_t max)
+{
+	char *close;
+
+	if (strlen(line) + 3 > max) {
+		add_fault(r, r->line, "line",
+			  "%zu characters, expected at most %zu", strlen(line),
+			  max - 3);
+		return false;
+	}
+	cut_comment(line);
+	g_strchomp(line);
+	if (!*line)
+		return false;
+	if (*line != '[') {
+		if (strpbrk(line, "=:"))
+			return true;
+		add_fault(r, r->line, "line",
+			  "no \"=\", expected [section] or key = value");
+		return false;
+	}
+	close = strchr(line, ']');
+	if (!close) {
+		r->current = NULL;
+		r->has_header = true;
+		add_fault(r, r->line, "line",
+			  "\"[\" without \"]\", expected "
+			  "[section]");
+		return false;
+	}
+	*close = '\0';
+	begin_section(r, g_strstrip(line + 1));
+	return false;
+}
+
+/* The line source of inih: lines in their form, others as empty ones. */
+static char *next_line(char *out, int size, void *stream)
+{
+	struct settings_reading *r = stream;
+	char *line;
+
+	if (getline(&r->buf, &r->buf_size, r->file) < 0)
+		return NULL;
+	r->line++;
+	line = r->buf;
+	if (r->line == 1 && g_str_has_prefix(line, "\xef\xbb\xbf"))
+		line += 3; /* byte order mark */
+	while (g_ascii_isspace(*line))
+		line++;
+	if (!check_line(r, line, (size_t)size))
+		line = "";
+	g_snprintf(out, (gulong)size, "%s\n", line);
+	return out;
+}
+
+/* Names all keys of a section, for the fault of an unknown one. */
+static char *list_keys(const struct settings_section *row)
+{
+	GString *out = g_string_new(NULL);
+	size_t i;
+
+	for (i = 0; i < row->keys_nr; i++)
+		g_string_append_printf(out, "%s%s", i ? ", " : "",
+				       row->keys[i].name);
+	return g_string_free(out, FALSE);
+}
+
+/*
+ * Takes one key. The value of an unknown key is not shown: it may be a
+ * secret under a misspelt name.
+ */
+static int take_key(void *user, const char *unused, const char *name,
+		    const char *value)
+{
+	struct settings_reading *r = user;
+	struct section *s = r->current;
+	const struct settings_key *key;
+	char *title, *keys;
+	size_t i;
+
+	(void)unused; /* inih cuts section names at 49 characters */
+	if (!s) {
+		if (!r->has_header)
+			add_fault(r, r->line, name,
+				  "\"%s\", expected a "
+				  "[section] before it",
+				  name);
+		return 1;
+	}
+	for (i = 0; i < s->row->keys_nr; i++)
+		if (!strcmp(s->row->keys[i].name, name))
+			break;
+	title = g_strdup_printf("%s.%s", s->name, name);
+	if (i == s->row->keys_nr) {
+		keys = list_keys(s->row);
+		add_fault(r, r->line, title, "\"%s\", expected one of %s", name,
+			  keys);
+		g_free(keys);
+		g_free(title);
+		return 1;
+	}
+	key = &s->row->keys[i];
+	if (s->key_lines[i])
+		add_fault(r, r->line, title,
+			  "\"%s\" again, expected it once (see line %d)", name,
+			  s->key_lines[i]);
+	else if (!parse_key(r, s, key, value))
+		add_key_fault(r, r->line, s, key, value);
+	if (!s->key_lines[i])
+		s->key_lines[i] = r->line;
+	g_free(title);
+	return 1;
+}
+
+/* Sets the keys that were not given, or says that they are missing. */
+static void complete_section(struct settings_reading *r,
+			     const struct section *s)
+{
+	const struct settings_key *key;
+	size_t i;
+
+	for (i = 0; i < s->row->keys_nr; i++) {
+		key = &s->row->keys[i];
+		if (s->key_lines[i])
+			continue;
+		if (!key->fallback)
+			add_key_fault(r, s->line ? s->line : r->line, s, key,
+				      NULL);
+		else if (*key->fallback)
+			parse_key(r, s, key, key->fallback);
+	}
+}
+
+/*
+ * Makes sections that the file lacks, so that their defaults apply and missing
+ * keys are reported.
+ */
+static void complete_sections(struct settings_reading *r)
+{
+	size_t i;
+
+	for (i = 0; i < r->schema->sections_nr; i++) {
+		const struct settings_section *row = &r->schema->sections[i];
+
+		if (!row->is_other && !find_section(r, row->name))
+			add_section(r, row->name, row, 0);
+	}
+	for (i = 0; i < r->sections->len; i++)
+		complete_section(r, g_ptr_array_index(r->sections, i));
+}
+
+void settings_walk(struct settings_reading *r, settings_walk_fn fn, void *ctx)
+{
+	guint i;
+
+	for (i = 0; i < r->sections->len; i++) {
+		const struct section *s = g_ptr_array_index(r->sections, i);
+
+		fn(ctx, s->row, s->name, s->line, section_base(r, s));
+	}
+}
+
+void settings_fault(struct settings_reading *r, int line, const char *what,
+		    const char *message)
+{
+	add_fault(r, line, what, "%s", message);
+}
+
+/*
+ * Opens the file and checks who may read it. The mode is taken from the open
+ * file, so that the file can't be replaced in between.
+ */
+static bool open_file(struct settings_reading *r)
+{
+	struct stat st;
+
+	r->file = fopen(r->path, "re");
+	if (!r->file || fstat(fileno(r->file), &st)) {
+		add_fault(r, 0, "file", "\"%s\", expected a readable file",
+			  g_strerror(errno));
+		return false;
+	}
+	if (!S_ISREG(st.st_mode)) {
+		add_fault(r, 0, "file", "no regular file, expected one");
+		return false;
+	}
+	if (r->schema->holds_secrets && (st.st_mode & 077))
+		add_fault(r, 0, "file",
+			  "mode %04o, expected 0600, since it holds secrets",
+			  st.st_mode & 07777);
+	return true;
+}
+
+static void free_section(void *item)
+{
+	struct section *s = item;
+
+	g_free(s->name);
+	g_free(s);
+}
+
+/* Releases what only the reading needed. */
+static bool finish(struct settings_reading *r)
+{
+	if (r->file)
+		fclose(r->file);
+	if (r->buf)
+		sodium_memzero(r->buf, r->buf_size);
+	free(r->buf);
+	g_ptr_array_free(r->sections, TRUE);
+	return !r->has_fault;
+}
+
+bool settings_file_read(const char *path, const struct settings_schema *schema,
+			void *fields, GArray *others, GString *faults)
+{
+	struct settings_reading r = { .path = path,
+				      .schema = schema,
+				      .fields = fields,
+				      .others = others,
+				      .faults = faults };
+	int line;
+
+	r.sections = g_ptr_array_new_with_free_func(free_section);
+	if (sodium_init() < 0) {
+		add_fault(&r, 0, "file", "no libsodium, expected it to start");
+		return finish(&r);
+	}
+	if (!open_file(&r))
+		return finish(&r);
+	line = ini_parse_stream(next_line, &r, take_key, &r);
+	if (line && !r.has_fault)
+		add_fault(&r, MAX(line, 0), "line",
+			  "a line in another form, expected key = value");
+	complete_sections(&r);
+	if (schema->check)
+		schema->check(&r, fields);
+	return finish(&r);
+}
--- /dev/null
+++ b/src/site/site.h
@@ -0,0 +1,102 @@
+#ifndef SITE_SITE_H
+#define SITE_SITE_H
+
+#include <glib.h>
+
+#include "../camphorshed.h"
+
+/*
+ * The operators' configuration of a site that runs jobs of several steps:
+ * queues, pools, workspaces with their keys and limits. A configuration is
+ * built once, checked, and never changed; a new version replaces it whole.
+ */
+
+/* What a task needs, or what a backend server has. */
+struct site_room {
+	int64_t cpu; /* thousandths of a core */
+	int64_t memory_mb;
+	int64_t accelerators;
+};
+
+/* a + b and a - b, field by field. */
+struct site_room site_room_add(struct site_room a, struct site_room b);
+struct site_room site_room_sub(struct site_room a, struct site_room b);
+/* True if need fits into room. */
+bool site_room_fits(struct site_room need, struct site_room room);
+
+/* How a pool's tasks must be approved by the placement advisor. */
+struct site_advice {
+	int64_t decision_ms; /* fixed part of the advisor's answer time */
+	int64_t per_worker_ms; /* and for each backend server named */
+	int64_t validity_ms; /* of a ticket; 0: the queue needs no advice */
+};
+
+struct site_queue {
+	char name[CS_NAME_MAX];
+	char host[CS_NAME_MAX]; /* of the callers' address */
+	char *prefix; /* of the path, with the final "/" */
+	char pool[CS_NAME_MAX];
+	int priority; /* 0 comes first */
+	int attempts_max; /* failed ends of a task until its job fails */
+	double stretch; /* objective: stretch * longest chain + target_ms */
+	int64_t target_ms;
+	int64_t timeout_ms;
+	bool is_open; /* no key is needed */
+	struct site_advice advice;
+};
+
+struct site_pool {
+	char name[CS_NAME_MAX];
+	bool has_admission_check; /* its servers refuse what does not fit */
+	bool is_standby; /* its hosts are off and cost nothing */
+};
+
+struct site_workspace {
+	char name[CS_NAME_MAX];
+	int64_t weight;
+	struct site_room limit; /* of what runs at once; 0: no limit */
+};
+
+struct site;
+
+/*
+ * A configuration under construction: fill it with the functions below, then
+ * site_ref() and site_unref() share it between tasks, which only read it.
+ */
+struct site *site_create(uint64_t version);
+struct site *site_ref(struct site *site);
+void site_unref(struct site *site);
+
+/* Each copies its argument; site_add_queue() takes over q->prefix. */
+void site_add_queue(struct site *site, const struct site_queue *q);
+void site_add_pool(struct site *site, const struct site_pool *p);
+/* Returns the index of the workspace for site_add_key(). */
+int site_add_workspace(struct site *site, const struct site_workspace *w);
+void site_add_key(struct site *site, int workspace, const char *key);
+void site_set_body_max(struct site *site, int64_t bytes);
+
+uint64_t site_version(const struct site *site);
+/* Bytes of a request body; 0: no bound given. */
+int64_t site_body_max(const struct site *site);
+
+/*
+ * The queue of a host and path: the one with the longest prefix that the path
+ * begins with. *rest is set to what follows the prefix. NULL if there is none.
+ */
+const struct site_queue *site_route(const struct site *site, const char *host,
+				    const char *path, const char **rest);
+
+/* By name; NULL if there is none. */
+const struct site_queue *site_queue(const struct site *site, const char *name);
+const struct site_pool *site_pool(const struct site *site, const char *name);
+const struct site_workspace *site_workspace(const struct site *site,
+					    const char *name);
+/* The workspace of a key, or NULL. */
+const struct site_workspace *site_key_owner(const struct site *site,
+					    const char *key);
+
+/* All queues and pools, for walks. */
+const struct site_queue *site_queue_at(const struct site *site, guint i);
+const struct site_pool *site_pool_at(const struct site *site, guint i);
+
+#endif
--- /dev/null
+++ b/src/store/store.h
@@ -0,0 +1,106 @@
+#ifndef STORE_STORE_H
+#define STORE_STORE_H
+
+#include <glib.h>
+
+#include "../camphorshed.h"
+
+/*
+ * The platform's key-value store as the product sees it: items with
+ * revisions, conditional transactions, leases and watches. An implementation
+ * takes calls through struct store_port and answers each one exactly once.
+ */
+
+/* Entries of one transaction: conditions, writes and removals together. */
+#define STORE_TXN_MAX 32
+/* Bytes of a key. */
+#define STORE_KEY_MAX 200
+
+enum store_op {
+	STORE_GET, /* one key */
+	STORE_LIST, /* one page of a prefix */
+	STORE_WATCH, /* changes of a prefix after a revision */
+	STORE_TXN,
+	STORE_LEASE, /* a new lease */
+	STORE_KEEP, /* renews one */
+	STORE_LEASE_END
+};
+
+enum store_result {
+	STORE_OK,
+	STORE_CONFLICT, /* a condition failed; items hold what is there */
+	STORE_MISSING, /* no such key or lease */
+	STORE_COMPACTED, /* the history asked for is gone */
+	STORE_REFUSED, /* nothing was done: overloaded, down, or not sent */
+	STORE_UNKNOWN /* it may have been done, or may be done later */
+};
+
+struct store_item {
+	char *key;
+	GBytes *value; /* NULL: deleted, or absent */
+	uint64_t revision; /* of its last change */
+	uint64_t created; /* revision of its creation */
+	uint64_t lease; /* 0: none */
+};
+
+/* One entry of a transaction. */
+enum store_entry_kind { STORE_EXPECT, STORE_WRITE, STORE_REMOVE };
+
+struct store_entry {
+	enum store_entry_kind kind;
+	char *key;
+	uint64_t revision; /* expected; 0: the key does not exist */
+	GBytes *value; /* of a write */
+	uint64_t lease; /* of a write; 0: none */
+};
+
+struct store_call {
+	enum store_op op;
+	uint64_t ref; /* returned with the answer */
+	char *key; /* or the prefix */
+	char *page_after; /* the last key of the page before, or NULL */
+	uint64_t after; /* revision, of a watch */
+	uint64_t lease;
+	int64_t wait_ms; /* of a watch; of a new lease, its time to live */
+	int64_t timeout_ms; /* until the answer must be there */
+	GPtrArray *entries; /* struct store_entry, of a transaction */
+};
+
+struct store_done {
+	enum store_op op;
+	uint64_t ref;
+	enum store_result result;
+	GPtrArray *items; /* struct store_item; never NULL */
+	uint64_t revision; /* of the store, or of the transaction */
+	uint64_t lease;
+	bool has_more;
+	cs_time sent; /* when the call left this process */
+	struct cs_error error; /* unless the result is STORE_OK */
+};
+
+/* Where calls go. call() takes over the call. */
+struct store_port {
+	void (*call)(void *ctx, struct store_call *call);
+};
+
+struct store_call *store_call_new(enum store_op op, const char *key,
+				  int64_t timeout_ms);
+void store_call_free(struct store_call *call);
+void store_call_expect(struct store_call *call, const char *key,
+		       uint64_t revision);
+/* Takes over value. */
+void store_call_write(struct store_call *call, const char *key, GBytes *value,
+		      uint64_t lease);
+void store_call_remove(struct store_call *call, const char *key);
+
+/* An answer to call, with result refused until it is filled in. */
+struct store_done *store_done_new(const struct store_call *call);
+void store_done_free(struct store_done *done);
+/* Takes over value, which is NULL for a deletion. */
+void store_done_add(struct store_done *done, const char *key, GBytes *value,
+		    uint64_t revision, uint64_t created, uint64_t lease);
+
+const char *store_op_name(enum store_op op);
+const char *store_result_name(enum store_result result);
+
+#endif
--- /dev/null
+++ b/src/store/store_calls.c
@@ -0,0 +1,73 @@
+#include "store_calls.h"
+
+#include "../base/slots.h"
+
+/* Calls without an answer; each request in flight has at most one. */
+#define CALLS_MAX (1u << 16)
+
+struct store_calls {
+	const struct store_port *port;
+	void *port_ctx;
+	struct slots *rows;
+};
+
+struct row {
+	store_done_fn fn;
+	void *ctx;
+	uint64_t arg;
+};
+
+struct store_calls *store_calls_create(const struct store_port *port,
+				       void *port_ctx)
+{
+	struct store_calls *c = g_new0(struct store_calls, 1);
+
+	c->port = port;
+	c->port_ctx = port_ctx;
+	c->rows = slots_create(sizeof(struct row), CALLS_MAX);
+	return c;
+}
+
+void store_calls_destroy(struct store_calls *c)
+{
+	if (!c)
+		return;
+	slots_destroy(c->rows);
+	g_free(c);
+}
+
+cs_handle store_calls_send(struct store_calls *c, struct store_call *call,
+			   store_done_fn fn, void *ctx, uint64_t arg)
+{
+	struct row *row;
+	cs_handle ref = slots_take(c->rows, (void **)&row);
+
+	call->ref = ref;
+	if (!ref) {
+		store_call_free(call);
+		return 0;
+	}
+	row->fn = fn;
+	row->ctx = ctx;
+	row->arg = arg;
+	c->port->call(c->port_ctx, call);
+	return ref;
+}
+
+void store_calls_forget(struct store_calls *c, cs_handle call)
+{
+	slots_free(c->rows, call);
+}
+
+void store_calls_answer(struct store_calls *c, const struct store_done *done,
+			cs_time now)
+{
+	struct row *row = slots_get(c->rows, done->ref);
+	struct row copy;
+
+	if (!row)
+		return;
+	copy = *row;
+	slots_free(c->rows, done->ref);
+	copy.fn(copy.ctx, copy.arg, done, now);
+}
--- /dev/null
+++ b/src/store/view.c
@@ -0,0 +1,245 @@
+#include "view.h"
+
+/* Pause after a failed call; doubled up to the second figure. */
+#define RETRY_MIN_US (50 * CS_MSEC)
+#define RETRY_MAX_US (400 * CS_MSEC)
+/* Until a page of the list must be there, ms. */
+#define LIST_TIMEOUT_MS 1500
+
+struct view {
+	struct view_options options;
+	char *prefix;
+	struct store_calls *calls;
+	struct timers *timers;
+	const struct view_ops *ops;
+	void *ctx;
+	GHashTable *keys; /* key -> last revision, as a pointer to uint64_t */
+	GHashTable *seen; /* keys of the list that is being read, or NULL */
+	char *page_after;
+	uint64_t list_revision; /* of the first page */
+	uint64_t after; /* watch from here */
+	bool is_synced;
+	cs_time current_at;
+	cs_time retry_pause;
+	cs_handle call;
+	cs_handle timer;
+};
+
+static void list_page(struct view *v);
+static void watch(struct view *v);
+
+/* Passes an item on unless a newer state of its key is known. */
+static void put(struct view *v, const struct store_item *item, cs_time now)
+{
+	uint64_t *revision = g_hash_table_lookup(v->keys, item->key);
+
+	if (revision && *revision >= item->revision)
+		return;
+	if (!revision) {
+		revision = g_new(uint64_t, 1);
+		g_hash_table_insert(v->keys, g_strdup(item->key), revision);
+	}
+	*revision = item->revision;
+	v->ops->on_put(v->ctx, item, now);
+}
+
+static void delete (struct view *v, const char *key, uint64_t at, cs_time now)
+{
+	uint64_t *revision = g_hash_table_lookup(v->keys, key);
+	char *copy;
+
+	if (!revision || *revision > at)
+		return;
+	copy = g_strdup(key);
+	g_hash_table_remove(v->keys, key);
+	v->ops->on_delete(v->ctx, copy, now);
+	g_free(copy);
+}
+
+/* Deletes the keys that the list which has just ended did not hold. */
+static void sweep(struct view *v, cs_time now)
+{
+	GPtrArray *gone = g_ptr_array_new_with_free_func(g_free);
+	GHashTableIter it;
+	void *key;
+	guint i;
+
+	g_hash_table_iter_init(&it, v->keys);
+	while (g_hash_table_iter_next(&it, &key, NULL))
+		if (!g_hash_table_contains(v->seen, key))
+			g_ptr_array_add(gone, g_strdup(key));
+	for (i = 0; i < gone->len; i++)
+		delete (v, g_ptr_array_index(gone, i), UINT64_MAX, now);
+	g_ptr_array_free(gone, TRUE);
+}
+
+static void end_list(struct view *v)
+{
+	if (v->seen)
+		g_hash_table_destroy(v->seen);
+	v->seen = NULL;
+	g_free(v->page_after);
+	v->page_after = NULL;
+}
+
+static void on_retry(void *ctx, uint64_t arg, cs_time now)
+{
+	struct view *v = ctx;
+
+	(void)arg;
+	(void)now;
+	v->timer = 0;
+	if (v->after)
+		watch(v);
+	else
+		list_page(v);
+}
+
+static void retry_later(struct view *v, cs_time now)
+{
+	v->timer = timers_subscribe(v->timers, now + v->retry_pause, on_retry,
+				    v, 0);
+	v->retry_pause *= 2;
+	if (v->retry_pause > RETRY_MAX_US)
+		v->retry_pause = RETRY_MAX_US;
+}
+
+static void on_list(void *ctx, uint64_t arg, const struct store_done *d,
+		    cs_time now)
+{
+	struct view *v = ctx;
+	guint i;
+
+	(void)arg;
+	v->call = 0;
+	if (d->result != STORE_OK) {
+		end_list(v);
+		retry_later(v, now);
+		return;
+	}
+	v->retry_pause = RETRY_MIN_US;
+	if (!v->list_revision)
+		v->list_revision = d->revision;
+	for (i = 0; i < d->items->len; i++) {
+		const struct store_item *item = g_ptr_array_index(d->items, i);
+
+		g_hash_table_add(v->seen, g_strdup(item->key));
+		put(v, item, now);
+	}
+	if (d->has_more && d->items->len) {
+		const struct store_item *last =
+			g_ptr_array_index(d->items, d->items->len - 1);
+
+		g_free(v->page_after);
+		v->page_after = g_strdup(last->key);
+		list_page(v);
+		return;
+	}
+	sweep(v, now);
+	end_list(v);
+	v->after = v->list_revision;
+	v->current_at = d->sent;
+	v->is_synced = true;
+	v->ops->on_synced(v->ctx, now);
+	watch(v);
+}
+
+/* Pages are no snapshot, so the watch begins at the first one's revision. */
+static void list_page(struct view *v)
+{
+	struct store_call *c =
+		store_call_new(STORE_LIST, v->prefix, LIST_TIMEOUT_MS);
+
+	if (!v->seen) {
+		v->seen = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+						NULL);
+		v->list_revision = 0;
+	}
+	c->page_after = g_strdup(v->page_after);
+	v->call = store_calls_send(v->calls, c, on_list, v, 0);
+}
+
+static void on_watch(void *ctx, uint64_t arg, const struct store_done *d,
+		     cs_time now)
+{
+	struct view *v = ctx;
+	guint i;
+
+	(void)arg;
+	v->call = 0;
+	if (d->result == STORE_COMPACTED) {
+		v->after = 0;
+		list_page(v);
+		return;
+	}
+	if (d->result != STORE_OK) {
+		retry_later(v, now);
+		return;
+	}
+	v->retry_pause = RETRY_MIN_US;
+	for (i = 0; i < d->items->len; i++) {
+		const struct store_item *item = g_ptr_array_index(d->items, i);
+
+		if (item->value)
+			put(v, item, now);
+		else
+			delete (v, item->key, item->revision, now);
+	}
+	if (d->revision > v->after)
+		v->after = d->revision;
+	v->current_at = d->sent;
+	watch(v);
+}
+
+static void watch(struct view *v)
+{
+	struct store_call *c =
+		store_call_new(STORE_WATCH, v->prefix,
+			       v->options.wait_ms + v->options.slack_ms);
+
+	c->after = v->after;
+	c->wait_ms = v->options.wait_ms;
+	v->call = store_calls_send(v->calls, c, on_watch, v, 0);
+}
+
+struct view *view_create(const struct view_options *options,
+			 struct store_calls *calls, struct timers *timers,
+			 const struct view_ops *ops, void *ctx, cs_time now)
+{
+	struct view *v = g_new0(struct view, 1);
+
+	(void)now;
+	v->options = *options;
+	v->prefix = g_strdup(options->prefix);
+	v->calls = calls;
+	v->timers = timers;
+	v->ops = ops;
+	v->ctx = ctx;
+	v->keys =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	v->retry_pause = RETRY_MIN_US;
+	list_page(v);
+	return v;
+}
+
+void view_destroy(struct view *v)
+{
+	if (!v)
+		return;
+	store_calls_forget(v->calls, v->call);
+	timers_cancel(v->timers, v->timer);
+	end_list(v);
+	g_hash_table_destroy(v->keys);
+	g_free(v->prefix);
+	g_free(v);
+}
+
+bool view_is_synced(const struct view *v)
+{
+	return v && v->is_synced;
+}
+
+cs_time view_current_at(const struct view *v)
+{
+	return v ? v->current_at : 0;
+}
