--- a/src/sched/servers.c
+++ b/src/sched/servers.c
@@ -106,7 +106,12 @@
 		o->seen = g_array_index(v->unstored, struct unstored_end, n - 1)
 				  .number;
 	is_waiting_for_store = n < v->unstored->len;
-	if (v->runs->len)
+	/*
+	 * A call without an answer may have been carried out, so each one that
+	 * extends the lease puts off the time at which the runs count as lost.
+	 * Once an answer is missing, calls only ask.
+	 */
+	if (v->runs->len && !v->misses && !s->is_paused)
 		o->deadline_ms = servers_deadline(v, now);
 	if (v->is_ours && !is_waiting_for_store)
 		o->wait_ms = v->runs->len ? HOLD_WAIT_MS : IDLE_WAIT_MS;
--- a/src/sched/upkeep.c
+++ b/src/sched/upkeep.c
@@ -20,6 +20,10 @@
 #define HOST_TIMEOUT_MS 2000
 /* Hosts being emptied beyond those that may be down, to keep the flow up. */
 #define AHEAD 1
+/* A lasting task counts as at work when it has been for this long. */
+#define AT_WORK_US (300 * CS_MSEC)
+/* A server with runs is called every 0.7 s; this is one call late. */
+#define ANSWER_AGE_US (1500 * CS_MSEC)
 /* In the last part of a wave's time, short work is ended for it as well. */
 #define HURRY_SHARE 0.7
 
@@ -228,6 +232,20 @@
 	s->ops->send(s->ctx, o);
 }
 
+/*
+ * True if a lasting task serves for certain: its server answered lately and
+ * listed it with all its work for a while.
+ */
+static bool is_at_work(const struct sched *s, const struct run *r, cs_time now)
+{
+	const struct server *v = r ? server_row(s, r->server) : NULL;
+
+	return v && r->state == RUN_ON && r->percent == 100 &&
+	       now - r->at_work_since >= AT_WORK_US && !v->misses &&
+	       !v->is_dead && v->is_listed && !v->info.is_draining &&
+	       now - v->answered_at < ANSWER_AGE_US;
+}
+
 /* Tasks of the run's step that are not at work, the run itself apart. */
 static int others_away(const struct sched *s, const struct job *j,
 		       const struct run *r, cs_time now)
@@ -240,10 +258,7 @@
 			batch_task(j->batch, r->round, r->step, i);
 		const struct run *other = t ? run_row(s, t->run_row) : NULL;
 
-		if (other == r)
-			continue;
-		if (!other || other->state != RUN_ON || other->percent < 100 ||
-		    now - other->at_work_since < 300 * CS_MSEC)
+		if (other != r && !is_at_work(s, other, now))
 			away++;
 	}
 	return away;
