--- a/src/node/node_private.h
+++ b/src/node/node_private.h
@@ -43,7 +43,7 @@
 	cs_time taken_at;
 	cs_handle timer; /* next attempt or renewal */
 	cs_handle call;
-	bool is_wanted_soon; /* an attempt is planned */
+	bool is_fenced; /* a server has seen a higher token */
 	uint64_t taking_term;
 };
 
--- a/src/node/ownership.c
+++ b/src/node/ownership.c
@@ -290,6 +290,7 @@
 	if (n->owner.state < OWNER_LOADING)
 		return;
 	log_owner(n, "owner_lost", why);
+	counters_add(n->counters, "camphorshed_owner_losses_total", "", 1);
 	end_term(n);
 	plan(n, now);
 }
@@ -323,6 +324,9 @@
 
 void owner_turn(struct node *n, cs_time now)
 {
+	if (n->owner.is_fenced)
+		owner_lost(n, "a server has seen a higher token", now);
+	n->owner.is_fenced = false;
 	if (n->owner.state == OWNER_OTHER)
 		plan(n, now);
 	if (n->sched)
--- a/src/node/term.c
+++ b/src/node/term.c
@@ -212,15 +212,12 @@
 	n->ops->log(n->ctx, event, pairs);
 }
 
-/* The store has the last word; it is asked by the next renewal. */
+/* Noted only, as the scheduler that calls must not be destroyed meanwhile. */
 static void on_fenced(void *ctx)
 {
 	struct node *n = ctx;
-	GString *pairs = g_string_new(NULL);
 
-	log_pair_int(pairs, "term", (int64_t)n->owner.term);
-	node_log(n, "owner_fenced", pairs);
-	n->owner.confirmed_at = 0;
+	n->owner.is_fenced = true;
 }
 
 static const struct sched_ops sched_ops = { on_order, on_log, on_fenced,
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -60,6 +60,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, pool_free);
 	s->evacuated =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	s->cancelled =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	s->usage =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	s->grants_left =
@@ -97,6 +99,7 @@
 	g_hash_table_destroy(s->job_by_id);
 	g_hash_table_destroy(s->pools);
 	g_hash_table_destroy(s->evacuated);
+	g_hash_table_destroy(s->cancelled);
 	g_hash_table_destroy(s->usage);
 	g_hash_table_destroy(s->grants_left);
 	g_ptr_array_free(s->ended_grants, TRUE);
@@ -261,6 +264,8 @@
 		sched_set_objective(s, j);
 		j->chain_ms = rank_chain_left(j);
 	}
+	if (g_hash_table_remove(s->cancelled, b->id))
+		sched_cancel(s, b->id, now);
 	sched_wake(s);
 }
 
@@ -269,6 +274,9 @@
 	struct job *j = g_hash_table_lookup(s->job_by_id, id);
 	GString *pairs;
 
+	/* A prefix that is read again shows cancellations before jobs. */
+	if (!j)
+		g_hash_table_add(s->cancelled, g_strdup(id));
 	if (!j || !batch_cancel(j->batch))
 		return;
 	pairs = g_string_new(NULL);
--- a/src/sched/sched_private.h
+++ b/src/sched/sched_private.h
@@ -128,6 +128,7 @@
 	GHashTable *job_by_id; /* -> struct job */
 	GHashTable *pools; /* name -> struct pool */
 	GHashTable *evacuated; /* data centre names */
+	GHashTable *cancelled; /* identifiers whose job is not known yet */
 	GHashTable *usage; /* workspace -> struct site_room */
 	GHashTable *grants_left; /* id -> pool: of a predecessor, not listed */
 	GPtrArray *ended_grants; /* identifiers to remove from the store */
