--- a/src/node/ownership.c
+++ b/src/node/ownership.c
@@ -325,13 +325,14 @@
 void owner_turn(struct node *n, cs_time now)
 {
 	if (n->owner.is_fenced)
-		owner_lost(n, "a server has seen a higher token", now);
+		owner_lost(n, "a later owner was seen", now);
 	n->owner.is_fenced = false;
 	if (n->owner.state == OWNER_OTHER)
 		plan(n, now);
 	if (n->sched)
-		sched_set_paused(n->sched,
-				 now - n->owner.confirmed_at > OWNER_VALID_US);
+		sched_set_confirmed(n->sched, n->owner.confirmed_at,
+				    now - n->owner.confirmed_at >
+					    OWNER_VALID_US);
 }
 
 /*
--- a/src/node/term.c
+++ b/src/node/term.c
@@ -96,9 +96,25 @@
 			g_hash_table_add(n->found_cancels, g_strdup(id));
 		else
 			sched_cancel(n->sched, id, now);
+	} else if (!strcmp(item->key, KEY_OWNER) &&
+		   item->revision > n->owner.key_revision) {
+		/*
+		 * Jobs and the owner's key come in the order of their
+		 * revisions, so no job of a successor's term is taken.
+		 */
+		n->owner.is_fenced = true;
 	}
 }
 
+static void on_work_delete(void *ctx, const char *key, cs_time now)
+{
+	struct node *n = ctx;
+
+	(void)now;
+	if (!strcmp(key, KEY_OWNER))
+		n->owner.is_fenced = true;
+}
+
 static void on_server_put(void *ctx, const struct store_item *item, cs_time now)
 {
 	struct node *n = ctx;
@@ -170,7 +186,7 @@
 	(void)now;
 }
 
-static const struct view_ops work_ops = { on_work_put, ignore_delete,
+static const struct view_ops work_ops = { on_work_put, on_work_delete,
 					  ignore_synced };
 static const struct view_ops server_ops = { on_server_put, on_server_delete,
 					    ignore_synced };
--- a/src/sched/fill.c
+++ b/src/sched/fill.c
@@ -194,7 +194,7 @@
 
 static int fill_pool(struct sched *s, struct pool *p, cs_time now, int max)
 {
-	bool is_settled = servers_pool_settled(s, p, now);
+	bool is_settled = servers_pool_settled(s, p);
 	int started = 0, misses = 0, n;
 	bool wanted;
 	guint i;
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -294,10 +294,11 @@
 	sched_wake(s);
 }
 
-void sched_set_paused(struct sched *s, bool is_paused)
+void sched_set_confirmed(struct sched *s, cs_time at, bool is_paused)
 {
 	if (s->is_paused != is_paused)
 		sched_wake(s);
+	s->confirmed_at = at;
 	s->is_paused = is_paused;
 }
 
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -117,8 +117,12 @@
 /* Decides what has become due since the last call. unix_ms is the present. */
 void sched_turn(struct sched *sched, int64_t unix_ms, cs_time now);
 
-/* No start is ordered while the owner can't confirm its ownership. */
-void sched_set_paused(struct sched *sched, bool is_paused);
+/*
+ * The ownership was confirmed by a call that was sent at that time: until
+ * then nobody else gave orders. No start is ordered and no lease extended
+ * while is_paused.
+ */
+void sched_set_confirmed(struct sched *sched, cs_time at, bool is_paused);
 
 /*
  * What is to be stored. sched_take_changed() returns up to max batches whose
--- a/src/sched/sched_private.h
+++ b/src/sched/sched_private.h
@@ -120,6 +120,7 @@
 	struct site *site;
 	bool is_ready, is_paused, is_fenced;
 	bool is_turn_due;
+	cs_time confirmed_at; /* nobody else was the owner until then */
 	cs_time started_at;
 	int64_t unix_ms; /* at the last turn */
 	cs_time unix_at;
@@ -167,8 +168,7 @@
 /* Checks leases and removes rows that are no longer needed. */
 void servers_turn(struct sched *s, cs_time now);
 /* True if no predecessor's order can be unknown in the pool. */
-bool servers_pool_settled(const struct sched *s, const struct pool *p,
-			  cs_time now);
+bool servers_pool_settled(const struct sched *s, const struct pool *p);
 
 /* runs.c */
 struct run *run_row(const struct sched *s, cs_handle h);
--- a/src/sched/servers.c
+++ b/src/sched/servers.c
@@ -70,6 +70,16 @@
 	return end;
 }
 
+/*
+ * True if all runs of a server that does not answer have ended for certain. A
+ * successor may extend the lease of a server that only it can reach, so time
+ * counts only up to the last confirmation of this owner.
+ */
+static bool has_lapsed(const struct sched *s, const struct server *v)
+{
+	return s->confirmed_at >= servers_lease_end(s, v);
+}
+
 /* How many of the oldest unstored ends belong to batches stored by now. */
 static guint stored_ends(const struct sched *s, const struct server *v)
 {
@@ -426,8 +436,7 @@
 	}
 }
 
-bool servers_pool_settled(const struct sched *s, const struct pool *p,
-			  cs_time now)
+bool servers_pool_settled(const struct sched *s, const struct pool *p)
 {
 	GHashTableIter it;
 	void *pool;
@@ -436,10 +445,11 @@
 	for (i = 0; i < p->servers->len; i++) {
 		const struct server *v = g_ptr_array_index(p->servers, i);
 
-		if (!v->is_ours && !v->is_dead && now < v->unknown_until)
+		if (!v->is_ours && !v->is_dead &&
+		    s->confirmed_at < v->unknown_until)
 			return false;
 	}
-	if (now >= s->options.predecessor_end)
+	if (s->confirmed_at >= s->options.predecessor_end)
 		return true;
 	g_hash_table_iter_init(&it, s->grants_left);
 	while (g_hash_table_iter_next(&it, NULL, &pool))
@@ -492,7 +502,7 @@
 
 static void turn_one(struct sched *s, struct server *v, cs_time now)
 {
-	if (v->runs->len && v->misses && now >= servers_lease_end(s, v)) {
+	if (v->runs->len && v->misses && has_lapsed(s, v)) {
 		log_server(s, "server_lease_ended", v, "no answer", now);
 		lose_runs(s, v, now);
 	}
@@ -500,8 +510,7 @@
 	if (v->info.is_draining)
 		empty_draining(s, v, now);
 	if (!v->is_listed && !v->runs->len &&
-	    (v->is_dead ||
-	     (v->misses && now >= servers_lease_end(s, v) && !v->is_hold_open)))
+	    (v->is_dead || (v->misses && has_lapsed(s, v) && !v->is_hold_open)))
 		remove_server(s, v);
 }
 
@@ -515,7 +524,7 @@
 		next = slots_next(s->servers, h);
 		turn_one(s, server_row(s, h), now);
 	}
-	if (now < s->options.predecessor_end || !s->is_ready)
+	if (s->confirmed_at < s->options.predecessor_end || !s->is_ready)
 		return;
 	g_hash_table_iter_init(&it, s->grants_left);
 	while (g_hash_table_iter_next(&it, &id, NULL)) {
