--- a/Makefile
+++ b/Makefile
@@ -38,9 +38,11 @@
 CMD_OBJ := $(patsubst %.c,$(B)/%.o,$(wildcard src/cmd/*.c))
 UNIT_SRC := $(wildcard tests/unit/test_*.c)
 UNIT_BIN := $(UNIT_SRC:tests/unit/%.c=$(B)/unit/%)
-UNIT_COMMON := $(filter-out $(UNIT_SRC),$(wildcard tests/unit/*.c))
+UNIT_COMMON := $(filter-out $(UNIT_SRC),$(wildcard tests/unit/*.c)) \
+	tests/world/world.c
 STANDIN_OBJ := $(patsubst %.c,$(B)/%.o,$(wildcard tests/standin/*.c))
 SOAK_OBJ := $(patsubst %.c,$(B)/%.o,$(wildcard tests/soak/*.c))
+WORLD_OBJ := $(patsubst %.c,$(B)/%.o,$(wildcard tests/world/*.c))
 FUZZ_OBJ := $(patsubst %.c,$(B)/%.o,$(wildcard tests/fuzz/*.c))
 BENCH_OBJ := $(patsubst %.c,$(B)/%.o,$(wildcard bench/*.c))
 C_FILES := $(shell find src platform tests bench -name '*.c' -o -name '*.h' | sort)
@@ -49,6 +51,7 @@
 STEPS = 1000000
 MUTATE =
 RUNS = 200000
+DAYS = 20
 
 all: deps $(B)/camphorshed $(if $(STANDIN_OBJ),$(B)/camphorshed-standin)
 
@@ -76,6 +79,9 @@
 $(B)/camphorshed-soak: $(SOAK_OBJ) $(B)/libcamphorshed.a
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 
+$(B)/camphorshed-site-soak: $(WORLD_OBJ) $(B)/libcamphorshed.a
+	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
+
 $(B)/camphorshed-bench: $(BENCH_OBJ) $(B)/tests/unit/plan_model.o \
 		$(filter-out %/main.o,$(SOAK_OBJ)) $(B)/libcamphorshed.a
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
@@ -108,6 +114,11 @@
 	build/soak/camphorshed-soak --seed=$(SEED) --steps=$(STEPS) \
 		$(if $(MUTATE),--mutate=$(MUTATE))
 
+# The platform entry under random faults, in virtual time.
+site-soak:
+	$(MAKE) -s $(B)/camphorshed-site-soak
+	$(B)/camphorshed-site-soak --seed=$(SEED) --days=$(DAYS)
+
 mutants:
 	$(MAKE) -s VARIANT=soak build/soak/camphorshed-soak unit
 	tests/soak/mutants.sh
@@ -147,6 +158,6 @@
 
 -include $(shell find build -name '*.d' 2>/dev/null)
 
-.PHONY: all deps unit programs target check demo soak mutants bench fuzz lint format \
+.PHONY: all deps unit programs target site-soak check demo soak mutants bench fuzz lint format \
 	install clean
 .SECONDARY:
--- a/src/batch/batch.c
+++ b/src/batch/batch.c
@@ -150,8 +150,10 @@
 {
 	int i;
 
-	for (i = 0; r->tasks && i < b->round_tasks; i++)
+	for (i = 0; r->tasks && i < b->round_tasks; i++) {
 		g_free(r->tasks[i].checkpoint);
+		g_free(r->tasks[i].failed_runs);
+	}
 	g_free(r->tasks);
 	g_free(r->left);
 	r->tasks = NULL;
@@ -267,6 +269,25 @@
 	}
 }
 
+static bool has_failed(const struct batch_task *t, uint32_t run)
+{
+	int i;
+
+	for (i = 0; i < t->failures; i++)
+		if (t->failed_runs[i] == run)
+			return true;
+	return false;
+}
+
+bool batch_task_add_failure(struct batch_task *t, uint32_t run)
+{
+	if (has_failed(t, run))
+		return false;
+	t->failed_runs = g_renew(uint32_t, t->failed_runs, t->failures + 1);
+	t->failed_runs[t->failures++] = run;
+	return true;
+}
+
 /* Adds a failed end. A gang fails as one, counted at its first task. */
 static void count_failure(struct batch *b, int round, int step,
 			  struct batch_task *t, uint32_t run, int attempts_max)
@@ -275,13 +296,9 @@
 
 	if (s->is_lasting)
 		return;
-	if (s->is_gang) {
+	if (s->is_gang)
 		t = batch_task(b, round, step, 0);
-		if (t->counted_run >= run && t->failures)
-			return;
-		t->counted_run = run;
-	}
-	t->failures++;
+	batch_task_add_failure(t, run);
 	if (t->failures >= attempts_max && !batch_is_final(b))
 		b->state = BATCH_FAILED;
 }
@@ -297,7 +314,16 @@
 		t->run = run;
 	if (t->state == BATCH_TASK_DONE)
 		return false;
-	if (run < t->counted_run || (run == t->counted_run && !is_present))
+	/*
+	 * A new owner may learn of the end of a later run first, from another
+	 * server, so only the same end, or one that says nothing new, is
+	 * passed over.
+	 */
+	if (run <= t->ended_run && !is_present && how != BATCH_END_DONE &&
+	    how != BATCH_END_FAILED)
+		return false;
+	if (how == BATCH_END_FAILED && !is_present &&
+	    has_failed(s->is_gang ? batch_task(b, round, step, 0) : t, run))
 		return false;
 	/* An earlier run may end while a later one is running. */
 	if (is_present || (t->state == BATCH_TASK_RUNNING &&
@@ -309,7 +335,7 @@
 		b->state = BATCH_RUNNING;
 	b->version++;
 	if (how == BATCH_END_DONE) {
-		t->counted_run = run;
+		t->ended_run = MAX(t->ended_run, run);
 		if (s->is_lasting)
 			return true;
 		finish_task(b, round, step, t);
@@ -319,13 +345,13 @@
 			close_round(b, &b->rounds[round]);
 		return true;
 	}
-	if (saved && *saved) {
+	if (saved && *saved && run >= t->ended_run) {
 		g_free(t->checkpoint);
 		t->checkpoint = g_strdup(saved);
 	}
 	if (how == BATCH_END_FAILED)
 		count_failure(b, round, step, t, run, attempts_max);
-	t->counted_run = run;
+	t->ended_run = MAX(t->ended_run, run);
 	return true;
 }
 
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -77,9 +77,10 @@
 
 struct batch_task {
 	uint8_t state; /* enum batch_task_state */
-	uint16_t failures; /* ends that count against the attempts */
+	uint16_t failures; /* runs in failed_runs */
+	uint32_t *failed_runs; /* ends that count against the attempts */
 	uint32_t run; /* highest number of a run that is known */
-	uint32_t counted_run; /* the last run whose end was counted */
+	uint32_t ended_run; /* highest number of a run that has ended */
 	cs_handle run_row; /* the scheduler's row while it runs */
 	cs_time ready_since; /* when it could first start; 0: not yet */
 	cs_time not_before; /* pause after a failure */
@@ -146,11 +147,15 @@
 /* Notes a start under a run number that is higher than all before. */
 void batch_task_started(struct batch *b, struct batch_task *t, uint32_t run);
 
+/* Adds a run to those that failed. False if it was there. */
+bool batch_task_add_failure(struct batch_task *t, uint32_t run);
+
 /*
  * Notes the end of a run. An end that was counted before, or of a task that
- * is done, changes nothing. saved may be NULL or "". A failed end counts
- * against attempts_max unless the step is lasting; beyond it the batch has
- * failed. Returns true if the batch's stored progress changed.
+ * is done, changes nothing. Ends may come in any order. saved may be NULL or
+ * "". A failed end counts against attempts_max unless the step is lasting;
+ * beyond it the batch has failed. Returns true if the batch's stored progress
+ * changed.
  */
 bool batch_task_ended(struct batch *b, int round, int step,
 		      struct batch_task *t, uint32_t run, enum batch_end how,
--- a/src/batch/batch_codec.c
+++ b/src/batch/batch_codec.c
@@ -219,12 +219,12 @@
 	       t->checkpoint;
 }
 
-/* [index, done, run, failures, counted run, checkpoint] for each task. */
+/* [index, done, run, failed runs, ended run, checkpoint] for each task. */
 static void pack_round(msgpack_packer *pk, const struct batch *b,
 		       const struct batch_round *r)
 {
 	size_t n = 0;
-	int i;
+	int i, k;
 
 	for (i = 0; r->tasks && i < b->round_tasks; i++)
 		n += is_worth_storing(&r->tasks[i]);
@@ -240,8 +240,10 @@
 		msgpack_pack_int(pk, i);
 		pack_bool(pk, t->state == BATCH_TASK_DONE);
 		msgpack_pack_uint32(pk, t->run);
-		msgpack_pack_int(pk, t->failures);
-		msgpack_pack_uint32(pk, t->counted_run);
+		msgpack_pack_array(pk, t->failures);
+		for (k = 0; k < t->failures; k++)
+			msgpack_pack_uint32(pk, t->failed_runs[k]);
+		msgpack_pack_uint32(pk, t->ended_run);
 		pack_text(pk, t->checkpoint);
 	}
 }
@@ -269,23 +271,28 @@
 {
 	char checkpoint[BATCH_PAYLOAD_MAX + 1];
 	const msgpack_object *f;
-	int64_t index, run, failures, counted;
+	int64_t index, run, failed, ended;
 	struct batch_task *t;
+	uint32_t i;
 	int step;
 
 	if (!is_array(o, 6))
 		return false;
 	f = o->via.array.ptr;
 	if (!read_int(&f[0], &index) || f[1].type != MSGPACK_OBJECT_BOOLEAN ||
-	    !read_int(&f[2], &run) || !read_int(&f[3], &failures) ||
-	    !read_int(&f[4], &counted) ||
+	    !read_int(&f[2], &run) || !is_array(&f[3], 0) ||
+	    !read_int(&f[4], &ended) ||
 	    !read_text(&f[5], checkpoint, sizeof(checkpoint)) || index < 0 ||
 	    index >= b->round_tasks)
 		return false;
 	t = &r->tasks[index];
 	t->run = (uint32_t)run;
-	t->failures = (uint16_t)failures;
-	t->counted_run = (uint32_t)counted;
+	for (i = 0; i < f[3].via.array.size; i++) {
+		if (!read_int(&f[3].via.array.ptr[i], &failed))
+			return false;
+		batch_task_add_failure(t, (uint32_t)failed);
+	}
+	t->ended_run = (uint32_t)ended;
 	if (*checkpoint) {
 		g_free(t->checkpoint);
 		t->checkpoint = g_strdup(checkpoint);
--- a/src/node/queues.c
+++ b/src/node/queues.c
@@ -59,8 +59,7 @@
 
 void queues_read(struct node *n, GBytes *value)
 {
-	char *text = g_strndup(g_bytes_get_data(value, NULL),
-			       g_bytes_get_size(value));
+	char *text = store_text(value);
 	char **lines = g_strsplit(text, "\n", 0);
 	char name[CS_NAME_MAX];
 	int64_t pending, wait_ms;
--- a/src/node/term.c
+++ b/src/node/term.c
@@ -153,13 +153,11 @@
 static void on_grant_put(void *ctx, const struct store_item *item, cs_time now)
 {
 	struct node *n = ctx;
-	gsize size;
-	const char *data = g_bytes_get_data(item->value, &size);
 
 	(void)now;
 	g_hash_table_insert(n->found_grants,
 			    g_strdup(item->key + strlen(KEY_GRANTS)),
-			    g_strndup(data, size));
+			    store_text(item->value));
 }
 
 static void on_mark_put(void *ctx, const struct store_item *item, cs_time now)
@@ -322,8 +320,7 @@
 
 	if (!value)
 		return hosts;
-	text = g_strndup(g_bytes_get_data(value, NULL),
-			 g_bytes_get_size(value));
+	text = store_text(value);
 	lines = g_strsplit(text, "\n", 0);
 	for (i = 0; lines[i]; i++)
 		if (*lines[i])
--- a/src/sched/runs.c
+++ b/src/sched/runs.c
@@ -461,7 +461,7 @@
 		t = batch_task(j->batch, round, step, index);
 	}
 	if (t && t->state == BATCH_TASK_WAITING && !t->run_row &&
-	    seen->run >= t->run && seen->run > t->counted_run) {
+	    seen->run >= t->run && seen->run > t->ended_run) {
 		r = runs_adopt(s, j, round, step, index, v, seen->run, now);
 		if (r)
 			update_run(s, r, seen, now);
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -107,6 +107,14 @@
 	g_ptr_array_add(d->items, i);
 }
 
+char *store_text(GBytes *value)
+{
+	gsize size;
+	const char *data = g_bytes_get_data(value, &size);
+
+	return size ? g_strndup(data, size) : g_strdup("");
+}
+
 const char *store_op_name(enum store_op op)
 {
 	static const char *const names[] = { "get",   "list", "watch",	  "txn",
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -100,6 +100,9 @@
 void store_done_add(struct store_done *done, const char *key, GBytes *value,
 		    uint64_t revision, uint64_t created, uint64_t lease);
 
+/* A value as text with a final NUL; also of a value without bytes. */
+char *store_text(GBytes *value);
+
 const char *store_op_name(enum store_op op);
 const char *store_result_name(enum store_result result);
 
--- /dev/null
+++ b/tests/unit/test_batch.c
@@ -0,0 +1,254 @@
+#include "unit.h"
+
+#include <string.h>
+
+#include "../../src/batch/batch.h"
+#include "../../src/batch/batch_codec.h"
+
+/* Two steps of two tasks, the second after the first. */
+static struct batch *make_batch(void)
+{
+	struct batch_spec *spec = batch_spec_create(2);
+	struct batch *b;
+	int i;
+
+	for (i = 0; i < 2; i++) {
+		spec->steps[i].count = 2;
+		spec->steps[i].need.cpu = 500;
+		spec->steps[i].estimate_ms = 100;
+	}
+	spec->steps[1].after = g_new0(int, 1);
+	spec->steps[1].after_nr = 1;
+	spec->payload = g_strdup("work");
+	assert_int_equal(batch_spec_check(spec, NULL), CS_OK);
+	b = batch_create("0123456789abcdef", "queue", "desk", 1000, spec);
+	batch_open_round(b, 0);
+	return b;
+}
+
+static void finish(struct batch *b, int step, int index)
+{
+	struct batch_task *t = batch_task(b, 0, step, index);
+
+	batch_task_started(b, t, t->run + 1);
+	batch_task_ended(b, 0, step, t, t->run, BATCH_END_DONE, NULL, 3);
+}
+
+/* A step that starts before its predecessor is done breaks the job. */
+static void steps_wait_for_each_other(void **state)
+{
+	struct batch *b = make_batch();
+
+	(void)state;
+	assert_true(batch_step_is_ready(b, 0, 0));
+	finish(b, 0, 0);
+	assert_false(batch_step_is_ready(b, 0, 1));
+	finish(b, 0, 1);
+	assert_true(batch_step_is_ready(b, 0, 1));
+	finish(b, 1, 0);
+	assert_int_equal(b->state, BATCH_RUNNING);
+	finish(b, 1, 1);
+	assert_int_equal(b->state, BATCH_DONE);
+	batch_destroy(b);
+}
+
+/*
+ * A new owner learns of ends from servers in any order. The failure of an
+ * earlier run that comes after that of a later one was not counted, and the
+ * task started once more than it may.
+ */
+static void failures_count_in_any_order(void **state)
+{
+	struct batch *b = make_batch();
+	struct batch_task *t = batch_task(b, 0, 0, 0);
+
+	(void)state;
+	assert_true(batch_task_ended(b, 0, 0, t, 2, BATCH_END_FAILED, "", 2));
+	assert_int_equal(b->state, BATCH_RUNNING);
+	assert_true(batch_task_ended(b, 0, 0, t, 1, BATCH_END_FAILED, "", 2));
+	assert_int_equal(b->state, BATCH_FAILED);
+	batch_destroy(b);
+}
+
+/* An end is listed again until it is acknowledged, and counts once. */
+static void repeated_end_counts_once(void **state)
+{
+	struct batch *b = make_batch();
+	struct batch_task *t = batch_task(b, 0, 0, 0);
+	int i;
+
+	(void)state;
+	batch_task_started(b, t, 1);
+	for (i = 0; i < 5; i++)
+		batch_task_ended(b, 0, 0, t, 1, BATCH_END_FAILED, "", 2);
+	assert_int_equal(b->state, BATCH_RUNNING);
+	assert_int_equal(t->failures, 1);
+	batch_destroy(b);
+}
+
+/* The end of an earlier run must not make a later, running one look ended. */
+static void earlier_end_leaves_the_present_run(void **state)
+{
+	struct batch *b = make_batch();
+	struct batch_task *t = batch_task(b, 0, 0, 0);
+
+	(void)state;
+	batch_task_started(b, t, 1);
+	batch_task_ended(b, 0, 0, t, 1, BATCH_END_LOST, NULL, 3);
+	batch_task_started(b, t, 2);
+	batch_task_ended(b, 0, 0, t, 1, BATCH_END_STOPPED, "x", 3);
+	assert_int_equal(t->state, BATCH_TASK_RUNNING);
+	assert_int_equal(b->running, 1);
+	batch_task_ended(b, 0, 0, t, 1, BATCH_END_DONE, NULL, 3);
+	assert_int_equal(t->state, BATCH_TASK_DONE);
+	assert_int_equal(b->running, 0);
+	batch_destroy(b);
+}
+
+/* A gang's first end done stands for all its members. */
+static void gang_ends_together(void **state)
+{
+	struct batch_spec *spec = batch_spec_create(1);
+	struct batch *b;
+
+	(void)state;
+	spec->steps[0].count = 3;
+	spec->steps[0].is_gang = true;
+	b = batch_create("0123456789abcdef", "queue", "", 0, spec);
+	batch_open_round(b, 0);
+	batch_task_started(b, batch_task(b, 0, 0, 0), 1);
+	batch_task_started(b, batch_task(b, 0, 0, 1), 1);
+	batch_task_started(b, batch_task(b, 0, 0, 2), 1);
+	batch_task_ended(b, 0, 0, batch_task(b, 0, 0, 1), 1, BATCH_END_DONE,
+			 NULL, 3);
+	assert_int_equal(b->state, BATCH_DONE);
+	assert_int_equal(b->running, 0);
+	batch_destroy(b);
+}
+
+/* Steps in a circle would never start; counts and limits are checked too. */
+static void impossible_jobs_are_refused(void **state)
+{
+	struct batch_spec *spec = batch_spec_create(2);
+	struct cs_error err;
+
+	(void)state;
+	spec->steps[0].count = spec->steps[1].count = 1;
+	spec->steps[0].after = g_new0(int, 1);
+	spec->steps[0].after[0] = 1;
+	spec->steps[0].after_nr = 1;
+	spec->steps[1].after = g_new0(int, 1);
+	spec->steps[1].after_nr = 1;
+	assert_int_equal(batch_spec_check(spec, &err), CS_ERR_INVALID);
+	assert_non_null(strstr(err.message, "circle"));
+	spec->steps[0].after_nr = 0;
+	assert_int_equal(batch_spec_check(spec, &err), CS_OK);
+	spec->steps[1].after[0] = 7;
+	assert_int_equal(batch_spec_check(spec, &err), CS_ERR_INVALID);
+	spec->steps[1].after_nr = 0;
+	spec->steps[1].count = 0;
+	assert_int_equal(batch_spec_check(spec, &err), CS_ERR_INVALID);
+	batch_spec_destroy(spec);
+	assert_false(batch_id_is_valid("0123456789abcde"));
+	assert_false(batch_id_is_valid("0123456789abcdefa"));
+	assert_false(batch_id_is_valid("0123456789abcdeg"));
+}
+
+/* What a successor reads must be what its predecessor knew. */
+static void stored_form_is_complete(void **state)
+{
+	struct batch *b = make_batch(), *c;
+	struct batch_task *t;
+	enum batch_state shown;
+	GBytes *submission, *progress;
+
+	(void)state;
+	finish(b, 0, 0);
+	t = batch_task(b, 0, 0, 1);
+	batch_task_started(b, t, 4);
+	batch_task_ended(b, 0, 0, t, 4, BATCH_END_FAILED, "saved", 3);
+	submission = batch_encode_submission(b);
+	progress = batch_encode_progress(b);
+	c = batch_decode_submission(g_bytes_get_data(submission, NULL),
+				    g_bytes_get_size(submission));
+	assert_non_null(c);
+	assert_string_equal(c->id, b->id);
+	assert_string_equal(c->workspace, "desk");
+	assert_string_equal(c->spec->payload, "work");
+	assert_int_equal(c->spec->steps[1].after_nr, 1);
+	assert_int_equal(batch_decode_progress(c,
+					       g_bytes_get_data(progress, NULL),
+					       g_bytes_get_size(progress)),
+			 CS_OK);
+	assert_int_equal(batch_task(c, 0, 0, 0)->state, BATCH_TASK_DONE);
+	t = batch_task(c, 0, 0, 1);
+	assert_int_equal(t->run, 4);
+	assert_int_equal(t->failures, 1);
+	assert_string_equal(t->checkpoint, "saved");
+	/* The same failure, listed again to the successor, counts once. */
+	assert_false(batch_task_ended(c, 0, 0, t, 4, BATCH_END_FAILED, "", 3));
+	assert_int_equal(batch_decode_state(g_bytes_get_data(progress, NULL),
+					    g_bytes_get_size(progress), &shown),
+			 CS_OK);
+	assert_int_equal(shown, BATCH_RUNNING);
+	g_bytes_unref(submission);
+	g_bytes_unref(progress);
+	batch_destroy(b);
+	batch_destroy(c);
+}
+
+/* Every prefix and every changed byte of a stored form is read or refused. */
+static void damaged_bytes_never_crash(void **state)
+{
+	struct batch *b = make_batch();
+	GBytes *forms[2];
+	int form;
+
+	(void)state;
+	finish(b, 0, 0);
+	forms[0] = batch_encode_submission(b);
+	forms[1] = batch_encode_progress(b);
+	for (form = 0; form < 2; form++) {
+		gsize size, i;
+		const guint8 *data = g_bytes_get_data(forms[form], &size);
+		guint8 *copy = g_memdup2(data, size);
+
+		for (i = 0; i < size; i++) {
+			struct batch *c = make_batch();
+			int bit;
+
+			for (bit = 0; bit < 8; bit++) {
+				copy[i] = data[i] ^ (guint8)(1 << bit);
+				batch_destroy(
+					batch_decode_submission(copy, size));
+			}
+			copy[i] ^= 0x55;
+			(void)batch_decode_progress(c, copy, size);
+			copy[i] = data[i];
+			batch_destroy(c);
+			c = make_batch();
+			(void)batch_decode_progress(c, data, i);
+			batch_destroy(c);
+			batch_destroy(batch_decode_submission(data, i));
+		}
+		g_free(copy);
+		g_bytes_unref(forms[form]);
+	}
+	batch_destroy(b);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(steps_wait_for_each_other),
+		cmocka_unit_test(failures_count_in_any_order),
+		cmocka_unit_test(repeated_end_counts_once),
+		cmocka_unit_test(earlier_end_leaves_the_present_run),
+		cmocka_unit_test(gang_ends_together),
+		cmocka_unit_test(impossible_jobs_are_refused),
+		cmocka_unit_test(stored_form_is_complete),
+		cmocka_unit_test(damaged_bytes_never_crash),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/unit/test_node.c
@@ -0,0 +1,304 @@
+#include "unit.h"
+
+#include <stdio.h>
+
+#include "../world/world.h"
+
+/* Entries of a site under scripted faults, in virtual time. */
+
+static const struct world_job short_job = { .steps = 2,
+					    .width = 4,
+					    .work_ms = 300,
+					    .cpu = 1000,
+					    .unavailable_max = -1 };
+static const struct world_job lasting_job = { .steps = 1,
+					      .width = 4,
+					      .work_ms = 200,
+					      .cpu = 1000,
+					      .is_lasting = true,
+					      .unavailable_max = 1 };
+
+static struct world *make_world(void)
+{
+	const struct world_options options = { .seed = 7,
+					       .nodes = 3,
+					       .servers = 6,
+					       .pools = 2 };
+	struct world *w = world_create(&options);
+
+	world_run(w, 3000);
+	return w;
+}
+
+static void end_world(struct world *w)
+{
+	if (world_broken(w))
+		fail_msg("%s", world_broken(w));
+	world_destroy(w);
+}
+
+/* The whole path: stored, decided, run, ended, shown, at every entry. */
+static void job_is_served(void **state)
+{
+	struct world *w = make_world();
+	int job = world_submit(w, 1, &short_job), node;
+
+	(void)state;
+	world_run(w, 2500);
+	assert_int_equal(world_answer(w, job), WORLD_ACCEPTED);
+	assert_true(world_job_is_done(w, job));
+	for (node = 0; node < 3; node++) {
+		world_ask(w, node, job);
+		world_run(w, 100);
+		assert_int_equal(world_job_state(w, job), BATCH_DONE);
+	}
+	end_world(w);
+}
+
+/* A caller that repeats its submission anywhere still has one job. */
+static void repeated_submission_is_one_job(void **state)
+{
+	struct world *w = make_world();
+	int job = world_submit(w, 0, &short_job), i;
+
+	(void)state;
+	for (i = 0; i < 6; i++) {
+		world_submit_again(w, i % 3, job);
+		world_run(w, 200);
+	}
+	world_run(w, 2500);
+	assert_true(world_job_is_done(w, job));
+	assert_int_equal(world_job_starts(w, job), 8);
+	end_world(w);
+}
+
+/* The loss of the owner ends nothing: its successor adopts what runs. */
+static void killed_owner_is_followed(void **state)
+{
+	struct world *w = make_world();
+	struct world_job longer = short_job;
+	int job, lasting;
+
+	(void)state;
+	longer.work_ms = 6000;
+	longer.steps = 1;
+	job = world_submit(w, 0, &longer);
+	lasting = world_submit(w, 1, &lasting_job);
+	world_run(w, 1500);
+	assert_int_equal(world_job_at_work(w, lasting), 4);
+	world_node_kill(w, world_owner(w));
+	world_run(w, 8000);
+	assert_true(world_job_is_done(w, job));
+	assert_int_equal(world_job_starts(w, job), 4);
+	assert_int_equal(world_job_starts(w, lasting), 4);
+	end_world(w);
+}
+
+/* SIGTERM hands the ownership over at once. */
+static void drained_owner_hands_over(void **state)
+{
+	struct world *w = make_world();
+	int owner = world_owner(w);
+
+	(void)state;
+	world_node_drain(w, owner);
+	world_run(w, 500);
+	assert_true(world_owner(w) >= 0);
+	assert_int_not_equal(world_owner(w), owner);
+	end_world(w);
+}
+
+/*
+ * A server that does not answer keeps its lease only as long as the owner had
+ * extended it. Calls that ask again extended it each time, so its tasks were
+ * never started elsewhere.
+ */
+static void silent_server_loses_its_tasks(void **state)
+{
+	struct world *w = make_world();
+	int job = world_submit(w, 0, &lasting_job), i;
+
+	(void)state;
+	world_run(w, 2000);
+	for (i = 0; i < world_servers(w); i++)
+		if (world_server_runs(w, i))
+			break;
+	world_server_crash(w, i, 60000);
+	world_run(w, 7000);
+	assert_int_equal(world_job_at_work(w, job), 4);
+	end_world(w);
+}
+
+/*
+ * An owner cut off from the store and from a server must not take the
+ * server's lease for ended: a successor may have extended it.
+ */
+static void cut_owner_does_not_start_again(void **state)
+{
+	struct world *w = make_world();
+	int job = world_submit(w, 0, &lasting_job), owner = world_owner(w), i;
+
+	(void)state;
+	world_run(w, 2000);
+	world_node_cut_store(w, owner, true);
+	for (i = 0; i < world_servers(w); i++)
+		if (i % 2)
+			world_node_cut_server(w, owner, i, true);
+	world_run(w, 12000);
+	assert_int_not_equal(world_owner(w), owner);
+	world_node_cut_store(w, owner, false);
+	world_run(w, 5000);
+	assert_int_equal(world_job_at_work(w, job), 4);
+	end_world(w);
+}
+
+/*
+ * After the history is gone the prefix is read again, cancellations before
+ * jobs. A job that came and was cancelled in between was started.
+ */
+static void cancelled_in_a_gap_never_starts(void **state)
+{
+	struct world *w = make_world();
+	int owner = world_owner(w), other = (owner + 1) % 3, job;
+
+	(void)state;
+	world_node_pause(w, owner, 1500);
+	job = world_submit(w, other, &short_job);
+	world_run(w, 100);
+	world_cancel(w, other, job);
+	world_run(w, 100);
+	world_store_compact(w);
+	world_run(w, 8000);
+	assert_int_equal(world_job_starts(w, job), 0);
+	end_world(w);
+}
+
+/* Without the store nothing is accepted, and nothing that runs is lost. */
+static void store_outage_is_survived(void **state)
+{
+	struct world *w = make_world();
+	int job, refused, lasting = world_submit(w, 0, &lasting_job);
+
+	(void)state;
+	job = world_submit(w, 0, &short_job);
+	world_run(w, 150);
+	world_store_down(w, true, false);
+	refused = world_submit(w, 1, &short_job);
+	world_run(w, 8000);
+	assert_int_equal(world_answer(w, refused), WORLD_REFUSED);
+	world_store_down(w, false, false);
+	world_run(w, 6000);
+	assert_true(world_job_is_done(w, job));
+	assert_int_equal(world_job_starts(w, refused), 0);
+	assert_int_equal(world_job_at_work(w, lasting), 4);
+	end_world(w);
+}
+
+/* All entries lose power at once; accepted work is finished all the same. */
+static void everything_restarts(void **state)
+{
+	struct world *w = make_world();
+	int job = world_submit(w, 0, &short_job), node;
+
+	(void)state;
+	world_run(w, 60);
+	assert_int_equal(world_answer(w, job), WORLD_ACCEPTED);
+	for (node = 0; node < 3; node++)
+		world_node_kill(w, node);
+	world_run(w, 1000);
+	for (node = 0; node < 3; node++)
+		world_node_start(w, node);
+	world_run(w, 12000);
+	assert_true(world_job_is_done(w, job));
+	end_world(w);
+}
+
+/* A task that always fails ends its job after the attempts, not later. */
+static void hopeless_job_fails(void **state)
+{
+	struct world *w = make_world();
+	struct world_job hopeless = short_job;
+	int job;
+
+	(void)state;
+	hopeless.failures = 99;
+	job = world_submit(w, 0, &hopeless);
+	world_run(w, 6000);
+	world_ask(w, 1, job);
+	world_run(w, 100);
+	assert_int_equal(world_job_state(w, job), BATCH_FAILED);
+	end_world(w);
+}
+
+/* Maintenance empties hosts within the budget of lasting tasks. */
+static void wave_keeps_budgets(void **state)
+{
+	struct world *w = make_world();
+	int job = world_submit(w, 0, &lasting_job);
+
+	(void)state;
+	world_run(w, 2000);
+	world_wave(w, 1, 0, 6, 2, 30000);
+	world_run(w, 30000);
+	assert_int_equal(world_store_count(w, "status/wave/1"), 1);
+	assert_int_equal(world_job_at_work(w, job), 4);
+	assert_true(world_job_starts(w, job) > 4);
+	end_world(w);
+}
+
+/* The limit of a workspace holds while there is room for more. */
+static void limit_holds(void **state)
+{
+	struct world *w = make_world();
+	struct world_job wide = short_job;
+	int job;
+
+	(void)state;
+	world_limit(w, 3000);
+	world_run(w, 1500);
+	wide.width = 12;
+	wide.steps = 1;
+	job = world_submit(w, 0, &wide);
+	world_run(w, 6000);
+	assert_true(world_job_is_done(w, job));
+	end_world(w);
+}
+
+/* Starts without an answer that are carried out late run once. */
+static void late_starts_run_once(void **state)
+{
+	struct world *w = make_world();
+	int i;
+
+	(void)state;
+	world_servers_late(w, 200);
+	for (i = 0; i < 30; i++) {
+		world_submit(w, i % 3, &short_job);
+		world_run(w, 200);
+	}
+	world_servers_late(w, 0);
+	world_run(w, 20000);
+	assert_int_equal(world_unfinished(w), 0);
+	end_world(w);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(job_is_served),
+		cmocka_unit_test(repeated_submission_is_one_job),
+		cmocka_unit_test(killed_owner_is_followed),
+		cmocka_unit_test(drained_owner_hands_over),
+		cmocka_unit_test(silent_server_loses_its_tasks),
+		cmocka_unit_test(cut_owner_does_not_start_again),
+		cmocka_unit_test(cancelled_in_a_gap_never_starts),
+		cmocka_unit_test(store_outage_is_survived),
+		cmocka_unit_test(everything_restarts),
+		cmocka_unit_test(hopeless_job_fails),
+		cmocka_unit_test(wave_keeps_budgets),
+		cmocka_unit_test(limit_holds),
+		cmocka_unit_test(late_starts_run_once),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
