--- a/src/sched/fill.c
+++ b/src/sched/fill.c
@@ -219,6 +219,7 @@
 	GHashTableIter it;
 	void *row;
 
+	reserve_turn(s);
 	g_hash_table_iter_init(&it, s->pools);
 	while (left > 0 && g_hash_table_iter_next(&it, NULL, &row))
 		left -= fill_pool(s, row, now, left);
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -150,29 +150,31 @@
 }
 
 /* True if one dimension of a limit is respected; 0 is no limit. */
-static bool within(int64_t used, int64_t need, int64_t limit)
+static bool within(int64_t amount, int64_t limit)
 {
-	return !limit || used + need <= limit;
+	return !limit || amount <= limit;
 }
 
 /* True if the job's workspace may have need more running. */
 bool place_within_limit(const struct sched *s, const struct job *j,
 			struct site_room need)
 {
-	static const struct site_room none;
 	const struct site_workspace *w =
 		s->site && *j->batch->workspace ?
 			site_workspace(s->site, j->batch->workspace) :
 			NULL;
-	const struct site_room *used;
+	const struct site_room *used, *reserved;
+	struct site_room all = need;
 
 	if (!w)
 		return true;
 	used = g_hash_table_lookup(s->usage, w->name);
-	if (!used)
-		used = &none;
-	return within(used->cpu, need.cpu, w->limit.cpu) &&
-	       within(used->memory_mb, need.memory_mb, w->limit.memory_mb) &&
-	       within(used->accelerators, need.accelerators,
-		      w->limit.accelerators);
+	reserved = g_hash_table_lookup(s->reserve, w->name);
+	if (used)
+		all = site_room_add(all, *used);
+	if (reserved)
+		all = site_room_add(all, *reserved);
+	return within(all.cpu, w->limit.cpu) &&
+	       within(all.memory_mb, w->limit.memory_mb) &&
+	       within(all.accelerators, w->limit.accelerators);
 }
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -60,6 +60,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, pool_free);
 	s->evacuated =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	s->reserve =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	s->cancelled =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	s->usage =
@@ -100,6 +102,7 @@
 	g_hash_table_destroy(s->pools);
 	g_hash_table_destroy(s->evacuated);
 	g_hash_table_destroy(s->cancelled);
+	g_hash_table_destroy(s->reserve);
 	g_hash_table_destroy(s->usage);
 	g_hash_table_destroy(s->grants_left);
 	g_ptr_array_free(s->ended_grants, TRUE);
--- a/src/sched/sched_private.h
+++ b/src/sched/sched_private.h
@@ -131,6 +131,7 @@
 	GHashTable *evacuated; /* data centre names */
 	GHashTable *cancelled; /* identifiers whose job is not known yet */
 	GHashTable *usage; /* workspace -> struct site_room */
+	GHashTable *reserve; /* the same, of runs that may be unknown */
 	GHashTable *grants_left; /* id -> pool: of a predecessor, not listed */
 	GPtrArray *ended_grants; /* identifiers to remove from the store */
 	GQueue changed; /* handles of jobs, oldest change first */
@@ -212,6 +213,9 @@
 int64_t rank_chain_left(const struct job *j);
 void rank_jobs(GPtrArray *jobs, const struct sched *s, cs_time now);
 
+/* reserve.c */
+void reserve_turn(struct sched *s);
+
 /* fill.c */
 void fill_turn(struct sched *s, cs_time now);
 
--- a/tests/world/main.c
+++ b/tests/world/main.c
@@ -10,7 +10,7 @@
 
 /* A day: faults for so long, then quiet. */
 #define FAULTS_MS 40000
-#define QUIET_MS 25000
+#define QUIET_MS 90000
 #define STEP_MS 100
 
 struct day {
@@ -311,6 +311,7 @@
 		return 2;
 	}
 	g_option_context_free(parser);
+	g_log_set_always_fatal(G_LOG_LEVEL_CRITICAL);
 	for (i = 0; i < days; i++)
 		bad += !run_day((uint32_t)(seed + i), is_noisy);
 	printf("%d days, seeds %d to %d: %d with a fault\n", days, seed,
