--- a/src/sched/reserve.c
+++ b/src/sched/reserve.c
@@ -2,24 +2,53 @@
 
 /*
  * What a workspace may have running without our knowledge. After a change of
- * the owner, tasks of jobs that had begun may run on servers that do not
- * answer. Until each pool is settled they count against the limit of their
- * workspace, as if they ran.
+ * the owner, servers that have not answered yet may run tasks of jobs that
+ * wait here. Until a pool is settled these tasks count against the limit of
+ * their workspace, as far as the silent servers have room for them.
  */
 
-static void add(struct sched *s, const char *workspace, struct site_room need)
+static int64_t smaller(int64_t a, int64_t b)
 {
-	struct site_room *r = g_hash_table_lookup(s->reserve, workspace);
+	return a < b ? a : b;
+}
+
+static void add(GHashTable *table, const char *workspace, struct site_room need)
+{
+	struct site_room *r = g_hash_table_lookup(table, workspace);
 
 	if (!r) {
 		r = g_new0(struct site_room, 1);
-		g_hash_table_insert(s->reserve, g_strdup(workspace), r);
+		g_hash_table_insert(table, g_strdup(workspace), r);
 	}
 	*r = site_room_add(*r, need);
 }
 
+/* Room of the servers of a pool that a predecessor may have filled. */
+static struct site_room silent_room(const struct sched *s, const struct pool *p)
+{
+	struct site_room all = { 0 }, largest = { 0 };
+	GHashTableIter it;
+	void *pool;
+	guint i;
+
+	for (i = 0; i < p->servers->len; i++) {
+		const struct server *v = g_ptr_array_index(p->servers, i);
+
+		if (v->info.room.cpu > largest.cpu)
+			largest = v->info.room;
+		if (servers_may_hide(s, v))
+			all = site_room_add(all, v->info.room);
+	}
+	/* Of a server that is not in the register only the pool is known. */
+	g_hash_table_iter_init(&it, s->grants_left);
+	while (g_hash_table_iter_next(&it, NULL, &pool))
+		if (!g_strcmp0(pool, p->name))
+			all = site_room_add(all, largest);
+	return all;
+}
+
 /* Adds the tasks of a job's open steps that have no known run. */
-static void add_job(struct sched *s, const struct job *j)
+static void add_job(GHashTable *table, const struct job *j)
 {
 	struct batch *b = j->batch;
 	int round, step, i;
@@ -33,35 +62,50 @@
 			for (i = 0; i < b->spec->steps[step].count; i++)
 				if (batch_task(b, round, step, i)->state ==
 				    BATCH_TASK_WAITING)
-					add(s, b->workspace,
+					add(table, b->workspace,
 					    b->spec->steps[step].need);
 		}
 	}
 }
 
+static void add_pool(struct sched *s, const struct pool *p)
+{
+	GHashTable *waiting =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	struct site_room room = silent_room(s, p);
+	void *workspace, *row;
+	GHashTableIter it;
+	guint i;
+
+	for (i = 0; i < p->jobs->len; i++) {
+		const struct job *j = g_ptr_array_index(p->jobs, i);
+
+		if (j->is_old && *j->batch->workspace)
+			add_job(waiting, j);
+	}
+	g_hash_table_iter_init(&it, waiting);
+	while (g_hash_table_iter_next(&it, &workspace, &row)) {
+		struct site_room *r = row;
+
+		r->cpu = smaller(r->cpu, room.cpu);
+		r->memory_mb = smaller(r->memory_mb, room.memory_mb);
+		r->accelerators = smaller(r->accelerators, room.accelerators);
+		add(s->reserve, workspace, *r);
+	}
+	g_hash_table_destroy(waiting);
+}
+
 void reserve_turn(struct sched *s)
 {
 	GHashTableIter it;
 	void *row;
-	guint i;
 
 	g_hash_table_remove_all(s->reserve);
 	/* Later than this every pool is settled. */
 	if (s->confirmed_at >= s->options.predecessor_end)
 		return;
 	g_hash_table_iter_init(&it, s->pools);
-	while (g_hash_table_iter_next(&it, NULL, &row)) {
-		const struct pool *p = row;
-
-		if (servers_pool_settled(s, p))
-			continue;
-		for (i = 0; i < p->jobs->len; i++) {
-			const struct job *j = g_ptr_array_index(p->jobs, i);
-
-			/* The first start of a job is stored with it. */
-			if (j->is_old && j->stored_revision &&
-			    *j->batch->workspace)
-				add_job(s, j);
-		}
-	}
+	while (g_hash_table_iter_next(&it, NULL, &row))
+		if (!servers_pool_settled(s, row))
+			add_pool(s, row);
 }
--- a/src/sched/sched_private.h
+++ b/src/sched/sched_private.h
@@ -168,6 +168,8 @@
 		  cs_time now);
 /* Checks leases and removes rows that are no longer needed. */
 void servers_turn(struct sched *s, cs_time now);
+/* True if it may run what a predecessor ordered, unknown to us. */
+bool servers_may_hide(const struct sched *s, const struct server *v);
 /* True if no predecessor's order can be unknown in the pool. */
 bool servers_pool_settled(const struct sched *s, const struct pool *p);
 
--- a/src/sched/servers.c
+++ b/src/sched/servers.c
@@ -39,9 +39,9 @@
 }
 
 /*
- * The lease that an order brings: LEASE_MS from now on the server's clock,
- * of which the last reading is known. The reading is at most as old as its
- * call, so time since the call was sent is added.
+ * The lease that an order brings: LEASE_MS from now on the server's clock. A
+ * hold reads the clock when its wait is over, so time counts from the answer;
+ * the lease is shorter by the answer's way back.
  */
 int64_t servers_deadline(struct server *v, cs_time now)
 {
@@ -49,7 +49,7 @@
 
 	if (v->clock_ms < 0)
 		return 0;
-	at = v->clock_ms + (now - v->clock_sent) / CS_MSEC + LEASE_MS;
+	at = v->clock_ms + (now - v->clock_received) / CS_MSEC + LEASE_MS;
 	if (at > v->deadline_ms)
 		v->deadline_ms = at;
 	return at;
@@ -261,8 +261,8 @@
 	runs_take_ends(s, v, d, now);
 	runs_reconcile(s, v, d, now);
 	if (s->is_ready && !v->is_ours) {
+		/* A lease that a predecessor gave lasts on all the same. */
 		v->is_ours = true;
-		v->unknown_until = 0;
 		log_server(s, "server_taken", v, "answered under our token",
 			   now);
 	}
@@ -436,6 +436,11 @@
 	}
 }
 
+bool servers_may_hide(const struct sched *s, const struct server *v)
+{
+	return !v->is_ours && !v->is_dead && s->confirmed_at < v->unknown_until;
+}
+
 bool servers_pool_settled(const struct sched *s, const struct pool *p)
 {
 	GHashTableIter it;
@@ -445,8 +450,7 @@
 	for (i = 0; i < p->servers->len; i++) {
 		const struct server *v = g_ptr_array_index(p->servers, i);
 
-		if (!v->is_ours && !v->is_dead &&
-		    s->confirmed_at < v->unknown_until)
+		if (servers_may_hide(s, v))
 			return false;
 	}
 	if (s->confirmed_at >= s->options.predecessor_end)
--- a/tests/world/main.c
+++ b/tests/world/main.c
@@ -283,8 +283,9 @@
 	if (world_broken(d.world))
 		printf("seed %u: %s\n", seed, world_broken(d.world));
 	else if (!is_fine)
-		printf("seed %u: %d accepted jobs are not finished\n", seed,
-		       world_unfinished(d.world));
+		printf("seed %u: %d accepted jobs are not finished, first %s\n",
+		       seed, world_unfinished(d.world),
+		       world_first_unfinished(d.world));
 	world_destroy(d.world);
 	return is_fine;
 }
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -2156,18 +2156,39 @@
 	return n;
 }
 
+static bool is_unfinished(const struct world *w, int job)
+{
+	const struct wjob *j = job_at(w, job);
+
+	return j->answer == WORLD_ACCEPTED && !j->spec.is_lasting &&
+	       !j->is_cancel_asked && j->spec.failures < ATTEMPTS_MAX &&
+	       !world_job_is_done(w, job);
+}
+
 int world_unfinished(const struct world *w)
 {
 	guint i;
 	int n = 0;
 
-	for (i = 0; i < w->jobs->len; i++) {
+	for (i = 0; i < w->jobs->len; i++)
+		n += is_unfinished(w, (int)i);
+	return n;
+}
+
+const char *world_first_unfinished(struct world *w)
+{
+	guint i;
+
+	for (i = 0; i < w->jobs->len && !is_unfinished(w, (int)i); i++)
+		;
+	if (i < w->jobs->len) {
 		const struct wjob *j = job_at(w, (int)i);
 
-		if (j->answer == WORLD_ACCEPTED && !j->spec.is_lasting &&
-		    !j->is_cancel_asked && j->spec.failures < ATTEMPTS_MAX &&
-		    !world_job_is_done(w, (int)i))
-			n++;
+		broke(w,
+		      "%s pool %d steps %d width %d cpu %" PRId64
+		      " starts %d shown %d failures %d",
+		      j->id, j->spec.pool, j->spec.steps, j->spec.width,
+		      j->spec.cpu, j->starts, j->shown, j->spec.failures);
 	}
-	return n;
+	return w->broken ? w->broken : "";
 }
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -100,5 +100,7 @@
 int world_job_at_work(const struct world *world, int job);
 /* Accepted jobs that are neither done, failed, cancelled nor lasting. */
 int world_unfinished(const struct world *world);
+/* What is known of the first of them, for a message. */
+const char *world_first_unfinished(struct world *world);
 
 #endif
