--- a/src/sched/runs.c
+++ b/src/sched/runs.c
@@ -444,7 +444,11 @@
 	}
 }
 
-/* A listed run without a row here: adopted if its task needs it. */
+/*
+ * A listed run without a row here: adopted if its task needs it. One that is
+ * not needed gets a row as well until it has stopped, as it counts against
+ * limits until then.
+ */
 static void take_unknown(struct sched *s, struct server *v,
 			 const struct order_run *seen, cs_time now)
 {
@@ -452,22 +456,27 @@
 	int round, step, index;
 	struct batch_task *t = NULL;
 	struct job *j = NULL;
+	bool is_needed;
 	struct run *r;
 
 	if (!batch_task_name_parse(seen->task, id, &round, &step, &index))
 		j = g_hash_table_lookup(s->job_by_id, id);
-	if (j && !batch_is_final(j->batch) && round < j->batch->rounds_nr) {
+	if (j && round < j->batch->rounds_nr) {
 		batch_open_round(j->batch, round);
 		t = batch_task(j->batch, round, step, index);
 	}
-	if (t && t->state == BATCH_TASK_WAITING && !t->run_row &&
-	    seen->run >= t->run && seen->run > t->ended_run) {
-		r = runs_adopt(s, j, round, step, index, v, seen->run, now);
-		if (r)
-			update_run(s, r, seen, now);
+	if (!t || t->state != BATCH_TASK_WAITING || t->run_row) {
+		runs_stop_stray(s, v, seen->task, seen->run, now);
 		return;
 	}
-	runs_stop_stray(s, v, seen->task, seen->run, now);
+	is_needed = !batch_is_final(j->batch) && seen->run >= t->run &&
+		    seen->run > t->ended_run;
+	r = runs_adopt(s, j, round, step, index, v, seen->run, now);
+	if (!r)
+		return;
+	update_run(s, r, seen, now);
+	if (!is_needed)
+		runs_stop(s, r, "not needed", now);
 }
 
 static struct run *find_run(const struct sched *s, const struct server *v,
--- a/tests/world/main.c
+++ b/tests/world/main.c
@@ -10,7 +10,8 @@
 
 /* A day: faults for so long, then quiet. */
 #define FAULTS_MS 40000
-#define QUIET_MS 90000
+#define SETTLE_MS 5000
+#define QUIET_MS 60000
 #define STEP_MS 100
 
 struct day {
@@ -260,6 +261,7 @@
 				      .is_noisy = is_noisy } };
 	int64_t end;
 	bool is_fine;
+	int i;
 
 	d.world = world_create(&d.options);
 	world_run(d.world, 2000);
@@ -278,6 +280,10 @@
 	}
 	world_limit(d.world, 0);
 	heal(&d, true);
+	world_run(d.world, SETTLE_MS);
+	for (i = 0; i < world_jobs(d.world); i++)
+		if (world_job_is_lasting(d.world, i))
+			world_cancel(d.world, 0, i);
 	world_run(d.world, QUIET_MS);
 	is_fine = !world_broken(d.world) && !world_unfinished(d.world);
 	if (world_broken(d.world))
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -92,6 +92,7 @@
 enum world_answer world_answer(const struct world *world, int job);
 int world_jobs(const struct world *world);
 bool world_job_is_done(const struct world *world, int job);
+bool world_job_is_lasting(const struct world *world, int job);
 /* The last state that was shown, -1: none. */
 int world_job_state(const struct world *world, int job);
 /* Runs of a job that have begun. */
