--- a/src/sched/runs.c
+++ b/src/sched/runs.c
@@ -392,8 +392,9 @@
 	}
 	log_refused(s, r, v, d);
 	if (d->result == ORDER_UNKNOWN) {
+		/* Often it runs: the next list of the server tells. */
 		r->state = RUN_UNSURE;
-		runs_stop(s, r, "start without answer", now);
+		r->unsure_at = now;
 		servers_hold_soon(s, v, now);
 		return;
 	}
@@ -528,9 +529,13 @@
 		struct run *r =
 			run_row(s, g_array_index(v->runs, cs_handle, i));
 
-		if (r->sent_at < d->sent &&
-		    !g_hash_table_contains(listed, &r->self) &&
-		    is_missing_for_good(r, d->sent)) {
+		if (r->sent_at >= d->sent ||
+		    g_hash_table_contains(listed, &r->self))
+			continue;
+		if (r->state == RUN_UNSURE && !r->stop_at &&
+		    r->unsure_at <= d->sent)
+			runs_stop(s, r, "start without answer", now);
+		if (is_missing_for_good(r, d->sent)) {
 			runs_ended(s, r, BATCH_END_LOST, NULL, now);
 			i = v->runs->len; /* others may have ended with it */
 		}
--- a/src/sched/sched_private.h
+++ b/src/sched/sched_private.h
@@ -35,6 +35,7 @@
 	enum run_state state;
 	cs_time sent_at; /* the start */
 	cs_time sure_at; /* its answer came; 0: not yet */
+	cs_time unsure_at; /* it was given up without an answer */
 	cs_time stop_at; /* the last stop order; 0: none */
 	bool is_stop_answered;
 	cs_time stop_answered_at;
