--- /dev/null
+++ b/src/sched/balance.c
@@ -0,0 +1,421 @@
+#include "sched_private.h"
+
+#include <math.h>
+#include <string.h>
+
+#include "../base/error.h"
+#include "../base/log.h"
+
+/*
+ * Pools follow their demand. The load it answers: each queue in turn asks for
+ * several times what its pool holds, for some seconds, and for almost nothing
+ * in between. Hosts that stand idle in other pools move to the pool that is
+ * short of room, then those of a standby pool; hosts that no pool needs move
+ * to the standby pool, where they cost nothing. Only hosts without runs move,
+ * so no work is lost by it.
+ */
+
+/* How often demand is looked at. A move takes about 1.5 s. */
+#define LOOK_US (150 * CS_MSEC)
+/* Room beyond the present demand, as a factor, and in servers. */
+#define MARGIN 1.1
+#define SPARE_SERVERS 1
+/* Servers that a pool keeps without any demand. */
+#define SERVERS_MIN 2
+/* A fall of the demand is believed by this share at each look. */
+#define FALL_SHARE 0.08
+/* Standing idle so long, a server goes to the standby pool. */
+#define IDLE_US (1500 * CS_MSEC)
+/* Orders in one look; the host service takes some 64 calls a second. */
+#define MOVES_MAX 6
+/* After this an order's effect must show in the list, or it is given up. */
+#define MOVE_LOST_US (6 * CS_SEC)
+
+struct move {
+	char host[CS_NAME_MAX];
+	char pool[CS_NAME_MAX]; /* where it goes */
+	cs_time ordered_at;
+	bool is_accepted;
+	cs_time accepted_at;
+};
+
+struct balance {
+	struct sched *sched;
+	GHashTable *moves; /* host -> struct move */
+	GHashTable *idle_since; /* server id -> cs_time */
+	uint64_t next_ref;
+	GHashTable *by_ref; /* order reference -> host name */
+	cs_handle timer;
+};
+
+static void on_look(void *ctx, uint64_t arg, cs_time now);
+
+struct balance *balance_create(struct sched *s, cs_time now)
+{
+	struct balance *b = g_new0(struct balance, 1);
+
+	b->sched = s;
+	b->moves = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	b->idle_since =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	b->by_ref = g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL,
+					  g_free);
+	b->timer = timers_subscribe(s->timers, now + LOOK_US, on_look, b, 0);
+	return b;
+}
+
+void balance_destroy(struct balance *b)
+{
+	timers_cancel(b->sched->timers, b->timer);
+	g_hash_table_destroy(b->moves);
+	g_hash_table_destroy(b->idle_since);
+	g_hash_table_destroy(b->by_ref);
+	g_free(b);
+}
+
+/* A pool as balancing sees it. */
+struct side {
+	struct pool *pool;
+	bool is_standby;
+	int servers; /* that can be used, and those on their way */
+	int want;
+	GPtrArray *idle; /* struct order_host: hosts that may leave */
+};
+
+static void side_free(void *row)
+{
+	struct side *x = row;
+
+	g_ptr_array_free(x->idle, TRUE);
+	g_free(x);
+}
+
+/* Processor that waiting tasks would take at once, thousandths of a core. */
+static double waiting_cpu(const struct pool *p)
+{
+	double cpu = 0;
+	guint i;
+	int round, step, k;
+
+	for (i = 0; i < p->jobs->len; i++) {
+		const struct job *j = g_ptr_array_index(p->jobs, i);
+		struct batch *b = j->batch;
+
+		for (round = j->round_first; round < b->rounds_nr; round++)
+			for (step = 0; step < b->spec->steps_nr; step++) {
+				const struct batch_step *st =
+					&b->spec->steps[step];
+
+				if (st->is_filling ||
+				    !batch_step_is_ready(b, round, step))
+					continue;
+				for (k = 0; k < st->count; k++)
+					if (batch_task(b, round, step, k)
+						    ->state ==
+					    BATCH_TASK_WAITING)
+						cpu += (double)st->need.cpu;
+			}
+	}
+	return cpu;
+}
+
+/* Servers that the pool's demand needs; a fall is believed slowly. */
+static int wanted_servers(struct pool *p)
+{
+	double used = 0, room = 0, demand;
+	int servers = 0;
+	guint i;
+
+	for (i = 0; i < p->servers->len; i++) {
+		const struct server *v = g_ptr_array_index(p->servers, i);
+
+		if (!v->is_listed || v->is_dead)
+			continue;
+		used += (double)v->used.cpu;
+		room += (double)v->info.room.cpu;
+		servers++;
+	}
+	if (servers)
+		p->server_cpu = room / servers;
+	demand = used + waiting_cpu(p);
+	if (demand >= p->demand)
+		p->demand = demand;
+	else
+		p->demand -= (p->demand - demand) * FALL_SHARE;
+	if (p->server_cpu <= 0)
+		return p->jobs->len ? SERVERS_MIN : 0;
+	return (int)ceil(p->demand * MARGIN / p->server_cpu) + SPARE_SERVERS;
+}
+
+/* Since when a server has had no run; CS_TIME_NEVER while it has one. */
+static cs_time idle_since(struct balance *b, const struct server *v,
+			  cs_time now)
+{
+	cs_time *since = g_hash_table_lookup(b->idle_since, v->info.id);
+
+	if (v->runs->len) {
+		g_hash_table_remove(b->idle_since, v->info.id);
+		return CS_TIME_NEVER;
+	}
+	if (!since) {
+		since = g_new(cs_time, 1);
+		*since = now;
+		g_hash_table_insert(b->idle_since, g_strdup(v->info.id), since);
+	}
+	return *since;
+}
+
+static struct side *find_side(GPtrArray *sides, const char *pool)
+{
+	guint i;
+
+	for (i = 0; i < sides->len; i++) {
+		struct side *x = g_ptr_array_index(sides, i);
+
+		if (!strcmp(x->pool->name, pool))
+			return x;
+	}
+	return NULL;
+}
+
+static GPtrArray *make_sides(struct sched *s)
+{
+	GPtrArray *sides = g_ptr_array_new_with_free_func(side_free);
+	const struct site_pool *p;
+	guint i;
+
+	for (i = 0; (p = site_pool_at(s->site, i)); i++) {
+		struct side *x = g_new0(struct side, 1);
+
+		x->pool = sched_pool(s, p->name);
+		x->is_standby = p->is_standby;
+		x->idle = g_ptr_array_new();
+		if (!p->is_standby) {
+			x->want = wanted_servers(x->pool);
+			if (x->want < SERVERS_MIN)
+				x->want = SERVERS_MIN;
+		}
+		g_ptr_array_add(sides, x);
+	}
+	return sides;
+}
+
+/* Forgets moves that the list shows as done, and those without effect. */
+static gboolean is_settled(void *key, void *row, void *ctx)
+{
+	const struct sched *s = ctx;
+	const struct move *m = row;
+	const struct order_host *h = hosts_find(s, key);
+
+	if (m->is_accepted && h && hosts_listed_at(s) >= m->accepted_at &&
+	    h->state == HOST_UP && !strcmp(h->pool, m->pool))
+		return TRUE;
+	return hosts_listed_at(s) - m->ordered_at > MOVE_LOST_US;
+}
+
+/* Counts each host in the pool where it is, or to which it is moving. */
+static void place_hosts(struct balance *b, GPtrArray *sides, cs_time now)
+{
+	struct sched *s = b->sched;
+	GHashTableIter it;
+	void *row;
+
+	g_hash_table_iter_init(&it, hosts_table(s));
+	while (g_hash_table_iter_next(&it, NULL, &row)) {
+		struct order_host *h = row;
+		const struct move *m = g_hash_table_lookup(b->moves, h->name);
+		struct side *x = find_side(sides, m ? m->pool : h->pool);
+		struct server *v =
+			g_hash_table_lookup(s->server_by_id, h->server);
+
+		if (!x || upkeep_has_host(s, h->name))
+			continue;
+		if (m || h->state != HOST_UP) {
+			x->servers += m || h->state == HOST_MOVING;
+			continue;
+		}
+		if (g_hash_table_contains(s->evacuated, h->data_centre))
+			continue;
+		x->servers++;
+		if (x->is_standby)
+			g_ptr_array_add(x->idle, h);
+		else if (v && v->is_ours && !v->is_cordoned &&
+			 !v->info.is_draining &&
+			 idle_since(b, v, now) != CS_TIME_NEVER)
+			g_ptr_array_add(x->idle, h);
+	}
+}
+
+static void order_move(struct balance *b, const struct order_host *h,
+		       const char *pool, cs_time now)
+{
+	struct sched *s = b->sched;
+	struct order *o = order_new(ORDER_MOVE_HOST);
+	struct server *v = g_hash_table_lookup(s->server_by_id, h->server);
+	struct move *m = g_new0(struct move, 1);
+	GString *pairs = g_string_new(NULL);
+
+	cs_copy(m->host, sizeof(m->host), h->name);
+	cs_copy(m->pool, sizeof(m->pool), pool);
+	m->ordered_at = now;
+	g_hash_table_insert(b->moves, m->host, m);
+	if (v)
+		v->is_cordoned = true;
+	o->ref = ++b->next_ref;
+	g_hash_table_insert(b->by_ref, GSIZE_TO_POINTER(o->ref),
+			    g_strdup(h->name));
+	o->timeout_ms = HOST_TIMEOUT_MS;
+	o->token = s->options.token;
+	cs_copy(o->host, sizeof(o->host), h->name);
+	cs_copy(o->pool, sizeof(o->pool), pool);
+	cs_copy(o->holder, sizeof(o->holder), s->options.holder);
+	log_pair(pairs, "host", h->name);
+	log_pair(pairs, "from", h->pool);
+	log_pair(pairs, "to", pool);
+	log_pair_int(pairs, "list_age_ms",
+		     (now - hosts_listed_at(s)) / CS_MSEC);
+	sched_log(s, "host_move", pairs);
+	counters_add(s->counters, "camphorshed_host_moves_total", "", 1);
+	s->ops->send(s->ctx, o);
+}
+
+/* A host that a pool can give away; idle ones of standby pools last. */
+static struct order_host *take_host(GPtrArray *sides, const struct side *to)
+{
+	struct side *best = NULL;
+	guint i;
+
+	for (i = 0; i < sides->len; i++) {
+		struct side *x = g_ptr_array_index(sides, i);
+
+		if (x == to || !x->idle->len)
+			continue;
+		if (!x->is_standby && x->servers <= x->want)
+			continue;
+		if (!best || (best->is_standby && !x->is_standby) ||
+		    (best->is_standby == x->is_standby &&
+		     x->servers - x->want > best->servers - best->want))
+			best = x;
+	}
+	if (!best)
+		return NULL;
+	best->servers--;
+	return g_ptr_array_remove_index_fast(best->idle, best->idle->len - 1);
+}
+
+static int shortage(const struct side *x)
+{
+	return x->is_standby ? 0 : x->want - x->servers;
+}
+
+static int fill_short_pools(struct balance *b, GPtrArray *sides, cs_time now)
+{
+	int moves = 0;
+
+	while (moves < MOVES_MAX) {
+		struct side *to = NULL;
+		struct order_host *h;
+		guint i;
+
+		for (i = 0; i < sides->len; i++) {
+			struct side *x = g_ptr_array_index(sides, i);
+
+			if (shortage(x) > (to ? shortage(to) : 0))
+				to = x;
+		}
+		h = to ? take_host(sides, to) : NULL;
+		if (!h)
+			break;
+		to->servers++;
+		order_move(b, h, to->pool->name, now);
+		moves++;
+	}
+	return moves;
+}
+
+/* Hosts that nobody needs leave the pools that cost. */
+static void release(struct balance *b, GPtrArray *sides, int moves, cs_time now)
+{
+	struct side *standby = NULL;
+	guint i, k;
+
+	for (i = 0; i < sides->len && !standby; i++) {
+		struct side *x = g_ptr_array_index(sides, i);
+
+		if (x->is_standby)
+			standby = x;
+	}
+	for (i = 0; standby && i < sides->len; i++) {
+		struct side *x = g_ptr_array_index(sides, i);
+
+		for (k = 0; !x->is_standby && k < x->idle->len &&
+			    moves < MOVES_MAX && x->servers > x->want;
+		     k++) {
+			struct order_host *h = g_ptr_array_index(x->idle, k);
+			const struct server *v = g_hash_table_lookup(
+				b->sched->server_by_id, h->server);
+
+			if (now - idle_since(b, v, now) < IDLE_US)
+				continue;
+			x->servers--;
+			order_move(b, h, standby->pool->name, now);
+			moves++;
+		}
+	}
+}
+
+static void look(struct balance *b, cs_time now)
+{
+	struct sched *s = b->sched;
+	GPtrArray *sides;
+	int moves;
+
+	hosts_want(s, now);
+	if (!hosts_listed_at(s))
+		return;
+	g_hash_table_foreach_remove(b->moves, is_settled, s);
+	sides = make_sides(s);
+	place_hosts(b, sides, now);
+	moves = fill_short_pools(b, sides, now);
+	release(b, sides, moves, now);
+	g_ptr_array_free(sides, TRUE);
+}
+
+static void on_look(void *ctx, uint64_t arg, cs_time now)
+{
+	struct balance *b = ctx;
+	struct sched *s = b->sched;
+
+	(void)arg;
+	b->timer = timers_subscribe(s->timers, now + LOOK_US, on_look, b, 0);
+	if (s->site && s->is_ready && !s->is_paused && !s->is_fenced &&
+	    now - s->started_at >= s->options.bounds.holder_pause_ms * CS_MSEC)
+		look(b, now);
+}
+
+void balance_on_done(struct sched *s, const struct order_done *d, cs_time now)
+{
+	struct balance *b = s->balance;
+	const char *name =
+		g_hash_table_lookup(b->by_ref, GSIZE_TO_POINTER(d->ref));
+	struct move *m = name ? g_hash_table_lookup(b->moves, name) : NULL;
+	const struct order_host *h = name ? hosts_find(s, name) : NULL;
+	struct server *v = h ? g_hash_table_lookup(s->server_by_id, h->server) :
+			       NULL;
+
+	if (m && d->result == ORDER_DONE) {
+		m->is_accepted = true;
+		m->accepted_at = now;
+		if (v)
+			servers_died(s, v, "its host moves", now);
+	} else if (m && d->result != ORDER_UNKNOWN) {
+		if (v)
+			v->is_cordoned = false;
+		g_hash_table_remove(b->moves, name);
+	}
+	if (d->reason == ORDER_REASON_FENCED) {
+		s->is_fenced = true;
+		s->ops->fenced(s->ctx);
+	}
+	g_hash_table_remove(b->by_ref, GSIZE_TO_POINTER(d->ref));
+}
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -105,8 +105,9 @@
 	if (st->is_filling)
 		return cost - left + (int64_t)SERVING_COST * n->serving +
 		       (int64_t)SAME_SERVER_COST * n->filling;
+	/* Lasting tasks of several jobs share servers, so that others empty. */
 	if (st->is_lasting)
-		return cost - left + (int64_t)SAME_SERVER_COST * n->same_step +
+		return cost + left + (int64_t)SAME_SERVER_COST * n->same_step +
 		       (int64_t)SAME_RACK_COST * runs_in_rack(s, j->pool,
 							      v->info.rack, j,
 							      round, step) +
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -69,7 +69,9 @@
 	s->grants_left =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	s->ended_grants = g_ptr_array_new_with_free_func(g_free);
+	s->hosts = hosts_create();
 	s->upkeep = upkeep_create(s);
+	s->balance = balance_create(s, now);
 	s->advice = advice_create();
 	s->turn_timer =
 		timers_subscribe(timers, now + TURN_US, on_turn_timer, s, 0);
@@ -95,7 +97,9 @@
 
 		batch_destroy(j->batch);
 	}
+	balance_destroy(s->balance);
 	upkeep_destroy(s->upkeep);
+	hosts_destroy(s->hosts);
 	advice_destroy(s->advice);
 	g_hash_table_destroy(s->server_by_id);
 	g_hash_table_destroy(s->job_by_id);
@@ -331,7 +335,11 @@
 		advice_on_done(s, d, now);
 		break;
 	case ORDER_LIST_HOSTS:
+		hosts_on_done(s, d, now);
+		break;
 	case ORDER_MOVE_HOST:
+		balance_on_done(s, d, now);
+		break;
 	case ORDER_MAINTAIN_HOST:
 		upkeep_on_done(s, d, now);
 		break;
--- a/src/sched/sched_private.h
+++ b/src/sched/sched_private.h
@@ -110,6 +110,8 @@
 	char name[CS_NAME_MAX];
 	GPtrArray *servers; /* struct server */
 	GPtrArray *jobs; /* struct job, not final */
+	double demand; /* thousandths of a core; falls slowly */
+	double server_cpu; /* mean room of a server */
 };
 
 struct sched {
@@ -137,7 +139,9 @@
 	GPtrArray *ended_grants; /* identifiers to remove from the store */
 	GQueue changed; /* handles of jobs, oldest change first */
 	GQueue final; /* handles of jobs, oldest end first */
+	struct hosts *hosts;
 	struct upkeep *upkeep;
+	struct balance *balance;
 	struct advice *advice;
 	cs_handle turn_timer;
 };
@@ -230,7 +234,28 @@
 void health_on_end(struct sched *s, struct server *v, enum batch_end how,
 		   cs_time now);
 
+/* hosts.c */
+/* Until the host service must have answered. */
+#define HOST_TIMEOUT_MS 2000
+struct hosts *hosts_create(void);
+void hosts_destroy(struct hosts *h);
+/* As listed last; NULL if it is not in the list. */
+const struct order_host *hosts_find(const struct sched *s, const char *name);
+GHashTable *hosts_table(const struct sched *s);
+/* When the last complete list was asked for; 0: there is none. */
+cs_time hosts_listed_at(const struct sched *s);
+/* Reads the list again if the last reading is old enough. */
+void hosts_want(struct sched *s, cs_time now);
+void hosts_on_done(struct sched *s, const struct order_done *d, cs_time now);
+
+/* balance.c */
+struct balance *balance_create(struct sched *s, cs_time now);
+void balance_destroy(struct balance *b);
+void balance_on_done(struct sched *s, const struct order_done *d, cs_time now);
+
 /* upkeep.c */
+/* True while a wave empties, orders or awaits the host. */
+bool upkeep_has_host(const struct sched *s, const char *host);
 struct upkeep *upkeep_create(struct sched *s);
 void upkeep_destroy(struct upkeep *u);
 void upkeep_on_done(struct sched *s, const struct order_done *d, cs_time now);
--- a/src/sched/upkeep.c
+++ b/src/sched/upkeep.c
@@ -13,11 +13,10 @@
  * wave allows.
  */
 
-/* How often waves are looked at, and the list of hosts is read meanwhile. */
+/* How often waves are looked at. */
 #define LOOK_US (200 * CS_MSEC)
-#define LIST_INTERVAL_US (1200 * CS_MSEC)
-/* Until the host service must have answered. */
-#define HOST_TIMEOUT_MS 2000
+/* An order without an answer is given again after this. */
+#define AGAIN_US (1200 * CS_MSEC)
 /* Hosts being emptied beyond those that may be down, to keep the flow up. */
 #define AHEAD 1
 /* A lasting task counts as at work when it has been for this long. */
@@ -50,12 +49,6 @@
 struct upkeep {
 	struct sched *sched;
 	GPtrArray *waves; /* struct wave */
-	GHashTable *hosts; /* name -> struct order_host, as listed last */
-	GPtrArray *page_hosts; /* of the list that is being read */
-	bool is_list_open;
-	cs_time list_sent_at; /* first page of the last complete list */
-	cs_time list_begun_at;
-	cs_time next_list_at;
 	cs_handle timer;
 };
 
@@ -75,8 +68,6 @@
 
 	u->sched = s;
 	u->waves = g_ptr_array_new_with_free_func(wave_free);
-	u->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
-	u->page_hosts = g_ptr_array_new_with_free_func(g_free);
 	return u;
 }
 
@@ -84,8 +75,6 @@
 {
 	timers_cancel(u->sched->timers, u->timer);
 	g_ptr_array_free(u->waves, TRUE);
-	g_ptr_array_free(u->page_hosts, TRUE);
-	g_hash_table_destroy(u->hosts);
 	g_free(u);
 }
 
@@ -165,8 +154,7 @@
 
 static struct server *server_on(const struct sched *s, const char *host)
 {
-	const struct order_host *row =
-		g_hash_table_lookup(s->upkeep->hosts, host);
+	const struct order_host *row = hosts_find(s, host);
 
 	if (!row || !*row->server)
 		return NULL;
@@ -198,18 +186,24 @@
 	g_ptr_array_remove(s->upkeep->waves, w);
 }
 
-static void list_hosts(struct upkeep *u, const char *page, cs_time now)
+bool upkeep_has_host(const struct sched *s, const char *host)
 {
-	struct order *o = order_new(ORDER_LIST_HOSTS);
+	guint i, k;
 
-	o->page = g_strdup(page);
-	o->timeout_ms = HOST_TIMEOUT_MS;
-	if (!page) {
-		g_ptr_array_set_size(u->page_hosts, 0);
-		u->list_begun_at = now;
+	for (i = 0; i < s->upkeep->waves->len; i++) {
+		const struct wave *w = g_ptr_array_index(s->upkeep->waves, i);
+
+		for (k = 0; k < w->hosts->len; k++) {
+			const struct wave_host *h =
+				g_ptr_array_index(w->hosts, k);
+
+			if (!strcmp(h->name, host))
+				return h->state == WAVE_EMPTYING ||
+				       h->state == WAVE_ORDERED ||
+				       (h->state == WAVE_BEGUN && !h->is_back);
+		}
 	}
-	u->is_list_open = true;
-	u->sched->ops->send(u->sched->ctx, o);
+	return false;
 }
 
 /* The reference of an order: wave and index of the host in it. */
@@ -298,13 +292,13 @@
 }
 
 /* A host that began is back when a newer list shows it up. */
-static void note_return(const struct upkeep *u, struct wave_host *h)
+static void note_return(const struct sched *s, struct wave_host *h)
 {
-	const struct order_host *row = g_hash_table_lookup(u->hosts, h->name);
+	const struct order_host *row = hosts_find(s, h->name);
 
 	if (h->state == WAVE_BEGUN && !h->is_back &&
-	    u->list_begun_at >= h->begun_at && !u->is_list_open &&
-	    u->list_sent_at >= h->begun_at && (!row || row->state == HOST_UP))
+	    hosts_listed_at(s) >= h->begun_at &&
+	    (!row || row->state == HOST_UP))
 		h->is_back = true;
 }
 
@@ -312,7 +306,7 @@
 	int emptying, down, left;
 };
 
-static struct wave_count count_wave(const struct upkeep *u, struct wave *w)
+static struct wave_count count_wave(const struct sched *s, struct wave *w)
 {
 	struct wave_count c = { 0 };
 	guint i;
@@ -320,7 +314,7 @@
 	for (i = 0; i < w->hosts->len; i++) {
 		struct wave_host *h = g_ptr_array_index(w->hosts, i);
 
-		note_return(u, h);
+		note_return(s, h);
 		c.emptying += h->state == WAVE_EMPTYING;
 		c.down += h->state == WAVE_ORDERED ||
 			  (h->state == WAVE_BEGUN && !h->is_back);
@@ -338,8 +332,7 @@
 
 	for (i = 0; i < w->hosts->len; i++) {
 		struct wave_host *h = g_ptr_array_index(w->hosts, i);
-		const struct order_host *row =
-			g_hash_table_lookup(s->upkeep->hosts, h->name);
+		const struct order_host *row = hosts_find(s, h->name);
 		const struct server *v = server_on(s, h->name);
 		int64_t load;
 
@@ -372,8 +365,7 @@
 static void begin(struct sched *s, struct wave *w, guint i)
 {
 	struct wave_host *h = g_ptr_array_index(w->hosts, i);
-	const struct order_host *row =
-		g_hash_table_lookup(s->upkeep->hosts, h->name);
+	const struct order_host *row = hosts_find(s, h->name);
 
 	if (h->state != WAVE_ORDERED)
 		cs_copy(h->server, sizeof(h->server), row ? row->server : "");
@@ -384,7 +376,7 @@
 
 static void turn_wave(struct sched *s, struct wave *w, cs_time now)
 {
-	struct wave_count c = count_wave(s->upkeep, w);
+	struct wave_count c = count_wave(s, w);
 	bool in_hurry = (double)(now - w->begun_at) >
 			HURRY_SHARE * (double)(w->ends_at - w->begun_at);
 	struct wave_host *h;
@@ -428,17 +420,16 @@
 }
 
 /* Hosts that have left the site for good can't be maintained. */
-static void drop_missing(const struct upkeep *u, struct wave *w)
+static void drop_missing(const struct sched *s, struct wave *w)
 {
 	guint i;
 
-	if (!u->list_sent_at || u->list_sent_at < w->begun_at)
+	if (hosts_listed_at(s) < w->begun_at)
 		return;
 	for (i = 0; i < w->hosts->len; i++) {
 		struct wave_host *h = g_ptr_array_index(w->hosts, i);
 
-		if (h->state < WAVE_ORDERED &&
-		    !g_hash_table_contains(u->hosts, h->name)) {
+		if (h->state < WAVE_ORDERED && !hosts_find(s, h->name)) {
 			h->state = WAVE_BEGUN;
 			h->is_back = true;
 		}
@@ -468,52 +459,23 @@
 	u->timer = 0;
 	if (!has_open_wave(u))
 		return;
-	if (!u->is_list_open && now >= u->next_list_at) {
-		u->next_list_at = now + LIST_INTERVAL_US;
-		list_hosts(u, NULL, now);
-	}
+	hosts_want(s, now);
 	/* Two holders in turn within the pause would contradict each other. */
-	if (s->is_ready && !s->is_paused && !s->is_fenced && u->list_sent_at &&
+	if (s->is_ready && !s->is_paused && !s->is_fenced &&
+	    hosts_listed_at(s) &&
 	    now - s->started_at >= s->options.bounds.holder_pause_ms * CS_MSEC)
 		for (i = 0; i < u->waves->len; i++) {
 			struct wave *w = g_ptr_array_index(u->waves, i);
 
 			if (w->is_done)
 				continue;
-			drop_missing(u, w);
+			drop_missing(s, w);
 			turn_wave(s, w, now);
 		}
 	look_at(u, now + LOOK_US);
 }
 
-static void on_hosts(struct sched *s, const struct order_done *d, cs_time now)
-{
-	struct upkeep *u = s->upkeep;
-	guint i;
-
-	u->is_list_open = false;
-	if (d->result != ORDER_DONE)
-		return;
-	for (i = 0; i < d->hosts->len; i++)
-		g_ptr_array_add(u->page_hosts,
-				g_memdup2(g_ptr_array_index(d->hosts, i),
-					  sizeof(struct order_host)));
-	if (d->next_page) {
-		list_hosts(u, d->next_page, now);
-		return;
-	}
-	g_hash_table_remove_all(u->hosts);
-	for (i = 0; i < u->page_hosts->len; i++) {
-		struct order_host *h = g_memdup2(
-			g_ptr_array_index(u->page_hosts, i), sizeof(*h));
-
-		g_hash_table_insert(u->hosts, h->name, h);
-	}
-	u->list_sent_at = u->list_begun_at;
-}
-
-static void on_maintained(struct sched *s, const struct order_done *d,
-			  cs_time now)
+void upkeep_on_done(struct sched *s, const struct order_done *d, cs_time now)
 {
 	struct wave *w = find_wave(s->upkeep, d->ref >> 16);
 	struct wave_host *h;
@@ -552,15 +514,7 @@
 	}
 	/* It may have begun, so the host counts as down until an answer. */
 	if (d->result == ORDER_UNKNOWN)
-		h->again_at = now + LIST_INTERVAL_US;
+		h->again_at = now + AGAIN_US;
 	else
 		h->state = WAVE_EMPTYING;
 }
-
-void upkeep_on_done(struct sched *s, const struct order_done *d, cs_time now)
-{
-	if (d->type == ORDER_LIST_HOSTS)
-		on_hosts(s, d, now);
-	else if (d->type == ORDER_MAINTAIN_HOST)
-		on_maintained(s, d, now);
-}
