--- a/src/sched/balance.c
+++ b/src/sched/balance.c
@@ -250,11 +250,14 @@
 		       const char *pool, cs_time now)
 {
 	struct sched *s = b->sched;
-	struct order *o = order_new(ORDER_MOVE_HOST);
+	struct order *o = hosts_new_order(s, ORDER_MOVE_HOST, h->name, now);
 	struct server *v = g_hash_table_lookup(s->server_by_id, h->server);
-	struct move *m = g_new0(struct move, 1);
-	GString *pairs = g_string_new(NULL);
+	struct move *m;
+	GString *pairs;
 
+	if (!o)
+		return;
+	m = g_new0(struct move, 1);
 	cs_copy(m->host, sizeof(m->host), h->name);
 	cs_copy(m->pool, sizeof(m->pool), pool);
 	m->ordered_at = now;
@@ -264,11 +267,8 @@
 	o->ref = ++b->next_ref;
 	g_hash_table_insert(b->by_ref, GSIZE_TO_POINTER(o->ref),
 			    g_strdup(h->name));
-	o->timeout_ms = HOST_TIMEOUT_MS;
-	o->token = s->options.token;
-	cs_copy(o->host, sizeof(o->host), h->name);
 	cs_copy(o->pool, sizeof(o->pool), pool);
-	cs_copy(o->holder, sizeof(o->holder), s->options.holder);
+	pairs = g_string_new(NULL);
 	log_pair(pairs, "host", h->name);
 	log_pair(pairs, "from", h->pool);
 	log_pair(pairs, "to", pool);
--- a/src/sched/hosts.c
+++ b/src/sched/hosts.c
@@ -65,6 +65,24 @@
 	s->ops->send(s->ctx, o);
 }
 
+struct order *hosts_new_order(const struct sched *s, enum order_type type,
+			      const char *host, cs_time now)
+{
+	struct order *o;
+
+	if (!s->is_ready || s->is_paused || s->is_fenced ||
+	    now - s->confirmed_at > HOST_ORDER_AGE_US ||
+	    now - s->started_at < s->options.bounds.holder_pause_ms * CS_MSEC)
+		return NULL;
+	o = order_new(type);
+	o->timeout_ms = HOST_TIMEOUT_MS;
+	o->not_after = s->confirmed_at + HOST_ORDER_AGE_US;
+	o->token = s->options.token;
+	cs_copy(o->host, sizeof(o->host), host);
+	cs_copy(o->holder, sizeof(o->holder), s->options.holder);
+	return o;
+}
+
 void hosts_want(struct sched *s, cs_time now)
 {
 	if (s->hosts->is_open || now < s->hosts->next_at)
--- a/src/sched/order.h
+++ b/src/sched/order.h
@@ -54,6 +54,7 @@
 	uint64_t token; /* fencing token of the owner */
 	int64_t deadline_ms; /* server's clock; 0: leaves the lease alone */
 	int64_t timeout_ms; /* until the answer must be there */
+	cs_time not_after; /* it must not be sent later; 0: no bound */
 	/* start, stop, pace */
 	char task[BATCH_TASK_NAME_MAX];
 	uint32_t run;
--- a/src/sched/sched_private.h
+++ b/src/sched/sched_private.h
@@ -235,6 +235,15 @@
 		   cs_time now);
 
 /* hosts.c */
+/*
+ * The host service does not check tokens everywhere, so orders to hosts are
+ * given only while no successor can have given any: it takes the store's lease
+ * (2 s) and the pause between holders until its first one.
+ */
+#define HOST_ORDER_AGE_US (1500 * CS_MSEC)
+/* An order to a host, ready to be filled in; NULL if none may be given. */
+struct order *hosts_new_order(const struct sched *s, enum order_type type,
+			      const char *host, cs_time now);
 /* Until the host service must have answered. */
 #define HOST_TIMEOUT_MS 2000
 struct hosts *hosts_create(void);
--- a/src/sched/upkeep.c
+++ b/src/sched/upkeep.c
@@ -212,20 +212,6 @@
 	return w->number << 16 | i;
 }
 
-static void order_maintenance(struct sched *s, const struct wave *w, guint i)
-{
-	const struct wave_host *h = g_ptr_array_index(w->hosts, i);
-	struct order *o = order_new(ORDER_MAINTAIN_HOST);
-
-	o->ref = host_ref(w, i);
-	o->timeout_ms = HOST_TIMEOUT_MS;
-	o->token = s->options.token;
-	o->wave = w->number;
-	cs_copy(o->host, sizeof(o->host), h->name);
-	cs_copy(o->holder, sizeof(o->holder), s->options.holder);
-	s->ops->send(s->ctx, o);
-}
-
 /*
  * True if a lasting task serves for certain: its server answered lately and
  * listed it with all its work for a while.
@@ -362,16 +348,23 @@
 	g_ptr_array_free(done, TRUE);
 }
 
-static void begin(struct sched *s, struct wave *w, guint i)
+/* Orders the maintenance of a host. False if no order may be given now. */
+static bool begin(struct sched *s, const struct wave *w, guint i, cs_time now)
 {
 	struct wave_host *h = g_ptr_array_index(w->hosts, i);
 	const struct order_host *row = hosts_find(s, h->name);
+	struct order *o = hosts_new_order(s, ORDER_MAINTAIN_HOST, h->name, now);
 
+	if (!o)
+		return false;
 	if (h->state != WAVE_ORDERED)
 		cs_copy(h->server, sizeof(h->server), row ? row->server : "");
 	h->state = WAVE_ORDERED;
 	h->again_at = 0;
-	order_maintenance(s, w, i);
+	o->ref = host_ref(w, i);
+	o->wave = w->number;
+	s->ops->send(s->ctx, o);
+	return true;
 }
 
 static void turn_wave(struct sched *s, struct wave *w, cs_time now)
@@ -399,7 +392,7 @@
 		h = g_ptr_array_index(w->hosts, i);
 		if (h->state == WAVE_ORDERED && h->again_at &&
 		    now >= h->again_at)
-			begin(s, w, i);
+			begin(s, w, i, now);
 		if (h->state != WAVE_EMPTYING)
 			continue;
 		v = server_on(s, h->name);
@@ -409,8 +402,8 @@
 			continue;
 		if (c.down >= w->at_once_max)
 			continue;
-		c.down++;
-		begin(s, w, i);
+		if (begin(s, w, i, now))
+			c.down++;
 	}
 	if (c.left || w->is_done)
 		return;
