--- a/src/base/http_client.c
+++ b/src/base/http_client.c
@@ -288,27 +288,31 @@
 }
 
 /*
- * Closing then resets the connection. Otherwise bytes of a call that was given
- * up stay in the kernel while a partition lasts, and are delivered after it.
+ * Resets the connection. Otherwise bytes of a call that was given up stay in
+ * the kernel while a partition lasts, and are delivered after it. evhttp shuts
+ * a socket down before it closes it, which keeps these bytes; connecting to
+ * AF_UNSPEC dissolves the connection at once.
  */
-static void reset_at_close(const struct conn *conn)
+static void reset_connection(const struct conn *conn)
 {
 	const struct linger at_once = { .l_onoff = 1, .l_linger = 0 };
+	const struct sockaddr none = { .sa_family = AF_UNSPEC };
 	evutil_socket_t fd = -1;
 
 	if (conn->evcon)
 		fd = bufferevent_getfd(
 			evhttp_connection_get_bufferevent(conn->evcon));
-	if (fd >= 0)
-		setsockopt(fd, SOL_SOCKET, SO_LINGER, &at_once,
-			   sizeof(at_once));
+	if (fd < 0)
+		return;
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+	connect(fd, &none, sizeof(none));
 }
 
 /* The same from outside evhttp, which must forget the request first. */
 static void call_abort(struct call *call, int code, const char *message)
 {
 	if (call->conn) {
-		reset_at_close(call->conn);
+		reset_connection(call->conn);
 		conn_shut(call->conn);
 		call->req = NULL;
 	}
--- a/tests/unit/test_http_client.c
+++ b/tests/unit/test_http_client.c
@@ -1,7 +1,9 @@
 #include "unit.h"
 
+#include <errno.h>
 #include <event2/event.h>
 #include <stdatomic.h>
+#include <sys/socket.h>
 
 #include "../../src/base/http_client.h"
 #include "../../src/base/task.h"
@@ -76,6 +78,51 @@
 	scripted_stop(server);
 }
 
+static atomic_int end_of_given_up;
+
+/* Reads the request, never answers, and notes how the connection ends. */
+static void never_answer(struct scripted *s, int fd)
+{
+	char byte;
+	ssize_t n;
+
+	g_free(scripted_read(s, fd));
+	n = recv(fd, &byte, 1, 0);
+	atomic_store(&end_of_given_up, n < 0 ? errno : 0);
+}
+
+/*
+ * A call that was given up must not be delivered later. After a plain close
+ * the kernel still delivers what it holds when a partition heals, so the
+ * connection has to be reset.
+ */
+static void given_up_call_resets_its_connection(void **state)
+{
+	struct http_client_options options = {
+		.connections_max = { 1, 1 },
+		.connect_timeout_ms = 1000,
+		.answer_max = 1000,
+	};
+	struct scripted *server = scripted_start(never_answer);
+	struct http_call call = { .method = HTTP_POST, .path = "/" };
+	struct ends ends = { .base = event_base_new() };
+	struct http_client *client = http_client_create(ends.base, &options);
+
+	(void)state;
+	atomic_store(&end_of_given_up, -1);
+	call.address = scripted_address(server);
+	call.deadline = task_now() + 200 * CS_MSEC;
+	call.body = g_bytes_new_static("work", 4);
+	http_client_call(client, &call, on_done, &ends, 1);
+	event_base_dispatch(ends.base);
+	assert_int_equal(ends.results[0], HTTP_UNKNOWN);
+	http_client_destroy(client);
+	g_bytes_unref(call.body);
+	event_base_free(ends.base);
+	scripted_stop(server);
+	assert_int_equal(atomic_load(&end_of_given_up), ECONNRESET);
+}
+
 static void addresses_are_numeric(void **state)
 {
 	char host[CS_ADDRESS_MAX];
@@ -99,6 +146,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(discarded_bytes_are_not_sent),
+		cmocka_unit_test(given_up_call_resets_its_connection),
 		cmocka_unit_test(addresses_are_numeric),
 	};
 
--- /dev/null
+++ b/tests/unit/test_wire.c
@@ -0,0 +1,357 @@
+#include "unit.h"
+
+#include <string.h>
+
+#include "../../platform/wire.h"
+#include "../../platform/wire_order.h"
+#include "../../platform/wire_store.h"
+#include "../../src/base/error.h"
+
+/* The adapter: what the platform sends, read into the product's types. */
+
+static GBytes *text(const char *s)
+{
+	return g_bytes_new(s, strlen(s));
+}
+
+static struct http_answer answered(int status, const char *body)
+{
+	struct http_answer a = { .result = HTTP_ANSWERED, .status = status };
+
+	a.body = text(body);
+	return a;
+}
+
+/* A field that is lost on the way changes what runs, and where. */
+static void job_is_read_whole(void **state)
+{
+	GBytes *body = text(
+		"{\"spec\":\"work\",\"steps\":["
+		"{\"count\":4,\"cpu\":500,\"memMb\":256,\"estimatedMs\":900,"
+		"\"affinity\":\"r1-3\",\"new\":1},"
+		"{\"count\":2,\"cpu\":2000,\"gpu\":1,\"after\":[0],"
+		"\"checkpointing\":true,\"longRunning\":true,\"fills\":true,"
+		"\"targetMs\":80,\"maxUnavailable\":1,\"antiAffinity\":2,"
+		"\"requirements\":\"big\",\"image\":\"x\"}],"
+		"\"repeatCount\":3,\"startAtMs\":1000,\"intervalMs\":500}");
+	struct batch_spec *s = wire_read_job(body, NULL);
+
+	(void)state;
+	assert_non_null(s);
+	assert_int_equal(s->steps_nr, 2);
+	assert_int_equal(s->steps[0].count, 4);
+	assert_int_equal(s->steps[0].need.cpu, 500);
+	assert_int_equal(s->steps[0].estimate_ms, 900);
+	assert_int_equal(s->steps[0].unavailable_max, -1);
+	assert_string_equal(s->steps[0].rack, "r1-3");
+	assert_int_equal(s->steps[1].need.accelerators, 1);
+	assert_int_equal(s->steps[1].after[0], 0);
+	assert_true(s->steps[1].is_checkpointing);
+	assert_true(s->steps[1].is_lasting);
+	assert_true(s->steps[1].is_filling);
+	assert_int_equal(s->steps[1].tail_target_ms, 80);
+	assert_int_equal(s->steps[1].unavailable_max, 1);
+	assert_int_equal(s->steps[1].per_server_max, 2);
+	assert_string_equal(s->steps[1].label, "big");
+	assert_int_equal(s->repeats, 3);
+	batch_spec_destroy(s);
+	g_bytes_unref(body);
+}
+
+/* Bad input gets an error with a reason, and nothing else. */
+static void unreadable_jobs_are_refused(void **state)
+{
+	static const char *const bodies[] = {
+		"",
+		"[]",
+		"{}",
+		"{\"steps\":{}}",
+		"{\"steps\":[]}",
+		"{\"steps\":[1]}",
+		"{\"steps\":[{\"count\":0}]}",
+		"{\"steps\":[{\"count\":1,\"after\":[0]}]}",
+		"{\"steps\":[{\"count\":1,\"after\":[5]}]}",
+		"{\"steps\":[{\"count\":1,\"after\":\"x\"}]}",
+		"{\"steps\":[{\"count\":1,\"affinity\":7}]}",
+		"{\"steps\":[{\"count\":1,\"cpu\":-5}]}",
+		"{\"steps\":[{\"count\":99999999}]}",
+		"\xff\xfe",
+		"{\"steps\":[{\"count\":1}],\"repeatCount\":-1}",
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(bodies); i++) {
+		struct cs_error err = { 0 };
+		GBytes *body = text(bodies[i]);
+
+		assert_null(wire_read_job(body, &err));
+		assert_int_equal(err.code, CS_ERR_INVALID);
+		assert_true(*err.message != '\0');
+		g_bytes_unref(body);
+	}
+}
+
+static const char configuration[] =
+	"{\"version\":7,\"routes\":["
+	"{\"name\":\"a\",\"host\":\"h.example\",\"prefix\":\"/x/\","
+	"\"service\":\"p\",\"maxAttempts\":2,\"stretch\":1.6,"
+	"\"targetCompletionMs\":600,\"priority\":1,\"public\":false},"
+	"{\"name\":\"b\",\"host\":\"h.example\",\"prefix\":\"/x/y/\","
+	"\"service\":\"q\",\"public\":true,\"recommendation\":"
+	"{\"decisionMs\":5,\"periodMs\":2,\"validityMs\":900}}],"
+	"\"services\":[{\"name\":\"p\",\"admissionCheck\":true},"
+	"{\"name\":\"q\",\"standby\":true}],"
+	"\"limits\":{\"maxBodyBytes\":1000},"
+	"\"tenants\":[{\"name\":\"t\",\"apiKeys\":[\"k1\",\"k2\"],"
+	"\"weight\":5,\"maximum\":{\"cpu\":4000}}]}";
+
+/* Routes go by host and longest prefix; keys name their workspace. */
+static void configuration_is_read(void **state)
+{
+	GBytes *value = text(configuration);
+	struct site *s = wire_formats.read_site(value, NULL);
+	const char *rest;
+
+	(void)state;
+	assert_non_null(s);
+	assert_int_equal(site_version(s), 7);
+	assert_int_equal(site_body_max(s), 1000);
+	assert_string_equal(site_route(s, "h.example", "/x/1", &rest)->name,
+			    "a");
+	assert_string_equal(rest, "1");
+	assert_string_equal(site_route(s, "H.EXAMPLE", "/x/y/2", &rest)->name,
+			    "b");
+	assert_null(site_route(s, "other", "/x/1", &rest));
+	assert_null(site_route(s, "h.example", "/z", &rest));
+	assert_int_equal(site_queue(s, "a")->attempts_max, 2);
+	assert_int_equal(site_queue(s, "b")->advice.validity_ms, 900);
+	assert_true(site_queue(s, "b")->is_open);
+	assert_true(site_pool(s, "p")->has_admission_check);
+	assert_true(site_pool(s, "q")->is_standby);
+	assert_string_equal(site_key_owner(s, "k2")->name, "t");
+	assert_null(site_key_owner(s, "k3"));
+	assert_int_equal(site_workspace(s, "t")->limit.cpu, 4000);
+	site_unref(s);
+	g_bytes_unref(value);
+	value = text("{\"version\":8,\"routes\":[{\"name\":\"a\"}]}");
+	assert_null(wire_formats.read_site(value, NULL));
+	g_bytes_unref(value);
+}
+
+/* An entry that can't be read names no server; the others hold. */
+static void register_entries_are_checked(void **state)
+{
+	static const char *const bad[] = {
+		"",
+		"{}",
+		"[1]",
+		"{\"service\":\"p\",\"address\":\"a\",\"zone\":\"z\","
+		"\"state\":\"odd\",\"freeCapacity\":{\"cpu\":1}}",
+		"{\"service\":\"p\",\"address\":5,\"zone\":\"z\","
+		"\"state\":\"ready\",\"freeCapacity\":{\"cpu\":1}}",
+		"{\"service\":\"p\",\"address\":\"a\",\"zone\":\"z\","
+		"\"state\":\"ready\"}",
+	};
+	GBytes *value = text("{\"service\":\"p\",\"address\":\"10.0.0.9:80\","
+			     "\"zone\":\"z\",\"version\":\"v1\",\"capacity\":8,"
+			     "\"state\":\"draining\",\"remainingMs\":900,"
+			     "\"freeCapacity\":{\"cpu\":16000,\"memMb\":5},"
+			     "\"labels\":[\"a\",\"r1-3\"],\"born\":12}");
+	struct server_info info = { 0 };
+	size_t i;
+
+	(void)state;
+	assert_true(wire_formats.read_server("i-1", value, &info));
+	assert_string_equal(info.pool, "p");
+	assert_string_equal(info.rack, "r1-3");
+	assert_int_equal(info.labels_nr, 2);
+	assert_int_equal(info.room.cpu, 16000);
+	assert_int_equal(info.born, 12);
+	assert_true(info.is_draining);
+	g_bytes_unref(value);
+	for (i = 0; i < G_N_ELEMENTS(bad); i++) {
+		value = text(bad[i]);
+		memset(&info, 0, sizeof(info));
+		assert_false(wire_formats.read_server("i-1", value, &info));
+		g_bytes_unref(value);
+	}
+}
+
+/* "Not done" and "perhaps done" decide whether a task may run twice. */
+static void statuses_keep_their_meaning(void **state)
+{
+	static const struct {
+		int status;
+		const char *body;
+		enum order_result result;
+		enum order_reason reason;
+	} rows[] = {
+		{ 200, "{\"clockMs\":5}", ORDER_DONE, ORDER_REASON_NONE },
+		{ 409, "{\"reason\":\"fence\"}", ORDER_REFUSED,
+		  ORDER_REASON_FENCED },
+		{ 409, "{\"reason\":\"old\"}", ORDER_REFUSED,
+		  ORDER_REASON_OLD_RUN },
+		{ 409, "{\"reason\":\"room\"}", ORDER_REFUSED,
+		  ORDER_REASON_NO_ROOM },
+		{ 421, "", ORDER_REFUSED, ORDER_REASON_INSTANCE },
+		{ 503, "", ORDER_REFUSED, ORDER_REASON_OVERLOADED },
+		{ 500, "", ORDER_UNKNOWN, ORDER_REASON_NONE },
+	};
+	struct order *o = order_new(ORDER_START);
+	struct http_answer lost = { .result = HTTP_UNKNOWN };
+	struct order_done *d;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		struct http_answer a = answered(rows[i].status, rows[i].body);
+
+		d = wire_order_decode(o, &a, 1, 2);
+		assert_int_equal(d->result, rows[i].result);
+		assert_int_equal(d->reason, rows[i].reason);
+		order_done_free(d);
+		g_bytes_unref(a.body);
+	}
+	d = wire_order_decode(o, &lost, 1, 2);
+	assert_int_equal(d->result, ORDER_UNKNOWN);
+	order_done_free(d);
+	order_free(o);
+}
+
+/* An empty or damaged list must not pass for "nothing runs here". */
+static void holds_are_read(void **state)
+{
+	struct order *o = order_new(ORDER_HOLD);
+	struct http_answer a = answered(
+		200, "{\"clockMs\":482113,\"born\":9,\"running\":"
+		     "[[\"5c0e7a21d94b36f8.0.1.17\",2,\"c\",41,7],[1]],"
+		     "\"finished\":[[58,\"5c0e7a21d94b36f8.0.1.9\",1,"
+		     "\"done\",\"\"],[59,\"x\",1,\"odd\",\"\"]]}");
+	struct order_done *d = wire_order_decode(o, &a, 1, 2);
+	const struct order_run *r = g_ptr_array_index(d->runs, 0);
+	const struct order_end *e = g_ptr_array_index(d->ends, 0);
+
+	(void)state;
+	assert_int_equal(d->clock_ms, 482113);
+	assert_int_equal(d->born, 9);
+	assert_int_equal(d->runs->len, 1);
+	assert_int_equal(r->percent, 41);
+	assert_int_equal(r->measure, 7);
+	assert_string_equal(r->saved, "c");
+	assert_int_equal(d->ends->len, 1);
+	assert_int_equal(e->number, 58);
+	assert_int_equal(e->how, BATCH_END_DONE);
+	order_done_free(d);
+	g_bytes_unref(a.body);
+	a = answered(200, "not an object");
+	d = wire_order_decode(o, &a, 1, 2);
+	assert_int_equal(d->result, ORDER_UNKNOWN);
+	order_done_free(d);
+	g_bytes_unref(a.body);
+	order_free(o);
+}
+
+static bool body_holds(GBytes *body, const char *part)
+{
+	gsize size;
+	const char *data = g_bytes_get_data(body, &size);
+
+	return g_strstr_len(data, (gssize)size, part) != NULL;
+}
+
+static void orders_are_written(void **state)
+{
+	struct order *o = order_new(ORDER_START);
+	struct wire_order w;
+
+	(void)state;
+	cs_copy(o->task, sizeof(o->task), "5c0e7a21d94b36f8.0.1.17");
+	cs_copy(o->instance, sizeof(o->instance), "i-1");
+	o->run = 2;
+	o->token = 7;
+	o->deadline_ms = 486000;
+	o->payload = g_strdup("work");
+	wire_order_encode(o, &w);
+	assert_string_equal(w.path, "/-/run-start");
+	assert_true(body_holds(w.body, "\"fencingToken\":7"));
+	assert_true(body_holds(w.body, "\"deadlineMs\":486000"));
+	assert_false(body_holds(w.body, "checkpoint"));
+	assert_string_equal(w.headers[0].name, "Expected-Instance");
+	wire_order_clear(&w);
+	order_free(o);
+	o = order_new(ORDER_MOVE_HOST);
+	cs_copy(o->holder, sizeof(o->holder), "entry-1");
+	o->token = 12;
+	wire_order_encode(o, &w);
+	assert_int_equal(w.headers_nr, 2);
+	assert_string_equal(w.headers[1].value, "12");
+	wire_order_clear(&w);
+	order_free(o);
+}
+
+/* Only a refusal may become "not accepted"; a lost answer may not. */
+static void store_answers_are_read(void **state)
+{
+	struct store_call *txn = store_call_new(STORE_TXN, NULL, 100);
+	struct store_call *watch = store_call_new(STORE_WATCH, "op/", 100);
+	struct http_answer lost = { .result = HTTP_UNKNOWN };
+	struct http_answer unsent = { .result = HTTP_NOT_SENT };
+	struct http_answer a;
+	struct store_done *d;
+	const struct store_item *item;
+
+	(void)state;
+	d = wire_store_decode(txn, &lost);
+	assert_int_equal(d->result, STORE_UNKNOWN);
+	store_done_free(d);
+	d = wire_store_decode(txn, &unsent);
+	assert_int_equal(d->result, STORE_REFUSED);
+	store_done_free(d);
+	a = answered(412, "{\"items\":[{\"key\":\"k\",\"value\":\"bm8=\","
+			  "\"revision\":4,\"created\":3}]}");
+	d = wire_store_decode(txn, &a);
+	assert_int_equal(d->result, STORE_CONFLICT);
+	item = g_ptr_array_index(d->items, 0);
+	assert_int_equal(item->revision, 4);
+	assert_int_equal(g_bytes_get_size(item->value), 2);
+	store_done_free(d);
+	g_bytes_unref(a.body);
+	a = answered(502, "");
+	d = wire_store_decode(txn, &a);
+	assert_int_equal(d->result, STORE_UNKNOWN);
+	store_done_free(d);
+	g_bytes_unref(a.body);
+	a = answered(200, "{\"events\":[{\"key\":\"op/x\",\"revision\":9,"
+			  "\"deleted\":true}],\"at\":9}");
+	d = wire_store_decode(watch, &a);
+	assert_int_equal(d->result, STORE_OK);
+	assert_int_equal(d->revision, 9);
+	item = g_ptr_array_index(d->items, 0);
+	assert_null(item->value);
+	store_done_free(d);
+	g_bytes_unref(a.body);
+	a = answered(410, "");
+	d = wire_store_decode(watch, &a);
+	assert_int_equal(d->result, STORE_COMPACTED);
+	store_done_free(d);
+	g_bytes_unref(a.body);
+	store_call_free(txn);
+	store_call_free(watch);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(job_is_read_whole),
+		cmocka_unit_test(unreadable_jobs_are_refused),
+		cmocka_unit_test(configuration_is_read),
+		cmocka_unit_test(register_entries_are_checked),
+		cmocka_unit_test(statuses_keep_their_meaning),
+		cmocka_unit_test(holds_are_read),
+		cmocka_unit_test(orders_are_written),
+		cmocka_unit_test(store_answers_are_read),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
