--- a/src/base/http_client.c
+++ b/src/base/http_client.c
@@ -305,7 +305,7 @@
 	if (fd < 0)
 		return;
 	setsockopt(fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
-	connect(fd, &none, sizeof(none));
+	(void)!connect(fd, &none, sizeof(none));
 }
 
 /* The same from outside evhttp, which must forget the request first. */
--- a/src/sched/balance.c
+++ b/src/sched/balance.c
@@ -165,6 +165,12 @@
 	return *since;
 }
 
+static bool may_leave(struct balance *b, const struct server *v, cs_time now)
+{
+	return v->is_ours && !v->is_cordoned && !v->info.is_draining &&
+	       idle_since(b, v, now) != CS_TIME_NEVER;
+}
+
 static struct side *find_side(GPtrArray *sides, const char *pool)
 {
 	guint i;
@@ -237,11 +243,7 @@
 		if (g_hash_table_contains(s->evacuated, h->data_centre))
 			continue;
 		x->servers++;
-		if (x->is_standby)
-			g_ptr_array_add(x->idle, h);
-		else if (v && v->is_ours && !v->is_cordoned &&
-			 !v->info.is_draining &&
-			 idle_since(b, v, now) != CS_TIME_NEVER)
+		if (x->is_standby || (v && may_leave(b, v, now)))
 			g_ptr_array_add(x->idle, h);
 	}
 }
--- a/src/sched/fill.c
+++ b/src/sched/fill.c
@@ -77,7 +77,8 @@
 				advice_want(s, j, round, step, now);
 			break;
 		}
-		r = runs_start(s, j, round, step, i, v, next_run(s, t),
+		r = runs_start(s, &(struct task_ref){ j, round, step, i }, v,
+			       next_run(s, t),
 			       advice_ticket(s, j, round, step, v, now), now);
 		if (!r)
 			break;
@@ -132,7 +133,8 @@
 	}
 	for (i = 0; i < st->count; i++) {
 		struct run *r = runs_start(
-			s, j, round, step, i, chosen[i], number,
+			s, &(struct task_ref){ j, round, step, i }, chosen[i],
+			number,
 			advice_ticket(s, j, round, step, chosen[i], now), now);
 
 		if (r)
--- a/src/sched/runs.c
+++ b/src/sched/runs.c
@@ -55,13 +55,18 @@
 			   site_room_sub(*used, need);
 }
 
+static struct batch_task *task_of(const struct task_ref *ref)
+{
+	return batch_task(ref->job->batch, ref->round, ref->step, ref->index);
+}
+
 /* Makes the row of a run and takes its room. */
-static struct run *new_run(struct sched *s, struct job *j, int round, int step,
-			   int index, struct server *v, uint32_t number,
-			   cs_time now)
+static struct run *new_run(struct sched *s, const struct task_ref *ref,
+			   struct server *v, uint32_t number, cs_time now)
 {
-	const struct batch_step *st = step_of(j, step);
-	struct batch_task *t = batch_task(j->batch, round, step, index);
+	struct job *j = ref->job;
+	const struct batch_step *st = step_of(j, ref->step);
+	struct batch_task *t = task_of(ref);
 	struct run *r;
 	cs_handle h = slots_take(s->runs, (void **)&r);
 
@@ -70,9 +75,9 @@
 	r->self = h;
 	r->job = j->self;
 	r->server = v->self;
-	r->round = round;
-	r->step = step;
-	r->index = index;
+	r->round = ref->round;
+	r->step = ref->step;
+	r->index = ref->index;
 	r->number = number;
 	r->sent_at = now;
 	r->pace = 100;
@@ -100,12 +105,11 @@
 }
 
 /* Orders a start. Returns NULL if the table is full. */
-struct run *runs_start(struct sched *s, struct job *j, int round, int step,
-		       int index, struct server *v, uint32_t number,
-		       const char *ticket, cs_time now)
+struct run *runs_start(struct sched *s, const struct task_ref *ref,
+		       struct server *v, uint32_t number, const char *ticket,
+		       cs_time now)
 {
-	struct batch_task *t = batch_task(j->batch, round, step, index);
-	struct run *r = new_run(s, j, round, step, index, v, number, now);
+	struct run *r = new_run(s, ref, v, number, now);
 	struct order *o;
 
 	if (!r)
@@ -114,11 +118,12 @@
 	o = new_order(s, ORDER_START, v);
 	o->ref = r->self;
 	o->run = number;
-	o->payload = g_strdup(j->batch->spec->payload);
-	o->checkpoint = g_strdup(t->checkpoint);
+	o->payload = g_strdup(ref->job->batch->spec->payload);
+	o->checkpoint = g_strdup(task_of(ref)->checkpoint);
 	o->ticket = g_strdup(ticket);
 	o->deadline_ms = servers_deadline(v, now);
-	batch_task_name(j->batch, round, step, index, o->task);
+	batch_task_name(ref->job->batch, ref->round, ref->step, ref->index,
+			o->task);
 	s->ops->send(s->ctx, o);
 	counters_add(s->counters, "camphorshed_task_starts_total", "", 1);
 	servers_hold_soon(s, v, now);
@@ -126,11 +131,10 @@
 }
 
 /* Makes the row of a run that a predecessor started. */
-struct run *runs_adopt(struct sched *s, struct job *j, int round, int step,
-		       int index, struct server *v, uint32_t number,
-		       cs_time now)
+struct run *runs_adopt(struct sched *s, const struct task_ref *ref,
+		       struct server *v, uint32_t number, cs_time now)
 {
-	struct run *r = new_run(s, j, round, step, index, v, number, now);
+	struct run *r = new_run(s, ref, v, number, now);
 	GString *pairs;
 
 	if (!r)
@@ -138,9 +142,9 @@
 	r->state = RUN_ON;
 	r->sure_at = now;
 	pairs = g_string_new(NULL);
-	log_pair(pairs, "job", j->batch->id);
-	log_pair_int(pairs, "step", step);
-	log_pair_int(pairs, "index", index);
+	log_pair(pairs, "job", ref->job->batch->id);
+	log_pair_int(pairs, "step", ref->step);
+	log_pair_int(pairs, "index", ref->index);
 	log_pair_int(pairs, "run", number);
 	log_pair(pairs, "server", v->info.id);
 	sched_log(s, "task_adopted", pairs);
@@ -248,31 +252,44 @@
 	}
 }
 
-static void log_end(struct sched *s, const struct job *j, int round, int step,
-		    int index, uint32_t number, enum batch_end how,
-		    const char *server)
+static void log_end(struct sched *s, const struct task_ref *ref,
+		    uint32_t number, enum batch_end how, const char *server)
 {
 	GString *pairs = g_string_new(NULL);
 
-	log_pair(pairs, "job", j->batch->id);
-	log_pair_int(pairs, "round", round);
-	log_pair_int(pairs, "step", step);
-	log_pair_int(pairs, "index", index);
+	log_pair(pairs, "job", ref->job->batch->id);
+	log_pair_int(pairs, "round", ref->round);
+	log_pair_int(pairs, "step", ref->step);
+	log_pair_int(pairs, "index", ref->index);
 	log_pair_int(pairs, "run", number);
 	log_pair(pairs, "how", batch_end_name(how));
 	log_pair(pairs, "server", server);
 	sched_log(s, "task_end", pairs);
 }
 
+/* The job has reached a final state: notes it, and stops what is left. */
+static void end_job(struct sched *s, struct job *j, cs_time now)
+{
+	GString *pairs = g_string_new(NULL);
+
+	log_pair(pairs, "job", j->batch->id);
+	log_pair(pairs, "state", batch_state_name(j->batch->state));
+	log_pair_int(pairs, "age_ms", (now - j->submitted) / CS_MSEC);
+	log_pair_int(pairs, "slack_ms", (j->objective_at - now) / CS_MSEC);
+	sched_log(s, "job_end", pairs);
+	if (j->batch->state == BATCH_FAILED)
+		runs_stop_all(s, j, "job failed", now);
+}
+
 /* Notes an end at its batch, and what follows from it for the job. */
-static void note_end(struct sched *s, struct job *j, int round, int step,
-		     int index, uint32_t number, enum batch_end how,
-		     const char *saved, cs_handle server, cs_time now)
+static void note_end(struct sched *s, const struct task_ref *ref,
+		     uint32_t number, enum batch_end how, const char *saved,
+		     cs_handle server, cs_time now)
 {
-	struct batch_task *t = batch_task(j->batch, round, step, index);
+	struct job *j = ref->job;
+	struct batch_task *t = task_of(ref);
 	const struct site_queue *q = sched_queue_of(s, j);
 	bool was_final = batch_is_final(j->batch);
-	GString *pairs;
 
 	if (!t)
 		return;
@@ -281,22 +298,13 @@
 		t->not_before =
 			now + FAILURE_PAUSE_US * (cs_time)(t->failures + 1);
 	}
-	if (how == BATCH_END_DONE && step_of(j, step)->is_gang)
-		release_gang(s, j, round, step);
-	batch_task_ended(j->batch, round, step, t, number, how, saved,
+	if (how == BATCH_END_DONE && step_of(j, ref->step)->is_gang)
+		release_gang(s, j, ref->round, ref->step);
+	batch_task_ended(j->batch, ref->round, ref->step, t, number, how, saved,
 			 q ? q->attempts_max : 1);
 	j->chain_ms = rank_chain_left(j);
-	if (batch_is_final(j->batch) && !was_final) {
-		pairs = g_string_new(NULL);
-		log_pair(pairs, "job", j->batch->id);
-		log_pair(pairs, "state", batch_state_name(j->batch->state));
-		log_pair_int(pairs, "age_ms", (now - j->submitted) / CS_MSEC);
-		log_pair_int(pairs, "slack_ms",
-			     (j->objective_at - now) / CS_MSEC);
-		sched_log(s, "job_end", pairs);
-		if (j->batch->state == BATCH_FAILED)
-			runs_stop_all(s, j, "job failed", now);
-	}
+	if (batch_is_final(j->batch) && !was_final)
+		end_job(s, j, now);
 	sched_note_change(s, j, now);
 	sched_wake(s);
 }
@@ -304,15 +312,15 @@
 void runs_ended(struct sched *s, struct run *r, enum batch_end how,
 		const char *saved, cs_time now)
 {
-	struct job *j = job_of(s, r);
+	const struct task_ref ref = { job_of(s, r), r->round, r->step,
+				      r->index };
 	struct server *v = server_row(s, r->server);
-	int round = r->round, step = r->step, index = r->index;
 	uint32_t number = r->number;
 	cs_handle server = r->server;
 
-	log_end(s, j, round, step, index, number, how, v->info.id);
+	log_end(s, &ref, number, how, v->info.id);
 	release(s, r);
-	note_end(s, j, round, step, index, number, how, saved, server, now);
+	note_end(s, &ref, number, how, saved, server, now);
 }
 
 /*
@@ -472,7 +480,8 @@
 	}
 	is_needed = !batch_is_final(j->batch) && seen->run >= t->run &&
 		    seen->run > t->ended_run;
-	r = runs_adopt(s, j, round, step, index, v, seen->run, now);
+	r = runs_adopt(s, &(struct task_ref){ j, round, step, index }, v,
+		       seen->run, now);
 	if (!r)
 		return;
 	update_run(s, r, seen, now);
@@ -573,17 +582,17 @@
 		if (r) {
 			runs_ended(s, r, e->how, e->saved, now);
 		} else {
+			const struct task_ref ref = { j, round, step, index };
 			struct batch_task *t;
 
 			batch_open_round(j->batch, round);
-			t = batch_task(j->batch, round, step, index);
+			t = task_of(&ref);
 			r = t ? run_row(s, t->run_row) : NULL;
 			if (r && e->how == BATCH_END_DONE)
 				runs_stop(s, r, "done elsewhere", now);
-			log_end(s, j, round, step, index, e->run, e->how,
-				v->info.id);
-			note_end(s, j, round, step, index, e->run, e->how,
-				 e->saved, v->self, now);
+			log_end(s, &ref, e->run, e->how, v->info.id);
+			note_end(s, &ref, e->run, e->how, e->saved, v->self,
+				 now);
 		}
 		health_on_end(s, v, e->how, now);
 	}
--- a/src/sched/sched_private.h
+++ b/src/sched/sched_private.h
@@ -106,6 +106,12 @@
 	int round_first; /* occurrences before it are done */
 };
 
+/* A task of a job: occurrence, step and index in the step. */
+struct task_ref {
+	struct job *job;
+	int round, step, index;
+};
+
 struct pool {
 	char name[CS_NAME_MAX];
 	GPtrArray *servers; /* struct server */
@@ -180,12 +186,11 @@
 
 /* runs.c */
 struct run *run_row(const struct sched *s, cs_handle h);
-struct run *runs_start(struct sched *s, struct job *j, int round, int step,
-		       int index, struct server *v, uint32_t number,
-		       const char *ticket, cs_time now);
-struct run *runs_adopt(struct sched *s, struct job *j, int round, int step,
-		       int index, struct server *v, uint32_t number,
+struct run *runs_start(struct sched *s, const struct task_ref *ref,
+		       struct server *v, uint32_t number, const char *ticket,
 		       cs_time now);
+struct run *runs_adopt(struct sched *s, const struct task_ref *ref,
+		       struct server *v, uint32_t number, cs_time now);
 void runs_stop(struct sched *s, struct run *r, const char *why, cs_time now);
 /* The run has ended; its row is freed. */
 void runs_ended(struct sched *s, struct run *r, enum batch_end how,
--- /dev/null
+++ b/tests/process/test_node.sh
@@ -0,0 +1,135 @@
+#!/bin/sh
+# Guards against: an entry on a shared platform that accepts what it did not
+# store, loses accepted work when entries die, runs a task twice, answers
+# false states, or does not stop gracefully. Real entries over real sockets,
+# with a stand-in of the platform.
+set -u
+cd "$(dirname "$0")/../.."
+BIN=${B:-build/rel}/camphorshed
+DIR=$(mktemp -d)
+pids=
+failures=0
+
+cleanup() {
+	for p in $pids; do kill -9 "$p" 2>/dev/null; done
+	rm -rf "$DIR"
+}
+trap cleanup EXIT
+trap 'exit 1' INT TERM HUP
+
+check() {
+	text=$1
+	shift
+	if "$@"; then
+		echo "ok      $text"
+	else
+		echo "FAILED  $text"
+		failures=$((failures + 1))
+	fi
+}
+
+free_port() {
+	python3 -c 'import socket; s = socket.socket(); s.bind(("127.0.0.1", 0)); print(s.getsockname()[1])'
+}
+
+python3 tests/process/shared_platform.py >"$DIR/platform" &
+pids=$!
+n=0
+until [ -s "$DIR/platform" ] || [ $n -ge 100 ]; do sleep 0.05; n=$((n + 1)); done
+PLATFORM=$(sed 's/.*"address": "\([^"]*\)".*/\1/' "$DIR/platform")
+
+# start_node N: an entry with its settings; sets FRONT_N, READY_N, PID_N.
+start_node() {
+	eval "front=\${FRONT_$1:-$(free_port)} ready=\${READY_$1:-$(free_port)} metrics=\${METRICS_$1:-$(free_port)}"
+	cat >"$DIR/node$1.ini" <<-END
+	[node]
+	name = node$1
+	data_centre = dc0
+	[front]
+	listen = 127.0.0.1:$front
+	readiness = 127.0.0.1:$ready
+	metrics = 127.0.0.1:$metrics
+	[store]
+	address = $PLATFORM
+	[hosts]
+	address = $PLATFORM
+	END
+	"$BIN" node -c "$DIR/node$1.ini" >>"$DIR/node$1.log" 2>&1 &
+	eval "FRONT_$1=$front READY_$1=$ready METRICS_$1=$metrics PID_$1=$!"
+	pids="$pids $!"
+}
+
+# call N METHOD PATH [curl arguments]: prints "STATUS BODY".
+call() {
+	eval "call_port=\$FRONT_$1"
+	call_method=$2
+	call_path=$3
+	shift 3
+	curl -sS -m 5 -X "$call_method" -H "Host: desk.example" \
+		-w '\n%{http_code}' "$@" "http://127.0.0.1:$call_port$call_path" \
+		2>/dev/null | awk 'NR == 1 { body = $0 } END { print $0, body }'
+}
+KEY="Authorization: Bearer errata-key"
+JOB='{"spec":"work","steps":[{"count":3,"cpu":500,"memMb":10,"estimatedMs":200},{"count":2,"cpu":500,"memMb":10,"estimatedMs":200,"after":[0]}]}'
+submit() { call "$1" POST "/checks/$2" -H "$KEY" -d "$JOB"; }
+state() { call "$1" GET "/checks/$2" -H "$KEY"; }
+is_ready() {
+	eval "ready_port=\$READY_$1"
+	curl -fsS -m 2 -o /dev/null "http://127.0.0.1:$ready_port/-/readiness" 2>/dev/null
+}
+control() { curl -fsS -m 5 "http://$PLATFORM/control/$1"; }
+owner() { control "value?key=camphorshed/control/owner" | sed 's/^"\([a-z0-9]*\) .*/\1/'; }
+# within SECONDS COMMAND...: true as soon as the command is.
+within() {
+	within_end=$(($(date +%s) + $1))
+	shift
+	until "$@"; do
+		[ "$(date +%s)" -lt "$within_end" ] || return 1
+		sleep 0.1
+	done
+}
+begins() { case $1 in "$2"*) true ;; *) echo "got \"$1\", expected \"$2\"" >&2; false ;; esac; }
+is_done() { case $(state "$1" "$2") in *'"done"'*) true ;; *) false ;; esac; }
+starts_of() { control starts | tr ',' '\n' | grep -c "$1"; }
+
+for i in 1 2 3; do start_node $i; done
+for i in 1 2 3; do check "entry $i gets ready" within 10 is_ready $i; done
+has_owner() { [ "$(owner)" != null ]; }
+check "one entry becomes the owner" within 10 has_owner
+
+check "a job is accepted" begins "$(submit 1 00000000000000a1)" 200
+check "the same job again is accepted" begins "$(submit 2 00000000000000a1)" 200
+check "it is done, and every entry says so" within 10 is_done 3 00000000000000a1
+check "each of its tasks ran once" [ "$(starts_of 00000000000000a1)" = 5 ]
+check "an unknown job is not known" begins "$(state 2 00000000000000ff)" 410
+check "a wrong key is denied" begins "$(call 1 GET /checks/00000000000000a1 -H 'Authorization: Bearer x')" 401
+check "an unknown queue is not found" begins "$(call 1 GET /other/ -H "$KEY")" 404
+check "a job in a circle is invalid" begins "$(call 1 POST /checks/00000000000000a2 -H "$KEY" -d '{"steps":[{"count":1,"after":[0]}]}')" 400
+check "a queue tells what waits" begins "$(call 2 GET /checks/ -H "$KEY")" '200 {"pending":'
+check "a cancelled job is cancelled" begins "$(submit 1 00000000000000a3; call 2 DELETE /checks/00000000000000a3 -H "$KEY")" 200
+
+begins "$(submit 1 00000000000000b1)" 200 || failures=$((failures + 1))
+first=$(owner | tr -dc 0-9)
+eval "kill -9 \$PID_$first"
+other=$((first % 3 + 1))
+check "accepted work is done after the owner was killed" within 15 is_done $other 00000000000000b1
+check "no task of it ran twice" [ "$(starts_of 00000000000000b1)" = 5 ]
+
+control "down?is=1" >/dev/null
+check "without the store nothing is accepted" begins "$(submit $other 00000000000000b2)" 503
+control "down?is=0" >/dev/null
+check "with it again work is accepted" within 10 begins "$(sleep 1; submit $other 00000000000000b3)" 200
+check "and done" within 15 is_done $other 00000000000000b3
+check "what was refused has not run" [ "$(starts_of 00000000000000b2)" = 0 ]
+
+start_node "$first"
+check "a restarted entry gets ready" within 10 is_ready "$first"
+eval "metrics_port=\$METRICS_$first"
+check "metrics are served" sh -c "curl -fsS -m 2 http://127.0.0.1:$metrics_port/metrics | grep -q camphorshed_store_calls_total"
+last=$(owner | tr -dc 0-9)
+eval "kill -TERM \$PID_$last; wait \$PID_$last"
+check "the owner ends with exit code 0 at SIGTERM" [ $? -eq 0 ]
+moved() { [ "$(owner)" != "node$last" ] && has_owner; }
+check "and another follows it" within 5 moved
+check "it logged its start and stop" sh -c "grep -q 'step=started' $DIR/node$last.log && grep -q 'step=stopped' $DIR/node$last.log"
+exit $((failures > 0))
