--- a/src/base/http_server.c
+++ b/src/base/http_server.c
@@ -17,6 +17,9 @@
  */
 #define PARSER_FIELD_MAX ((size_t)8 * 1024)
 
+/* Longer than every method with the space behind it. */
+#define METHOD_MAX 24
+
 /* Connections that wait for accept(). */
 #define BACKLOG 1024
 
@@ -61,6 +64,10 @@
 	uint64_t body_bytes;
 	size_t input_bytes; /* read for this message, with headers */
 	bool is_in_message; /* no whole request has come since the last one */
+	bool has_head; /* the head of this message has come whole */
+	/* libevhtp's own callbacks, which ours pass on to. */
+	bufferevent_data_cb read_cb, write_cb;
+	bufferevent_event_cb event_cb;
 	int fault_status; /* set by a hook that stops the parser */
 	const char *fault;
 	char peer[CS_ADDRESS_MAX];
@@ -152,6 +159,7 @@
 
 	(void)req;
 	c->is_in_message = true;
+	c->has_head = false;
 	c->header_bytes = 0;
 	c->body_bytes = 0;
 	c->input_bytes = 0;
@@ -299,6 +307,67 @@
 	refuse_connection(&c, 503, "too_many_connections", CS_SEC / CS_MSEC);
 }
 
+/* Empty lines before a request are allowed, and stop libevhtp's parser. */
+static void drop_empty_lines(struct evbuffer *in)
+{
+	char c;
+
+	while (evbuffer_copyout(in, &c, 1) == 1 && (c == '\r' || c == '\n'))
+		evbuffer_drain(in, 1);
+}
+
+/* True if the input can be the beginning of a request: a method. */
+static bool is_method(struct evbuffer *in)
+{
+	char start[METHOD_MAX];
+	ev_ssize_t n = evbuffer_copyout(in, start, sizeof(start)), i;
+
+	for (i = 0; i < n && start[i] != ' '; i++)
+		if (!g_ascii_isupper(start[i]))
+			return false;
+	return i < METHOD_MAX;
+}
+
+/* True if the head has ended, or there is no point in waiting for its end. */
+static bool is_head_whole(struct evbuffer *in)
+{
+	return !is_method(in) ||
+	       evbuffer_search(in, "\r\n\r\n", 4, NULL).pos >= 0 ||
+	       evbuffer_search(in, "\n\n", 2, NULL).pos >= 0 ||
+	       evbuffer_get_length(in) > HEADERS_MAX;
+}
+
+/*
+ * libevhtp's parser adds a stray byte to a path that comes in two parts, so a
+ * head is passed on only when it is whole.
+ */
+static void on_readable(struct bufferevent *bev, void *arg)
+{
+	struct connection *c = arg;
+
+	if (!c->has_head) {
+		drop_empty_lines(bufferevent_get_input(bev));
+		if (!is_head_whole(bufferevent_get_input(bev)))
+			return;
+		c->has_head = true;
+	}
+	c->read_cb(bev, c->conn);
+}
+
+static void on_writable(struct bufferevent *bev, void *arg)
+{
+	struct connection *c = arg;
+
+	c->write_cb(bev, c->conn);
+}
+
+static void on_bev_event(struct bufferevent *bev, short events, void *arg)
+{
+	struct connection *c = arg;
+
+	c->event_cb(bev, events, c->conn);
+}
+
 static void count_input(struct evbuffer *buf,
 			const struct evbuffer_cb_info *info, void *arg)
 {
@@ -348,6 +417,9 @@
 					  c);
 	evbuffer_add_cb(bufferevent_get_input(conn->bev), count_input, c);
 	bufferevent_setwatermark(conn->bev, EV_READ, 0, READ_AHEAD_MAX);
+	bufferevent_getcb(conn->bev, &c->read_cb, &c->write_cb, &c->event_cb,
+			  NULL);
+	bufferevent_setcb(conn->bev, on_readable, on_writable, on_bev_event, c);
 	return EVHTP_RES_OK;
 }
 
--- a/src/node/desk.c
+++ b/src/node/desk.c
@@ -81,7 +81,11 @@
 	GString *pairs = g_string_new(NULL);
 
 	log_pair(pairs, "kind", desk_kind_name(r->kind));
-	log_pair(pairs, "job", id ? id : "");
+	/* A request that names no job is told by its path. */
+	if (id)
+		log_pair(pairs, "job", id);
+	else
+		log_pair(pairs, "path", r->path);
 	log_pair(pairs, "queue", queue);
 	log_pair(pairs, "workspace", workspace);
 	log_pair(pairs, "result", desk_result_name(reply->result));
--- a/tests/process/test_node.sh
+++ b/tests/process/test_node.sh
@@ -101,6 +101,8 @@
 check "the same job again is accepted" begins "$(submit 2 00000000000000a1)" 200
 check "it is done, and every entry says so" within 10 is_done 3 00000000000000a1
 check "each of its tasks ran once" [ "$(starts_of 00000000000000a1)" = 5 ]
+check "a request in two parts is read whole" python3 \
+	tests/process/split_request.py "$FRONT_1" /checks/00000000000000a1
 check "an unknown job is not known" begins "$(state 2 00000000000000ff)" 410
 check "a wrong key is denied" begins "$(call 1 GET /checks/00000000000000a1 -H 'Authorization: Bearer x')" 401
 check "an unknown queue is not found" begins "$(call 1 GET /other/ -H "$KEY")" 404
