--- a/src/batch/batch.c
+++ b/src/batch/batch.c
@@ -408,16 +408,36 @@
 		 index);
 }
 
+/* Reads ".NUMBER" and moves on behind it. */
+static bool read_part(const char **s, int *value)
+{
+	const char *p = *s;
+	int64_t n = 0;
+
+	if (*p++ != '.' || !g_ascii_isdigit(*p))
+		return false;
+	while (g_ascii_isdigit(*p) && n < INT32_MAX)
+		n = 10 * n + (*p++ - '0');
+	*value = (int)MIN(n, INT32_MAX);
+	*s = p;
+	return true;
+}
+
 int batch_task_name_parse(const char *name, char id[BATCH_ID_MAX], int *round,
 			  int *step, int *index)
 {
-	int end = 0;
+	const char *rest = name;
+	int i;
 
-	if (sscanf(name, "%16[0-9a-fA-F].%d.%d.%d%n", id, round, step, index,
-		   &end) != 4 ||
-	    name[end] || strlen(id) != BATCH_ID_MAX - 1)
+	for (i = 0; i < BATCH_ID_MAX - 1; i++)
+		if (!g_ascii_isxdigit(*rest++))
+			return CS_ERR_INVALID;
+	memcpy(id, name, BATCH_ID_MAX - 1);
+	id[BATCH_ID_MAX - 1] = '\0';
+	if (!read_part(&rest, round) || !read_part(&rest, step) ||
+	    !read_part(&rest, index) || *rest)
 		return CS_ERR_INVALID;
-	return *round < 0 || *step < 0 || *index < 0 ? CS_ERR_INVALID : CS_OK;
+	return CS_OK;
 }
 
 const char *batch_state_name(enum batch_state state)
--- a/src/node/commit.c
+++ b/src/node/commit.c
@@ -188,6 +188,7 @@
 		sched_ended_grant_removed(n->sched, c->ended_grant);
 	if (is_stored && c->expired)
 		sched_expired_removed(n->sched, c->expired);
+	sched_commit_ended(n->sched, now);
 	g_array_set_size(c->batches, 0);
 	g_array_set_size(c->grants, 0);
 	g_free(c->ended_grant);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -12,9 +12,6 @@
  */
 #define WATCH_WAIT_MS 900
 #define WATCH_SLACK_MS 500
-/* Turns run again while the scheduler has more to start. */
-#define TURNS_MAX 8
-
 static void send_store_call(void *ctx, struct store_call *call)
 {
 	struct node *n = ctx;
@@ -214,6 +211,7 @@
 
 	n->unix_ms = unix_ms;
 	n->unix_at = now;
+	n->started_at = now;
 	o.prefix = n->formats->operator_prefix;
 	n->operators =
 		view_create(&o, n->calls, n->timers, &operator_ops, n, now);
@@ -274,14 +272,12 @@
 
 void node_turn(struct node *n, int64_t unix_ms, cs_time now)
 {
-	int i;
-
 	n->unix_ms = unix_ms;
 	n->unix_at = now;
 	timers_advance(n->timers, now);
 	owner_turn(n, now);
 	term_turn(n, now);
-	for (i = 0; n->sched && i < TURNS_MAX; i++)
+	if (n->sched)
 		sched_turn(n->sched, unix_ms, now);
 	commit_turn(n, now);
 	queues_publish(n, now);
@@ -289,7 +285,10 @@
 
 cs_time node_next_due(const struct node *n)
 {
-	return timers_next_due(n->timers);
+	cs_time due = timers_next_due(n->timers);
+	cs_time turn = n->sched ? sched_next_turn(n->sched) : CS_TIME_NEVER;
+
+	return MIN(due, turn);
 }
 
 struct counters *node_counters(struct node *n)
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -46,6 +46,7 @@
 	char name[CS_NAME_MAX];
 	uint64_t incarnation; /* differs between starts of one entry */
 	uint32_t seed;
+	int cpu_share; /* of a core, thousandths; 0: not told */
 	int64_t lease_min_ms; /* shortest lease that the store grants */
 	struct sched_bounds bounds;
 };
--- a/src/node/node_private.h
+++ b/src/node/node_private.h
@@ -82,6 +82,7 @@
 	int64_t unix_ms;
 	cs_time unix_at;
 	bool is_draining;
+	cs_time started_at;
 	/* Belief. */
 	struct view *operators, *control; /* always */
 	struct view *work, *servers; /* while owner */
--- a/src/node/ownership.c
+++ b/src/node/ownership.c
@@ -34,7 +34,12 @@
 /* Leases of servers (see sched_private.h) and their clock error, rounded up. */
 #define SERVER_LEASE_US (3700 * CS_MSEC)
 /* Entries try to become the owner at different times, to spare the store. */
-#define TAKE_SPREAD_US (120 * CS_MSEC)
+#define TAKE_SPREAD_US (40 * CS_MSEC)
+/* A usual entry has a quarter of a core, in thousandths. */
+#define CPU_SHARE_USUAL 250
+/* A rolling restart of a site takes about so long. */
+#define RESTART_US (15 * CS_SEC)
+#define OLD_DELAY_US (100 * CS_MSEC)
 #define TAKE_RETRY_US (300 * CS_MSEC)
 
 static void take(struct node *n, cs_time now);
@@ -75,10 +80,27 @@
 	n->owner.timer = timers_subscribe(n->timers, at, on_timer, n, 0);
 }
 
+/*
+ * How long this entry lets others go first. The owner's work grows with the
+ * fleet, so entries with more processor come earlier. An entry that has just
+ * started comes earlier as well: in a rolling restart the others are still to
+ * be stopped, and each change of the owner costs a pause.
+ */
+static cs_time take_delay(const struct node *n, cs_time now)
+{
+	int share = n->options.cpu_share > 0 ? n->options.cpu_share :
+					       CPU_SHARE_USUAL;
+	cs_time delay = TAKE_SPREAD_US * CPU_SHARE_USUAL / share;
+
+	if (now - n->started_at > RESTART_US)
+		delay += OLD_DELAY_US;
+	return delay + g_rand_int_range(n->rng, 0, TAKE_SPREAD_US);
+}
+
 static void plan(struct node *n, cs_time now)
 {
 	if (view_is_synced(n->control) && !n->owner.is_key_present && n->site)
-		want(n, now + g_rand_int_range(n->rng, 0, TAKE_SPREAD_US));
+		want(n, now + take_delay(n, now));
 }
 
 static void on_kept(void *ctx, uint64_t arg, const struct store_done *d,
--- a/src/sched/balance.c
+++ b/src/sched/balance.c
@@ -26,8 +26,10 @@
 #define FALL_SHARE 0.08
 /* Standing idle so long, a server goes to the standby pool. */
 #define IDLE_US (1500 * CS_MSEC)
-/* Orders in one look; the host service takes some 64 calls a second. */
-#define MOVES_MAX 6
+/* Of the calls that the host service takes, the part for moves. */
+#define CALLS_SHARE 0.75
+/* Of the moves of one look, the part that may empty pools. */
+#define RELEASE_SHARE 0.34
 /* After this an order's effect must show in the list, or it is given up. */
 #define MOVE_LOST_US (6 * CS_SEC)
 
@@ -73,6 +75,14 @@
 	g_free(b);
 }
 
+/* Moves in one look, within the rate of the host service. */
+static int moves_max(const struct balance *b)
+{
+	return (int)((double)b->sched->options.bounds.host_calls_per_s *
+		     CALLS_SHARE * (double)LOOK_US / (double)CS_SEC) +
+	       1;
+}
+
 /* A pool as balancing sees it. */
 struct side {
 	struct pool *pool;
@@ -122,7 +132,7 @@
 /* Servers that the pool's demand needs; a fall is believed slowly. */
 static int wanted_servers(struct pool *p)
 {
-	double used = 0, room = 0, demand;
+	double used = 0, room = 0, waiting, demand;
 	int servers = 0;
 	guint i;
 
@@ -137,7 +147,10 @@
 	}
 	if (servers)
 		p->server_cpu = room / servers;
-	demand = used + waiting_cpu(p);
+	waiting = waiting_cpu(p);
+	if (waiting > 0)
+		p->has_had_demand = true;
+	demand = used + waiting;
 	if (demand >= p->demand)
 		p->demand = demand;
 	else
@@ -314,7 +327,7 @@
 {
 	int moves = 0;
 
-	while (moves < MOVES_MAX) {
+	while (moves < moves_max(b)) {
 		struct side *to = NULL;
 		struct order_host *h;
 		guint i;
@@ -339,6 +352,7 @@
 static void release(struct balance *b, GPtrArray *sides, int moves, cs_time now)
 {
 	struct side *standby = NULL;
+	int max = (int)(moves_max(b) * RELEASE_SHARE) + 1;
 	guint i, k;
 
 	for (i = 0; i < sides->len && !standby; i++) {
@@ -350,8 +364,11 @@
 	for (i = 0; standby && i < sides->len; i++) {
 		struct side *x = g_ptr_array_index(sides, i);
 
-		for (k = 0; !x->is_standby && k < x->idle->len &&
-			    moves < MOVES_MAX && x->servers > x->want;
+		/* Before the first demand nobody knows what comes. */
+		if (!x->pool->has_had_demand)
+			continue;
+		for (k = 0; !x->is_standby && k < x->idle->len && moves < max &&
+			    x->servers > x->want;
 		     k++) {
 			struct order_host *h = g_ptr_array_index(x->idle, k);
 			const struct server *v = g_hash_table_lookup(
--- a/src/sched/fill.c
+++ b/src/sched/fill.c
@@ -223,8 +223,14 @@
 
 	reserve_turn(s);
 	g_hash_table_iter_init(&it, s->pools);
-	while (left > 0 && g_hash_table_iter_next(&it, NULL, &row))
-		left -= fill_pool(s, row, now, left);
-	if (left <= 0)
-		sched_wake(s);
+	while (left > 0 && g_hash_table_iter_next(&it, NULL, &row)) {
+		struct pool *p = row;
+
+		if (!p->is_due && !s->are_pools_due)
+			continue;
+		p->is_due = false;
+		left -= fill_pool(s, p, now, left);
+	}
+	s->are_pools_due = left <= 0;
+	s->is_turn_due |= s->are_pools_due;
 }
--- a/src/sched/runs.c
+++ b/src/sched/runs.c
@@ -306,7 +306,7 @@
 	if (batch_is_final(j->batch) && !was_final)
 		end_job(s, j, now);
 	sched_note_change(s, j, now);
-	sched_wake(s);
+	sched_wake_pool(s, j->pool);
 }
 
 void runs_ended(struct sched *s, struct run *r, enum batch_end how,
@@ -339,7 +339,7 @@
 		j->batch->running--;
 	}
 	sched_note_change(s, j, now);
-	sched_wake(s);
+	sched_wake_pool(s, j->pool);
 }
 
 static void log_refused(struct sched *s, const struct run *r,
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -10,6 +10,11 @@
 #define JOBS_MAX (1u << 18)
 #define RUNS_MAX (1u << 18)
 
+/*
+ * Events of so long are handled in one turn, as ranking the jobs of a pool
+ * costs the same for one event as for many.
+ */
+#define TURN_GAP_US (4 * CS_MSEC)
 /* The scheduler looks at what time alone makes due this often. */
 #define TURN_US (50 * CS_MSEC)
 
@@ -33,7 +38,8 @@
 	struct sched *s = ctx;
 
 	(void)arg;
-	s->is_turn_due = true;
+	s->are_servers_due = true;
+	sched_wake(s);
 	s->turn_timer =
 		timers_subscribe(s->timers, now + TURN_US, on_turn_timer, s, 0);
 }
@@ -134,10 +140,18 @@
 	return p;
 }
 
-/* The next call of sched_turn() looks at all queues. */
+/* The next turn looks at all pools. */
 void sched_wake(struct sched *s)
+{
+	s->is_turn_due = s->are_pools_due = true;
+}
+
+/* The next turn looks at that pool. */
+void sched_wake_pool(struct sched *s, struct pool *p)
 {
 	s->is_turn_due = true;
+	if (p)
+		p->is_due = true;
 }
 
 /* Writes an event and releases its pairs. */
@@ -273,7 +287,7 @@
 	}
 	if (g_hash_table_remove(s->cancelled, b->id))
 		sched_cancel(s, b->id, now);
-	sched_wake(s);
+	sched_wake_pool(s, j->pool);
 }
 
 void sched_cancel(struct sched *s, const char *id, cs_time now)
@@ -344,21 +358,30 @@
 		upkeep_on_done(s, d, now);
 		break;
 	}
-	sched_wake(s);
+	if (v && d->type != ORDER_HOLD && d->type != ORDER_PACE)
+		sched_wake_pool(s, sched_pool(s, v->info.pool));
 }
 
 void sched_turn(struct sched *s, int64_t unix_ms, cs_time now)
 {
-	if (!s->is_turn_due)
+	if (!s->is_turn_due || now < s->next_turn_at)
 		return;
 	s->is_turn_due = false;
+	s->next_turn_at = now + TURN_GAP_US;
 	s->unix_ms = unix_ms;
 	s->unix_at = now;
-	servers_turn(s, now);
+	if (s->are_servers_due)
+		servers_turn(s, now);
+	s->are_servers_due = false;
 	if (s->is_ready && !s->is_paused && !s->is_fenced)
 		fill_turn(s, now);
 }
 
+cs_time sched_next_turn(const struct sched *s)
+{
+	return s->is_turn_due ? s->next_turn_at : CS_TIME_NEVER;
+}
+
 size_t sched_take_changed(struct sched *s, cs_handle *out, size_t max)
 {
 	size_t n = 0;
@@ -411,6 +434,10 @@
 		j->stored_revision = revision;
 		sched_note_change(s, j, now);
 	}
+}
+
+void sched_commit_ended(struct sched *s, cs_time now)
+{
 	forget_ends(s, now);
 }
 
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -52,6 +52,7 @@
 	int64_t stop_grace_ms; /* longest time of a stop */
 	int64_t early_ms; /* before its due time a task may start */
 	double remote_slowdown;
+	int host_calls_per_s; /* that the host service takes */
 	int64_t holder_pause_ms; /* between two holders of host orders */
 	int64_t unavailable_ms; /* away so long, a lasting task counts */
 };
@@ -136,6 +137,11 @@
 		  uint64_t revision, cs_time now);
 void sched_store_failed(struct sched *sched, cs_handle batch,
 			uint64_t revision);
+/* All batches of a transaction have been told. */
+void sched_commit_ended(struct sched *sched, cs_time now);
+
+/* When sched_turn() has something to do next, or CS_TIME_NEVER. */
+cs_time sched_next_turn(const struct sched *sched);
 
 /* Servers about to get their first order: the store must know them first. */
 cs_handle sched_next_grant(const struct sched *sched, cs_handle after);
--- a/src/sched/sched_private.h
+++ b/src/sched/sched_private.h
@@ -116,6 +116,8 @@
 	char name[CS_NAME_MAX];
 	GPtrArray *servers; /* struct server */
 	GPtrArray *jobs; /* struct job, not final */
+	bool is_due; /* something changed since the last turn */
+	bool has_had_demand;
 	double demand; /* thousandths of a core; falls slowly */
 	double server_cpu; /* mean room of a server */
 };
@@ -128,7 +130,8 @@
 	struct counters *counters;
 	struct site *site;
 	bool is_ready, is_paused, is_fenced;
-	bool is_turn_due;
+	bool is_turn_due, are_pools_due, are_servers_due;
+	cs_time next_turn_at;
 	cs_time confirmed_at; /* nobody else was the owner until then */
 	cs_time started_at;
 	int64_t unix_ms; /* at the last turn */
@@ -156,6 +159,7 @@
 struct pool *sched_pool(struct sched *s, const char *name);
 void sched_note_change(struct sched *s, struct job *j, cs_time now);
 void sched_wake(struct sched *s);
+void sched_wake_pool(struct sched *s, struct pool *p);
 void sched_set_objective(struct sched *s, struct job *j);
 void sched_log(struct sched *s, const char *event, GString *pairs);
 const struct site_queue *sched_queue_of(const struct sched *s,
--- a/src/settings/node_settings.c
+++ b/src/settings/node_settings.c
@@ -27,6 +27,9 @@
 	/* Five lines a task at 400 tasks a second. */
 	{ "log_lines_max", &settings_count, FIELD(log_lines_max), 10, 100000,
 	  "lines a second", "2000" },
+	/* Without it an entry counts as one of the usual small hosts. */
+	{ "cpu_share", &settings_share, FIELD(cpu_share), 1, 1024000, "cores",
+	  "0.25" },
 	/* The platform kills a process 6 s after it asked it to stop. */
 	{ "drain", &settings_duration, FIELD(drain_ms), 100, 60000, "ms",
 	  "4s" },
@@ -50,6 +53,9 @@
 
 static const struct settings_key hosts_keys[] = {
 	ADDRESS("address", FIELD(hosts_address), ""),
+	/* What the platform accepts from all entries together. */
+	{ "calls_per_s", &settings_share, FIELD(host_calls_per_ks), 1,
+	  1000000000, "calls a second", "60" },
 };
 
 static const struct settings_key advisor_keys[] = {
--- a/src/settings/node_settings.h
+++ b/src/settings/node_settings.h
@@ -16,6 +16,8 @@
 	char advisor_address[CS_ADDRESS_MAX]; /* "": no advisor */
 	enum log_level log_level;
 	int log_lines_max; /* a second */
+	int host_calls_per_ks; /* in 1,000 s */
+	int cpu_share; /* of a core, thousandths */
 	int connections_max; /* callers */
 	int64_t body_max; /* bytes */
 	int64_t drain_ms;
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -1794,7 +1794,8 @@
 {
 	struct wnode *n = &w->nodes[node];
 	struct node_options o = { .lease_min_ms = 1000,
-				  .bounds = { .hold_max_ms = HOLD_MAX_MS,
+				  .bounds = { .host_calls_per_s = 60,
+					      .hold_max_ms = HOLD_MAX_MS,
 					      .stop_grace_ms = STOP_MS,
 					      .holder_pause_ms = 3000,
 					      .unavailable_ms = 4500 } };
