--- a/src/cmd/main.c
+++ b/src/cmd/main.c
@@ -7,6 +7,7 @@
 #include "../../platform/node_run.h"
 #include "../ctl/ctl.h"
 #include "../entry/entry_run.h"
+#include "../explain/explain.h"
 #include "../settings/check_config.h"
 
 /* Exit codes of all commands but ctl, which has more. */
@@ -27,6 +28,8 @@
 	{ "entry", "-c FILE", "run an entry until SIGTERM", entry_main, NULL },
 	{ "node", "[-c FILE]", "run an entry on a shared platform", node_main,
 	  NULL },
+	{ "explain", "JOB [FILE...]", "tell a job's life from the logs",
+	  explain_main, explain_help },
 	{ "check-config", "FILE", "check a settings file or fleet document",
 	  check_config_main, NULL },
 	{ "ctl", "VERB ...", "operate a site through one of its entries",
--- a/src/node/desk.c
+++ b/src/node/desk.c
@@ -19,8 +19,14 @@
 #define REPLY_MARGIN_MS 150
 /* Used when the caller does not say how long it waits. */
 #define TIMEOUT_MS 3000
-/* A call that the store refused is made again while time is left. */
+/*
+ * A call that the store refused is made again, but not for long: another entry
+ * may reach the store, and the caller can ask there at once.
+ */
 #define RETRY_US (60 * CS_MSEC)
+#define RETRY_FOR_US (400 * CS_MSEC)
+/* The store has failed for so long that a request need not try it. */
+#define STORE_LOST_US (400 * CS_MSEC)
 /* The front is told to send callers elsewhere when belief is older. */
 #define READY_AGE_US (2500 * CS_MSEC)
 #define RETRY_AFTER_MS 1000
@@ -191,7 +197,8 @@
 /* Calls again shortly, or says that the store can't be used. */
 static void retry(struct open_request *o, const char *reason, cs_time now)
 {
-	if (now + RETRY_US < o->answer_by) {
+	if (now + RETRY_US < o->answer_by &&
+	    now - o->request->received < RETRY_FOR_US) {
 		timers_subscribe(o->node->timers, now + RETRY_US, on_retry,
 				 o->node, o->self);
 		return;
@@ -473,6 +480,11 @@
 		       "not a job identifier", now);
 		return;
 	}
+	if (n->store_lost_at && now - n->store_lost_at > STORE_LOST_US) {
+		refuse(n, r, DESK_UNAVAILABLE, "the store can't be reached",
+		       now);
+		return;
+	}
 	if (r->kind == DESK_SUBMIT && !r->spec) {
 		refuse(n, r, DESK_INVALID, "the job can't be read", now);
 		return;
--- a/src/node/node_core.c
+++ b/src/node/node_core.c
@@ -44,9 +44,11 @@
 static void emit_log(void *ctx, const char *event, const char *pairs)
 {
 	struct node_core *c = ctx;
+	char *line = g_strdup_printf("event=%s %s", event, pairs);
 
-	log_write(node_bus_log(c->bus), LOG_INFO, "core", event, NULL, NULL,
-		  pairs);
+	log_write(node_bus_log(c->bus), LOG_INFO, "core", NULL, NULL, NULL,
+		  line);
+	g_free(line);
 }
 
 static const struct node_ops node_ops = { emit_store_call, emit_order,
--- a/tests/process/test_node.sh
+++ b/tests/process/test_node.sh
@@ -133,5 +133,7 @@
 check "the owner ends with exit code 0 at SIGTERM" [ $? -eq 0 ]
 moved() { [ "$(owner)" != "node$last" ] && has_owner; }
 check "and another follows it" within 5 moved
-check "it logged its start and stop" sh -c "grep -q 'step=started' $DIR/node$last.log && grep -q 'step=stopped' $DIR/node$last.log"
+check "it logged its start and stop" sh -c "grep -q 'event=started' $DIR/node$last.log && grep -q 'event=stopped' $DIR/node$last.log"
+check "the life of a job is told from the logs" sh -c "$BIN explain 00000000000000a1 $DIR/node*.log | grep -q 'event=job_end'"
+check "an unknown job is not found in them" sh -c "! $BIN explain 00000000000000fe $DIR/node*.log 2>/dev/null"
 exit $((failures > 0))
