--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,7 @@
 UNIT_SRC := $(wildcard tests/unit/test_*.c)
 UNIT_BIN := $(UNIT_SRC:tests/unit/%.c=$(B)/unit/%)
 UNIT_COMMON := $(filter-out $(UNIT_SRC),$(wildcard tests/unit/*.c)) \
-	tests/world/world.c
+	$(filter-out %/main.c,$(wildcard tests/world/*.c))
 STANDIN_OBJ := $(patsubst %.c,$(B)/%.o,$(wildcard tests/standin/*.c))
 SOAK_OBJ := $(patsubst %.c,$(B)/%.o,$(wildcard tests/soak/*.c))
 WORLD_OBJ := $(patsubst %.c,$(B)/%.o,$(wildcard tests/world/*.c))
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -1,4 +1,4 @@
-#include "world.h"
+#include "world_private.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -7,176 +7,22 @@
 
 #include "../../src/base/error.h"
 
-/* Figures of the platform that this world keeps to. */
-#define HOLD_MAX_MS 10000
-#define STOP_MS 400
-#define CONFIRM_CANCEL_MS 3000
-#define HEARTBEAT_LOSS_MS 4500
-#define MAINTENANCE_MS 2000
-#define ATTEMPTS_MAX 3
-/* A lasting task that is away for other reasons counts after this. */
-#define NOTICE_MS 4500
-/* An entry is in touch this long after its last fault. */
-#define CONTACT_MS 3000
-/* An accepted job is known everywhere within this time. */
-#define VISIBLE_MS 3000
-/* Configurations are in force within this time. */
-#define APPLY_MS 2000
-#define DATA_CENTRES 3
-#define NODES_MAX 16
-#define UNIX_START_MS INT64_C(1700000000000)
-
-struct wnode {
-	struct world *world;
-	int index;
-	struct node *node; /* NULL: down */
-	uint64_t generation;
-	cs_handle wake;
-	cs_time paused_until, disturbed_at;
-	bool is_cut_from_store;
-	bool *cut_from_server;
-};
-
-struct wrun {
-	char task[BATCH_TASK_NAME_MAX];
-	uint32_t run;
-	int job, step, index;
-	int64_t started_ms, work_ms; /* server's clock; work left at start */
-	int64_t stop_ms; /* server's clock; 0: no stop */
-	int pace;
-	cs_handle timer;
-};
-
-struct wend {
-	uint64_t number;
-	char task[BATCH_TASK_NAME_MAX];
-	uint32_t run;
-	enum batch_end how;
-	char saved[32];
-	int job, step, index;
-	bool is_noted;
-};
-
-struct wserver {
-	struct world *world;
-	int index, pool, data_centre;
-	char id[CS_NAME_MAX], host[CS_NAME_MAX], address[CS_ADDRESS_MAX];
-	bool is_up, is_listed, is_draining, is_failing, is_mute, is_maintained;
-	uint64_t born;
-	cs_time born_at;
-	double speed; /* of its clock */
-	uint64_t token, next_end;
-	int64_t lease_ms; /* on its clock */
-	cs_handle lease_timer;
-	GPtrArray *runs; /* struct wrun */
-	GPtrArray *ends; /* struct wend */
-	GPtrArray *stopped; /* "TASK RUN" */
-	struct site_room used;
-	struct whold *waiting;
-	cs_time drain_since;
-	int life;
-};
-
-struct whold {
-	struct wserver *server;
-	struct order *order;
-	int node;
-	uint64_t generation;
-	cs_time sent;
-	cs_handle timer;
-};
-
-struct wjob {
-	char id[BATCH_ID_MAX];
-	struct world_job spec;
-	enum world_answer answer;
-	int refusals, submissions;
-	cs_time accepted_at;
-	int shown; /* state, -1 */
-	bool is_cancel_asked;
-	cs_time cancelled_at; /* acknowledged */
-	int starts;
-	bool *done; /* tasks */
-	int *failed; /* ends of the task that count, all */
-	int *noted_failed; /* of these, acknowledged */
-	int *noted_done_at; /* ms, 0: no */
-	int *running; /* runs of the task on live servers */
-	cs_time *away_since; /* lasting tasks; 0: at work */
-	bool *away_by_order;
-};
-
-struct witem {
-	GBytes *value;
-	uint64_t revision, created, lease;
-};
-
-struct wchange {
-	char *key;
-	GBytes *value; /* NULL: deleted */
-	uint64_t revision, created, lease;
-};
-
-struct wwatch {
-	struct store_call *call;
-	int node;
-	uint64_t generation;
-	cs_time sent;
-	cs_handle timer;
-};
-
-struct wlease {
-	uint64_t id;
-	cs_time ends;
-	int64_t ttl_ms;
-};
-
-struct world {
-	struct world_options options;
-	GRand *rng;
-	struct timers *timers;
-	cs_time now;
-	char *broken;
-	struct wnode nodes[NODES_MAX];
-	GPtrArray *servers; /* struct wserver */
-	GPtrArray *jobs; /* struct wjob */
-	GHashTable *job_by_id;
-	/* store */
-	GTree *items; /* key -> struct witem */
-	GPtrArray *log; /* struct wchange */
-	uint64_t revision, compacted, next_lease;
-	GPtrArray *watches; /* struct wwatch */
-	GHashTable *leases;
-	bool is_store_down, leases_lapse;
-	cs_time disturbed_at;
-	int lose_per_mille;
-	bool is_lose_late;
-	int late_per_mille;
-	int64_t limit_cpu, used_cpu;
-	cs_time limit_since;
-	uint64_t site_version;
-	bool out[DATA_CENTRES];
-	cs_time out_since[DATA_CENTRES];
-	/* wave */
-	uint64_t wave;
-	int wave_max, wave_down;
-};
-
-static int random_ms(struct world *w, int from, int to)
+int world_random_ms(struct world *w, int from, int to)
 {
 	return g_rand_int_range(w->rng, from, to);
 }
 
-static cs_time delay(struct world *w)
+cs_time world_delay(struct world *w)
 {
 	return (cs_time)g_rand_int_range(w->rng, 300, 2500);
 }
 
-static bool chance(struct world *w, int per_mille)
+bool world_chance(struct world *w, int per_mille)
 {
 	return per_mille && g_rand_int_range(w->rng, 0, 1000) < per_mille;
 }
 
-static void G_GNUC_PRINTF(2, 3) broke(struct world *w, const char *fmt, ...)
+void world_break(struct world *w, const char *fmt, ...)
 {
 	va_list args;
 	char *text;
@@ -190,8 +36,6 @@
 	g_free(text);
 }
 
-/* ---- entries ---- */
-
 static void turn(struct wnode *n);
 
 static void on_wake(void *ctx, uint64_t arg, cs_time now)
@@ -205,7 +49,7 @@
 	turn(n);
 }
 
-static int64_t unix_ms(const struct world *w)
+int64_t world_unix_ms(const struct world *w)
 {
 	return UNIX_START_MS + w->now / 1000;
 }
@@ -220,7 +64,7 @@
 	if (!n->node)
 		return;
 	if (w->now >= n->paused_until)
-		node_turn(n->node, unix_ms(w), w->now);
+		node_turn(n->node, world_unix_ms(w), w->now);
 	due = node_next_due(n->node);
 	if (due < n->paused_until)
 		due = n->paused_until;
@@ -282,8 +126,8 @@
 	return d;
 }
 
-static void deliver_store(struct world *w, int node, uint64_t generation,
-			  struct store_done *done, cs_time at)
+void world_deliver_store(struct world *w, int node, uint64_t generation,
+			 struct store_done *done, cs_time at)
 {
 	struct delivery *d = new_delivery(w, node, generation);
 
@@ -291,8 +135,8 @@
 	timers_subscribe(w->timers, at, on_delivery, d, 0);
 }
 
-static void deliver_order(struct world *w, int node, uint64_t generation,
-			  struct order_done *done, cs_time at)
+void world_deliver_order(struct world *w, int node, uint64_t generation,
+			 struct order_done *done, cs_time at)
 {
 	struct delivery *d = new_delivery(w, node, generation);
 
@@ -300,1196 +144,6 @@
 	timers_subscribe(w->timers, at, on_delivery, d, 0);
 }
 
-/* ---- store ---- */
-
-static void bytes_unref(void *b)
-{
-	if (b)
-		g_bytes_unref(b);
-}
-
-static void item_free(void *row)
-{
-	struct witem *i = row;
-
-	bytes_unref(i->value);
-	g_free(i);
-}
-
-static void change_free(void *row)
-{
-	struct wchange *c = row;
-
-	g_free(c->key);
-	bytes_unref(c->value);
-	g_free(c);
-}
-
-static gint compare_keys(const void *a, const void *b, void *ctx)
-{
-	(void)ctx;
-	return strcmp(a, b);
-}
-
-static void answer_watches(struct world *w);
-
-static void add_change(struct world *w, const char *key,
-		       const struct witem *item, uint64_t revision)
-{
-	struct wchange *c = g_new0(struct wchange, 1);
-
-	c->key = g_strdup(key);
-	c->revision = revision;
-	if (item) {
-		c->value = g_bytes_ref(item->value);
-		c->created = item->created;
-		c->lease = item->lease;
-	}
-	g_ptr_array_add(w->log, c);
-}
-
-static void put(struct world *w, const char *key, GBytes *value, uint64_t lease,
-		uint64_t revision)
-{
-	struct witem *old = g_tree_lookup(w->items, key);
-	struct witem *i = g_new0(struct witem, 1);
-
-	i->value = g_bytes_ref(value);
-	i->revision = revision;
-	i->created = old ? old->created : revision;
-	i->lease = lease;
-	add_change(w, key, i, revision);
-	g_tree_replace(w->items, g_strdup(key), i);
-}
-
-static void del(struct world *w, const char *key, uint64_t revision)
-{
-	if (!g_tree_lookup(w->items, key))
-		return;
-	add_change(w, key, NULL, revision);
-	g_tree_remove(w->items, key);
-}
-
-/* The operators and servers write past the entries' limits. */
-static void put_text(struct world *w, const char *key, const char *text)
-{
-	GBytes *value = g_bytes_new(text, strlen(text));
-
-	put(w, key, value, 0, ++w->revision);
-	g_bytes_unref(value);
-	answer_watches(w);
-}
-
-static void del_key(struct world *w, const char *key)
-{
-	del(w, key, ++w->revision);
-	answer_watches(w);
-}
-
-struct range {
-	const char *prefix, *after;
-	struct store_done *done;
-	guint max;
-};
-
-static gboolean add_range(void *key, void *value, void *ctx)
-{
-	struct range *r = ctx;
-	const struct witem *i = value;
-
-	if (!g_str_has_prefix(key, r->prefix) ||
-	    (r->after && strcmp(key, r->after) <= 0))
-		return FALSE;
-	if (r->done->items->len >= r->max) {
-		r->done->has_more = true;
-		return TRUE;
-	}
-	store_done_add(r->done, key, g_bytes_ref(i->value), i->revision,
-		       i->created, i->lease);
-	return FALSE;
-}
-
-static bool fill_watch(struct world *w, const struct store_call *c,
-		       struct store_done *d)
-{
-	guint i;
-
-	d->result = STORE_OK;
-	d->revision = w->revision;
-	if (c->after < w->compacted) {
-		d->result = STORE_COMPACTED;
-		return true;
-	}
-	for (i = 0; i < w->log->len; i++) {
-		const struct wchange *ch = g_ptr_array_index(w->log, i);
-
-		if (ch->revision > c->after &&
-		    g_str_has_prefix(ch->key, c->key))
-			store_done_add(d, ch->key,
-				       ch->value ? g_bytes_ref(ch->value) :
-						   NULL,
-				       ch->revision, ch->created, ch->lease);
-	}
-	return d->items->len > 0;
-}
-
-static void end_watch(struct world *w, struct wwatch *x, struct store_done *d)
-{
-	d->sent = x->sent;
-	if (w->is_store_down || w->nodes[x->node].is_cut_from_store) {
-		d->result = STORE_UNKNOWN;
-		g_ptr_array_set_size(d->items, 0);
-		deliver_store(w, x->node, x->generation, d,
-			      x->sent + x->call->timeout_ms * CS_MSEC);
-	} else {
-		deliver_store(w, x->node, x->generation, d, w->now + delay(w));
-	}
-	timers_cancel(w->timers, x->timer);
-	g_ptr_array_remove_fast(w->watches, x);
-	store_call_free(x->call);
-	g_free(x);
-}
-
-static void answer_watches(struct world *w)
-{
-	guint i;
-
-	for (i = w->watches->len; i-- > 0;) {
-		struct wwatch *x = g_ptr_array_index(w->watches, i);
-		struct store_done *d = store_done_new(x->call);
-
-		if (fill_watch(w, x->call, d))
-			end_watch(w, x, d);
-		else
-			store_done_free(d);
-	}
-}
-
-static void on_watch_end(void *ctx, uint64_t arg, cs_time now)
-{
-	struct world *w = ctx;
-	guint i;
-
-	(void)now;
-	for (i = 0; i < w->watches->len; i++) {
-		struct wwatch *x = g_ptr_array_index(w->watches, i);
-
-		if (x->call->ref == arg && x->timer) {
-			struct store_done *d = store_done_new(x->call);
-
-			x->timer = 0;
-			fill_watch(w, x->call, d);
-			end_watch(w, x, d);
-			return;
-		}
-	}
-}
-
-static struct wlease *live_lease(struct world *w, uint64_t id)
-{
-	return g_hash_table_lookup(w->leases, &id);
-}
-
-static void on_lease_end(void *ctx, uint64_t arg, cs_time now);
-
-static void end_lease(struct world *w, uint64_t id)
-{
-	GPtrArray *keys = g_ptr_array_new_with_free_func(g_free);
-	GTreeNode *node;
-	guint i;
-
-	for (node = g_tree_node_first(w->items); node;
-	     node = g_tree_node_next(node)) {
-		const struct witem *item = g_tree_node_value(node);
-
-		if (item->lease == id)
-			g_ptr_array_add(keys, g_strdup(g_tree_node_key(node)));
-	}
-	g_hash_table_remove(w->leases, &id);
-	for (i = 0; i < keys->len; i++)
-		del(w, g_ptr_array_index(keys, i), ++w->revision);
-	if (keys->len)
-		answer_watches(w);
-	g_ptr_array_free(keys, TRUE);
-}
-
-static void on_lease_end(void *ctx, uint64_t arg, cs_time now)
-{
-	struct world *w = ctx;
-	struct wlease *l = live_lease(w, arg);
-
-	if (!l)
-		return;
-	if (w->is_store_down && !w->leases_lapse)
-		l->ends = now + l->ttl_ms * CS_MSEC; /* it pauses */
-	if (now < l->ends)
-		timers_subscribe(w->timers, l->ends, on_lease_end, w, arg);
-	else
-		end_lease(w, arg);
-}
-
-static bool conditions_hold(struct world *w, const struct store_call *c)
-{
-	guint i;
-
-	for (i = 0; i < c->entries->len; i++) {
-		const struct store_entry *e = g_ptr_array_index(c->entries, i);
-		const struct witem *item = g_tree_lookup(w->items, e->key);
-
-		if (e->kind == STORE_EXPECT &&
-		    e->revision != (item ? item->revision : 0))
-			return false;
-	}
-	return true;
-}
-
-static void run_txn(struct world *w, const struct store_call *c,
-		    struct store_done *d)
-{
-	guint i;
-
-	if (c->entries->len > STORE_TXN_MAX)
-		broke(w, "a transaction of %u entries", c->entries->len);
-	if (!conditions_hold(w, c)) {
-		d->result = STORE_CONFLICT;
-		for (i = 0; i < c->entries->len; i++) {
-			const struct store_entry *e =
-				g_ptr_array_index(c->entries, i);
-			const struct witem *item =
-				g_tree_lookup(w->items, e->key);
-
-			if (e->kind == STORE_EXPECT && item)
-				store_done_add(d, e->key,
-					       g_bytes_ref(item->value),
-					       item->revision, item->created,
-					       item->lease);
-		}
-		return;
-	}
-	for (i = 0; i < c->entries->len; i++) {
-		const struct store_entry *e = g_ptr_array_index(c->entries, i);
-
-		if (e->kind == STORE_WRITE && e->lease &&
-		    !live_lease(w, e->lease)) {
-			d->result = STORE_MISSING;
-			return;
-		}
-	}
-	d->revision = ++w->revision;
-	for (i = 0; i < c->entries->len; i++) {
-		const struct store_entry *e = g_ptr_array_index(c->entries, i);
-
-		if (e->kind == STORE_WRITE)
-			put(w, e->key, e->value, e->lease, d->revision);
-		else if (e->kind == STORE_REMOVE)
-			del(w, e->key, d->revision);
-	}
-	d->result = STORE_OK;
-	answer_watches(w);
-}
-
-static void run_lease(struct world *w, const struct store_call *c,
-		      struct store_done *d)
-{
-	struct wlease *l = g_new0(struct wlease, 1);
-
-	l->id = ++w->next_lease;
-	l->ttl_ms = c->wait_ms;
-	l->ends = w->now + l->ttl_ms * CS_MSEC;
-	g_hash_table_insert(w->leases, &l->id, l);
-	timers_subscribe(w->timers, l->ends, on_lease_end, w, l->id);
-	d->lease = l->id;
-	d->result = STORE_OK;
-}
-
-/* Carries a call out. */
-static void execute(struct world *w, const struct store_call *c,
-		    struct store_done *d)
-{
-	struct range r = { .prefix = c->key,
-			   .after = c->page_after,
-			   .done = d,
-			   .max = 200 };
-	const struct witem *item;
-	struct wlease *l;
-
-	d->revision = w->revision;
-	switch (c->op) {
-	case STORE_GET:
-		item = g_tree_lookup(w->items, c->key);
-		d->result = item ? STORE_OK : STORE_MISSING;
-		if (item)
-			store_done_add(d, c->key, g_bytes_ref(item->value),
-				       item->revision, item->created,
-				       item->lease);
-		break;
-	case STORE_LIST:
-		g_tree_foreach(w->items, add_range, &r);
-		d->result = STORE_OK;
-		break;
-	case STORE_TXN:
-		run_txn(w, c, d);
-		break;
-	case STORE_LEASE:
-		run_lease(w, c, d);
-		break;
-	case STORE_KEEP:
-		l = live_lease(w, c->lease);
-		d->result = l ? STORE_OK : STORE_MISSING;
-		if (l)
-			l->ends = w->now + l->ttl_ms * CS_MSEC;
-		break;
-	case STORE_LEASE_END:
-		end_lease(w, c->lease);
-		d->result = STORE_OK;
-		break;
-	case STORE_WATCH:
-		break;
-	}
-}
-
-struct arrival {
-	struct world *world;
-	struct store_call *call;
-	int node;
-	uint64_t generation;
-	cs_time sent;
-	bool is_answer_lost;
-};
-
-static void on_arrival(void *ctx, uint64_t arg, cs_time now)
-{
-	struct arrival *a = ctx;
-	struct world *w = a->world;
-	struct store_done *d = store_done_new(a->call);
-	cs_time end = a->sent + a->call->timeout_ms * CS_MSEC;
-	bool is_cut = w->nodes[a->node].is_cut_from_store;
-
-	(void)arg;
-	d->sent = a->sent;
-	if (w->is_store_down || is_cut) {
-		d->result = is_cut ? STORE_UNKNOWN : STORE_REFUSED;
-		deliver_store(w, a->node, a->generation, d,
-			      is_cut ? end : now + delay(w));
-		store_call_free(a->call);
-	} else if (a->call->op == STORE_WATCH) {
-		struct wwatch *x = g_new0(struct wwatch, 1);
-
-		x->call = a->call;
-		x->node = a->node;
-		x->generation = a->generation;
-		x->sent = a->sent;
-		x->timer = timers_subscribe(w->timers,
-					    now + x->call->wait_ms * CS_MSEC,
-					    on_watch_end, w, x->call->ref);
-		g_ptr_array_add(w->watches, x);
-		if (fill_watch(w, x->call, d))
-			end_watch(w, x, d);
-		else
-			store_done_free(d);
-	} else {
-		execute(w, a->call, d);
-		if (a->is_answer_lost) {
-			d->result = STORE_UNKNOWN;
-			g_ptr_array_set_size(d->items, 0);
-			d->lease = 0;
-		}
-		deliver_store(w, a->node, a->generation, d,
-			      a->is_answer_lost ? MAX(end, now) :
-						  now + delay(w));
-		store_call_free(a->call);
-	}
-	g_free(a);
-}
-
-/* A lost answer of a late call: the caller hears nothing, the store acts. */
-static void on_store_call(void *ctx, struct store_call *call)
-{
-	struct wnode *n = ctx;
-	struct world *w = n->world;
-	struct arrival *a = g_new0(struct arrival, 1);
-	cs_time at = w->now + delay(w);
-
-	a->world = w;
-	a->call = call;
-	a->node = n->index;
-	a->generation = n->generation;
-	a->sent = w->now;
-	if (call->op == STORE_TXN && chance(w, w->lose_per_mille)) {
-		a->is_answer_lost = true;
-		if (w->is_lose_late) {
-			struct store_done *d = store_done_new(call);
-
-			/* The entry gives up before the store acts. */
-			d->result = STORE_UNKNOWN;
-			d->sent = w->now;
-			deliver_store(w, a->node, a->generation, d,
-				      w->now + call->timeout_ms * CS_MSEC);
-			a->generation = UINT64_MAX;
-			at += random_ms(w, 500, 6000) * CS_MSEC;
-		}
-	}
-	timers_subscribe(w->timers, at, on_arrival, a, 0);
-}
-
-/* ---- truth about jobs ---- */
-
-static int tasks_of(const struct wjob *j)
-{
-	return j->spec.steps * j->spec.width;
-}
-
-static struct wjob *job_at(const struct world *w, int job)
-{
-	return g_ptr_array_index(w->jobs, job);
-}
-
-/* True if the entry or the store had a fault within CONTACT_MS. */
-static bool is_disturbed(const struct world *w, int node)
-{
-	const struct wnode *n = &w->nodes[node];
-	cs_time since = MAX(n->disturbed_at, w->disturbed_at);
-
-	return n->is_cut_from_store || w->is_store_down || w->lose_per_mille ||
-	       n->paused_until > w->now ||
-	       w->now - since < CONTACT_MS * CS_MSEC;
-}
-
-/* A server that runs the task, for a message. */
-static const char *runner(const struct world *w, const char *task)
-{
-	guint i, k;
-
-	for (i = 0; i < w->servers->len; i++) {
-		const struct wserver *v = g_ptr_array_index(w->servers, i);
-
-		for (k = 0; k < v->runs->len; k++) {
-			const struct wrun *r = g_ptr_array_index(v->runs, k);
-
-			if (!strcmp(r->task, task))
-				return v->id;
-		}
-	}
-	return "nobody";
-}
-
-static void check_start(struct world *w, const struct wserver *v,
-			struct wjob *j, int step, int index,
-			const struct order *o, int node, bool is_late)
-{
-	int t = step * j->spec.width + index, i;
-
-	for (i = 0; i < step * j->spec.width; i++)
-		if (!j->done[i])
-			broke(w, "ORDER: %s before its step's turn", o->task);
-	if (j->running[t])
-		broke(w, "TWICE: %s run %u on %s while %s has it", o->task,
-		      o->run, v->id, runner(w, o->task));
-	if (j->done[t] && j->noted_done_at[t])
-		broke(w, "TWICE: %s run %u after its end was noted", o->task,
-		      o->run);
-	if (!j->spec.is_lasting && j->noted_failed[t] >= ATTEMPTS_MAX)
-		broke(w, "BUDGET: %s run %u after %d failures", o->task, o->run,
-		      j->noted_failed[t]);
-	/* Bounds in time hold for entries in touch, and orders in time. */
-	if (is_late || is_disturbed(w, node))
-		return;
-	if (j->cancelled_at &&
-	    w->now - j->cancelled_at > CONFIRM_CANCEL_MS * CS_MSEC)
-		broke(w, "UNASKED: %s starts after its cancellation", o->task);
-	if (j->submissions && j->refusals == j->submissions &&
-	    j->answer == WORLD_REFUSED)
-		broke(w, "REFUSED: %s starts though refused", o->task);
-	if (w->limit_cpu && w->now - w->limit_since > APPLY_MS * CS_MSEC &&
-	    w->used_cpu > w->limit_cpu + w->limit_cpu / 10)
-		broke(w, "QUOTA: %" PRId64 " used of %" PRId64, w->used_cpu,
-		      w->limit_cpu);
-	if (v->is_draining && w->now - v->drain_since > 2 * CS_SEC)
-		broke(w, "DRAIN: %s starts on a draining server", o->task);
-	if (w->out[v->data_centre] &&
-	    w->now - w->out_since[v->data_centre] > 5 * CS_SEC)
-		broke(w, "EVAC: %s starts where nothing may", o->task);
-}
-
-/* Lasting tasks of the step that are away, one apart. */
-static int others_away(const struct wjob *j, int step, int index, cs_time now)
-{
-	int i, away = 0;
-
-	for (i = 0; i < j->spec.width; i++) {
-		int t = step * j->spec.width + i;
-
-		if (i != index && j->away_since[t] &&
-		    (j->away_by_order[t] ||
-		     now - j->away_since[t] > NOTICE_MS * CS_MSEC))
-			away++;
-	}
-	return away;
-}
-
-/* A stop or maintenance ends a lasting task that is at work. */
-static void check_available(struct world *w, const struct wserver *v,
-			    struct wjob *j, int step, int index,
-			    const char *what)
-{
-	int t = step * j->spec.width + index;
-
-	if (!j->spec.is_lasting || j->spec.unavailable_max < 0 ||
-	    j->away_since[t] || j->is_cancel_asked || v->is_draining)
-		return;
-	if (others_away(j, step, index, w->now) >= j->spec.unavailable_max)
-		broke(w, "AVAIL: %s ends %s.0.%d.%d", what, j->id, step, index);
-	j->away_by_order[t] = true;
-}
-
-/* ---- servers ---- */
-
-static int64_t server_clock(const struct wserver *v)
-{
-	return (int64_t)((double)(v->world->now - v->born_at) / 1000.0 *
-			 v->speed);
-}
-
-/* The world's time at which the server's clock shows ms. */
-static cs_time server_time(const struct wserver *v, int64_t ms)
-{
-	return v->born_at + (cs_time)((double)ms * 1000.0 / v->speed) + 1000;
-}
-
-static void announce(struct world *w, const struct wserver *v)
-{
-	char key[80], text[256];
-
-	snprintf(key, sizeof(key), "servers/%s", v->id);
-	snprintf(text, sizeof(text), "%d %s %d %s %" PRIu64, v->pool,
-		 v->address, v->data_centre,
-		 v->is_draining ? "draining" : "ready", v->born);
-	put_text(w, key, text);
-}
-
-static void answer_hold(struct wserver *v);
-
-static void free_run(struct wserver *v, struct wrun *r)
-{
-	struct world *w = v->world;
-	struct wjob *j = job_at(w, r->job);
-
-	timers_cancel(w->timers, r->timer);
-	j->running[r->step * j->spec.width + r->index]--;
-	v->used.cpu -= j->spec.cpu;
-	w->used_cpu -= j->spec.cpu;
-	g_ptr_array_remove_fast(v->runs, r);
-	g_free(r);
-}
-
-static int progress_of(const struct wserver *v, const struct wrun *r)
-{
-	const struct wjob *j = job_at(v->world, r->job);
-	int64_t gone = server_clock(v) - r->started_ms;
-
-	if (j->spec.is_lasting)
-		return gone >= r->work_ms ? 100 : 0;
-	return (int)CLAMP(gone * 100 / MAX(r->work_ms, 1), 0, 99);
-}
-
-static void end_run(struct wserver *v, struct wrun *r, enum batch_end how)
-{
-	struct wjob *j = job_at(v->world, r->job);
-	int t = r->step * j->spec.width + r->index;
-	struct wend *e = g_new0(struct wend, 1);
-
-	e->number = ++v->next_end;
-	cs_copy(e->task, sizeof(e->task), r->task);
-	e->run = r->run;
-	e->how = how;
-	e->job = r->job;
-	e->step = r->step;
-	e->index = r->index;
-	if (how != BATCH_END_DONE && j->spec.is_checkpointing)
-		snprintf(e->saved, sizeof(e->saved), "%s",
-			 progress_of(v, r) > 0 ? "half" : "");
-	if (how == BATCH_END_DONE)
-		j->done[t] = true;
-	if (how == BATCH_END_FAILED)
-		j->failed[t]++;
-	if (j->spec.is_lasting && !j->away_since[t])
-		j->away_since[t] = v->world->now;
-	g_ptr_array_add(v->stopped, g_strdup_printf("%s %u", r->task, r->run));
-	g_ptr_array_add(v->ends, e);
-	free_run(v, r);
-	answer_hold(v);
-}
-
-static struct wrun *find_run(const struct wserver *v, const char *task)
-{
-	guint i;
-
-	for (i = 0; i < v->runs->len; i++) {
-		struct wrun *r = g_ptr_array_index(v->runs, i);
-
-		if (!strcmp(r->task, task))
-			return r;
-	}
-	return NULL;
-}
-
-struct run_event {
-	struct wserver *server;
-	int life;
-	char task[BATCH_TASK_NAME_MAX];
-	uint32_t run;
-};
-
-static void on_run_event(void *ctx, uint64_t arg, cs_time now)
-{
-	struct run_event *e = ctx;
-	struct wserver *v = e->server;
-	struct wrun *r = v->life == e->life ? find_run(v, e->task) : NULL;
-	struct wjob *j;
-	int t;
-
-	(void)now;
-	if (r && r->run == e->run) {
-		r->timer = 0;
-		j = job_at(v->world, r->job);
-		t = r->step * j->spec.width + r->index;
-		if (arg == BATCH_END_STOPPED || arg == BATCH_END_FAILED) {
-			end_run(v, r, (enum batch_end)arg);
-		} else if (j->spec.is_lasting) {
-			j->away_since[t] = 0;
-			j->away_by_order[t] = false;
-		} else if (v->is_failing ||
-			   (r->index == 0 && j->failed[t] < j->spec.failures)) {
-			end_run(v, r, BATCH_END_FAILED);
-		} else {
-			end_run(v, r, BATCH_END_DONE);
-		}
-	}
-	g_free(e);
-}
-
-static cs_handle plan_run(struct wserver *v, const struct wrun *r, int64_t ms,
-			  enum batch_end how)
-{
-	struct run_event *e = g_new0(struct run_event, 1);
-
-	e->server = v;
-	e->life = v->life;
-	e->run = r->run;
-	cs_copy(e->task, sizeof(e->task), r->task);
-	return timers_subscribe(v->world->timers, v->world->now + ms * CS_MSEC,
-				on_run_event, e, how);
-}
-
-static void on_lapse(void *ctx, uint64_t arg, cs_time now)
-{
-	struct wserver *v = ctx;
-
-	(void)now;
-	if ((int)arg != v->life || !v->is_up)
-		return;
-	v->lease_timer = 0;
-	if (server_clock(v) < v->lease_ms) {
-		v->lease_timer = timers_subscribe(v->world->timers,
-						  server_time(v, v->lease_ms),
-						  on_lapse, v, arg);
-		return;
-	}
-	while (v->runs->len)
-		end_run(v, g_ptr_array_index(v->runs, 0), BATCH_END_LAPSED);
-}
-
-static void extend(struct wserver *v, int64_t deadline_ms)
-{
-	if (deadline_ms > server_clock(v) + HOLD_MAX_MS)
-		deadline_ms = server_clock(v) + HOLD_MAX_MS;
-	if (deadline_ms <= v->lease_ms)
-		return;
-	v->lease_ms = deadline_ms;
-	if (!v->lease_timer)
-		v->lease_timer = timers_subscribe(v->world->timers,
-						  server_time(v, v->lease_ms),
-						  on_lapse, v,
-						  (uint64_t)v->life);
-}
-
-/* Ends up to the number are forgotten: they are noted. */
-static void note_ends(struct wserver *v, uint64_t seen)
-{
-	while (v->ends->len) {
-		struct wend *e = g_ptr_array_index(v->ends, 0);
-		struct wjob *j = job_at(v->world, e->job);
-		int t = e->step * j->spec.width + e->index;
-
-		if (e->number > seen)
-			return;
-		if (e->how == BATCH_END_DONE)
-			j->noted_done_at[t] = 1;
-		if (e->how == BATCH_END_FAILED)
-			j->noted_failed[t]++;
-		g_ptr_array_remove_index(v->ends, 0);
-	}
-}
-
-static bool was_stopped(const struct wserver *v, const char *task, uint32_t run)
-{
-	guint i;
-
-	for (i = 0; i < v->stopped->len; i++) {
-		const char *row = g_ptr_array_index(v->stopped, i);
-		size_t len = strlen(task);
-
-		if (!strncmp(row, task, len) && row[len] == ' ' &&
-		    strtoul(row + len + 1, NULL, 10) >= run)
-			return true;
-	}
-	return false;
-}
-
-static void refuse_order(struct order_done *d, enum order_reason reason)
-{
-	d->result = ORDER_REFUSED;
-	d->reason = reason;
-}
-
-static void do_start(struct wserver *v, const struct order *o,
-		     struct order_done *d, int node, bool is_late)
-{
-	struct world *w = v->world;
-	char id[BATCH_ID_MAX];
-	int round, step, index, t;
-	struct wrun *r = find_run(v, o->task);
-	struct wjob *j;
-
-	d->result = ORDER_DONE;
-	if (r && r->run == o->run)
-		return;
-	if (batch_task_name_parse(o->task, id, &round, &step, &index) ||
-	    !(j = g_hash_table_lookup(w->job_by_id, id)) || round ||
-	    step >= j->spec.steps || index >= j->spec.width) {
-		broke(w, "UNASKED: %s", o->task);
-		return;
-	}
-	if (was_stopped(v, o->task, o->run) || (r && r->run > o->run)) {
-		refuse_order(d, ORDER_REASON_OLD_RUN);
-		return;
-	}
-	if (o->deadline_ms <= server_clock(v)) {
-		refuse_order(d, ORDER_REASON_LATE);
-		return;
-	}
-	if (v->used.cpu + j->spec.cpu > 32000) {
-		refuse_order(d, ORDER_REASON_NO_ROOM);
-		extend(v, o->deadline_ms);
-		return;
-	}
-	check_start(w, v, j, step, index, o, node, is_late);
-	extend(v, o->deadline_ms);
-	t = step * j->spec.width + index;
-	r = g_new0(struct wrun, 1);
-	cs_copy(r->task, sizeof(r->task), o->task);
-	r->run = o->run;
-	for (r->job = 0; job_at(w, r->job) != j; r->job++)
-		;
-	r->step = step;
-	r->index = index;
-	r->started_ms = server_clock(v);
-	r->work_ms = j->spec.work_ms;
-	if (o->checkpoint && *o->checkpoint)
-		r->work_ms /= 2;
-	r->pace = 100;
-	j->running[t]++;
-	j->starts++;
-	v->used.cpu += j->spec.cpu;
-	w->used_cpu += j->spec.cpu;
-	g_ptr_array_add(v->runs, r);
-	r->timer = plan_run(v, r, r->work_ms, BATCH_END_DONE);
-}
-
-static void do_stop(struct wserver *v, const struct order *o,
-		    struct order_done *d)
-{
-	struct wrun *r = find_run(v, o->task);
-
-	d->result = ORDER_DONE;
-	if (!r || r->run != o->run) {
-		g_ptr_array_add(v->stopped,
-				g_strdup_printf("%s %u", o->task, o->run));
-		return;
-	}
-	if (r->stop_ms)
-		return;
-	check_available(v->world, v, job_at(v->world, r->job), r->step,
-			r->index, "a stop");
-	r->stop_ms = server_clock(v) + STOP_MS;
-	timers_cancel(v->world->timers, r->timer);
-	r->timer = plan_run(v, r, random_ms(v->world, 50, STOP_MS),
-			    BATCH_END_STOPPED);
-}
-
-static void fill_lists(const struct wserver *v, struct order_done *d)
-{
-	guint i;
-
-	for (i = 0; i < v->runs->len; i++) {
-		const struct wrun *r = g_ptr_array_index(v->runs, i);
-		struct order_run *out = g_new0(struct order_run, 1);
-
-		cs_copy(out->task, sizeof(out->task), r->task);
-		out->run = r->run;
-		out->percent = progress_of(v, r);
-		out->saved = g_strdup("");
-		g_ptr_array_add(d->runs, out);
-	}
-	for (i = 0; i < v->ends->len && i < 500; i++) {
-		const struct wend *e = g_ptr_array_index(v->ends, i);
-		struct order_end *out = g_new0(struct order_end, 1);
-
-		out->number = e->number;
-		cs_copy(out->task, sizeof(out->task), e->task);
-		out->run = e->run;
-		out->how = e->how;
-		out->saved = g_strdup(e->saved);
-		g_ptr_array_add(d->ends, out);
-	}
-}
-
-static bool is_cut(const struct world *w, int node, const struct wserver *v)
-{
-	return w->nodes[node].cut_from_server[v->index];
-}
-
-/* Sends an answer back, or lets the call time out. */
-static void send_back(struct wserver *v, int node, uint64_t generation,
-		      const struct order *o, struct order_done *d, cs_time sent,
-		      bool is_lost)
-{
-	struct world *w = v->world;
-
-	d->sent = sent;
-	d->clock_ms = server_clock(v);
-	d->born = v->born;
-	if (is_lost || is_cut(w, node, v) || v->is_mute) {
-		d->result = ORDER_UNKNOWN;
-		d->clock_ms = -1;
-		d->born = 0;
-		g_ptr_array_set_size(d->runs, 0);
-		g_ptr_array_set_size(d->ends, 0);
-		deliver_order(w, node, generation, d,
-			      MAX(sent + o->timeout_ms * CS_MSEC, w->now));
-		return;
-	}
-	deliver_order(w, node, generation, d, w->now + delay(w));
-}
-
-static void answer_hold(struct wserver *v)
-{
-	struct whold *h = v->waiting;
-	struct order_done *d;
-
-	if (!h)
-		return;
-	v->waiting = NULL;
-	timers_cancel(v->world->timers, h->timer);
-	d = order_done_new(h->order);
-	d->result = ORDER_DONE;
-	fill_lists(v, d);
-	send_back(v, h->node, h->generation, h->order, d, h->sent, false);
-	order_free(h->order);
-	g_free(h);
-}
-
-static void on_hold_end(void *ctx, uint64_t arg, cs_time now)
-{
-	struct wserver *v = ctx;
-
-	(void)now;
-	if ((int)arg == v->life && v->waiting) {
-		v->waiting->timer = 0;
-		answer_hold(v);
-	}
-}
-
-struct order_arrival {
-	struct world *world;
-	struct order *order;
-	int node;
-	uint64_t generation;
-	cs_time sent;
-	bool is_answer_lost;
-};
-
-/* The live server behind an address and identifier, or NULL. */
-static struct wserver *server_of(const struct world *w, const struct order *o,
-				 bool *is_other)
-{
-	guint i;
-
-	*is_other = false;
-	for (i = 0; i < w->servers->len; i++) {
-		struct wserver *v = g_ptr_array_index(w->servers, i);
-
-		if (strcmp(v->address, o->address))
-			continue;
-		*is_other = v->is_up && strcmp(v->id, o->instance) != 0;
-		return v;
-	}
-	return NULL;
-}
-
-static void hold(struct wserver *v, struct order_arrival *a,
-		 struct order_done *d)
-{
-	struct order *o = a->order;
-
-	if (o->deadline_ms)
-		extend(v, o->deadline_ms);
-	note_ends(v, o->seen);
-	if (v->ends->len || !o->wait_ms) {
-		d->result = ORDER_DONE;
-		fill_lists(v, d);
-		send_back(v, a->node, a->generation, o, d, a->sent, false);
-		return;
-	}
-	answer_hold(v); /* one hold waits at a time */
-	v->waiting = g_new0(struct whold, 1);
-	v->waiting->server = v;
-	v->waiting->order = o;
-	v->waiting->node = a->node;
-	v->waiting->generation = a->generation;
-	v->waiting->sent = a->sent;
-	v->waiting->timer = timers_subscribe(
-		v->world->timers, v->world->now + o->wait_ms * CS_MSEC,
-		on_hold_end, v, (uint64_t)v->life);
-	a->order = NULL;
-	order_done_free(d);
-}
-
-static void serve_order(struct wserver *v, struct order_arrival *a,
-			struct order_done *d)
-{
-	struct order *o = a->order;
-
-	if (o->token < v->token) {
-		refuse_order(d, ORDER_REASON_FENCED);
-		send_back(v, a->node, a->generation, o, d, a->sent, false);
-		return;
-	}
-	v->token = o->token;
-	if (o->type == ORDER_HOLD) {
-		hold(v, a, d);
-		return;
-	}
-	if (o->type == ORDER_START)
-		do_start(v, o, d, a->node, a->generation == UINT64_MAX);
-	else if (o->type == ORDER_STOP)
-		do_stop(v, o, d);
-	else
-		d->result = ORDER_DONE;
-	send_back(v, a->node, a->generation, o, d, a->sent, a->is_answer_lost);
-}
-
-static void on_order_arrival(void *ctx, uint64_t arg, cs_time now)
-{
-	struct order_arrival *a = ctx;
-	struct world *w = a->world;
-	struct order_done *d = order_done_new(a->order);
-	bool is_other;
-	struct wserver *v = server_of(w, a->order, &is_other);
-
-	(void)arg;
-	d->sent = a->sent;
-	if (!v || !v->is_up || is_cut(w, a->node, v)) {
-		d->result = ORDER_UNKNOWN;
-		deliver_order(w, a->node, a->generation, d,
-			      a->sent + a->order->timeout_ms * CS_MSEC);
-	} else if (is_other) {
-		refuse_order(d, ORDER_REASON_INSTANCE);
-		deliver_order(w, a->node, a->generation, d, now + delay(w));
-	} else {
-		serve_order(v, a, d);
-	}
-	order_free(a->order);
-	g_free(a);
-}
-
-/* ---- hosts ---- */
-
-static void stop_server(struct wserver *v, bool is_ordered)
-{
-	struct world *w = v->world;
-	guint i;
-
-	for (i = 0; i < v->runs->len; i++) {
-		struct wrun *r = g_ptr_array_index(v->runs, i);
-		struct wjob *j = job_at(w, r->job);
-		int t = r->step * j->spec.width + r->index;
-
-		if (is_ordered)
-			check_available(w, v, j, r->step, r->index,
-					"maintenance");
-		if (j->spec.is_lasting && !j->away_since[t])
-			j->away_since[t] = w->now;
-	}
-	while (v->runs->len)
-		free_run(v, g_ptr_array_index(v->runs, 0));
-	if (v->waiting) {
-		struct order_done *d = order_done_new(v->waiting->order);
-
-		d->result = ORDER_UNKNOWN;
-		d->sent = v->waiting->sent;
-		deliver_order(w, v->waiting->node, v->waiting->generation, d,
-			      v->waiting->sent +
-				      v->waiting->order->timeout_ms * CS_MSEC);
-		timers_cancel(w->timers, v->waiting->timer);
-		order_free(v->waiting->order);
-		g_free(v->waiting);
-		v->waiting = NULL;
-	}
-	g_ptr_array_set_size(v->ends, 0);
-	g_ptr_array_set_size(v->stopped, 0);
-	timers_cancel(w->timers, v->lease_timer);
-	v->lease_timer = 0;
-	v->life++;
-	v->is_up = false;
-}
-
-static void on_unlist(void *ctx, uint64_t arg, cs_time now)
-{
-	struct wserver *v = ctx;
-	char key[80];
-
-	(void)now;
-	if ((int)arg != v->life || v->is_up)
-		return;
-	snprintf(key, sizeof(key), "servers/%s", v->id);
-	del_key(v->world, key);
-	v->is_listed = false;
-}
-
-static void start_server(struct wserver *v)
-{
-	char key[80];
-
-	if (v->is_listed) {
-		snprintf(key, sizeof(key), "servers/%s", v->id);
-		del_key(v->world, key);
-	}
-	v->life++;
-	snprintf(v->id, sizeof(v->id), "i-%d-%d", v->index, v->life);
-	v->is_up = v->is_listed = true;
-	v->is_draining = false;
-	v->born = (uint64_t)unix_ms(v->world);
-	v->born_at = v->world->now;
-	v->speed = 0.98 + 0.02 * g_rand_double(v->world->rng);
-	v->token = 0;
-	v->next_end = 0;
-	v->lease_ms = 0;
-	if (v->is_maintained)
-		v->world->wave_down--;
-	v->is_maintained = false;
-	announce(v->world, v);
-}
-
-static void on_server_back(void *ctx, uint64_t arg, cs_time now)
-{
-	struct wserver *v = ctx;
-
-	(void)now;
-	if ((int)arg == v->life && !v->is_up)
-		start_server(v);
-}
-
-static void maintain(struct world *w, const struct order *o,
-		     struct order_done *d)
-{
-	guint i;
-
-	for (i = 0; i < w->servers->len; i++) {
-		struct wserver *v = g_ptr_array_index(w->servers, i);
-
-		if (strcmp(v->host, o->host))
-			continue;
-		if (!v->is_up) {
-			refuse_order(d, ORDER_REASON_BUSY);
-			return;
-		}
-		if (w->wave_down >= w->wave_max)
-			broke(w, "LIMIT: %d hosts of the wave are down",
-			      w->wave_down);
-		w->wave_down++;
-		stop_server(v, true);
-		v->is_maintained = true;
-		timers_subscribe(w->timers, w->now + MAINTENANCE_MS * CS_MSEC,
-				 on_server_back, v, (uint64_t)v->life);
-		d->result = ORDER_DONE;
-		return;
-	}
-	refuse_order(d, ORDER_REASON_INVALID);
-}
-
-static void list_hosts(struct world *w, struct order_done *d)
-{
-	guint i;
-
-	for (i = 0; i < w->servers->len; i++) {
-		const struct wserver *v = g_ptr_array_index(w->servers, i);
-		struct order_host *h = g_new0(struct order_host, 1);
-
-		cs_copy(h->name, sizeof(h->name), v->host);
-		snprintf(h->pool, sizeof(h->pool), "pool%d", v->pool);
-		cs_copy(h->server, sizeof(h->server), v->is_up ? v->id : "");
-		h->state = v->is_up	    ? HOST_UP :
-			   v->is_maintained ? HOST_MAINTAINED :
-					      HOST_DOWN;
-		g_ptr_array_add(d->hosts, h);
-	}
-	d->result = ORDER_DONE;
-}
-
-static void on_order(void *ctx, struct order *o)
-{
-	struct wnode *n = ctx;
-	struct world *w = n->world;
-	struct order_arrival *a;
-	struct order_done *d;
-
-	if (o->type >= ORDER_ADVISE) {
-		d = order_done_new(o);
-		d->sent = w->now;
-		if (o->type == ORDER_LIST_HOSTS)
-			list_hosts(w, d);
-		else if (o->type == ORDER_MAINTAIN_HOST)
-			maintain(w, o, d);
-		deliver_order(w, n->index, n->generation, d,
-			      w->now + 2 * delay(w));
-		order_free(o);
-		return;
-	}
-	a = g_new0(struct order_arrival, 1);
-	a->world = w;
-	a->order = o;
-	a->node = n->index;
-	a->generation = n->generation;
-	a->sent = w->now;
-	if (o->type == ORDER_START && chance(w, w->late_per_mille)) {
-		struct order_done *lost = order_done_new(o);
-
-		lost->result = ORDER_UNKNOWN;
-		lost->sent = w->now;
-		deliver_order(w, n->index, n->generation, lost,
-			      w->now + o->timeout_ms * CS_MSEC);
-		a->generation = UINT64_MAX;
-		timers_subscribe(w->timers,
-				 w->now + random_ms(w, 500, 9000) * CS_MSEC,
-				 on_order_arrival, a, 0);
-		return;
-	}
-	timers_subscribe(w->timers, w->now + delay(w), on_order_arrival, a, 0);
-}
-
-/* ---- callers ---- */
-
 static int job_of_exchange(uint64_t exchange)
 {
 	return (int)(exchange >> 2);
@@ -1499,7 +153,7 @@
 {
 	struct wnode *n = ctx;
 	struct world *w = n->world;
-	struct wjob *j = job_at(w, job_of_exchange(reply->exchange));
+	struct wjob *j = wjob_at(w, job_of_exchange(reply->exchange));
 	int i;
 
 	switch (reply->kind) {
@@ -1525,15 +179,16 @@
 		if (reply->result == DESK_NO_JOB &&
 		    j->answer == WORLD_ACCEPTED &&
 		    w->now - j->accepted_at > VISIBLE_MS * CS_MSEC)
-			broke(w, "LOST: %s is not known", j->id);
+			world_break(w, "LOST: %s is not known", j->id);
 		if (reply->result != DESK_OK || !reply->has_state)
 			break;
 		j->shown = reply->state;
 		if (reply->state != BATCH_DONE)
 			break;
-		for (i = 0; i < tasks_of(j); i++)
+		for (i = 0; i < wjob_tasks(j); i++)
 			if (!j->done[i])
-				broke(w, "MIXED: %s is shown as done", j->id);
+				world_break(w, "MIXED: %s is shown as done",
+					    j->id);
 		break;
 	case DESK_READY:
 		break;
@@ -1550,11 +205,9 @@
 			(double)n->world->now / 1e6, n->index, event, pairs);
 }
 
-static const struct node_ops node_ops = { on_store_call, on_order, on_reply,
+static const struct node_ops node_ops = { wstore_call, wserver_order, on_reply,
 					  on_log };
 
-/* ---- formats: plain text, as this world writes it ---- */
-
 /* "VERSION POOLS LIMIT" */
 static struct site *read_site(GBytes *value, struct cs_error *err)
 {
@@ -1646,15 +299,13 @@
 	.write_wave_status = write_wave_status,
 };
 
-/* ---- the world ---- */
-
 static void write_site(struct world *w)
 {
 	char text[96];
 
 	snprintf(text, sizeof(text), "%" PRIu64 " %d %" PRId64,
 		 ++w->site_version, w->options.pools, w->limit_cpu);
-	put_text(w, "op/site", text);
+	wstore_put(w, "op/site", text);
 }
 
 static void server_free(void *row)
@@ -1702,7 +353,7 @@
 	snprintf(v->address, sizeof(v->address), "10.9.%d.%d:80",
 		 v->index / 250, v->index % 250 + 1);
 	g_ptr_array_add(w->servers, v);
-	start_server(v);
+	wserver_start(v);
 }
 
 struct world *world_create(const struct world_options *options)
@@ -1717,8 +368,9 @@
 	w->servers = g_ptr_array_new_with_free_func(server_free);
 	w->jobs = g_ptr_array_new_with_free_func(job_free);
 	w->job_by_id = g_hash_table_new(g_str_hash, g_str_equal);
-	w->items = g_tree_new_full(compare_keys, NULL, g_free, item_free);
-	w->log = g_ptr_array_new_with_free_func(change_free);
+	w->items =
+		g_tree_new_full(wstore_compare, NULL, g_free, wstore_item_free);
+	w->log = g_ptr_array_new_with_free_func(wstore_change_free);
 	w->watches = g_ptr_array_new();
 	w->leases = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					  g_free);
@@ -1809,7 +461,7 @@
 	o.incarnation = n->generation;
 	o.seed = g_rand_int(w->rng);
 	n->node = node_create(&o, &node_ops, n, &formats);
-	node_start(n->node, unix_ms(w), w->now);
+	node_start(n->node, world_unix_ms(w), w->now);
 	turn(n);
 }
 
@@ -1907,7 +559,7 @@
 	w->disturbed_at = w->now;
 	w->compacted = ++w->revision;
 	g_ptr_array_set_size(w->log, 0);
-	answer_watches(w);
+	wstore_answer_watches(w);
 }
 
 int world_store_count(const struct world *w, const char *prefix)
@@ -1937,11 +589,11 @@
 
 	if (!v->is_up)
 		return;
-	stop_server(v, false);
+	wserver_stop(v, false);
 	timers_subscribe(w->timers, w->now + HEARTBEAT_LOSS_MS * CS_MSEC,
-			 on_unlist, v, (uint64_t)v->life);
-	timers_subscribe(w->timers, w->now + back_ms * CS_MSEC, on_server_back,
-			 v, (uint64_t)v->life);
+			 wserver_unlist, v, (uint64_t)v->life);
+	timers_subscribe(w->timers, w->now + back_ms * CS_MSEC, wserver_back, v,
+			 (uint64_t)v->life);
 }
 
 static void on_drained(void *ctx, uint64_t arg, cs_time now)
@@ -1950,9 +602,9 @@
 
 	if ((int)arg != v->life || !v->is_up)
 		return;
-	stop_server(v, false);
-	on_unlist(v, (uint64_t)v->life, now);
-	timers_subscribe(v->world->timers, now + CS_SEC, on_server_back, v,
+	wserver_stop(v, false);
+	wserver_unlist(v, (uint64_t)v->life, now);
+	timers_subscribe(v->world->timers, now + CS_SEC, wserver_back, v,
 			 (uint64_t)v->life);
 }
 
@@ -1964,7 +616,7 @@
 		return;
 	v->is_draining = true;
 	v->drain_since = w->now;
-	announce(w, v);
+	wserver_announce(w, v);
 	timers_subscribe(w->timers, w->now + 4 * CS_SEC, on_drained, v,
 			 (uint64_t)v->life);
 }
@@ -1998,9 +650,9 @@
 		w->out_since[data_centre] = w->now;
 	w->out[data_centre] = is_out;
 	if (is_out)
-		put_text(w, key, "");
+		wstore_put(w, key, "");
 	else
-		del_key(w, key);
+		wstore_remove(w, key);
 }
 
 void world_limit(struct world *w, int64_t cpu)
@@ -2024,7 +676,7 @@
 	for (i = first; i < first + count; i++)
 		g_string_append_printf(text, " m%d", i);
 	snprintf(key, sizeof(key), "op/wave/%" PRIu64, number);
-	put_text(w, key, text->str);
+	wstore_put(w, key, text->str);
 	g_string_free(text, TRUE);
 }
 
@@ -2059,7 +711,7 @@
 static void send_request(struct world *w, int node, int job,
 			 enum desk_kind kind)
 {
-	struct wjob *j = job_at(w, job);
+	struct wjob *j = wjob_at(w, job);
 	struct desk_request *r = desk_request_new(kind);
 	struct delivery *d = new_delivery(w, node, w->nodes[node].generation);
 
@@ -2074,7 +726,7 @@
 		j->submissions++;
 	}
 	d->request = r;
-	timers_subscribe(w->timers, w->now + delay(w), on_delivery, d, 0);
+	timers_subscribe(w->timers, w->now + world_delay(w), on_delivery, d, 0);
 }
 
 int world_submit(struct world *w, int node, const struct world_job *job)
@@ -2085,14 +737,14 @@
 	j->spec = *job;
 	j->shown = -1;
 	snprintf(j->id, sizeof(j->id), "%016x", index + 1);
-	j->done = g_new0(bool, tasks_of(j));
-	j->failed = g_new0(int, tasks_of(j));
-	j->noted_failed = g_new0(int, tasks_of(j));
-	j->noted_done_at = g_new0(int, tasks_of(j));
-	j->running = g_new0(int, tasks_of(j));
-	j->away_since = g_new0(cs_time, tasks_of(j));
-	j->away_by_order = g_new0(bool, tasks_of(j));
-	for (i = 0; i < tasks_of(j); i++)
+	j->done = g_new0(bool, wjob_tasks(j));
+	j->failed = g_new0(int, wjob_tasks(j));
+	j->noted_failed = g_new0(int, wjob_tasks(j));
+	j->noted_done_at = g_new0(int, wjob_tasks(j));
+	j->running = g_new0(int, wjob_tasks(j));
+	j->away_since = g_new0(cs_time, wjob_tasks(j));
+	j->away_by_order = g_new0(bool, wjob_tasks(j));
+	for (i = 0; i < wjob_tasks(j); i++)
 		j->away_since[i] = job->is_lasting ? w->now : 0;
 	g_ptr_array_add(w->jobs, j);
 	g_hash_table_insert(w->job_by_id, j->id, j);
@@ -2107,7 +759,7 @@
 
 void world_cancel(struct world *w, int node, int job)
 {
-	job_at(w, job)->is_cancel_asked = true;
+	wjob_at(w, job)->is_cancel_asked = true;
 	send_request(w, node, job, DESK_CANCEL);
 }
 
@@ -2118,7 +770,7 @@
 
 enum world_answer world_answer(const struct world *w, int job)
 {
-	return job_at(w, job)->answer;
+	return wjob_at(w, job)->answer;
 }
 
 int world_jobs(const struct world *w)
@@ -2128,10 +780,10 @@
 
 bool world_job_is_done(const struct world *w, int job)
 {
-	const struct wjob *j = job_at(w, job);
+	const struct wjob *j = wjob_at(w, job);
 	int i;
 
-	for (i = 0; i < tasks_of(j); i++)
+	for (i = 0; i < wjob_tasks(j); i++)
 		if (!j->done[i])
 			return false;
 	return true;
@@ -2139,25 +791,25 @@
 
 bool world_job_is_lasting(const struct world *w, int job)
 {
-	return job_at(w, job)->spec.is_lasting;
+	return wjob_at(w, job)->spec.is_lasting;
 }
 
 int world_job_state(const struct world *w, int job)
 {
-	return job_at(w, job)->shown;
+	return wjob_at(w, job)->shown;
 }
 
 int world_job_starts(const struct world *w, int job)
 {
-	return job_at(w, job)->starts;
+	return wjob_at(w, job)->starts;
 }
 
 int world_job_at_work(const struct world *w, int job)
 {
-	const struct wjob *j = job_at(w, job);
+	const struct wjob *j = wjob_at(w, job);
 	int i, n = 0;
 
-	for (i = 0; i < tasks_of(j); i++)
+	for (i = 0; i < wjob_tasks(j); i++)
 		n += !j->away_since[i];
 	return n;
 }
@@ -2167,7 +819,7 @@
 {
 	int i;
 
-	for (i = 0; i < tasks_of(j); i++)
+	for (i = 0; i < wjob_tasks(j); i++)
 		if (j->failed[i] >= ATTEMPTS_MAX)
 			return true;
 	return false;
@@ -2175,7 +827,7 @@
 
 static bool is_unfinished(const struct world *w, int job)
 {
-	const struct wjob *j = job_at(w, job);
+	const struct wjob *j = wjob_at(w, job);
 
 	return j->answer == WORLD_ACCEPTED && !j->spec.is_lasting &&
 	       !j->is_cancel_asked && !has_failed(j) &&
@@ -2199,13 +851,13 @@
 	for (i = 0; i < w->jobs->len && !is_unfinished(w, (int)i); i++)
 		;
 	if (i < w->jobs->len) {
-		const struct wjob *j = job_at(w, (int)i);
+		const struct wjob *j = wjob_at(w, (int)i);
 
-		broke(w,
-		      "%s pool %d steps %d width %d cpu %" PRId64
-		      " starts %d shown %d failures %d",
-		      j->id, j->spec.pool, j->spec.steps, j->spec.width,
-		      j->spec.cpu, j->starts, j->shown, j->spec.failures);
+		world_break(w,
+			    "%s pool %d steps %d width %d cpu %" PRId64
+			    " starts %d shown %d failures %d",
+			    j->id, j->spec.pool, j->spec.steps, j->spec.width,
+			    j->spec.cpu, j->starts, j->shown, j->spec.failures);
 	}
 	return w->broken ? w->broken : "";
 }
--- /dev/null
+++ b/tests/world/world_private.h
@@ -0,0 +1,187 @@
+#ifndef WORLD_PRIVATE_H
+#define WORLD_PRIVATE_H
+
+#include "world.h"
+
+/* Rows of the world, shared by the files of this folder only. */
+
+/* Figures of the platform that this world keeps to. */
+#define HOLD_MAX_MS 10000
+#define STOP_MS 400
+#define CONFIRM_CANCEL_MS 3000
+#define HEARTBEAT_LOSS_MS 4500
+#define MAINTENANCE_MS 2000
+#define ATTEMPTS_MAX 3
+/* A lasting task that is away for other reasons counts after this. */
+#define NOTICE_MS 4500
+/* An entry is in touch this long after its last fault. */
+#define CONTACT_MS 3000
+/* An accepted job is known everywhere within this time. */
+#define VISIBLE_MS 3000
+/* Configurations are in force within this time. */
+#define APPLY_MS 2000
+#define DATA_CENTRES 3
+#define NODES_MAX 16
+#define UNIX_START_MS INT64_C(1700000000000)
+
+struct wnode {
+	struct world *world;
+	int index;
+	struct node *node; /* NULL: down */
+	uint64_t generation;
+	cs_handle wake;
+	cs_time paused_until, disturbed_at;
+	bool is_cut_from_store;
+	bool *cut_from_server;
+};
+
+struct wrun {
+	char task[BATCH_TASK_NAME_MAX];
+	uint32_t run;
+	int job, step, index;
+	int64_t started_ms, work_ms; /* server's clock; work left at start */
+	int64_t stop_ms; /* server's clock; 0: no stop */
+	int pace;
+	cs_handle timer;
+};
+
+struct wend {
+	uint64_t number;
+	char task[BATCH_TASK_NAME_MAX];
+	uint32_t run;
+	enum batch_end how;
+	char saved[32];
+	int job, step, index;
+	bool is_noted;
+};
+
+struct wserver {
+	struct world *world;
+	int index, pool, data_centre;
+	char id[CS_NAME_MAX], host[CS_NAME_MAX], address[CS_ADDRESS_MAX];
+	bool is_up, is_listed, is_draining, is_failing, is_mute, is_maintained;
+	uint64_t born;
+	cs_time born_at;
+	double speed; /* of its clock */
+	uint64_t token, next_end;
+	int64_t lease_ms; /* on its clock */
+	cs_handle lease_timer;
+	GPtrArray *runs; /* struct wrun */
+	GPtrArray *ends; /* struct wend */
+	GPtrArray *stopped; /* "TASK RUN" */
+	struct site_room used;
+	struct whold *waiting;
+	cs_time drain_since;
+	int life;
+};
+
+struct whold {
+	struct wserver *server;
+	struct order *order;
+	int node;
+	uint64_t generation;
+	cs_time sent;
+	cs_handle timer;
+};
+
+struct wjob {
+	char id[BATCH_ID_MAX];
+	struct world_job spec;
+	enum world_answer answer;
+	int refusals, submissions;
+	cs_time accepted_at;
+	int shown; /* state, -1 */
+	bool is_cancel_asked;
+	cs_time cancelled_at; /* acknowledged */
+	int starts;
+	bool *done; /* tasks */
+	int *failed; /* ends of the task that count, all */
+	int *noted_failed; /* of these, acknowledged */
+	int *noted_done_at; /* ms, 0: no */
+	int *running; /* runs of the task on live servers */
+	cs_time *away_since; /* lasting tasks; 0: at work */
+	bool *away_by_order;
+};
+
+struct witem {
+	GBytes *value;
+	uint64_t revision, created, lease;
+};
+
+struct wchange {
+	char *key;
+	GBytes *value; /* NULL: deleted */
+	uint64_t revision, created, lease;
+};
+
+struct wwatch {
+	struct store_call *call;
+	int node;
+	uint64_t generation;
+	cs_time sent;
+	cs_handle timer;
+};
+
+struct wlease {
+	uint64_t id;
+	cs_time ends;
+	int64_t ttl_ms;
+};
+
+struct world {
+	struct world_options options;
+	GRand *rng;
+	struct timers *timers;
+	cs_time now;
+	char *broken;
+	struct wnode nodes[NODES_MAX];
+	GPtrArray *servers; /* struct wserver */
+	GPtrArray *jobs; /* struct wjob */
+	GHashTable *job_by_id;
+	/* store */
+	GTree *items; /* key -> struct witem */
+	GPtrArray *log; /* struct wchange */
+	uint64_t revision, compacted, next_lease;
+	GPtrArray *watches; /* struct wwatch */
+	GHashTable *leases;
+	bool is_store_down, leases_lapse;
+	cs_time disturbed_at;
+	int lose_per_mille;
+	bool is_lose_late;
+	int late_per_mille;
+	int64_t limit_cpu, used_cpu;
+	cs_time limit_since;
+	uint64_t site_version;
+	bool out[DATA_CENTRES];
+	cs_time out_since[DATA_CENTRES];
+	/* wave */
+	uint64_t wave;
+	int wave_max, wave_down;
+};
+
+int world_random_ms(struct world *w, int from, int to);
+cs_time world_delay(struct world *w);
+bool world_chance(struct world *w, int per_mille);
+int64_t world_unix_ms(const struct world *w);
+void world_deliver_store(struct world *w, int node, uint64_t generation,
+			 struct store_done *done, cs_time at);
+void world_deliver_order(struct world *w, int node, uint64_t generation,
+			 struct order_done *done, cs_time at);
+void wstore_item_free(void *row);
+void wstore_change_free(void *row);
+gint wstore_compare(const void *a, const void *b, void *ctx);
+void wstore_put(struct world *w, const char *key, const char *text);
+void wstore_remove(struct world *w, const char *key);
+void wstore_answer_watches(struct world *w);
+void wstore_call(void *ctx, struct store_call *call);
+int wjob_tasks(const struct wjob *j);
+struct wjob *wjob_at(const struct world *w, int job);
+void wserver_announce(struct world *w, const struct wserver *v);
+void wserver_stop(struct wserver *v, bool is_ordered);
+void wserver_unlist(void *ctx, uint64_t arg, cs_time now);
+void wserver_start(struct wserver *v);
+void wserver_back(void *ctx, uint64_t arg, cs_time now);
+void wserver_order(void *ctx, struct order *o);
+void world_break(struct world *w, const char *fmt, ...) G_GNUC_PRINTF(2, 3);
+
+#endif
--- /dev/null
+++ b/tests/world/world_servers.c
@@ -0,0 +1,769 @@
+#include "world_private.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../../src/base/error.h"
+
+/* Servers and hosts of the world, and the truth about every run. */
+
+int wjob_tasks(const struct wjob *j)
+{
+	return j->spec.steps * j->spec.width;
+}
+
+struct wjob *wjob_at(const struct world *w, int job)
+{
+	return g_ptr_array_index(w->jobs, job);
+}
+
+/* True if the entry or the store had a fault within CONTACT_MS. */
+static bool is_disturbed(const struct world *w, int node)
+{
+	const struct wnode *n = &w->nodes[node];
+	cs_time since = MAX(n->disturbed_at, w->disturbed_at);
+
+	return n->is_cut_from_store || w->is_store_down || w->lose_per_mille ||
+	       n->paused_until > w->now ||
+	       w->now - since < CONTACT_MS * CS_MSEC;
+}
+
+/* A server that runs the task, for a message. */
+static const char *runner(const struct world *w, const char *task)
+{
+	guint i, k;
+
+	for (i = 0; i < w->servers->len; i++) {
+		const struct wserver *v = g_ptr_array_index(w->servers, i);
+
+		for (k = 0; k < v->runs->len; k++) {
+			const struct wrun *r = g_ptr_array_index(v->runs, k);
+
+			if (!strcmp(r->task, task))
+				return v->id;
+		}
+	}
+	return "nobody";
+}
+
+static void check_start(struct world *w, const struct wserver *v,
+			struct wjob *j, int step, int index,
+			const struct order *o, int node, bool is_late)
+{
+	int t = step * j->spec.width + index, i;
+
+	for (i = 0; i < step * j->spec.width; i++)
+		if (!j->done[i])
+			world_break(w, "ORDER: %s before its step's turn",
+				    o->task);
+	if (j->running[t])
+		world_break(w, "TWICE: %s run %u on %s while %s has it",
+			    o->task, o->run, v->id, runner(w, o->task));
+	if (j->done[t] && j->noted_done_at[t])
+		world_break(w, "TWICE: %s run %u after its end was noted",
+			    o->task, o->run);
+	if (!j->spec.is_lasting && j->noted_failed[t] >= ATTEMPTS_MAX)
+		world_break(w, "BUDGET: %s run %u after %d failures", o->task,
+			    o->run, j->noted_failed[t]);
+	/* Bounds in time hold for entries in touch, and orders in time. */
+	if (is_late || is_disturbed(w, node))
+		return;
+	if (j->cancelled_at &&
+	    w->now - j->cancelled_at > CONFIRM_CANCEL_MS * CS_MSEC)
+		world_break(w, "UNASKED: %s starts after its cancellation",
+			    o->task);
+	if (j->submissions && j->refusals == j->submissions &&
+	    j->answer == WORLD_REFUSED)
+		world_break(w, "REFUSED: %s starts though refused", o->task);
+	if (w->limit_cpu && w->now - w->limit_since > APPLY_MS * CS_MSEC &&
+	    w->used_cpu > w->limit_cpu + w->limit_cpu / 10)
+		world_break(w, "QUOTA: %" PRId64 " used of %" PRId64,
+			    w->used_cpu, w->limit_cpu);
+	if (v->is_draining && w->now - v->drain_since > 2 * CS_SEC)
+		world_break(w, "DRAIN: %s starts on a draining server",
+			    o->task);
+	if (w->out[v->data_centre] &&
+	    w->now - w->out_since[v->data_centre] > 5 * CS_SEC)
+		world_break(w, "EVAC: %s starts where nothing may", o->task);
+}
+
+/* Lasting tasks of the step that are away, one apart. */
+static int others_away(const struct wjob *j, int step, int index, cs_time now)
+{
+	int i, away = 0;
+
+	for (i = 0; i < j->spec.width; i++) {
+		int t = step * j->spec.width + i;
+
+		if (i != index && j->away_since[t] &&
+		    (j->away_by_order[t] ||
+		     now - j->away_since[t] > NOTICE_MS * CS_MSEC))
+			away++;
+	}
+	return away;
+}
+
+/* A stop or maintenance ends a lasting task that is at work. */
+static void check_available(struct world *w, const struct wserver *v,
+			    struct wjob *j, int step, int index,
+			    const char *what)
+{
+	int t = step * j->spec.width + index;
+
+	if (!j->spec.is_lasting || j->spec.unavailable_max < 0 ||
+	    j->away_since[t] || j->is_cancel_asked || v->is_draining)
+		return;
+	if (others_away(j, step, index, w->now) >= j->spec.unavailable_max)
+		world_break(w, "AVAIL: %s ends %s.0.%d.%d", what, j->id, step,
+			    index);
+	j->away_by_order[t] = true;
+}
+
+static int64_t server_clock(const struct wserver *v)
+{
+	return (int64_t)((double)(v->world->now - v->born_at) / 1000.0 *
+			 v->speed);
+}
+
+/* The world's time at which the server's clock shows ms. */
+static cs_time server_time(const struct wserver *v, int64_t ms)
+{
+	return v->born_at + (cs_time)((double)ms * 1000.0 / v->speed) + 1000;
+}
+
+void wserver_announce(struct world *w, const struct wserver *v)
+{
+	char key[80], text[256];
+
+	snprintf(key, sizeof(key), "servers/%s", v->id);
+	snprintf(text, sizeof(text), "%d %s %d %s %" PRIu64, v->pool,
+		 v->address, v->data_centre,
+		 v->is_draining ? "draining" : "ready", v->born);
+	wstore_put(w, key, text);
+}
+
+static void answer_hold(struct wserver *v);
+
+static void free_run(struct wserver *v, struct wrun *r)
+{
+	struct world *w = v->world;
+	struct wjob *j = wjob_at(w, r->job);
+
+	timers_cancel(w->timers, r->timer);
+	j->running[r->step * j->spec.width + r->index]--;
+	v->used.cpu -= j->spec.cpu;
+	w->used_cpu -= j->spec.cpu;
+	g_ptr_array_remove_fast(v->runs, r);
+	g_free(r);
+}
+
+static int progress_of(const struct wserver *v, const struct wrun *r)
+{
+	const struct wjob *j = wjob_at(v->world, r->job);
+	int64_t gone = server_clock(v) - r->started_ms;
+
+	if (j->spec.is_lasting)
+		return gone >= r->work_ms ? 100 : 0;
+	return (int)CLAMP(gone * 100 / MAX(r->work_ms, 1), 0, 99);
+}
+
+static void end_run(struct wserver *v, struct wrun *r, enum batch_end how)
+{
+	struct wjob *j = wjob_at(v->world, r->job);
+	int t = r->step * j->spec.width + r->index;
+	struct wend *e = g_new0(struct wend, 1);
+
+	e->number = ++v->next_end;
+	cs_copy(e->task, sizeof(e->task), r->task);
+	e->run = r->run;
+	e->how = how;
+	e->job = r->job;
+	e->step = r->step;
+	e->index = r->index;
+	if (how != BATCH_END_DONE && j->spec.is_checkpointing)
+		snprintf(e->saved, sizeof(e->saved), "%s",
+			 progress_of(v, r) > 0 ? "half" : "");
+	if (how == BATCH_END_DONE)
+		j->done[t] = true;
+	if (how == BATCH_END_FAILED)
+		j->failed[t]++;
+	if (j->spec.is_lasting && !j->away_since[t])
+		j->away_since[t] = v->world->now;
+	g_ptr_array_add(v->stopped, g_strdup_printf("%s %u", r->task, r->run));
+	g_ptr_array_add(v->ends, e);
+	free_run(v, r);
+	answer_hold(v);
+}
+
+static struct wrun *find_run(const struct wserver *v, const char *task)
+{
+	guint i;
+
+	for (i = 0; i < v->runs->len; i++) {
+		struct wrun *r = g_ptr_array_index(v->runs, i);
+
+		if (!strcmp(r->task, task))
+			return r;
+	}
+	return NULL;
+}
+
+struct run_event {
+	struct wserver *server;
+	int life;
+	char task[BATCH_TASK_NAME_MAX];
+	uint32_t run;
+};
+
+static void on_run_event(void *ctx, uint64_t arg, cs_time now)
+{
+	struct run_event *e = ctx;
+	struct wserver *v = e->server;
+	struct wrun *r = v->life == e->life ? find_run(v, e->task) : NULL;
+	struct wjob *j;
+	int t;
+
+	(void)now;
+	if (r && r->run == e->run) {
+		r->timer = 0;
+		j = wjob_at(v->world, r->job);
+		t = r->step * j->spec.width + r->index;
+		if (arg == BATCH_END_STOPPED || arg == BATCH_END_FAILED) {
+			end_run(v, r, (enum batch_end)arg);
+		} else if (j->spec.is_lasting) {
+			j->away_since[t] = 0;
+			j->away_by_order[t] = false;
+		} else if (v->is_failing ||
+			   (r->index == 0 && j->failed[t] < j->spec.failures)) {
+			end_run(v, r, BATCH_END_FAILED);
+		} else {
+			end_run(v, r, BATCH_END_DONE);
+		}
+	}
+	g_free(e);
+}
+
+static cs_handle plan_run(struct wserver *v, const struct wrun *r, int64_t ms,
+			  enum batch_end how)
+{
+	struct run_event *e = g_new0(struct run_event, 1);
+
+	e->server = v;
+	e->life = v->life;
+	e->run = r->run;
+	cs_copy(e->task, sizeof(e->task), r->task);
+	return timers_subscribe(v->world->timers, v->world->now + ms * CS_MSEC,
+				on_run_event, e, how);
+}
+
+static void on_lapse(void *ctx, uint64_t arg, cs_time now)
+{
+	struct wserver *v = ctx;
+
+	(void)now;
+	if ((int)arg != v->life || !v->is_up)
+		return;
+	v->lease_timer = 0;
+	if (server_clock(v) < v->lease_ms) {
+		v->lease_timer = timers_subscribe(v->world->timers,
+						  server_time(v, v->lease_ms),
+						  on_lapse, v, arg);
+		return;
+	}
+	while (v->runs->len)
+		end_run(v, g_ptr_array_index(v->runs, 0), BATCH_END_LAPSED);
+}
+
+static void extend(struct wserver *v, int64_t deadline_ms)
+{
+	if (deadline_ms > server_clock(v) + HOLD_MAX_MS)
+		deadline_ms = server_clock(v) + HOLD_MAX_MS;
+	if (deadline_ms <= v->lease_ms)
+		return;
+	v->lease_ms = deadline_ms;
+	if (!v->lease_timer)
+		v->lease_timer = timers_subscribe(v->world->timers,
+						  server_time(v, v->lease_ms),
+						  on_lapse, v,
+						  (uint64_t)v->life);
+}
+
+/* Ends up to the number are forgotten: they are noted. */
+static void note_ends(struct wserver *v, uint64_t seen)
+{
+	while (v->ends->len) {
+		struct wend *e = g_ptr_array_index(v->ends, 0);
+		struct wjob *j = wjob_at(v->world, e->job);
+		int t = e->step * j->spec.width + e->index;
+
+		if (e->number > seen)
+			return;
+		if (e->how == BATCH_END_DONE)
+			j->noted_done_at[t] = 1;
+		if (e->how == BATCH_END_FAILED)
+			j->noted_failed[t]++;
+		g_ptr_array_remove_index(v->ends, 0);
+	}
+}
+
+static bool was_stopped(const struct wserver *v, const char *task, uint32_t run)
+{
+	guint i;
+
+	for (i = 0; i < v->stopped->len; i++) {
+		const char *row = g_ptr_array_index(v->stopped, i);
+		size_t len = strlen(task);
+
+		if (!strncmp(row, task, len) && row[len] == ' ' &&
+		    strtoul(row + len + 1, NULL, 10) >= run)
+			return true;
+	}
+	return false;
+}
+
+static void refuse_order(struct order_done *d, enum order_reason reason)
+{
+	d->result = ORDER_REFUSED;
+	d->reason = reason;
+}
+
+static void do_start(struct wserver *v, const struct order *o,
+		     struct order_done *d, int node, bool is_late)
+{
+	struct world *w = v->world;
+	char id[BATCH_ID_MAX];
+	int round, step, index, t;
+	struct wrun *r = find_run(v, o->task);
+	struct wjob *j;
+
+	d->result = ORDER_DONE;
+	if (r && r->run == o->run)
+		return;
+	if (batch_task_name_parse(o->task, id, &round, &step, &index) ||
+	    !(j = g_hash_table_lookup(w->job_by_id, id)) || round ||
+	    step >= j->spec.steps || index >= j->spec.width) {
+		world_break(w, "UNASKED: %s", o->task);
+		return;
+	}
+	if (was_stopped(v, o->task, o->run) || (r && r->run > o->run)) {
+		refuse_order(d, ORDER_REASON_OLD_RUN);
+		return;
+	}
+	if (o->deadline_ms <= server_clock(v)) {
+		refuse_order(d, ORDER_REASON_LATE);
+		return;
+	}
+	if (v->used.cpu + j->spec.cpu > 32000) {
+		refuse_order(d, ORDER_REASON_NO_ROOM);
+		extend(v, o->deadline_ms);
+		return;
+	}
+	check_start(w, v, j, step, index, o, node, is_late);
+	extend(v, o->deadline_ms);
+	t = step * j->spec.width + index;
+	r = g_new0(struct wrun, 1);
+	cs_copy(r->task, sizeof(r->task), o->task);
+	r->run = o->run;
+	for (r->job = 0; wjob_at(w, r->job) != j; r->job++)
+		;
+	r->step = step;
+	r->index = index;
+	r->started_ms = server_clock(v);
+	r->work_ms = j->spec.work_ms;
+	if (o->checkpoint && *o->checkpoint)
+		r->work_ms /= 2;
+	r->pace = 100;
+	j->running[t]++;
+	j->starts++;
+	v->used.cpu += j->spec.cpu;
+	w->used_cpu += j->spec.cpu;
+	g_ptr_array_add(v->runs, r);
+	r->timer = plan_run(v, r, r->work_ms, BATCH_END_DONE);
+}
+
+static void do_stop(struct wserver *v, const struct order *o,
+		    struct order_done *d)
+{
+	struct wrun *r = find_run(v, o->task);
+
+	d->result = ORDER_DONE;
+	if (!r || r->run != o->run) {
+		g_ptr_array_add(v->stopped,
+				g_strdup_printf("%s %u", o->task, o->run));
+		return;
+	}
+	if (r->stop_ms)
+		return;
+	check_available(v->world, v, wjob_at(v->world, r->job), r->step,
+			r->index, "a stop");
+	r->stop_ms = server_clock(v) + STOP_MS;
+	timers_cancel(v->world->timers, r->timer);
+	r->timer = plan_run(v, r, world_random_ms(v->world, 50, STOP_MS),
+			    BATCH_END_STOPPED);
+}
+
+static void fill_lists(const struct wserver *v, struct order_done *d)
+{
+	guint i;
+
+	for (i = 0; i < v->runs->len; i++) {
+		const struct wrun *r = g_ptr_array_index(v->runs, i);
+		struct order_run *out = g_new0(struct order_run, 1);
+
+		cs_copy(out->task, sizeof(out->task), r->task);
+		out->run = r->run;
+		out->percent = progress_of(v, r);
+		out->saved = g_strdup("");
+		g_ptr_array_add(d->runs, out);
+	}
+	for (i = 0; i < v->ends->len && i < 500; i++) {
+		const struct wend *e = g_ptr_array_index(v->ends, i);
+		struct order_end *out = g_new0(struct order_end, 1);
+
+		out->number = e->number;
+		cs_copy(out->task, sizeof(out->task), e->task);
+		out->run = e->run;
+		out->how = e->how;
+		out->saved = g_strdup(e->saved);
+		g_ptr_array_add(d->ends, out);
+	}
+}
+
+static bool is_cut(const struct world *w, int node, const struct wserver *v)
+{
+	return w->nodes[node].cut_from_server[v->index];
+}
+
+/* Sends an answer back, or lets the call time out. */
+static void send_back(struct wserver *v, int node, uint64_t generation,
+		      const struct order *o, struct order_done *d, cs_time sent,
+		      bool is_lost)
+{
+	struct world *w = v->world;
+
+	d->sent = sent;
+	d->clock_ms = server_clock(v);
+	d->born = v->born;
+	if (is_lost || is_cut(w, node, v) || v->is_mute) {
+		d->result = ORDER_UNKNOWN;
+		d->clock_ms = -1;
+		d->born = 0;
+		g_ptr_array_set_size(d->runs, 0);
+		g_ptr_array_set_size(d->ends, 0);
+		world_deliver_order(w, node, generation, d,
+				    MAX(sent + o->timeout_ms * CS_MSEC,
+					w->now));
+		return;
+	}
+	world_deliver_order(w, node, generation, d, w->now + world_delay(w));
+}
+
+static void answer_hold(struct wserver *v)
+{
+	struct whold *h = v->waiting;
+	struct order_done *d;
+
+	if (!h)
+		return;
+	v->waiting = NULL;
+	timers_cancel(v->world->timers, h->timer);
+	d = order_done_new(h->order);
+	d->result = ORDER_DONE;
+	fill_lists(v, d);
+	send_back(v, h->node, h->generation, h->order, d, h->sent, false);
+	order_free(h->order);
+	g_free(h);
+}
+
+static void on_hold_end(void *ctx, uint64_t arg, cs_time now)
+{
+	struct wserver *v = ctx;
+
+	(void)now;
+	if ((int)arg == v->life && v->waiting) {
+		v->waiting->timer = 0;
+		answer_hold(v);
+	}
+}
+
+struct order_arrival {
+	struct world *world;
+	struct order *order;
+	int node;
+	uint64_t generation;
+	cs_time sent;
+	bool is_answer_lost;
+};
+
+/* The live server behind an address and identifier, or NULL. */
+static struct wserver *server_of(const struct world *w, const struct order *o,
+				 bool *is_other)
+{
+	guint i;
+
+	*is_other = false;
+	for (i = 0; i < w->servers->len; i++) {
+		struct wserver *v = g_ptr_array_index(w->servers, i);
+
+		if (strcmp(v->address, o->address))
+			continue;
+		*is_other = v->is_up && strcmp(v->id, o->instance) != 0;
+		return v;
+	}
+	return NULL;
+}
+
+static void hold(struct wserver *v, struct order_arrival *a,
+		 struct order_done *d)
+{
+	struct order *o = a->order;
+
+	if (o->deadline_ms)
+		extend(v, o->deadline_ms);
+	note_ends(v, o->seen);
+	if (v->ends->len || !o->wait_ms) {
+		d->result = ORDER_DONE;
+		fill_lists(v, d);
+		send_back(v, a->node, a->generation, o, d, a->sent, false);
+		return;
+	}
+	answer_hold(v); /* one hold waits at a time */
+	v->waiting = g_new0(struct whold, 1);
+	v->waiting->server = v;
+	v->waiting->order = o;
+	v->waiting->node = a->node;
+	v->waiting->generation = a->generation;
+	v->waiting->sent = a->sent;
+	v->waiting->timer = timers_subscribe(
+		v->world->timers, v->world->now + o->wait_ms * CS_MSEC,
+		on_hold_end, v, (uint64_t)v->life);
+	a->order = NULL;
+	order_done_free(d);
+}
+
+static void serve_order(struct wserver *v, struct order_arrival *a,
+			struct order_done *d)
+{
+	struct order *o = a->order;
+
+	if (o->token < v->token) {
+		refuse_order(d, ORDER_REASON_FENCED);
+		send_back(v, a->node, a->generation, o, d, a->sent, false);
+		return;
+	}
+	v->token = o->token;
+	if (o->type == ORDER_HOLD) {
+		hold(v, a, d);
+		return;
+	}
+	if (o->type == ORDER_START)
+		do_start(v, o, d, a->node, a->generation == UINT64_MAX);
+	else if (o->type == ORDER_STOP)
+		do_stop(v, o, d);
+	else
+		d->result = ORDER_DONE;
+	send_back(v, a->node, a->generation, o, d, a->sent, a->is_answer_lost);
+}
+
+static void on_order_arrival(void *ctx, uint64_t arg, cs_time now)
+{
+	struct order_arrival *a = ctx;
+	struct world *w = a->world;
+	struct order_done *d = order_done_new(a->order);
+	bool is_other;
+	struct wserver *v = server_of(w, a->order, &is_other);
+
+	(void)arg;
+	d->sent = a->sent;
+	if (!v || !v->is_up || is_cut(w, a->node, v)) {
+		d->result = ORDER_UNKNOWN;
+		world_deliver_order(w, a->node, a->generation, d,
+				    a->sent + a->order->timeout_ms * CS_MSEC);
+	} else if (is_other) {
+		refuse_order(d, ORDER_REASON_INSTANCE);
+		world_deliver_order(w, a->node, a->generation, d,
+				    now + world_delay(w));
+	} else {
+		serve_order(v, a, d);
+	}
+	order_free(a->order);
+	g_free(a);
+}
+
+void wserver_stop(struct wserver *v, bool is_ordered)
+{
+	struct world *w = v->world;
+	guint i;
+
+	for (i = 0; i < v->runs->len; i++) {
+		struct wrun *r = g_ptr_array_index(v->runs, i);
+		struct wjob *j = wjob_at(w, r->job);
+		int t = r->step * j->spec.width + r->index;
+
+		if (is_ordered)
+			check_available(w, v, j, r->step, r->index,
+					"maintenance");
+		if (j->spec.is_lasting && !j->away_since[t])
+			j->away_since[t] = w->now;
+	}
+	while (v->runs->len)
+		free_run(v, g_ptr_array_index(v->runs, 0));
+	if (v->waiting) {
+		struct order_done *d = order_done_new(v->waiting->order);
+
+		d->result = ORDER_UNKNOWN;
+		d->sent = v->waiting->sent;
+		world_deliver_order(
+			w, v->waiting->node, v->waiting->generation, d,
+			v->waiting->sent +
+				v->waiting->order->timeout_ms * CS_MSEC);
+		timers_cancel(w->timers, v->waiting->timer);
+		order_free(v->waiting->order);
+		g_free(v->waiting);
+		v->waiting = NULL;
+	}
+	g_ptr_array_set_size(v->ends, 0);
+	g_ptr_array_set_size(v->stopped, 0);
+	timers_cancel(w->timers, v->lease_timer);
+	v->lease_timer = 0;
+	v->life++;
+	v->is_up = false;
+}
+
+void wserver_unlist(void *ctx, uint64_t arg, cs_time now)
+{
+	struct wserver *v = ctx;
+	char key[80];
+
+	(void)now;
+	if ((int)arg != v->life || v->is_up)
+		return;
+	snprintf(key, sizeof(key), "servers/%s", v->id);
+	wstore_remove(v->world, key);
+	v->is_listed = false;
+}
+
+void wserver_start(struct wserver *v)
+{
+	char key[80];
+
+	if (v->is_listed) {
+		snprintf(key, sizeof(key), "servers/%s", v->id);
+		wstore_remove(v->world, key);
+	}
+	v->life++;
+	snprintf(v->id, sizeof(v->id), "i-%d-%d", v->index, v->life);
+	v->is_up = v->is_listed = true;
+	v->is_draining = false;
+	v->born = (uint64_t)world_unix_ms(v->world);
+	v->born_at = v->world->now;
+	v->speed = 0.98 + 0.02 * g_rand_double(v->world->rng);
+	v->token = 0;
+	v->next_end = 0;
+	v->lease_ms = 0;
+	if (v->is_maintained)
+		v->world->wave_down--;
+	v->is_maintained = false;
+	wserver_announce(v->world, v);
+}
+
+void wserver_back(void *ctx, uint64_t arg, cs_time now)
+{
+	struct wserver *v = ctx;
+
+	(void)now;
+	if ((int)arg == v->life && !v->is_up)
+		wserver_start(v);
+}
+
+static void maintain(struct world *w, const struct order *o,
+		     struct order_done *d)
+{
+	guint i;
+
+	for (i = 0; i < w->servers->len; i++) {
+		struct wserver *v = g_ptr_array_index(w->servers, i);
+
+		if (strcmp(v->host, o->host))
+			continue;
+		if (!v->is_up) {
+			refuse_order(d, ORDER_REASON_BUSY);
+			return;
+		}
+		if (w->wave_down >= w->wave_max)
+			world_break(w, "LIMIT: %d hosts of the wave are down",
+				    w->wave_down);
+		w->wave_down++;
+		wserver_stop(v, true);
+		v->is_maintained = true;
+		timers_subscribe(w->timers, w->now + MAINTENANCE_MS * CS_MSEC,
+				 wserver_back, v, (uint64_t)v->life);
+		d->result = ORDER_DONE;
+		return;
+	}
+	refuse_order(d, ORDER_REASON_INVALID);
+}
+
+static void list_hosts(struct world *w, struct order_done *d)
+{
+	guint i;
+
+	for (i = 0; i < w->servers->len; i++) {
+		const struct wserver *v = g_ptr_array_index(w->servers, i);
+		struct order_host *h = g_new0(struct order_host, 1);
+
+		cs_copy(h->name, sizeof(h->name), v->host);
+		snprintf(h->pool, sizeof(h->pool), "pool%d", v->pool);
+		cs_copy(h->server, sizeof(h->server), v->is_up ? v->id : "");
+		h->state = v->is_up	    ? HOST_UP :
+			   v->is_maintained ? HOST_MAINTAINED :
+					      HOST_DOWN;
+		g_ptr_array_add(d->hosts, h);
+	}
+	d->result = ORDER_DONE;
+}
+
+void wserver_order(void *ctx, struct order *o)
+{
+	struct wnode *n = ctx;
+	struct world *w = n->world;
+	struct order_arrival *a;
+	struct order_done *d;
+
+	if (o->type >= ORDER_ADVISE) {
+		d = order_done_new(o);
+		d->sent = w->now;
+		if (o->type == ORDER_LIST_HOSTS)
+			list_hosts(w, d);
+		else if (o->type == ORDER_MAINTAIN_HOST)
+			maintain(w, o, d);
+		world_deliver_order(w, n->index, n->generation, d,
+				    w->now + 2 * world_delay(w));
+		order_free(o);
+		return;
+	}
+	a = g_new0(struct order_arrival, 1);
+	a->world = w;
+	a->order = o;
+	a->node = n->index;
+	a->generation = n->generation;
+	a->sent = w->now;
+	if (o->type == ORDER_START && world_chance(w, w->late_per_mille)) {
+		struct order_done *lost = order_done_new(o);
+
+		lost->result = ORDER_UNKNOWN;
+		lost->sent = w->now;
+		world_deliver_order(w, n->index, n->generation, lost,
+				    w->now + o->timeout_ms * CS_MSEC);
+		a->generation = UINT64_MAX;
+		timers_subscribe(w->timers,
+				 w->now + world_random_ms(w, 500, 9000) *
+						  CS_MSEC,
+				 on_order_arrival, a, 0);
+		return;
+	}
+	timers_subscribe(w->timers, w->now + world_delay(w), on_order_arrival,
+			 a, 0);
+}
--- /dev/null
+++ b/tests/world/world_store.c
@@ -0,0 +1,440 @@
+#include "world_private.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../../src/base/error.h"
+
+/* The store of the world: items, leases, watches, lost answers. */
+
+static void bytes_unref(void *b)
+{
+	if (b)
+		g_bytes_unref(b);
+}
+
+void wstore_item_free(void *row)
+{
+	struct witem *i = row;
+
+	bytes_unref(i->value);
+	g_free(i);
+}
+
+void wstore_change_free(void *row)
+{
+	struct wchange *c = row;
+
+	g_free(c->key);
+	bytes_unref(c->value);
+	g_free(c);
+}
+
+gint wstore_compare(const void *a, const void *b, void *ctx)
+{
+	(void)ctx;
+	return strcmp(a, b);
+}
+
+static void add_change(struct world *w, const char *key,
+		       const struct witem *item, uint64_t revision)
+{
+	struct wchange *c = g_new0(struct wchange, 1);
+
+	c->key = g_strdup(key);
+	c->revision = revision;
+	if (item) {
+		c->value = g_bytes_ref(item->value);
+		c->created = item->created;
+		c->lease = item->lease;
+	}
+	g_ptr_array_add(w->log, c);
+}
+
+static void put(struct world *w, const char *key, GBytes *value, uint64_t lease,
+		uint64_t revision)
+{
+	struct witem *old = g_tree_lookup(w->items, key);
+	struct witem *i = g_new0(struct witem, 1);
+
+	i->value = g_bytes_ref(value);
+	i->revision = revision;
+	i->created = old ? old->created : revision;
+	i->lease = lease;
+	add_change(w, key, i, revision);
+	g_tree_replace(w->items, g_strdup(key), i);
+}
+
+static void del(struct world *w, const char *key, uint64_t revision)
+{
+	if (!g_tree_lookup(w->items, key))
+		return;
+	add_change(w, key, NULL, revision);
+	g_tree_remove(w->items, key);
+}
+
+/* The operators and servers write past the entries' limits. */
+void wstore_put(struct world *w, const char *key, const char *text)
+{
+	GBytes *value = g_bytes_new(text, strlen(text));
+
+	put(w, key, value, 0, ++w->revision);
+	g_bytes_unref(value);
+	wstore_answer_watches(w);
+}
+
+void wstore_remove(struct world *w, const char *key)
+{
+	del(w, key, ++w->revision);
+	wstore_answer_watches(w);
+}
+
+struct range {
+	const char *prefix, *after;
+	struct store_done *done;
+	guint max;
+};
+
+static gboolean add_range(void *key, void *value, void *ctx)
+{
+	struct range *r = ctx;
+	const struct witem *i = value;
+
+	if (!g_str_has_prefix(key, r->prefix) ||
+	    (r->after && strcmp(key, r->after) <= 0))
+		return FALSE;
+	if (r->done->items->len >= r->max) {
+		r->done->has_more = true;
+		return TRUE;
+	}
+	store_done_add(r->done, key, g_bytes_ref(i->value), i->revision,
+		       i->created, i->lease);
+	return FALSE;
+}
+
+static bool fill_watch(struct world *w, const struct store_call *c,
+		       struct store_done *d)
+{
+	guint i;
+
+	d->result = STORE_OK;
+	d->revision = w->revision;
+	if (c->after < w->compacted) {
+		d->result = STORE_COMPACTED;
+		return true;
+	}
+	for (i = 0; i < w->log->len; i++) {
+		const struct wchange *ch = g_ptr_array_index(w->log, i);
+
+		if (ch->revision > c->after &&
+		    g_str_has_prefix(ch->key, c->key))
+			store_done_add(d, ch->key,
+				       ch->value ? g_bytes_ref(ch->value) :
+						   NULL,
+				       ch->revision, ch->created, ch->lease);
+	}
+	return d->items->len > 0;
+}
+
+static void end_watch(struct world *w, struct wwatch *x, struct store_done *d)
+{
+	d->sent = x->sent;
+	if (w->is_store_down || w->nodes[x->node].is_cut_from_store) {
+		d->result = STORE_UNKNOWN;
+		g_ptr_array_set_size(d->items, 0);
+		world_deliver_store(w, x->node, x->generation, d,
+				    x->sent + x->call->timeout_ms * CS_MSEC);
+	} else {
+		world_deliver_store(w, x->node, x->generation, d,
+				    w->now + world_delay(w));
+	}
+	timers_cancel(w->timers, x->timer);
+	g_ptr_array_remove_fast(w->watches, x);
+	store_call_free(x->call);
+	g_free(x);
+}
+
+void wstore_answer_watches(struct world *w)
+{
+	guint i;
+
+	for (i = w->watches->len; i-- > 0;) {
+		struct wwatch *x = g_ptr_array_index(w->watches, i);
+		struct store_done *d = store_done_new(x->call);
+
+		if (fill_watch(w, x->call, d))
+			end_watch(w, x, d);
+		else
+			store_done_free(d);
+	}
+}
+
+static void on_watch_end(void *ctx, uint64_t arg, cs_time now)
+{
+	struct world *w = ctx;
+	guint i;
+
+	(void)now;
+	for (i = 0; i < w->watches->len; i++) {
+		struct wwatch *x = g_ptr_array_index(w->watches, i);
+
+		if (x->call->ref == arg && x->timer) {
+			struct store_done *d = store_done_new(x->call);
+
+			x->timer = 0;
+			fill_watch(w, x->call, d);
+			end_watch(w, x, d);
+			return;
+		}
+	}
+}
+
+static struct wlease *live_lease(struct world *w, uint64_t id)
+{
+	return g_hash_table_lookup(w->leases, &id);
+}
+
+static void on_lease_end(void *ctx, uint64_t arg, cs_time now);
+
+static void end_lease(struct world *w, uint64_t id)
+{
+	GPtrArray *keys = g_ptr_array_new_with_free_func(g_free);
+	GTreeNode *node;
+	guint i;
+
+	for (node = g_tree_node_first(w->items); node;
+	     node = g_tree_node_next(node)) {
+		const struct witem *item = g_tree_node_value(node);
+
+		if (item->lease == id)
+			g_ptr_array_add(keys, g_strdup(g_tree_node_key(node)));
+	}
+	g_hash_table_remove(w->leases, &id);
+	for (i = 0; i < keys->len; i++)
+		del(w, g_ptr_array_index(keys, i), ++w->revision);
+	if (keys->len)
+		wstore_answer_watches(w);
+	g_ptr_array_free(keys, TRUE);
+}
+
+static void on_lease_end(void *ctx, uint64_t arg, cs_time now)
+{
+	struct world *w = ctx;
+	struct wlease *l = live_lease(w, arg);
+
+	if (!l)
+		return;
+	if (w->is_store_down && !w->leases_lapse)
+		l->ends = now + l->ttl_ms * CS_MSEC; /* it pauses */
+	if (now < l->ends)
+		timers_subscribe(w->timers, l->ends, on_lease_end, w, arg);
+	else
+		end_lease(w, arg);
+}
+
+static bool conditions_hold(struct world *w, const struct store_call *c)
+{
+	guint i;
+
+	for (i = 0; i < c->entries->len; i++) {
+		const struct store_entry *e = g_ptr_array_index(c->entries, i);
+		const struct witem *item = g_tree_lookup(w->items, e->key);
+
+		if (e->kind == STORE_EXPECT &&
+		    e->revision != (item ? item->revision : 0))
+			return false;
+	}
+	return true;
+}
+
+static void run_txn(struct world *w, const struct store_call *c,
+		    struct store_done *d)
+{
+	guint i;
+
+	if (c->entries->len > STORE_TXN_MAX)
+		world_break(w, "a transaction of %u entries", c->entries->len);
+	if (!conditions_hold(w, c)) {
+		d->result = STORE_CONFLICT;
+		for (i = 0; i < c->entries->len; i++) {
+			const struct store_entry *e =
+				g_ptr_array_index(c->entries, i);
+			const struct witem *item =
+				g_tree_lookup(w->items, e->key);
+
+			if (e->kind == STORE_EXPECT && item)
+				store_done_add(d, e->key,
+					       g_bytes_ref(item->value),
+					       item->revision, item->created,
+					       item->lease);
+		}
+		return;
+	}
+	for (i = 0; i < c->entries->len; i++) {
+		const struct store_entry *e = g_ptr_array_index(c->entries, i);
+
+		if (e->kind == STORE_WRITE && e->lease &&
+		    !live_lease(w, e->lease)) {
+			d->result = STORE_MISSING;
+			return;
+		}
+	}
+	d->revision = ++w->revision;
+	for (i = 0; i < c->entries->len; i++) {
+		const struct store_entry *e = g_ptr_array_index(c->entries, i);
+
+		if (e->kind == STORE_WRITE)
+			put(w, e->key, e->value, e->lease, d->revision);
+		else if (e->kind == STORE_REMOVE)
+			del(w, e->key, d->revision);
+	}
+	d->result = STORE_OK;
+	wstore_answer_watches(w);
+}
+
+static void run_lease(struct world *w, const struct store_call *c,
+		      struct store_done *d)
+{
+	struct wlease *l = g_new0(struct wlease, 1);
+
+	l->id = ++w->next_lease;
+	l->ttl_ms = c->wait_ms;
+	l->ends = w->now + l->ttl_ms * CS_MSEC;
+	g_hash_table_insert(w->leases, &l->id, l);
+	timers_subscribe(w->timers, l->ends, on_lease_end, w, l->id);
+	d->lease = l->id;
+	d->result = STORE_OK;
+}
+
+/* Carries a call out. */
+static void execute(struct world *w, const struct store_call *c,
+		    struct store_done *d)
+{
+	struct range r = { .prefix = c->key,
+			   .after = c->page_after,
+			   .done = d,
+			   .max = 200 };
+	const struct witem *item;
+	struct wlease *l;
+
+	d->revision = w->revision;
+	switch (c->op) {
+	case STORE_GET:
+		item = g_tree_lookup(w->items, c->key);
+		d->result = item ? STORE_OK : STORE_MISSING;
+		if (item)
+			store_done_add(d, c->key, g_bytes_ref(item->value),
+				       item->revision, item->created,
+				       item->lease);
+		break;
+	case STORE_LIST:
+		g_tree_foreach(w->items, add_range, &r);
+		d->result = STORE_OK;
+		break;
+	case STORE_TXN:
+		run_txn(w, c, d);
+		break;
+	case STORE_LEASE:
+		run_lease(w, c, d);
+		break;
+	case STORE_KEEP:
+		l = live_lease(w, c->lease);
+		d->result = l ? STORE_OK : STORE_MISSING;
+		if (l)
+			l->ends = w->now + l->ttl_ms * CS_MSEC;
+		break;
+	case STORE_LEASE_END:
+		end_lease(w, c->lease);
+		d->result = STORE_OK;
+		break;
+	case STORE_WATCH:
+		break;
+	}
+}
+
+struct arrival {
+	struct world *world;
+	struct store_call *call;
+	int node;
+	uint64_t generation;
+	cs_time sent;
+	bool is_answer_lost;
+};
+
+static void on_arrival(void *ctx, uint64_t arg, cs_time now)
+{
+	struct arrival *a = ctx;
+	struct world *w = a->world;
+	struct store_done *d = store_done_new(a->call);
+	cs_time end = a->sent + a->call->timeout_ms * CS_MSEC;
+	bool is_cut = w->nodes[a->node].is_cut_from_store;
+
+	(void)arg;
+	d->sent = a->sent;
+	if (w->is_store_down || is_cut) {
+		d->result = is_cut ? STORE_UNKNOWN : STORE_REFUSED;
+		world_deliver_store(w, a->node, a->generation, d,
+				    is_cut ? end : now + world_delay(w));
+		store_call_free(a->call);
+	} else if (a->call->op == STORE_WATCH) {
+		struct wwatch *x = g_new0(struct wwatch, 1);
+
+		x->call = a->call;
+		x->node = a->node;
+		x->generation = a->generation;
+		x->sent = a->sent;
+		x->timer = timers_subscribe(w->timers,
+					    now + x->call->wait_ms * CS_MSEC,
+					    on_watch_end, w, x->call->ref);
+		g_ptr_array_add(w->watches, x);
+		if (fill_watch(w, x->call, d))
+			end_watch(w, x, d);
+		else
+			store_done_free(d);
+	} else {
+		execute(w, a->call, d);
+		if (a->is_answer_lost) {
+			d->result = STORE_UNKNOWN;
+			g_ptr_array_set_size(d->items, 0);
+			d->lease = 0;
+		}
+		world_deliver_store(w, a->node, a->generation, d,
+				    a->is_answer_lost ? MAX(end, now) :
+							now + world_delay(w));
+		store_call_free(a->call);
+	}
+	g_free(a);
+}
+
+/* A lost answer of a late call: the caller hears nothing, the store acts. */
+void wstore_call(void *ctx, struct store_call *call)
+{
+	struct wnode *n = ctx;
+	struct world *w = n->world;
+	struct arrival *a = g_new0(struct arrival, 1);
+	cs_time at = w->now + world_delay(w);
+
+	a->world = w;
+	a->call = call;
+	a->node = n->index;
+	a->generation = n->generation;
+	a->sent = w->now;
+	if (call->op == STORE_TXN && world_chance(w, w->lose_per_mille)) {
+		a->is_answer_lost = true;
+		if (w->is_lose_late) {
+			struct store_done *d = store_done_new(call);
+
+			/* The entry gives up before the store acts. */
+			d->result = STORE_UNKNOWN;
+			d->sent = w->now;
+			world_deliver_store(w, a->node, a->generation, d,
+					    w->now +
+						    call->timeout_ms * CS_MSEC);
+			a->generation = UINT64_MAX;
+			at += world_random_ms(w, 500, 6000) * CS_MSEC;
+		}
+	}
+	timers_subscribe(w->timers, at, on_arrival, a, 0);
+}
