--- a/src/node/node_private.h
+++ b/src/node/node_private.h
@@ -40,6 +40,7 @@
 	uint64_t term_revision;
 	uint64_t lease; /* ours; 0: none */
 	cs_time confirmed_at; /* the ownership was valid at least then */
+	cs_time renewed_at; /* the lease was, by a call sent then */
 	cs_time taken_at;
 	cs_handle timer; /* next attempt or renewal */
 	cs_handle call;
--- a/src/node/ownership.c
+++ b/src/node/ownership.c
@@ -26,9 +26,11 @@
 #define RENEW_RETRY_US (100 * CS_MSEC)
 #define RENEW_TIMEOUT_MS 500
 /*
- * How long an owner that the store does not confirm goes on. Outages of the
+ * How long an owner goes on after the last renewal of its lease. Outages of the
  * store last up to about 9 s, in which nobody else can become the owner
- * either; but a successor waits this long for servers it can't reach.
+ * either; but a successor waits this long for servers it can't reach. Other
+ * writes do not count: they succeed until the lease ends, without prolonging
+ * it, so a successor could not tell when the last one was.
  */
 #define OWNER_VALID_US (5 * CS_SEC)
 /* Leases of servers (see sched_private.h) and their clock error, rounded up. */
@@ -142,6 +144,7 @@
 		renew_at(n, now + RENEW_RETRY_US);
 		return;
 	}
+	n->owner.renewed_at = d->sent;
 	owner_confirm(n, d->sent);
 	renew_at(n, now + RENEW_US);
 }
@@ -223,6 +226,7 @@
 		return;
 	}
 	n->owner.lease = d->lease;
+	n->owner.renewed_at = d->sent;
 	n->owner.taking_term = n->owner.term + 1;
 	text = owner_text(n);
 	term = g_strdup_printf("%" PRIu64, n->owner.taking_term);
@@ -274,6 +278,7 @@
 			store_calls_forget(n->calls, n->owner.call);
 			n->owner.call = 0;
 			n->owner.lease = item->lease;
+			n->owner.renewed_at = 0;
 			taken(n, item->revision, 0, now);
 		}
 		return;
@@ -357,14 +362,13 @@
 		plan(n, now);
 	if (n->sched)
 		sched_set_confirmed(n->sched, n->owner.confirmed_at,
-				    now - n->owner.confirmed_at >
-					    OWNER_VALID_US);
+				    now - n->owner.renewed_at > OWNER_VALID_US);
 }
 
 /*
  * Until when a predecessor may have extended leases of servers, seen from the
  * moment at which this entry became the owner: the predecessor's last
- * confirmation was at least the store lease earlier.
+ * renewal was at least the store lease earlier.
  */
 cs_time owner_predecessor_end(const struct node *n)
 {
