Store the grants of new servers before progress

Cause: a transaction of the owner holds 32 entries, and batches came first. Under load 15 batches were always waiting, so no room was left for grants, and a server without a stored grant gets no work.

Ruled out: the rate of host moves (48 a second, the hosts were there) and the owner's processor (0.16 of 0.5 cores).

Grants now go first and may take half of a transaction.

--- a/src/node/commit.c
+++ b/src/node/commit.c
@@ -15,9 +15,18 @@
  * answer, carried out late, can't undo a later one.
  */
 
-/* A batch takes a condition and a write; one condition is for the owner. */
-#define BATCHES_MAX ((STORE_TXN_MAX - 1) / 2)
-#define GRANTS_MAX (STORE_TXN_MAX - 2)
+/*
+ * Grants go first, as a server without one can't be used, and under load there
+ * are always more changed batches than a transaction holds. They may take half
+ * of it: at 40 transactions a second enough for ten times the hosts that the
+ * host service moves.
+ */
+#define GRANTS_MAX (STORE_TXN_MAX / 2)
+/* A batch takes a condition and a write. */
+#define BATCH_ENTRIES 2
+#define BATCHES_MAX (STORE_TXN_MAX / BATCH_ENTRIES)
+/* The keys of an expired batch, which are removed together. */
+#define EXPIRED_ENTRIES 3
 /* Between two transactions, so that changes gather. */
 #define COMMIT_GAP_US (10 * CS_MSEC)
 #define RETRY_MIN_US (50 * CS_MSEC)
@@ -42,7 +51,8 @@
 static void add_batches(struct node *n, struct store_call *call)
 {
 	cs_handle rows[BATCHES_MAX];
-	size_t nr = sched_take_changed(n->sched, rows, BATCHES_MAX), i;
+	size_t room = (STORE_TXN_MAX - call->entries->len) / BATCH_ENTRIES;
+	size_t nr = sched_take_changed(n->sched, rows, room), i;
 
 	for (i = 0; i < nr; i++) {
 		const struct batch *b = sched_batch(n->sched, rows[i]);
@@ -92,7 +102,7 @@
 	const struct batch *b;
 	char key[STORE_KEY_MAX];
 
-	if (!h || call->entries->len + 3 > STORE_TXN_MAX)
+	if (!h || call->entries->len + EXPIRED_ENTRIES > STORE_TXN_MAX)
 		return;
 	b = sched_batch(n->sched, h);
 	n->commit.expired = h;
@@ -134,10 +144,9 @@
 	}
 	call = store_call_new(STORE_TXN, NULL, STORE_TIMEOUT_MS);
 	store_call_expect(call, KEY_OWNER, n->owner.key_revision);
-	add_batches(n, call);
-	if (call->entries->len < GRANTS_MAX)
-		add_grants(n, call);
+	add_grants(n, call);
 	add_expired(n, call, now);
+	add_batches(n, call);
 	if (call->entries->len == 1) {
 		store_call_free(call);
 		return;
--- a/src/sched/balance.c
+++ b/src/sched/balance.c
@@ -32,6 +32,8 @@
 #define RELEASE_SHARE 0.34
 /* After this an order's effect must show in the list, or it is given up. */
 #define MOVE_LOST_US (6 * CS_SEC)
+/* One line a pool in the log. */
+#define LOG_INTERVAL_US (1 * CS_SEC)
 
 struct move {
 	char host[CS_NAME_MAX];
@@ -48,6 +50,7 @@
 	uint64_t next_ref;
 	GHashTable *by_ref; /* order reference -> host name */
 	cs_handle timer;
+	cs_time log_at; /* the next line for each pool */
 };
 
 static void on_look(void *ctx, uint64_t arg, cs_time now);
@@ -383,6 +386,45 @@
 	}
 }
 
+/* What a pool holds and asks for, once a second. */
+static void log_sides(struct balance *b, const GPtrArray *sides, cs_time now)
+{
+	guint i, k;
+
+	if (now < b->log_at)
+		return;
+	b->log_at = now + LOG_INTERVAL_US;
+	for (i = 0; i < sides->len; i++) {
+		const struct side *x = g_ptr_array_index(sides, i);
+		GString *pairs = g_string_new(NULL);
+		int64_t used = 0, room = 0;
+		int usable = 0;
+
+		for (k = 0; k < x->pool->servers->len; k++) {
+			const struct server *v =
+				g_ptr_array_index(x->pool->servers, k);
+
+			if (!v->is_listed || v->is_dead)
+				continue;
+			used += v->used.cpu;
+			room += v->info.room.cpu;
+			usable += place_is_usable(b->sched, v, now);
+		}
+		log_pair(pairs, "pool", x->pool->name);
+		log_pair_int(pairs, "hosts", x->servers);
+		log_pair_int(pairs, "hosts_wanted", x->want);
+		log_pair_int(pairs, "hosts_idle", x->idle->len);
+		log_pair_int(pairs, "servers_usable", usable);
+		log_pair_int(pairs, "cpu_room", room);
+		log_pair_int(pairs, "cpu_used", used);
+		log_pair_int(pairs, "cpu_demand", (int64_t)x->pool->demand);
+		log_pair_int(pairs, "jobs", x->pool->jobs->len);
+		log_pair_int(pairs, "list_age_ms",
+			     (now - hosts_listed_at(b->sched)) / CS_MSEC);
+		sched_log(b->sched, "pool_state", pairs);
+	}
+}
+
 static void look(struct balance *b, cs_time now)
 {
 	struct sched *s = b->sched;
@@ -397,6 +439,7 @@
 	place_hosts(b, sides, now);
 	moves = fill_short_pools(b, sides, now);
 	release(b, sides, moves, now);
+	log_sides(b, sides, now);
 	g_ptr_array_free(sides, TRUE);
 }
 
--- a/tests/unit/test_node.c
+++ b/tests/unit/test_node.c
@@ -295,6 +295,34 @@
 	end_world(w);
 }
 
+/*
+ * Under load each write of the owner is full of progress. The grants of new
+ * servers waited behind it, so that hosts which had come to help stood idle
+ * for as long as the load lasted.
+ */
+static void server_that_joins_under_load_is_used(void **state)
+{
+	static const struct world_job tiny = { .steps = 1,
+					       .width = 1,
+					       .work_ms = 60,
+					       .cpu = 1000,
+					       .unavailable_max = -1 };
+	struct world *w = make_world();
+	int i, k;
+
+	(void)state;
+	world_server_crash(w, 0, 300);
+	for (i = 0; i < 200 && !world_server_runs(w, 0); i++) {
+		for (k = 0; k < 30; k++)
+			world_submit(w, k % 3, &tiny);
+		world_run(w, 10);
+	}
+	assert_true(world_server_runs(w, 0) > 0);
+	world_run(w, 10000);
+	assert_int_equal(world_unfinished(w), 0);
+	end_world(w);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -311,6 +339,7 @@
 		cmocka_unit_test(wave_keeps_budgets),
 		cmocka_unit_test(limit_holds),
 		cmocka_unit_test(late_starts_run_once),
+		cmocka_unit_test(server_that_joins_under_load_is_used),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
