Size pools by a forecast of arriving work, and learn run times

Cause: a pool asked for hosts when work already waited. What callers tell of run times is off by factors of 2.5, so that jobs told to be short counted as late at once.

Now the work that arrives is counted, a climb beyond chance is extended by the 2 s of a move, waiting work is to be done within a second, a fall is believed within 0.75 s, and idle hosts leave after 0.7 s. The virtual site moves hosts, with a check of holders, and replays a turn.

--- a/src/batch/batch.c
+++ b/src/batch/batch.c
@@ -139,6 +139,7 @@
 	for (i = 0; i < spec->steps_nr; i++) {
 		b->offsets[i] = b->round_tasks;
 		b->round_tasks += spec->steps[i].count;
+		spec->steps[i].expected_ms = spec->steps[i].estimate_ms;
 	}
 	b->rounds_nr = spec->repeats > 0 ? spec->repeats : 1;
 	b->rounds = g_new0(struct batch_round, b->rounds_nr);
@@ -364,6 +365,11 @@
 	return true;
 }
 
+void batch_expect(struct batch *b, int step, int64_t ms)
+{
+	b->spec->steps[step].expected_ms = ms;
+}
+
 /* The longest chain that ends with a step; steps form no circle. */
 static int64_t chain_to(const struct batch *b, const struct batch_round *r,
 			int step, int64_t *known)
@@ -380,7 +386,7 @@
 			best = ms;
 	}
 	if (!r || !r->left || r->left[step])
-		best += s->estimate_ms;
+		best += s->expected_ms;
 	known[step] = best;
 	return best;
 }
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -24,6 +24,7 @@
 	int count; /* tasks */
 	struct site_room need; /* of one task */
 	int64_t estimate_ms; /* the caller's guess of one task's time */
+	int64_t expected_ms; /* ours; the caller's until it is set */
 	int *after; /* steps that must be done first */
 	int after_nr;
 	bool is_checkpointing;
@@ -164,9 +165,12 @@
 /* Ends the batch unless it is final already. Returns true if it did. */
 bool batch_cancel(struct batch *b);
 
+/* Sets how long one task of a step is expected to take. */
+void batch_expect(struct batch *b, int step, int64_t ms);
+
 /*
- * Milliseconds of the longest chain of steps that is not done in an
- * occurrence, by the caller's estimates.
+ * Milliseconds of the longest chain of steps in an occurrence by the expected
+ * times: of those that are not done, or of all.
  */
 int64_t batch_chain_ms(const struct batch *b, int round, bool is_whole);
 
--- a/src/sched/balance.c
+++ b/src/sched/balance.c
@@ -15,17 +15,21 @@
  * so no work is lost by it.
  */
 
-/* How often demand is looked at. A move takes about 1.5 s. */
+/* How often demand is looked at. */
 #define LOOK_US (150 * CS_MSEC)
-/* Room beyond the present demand, as a factor, and in servers. */
-#define MARGIN 1.1
+/* From an order until the host's new server gets work: 1.5 s for the move. */
+#define LEAD_US (2 * CS_SEC)
+/* Work that waits already is to be done within about this time. */
+#define CLEAR_MS 1000
+/* Room beyond the expected demand, as a factor, and in servers. */
+#define MARGIN 1.05
 #define SPARE_SERVERS 1
 /* Servers that a pool keeps without any demand. */
 #define SERVERS_MIN 2
 /* A fall of the demand is believed by this share at each look. */
-#define FALL_SHARE 0.08
+#define FALL_SHARE 0.2
 /* Standing idle so long, a server goes to the standby pool. */
-#define IDLE_US (1500 * CS_MSEC)
+#define IDLE_US (700 * CS_MSEC)
 /* Of the calls that the host service takes, the part for moves. */
 #define CALLS_SHARE 0.75
 /* Of the moves of one look, the part that may empty pools. */
@@ -103,10 +107,15 @@
 	g_free(x);
 }
 
-/* Processor that waiting tasks would take at once, thousandths of a core. */
-static double waiting_cpu(const struct pool *p)
+/* Tasks that could start if there were room. */
+struct backlog {
+	double lasting; /* thousandths of a core */
+	double work; /* of others: the same, times milliseconds */
+};
+
+static struct backlog find_backlog(const struct pool *p)
 {
-	double cpu = 0;
+	struct backlog sum = { 0 };
 	guint i;
 	int round, step, k;
 
@@ -122,20 +131,47 @@
 				if (st->is_filling ||
 				    !batch_step_is_ready(b, round, step))
 					continue;
-				for (k = 0; k < st->count; k++)
+				for (k = 0; k < st->count; k++) {
+					double cpu = (double)st->need.cpu;
+
 					if (batch_task(b, round, step, k)
-						    ->state ==
+						    ->state !=
 					    BATCH_TASK_WAITING)
-						cpu += (double)st->need.cpu;
+						continue;
+					if (st->is_lasting)
+						sum.lasting += cpu;
+					else
+						sum.work +=
+							cpu *
+							(double)st->expected_ms;
+				}
 			}
 	}
+	return sum;
+}
+
+/* Thousandths of a core that lasting tasks have on a server. */
+static double lasting_cpu(const struct sched *s, const struct server *v)
+{
+	double cpu = 0;
+	guint i;
+
+	for (i = 0; i < v->runs->len; i++) {
+		const struct run *r =
+			run_row(s, g_array_index(v->runs, cs_handle, i));
+		const struct job *j = slots_get(s->jobs, r->job);
+
+		if (j->batch->spec->steps[r->step].is_lasting)
+			cpu += (double)r->need.cpu;
+	}
 	return cpu;
 }
 
 /* Servers that the pool's demand needs; a fall is believed slowly. */
-static int wanted_servers(struct pool *p)
+static int wanted_servers(const struct sched *s, struct pool *p, cs_time now)
 {
-	double used = 0, room = 0, waiting, demand;
+	double used = 0, room = 0, lasting = 0, arriving, demand;
+	struct backlog waiting = find_backlog(p);
 	int servers = 0;
 	guint i;
 
@@ -145,15 +181,17 @@
 		if (!v->is_listed || v->is_dead)
 			continue;
 		used += (double)v->used.cpu;
+		lasting += lasting_cpu(s, v);
 		room += (double)v->info.room.cpu;
 		servers++;
 	}
 	if (servers)
 		p->server_cpu = room / servers;
-	waiting = waiting_cpu(p);
-	if (waiting > 0)
+	arriving = demand_forecast(p->arrivals, LEAD_US, now);
+	if (waiting.lasting > 0 || waiting.work > 0 || arriving > 0)
 		p->has_had_demand = true;
-	demand = used + waiting;
+	demand = lasting + waiting.lasting + MAX(arriving, used - lasting) +
+		 waiting.work / CLEAR_MS;
 	if (demand >= p->demand)
 		p->demand = demand;
 	else
@@ -200,7 +238,7 @@
 	return NULL;
 }
 
-static GPtrArray *make_sides(struct sched *s)
+static GPtrArray *make_sides(struct sched *s, cs_time now)
 {
 	GPtrArray *sides = g_ptr_array_new_with_free_func(side_free);
 	const struct site_pool *p;
@@ -213,7 +251,7 @@
 		x->is_standby = p->is_standby;
 		x->idle = g_ptr_array_new();
 		if (!p->is_standby) {
-			x->want = wanted_servers(x->pool);
+			x->want = wanted_servers(s, x->pool, now);
 			if (x->want < SERVERS_MIN)
 				x->want = SERVERS_MIN;
 		}
@@ -435,7 +473,7 @@
 	if (!hosts_listed_at(s))
 		return;
 	g_hash_table_foreach_remove(b->moves, is_settled, s);
-	sides = make_sides(s);
+	sides = make_sides(s, now);
 	place_hosts(b, sides, now);
 	moves = fill_short_pools(b, sides, now);
 	release(b, sides, moves, now);
--- /dev/null
+++ b/src/sched/demand.h
@@ -0,0 +1,26 @@
+#ifndef SCHED_DEMAND_H
+#define SCHED_DEMAND_H
+
+#include "../camphorshed.h"
+
+/*
+ * The work that arrives at a pool, and the processor that it will need a
+ * little later. Answers queues whose demand climbs to several times the mean
+ * within seconds: hosts that are ordered when work already waits come two
+ * seconds late.
+ */
+struct demand;
+
+struct demand *demand_create(void);
+void demand_destroy(struct demand *demand);
+
+/* Work has arrived: thousandths of a core times milliseconds. */
+void demand_add(struct demand *demand, double work, cs_time now);
+
+/*
+ * Thousandths of a core that arriving work will need at a time ahead of now,
+ * if it goes on to rise as it does.
+ */
+double demand_forecast(struct demand *demand, cs_time ahead, cs_time now);
+
+#endif
--- a/src/sched/fill.c
+++ b/src/sched/fill.c
@@ -146,7 +146,7 @@
 }
 
 /* Opens the occurrences that are due. Returns the first that is not done. */
-static int open_due(struct sched *s, struct job *j)
+static int open_due(struct sched *s, struct job *j, cs_time now)
 {
 	struct batch *b = j->batch;
 	int before = j->round_first, k;
@@ -159,6 +159,9 @@
 	for (k = j->round_first; k < b->rounds_nr; k++) {
 		if (batch_due_unix_ms(b, k) > s->unix_ms)
 			break;
+		/* What a predecessor knew of came before this term. */
+		if (!b->rounds[k].tasks && !b->rounds[k].is_done && !j->is_old)
+			sched_note_arrival(s, j, now);
 		batch_open_round(b, k);
 	}
 	return j->round_first;
@@ -172,7 +175,7 @@
 	int started = 0, round, step;
 
 	*wanted = false;
-	for (round = open_due(s, j); round < b->rounds_nr && started < max;
+	for (round = open_due(s, j, now); round < b->rounds_nr && started < max;
 	     round++) {
 		if (!b->rounds[round].tasks)
 			continue;
--- a/src/sched/runs.c
+++ b/src/sched/runs.c
@@ -115,11 +115,13 @@
 	if (!r)
 		return NULL;
 	r->state = RUN_SENT;
+	r->was_ordered = true;
 	o = new_order(s, ORDER_START, v);
 	o->ref = r->self;
 	o->run = number;
 	o->payload = g_strdup(ref->job->batch->spec->payload);
 	o->checkpoint = g_strdup(task_of(ref)->checkpoint);
+	r->has_checkpoint = o->checkpoint != NULL;
 	o->ticket = g_strdup(ticket);
 	o->deadline_ms = servers_deadline(v, now);
 	batch_task_name(ref->job->batch, ref->round, ref->step, ref->index,
@@ -309,6 +311,23 @@
 	sched_wake_pool(s, j->pool);
 }
 
+/*
+ * Learns from a run that did the whole of its task's work by itself. A run
+ * away from its data is slowed down, so it says little of others.
+ */
+static void learn_time(struct sched *s, const struct job *j,
+		       const struct run *r, const struct server *v, cs_time now)
+{
+	const struct batch_step *st = step_of(j, r->step);
+
+	if (st->is_lasting || st->is_gang || st->is_filling ||
+	    r->has_checkpoint || r->state != RUN_ON || !r->was_ordered ||
+	    (*st->rack && strcmp(st->rack, v->info.rack)))
+		return;
+	estimate_note(sched_estimate(s, j->batch->queue), st->estimate_ms,
+		      (now - r->sent_at) / CS_MSEC);
+}
+
 void runs_ended(struct sched *s, struct run *r, enum batch_end how,
 		const char *saved, cs_time now)
 {
@@ -319,6 +338,8 @@
 	cs_handle server = r->server;
 
 	log_end(s, &ref, number, how, v->info.id);
+	if (how == BATCH_END_DONE)
+		learn_time(s, ref.job, r, v, now);
 	release(s, r);
 	note_end(s, &ref, number, how, saved, server, now);
 }
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -17,6 +17,8 @@
 #define TURN_GAP_US (4 * CS_MSEC)
 /* The scheduler looks at what time alone makes due this often. */
 #define TURN_US (50 * CS_MSEC)
+/* Open jobs are measured against new knowledge of run times this often. */
+#define EXPECT_US (500 * CS_MSEC)
 
 /*
  * How long a batch can be asked for after its end. The platform's pages call
@@ -30,9 +32,15 @@
 
 	g_ptr_array_free(p->servers, TRUE);
 	g_ptr_array_free(p->jobs, TRUE);
+	demand_destroy(p->arrivals);
 	g_free(p);
 }
 
+static void estimate_free(void *row)
+{
+	estimate_destroy(row);
+}
+
 static void on_turn_timer(void *ctx, uint64_t arg, cs_time now)
 {
 	struct sched *s = ctx;
@@ -74,6 +82,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	s->grants_left =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	s->estimates = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					     estimate_free);
 	s->ended_grants = g_ptr_array_new_with_free_func(g_free);
 	s->hosts = hosts_create();
 	s->upkeep = upkeep_create(s);
@@ -114,6 +124,7 @@
 	g_hash_table_destroy(s->cancelled);
 	g_hash_table_destroy(s->reserve);
 	g_hash_table_destroy(s->usage);
+	g_hash_table_destroy(s->estimates);
 	g_hash_table_destroy(s->grants_left);
 	g_ptr_array_free(s->ended_grants, TRUE);
 	g_queue_clear(&s->changed);
@@ -136,6 +147,7 @@
 	cs_copy(p->name, sizeof(p->name), name);
 	p->servers = g_ptr_array_new();
 	p->jobs = g_ptr_array_new();
+	p->arrivals = demand_create();
 	g_hash_table_insert(s->pools, p->name, p);
 	return p;
 }
@@ -201,6 +213,71 @@
 	g_ptr_array_add(p->jobs, j);
 }
 
+/* What is known of the run times of a queue. */
+struct estimate *sched_estimate(struct sched *s, const char *queue)
+{
+	struct estimate *e = g_hash_table_lookup(s->estimates, queue);
+
+	if (!e) {
+		e = estimate_create();
+		g_hash_table_insert(s->estimates, g_strdup(queue), e);
+	}
+	return e;
+}
+
+/* Expects of a job's tasks what its queue's past says. */
+static void expect_times(struct sched *s, struct job *j)
+{
+	const struct estimate *e = sched_estimate(s, j->batch->queue);
+	const struct batch_spec *spec = j->batch->spec;
+	int i;
+
+	for (i = 0; i < spec->steps_nr; i++)
+		if (!spec->steps[i].is_lasting)
+			batch_expect(j->batch, i,
+				     estimate_usual_ms(
+					     e, spec->steps[i].estimate_ms));
+	sched_set_objective(s, j);
+	j->chain_ms = rank_chain_left(j);
+}
+
+void sched_note_arrival(struct sched *s, const struct job *j, cs_time now)
+{
+	const struct estimate *e = sched_estimate(s, j->batch->queue);
+	const struct batch_spec *spec = j->batch->spec;
+	double work = 0;
+	int i;
+
+	for (i = 0; i < spec->steps_nr; i++) {
+		const struct batch_step *st = &spec->steps[i];
+
+		if (!st->is_lasting && !st->is_filling)
+			work += (double)st->count * (double)st->need.cpu *
+				(double)estimate_mean_ms(e, st->estimate_ms);
+	}
+	if (work > 0)
+		demand_add(j->pool->arrivals, work, now);
+}
+
+/* Run times are learnt while jobs wait, so their expectations are renewed. */
+static void expect_again(struct sched *s, cs_time now)
+{
+	GHashTableIter it;
+	void *row;
+	guint i;
+
+	if (now < s->expect_at)
+		return;
+	s->expect_at = now + EXPECT_US;
+	g_hash_table_iter_init(&it, s->pools);
+	while (g_hash_table_iter_next(&it, NULL, &row)) {
+		const struct pool *p = row;
+
+		for (i = 0; i < p->jobs->len; i++)
+			expect_times(s, g_ptr_array_index(p->jobs, i));
+	}
+}
+
 /*
  * Sets the objective of the present occurrence: stretch times its longest
  * chain of work, and the queue's target on top.
@@ -282,8 +359,7 @@
 	if (batch_is_final(b)) {
 		sched_note_change(s, j, now);
 	} else {
-		sched_set_objective(s, j);
-		j->chain_ms = rank_chain_left(j);
+		expect_times(s, j);
 	}
 	if (g_hash_table_remove(s->cancelled, b->id))
 		sched_cancel(s, b->id, now);
@@ -372,6 +448,7 @@
 	s->unix_at = now;
 	if (s->are_servers_due)
 		servers_turn(s, now);
+	expect_again(s, now);
 	s->are_servers_due = false;
 	if (s->is_ready && !s->is_paused && !s->is_fenced)
 		fill_turn(s, now);
@@ -509,7 +586,7 @@
 
 		if (!st->is_lasting && !st->is_filling)
 			work += (double)left * (double)st->need.cpu *
-				(double)st->estimate_ms;
+				(double)st->expected_ms;
 	}
 	return work;
 }
--- a/src/sched/sched_private.h
+++ b/src/sched/sched_private.h
@@ -2,6 +2,8 @@
 #define SCHED_SCHED_PRIVATE_H
 
 #include "../base/slots.h"
+#include "demand.h"
+#include "estimate.h"
 #include "sched.h"
 
 /* Rows of the scheduler's tables, shared by the files of this folder only. */
@@ -40,6 +42,8 @@
 	bool is_stop_answered;
 	cs_time stop_answered_at;
 	struct site_room need; /* taken on the server */
+	bool was_ordered; /* by us; others were adopted */
+	bool has_checkpoint; /* it began with one */
 	int percent; /* of its work */
 	cs_time at_work_since; /* a lasting task's percent became 100 */
 	int64_t measure;
@@ -117,6 +121,7 @@
 	GPtrArray *servers; /* struct server */
 	GPtrArray *jobs; /* struct job, not final */
 	bool is_due; /* something changed since the last turn */
+	struct demand *arrivals; /* of work that ends */
 	bool has_had_demand;
 	double demand; /* thousandths of a core; falls slowly */
 	double server_cpu; /* mean room of a server */
@@ -143,6 +148,8 @@
 	GHashTable *evacuated; /* data centre names */
 	GHashTable *cancelled; /* identifiers whose job is not known yet */
 	GHashTable *usage; /* workspace -> struct site_room */
+	GHashTable *estimates; /* queue -> struct estimate */
+	cs_time expect_at; /* when run times are taken into account again */
 	GHashTable *reserve; /* the same, of runs that may be unknown */
 	GHashTable *grants_left; /* id -> pool: of a predecessor, not listed */
 	GPtrArray *ended_grants; /* identifiers to remove from the store */
@@ -161,6 +168,9 @@
 void sched_wake(struct sched *s);
 void sched_wake_pool(struct sched *s, struct pool *p);
 void sched_set_objective(struct sched *s, struct job *j);
+struct estimate *sched_estimate(struct sched *s, const char *queue);
+/* An occurrence has become due: its work counts as demand of the pool. */
+void sched_note_arrival(struct sched *s, const struct job *j, cs_time now);
 void sched_log(struct sched *s, const char *event, GString *pairs);
 const struct site_queue *sched_queue_of(const struct sched *s,
 					const struct job *j);
--- /dev/null
+++ b/tests/unit/test_demand.c
@@ -0,0 +1,187 @@
+#include "unit.h"
+
+#include <glib.h>
+#include <math.h>
+
+#include "../../src/sched/demand.h"
+#include "../../src/sched/estimate.h"
+
+/* Forecasts of demand and of run times, without servers or clocks. */
+
+#define STEP_US (10 * CS_MSEC)
+#define LEAD_US (2 * CS_SEC)
+
+/* Jobs that come at random times with a given rate. */
+static void arrive(struct demand *d, GRand *rng, double per_s, cs_time now)
+{
+	double chance = per_s * (double)STEP_US / (double)CS_SEC;
+
+	while (chance > 0) {
+		if (g_rand_double(rng) < chance)
+			demand_add(d, 1000.0 * 1000.0, now);
+		chance -= 1;
+	}
+}
+
+/* The rate of a turn that climbs from 0 and falls again. */
+static double turn_rate(cs_time now, double peak)
+{
+	double height = 1.0 - fabs((double)(now - 4500 * CS_MSEC) /
+				   (double)(4500 * CS_MSEC));
+
+	return height > 0 ? peak * height : 0;
+}
+
+/*
+ * Hosts that are ordered for today's demand come when it has grown for two
+ * seconds more. While it climbs, the forecast must not stay behind what is
+ * needed when they come by more than the margin of a quarter.
+ */
+static void climbing_demand_is_foreseen(void **state)
+{
+	GRand *rng = g_rand_new_with_seed(5);
+	struct demand *d = demand_create();
+	double sum = 0, needed = 0;
+	cs_time now;
+
+	(void)state;
+	for (now = 0; now < 2500 * CS_MSEC; now += STEP_US) {
+		arrive(d, rng, turn_rate(now, 120), now);
+		if (now < 1000 * CS_MSEC)
+			continue;
+		sum += demand_forecast(d, LEAD_US, now);
+		needed += 1000.0 * turn_rate(now + LEAD_US, 120);
+	}
+	assert_true(sum > 0.75 * needed);
+	demand_destroy(d);
+	g_rand_free(rng);
+}
+
+/*
+ * A few jobs more than usual are chance. Taken for a climb they would move
+ * hosts all the time, and each move is paid for.
+ */
+static void chance_is_no_climb(void **state)
+{
+	GRand *rng = g_rand_new_with_seed(6);
+	struct demand *d = demand_create();
+	double sum = 0;
+	cs_time now;
+	int looks = 0;
+
+	(void)state;
+	for (now = 0; now < 60 * CS_SEC; now += STEP_US) {
+		arrive(d, rng, 8, now);
+		if (now < 2 * CS_SEC)
+			continue;
+		sum += demand_forecast(d, LEAD_US, now);
+		looks++;
+	}
+	/* 8,000 are needed; half as much again is the most to be paid for. */
+	assert_true(sum / looks < 12000);
+	assert_true(sum / looks > 7000);
+	demand_destroy(d);
+	g_rand_free(rng);
+}
+
+/* Work that stopped coming was still expected. */
+static void demand_ends(void **state)
+{
+	struct demand *d = demand_create();
+	int i;
+
+	(void)state;
+	for (i = 0; i < 100; i++)
+		demand_add(d, 1e6, (cs_time)i * 10 * CS_MSEC);
+	assert_true(demand_forecast(d, LEAD_US, CS_SEC) > 0);
+	assert_true(demand_forecast(d, LEAD_US, 3 * CS_SEC) == 0);
+	assert_true(demand_forecast(d, LEAD_US, 3600 * CS_SEC) == 0);
+	demand_destroy(d);
+}
+
+/* A value whose logarithm is normal with that mean and deviation. */
+static double random_time(GRand *rng, double usual, double deviation)
+{
+	double u = 1.0 - g_rand_double(rng), v = g_rand_double(rng);
+
+	return usual *
+	       exp(deviation * sqrt(-2.0 * log(u)) * cos(2.0 * G_PI * v));
+}
+
+/*
+ * Callers' estimates are off by factors. Taken as they were, jobs that were
+ * told to be short counted as late at once and lost their turn.
+ */
+static void wrong_estimates_are_learnt(void **state)
+{
+	GRand *rng = g_rand_new_with_seed(7);
+	struct estimate *e = estimate_create();
+	double told_error = 0, error = 0;
+	int i;
+
+	(void)state;
+	for (i = 0; i < 1000; i++) {
+		double took = random_time(rng, 800, 0.5);
+		double told = random_time(rng, took, 0.9);
+		int64_t usual = estimate_usual_ms(e, (int64_t)told);
+
+		if (i >= 100) {
+			told_error += fabs(log(told / took));
+			error += fabs(log((double)usual / took));
+		}
+		estimate_note(e, (int64_t)told, (int64_t)took);
+	}
+	assert_true(error < 0.7 * told_error);
+	estimate_destroy(e);
+	g_rand_free(rng);
+}
+
+/* Callers that know their run times are believed. */
+static void right_estimates_are_kept(void **state)
+{
+	GRand *rng = g_rand_new_with_seed(8);
+	struct estimate *e = estimate_create();
+	int i;
+
+	(void)state;
+	assert_int_equal(estimate_usual_ms(e, 700), 700);
+	for (i = 0; i < 300; i++) {
+		int64_t took = (int64_t)random_time(rng, 800, 0.8);
+
+		estimate_note(e, took, took);
+	}
+	assert_in_range(estimate_usual_ms(e, 200), 190, 210);
+	assert_in_range(estimate_usual_ms(e, 3000), 2850, 3150);
+	estimate_destroy(e);
+	g_rand_free(rng);
+}
+
+/* A step without an estimate takes what others of its queue took. */
+static void missing_estimates_are_filled_in(void **state)
+{
+	struct estimate *e = estimate_create();
+	int i;
+
+	(void)state;
+	assert_int_equal(estimate_usual_ms(e, 0), 0);
+	assert_int_equal(estimate_mean_ms(e, 0), 0);
+	for (i = 0; i < 100; i++)
+		estimate_note(e, 0, 500);
+	assert_in_range(estimate_usual_ms(e, 0), 495, 505);
+	assert_in_range(estimate_mean_ms(e, 0), 495, 530);
+	estimate_destroy(e);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(climbing_demand_is_foreseen),
+		cmocka_unit_test(chance_is_no_climb),
+		cmocka_unit_test(demand_ends),
+		cmocka_unit_test(wrong_estimates_are_learnt),
+		cmocka_unit_test(right_estimates_are_kept),
+		cmocka_unit_test(missing_estimates_are_filled_in),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/unit/test_node.c
+++ b/tests/unit/test_node.c
@@ -356,6 +356,74 @@
 	}
 }
 
+/* A turn of a queue: demand climbs for so long, and falls for as long. */
+#define TURN_HALF_MS 4500
+#define TURN_STEP_MS 50
+
+/*
+ * Plays a turn of one queue with a peak of so many jobs a second. Jobs are
+ * told to take what has little to do with what they take. Returns the number
+ * of the last job.
+ */
+static int play_turn(struct world *w, int pool, double peak)
+{
+	struct world_job job = { .pool = pool,
+				 .steps = 1,
+				 .width = 6,
+				 .work_ms = 800,
+				 .cpu = 1600,
+				 .unavailable_max = -1 };
+	GRand *rng = world_random(w);
+	int at, last = -1, sent = 0;
+	double due = 0;
+
+	for (at = 0; at < 2 * TURN_HALF_MS; at += TURN_STEP_MS) {
+		double height = 1.0 - ABS((double)at / TURN_HALF_MS - 1.0);
+
+		due += peak * height * TURN_STEP_MS / 1000.0;
+		for (; sent < (int)due; sent++) {
+			job.told_ms = g_rand_int_range(rng, 100, 4000);
+			last = world_submit(w, (last + 1) % 3, &job);
+		}
+		world_run(w, TURN_STEP_MS);
+	}
+	return last;
+}
+
+/*
+ * A queue's turn asks for nearly three times what its pool holds. Hosts that
+ * were ordered when work already waited came two seconds late, and an eighth of
+ * the turn's jobs missed their objective of 1.6 times their work and 0.6 s. The
+ * target is nine of ten on time, with fewer hosts paid for than when each
+ * pool keeps its own.
+ */
+static void turn_of_a_queue_is_met(void **state)
+{
+	const struct world_options options = { .seed = 11,
+					       .nodes = 3,
+					       .servers = 8,
+					       .pools = 2,
+					       .standby = 8 };
+	struct world *w = world_create(&options);
+	int64_t from, paid, i;
+	int last, on_time = 0;
+
+	(void)state;
+	world_run(w, 6000);
+	from = world_now_ms(w);
+	paid = world_pool_ms(w);
+	last = play_turn(w, 0, 90);
+	world_run(w, 6000);
+	paid = world_pool_ms(w) - paid;
+	for (i = 0; i <= last; i++)
+		on_time += world_job_took_ms(w, (int)i) >= 0 &&
+			   world_job_took_ms(w, (int)i) <= 1880;
+	assert_in_range(on_time, last * 9 / 10, last + 1);
+	assert_in_range(paid, 0, (world_now_ms(w) - from) * 16);
+	assert_int_equal(world_unfinished(w), 0);
+	end_world(w);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -374,6 +442,7 @@
 		cmocka_unit_test(late_starts_run_once),
 		cmocka_unit_test(server_that_joins_under_load_is_used),
 		cmocka_unit_test(large_entry_becomes_the_owner),
+		cmocka_unit_test(turn_of_a_queue_is_met),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -208,17 +208,17 @@
 static const struct node_ops node_ops = { wstore_call, wserver_order, on_reply,
 					  on_log };
 
-/* "VERSION POOLS LIMIT" */
+/* "VERSION POOLS LIMIT HOSTS_IN_STANDBY" */
 static struct site *read_site(GBytes *value, struct cs_error *err)
 {
 	struct site_workspace ws = { .name = "desk", .weight = 1 };
 	char *text = store_text(value);
 	uint64_t version;
 	struct site *site = NULL;
-	int pools, i, index;
+	int pools, standby, i, index;
 
-	if (sscanf(text, "%" SCNu64 " %d %" SCNd64, &version, &pools,
-		   &ws.limit.cpu) == 3) {
+	if (sscanf(text, "%" SCNu64 " %d %" SCNd64 " %d", &version, &pools,
+		   &ws.limit.cpu, &standby) == 4) {
 		site = site_create(version);
 		index = site_add_workspace(site, &ws);
 		site_add_key(site, index, "key");
@@ -236,6 +236,12 @@
 			site_add_queue(site, &q);
 			site_add_pool(site, &p);
 		}
+		if (standby) {
+			struct site_pool p = { .is_standby = true };
+
+			snprintf(p.name, sizeof(p.name), "pool%d", pools);
+			site_add_pool(site, &p);
+		}
 	} else {
 		cs_error_set(err, CS_ERR_INVALID, "read_site", NULL, "%s",
 			     text);
@@ -303,8 +309,9 @@
 {
 	char text[96];
 
-	snprintf(text, sizeof(text), "%" PRIu64 " %d %" PRId64,
-		 ++w->site_version, w->options.pools, w->limit_cpu);
+	snprintf(text, sizeof(text), "%" PRIu64 " %d %" PRId64 " %d",
+		 ++w->site_version, w->options.pools, w->limit_cpu,
+		 w->options.standby);
 	wstore_put(w, "op/site", text);
 }
 
@@ -353,7 +360,9 @@
 	snprintf(v->address, sizeof(v->address), "10.9.%d.%d:80",
 		 v->index / 250, v->index % 250 + 1);
 	g_ptr_array_add(w->servers, v);
-	wserver_start(v);
+	v->pool_since = w->now;
+	if (pool < w->options.pools)
+		wserver_start(v);
 }
 
 struct world *world_create(const struct world_options *options)
@@ -378,6 +387,8 @@
 	for (i = 0; i < options->pools; i++)
 		for (k = 0; k < options->servers; k++)
 			add_server(w, i);
+	for (k = 0; k < options->standby; k++)
+		add_server(w, options->pools);
 	for (i = 0; i < options->nodes; i++) {
 		w->nodes[i].world = w;
 		w->nodes[i].index = i;
@@ -703,7 +714,7 @@
 		st->count = job->width;
 		st->need.cpu = job->cpu;
 		st->need.memory_mb = 100;
-		st->estimate_ms = job->work_ms;
+		st->estimate_ms = job->told_ms ? job->told_ms : job->work_ms;
 		st->is_lasting = job->is_lasting;
 		st->is_checkpointing = job->is_checkpointing;
 		st->is_gang = job->is_gang;
@@ -747,6 +758,7 @@
 
 	j->spec = *job;
 	j->shown = -1;
+	j->submitted_at = w->now;
 	snprintf(j->id, sizeof(j->id), "%016x", index + 1);
 	j->done = g_new0(bool, wjob_tasks(j));
 	j->failed = g_new0(int, wjob_tasks(j));
@@ -845,6 +857,27 @@
 	       !world_job_is_done(w, job);
 }
 
+int64_t world_job_took_ms(const struct world *w, int job)
+{
+	const struct wjob *j = wjob_at(w, job);
+
+	return j->done_at ? (j->done_at - j->submitted_at) / CS_MSEC : -1;
+}
+
+int64_t world_pool_ms(const struct world *w)
+{
+	int64_t ms = w->pool_ms;
+	guint i;
+
+	for (i = 0; i < w->servers->len; i++) {
+		const struct wserver *v = g_ptr_array_index(w->servers, i);
+
+		if (v->pool < w->options.pools)
+			ms += (w->now - v->pool_since) / CS_MSEC;
+	}
+	return ms;
+}
+
 int world_unfinished(const struct world *w)
 {
 	guint i;
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -16,6 +16,7 @@
 	int nodes; /* entries */
 	int servers; /* per pool */
 	int pools;
+	int standby; /* hosts in a pool that is off, the last one */
 	bool is_noisy; /* logs of entries go to standard error */
 };
 
@@ -78,6 +79,7 @@
 	int steps; /* each waits for the one before */
 	int width; /* tasks of a step */
 	int64_t work_ms;
+	int64_t told_ms; /* what the caller tells of it; 0: the truth */
 	int64_t cpu;
 	bool is_lasting, is_checkpointing, is_gang;
 	int unavailable_max; /* of lasting tasks; -1: no bound */
@@ -95,6 +97,10 @@
 int world_jobs(const struct world *world);
 bool world_job_is_done(const struct world *world, int job);
 bool world_job_is_lasting(const struct world *world, int job);
+/* From its submission to its last end; -1: not done. */
+int64_t world_job_took_ms(const struct world *world, int job);
+/* Milliseconds that hosts have spent in pools that are on. */
+int64_t world_pool_ms(const struct world *world);
 /* The last state that was shown, -1: none. */
 int world_job_state(const struct world *world, int job);
 /* Runs of a job that have begun. */
--- a/tests/world/world_private.h
+++ b/tests/world/world_private.h
@@ -11,6 +11,7 @@
 #define CONFIRM_CANCEL_MS 3000
 #define HEARTBEAT_LOSS_MS 4500
 #define MAINTENANCE_MS 2000
+#define MOVE_MS 1500
 #define ATTEMPTS_MAX 3
 /* A lasting task that is away for other reasons counts after this. */
 #define NOTICE_MS 4500
@@ -60,6 +61,10 @@
 	int index, pool, data_centre;
 	char id[CS_NAME_MAX], host[CS_NAME_MAX], address[CS_ADDRESS_MAX];
 	bool is_up, is_listed, is_draining, is_failing, is_mute, is_maintained;
+	bool is_moving;
+	cs_time pool_since; /* when it came to its pool */
+	uint64_t holder_token; /* highest in an order to the host */
+	char holder[CS_NAME_MAX]; /* who sent it */
 	uint64_t born;
 	cs_time born_at;
 	double speed; /* of its clock */
@@ -88,6 +93,7 @@
 	char id[BATCH_ID_MAX];
 	struct world_job spec;
 	enum world_answer answer;
+	cs_time submitted_at, done_at;
 	int refusals, submissions;
 	cs_time accepted_at;
 	int shown; /* state, -1 */
@@ -154,6 +160,7 @@
 	uint64_t site_version;
 	bool out[DATA_CENTRES];
 	cs_time out_since[DATA_CENTRES];
+	int64_t pool_ms;
 	/* wave */
 	uint64_t wave;
 	int wave_max, wave_down;
--- a/tests/world/world_servers.c
+++ b/tests/world/world_servers.c
@@ -184,8 +184,11 @@
 	if (how != BATCH_END_DONE && j->spec.is_checkpointing)
 		snprintf(e->saved, sizeof(e->saved), "%s",
 			 progress_of(v, r) > 0 ? "half" : "");
-	if (how == BATCH_END_DONE)
+	if (how == BATCH_END_DONE) {
 		j->done[t] = true;
+		if (world_job_is_done(v->world, r->job))
+			j->done_at = v->world->now;
+	}
 	if (how == BATCH_END_FAILED)
 		j->failed[t]++;
 	if (j->spec.is_lasting && !j->away_since[t])
@@ -676,8 +679,84 @@
 		wserver_start(v);
 }
 
-static void maintain(struct world *w, const struct order *o,
-		     struct order_done *d)
+static void maintain(struct wserver *v, struct order_done *d)
+{
+	struct world *w = v->world;
+
+	if (!v->is_up) {
+		refuse_order(d, ORDER_REASON_BUSY);
+		return;
+	}
+	if (w->wave_down >= w->wave_max)
+		world_break(w, "LIMIT: %d hosts of the wave are down",
+			    w->wave_down);
+	w->wave_down++;
+	wserver_stop(v, true);
+	v->is_maintained = true;
+	timers_subscribe(w->timers, w->now + MAINTENANCE_MS * CS_MSEC,
+			 wserver_back, v, (uint64_t)v->life);
+	d->result = ORDER_DONE;
+}
+
+/* The host has arrived in its pool; in the standby pool it stays off. */
+static void on_moved(void *ctx, uint64_t arg, cs_time now)
+{
+	struct wserver *v = ctx;
+	char key[80];
+
+	if ((int)arg != v->life || !v->is_moving)
+		return;
+	v->is_moving = false;
+	v->pool_since = now;
+	if (v->pool < v->world->options.pools) {
+		wserver_start(v);
+		return;
+	}
+	snprintf(key, sizeof(key), "servers/%s", v->id);
+	wstore_remove(v->world, key);
+	v->is_listed = false;
+}
+
+static void move(struct wserver *v, const struct order *o, struct order_done *d)
+{
+	struct world *w = v->world;
+	bool is_off = v->pool >= w->options.pools;
+	int pool = atoi(o->pool + strlen("pool"));
+
+	d->result = ORDER_DONE;
+	if (pool == v->pool)
+		return; /* done, or being done */
+	if (v->is_moving || v->is_draining || (!v->is_up && !is_off)) {
+		refuse_order(d, ORDER_REASON_BUSY);
+		return;
+	}
+	if (v->is_up)
+		wserver_stop(v, true);
+	if (!is_off)
+		w->pool_ms += (w->now - v->pool_since) / CS_MSEC;
+	v->pool = pool;
+	v->pool_since = w->now;
+	v->is_moving = true;
+	timers_subscribe(w->timers, w->now + MOVE_MS * CS_MSEC, on_moved, v,
+			 (uint64_t)v->life);
+}
+
+/* Orders for one host come from one holder, with a token that rises. */
+static void check_holder(struct wserver *v, const struct order *o)
+{
+	if (o->token < v->holder_token ||
+	    (o->token == v->holder_token && strcmp(o->holder, v->holder)))
+		world_break(v->world,
+			    "ONE: %s of %s with %" PRIu64 " after %s with "
+			    "%" PRIu64,
+			    o->host, o->holder, o->token, v->holder,
+			    v->holder_token);
+	v->holder_token = o->token;
+	cs_copy(v->holder, sizeof(v->holder), o->holder);
+}
+
+static void order_host(struct world *w, const struct order *o,
+		       struct order_done *d)
 {
 	guint i;
 
@@ -686,19 +765,11 @@
 
 		if (strcmp(v->host, o->host))
 			continue;
-		if (!v->is_up) {
-			refuse_order(d, ORDER_REASON_BUSY);
-			return;
-		}
-		if (w->wave_down >= w->wave_max)
-			world_break(w, "LIMIT: %d hosts of the wave are down",
-				    w->wave_down);
-		w->wave_down++;
-		wserver_stop(v, true);
-		v->is_maintained = true;
-		timers_subscribe(w->timers, w->now + MAINTENANCE_MS * CS_MSEC,
-				 wserver_back, v, (uint64_t)v->life);
-		d->result = ORDER_DONE;
+		check_holder(v, o);
+		if (o->type == ORDER_MAINTAIN_HOST)
+			maintain(v, d);
+		else
+			move(v, o, d);
 		return;
 	}
 	refuse_order(d, ORDER_REASON_INVALID);
@@ -715,9 +786,11 @@
 		cs_copy(h->name, sizeof(h->name), v->host);
 		snprintf(h->pool, sizeof(h->pool), "pool%d", v->pool);
 		cs_copy(h->server, sizeof(h->server), v->is_up ? v->id : "");
-		h->state = v->is_up	    ? HOST_UP :
-			   v->is_maintained ? HOST_MAINTAINED :
-					      HOST_DOWN;
+		h->state = v->is_moving		       ? HOST_MOVING :
+			   v->is_up		       ? HOST_UP :
+			   v->pool >= w->options.pools ? HOST_UP :
+			   v->is_maintained	       ? HOST_MAINTAINED :
+							 HOST_DOWN;
 		g_ptr_array_add(d->hosts, h);
 	}
 	d->result = ORDER_DONE;
@@ -735,8 +808,9 @@
 		d->sent = w->now;
 		if (o->type == ORDER_LIST_HOSTS)
 			list_hosts(w, d);
-		else if (o->type == ORDER_MAINTAIN_HOST)
-			maintain(w, o, d);
+		else if (o->type == ORDER_MAINTAIN_HOST ||
+			 o->type == ORDER_MOVE_HOST)
+			order_host(w, o, d);
 		world_deliver_order(w, n->index, n->generation, d,
 				    w->now + 2 * world_delay(w));
 		order_free(o);
