--- a/src/sched/demand.c
+++ b/src/sched/demand.c
@@ -5,7 +5,7 @@
 #include <string.h>
 
 /* Work is counted in buckets of so long. */
-#define BUCKET_US (100 * CS_MSEC)
+#define BUCKET_US ((cs_time)100 * CS_MSEC)
 /*
  * Two spans of so many buckets are compared. Shorter ones see a rise sooner,
  * longer ones see fewer that are chance.
