Store that a job begins before its first start; count only allowed backlog

After a change of the owner old jobs of a pool start only when every server that may hold runs has answered or its lease has ended, 6.7 s later; three changes in a row began the wait three times. Most of these jobs had never been started, but nobody could know. Meanwhile the backlog drew hosts into that pool and held them.

Ruled out: limits of workspaces and missing room (the line pool_state now tells for each pool what blocks jobs).

The owner stores progress of a job before its first start, about 15 ms, and a successor starts jobs without progress at once. Backlog and arrivals that a workspace's limit holds back no longer count as demand.

--- a/src/batch/batch.c
+++ b/src/batch/batch.c
@@ -224,6 +224,14 @@
 	return b->state >= BATCH_DONE;
 }
 
+void batch_begin(struct batch *b)
+{
+	if (b->has_begun)
+		return;
+	b->has_begun = true;
+	b->version++;
+}
+
 void batch_task_started(struct batch *b, struct batch_task *t, uint32_t run)
 {
 	if (t->state != BATCH_TASK_RUNNING)
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -109,6 +109,7 @@
 	int rounds_nr;
 	int rounds_done;
 	enum batch_state state;
+	bool has_begun; /* a task may have been ordered to start */
 	int running; /* tasks in state running */
 	uint32_t version; /* rises with each change worth storing */
 };
@@ -145,6 +146,12 @@
 /* True for done, failed and cancelled. */
 bool batch_is_final(const struct batch *b);
 
+/*
+ * Notes that tasks are about to be started, so that the progress is stored
+ * first. No effect if it was noted before.
+ */
+void batch_begin(struct batch *b);
+
 /* Notes a start under a run number that is higher than all before. */
 void batch_task_started(struct batch *b, struct batch_task *t, uint32_t run);
 
--- a/src/sched/balance.c
+++ b/src/sched/balance.c
@@ -51,6 +51,8 @@
 	struct sched *sched;
 	GHashTable *moves; /* host -> struct move */
 	GHashTable *idle_since; /* server id -> cs_time */
+	/* Workspace -> processor that work since the last look left of it. */
+	GHashTable *limits_left;
 	uint64_t next_ref;
 	GHashTable *by_ref; /* order reference -> host name */
 	cs_handle timer;
@@ -67,6 +69,8 @@
 	b->moves = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	b->idle_since =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	b->limits_left =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	b->by_ref = g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL,
 					  g_free);
 	b->timer = timers_subscribe(s->timers, now + LOOK_US, on_look, b, 0);
@@ -79,6 +83,7 @@
 	g_hash_table_destroy(b->moves);
 	g_hash_table_destroy(b->idle_since);
 	g_hash_table_destroy(b->by_ref);
+	g_hash_table_destroy(b->limits_left);
 	g_free(b);
 }
 
@@ -113,7 +118,23 @@
 	double work; /* of others: the same, times milliseconds */
 };
 
-static struct backlog find_backlog(const struct pool *p)
+double balance_allowed_cpu(struct sched *s, const struct job *j, double cpu)
+{
+	GHashTable *left = s->balance->limits_left;
+	const char *workspace = j->batch->workspace;
+	double *rest = g_hash_table_lookup(left, workspace);
+
+	if (!rest) {
+		rest = g_new(double, 1);
+		*rest = MAX((double)place_headroom(s, j).cpu, 0);
+		g_hash_table_insert(left, g_strdup(workspace), rest);
+	}
+	cpu = MIN(cpu, *rest);
+	*rest -= cpu;
+	return cpu;
+}
+
+static struct backlog find_backlog(struct sched *s, const struct pool *p)
 {
 	struct backlog sum = { 0 };
 	guint i;
@@ -127,24 +148,22 @@
 			for (step = 0; step < b->spec->steps_nr; step++) {
 				const struct batch_step *st =
 					&b->spec->steps[step];
+				double cpu = 0;
 
 				if (st->is_filling ||
 				    !batch_step_is_ready(b, round, step))
 					continue;
-				for (k = 0; k < st->count; k++) {
-					double cpu = (double)st->need.cpu;
-
+				for (k = 0; k < st->count; k++)
 					if (batch_task(b, round, step, k)
-						    ->state !=
+						    ->state ==
 					    BATCH_TASK_WAITING)
-						continue;
-					if (st->is_lasting)
-						sum.lasting += cpu;
-					else
-						sum.work +=
-							cpu *
-							(double)st->expected_ms;
-				}
+						cpu += (double)st->need.cpu;
+				cpu = balance_allowed_cpu(s, j, cpu);
+				if (st->is_lasting)
+					sum.lasting += cpu;
+				else
+					sum.work +=
+						cpu * (double)st->expected_ms;
 			}
 	}
 	return sum;
@@ -168,10 +187,10 @@
 }
 
 /* Servers that the pool's demand needs; a fall is believed slowly. */
-static int wanted_servers(const struct sched *s, struct pool *p, cs_time now)
+static int wanted_servers(struct sched *s, struct pool *p, cs_time now)
 {
 	double used = 0, room = 0, lasting = 0, arriving, demand;
-	struct backlog waiting = find_backlog(p);
+	struct backlog waiting = find_backlog(s, p);
 	int servers = 0;
 	guint i;
 
@@ -457,6 +476,14 @@
 		log_pair_int(pairs, "cpu_used", used);
 		log_pair_int(pairs, "cpu_demand", (int64_t)x->pool->demand);
 		log_pair_int(pairs, "jobs", x->pool->jobs->len);
+		log_pair_int(pairs, "blocked_by_limit",
+			     x->pool->blocked[BLOCK_LIMIT]);
+		log_pair_int(pairs, "blocked_by_room",
+			     x->pool->blocked[BLOCK_ROOM]);
+		log_pair_int(pairs, "blocked_unsettled",
+			     x->pool->blocked[BLOCK_UNSETTLED]);
+		log_pair_int(pairs, "blocked_by_store",
+			     x->pool->blocked[BLOCK_STORE]);
 		log_pair_int(pairs, "list_age_ms",
 			     (now - hosts_listed_at(b->sched)) / CS_MSEC);
 		sched_log(b->sched, "pool_state", pairs);
@@ -473,6 +500,7 @@
 	if (!hosts_listed_at(s))
 		return;
 	g_hash_table_foreach_remove(b->moves, is_settled, s);
+	g_hash_table_remove_all(b->limits_left);
 	sides = make_sides(s, now);
 	place_hosts(b, sides, now);
 	moves = fill_short_pools(b, sides, now);
--- a/src/sched/fill.c
+++ b/src/sched/fill.c
@@ -1,5 +1,7 @@
 #include "sched_private.h"
 
+#include <string.h>
+
 #include "../base/log.h"
 
 /*
@@ -45,34 +47,48 @@
 	sched_log(s, "task_start", pairs);
 }
 
+/* One look at a job: what binds it, and what became of it. */
+struct look {
+	bool is_settled; /* its pool: no predecessor's run is unknown */
+	int starts_max;
+	int started;
+	enum job_block block; /* of the first task that could not start */
+};
+
 static bool may_start(const struct job *j, const struct batch_task *t,
-		      bool is_settled, cs_time now)
+		      struct look *l, cs_time now)
 {
 	if (t->state != BATCH_TASK_WAITING || now < t->not_before || t->run_row)
 		return false;
+	if (!j->may_run || l->is_settled)
+		return true;
 	/* A predecessor's run of it may be where nobody answers. */
-	return !j->is_old || is_settled;
+	l->block = BLOCK_UNSETTLED;
+	return false;
 }
 
-/* Starts the tasks of a step that find room. Returns how many. */
-static int fill_step(struct sched *s, struct job *j, int round, int step,
-		     bool is_settled, cs_time now, int max)
+/* Starts the tasks of a step that find room. */
+static void fill_step(struct sched *s, struct job *j, int round, int step,
+		      cs_time now, struct look *l)
 {
 	const struct batch_step *st = &j->batch->spec->steps[step];
 	const struct site_queue *q = sched_queue_of(s, j);
-	int started = 0, i;
+	int i;
 
-	for (i = 0; i < st->count && started < max; i++) {
+	for (i = 0; i < st->count && l->started < l->starts_max; i++) {
 		struct batch_task *t = batch_task(j->batch, round, step, i);
 		struct server *v;
 		struct run *r;
 
-		if (!may_start(j, t, is_settled, now))
+		if (!may_start(j, t, l, now))
 			continue;
-		if (!place_within_limit(s, j, st->need))
+		if (!place_within_limit(s, j, st->need)) {
+			l->block = BLOCK_LIMIT;
 			break;
+		}
 		v = place_choose(s, j, round, step, t, now);
 		if (!v) {
+			l->block = BLOCK_ROOM;
 			if (q && q->advice.validity_ms)
 				advice_want(s, j, round, step, now);
 			break;
@@ -83,17 +99,16 @@
 		if (!r)
 			break;
 		log_start(s, j, r, v, now);
-		started++;
+		l->started++;
 	}
-	return started;
 }
 
 /*
  * Starts all members of a gang, or none: it takes their room one by one, and
  * gives it back if the last one finds none.
  */
-static int fill_gang(struct sched *s, struct job *j, int round, int step,
-		     bool is_settled, cs_time now)
+static void fill_gang(struct sched *s, struct job *j, int round, int step,
+		      cs_time now, struct look *l)
 {
 	const struct batch_step *st = &j->batch->spec->steps[step];
 	struct server **chosen = g_new0(struct server *, st->count);
@@ -104,14 +119,16 @@
 	for (i = 0; i < st->count; i++) {
 		struct batch_task *t = batch_task(j->batch, round, step, i);
 
-		if (!may_start(j, t, is_settled, now))
+		if (!may_start(j, t, l, now))
 			goto out;
 		all = site_room_add(all, st->need);
 		if (next_run(s, t) > number)
 			number = next_run(s, t);
 	}
-	if (!place_within_limit(s, j, all))
+	if (!place_within_limit(s, j, all)) {
+		l->block = BLOCK_LIMIT;
 		goto out;
+	}
 	for (i = 0; i < st->count; i++) {
 		chosen[i] = place_choose(s, j, round, step,
 					 batch_task(j->batch, round, step, i),
@@ -128,7 +145,7 @@
 
 		if (q && q->advice.validity_ms)
 			advice_want(s, j, round, step, now);
-		placed = 0;
+		l->block = BLOCK_ROOM;
 		goto out;
 	}
 	for (i = 0; i < st->count; i++) {
@@ -140,9 +157,9 @@
 		if (r)
 			log_start(s, j, r, chosen[i], now);
 	}
+	l->started += placed;
 out:
 	g_free(chosen);
-	return placed;
 }
 
 /* Opens the occurrences that are due. Returns the first that is not done. */
@@ -167,53 +184,66 @@
 	return j->round_first;
 }
 
-/* Starts what it can of one job; *wanted says whether a task was waiting. */
-static int fill_job(struct sched *s, struct job *j, bool is_settled,
-		    cs_time now, int max, bool *wanted)
+/*
+ * True once the store knows that the job begins. A successor then knows that
+ * nothing of other jobs can run, and starts them at once, whoever is silent.
+ */
+static bool is_begin_stored(struct sched *s, struct job *j, cs_time now)
+{
+	if (j->stored_revision)
+		return true;
+	batch_begin(j->batch);
+	sched_note_change(s, j, now);
+	return false;
+}
+
+/* Starts what it can of one job. */
+static void fill_job(struct sched *s, struct job *j, cs_time now,
+		     struct look *l)
 {
 	struct batch *b = j->batch;
-	int started = 0, round, step;
+	int round, step;
 
-	*wanted = false;
-	for (round = open_due(s, j, now); round < b->rounds_nr && started < max;
-	     round++) {
+	for (round = open_due(s, j, now); round < b->rounds_nr; round++) {
 		if (!b->rounds[round].tasks)
 			continue;
-		for (step = 0; step < b->spec->steps_nr && started < max;
-		     step++) {
+		for (step = 0; step < b->spec->steps_nr; step++) {
+			if (l->started >= l->starts_max)
+				return;
 			if (!batch_step_is_ready(b, round, step))
 				continue;
-			if (b->running < b->rounds[round].left[step])
-				*wanted = true;
+			if (!is_begin_stored(s, j, now)) {
+				l->block = BLOCK_STORE;
+				return;
+			}
 			if (b->spec->steps[step].is_gang)
-				started += fill_gang(s, j, round, step,
-						     is_settled, now);
+				fill_gang(s, j, round, step, now, l);
 			else
-				started += fill_step(s, j, round, step,
-						     is_settled, now,
-						     max - started);
+				fill_step(s, j, round, step, now, l);
 		}
 	}
-	return started;
 }
 
 static int fill_pool(struct sched *s, struct pool *p, cs_time now, int max)
 {
-	bool is_settled = servers_pool_settled(s, p);
-	int started = 0, misses = 0, n;
-	bool wanted;
+	struct look l = { .is_settled = servers_pool_settled(s, p) };
+	int started = 0, misses = 0;
 	guint i;
 
+	memset(p->blocked, 0, sizeof(p->blocked));
 	if (!p->jobs->len || !p->servers->len)
 		return 0;
 	rank_jobs(p->jobs, s, now);
 	for (i = 0; i < p->jobs->len && started < max && misses < MISSES_MAX;
 	     i++) {
-		n = fill_job(s, g_ptr_array_index(p->jobs, i), is_settled, now,
-			     max - started, &wanted);
-		started += n;
-		if (wanted && !n)
-			misses++;
+		l.starts_max = max - started;
+		l.started = 0;
+		l.block = BLOCK_NONE;
+		fill_job(s, g_ptr_array_index(p->jobs, i), now, &l);
+		started += l.started;
+		p->blocked[l.block]++;
+		/* Limits and unknown runs say nothing of the pool's room. */
+		misses += !l.started && l.block == BLOCK_ROOM;
 	}
 	return started;
 }
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -150,32 +150,39 @@
 	return best;
 }
 
-/* True if one dimension of a limit is respected; 0 is no limit. */
-static bool within(int64_t amount, int64_t limit)
+/* What is left of one dimension of a limit; 0 is no limit. */
+static int64_t left_of(int64_t limit, int64_t used)
 {
-	return !limit || amount <= limit;
+	return limit ? limit - used : INT64_MAX;
 }
 
-/* True if the job's workspace may have need more running. */
-bool place_within_limit(const struct sched *s, const struct job *j,
-			struct site_room need)
+struct site_room place_headroom(const struct sched *s, const struct job *j)
 {
 	const struct site_workspace *w =
 		s->site && *j->batch->workspace ?
 			site_workspace(s->site, j->batch->workspace) :
 			NULL;
-	const struct site_room *used, *reserved;
-	struct site_room all = need;
+	struct site_room left = { INT64_MAX, INT64_MAX, INT64_MAX };
+	struct site_room used = { 0 };
+	const struct site_room *part;
 
 	if (!w)
-		return true;
-	used = g_hash_table_lookup(s->usage, w->name);
-	reserved = g_hash_table_lookup(s->reserve, w->name);
-	if (used)
-		all = site_room_add(all, *used);
-	if (reserved)
-		all = site_room_add(all, *reserved);
-	return within(all.cpu, w->limit.cpu) &&
-	       within(all.memory_mb, w->limit.memory_mb) &&
-	       within(all.accelerators, w->limit.accelerators);
+		return left;
+	part = g_hash_table_lookup(s->usage, w->name);
+	if (part)
+		used = site_room_add(used, *part);
+	part = g_hash_table_lookup(s->reserve, w->name);
+	if (part)
+		used = site_room_add(used, *part);
+	left.cpu = left_of(w->limit.cpu, used.cpu);
+	left.memory_mb = left_of(w->limit.memory_mb, used.memory_mb);
+	left.accelerators = left_of(w->limit.accelerators, used.accelerators);
+	return left;
+}
+
+/* True if the job's workspace may have need more running. */
+bool place_within_limit(const struct sched *s, const struct job *j,
+			struct site_room need)
+{
+	return site_room_fits(need, place_headroom(s, j));
 }
--- a/src/sched/reserve.c
+++ b/src/sched/reserve.c
@@ -80,7 +80,7 @@
 	for (i = 0; i < p->jobs->len; i++) {
 		const struct job *j = g_ptr_array_index(p->jobs, i);
 
-		if (j->is_old && *j->batch->workspace)
+		if (j->may_run && *j->batch->workspace)
 			add_job(waiting, j);
 	}
 	g_hash_table_iter_init(&it, waiting);
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -185,8 +185,13 @@
 	if (j->batch->version != j->stored_version && !j->is_changed &&
 	    !j->is_being_stored) {
 		j->is_changed = true;
-		g_queue_push_tail(&s->changed,
-				  GSIZE_TO_POINTER((gsize)j->self));
+		/* Its first start waits for the store. */
+		if (!j->stored_revision)
+			g_queue_push_head(&s->changed,
+					  GSIZE_TO_POINTER((gsize)j->self));
+		else
+			g_queue_push_tail(&s->changed,
+					  GSIZE_TO_POINTER((gsize)j->self));
 	}
 	if (!batch_is_final(j->batch) || j->final_at)
 		return;
@@ -245,18 +250,22 @@
 {
 	const struct estimate *e = sched_estimate(s, j->batch->queue);
 	const struct batch_spec *spec = j->batch->spec;
-	double work = 0;
+	double work = 0, widest = 0;
 	int i;
 
 	for (i = 0; i < spec->steps_nr; i++) {
 		const struct batch_step *st = &spec->steps[i];
+		double cpu = (double)st->count * (double)st->need.cpu;
 
-		if (!st->is_lasting && !st->is_filling)
-			work += (double)st->count * (double)st->need.cpu *
-				(double)estimate_mean_ms(e, st->estimate_ms);
+		if (st->is_lasting || st->is_filling)
+			continue;
+		work += cpu * (double)estimate_mean_ms(e, st->estimate_ms);
+		widest = MAX(widest, cpu);
 	}
 	if (work > 0)
-		demand_add(j->pool->arrivals, work, now);
+		demand_add(j->pool->arrivals,
+			   work * balance_allowed_cpu(s, j, widest) / widest,
+			   now);
 }
 
 /* Run times are learnt while jobs wait, so their expectations are renewed. */
@@ -351,6 +360,9 @@
 	j->stored_revision = stored_revision;
 	j->stored_version = b->version;
 	j->is_old = revision <= s->options.revision;
+	/* Progress is stored before the first start. */
+	j->may_run = j->is_old && stored_revision;
+	b->has_begun = stored_revision != 0;
 	j->submitted = now - (unix_ms - b->submitted_unix_ms) * CS_MSEC;
 	if (j->submitted > now)
 		j->submitted = now; /* the other entry's clock is ahead */
@@ -508,6 +520,8 @@
 	if (j) {
 		j->is_being_stored = false;
 		j->stored_version = version;
+		if (!j->stored_revision)
+			sched_wake_pool(s, j->pool);
 		j->stored_revision = revision;
 		sched_note_change(s, j, now);
 	}
--- a/src/sched/sched_private.h
+++ b/src/sched/sched_private.h
@@ -102,7 +102,8 @@
 	uint32_t stored_version;
 	bool is_changed; /* in the list of changed jobs */
 	bool is_being_stored;
-	bool is_old; /* a predecessor may have started its tasks */
+	bool is_old; /* submitted before this term */
+	bool may_run; /* a predecessor may have started its tasks */
 	cs_time submitted;
 	cs_time objective_at; /* of the present occurrence */
 	int64_t chain_ms; /* the longest chain that is left */
@@ -116,11 +117,22 @@
 	int round, step, index;
 };
 
+/* Why a waiting job got nothing at the last look at its pool. */
+enum job_block {
+	BLOCK_NONE,
+	BLOCK_LIMIT, /* of its workspace */
+	BLOCK_ROOM, /* no server has any */
+	BLOCK_UNSETTLED, /* a predecessor's run may be unknown */
+	BLOCK_STORE /* the store does not know yet that it begins */
+};
+#define BLOCKS (BLOCK_STORE + 1)
+
 struct pool {
 	char name[CS_NAME_MAX];
 	GPtrArray *servers; /* struct server */
 	GPtrArray *jobs; /* struct job, not final */
 	bool is_due; /* something changed since the last turn */
+	int blocked[BLOCKS]; /* jobs by enum job_block */
 	struct demand *arrivals; /* of work that ends */
 	bool has_had_demand;
 	double demand; /* thousandths of a core; falls slowly */
@@ -232,6 +244,8 @@
 struct server *place_choose(const struct sched *s, const struct job *j,
 			    int round, int step, const struct batch_task *t,
 			    cs_time now);
+/* What the job's workspace may have running more; INT64_MAX: no limit. */
+struct site_room place_headroom(const struct sched *s, const struct job *j);
 bool place_within_limit(const struct sched *s, const struct job *j,
 			struct site_room need);
 
@@ -280,6 +294,11 @@
 struct balance *balance_create(struct sched *s, cs_time now);
 void balance_destroy(struct balance *b);
 void balance_on_done(struct sched *s, const struct order_done *d, cs_time now);
+/*
+ * Of the processor that a job's tasks would take, thousandths of a core, what
+ * the limit of its workspace allows beside all other work.
+ */
+double balance_allowed_cpu(struct sched *s, const struct job *j, double cpu);
 
 /* upkeep.c */
 /* True while a wave empties, orders or awaits the host. */
--- a/tests/unit/test_node.c
+++ b/tests/unit/test_node.c
@@ -356,6 +356,69 @@
 	}
 }
 
+/*
+ * A new owner can't know what the server that fell silent with its predecessor
+ * runs. It held back all older jobs of the pool for 6.7 s, though most of them
+ * had never been started; each further owner began the wait anew.
+ */
+static void silent_server_holds_up_no_new_job(void **state)
+{
+	struct world *w = make_world();
+	int lasting = world_submit(w, 0, &lasting_job), owner, job, i;
+
+	(void)state;
+	world_run(w, 2000);
+	owner = world_owner(w);
+	for (i = 0; i < world_servers(w); i++)
+		if (world_server_runs(w, i))
+			break;
+	world_server_crash(w, i, 60000);
+	world_node_kill(w, owner);
+	job = world_submit(w, (owner + 1) % 3, &short_job);
+	/* The key's lease, the new owner's reading, and the work itself. */
+	world_run(w, 2000 + 700 + 1000);
+	assert_true(world_job_is_done(w, job));
+	world_run(w, 10000);
+	assert_int_equal(world_job_at_work(w, lasting), 4);
+	end_world(w);
+}
+
+/*
+ * Work that the limit of its workspace holds back can't use more hosts. Its
+ * backlog drew all of them into the pool, where they stood idle.
+ */
+static void blocked_backlog_draws_no_hosts(void **state)
+{
+	const struct world_options options = { .seed = 3,
+					       .nodes = 3,
+					       .servers = 3,
+					       .pools = 2,
+					       .standby = 8 };
+	const struct world_job wide = { .steps = 1,
+					.width = 4,
+					.work_ms = 2000,
+					.cpu = 1000,
+					.unavailable_max = -1 };
+	struct world *w = world_create(&options);
+	int64_t from, paid;
+	int i;
+
+	(void)state;
+	world_limit(w, 8000);
+	world_run(w, 6000);
+	from = world_now_ms(w);
+	paid = world_pool_ms(w);
+	for (i = 0; i < 60; i++)
+		world_submit(w, i % 3, &wide);
+	world_run(w, 8000);
+	assert_in_range(world_pool_ms(w) - paid, 0,
+			(world_now_ms(w) - from) * 2 * options.servers);
+	world_limit(w, 0);
+	world_run(w, 20000);
+	assert_int_equal(world_unfinished(w), 0);
+	end_world(w);
+}
+
 /* A turn of a queue: demand climbs for so long, and falls for as long. */
 #define TURN_HALF_MS 4500
 #define TURN_STEP_MS 50
@@ -442,6 +505,8 @@
 		cmocka_unit_test(late_starts_run_once),
 		cmocka_unit_test(server_that_joins_under_load_is_used),
 		cmocka_unit_test(large_entry_becomes_the_owner),
+		cmocka_unit_test(silent_server_holds_up_no_new_job),
+		cmocka_unit_test(blocked_backlog_draws_no_hosts),
 		cmocka_unit_test(turn_of_a_queue_is_met),
 	};
 
