Store orders to hosts before they are sent; move hosts at once after a change

Cause: a new owner gave no order to any host for 3 s, since two holders must not give orders to one host within that time and it could not know which hosts its predecessor had ordered.

Ruled out: reading the list of hosts (it takes 10 ms) and asking the register (a host that went to the standby pool has no server there).

The owner now writes the hosts that it is about to order into one key, in the transaction that also ends the grants of their idle servers, and sends the orders once that is stored and only while its lease lasts. A successor leaves just these alone. Transactions that end grants are conditional on that key, so that one carried out late can't remove a grant that was given again.

The virtual site checks the pause between holders.

--- a/src/node/commit.c
+++ b/src/node/commit.c
@@ -17,14 +17,16 @@
 
 /*
  * Grants go first, as a server without one can't be used, and under load there
- * are always more changed batches than a transaction holds. They may take half
- * of it: at 40 transactions a second enough for ten times the hosts that the
- * host service moves.
+ * are always more changed batches than a transaction holds. They end here, so
+ * that some batches are stored with each transaction.
  */
-#define GRANTS_MAX (STORE_TXN_MAX / 2)
+#define GRANTS_MAX (STORE_TXN_MAX * 2 / 3)
 /* A batch takes a condition and a write. */
 #define BATCH_ENTRIES 2
 #define BATCHES_MAX (STORE_TXN_MAX / BATCH_ENTRIES)
+/* Orders to hosts, and grants that end, in one transaction. */
+#define HOST_ORDERS_MAX 8
+#define ENDED_MAX 10
 /* The keys of an expired batch, which are removed together. */
 #define EXPIRED_ENTRIES 3
 /* Between two transactions, so that changes gather. */
@@ -44,7 +46,8 @@
 		g_array_free(c->batches, TRUE);
 	if (c->grants)
 		g_array_free(c->grants, TRUE);
-	g_free(c->ended_grant);
+	if (c->ended_grants)
+		g_ptr_array_free(c->ended_grants, TRUE);
 	memset(c, 0, sizeof(*c));
 }
 
@@ -70,7 +73,6 @@
 static void add_grants(struct node *n, struct store_call *call)
 {
 	cs_handle h = 0;
-	const char *ended;
 
 	while (call->entries->len < GRANTS_MAX &&
 	       (h = sched_next_grant(n->sched, h))) {
@@ -85,11 +87,38 @@
 		}
 		g_free(key);
 	}
-	ended = sched_ended_grant(n->sched);
-	if (ended && call->entries->len < GRANTS_MAX) {
-		char *key = g_strconcat(KEY_GRANTS, ended, NULL);
+}
+
+/*
+ * Orders to hosts, and grants that are over. A transaction without an answer
+ * that is carried out late must not remove a grant that was given again since,
+ * so each of these is conditional on the revision of KEY_ORDERED, and the next
+ * transaction writes that key in any case.
+ */
+static void add_host_orders(struct node *n, struct store_call *call,
+			    cs_time now)
+{
+	struct commit *c = &n->commit;
+	char *text;
+	guint i;
+
+	c->writes_ordered = false;
+	c->has_host_orders = sched_take_host_orders(n->sched, HOST_ORDERS_MAX,
+						    c->ended_grants, now) > 0;
+	sched_ended_grants(n->sched, c->ended_grants, ENDED_MAX);
+	if (!c->has_host_orders && !c->ended_grants->len &&
+	    !c->is_ordered_unsure)
+		return;
+	text = sched_ordered_hosts(n->sched, now);
+	store_call_expect(call, KEY_ORDERED, c->ordered_revision);
+	store_call_write(call, KEY_ORDERED,
+			 g_bytes_new_take(text, strlen(text)), 0);
+	c->writes_ordered = true;
+	for (i = 0; i < c->ended_grants->len; i++) {
+		char *key = g_strconcat(KEY_GRANTS,
+					g_ptr_array_index(c->ended_grants, i),
+					NULL);
 
-		n->commit.ended_grant = g_strdup(ended);
 		store_call_remove(call, key);
 		g_free(key);
 	}
@@ -140,10 +169,12 @@
 		c->batches =
 			g_array_new(FALSE, FALSE, sizeof(struct commit_row));
 		c->grants = g_array_new(FALSE, FALSE, sizeof(cs_handle));
+		c->ended_grants = g_ptr_array_new_with_free_func(g_free);
 		c->retry_pause = RETRY_MIN_US;
 	}
 	call = store_call_new(STORE_TXN, NULL, STORE_TIMEOUT_MS);
 	store_call_expect(call, KEY_OWNER, n->owner.key_revision);
+	add_host_orders(n, call, now);
 	add_grants(n, call);
 	add_expired(n, call, now);
 	add_batches(n, call);
@@ -171,12 +202,33 @@
 	return d->result == STORE_CONFLICT ? 0 : known;
 }
 
+/*
+ * Takes the revision of KEY_ORDERED from a transaction that wrote it. Once the
+ * revision has changed, no earlier one can be carried out any more.
+ */
+static void note_ordered(struct commit *c, const struct store_done *d)
+{
+	uint64_t revision = c->ordered_revision;
+
+	if (d->result == STORE_OK)
+		revision = d->revision;
+	else if (d->result == STORE_CONFLICT)
+		revision = present_revision(d, KEY_ORDERED, revision);
+	else if (d->result == STORE_UNKNOWN)
+		c->is_ordered_unsure = true;
+	if (revision != c->ordered_revision)
+		c->is_ordered_unsure = false;
+	c->ordered_revision = revision;
+}
+
 static void take_result(struct node *n, const struct store_done *d, cs_time now)
 {
 	struct commit *c = &n->commit;
 	bool is_stored = d->result == STORE_OK;
 	guint i;
 
+	if (c->writes_ordered)
+		note_ordered(c, d);
 	for (i = 0; i < c->batches->len; i++) {
 		const struct commit_row *row =
 			&g_array_index(c->batches, struct commit_row, i);
@@ -193,15 +245,19 @@
 	for (i = 0; is_stored && i < c->grants->len; i++)
 		sched_grant_stored(n->sched,
 				   g_array_index(c->grants, cs_handle, i));
-	if (is_stored && c->ended_grant)
-		sched_ended_grant_removed(n->sched, c->ended_grant);
+	for (i = 0; is_stored && i < c->ended_grants->len; i++)
+		sched_ended_grant_removed(
+			n->sched, g_ptr_array_index(c->ended_grants, i));
 	if (is_stored && c->expired)
 		sched_expired_removed(n->sched, c->expired);
+	if (c->has_host_orders)
+		sched_host_orders_stored(n->sched, is_stored,
+					 owner_lease_end(n), now);
+	c->has_host_orders = false;
 	sched_commit_ended(n->sched, now);
 	g_array_set_size(c->batches, 0);
 	g_array_set_size(c->grants, 0);
-	g_free(c->ended_grant);
-	c->ended_grant = NULL;
+	g_ptr_array_set_size(c->ended_grants, 0);
 	c->expired = 0;
 }
 
--- a/src/node/node_private.h
+++ b/src/node/node_private.h
@@ -20,6 +20,8 @@
 #define KEY_PROGRESS "camphorshed-progress/"
 #define KEY_GRANTS "camphorshed-grants/"
 #define KEY_WAVES "camphorshed-waves/"
+#define KEY_HOSTS "camphorshed-hosts/"
+#define KEY_ORDERED KEY_HOSTS "ordered" /* hosts that were ordered lately */
 
 /* Until an answer of the store to a single call must be there, ms. */
 #define STORE_TIMEOUT_MS 1200
@@ -59,7 +61,11 @@
 	bool is_open;
 	GArray *batches; /* struct commit_row of the open transaction */
 	GArray *grants; /* cs_handle */
-	char *ended_grant;
+	GPtrArray *ended_grants; /* identifiers */
+	bool has_host_orders;
+	uint64_t ordered_revision; /* of KEY_ORDERED */
+	bool writes_ordered; /* the open transaction writes it */
+	bool is_ordered_unsure; /* one without an answer may write it yet */
 	cs_handle expired;
 	cs_time not_before;
 	cs_time retry_pause;
@@ -88,7 +94,8 @@
 	/* Belief. */
 	struct view *operators, *control; /* always */
 	struct view *work, *servers; /* while owner */
-	struct view *progress, *grants, *wave_marks; /* while loading */
+	/* While loading. */
+	struct view *progress, *grants, *wave_marks, *ordered;
 	struct site *site;
 	GHashTable *evacuated; /* data centres */
 	GHashTable *waves; /* number as text -> GBytes */
@@ -99,6 +106,7 @@
 	GHashTable *found_grants; /* id -> pool */
 	GHashTable *found_cancels;
 	GHashTable *found_marks; /* wave as text -> GBytes */
+	GBytes *found_ordered; /* NULL: none */
 	struct owner owner;
 	struct commit commit;
 	struct sched *sched;
@@ -116,6 +124,11 @@
 void owner_on_put(struct node *n, const struct store_item *item, cs_time now);
 void owner_on_delete(struct node *n, const char *key, cs_time now);
 void owner_on_synced(struct node *n, cs_time now);
+/*
+ * Until when orders may leave that no successor's may follow too soon: the end
+ * of the lease of the owner's key, as far as it is known to be renewed.
+ */
+cs_time owner_lease_end(const struct node *n);
 /* A transaction under the owner's condition succeeded; it was sent at sent. */
 void owner_confirm(struct node *n, cs_time sent);
 /* Another owner has been seen. */
--- a/src/node/ownership.c
+++ b/src/node/ownership.c
@@ -375,6 +375,11 @@
 	store_calls_send(n->calls, c, on_released, n, 0);
 }
 
+cs_time owner_lease_end(const struct node *n)
+{
+	return n->owner.renewed_at + OWNER_LEASE_MS * CS_MSEC;
+}
+
 void owner_turn(struct node *n, cs_time now)
 {
 	if (n->owner.is_fenced)
--- a/src/node/term.c
+++ b/src/node/term.c
@@ -170,6 +170,18 @@
 			    g_bytes_ref(item->value));
 }
 
+static void on_ordered_put(void *ctx, const struct store_item *item,
+			   cs_time now)
+{
+	struct node *n = ctx;
+
+	(void)now;
+	if (n->found_ordered)
+		g_bytes_unref(n->found_ordered);
+	n->found_ordered = g_bytes_ref(item->value);
+	n->commit.ordered_revision = item->revision;
+}
+
 static void ignore_delete(void *ctx, const char *key, cs_time now)
 {
 	(void)ctx;
@@ -192,6 +204,8 @@
 					      ignore_synced };
 static const struct view_ops grant_ops = { on_grant_put, ignore_delete,
 					   ignore_synced };
+static const struct view_ops ordered_ops = { on_ordered_put, ignore_delete,
+					     ignore_synced };
 static const struct view_ops mark_ops = { on_mark_put, ignore_delete,
 					  ignore_synced };
 
@@ -266,6 +280,7 @@
 	n->progress =
 		open_view(n, KEY_PROGRESS, ONCE_WAIT_MS, &progress_ops, now);
 	n->grants = open_view(n, KEY_GRANTS, ONCE_WAIT_MS, &grant_ops, now);
+	n->ordered = open_view(n, KEY_HOSTS, ONCE_WAIT_MS, &ordered_ops, now);
 	n->wave_marks = open_view(n, KEY_WAVES, ONCE_WAIT_MS, &mark_ops, now);
 }
 
@@ -289,6 +304,10 @@
 	close_view(&n->progress);
 	close_view(&n->grants);
 	close_view(&n->wave_marks);
+	close_view(&n->ordered);
+	if (n->found_ordered)
+		g_bytes_unref(n->found_ordered);
+	n->found_ordered = NULL;
 	close_table(&n->found_jobs);
 	close_table(&n->found_progress);
 	close_table(&n->found_grants);
@@ -308,26 +327,34 @@
 	n->sched = NULL;
 }
 
-/* The names of hosts that a predecessor noted as done, one a line. */
-static GPtrArray *marked_hosts(struct node *n, const char *number)
+/* The names in a stored value, one a line; value may be NULL. */
+static GPtrArray *names_in(GBytes *value)
 {
-	GPtrArray *hosts = g_ptr_array_new_with_free_func(g_free);
-	GBytes *value = n->found_marks ?
-				g_hash_table_lookup(n->found_marks, number) :
-				NULL;
+	GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
 	char *text, **lines;
 	int i;
 
 	if (!value)
-		return hosts;
+		return names;
 	text = store_text(value);
 	lines = g_strsplit(text, "\n", 0);
 	for (i = 0; lines[i]; i++)
 		if (*lines[i])
-			g_ptr_array_add(hosts, g_strdup(lines[i]));
+			g_ptr_array_add(names, g_strdup(lines[i]));
 	g_strfreev(lines);
 	g_free(text);
-	return hosts;
+	return names;
+}
+
+/* Hosts that a predecessor may have ordered lately are left alone a while. */
+static void hold_ordered_hosts(struct node *n)
+{
+	GPtrArray *hosts = names_in(n->found_ordered);
+	guint i;
+
+	for (i = 0; i < hosts->len; i++)
+		sched_host_was_ordered(n->sched, g_ptr_array_index(hosts, i));
+	g_ptr_array_free(hosts, TRUE);
 }
 
 /* Passes a wave on to the scheduler. */
@@ -343,7 +370,9 @@
 		node_log(n, "wave_unreadable", pairs);
 		return;
 	}
-	info.done = marked_hosts(n, number);
+	info.done = names_in(
+		n->found_marks ? g_hash_table_lookup(n->found_marks, number) :
+				 NULL);
 	sched_wave(n->sched, &info, now);
 	g_ptr_array_free(info.done, TRUE);
 	g_ptr_array_free(info.hosts, TRUE);
@@ -353,7 +382,7 @@
 {
 	return view_is_synced(n->work) && view_is_synced(n->servers) &&
 	       view_is_synced(n->progress) && view_is_synced(n->grants) &&
-	       view_is_synced(n->wave_marks);
+	       view_is_synced(n->wave_marks) && view_is_synced(n->ordered);
 }
 
 /* Adds the jobs that were found, and begins to decide. */
@@ -379,6 +408,7 @@
 	g_hash_table_iter_init(&it, n->found_grants);
 	while (g_hash_table_iter_next(&it, &key, &row))
 		sched_server_granted(n->sched, key, row, now);
+	hold_ordered_hosts(n);
 	sched_ready(n->sched, now);
 	g_hash_table_iter_init(&it, n->found_cancels);
 	while (g_hash_table_iter_next(&it, &key, NULL))
--- a/src/sched/balance.c
+++ b/src/sched/balance.c
@@ -316,6 +316,8 @@
 		if (g_hash_table_contains(s->evacuated, h->data_centre))
 			continue;
 		x->servers++;
+		if (hosts_is_held(s, h->name, now))
+			continue;
 		if (x->is_standby || (v && may_leave(b, v, now)))
 			g_ptr_array_add(x->idle, h);
 	}
@@ -351,7 +353,7 @@
 		     (now - hosts_listed_at(s)) / CS_MSEC);
 	sched_log(s, "host_move", pairs);
 	counters_add(s->counters, "camphorshed_host_moves_total", "", 1);
-	s->ops->send(s->ctx, o);
+	hosts_plan(s, o, v);
 }
 
 /* A host that a pool can give away; idle ones of standby pools last. */
@@ -516,8 +518,7 @@
 
 	(void)arg;
 	b->timer = timers_subscribe(s->timers, now + LOOK_US, on_look, b, 0);
-	if (s->site && s->is_ready && !s->is_paused && !s->is_fenced &&
-	    now - s->started_at >= s->options.bounds.holder_pause_ms * CS_MSEC)
+	if (s->site && s->is_ready && !s->is_paused && !s->is_fenced)
 		look(b, now);
 }
 
--- a/src/sched/hosts.c
+++ b/src/sched/hosts.c
@@ -11,7 +11,23 @@
 /* Between two readings; each page is a priced call. */
 #define LIST_INTERVAL_US (1 * CS_SEC)
 
+/* An order that waits for the store. */
+struct host_order {
+	struct order *order;
+	cs_handle server; /* on the host; 0: none */
+};
+
+/* A host that was ordered lately. */
+struct ordered_host {
+	char name[CS_NAME_MAX];
+	cs_time at;
+};
+
 struct hosts {
+	GQueue planned; /* struct host_order */
+	GQueue open; /* the same, in a transaction without an answer */
+	GQueue ordered; /* struct ordered_host, oldest first */
+	GHashTable *held; /* names that a predecessor ordered lately */
 	GHashTable *rows; /* name -> struct order_host, as listed last */
 	GPtrArray *pages; /* of the list that is being read */
 	bool is_open;
@@ -26,11 +42,24 @@
 
 	h->rows = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	h->pages = g_ptr_array_new_with_free_func(g_free);
+	h->held = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return h;
 }
 
+static void host_order_free(void *row)
+{
+	struct host_order *p = row;
+
+	order_free(p->order);
+	g_free(p);
+}
+
 void hosts_destroy(struct hosts *h)
 {
+	g_queue_clear_full(&h->planned, host_order_free);
+	g_queue_clear_full(&h->open, host_order_free);
+	g_queue_clear_full(&h->ordered, g_free);
+	g_hash_table_destroy(h->held);
 	g_hash_table_destroy(h->rows);
 	g_ptr_array_free(h->pages, TRUE);
 	g_free(h);
@@ -72,17 +101,109 @@
 
 	if (!s->is_ready || s->is_paused || s->is_fenced ||
 	    now - s->confirmed_at > HOST_ORDER_AGE_US ||
-	    now - s->started_at < s->options.bounds.holder_pause_ms * CS_MSEC)
+	    hosts_is_held(s, host, now))
 		return NULL;
 	o = order_new(type);
 	o->timeout_ms = HOST_TIMEOUT_MS;
-	o->not_after = s->confirmed_at + HOST_ORDER_AGE_US;
 	o->token = s->options.token;
 	cs_copy(o->host, sizeof(o->host), host);
 	cs_copy(o->holder, sizeof(o->holder), s->options.holder);
 	return o;
 }
 
+bool hosts_is_held(const struct sched *s, const char *host, cs_time now)
+{
+	return now - s->started_at <
+		       s->options.bounds.holder_pause_ms * CS_MSEC &&
+	       g_hash_table_contains(s->hosts->held, host);
+}
+
+void sched_host_was_ordered(struct sched *s, const char *host)
+{
+	g_hash_table_add(s->hosts->held, g_strdup(host));
+}
+
+void hosts_plan(struct sched *s, struct order *o, const struct server *v)
+{
+	struct host_order *p = g_new0(struct host_order, 1);
+
+	p->order = o;
+	p->server = v ? v->self : 0;
+	g_queue_push_tail(&s->hosts->planned, p);
+}
+
+int sched_take_host_orders(struct sched *s, int max, GPtrArray *ended,
+			   cs_time now)
+{
+	struct hosts *h = s->hosts;
+	int n = 0;
+
+	for (; n < max && !g_queue_is_empty(&h->planned); n++) {
+		struct host_order *p = g_queue_pop_head(&h->planned);
+		struct server *v = server_row(s, p->server);
+		struct ordered_host *row = g_new0(struct ordered_host, 1);
+
+		if (v && v->is_granted && !v->runs->len) {
+			v->is_granted = false;
+			g_ptr_array_add(ended, g_strdup(v->info.id));
+		}
+		cs_copy(row->name, sizeof(row->name), p->order->host);
+		row->at = now;
+		g_queue_push_tail(&h->ordered, row);
+		g_queue_push_tail(&h->open, p);
+	}
+	return n;
+}
+
+char *sched_ordered_hosts(const struct sched *s, cs_time now)
+{
+	struct hosts *h = s->hosts;
+	cs_time keep =
+		s->options.bounds.holder_pause_ms * CS_MSEC + HOST_ORDER_AGE_US;
+	GString *text = g_string_new(NULL);
+	const struct ordered_host *row;
+	const GList *l;
+
+	while ((row = g_queue_peek_head(&h->ordered)) && now - row->at > keep)
+		g_free(g_queue_pop_head(&h->ordered));
+	for (l = h->ordered.head; l; l = l->next) {
+		row = l->data;
+		g_string_append_printf(text, "%s\n", row->name);
+	}
+	return g_string_free(text, FALSE);
+}
+
+/* An order that is not sent ends like one that never left the process. */
+static void give_up(struct sched *s, struct order *o, cs_time now)
+{
+	struct order_done *d = order_done_new(o);
+
+	sched_order_done(s, d, now);
+	order_done_free(d);
+	order_free(o);
+}
+
+void sched_host_orders_stored(struct sched *s, bool is_stored,
+			      cs_time not_after, cs_time now)
+{
+	struct host_order *p;
+
+	while ((p = g_queue_pop_head(&s->hosts->open))) {
+		if (is_stored) {
+			p->order->not_after = not_after;
+			s->ops->send(s->ctx, p->order);
+		} else {
+			/* It may be there yet; it is given again once gone. */
+			const struct server *v = server_row(s, p->server);
+
+			if (v && !v->is_granted)
+				servers_end_grant(s, v->info.id);
+			give_up(s, p->order, now);
+		}
+		g_free(p);
+	}
+}
+
 void hosts_want(struct sched *s, cs_time now)
 {
 	if (s->hosts->is_open || now < s->hosts->next_at)
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -148,10 +148,27 @@
 const struct server_info *sched_server(const struct sched *sched,
 				       cs_handle server);
 void sched_grant_stored(struct sched *sched, cs_handle server);
-/* Grants that are over; the identifiers belong to the scheduler. */
-const char *sched_ended_grant(const struct sched *sched);
+/* Adds copies of the first grants that are over, up to max in all. */
+void sched_ended_grants(const struct sched *sched, GPtrArray *ids, guint max);
 void sched_ended_grant_removed(struct sched *sched, const char *id);
 
+/*
+ * Orders to hosts, which the store must know first: a successor leaves the
+ * hosts alone that its predecessor ordered within the pause between holders.
+ * Takes up to max that are planned, which stay open until they are stored or
+ * not. The grants of their servers, which run nothing and get nothing more,
+ * are over with it; their identifiers are added to ended. Returns how many.
+ */
+int sched_take_host_orders(struct sched *sched, int max, GPtrArray *ended,
+			   cs_time now);
+/* Names of hosts that were ordered lately, one a line. */
+char *sched_ordered_hosts(const struct sched *sched, cs_time now);
+/* The open orders are sent, not later than not_after, or given up. */
+void sched_host_orders_stored(struct sched *sched, bool is_stored,
+			      cs_time not_after, cs_time now);
+/* A predecessor may have ordered that host lately. */
+void sched_host_was_ordered(struct sched *sched, const char *host);
+
 /* A batch that callers may no longer ask for, to be removed; 0: none. */
 cs_handle sched_next_expired(struct sched *sched, cs_time now);
 void sched_expired_removed(struct sched *sched, cs_handle batch);
--- a/src/sched/sched_private.h
+++ b/src/sched/sched_private.h
@@ -205,6 +205,8 @@
 		  cs_time now);
 /* Checks leases and removes rows that are no longer needed. */
 void servers_turn(struct sched *s, cs_time now);
+/* The server's grant is to be removed from the store. */
+void servers_end_grant(struct sched *s, const char *id);
 /* True if it may run what a predecessor ordered, unknown to us. */
 bool servers_may_hide(const struct sched *s, const struct server *v);
 /* True if no predecessor's order can be unknown in the pool. */
@@ -270,13 +272,19 @@
 /* hosts.c */
 /*
  * The host service does not check tokens everywhere, so orders to hosts are
- * given only while no successor can have given any: it takes the store's lease
- * (2 s) and the pause between holders until its first one.
+ * planned only while the ownership was confirmed lately.
  */
 #define HOST_ORDER_AGE_US (1500 * CS_MSEC)
 /* An order to a host, ready to be filled in; NULL if none may be given. */
 struct order *hosts_new_order(const struct sched *s, enum order_type type,
 			      const char *host, cs_time now);
+/*
+ * Takes over an order from hosts_new_order(); it is sent once the store knows
+ * it. server is the one on the host, without runs, or NULL.
+ */
+void hosts_plan(struct sched *s, struct order *o, const struct server *server);
+/* True while a predecessor's order may be too recent for another one. */
+bool hosts_is_held(const struct sched *s, const char *host, cs_time now);
 /* Until the host service must have answered. */
 #define HOST_TIMEOUT_MS 2000
 struct hosts *hosts_create(void);
--- a/src/sched/servers.c
+++ b/src/sched/servers.c
@@ -387,6 +387,22 @@
 		v->unknown_until = s->options.predecessor_end;
 }
 
+static bool is_grant_ending(const struct sched *s, const char *id)
+{
+	guint i;
+
+	for (i = 0; i < s->ended_grants->len; i++)
+		if (!strcmp(g_ptr_array_index(s->ended_grants, i), id))
+			return true;
+	return false;
+}
+
+void servers_end_grant(struct sched *s, const char *id)
+{
+	if (!is_grant_ending(s, id))
+		g_ptr_array_add(s->ended_grants, g_strdup(id));
+}
+
 cs_handle sched_next_grant(const struct sched *s, cs_handle after)
 {
 	cs_handle h;
@@ -396,7 +412,8 @@
 		struct server *v = server_row(s, h);
 
 		if (!v->is_granted && v->is_listed && !v->is_dead &&
-		    !v->info.is_draining)
+		    !v->is_cordoned && !v->info.is_draining &&
+		    !is_grant_ending(s, v->info.id))
 			return h;
 	}
 	return 0;
@@ -418,10 +435,13 @@
 	sched_wake(s);
 }
 
-const char *sched_ended_grant(const struct sched *s)
+void sched_ended_grants(const struct sched *s, GPtrArray *ids, guint max)
 {
-	return s->ended_grants->len ? g_ptr_array_index(s->ended_grants, 0) :
-				      NULL;
+	guint i;
+
+	for (i = 0; i < s->ended_grants->len && ids->len < max; i++)
+		g_ptr_array_add(
+			ids, g_strdup(g_ptr_array_index(s->ended_grants, i)));
 }
 
 void sched_ended_grant_removed(struct sched *s, const char *id)
@@ -466,7 +486,7 @@
 static void remove_server(struct sched *s, struct server *v)
 {
 	if (v->is_granted)
-		g_ptr_array_add(s->ended_grants, g_strdup(v->info.id));
+		servers_end_grant(s, v->info.id);
 	timers_cancel(s->timers, v->hold_timer);
 	g_ptr_array_remove_fast(sched_pool(s, v->info.pool)->servers, v);
 	g_hash_table_remove(s->server_by_id, v->info.id);
@@ -532,7 +552,7 @@
 		return;
 	g_hash_table_iter_init(&it, s->grants_left);
 	while (g_hash_table_iter_next(&it, &id, NULL)) {
-		g_ptr_array_add(s->ended_grants, g_strdup(id));
+		servers_end_grant(s, id);
 		g_hash_table_iter_remove(&it);
 	}
 }
--- a/src/sched/upkeep.c
+++ b/src/sched/upkeep.c
@@ -363,7 +363,7 @@
 	h->again_at = 0;
 	o->ref = host_ref(w, i);
 	o->wave = w->number;
-	s->ops->send(s->ctx, o);
+	hosts_plan(s, o, row ? server_on(s, h->name) : NULL);
 	return true;
 }
 
--- a/tests/unit/test_node.c
+++ b/tests/unit/test_node.c
@@ -383,6 +383,42 @@
 	end_world(w);
 }
 
+/*
+ * A new owner left all hosts alone for the pause between two holders, while a
+ * turn went on; only those that its predecessor ordered lately need that. It
+ * has two seconds until the key is gone, and reads for at most 0.7 s.
+ */
+static void new_owner_moves_hosts_at_once(void **state)
+{
+	struct world_options options = { .nodes = 3,
+					 .servers = 8,
+					 .pools = 2,
+					 .standby = 8 };
+
+	(void)state;
+	for (options.seed = 1; options.seed <= 10; options.seed++) {
+		struct world *w = world_create(&options);
+		int orders, i;
+
+		world_run(w, 6000);
+		for (i = 0; i < 40; i++) {
+			world_submit(w, i % 3, &short_job);
+			world_run(w, 25);
+		}
+		world_node_kill(w, world_owner(w));
+		orders = world_host_orders(w);
+		for (i = 0; i < 2700; i += 25) {
+			world_submit(w, i % 3, &short_job);
+			world_submit(w, (i + 1) % 3, &short_job);
+			world_submit(w, (i + 2) % 3, &short_job);
+			world_run(w, 25);
+		}
+		assert_true(world_host_orders(w) > orders);
+		world_run(w, 10000);
+		end_world(w);
+	}
+}
+
 /*
  * Work that the limit of its workspace holds back can't use more hosts. Its
  * backlog drew all of them into the pool, where they stood idle.
@@ -506,6 +542,7 @@
 		cmocka_unit_test(server_that_joins_under_load_is_used),
 		cmocka_unit_test(large_entry_becomes_the_owner),
 		cmocka_unit_test(silent_server_holds_up_no_new_job),
+		cmocka_unit_test(new_owner_moves_hosts_at_once),
 		cmocka_unit_test(blocked_backlog_draws_no_hosts),
 		cmocka_unit_test(turn_of_a_queue_is_met),
 	};
--- a/tests/world/main.c
+++ b/tests/world/main.c
@@ -13,6 +13,8 @@
 #define SETTLE_MS 5000
 #define QUIET_MS 60000
 #define STEP_MS 100
+/* Later seeds have a standby pool, so that hosts move. */
+#define MOVES_FROM_SEED 2000
 
 struct day {
 	struct world *world;
@@ -258,6 +260,7 @@
 				      .nodes = 2 + (int)(seed % 4),
 				      .servers = 3 + (int)(seed % 5),
 				      .pools = 1 + (int)(seed % 3),
+				      .standby = seed < MOVES_FROM_SEED ? 0 : 4,
 				      .is_noisy = is_noisy } };
 	int64_t end;
 	bool is_fine;
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -466,7 +466,8 @@
 				  .bounds = { .host_calls_per_s = 60,
 					      .hold_max_ms = HOLD_MAX_MS,
 					      .stop_grace_ms = STOP_MS,
-					      .holder_pause_ms = 3000,
+					      .holder_pause_ms =
+						      HOLDER_PAUSE_MS,
 					      .unavailable_ms = 4500 } };
 
 	if (n->node)
@@ -864,6 +865,11 @@
 	return j->done_at ? (j->done_at - j->submitted_at) / CS_MSEC : -1;
 }
 
+int world_host_orders(const struct world *w)
+{
+	return w->host_orders;
+}
+
 int64_t world_pool_ms(const struct world *w)
 {
 	int64_t ms = w->pool_ms;
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -97,6 +97,8 @@
 int world_jobs(const struct world *world);
 bool world_job_is_done(const struct world *world, int job);
 bool world_job_is_lasting(const struct world *world, int job);
+/* Orders to hosts that have arrived. */
+int world_host_orders(const struct world *world);
 /* From its submission to its last end; -1: not done. */
 int64_t world_job_took_ms(const struct world *world, int job);
 /* Milliseconds that hosts have spent in pools that are on. */
--- a/tests/world/world_private.h
+++ b/tests/world/world_private.h
@@ -12,6 +12,8 @@
 #define HEARTBEAT_LOSS_MS 4500
 #define MAINTENANCE_MS 2000
 #define MOVE_MS 1500
+/* Two holders must not give orders to one host within this time. */
+#define HOLDER_PAUSE_MS 3000
 #define ATTEMPTS_MAX 3
 /* A lasting task that is away for other reasons counts after this. */
 #define NOTICE_MS 4500
@@ -65,6 +67,7 @@
 	cs_time pool_since; /* when it came to its pool */
 	uint64_t holder_token; /* highest in an order to the host */
 	char holder[CS_NAME_MAX]; /* who sent it */
+	cs_time holder_at; /* when it came */
 	uint64_t born;
 	cs_time born_at;
 	double speed; /* of its clock */
@@ -161,6 +164,7 @@
 	bool out[DATA_CENTRES];
 	cs_time out_since[DATA_CENTRES];
 	int64_t pool_ms;
+	int host_orders;
 	/* wave */
 	uint64_t wave;
 	int wave_max, wave_down;
--- a/tests/world/world_servers.c
+++ b/tests/world/world_servers.c
@@ -751,6 +751,12 @@
 			    "%" PRIu64,
 			    o->host, o->holder, o->token, v->holder,
 			    v->holder_token);
+	if (*v->holder && strcmp(o->holder, v->holder) &&
+	    v->world->now - v->holder_at < HOLDER_PAUSE_MS * CS_MSEC)
+		world_break(v->world, "ONE: %s of %s too soon after %s",
+			    o->host, o->holder, v->holder);
+	v->holder_at = v->world->now;
+	v->world->host_orders++;
 	v->holder_token = o->token;
 	cs_copy(v->holder, sizeof(v->holder), o->holder);
 }
