--- a/src/sched/demand.h
+++ b/src/sched/demand.h
@@ -14,8 +14,12 @@
 struct demand *demand_create(void);
 void demand_destroy(struct demand *demand);
 
-/* Work has arrived: thousandths of a core times milliseconds. */
-void demand_add(struct demand *demand, double work, cs_time now);
+/*
+ * Work has arrived: thousandths of a core times milliseconds. lasts_ms is how
+ * long it takes if it gets all that it can use at once.
+ */
+void demand_add(struct demand *demand, double work, double lasts_ms,
+		cs_time now);
 
 /*
  * Thousandths of a core that arriving work will need at a time ahead of now,
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -265,7 +265,7 @@
 	if (work > 0)
 		demand_add(j->pool->arrivals,
 			   work * balance_allowed_cpu(s, j, widest) / widest,
-			   now);
+			   work / widest, now);
 }
 
 /* Run times are learnt while jobs wait, so their expectations are renewed. */
--- a/tests/unit/test_demand.c
+++ b/tests/unit/test_demand.c
@@ -18,7 +18,7 @@
 
 	while (chance > 0) {
 		if (g_rand_double(rng) < chance)
-			demand_add(d, 1000.0 * 1000.0, now);
+			demand_add(d, 1000.0 * 1000.0, 1000, now);
 		chance -= 1;
 	}
 }
@@ -92,7 +92,7 @@
 
 	(void)state;
 	for (i = 0; i < 100; i++)
-		demand_add(d, 1e6, (cs_time)i * 10 * CS_MSEC);
+		demand_add(d, 1e6, 1000, (cs_time)i * 10 * CS_MSEC);
 	assert_true(demand_forecast(d, LEAD_US, CS_SEC) > 0);
 	assert_true(demand_forecast(d, LEAD_US, 3 * CS_SEC) == 0);
 	assert_true(demand_forecast(d, LEAD_US, 3600 * CS_SEC) == 0);
