Give hosts first to work that can be on time; ask callers back later

Cause: after an outage a pool full of overdue jobs wanted 1,090 hosts and got all that came free, while another pool's jobs could still be on time; jobs that wait for a settled pool held idle hosts. Callers refused while the store was lost came back each second.

Backlog is to be cleared in 1 s, 2 s or 8 s by class; unsettled jobs want no hosts; the pool with the least share of its want is served first. Retry-After grows with the outage.

--- a/src/node/desk.c
+++ b/src/node/desk.c
@@ -30,6 +30,13 @@
 /* The front is told to send callers elsewhere when belief is older. */
 #define READY_AGE_US (2500 * CS_MSEC)
 #define RETRY_AFTER_MS 1000
+/*
+ * While the store is lost, callers are asked to come back after this share of
+ * the time that it has been lost: an outage that has lasted long lasts on, and
+ * a caller that asks each second has used up its attempts before the end.
+ */
+#define LOST_SHARE 0.7
+#define RETRY_AFTER_MAX_MS 10000
 
 struct open_request {
 	struct node *node;
@@ -107,6 +114,21 @@
 	node_log(n, "request", pairs);
 }
 
+/* When a caller whose request was not taken may come again. */
+static int64_t retry_after_ms(struct node *n, enum desk_result result,
+			      cs_time now)
+{
+	double ms = RETRY_AFTER_MS;
+
+	if (result != DESK_OVERLOADED && result != DESK_UNAVAILABLE)
+		return 0;
+	if (n->store_lost_at)
+		ms = CLAMP((double)(now - n->store_lost_at) / CS_MSEC *
+				   LOST_SHARE,
+			   RETRY_AFTER_MS, RETRY_AFTER_MAX_MS);
+	return (int64_t)ms;
+}
+
 /* Answers a request that was not kept, and releases it. */
 static void reply_now(struct node *n, struct desk_request *r,
 		      struct desk_reply *reply, const char *queue,
@@ -136,8 +158,7 @@
 {
 	struct desk_reply reply = { .result = result, .reason = reason };
 
-	if (result == DESK_OVERLOADED || result == DESK_UNAVAILABLE)
-		reply.retry_after_ms = RETRY_AFTER_MS;
+	reply.retry_after_ms = retry_after_ms(o->node, result, now);
 	finish(o, &reply, now);
 }
 
@@ -407,8 +428,7 @@
 {
 	struct desk_reply reply = { .result = result, .reason = reason };
 
-	if (result == DESK_OVERLOADED || result == DESK_UNAVAILABLE)
-		reply.retry_after_ms = RETRY_AFTER_MS;
+	reply.retry_after_ms = retry_after_ms(n, result, now);
 	reply_now(n, r, &reply, "", "", NULL, now);
 }
 
--- a/src/sched/balance.c
+++ b/src/sched/balance.c
@@ -19,8 +19,16 @@
 #define LOOK_US (150 * CS_MSEC)
 /* From an order until the host's new server gets work: 1.5 s for the move. */
 #define LEAD_US (2 * CS_SEC)
-/* Work that waits already is to be done within about this time. */
-#define CLEAR_MS 1000
+/*
+ * Work that waits already is to be done within about this time. While hosts
+ * are short, work that can still be on time goes before work that can't.
+ */
+static const double clear_ms[RANK_CLASSES] = {
+	[RANK_LASTING] = 1000,
+	[RANK_ON_TIME] = 1000,
+	[RANK_LATE] = 2000,
+	[RANK_OVERDUE] = 8000,
+};
 /* Room beyond the expected demand, as a factor, and in servers. */
 #define MARGIN 1.05
 #define SPARE_SERVERS 1
@@ -115,7 +123,7 @@
 /* Tasks that could start if there were room. */
 struct backlog {
 	double lasting; /* thousandths of a core */
-	double work; /* of others: the same, times milliseconds */
+	double ending; /* what others need to be done soon enough */
 };
 
 double balance_allowed_cpu(struct sched *s, const struct job *j, double cpu)
@@ -134,16 +142,21 @@
 	return cpu;
 }
 
-static struct backlog find_backlog(struct sched *s, const struct pool *p)
+static struct backlog find_backlog(struct sched *s, const struct pool *p,
+				   cs_time now)
 {
 	struct backlog sum = { 0 };
+	bool is_settled = servers_pool_settled(s, p);
 	guint i;
 	int round, step, k;
 
 	for (i = 0; i < p->jobs->len; i++) {
 		const struct job *j = g_ptr_array_index(p->jobs, i);
 		struct batch *b = j->batch;
+		double clear = clear_ms[rank_class_of(j, now)];
 
+		if (j->may_run && !is_settled)
+			continue; /* it could not use room yet */
 		for (round = j->round_first; round < b->rounds_nr; round++)
 			for (step = 0; step < b->spec->steps_nr; step++) {
 				const struct batch_step *st =
@@ -162,8 +175,9 @@
 				if (st->is_lasting)
 					sum.lasting += cpu;
 				else
-					sum.work +=
-						cpu * (double)st->expected_ms;
+					sum.ending += cpu *
+						      (double)st->expected_ms /
+						      clear;
 			}
 	}
 	return sum;
@@ -190,7 +204,7 @@
 static int wanted_servers(struct sched *s, struct pool *p, cs_time now)
 {
 	double used = 0, room = 0, lasting = 0, arriving, demand;
-	struct backlog waiting = find_backlog(s, p);
+	struct backlog waiting = find_backlog(s, p, now);
 	int servers = 0;
 	guint i;
 
@@ -207,10 +221,10 @@
 	if (servers)
 		p->server_cpu = room / servers;
 	arriving = demand_forecast(p->arrivals, LEAD_US, now);
-	if (waiting.lasting > 0 || waiting.work > 0 || arriving > 0)
+	if (waiting.lasting > 0 || waiting.ending > 0 || arriving > 0)
 		p->has_had_demand = true;
 	demand = lasting + waiting.lasting + MAX(arriving, used - lasting) +
-		 waiting.work / CLEAR_MS;
+		 waiting.ending;
 	if (demand >= p->demand)
 		p->demand = demand;
 	else
@@ -380,9 +394,25 @@
 	return g_ptr_array_remove_index_fast(best->idle, best->idle->len - 1);
 }
 
-static int shortage(const struct side *x)
+/*
+ * The pool that has the least of what it wants, or NULL. A share, not a number
+ * of servers: otherwise a pool with a long backlog would get all hosts first.
+ */
+static struct side *shortest_pool(const GPtrArray *sides)
 {
-	return x->is_standby ? 0 : x->want - x->servers;
+	struct side *best = NULL;
+	guint i;
+
+	for (i = 0; i < sides->len; i++) {
+		struct side *x = g_ptr_array_index(sides, i);
+
+		if (x->is_standby || x->servers >= x->want)
+			continue;
+		if (!best || (int64_t)x->servers * best->want <
+				     (int64_t)best->servers * x->want)
+			best = x;
+	}
+	return best;
 }
 
 static int fill_short_pools(struct balance *b, GPtrArray *sides, cs_time now)
@@ -390,16 +420,9 @@
 	int moves = 0;
 
 	while (moves < moves_max(b)) {
-		struct side *to = NULL;
+		struct side *to = shortest_pool(sides);
 		struct order_host *h;
-		guint i;
 
-		for (i = 0; i < sides->len; i++) {
-			struct side *x = g_ptr_array_index(sides, i);
-
-			if (shortage(x) > (to ? shortage(to) : 0))
-				to = x;
-		}
 		h = to ? take_host(sides, to) : NULL;
 		if (!h)
 			break;
--- a/src/sched/rank.c
+++ b/src/sched/rank.c
@@ -10,19 +10,12 @@
 /* A job counts as late with credit up to this multiple of its objective. */
 #define LATE_FACTOR 3
 
-enum rank_class {
-	RANK_LASTING, /* few, and each second away is service lost */
-	RANK_ON_TIME,
-	RANK_LATE, /* past its objective, of some use yet */
-	RANK_OVERDUE
-};
-
 int64_t rank_chain_left(const struct job *j)
 {
 	return batch_chain_ms(j->batch, j->round_first, false);
 }
 
-static enum rank_class class_of(const struct job *j, cs_time now)
+enum rank_class rank_class_of(const struct job *j, cs_time now)
 {
 	cs_time budget = j->objective_at - j->submitted;
 	cs_time end = now + j->chain_ms * CS_MSEC;
@@ -67,7 +60,7 @@
 		const struct site_queue *q = sched_queue_of(s, j);
 
 		keys[i].job = j;
-		keys[i].class = class_of(j, now);
+		keys[i].class = rank_class_of(j, now);
 		keys[i].priority = q ? q->priority : 0;
 		keys[i].urgency =
 			keys[i].class == RANK_ON_TIME ?
--- a/src/sched/sched_private.h
+++ b/src/sched/sched_private.h
@@ -252,6 +252,14 @@
 			struct site_room need);
 
 /* rank.c: decisions, without side effects */
+enum rank_class {
+	RANK_LASTING, /* few, and each second away is service lost */
+	RANK_ON_TIME,
+	RANK_LATE, /* past its objective, of some use yet */
+	RANK_OVERDUE
+};
+#define RANK_CLASSES (RANK_OVERDUE + 1)
+enum rank_class rank_class_of(const struct job *j, cs_time now);
 int64_t rank_chain_left(const struct job *j);
 void rank_jobs(GPtrArray *jobs, const struct sched *s, cs_time now);
 
--- a/tests/unit/test_node.c
+++ b/tests/unit/test_node.c
@@ -383,6 +383,31 @@
 	end_world(w);
 }
 
+/*
+ * Callers that were refused in an outage were asked to come back each second,
+ * and had used up their attempts long before its end.
+ */
+static void callers_wait_longer_in_a_long_outage(void **state)
+{
+	struct world *w = make_world();
+	int early, late;
+
+	(void)state;
+	world_store_down(w, true, false);
+	world_run(w, 1500);
+	early = world_submit(w, 0, &short_job);
+	world_run(w, 5500);
+	late = world_submit(w, 0, &short_job);
+	world_run(w, 1500);
+	assert_int_equal(world_answer(w, early), WORLD_REFUSED);
+	assert_int_equal(world_answer(w, late), WORLD_REFUSED);
+	assert_in_range(world_retry_after_ms(w, early), 1000, 1500);
+	assert_in_range(world_retry_after_ms(w, late), 3000, 10000);
+	world_store_down(w, false, false);
+	world_run(w, 3000);
+	end_world(w);
+}
+
 /*
  * A new owner left all hosts alone for the pause between two holders, while a
  * turn went on; only those that its predecessor ordered lately need that. It
@@ -542,6 +567,7 @@
 		cmocka_unit_test(server_that_joins_under_load_is_used),
 		cmocka_unit_test(large_entry_becomes_the_owner),
 		cmocka_unit_test(silent_server_holds_up_no_new_job),
+		cmocka_unit_test(callers_wait_longer_in_a_long_outage),
 		cmocka_unit_test(new_owner_moves_hosts_at_once),
 		cmocka_unit_test(blocked_backlog_draws_no_hosts),
 		cmocka_unit_test(turn_of_a_queue_is_met),
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -167,6 +167,7 @@
 				j->answer = WORLD_UNKNOWN;
 		} else {
 			j->refusals++;
+			j->retry_after_ms = reply->retry_after_ms;
 			if (j->answer == WORLD_NONE)
 				j->answer = WORLD_REFUSED;
 		}
@@ -797,6 +798,11 @@
 	return wjob_at(w, job)->answer;
 }
 
+int64_t world_retry_after_ms(const struct world *w, int job)
+{
+	return wjob_at(w, job)->retry_after_ms;
+}
+
 int world_jobs(const struct world *w)
 {
 	return (int)w->jobs->len;
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -94,6 +94,8 @@
 
 enum world_answer { WORLD_NONE, WORLD_ACCEPTED, WORLD_REFUSED, WORLD_UNKNOWN };
 enum world_answer world_answer(const struct world *world, int job);
+/* When the caller was asked to come again at its last refusal. */
+int64_t world_retry_after_ms(const struct world *world, int job);
 int world_jobs(const struct world *world);
 bool world_job_is_done(const struct world *world, int job);
 bool world_job_is_lasting(const struct world *world, int job);
--- a/tests/world/world_private.h
+++ b/tests/world/world_private.h
@@ -97,6 +97,7 @@
 	struct world_job spec;
 	enum world_answer answer;
 	cs_time submitted_at, done_at;
+	int64_t retry_after_ms; /* of the last refusal */
 	int refusals, submissions;
 	cs_time accepted_at;
 	int shown; /* state, -1 */
