--- a/src/sched/balance.c
+++ b/src/sched/balance.c
@@ -17,8 +17,8 @@
 
 /* How often demand is looked at. */
 #define LOOK_US (150 * CS_MSEC)
-/* From an order until the host's new server gets work: 1.5 s for the move. */
-#define LEAD_US (2 * CS_SEC)
+/* From a look until a host that it orders works: 1.5 s for the move. */
+#define LEAD_US (2500 * CS_MSEC)
 /*
  * Work that waits already is to be done within about this time. While hosts
  * are short, work that can still be on time goes before work that can't.
@@ -36,6 +36,13 @@
 #define SERVERS_MIN 2
 /* A fall of the demand is believed by this share at each look. */
 #define FALL_SHARE 0.2
+/*
+ * When a site starts nobody knows when the turn of a pool comes. Until its
+ * demand has reached this share of its room, or for so long, it keeps the
+ * servers that it was given, unless another pool is short.
+ */
+#define TURN_SHARE 0.5
+#define FIRST_TURN_US (30 * CS_SEC)
 /* Standing idle so long, a server goes to the standby pool. */
 #define IDLE_US (700 * CS_MSEC)
 /* Of the calls that the host service takes, the part for moves. */
@@ -221,14 +228,14 @@
 	if (servers)
 		p->server_cpu = room / servers;
 	arriving = demand_forecast(p->arrivals, LEAD_US, now);
-	if (waiting.lasting > 0 || waiting.ending > 0 || arriving > 0)
-		p->has_had_demand = true;
 	demand = lasting + waiting.lasting + MAX(arriving, used - lasting) +
 		 waiting.ending;
 	if (demand >= p->demand)
 		p->demand = demand;
 	else
 		p->demand -= (p->demand - demand) * FALL_SHARE;
+	if (p->demand > room * TURN_SHARE)
+		p->has_had_demand = true;
 	if (p->server_cpu <= 0)
 		return p->jobs->len ? SERVERS_MIN : 0;
 	return (int)ceil(p->demand * MARGIN / p->server_cpu) + SPARE_SERVERS;
@@ -438,6 +445,8 @@
 {
 	struct side *standby = NULL;
 	int max = (int)(moves_max(b) * RELEASE_SHARE) + 1;
+	bool is_first = b->sched->options.token == 1 &&
+			now - b->sched->started_at < FIRST_TURN_US;
 	guint i, k;
 
 	for (i = 0; i < sides->len && !standby; i++) {
@@ -449,8 +458,7 @@
 	for (i = 0; standby && i < sides->len; i++) {
 		struct side *x = g_ptr_array_index(sides, i);
 
-		/* Before the first demand nobody knows what comes. */
-		if (!x->pool->has_had_demand)
+		if (!x->pool->has_had_demand && is_first)
 			continue;
 		for (k = 0; !x->is_standby && k < x->idle->len && moves < max &&
 			    x->servers > x->want;
--- a/src/sched/sched_private.h
+++ b/src/sched/sched_private.h
@@ -134,7 +134,7 @@
 	bool is_due; /* something changed since the last turn */
 	int blocked[BLOCKS]; /* jobs by enum job_block */
 	struct demand *arrivals; /* of work that ends */
-	bool has_had_demand;
+	bool has_had_demand; /* its turn has come once */
 	double demand; /* thousandths of a core; falls slowly */
 	double server_cpu; /* mean room of a server */
 };
--- a/tests/unit/test_node.c
+++ b/tests/unit/test_node.c
@@ -514,6 +514,34 @@
 	return last;
 }
 
+/*
+ * The first few jobs of a queue made its pool give away the servers that its
+ * turn needed a second later.
+ */
+static void pool_keeps_its_servers_for_its_first_turn(void **state)
+{
+	const struct world_options options = { .seed = 12,
+					       .nodes = 3,
+					       .servers = 8,
+					       .pools = 2,
+					       .standby = 4 };
+	struct world *w = world_create(&options);
+	int64_t from, paid;
+	int i;
+
+	(void)state;
+	world_run(w, 6000);
+	from = world_now_ms(w);
+	paid = world_pool_ms(w);
+	for (i = 0; i < 8; i++) {
+		world_submit(w, i % 3, &short_job);
+		world_run(w, 1000);
+	}
+	paid = world_pool_ms(w) - paid;
+	assert_int_equal(paid, (world_now_ms(w) - from) * 16);
+	end_world(w);
+}
+
 /*
  * A queue's turn asks for nearly three times what its pool holds. Hosts that
  * were ordered when work already waited came two seconds late, and an eighth of
@@ -570,6 +598,7 @@
 		cmocka_unit_test(callers_wait_longer_in_a_long_outage),
 		cmocka_unit_test(new_owner_moves_hosts_at_once),
 		cmocka_unit_test(blocked_backlog_draws_no_hosts),
+		cmocka_unit_test(pool_keeps_its_servers_for_its_first_turn),
 		cmocka_unit_test(turn_of_a_queue_is_met),
 	};
 
