Keep several transactions of the owner open

Ruled out: the owner's processor and the scheduler (servers stood idle).

Up to 16 transactions are open, begun at least 12 ms apart; a batch is in one at most, and one at a time ends grants.

--- a/src/node/commit.c
+++ b/src/node/commit.c
@@ -8,11 +8,12 @@
 #include "../batch/batch_codec.h"
 
 /*
- * The owner's writes. One transaction is open at a time; it carries all that
- * has changed since the last one, up to the store's limit, on the condition
- * that the owner's key is still the one of this term. Each progress is also
- * conditional on its own last revision, so that a transaction without an
- * answer, carried out late, can't undo a later one.
+ * The owner's writes. A transaction carries what has changed since the last
+ * one, up to the store's limit, on the condition that the owner's key is still
+ * the one of this term. Several are open at a time, so that a store whose
+ * answers take long does not hold up progress; a batch is in one of them at
+ * most. Each progress is also conditional on its own last revision, so that a
+ * transaction without an answer, carried out late, can't undo a later one.
  */
 
 /*
@@ -29,29 +30,46 @@
 #define ENDED_MAX 10
 /* The keys of an expired batch, which are removed together. */
 #define EXPIRED_ENTRIES 3
-/* Between two transactions, so that changes gather. */
-#define COMMIT_GAP_US (10 * CS_MSEC)
+/* Between the begins of two transactions, so that changes gather. */
+#define COMMIT_GAP_US (12 * CS_MSEC)
 #define RETRY_MIN_US (50 * CS_MSEC)
 #define RETRY_MAX_US (800 * CS_MSEC)
 
 static void on_committed(void *ctx, uint64_t arg, const struct store_done *d,
 			 cs_time now);
 
+static void txn_clear(struct commit_txn *t)
+{
+	if (t->batches)
+		g_array_free(t->batches, TRUE);
+	if (t->grants)
+		g_array_free(t->grants, TRUE);
+	if (t->ended_grants)
+		g_ptr_array_free(t->ended_grants, TRUE);
+	memset(t, 0, sizeof(*t));
+}
+
+static void txn_open(struct commit_txn *t)
+{
+	t->is_open = true;
+	t->batches = g_array_new(FALSE, FALSE, sizeof(struct commit_row));
+	t->grants = g_array_new(FALSE, FALSE, sizeof(cs_handle));
+	t->ended_grants = g_ptr_array_new_with_free_func(g_free);
+}
+
 void commit_reset(struct node *n)
 {
 	struct commit *c = &n->commit;
+	int i;
 
 	timers_cancel(n->timers, c->timer);
-	if (c->batches)
-		g_array_free(c->batches, TRUE);
-	if (c->grants)
-		g_array_free(c->grants, TRUE);
-	if (c->ended_grants)
-		g_ptr_array_free(c->ended_grants, TRUE);
+	for (i = 0; i < COMMITS_MAX; i++)
+		txn_clear(&c->txns[i]);
 	memset(c, 0, sizeof(*c));
 }
 
-static void add_batches(struct node *n, struct store_call *call)
+static void add_batches(struct node *n, struct commit_txn *t,
+			struct store_call *call)
 {
 	cs_handle rows[BATCHES_MAX];
 	size_t room = (STORE_TXN_MAX - call->entries->len) / BATCH_ENTRIES;
@@ -66,25 +84,24 @@
 		store_call_expect(call, row.key,
 				  sched_stored_revision(n->sched, rows[i]));
 		store_call_write(call, row.key, batch_encode_progress(b), 0);
-		g_array_append_val(n->commit.batches, row);
+		g_array_append_val(t->batches, row);
 	}
 }
 
-static void add_grants(struct node *n, struct store_call *call)
+static void add_grants(struct node *n, struct commit_txn *t,
+		       struct store_call *call)
 {
-	cs_handle h = 0;
+	cs_handle h;
 
 	while (call->entries->len < GRANTS_MAX &&
-	       (h = sched_next_grant(n->sched, h))) {
+	       (h = sched_take_grant(n->sched))) {
 		const struct server_info *info = sched_server(n->sched, h);
 		char *key = g_strconcat(KEY_GRANTS, info->id, NULL);
 
-		if (strlen(key) <= STORE_KEY_MAX) {
-			store_call_write(
-				call, key,
-				g_bytes_new(info->pool, strlen(info->pool)), 0);
-			g_array_append_val(n->commit.grants, h);
-		}
+		store_call_write(call, key,
+				 g_bytes_new(info->pool, strlen(info->pool)),
+				 0);
+		g_array_append_val(t->grants, h);
 		g_free(key);
 	}
 }
@@ -92,31 +109,32 @@
 /*
  * Orders to hosts, and grants that are over. A transaction without an answer
  * that is carried out late must not remove a grant that was given again since,
- * so each of these is conditional on the revision of KEY_ORDERED, and the next
- * transaction writes that key in any case.
+ * so each of these is conditional on the revision of KEY_ORDERED, one is open
+ * at a time, and the next writes that key in any case.
  */
-static void add_host_orders(struct node *n, struct store_call *call,
-			    cs_time now)
+static void add_host_orders(struct node *n, struct commit_txn *t,
+			    struct store_call *call, cs_time now)
 {
 	struct commit *c = &n->commit;
 	char *text;
 	guint i;
 
-	c->writes_ordered = false;
-	c->has_host_orders = sched_take_host_orders(n->sched, HOST_ORDERS_MAX,
-						    c->ended_grants, now) > 0;
-	sched_ended_grants(n->sched, c->ended_grants, ENDED_MAX);
-	if (!c->has_host_orders && !c->ended_grants->len &&
+	if (c->is_ordered_open)
+		return;
+	t->has_host_orders = sched_take_host_orders(n->sched, HOST_ORDERS_MAX,
+						    t->ended_grants, now) > 0;
+	sched_ended_grants(n->sched, t->ended_grants, ENDED_MAX);
+	if (!t->has_host_orders && !t->ended_grants->len &&
 	    !c->is_ordered_unsure)
 		return;
 	text = sched_ordered_hosts(n->sched, now);
 	store_call_expect(call, KEY_ORDERED, c->ordered_revision);
 	store_call_write(call, KEY_ORDERED,
 			 g_bytes_new_take(text, strlen(text)), 0);
-	c->writes_ordered = true;
-	for (i = 0; i < c->ended_grants->len; i++) {
+	t->writes_ordered = c->is_ordered_open = true;
+	for (i = 0; i < t->ended_grants->len; i++) {
 		char *key = g_strconcat(KEY_GRANTS,
-					g_ptr_array_index(c->ended_grants, i),
+					g_ptr_array_index(t->ended_grants, i),
 					NULL);
 
 		store_call_remove(call, key);
@@ -125,16 +143,20 @@
 }
 
 /* Removes all keys of a batch that nobody may ask for any more. */
-static void add_expired(struct node *n, struct store_call *call, cs_time now)
+static void add_expired(struct node *n, struct commit_txn *t,
+			struct store_call *call, cs_time now)
 {
-	cs_handle h = sched_next_expired(n->sched, now);
+	cs_handle h = n->commit.is_expired_open ?
+			      0 :
+			      sched_next_expired(n->sched, now);
 	const struct batch *b;
 	char key[STORE_KEY_MAX];
 
 	if (!h || call->entries->len + EXPIRED_ENTRIES > STORE_TXN_MAX)
 		return;
 	b = sched_batch(n->sched, h);
-	n->commit.expired = h;
+	t->expired = h;
+	n->commit.is_expired_open = true;
 	g_snprintf(key, sizeof(key), KEY_JOBS "%s", b->id);
 	store_call_remove(call, key);
 	g_snprintf(key, sizeof(key), KEY_PROGRESS "%s", b->id);
@@ -156,35 +178,38 @@
 {
 	struct commit *c = &n->commit;
 	struct store_call *call;
+	struct commit_txn *t;
+	int i;
 
-	if (n->owner.state != OWNER_ACTIVE || c->is_open)
+	if (n->owner.state != OWNER_ACTIVE)
 		return;
+	for (i = 0; i < COMMITS_MAX && c->txns[i].is_open; i++)
+		;
+	if (i == COMMITS_MAX)
+		return;
+	t = &c->txns[i];
 	if (now < c->not_before) {
 		if (!c->timer)
 			c->timer = timers_subscribe(n->timers, c->not_before,
 						    on_timer, n, 0);
 		return;
 	}
-	if (!c->batches) {
-		c->batches =
-			g_array_new(FALSE, FALSE, sizeof(struct commit_row));
-		c->grants = g_array_new(FALSE, FALSE, sizeof(cs_handle));
-		c->ended_grants = g_ptr_array_new_with_free_func(g_free);
-		c->retry_pause = RETRY_MIN_US;
-	}
 	call = store_call_new(STORE_TXN, NULL, STORE_TIMEOUT_MS);
 	store_call_expect(call, KEY_OWNER, n->owner.key_revision);
-	add_host_orders(n, call, now);
-	add_grants(n, call);
-	add_expired(n, call, now);
-	add_batches(n, call);
+	txn_open(t);
+	add_host_orders(n, t, call, now);
+	add_grants(n, t, call);
+	add_expired(n, t, call, now);
+	add_batches(n, t, call);
 	if (call->entries->len == 1) {
+		txn_clear(t);
 		store_call_free(call);
 		return;
 	}
-	c->is_open = true;
+	c->not_before = now + COMMIT_GAP_US;
 	counters_add(n->counters, "camphorshed_commits_total", "", 1);
-	store_calls_send(n->calls, call, on_committed, n, n->owner.term);
+	store_calls_send(n->calls, call, on_committed, n,
+			 n->owner.term * COMMITS_MAX + (uint64_t)i);
 }
 
 /* The revision that a failed condition reports for a key; else known. */
@@ -221,17 +246,20 @@
 	c->ordered_revision = revision;
 }
 
-static void take_result(struct node *n, const struct store_done *d, cs_time now)
+static void take_result(struct node *n, struct commit_txn *t,
+			const struct store_done *d, cs_time now)
 {
 	struct commit *c = &n->commit;
 	bool is_stored = d->result == STORE_OK;
 	guint i;
 
-	if (c->writes_ordered)
+	if (t->writes_ordered) {
 		note_ordered(c, d);
-	for (i = 0; i < c->batches->len; i++) {
+		c->is_ordered_open = false;
+	}
+	for (i = 0; i < t->batches->len; i++) {
 		const struct commit_row *row =
-			&g_array_index(c->batches, struct commit_row, i);
+			&g_array_index(t->batches, struct commit_row, i);
 		uint64_t known = sched_stored_revision(n->sched, row->batch);
 
 		if (is_stored)
@@ -242,32 +270,32 @@
 					   present_revision(d, row->key,
 							    known));
 	}
-	for (i = 0; is_stored && i < c->grants->len; i++)
+	for (i = 0; i < t->grants->len; i++)
 		sched_grant_stored(n->sched,
-				   g_array_index(c->grants, cs_handle, i));
-	for (i = 0; is_stored && i < c->ended_grants->len; i++)
+				   g_array_index(t->grants, cs_handle, i),
+				   is_stored);
+	for (i = 0; is_stored && i < t->ended_grants->len; i++)
 		sched_ended_grant_removed(
-			n->sched, g_ptr_array_index(c->ended_grants, i));
-	if (is_stored && c->expired)
-		sched_expired_removed(n->sched, c->expired);
-	if (c->has_host_orders)
+			n->sched, g_ptr_array_index(t->ended_grants, i));
+	if (t->expired) {
+		c->is_expired_open = false;
+		if (is_stored)
+			sched_expired_removed(n->sched, t->expired);
+	}
+	if (t->has_host_orders)
 		sched_host_orders_stored(n->sched, is_stored,
 					 owner_lease_end(n), now);
-	c->has_host_orders = false;
 	sched_commit_ended(n->sched, now);
-	g_array_set_size(c->batches, 0);
-	g_array_set_size(c->grants, 0);
-	g_ptr_array_set_size(c->ended_grants, 0);
-	c->expired = 0;
 }
 
-static void log_failed(struct node *n, const struct store_done *d)
+static void log_failed(struct node *n, const struct commit_txn *t,
+		       const struct store_done *d)
 {
 	GString *pairs = g_string_new(NULL);
 
 	log_pair_int(pairs, "term", (int64_t)n->owner.term);
 	log_pair(pairs, "result", store_result_name(d->result));
-	log_pair_int(pairs, "batches", n->commit.batches->len);
+	log_pair_int(pairs, "batches", t->batches->len);
 	log_pair(pairs, "step", d->error.step);
 	log_pair(pairs, "message", d->error.message);
 	node_log(n, "commit_failed", pairs);
@@ -278,11 +306,11 @@
 {
 	struct node *n = ctx;
 	struct commit *c = &n->commit;
+	struct commit_txn *t = &c->txns[arg % COMMITS_MAX];
 
-	if (n->owner.state != OWNER_ACTIVE || arg != n->owner.term)
+	if (n->owner.state != OWNER_ACTIVE ||
+	    arg / COMMITS_MAX != n->owner.term)
 		return;
-	c->is_open = false;
-	c->not_before = now + COMMIT_GAP_US;
 	if (d->result == STORE_CONFLICT &&
 	    present_revision(d, KEY_OWNER, n->owner.key_revision) !=
 		    n->owner.key_revision) {
@@ -293,13 +321,16 @@
 		owner_confirm(n, d->sent);
 		c->retry_pause = RETRY_MIN_US;
 	} else {
-		log_failed(n, d);
-		if (d->result != STORE_CONFLICT) {
+		log_failed(n, t, d);
+		/* Those that failed together count once. */
+		if (d->result != STORE_CONFLICT && now >= c->not_before) {
+			c->retry_pause = CLAMP(2 * c->retry_pause, RETRY_MIN_US,
+					       RETRY_MAX_US);
 			c->not_before = now + c->retry_pause;
-			c->retry_pause = MIN(2 * c->retry_pause, RETRY_MAX_US);
 		}
 	}
-	take_result(n, d, now);
+	take_result(n, t, d, now);
+	txn_clear(t);
 }
 
 /* Wave states are few and may be written again, so they have own calls. */
--- a/src/node/node_private.h
+++ b/src/node/node_private.h
@@ -57,16 +57,24 @@
 	int64_t wait_ms;
 };
 
-struct commit {
+/* Transactions of the owner that may be open at once. */
+#define COMMITS_MAX 16
+
+struct commit_txn {
 	bool is_open;
-	GArray *batches; /* struct commit_row of the open transaction */
+	GArray *batches; /* struct commit_row */
 	GArray *grants; /* cs_handle */
 	GPtrArray *ended_grants; /* identifiers */
-	bool has_host_orders;
+	bool has_host_orders, writes_ordered; /* KEY_ORDERED */
+	cs_handle expired; /* batch; 0: none */
+};
+
+struct commit {
+	struct commit_txn txns[COMMITS_MAX];
 	uint64_t ordered_revision; /* of KEY_ORDERED */
-	bool writes_ordered; /* the open transaction writes it */
+	bool is_ordered_open; /* an open transaction writes it */
 	bool is_ordered_unsure; /* one without an answer may write it yet */
-	cs_handle expired;
+	bool is_expired_open;
 	cs_time not_before;
 	cs_time retry_pause;
 	cs_handle timer;
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -144,10 +144,11 @@
 cs_time sched_next_turn(const struct sched *sched);
 
 /* Servers about to get their first order: the store must know them first. */
-cs_handle sched_next_grant(const struct sched *sched, cs_handle after);
+cs_handle sched_take_grant(struct sched *sched);
 const struct server_info *sched_server(const struct sched *sched,
 				       cs_handle server);
-void sched_grant_stored(struct sched *sched, cs_handle server);
+/* The end of what sched_take_grant() began. */
+void sched_grant_stored(struct sched *sched, cs_handle server, bool is_stored);
 /* Adds copies of the first grants that are over, up to max in all. */
 void sched_ended_grants(const struct sched *sched, GPtrArray *ids, guint max);
 void sched_ended_grant_removed(struct sched *sched, const char *id);
--- a/src/sched/servers.c
+++ b/src/sched/servers.c
@@ -403,18 +403,19 @@
 		g_ptr_array_add(s->ended_grants, g_strdup(id));
 }
 
-cs_handle sched_next_grant(const struct sched *s, cs_handle after)
+cs_handle sched_take_grant(struct sched *s)
 {
 	cs_handle h;
 
-	for (h = slots_next(s->servers, after); h;
-	     h = slots_next(s->servers, h)) {
+	for (h = slots_next(s->servers, 0); h; h = slots_next(s->servers, h)) {
 		struct server *v = server_row(s, h);
 
-		if (!v->is_granted && v->is_listed && !v->is_dead &&
-		    !v->is_cordoned && !v->info.is_draining &&
-		    !is_grant_ending(s, v->info.id))
-			return h;
+		if (v->is_granted || v->is_grant_open || !v->is_listed ||
+		    v->is_dead || v->is_cordoned || v->info.is_draining ||
+		    is_grant_ending(s, v->info.id))
+			continue;
+		v->is_grant_open = true;
+		return h;
 	}
 	return 0;
 }
@@ -426,13 +427,17 @@
 	return v ? &v->info : NULL;
 }
 
-void sched_grant_stored(struct sched *s, cs_handle h)
+void sched_grant_stored(struct sched *s, cs_handle h, bool is_stored)
 {
 	struct server *v = server_row(s, h);
 
-	if (v)
-		v->is_granted = true;
-	sched_wake(s);
+	if (!v)
+		return;
+	v->is_grant_open = false;
+	if (!is_stored)
+		return;
+	v->is_granted = true;
+	sched_wake_pool(s, sched_pool(s, v->info.pool));
 }
 
 void sched_ended_grants(const struct sched *s, GPtrArray *ids, guint max)
@@ -533,7 +538,7 @@
 	repeat_stops(s, v, now);
 	if (v->info.is_draining)
 		empty_draining(s, v, now);
-	if (!v->is_listed && !v->runs->len &&
+	if (!v->is_listed && !v->runs->len && !v->is_grant_open &&
 	    (v->is_dead || (v->misses && has_lapsed(s, v) && !v->is_hold_open)))
 		remove_server(s, v);
 }
--- a/tests/unit/test_node.c
+++ b/tests/unit/test_node.c
@@ -542,6 +542,46 @@
 	end_world(w);
 }
 
+/*
+ * With one transaction at a time a store that took 240 ms for an answer let 60
+ * jobs a second begin, while twice as many came.
+ */
+static void slow_store_does_not_hold_up_a_turn(void **state)
+{
+	const struct world_options options = { .seed = 13,
+					       .nodes = 3,
+					       .servers = 30,
+					       .pools = 1 };
+	const struct world_job job = { .steps = 1,
+				       .width = 4,
+				       .work_ms = 500,
+				       .cpu = 1000,
+				       .unavailable_max = -1 };
+	struct world *w = world_create(&options);
+	int i, last = -1, on_time = 0;
+
+	(void)state;
+	world_run(w, 4000);
+	world_store_slow(w, 240);
+	world_run(w, 1000);
+	for (i = 0; i < 4000; i += 20) {
+		last = world_submit(w, i / 20 % 3, &job);
+		last = world_submit(w, (i / 20 + 1) % 3, &job);
+		last = world_submit(w, (i / 20 + 2) % 3, &job);
+		world_run(w, 20);
+	}
+	world_run(w, 4000);
+	/* Stored, seen and begun through the store, and the work itself. */
+	for (i = 0; i <= last; i++)
+		on_time += world_job_took_ms(w, i) >= 0 &&
+			   world_job_took_ms(w, i) <= 4 * 250 + 500;
+	assert_in_range(on_time, last * 9 / 10, last + 1);
+	world_store_slow(w, 0);
+	world_run(w, 5000);
+	assert_int_equal(world_unfinished(w), 0);
+	end_world(w);
+}
+
 /*
  * A queue's turn asks for nearly three times what its pool holds. Hosts that
  * were ordered when work already waited came two seconds late, and an eighth of
@@ -599,6 +639,7 @@
 		cmocka_unit_test(new_owner_moves_hosts_at_once),
 		cmocka_unit_test(blocked_backlog_draws_no_hosts),
 		cmocka_unit_test(pool_keeps_its_servers_for_its_first_turn),
+		cmocka_unit_test(slow_store_does_not_hold_up_a_turn),
 		cmocka_unit_test(turn_of_a_queue_is_met),
 	};
 
--- a/tests/world/main.c
+++ b/tests/world/main.c
@@ -13,14 +13,14 @@
 #define SETTLE_MS 5000
 #define QUIET_MS 60000
 #define STEP_MS 100
-/* Later seeds have a standby pool, so that hosts move. */
+/* Later seeds have a standby pool, so that hosts move, and a slow store. */
 #define MOVES_FROM_SEED 2000
 
 struct day {
 	struct world *world;
 	struct world_options options;
-	int64_t store_back, cuts_back[8], loss_back, late_back, out_back[3],
-		fail_back[64], mute_back[64];
+	int64_t store_back, slow_back, cuts_back[8], loss_back, late_back,
+		out_back[3], fail_back[64], mute_back[64];
 };
 
 static int pick(struct day *d, int n)
@@ -207,11 +207,18 @@
 		   1 + pick(d, 3), 15000);
 }
 
+static void store_slow(struct day *d)
+{
+	world_store_slow(d->world, 50 + pick(d, 350));
+	d->slow_back = later(d, 500, 6000);
+}
+
 static void (*const faults[])(struct day *) = {
 	kill_node,    kill_owner,   kill_all,	    pause_owner, drain_owner,
 	store_down,   store_loses,  store_compacts, cut_node,	 cut_zone,
 	crash_server, drain_server, servers_late,   fail_server, mute_server,
 	evacuate,     set_limit,    crash_server,   kill_owner,	 cut_node,
+	store_slow, /* last: earlier seeds were drawn without it */
 };
 
 /* Ends what is over; everything at the end of the faults. */
@@ -224,6 +231,10 @@
 		world_store_down(d->world, false, false);
 		d->store_back = 0;
 	}
+	if (is_all || (d->slow_back && now >= d->slow_back)) {
+		world_store_slow(d->world, 0);
+		d->slow_back = 0;
+	}
 	if (is_all || now >= d->loss_back)
 		world_store_lose(d->world, 0, false);
 	if (is_all || now >= d->late_back)
@@ -262,6 +273,7 @@
 				      .pools = 1 + (int)(seed % 3),
 				      .standby = seed < MOVES_FROM_SEED ? 0 : 4,
 				      .is_noisy = is_noisy } };
+	int faults_nr = G_N_ELEMENTS(faults) - (seed < MOVES_FROM_SEED);
 	int64_t end;
 	bool is_fine;
 	int i;
@@ -277,7 +289,7 @@
 		if (!pick(&d, 2))
 			call(&d);
 		if (!pick(&d, 20))
-			faults[pick(&d, G_N_ELEMENTS(faults))](&d);
+			faults[pick(&d, faults_nr)](&d);
 		heal(&d, false);
 		world_run(d.world, STEP_MS);
 	}
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -578,6 +578,12 @@
 	w->is_lose_late = is_late;
 }
 
+void world_store_slow(struct world *w, int64_t ms)
+{
+	w->store_slow_ms = ms;
+	w->disturbed_at = w->now;
+}
+
 void world_store_compact(struct world *w)
 {
 	w->disturbed_at = w->now;
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -52,6 +52,8 @@
 void world_store_down(struct world *world, bool is_down, bool leases_lapse);
 /* Share of writes, per mille, whose answer is lost; they may come late. */
 void world_store_lose(struct world *world, int per_mille, bool is_late);
+/* Each answer takes that much longer. */
+void world_store_slow(struct world *world, int64_t ms);
 void world_store_compact(struct world *world);
 int world_store_count(const struct world *world, const char *prefix);
 
--- a/tests/world/world_private.h
+++ b/tests/world/world_private.h
@@ -158,6 +158,7 @@
 	cs_time disturbed_at;
 	int lose_per_mille;
 	bool is_lose_late;
+	int64_t store_slow_ms; /* more for each answer */
 	int late_per_mille;
 	int64_t limit_cpu, used_cpu;
 	cs_time limit_since;
--- a/tests/world/world_servers.c
+++ b/tests/world/world_servers.c
@@ -26,7 +26,7 @@
 	cs_time since = MAX(n->disturbed_at, w->disturbed_at);
 
 	return n->is_cut_from_store || w->is_store_down || w->lose_per_mille ||
-	       n->paused_until > w->now ||
+	       w->store_slow_ms || n->paused_until > w->now ||
 	       w->now - since < CONTACT_MS * CS_MSEC;
 }
 
--- a/tests/world/world_store.c
+++ b/tests/world/world_store.c
@@ -9,6 +9,12 @@
 
 /* The store of the world: items, leases, watches, lost answers. */
 
+/* The way of an answer, and what the store takes for it. */
+static cs_time store_delay(struct world *w)
+{
+	return world_delay(w) + w->store_slow_ms * CS_MSEC;
+}
+
 static void bytes_unref(void *b)
 {
 	if (b)
@@ -148,7 +154,7 @@
 				    x->sent + x->call->timeout_ms * CS_MSEC);
 	} else {
 		world_deliver_store(w, x->node, x->generation, d,
-				    w->now + world_delay(w));
+				    w->now + store_delay(w));
 	}
 	timers_cancel(w->timers, x->timer);
 	g_ptr_array_remove_fast(w->watches, x);
@@ -376,7 +382,7 @@
 	if (w->is_store_down || is_cut) {
 		d->result = is_cut ? STORE_UNKNOWN : STORE_REFUSED;
 		world_deliver_store(w, a->node, a->generation, d,
-				    is_cut ? end : now + world_delay(w));
+				    is_cut ? end : now + store_delay(w));
 		store_call_free(a->call);
 	} else if (a->call->op == STORE_WATCH) {
 		struct wwatch *x = g_new0(struct wwatch, 1);
@@ -402,7 +408,7 @@
 		}
 		world_deliver_store(w, a->node, a->generation, d,
 				    a->is_answer_lost ? MAX(end, now) :
-							now + world_delay(w));
+							now + store_delay(w));
 		store_call_free(a->call);
 	}
 	g_free(a);
