--- a/src/batch/batch.c
+++ b/src/batch/batch.c
@@ -146,6 +146,14 @@
 	return b;
 }
 
+struct batch *batch_create_ended(const char *id, enum batch_state state)
+{
+	struct batch *b = batch_create(id, "", "", 0, batch_spec_create(0));
+
+	b->state = state;
+	return b;
+}
+
 /* Releases the tasks of an occurrence; its result stays. */
 static void close_round(struct batch *b, struct batch_round *r)
 {
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -130,6 +130,11 @@
 			   const char *workspace, int64_t submitted_unix_ms,
 			   struct batch_spec *spec);
 void batch_destroy(struct batch *b);
+/*
+ * A batch of which only the identifier and the final state are kept, for
+ * callers that ask for it again. It has no steps.
+ */
+struct batch *batch_create_ended(const char *id, enum batch_state state);
 
 /* The due time of an occurrence, or 0 for "at once". */
 int64_t batch_due_unix_ms(const struct batch *b, int round);
--- a/src/node/commit.c
+++ b/src/node/commit.c
@@ -22,9 +22,8 @@
  * that some batches are stored with each transaction.
  */
 #define GRANTS_MAX (STORE_TXN_MAX * 2 / 3)
-/* A batch takes a condition and a write. */
-#define BATCH_ENTRIES 2
-#define BATCHES_MAX (STORE_TXN_MAX / BATCH_ENTRIES)
+/* A batch takes a condition and a write, and one more when it has ended. */
+#define BATCH_ENTRIES 3
 /* Orders to hosts, and grants that end, in one transaction. */
 #define HOST_ORDERS_MAX 8
 #define ENDED_MAX 10
@@ -71,20 +70,26 @@
 static void add_batches(struct node *n, struct commit_txn *t,
 			struct store_call *call)
 {
-	cs_handle rows[BATCHES_MAX];
-	size_t room = (STORE_TXN_MAX - call->entries->len) / BATCH_ENTRIES;
-	size_t nr = sched_take_changed(n->sched, rows, room), i;
+	char job[STORE_KEY_MAX];
+	cs_handle h;
 
-	for (i = 0; i < nr; i++) {
-		const struct batch *b = sched_batch(n->sched, rows[i]);
-		struct commit_row row = { .batch = rows[i],
-					  .version = b->version };
+	while (call->entries->len + BATCH_ENTRIES <= STORE_TXN_MAX &&
+	       sched_take_changed(n->sched, &h, 1)) {
+		const struct batch *b = sched_batch(n->sched, h);
+		struct commit_row row = { .batch = h, .version = b->version };
 
 		g_snprintf(row.key, sizeof(row.key), KEY_PROGRESS "%s", b->id);
 		store_call_expect(call, row.key,
-				  sched_stored_revision(n->sched, rows[i]));
+				  sched_stored_revision(n->sched, h));
 		store_call_write(call, row.key, batch_encode_progress(b), 0);
 		g_array_append_val(t->batches, row);
+		if (!batch_is_final(b))
+			continue;
+		/* A successor that reads thousands of ended jobs is late. */
+		g_snprintf(job, sizeof(job), KEY_JOBS "%s", b->id);
+		store_call_write(
+			call, job,
+			g_bytes_new_static(JOB_ENDED, strlen(JOB_ENDED)), 0);
 	}
 }
 
--- a/src/node/node_private.h
+++ b/src/node/node_private.h
@@ -15,6 +15,8 @@
 #define KEY_TERM "camphorshed/control/term"
 #define KEY_QUEUES "camphorshed/control/queues"
 #define KEY_JOBS "camphorshed/jobs/"
+/* Value of a job's key once its end is stored; the work is not needed again. */
+#define JOB_ENDED "ended"
 #define KEY_CANCELS "camphorshed/cancels/"
 /* Written by the owner and read by its successor; watched by nobody. */
 #define KEY_PROGRESS "camphorshed-progress/"
--- a/src/node/term.c
+++ b/src/node/term.c
@@ -52,23 +52,57 @@
 	g_hash_table_insert(table, g_strdup(id), f);
 }
 
+static bool is_ended(GBytes *value)
+{
+	gsize size;
+	const void *data = g_bytes_get_data(value, &size);
+
+	return size == strlen(JOB_ENDED) && !memcmp(data, JOB_ENDED, size);
+}
+
+/* A job whose end is stored; NULL if its progress can't be read. */
+static struct batch *read_ended(const char *id, const struct found *progress)
+{
+	enum batch_state state;
+	gsize size;
+	const void *data;
+
+	if (!progress)
+		return NULL;
+	data = g_bytes_get_data(progress->value, &size);
+	if (batch_decode_state(data, size, &state) || state < BATCH_DONE)
+		return NULL;
+	return batch_create_ended(id, state);
+}
+
+/* A job with the progress that is stored, if there is any; NULL on a fault. */
+static struct batch *read_job(const char *id, GBytes *value,
+			      const struct found *progress)
+{
+	gsize size;
+	const void *data = g_bytes_get_data(value, &size);
+	struct batch *b;
+
+	if (is_ended(value))
+		return read_ended(id, progress);
+	b = batch_decode_submission(data, size);
+	if (!b || !progress)
+		return b;
+	data = g_bytes_get_data(progress->value, &size);
+	if (!batch_decode_progress(b, data, size))
+		return b;
+	batch_destroy(b);
+	return NULL;
+}
+
 /* Hands one job to the scheduler, with its progress if there is any. */
 static void add_job(struct node *n, const char *id, GBytes *value,
 		    uint64_t revision, const struct found *progress,
 		    cs_time now)
 {
-	gsize size;
-	const void *data = g_bytes_get_data(value, &size);
-	struct batch *b = batch_decode_submission(data, size);
+	struct batch *b = read_job(id, value, progress);
 	GString *pairs;
 
-	if (b && progress) {
-		data = g_bytes_get_data(progress->value, &size);
-		if (batch_decode_progress(b, data, size)) {
-			batch_destroy(b);
-			b = NULL;
-		}
-	}
 	if (!b || strcmp(b->id, id)) {
 		pairs = g_string_new(NULL);
 		log_pair(pairs, "job", id);
@@ -92,7 +126,7 @@
 
 		if (is_loading)
 			keep_found(n->found_jobs, id, item);
-		else
+		else if (!is_ended(item->value)) /* else it is our own write */
 			add_job(n, id, item->value, item->revision, NULL, now);
 	} else if (g_str_has_prefix(item->key, KEY_CANCELS)) {
 		const char *id = item->key + strlen(KEY_CANCELS);
--- a/tests/unit/test_node.c
+++ b/tests/unit/test_node.c
@@ -408,6 +408,36 @@
 	end_world(w);
 }
 
+/*
+ * A new owner of a large site read and decoded thousands of jobs that had
+ * ended, for up to 0.8 s. Their work is not kept, but their state is known
+ * after everything has restarted, and a repeated submission starts nothing.
+ */
+static void ended_jobs_are_small_and_known(void **state)
+{
+	struct world *w = make_world();
+	int job = world_submit(w, 0, &short_job), node;
+
+	(void)state;
+	world_run(w, 4000);
+	assert_true(world_job_is_done(w, job));
+	assert_int_equal(world_store_count(w, "camphorshed/jobs/"), 1);
+	assert_in_range(world_store_bytes(w, "camphorshed/jobs/"), 1, 16);
+	for (node = 0; node < 3; node++)
+		world_node_kill(w, node);
+	for (node = 0; node < 3; node++)
+		world_node_start(w, node);
+	world_run(w, 4000);
+	for (node = 0; node < 3; node++) {
+		world_submit_again(w, node, job);
+		world_ask(w, node, job);
+		world_run(w, 500);
+		assert_int_equal(world_job_state(w, job), BATCH_DONE);
+	}
+	assert_int_equal(world_job_starts(w, job), 8);
+	end_world(w);
+}
+
 /*
  * A new owner left all hosts alone for the pause between two holders, while a
  * turn went on; only those that its predecessor ordered lately need that. It
@@ -636,6 +666,7 @@
 		cmocka_unit_test(large_entry_becomes_the_owner),
 		cmocka_unit_test(silent_server_holds_up_no_new_job),
 		cmocka_unit_test(callers_wait_longer_in_a_long_outage),
+		cmocka_unit_test(ended_jobs_are_small_and_known),
 		cmocka_unit_test(new_owner_moves_hosts_at_once),
 		cmocka_unit_test(blocked_backlog_draws_no_hosts),
 		cmocka_unit_test(pool_keeps_its_servers_for_its_first_turn),
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -603,6 +603,21 @@
 	return n;
 }
 
+int64_t world_store_bytes(const struct world *w, const char *prefix)
+{
+	GTreeNode *node;
+	int64_t bytes = 0;
+
+	for (node = g_tree_node_first(w->items); node;
+	     node = g_tree_node_next(node)) {
+		const struct witem *item = g_tree_node_value(node);
+
+		if (g_str_has_prefix(g_tree_node_key(node), prefix))
+			bytes += (int64_t)g_bytes_get_size(item->value);
+	}
+	return bytes;
+}
+
 int world_servers(const struct world *w)
 {
 	return (int)w->servers->len;
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -56,6 +56,8 @@
 void world_store_slow(struct world *world, int64_t ms);
 void world_store_compact(struct world *world);
 int world_store_count(const struct world *world, const char *prefix);
+/* Bytes of all values under a prefix. */
+int64_t world_store_bytes(const struct world *world, const char *prefix);
 
 /* Servers. */
 int world_servers(const struct world *world);
