Count a lasting task that just came to work before stopping it

A task whose last known progress was below 100 percent counted as not at work, but that list is up to 0.7 s old.

Ruled out: orders to hosts with runs (the task started again 0.4 s later, as after a stop, not at once), and old lists of hosts, which are guarded now all the same: hosts that are being moved are not maintained, dead servers do not count as idle.

Only a task that has not come to work for 6 s counts as standing still.

--- a/src/sched/balance.c
+++ b/src/sched/balance.c
@@ -261,10 +261,16 @@
 
 static bool may_leave(struct balance *b, const struct server *v, cs_time now)
 {
-	return v->is_ours && !v->is_cordoned && !v->info.is_draining &&
+	return v->is_ours && v->is_listed && !v->is_dead && !v->misses &&
+	       !v->is_cordoned && !v->info.is_draining &&
 	       idle_since(b, v, now) != CS_TIME_NEVER;
 }
 
+bool balance_is_moving(const struct sched *s, const char *host)
+{
+	return g_hash_table_contains(s->balance->moves, host);
+}
+
 static struct side *find_side(GPtrArray *sides, const char *pool)
 {
 	guint i;
--- a/src/sched/sched_private.h
+++ b/src/sched/sched_private.h
@@ -310,6 +310,8 @@
 struct balance *balance_create(struct sched *s, cs_time now);
 void balance_destroy(struct balance *b);
 void balance_on_done(struct sched *s, const struct order_done *d, cs_time now);
+/* True until the list of hosts shows that a move has ended. */
+bool balance_is_moving(const struct sched *s, const char *host);
 /*
  * Of the processor that a job's tasks would take, thousandths of a core, what
  * the limit of its workspace allows beside all other work.
--- a/src/sched/upkeep.c
+++ b/src/sched/upkeep.c
@@ -21,6 +21,11 @@
 #define AHEAD 1
 /* A lasting task counts as at work when it has been for this long. */
 #define AT_WORK_US (300 * CS_MSEC)
+/*
+ * A lasting task starts up within a second or so. One that has not come to
+ * work after so long stands still, and stopping it takes nothing away.
+ */
+#define STUCK_US (6 * CS_SEC)
 /* A server with runs is called every 0.7 s; this is one call late. */
 #define ANSWER_AGE_US (1500 * CS_MSEC)
 /* In the last part of a wave's time, short work is ended for it as well. */
@@ -244,14 +249,18 @@
 	return away;
 }
 
-/* True if a lasting run may be stopped now without breaking its budget. */
+/*
+ * True if a lasting run may be stopped now without breaking its budget. One
+ * that was not at work when its server was heard last may be by now.
+ */
 static bool may_stop(const struct sched *s, const struct run *r, cs_time now)
 {
 	const struct job *j = slots_get(s->jobs, r->job);
 	const struct batch_step *st = &j->batch->spec->steps[r->step];
 
-	if (batch_is_final(j->batch) || st->unavailable_max < 0 ||
-	    r->percent < 100)
+	if (batch_is_final(j->batch) || st->unavailable_max < 0)
+		return true;
+	if (r->percent < 100 && now - r->sure_at > STUCK_US)
 		return true;
 	return others_away(s, j, r, now) < st->unavailable_max;
 }
@@ -322,7 +331,8 @@
 		const struct server *v = server_on(s, h->name);
 		int64_t load;
 
-		if (h->state != WAVE_WAITING || !row || row->state != HOST_UP)
+		if (h->state != WAVE_WAITING || !row || row->state != HOST_UP ||
+		    balance_is_moving(s, h->name))
 			continue;
 		load = v ? v->used.cpu + (int64_t)v->runs->len * 1000 : 0;
 		if (load >= best_load)
@@ -396,6 +406,9 @@
 		if (h->state != WAVE_EMPTYING)
 			continue;
 		v = server_on(s, h->name);
+		/* The list is old: another server may be there by now. */
+		if ((v && v->is_dead) || balance_is_moving(s, h->name))
+			continue;
 		if (v)
 			v->is_cordoned = true;
 		if (v && !empty_server(s, v, in_hurry, now))
--- a/tests/unit/test_node.c
+++ b/tests/unit/test_node.c
@@ -438,6 +438,46 @@
 	end_world(w);
 }
 
+/*
+ * A lasting task that had just come to work was taken for one that had not, as
+ * the last list of its server was up to 0.7 s old, and was stopped for a wave
+ * while another task of its step was away (a hunt on desg-cywiro; seed 143).
+ */
+static void task_that_just_came_to_work_counts(void **state)
+{
+	uint32_t seed;
+
+	(void)state;
+	for (seed = 141; seed <= 200; seed++) {
+		const struct world_options options = {
+			.seed = seed,
+			.nodes = 3,
+			.servers = 6 + (int)seed % 6,
+			.pools = 1,
+			.standby = seed % 2 ? 4 : 0
+		};
+		struct world *w = world_create(&options);
+		struct world_job job = { .steps = 1,
+					 .is_lasting = true,
+					 .unavailable_max = 1 };
+		int i;
+
+		world_run(w, 5000);
+		for (i = 0; i < 6 + (int)seed % 6; i++) {
+			job.width = 3 + i % 3;
+			job.work_ms = 500 + g_rand_int_range(world_random(w), 0,
+							     1500);
+			job.cpu = 1000 + 3000 * (seed % 3);
+			job.fails_after_ms = seed % 2 ? 12000 : 4000;
+			world_submit(w, i % 3, &job);
+		}
+		world_run(w, 2500);
+		world_wave(w, 1, 0, world_servers(w), 2 + (int)seed % 4, 20000);
+		world_run(w, 20000);
+		end_world(w);
+	}
+}
+
 /*
  * A new owner left all hosts alone for the pause between two holders, while a
  * turn went on; only those that its predecessor ordered lately need that. It
@@ -667,6 +707,7 @@
 		cmocka_unit_test(silent_server_holds_up_no_new_job),
 		cmocka_unit_test(callers_wait_longer_in_a_long_outage),
 		cmocka_unit_test(ended_jobs_are_small_and_known),
+		cmocka_unit_test(task_that_just_came_to_work_counts),
 		cmocka_unit_test(new_owner_moves_hosts_at_once),
 		cmocka_unit_test(blocked_backlog_draws_no_hosts),
 		cmocka_unit_test(pool_keeps_its_servers_for_its_first_turn),
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -87,6 +87,7 @@
 	int64_t cpu;
 	bool is_lasting, is_checkpointing, is_gang;
 	int unavailable_max; /* of lasting tasks; -1: no bound */
+	int64_t fails_after_ms; /* lasting tasks fail by themselves; 0: no */
 	int failures; /* of the first task of each step, before it works */
 };
 /* Submits a job through an entry. Returns its number. */
--- a/tests/world/world_servers.c
+++ b/tests/world/world_servers.c
@@ -220,6 +220,9 @@
 	int plan;
 };
 
+static void plan_run(struct wserver *v, struct wrun *r, int64_t ms,
+		     enum batch_end how);
+
 static void on_run_event(void *ctx, uint64_t arg, cs_time now)
 {
 	struct run_event *e = ctx;
@@ -237,6 +240,12 @@
 		} else if (j->spec.is_lasting) {
 			j->away_since[t] = 0;
 			j->away_by_order[t] = false;
+			if (j->spec.fails_after_ms)
+				plan_run(v, r,
+					 world_random_ms(
+						 v->world, 100,
+						 (int)j->spec.fails_after_ms),
+					 BATCH_END_FAILED);
 		} else if (v->is_failing ||
 			   (r->index == 0 && j->failed[t] < j->spec.failures)) {
 			end_run(v, r, BATCH_END_FAILED);
