Lose the runs of a dead server only while the ownership is confirmed

An owner that was cut off from the store learnt from an address that another server answers there, took the runs of the former one for lost, and started them again on a server that its successor did not reach. The successor had noted that they were done, and had then moved the host.

Ruled out: the lapse of leases (it already waits for a confirmation) and lists without the run (a server that answers under our token has not been called by a successor).

The runs of a dead server, and of an identifier that was born again, are lost once a call that was sent after the death has confirmed the ownership; the same holds for what a predecessor may have run there.

--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -11,8 +11,10 @@
 
 /* Weights of a score, in thousandths of a core; less is better. */
 #define REMOTE_COST 10000000 /* a rack away from the data */
-#define SAME_SERVER_COST 400000 /* for each task of the step there */
+#define SAME_SERVER_COST 50000 /* for each task of the step there */
 #define SAME_RACK_COST 100000 /* for each in the same rack */
+/* A server without runs could leave for the standby pool. */
+#define OPEN_COST 150000
 #define SERVING_COST 50000 /* a filling task beside a serving one */
 #define AVOID_COST 5000000 /* where this task failed last */
 
@@ -107,7 +109,8 @@
 		       (int64_t)SAME_SERVER_COST * n->filling;
 	/* Lasting tasks of several jobs share servers, so that others empty. */
 	if (st->is_lasting)
-		return cost + left + (int64_t)SAME_SERVER_COST * n->same_step +
+		return cost + left + (v->runs->len ? 0 : OPEN_COST) +
+		       (int64_t)SAME_SERVER_COST * n->same_step +
 		       (int64_t)SAME_RACK_COST * runs_in_rack(s, j->pool,
 							      v->info.rack, j,
 							      round, step) +
--- a/src/sched/sched_private.h
+++ b/src/sched/sched_private.h
@@ -66,6 +66,8 @@
 	bool is_granted; /* the store knows that it may hold our orders */
 	bool is_grant_open; /* the grant is being stored */
 	bool is_dead; /* its incarnation has ended for certain */
+	cs_time died_at; /* when that was learnt */
+	uint64_t next_born; /* start of the next incarnation here; 0: none */
 	bool is_cordoned; /* gets no starts: maintenance or a move */
 	cs_time unlisted_at;
 	/* Clock: the reading lies between sent and received. */
@@ -200,7 +202,10 @@
 int64_t servers_deadline(struct server *v, cs_time now);
 /* When everything there has ended if it is not heard of again. */
 cs_time servers_lease_end(const struct sched *s, const struct server *v);
-/* The incarnation has ended: all its runs are lost. */
+/*
+ * The incarnation has ended. Its runs are lost once the ownership is confirmed
+ * by a call sent since: a successor may have noted their ends before.
+ */
 void servers_died(struct sched *s, struct server *v, const char *why,
 		  cs_time now);
 /* Checks leases and removes rows that are no longer needed. */
--- a/src/sched/servers.c
+++ b/src/sched/servers.c
@@ -195,33 +195,45 @@
 	}
 }
 
-void servers_died(struct sched *s, struct server *v, const char *why,
-		  cs_time now)
+static void be_dead(struct sched *s, struct server *v, cs_time now)
 {
-	if (v->is_dead)
-		return;
-	log_server(s, "server_dead", v, why, now);
 	v->is_dead = true;
+	v->died_at = now;
 	v->unknown_until = 0;
 	v->deadline_ms = 0;
 	timers_cancel(s->timers, v->hold_timer);
 	v->hold_timer = 0;
-	lose_runs(s, v, now);
 	sched_wake(s);
 }
 
+void servers_died(struct sched *s, struct server *v, const char *why,
+		  cs_time now)
+{
+	if (v->is_dead)
+		return;
+	log_server(s, "server_dead", v, why, now);
+	be_dead(s, v, now);
+}
+
 /* A new incarnation under the old identifier knows nothing of before. */
 static void reborn(struct sched *s, struct server *v, uint64_t born,
 		   cs_time now)
 {
+	if (v->next_born >= born)
+		return;
 	log_server(s, "server_reborn", v, "its start time changed", now);
-	v->info.born = born;
-	lose_runs(s, v, now);
+	v->next_born = born;
+	be_dead(s, v, now);
+}
+
+/* The runs of the former incarnation are settled; the next one begins. */
+static void begin_life(struct sched *s, struct server *v, cs_time now)
+{
+	v->info.born = v->next_born;
+	v->next_born = 0;
 	v->is_dead = false;
 	v->clock_ms = -1;
 	v->clock_sent = v->clock_received = 0;
-	v->deadline_ms = 0;
-	v->unknown_until = 0;
 	v->is_ours = false;
 	v->seen = 0;
 	g_array_set_size(v->unstored, 0);
@@ -231,6 +243,19 @@
 	servers_hold_soon(s, v, now);
 }
 
+/*
+ * What ran on a dead server starts again only if no successor can have noted
+ * its end: the ownership must be confirmed after the death was learnt.
+ */
+static void settle_death(struct sched *s, struct server *v, cs_time now)
+{
+	if (!v->is_dead || s->confirmed_at < v->died_at)
+		return;
+	lose_runs(s, v, now);
+	if (v->next_born)
+		begin_life(s, v, now);
+}
+
 void servers_on_hold(struct sched *s, struct server *v,
 		     const struct order_done *d, cs_time now)
 {
@@ -463,7 +488,10 @@
 
 bool servers_may_hide(const struct sched *s, const struct server *v)
 {
-	return !v->is_ours && !v->is_dead && s->confirmed_at < v->unknown_until;
+	if (v->is_ours)
+		return false;
+	/* As with its runs, a successor may have noted ends before it died. */
+	return s->confirmed_at < (v->is_dead ? v->died_at : v->unknown_until);
 }
 
 bool servers_pool_settled(const struct sched *s, const struct pool *p)
@@ -531,14 +559,17 @@
 
 static void turn_one(struct sched *s, struct server *v, cs_time now)
 {
-	if (v->runs->len && v->misses && has_lapsed(s, v)) {
+	settle_death(s, v, now);
+	if (!v->is_dead && v->runs->len && v->misses && has_lapsed(s, v)) {
 		log_server(s, "server_lease_ended", v, "no answer", now);
 		lose_runs(s, v, now);
 	}
-	repeat_stops(s, v, now);
-	if (v->info.is_draining)
+	if (!v->is_dead)
+		repeat_stops(s, v, now);
+	if (v->info.is_draining && !v->is_dead)
 		empty_draining(s, v, now);
 	if (!v->is_listed && !v->runs->len && !v->is_grant_open &&
+	    !v->next_born &&
 	    (v->is_dead || (v->misses && has_lapsed(s, v) && !v->is_hold_open)))
 		remove_server(s, v);
 }
--- a/tests/unit/test_node.c
+++ b/tests/unit/test_node.c
@@ -550,6 +550,36 @@
 	end_world(w);
 }
 
+/*
+ * Lasting tasks of one step were put on a server each, though their step allows
+ * more, and held a host each that could have left the pool. They must still
+ * stand in several racks.
+ */
+static void lasting_tasks_share_servers(void **state)
+{
+	const struct world_options options = { .seed = 5,
+					       .nodes = 3,
+					       .servers = 12,
+					       .pools = 1 };
+	struct world *w = world_create(&options);
+	int i, open = 0, racks[3] = { 0 };
+	struct world_job wide = lasting_job;
+
+	(void)state;
+	wide.width = 9;
+	world_run(w, 4000);
+	world_submit(w, 0, &wide);
+	world_run(w, 3000);
+	for (i = 0; i < world_servers(w); i++) {
+		open += world_server_runs(w, i) > 0;
+		racks[i % 3] += world_server_runs(w, i);
+	}
+	assert_in_range(open, 3, 6);
+	for (i = 0; i < 3; i++)
+		assert_int_equal(racks[i], 3);
+	end_world(w);
+}
+
 /* A turn of a queue: demand climbs for so long, and falls for as long. */
 #define TURN_HALF_MS 4500
 #define TURN_STEP_MS 50
@@ -712,6 +742,7 @@
 		cmocka_unit_test(blocked_backlog_draws_no_hosts),
 		cmocka_unit_test(pool_keeps_its_servers_for_its_first_turn),
 		cmocka_unit_test(slow_store_does_not_hold_up_a_turn),
+		cmocka_unit_test(lasting_tasks_share_servers),
 		cmocka_unit_test(turn_of_a_queue_is_met),
 	};
 
