Split what pools want from the moves of hosts; remove unused settings

What a task takes of a server was written twice (place.c, runs.c), and a gang with a filling step counted its processor; both use place_need(). The settings hold_max, stop_grace, early and unavailable were read and used by nothing. No change of behaviour but for such gangs.

--- a/src/sched/balance.c
+++ b/src/sched/balance.c
@@ -17,31 +17,11 @@
 
 /* How often demand is looked at. */
 #define LOOK_US (150 * CS_MSEC)
-/* From a look until a host that it orders works: 1.5 s for the move. */
-#define LEAD_US (2500 * CS_MSEC)
 /*
- * Work that waits already is to be done within about this time. While hosts
- * are short, work that can still be on time goes before work that can't.
+ * When a site starts nobody knows when the turn of a pool comes. Until then, or
+ * for so long, it keeps the servers that it was given, unless another pool is
+ * short.
  */
-static const double clear_ms[RANK_CLASSES] = {
-	[RANK_LASTING] = 1000,
-	[RANK_ON_TIME] = 1000,
-	[RANK_LATE] = 2000,
-	[RANK_OVERDUE] = 8000,
-};
-/* Room beyond the expected demand, as a factor, and in servers. */
-#define MARGIN 1.05
-#define SPARE_SERVERS 1
-/* Servers that a pool keeps without any demand. */
-#define SERVERS_MIN 2
-/* A fall of the demand is believed by this share at each look. */
-#define FALL_SHARE 0.2
-/*
- * When a site starts nobody knows when the turn of a pool comes. Until its
- * demand has reached this share of its room, or for so long, it keeps the
- * servers that it was given, unless another pool is short.
- */
-#define TURN_SHARE 0.5
 #define FIRST_TURN_US (30 * CS_SEC)
 /* Standing idle so long, a server goes to the standby pool. */
 #define IDLE_US (700 * CS_MSEC)
@@ -66,8 +46,6 @@
 	struct sched *sched;
 	GHashTable *moves; /* host -> struct move */
 	GHashTable *idle_since; /* server id -> cs_time */
-	/* Workspace -> processor that work since the last look left of it. */
-	GHashTable *limits_left;
 	uint64_t next_ref;
 	GHashTable *by_ref; /* order reference -> host name */
 	cs_handle timer;
@@ -84,8 +62,6 @@
 	b->moves = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	b->idle_since =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	b->limits_left =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	b->by_ref = g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL,
 					  g_free);
 	b->timer = timers_subscribe(s->timers, now + LOOK_US, on_look, b, 0);
@@ -98,7 +74,6 @@
 	g_hash_table_destroy(b->moves);
 	g_hash_table_destroy(b->idle_since);
 	g_hash_table_destroy(b->by_ref);
-	g_hash_table_destroy(b->limits_left);
 	g_free(b);
 }
 
@@ -127,120 +102,6 @@
 	g_free(x);
 }
 
-/* Tasks that could start if there were room. */
-struct backlog {
-	double lasting; /* thousandths of a core */
-	double ending; /* what others need to be done soon enough */
-};
-
-double balance_allowed_cpu(struct sched *s, const struct job *j, double cpu)
-{
-	GHashTable *left = s->balance->limits_left;
-	const char *workspace = j->batch->workspace;
-	double *rest = g_hash_table_lookup(left, workspace);
-
-	if (!rest) {
-		rest = g_new(double, 1);
-		*rest = MAX((double)place_headroom(s, j).cpu, 0);
-		g_hash_table_insert(left, g_strdup(workspace), rest);
-	}
-	cpu = MIN(cpu, *rest);
-	*rest -= cpu;
-	return cpu;
-}
-
-static struct backlog find_backlog(struct sched *s, const struct pool *p,
-				   cs_time now)
-{
-	struct backlog sum = { 0 };
-	bool is_settled = servers_pool_settled(s, p);
-	guint i;
-	int round, step, k;
-
-	for (i = 0; i < p->jobs->len; i++) {
-		const struct job *j = g_ptr_array_index(p->jobs, i);
-		struct batch *b = j->batch;
-		double clear = clear_ms[rank_class_of(j, now)];
-
-		if (j->may_run && !is_settled)
-			continue; /* it could not use room yet */
-		for (round = j->round_first; round < b->rounds_nr; round++)
-			for (step = 0; step < b->spec->steps_nr; step++) {
-				const struct batch_step *st =
-					&b->spec->steps[step];
-				double cpu = 0;
-
-				if (st->is_filling ||
-				    !batch_step_is_ready(b, round, step))
-					continue;
-				for (k = 0; k < st->count; k++)
-					if (batch_task(b, round, step, k)
-						    ->state ==
-					    BATCH_TASK_WAITING)
-						cpu += (double)st->need.cpu;
-				cpu = balance_allowed_cpu(s, j, cpu);
-				if (st->is_lasting)
-					sum.lasting += cpu;
-				else
-					sum.ending += cpu *
-						      (double)st->expected_ms /
-						      clear;
-			}
-	}
-	return sum;
-}
-
-/* Thousandths of a core that lasting tasks have on a server. */
-static double lasting_cpu(const struct sched *s, const struct server *v)
-{
-	double cpu = 0;
-	guint i;
-
-	for (i = 0; i < v->runs->len; i++) {
-		const struct run *r =
-			run_row(s, g_array_index(v->runs, cs_handle, i));
-		const struct job *j = slots_get(s->jobs, r->job);
-
-		if (j->batch->spec->steps[r->step].is_lasting)
-			cpu += (double)r->need.cpu;
-	}
-	return cpu;
-}
-
-/* Servers that the pool's demand needs; a fall is believed slowly. */
-static int wanted_servers(struct sched *s, struct pool *p, cs_time now)
-{
-	double used = 0, room = 0, lasting = 0, arriving, demand;
-	struct backlog waiting = find_backlog(s, p, now);
-	int servers = 0;
-	guint i;
-
-	for (i = 0; i < p->servers->len; i++) {
-		const struct server *v = g_ptr_array_index(p->servers, i);
-
-		if (!v->is_listed || v->is_dead)
-			continue;
-		used += (double)v->used.cpu;
-		lasting += lasting_cpu(s, v);
-		room += (double)v->info.room.cpu;
-		servers++;
-	}
-	if (servers)
-		p->server_cpu = room / servers;
-	arriving = demand_forecast(p->arrivals, LEAD_US, now);
-	demand = lasting + waiting.lasting + MAX(arriving, used - lasting) +
-		 waiting.ending;
-	if (demand >= p->demand)
-		p->demand = demand;
-	else
-		p->demand -= (p->demand - demand) * FALL_SHARE;
-	if (p->demand > room * TURN_SHARE)
-		p->has_had_demand = true;
-	if (p->server_cpu <= 0)
-		return p->jobs->len ? SERVERS_MIN : 0;
-	return (int)ceil(p->demand * MARGIN / p->server_cpu) + SPARE_SERVERS;
-}
-
 /* Since when a server has had no run; CS_TIME_NEVER while it has one. */
 static cs_time idle_since(struct balance *b, const struct server *v,
 			  cs_time now)
@@ -296,11 +157,8 @@
 		x->pool = sched_pool(s, p->name);
 		x->is_standby = p->is_standby;
 		x->idle = g_ptr_array_new();
-		if (!p->is_standby) {
-			x->want = wanted_servers(s, x->pool, now);
-			if (x->want < SERVERS_MIN)
-				x->want = SERVERS_MIN;
-		}
+		if (!p->is_standby)
+			x->want = want_servers(s, x->pool, now);
 		g_ptr_array_add(sides, x);
 	}
 	return sides;
@@ -539,7 +397,7 @@
 	if (!hosts_listed_at(s))
 		return;
 	g_hash_table_foreach_remove(b->moves, is_settled, s);
-	g_hash_table_remove_all(b->limits_left);
+	want_begin(s);
 	sides = make_sides(s, now);
 	place_hosts(b, sides, now);
 	moves = fill_short_pools(b, sides, now);
--- a/src/sched/fill.c
+++ b/src/sched/fill.c
@@ -135,11 +135,13 @@
 					 now);
 		if (!chosen[i])
 			break;
-		chosen[i]->used = site_room_add(chosen[i]->used, st->need);
+		chosen[i]->used =
+			site_room_add(chosen[i]->used, place_need(st));
 		placed++;
 	}
 	for (i = 0; i < placed; i++)
-		chosen[i]->used = site_room_sub(chosen[i]->used, st->need);
+		chosen[i]->used =
+			site_room_sub(chosen[i]->used, place_need(st));
 	if (placed < st->count) {
 		const struct site_queue *q = sched_queue_of(s, j);
 
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -39,7 +39,7 @@
 }
 
 /* What a task takes of a server: a filling task's processor is not counted. */
-static struct site_room taken(const struct batch_step *st)
+struct site_room place_need(const struct batch_step *st)
 {
 	struct site_room need = st->need;
 
@@ -134,7 +134,7 @@
 		struct neighbours n;
 
 		if (!place_is_usable(s, v, now) ||
-		    !site_room_fits(taken(st),
+		    !site_room_fits(place_need(st),
 				    site_room_sub(v->info.room, v->used)) ||
 		    (*st->label && !has_label(v, st->label)))
 			continue;
--- a/src/sched/runs.c
+++ b/src/sched/runs.c
@@ -28,16 +28,6 @@
 	return &j->batch->spec->steps[step];
 }
 
-/* What a run takes of its server. */
-static struct site_room server_need(const struct batch_step *st)
-{
-	struct site_room need = st->need;
-
-	if (st->is_filling)
-		need.cpu = 0;
-	return need;
-}
-
 static void use_limit(struct sched *s, const struct job *j,
 		      struct site_room need, int sign)
 {
@@ -81,7 +71,7 @@
 	r->number = number;
 	r->sent_at = now;
 	r->pace = 100;
-	r->need = server_need(st);
+	r->need = place_need(st);
 	v->used = site_room_add(v->used, r->need);
 	use_limit(s, j, st->need, 1);
 	g_array_append_val(v->runs, h);
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -82,6 +82,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	s->grants_left =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	s->limits_left =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	s->estimates = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					     estimate_free);
 	s->ended_grants = g_ptr_array_new_with_free_func(g_free);
@@ -125,6 +127,7 @@
 	g_hash_table_destroy(s->reserve);
 	g_hash_table_destroy(s->usage);
 	g_hash_table_destroy(s->estimates);
+	g_hash_table_destroy(s->limits_left);
 	g_hash_table_destroy(s->grants_left);
 	g_ptr_array_free(s->ended_grants, TRUE);
 	g_queue_clear(&s->changed);
@@ -264,7 +267,7 @@
 	}
 	if (work > 0)
 		demand_add(j->pool->arrivals,
-			   work * balance_allowed_cpu(s, j, widest) / widest,
+			   work * want_allowed_cpu(s, j, widest) / widest,
 			   work / widest, now);
 }
 
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -48,13 +48,8 @@
 
 /* Figures of the platform that bind decisions. */
 struct sched_bounds {
-	int64_t hold_max_ms; /* longest lease of a server */
-	int64_t stop_grace_ms; /* longest time of a stop */
-	int64_t early_ms; /* before its due time a task may start */
-	double remote_slowdown;
 	int host_calls_per_s; /* that the host service takes */
 	int64_t holder_pause_ms; /* between two holders of host orders */
-	int64_t unavailable_ms; /* away so long, a lasting task counts */
 };
 
 struct sched_options {
--- a/src/sched/sched_private.h
+++ b/src/sched/sched_private.h
@@ -9,7 +9,7 @@
 /* Rows of the scheduler's tables, shared by the files of this folder only. */
 
 /*
- * Length of a lease. It must outlast the loss of an owner: 2 s until its
+ * Length of a lease. It must outlast the loss of an owner: 1.3 s until its
  * store lease ends, and about 0.7 s until the successor has called every
  * server; a task on a lost server can't restart before it has passed.
  */
@@ -69,7 +69,6 @@
 	cs_time died_at; /* when that was learnt */
 	uint64_t next_born; /* start of the next incarnation here; 0: none */
 	bool is_cordoned; /* gets no starts: maintenance or a move */
-	cs_time unlisted_at;
 	/* Clock: the reading lies between sent and received. */
 	int64_t clock_ms; /* -1: none yet */
 	cs_time clock_sent, clock_received;
@@ -162,6 +161,8 @@
 	GHashTable *evacuated; /* data centre names */
 	GHashTable *cancelled; /* identifiers whose job is not known yet */
 	GHashTable *usage; /* workspace -> struct site_room */
+	/* Workspace -> processor that work since the last look left of it. */
+	GHashTable *limits_left;
 	GHashTable *estimates; /* queue -> struct estimate */
 	cs_time expect_at; /* when run times are taken into account again */
 	GHashTable *reserve; /* the same, of runs that may be unknown */
@@ -253,6 +254,7 @@
 			    cs_time now);
 /* What the job's workspace may have running more; INT64_MAX: no limit. */
 struct site_room place_headroom(const struct sched *s, const struct job *j);
+struct site_room place_need(const struct batch_step *st);
 bool place_within_limit(const struct sched *s, const struct job *j,
 			struct site_room need);
 
@@ -317,11 +319,17 @@
 void balance_on_done(struct sched *s, const struct order_done *d, cs_time now);
 /* True until the list of hosts shows that a move has ended. */
 bool balance_is_moving(const struct sched *s, const char *host);
+
+/* want.c */
+/* Forgets what the last look left of the limits of workspaces. */
+void want_begin(struct sched *s);
+/* Servers that the pool's demand needs; a fall is believed slowly. */
+int want_servers(struct sched *s, struct pool *p, cs_time now);
 /*
  * Of the processor that a job's tasks would take, thousandths of a core, what
  * the limit of its workspace allows beside all other work.
  */
-double balance_allowed_cpu(struct sched *s, const struct job *j, double cpu);
+double want_allowed_cpu(struct sched *s, const struct job *j, double cpu);
 
 /* upkeep.c */
 /* True while a wave empties, orders or awaits the host. */
--- a/src/sched/servers.c
+++ b/src/sched/servers.c
@@ -391,7 +391,6 @@
 	if (!v || !v->is_listed)
 		return;
 	v->is_listed = false;
-	v->unlisted_at = now;
 	log_server(s, "server_unlisted", v, "removed from the register", now);
 	sched_wake(s);
 }
--- /dev/null
+++ b/src/sched/want.c
@@ -0,0 +1,167 @@
+#include "sched_private.h"
+
+#include <math.h>
+
+/*
+ * How many servers a pool wants. The load it answers: each queue in turn asks
+ * for several times what its pool holds, for some seconds, and for almost
+ * nothing in between. Demand is what lasting tasks hold, what arriving work is
+ * expected to need when hosts that are ordered now have come, and what waits.
+ */
+
+/* From a look until a host that it orders works: 1.5 s for the move. */
+#define LEAD_US (2500 * CS_MSEC)
+/*
+ * Work that waits already is to be done within about this time. While hosts
+ * are short, work that can still be on time goes before work that can't.
+ */
+static const double clear_ms[RANK_CLASSES] = {
+	[RANK_LASTING] = 1000,
+	[RANK_ON_TIME] = 1000,
+	[RANK_LATE] = 2000,
+	[RANK_OVERDUE] = 8000,
+};
+/* Room beyond the expected demand, as a factor, and in servers. */
+#define MARGIN 1.05
+#define SPARE_SERVERS 1
+/* Servers that a pool keeps without any demand. */
+#define SERVERS_MIN 2
+/* A fall of the demand is believed by this share at each look. */
+#define FALL_SHARE 0.2
+/* A pool's turn has come once its demand was this share of its room. */
+#define TURN_SHARE 0.5
+
+void want_begin(struct sched *s)
+{
+	g_hash_table_remove_all(s->limits_left);
+}
+
+/* Tasks that could start if there were room. */
+struct backlog {
+	double lasting; /* thousandths of a core */
+	double ending; /* what others need to be done soon enough */
+};
+
+double want_allowed_cpu(struct sched *s, const struct job *j, double cpu)
+{
+	GHashTable *left = s->limits_left;
+	const char *workspace = j->batch->workspace;
+	double *rest = g_hash_table_lookup(left, workspace);
+
+	if (!rest) {
+		rest = g_new(double, 1);
+		*rest = MAX((double)place_headroom(s, j).cpu, 0);
+		g_hash_table_insert(left, g_strdup(workspace), rest);
+	}
+	cpu = MIN(cpu, *rest);
+	*rest -= cpu;
+	return cpu;
+}
+
+/* Processor that the waiting tasks of a step ask for. */
+static double waiting_cpu(struct batch *b, int round, int step)
+{
+	const struct batch_step *st = &b->spec->steps[step];
+	double cpu = 0;
+	int i;
+
+	for (i = 0; i < st->count; i++)
+		if (batch_task(b, round, step, i)->state == BATCH_TASK_WAITING)
+			cpu += (double)st->need.cpu;
+	return cpu;
+}
+
+/* Adds a job's steps whose turn has come, as far as its limit allows. */
+static void add_job(struct sched *s, const struct job *j, cs_time now,
+		    struct backlog *sum)
+{
+	double clear = clear_ms[rank_class_of(j, now)], cpu;
+	struct batch *b = j->batch;
+	int round, step;
+
+	for (round = j->round_first; round < b->rounds_nr; round++)
+		for (step = 0; step < b->spec->steps_nr; step++) {
+			const struct batch_step *st = &b->spec->steps[step];
+
+			if (st->is_filling ||
+			    !batch_step_is_ready(b, round, step))
+				continue;
+			cpu = want_allowed_cpu(s, j,
+					       waiting_cpu(b, round, step));
+			if (st->is_lasting)
+				sum->lasting += cpu;
+			else
+				sum->ending +=
+					cpu * (double)st->expected_ms / clear;
+		}
+}
+
+static struct backlog find_backlog(struct sched *s, const struct pool *p,
+				   cs_time now)
+{
+	struct backlog sum = { 0 };
+	bool is_settled = servers_pool_settled(s, p);
+	guint i;
+
+	for (i = 0; i < p->jobs->len; i++) {
+		const struct job *j = g_ptr_array_index(p->jobs, i);
+
+		/* A job that may run unknown to us could not use room yet. */
+		if (!j->may_run || is_settled)
+			add_job(s, j, now, &sum);
+	}
+	return sum;
+}
+
+/* Thousandths of a core that lasting tasks have on a server. */
+static double lasting_cpu(const struct sched *s, const struct server *v)
+{
+	double cpu = 0;
+	guint i;
+
+	for (i = 0; i < v->runs->len; i++) {
+		const struct run *r =
+			run_row(s, g_array_index(v->runs, cs_handle, i));
+		const struct job *j = slots_get(s->jobs, r->job);
+
+		if (j->batch->spec->steps[r->step].is_lasting)
+			cpu += (double)r->need.cpu;
+	}
+	return cpu;
+}
+
+/* Servers that the pool's demand needs; a fall is believed slowly. */
+int want_servers(struct sched *s, struct pool *p, cs_time now)
+{
+	double used = 0, room = 0, lasting = 0, arriving, demand;
+	struct backlog waiting = find_backlog(s, p, now);
+	int servers = 0;
+	guint i;
+
+	for (i = 0; i < p->servers->len; i++) {
+		const struct server *v = g_ptr_array_index(p->servers, i);
+
+		if (!v->is_listed || v->is_dead)
+			continue;
+		used += (double)v->used.cpu;
+		lasting += lasting_cpu(s, v);
+		room += (double)v->info.room.cpu;
+		servers++;
+	}
+	if (servers)
+		p->server_cpu = room / servers;
+	arriving = demand_forecast(p->arrivals, LEAD_US, now);
+	demand = lasting + waiting.lasting + MAX(arriving, used - lasting) +
+		 waiting.ending;
+	if (demand >= p->demand)
+		p->demand = demand;
+	else
+		p->demand -= (p->demand - demand) * FALL_SHARE;
+	if (p->demand > room * TURN_SHARE)
+		p->has_had_demand = true;
+	servers = SERVERS_MIN;
+	if (p->server_cpu > 0)
+		servers = (int)ceil(p->demand * MARGIN / p->server_cpu) +
+			  SPARE_SERVERS;
+	return MAX(servers, SERVERS_MIN);
+}
--- a/src/settings/node_settings.c
+++ b/src/settings/node_settings.c
@@ -63,11 +63,7 @@
 };
 
 static const struct settings_key bound_keys[] = {
-	BOUND("hold_max", FIELD(hold_max_ms), 3600000, "10s"),
-	BOUND("stop_grace", FIELD(stop_grace_ms), 600000, "1s"),
-	BOUND("early", FIELD(early_ms), 60000, "250ms"),
 	BOUND("holder_pause", FIELD(holder_pause_ms), 600000, "3s"),
-	BOUND("unavailable", FIELD(unavailable_ms), 600000, "4500ms"),
 };
 
 #define SECTION(name, keys)                                                    \
--- a/src/settings/node_settings.h
+++ b/src/settings/node_settings.h
@@ -22,8 +22,7 @@
 	int64_t body_max; /* bytes */
 	int64_t drain_ms;
 	int64_t lease_min_ms;
-	int64_t hold_max_ms, stop_grace_ms, early_ms, holder_pause_ms,
-		unavailable_ms;
+	int64_t holder_pause_ms;
 };
 
 /* Like settings_read(); the file holds no secrets. */
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -465,11 +465,8 @@
 	struct node_options o = { .lease_min_ms = 1000,
 				  .cpu_share = n->cpu_share,
 				  .bounds = { .host_calls_per_s = 60,
-					      .hold_max_ms = HOLD_MAX_MS,
-					      .stop_grace_ms = STOP_MS,
 					      .holder_pause_ms =
-						      HOLDER_PAUSE_MS,
-					      .unavailable_ms = 4500 } };
+						      HOLDER_PAUSE_MS } };
 
 	if (n->node)
 		return;
