Reuse the lists of transactions; count waiting tasks in one place

No change of behaviour.

- commit.c allocated and freed three lists on every turn of the owner, even if nothing was to be stored.
They are kept until the term ends.
- reserve.c and want.c each had the loop that counts the waiting tasks of a step.
Both call batch_waiting().
- sched_take_changed() had an array interface that was only called for one batch.
- counters_observed() was an alias of counters_value() without a caller.

--- a/src/base/counters.c
+++ b/src/base/counters.c
@@ -113,12 +113,6 @@
 	row->sum += MAX(duration, 0);
 }
 
-int64_t counters_observed(const struct counters *c, const char *name,
-			  const char *labels)
-{
-	return counters_value(c, name, labels);
-}
-
 int64_t counters_value(const struct counters *c, const char *name,
 		       const char *labels)
 {
--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -33,11 +33,10 @@
 void counters_observe(struct counters *counters, const char *name,
 		      const char *labels, cs_time duration);
 
-/* How many durations a histogram holds. For tests. */
-int64_t counters_observed(const struct counters *counters, const char *name,
-			  const char *labels);
-
-/* The present value, 0 if there is none. For tests and status. */
+/*
+ * The present value, of a histogram how many durations it holds; 0 if there is
+ * none. For tests and status.
+ */
 int64_t counters_value(const struct counters *counters, const char *name,
 		       const char *labels);
 
--- a/src/batch/batch.c
+++ b/src/batch/batch.c
@@ -227,6 +227,15 @@
 	return true;
 }
 
+int batch_waiting(struct batch *b, int round, int step)
+{
+	int i, n = 0;
+
+	for (i = 0; i < b->spec->steps[step].count; i++)
+		n += batch_task(b, round, step, i)->state == BATCH_TASK_WAITING;
+	return n;
+}
+
 bool batch_is_final(const struct batch *b)
 {
 	return b->state >= BATCH_DONE;
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -148,6 +148,9 @@
 /* True if all earlier steps of the occurrence are done. */
 bool batch_step_is_ready(const struct batch *b, int round, int step);
 
+/* Tasks of a step that wait; its occurrence must be open. */
+int batch_waiting(struct batch *b, int round, int step);
+
 /* True for done, failed and cancelled. */
 bool batch_is_final(const struct batch *b);
 
--- a/src/node/commit.c
+++ b/src/node/commit.c
@@ -37,23 +37,34 @@
 static void on_committed(void *ctx, uint64_t arg, const struct store_done *d,
 			 cs_time now);
 
+static void txn_destroy(struct commit_txn *t)
+{
+	if (!t->batches)
+		return;
+	g_array_free(t->batches, TRUE);
+	g_array_free(t->grants, TRUE);
+	g_ptr_array_free(t->ended_grants, TRUE);
+}
+
+/* Its lists are kept for the next time, as every turn of the owner asks. */
 static void txn_clear(struct commit_txn *t)
 {
-	if (t->batches)
-		g_array_free(t->batches, TRUE);
-	if (t->grants)
-		g_array_free(t->grants, TRUE);
-	if (t->ended_grants)
-		g_ptr_array_free(t->ended_grants, TRUE);
-	memset(t, 0, sizeof(*t));
+	g_array_set_size(t->batches, 0);
+	g_array_set_size(t->grants, 0);
+	g_ptr_array_set_size(t->ended_grants, 0);
+	t->is_open = t->has_host_orders = t->writes_ordered = false;
+	t->expired = 0;
 }
 
 static void txn_open(struct commit_txn *t)
 {
+	if (!t->batches) {
+		t->batches =
+			g_array_new(FALSE, FALSE, sizeof(struct commit_row));
+		t->grants = g_array_new(FALSE, FALSE, sizeof(cs_handle));
+		t->ended_grants = g_ptr_array_new_with_free_func(g_free);
+	}
 	t->is_open = true;
-	t->batches = g_array_new(FALSE, FALSE, sizeof(struct commit_row));
-	t->grants = g_array_new(FALSE, FALSE, sizeof(cs_handle));
-	t->ended_grants = g_ptr_array_new_with_free_func(g_free);
 }
 
 void commit_reset(struct node *n)
@@ -63,7 +74,7 @@
 
 	timers_cancel(n->timers, c->timer);
 	for (i = 0; i < COMMITS_MAX; i++)
-		txn_clear(&c->txns[i]);
+		txn_destroy(&c->txns[i]);
 	memset(c, 0, sizeof(*c));
 }
 
@@ -74,7 +85,7 @@
 	cs_handle h;
 
 	while (call->entries->len + BATCH_ENTRIES <= STORE_TXN_MAX &&
-	       sched_take_changed(n->sched, &h, 1)) {
+	       (h = sched_take_changed(n->sched))) {
 		const struct batch *b = sched_batch(n->sched, h);
 		struct commit_row row = { .batch = h, .version = b->version };
 
--- a/src/node/desk.c
+++ b/src/node/desk.c
@@ -135,7 +135,6 @@
 		      const char *workspace, const char *id, cs_time now)
 {
 	struct desk_reply *out = g_memdup2(reply, sizeof(*reply));
-
 	char labels[64];
 
 	g_snprintf(labels, sizeof(labels), "kind=\"%s\",result=\"%s\"",
--- a/src/node/ownership.c
+++ b/src/node/ownership.c
@@ -108,7 +108,6 @@
 
 	if (share < best)
 		delay += SMALL_DELAY_US;
-
 	if (now - n->started_at > RESTART_US)
 		delay += OLD_DELAY_US;
 	return delay + g_rand_int_range(n->rng, 0, TAKE_SPREAD_US);
--- a/src/sched/reserve.c
+++ b/src/sched/reserve.c
@@ -53,19 +53,14 @@
 	struct batch *b = j->batch;
 	int round, step, i;
 
-	for (round = j->round_first; round < b->rounds_nr; round++) {
-		if (!b->rounds[round].tasks)
-			continue;
+	for (round = j->round_first; round < b->rounds_nr; round++)
 		for (step = 0; step < b->spec->steps_nr; step++) {
 			if (!batch_step_is_ready(b, round, step))
 				continue;
-			for (i = 0; i < b->spec->steps[step].count; i++)
-				if (batch_task(b, round, step, i)->state ==
-				    BATCH_TASK_WAITING)
-					add(table, b->workspace,
-					    b->spec->steps[step].need);
+			for (i = batch_waiting(b, round, step); i > 0; i--)
+				add(table, b->workspace,
+				    b->spec->steps[step].need);
 		}
-	}
 }
 
 static void add_pool(struct sched *s, const struct pool *p)
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -480,11 +480,9 @@
 	return s->is_turn_due ? s->next_turn_at : CS_TIME_NEVER;
 }
 
-size_t sched_take_changed(struct sched *s, cs_handle *out, size_t max)
+cs_handle sched_take_changed(struct sched *s)
 {
-	size_t n = 0;
-
-	while (n < max && !g_queue_is_empty(&s->changed)) {
+	while (!g_queue_is_empty(&s->changed)) {
 		cs_handle h = (cs_handle)GPOINTER_TO_SIZE(
 			g_queue_pop_head(&s->changed));
 		struct job *j = slots_get(s->jobs, h);
@@ -493,9 +491,9 @@
 			continue;
 		j->is_changed = false;
 		j->is_being_stored = true;
-		out[n++] = h;
+		return h;
 	}
-	return n;
+	return 0;
 }
 
 const struct batch *sched_batch(const struct sched *s, cs_handle h)
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -121,11 +121,12 @@
 void sched_set_confirmed(struct sched *sched, cs_time at, bool is_paused);
 
 /*
- * What is to be stored. sched_take_changed() returns up to max batches whose
- * progress changed; each is then either stored, with the version that was
- * written and its new revision, or given back with the present revision.
+ * What is to be stored. sched_take_changed() returns the next batch whose
+ * progress changed, 0 if there is none; it is then either stored, with the
+ * version that was written and its new revision, or given back with the present
+ * revision.
  */
-size_t sched_take_changed(struct sched *sched, cs_handle *out, size_t max);
+cs_handle sched_take_changed(struct sched *sched);
 const struct batch *sched_batch(const struct sched *sched, cs_handle batch);
 uint64_t sched_stored_revision(const struct sched *sched, cs_handle batch);
 void sched_stored(struct sched *sched, cs_handle batch, uint32_t version,
--- a/src/sched/want.c
+++ b/src/sched/want.c
@@ -58,19 +58,6 @@
 	return cpu;
 }
 
-/* Processor that the waiting tasks of a step ask for. */
-static double waiting_cpu(struct batch *b, int round, int step)
-{
-	const struct batch_step *st = &b->spec->steps[step];
-	double cpu = 0;
-	int i;
-
-	for (i = 0; i < st->count; i++)
-		if (batch_task(b, round, step, i)->state == BATCH_TASK_WAITING)
-			cpu += (double)st->need.cpu;
-	return cpu;
-}
-
 /* Adds a job's steps whose turn has come, as far as its limit allows. */
 static void add_job(struct sched *s, const struct job *j, cs_time now,
 		    struct backlog *sum)
@@ -87,7 +74,9 @@
 			    !batch_step_is_ready(b, round, step))
 				continue;
 			cpu = want_allowed_cpu(s, j,
-					       waiting_cpu(b, round, step));
+					       (double)batch_waiting(b, round,
+								     step) *
+						       (double)st->need.cpu);
 			if (st->is_lasting)
 				sum->lasting += cpu;
 			else
