--- a/src/base/log.c
+++ b/src/base/log.c
@@ -20,7 +20,8 @@
 	pthread_mutex_t lock; /* protects the fields below */
 	gint64 second; /* in which lines were counted */
 	int lines;
-	int64_t dropped; /* lines not yet reported as dropped */
+	/* Lines not yet reported as dropped, and the frequent ones of them. */
+	int64_t dropped, dropped_frequent;
 };
 
 static const char *const level_names[] = { "debug", "info", "warn", "error",
@@ -38,37 +39,61 @@
 	return event->evt_msg;
 }
 
+/* Starts the count of lines anew in each second. Needs the lock. */
+static void update_second(struct log *log)
+{
+	gint64 second = g_get_monotonic_time() / G_USEC_PER_SEC;
+
+	if (second == log->second)
+		return;
+	log->second = second;
+	log->lines = 0;
+}
+
 /* Counts a line; true if it exceeds this second's limit. Needs the lock. */
-static bool is_over_limit(struct log *log, gint64 second)
+static bool is_over_limit(struct log *log)
 {
-	if (second != log->second) {
-		log->second = second;
-		log->lines = 0;
-	}
+	update_second(log);
 	return log->lines_max && log->lines++ >= log->lines_max;
 }
 
+bool log_admits_frequent(struct log *log)
+{
+	bool is_admitted;
+
+	if (!log->lines_max)
+		return true;
+	pthread_mutex_lock(&log->lock);
+	update_second(log);
+	is_admitted = log->lines < log->lines_max * 3 / 4;
+	log->dropped += !is_admitted;
+	log->dropped_frequent += !is_admitted;
+	pthread_mutex_unlock(&log->lock);
+	return is_admitted;
+}
+
 /*
  * Writes a line with one write(), so that lines of several threads do not mix,
  * and drops it if the descriptor is full.
  */
 static int append_bounded(struct log *log, const char *line)
 {
-	char note[48];
+	char note[80];
 	size_t len = strlen(line);
 	int n, code = -1;
 
 	pthread_mutex_lock(&log->lock);
-	if (is_over_limit(log, g_get_monotonic_time() / G_USEC_PER_SEC)) {
+	if (is_over_limit(log)) {
 		log->dropped++;
 		goto out;
 	}
 	if (log->dropped) {
 		n = snprintf(note, sizeof(note),
-			     "event=log_dropped lines=%" PRId64 "\n",
-			     log->dropped);
+			     "event=log_dropped lines=%" PRId64
+			     " frequent=%" PRId64 "\n",
+			     log->dropped, log->dropped_frequent);
 		if (write(log->fd, note, (size_t)n) == n)
-			log->dropped = 0;
+			log->dropped = log->dropped_frequent = 0;
 	}
 	if (write(log->fd, line, len) == (ssize_t)len)
 		code = 0;
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -40,6 +40,14 @@
 	       const char *step, const char *peer, const struct trace *trace,
 	       const char *pairs);
 
+/*
+ * True if a line that is written for each task or call is to be written now:
+ * such lines get at most three quarters of a second's limit, so that rarer ones
+ * are not dropped for them. False counts it as dropped. Asked before the line
+ * is formatted, as under load most of these lines are dropped.
+ */
+bool log_admits_frequent(struct log *log);
+
 /* Writes an error as an event, with its code, step, peer and message. */
 void log_error(struct log *log, const char *task, const struct cs_error *err);
 
--- a/src/base/task.c
+++ b/src/base/task.c
@@ -92,16 +92,21 @@
 
 /*
  * By default libevent rounds timers to milliseconds of a coarse clock, which
- * added 5 ms to work that takes 5 ms.
+ * added 5 ms to work that takes 5 ms. The changelist merges what an HTTP call
+ * changes in the events of its connection: without it, each call made six calls
+ * of epoll_ctl(). It must not be used with descriptors made by dup().
  */
-static struct event_base *new_base(void)
+static struct event_base *new_base(bool has_coarse_timers)
 {
+	int flags = EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST;
 	struct event_config *config = event_config_new();
 	struct event_base *base = NULL;
 
 	if (!config)
 		return NULL;
-	if (!event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER))
+	if (!has_coarse_timers)
+		flags |= EVENT_BASE_FLAG_PRECISE_TIMER;
+	if (!event_config_set_flag(config, flags))
 		base = event_base_new_with_config(config);
 	event_config_free(config);
 	return base;
@@ -122,7 +127,7 @@
 	pthread_mutex_init(&t->lock, NULL);
 	pthread_cond_init(&t->started, NULL);
 	t->mailbox = mailbox;
-	t->base = new_base();
+	t->base = new_base(ops->has_coarse_timers);
 	if (t->base)
 		t->wake = event_new(t->base, mailbox_fd(t->mailbox),
 				    EV_READ | EV_PERSIST, on_wake, t);
--- a/src/base/task.h
+++ b/src/base/task.h
@@ -19,6 +19,12 @@
 	void (*on_msg)(void *state, struct task *task, void *msg);
 	/* Closes sockets and removes events. Called if start succeeded. */
 	void (*stop)(void *state, struct task *task);
+	/*
+	 * Its timers may fire up to 10 ms late, as they only end calls that
+	 * take too long. Precise ones cost a system call in each turn of the
+	 * event loop.
+	 */
+	bool has_coarse_timers;
 };
 
 /*
--- a/src/entry/core_task.c
+++ b/src/entry/core_task.c
@@ -127,8 +127,12 @@
 	event_free(c->timer);
 }
 
-static const struct task_ops core_ops = { "core", core_start, core_on_msg,
-					  core_stop };
+static const struct task_ops core_ops = {
+	.name = "core",
+	.start = core_start,
+	.on_msg = core_on_msg,
+	.stop = core_stop,
+};
 
 struct core_task *core_task_create(const struct entry_options *options,
 				   struct bus *bus, struct cs_error *err)
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -22,6 +22,11 @@
 	void (*order)(void *ctx, struct order *order);
 	void (*reply)(void *ctx, struct api_reply *reply);
 	void (*log)(void *ctx, const char *event, const char *pairs);
+	/*
+	 * Asked before a line is formatted that is written for each task;
+	 * false: there are too many lines, and this one is not written.
+	 */
+	bool (*admits_frequent_log)(void *ctx);
 };
 
 /*
--- a/src/node/node_core.c
+++ b/src/node/node_core.c
@@ -51,8 +51,16 @@
 	g_free(line);
 }
 
+static bool admits_frequent_log(void *ctx)
+{
+	struct node_core *c = ctx;
+
+	return log_admits_frequent(node_bus_log(c->bus));
+}
+
 static const struct node_ops node_ops = { emit_store_call, emit_order,
-					  emit_reply, emit_log };
+					  emit_reply, emit_log,
+					  admits_frequent_log };
 
 static int64_t unix_now(void)
 {
@@ -171,8 +179,12 @@
 	event_free(c->turn);
 }
 
-static const struct task_ops core_ops = { "core", core_start, core_on_msg,
-					  core_stop };
+static const struct task_ops core_ops = {
+	.name = "core",
+	.start = core_start,
+	.on_msg = core_on_msg,
+	.stop = core_stop,
+};
 
 struct node_core *node_core_create(const struct node_options *options,
 				   const struct node_formats *formats,
--- a/src/node/term.c
+++ b/src/node/term.c
@@ -296,7 +296,15 @@
 	n->owner.is_fenced = true;
 }
 
-static const struct sched_ops sched_ops = { on_order, on_log, on_fenced,
+static bool admits_frequent_log(void *ctx)
+{
+	struct node *n = ctx;
+
+	return n->ops->admits_frequent_log(n->ctx);
+}
+
+static const struct sched_ops sched_ops = { on_order, on_log,
+					    admits_frequent_log, on_fenced,
 					    commit_wave };
 
 void term_begin(struct node *n, cs_time now)
--- a/src/peer/peer_link.c
+++ b/src/peer/peer_link.c
@@ -556,7 +556,12 @@
 	return err ? err->code : CS_ERR_IO;
 }
 
-static const struct task_ops link_task = { "peer", start, on_msg, stop };
+static const struct task_ops link_task = {
+	.name = "peer",
+	.start = start,
+	.on_msg = on_msg,
+	.stop = stop,
+};
 
 /* Copies the peers into rows, sorts them by id and checks that ids differ. */
 static int init_peers(struct peer_link *link,
--- a/src/platform/platform_client.c
+++ b/src/platform/platform_client.c
@@ -558,7 +558,12 @@
 	client->http = NULL;
 }
 
-static const struct task_ops task_ops = { "platform", start, on_msg, stop };
+static const struct task_ops task_ops = {
+	.name = "platform",
+	.start = start,
+	.on_msg = on_msg,
+	.stop = stop,
+};
 
 struct platform_client *platform_client_create(
 	const struct platform_client_options *options, struct bus *bus,
--- a/src/sched/assign.c
+++ b/src/sched/assign.c
@@ -33,8 +33,11 @@
 		      const struct server *v, cs_time now)
 {
 	char task[BATCH_TASK_NAME_MAX];
-	GString *pairs = g_string_new(NULL);
+	GString *pairs;
 
+	if (!s->ops->admits_frequent_log(s->ctx))
+		return;
+	pairs = g_string_new(NULL);
 	batch_task_name(j->batch, r->occurrence, r->step, r->index, task);
 	log_pair(pairs, "job", j->batch->id);
 	log_pair(pairs, "task", task);
@@ -54,6 +57,7 @@
 	int starts_max;
 	int started;
 	enum job_block block; /* why a task could not start */
+	bool is_waiting; /* a task is left that may start later */
 };
 
 static bool may_start(const struct job *j, const struct batch_task *t,
@@ -88,7 +92,8 @@
 			a->block = BLOCK_LIMIT;
 			break;
 		}
-		v = place_choose(s, j, occurrence, step, t, now);
+		v = place_choose(s, j, occurrence, step, t, now,
+				 &s->examined_servers);
 		if (!v) {
 			a->block = BLOCK_ROOM;
 			if (q && q->advice.validity_ms)
@@ -134,18 +139,17 @@
 		goto out;
 	}
 	for (i = 0; i < st->count; i++) {
-		chosen[i] = place_choose(
-			s, j, occurrence, step,
-			batch_find_task(j->batch, occurrence, step, i), now);
+		chosen[i] = place_choose(s, j, occurrence, step,
+					 batch_find_task(j->batch, occurrence,
+							 step, i),
+					 now, &s->examined_servers);
 		if (!chosen[i])
 			break;
-		chosen[i]->used =
-			site_resources_add(chosen[i]->used, place_need(st));
+		servers_reserve(chosen[i], place_need(st), 1);
 		placed++;
 	}
 	for (i = 0; i < placed; i++)
-		chosen[i]->used =
-			site_resources_sub(chosen[i]->used, place_need(st));
+		servers_reserve(chosen[i], place_need(st), -1);
 	if (placed < st->count) {
 		const struct site_queue *q = sched_queue_of(s, j);
 
@@ -213,49 +217,85 @@
 	struct batch *b = j->batch;
 	int occurrence, step;
 
+	a->is_waiting = false;
 	for (occurrence = open_due_occurrences(s, j, now);
 	     occurrence < b->occurrences_nr; occurrence++) {
-		if (!b->occurrences[occurrence].tasks)
+		const struct batch_occurrence *o = &b->occurrences[occurrence];
+
+		if (!o->tasks) {
+			a->is_waiting |= !o->is_done;
 			continue;
+		}
 		for (step = 0; step < b->spec->steps_nr; step++) {
-			if (a->started >= a->starts_max)
-				return;
-			if (!batch_step_is_ready(b, occurrence, step))
+			if (!batch_step_is_ready(b, occurrence, step) ||
+			    !batch_count_waiting(b, occurrence, step))
 				continue;
+			if (a->started >= a->starts_max) {
+				a->is_waiting = true;
+				return;
+			}
 			if (!is_begin_stored(s, j, now)) {
 				a->block = BLOCK_STORE;
+				a->is_waiting = true;
 				return;
 			}
 			if (b->spec->steps[step].is_gang)
 				assign_gang(s, j, occurrence, step, now, a);
 			else
 				assign_step(s, j, occurrence, step, now, a);
+			a->is_waiting |=
+				batch_count_waiting(b, occurrence, step) > 0;
 		}
 	}
 }
 
+/* Removes the jobs that have ended from the pool's waiting ones. */
+static void drop_final_jobs(struct pool *p)
+{
+	guint i, kept = 0;
+
+	for (i = 0; i < p->waiting->len; i++) {
+		struct job *j = g_ptr_array_index(p->waiting, i);
+
+		if (j->final_at)
+			j->is_waiting = false;
+		else
+			p->waiting->pdata[kept++] = j;
+	}
+	g_ptr_array_set_size(p->waiting, (gint)kept);
+}
+
 static int assign_pool(struct sched *s, struct pool *p, cs_time now, int max)
 {
 	struct job_attempt a = { .is_settled = servers_pool_settled(s, p) };
 	int started = 0, jobs_without_room = 0;
-	guint i;
+	guint i, kept = 0;
 
 	memset(p->blocked, 0, sizeof(p->blocked));
-	if (!p->jobs->len || !p->servers->len)
+	drop_final_jobs(p);
+	if (!p->waiting->len || !p->servers->len)
 		return 0;
-	rank_jobs(p->jobs, s, now);
-	for (i = 0; i < p->jobs->len && started < max &&
+	rank_jobs(p->waiting, s, now);
+	s->ranked_jobs += p->waiting->len;
+	for (i = 0; i < p->waiting->len && started < max &&
 		    jobs_without_room < NO_ROOM_JOBS_MAX;
 	     i++) {
+		struct job *j = g_ptr_array_index(p->waiting, i);
+
 		a.starts_max = max - started;
 		a.started = 0;
 		a.block = BLOCK_NONE;
-		assign_job(s, g_ptr_array_index(p->jobs, i), now, &a);
+		assign_job(s, j, now, &a);
+		j->is_waiting = a.is_waiting;
+		if (j->is_waiting)
+			p->waiting->pdata[kept++] = j;
 		started += a.started;
 		p->blocked[a.block]++;
 		/* Only a lack of room shows that the pool is full. */
 		jobs_without_room += !a.started && a.block == BLOCK_ROOM;
 	}
+	if (kept < i)
+		g_ptr_array_remove_range(p->waiting, kept, i - kept);
 	return started;
 }
 
--- a/src/sched/maintenance.c
+++ b/src/sched/maintenance.c
@@ -53,6 +53,7 @@
 	cs_time begun_at, ends_at;
 	int at_once_max;
 	GPtrArray *hosts; /* struct wave_host */
+	GHashTable *by_name; /* name -> struct wave_host */
 	bool is_reported; /* the start of the wave was reported */
 	bool is_done;
 };
@@ -69,6 +70,7 @@
 {
 	struct wave *w = row;
 
+	g_hash_table_destroy(w->by_name);
 	g_ptr_array_free(w->hosts, TRUE);
 	g_free(w);
 }
@@ -145,6 +147,7 @@
 	w->ends_at = now + info->duration_ms * CS_MSEC;
 	w->at_once_max = info->at_once_max > 0 ? info->at_once_max : 1;
 	w->hosts = g_ptr_array_new_with_free_func(g_free);
+	w->by_name = g_hash_table_new(g_str_hash, g_str_equal);
 	for (i = 0; i < info->hosts->len; i++) {
 		struct wave_host *h = g_new0(struct wave_host, 1);
 
@@ -157,6 +160,7 @@
 				h->begun_at = now;
 			}
 		g_ptr_array_add(w->hosts, h);
+		g_hash_table_insert(w->by_name, h->name, h);
 	}
 	g_ptr_array_add(m->waves, w);
 	log_wave(s, "wave_asked", w, NULL, now);
@@ -199,22 +203,18 @@
 
 bool maintenance_has_host(const struct sched *s, const char *host)
 {
-	guint i, k;
+	guint i;
 
 	for (i = 0; i < s->maintenance->waves->len; i++) {
 		const struct wave *w =
 			g_ptr_array_index(s->maintenance->waves, i);
+		const struct wave_host *h =
+			g_hash_table_lookup(w->by_name, host);
 
-		for (k = 0; k < w->hosts->len; k++) {
-			const struct wave_host *h =
-				g_ptr_array_index(w->hosts, k);
-
-			if (!strcmp(h->name, host))
-				return h->state == WAVE_EMPTYING ||
-				       h->state == WAVE_ORDERED ||
-				       (h->state == WAVE_STARTED &&
-					!h->has_returned);
-		}
+		if (h)
+			return h->state == WAVE_EMPTYING ||
+			       h->state == WAVE_ORDERED ||
+			       (h->state == WAVE_STARTED && !h->has_returned);
 	}
 	return false;
 }
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -26,7 +26,8 @@
 	       !v->is_dead && !v->is_cordoned && !v->info.is_draining &&
 	       !v->unanswered_orders && v->clock_ms >= 0 &&
 	       now >= v->suspect_until && now >= v->refused_until &&
-	       !g_hash_table_contains(s->evacuated, v->info.data_centre);
+	       !(g_hash_table_size(s->evacuated) &&
+		 g_hash_table_contains(s->evacuated, v->info.data_centre));
 }
 
 static bool has_label(const struct server *v, const char *label)
@@ -49,113 +50,163 @@
 	return need;
 }
 
-/* Numbers of runs on a server: of the same step, and of certain kinds. */
-struct neighbors {
-	int same_step, serving, best_effort;
+/* A task to place, with what its step and its queue ask for. */
+struct placement {
+	const struct sched *sched;
+	const struct job *job;
+	int occurrence, step;
+	const struct batch_task *task;
+	const struct batch_step *spec;
+	const struct site_queue *queue; /* NULL: removed */
+	cs_time now;
 };
 
-static struct neighbors count_neighbors(const struct sched *s,
-					const struct server *v,
-					const struct job *j, int occurrence,
-					int step)
+static bool can_take(const struct placement *p, const struct server *v)
 {
-	struct neighbors n = { 0 };
-	guint i;
+	const struct batch_step *st = p->spec;
+
+	return site_resources_fit(place_need(st),
+				  site_resources_sub(v->info.capacity,
+						     v->used)) &&
+	       place_is_usable(p->sched, v, p->now) &&
+	       (!*st->label || has_label(v, st->label)) &&
+	       (!st->per_server_max ||
+		runs_of_step(p->sched, v, p->job, p->occurrence, p->step) <
+			st->per_server_max) &&
+	       (!p->queue || !p->queue->advice.validity_ms ||
+		advice_ticket(p->sched, p->job, p->occurrence, p->step, v,
+			      p->now));
+}
 
-	for (i = 0; i < v->runs->len; i++) {
-		const struct run *r =
-			run_row(s, g_array_index(v->runs, cs_handle, i));
-		const struct job *other = slots_get(s->jobs, r->job);
-		const struct batch_step *st =
-			&other->batch->spec->steps[r->step];
-
-		n.same_step += r->job == j->self &&
-			       r->occurrence == occurrence && r->step == step;
-		n.serving += st->tail_target_ms > 0;
-		n.best_effort += st->is_best_effort;
-	}
-	return n;
+/* The part of the cost that does not depend on the server's other tasks. */
+static int64_t own_cost(const struct placement *p, const struct server *v)
+{
+	int64_t cost = 0;
+
+	if (*p->spec->rack && strcmp(p->spec->rack, v->info.rack))
+		cost += REMOTE_COST;
+	if (p->task->last_failed_server == v->self)
+		cost += FAILED_THERE_COST;
+	return cost;
 }
 
-/* Number of runs of a step in a rack. */
-static int runs_in_rack(const struct sched *s, const struct pool *p,
-			const char *rack, const struct job *j, int occurrence,
-			int step)
+/* Where the tasks of a step run: servers, each as often as it has a task. */
+static GPtrArray *servers_of_step(const struct placement *p)
 {
-	int n = 0;
-	guint i;
+	GPtrArray *list = g_ptr_array_new();
+	int i;
 
-	for (i = 0; i < p->servers->len; i++) {
-		const struct server *v = g_ptr_array_index(p->servers, i);
+	for (i = 0; i < p->spec->count; i++) {
+		const struct batch_task *t = batch_find_task(
+			p->job->batch, p->occurrence, p->step, i);
+		const struct run *r = t ? run_row(p->sched, t->run_row) : NULL;
 
-		if (!strcmp(v->info.rack, rack))
-			n += runs_of_step(s, v, j, occurrence, step);
+		if (r)
+			g_ptr_array_add(list, server_row(p->sched, r->server));
 	}
-	return n;
+	return list;
 }
 
-static int64_t score(const struct sched *s, const struct server *v,
-		     const struct job *j, int occurrence, int step,
-		     const struct batch_task *t, const struct neighbors *n)
+/* Cost of a server for a long-running or best-effort task. */
+static int64_t spread_cost(const struct placement *p, const struct server *v,
+			   const GPtrArray *others)
 {
-	const struct batch_step *st = &j->batch->spec->steps[step];
 	int64_t left = v->info.capacity.cpu - v->used.cpu;
-	int64_t cost = 0;
+	int64_t cost = own_cost(p, v);
+	guint i;
 
-	if (*st->rack && strcmp(st->rack, v->info.rack))
-		cost += REMOTE_COST;
-	if (t->last_failed_server == v->self)
-		cost += FAILED_THERE_COST;
-	if (st->is_best_effort)
-		return cost - left + (int64_t)SERVING_COST * n->serving +
-		       (int64_t)SAME_SERVER_COST * n->best_effort;
+	if (p->spec->is_best_effort)
+		return cost - left + (int64_t)SERVING_COST * v->serving_runs +
+		       (int64_t)SAME_SERVER_COST * v->best_effort_runs;
+	for (i = 0; i < others->len; i++) {
+		const struct server *other = g_ptr_array_index(others, i);
+
+		if (other == v)
+			cost += SAME_SERVER_COST;
+		if (!strcmp(other->info.rack, v->info.rack))
+			cost += SAME_RACK_COST;
+	}
 	/* Long-running tasks of all jobs share servers, so others get empty. */
-	if (st->is_long_running)
-		return cost + left + (v->runs->len ? 0 : EMPTY_SERVER_COST) +
-		       (int64_t)SAME_SERVER_COST * n->same_step +
-		       (int64_t)SAME_RACK_COST *
-			       runs_in_rack(s, j->pool, v->info.rack, j,
-					    occurrence, step) +
-		       (int64_t)SERVING_COST * n->best_effort;
-	return cost + left;
+	return cost + left + (v->runs->len ? 0 : EMPTY_SERVER_COST) +
+	       (int64_t)SERVING_COST * v->best_effort_runs;
 }
 
-/* The server with the lowest score, or NULL if none can take the task. */
-struct server *place_choose(const struct sched *s, const struct job *j,
-			    int occurrence, int step,
-			    const struct batch_task *t, cs_time now)
+/* Looks at all servers, as the cost depends on their other tasks. */
+static struct server *choose_spread(const struct placement *p,
+				    int64_t *examined)
 {
-	const struct batch_step *st = &j->batch->spec->steps[step];
-	const struct site_queue *q = sched_queue_of(s, j);
+	const GPtrArray *servers = p->job->pool->servers;
+	GPtrArray *others = servers_of_step(p);
 	struct server *best = NULL;
-	int64_t best_score = 0, candidate_score;
+	int64_t best_cost = 0, cost;
 	guint i;
 
-	for (i = 0; i < j->pool->servers->len; i++) {
-		struct server *v = g_ptr_array_index(j->pool->servers, i);
-		struct neighbors n;
+	*examined += servers->len;
+	for (i = 0; i < servers->len; i++) {
+		struct server *v = g_ptr_array_index(servers, i);
 
-		if (!place_is_usable(s, v, now) ||
-		    !site_resources_fit(place_need(st),
-					site_resources_sub(v->info.capacity,
-							   v->used)) ||
-		    (*st->label && !has_label(v, st->label)))
+		if (!can_take(p, v))
 			continue;
-		n = count_neighbors(s, v, j, occurrence, step);
-		if (st->per_server_max && n.same_step >= st->per_server_max)
+		cost = spread_cost(p, v, others);
+		if (best && cost >= best_cost)
 			continue;
-		if (q && q->advice.validity_ms &&
-		    !advice_ticket(s, j, occurrence, step, v, now))
+		best = v;
+		best_cost = cost;
+	}
+	g_ptr_array_free(others, TRUE);
+	return best;
+}
+
+/*
+ * The cost is the free CPU and what own_cost() adds, so the search ends at the
+ * first server whose free CPU alone exceeds the lowest cost.
+ */
+static struct server *choose_best_fit(const struct placement *p,
+				      int64_t *examined)
+{
+	const struct room_index *room = p->job->pool->room;
+	guint i = room_index_first(room, p->spec->need.cpu);
+	struct server *best = NULL;
+	int64_t best_cost = INT64_MAX, cost;
+	const struct room_row *row;
+
+	for (; (row = room_index_at(room, i)) && row->free_cpu < best_cost;
+	     i++) {
+		struct server *v = server_row(p->sched, row->server);
+
+		++*examined;
+		if (!can_take(p, v))
 			continue;
-		candidate_score = score(s, v, j, occurrence, step, t, &n);
-		if (best && candidate_score >= best_score)
+		cost = row->free_cpu + own_cost(p, v);
+		if (cost >= best_cost)
 			continue;
 		best = v;
-		best_score = candidate_score;
+		best_cost = cost;
 	}
 	return best;
 }
 
+struct server *place_choose(const struct sched *s, const struct job *j,
+			    int occurrence, int step,
+			    const struct batch_task *t, cs_time now,
+			    int64_t *examined)
+{
+	const struct placement p = {
+		.sched = s,
+		.job = j,
+		.occurrence = occurrence,
+		.step = step,
+		.task = t,
+		.spec = &j->batch->spec->steps[step],
+		.queue = sched_queue_of(s, j),
+		.now = now,
+	};
+
+	if (p.spec->is_long_running || p.spec->is_best_effort)
+		return choose_spread(&p, examined);
+	return choose_best_fit(&p, examined);
+}
+
 /* What is left of one dimension of a limit; a limit of 0 means none. */
 static int64_t remaining_of(int64_t limit, int64_t used)
 {
--- a/src/sched/pool_size.c
+++ b/src/sched/pool_size.c
@@ -96,33 +96,16 @@
 	bool is_settled = servers_pool_settled(s, p);
 	guint i;
 
-	for (i = 0; i < p->jobs->len; i++) {
-		const struct job *j = g_ptr_array_index(p->jobs, i);
+	for (i = 0; i < p->waiting->len; i++) {
+		const struct job *j = g_ptr_array_index(p->waiting, i);
 
 		/* A job that may have unknown runs can't be started yet. */
-		if (!j->may_have_runs || is_settled)
+		if (!j->final_at && (!j->may_have_runs || is_settled))
 			add_job(s, j, now, &sum);
 	}
 	return sum;
 }
 
-/* CPU of the long-running tasks on a server, thousandths of a core. */
-static double long_running_cpu(const struct sched *s, const struct server *v)
-{
-	double cpu = 0;
-	guint i;
-
-	for (i = 0; i < v->runs->len; i++) {
-		const struct run *r =
-			run_row(s, g_array_index(v->runs, cs_handle, i));
-		const struct job *j = slots_get(s->jobs, r->job);
-
-		if (j->batch->spec->steps[r->step].is_long_running)
-			cpu += (double)r->need.cpu;
-	}
-	return cpu;
-}
-
 /*
  * Returns the number of servers that the pool's demand needs. A decrease in
  * demand takes effect gradually, an increase at once.
@@ -140,7 +123,7 @@
 		if (!v->is_listed || v->is_dead)
 			continue;
 		used += (double)v->used.cpu;
-		long_running += long_running_cpu(s, v);
+		long_running += (double)v->long_running_cpu;
 		capacity += (double)v->info.capacity.cpu;
 		servers++;
 	}
--- a/src/sched/runs.c
+++ b/src/sched/runs.c
@@ -77,9 +77,8 @@
 	r->sent_at = now;
 	r->pace = 100;
 	r->need = place_need(st);
-	v->used = site_resources_add(v->used, r->need);
+	servers_add_run(v, r, st);
 	charge_usage(s, j, st->need, 1);
-	g_array_append_val(v->runs, h);
 	t->run_row = h;
 	batch_task_started(j->batch, t, number);
 	sched_mark_changed(s, j, now);
@@ -226,18 +225,11 @@
 	struct job *j = job_of(s, r);
 	struct batch_task *t =
 		batch_find_task(j->batch, r->occurrence, r->step, r->index);
-	guint i;
 
 	if (t && t->run_row == r->self)
 		t->run_row = 0;
 	charge_usage(s, j, step_of(j, r->step)->need, -1);
-	v->used = site_resources_sub(v->used, r->need);
-	for (i = 0; i < v->runs->len; i++) {
-		if (g_array_index(v->runs, cs_handle, i) != r->self)
-			continue;
-		g_array_remove_index_fast(v->runs, i);
-		break;
-	}
+	servers_remove_run(v, r, step_of(j, r->step));
 	slots_free(s->runs, r->self);
 }
 
@@ -260,8 +252,12 @@
 static void log_end(struct sched *s, const struct task_ref *ref,
 		    uint32_t number, enum batch_end how, const char *server)
 {
-	GString *pairs = g_string_new(NULL);
+	GString *pairs;
 
+	/* Failures explain why a job failed, and are rare. */
+	if (how == BATCH_END_DONE && !s->ops->admits_frequent_log(s->ctx))
+		return;
+	pairs = g_string_new(NULL);
 	log_pair(pairs, "job", ref->job->batch->id);
 	log_pair_int(pairs, "round", ref->occurrence);
 	log_pair_int(pairs, "step", ref->step);
@@ -316,7 +312,7 @@
 	if (batch_is_final(j->batch) && !was_final)
 		end_job(s, j, now);
 	sched_mark_changed(s, j, now);
-	sched_wake_pool(s, j->pool);
+	sched_job_waits(s, j);
 }
 
 /*
@@ -370,7 +366,7 @@
 		j->batch->running--;
 	}
 	sched_mark_changed(s, j, now);
-	sched_wake_pool(s, j->pool);
+	sched_job_waits(s, j);
 }
 
 static void log_refused(struct sched *s, const struct run *r,
@@ -556,7 +552,6 @@
 void runs_reconcile(struct sched *s, struct server *v,
 		    const struct order_reply *d, cs_time now)
 {
-	GHashTable *listed = g_hash_table_new(g_int64_hash, g_int64_equal);
 	guint i;
 
 	for (i = 0; i < d->runs->len; i++) {
@@ -566,7 +561,7 @@
 
 		if (r) {
 			update_run(s, r, reported, now);
-			g_hash_table_add(listed, &r->self);
+			r->listed_at = d->sent;
 		} else if (s->is_ready) {
 			adopt_or_stop(s, v, reported, now);
 		}
@@ -575,8 +570,7 @@
 		struct run *r =
 			run_row(s, g_array_index(v->runs, cs_handle, i));
 
-		if (r->sent_at >= d->sent ||
-		    g_hash_table_contains(listed, &r->self))
+		if (r->sent_at >= d->sent || r->listed_at == d->sent)
 			continue;
 		if (r->state == RUN_UNCONFIRMED && !r->stop_at &&
 		    r->start_unanswered_at <= d->sent)
@@ -586,11 +580,10 @@
 			i = v->runs->len; /* more than one may be removed */
 		}
 	}
-	g_hash_table_destroy(listed);
 }
 
 /* Adds an end to those to acknowledge once their batches are stored. */
-static void add_unstored_end(struct server *v, uint64_t number,
+static void add_unstored_end(struct sched *s, struct server *v, uint64_t number,
 			     const struct job *j)
 {
 	struct unstored_end u = { .number = number };
@@ -600,6 +593,7 @@
 		u.version = j->batch->version;
 	}
 	g_array_append_val(v->unstored, u);
+	servers_note_unstored(s, v);
 }
 
 static void handle_end(struct sched *s, struct server *v,
@@ -634,7 +628,7 @@
 		}
 		health_on_end(s, v, e->how, now);
 	}
-	add_unstored_end(v, e->number, j);
+	add_unstored_end(s, v, e->number, j);
 }
 
 void runs_handle_ends(struct sched *s, struct server *v,
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -15,6 +15,11 @@
  * ranking the jobs of a pool costs the same for one event as for many.
  */
 #define MIN_TURN_INTERVAL_US (4 * CS_MSEC)
+/*
+ * Added for each job that the last turn ranked, which takes a quarter of a
+ * microsecond: ranking a long backlog takes an eighth of a core at most.
+ */
+#define RANKED_JOB_PAUSE_US 2
 /* Interval of turns for decisions that depend on time alone. */
 #define PERIODIC_TURN_US (50 * CS_MSEC)
 /* Interval at which the expected run times of open jobs are refreshed. */
@@ -32,6 +37,8 @@
 
 	g_ptr_array_free(p->servers, TRUE);
 	g_ptr_array_free(p->jobs, TRUE);
+	g_ptr_array_free(p->waiting, TRUE);
+	room_index_destroy(p->room);
 	demand_destroy(p->arrivals);
 	g_free(p);
 }
@@ -87,6 +94,7 @@
 	s->estimates = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					     estimate_free);
 	s->ended_grants = g_ptr_array_new_with_free_func(g_free);
+	s->unstored_servers = g_array_new(FALSE, FALSE, sizeof(cs_handle));
 	s->hosts = hosts_create();
 	s->maintenance = maintenance_create(s);
 	s->balance = balance_create(s, now);
@@ -130,6 +138,7 @@
 	g_hash_table_destroy(s->allowed_cpu_left);
 	g_hash_table_destroy(s->predecessor_grants);
 	g_ptr_array_free(s->ended_grants, TRUE);
+	g_array_free(s->unstored_servers, TRUE);
 	g_queue_clear(&s->changed);
 	g_queue_clear(&s->final);
 	slots_destroy(s->servers);
@@ -149,7 +158,9 @@
 	p = g_new0(struct pool, 1);
 	cs_copy(p->name, sizeof(p->name), name);
 	p->servers = g_ptr_array_new();
+	p->room = room_index_create();
 	p->jobs = g_ptr_array_new();
+	p->waiting = g_ptr_array_new();
 	p->arrivals = demand_create();
 	g_hash_table_insert(s->pools, p->name, p);
 	return p;
@@ -182,6 +193,30 @@
 	return s->site ? site_find_queue(s->site, j->batch->queue) : NULL;
 }
 
+void sched_job_waits(struct sched *s, struct job *j)
+{
+	if (!j->pool || j->final_at)
+		return;
+	if (!j->is_waiting) {
+		j->is_waiting = true;
+		g_ptr_array_add(j->pool->waiting, j);
+	}
+	sched_wake_pool(s, j->pool);
+}
+
+/* Takes a job out of its pool, if it has one. */
+static void leave_pool(struct job *j)
+{
+	struct pool *p = j->pool;
+	struct job *last;
+
+	if (!p)
+		return;
+	last = g_ptr_array_index(p->jobs, p->jobs->len - 1);
+	last->pool_position = j->pool_position;
+	g_ptr_array_remove_index_fast(p->jobs, j->pool_position);
+}
+
 /* Adds a changed job to the list of jobs to store, and records its end. */
 void sched_mark_changed(struct sched *s, struct job *j, cs_time now)
 {
@@ -200,8 +235,15 @@
 		return;
 	j->final_at = now;
 	g_queue_push_tail(&s->final, GSIZE_TO_POINTER((gsize)j->self));
-	if (j->pool)
-		g_ptr_array_remove_fast(j->pool->jobs, j);
+	leave_pool(j);
+}
+
+/* Takes a job out of the waiting ones of its pool. */
+static void stop_waiting(struct job *j)
+{
+	if (j->is_waiting)
+		g_ptr_array_remove_fast(j->pool->waiting, j);
+	j->is_waiting = false;
 }
 
 /* Moves a job that is not final to the pool configured for its queue. */
@@ -215,10 +257,12 @@
 	p = sched_pool(s, q->pool);
 	if (p == j->pool)
 		return;
-	if (j->pool)
-		g_ptr_array_remove_fast(j->pool->jobs, j);
+	stop_waiting(j);
+	leave_pool(j);
 	j->pool = p;
+	j->pool_position = p->jobs->len;
 	g_ptr_array_add(p->jobs, j);
+	sched_job_waits(s, j);
 }
 
 /* Returns the run time estimate of a queue; creates it if necessary. */
@@ -458,8 +502,16 @@
 		maintenance_on_reply(s, d, now);
 		break;
 	}
-	if (v && d->type != ORDER_HOLD && d->type != ORDER_PACE)
-		sched_wake_pool(s, sched_pool(s, v->info.pool));
+}
+
+/* Adds the work of this turn to the counters. */
+static void count_work(struct sched *s)
+{
+	counters_add(s->counters, "camphorshed_ranked_jobs_total", "",
+		     s->ranked_jobs);
+	counters_add(s->counters, "camphorshed_examined_servers_total", "",
+		     s->examined_servers);
+	s->ranked_jobs = s->examined_servers = 0;
 }
 
 void sched_turn(struct sched *s, int64_t unix_ms, cs_time now)
@@ -467,7 +519,6 @@
 	if (!s->is_turn_due || now < s->next_turn_at)
 		return;
 	s->is_turn_due = false;
-	s->next_turn_at = now + MIN_TURN_INTERVAL_US;
 	s->unix_ms = unix_ms;
 	s->unix_at = now;
 	if (s->are_servers_due)
@@ -476,6 +527,9 @@
 	s->are_servers_due = false;
 	if (s->is_ready && !s->is_paused && !s->is_fenced)
 		assign_tasks(s, now);
+	s->next_turn_at = now + MIN_TURN_INTERVAL_US +
+			  s->ranked_jobs * RANKED_JOB_PAUSE_US;
+	count_work(s);
 }
 
 cs_time sched_next_turn(const struct sched *s)
@@ -513,15 +567,6 @@
 	return j ? j->stored_revision : 0;
 }
 
-/* Acknowledges the ends of stored jobs to their servers. */
-static void ack_stored_ends(struct sched *s, cs_time now)
-{
-	cs_handle h;
-
-	for (h = slots_next(s->servers, 0); h; h = slots_next(s->servers, h))
-		servers_ack_stored_ends(s, slots_get(s->servers, h), now);
-}
-
 void sched_batch_stored(struct sched *s, cs_handle h, uint32_t version,
 			uint64_t revision, cs_time now)
 {
@@ -539,7 +584,7 @@
 
 void sched_commit_finished(struct sched *s, cs_time now)
 {
-	ack_stored_ends(s, now);
+	servers_ack_stored_ends(s, now);
 }
 
 void sched_batch_store_failed(struct sched *s, cs_handle h, uint64_t revision)
@@ -573,6 +618,7 @@
 		return;
 	g_queue_remove(&s->final, GSIZE_TO_POINTER((gsize)h));
 	g_hash_table_remove(s->job_by_id, j->batch->id);
+	stop_waiting(j);
 	batch_destroy(j->batch);
 	slots_free(s->jobs, h);
 }
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -68,6 +68,8 @@
 	void (*send)(void *ctx, struct order *order);
 	/* Writes a line to the log; pairs are key=value. */
 	void (*log)(void *ctx, const char *event, const char *pairs);
+	/* False: a line that is written for each task is not to be written. */
+	bool (*admits_frequent_log)(void *ctx);
 	/* A server has seen a higher fencing token. */
 	void (*fenced)(void *ctx);
 	/*
--- a/src/sched/sched_private.h
+++ b/src/sched/sched_private.h
@@ -4,6 +4,7 @@
 #include "../base/slots.h"
 #include "demand.h"
 #include "estimate.h"
+#include "room_index.h"
 #include "sched.h"
 
 /* The scheduler's tables and internal functions, private to this folder. */
@@ -50,6 +51,7 @@
 	int64_t tail_ms_or_cpu; /* see struct order_run */
 	int pace; /* last ordered, percent */
 	bool is_pace_pending; /* a pace order has no reply yet */
+	cs_time listed_at; /* when the last list that shows it was sent */
 };
 
 /*
@@ -65,6 +67,7 @@
 struct server {
 	cs_handle self;
 	struct server_info info;
+	struct pool *pool;
 	bool is_listed; /* in the registry */
 	bool is_taken_over; /* has answered under this term's token */
 	bool is_granted; /* its grant is stored; see sched_take_grant() */
@@ -87,9 +90,14 @@
 	int unanswered_orders; /* orders without a reply since the last reply */
 	uint64_t last_end; /* highest number of an end that was handled */
 	GArray *unstored; /* struct unstored_end, oldest first */
-	/* Load. */
+	bool is_in_unstored_list; /* of struct sched */
+	/* Load; changed by servers_reserve(), servers_add_run(), _remove_run().
+	 */
 	struct site_resources used;
+	int64_t indexed_cpu; /* free CPU in the pool's room index */
 	GArray *runs; /* cs_handle */
+	int serving_runs, best_effort_runs;
+	int64_t long_running_cpu; /* thousandths of a core */
 	/* Health. */
 	int failed_in_row;
 	cs_time suspect_until;
@@ -115,6 +123,8 @@
 	cs_time objective_at; /* when the present occurrence should be done */
 	int64_t critical_path_ms; /* of the remaining steps */
 	cs_time final_at; /* 0: not final */
+	guint pool_position; /* in the pool's array of jobs */
+	bool is_waiting; /* in the pool's array of waiting jobs */
 	int first_open_occurrence; /* all earlier occurrences are done */
 };
 
@@ -137,7 +147,14 @@
 struct pool {
 	char name[CS_NAME_MAX];
 	GPtrArray *servers; /* struct server */
+	struct room_index *room; /* the same, by free CPU */
 	GPtrArray *jobs; /* struct job, not final */
+	/*
+	 * Jobs that may have a task to start, now or at a later time. A job
+	 * that only waits for its running tasks to end is not here, nor is one
+	 * whose end is recorded once assign_pool() has seen it.
+	 */
+	GPtrArray *waiting;
 	bool is_due; /* changed since the last turn */
 	int blocked[JOB_BLOCK_NR]; /* jobs by enum job_block */
 	struct demand *arrivals; /* of tasks that end by themselves */
@@ -170,12 +187,16 @@
 	/* Workspace -> CPU left of its limit; see pool_size_begin(). */
 	GHashTable *allowed_cpu_left;
 	GHashTable *estimates; /* queue -> struct estimate */
+	/* Work of the present turn: jobs ranked, servers examined for tasks. */
+	int64_t ranked_jobs, examined_servers;
 	cs_time expected_times_due_at; /* the next refresh from estimates */
 	/* Workspace -> struct site_resources reserved; see reserve.c. */
 	GHashTable *reserve;
 	/* Id -> pool, of servers that are not in the registry. */
 	GHashTable *predecessor_grants;
 	GPtrArray *ended_grants; /* identifiers to remove from the store */
+	bool are_grants_due; /* a server may need a grant */
+	GArray *unstored_servers; /* cs_handle: servers with unstored ends */
 	GQueue changed; /* handles of jobs, oldest change first */
 	GQueue final; /* handles of jobs, oldest end first */
 	struct hosts *hosts;
@@ -187,6 +208,8 @@
 
 /* sched.c */
 struct pool *sched_pool(struct sched *s, const char *name);
+/* Has the next turn look at the job: a task of it may be ready to start. */
+void sched_job_waits(struct sched *s, struct job *j);
 void sched_mark_changed(struct sched *s, struct job *j, cs_time now);
 void sched_wake(struct sched *s);
 void sched_wake_pool(struct sched *s, struct pool *p);
@@ -206,7 +229,18 @@
 /* Updates the clock reading and reachability from any reply. */
 void servers_on_reply(struct sched *s, struct server *v,
 		      const struct order_reply *d, cs_time now);
-void servers_ack_stored_ends(struct sched *s, struct server *v, cs_time now);
+/* Schedules holds that acknowledge the ends stored by now. */
+void servers_ack_stored_ends(struct sched *s, cs_time now);
+/* Reserves room on a server (sign 1), or releases it (sign -1). */
+void servers_reserve(struct server *v, struct site_resources need, int sign);
+/* Adds a run to those of its server and reserves its room. */
+void servers_add_run(struct server *v, const struct run *r,
+		     const struct batch_step *st);
+/* The reverse of servers_add_run(). */
+void servers_remove_run(struct server *v, const struct run *r,
+			const struct batch_step *st);
+/* Remembers to acknowledge the server's ends once they are stored. */
+void servers_note_unstored(struct sched *s, struct server *v);
 /* The deadline to send with an order, on the server's clock; 0: unknown. */
 int64_t servers_deadline(struct server *v, cs_time now);
 /* When all runs there have ended if the lease is not renewed again. */
@@ -253,15 +287,21 @@
 /* Stops a run that has no row. */
 void runs_stop_stray(struct sched *s, struct server *v, const char *task,
 		     uint32_t number, cs_time now);
+/* Number of runs of a step on a server. */
 int runs_of_step(const struct sched *s, const struct server *v,
 		 const struct job *j, int occurrence, int step);
 
 /* place.c: decisions, without side effects */
 bool place_is_usable(const struct sched *s, const struct server *v,
 		     cs_time now);
+/*
+ * The server with the lowest cost for a task, or NULL if none can take it. Adds
+ * the number of servers that were looked at to *examined.
+ */
 struct server *place_choose(const struct sched *s, const struct job *j,
 			    int occurrence, int step,
-			    const struct batch_task *t, cs_time now);
+			    const struct batch_task *t, cs_time now,
+			    int64_t *examined);
 /* What is left of the limit of the job's workspace; INT64_MAX: no limit. */
 struct site_resources place_headroom(const struct sched *s,
 				     const struct job *j);
--- a/src/sched/servers.c
+++ b/src/sched/servers.c
@@ -99,6 +99,70 @@
 	return n;
 }
 
+static struct room_row room_row_of(const struct server *v)
+{
+	return (struct room_row){ v->indexed_cpu, v->self };
+}
+
+/* Moves the server in its pool's index after a change of its free CPU. */
+static void update_room(struct server *v)
+{
+	int64_t free_cpu = v->info.capacity.cpu - v->used.cpu;
+
+	if (free_cpu == v->indexed_cpu)
+		return;
+	room_index_remove(v->pool->room, room_row_of(v));
+	v->indexed_cpu = free_cpu;
+	room_index_add(v->pool->room, room_row_of(v));
+}
+
+void servers_reserve(struct server *v, struct site_resources need, int sign)
+{
+	v->used = sign > 0 ? site_resources_add(v->used, need) :
+			     site_resources_sub(v->used, need);
+	update_room(v);
+}
+
+/* Counts a run of a step on its server, or takes it out (sign -1). */
+static void count_run(struct server *v, const struct run *r,
+		      const struct batch_step *st, int sign)
+{
+	v->serving_runs += sign * (st->tail_target_ms > 0);
+	v->best_effort_runs += sign * st->is_best_effort;
+	if (st->is_long_running)
+		v->long_running_cpu += sign * r->need.cpu;
+	servers_reserve(v, r->need, sign);
+}
+
+void servers_add_run(struct server *v, const struct run *r,
+		     const struct batch_step *st)
+{
+	g_array_append_val(v->runs, r->self);
+	count_run(v, r, st, 1);
+}
+
+void servers_remove_run(struct server *v, const struct run *r,
+			const struct batch_step *st)
+{
+	guint i;
+
+	for (i = 0; i < v->runs->len; i++) {
+		if (g_array_index(v->runs, cs_handle, i) != r->self)
+			continue;
+		g_array_remove_index_fast(v->runs, i);
+		break;
+	}
+	count_run(v, r, st, -1);
+}
+
+void servers_note_unstored(struct sched *s, struct server *v)
+{
+	if (v->is_in_unstored_list)
+		return;
+	v->is_in_unstored_list = true;
+	g_array_append_val(s->unstored_servers, v->self);
+}
+
 static void send_hold(struct sched *s, struct server *v, cs_time now)
 {
 	struct order *o = order_new(ORDER_HOLD);
@@ -305,12 +369,24 @@
 	servers_schedule_hold(s, v, next);
 }
 
-/* Schedules a hold to acknowledge ends once all their batches are stored. */
-void servers_ack_stored_ends(struct sched *s, struct server *v, cs_time now)
+/* A server leaves the list when all its ends are stored or acknowledged. */
+void servers_ack_stored_ends(struct sched *s, cs_time now)
 {
-	if (v->unstored->len && !v->is_hold_open &&
-	    count_stored_ends(s, v) == v->unstored->len)
-		servers_schedule_hold(s, v, now);
+	GArray *list = s->unstored_servers;
+	guint i;
+
+	for (i = list->len; i-- > 0;) {
+		struct server *v =
+			server_row(s, g_array_index(list, cs_handle, i));
+
+		if (v && count_stored_ends(s, v) < v->unstored->len)
+			continue;
+		if (v && v->unstored->len && !v->is_hold_open)
+			servers_schedule_hold(s, v, now);
+		if (v)
+			v->is_in_unstored_list = false;
+		g_array_remove_index_fast(list, i);
+	}
 }
 
 /*
@@ -355,8 +431,10 @@
 		v->predecessor_lease_end = s->options.predecessor_end;
 	}
 	g_hash_table_insert(s->server_by_id, v->info.id, v);
-	p = sched_pool(s, info->pool);
+	p = v->pool = sched_pool(s, info->pool);
 	g_ptr_array_add(p->servers, v);
+	v->indexed_cpu = v->info.capacity.cpu;
+	room_index_add(p->room, room_row_of(v));
 	retire_previous_incarnation(s, v, now);
 	servers_schedule_hold(s, v, now);
 	log_server(s, "server_listed", v, info->data_centre, now);
@@ -370,6 +448,7 @@
 	if (info->is_draining && !v->info.is_draining)
 		log_server(s, "server_draining", v, info->data_centre, now);
 	v->info.capacity = info->capacity;
+	update_room(v);
 	v->info.is_draining = info->is_draining;
 	v->info.remaining_ms = info->remaining_ms;
 	cs_copy(v->info.version, sizeof(v->info.version), info->version);
@@ -381,6 +460,7 @@
 {
 	struct server *v = g_hash_table_lookup(s->server_by_id, info->id);
 
+	s->are_grants_due = true;
 	if (!v) {
 		new_server(s, info, now);
 		sched_wake(s);
@@ -445,6 +525,8 @@
 {
 	cs_handle h;
 
+	if (!s->are_grants_due)
+		return 0;
 	for (h = slots_next(s->servers, 0); h; h = slots_next(s->servers, h)) {
 		struct server *v = server_row(s, h);
 
@@ -455,6 +537,7 @@
 		v->is_grant_pending = true;
 		return h;
 	}
+	s->are_grants_due = false;
 	return 0;
 }
 
@@ -475,7 +558,7 @@
 	if (!is_stored)
 		return;
 	v->is_granted = true;
-	sched_wake_pool(s, sched_pool(s, v->info.pool));
+	sched_wake_pool(s, v->pool);
 }
 
 void sched_ended_grants(const struct sched *s, GPtrArray *ids, guint max)
@@ -536,7 +619,8 @@
 	if (v->is_granted)
 		servers_end_grant(s, v->info.id);
 	timers_cancel(s->timers, v->hold_timer);
-	g_ptr_array_remove_fast(sched_pool(s, v->info.pool)->servers, v);
+	g_ptr_array_remove_fast(v->pool->servers, v);
+	room_index_remove(v->pool->room, room_row_of(v));
 	g_hash_table_remove(s->server_by_id, v->info.id);
 	g_array_free(v->runs, TRUE);
 	g_array_free(v->unstored, TRUE);
@@ -597,6 +681,7 @@
 	GHashTableIter it;
 	void *id;
 
+	s->are_grants_due = true;
 	for (h = slots_next(s->servers, 0); h; h = next) {
 		next = slots_next(s->servers, h);
 		check_server(s, server_row(s, h), now);
--- a/src/worker/worker_client.c
+++ b/src/worker/worker_client.c
@@ -513,7 +513,12 @@
 	client->http = NULL;
 }
 
-static const struct task_ops task_ops = { "worker", start, on_msg, stop };
+static const struct task_ops task_ops = {
+	.name = "worker",
+	.start = start,
+	.on_msg = on_msg,
+	.stop = stop,
+};
 
 struct worker_client *worker_client_create(
 	const struct worker_client_options *options, struct bus *bus,
--- a/tests/unit/test_base.c
+++ b/tests/unit/test_base.c
@@ -2,6 +2,7 @@
 
 #include <pthread.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "../../src/base/counters.h"
 #include "../../src/base/error.h"
@@ -170,8 +171,12 @@
 /* Guards against a lost wake-up when a post meets an emptied mailbox. */
 static void task_receives_every_message(void **state)
 {
-	static const struct task_ops ops = { "adder", adder_start, adder_on_msg,
-					     adder_stop };
+	static const struct task_ops ops = {
+		.name = "adder",
+		.start = adder_start,
+		.on_msg = adder_on_msg,
+		.stop = adder_stop,
+	};
 	struct adder a = { .lock = PTHREAD_MUTEX_INITIALIZER,
 			   .all = PTHREAD_COND_INITIALIZER };
 	struct mailbox *m = mailbox_create(16, ignore_item, NULL);
@@ -347,6 +352,43 @@
 	g_rand_free(rng);
 }
 
+/*
+ * Guards against lines of each task that crowd out the line that explains a
+ * failure: a quarter of a second's lines is kept for rarer ones.
+ */
+static void frequent_lines_leave_room(void **state)
+{
+	struct cs_error err = { 0 };
+	char text[65536];
+	int fd[2], i, admitted = 0;
+	struct log *log;
+	ssize_t n;
+
+	(void)state;
+	assert_int_equal(pipe(fd), 0);
+	log = log_create_bounded(LOG_INFO, fd[1], 40, &err);
+	assert_non_null(log);
+	/* The second may change once in between. */
+	for (i = 0; i < 1000; i++) {
+		if (!log_admits_frequent(log))
+			continue;
+		admitted++;
+		log_write(log, LOG_INFO, NULL, NULL, NULL, NULL,
+			  "event=frequent");
+	}
+	assert_in_range(admitted, 30, 60);
+	log_write(log, LOG_INFO, NULL, NULL, NULL, NULL, "event=rare");
+	n = read(fd[0], text, sizeof(text) - 1);
+	assert_true(n > 0);
+	text[n] = '\0';
+	assert_non_null(strstr(text, "event=rare"));
+	assert_non_null(strstr(text, "event=log_dropped"));
+	assert_non_null(strstr(text, " frequent="));
+	log_destroy(log);
+	close(fd[0]);
+	close(fd[1]);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -358,6 +400,7 @@
 		cmocka_unit_test(task_receives_every_message),
 		cmocka_unit_test(traceparent_is_checked),
 		cmocka_unit_test(log_values_are_quoted),
+		cmocka_unit_test(frequent_lines_leave_room),
 		cmocka_unit_test(histograms_add_up),
 		cmocka_unit_test(counters_render_sorted),
 		cmocka_unit_test(error_text_is_bounded),
--- /dev/null
+++ b/tests/unit/test_load.c
@@ -0,0 +1,168 @@
+#include "unit.h"
+
+#include "../../src/sched/room_index.h"
+#include "../world/world.h"
+
+/*
+ * Load at its worst: entries with a limited processor, replayed in virtual
+ * time. The work of a decision must not grow with the work that waits, or a
+ * short lack of processor feeds itself.
+ */
+
+#define SERVERS 500 /* per pool */
+#define POOLS 1
+#define STEP_MS 20
+
+/* Submits jobs of 8 tasks at a constant rate for some time, all pools alike. */
+static int submit(struct world *w, int jobs_per_s, int ms)
+{
+	struct world_job job = { .steps = 1,
+				 .width = 4,
+				 .work_ms = 800,
+				 .cpu = 16000,
+				 .unavailable_max = -1 };
+	int at, sent = 0, last = -1;
+
+	for (at = STEP_MS; at <= ms; at += STEP_MS) {
+		for (; sent < jobs_per_s * at / 1000; sent++) {
+			job.pool = sent % POOLS;
+			last = world_submit(w, 1 + sent % 2, &job);
+		}
+		world_run(w, STEP_MS);
+	}
+	return last;
+}
+
+static struct world *make_world(void)
+{
+	const struct world_options options = { .seed = 21,
+					       .nodes = 3,
+					       .servers = SERVERS,
+					       .pools = POOLS };
+	struct world *w = world_create(&options);
+
+	world_run(w, 4000);
+	assert_in_range(world_owner(w), 0, 2);
+	return w;
+}
+
+static void end_world(struct world *w)
+{
+	if (world_violation(w))
+		fail_msg("%s", world_violation(w));
+	world_destroy(w);
+}
+
+/*
+ * A pool of 500 servers runs 1,000 tasks, and six times as many wait. Each turn
+ * used to rank every job, and to look at every server for each task. Bounds: an
+ * eighth of a core for ranking, at 0.25 us a job, and servers in the order of
+ * the logarithm of the pool for each task.
+ */
+static void decisions_stay_cheap_with_a_backlog(void **state)
+{
+	const struct world_job job = { .steps = 1,
+				       .width = 1,
+				       .work_ms = 800,
+				       .cpu = 16000,
+				       .unavailable_max = -1 };
+	struct world *w = make_world();
+	int64_t ranked, examined, starts;
+	int owner = world_owner(w), i;
+
+	(void)state;
+	for (i = 0; i < 7000; i++)
+		world_submit(w, i % 3, &job);
+	world_run(w, 1500);
+	ranked = world_node_counter(w, owner, "camphorshed_ranked_jobs_total");
+	examined = world_node_counter(w, owner,
+				      "camphorshed_examined_servers_total");
+	starts = world_node_counter(w, owner, "camphorshed_task_starts_total");
+	world_run(w, 1000);
+	ranked = world_node_counter(w, owner, "camphorshed_ranked_jobs_total") -
+		 ranked;
+	examined = world_node_counter(w, owner,
+				      "camphorshed_examined_servers_total") -
+		   examined;
+	starts = world_node_counter(w, owner, "camphorshed_task_starts_total") -
+		 starts;
+	assert_in_range(starts, 1000, 1400);
+	assert_in_range(ranked, 0, 500000);
+	assert_in_range(examined, 0, 9 * starts);
+	world_run(w, 6000);
+	assert_int_equal(world_unfinished_jobs(w), 0);
+	end_world(w);
+}
+
+/*
+ * Half of the fleet's capacity, then 4 s of twice its capacity, then a half
+ * again. Guards against a backlog that slows the owner down and so never ends.
+ * When the backlog is gone, a job of 0.8 s must take at most 0.1 s longer than
+ * it runs.
+ */
+static void owner_recovers_from_overload(void **state)
+{
+	struct world *w = make_world();
+	int first, last, i, late = 0;
+
+	(void)state;
+	world_node_set_processor(w, world_owner(w), 200);
+	submit(w, 130, 3000);
+	submit(w, 500, 4000);
+	submit(w, 130, 9000);
+	first = world_job_count(w);
+	last = submit(w, 130, 2000);
+	world_run(w, 2000);
+	for (i = first; i <= last; i++)
+		late += world_job_duration_ms(w, i) < 0 ||
+			world_job_duration_ms(w, i) > 900;
+	assert_in_range(late, 0, (last - first) / 20);
+	end_world(w);
+}
+
+/* Rows stay sorted, and the first one with enough CPU is found. */
+static void room_index_finds_the_fullest_server(void **state)
+{
+	struct room_index *index = room_index_create();
+	GRand *rng = g_rand_new_with_seed(3);
+	int64_t free_cpu[200], cpu;
+	const struct room_row *row;
+	int i, k, expected;
+	guint first;
+
+	(void)state;
+	for (i = 0; i < 200; i++) {
+		free_cpu[i] = g_rand_int_range(rng, 0, 50);
+		room_index_add(index, (struct room_row){ free_cpu[i],
+							 (cs_handle)i + 1 });
+	}
+	for (i = 0; i < 2000; i++) {
+		k = g_rand_int_range(rng, 0, 200);
+		room_index_remove(index, (struct room_row){ free_cpu[k],
+							    (cs_handle)k + 1 });
+		free_cpu[k] = g_rand_int_range(rng, 0, 50);
+		room_index_add(index, (struct room_row){ free_cpu[k],
+							 (cs_handle)k + 1 });
+		cpu = g_rand_int_range(rng, 0, 51);
+		for (k = expected = 0; k < 200; k++)
+			expected += free_cpu[k] >= cpu;
+		first = room_index_first(index, cpu);
+		assert_int_equal(200 - first, expected);
+		row = room_index_at(index, first);
+		assert_true(!row || row->free_cpu >= cpu);
+	}
+	assert_null(room_index_at(index, 200));
+	g_rand_free(rng);
+	room_index_destroy(index);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(decisions_stay_cheap_with_a_backlog),
+		cmocka_unit_test(owner_recovers_from_overload),
+		cmocka_unit_test(room_index_finds_the_fullest_server),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -55,7 +55,45 @@
 	return UNIX_START_MS + w->now / 1000;
 }
 
-/* Runs what is due in an entry that is not paused; schedules its wake-up. */
+/*
+ * Processor time of an entry, from profiles of a site of 1,100 servers: of a
+ * message with its share of an HTTP exchange, and of the parts of a turn.
+ */
+#define MESSAGE_US 45
+#define TURN_US 20
+#define RANKED_JOB_NS 250
+#define EXAMINED_SERVER_NS 60
+
+static void charge(struct sim_node *n, int64_t us)
+{
+	if (!n->processor)
+		return;
+	n->busy_until =
+		MAX(n->busy_until, n->world->now) + us * 1000 / n->processor;
+}
+
+/* The work of the last turn, as the scheduler counts it. */
+static void charge_turn(struct sim_node *n)
+{
+	struct counters *c = node_counters(n->node);
+	int64_t jobs = counters_value(c, "camphorshed_ranked_jobs_total", "");
+	int64_t servers =
+		counters_value(c, "camphorshed_examined_servers_total", "");
+
+	charge(n, TURN_US + ((jobs - n->ranked_jobs) * RANKED_JOB_NS +
+			     (servers - n->examined_servers) *
+				     EXAMINED_SERVER_NS) /
+				    1000);
+	n->ranked_jobs = jobs;
+	n->examined_servers = servers;
+}
+
+static bool is_busy(const struct sim_node *n)
+{
+	return n->world->now < n->paused_until || n->world->now < n->busy_until;
+}
+
+/* Runs what is due in an entry that is not busy; schedules its wake-up. */
 static void advance_node(struct sim_node *n)
 {
 	struct world *w = n->world;
@@ -63,11 +101,15 @@
 
 	if (!n->node)
 		return;
-	if (w->now >= n->paused_until)
+	if (!is_busy(n)) {
 		node_turn(n->node, world_unix_ms(w), w->now);
+		charge_turn(n);
+	}
 	due = node_next_due(n->node);
 	if (due < n->paused_until)
 		due = n->paused_until;
+	if (due < n->busy_until)
+		due = n->busy_until;
 	if (due <= w->now)
 		due = w->now + 1;
 	timers_cancel(w->timers, n->wake_timer);
@@ -85,35 +127,86 @@
 	struct api_request *request;
 };
 
+static void delivery_free(void *row)
+{
+	struct delivery *d = row;
+
+	store_reply_free(d->store_reply);
+	order_reply_free(d->order_reply);
+	api_request_free(d->request);
+	g_free(d);
+}
+
+/* Passes a message to its entry, unless it was sent to an earlier one. */
+static void deliver(struct sim_node *n, struct delivery *d, cs_time now)
+{
+	if (n->node && n->generation == d->generation) {
+		if (d->store_reply)
+			node_store_reply(n->node, d->store_reply, now);
+		if (d->order_reply)
+			node_order_reply(n->node, d->order_reply, now);
+		if (d->request)
+			node_request(n->node, d->request, now);
+		d->request = NULL;
+		charge(n, MESSAGE_US);
+	}
+	delivery_free(d);
+}
+
+/* Messages that an entry takes from its mailbox before its next turn. */
+#define MAILBOX_BATCH 256
+
+static void on_mailbox(void *ctx, uint64_t arg, cs_time now)
+{
+	struct sim_node *n = ctx;
+	struct delivery *d;
+	int i;
+
+	(void)arg;
+	if (!g_queue_is_empty(&n->mailbox) && is_busy(n)) {
+		timers_subscribe(n->world->timers,
+				 MAX(n->paused_until, n->busy_until),
+				 on_mailbox, n, 0);
+		return;
+	}
+	for (i = 0; i < MAILBOX_BATCH && (d = g_queue_pop_head(&n->mailbox));
+	     i++)
+		deliver(n, d, now);
+	advance_node(n);
+	if (!g_queue_is_empty(&n->mailbox))
+		timers_subscribe(n->world->timers, MAX(now + 1, n->busy_until),
+				 on_mailbox, n, 0);
+}
+
+/*
+ * With a processor, messages are read when they arrive and wait in the mailbox
+ * until the entry has time.
+ */
 static void on_delivery(void *ctx, uint64_t arg, cs_time now)
 {
 	struct delivery *d = ctx;
 	struct sim_node *n = &d->world->nodes[d->node];
+	bool is_current = n->node && n->generation == d->generation;
 
 	(void)arg;
-	if (n->node && n->generation == d->generation &&
-	    now < n->paused_until) {
+	if (is_current && now < n->paused_until) {
 		timers_subscribe(d->world->timers, n->paused_until, on_delivery,
 				 d, 0);
 		return;
 	}
-	if (n->node && n->generation == d->generation) {
-		if (d->store_reply)
-			node_store_reply(n->node, d->store_reply, now);
-		if (d->order_reply) {
-			d->order_reply->received = now;
-			node_order_reply(n->node, d->order_reply, now);
-		}
-		if (d->request) {
-			node_request(n->node, d->request, now);
-			d->request = NULL;
-		}
-		advance_node(n);
+	if (d->order_reply)
+		d->order_reply->received = now;
+	if (is_current && n->processor) {
+		g_queue_push_tail(&n->mailbox, d);
+		if (g_queue_get_length(&n->mailbox) == 1)
+			timers_subscribe(d->world->timers,
+					 MAX(now, n->busy_until), on_mailbox, n,
+					 0);
+		return;
 	}
-	store_reply_free(d->store_reply);
-	order_reply_free(d->order_reply);
-	api_request_free(d->request);
-	g_free(d);
+	deliver(n, d, now);
+	if (is_current)
+		advance_node(n);
 }
 
 static struct delivery *new_delivery(struct world *w, int node,
@@ -208,8 +301,16 @@
 			(double)n->world->now / 1e6, n->index, event, pairs);
 }
 
+static bool admits_frequent_log(void *ctx)
+{
+	const struct sim_node *n = ctx;
+
+	return n->world->options.is_verbose;
+}
+
 static const struct node_ops node_ops = { sim_store_call, sim_server_order,
-					  on_reply, on_log };
+					  on_reply, on_log,
+					  admits_frequent_log };
 
 /* "VERSION POOLS LIMIT HOSTS_IN_STANDBY" */
 static struct site *read_site(GBytes *value, struct cs_error *err)
@@ -488,10 +589,19 @@
 	w->nodes[node].cpu_share = cpu_share;
 }
 
+void world_node_set_processor(struct world *w, int node, int share)
+{
+	w->nodes[node].processor = share;
+}
+
 void world_node_kill(struct world *w, int node)
 {
 	struct sim_node *n = &w->nodes[node];
 
+	g_queue_clear_full(&n->mailbox, delivery_free);
+	n->busy_until = 0;
+	n->ranked_jobs = n->examined_servers = 0;
+
 	timers_cancel(w->timers, n->wake_timer);
 	n->wake_timer = 0;
 	node_destroy(n->node);
@@ -545,6 +655,11 @@
 	return w->nodes[node].node != NULL;
 }
 
+int64_t world_node_counter(const struct world *w, int node, const char *name)
+{
+	return counters_value(node_counters(w->nodes[node].node), name, "");
+}
+
 int world_owner(const struct world *w)
 {
 	const struct sim_item *i =
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -39,6 +39,11 @@
 void world_node_start(struct world *world, int node);
 /* Takes effect at the next start of the entry; thousandths of a core. */
 void world_node_set_cpu_share(struct world *world, int node, int cpu_share);
+/*
+ * Charges the entry processor time for what it does from now on, so that it is
+ * late when it has too much to do. share: thousandths of a core; 0: no charge.
+ */
+void world_node_set_processor(struct world *world, int node, int share);
 void world_node_kill(struct world *world, int node);
 void world_node_drain(struct world *world, int node);
 void world_node_pause(struct world *world, int node, int64_t ms);
@@ -46,6 +51,9 @@
 void world_node_cut_server(struct world *world, int node, int server,
 			   bool is_cut);
 bool world_node_is_up(const struct world *world, int node);
+/* A counter of an entry that is up. */
+int64_t world_node_counter(const struct world *world, int node,
+			   const char *name);
 /* The entry named in the owner key of the store; -1: none. */
 int world_owner(const struct world *world);
 
--- a/tests/world/world_private.h
+++ b/tests/world/world_private.h
@@ -39,6 +39,11 @@
 	cs_handle wake_timer;
 	cs_time paused_until, last_fault_at;
 	int cpu_share;
+	/* With a processor, see world_node_set_processor(). */
+	int processor;
+	cs_time busy_until;
+	GQueue mailbox; /* struct delivery, oldest first */
+	int64_t ranked_jobs, examined_servers; /* charged so far */
 	bool is_cut_from_store;
 	bool *is_cut_from_server;
 };
