relay: other entries carry the owner's orders to the servers of a large fleet

Weighed: several owners (limits of workspaces would need permits between them, hosts that move two owners), fewer calls (the platform takes one start a call), and sharing the calls alone, which is what binds. Taken: the last. The owner's key in the store holds its address and a secret; entries connect to it with the handshake of src/peer.

--- a/src/base/http_client.c
+++ b/src/base/http_client.c
@@ -15,6 +15,7 @@
 
 #include "error.h"
 #include "slots.h"
+#include "socket.h"
 #include "task.h"
 
 /*
@@ -289,24 +290,15 @@
 }
 
 /*
- * Resets the connection. Otherwise the kernel keeps unsent bytes of an aborted
- * call during a network partition and delivers them after it. evhttp shuts a
- * socket down before it closes it, which keeps these bytes; connecting to
- * AF_UNSPEC resets the connection at once.
+ * Resets the connection, so that an aborted call is not delivered when a
+ * network partition heals. evhttp shuts a socket down before it closes it,
+ * which keeps the call's bytes.
  */
 static void reset_connection(const struct conn *conn)
 {
-	const struct linger at_once = { .l_onoff = 1, .l_linger = 0 };
-	const struct sockaddr none = { .sa_family = AF_UNSPEC };
-	evutil_socket_t fd = -1;
-
 	if (conn->evcon)
-		fd = bufferevent_getfd(
-			evhttp_connection_get_bufferevent(conn->evcon));
-	if (fd < 0)
-		return;
-	setsockopt(fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
-	(void)!connect(fd, &none, sizeof(none));
+		socket_reset(bufferevent_getfd(
+			evhttp_connection_get_bufferevent(conn->evcon)));
 }
 
 /*
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -2,6 +2,7 @@
 #define NODE_NODE_H
 
 #include "../base/counters.h"
+#include "../relay/contact.h"
 #include "../sched/sched.h"
 #include "../store/store.h"
 #include "api.h"
@@ -22,6 +23,8 @@
 	void (*order)(void *ctx, struct order *order);
 	void (*reply)(void *ctx, struct api_reply *reply);
 	void (*log)(void *ctx, const char *event, const char *pairs);
+	/* The owner is another one; it may be this entry. */
+	void (*owner_changed)(void *ctx, const struct relay_contact *owner);
 	/*
 	 * Asked before a line is formatted that is written for each task;
 	 * false: there are too many lines, and this one is not written.
@@ -50,8 +53,7 @@
 };
 
 struct node_options {
-	char name[CS_NAME_MAX];
-	uint64_t incarnation; /* differs between starts of one entry */
+	struct relay_contact contact; /* of this entry */
 	uint32_t seed;
 	int cpu_share; /* of this process, thousandths of a core; 0: unknown */
 	int64_t lease_min_ms; /* shortest lease that the store grants */
--- a/src/node/node_bus.c
+++ b/src/node/node_bus.c
@@ -51,6 +51,7 @@
 	[NODE_STORE_REPLY] = free_store_reply,
 	[NODE_ORDER] = free_order,
 	[NODE_ORDER_REPLY] = free_order_reply,
+	[NODE_OWNER] = g_free,
 	[NODE_METRICS] = metrics_free,
 };
 
--- a/src/node/node_core.c
+++ b/src/node/node_core.c
@@ -51,6 +51,14 @@
 	g_free(line);
 }
 
+static void emit_owner(void *ctx, const struct relay_contact *owner)
+{
+	struct node_core *c = ctx;
+
+	node_bus_post(c->bus, NODE_FLEET, NODE_OWNER,
+		      g_memdup2(owner, sizeof(*owner)));
+}
+
 static bool admits_frequent_log(void *ctx)
 {
 	struct node_core *c = ctx;
@@ -58,9 +66,10 @@
 	return log_admits_frequent(node_bus_log(c->bus));
 }
 
-static const struct node_ops node_ops = { emit_store_call, emit_order,
-					  emit_reply, emit_log,
-					  admits_frequent_log };
+static const struct node_ops node_ops = {
+	emit_store_call, emit_order, emit_reply,
+	emit_log,	 emit_owner, admits_frequent_log
+};
 
 static int64_t unix_now(void)
 {
--- a/src/node/ownership.c
+++ b/src/node/ownership.c
@@ -58,11 +58,10 @@
 
 static void start_attempt(struct node *n, cs_time now);
 
-/* "NAME INCARNATION", by which an entry recognizes its own key. */
+/* The key holds the contact of the owner, by which it knows its own key. */
 static char *owner_key_value(const struct node *n)
 {
-	return g_strdup_printf("%s %" PRIu64, n->options.name,
-			       n->options.incarnation);
+	return relay_contact_format(&n->options.contact);
 }
 
 static bool is_own_key(const struct node *n, const struct store_item *item)
@@ -187,6 +186,23 @@
 	node_log(n, event, pairs);
 }
 
+/* Tells who the owner is that wrote the key. */
+static void report_owner(struct node *n, const struct store_item *item)
+{
+	char *text = store_text(item->value);
+	struct relay_contact contact;
+	GString *pairs;
+
+	if (relay_contact_parse(text, &contact)) {
+		n->ops->owner_changed(n->ctx, &contact);
+	} else {
+		pairs = g_string_new(NULL);
+		log_pair_int(pairs, "revision", (int64_t)item->revision);
+		node_log(n, "owner_unreadable", pairs);
+	}
+	g_free(text);
+}
+
 /* Begins the term, as the key is now this entry's. */
 static void become_owner(struct node *n, uint64_t revision, cs_time sent,
 			 cs_time now)
@@ -197,6 +213,7 @@
 	n->owner.term = n->owner.acquiring_term;
 	n->owner.acquired_at = now;
 	n->owner.confirmed_at = 0;
+	n->ops->owner_changed(n->ctx, &n->options.contact);
 	owner_confirm(n, sent);
 	log_owner(n, "owner_taken", "nobody held the key");
 	counters_add(n->counters, "camphorshed_owner_terms_total", "", 1);
@@ -316,6 +333,8 @@
 	if (n->owner.state >= OWNER_LOADING &&
 	    item->revision > n->owner.key_revision)
 		owner_lost(n, "another entry wrote the key", now);
+	if (n->owner.state < OWNER_LOADING)
+		report_owner(n, item);
 	n->owner.is_key_present = true;
 }
 
--- a/src/node/term.c
+++ b/src/node/term.c
@@ -316,7 +316,7 @@
 	GHashTableIter it;
 	void *key;
 
-	cs_copy(o.holder, sizeof(o.holder), n->options.name);
+	cs_copy(o.holder, sizeof(o.holder), n->options.contact.name);
 	if (n->owner.term == 1)
 		o.predecessor_end = 0; /* the first owner has none */
 	n->sched = sched_create(&o, &sched_ops, n, n->timers, n->counters, now);
--- a/src/peer/peer_conn.c
+++ b/src/peer/peer_conn.c
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 
 #include "../base/error.h"
+#include "../base/socket.h"
 #include "peer_codec.h"
 #include "peer_frame.h"
 
@@ -262,6 +263,12 @@
 	evbuffer_write(out, bufferevent_getfd(conn->bev));
 }
 
+void peer_conn_reset(struct peer_conn *conn)
+{
+	if (conn->bev)
+		socket_reset(bufferevent_getfd(conn->bev));
+}
+
 void peer_conn_close(struct peer_conn *conn)
 {
 	if (conn->handshake_timer)
--- a/src/peer/peer_conn.h
+++ b/src/peer/peer_conn.h
@@ -78,6 +78,9 @@
  */
 void peer_conn_flush(struct peer_conn *conn);
 
+/* Resets the connection: what was not delivered never is. */
+void peer_conn_reset(struct peer_conn *conn);
+
 /* Closes the socket and frees the row. */
 void peer_conn_close(struct peer_conn *conn);
 
--- a/src/sched/sched_private.h
+++ b/src/sched/sched_private.h
@@ -85,19 +85,19 @@
 	cs_time predecessor_lease_end;
 	/* Holds. */
 	bool is_hold_open;
+	bool is_in_unstored_list; /* of struct sched */
 	cs_handle hold_timer;
 	cs_time answered_at;
 	int unanswered_orders; /* orders without a reply since the last reply */
 	uint64_t last_end; /* highest number of an end that was handled */
 	GArray *unstored; /* struct unstored_end, oldest first */
-	bool is_in_unstored_list; /* of struct sched */
 	/* Load; changed by servers_reserve(), servers_add_run(), _remove_run().
 	 */
 	struct site_resources used;
 	int64_t indexed_cpu; /* free CPU in the pool's room index */
 	GArray *runs; /* cs_handle */
-	int serving_runs, best_effort_runs;
 	int64_t long_running_cpu; /* thousandths of a core */
+	int serving_runs, best_effort_runs;
 	/* Health. */
 	int failed_in_row;
 	cs_time suspect_until;
--- a/src/settings/node_settings.c
+++ b/src/settings/node_settings.c
@@ -62,6 +62,13 @@
 	ADDRESS("address", FIELD(advisor_address), ""),
 };
 
+static const struct settings_key relay_keys[] = {
+	ADDRESS("listen", FIELD(relay_address), ""),
+	/* The host of an owner calls this many by itself at little cost. */
+	{ "direct_max", &settings_count, FIELD(relay_direct_max), 0, 1000000,
+	  "servers", "64" },
+};
+
 static const struct settings_key bound_keys[] = {
 	BOUND("holder_pause", FIELD(holder_pause_ms), 600000, "3s"),
 };
@@ -74,13 +81,14 @@
 static const struct settings_section sections[] = {
 	SECTION("node", node_keys),	  SECTION("front", front_keys),
 	SECTION("store", store_keys),	  SECTION("hosts", hosts_keys),
-	SECTION("advisor", advisor_keys), SECTION("bounds", bound_keys),
+	SECTION("advisor", advisor_keys), SECTION("relay", relay_keys),
+	SECTION("bounds", bound_keys),
 };
 
 static const struct settings_schema schema = {
 	sections,
 	G_N_ELEMENTS(sections),
-	"[node], [front], [store], [hosts], [advisor], [bounds]",
+	"[node], [front], [store], [hosts], [advisor], [relay], [bounds]",
 	false,
 	NULL,
 };
--- a/src/settings/node_settings.h
+++ b/src/settings/node_settings.h
@@ -14,6 +14,8 @@
 	char store_address[CS_ADDRESS_MAX];
 	char hosts_address[CS_ADDRESS_MAX]; /* "": no host service */
 	char advisor_address[CS_ADDRESS_MAX]; /* "": no advisor */
+	char relay_address[CS_ADDRESS_MAX]; /* "": no carriers */
+	int relay_direct_max; /* servers up to which none are needed */
 	enum log_level log_level;
 	int log_lines_max; /* per second */
 	int host_calls_per_1000s; /* to the host service, per 1,000 s */
--- a/tests/process/test_node.sh
+++ b/tests/process/test_node.sh
@@ -41,7 +41,7 @@
 # start_node N: starts an entry; sets FRONT_N, READY_N, METRICS_N and PID_N. A
 # restarted entry keeps its ports.
 start_node() {
-	eval "front=\${FRONT_$1:-$(free_port)} ready=\${READY_$1:-$(free_port)} metrics=\${METRICS_$1:-$(free_port)}"
+	eval "front=\${FRONT_$1:-$(free_port)} ready=\${READY_$1:-$(free_port)} metrics=\${METRICS_$1:-$(free_port)} relay=\${RELAY_$1:-$(free_port)}"
 	cat >"$DIR/node$1.ini" <<-END
 	[node]
 	name = node$1
@@ -54,9 +54,12 @@
 	address = $PLATFORM
 	[hosts]
 	address = $PLATFORM
+	[relay]
+	listen = 127.0.0.1:$relay
+	direct_max = 0
 	END
 	"$BIN" node -c "$DIR/node$1.ini" >>"$DIR/node$1.log" 2>&1 &
-	eval "FRONT_$1=$front READY_$1=$ready METRICS_$1=$metrics PID_$1=$!"
+	eval "FRONT_$1=$front READY_$1=$ready METRICS_$1=$metrics RELAY_$1=$relay PID_$1=$!"
 	pids="$pids $!"
 }
 
@@ -97,6 +100,8 @@
 for i in 1 2 3; do check "entry $i becomes ready" wait_for 10 is_ready $i; done
 has_owner() { [ "$(owner)" != null ]; }
 check "one entry becomes the owner" wait_for 10 has_owner
+has_carriers() { [ "$(grep -h "event=relay_up" "$DIR"/node?.log | grep -c role=carrier)" = 2 ]; }
+check "the other entries are ready to carry its orders" wait_for 5 has_carriers
 
 check "a job is accepted" starts_with "$(submit 1 00000000000000a1)" 200
 check "the same job again is accepted" starts_with "$(submit 2 00000000000000a1)" 200
--- a/tests/soak/node_soak.py
+++ b/tests/soak/node_soak.py
@@ -111,7 +111,8 @@
 
     def __init__(self, soak, index):
         self.soak, self.index, self.process = soak, index, None
-        self.front, self.ready, self.metrics = (free_port() for _ in range(3))
+        self.front, self.ready, self.metrics, self.relay = (
+            free_port() for _ in range(4))
         self.proxy = Proxy(soak.platform)
         self.last_fault_at = 0.0
 
@@ -124,6 +125,10 @@
                     "[store]\naddress = %s\n[hosts]\naddress = %s\n" % (
                         self.index, self.front, self.ready, self.metrics,
                         self.proxy.address, self.proxy.address))
+            # With an even seed other entries carry the owner's orders.
+            if self.soak.seed % 2 == 0:
+                f.write("[relay]\nlisten = 127.0.0.1:%d\ndirect_max = 0\n" %
+                        self.relay)
 
     def start(self):
         if self.process and self.process.poll() is None:
@@ -152,6 +157,7 @@
         self.binary, self.seconds = binary, seconds
         self.rng = random.Random(seed)
         self.dir = tempfile.mkdtemp(prefix="node-soak-")
+        self.seed = seed
         self.violations, self.jobs = [], {}
         self.counts = {}
         self.is_settling = False
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -301,6 +301,12 @@
 			(double)n->world->now / 1e6, n->index, event, pairs);
 }
 
+static void on_owner_changed(void *ctx, const struct relay_contact *owner)
+{
+	(void)ctx;
+	(void)owner;
+}
+
 static bool admits_frequent_log(void *ctx)
 {
 	const struct sim_node *n = ctx;
@@ -308,9 +314,10 @@
 	return n->world->options.is_verbose;
 }
 
-static const struct node_ops node_ops = { sim_store_call, sim_server_order,
-					  on_reply, on_log,
-					  admits_frequent_log };
+static const struct node_ops node_ops = {
+	sim_store_call, sim_server_order, on_reply,
+	on_log,		on_owner_changed, admits_frequent_log
+};
 
 /* "VERSION POOLS LIMIT HOSTS_IN_STANDBY" */
 static struct site *read_site(GBytes *value, struct cs_error *err)
@@ -576,8 +583,8 @@
 	n->generation++;
 	n->last_fault_at = w->now;
 	n->paused_until = 0;
-	snprintf(o.name, sizeof(o.name), "node%d", node);
-	o.incarnation = n->generation;
+	snprintf(o.contact.name, sizeof(o.contact.name), "node%d", node);
+	o.contact.incarnation = n->generation;
 	o.seed = g_rand_int(w->rng);
 	n->node = node_create(&o, &node_ops, n, &formats);
 	node_start(n->node, world_unix_ms(w), w->now);
