platform: leave out odd records of servers, and numbers out of range

Cause: read_server() accepted any address, any capacity and any time. A record with port 65536 was called for ever without being sent; one with a capacity of 9e18 counted in the mean size of the servers of its pool, so the pool needed next to none. A real number became an integer by a cast that is undefined out of range and differs between x86-64 and arm64; run numbers of 2^32 + 2 became 2. One item of a list whose value is no text read as deleted.

--- a/tests/fuzz/fuzz.h
+++ b/tests/fuzz/fuzz.h
@@ -27,6 +27,12 @@
 extern const struct fuzz_target fuzz_claim_map;
 extern const struct fuzz_target fuzz_long_record;
 extern const struct fuzz_target fuzz_host_record;
+extern const struct fuzz_target fuzz_server_record;
+extern const struct fuzz_target fuzz_operator_record;
+extern const struct fuzz_target fuzz_order_reply;
+extern const struct fuzz_target fuzz_store_reply;
+extern const struct fuzz_target fuzz_job;
+extern const struct fuzz_target fuzz_relay;
 
 /* Aborts, so that libFuzzer reports the input, if a property does not hold. */
 void fuzz_require(bool holds, const char *property);
--- a/tests/fuzz/fuzz_main.c
+++ b/tests/fuzz/fuzz_main.c
@@ -12,9 +12,23 @@
  */
 
 static const struct fuzz_target *const targets[] = {
-	&fuzz_settings,	 &fuzz_document_ini, &fuzz_document_json, &fuzz_changes,
-	&fuzz_peer,	 &fuzz_front,	     &fuzz_admin,	  &fuzz_ledger,
-	&fuzz_claim_map, &fuzz_long_record,  &fuzz_host_record,
+	&fuzz_settings,
+	&fuzz_document_ini,
+	&fuzz_document_json,
+	&fuzz_changes,
+	&fuzz_peer,
+	&fuzz_front,
+	&fuzz_admin,
+	&fuzz_ledger,
+	&fuzz_claim_map,
+	&fuzz_long_record,
+	&fuzz_host_record,
+	&fuzz_server_record,
+	&fuzz_operator_record,
+	&fuzz_order_reply,
+	&fuzz_store_reply,
+	&fuzz_job,
+	&fuzz_relay,
 };
 
 static const struct fuzz_target *target;
--- a/tests/fuzz/test_fuzz.sh
+++ b/tests/fuzz/test_fuzz.sh
@@ -4,5 +4,5 @@
 set -eu
 cd "$(dirname "$0")/../.."
 make -s -j"$(nproc)" VARIANT=fuzz build/fuzz/camphorshed-fuzz
-# 11 targets of at most 4 s each stay under a minute.
+# 17 targets of at most 4 s each take little more than a minute.
 tests/fuzz/run.sh 20000 4
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -143,6 +143,114 @@
 	g_bytes_unref(value);
 }
 
+/*
+ * Another writer left one odd record among those of the servers. It must be
+ * left out: its numbers would count in the size of its pool, and a call to an
+ * address without a valid port fails forever.
+ */
+static void odd_server_record_is_left_out(void **state)
+{
+	static const char *const format =
+		"{\"service\":\"p\",\"address\":\"%s\",\"zone\":\"z\","
+		"\"state\":\"ready\",\"born\":%s,"
+		"\"freeCapacity\":{\"cpu\":%s,\"memMb\":%s}}";
+	static const struct {
+		const char *address, *born, *cpu, *memory;
+	} odd[] = {
+		{ "10.0.0.9:65536", "5", "16000", "64" },
+		{ "10.0.0.9:0", "5", "16000", "64" },
+		{ "10.0.0.9:-1", "5", "16000", "64" },
+		{ "10.0.0.9", "5", "16000", "64" },
+		{ "host:80", "5", "16000", "64" },
+		{ "10.0.0.9:80", "5", "9000000000000000000", "64" },
+		{ "10.0.0.9:80", "5", "99999999999999999999999", "64" },
+		{ "10.0.0.9:80", "5", "0", "64" },
+		{ "10.0.0.9:80", "5", "-5", "64" },
+		{ "10.0.0.9:80", "5", "16000", "1e300" },
+		{ "10.0.0.9:80", "5", "16000", "-1" },
+		{ "10.0.0.9:80", "5", "16000", "1e999" },
+	};
+	struct server_info info = { 0 };
+	GString *deep = g_string_new("{\"service\":");
+	GBytes *value;
+	char *s;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(odd); i++) {
+		s = g_strdup_printf(format, odd[i].address, odd[i].born,
+				    odd[i].cpu, odd[i].memory);
+		value = text(s);
+		if (wire_formats.read_server("i-1", value, &info))
+			fail_msg("accepted: %s", s);
+		g_bytes_unref(value);
+		g_free(s);
+	}
+	s = g_strdup_printf(format, "10.0.0.9:80", "-7", "16000", "64");
+	value = text(s);
+	assert_true(wire_formats.read_server("i-1", value, &info));
+	assert_int_equal(info.started_unix_ms, 0);
+	g_bytes_unref(value);
+	g_free(s);
+	for (i = 0; i < 300000; i++)
+		g_string_append_c(deep, '[');
+	value = text(deep->str);
+	assert_false(wire_formats.read_server("i-1", value, &info));
+	g_bytes_unref(value);
+	g_string_free(deep, TRUE);
+}
+
+/*
+ * One item of a list whose value is no text must not hide the others, nor stop
+ * the list from being followed.
+ */
+static void odd_item_does_not_hide_others(void **state)
+{
+	struct store_call *c = store_call_new(STORE_LIST, "servers/", 100);
+	struct http_client_response a = answered(
+		200, "{\"at\":9,\"items\":["
+		     "{\"key\":\"servers/a\",\"value\":[[1]],\"revision\":3},"
+		     "{\"key\":\"servers/b\",\"value\":\"e30=\",\"revision\":4}"
+		     "]}");
+	struct store_reply *d = wire_store_decode(c, &a);
+	const struct store_item *item;
+
+	(void)state;
+	assert_int_equal(d->result, STORE_OK);
+	assert_int_equal(d->items->len, 2);
+	item = g_ptr_array_index(d->items, 0);
+	assert_int_equal(g_bytes_get_size(item->value), 0);
+	item = g_ptr_array_index(d->items, 1);
+	assert_int_equal(g_bytes_get_size(item->value), 2);
+	store_reply_free(d);
+	store_call_free(c);
+	g_bytes_unref(a.body);
+}
+
+/* Numbers outside the range of a field must not become other numbers. */
+static void numbers_out_of_range_are_refused(void **state)
+{
+	struct order *o = order_new(ORDER_HOLD);
+	struct http_client_response a = answered(
+		200, "{\"clockMs\":1e300,\"running\":"
+		     "[[\"5c0e7a21d94b36f8.0.1.17\",4294967298,\"c\",41,7],"
+		     "[\"5c0e7a21d94b36f8.0.1.18\",2,\"c\",1e300,-1e300]],"
+		     "\"finished\":[[-1,\"5c0e7a21d94b36f8.0.1.9\",1,"
+		     "\"done\",\"\"],[59,\"5c0e7a21d94b36f8.0.1.9\",-1,"
+		     "\"done\",\"\"]]}");
+	struct order_reply *d = wire_order_decode(o, &a, 1, 2);
+	const struct order_run *r = g_ptr_array_index(d->runs, 0);
+
+	(void)state;
+	assert_int_equal(d->runs->len, 1);
+	assert_int_equal(r->run, 2);
+	assert_int_equal(r->percent, 100);
+	assert_int_equal(d->ends->len, 0);
+	order_reply_free(d);
+	order_free(o);
+	g_bytes_unref(a.body);
+}
+
 /* A malformed record in the store must not yield a server. */
 static void server_records_are_checked(void **state)
 {
@@ -356,6 +464,9 @@
 		cmocka_unit_test(unreadable_jobs_are_refused),
 		cmocka_unit_test(configuration_is_read),
 		cmocka_unit_test(server_records_are_checked),
+		cmocka_unit_test(odd_server_record_is_left_out),
+		cmocka_unit_test(odd_item_does_not_hide_others),
+		cmocka_unit_test(numbers_out_of_range_are_refused),
 		cmocka_unit_test(statuses_map_to_results),
 		cmocka_unit_test(holds_are_read),
 		cmocka_unit_test(orders_are_written),
