sched: limit the starts without a reply; relay: carriers by pool

Payloads of a job still crossed most carriers' connections, as the servers of a pool were spread over all of them.

--- a/src/relay/relay_hub.c
+++ b/src/relay/relay_hub.c
@@ -200,7 +200,8 @@
 
 	if (!r->is_hub || !is_to_server(order))
 		return false;
-	conn = slots_get(r->conns, routes_find(r->routes, order->server, now));
+	conn = slots_get(r->conns, routes_find(r->routes, order->server,
+					       order->pool, now));
 	if (!conn)
 		return false;
 	msg.call = slots_alloc(r->calls, (void **)&c);
--- a/src/relay/routes.c
+++ b/src/relay/routes.c
@@ -1,6 +1,9 @@
 #include "routes.h"
 
 #include <glib.h>
+#include <string.h>
+
+#include "../base/error.h"
 
 /*
  * Servers that an entry with a whole core carries. A server with runs needs
@@ -16,11 +19,13 @@
 	cs_handle self;
 	int capacity; /* servers */
 	int load; /* servers */
+	char pool[CS_NAME_MAX]; /* of the first of these servers */
 };
 
 struct route {
 	cs_handle server;
 	cs_handle carrier; /* 0: none */
+	char pool[CS_NAME_MAX];
 	cs_time used_at;
 	cs_time direct_until;
 };
@@ -76,8 +81,10 @@
 		c->load--;
 	route->carrier = carrier;
 	c = find_carrier(r, carrier);
-	if (c)
-		c->load++;
+	if (!c)
+		return;
+	if (!c->load++)
+		cs_copy(c->pool, sizeof(c->pool), route->pool);
 }
 
 void routes_clear(struct routes *r)
@@ -123,42 +130,73 @@
 	return c ? c->load : 0;
 }
 
+/* Servers that carriers call. */
+static int carried_servers(const struct routes *r)
+{
+	int n = 0;
+	guint i;
+
+	for (i = 0; i < r->carriers->len; i++)
+		n += carrier_at(r, i)->load;
+	return n;
+}
+
+/*
+ * Rank of a carrier for a server of a pool, the lowest first: one of the pool
+ * with room, an unused one, any other with room, a full one.
+ */
+static int rank_carrier(const struct carrier *c, const char *pool)
+{
+	if (c->load >= c->capacity)
+		return 3;
+	if (!c->load)
+		return 1;
+	return strcmp(c->pool, pool) ? 2 : 0;
+}
+
 /*
- * The first carrier with room, in the order of their capacity, so that the
- * smaller ones stay unused. If all are full, the one with the lowest share of
- * its capacity in excess.
+ * The carriers in the order of their capacity, as many as the servers need, so
+ * that the smaller ones stay unused. If all are full, the one with the lowest
+ * share of its capacity in excess.
  */
-static cs_handle choose_carrier(const struct routes *r)
+static cs_handle choose_carrier(const struct routes *r, const char *pool)
 {
 	const struct carrier *best = NULL;
+	int needed = carried_servers(r) + 1, rank, best_rank = 0;
 	guint i;
 
-	for (i = 0; i < r->carriers->len; i++) {
+	for (i = 0; i < r->carriers->len && needed > 0; i++) {
 		const struct carrier *c = carrier_at(r, i);
 
-		if (c->load < c->capacity)
-			return c->self;
-		if (!best || (int64_t)c->load * best->capacity <
-				     (int64_t)best->load * c->capacity)
+		needed -= c->capacity;
+		rank = rank_carrier(c, pool);
+		if (!best || rank < best_rank ||
+		    (rank == best_rank &&
+		     (int64_t)c->load * best->capacity <
+			     (int64_t)best->load * c->capacity)) {
 			best = c;
+			best_rank = rank;
+		}
 	}
 	return best ? best->self : 0;
 }
 
-cs_handle routes_find(struct routes *r, cs_handle server, cs_time now)
+cs_handle routes_find(struct routes *r, cs_handle server, const char *pool,
+		      cs_time now)
 {
 	struct route *route = g_hash_table_lookup(r->servers, &server);
 
 	if (!route) {
 		route = g_new0(struct route, 1);
 		route->server = server;
+		cs_copy(route->pool, sizeof(route->pool), pool);
 		g_hash_table_insert(r->servers, &route->server, route);
 	}
 	route->used_at = now;
 	if (g_hash_table_size(r->servers) <= (guint)r->direct_max)
 		set_carrier(r, route, 0);
 	else if (!route->carrier && now >= route->direct_until)
-		set_carrier(r, route, choose_carrier(r));
+		set_carrier(r, route, choose_carrier(r, pool));
 	return route->carrier;
 }
 
--- a/src/relay/routes.h
+++ b/src/relay/routes.h
@@ -25,8 +25,13 @@
 /* Number of servers that a carrier calls. */
 int routes_load(const struct routes *routes, cs_handle carrier);
 
-/* The carrier for an order to a server; 0: call it directly. */
-cs_handle routes_find(struct routes *routes, cs_handle server, cs_time now);
+/*
+ * The carrier for an order to a server of a pool; 0: call it directly. Servers
+ * of one pool share carriers as far as possible, since a job runs in one pool
+ * and its payload crosses each connection once.
+ */
+cs_handle routes_find(struct routes *routes, cs_handle server, const char *pool,
+		      cs_time now);
 /*
  * The server did not answer through its carrier: it is called directly for some
  * time, as one of the two may be cut off from the other.
--- a/src/sched/assign.c
+++ b/src/sched/assign.c
@@ -301,7 +301,8 @@
 
 void assign_tasks(struct sched *s, cs_time now)
 {
-	int left = STARTS_MAX;
+	int room = start_window_size(&s->start_window) - s->unanswered_starts;
+	int left = MIN(STARTS_MAX, room);
 	GHashTableIter it;
 	void *row;
 
@@ -316,5 +317,6 @@
 		left -= assign_pool(s, p, now, left);
 	}
 	s->are_pools_due = left <= 0;
-	s->is_turn_due |= s->are_pools_due;
+	/* If it is the window that is full, the next reply makes a turn due. */
+	s->is_turn_due |= s->are_pools_due && room > STARTS_MAX;
 }
--- a/src/sched/order.h
+++ b/src/sched/order.h
@@ -53,6 +53,7 @@
 	cs_handle server; /* returned with the reply; 0: none */
 	char address[CS_ADDRESS_MAX];
 	char instance[CS_NAME_MAX]; /* the incarnation that is addressed */
+	char pool[CS_NAME_MAX]; /* of the server; of a move: its destination */
 	uint64_t token; /* fencing token of the owner */
 	int64_t deadline_ms; /* lease end, server's clock; 0: unchanged */
 	int64_t timeout_ms; /* for the reply */
@@ -72,7 +73,6 @@
 	GPtrArray *servers; /* names */
 	/* hosts */
 	char host[CS_NAME_MAX];
-	char pool[CS_NAME_MAX];
 	char holder[CS_NAME_MAX]; /* the entry that sends orders to hosts */
 	uint64_t wave;
 	char *page; /* page token of the host list; NULL: the first page */
--- a/src/sched/pacing.c
+++ b/src/sched/pacing.c
@@ -53,6 +53,7 @@
 	o->ref = r->self;
 	cs_copy(o->address, sizeof(o->address), v->info.address);
 	cs_copy(o->instance, sizeof(o->instance), v->info.id);
+	cs_copy(o->pool, sizeof(o->pool), v->info.pool);
 	o->token = s->options.token;
 	o->timeout_ms = ORDER_TIMEOUT_MS;
 	o->run = r->number;
--- a/src/sched/runs.c
+++ b/src/sched/runs.c
@@ -49,6 +49,14 @@
 			   site_resources_sub(*used, need);
 }
 
+/* Counts the starts that have no reply yet. */
+static void set_state(struct sched *s, struct run *r, enum run_state state)
+{
+	s->unanswered_starts +=
+		(state == RUN_STARTING) - (r->state == RUN_STARTING);
+	r->state = state;
+}
+
 static struct batch_task *task_of(const struct task_ref *ref)
 {
 	return batch_find_task(ref->job->batch, ref->occurrence, ref->step,
@@ -68,6 +76,7 @@
 	if (!h)
 		return NULL;
 	r->self = h;
+	r->state = RUN_ACTIVE;
 	r->job = j->self;
 	r->server = v->self;
 	r->occurrence = ref->occurrence;
@@ -93,6 +102,7 @@
 	o->server = v->self;
 	cs_copy(o->address, sizeof(o->address), v->info.address);
 	cs_copy(o->instance, sizeof(o->instance), v->info.id);
+	cs_copy(o->pool, sizeof(o->pool), v->info.pool);
 	o->token = s->options.token;
 	o->timeout_ms = ORDER_TIMEOUT_MS;
 	return o;
@@ -112,7 +122,7 @@
 	if (is_first)
 		counters_observe(s->counters, "camphorshed_job_wait_seconds",
 				 "", now - ref->job->submitted);
-	r->state = RUN_STARTING;
+	set_state(s, r, RUN_STARTING);
 	r->was_started_in_term = true;
 	o = new_order(s, ORDER_START, v);
 	o->timeout_ms = START_TIMEOUT_MS;
@@ -140,7 +150,6 @@
 
 	if (!r)
 		return NULL;
-	r->state = RUN_ACTIVE;
 	r->start_confirmed_at = now;
 	pairs = g_string_new(NULL);
 	log_pair(pairs, "job", ref->job->batch->id);
@@ -175,7 +184,7 @@
 			     1);
 	}
 	if (r->state != RUN_UNCONFIRMED && r->state != RUN_STARTING)
-		r->state = RUN_STOPPING;
+		set_state(s, r, RUN_STOPPING);
 	r->stop_at = now;
 	o = new_order(s, ORDER_STOP, v);
 	o->ref = r->self;
@@ -231,6 +240,7 @@
 		t->run_row = 0;
 	charge_usage(s, j, step_of(j, r->step)->need, -1);
 	servers_remove_run(v, r, step_of(j, r->step));
+	set_state(s, r, RUN_ACTIVE);
 	slots_free(s->runs, r->self);
 }
 
@@ -418,18 +428,22 @@
 {
 	struct run *r = run_row(s, d->ref);
 
+	if (d->result != ORDER_NOT_SENT)
+		start_window_on_reply(&s->start_window, now - d->sent, now);
+	/* Of pools that wait for room in the window. */
+	s->is_turn_due |= s->are_pools_due;
 	if (!r)
 		return;
 	if (d->result == ORDER_DONE) {
 		r->start_confirmed_at = now;
 		if (r->state == RUN_STARTING)
-			r->state = r->stop_at ? RUN_STOPPING : RUN_ACTIVE;
+			set_state(s, r, r->stop_at ? RUN_STOPPING : RUN_ACTIVE);
 		return;
 	}
 	log_refused(s, r, v, d);
 	if (d->result == ORDER_UNKNOWN) {
 		/* Often it is running, and the list has it. */
-		r->state = RUN_UNCONFIRMED;
+		set_state(s, r, RUN_UNCONFIRMED);
 		r->start_unanswered_at = now;
 		servers_list_runs(s, v);
 		return;
@@ -471,7 +485,7 @@
 		batch_find_task(j->batch, r->occurrence, r->step, r->index);
 
 	if (r->state == RUN_STARTING || r->state == RUN_UNCONFIRMED) {
-		r->state = r->stop_at ? RUN_STOPPING : RUN_ACTIVE;
+		set_state(s, r, r->stop_at ? RUN_STOPPING : RUN_ACTIVE);
 		r->start_confirmed_at = now;
 	}
 	if (reported->percent == 100 && r->percent != 100)
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -72,6 +72,7 @@
 	s->timers = timers;
 	s->counters = counters;
 	s->started_at = now;
+	start_window_init(&s->start_window);
 	s->servers = slots_create(sizeof(struct server), SERVERS_MAX);
 	s->jobs = slots_create(sizeof(struct job), JOBS_MAX);
 	s->runs = slots_create(sizeof(struct run), RUNS_MAX);
--- a/src/sched/sched_private.h
+++ b/src/sched/sched_private.h
@@ -6,6 +6,7 @@
 #include "estimate.h"
 #include "room_index.h"
 #include "sched.h"
+#include "start_window.h"
 
 /* The scheduler's tables and internal functions, private to this folder. */
 
@@ -192,6 +193,8 @@
 	/* Workspace -> CPU left of its limit; see pool_size_begin(). */
 	GHashTable *allowed_cpu_left;
 	GHashTable *estimates; /* queue -> struct estimate */
+	struct start_window start_window;
+	int unanswered_starts; /* runs in state RUN_STARTING */
 	/* Work of the present turn: jobs ranked, servers examined for tasks. */
 	int64_t ranked_jobs, examined_servers;
 	cs_time expected_times_due_at; /* the next refresh from estimates */
--- a/src/sched/servers.c
+++ b/src/sched/servers.c
@@ -173,6 +173,7 @@
 	o->server = v->self;
 	cs_copy(o->address, sizeof(o->address), v->info.address);
 	cs_copy(o->instance, sizeof(o->instance), v->info.id);
+	cs_copy(o->pool, sizeof(o->pool), v->info.pool);
 	o->token = s->options.token;
 	o->acked_end = v->unstored->len ? g_array_index(v->unstored,
 							struct unstored_end, 0)
--- a/tests/unit/test_load.c
+++ b/tests/unit/test_load.c
@@ -1,6 +1,7 @@
 #include "unit.h"
 
 #include "../../src/sched/room_index.h"
+#include "../../src/sched/start_window.h"
 #include "../world/world.h"
 
 /*
@@ -156,11 +157,53 @@
 	room_index_destroy(index);
 }
 
+/*
+ * A link that carries 200 starts a second, offered all the time. Without a
+ * window the queue grew until renewals of leases, which may take 0.5 s, waited
+ * in it. With a twentieth of the starts unanswered nothing must change.
+ */
+static void start_window_bounds_the_queue(void **state)
+{
+	struct start_window w;
+	double queue = 0, unanswered = 0, worst = 0, carried = 0;
+	cs_time now;
+	int i;
+
+	(void)state;
+	start_window_init(&w);
+	for (now = CS_SEC; now < 31 * CS_SEC; now += 5 * CS_MSEC) {
+		/* One start leaves the queue in 5 ms; its delay is its place.
+		 */
+		if (queue >= 1) {
+			carried++;
+			queue--;
+			unanswered--;
+			start_window_on_reply(
+				&w, (cs_time)(queue * 5.0 * CS_MSEC) + 10000,
+				now);
+		}
+		for (i = 0; i < 64 && unanswered < start_window_size(&w); i++) {
+			queue++;
+			unanswered++;
+		}
+		if (now > 11 * CS_SEC)
+			worst = MAX(worst, queue * 5);
+	}
+	assert_true(worst < 400);
+	assert_true(carried > 0.95 * 200 * 30);
+	start_window_init(&w);
+	for (i = 0; i < 10000; i++)
+		start_window_on_reply(&w, (i % 20 ? 10 : 400) * CS_MSEC,
+				      i * CS_MSEC);
+	assert_in_range(start_window_size(&w), 256, 1024);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(decisions_stay_cheap_with_a_backlog),
 		cmocka_unit_test(owner_recovers_from_overload),
+		cmocka_unit_test(start_window_bounds_the_queue),
 		cmocka_unit_test(room_index_finds_the_fullest_server),
 	};
 
--- a/tests/unit/test_relay.c
+++ b/tests/unit/test_relay.c
@@ -403,11 +403,11 @@
 	for (server = 1; server <= 10; server++)
 		routes_add_carrier(r, 100 + server, server % 2 ? 500 : 120);
 	for (server = 1; server <= 64; server++)
-		assert_int_equal(routes_find(r, server, 1), 0);
+		assert_int_equal(routes_find(r, server, "p", 1), 0);
 	for (; server <= 150; server++)
-		assert_int_not_equal(routes_find(r, server, 1), 0);
+		assert_int_not_equal(routes_find(r, server, "p", 1), 0);
 	for (server = 1; server <= 64; server++)
-		assert_int_not_equal(routes_find(r, server, 1), 0);
+		assert_int_not_equal(routes_find(r, server, "p", 1), 0);
 	/* 150 servers need three of the five large carriers, none of the small.
 	 */
 	for (server = 101, used = 0; server <= 110; server++) {
@@ -418,11 +418,11 @@
 	/* The servers of a carrier that leaves go to others. */
 	routes_remove_carrier(r, 101);
 	for (server = 1; server <= 150; server++)
-		assert_int_not_equal(routes_find(r, server, 2), 101);
+		assert_int_not_equal(routes_find(r, server, "p", 2), 101);
 	/* A server that did not answer is called directly for some seconds. */
 	routes_avoid(r, 7, 2);
-	assert_int_equal(routes_find(r, 7, 3), 0);
-	assert_int_not_equal(routes_find(r, 7, 20 * CS_SEC), 0);
+	assert_int_equal(routes_find(r, 7, "p", 3), 0);
+	assert_int_not_equal(routes_find(r, 7, "p", 20 * CS_SEC), 0);
 	/* Servers that are gone are forgotten. */
 	routes_expire(r, 20 * CS_SEC);
 	for (server = 101, used = 0; server <= 110; server++)
