node: refuse a key whose withdrawal could not be known; relay: slow carriers

The code never took strictRevocation from the settings. A view also counted its age from the last page of a list, which need not show what the first one missed.

Carriers that answer pings later than 80 ms twice in a row lose their servers, a third of all at most.

--- a/src/node/api.c
+++ b/src/node/api.c
@@ -28,6 +28,11 @@
 #define RETRY_FOR_US (400 * CS_MSEC)
 /* A store that has failed for longer is not called for a request. */
 #define STORE_FAILING_US (400 * CS_MSEC)
+/*
+ * Kept of the bound on withdrawn keys for the request's way from its caller and
+ * through the tasks of this process.
+ */
+#define WITHDRAWAL_MARGIN_US (500 * CS_MSEC)
 /* Oldest view of the operators' keys with which the entry reports as ready. */
 #define READY_VIEW_AGE_US (2500 * CS_MSEC)
 #define RETRY_AFTER_MS 1000
@@ -481,6 +486,21 @@
 		send_next_call(o, now);
 }
 
+/*
+ * True if a withdrawal of the key could be older than its bound without being
+ * known here. It also holds just after a long pause, or once the store answers
+ * again, until the configuration was read anew.
+ */
+static bool is_key_unsure(const struct node *n, const struct site_queue *q,
+			  cs_time now)
+{
+	cs_time bound = n->options.withdrawn_key_ms * CS_MSEC;
+
+	return bound && !q->is_open &&
+	       now - view_current_at(n->operators) >=
+		       bound - MIN(WITHDRAWAL_MARGIN_US, bound / 2);
+}
+
 void api_handle_request(struct node *n, struct api_request *r, cs_time now)
 {
 	const struct site_queue *q;
@@ -508,6 +528,11 @@
 			     now);
 		return;
 	}
+	if (is_key_unsure(n, q, now)) {
+		reply_result(n, r, API_UNAVAILABLE,
+			     "the key may have been withdrawn", now);
+		return;
+	}
 	if (r->kind == API_STATE && !*rest) {
 		reply_pending_count(n, r, q, now);
 		return;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -57,6 +57,11 @@
 	uint32_t seed;
 	int cpu_share; /* of this process, thousandths of a core; 0: unknown */
 	int64_t lease_min_ms; /* shortest lease that the store grants */
+	/*
+	 * A withdrawn key is refused after this time, also while the store
+	 * can't be reached; 0: no bound.
+	 */
+	int64_t withdrawn_key_ms;
 	struct sched_limits limits;
 };
 
--- a/src/relay/relay_hub.c
+++ b/src/relay/relay_hub.c
@@ -3,13 +3,24 @@
 #include "../base/task.h"
 
 /*
- * The owner's side. A carrier that does not answer is given up within about a
- * second, so that its servers are called in time to renew their leases, which
- * last 3.5 s. Carriers without servers are asked rarely.
+ * The owner's side. A carrier that answers late loses its servers to others, as
+ * the orders wait there as long. A carrier that does not answer is given up
+ * within about a second, so that its servers are called in time to renew their
+ * leases, which last 3.5 s. Carriers without servers are asked rarely.
  */
 
 #define TICK_US (250 * CS_MSEC)
 #define SILENCE_MAX_US (1 * CS_SEC)
+/*
+ * A carrier whose processor or link is too busy answers pings late, and delays
+ * the orders of all its servers. They move to others, until it has answered in
+ * time for a while. An answer usually takes 2 to 20 ms. If more than a share of
+ * all carriers answers late, it is the owner itself that is busy.
+ */
+#define SLOW_PING_US (80 * CS_MSEC)
+#define SLOW_PINGS 2
+#define FAST_PINGS 8
+#define SLOW_CARRIERS_SHARE 0.34
 #define IDLE_SILENCE_MAX_US (IDLE_TIMEOUT_S * CS_SEC)
 /* A carrier answers within the timeout of an order, and this. */
 #define ANSWER_SLACK_US (1 * CS_SEC)
@@ -47,21 +58,83 @@
 {
 	struct relay_msg ping = { .kind = RELAY_PING };
 	struct link *l = relay_link(conn);
-	bool is_used = routes_load(r->routes, conn->self) > 0;
+	bool is_used;
 
 	if (!l)
 		return; /* in the handshake */
+	is_used = l->is_slow || routes_load(r->routes, conn->self) > 0;
 	/* After a pause of this process the answers may still wait to be read.
 	 */
-	if (was_late)
+	if (was_late) {
 		l->heard_at = now;
+		l->pinged_at = 0;
+	}
 	if (now - l->heard_at >
 	    (is_used ? SILENCE_MAX_US : IDLE_SILENCE_MAX_US)) {
 		relay_close(r, conn, "no answer");
 		return;
 	}
-	if (is_used || r->ticks % IDLE_PING_TICKS == 0)
-		relay_send_msg(r, conn, &ping);
+	if (!is_used && r->ticks % IDLE_PING_TICKS)
+		return;
+	if (!l->pinged_at)
+		l->pinged_at = now;
+	relay_send_msg(r, conn, &ping);
+}
+
+static void log_pace(struct relay *r, const struct peer_conn *conn,
+		     const char *event, cs_time took)
+{
+	GString *pairs = g_string_new(NULL);
+
+	log_pair(pairs, "event", event);
+	log_pair(pairs, "entry", conn->remote.id);
+	log_pair_int(pairs, "took_ms", took / CS_MSEC);
+	log_pair_int(pairs, "servers", routes_load(r->routes, conn->self));
+	log_write(r->log, LOG_INFO, "fleet", NULL, NULL, NULL, pairs->str);
+	g_string_free(pairs, TRUE);
+}
+
+/* True if one more carrier can be taken out of use. */
+static bool can_spare_carrier(const struct relay *r)
+{
+	int carriers = 0, slow = 1;
+	cs_handle h;
+
+	for (h = slots_next(r->conns, 0); h; h = slots_next(r->conns, h)) {
+		const struct link *l = relay_link(slots_get(r->conns, h));
+
+		carriers += l && l->is_carrier;
+		slow += l && l->is_carrier && l->is_slow;
+	}
+	return slow <= carriers * SLOW_CARRIERS_SHARE;
+}
+
+/* Takes a slow carrier out of use, or back into it. */
+static void on_pong(struct relay *r, const struct peer_conn *conn, cs_time now)
+{
+	struct link *l = relay_link(conn);
+	cs_time took = now - l->pinged_at;
+
+	if (!l->pinged_at || !l->is_carrier)
+		return;
+	l->pinged_at = 0;
+	if (took > SLOW_PING_US) {
+		l->slow_pings++;
+		l->fast_pings = 0;
+	} else {
+		l->fast_pings++;
+		l->slow_pings = 0;
+	}
+	if (!l->is_slow && l->slow_pings >= SLOW_PINGS &&
+	    can_spare_carrier(r)) {
+		log_pace(r, conn, "carrier_slow", took);
+		l->is_slow = true;
+		routes_remove_carrier(r->routes, conn->self);
+	} else if (l->is_slow && l->fast_pings >= FAST_PINGS) {
+		log_pace(r, conn, "carrier_fast", took);
+		l->is_slow = false;
+		routes_add_carrier(r->routes, conn->self, l->cpu_share);
+	}
 }
 
 /* Completes an order and frees its row. reply: with result and lists. */
@@ -153,6 +226,10 @@
 			routes_add_carrier(r->routes, conn->self,
 					   msg->cpu_share);
 		l->is_carrier = true;
+		l->cpu_share = msg->cpu_share;
+		break;
+	case RELAY_PONG:
+		on_pong(r, conn, task_now());
 		break;
 	case RELAY_LEAVE:
 		routes_remove_carrier(r->routes, conn->self);
--- a/src/relay/relay_private.h
+++ b/src/relay/relay_private.h
@@ -26,7 +26,13 @@
 	 */
 	cs_time min_difference;
 	bool has_difference;
+	int cpu_share; /* of a carrier by its offer, thousandths of a core */
 	bool is_carrier; /* its offer came, and it has not left */
+	/* Of a carrier: when the last ping without an answer was sent; 0: none.
+	 */
+	cs_time pinged_at;
+	bool is_slow; /* gets no servers */
+	int slow_pings, fast_pings; /* answered late and in time, in a row */
 	struct payloads *payloads; /* that crossed this connection */
 	GQueue replies; /* of a carrier: GBytes, to be sent together */
 	struct event *reply_timer;
--- a/src/store/view.c
+++ b/src/store/view.c
@@ -17,6 +17,7 @@
 	GHashTable *listed; /* keys of the list under way; NULL: none is */
 	char *page_after;
 	uint64_t list_revision; /* of the first page */
+	cs_time list_sent; /* when the first page was requested */
 	uint64_t after; /* revision from which to watch; 0: list first */
 	bool is_synced;
 	cs_time current_at;
@@ -120,8 +121,10 @@
 		return;
 	}
 	v->retry_pause = RETRY_MIN_US;
-	if (!v->list_revision)
+	if (!v->list_revision) {
 		v->list_revision = d->revision;
+		v->list_sent = d->sent;
+	}
 	for (i = 0; i < d->items->len; i++) {
 		const struct store_item *item = g_ptr_array_index(d->items, i);
 
@@ -140,7 +143,8 @@
 	delete_unlisted(v, now);
 	free_list(v);
 	v->after = v->list_revision;
-	v->current_at = d->sent;
+	/* A change after the first page may be missing in the pages. */
+	v->current_at = v->list_sent;
 	v->is_synced = true;
 	v->ops->on_synced(v->ctx, now);
 	watch(v);
--- a/tests/unit/test_node.c
+++ b/tests/unit/test_node.c
@@ -277,6 +277,42 @@
 	end_world(w);
 }
 
+/*
+ * An entry that had been cut off answered with a key that had been withdrawn 6
+ * s before: the store answered it again, but the list of the operators' keys
+ * was still to come. The same holds for an entry that was paused. While it
+ * can't know of a withdrawal in time it must refuse the key.
+ */
+static void unsure_key_is_refused(void **state)
+{
+	const struct world_options options = { .seed = 7,
+					       .nodes = 3,
+					       .servers = 6,
+					       .pools = 2,
+					       .withdrawn_key_ms = 5000 };
+	struct world *w = world_create(&options);
+	int job, node;
+
+	(void)state;
+	world_run(w, 3000);
+	job = world_submit(w, 0, &short_job);
+	world_run(w, 3000);
+	node = (world_owner(w) + 1) % 3;
+	world_query_job(w, node, job);
+	world_run(w, 100);
+	assert_int_equal(world_job_answers(w, job), 1);
+	world_node_pause(w, node, 6000);
+	world_run(w, 5900);
+	world_query_job(w, node, job);
+	world_run(w, 200);
+	assert_int_equal(world_job_answers(w, job), 1);
+	world_run(w, 1000);
+	world_query_job(w, node, job);
+	world_run(w, 100);
+	assert_int_equal(world_job_answers(w, job), 2);
+	end_world(w);
+}
+
 /* A start that got no answer and is carried out late must not run twice. */
 static void late_starts_run_once(void **state)
 {
@@ -767,6 +803,7 @@
 		cmocka_unit_test(job_with_failing_task_fails),
 		cmocka_unit_test(wave_keeps_budgets),
 		cmocka_unit_test(workspace_limit_holds),
+		cmocka_unit_test(unsure_key_is_refused),
 		cmocka_unit_test(late_starts_run_once),
 		cmocka_unit_test(unanswered_start_is_replaced_soon),
 		cmocka_unit_test(server_that_joins_under_load_is_used),
--- a/tests/unit/test_relay.c
+++ b/tests/unit/test_relay.c
@@ -302,6 +302,75 @@
 	stop(&carrier);
 }
 
+/* Sends an order for a server. False: the owner is to call it directly. */
+static bool try_send(struct entry *owner, cs_handle server)
+{
+	struct order *o = new_start(server, 1000);
+	bool is_sent = relay_send(owner->relay, o);
+
+	if (!is_sent)
+		order_free(o);
+	return is_sent;
+}
+
+/*
+ * A carrier that answers late delays the orders of all its servers: others call
+ * them, until it answers in time again. Here it runs only each 300 ms, which is
+ * not long enough to be given up. An owner that is slow itself keeps the rest.
+ */
+static void slow_carrier_loses_its_servers(void **state)
+{
+	struct entry owner, carriers[3],
+		*all[] = { &owner, &carriers[0], &carriers[1], &carriers[2],
+			   NULL };
+	struct entry *others[4] = { &owner };
+	cs_time end = task_now() + SOON;
+	guint before;
+	int i, n = 1, slow = -1;
+
+	(void)state;
+	start(&owner, "owner", 500, 0);
+	relay_set_owner(owner.relay, &owner.contact);
+	for (i = 0; i < 3; i++) {
+		char name[8];
+
+		g_snprintf(name, sizeof(name), "c%d", i);
+		start(&carriers[i], name, 500, 0);
+		relay_set_owner(carriers[i].relay, &owner.contact);
+	}
+	run(all, 500 * CS_MSEC);
+	assert_true(try_send(&owner, 1));
+	run(all, 50 * CS_MSEC);
+	for (i = 0; i < 3; i++) {
+		if (carriers[i].carried->len)
+			slow = i;
+		else
+			others[n++] = &carriers[i];
+	}
+	assert_in_range(slow, 0, 2);
+	others[n] = NULL;
+	do {
+		run(others, 300 * CS_MSEC);
+		run(all, 2 * CS_MSEC);
+		before = carriers[slow].carried->len;
+		assert_true(try_send(&owner, 1));
+		run(all, 20 * CS_MSEC);
+	} while (carriers[slow].carried->len > before && task_now() < end);
+	assert_int_equal(carriers[slow].carried->len, before);
+	/* It answers in time again, and the others end. */
+	run(all, 3 * CS_SEC);
+	for (i = 0; i < 3; i++)
+		if (i != slow)
+			stop(&carriers[i]);
+	others[0] = &owner;
+	others[1] = &carriers[slow];
+	others[2] = NULL;
+	run(others, 100 * CS_MSEC);
+	assert_true(try_send(&owner, 2));
+	stop(&owner);
+	stop(&carriers[slow]);
+}
+
 /* An owner that was paused itself must not give up its carriers for that. */
 static void paused_owner_keeps_its_carriers(void **state)
 {
@@ -472,6 +541,7 @@
 		cmocka_unit_test(payload_crosses_once),
 		cmocka_unit_test(paused_carrier_does_not_send_late),
 		cmocka_unit_test(silent_carrier_is_given_up),
+		cmocka_unit_test(slow_carrier_loses_its_servers),
 		cmocka_unit_test(paused_owner_keeps_its_carriers),
 		cmocka_unit_test(leaving_carrier_gets_no_orders),
 		cmocka_unit_test(unknown_entry_is_refused),
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -279,6 +279,7 @@
 		if (reply->result != API_OK || !reply->has_state)
 			break;
 		j->reported_state = reply->state;
+		j->state_answers++;
 		if (reply->state != BATCH_DONE)
 			break;
 		for (i = 0; i < sim_job_task_count(j); i++)
@@ -572,11 +573,13 @@
 void world_node_start(struct world *w, int node)
 {
 	struct sim_node *n = &w->nodes[node];
-	struct node_options o = { .lease_min_ms = 1000,
-				  .cpu_share = n->cpu_share,
-				  .limits = { .host_calls_per_s = 60,
-					      .holder_pause_ms =
-						      HOLDER_PAUSE_MS } };
+	struct node_options o = {
+		.lease_min_ms = 1000,
+		.cpu_share = n->cpu_share,
+		.withdrawn_key_ms = w->options.withdrawn_key_ms,
+		.limits = { .host_calls_per_s = 60,
+			    .holder_pause_ms = HOLDER_PAUSE_MS }
+	};
 
 	if (n->node)
 		return;
@@ -937,6 +940,11 @@
 	send_request(w, node, job, API_STATE);
 }
 
+int world_job_answers(const struct world *w, int job)
+{
+	return sim_job_at(w, job)->state_answers;
+}
+
 enum world_answer world_answer(const struct world *w, int job)
 {
 	return sim_job_at(w, job)->answer;
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -17,6 +17,7 @@
 	int servers; /* per pool */
 	int pools;
 	int standby; /* hosts in the standby pool, which is the last one */
+	int64_t withdrawn_key_ms; /* see struct node_options */
 	bool is_verbose; /* writes the logs of the entries to standard error */
 };
 
@@ -135,6 +136,8 @@
 int64_t world_pool_host_ms(const struct world *world);
 /* The last state that a caller was shown; -1: none. */
 int world_job_state(const struct world *world, int job);
+/* Number of times that callers were shown a state of the job. */
+int world_job_answers(const struct world *world, int job);
 /* Number of runs of the job that were started. */
 int world_job_starts(const struct world *world, int job);
 /* Number of long-running tasks of the job that are up. */
--- a/tests/world/world_private.h
+++ b/tests/world/world_private.h
@@ -113,6 +113,7 @@
 	int refusals, submissions;
 	cs_time accepted_at;
 	int reported_state; /* -1: none */
+	int state_answers;
 	bool is_cancel_requested;
 	cs_time cancelled_at; /* when the cancellation was confirmed */
 	int starts;
