--- a/src/base/task.c
+++ b/src/base/task.c
@@ -92,20 +92,22 @@
 
 /*
  * By default libevent rounds timers to milliseconds of a coarse clock, which
- * added 5 ms to work that takes 5 ms. The changelist merges what an HTTP call
- * changes in the events of its connection: without it, each call made six calls
- * of epoll_ctl(). It must not be used with descriptors made by dup().
+ * added 5 ms to work that takes 5 ms. With the changelist, libevent removes a
+ * closed descriptor from its epoll set late. If another thread has opened one
+ * with the same number by then, this fails without an effect, as that one is
+ * not in the set; the thread sanitizer reports it as a race.
  */
-static struct event_base *new_base(bool has_coarse_timers)
+static struct event_base *new_base(const struct task_ops *ops)
 {
-	int flags = EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST;
+	int flags =
+		(ops->has_coarse_timers ? 0 : EVENT_BASE_FLAG_PRECISE_TIMER) |
+		(ops->uses_changelist ? EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST :
+					0);
 	struct event_config *config = event_config_new();
 	struct event_base *base = NULL;
 
 	if (!config)
 		return NULL;
-	if (!has_coarse_timers)
-		flags |= EVENT_BASE_FLAG_PRECISE_TIMER;
 	if (!event_config_set_flag(config, flags))
 		base = event_base_new_with_config(config);
 	event_config_free(config);
@@ -127,7 +129,7 @@
 	pthread_mutex_init(&t->lock, NULL);
 	pthread_cond_init(&t->started, NULL);
 	t->mailbox = mailbox;
-	t->base = new_base(ops->has_coarse_timers);
+	t->base = new_base(ops);
 	if (t->base)
 		t->wake = event_new(t->base, mailbox_fd(t->mailbox),
 				    EV_READ | EV_PERSIST, on_wake, t);
--- a/src/base/task.h
+++ b/src/base/task.h
@@ -25,6 +25,12 @@
 	 * event loop.
 	 */
 	bool has_coarse_timers;
+	/*
+	 * Merges the changes of events between two turns of the event loop,
+	 * without which each HTTP call makes six calls of epoll_ctl(). For
+	 * tasks with many HTTP calls only, see new_base().
+	 */
+	bool uses_changelist;
 };
 
 /*
