--- a/review/3/case.py
+++ b/review/3/case.py
@@ -54,9 +54,13 @@
         old.is_silent_to = lambda t: t > token
         site.record.add("%s is cut off: %s and i-1" % (leader.zone,
                                                         leader.name))
-        time.sleep(CUT_S)
+        # The store drops the worker's entry after three heartbeats of 1.5 s.
+        time.sleep(4.5)
+        site.store.operator_delete("servers/i-1")
+        time.sleep(CUT_S - 4.5)
         leader.door.is_cut = False
         old.is_silent_to = None
+        old.register()
         site.record.add("%s is connected again" % leader.zone)
     time.sleep(14 + standin.FINISH_S)
     state = site.wait_for("/checks/", JOB, ("done",), 10)
--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -35,7 +35,7 @@
 STOP_GRACE_MS = 900
 FINISH_S = 14
 LIST_MAX = 500  # ends in one answer to a hold
-HISTORY_S = 20
+PAGE_ITEMS, PAGE_BYTES = 500, 1000000  # one answer with a list of the store
 
 
 def now_s():
@@ -228,9 +228,13 @@
             keys = [k for k in sorted(self.items)
                     if k.startswith(query["prefix"])
                     and k > query.get("after", "")]
-            return 200, {"items": [self.row(k, self.items[k])
-                                   for k in keys[:500]],
-                         "hasMore": len(keys) > 500, "at": self.revision}
+            rows, size = [], 0
+            while len(rows) < min(len(keys), PAGE_ITEMS) and size < PAGE_BYTES:
+                rows.append(self.row(keys[len(rows)],
+                                     self.items[keys[len(rows)]]))
+                size += len(rows[-1]["value"])
+            return 200, {"items": rows, "hasMore": len(rows) < len(keys),
+                         "at": self.revision}
         if path == "/-/kv-lease":
             self.next_lease += 1
             ttl = max(body["ttlMs"], 1000)
