review: a loopback address for the entries of each case

Cause: cases that run at the same time can choose the same free port; one of five ended with 2 in a clean clone ("Address already in use"). Change: the entries of a test process listen at an address of their own in 127.0.0.0/8.

--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -104,6 +104,10 @@
     return "127.0.0.1:%d" % server.server_address[1]
 
 
+# Each test process has a loopback address of its own for its entries, so that
+# cases that run at the same time do not take each other's ports.
+ENTRY_IP = "127.%d.%d.%d" % (os.getpid() // 64516 % 250 + 1,
+                             os.getpid() // 254 % 254, os.getpid() % 254 + 1)
 USED_PORTS = set()
 
 
@@ -117,7 +121,7 @@
         USED_PORTS.add(port)
         with socket.socket() as s:
             try:
-                s.bind(("127.0.0.1", port))
+                s.bind((ENTRY_IP, port))
             except OSError:
                 continue
         ports.append(port)
@@ -520,13 +524,14 @@
         self.site, self.name, self.zone = site, name, zone
         self.door = site.store.door(name)
         ports = free_ports(5)
-        self.front = "127.0.0.1:%d" % ports[0]
+        addresses = ["%s:%d" % (ENTRY_IP, port) for port in ports]
+        self.front = addresses[0]
         self.values = {
-            "nodeName": name, "zone": zone, "ip": "127.0.0.1",
+            "nodeName": name, "zone": zone, "ip": ENTRY_IP,
             "limits": {"cpuShare": 0.25},
             "listenAddresses": {"front": self.front,
-                                "readiness": "127.0.0.1:%d" % ports[1],
-                                "control": "127.0.0.1:%d" % ports[2]},
+                                "readiness": addresses[1],
+                                "control": addresses[2]},
             "internalPortRange": ports[3:],
             "platform": {"address": self.door.address, "minTtlMs": 1000},
             "cloud": {"address": site.hosts.address, "dutyPerS": 64.0},
