sched: remove the cordon of a server when its move or wave ends

Cause: an order to move a host cordons its server. Without a reply the move was dropped after 6 s and the cordon stayed, so the server counted in its pool and got no work. Shown by a run with logs: host_move during host_list_failed, then pool_state hosts=3 servers_usable=0 to the end.

Related paths with the same cause: a withdrawn wave with an unanswered order, a host that left its wave, and maintenance after which a server has its former identifier. Moves and maintenance shared one flag and looked the server up in the host list, which may name another server by then.

Change: a cordon is a set of reasons; each part clears its own reason, on the server whose handle it kept, when the move or the wave ends for whatever cause.

--- a/src/sched/balance.c
+++ b/src/sched/balance.c
@@ -36,6 +36,7 @@
 struct move {
 	char host[CS_NAME_MAX];
 	char pool[CS_NAME_MAX]; /* destination */
+	cs_handle server; /* cordoned for the move; 0: none */
 	cs_time ordered_at;
 	bool is_accepted;
 	cs_time accepted_at;
@@ -124,8 +125,8 @@
 static bool is_idle(struct balance *b, const struct server *v, cs_time now)
 {
 	return v->is_taken_over && v->is_listed && !v->is_dead &&
-	       !v->unanswered_orders && !v->is_cordoned &&
-	       !v->info.is_draining && idle_since(b, v, now) != CS_TIME_NEVER;
+	       !v->unanswered_orders && !v->cordons && !v->info.is_draining &&
+	       idle_since(b, v, now) != CS_TIME_NEVER;
 }
 
 bool balance_is_moving(const struct sched *s, const char *host)
@@ -165,17 +166,46 @@
 	return plans;
 }
 
-/* True if the host list shows that a move is done, or it has timed out. */
-static gboolean is_move_finished(void *key, void *row, void *ctx)
+/* True if the host list shows that a move is done. */
+static bool is_move_done(const struct sched *s, const struct move *m)
 {
-	const struct sched *s = ctx;
+	const struct order_host *h = hosts_find(s, m->host);
+
+	return m->is_accepted && h && hosts_listed_at(s) >= m->accepted_at &&
+	       h->state == ORDER_HOST_UP && !strcmp(h->pool, m->pool);
+}
+
+static void log_dropped_move(struct sched *s, const struct move *m)
+{
+	const struct order_host *h = hosts_find(s, m->host);
+	GString *pairs = g_string_new(NULL);
+
+	log_pair(pairs, "host", m->host);
+	log_pair(pairs, "to", m->pool);
+	log_pair(pairs, "listed_in", h ? h->pool : "");
+	log_pair(pairs, "accepted", m->is_accepted ? "yes" : "no");
+	log_pair_int(pairs, "age_ms",
+		     (hosts_listed_at(s) - m->ordered_at) / CS_MSEC);
+	sched_log(s, "host_move_dropped", pairs);
+}
+
+/*
+ * Ends the moves that are done or have timed out. If an order without a reply
+ * was not carried out, the server is still in its pool and can be used again.
+ */
+static gboolean end_finished_move(void *key, void *row, void *ctx)
+{
+	struct sched *s = ctx;
 	const struct move *m = row;
-	const struct order_host *h = hosts_find(s, key);
 
-	if (m->is_accepted && h && hosts_listed_at(s) >= m->accepted_at &&
-	    h->state == ORDER_HOST_UP && !strcmp(h->pool, m->pool))
-		return TRUE;
-	return hosts_listed_at(s) - m->ordered_at > MOVE_TIMEOUT_US;
+	(void)key;
+	if (!is_move_done(s, m)) {
+		if (hosts_listed_at(s) - m->ordered_at <= MOVE_TIMEOUT_US)
+			return FALSE;
+		log_dropped_move(s, m);
+	}
+	servers_set_cordon(s, m->server, CORDON_MOVE, false);
+	return TRUE;
 }
 
 /* Counts each host in its pool, or in the pool to which it is moving. */
@@ -226,8 +256,8 @@
 	cs_copy(m->pool, sizeof(m->pool), pool);
 	m->ordered_at = now;
 	g_hash_table_insert(b->moves, m->host, m);
-	if (v)
-		v->is_cordoned = true;
+	m->server = v ? v->self : 0;
+	servers_set_cordon(s, m->server, CORDON_MOVE, true);
 	o->ref = ++b->next_ref;
 	g_hash_table_insert(b->by_ref, GSIZE_TO_POINTER(o->ref),
 			    g_strdup(h->name));
@@ -407,7 +437,7 @@
 	hosts_refresh(s, now);
 	if (!hosts_listed_at(s))
 		return;
-	g_hash_table_foreach_remove(b->moves, is_move_finished, s);
+	g_hash_table_foreach_remove(b->moves, end_finished_move, s);
 	pool_size_begin(s);
 	plans = make_pool_plans(s, now);
 	count_hosts(b, plans, now);
@@ -435,9 +465,7 @@
 	const char *name =
 		g_hash_table_lookup(b->by_ref, GSIZE_TO_POINTER(d->ref));
 	struct move *m = name ? g_hash_table_lookup(b->moves, name) : NULL;
-	const struct order_host *h = name ? hosts_find(s, name) : NULL;
-	struct server *v = h ? g_hash_table_lookup(s->server_by_id, h->server) :
-			       NULL;
+	struct server *v = m ? server_row(s, m->server) : NULL;
 
 	if (m && d->result == ORDER_DONE) {
 		m->is_accepted = true;
@@ -446,8 +474,7 @@
 			servers_mark_dead(s, v, "host moved to another pool",
 					  now);
 	} else if (m && d->result != ORDER_UNKNOWN) {
-		if (v)
-			v->is_cordoned = false;
+		servers_set_cordon(s, m->server, CORDON_MOVE, false);
 		g_hash_table_remove(b->moves, name);
 	}
 	if (d->reason == ORDER_REASON_FENCED) {
--- a/src/sched/maintenance.c
+++ b/src/sched/maintenance.c
@@ -45,6 +45,7 @@
 	cs_time begun_at;
 	cs_time retry_at; /* when to repeat an unanswered order; 0: never */
 	char server[CS_NAME_MAX]; /* on the host when maintenance was ordered */
+	cs_handle cordoned; /* server cordoned for the wave; 0: none */
 	bool has_returned;
 };
 
@@ -176,13 +177,23 @@
 	return g_hash_table_lookup(s->server_by_id, row->server);
 }
 
-static void set_cordon(struct sched *s, const char *host, bool is_cordoned)
+/* Lets the server of a host get starts again. */
+static void uncordon_host(struct sched *s, struct wave_host *h)
 {
-	struct server *v = server_on(s, host);
+	servers_set_cordon(s, h->cordoned, CORDON_MAINTENANCE, false);
+	h->cordoned = 0;
+}
+
+/* Cordons the server that the host list shows on the host, if any. */
+static void cordon_host(struct sched *s, struct wave_host *h)
+{
+	const struct server *v = server_on(s, h->name);
 
-	if (v)
-		v->is_cordoned = is_cordoned;
-	sched_wake(s);
+	if (!v || v->self == h->cordoned)
+		return;
+	uncordon_host(s, h);
+	h->cordoned = v->self;
+	servers_set_cordon(s, h->cordoned, CORDON_MAINTENANCE, true);
 }
 
 void sched_remove_wave(struct sched *s, uint64_t number)
@@ -192,12 +203,8 @@
 
 	if (!w)
 		return;
-	for (i = 0; i < w->hosts->len; i++) {
-		const struct wave_host *h = g_ptr_array_index(w->hosts, i);
-
-		if (h->state == WAVE_EMPTYING)
-			set_cordon(s, h->name, false);
-	}
+	for (i = 0; i < w->hosts->len; i++)
+		uncordon_host(s, g_ptr_array_index(w->hosts, i));
 	g_ptr_array_remove(s->maintenance->waves, w);
 }
 
@@ -297,21 +304,23 @@
 }
 
 /* A host has returned from maintenance when a later list shows it up. */
-static void update_has_returned(const struct sched *s, struct wave_host *h)
+static void update_has_returned(struct sched *s, struct wave_host *h)
 {
 	const struct order_host *row = hosts_find(s, h->name);
 
-	if (h->state == WAVE_STARTED && !h->has_returned &&
-	    hosts_listed_at(s) >= h->begun_at &&
-	    (!row || row->state == ORDER_HOST_UP))
-		h->has_returned = true;
+	if (h->state != WAVE_STARTED || h->has_returned ||
+	    hosts_listed_at(s) < h->begun_at ||
+	    (row && row->state != ORDER_HOST_UP))
+		return;
+	h->has_returned = true;
+	uncordon_host(s, h);
 }
 
 struct wave_count {
 	int emptying, down, left;
 };
 
-static struct wave_count count_wave(const struct sched *s, struct wave *w)
+static struct wave_count count_wave(struct sched *s, struct wave *w)
 {
 	struct wave_count c = { 0 };
 	guint i;
@@ -406,7 +415,7 @@
 	       (h = next_host(s, w))) {
 		h->state = WAVE_EMPTYING;
 		c.emptying++;
-		set_cordon(s, h->name, true);
+		cordon_host(s, h);
 		log_wave(s, "host_emptying", w, h, now);
 	}
 	for (i = 0; i < w->hosts->len; i++) {
@@ -422,8 +431,7 @@
 		/* The list is outdated: the host may have a new server. */
 		if ((v && v->is_dead) || balance_is_moving(s, h->name))
 			continue;
-		if (v)
-			v->is_cordoned = true;
+		cordon_host(s, h);
 		if (v && !empty_server(s, v, is_late_phase, now))
 			continue;
 		if (c.down >= w->at_once_max)
@@ -439,7 +447,7 @@
 }
 
 /* Skips hosts that are no longer in the host list. */
-static void skip_missing_hosts(const struct sched *s, struct wave *w)
+static void skip_missing_hosts(struct sched *s, struct wave *w)
 {
 	guint i;
 
@@ -451,6 +459,7 @@
 		if (h->state < WAVE_ORDERED && !hosts_find(s, h->name)) {
 			h->state = WAVE_STARTED;
 			h->has_returned = true;
+			uncordon_host(s, h);
 		}
 	}
 }
@@ -525,6 +534,7 @@
 		h->state = WAVE_STARTED; /* the host left the wave: skip it */
 		h->begun_at = now;
 		h->has_returned = true;
+		uncordon_host(s, h);
 		return;
 	}
 	if (d->result == ORDER_REFUSED && d->reason == ORDER_REASON_FENCED) {
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -23,7 +23,7 @@
 bool place_is_usable(const struct sched *s, const struct server *v, cs_time now)
 {
 	return v->is_listed && v->is_taken_over && v->is_granted &&
-	       !v->is_dead && !v->is_cordoned && !v->info.is_draining &&
+	       !v->is_dead && !v->cordons && !v->info.is_draining &&
 	       !v->unanswered_orders && v->clock_ms >= 0 &&
 	       now >= v->suspect_until && now >= v->refused_until &&
 	       !(g_hash_table_size(s->evacuated) &&
--- a/src/sched/sched_private.h
+++ b/src/sched/sched_private.h
@@ -70,6 +70,12 @@
 	uint32_t version;
 };
 
+/* Why a server gets no starts. Each reason is set and cleared by its part. */
+enum cordon {
+	CORDON_MOVE = 1, /* balance.c */
+	CORDON_MAINTENANCE = 2 /* maintenance.c */
+};
+
 struct server {
 	cs_handle self;
 	struct server_info info;
@@ -82,7 +88,7 @@
 	cs_time died_at; /* when is_dead was set */
 	/* Start of the next incarnation with this identifier; 0: none. */
 	uint64_t next_started_unix_ms;
-	bool is_cordoned; /* gets no starts: maintenance or a move */
+	unsigned int cordons; /* enum cordon; any of them: gets no starts */
 	/* Clock: the reading was taken between sent and received. */
 	int64_t clock_ms; /* -1: none yet */
 	cs_time clock_sent, clock_received;
@@ -264,6 +270,12 @@
  */
 void servers_mark_dead(struct sched *s, struct server *v, const char *why,
 		       cs_time now);
+/*
+ * Sets or clears a reason for which the server gets no starts. No effect if the
+ * server has no row.
+ */
+void servers_set_cordon(struct sched *s, cs_handle server, enum cordon reason,
+			bool is_set);
 /* Checks leases and removes rows that are no longer needed. */
 void servers_check(struct sched *s, cs_time now);
 /* Marks the server's grant for removal from the store. */
--- a/src/sched/servers.c
+++ b/src/sched/servers.c
@@ -303,6 +303,20 @@
 	mark_dead(s, v, now);
 }
 
+void servers_set_cordon(struct sched *s, cs_handle server, enum cordon reason,
+			bool is_set)
+{
+	struct server *v = server_row(s, server);
+	unsigned int before;
+
+	if (!v)
+		return;
+	before = v->cordons;
+	v->cordons = is_set ? before | reason : before & ~(unsigned int)reason;
+	if (v->cordons != before)
+		sched_wake(s);
+}
+
 /*
  * Handles a new incarnation under the same identifier, which has no state of
  * the previous one.
@@ -574,7 +588,7 @@
 		struct server *v = server_row(s, h);
 
 		if (v->is_granted || v->is_grant_pending || !v->is_listed ||
-		    v->is_dead || v->is_cordoned || v->info.is_draining ||
+		    v->is_dead || v->cordons || v->info.is_draining ||
 		    is_grant_ending(s, v->info.id))
 			continue;
 		v->is_grant_pending = true;
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -849,6 +849,14 @@
 	g_string_free(text, TRUE);
 }
 
+void world_cancel_wave(struct world *w, uint64_t number)
+{
+	char key[32];
+
+	snprintf(key, sizeof(key), "op/wave/%" PRIu64, number);
+	sim_store_remove(w, key);
+}
+
 static struct batch_spec *make_spec(const struct world_job *job)
 {
 	struct batch_spec *s = batch_spec_create(job->steps);
@@ -1023,6 +1031,11 @@
 	return j->done_at ? (j->done_at - j->submitted_at) / CS_MSEC : -1;
 }
 
+void world_set_hosts_silent(struct world *w, bool is_silent)
+{
+	w->are_hosts_silent = is_silent;
+}
+
 int world_host_orders(const struct world *w)
 {
 	return w->host_orders;
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -99,6 +99,8 @@
  */
 void world_start_wave(struct world *world, uint64_t number, int first,
 		      int count, int at_once_max, int64_t duration_ms);
+/* Withdraws a wave; hosts that are not under maintenance yet stay in use. */
+void world_cancel_wave(struct world *world, uint64_t number);
 
 /* Callers. */
 struct world_job {
@@ -128,6 +130,11 @@
 int world_job_count(const struct world *world);
 bool world_job_is_done(const struct world *world, int job);
 bool world_job_is_long_running(const struct world *world, int job);
+/*
+ * A silent host service gives no reply: callers wait until their timeouts, and
+ * no order is carried out.
+ */
+void world_set_hosts_silent(struct world *world, bool is_silent);
 /* Number of orders that the host service received for single hosts. */
 int world_host_orders(const struct world *world);
 /* Time from the submission to the end of the last task; -1: not done. */
--- a/tests/world/world_private.h
+++ b/tests/world/world_private.h
@@ -181,6 +181,7 @@
 	cs_time evacuated_since[DATA_CENTRES];
 	int64_t pool_ms;
 	int host_orders;
+	bool are_hosts_silent;
 	/* The maintenance wave. */
 	uint64_t wave;
 	int wave_at_once_max, wave_down;
--- a/tests/world/world_servers.c
+++ b/tests/world/world_servers.c
@@ -861,6 +861,13 @@
 	if (o->type >= ORDER_ADVISE) {
 		d = order_reply_new(o);
 		d->sent = w->now;
+		if (w->are_hosts_silent && o->type >= ORDER_LIST_HOSTS) {
+			d->result = ORDER_UNKNOWN;
+			world_deliver_order(w, n->index, n->generation, d,
+					    w->now + o->timeout_ms * CS_MSEC);
+			order_free(o);
+			return;
+		}
 		if (o->type == ORDER_LIST_HOSTS)
 			list_hosts(w, d);
 		else if (o->type == ORDER_MAINTAIN_HOST ||
