sched: do not end a pass at jobs that only placement rules block

Cause: assign_pool() took the pool for full after 24 jobs without a start. Jobs whose label, spread, ticket or gang excludes servers with room counted as well, and long-running jobs rank first. Seen in pool_state: blocked_by_room=24 with a third of the CPU used. A limit of jobs can't tell a full pool from such jobs, so it goes.

Change: a pass remembers the sizes for which no server had room, and passes over jobs that need at least as much in constant time. Jobs blocked by rules have a reason of their own and take turns, 24 a pass, so that their searches stay bounded.

--- a/src/sched/assign.c
+++ b/src/sched/assign.c
@@ -11,8 +11,14 @@
 
 /* Maximum number of starts in one turn; the rest follows after the replies. */
 #define STARTS_MAX 64
-/* After this many jobs without room in one pass the pool counts as full. */
-#define NO_ROOM_JOBS_MAX 24
+/*
+ * Jobs in one pass for which placement rules exclude the servers with room. A
+ * search for such a job may look at every server of the pool, so where there
+ * are more of these jobs they take turns.
+ */
+#define RULES_JOBS_MAX 24
+/* There is a pass over each pool at least this often. */
+#define PASS_INTERVAL_US (50 * CS_MSEC)
 
 /* Size of the range of run numbers of each term, for each task. */
 #define RUNS_PER_TERM 1024
@@ -54,54 +60,126 @@
 /* One attempt to start the tasks of a job: bounds and result. */
 struct job_attempt {
 	bool is_settled; /* all runs of a predecessor in the pool are known */
+	struct no_room *no_room; /* of the pass */
 	int starts_max;
 	int started;
 	enum job_block block; /* why a task could not start */
 	bool is_waiting; /* a task is left that may start later */
+	/* A task waits for something else than room. */
+	bool waits_for_more_than_room;
 };
 
+static void set_block(struct job_attempt *a, enum job_block block)
+{
+	a->block = block;
+	a->waits_for_more_than_room |= block != BLOCK_ROOM;
+}
+
 static bool may_start(const struct job *j, const struct batch_task *t,
 		      struct job_attempt *a, cs_time now)
 {
-	if (t->state != BATCH_TASK_WAITING || now < t->not_before || t->run_row)
+	if (t->state != BATCH_TASK_WAITING || t->run_row)
+		return false;
+	if (now < t->not_before) {
+		a->waits_for_more_than_room = true;
 		return false;
+	}
 	if (!j->may_have_runs || a->is_settled)
 		return true;
 	/* A server that does not answer may have a predecessor's run of it. */
-	a->block = BLOCK_UNSETTLED;
+	set_block(a, BLOCK_UNSETTLED);
 	return false;
 }
 
+/* Remembers what a step of the job did not find room for. */
+static void note_lacking_room(struct job *j, const struct batch_step *st,
+			      struct job_attempt *a)
+{
+	struct site_resources need = place_need(st);
+
+	no_room_add(a->no_room, st->label, need);
+	set_block(a, BLOCK_ROOM);
+	/* Needs of servers with different labels have no common bound. */
+	if (j->lacks_room && strcmp(j->lacking_label, st->label)) {
+		a->waits_for_more_than_room = true;
+		return;
+	}
+	if (j->lacks_room) {
+		need.cpu = MIN(need.cpu, j->lacking_need.cpu);
+		need.memory_mb = MIN(need.memory_mb, j->lacking_need.memory_mb);
+		need.accelerators =
+			MIN(need.accelerators, j->lacking_need.accelerators);
+	}
+	j->lacks_room = true;
+	j->lacking_need = need;
+	j->lacking_label = st->label;
+}
+
+/*
+ * Finds a server for a task. Without one, sets has_room if some have room but
+ * rules exclude them.
+ */
+static struct server *find_server(struct sched *s, const struct task_ref *ref,
+				  const struct job_attempt *a, cs_time now,
+				  bool *has_room)
+{
+	const struct job *j = ref->job;
+	const struct batch_step *st = &j->batch->spec->steps[ref->step];
+	struct place_search search = { 0 };
+	struct server *v = NULL;
+
+	if (!no_room_covers(a->no_room, st->label, place_need(st)))
+		v = place_choose(s, j, ref->occurrence, ref->step,
+				 batch_find_task(j->batch, ref->occurrence,
+						 ref->step, ref->index),
+				 now, &search);
+	s->examined_servers += search.examined;
+	*has_room = search.has_room;
+	return v;
+}
+
+/* Notes that no server was found for a step, and why. */
+static void note_unplaced(struct sched *s, const struct task_ref *ref,
+			  bool has_room, struct job_attempt *a, cs_time now)
+{
+	struct job *j = ref->job;
+	const struct site_queue *q = sched_queue_of(s, j);
+
+	if (has_room)
+		set_block(a, BLOCK_RULES);
+	else
+		note_lacking_room(j, &j->batch->spec->steps[ref->step], a);
+	if (q && q->advice.validity_ms)
+		advice_request(s, j, ref->occurrence, ref->step, now);
+}
+
 /* Starts the tasks of a step for which there is room. */
 static void assign_step(struct sched *s, struct job *j, int occurrence,
 			int step, cs_time now, struct job_attempt *a)
 {
 	const struct batch_step *st = &j->batch->spec->steps[step];
-	const struct site_queue *q = sched_queue_of(s, j);
 	int i;
 
 	for (i = 0; i < st->count && a->started < a->starts_max; i++) {
+		const struct task_ref ref = { j, occurrence, step, i };
 		struct batch_task *t =
 			batch_find_task(j->batch, occurrence, step, i);
 		struct server *v;
 		struct run *r;
+		bool has_room;
 
 		if (!may_start(j, t, a, now))
 			continue;
 		if (!place_within_limit(s, j, st->need)) {
-			a->block = BLOCK_LIMIT;
+			set_block(a, BLOCK_LIMIT);
 			break;
 		}
-		v = place_choose(s, j, occurrence, step, t, now,
-				 &s->examined_servers);
+		v = find_server(s, &ref, a, now, &has_room);
 		if (!v) {
-			a->block = BLOCK_ROOM;
-			if (q && q->advice.validity_ms)
-				advice_request(s, j, occurrence, step, now);
+			note_unplaced(s, &ref, has_room, a, now);
 			break;
 		}
-		r = runs_start(s, &(struct task_ref){ j, occurrence, step, i },
-			       v, next_run_number(s, t),
+		r = runs_start(s, &ref, v, next_run_number(s, t),
 			       advice_ticket(s, j, occurrence, step, v, now),
 			       now);
 		if (!r)
@@ -122,6 +200,7 @@
 	struct server **chosen = g_new0(struct server *, st->count);
 	struct site_resources all = { 0 };
 	uint32_t number = 0;
+	bool has_room = false;
 	int i, placed = 0;
 
 	for (i = 0; i < st->count; i++) {
@@ -135,14 +214,13 @@
 			number = next_run_number(s, t);
 	}
 	if (!place_within_limit(s, j, all)) {
-		a->block = BLOCK_LIMIT;
+		set_block(a, BLOCK_LIMIT);
 		goto out;
 	}
 	for (i = 0; i < st->count; i++) {
-		chosen[i] = place_choose(s, j, occurrence, step,
-					 batch_find_task(j->batch, occurrence,
-							 step, i),
-					 now, &s->examined_servers);
+		const struct task_ref ref = { j, occurrence, step, i };
+
+		chosen[i] = find_server(s, &ref, a, now, &has_room);
 		if (!chosen[i])
 			break;
 		servers_reserve(chosen[i], place_need(st), 1);
@@ -151,11 +229,9 @@
 	for (i = 0; i < placed; i++)
 		servers_reserve(chosen[i], place_need(st), -1);
 	if (placed < st->count) {
-		const struct site_queue *q = sched_queue_of(s, j);
-
-		if (q && q->advice.validity_ms)
-			advice_request(s, j, occurrence, step, now);
-		a->block = BLOCK_ROOM;
+		/* Room for some members only is no lack of room for a task. */
+		note_unplaced(s, &(struct task_ref){ j, occurrence, step, 0 },
+			      has_room || placed, a, now);
 		goto out;
 	}
 	for (i = 0; i < st->count; i++) {
@@ -218,12 +294,15 @@
 	int occurrence, step;
 
 	a->is_waiting = false;
+	a->waits_for_more_than_room = false;
+	j->lacks_room = false;
 	for (occurrence = open_due_occurrences(s, j, now);
 	     occurrence < b->occurrences_nr; occurrence++) {
 		const struct batch_occurrence *o = &b->occurrences[occurrence];
 
 		if (!o->tasks) {
 			a->is_waiting |= !o->is_done;
+			a->waits_for_more_than_room |= !o->is_done;
 			continue;
 		}
 		for (step = 0; step < b->spec->steps_nr; step++) {
@@ -232,10 +311,11 @@
 				continue;
 			if (a->started >= a->starts_max) {
 				a->is_waiting = true;
+				a->waits_for_more_than_room = true;
 				return;
 			}
 			if (!is_begin_stored(s, j, now)) {
-				a->block = BLOCK_STORE;
+				set_block(a, BLOCK_STORE);
 				a->is_waiting = true;
 				return;
 			}
@@ -265,10 +345,49 @@
 	g_ptr_array_set_size(p->waiting, (gint)kept);
 }
 
+/* A pass over the waiting jobs of a pool. */
+struct pass {
+	struct no_room no_room;
+	/* Jobs that placement rules blocked, in the last pass and this one. */
+	int rules_before, rules_tried;
+};
+
+/*
+ * True if an attempt would fail as the last one did, or if it is the turn of
+ * other jobs. block: the reason of the last attempt.
+ */
+static bool skips_job(struct pass *pass, const struct job *j, cs_time now,
+		      enum job_block *block)
+{
+	if (j->lacks_room) {
+		*block = BLOCK_ROOM;
+		return no_room_covers(&pass->no_room, j->lacking_label,
+				      j->lacking_need);
+	}
+	*block = BLOCK_RULES;
+	return j->next_attempt_at && (pass->rules_tried >= RULES_JOBS_MAX ||
+				      (pass->rules_before > RULES_JOBS_MAX &&
+				       now < j->next_attempt_at));
+}
+
+/*
+ * Sets when to try a job again that placement rules block. All such jobs have
+ * been tried by then, if there is a pass each PASS_INTERVAL_US.
+ */
+static void note_rules_block(struct pass *pass, struct job *j, cs_time now)
+{
+	int passes = 1 + pass->rules_before / RULES_JOBS_MAX;
+
+	pass->rules_tried++;
+	j->next_attempt_at = now + passes * PASS_INTERVAL_US;
+}
+
 static int assign_pool(struct sched *s, struct pool *p, cs_time now, int max)
 {
-	struct job_attempt a = { .is_settled = servers_pool_settled(s, p) };
-	int started = 0, jobs_without_room = 0;
+	struct pass pass = { .rules_before = p->blocked[BLOCK_RULES] };
+	struct job_attempt a = { .is_settled = servers_pool_settled(s, p),
+				 .no_room = &pass.no_room };
+	int started = 0;
 	guint i, kept = 0;
 
 	memset(p->blocked, 0, sizeof(p->blocked));
@@ -277,11 +396,14 @@
 		return 0;
 	rank_jobs(p->waiting, s, now);
 	s->ranked_jobs += p->waiting->len;
-	for (i = 0; i < p->waiting->len && started < max &&
-		    jobs_without_room < NO_ROOM_JOBS_MAX;
-	     i++) {
+	for (i = 0; i < p->waiting->len && started < max; i++) {
 		struct job *j = g_ptr_array_index(p->waiting, i);
 
+		if (skips_job(&pass, j, now, &a.block)) {
+			p->waiting->pdata[kept++] = j;
+			p->blocked[a.block]++;
+			continue;
+		}
 		a.starts_max = max - started;
 		a.started = 0;
 		a.block = BLOCK_NONE;
@@ -289,10 +411,12 @@
 		j->is_waiting = a.is_waiting;
 		if (j->is_waiting)
 			p->waiting->pdata[kept++] = j;
+		j->lacks_room &= !a.waits_for_more_than_room;
+		j->next_attempt_at = 0;
+		if (a.block == BLOCK_RULES && !a.started)
+			note_rules_block(&pass, j, now);
 		started += a.started;
 		p->blocked[a.block]++;
-		/* Only a lack of room shows that the pool is full. */
-		jobs_without_room += !a.started && a.block == BLOCK_ROOM;
 	}
 	if (kept < i)
 		g_ptr_array_remove_range(p->waiting, kept, i - kept);
--- a/src/sched/balance.c
+++ b/src/sched/balance.c
@@ -418,6 +418,8 @@
 			     plan->pool->blocked[BLOCK_LIMIT]);
 		log_pair_int(pairs, "blocked_by_room",
 			     plan->pool->blocked[BLOCK_ROOM]);
+		log_pair_int(pairs, "blocked_by_rules",
+			     plan->pool->blocked[BLOCK_RULES]);
 		log_pair_int(pairs, "blocked_unsettled",
 			     plan->pool->blocked[BLOCK_UNSETTLED]);
 		log_pair_int(pairs, "blocked_by_store",
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -59,9 +59,10 @@
 	const struct batch_step *spec;
 	const struct site_queue *queue; /* NULL: removed */
 	cs_time now;
+	struct place_search *search;
 };
 
-static bool can_take(const struct placement *p, const struct server *v)
+static bool has_room(const struct placement *p, const struct server *v)
 {
 	const struct batch_step *st = p->spec;
 
@@ -69,8 +70,17 @@
 				  site_resources_sub(v->info.capacity,
 						     v->used)) &&
 	       place_is_usable(p->sched, v, p->now) &&
-	       (!*st->label || has_label(v, st->label)) &&
-	       (!st->per_server_max ||
+	       (!*st->label || has_label(v, st->label));
+}
+
+static bool can_take(const struct placement *p, const struct server *v)
+{
+	const struct batch_step *st = p->spec;
+
+	if (!has_room(p, v))
+		return false;
+	p->search->has_room = true;
+	return (!st->per_server_max ||
 		runs_of_step(p->sched, v, p->job, p->occurrence, p->step) <
 			st->per_server_max) &&
 	       (!p->queue || !p->queue->advice.validity_ms ||
@@ -132,8 +142,7 @@
 }
 
 /* Looks at all servers, as the cost depends on their other tasks. */
-static struct server *choose_spread(const struct placement *p,
-				    int64_t *examined)
+static struct server *choose_spread(const struct placement *p)
 {
 	const GPtrArray *servers = p->job->pool->servers;
 	GPtrArray *others = servers_of_step(p);
@@ -141,7 +150,7 @@
 	int64_t best_cost = 0, cost;
 	guint i;
 
-	*examined += servers->len;
+	p->search->examined += servers->len;
 	for (i = 0; i < servers->len; i++) {
 		struct server *v = g_ptr_array_index(servers, i);
 
@@ -161,8 +170,7 @@
  * The cost is the free CPU and what own_cost() adds, so the search ends at the
  * first server whose free CPU alone exceeds the lowest cost.
  */
-static struct server *choose_best_fit(const struct placement *p,
-				      int64_t *examined)
+static struct server *choose_best_fit(const struct placement *p)
 {
 	const struct room_index *room = p->job->pool->room;
 	guint i = room_index_first(room, p->spec->need.cpu);
@@ -174,7 +182,7 @@
 	     i++) {
 		struct server *v = server_row(p->sched, row->server);
 
-		++*examined;
+		p->search->examined++;
 		if (!can_take(p, v))
 			continue;
 		cost = row->free_cpu + own_cost(p, v);
@@ -189,7 +197,7 @@
 struct server *place_choose(const struct sched *s, const struct job *j,
 			    int occurrence, int step,
 			    const struct batch_task *t, cs_time now,
-			    int64_t *examined)
+			    struct place_search *search)
 {
 	const struct placement p = {
 		.sched = s,
@@ -200,11 +208,13 @@
 		.spec = &j->batch->spec->steps[step],
 		.queue = sched_queue_of(s, j),
 		.now = now,
+		.search = search,
 	};
 
+	*search = (struct place_search){ 0 };
 	if (p.spec->is_long_running || p.spec->is_best_effort)
-		return choose_spread(&p, examined);
-	return choose_best_fit(&p, examined);
+		return choose_spread(&p);
+	return choose_best_fit(&p);
 }
 
 /* What is left of one dimension of a limit; a limit of 0 means none. */
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -198,6 +198,8 @@
 {
 	if (!j->pool || j->final_at)
 		return;
+	j->lacks_room = false;
+	j->next_attempt_at = 0;
 	if (!j->is_waiting) {
 		j->is_waiting = true;
 		g_ptr_array_add(j->pool->waiting, j);
--- a/src/sched/sched_private.h
+++ b/src/sched/sched_private.h
@@ -4,6 +4,7 @@
 #include "../base/slots.h"
 #include "demand.h"
 #include "estimate.h"
+#include "no_room.h"
 #include "room_index.h"
 #include "sched.h"
 #include "start_window.h"
@@ -137,6 +138,15 @@
 	cs_time final_at; /* 0: not final */
 	guint pool_position; /* in the pool's array of jobs */
 	bool is_waiting; /* in the pool's array of waiting jobs */
+	/*
+	 * The last attempt failed only because no server had room for tasks of
+	 * at least lacking_need, with lacking_label.
+	 */
+	bool lacks_room;
+	struct site_resources lacking_need;
+	const char *lacking_label;
+	/* When to try again while many jobs fail by placement rules; 0: any. */
+	cs_time next_attempt_at;
 	int first_open_occurrence; /* all earlier occurrences are done */
 };
 
@@ -150,7 +160,9 @@
 enum job_block {
 	BLOCK_NONE,
 	BLOCK_LIMIT, /* the limit of its workspace */
-	BLOCK_ROOM, /* no server has room */
+	BLOCK_ROOM, /* no server (with the label of the step) has room */
+	/* Servers have room, but not the ticket, the spread or the members. */
+	BLOCK_RULES,
 	BLOCK_UNSETTLED, /* a predecessor may have started it; not known yet */
 	BLOCK_STORE /* the begin of the job is not stored yet */
 };
@@ -318,14 +330,16 @@
 /* place.c: decisions, without side effects */
 bool place_is_usable(const struct sched *s, const struct server *v,
 		     cs_time now);
-/*
- * The server with the lowest cost for a task, or NULL if none can take it. Adds
- * the number of servers that were looked at to *examined.
- */
+/* What a search for a server saw; set by place_choose(). */
+struct place_search {
+	int64_t examined; /* servers that were looked at */
+	bool has_room; /* a usable one with the step's label had room */
+};
+/* The server with the lowest cost for a task, or NULL if none can take it. */
 struct server *place_choose(const struct sched *s, const struct job *j,
 			    int occurrence, int step,
 			    const struct batch_task *t, cs_time now,
-			    int64_t *examined);
+			    struct place_search *search);
 /* What is left of the limit of the job's workspace; INT64_MAX: no limit. */
 struct site_resources place_headroom(const struct sched *s,
 				     const struct job *j);
--- a/tests/unit/test_load.c
+++ b/tests/unit/test_load.c
@@ -1,5 +1,6 @@
 #include "unit.h"
 
+#include "../../src/sched/no_room.h"
 #include "../../src/sched/room_index.h"
 #include "../../src/sched/start_window.h"
 #include "../world/world.h"
@@ -121,6 +122,42 @@
 	end_world(w);
 }
 
+/*
+ * Tasks at least as large as one without room are covered, others are not: a
+ * smaller one, one with more of one resource and less of another, and one
+ * without the label that was lacking.
+ */
+static void no_room_covers_larger_tasks_only(void **state)
+{
+	const struct site_resources need = { 4000, 1024, 0 };
+	const struct site_resources larger = { 4000, 2048, 1 };
+	const struct site_resources smaller = { 3999, 1024, 0 };
+	const struct site_resources mixed = { 8000, 512, 0 };
+	struct no_room set = { 0 };
+	int i;
+
+	(void)state;
+	assert_false(no_room_covers(&set, "", need));
+	no_room_add(&set, "fast", need);
+	assert_true(no_room_covers(&set, "fast", larger));
+	assert_false(no_room_covers(&set, "", larger));
+	assert_false(no_room_covers(&set, "large", larger));
+	no_room_add(&set, "", need);
+	assert_true(no_room_covers(&set, "", need));
+	assert_true(no_room_covers(&set, "large", larger));
+	assert_false(no_room_covers(&set, "", smaller));
+	assert_false(no_room_covers(&set, "", mixed));
+	/* The row without a label replaced the one that it covers. */
+	assert_int_equal(set.rows_nr, 1);
+	for (i = 0; i < 2 * NO_ROOM_ROWS; i++) {
+		const struct site_resources row = { 3000 - i, 2048 + i, 0 };
+
+		no_room_add(&set, "", row);
+	}
+	assert_int_equal(set.rows_nr, NO_ROOM_ROWS);
+	assert_false(no_room_covers(&set, "", smaller));
+}
+
 /* Rows stay sorted, and the first one with enough CPU is found. */
 static void room_index_finds_the_fullest_server(void **state)
 {
@@ -205,6 +242,7 @@
 		cmocka_unit_test(owner_recovers_from_overload),
 		cmocka_unit_test(start_window_bounds_the_queue),
 		cmocka_unit_test(room_index_finds_the_fullest_server),
+		cmocka_unit_test(no_room_covers_larger_tasks_only),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/unit/test_sched_faults.c
+++ b/tests/unit/test_sched_faults.c
@@ -90,11 +90,125 @@
 	end_world(w);
 }
 
+static const struct world_job short_job = { .steps = 1,
+					    .width = 6,
+					    .work_ms = 800,
+					    .cpu = 1600,
+					    .unavailable_max = -1 };
+
+/* Submits n jobs, and short ones after them, which must not wait for them. */
+static void check_short_jobs_pass(struct world *w, int n,
+				  const struct world_job *blocked)
+{
+	int i, job;
+
+	for (i = 0; i < n; i++)
+		world_submit(w, i % 3, blocked);
+	world_run(w, 500);
+	for (i = 0; i < 3; i++) {
+		job = world_submit(w, 0, &short_job);
+		world_run(w, 1500);
+		assert_true(world_job_is_done(w, job));
+	}
+	end_world(w);
+}
+
+/*
+ * Guards against a pool that starts nothing: a server was lost, so that 26
+ * long-running jobs missed one task each, which had to be on a server of its
+ * own, and all jobs behind them waited.
+ */
+static void jobs_short_of_a_server_block_no_others(void **state)
+{
+	const struct world_job lasting = { .steps = 1,
+					   .width = 8,
+					   .work_ms = 200,
+					   .cpu = 400,
+					   .is_long_running = true,
+					   .per_server_max = 1,
+					   .unavailable_max = -1 };
+	struct world *w = make_world(1, 8, 0);
+	int i;
+
+	(void)state;
+	for (i = 0; i < 26; i++)
+		world_submit(w, i % 3, &lasting);
+	world_run(w, 2000);
+	world_server_crash(w, 1, 600000);
+	world_run(w, 10000);
+	check_short_jobs_pass(w, 0, NULL);
+}
+
+/* The same for jobs that need a label which no server has. */
+static void jobs_without_a_labelled_server_block_no_others(void **state)
+{
+	struct world_job job = short_job;
+
+	(void)state;
+	job.needs_label = true;
+	check_short_jobs_pass(make_world(1, 4, 0), 40, &job);
+}
+
+/* The same for tasks that are larger than any server. */
+static void jobs_larger_than_a_server_block_no_others(void **state)
+{
+	struct world_job job = short_job;
+
+	(void)state;
+	job.cpu = 33000;
+	check_short_jobs_pass(make_world(1, 4, 0), 40, &job);
+}
+
+/* The same for gangs whose members do not fit at the same time. */
+static void gangs_larger_than_the_pool_block_no_others(void **state)
+{
+	struct world_job job = short_job;
+
+	(void)state;
+	job.is_gang = true;
+	job.cpu = 30000;
+	check_short_jobs_pass(make_world(1, 4, 0), 40, &job);
+}
+
+/*
+ * More jobs miss a server of their own than one pass tries. Guards against
+ * those at the end that are never tried: all run soon after the server is back.
+ */
+static void blocked_jobs_take_turns(void **state)
+{
+	const struct world_job lasting = { .steps = 1,
+					   .width = 5,
+					   .work_ms = 200,
+					   .cpu = 50,
+					   .is_long_running = true,
+					   .per_server_max = 1,
+					   .unavailable_max = -1 };
+	struct world *w = make_world(1, 5, 0);
+	int i, missing = 0;
+
+	(void)state;
+	for (i = 0; i < 300; i++)
+		world_submit(w, i % 3, &lasting);
+	world_run(w, 5000);
+	world_server_crash(w, 1, 12000);
+	world_run(w, 12000 + 3000);
+	for (i = 0; i < 300; i++)
+		missing += 5 - world_job_running_tasks(w, i);
+	assert_int_equal(missing, 0);
+	end_world(w);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(servers_are_used_after_unanswered_moves),
 		cmocka_unit_test(servers_are_used_after_withdrawn_wave),
+		cmocka_unit_test(jobs_short_of_a_server_block_no_others),
+		cmocka_unit_test(
+			jobs_without_a_labelled_server_block_no_others),
+		cmocka_unit_test(jobs_larger_than_a_server_block_no_others),
+		cmocka_unit_test(gangs_larger_than_the_pool_block_no_others),
+		cmocka_unit_test(blocked_jobs_take_turns),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -875,6 +875,9 @@
 		st->is_long_running = job->is_long_running;
 		st->is_checkpointing = job->is_checkpointing;
 		st->is_gang = job->is_gang;
+		st->per_server_max = job->per_server_max;
+		if (job->needs_label)
+			cs_copy(st->label, sizeof(st->label), "nowhere");
 		st->unavailable_max =
 			job->is_long_running ? job->unavailable_max : -1;
 		if (i) {
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -110,6 +110,8 @@
 	int64_t work_ms;
 	int64_t caller_estimate_ms; /* sent by the caller; 0: work_ms */
 	int64_t cpu; /* of each task, thousandths of a core */
+	int per_server_max; /* tasks of a step on one server; 0: no limit */
+	bool needs_label; /* that no server has */
 	bool is_long_running, is_checkpointing, is_gang;
 	int unavailable_max; /* of long-running tasks; -1: no limit */
 	/* Long-running tasks fail within this time after they are up; 0: no. */
--- a/tests/world/world_servers.c
+++ b/tests/world/world_servers.c
@@ -52,6 +52,22 @@
 	return "nobody";
 }
 
+/* Number of runs on a server of the same job and step as a task. */
+static int count_step_runs(const struct sim_server *v, const char *task,
+			   int step)
+{
+	int n = 0;
+	guint i;
+
+	for (i = 0; i < v->runs->len; i++) {
+		const struct sim_run *r = g_ptr_array_index(v->runs, i);
+
+		n += r->step == step &&
+		     !strncmp(r->task, task, BATCH_ID_MAX - 1);
+	}
+	return n;
+}
+
 static void check_start(struct world *w, const struct sim_server *v,
 			struct sim_job *j, int step, int index,
 			const struct order *o, int node, bool is_late)
@@ -62,6 +78,11 @@
 		if (!j->done[i])
 			world_report_violation(
 				w, "ORDER: %s before its step's turn", o->task);
+	if (j->spec.needs_label ||
+	    (j->spec.per_server_max &&
+	     count_step_runs(v, o->task, step) >= j->spec.per_server_max))
+		world_report_violation(w, "ROUTE: %s may not run on %s",
+				       o->task, v->id);
 	if (j->running_count[t])
 		world_report_violation(w,
 				       "TWICE: %s run %u on %s while %s has it",
