sched: a run that a partial list does not show is not lost

Cause: a server lists 500 ended runs at a time and drops them once they are acknowledged, which the owner does after storing them. During an outage of the store 600 waited; the runs behind the first 500 were in neither list and counted as lost. Seen as task_end how=lost for 100 runs and done for 500.

Related paths: a new owner took a server for known after the first, cut-off reply; rows that could not be read were left out, so that their runs counted as lost; a list that is no list counted as empty.

Change: the adapter marks such lists as partial. They add runs and ends but end none, a server is taken over with its first complete lists, and jobs of a predecessor wait while ends are stored that are in front of others. Carriers send them as a new kind of message: an earlier version ignores it, and the order then counts as unanswered, which ends no run either.

--- a/src/relay/relay_carrier.c
+++ b/src/relay/relay_carrier.c
@@ -110,7 +110,9 @@
 static void queue_reply(struct relay *r, struct peer_conn *conn, cs_handle call,
 			struct order_reply *reply)
 {
-	struct relay_msg msg = { .kind = RELAY_REPLY,
+	struct relay_msg msg = { .kind = reply->is_partial ?
+						 RELAY_PARTIAL_REPLY :
+						 RELAY_REPLY,
 				 .sent = task_now(),
 				 .call = call,
 				 .reply = reply };
--- a/src/relay/relay_codec.c
+++ b/src/relay/relay_codec.c
@@ -169,6 +169,12 @@
 	read_rows(f, "ends", read_end, d);
 }
 
+static void read_partial_reply(struct peer_fields *f, struct relay_msg *m)
+{
+	read_reply(f, m);
+	m->reply->is_partial = true;
+}
+
 static void write_offer(msgpack_packer *pk, const struct relay_msg *m)
 {
 	msgpack_pack_int(pk, m->cpu_share);
@@ -193,6 +199,7 @@
 	[RELAY_ORDER] = { 15, write_order, read_order },
 	[RELAY_REPLY] = { 7, write_reply, read_reply },
 	[RELAY_LEAVE] = { 0, NULL, NULL },
+	[RELAY_PARTIAL_REPLY] = { 7, write_reply, read_partial_reply },
 };
 
 GBytes *relay_encode(const struct relay_msg *m)
@@ -224,7 +231,7 @@
 		return cs_error_set(err, CS_ERR_NOMEM, "relay", NULL,
 				    "out of memory");
 	peer_fields_open(&f, data, len, OBJECTS_MAX, &zone);
-	m->kind = (enum relay_kind)peer_read_u64(&f, "kind", RELAY_LEAVE);
+	m->kind = (enum relay_kind)peer_read_u64(&f, "kind", RELAY_KIND_MAX);
 	m->sent = peer_read_i64(&f, "sent", 0, INT64_MAX / 2);
 	codec = &codecs[m->kind];
 	if (!f.has_failed && !m->kind)
--- a/src/relay/relay_codec.h
+++ b/src/relay/relay_codec.h
@@ -10,8 +10,14 @@
 	RELAY_PONG,
 	RELAY_ORDER, /* owner: an order to a server */
 	RELAY_REPLY, /* carrier: its reply */
-	RELAY_LEAVE /* carrier: takes no more orders */
+	RELAY_LEAVE, /* carrier: takes no more orders */
+	/*
+	 * A reply with lists that are partial. It has a kind of its own so that
+	 * an owner of a version that takes all lists for complete ignores it.
+	 */
+	RELAY_PARTIAL_REPLY
 };
+#define RELAY_KIND_MAX RELAY_PARTIAL_REPLY
 
 struct relay_msg {
 	enum relay_kind kind;
--- a/src/relay/relay_hub.c
+++ b/src/relay/relay_hub.c
@@ -236,6 +236,7 @@
 		l->is_carrier = false;
 		break;
 	case RELAY_REPLY:
+	case RELAY_PARTIAL_REPLY:
 		c = slots_get(r->calls, msg->call);
 		if (!c || c->conn != conn->self)
 			break;
--- a/src/sched/order.h
+++ b/src/sched/order.h
@@ -132,7 +132,8 @@
 	int64_t clock_ms; /* the server's clock; -1: not reported */
 	uint64_t started_unix_ms; /* start of the incarnation; 0: unknown */
 	GPtrArray *runs; /* struct order_run */
-	GPtrArray *ends; /* struct order_ended_run */
+	GPtrArray *ends; /* struct order_ended_run, the lowest numbers first */
+	bool is_partial; /* the server may have more runs or ended runs */
 	GPtrArray *hosts; /* struct order_host */
 	GPtrArray *tickets; /* struct order_ticket */
 	int64_t validity_ms; /* of the tickets */
--- a/src/sched/runs.c
+++ b/src/sched/runs.c
@@ -585,6 +585,9 @@
 			adopt_or_stop(s, v, reported, now);
 		}
 	}
+	/* A run that is missing from a partial list may run or have ended. */
+	if (d->is_partial)
+		return;
 	for (i = v->runs->len; i-- > 0;) {
 		struct run *r =
 			run_row(s, g_array_index(v->runs, cs_handle, i));
--- a/src/sched/sched_private.h
+++ b/src/sched/sched_private.h
@@ -82,9 +82,11 @@
 	struct server_info info;
 	struct pool *pool;
 	bool is_listed; /* in the registry */
-	bool is_taken_over; /* has answered under this term's token */
+	bool is_taken_over; /* has listed all its runs under this term's token
+			     */
 	bool is_granted; /* its grant is stored; see sched_take_grant() */
 	bool is_grant_pending; /* the grant is being stored */
+	bool is_list_partial; /* its last lists may lack runs or ended runs */
 	bool is_dead; /* its incarnation has certainly ended */
 	cs_time died_at; /* when is_dead was set */
 	/* Start of the next incarnation with this identifier; 0: none. */
--- a/src/sched/servers.c
+++ b/src/sched/servers.c
@@ -341,6 +341,7 @@
 	v->clock_sent = v->clock_received = 0;
 	v->is_taken_over = false;
 	v->last_end = 0;
+	v->is_list_partial = false;
 	g_array_set_size(v->unstored, 0);
 	v->failed_in_row = 0;
 	v->suspect_until = 0;
@@ -362,6 +363,26 @@
 		start_incarnation(s, v, now);
 }
 
+/* Logs the first of several partial lists, and the first complete one after. */
+static void note_partial_list(struct sched *s, struct server *v,
+			      const struct order_reply *d)
+{
+	GString *pairs;
+
+	if (v->is_list_partial == d->is_partial)
+		return;
+	v->is_list_partial = d->is_partial;
+	pairs = g_string_new(NULL);
+	log_pair(pairs, "server", v->info.id);
+	log_pair_int(pairs, "runs", d->runs->len);
+	log_pair_int(pairs, "ends", d->ends->len);
+	log_pair_int(pairs, "unstored_ends", v->unstored->len);
+	sched_log(s,
+		  d->is_partial ? "server_list_partial" :
+				  "server_list_complete",
+		  pairs);
+}
+
 /*
  * Handles the lists of a server. Returns false if there are none: no answer, a
  * later owner, or another incarnation.
@@ -389,6 +410,7 @@
 		v->info.started_unix_ms = d->started_unix_ms;
 	if (d->ref && d->ref <= v->unstored->len)
 		g_array_remove_range(v->unstored, 0, (guint)d->ref);
+	note_partial_list(s, v, d);
 	runs_handle_ends(s, v, d, now);
 	runs_reconcile(s, v, d, now);
 	return true;
@@ -414,7 +436,8 @@
 			servers_schedule_hold(s, v, now + HOLD_RETRY_US);
 		return;
 	}
-	if (s->is_ready && !v->is_taken_over) {
+	/* A run that is not listed yet may have ended. */
+	if (s->is_ready && !v->is_taken_over && !d->is_partial) {
 		/* A lease that a predecessor granted remains valid. */
 		v->is_taken_over = true;
 		log_server(s, "server_taken", v,
@@ -644,6 +667,11 @@
 {
 	if (v->is_taken_over)
 		return false;
+	/* It lists further ended runs once these are stored and acknowledged.
+	 */
+	if (v->is_list_partial && v->unstored->len && !v->is_dead &&
+	    !(v->unanswered_orders && has_lease_ended(s, v)))
+		return true;
 	/* A successor may have recorded ends before the server died. */
 	return s->confirmed_at <
 	       (v->is_dead ? v->died_at : v->predecessor_lease_end);
--- a/tests/fuzz/fuzz_platform.c
+++ b/tests/fuzz/fuzz_platform.c
@@ -209,7 +209,7 @@
 
 	m.order = &order;
 	m.reply = order_reply_new(&order);
-	for (kind = RELAY_OFFER; kind <= RELAY_LEAVE; kind++) {
+	for (kind = RELAY_OFFER; kind <= RELAY_KIND_MAX; kind++) {
 		m.kind = (enum relay_kind)kind;
 		g_ptr_array_add(seeds, relay_encode(&m));
 	}
--- a/tests/unit/test_relay.c
+++ b/tests/unit/test_relay.c
@@ -169,6 +169,7 @@
 	d = order_reply_new(o);
 	d->result = ORDER_DONE;
 	d->clock_ms = 99;
+	d->is_partial = true;
 	r = g_new0(struct order_run, 1);
 	cs_copy(r->task, sizeof(r->task), o->task);
 	r->run = 3;
@@ -192,6 +193,7 @@
 	assert_int_equal(d->token, 7);
 	assert_int_equal(d->result, ORDER_DONE);
 	assert_int_equal(d->clock_ms, 99);
+	assert_true(d->is_partial);
 	assert_true(d->sent > 0 && d->received > d->sent);
 	r = g_ptr_array_index(d->runs, 0);
 	assert_string_equal(r->checkpoint, "c1");
--- a/tests/unit/test_sched_faults.c
+++ b/tests/unit/test_sched_faults.c
@@ -198,6 +198,76 @@
 	end_world(w);
 }
 
+/* 600 tasks that run for 6 s on one server, all started. */
+static int submit_600_tasks(struct world *w)
+{
+	const struct world_job job = { .steps = 1,
+				       .width = 24,
+				       .work_ms = 6000,
+				       .cpu = 50,
+				       .unavailable_max = -1 };
+	int i, starts = 0;
+
+	for (i = 0; i < 25; i++)
+		world_submit(w, i % 3, &job);
+	world_run(w, 4000);
+	for (i = 0; i < 25; i++)
+		starts += world_job_starts(w, i);
+	return starts;
+}
+
+/* Each of the 600 tasks has run exactly once and its job is done. */
+static void check_600_tasks_ran_once(struct world *w)
+{
+	int i, starts = 0;
+
+	for (i = 0; i < 25; i++)
+		starts += world_job_starts(w, i);
+	assert_int_equal(world_unfinished_jobs(w), 0);
+	assert_int_equal(starts, 600);
+	end_world(w);
+}
+
+/*
+ * Guards against done tasks that run again: a server lists 500 ends at a time.
+ * While the store was down more waited, and the runs of the others counted as
+ * lost, being neither listed as running nor as ended.
+ */
+static void ends_beyond_one_list_are_not_lost(void **state)
+{
+	struct world *w = make_world(1, 2, 0);
+
+	(void)state;
+	assert_int_equal(submit_600_tasks(w), 600);
+	world_store_set_down(w, true, false);
+	world_run(w, 4500);
+	world_store_set_down(w, false, false);
+	world_run(w, 10000);
+	check_600_tasks_ran_once(w);
+}
+
+/*
+ * The same for a new owner, which finds more ends than one list holds. The
+ * store is so slow that its predecessor's last lease ends meanwhile.
+ */
+static void new_owner_waits_for_all_ends(void **state)
+{
+	struct world *w = make_world(1, 2, 0);
+	int owner = world_owner(w);
+
+	(void)state;
+	assert_int_equal(submit_600_tasks(w), 600);
+	world_store_set_down(w, true, true);
+	world_run(w, 4500);
+	world_node_kill(w, owner);
+	world_store_set_down(w, false, false);
+	world_store_set_latency(w, 300);
+	world_run(w, 10000);
+	world_store_set_latency(w, 0);
+	world_run(w, 15000);
+	check_600_tasks_ran_once(w);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -209,6 +279,8 @@
 		cmocka_unit_test(jobs_larger_than_a_server_block_no_others),
 		cmocka_unit_test(gangs_larger_than_the_pool_block_no_others),
 		cmocka_unit_test(blocked_jobs_take_turns),
+		cmocka_unit_test(ends_beyond_one_list_are_not_lost),
+		cmocka_unit_test(new_owner_waits_for_all_ends),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -368,6 +368,68 @@
 	order_free(o);
 }
 
+/*
+ * Guards against runs that count as gone because a list did not show them: it
+ * was cut off at 500 ended runs, or a row could not be read.
+ */
+static void partial_lists_are_noted(void **state)
+{
+	static const struct {
+		const char *lists;
+		bool is_partial;
+	} rows[] = {
+		{ "", false },
+		{ "\"running\":[],\"finished\":[]", false },
+		{ "\"running\":[[\"5c0e7a21d94b36f8.0.1.17\",2,\"\",4,7]]",
+		  false },
+		{ "\"running\":[[\"5c0e7a21d94b36f8.0.1.17\",-2,\"\",4,7]]",
+		  true },
+		{ "\"running\":{}", true },
+		{ "\"finished\":null", true },
+		{ "\"finished\":[[1,\"5c0e7a21d94b36f8.0.1.9\",1,\"odd\",\"\"]]",
+		  true },
+	};
+	struct order *o = order_new(ORDER_LIST_RUNS);
+	GString *many = g_string_new("{\"finished\":[");
+	struct http_client_response a;
+	struct order_reply *d;
+	size_t i;
+	int n;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		char *body = g_strdup_printf("{%s}", rows[i].lists);
+
+		a = answered(200, body);
+		d = wire_order_decode(o, &a, 1, 2);
+		assert_int_equal(d->result, ORDER_DONE);
+		assert_int_equal(d->is_partial, rows[i].is_partial);
+		order_reply_free(d);
+		g_bytes_unref(a.body);
+		g_free(body);
+	}
+	for (n = 1; n <= 500; n++) {
+		char *body;
+
+		g_string_append_printf(
+			many,
+			"%s[%d,\"5c0e7a21d94b36f8.0.1.%d\",1,\"done\",\"\"]",
+			n > 1 ? "," : "", n, n);
+		if (n < 499)
+			continue;
+		body = g_strdup_printf("%s]}", many->str);
+		a = answered(200, body);
+		d = wire_order_decode(o, &a, 1, 2);
+		assert_int_equal(d->ends->len, n);
+		assert_int_equal(d->is_partial, n == 500);
+		order_reply_free(d);
+		g_bytes_unref(a.body);
+		g_free(body);
+	}
+	g_string_free(many, TRUE);
+	order_free(o);
+}
+
 static bool body_holds(GBytes *body, const char *part)
 {
 	gsize size;
@@ -469,6 +531,7 @@
 		cmocka_unit_test(numbers_out_of_range_are_refused),
 		cmocka_unit_test(statuses_map_to_results),
 		cmocka_unit_test(holds_are_read),
+		cmocka_unit_test(partial_lists_are_noted),
 		cmocka_unit_test(orders_are_written),
 		cmocka_unit_test(store_answers_are_read),
 	};
--- a/tests/world/world_private.h
+++ b/tests/world/world_private.h
@@ -25,6 +25,7 @@
 #define VISIBLE_MS 3000
 /* A new configuration is in force within this time. */
 #define APPLY_MS 2000
+#define ENDS_LISTED_MAX 500 /* ended runs in one reply of a server */
 #define DATA_CENTRES 3
 #define NODES_MAX 16
 #define UNIX_START_MS INT64_C(1700000000000)
--- a/tests/world/world_servers.c
+++ b/tests/world/world_servers.c
@@ -467,7 +467,8 @@
 		out->checkpoint = g_strdup("");
 		g_ptr_array_add(d->runs, out);
 	}
-	for (i = 0; i < v->ends->len && i < 500; i++) {
+	d->is_partial = v->ends->len >= ENDS_LISTED_MAX;
+	for (i = 0; i < v->ends->len && i < ENDS_LISTED_MAX; i++) {
 		const struct sim_run_end *e = g_ptr_array_index(v->ends, i);
 		struct order_ended_run *out = g_new0(struct order_ended_run, 1);
 
