sched, batch: a new owner asks for the pools where tasks may run, not for the job's present pool

Cause: assign_pool() asked whether the job's present pool is settled.

Change: the progress of a job names the pools where tasks may have been started; a pool is stored before the first start there, in the write that preceded the first start anyway. A new owner waits for all named pools and counts what may run there. Progress of an earlier version names none: all pools count. Readers of that version ignore the added element. Which pools are unsettled is now worked out once a turn, and not at all after the last lease of a predecessor.

--- a/src/batch/batch.c
+++ b/src/batch/batch.c
@@ -178,6 +178,8 @@
 		return;
 	for (i = 0; i < b->occurrences_nr; i++)
 		release_occurrence(b, &b->occurrences[i]);
+	if (b->pools)
+		g_ptr_array_free(b->pools, TRUE);
 	g_free(b->occurrences);
 	g_free(b->offsets);
 	batch_spec_destroy(b->spec);
@@ -245,12 +247,25 @@
 	return b->state >= BATCH_DONE;
 }
 
-void batch_begin(struct batch *b)
+bool batch_begin(struct batch *b, const char *pool)
 {
-	if (b->has_begun)
-		return;
-	b->has_begun = true;
+	if (b->pools && batch_may_run_in(b, pool))
+		return false;
+	if (!b->pools)
+		b->pools = g_ptr_array_new_with_free_func(g_free);
+	g_ptr_array_add(b->pools, g_strdup(pool));
 	b->version++;
+	return true;
+}
+
+bool batch_may_run_in(const struct batch *b, const char *pool)
+{
+	guint i;
+
+	for (i = 0; b->pools && i < b->pools->len; i++)
+		if (!strcmp(g_ptr_array_index(b->pools, i), pool))
+			return true;
+	return false;
 }
 
 void batch_task_started(struct batch *b, struct batch_task *t, uint32_t run)
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -112,7 +112,11 @@
 	int occurrences_nr;
 	int occurrences_done;
 	enum batch_state state;
-	bool has_begun; /* a task may have been ordered to start */
+	/*
+	 * Names of the pools where tasks may have been ordered to start. NULL:
+	 * none, or not known, as an earlier version stored the progress.
+	 */
+	GPtrArray *pools;
 	int running; /* tasks in state BATCH_TASK_RUNNING */
 	uint32_t version; /* rises with each change that must be stored */
 };
@@ -159,10 +163,13 @@
 bool batch_is_final(const struct batch *b);
 
 /*
- * Records that tasks are about to be started, so that the progress is stored
- * before. No effect after the first call.
+ * Records that tasks are about to be started in a pool, so that this is stored
+ * before. Returns false if it was recorded already.
  */
-void batch_begin(struct batch *b);
+bool batch_begin(struct batch *b, const char *pool);
+
+/* True if tasks may have been ordered to start in the pool. */
+bool batch_may_run_in(const struct batch *b, const char *pool);
 
 /* Records a start. The run number must be higher than all before. */
 void batch_task_started(struct batch *b, struct batch_task *t, uint32_t run);
--- a/src/batch/batch_codec.c
+++ b/src/batch/batch_codec.c
@@ -8,9 +8,14 @@
 /* Format numbers. A change of the layout needs a new one. */
 #define SUBMISSION_FORMAT 1
 #define PROGRESS_FORMAT 1
-/* Numbers of elements of the outer arrays. */
+/*
+ * Numbers of elements of the outer arrays. Readers ignore further elements, so
+ * one can be added at the end if it may be missing.
+ */
 #define SUBMISSION_LEN 10
-#define PROGRESS_LEN 3
+#define PROGRESS_LEN 4
+/* Progress of earlier versions has no names of pools. */
+#define PROGRESS_LEN_MIN 3
 
 static void pack_text(msgpack_packer *pk, const char *s)
 {
@@ -252,6 +257,15 @@
 	}
 }
 
+static void pack_pools(msgpack_packer *pk, const GPtrArray *pools)
+{
+	guint i, n = pools ? pools->len : 0;
+
+	msgpack_pack_array(pk, n);
+	for (i = 0; i < n; i++)
+		pack_text(pk, g_ptr_array_index(pools, i));
+}
+
 GBytes *batch_encode_progress(const struct batch *b)
 {
 	msgpack_sbuffer buf;
@@ -267,6 +281,7 @@
 	msgpack_pack_array(&pk, is_final ? 0 : (size_t)b->occurrences_nr);
 	for (i = 0; !is_final && i < b->occurrences_nr; i++)
 		pack_occurrence(&pk, b, &b->occurrences[i]);
+	pack_pools(&pk, is_final ? NULL : b->pools);
 	return take_buffer(&buf);
 }
 
@@ -337,6 +352,21 @@
 	return true;
 }
 
+static bool read_pools(struct batch *b, const msgpack_object *o)
+{
+	char name[CS_NAME_MAX];
+	uint32_t i;
+
+	if (!is_array(o, 0))
+		return false;
+	for (i = 0; i < o->via.array.size; i++) {
+		if (!read_text(&o->via.array.ptr[i], name, sizeof(name)))
+			return false;
+		batch_begin(b, name);
+	}
+	return true;
+}
+
 static bool read_progress(struct batch *b, const msgpack_object *o,
 			  enum batch_state *state)
 {
@@ -344,7 +374,7 @@
 	int64_t format, value;
 	uint32_t i;
 
-	if (!is_array(o, PROGRESS_LEN))
+	if (!is_array(o, PROGRESS_LEN_MIN))
 		return false;
 	f = o->via.array.ptr;
 	if (!read_int(&f[0], &format) || format != PROGRESS_FORMAT ||
@@ -360,7 +390,7 @@
 	for (i = 0; i < f[2].via.array.size; i++)
 		if (!read_occurrence(b, (int)i, &f[2].via.array.ptr[i]))
 			return false;
-	return true;
+	return o->via.array.size < PROGRESS_LEN || read_pools(b, &f[3]);
 }
 
 /* Decodes progress. If b is NULL, only the state is decoded. */
--- a/src/sched/assign.c
+++ b/src/sched/assign.c
@@ -59,7 +59,7 @@
 
 /* One attempt to start the tasks of a job: bounds and result. */
 struct job_attempt {
-	bool is_settled; /* all runs of a predecessor in the pool are known */
+	bool is_settled; /* all runs of a predecessor of it are known */
 	struct no_room *no_room; /* of the pass */
 	int starts_max;
 	int started;
@@ -75,8 +75,8 @@
 	a->waits_for_more_than_room |= block != BLOCK_ROOM;
 }
 
-static bool may_start(const struct job *j, const struct batch_task *t,
-		      struct job_attempt *a, cs_time now)
+static bool may_start(const struct batch_task *t, struct job_attempt *a,
+		      cs_time now)
 {
 	if (t->state != BATCH_TASK_WAITING || t->run_row)
 		return false;
@@ -84,7 +84,7 @@
 		a->waits_for_more_than_room = true;
 		return false;
 	}
-	if (!j->may_have_runs || a->is_settled)
+	if (a->is_settled)
 		return true;
 	/* A server that does not answer may have a predecessor's run of it. */
 	set_block(a, BLOCK_UNSETTLED);
@@ -168,7 +168,7 @@
 		struct run *r;
 		bool has_room;
 
-		if (!may_start(j, t, a, now))
+		if (!may_start(t, a, now))
 			continue;
 		if (!place_within_limit(s, j, st->need)) {
 			set_block(a, BLOCK_LIMIT);
@@ -207,7 +207,7 @@
 		struct batch_task *t =
 			batch_find_task(j->batch, occurrence, step, i);
 
-		if (!may_start(j, t, a, now))
+		if (!may_start(t, a, now))
 			goto out;
 		all = site_resources_add(all, st->need);
 		if (next_run_number(s, t) > number)
@@ -273,15 +273,16 @@
 }
 
 /*
- * True once the begin of the job is stored. So a successor knows that jobs
- * without stored progress have no runs, and can start them at once, even while
- * some servers do not answer.
+ * True once it is stored that tasks of the job start in its pool. So a
+ * successor knows that jobs without stored progress have no runs, and in which
+ * pools the runs of the others may be, even while some servers do not answer.
  */
 static bool is_begin_stored(struct sched *s, struct job *j, cs_time now)
 {
-	if (j->stored_revision)
+	if (batch_begin(j->batch, j->pool->name))
+		j->begin_version = j->batch->version;
+	if (sched_job_begin_is_stored(j))
 		return true;
-	batch_begin(j->batch);
 	sched_mark_changed(s, j, now);
 	return false;
 }
@@ -385,8 +386,7 @@
 static int assign_pool(struct sched *s, struct pool *p, cs_time now, int max)
 {
 	struct pass pass = { .rules_before = p->blocked[BLOCK_RULES] };
-	struct job_attempt a = { .is_settled = servers_pool_settled(s, p),
-				 .no_room = &pass.no_room };
+	struct job_attempt a = { .no_room = &pass.no_room };
 	int started = 0;
 	guint i, kept = 0;
 
@@ -404,6 +404,7 @@
 			p->blocked[a.block]++;
 			continue;
 		}
+		a.is_settled = sched_job_is_settled(s, j);
 		a.starts_max = max - started;
 		a.started = 0;
 		a.block = BLOCK_NONE;
@@ -430,6 +431,7 @@
 	GHashTableIter it;
 	void *row;
 
+	servers_update_settled(s);
 	reserve_update(s);
 	g_hash_table_iter_init(&it, s->pools);
 	while (left > 0 && g_hash_table_iter_next(&it, NULL, &row)) {
--- a/src/sched/pool_size.c
+++ b/src/sched/pool_size.c
@@ -93,14 +93,13 @@
 				   cs_time now)
 {
 	struct backlog sum = { 0 };
-	bool is_settled = servers_pool_settled(s, p);
 	guint i;
 
 	for (i = 0; i < p->waiting->len; i++) {
 		const struct job *j = g_ptr_array_index(p->waiting, i);
 
 		/* A job that may have unknown runs can't be started yet. */
-		if (!j->final_at && (!j->may_have_runs || is_settled))
+		if (!j->final_at && sched_job_is_settled(s, j))
 			add_job(s, j, now, &sum);
 	}
 	return sum;
--- a/src/sched/reserve.c
+++ b/src/sched/reserve.c
@@ -68,21 +68,14 @@
 		}
 }
 
-static void reserve_pool(struct sched *s, const struct pool *p)
+/* Reserves, of what may wait for a pool, as much as may run there. */
+static void reserve_pool(struct sched *s, const struct pool *p,
+			 GHashTable *waiting)
 {
-	GHashTable *waiting =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	struct site_resources capacity = unconfirmed_capacity(s, p);
 	void *workspace, *row;
 	GHashTableIter it;
-	guint i;
-
-	for (i = 0; i < p->jobs->len; i++) {
-		const struct job *j = g_ptr_array_index(p->jobs, i);
 
-		if (j->may_have_runs && *j->batch->workspace)
-			reserve_job(waiting, j);
-	}
 	g_hash_table_iter_init(&it, waiting);
 	while (g_hash_table_iter_next(&it, &workspace, &row)) {
 		struct site_resources *r = row;
@@ -93,20 +86,53 @@
 			min_int64(r->accelerators, capacity.accelerators);
 		add_need(s->reserve, workspace, *r);
 	}
-	g_hash_table_destroy(waiting);
+}
+
+/*
+ * Adds a job to what may run in unsettled pools. Its queue may have gone to
+ * another pool since its tasks started.
+ */
+static void add_job(struct sched *s, const struct job *j, GPtrArray *waiting)
+{
+	guint i;
+
+	if (!j->may_have_runs || !*j->batch->workspace)
+		return;
+	for (i = 0; i < s->unsettled_pools->len; i++)
+		if (sched_job_may_have_runs_in(
+			    j, g_ptr_array_index(s->unsettled_pools, i)))
+			reserve_job(g_ptr_array_index(waiting, i), j);
+}
+
+static void table_free(void *table)
+{
+	g_hash_table_destroy(table);
 }
 
 void reserve_update(struct sched *s)
 {
+	GPtrArray *waiting; /* a table for each unsettled pool */
 	GHashTableIter it;
 	void *row;
+	guint i;
 
 	g_hash_table_remove_all(s->reserve);
-	/* After the last lease of a predecessor all pools are settled. */
-	if (s->confirmed_at >= s->options.predecessor_end)
+	if (!s->unsettled_pools->len)
 		return;
+	waiting = g_ptr_array_new_with_free_func(table_free);
+	for (i = 0; i < s->unsettled_pools->len; i++)
+		g_ptr_array_add(waiting,
+				g_hash_table_new_full(g_str_hash, g_str_equal,
+						      g_free, g_free));
 	g_hash_table_iter_init(&it, s->pools);
-	while (g_hash_table_iter_next(&it, NULL, &row))
-		if (!servers_pool_settled(s, row))
-			reserve_pool(s, row);
+	while (g_hash_table_iter_next(&it, NULL, &row)) {
+		const struct pool *p = row;
+
+		for (i = 0; i < p->jobs->len; i++)
+			add_job(s, g_ptr_array_index(p->jobs, i), waiting);
+	}
+	for (i = 0; i < s->unsettled_pools->len; i++)
+		reserve_pool(s, g_ptr_array_index(s->unsettled_pools, i),
+			     g_ptr_array_index(waiting, i));
+	g_ptr_array_free(waiting, TRUE);
 }
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -95,6 +95,7 @@
 	s->estimates = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					     estimate_free);
 	s->ended_grants = g_ptr_array_new_with_free_func(g_free);
+	s->unsettled_pools = g_ptr_array_new();
 	s->unstored_servers = g_array_new(FALSE, FALSE, sizeof(cs_handle));
 	s->hosts = hosts_create();
 	s->maintenance = maintenance_create(s);
@@ -139,6 +140,7 @@
 	g_hash_table_destroy(s->allowed_cpu_left);
 	g_hash_table_destroy(s->predecessor_grants);
 	g_ptr_array_free(s->ended_grants, TRUE);
+	g_ptr_array_free(s->unsettled_pools, TRUE);
 	g_array_free(s->unstored_servers, TRUE);
 	g_queue_clear(&s->changed);
 	g_queue_clear(&s->final);
@@ -194,6 +196,30 @@
 	return s->site ? site_find_queue(s->site, j->batch->queue) : NULL;
 }
 
+bool sched_job_begin_is_stored(const struct job *j)
+{
+	/* Versions wrap around, so the difference is compared. */
+	return j->stored_revision &&
+	       (int32_t)(j->stored_version - j->begin_version) >= 0;
+}
+
+bool sched_job_may_have_runs_in(const struct job *j, const struct pool *p)
+{
+	return j->may_have_runs &&
+	       (!j->knows_pools || batch_may_run_in(j->batch, p->name));
+}
+
+bool sched_job_is_settled(const struct sched *s, const struct job *j)
+{
+	guint i;
+
+	for (i = 0; j->may_have_runs && i < s->unsettled_pools->len; i++)
+		if (sched_job_may_have_runs_in(
+			    j, g_ptr_array_index(s->unsettled_pools, i)))
+			return false;
+	return true;
+}
+
 void sched_job_waits(struct sched *s, struct job *j)
 {
 	if (!j->pool || j->final_at)
@@ -227,7 +253,7 @@
 	    !j->is_being_stored) {
 		j->is_changed = true;
 		/* Stored first, as its first start waits for this. */
-		if (!j->stored_revision)
+		if (!sched_job_begin_is_stored(j))
 			g_queue_push_head(&s->changed,
 					  GSIZE_TO_POINTER((gsize)j->self));
 		else
@@ -414,7 +440,8 @@
 	j->is_from_predecessor = revision <= s->options.revision;
 	/* Progress is stored before the first start, so without it none ran. */
 	j->may_have_runs = j->is_from_predecessor && stored_revision;
-	b->has_begun = stored_revision != 0;
+	j->knows_pools = b->pools != NULL;
+	j->begin_version = b->version;
 	j->submitted = now - (unix_ms - b->submitted_unix_ms) * CS_MSEC;
 	if (j->submitted > now)
 		j->submitted = now; /* the submitting entry's clock is ahead */
@@ -452,6 +479,7 @@
 {
 	(void)now;
 	s->is_ready = true;
+	servers_update_settled(s);
 	sched_wake(s);
 }
 
@@ -579,14 +607,17 @@
 {
 	struct job *j = slots_get(s->jobs, h);
 
-	if (j) {
-		j->is_being_stored = false;
-		j->stored_version = version;
-		if (!j->stored_revision)
-			sched_wake_pool(s, j->pool);
-		j->stored_revision = revision;
-		sched_mark_changed(s, j, now);
-	}
+	bool was_begun;
+
+	if (!j)
+		return;
+	was_begun = sched_job_begin_is_stored(j);
+	j->is_being_stored = false;
+	j->stored_version = version;
+	j->stored_revision = revision;
+	if (!was_begun)
+		sched_wake_pool(s, j->pool);
+	sched_mark_changed(s, j, now);
 }
 
 void sched_commit_finished(struct sched *s, cs_time now)
--- a/src/sched/sched_private.h
+++ b/src/sched/sched_private.h
@@ -130,10 +130,12 @@
 	uint64_t revision; /* of the submission */
 	uint64_t stored_revision; /* of the progress; 0: none */
 	uint32_t stored_version;
+	uint32_t begin_version; /* records that tasks start in the pool */
 	bool is_changed; /* in the list of changed jobs */
 	bool is_being_stored;
 	bool is_from_predecessor; /* submitted before this term */
 	bool may_have_runs; /* a predecessor may have started its tasks */
+	bool knows_pools; /* it stored in which pools */
 	cs_time submitted;
 	cs_time objective_at; /* when the present occurrence should be done */
 	int64_t critical_path_ms; /* of the remaining steps */
@@ -197,6 +199,8 @@
 	struct counters *counters;
 	struct site *site;
 	bool is_ready, is_paused, is_fenced;
+	bool are_pools_settled; /* all of them, for the rest of the term */
+	GPtrArray *unsettled_pools; /* struct pool; see servers.c */
 	bool is_turn_due, are_pools_due, are_servers_due;
 	cs_time next_turn_at;
 	cs_time confirmed_at; /* no other entry was the owner before then */
@@ -248,6 +252,15 @@
 void sched_log(struct sched *s, const char *event, GString *pairs);
 const struct site_queue *sched_queue_of(const struct sched *s,
 					const struct job *j);
+/*
+ * True if all runs of the job that a predecessor may have started are known.
+ * They may be in other pools than the job is in now.
+ */
+bool sched_job_is_settled(const struct sched *s, const struct job *j);
+/* True if a predecessor may have started tasks of the job in the pool. */
+bool sched_job_may_have_runs_in(const struct job *j, const struct pool *p);
+/* True once it is stored that tasks of the job start in its pool. */
+bool sched_job_begin_is_stored(const struct job *j);
 
 /* servers.c */
 struct server *server_row(const struct sched *s, cs_handle h);
@@ -297,8 +310,11 @@
 /* True if it may have runs of a predecessor that are not known here. */
 bool servers_may_have_unknown_runs(const struct sched *s,
 				   const struct server *v);
-/* True if all runs of a predecessor in the pool are known. */
-bool servers_pool_settled(const struct sched *s, const struct pool *p);
+/*
+ * Finds the pools that are not settled: a server there may have runs of a
+ * predecessor that are not known here.
+ */
+void servers_update_settled(struct sched *s);
 
 /* runs.c */
 struct run *run_row(const struct sched *s, cs_handle h);
--- a/src/sched/servers.c
+++ b/src/sched/servers.c
@@ -578,6 +578,7 @@
 	if (!v) {
 		g_hash_table_insert(s->predecessor_grants, g_strdup(id),
 				    g_strdup(pool));
+		sched_pool(s, pool);
 		return;
 	}
 	v->is_granted = true;
@@ -677,7 +678,7 @@
 	       (v->is_dead ? v->died_at : v->predecessor_lease_end);
 }
 
-bool servers_pool_settled(const struct sched *s, const struct pool *p)
+static bool is_pool_settled(const struct sched *s, const struct pool *p)
 {
 	GHashTableIter it;
 	void *pool;
@@ -698,6 +699,23 @@
 	return true;
 }
 
+void servers_update_settled(struct sched *s)
+{
+	GHashTableIter it;
+	void *row;
+
+	if (s->are_pools_settled)
+		return;
+	g_ptr_array_set_size(s->unsettled_pools, 0);
+	g_hash_table_iter_init(&it, s->pools);
+	while (g_hash_table_iter_next(&it, NULL, &row))
+		if (!is_pool_settled(s, row))
+			g_ptr_array_add(s->unsettled_pools, row);
+	/* No lease of a predecessor is left, so none can become unsettled. */
+	s->are_pools_settled = !s->unsettled_pools->len && s->is_ready &&
+			       s->confirmed_at >= s->options.predecessor_end;
+}
+
 /* Removes the row of an ended incarnation and ends its grant. */
 static void remove_server(struct sched *s, struct server *v)
 {
--- a/tests/unit/test_batch.c
+++ b/tests/unit/test_batch.c
@@ -167,6 +167,9 @@
 	t = batch_find_task(b, 0, 0, 1);
 	batch_task_started(b, t, 4);
 	batch_task_ended(b, 0, 0, t, 4, BATCH_END_FAILED, "saved", 3);
+	assert_true(batch_begin(b, "old"));
+	assert_true(batch_begin(b, "new"));
+	assert_false(batch_begin(b, "old"));
 	submission = batch_encode_submission(b);
 	progress = batch_encode_progress(b);
 	c = batch_decode_submission(g_bytes_get_data(submission, NULL),
@@ -185,6 +188,9 @@
 	assert_int_equal(t->run, 4);
 	assert_int_equal(t->failures, 1);
 	assert_string_equal(t->checkpoint, "saved");
+	assert_true(batch_may_run_in(c, "old"));
+	assert_true(batch_may_run_in(c, "new"));
+	assert_false(batch_may_run_in(c, "other"));
 	/* The same failure, reported again to the new owner, counts once. */
 	assert_false(batch_task_ended(c, 0, 0, t, 4, BATCH_END_FAILED, "", 3));
 	assert_int_equal(batch_decode_state(g_bytes_get_data(progress, NULL),
@@ -242,6 +248,33 @@
 	batch_destroy(b);
 }
 
+/*
+ * Progress of an earlier version names no pools: tasks may run in any. Guards
+ * against an upgrade that loses jobs.
+ */
+static void progress_without_pools_is_read(void **state)
+{
+	struct batch *b = make_batch(), *c = make_batch();
+	GBytes *progress;
+	uint8_t *data;
+	gsize size;
+
+	(void)state;
+	finish(b, 0, 0);
+	progress = batch_encode_progress(b);
+	data = g_bytes_unref_to_data(progress, &size);
+	/* An array of four, whose last element is an empty array. */
+	assert_int_equal(data[0], 0x94);
+	assert_int_equal(data[size - 1], 0x90);
+	data[0] = 0x93;
+	assert_int_equal(batch_decode_progress(c, data, size - 1), CS_OK);
+	assert_int_equal(batch_find_task(c, 0, 0, 0)->state, BATCH_TASK_DONE);
+	assert_null(c->pools);
+	g_free(data);
+	batch_destroy(b);
+	batch_destroy(c);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -253,6 +286,7 @@
 		cmocka_unit_test(invalid_jobs_are_refused),
 		cmocka_unit_test(stored_encoding_is_complete),
 		cmocka_unit_test(damaged_bytes_never_crash),
+		cmocka_unit_test(progress_without_pools_is_read),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/unit/test_sched_faults.c
+++ b/tests/unit/test_sched_faults.c
@@ -268,6 +268,76 @@
 	check_600_tasks_ran_once(w);
 }
 
+static const struct world_job long_task = { .steps = 1,
+					    .width = 2,
+					    .work_ms = 14000,
+					    .cpu = 2000,
+					    .unavailable_max = -1 };
+
+/*
+ * Cuts the owner off from the store, and the other entries from a server that
+ * the owner still reaches; for 5.5 s, after which they are connected again.
+ */
+static void partition_owner_with_server(struct world *w, int server)
+{
+	int owner = world_owner(w), n;
+
+	world_node_cut_store(w, owner, true);
+	for (n = 0; n < 3; n++)
+		world_node_cut_server(w, n, server, n != owner);
+	world_run(w, 5500);
+	world_node_cut_store(w, owner, false);
+	for (n = 0; n < 3; n++)
+		world_node_cut_server(w, n, server, false);
+}
+
+/*
+ * Guards against two runs of a task: its queue went to another pool, and a new
+ * owner did not know that a server of the old pool, which only its predecessor
+ * reached, ran it.
+ */
+static void moved_queue_runs_no_task_twice(void **state)
+{
+	struct world *w = make_world(2, 1, 0);
+	int job = world_submit(w, 0, &long_task);
+
+	(void)state;
+	world_run(w, 1000);
+	assert_int_equal(world_job_starts(w, job), 2);
+	world_set_queue_pool(w, 0, 1);
+	world_run(w, 2500);
+	partition_owner_with_server(w, 0);
+	world_run(w, 30000);
+	assert_true(world_job_is_done(w, job));
+	end_world(w);
+}
+
+/*
+ * The same for the limit of a workspace: what may run in the old pool counts
+ * against it.
+ */
+static void moved_queue_counts_against_the_limit(void **state)
+{
+	struct world_job other = long_task;
+	struct world *w = make_world(2, 1, 0);
+	int job;
+
+	(void)state;
+	other.pool = 1;
+	world_set_limit(w, 5000);
+	world_run(w, 3000);
+	job = world_submit(w, 0, &long_task);
+	world_run(w, 1000);
+	assert_int_equal(world_job_starts(w, job), 2);
+	world_set_queue_pool(w, 0, 1);
+	world_run(w, 2500);
+	world_submit(w, 0, &other);
+	partition_owner_with_server(w, 0);
+	world_run(w, 60000);
+	assert_int_equal(world_unfinished_jobs(w), 0);
+	end_world(w);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -281,6 +351,8 @@
 		cmocka_unit_test(blocked_jobs_take_turns),
 		cmocka_unit_test(ends_beyond_one_list_are_not_lost),
 		cmocka_unit_test(new_owner_waits_for_all_ends),
+		cmocka_unit_test(moved_queue_runs_no_task_twice),
+		cmocka_unit_test(moved_queue_counts_against_the_limit),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -320,17 +320,19 @@
 	on_log,		on_owner_changed, admits_frequent_log
 };
 
-/* "VERSION POOLS LIMIT HOSTS_IN_STANDBY" */
+/* "VERSION POOLS LIMIT HOSTS_IN_STANDBY POOL...", a pool for each queue */
 static struct site *read_site(GBytes *value, struct cs_error *err)
 {
 	struct site_workspace ws = { .name = "desk", .weight = 1 };
 	char *text = store_text(value);
 	uint64_t version;
 	struct site *site = NULL;
-	int pools, standby, i, index;
+	int pools, standby, i, index, read = 0;
+
+	if (sscanf(text, "%" SCNu64 " %d %" SCNd64 " %d%n", &version, &pools,
+		   &ws.limit.cpu, &standby, &read) == 4) {
+		char *rest = text + read;
 
-	if (sscanf(text, "%" SCNu64 " %d %" SCNd64 " %d", &version, &pools,
-		   &ws.limit.cpu, &standby) == 4) {
 		site = site_create(version);
 		index = site_add_workspace(site, &ws);
 		site_add_key(site, index, "key");
@@ -339,14 +341,17 @@
 						.stretch = 2.0,
 						.target_ms = 600 };
 			struct site_pool p = { .has_admission_check = true };
+			int pool = (int)strtol(rest, &rest, 10);
 
-			snprintf(q.name, sizeof(q.name), "queue%d", i);
-			snprintf(q.pool, sizeof(q.pool), "pool%d", i);
 			snprintf(p.name, sizeof(p.name), "pool%d", i);
+			site_add_pool(site, &p);
+			if (pool < 0)
+				continue;
+			snprintf(q.name, sizeof(q.name), "queue%d", i);
+			snprintf(q.pool, sizeof(q.pool), "pool%d", pool);
 			cs_copy(q.host, sizeof(q.host), "desk.example");
 			q.prefix = g_strdup_printf("/q%d/", i);
 			site_add_queue(site, &q);
-			site_add_pool(site, &p);
 		}
 		if (standby) {
 			struct site_pool p = { .is_standby = true };
@@ -420,12 +425,19 @@
 
 static void write_site(struct world *w)
 {
-	char text[96];
+	GString *text = g_string_new(NULL);
+	int i;
 
-	snprintf(text, sizeof(text), "%" PRIu64 " %d %" PRId64 " %d",
-		 ++w->site_version, w->options.pools, w->limit_cpu,
-		 w->options.standby);
-	sim_store_put(w, "op/site", text);
+	g_string_printf(text, "%" PRIu64 " %d %" PRId64 " %d",
+			++w->site_version, w->options.pools, w->limit_cpu,
+			w->options.standby);
+	for (i = 0; i < w->options.pools; i++) {
+		g_string_append_printf(text, " %d", w->queue_pool[i]);
+		if (w->queue_pool[i] >= 0)
+			w->was_queue_pool[i][w->queue_pool[i]] = true;
+	}
+	sim_store_put(w, "op/site", text->str);
+	g_string_free(text, TRUE);
 }
 
 static void server_free(void *row)
@@ -496,6 +508,8 @@
 	w->watches = g_ptr_array_new();
 	w->leases = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					  g_free);
+	for (i = 0; i < POOLS_MAX; i++)
+		w->queue_pool[i] = i;
 	write_site(w);
 	for (i = 0; i < options->pools; i++)
 		for (k = 0; k < options->servers; k++)
@@ -831,6 +845,12 @@
 	write_site(w);
 }
 
+void world_set_queue_pool(struct world *w, int queue, int pool)
+{
+	w->queue_pool[queue] = pool;
+	write_site(w);
+}
+
 void world_start_wave(struct world *w, uint64_t number, int first, int count,
 		      int at_once_max, int64_t duration_ms)
 {
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -93,6 +93,8 @@
 			 bool is_evacuated);
 /* Limit of the workspace in thousandths of a core; 0: no limit. */
 void world_set_limit(struct world *world, int64_t cpu);
+/* Sends the work of a queue to another pool; pool -1: removes the queue. */
+void world_set_queue_pool(struct world *world, int queue, int pool);
 /*
  * Starts a maintenance wave over count hosts from the first on, of which at
  * most at_once_max may be down at the same time.
@@ -104,7 +106,8 @@
 
 /* Callers. */
 struct world_job {
-	int pool;
+	int pool; /* number of its queue, and of the pool that it has at first
+		   */
 	int steps; /* each depends on the previous one */
 	int width; /* tasks per step */
 	int64_t work_ms;
--- a/tests/world/world_private.h
+++ b/tests/world/world_private.h
@@ -28,6 +28,7 @@
 #define ENDS_LISTED_MAX 500 /* ended runs in one reply of a server */
 #define DATA_CENTRES 3
 #define NODES_MAX 16
+#define POOLS_MAX 8
 #define UNIX_START_MS INT64_C(1700000000000)
 /* Of a delayed call: no entry has this generation, so its reply is dropped. */
 #define GENERATION_LATE UINT64_MAX
@@ -178,6 +179,8 @@
 	int64_t limit_cpu, used_cpu;
 	cs_time limit_since;
 	uint64_t site_version;
+	int queue_pool[POOLS_MAX]; /* -1: the queue is removed */
+	bool was_queue_pool[POOLS_MAX][POOLS_MAX]; /* in any configuration */
 	bool is_evacuated[DATA_CENTRES];
 	cs_time evacuated_since[DATA_CENTRES];
 	int64_t pool_ms;
--- a/tests/world/world_servers.c
+++ b/tests/world/world_servers.c
@@ -78,6 +78,9 @@
 		if (!j->done[i])
 			world_report_violation(
 				w, "ORDER: %s before its step's turn", o->task);
+	if (!w->was_queue_pool[j->spec.pool][v->pool])
+		world_report_violation(w, "ROUTE: %s on %s of pool%d", o->task,
+				       v->id, v->pool);
 	if (j->spec.needs_label ||
 	    (j->spec.per_server_max &&
 	     count_step_runs(v, o->task, step) >= j->spec.per_server_max))
