sched: a job of a removed queue goes on under the terms of its acceptance

Cause: record_end() took the number of attempts from the present configuration and had a default of 1 for a missing queue. Rank, objective, tickets and pool had defaults of their own; a new owner put such a job into no pool, so that its tasks never started again.

Change: the submission holds the queue's terms (pool, priority, attempts, objective, advice) as they were at acceptance. sched_terms_of() is the one place that decides: the present queue, or the stored terms once it is removed. Readers of earlier versions ignore the added element; submissions without it never fail by attempts while their queue is away.

--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -105,6 +105,12 @@
 	char queue[CS_NAME_MAX];
 	char workspace[CS_NAME_MAX]; /* "" on an open queue without a key */
 	int64_t submitted_unix_ms;
+	/*
+	 * What held for the queue when the job was accepted. Not known if an
+	 * earlier version accepted it.
+	 */
+	struct site_terms terms;
+	bool has_terms;
 	struct batch_spec *spec;
 	int occurrence_tasks; /* tasks of one occurrence */
 	int *offsets; /* index of the first task of each step */
--- a/src/batch/batch_codec.c
+++ b/src/batch/batch_codec.c
@@ -1,5 +1,6 @@
 #include "batch_codec.h"
 
+#include <math.h>
 #include <msgpack.h>
 #include <string.h>
 
@@ -12,10 +13,13 @@
  * Numbers of elements of the outer arrays. Readers ignore further elements, so
  * one can be added at the end if it may be missing.
  */
-#define SUBMISSION_LEN 10
+#define SUBMISSION_LEN 11
+/* Submissions of earlier versions have no terms. */
+#define SUBMISSION_LEN_MIN 10
 #define PROGRESS_LEN 4
 /* Progress of earlier versions has no names of pools. */
 #define PROGRESS_LEN_MIN 3
+#define TERMS_LEN 8
 
 static void pack_text(msgpack_packer *pk, const char *s)
 {
@@ -61,6 +65,19 @@
 	pack_text(pk, s->image);
 }
 
+static void pack_terms(msgpack_packer *pk, const struct site_terms *t)
+{
+	msgpack_pack_array(pk, TERMS_LEN);
+	pack_text(pk, t->pool);
+	msgpack_pack_int(pk, t->priority);
+	msgpack_pack_int(pk, t->attempts_max);
+	msgpack_pack_double(pk, t->stretch);
+	msgpack_pack_int64(pk, t->target_ms);
+	msgpack_pack_int64(pk, t->advice.decision_ms);
+	msgpack_pack_int64(pk, t->advice.per_worker_ms);
+	msgpack_pack_int64(pk, t->advice.validity_ms);
+}
+
 /* Copies what was packed, and releases the buffer. */
 static GBytes *take_buffer(msgpack_sbuffer *buf)
 {
@@ -91,6 +108,7 @@
 	msgpack_pack_array(&pk, (size_t)b->spec->steps_nr);
 	for (i = 0; i < b->spec->steps_nr; i++)
 		pack_step(&pk, &b->spec->steps[i]);
+	pack_terms(&pk, &b->terms);
 	return take_buffer(&buf);
 }
 
@@ -116,6 +134,20 @@
 	return true;
 }
 
+static bool read_range(const msgpack_object *o, int64_t min, int64_t max,
+		       int64_t *value)
+{
+	return read_int(o, value) && *value >= min && *value <= max;
+}
+
+static bool read_real(const msgpack_object *o, double *value)
+{
+	if (o->type != MSGPACK_OBJECT_FLOAT64)
+		return false;
+	*value = o->via.f64;
+	return isfinite(*value);
+}
+
 static bool is_array(const msgpack_object *o, uint32_t min)
 {
 	return o->type == MSGPACK_OBJECT_ARRAY && o->via.array.size >= min;
@@ -169,16 +201,39 @@
 	return true;
 }
 
+static bool read_terms(const msgpack_object *o, struct site_terms *t)
+{
+	const msgpack_object *f;
+	int64_t priority, attempts;
+
+	if (!is_array(o, TERMS_LEN))
+		return false;
+	f = o->via.array.ptr;
+	if (!read_text(&f[0], t->pool, sizeof(t->pool)) ||
+	    !read_range(&f[1], INT32_MIN, INT32_MAX, &priority) ||
+	    !read_range(&f[2], 0, INT32_MAX, &attempts) ||
+	    !read_real(&f[3], &t->stretch) || !read_int(&f[4], &t->target_ms) ||
+	    !read_int(&f[5], &t->advice.decision_ms) ||
+	    !read_int(&f[6], &t->advice.per_worker_ms) ||
+	    !read_int(&f[7], &t->advice.validity_ms))
+		return false;
+	t->priority = (int)priority;
+	t->attempts_max = (int)attempts;
+	return true;
+}
+
 static struct batch *read_submission(const msgpack_object *o)
 {
 	char id[BATCH_ID_MAX], queue[CS_NAME_MAX], workspace[CS_NAME_MAX];
 	char payload[BATCH_PAYLOAD_MAX + 1];
 	struct batch_spec *spec = NULL;
+	struct site_terms terms = { 0 };
 	const msgpack_object *f;
 	int64_t format, submitted, repeats;
+	struct batch *b;
 	uint32_t i;
 
-	if (!is_array(o, SUBMISSION_LEN))
+	if (!is_array(o, SUBMISSION_LEN_MIN))
 		return NULL;
 	f = o->via.array.ptr;
 	if (!read_int(&f[0], &format) || format != SUBMISSION_FORMAT ||
@@ -201,7 +256,12 @@
 			goto fail;
 	if (batch_spec_check(spec, NULL))
 		goto fail;
-	return batch_create(id, queue, workspace, submitted, spec);
+	b = batch_create(id, queue, workspace, submitted, spec);
+	b->has_terms = o->via.array.size >= SUBMISSION_LEN &&
+		       read_terms(&f[10], &terms);
+	if (b->has_terms)
+		b->terms = terms;
+	return b;
 fail:
 	batch_spec_destroy(spec);
 	return NULL;
--- a/src/node/api.c
+++ b/src/node/api.c
@@ -51,6 +51,7 @@
 	const char *id; /* of the job, in the request's path */
 	char workspace[CS_NAME_MAX];
 	char queue[CS_NAME_MAX];
+	struct site_terms terms; /* of the queue */
 	cs_time deadline;
 	bool is_write_uncertain; /* a write without a reply may be done */
 	bool is_reading_job; /* the key of the job, not of its progress */
@@ -270,6 +271,7 @@
 	const struct api_request *r = o->request;
 	struct batch batch = { .submitted_unix_ms =
 				       node_unix_ms(o->node, r->received),
+			       .terms = o->terms,
 			       .spec = r->spec };
 
 	cs_copy(batch.id, sizeof(batch.id), o->id);
@@ -482,6 +484,7 @@
 	o->deadline = r->received + (timeout - REPLY_MARGIN_MS) * CS_MSEC;
 	cs_copy(o->workspace, sizeof(o->workspace), workspace);
 	cs_copy(o->queue, sizeof(o->queue), q->name);
+	o->terms = q->terms;
 	if (!reply_as_owner(o, now))
 		send_next_call(o, now);
 }
--- a/src/sched/advice.c
+++ b/src/sched/advice.c
@@ -119,7 +119,7 @@
 static void send_next_request(struct sched *s, cs_time now)
 {
 	struct advice *a = s->advice;
-	const struct site_queue *sq = NULL;
+	const struct site_terms *terms;
 	const struct job *j = NULL;
 	struct step_advice *sa;
 	struct order *o;
@@ -128,8 +128,7 @@
 	g_hash_table_foreach_remove(a->steps, is_finished, s);
 	while ((sa = g_queue_pop_head(&a->waiting))) {
 		j = slots_get(s->jobs, sa->job);
-		sq = j ? sched_queue_of(s, j) : NULL;
-		if (sq && !batch_is_final(j->batch))
+		if (j && j->pool && !batch_is_final(j->batch))
 			break;
 		sa->is_pending = false;
 	}
@@ -145,8 +144,9 @@
 		    place_is_usable(s, v, now))
 			g_ptr_array_add(o->servers, g_strdup(v->info.id));
 	}
-	o->timeout_ms = sq->advice.decision_ms +
-			sq->advice.per_worker_ms * o->servers->len +
+	terms = sched_terms_of(s, j);
+	o->timeout_ms = terms->advice.decision_ms +
+			terms->advice.per_worker_ms * o->servers->len +
 			ADVICE_SLACK_MS;
 	a->in_flight = sa;
 	a->sent_at = now;
--- a/src/sched/assign.c
+++ b/src/sched/assign.c
@@ -143,13 +143,12 @@
 			  bool has_room, struct job_attempt *a, cs_time now)
 {
 	struct job *j = ref->job;
-	const struct site_queue *q = sched_queue_of(s, j);
 
 	if (has_room)
 		set_block(a, BLOCK_RULES);
 	else
 		note_lacking_room(j, &j->batch->spec->steps[ref->step], a);
-	if (q && q->advice.validity_ms)
+	if (sched_terms_of(s, j)->advice.validity_ms)
 		advice_request(s, j, ref->occurrence, ref->step, now);
 }
 
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -57,7 +57,7 @@
 	int occurrence, step;
 	const struct batch_task *task;
 	const struct batch_step *spec;
-	const struct site_queue *queue; /* NULL: removed */
+	const struct site_terms *terms;
 	cs_time now;
 	struct place_search *search;
 };
@@ -83,7 +83,7 @@
 	return (!st->per_server_max ||
 		runs_of_step(p->sched, v, p->job, p->occurrence, p->step) <
 			st->per_server_max) &&
-	       (!p->queue || !p->queue->advice.validity_ms ||
+	       (!p->terms->advice.validity_ms ||
 		advice_ticket(p->sched, p->job, p->occurrence, p->step, v,
 			      p->now));
 }
@@ -206,7 +206,7 @@
 		.step = step,
 		.task = t,
 		.spec = &j->batch->spec->steps[step],
-		.queue = sched_queue_of(s, j),
+		.terms = sched_terms_of(s, j),
 		.now = now,
 		.search = search,
 	};
--- a/src/sched/rank.c
+++ b/src/sched/rank.c
@@ -58,11 +58,10 @@
 
 	for (i = 0; i < jobs->len; i++) {
 		struct job *j = g_ptr_array_index(jobs, i);
-		const struct site_queue *q = sched_queue_of(s, j);
 
 		keys[i].job = j;
 		keys[i].class = rank_class_of(j, now);
-		keys[i].priority = q ? q->priority : 0;
+		keys[i].priority = sched_terms_of(s, j)->priority;
 		keys[i].urgency =
 			keys[i].class == RANK_ON_TIME ?
 				j->objective_at -
--- a/src/sched/runs.c
+++ b/src/sched/runs.c
@@ -305,7 +305,6 @@
 {
 	struct job *j = ref->job;
 	struct batch_task *t = task_of(ref);
-	const struct site_queue *q = sched_queue_of(s, j);
 	bool was_final = batch_is_final(j->batch);
 
 	if (!t)
@@ -318,7 +317,7 @@
 	if (how == BATCH_END_DONE && step_of(j, ref->step)->is_gang)
 		free_gang_runs(s, j, ref->occurrence, ref->step);
 	batch_task_ended(j->batch, ref->occurrence, ref->step, t, number, how,
-			 checkpoint, q ? q->attempts_max : 1);
+			 checkpoint, sched_terms_of(s, j)->attempts_max);
 	j->critical_path_ms = rank_critical_path_ms(j);
 	if (batch_is_final(j->batch) && !was_final)
 		end_job(s, j, now);
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -1,5 +1,6 @@
 #include "sched_private.h"
 
+#include <limits.h>
 #include <string.h>
 
 #include "../base/error.h"
@@ -190,12 +191,45 @@
 	g_string_free(pairs, TRUE);
 }
 
-const struct site_queue *sched_queue_of(const struct sched *s,
-					const struct job *j)
+/* The configured queue of a job; NULL: it was removed. */
+static const struct site_queue *queue_of(const struct sched *s,
+					 const struct job *j)
 {
 	return s->site ? site_find_queue(s->site, j->batch->queue) : NULL;
 }
 
+const struct site_terms *sched_terms_of(const struct sched *s,
+					const struct job *j)
+{
+	/* Of a job that an earlier version accepted, for a queue that is gone.
+	 */
+	static const struct site_terms unknown = { .attempts_max = INT_MAX,
+						   .stretch = 1.0 };
+	const struct site_queue *q = queue_of(s, j);
+
+	if (q)
+		return &q->terms;
+	return j->batch->has_terms ? &j->batch->terms : &unknown;
+}
+
+/*
+ * The pool of a job: that of its queue. A job of a removed queue stays where it
+ * is, and with a new owner where its tasks were started last.
+ */
+static const char *pool_name_of(const struct sched *s, const struct job *j)
+{
+	const struct site_queue *q = queue_of(s, j);
+	const GPtrArray *pools = j->batch->pools;
+
+	if (q)
+		return q->terms.pool;
+	if (j->pool)
+		return j->pool->name;
+	if (pools)
+		return g_ptr_array_index(pools, pools->len - 1);
+	return j->batch->terms.pool;
+}
+
 bool sched_job_begin_is_stored(const struct job *j)
 {
 	/* Versions wrap around, so the difference is compared. */
@@ -275,15 +309,16 @@
 	j->is_waiting = false;
 }
 
-/* Moves a job that is not final to the pool configured for its queue. */
+/* Moves a job that is not final to its pool. */
 static void set_pool(struct sched *s, struct job *j)
 {
-	const struct site_queue *q = sched_queue_of(s, j);
+	const char *name = pool_name_of(s, j);
 	struct pool *p;
 
-	if (!q || j->final_at)
-		return; /* jobs of a removed queue stay in their pool */
-	p = sched_pool(s, q->pool);
+	/* Without a name it waits until its queue is configured again. */
+	if (!*name || j->final_at)
+		return;
+	p = sched_pool(s, name);
 	if (p == j->pool)
 		return;
 	stop_waiting(j);
@@ -370,9 +405,7 @@
  */
 void sched_set_objective(struct sched *s, struct job *j)
 {
-	const struct site_queue *q = sched_queue_of(s, j);
-	double stretch = q ? q->stretch : 1.0;
-	int64_t target = q ? q->target_ms : 0;
+	const struct site_terms *terms = sched_terms_of(s, j);
 	int64_t due = batch_due_unix_ms(j->batch, j->first_open_occurrence);
 	cs_time from = j->submitted;
 
@@ -381,11 +414,11 @@
 		from = s->unix_at + (due - s->unix_ms) * CS_MSEC;
 	j->objective_at =
 		from +
-		(int64_t)(stretch *
+		(int64_t)(terms->stretch *
 			  (double)batch_critical_path_ms(
 				  j->batch, j->first_open_occurrence, true)) *
 			CS_MSEC +
-		target * CS_MSEC;
+		terms->target_ms * CS_MSEC;
 }
 
 void sched_set_site(struct sched *s, struct site *site, cs_time now)
@@ -724,7 +757,7 @@
 	guint i, k;
 
 	for (i = 0; s->site && (q = site_queue_at(s->site, i)); i++) {
-		struct pool *p = g_hash_table_lookup(s->pools, q->pool);
+		struct pool *p = g_hash_table_lookup(s->pools, q->terms.pool);
 		double work = 0, cpu;
 		int pending = 0;
 		bool is_used = false;
--- a/src/sched/sched_private.h
+++ b/src/sched/sched_private.h
@@ -250,7 +250,11 @@
 /* Adds the work of an occurrence that has become due to the pool's demand. */
 void sched_record_arrival(struct sched *s, const struct job *j, cs_time now);
 void sched_log(struct sched *s, const char *event, GString *pairs);
-const struct site_queue *sched_queue_of(const struct sched *s,
+/*
+ * How a job is handled: as its queue is configured now. If the queue was
+ * removed, the job goes on under the terms under which it was accepted.
+ */
+const struct site_terms *sched_terms_of(const struct sched *s,
 					const struct job *j);
 /*
  * True if all runs of the job that a predecessor may have started are known.
--- a/src/site/site.h
+++ b/src/site/site.h
@@ -34,19 +34,24 @@
 	int64_t validity_ms; /* of a ticket; 0: the queue needs no advice */
 };
 
-struct site_queue {
-	char name[CS_NAME_MAX];
-	char host[CS_NAME_MAX]; /* of the callers' address */
-	char *prefix; /* of the path, with the final "/" */
+/* How the jobs of a queue are handled. */
+struct site_terms {
 	char pool[CS_NAME_MAX];
 	int priority; /* 0 comes first */
 	int attempts_max; /* failed runs of a task until its job fails */
 	/* A job should end within stretch * critical path + target_ms. */
 	double stretch;
 	int64_t target_ms;
+	struct site_advice advice;
+};
+
+struct site_queue {
+	char name[CS_NAME_MAX];
+	char host[CS_NAME_MAX]; /* of the callers' address */
+	char *prefix; /* of the path, with the final "/" */
+	struct site_terms terms;
 	int64_t timeout_ms;
 	bool is_open; /* no key is needed */
-	struct site_advice advice;
 };
 
 struct site_pool {
--- a/tests/unit/test_batch.c
+++ b/tests/unit/test_batch.c
@@ -167,6 +167,12 @@
 	t = batch_find_task(b, 0, 0, 1);
 	batch_task_started(b, t, 4);
 	batch_task_ended(b, 0, 0, t, 4, BATCH_END_FAILED, "saved", 3);
+	b->terms = (struct site_terms){ .pool = "old",
+					.priority = -1,
+					.attempts_max = 4,
+					.stretch = 1.6,
+					.target_ms = 600,
+					.advice = { 5, 6, 7 } };
 	assert_true(batch_begin(b, "old"));
 	assert_true(batch_begin(b, "new"));
 	assert_false(batch_begin(b, "old"));
@@ -188,6 +194,8 @@
 	assert_int_equal(t->run, 4);
 	assert_int_equal(t->failures, 1);
 	assert_string_equal(t->checkpoint, "saved");
+	assert_true(c->has_terms);
+	assert_memory_equal(&c->terms, &b->terms, sizeof(b->terms));
 	assert_true(batch_may_run_in(c, "old"));
 	assert_true(batch_may_run_in(c, "new"));
 	assert_false(batch_may_run_in(c, "other"));
@@ -275,6 +283,36 @@
 	batch_destroy(c);
 }
 
+/* The same for a submission without terms, and for terms that are damaged. */
+static void submission_without_terms_is_read(void **state)
+{
+	struct batch *b = make_batch(), *c;
+	GBytes *submission = batch_encode_submission(b);
+	uint8_t *data;
+	gsize size;
+
+	(void)state;
+	data = g_bytes_unref_to_data(submission, &size);
+	c = batch_decode_submission(data, size);
+	assert_true(c->has_terms);
+	batch_destroy(c);
+	/* The last of the terms is a 0; 0xc0 is nil. */
+	assert_int_equal(data[size - 1], 0);
+	data[size - 1] = 0xc0;
+	c = batch_decode_submission(data, size);
+	assert_false(c->has_terms);
+	assert_string_equal(c->spec->payload, "work");
+	batch_destroy(c);
+	/* An array of 10 elements instead of 11. */
+	assert_int_equal(data[0], 0x9b);
+	data[0] = 0x9a;
+	c = batch_decode_submission(data, size);
+	assert_false(c->has_terms);
+	batch_destroy(c);
+	g_free(data);
+	batch_destroy(b);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -287,6 +325,7 @@
 		cmocka_unit_test(stored_encoding_is_complete),
 		cmocka_unit_test(damaged_bytes_never_crash),
 		cmocka_unit_test(progress_without_pools_is_read),
+		cmocka_unit_test(submission_without_terms_is_read),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/unit/test_sched_faults.c
+++ b/tests/unit/test_sched_faults.c
@@ -338,6 +338,53 @@
 	end_world(w);
 }
 
+/*
+ * Guards against a job that fails for good after its first failed run: its
+ * queue was removed for 4 s, and with it the number of its attempts.
+ */
+static void removed_queue_fails_no_job(void **state)
+{
+	const struct world_job failing = { .steps = 1,
+					   .width = 2,
+					   .work_ms = 4000,
+					   .cpu = 2000,
+					   .failures = 1,
+					   .unavailable_max = -1 };
+	struct world *w = make_world(1, 2, 0);
+	int job = world_submit(w, 0, &failing);
+
+	(void)state;
+	world_run(w, 2000);
+	world_set_queue_pool(w, 0, -1);
+	world_run(w, 4000);
+	world_set_queue_pool(w, 0, 0);
+	world_run(w, 10000);
+	assert_true(world_job_is_done(w, job));
+	end_world(w);
+}
+
+/* The same while the queue stays away: the job goes on with a new owner. */
+static void job_of_a_removed_queue_survives_its_owner(void **state)
+{
+	const struct world_job failing = { .steps = 2,
+					   .width = 2,
+					   .work_ms = 4000,
+					   .cpu = 2000,
+					   .failures = 1,
+					   .unavailable_max = -1 };
+	struct world *w = make_world(1, 2, 0);
+	int job = world_submit(w, 0, &failing);
+
+	(void)state;
+	world_run(w, 2000);
+	world_set_queue_pool(w, 0, -1);
+	world_run(w, 1000);
+	world_node_kill(w, world_owner(w));
+	world_run(w, 30000);
+	assert_true(world_job_is_done(w, job));
+	end_world(w);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -353,6 +400,8 @@
 		cmocka_unit_test(new_owner_waits_for_all_ends),
 		cmocka_unit_test(moved_queue_runs_no_task_twice),
 		cmocka_unit_test(moved_queue_counts_against_the_limit),
+		cmocka_unit_test(removed_queue_fails_no_job),
+		cmocka_unit_test(job_of_a_removed_queue_survives_its_owner),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -128,8 +128,9 @@
 			    "b");
 	assert_null(site_route(s, "other", "/x/1", &rest));
 	assert_null(site_route(s, "h.example", "/z", &rest));
-	assert_int_equal(site_find_queue(s, "a")->attempts_max, 2);
-	assert_int_equal(site_find_queue(s, "b")->advice.validity_ms, 900);
+	assert_int_equal(site_find_queue(s, "a")->terms.attempts_max, 2);
+	assert_int_equal(site_find_queue(s, "b")->terms.advice.validity_ms,
+			 900);
 	assert_true(site_find_queue(s, "b")->is_open);
 	assert_true(site_find_pool(s, "p")->has_admission_check);
 	assert_true(site_find_pool(s, "q")->is_standby);
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -337,9 +337,10 @@
 		index = site_add_workspace(site, &ws);
 		site_add_key(site, index, "key");
 		for (i = 0; i < pools; i++) {
-			struct site_queue q = { .attempts_max = ATTEMPTS_MAX,
-						.stretch = 2.0,
-						.target_ms = 600 };
+			struct site_queue q = { .terms = { .attempts_max =
+								   ATTEMPTS_MAX,
+							   .stretch = 2.0,
+							   .target_ms = 600 } };
 			struct site_pool p = { .has_admission_check = true };
 			int pool = (int)strtol(rest, &rest, 10);
 
@@ -348,7 +349,8 @@
 			if (pool < 0)
 				continue;
 			snprintf(q.name, sizeof(q.name), "queue%d", i);
-			snprintf(q.pool, sizeof(q.pool), "pool%d", pool);
+			snprintf(q.terms.pool, sizeof(q.terms.pool), "pool%d",
+				 pool);
 			cs_copy(q.host, sizeof(q.host), "desk.example");
 			q.prefix = g_strdup_printf("/q%d/", i);
 			site_add_queue(site, &q);
