batch: read every checkpoint that was written; bound the progress of a job

Cause: batch_encode_progress() wrote checkpoints of any length, read_task() had a buffer of 4,001 bytes, and a job whose progress can't be read is left out.

Change: a checkpoint is checked where it is accepted, 64 KiB at most; a longer one is logged (checkpoint_too_long) and the last good one is kept. The reader takes any length. The checkpoints of a job take at most 512 KiB of its progress, which has to fit into a value of the store: of a job with 10,000 tasks and 4,000 bytes each the progress was 40 MB, which no write would ever have stored. What still can't be read is counted in camphorshed_unreadable_jobs_total.

accepted_progress_can_be_read (random records, lengths at each edge) fails with the reader's former limit, large_progress_is_bounded without the bound.

--- a/src/batch/batch.c
+++ b/src/batch/batch.c
@@ -333,6 +333,15 @@
 	return true;
 }
 
+bool batch_task_set_checkpoint(struct batch_task *t, const char *checkpoint)
+{
+	if (strlen(checkpoint) > BATCH_CHECKPOINT_MAX)
+		return false;
+	g_free(t->checkpoint);
+	t->checkpoint = *checkpoint ? g_strdup(checkpoint) : NULL;
+	return true;
+}
+
 /* Counts a failed run. A gang's failures all count for its first task. */
 static void count_failure(struct batch *b, int occurrence, int step,
 			  struct batch_task *t, uint32_t run, int attempts_max)
@@ -391,10 +400,8 @@
 			release_occurrence(b, &b->occurrences[occurrence]);
 		return true;
 	}
-	if (checkpoint && *checkpoint && run >= t->ended_run) {
-		g_free(t->checkpoint);
-		t->checkpoint = g_strdup(checkpoint);
-	}
+	if (checkpoint && *checkpoint && run >= t->ended_run)
+		batch_task_set_checkpoint(t, checkpoint);
 	if (how == BATCH_END_FAILED)
 		count_failure(b, occurrence, step, t, run, attempts_max);
 	t->ended_run = MAX(t->ended_run, run);
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -19,6 +19,8 @@
 #define BATCH_STEPS_MAX 64
 #define BATCH_TASKS_MAX 10000
 #define BATCH_PAYLOAD_MAX 4000
+/* Bytes of one checkpoint; the platform states no limit. */
+#define BATCH_CHECKPOINT_MAX 65536
 
 struct batch_step {
 	int count; /* tasks */
@@ -183,12 +185,18 @@
 /* Adds a run to failed_runs. Returns false if it was there. */
 bool batch_task_add_failure(struct batch_task *t, uint32_t run);
 
+/*
+ * Copies a checkpoint of a task. Returns false if it is too long to be stored;
+ * the task then keeps the last one.
+ */
+bool batch_task_set_checkpoint(struct batch_task *t, const char *checkpoint);
+
 /*
  * Records the end of a run. An end that was recorded before, or of a task that
  * is done, changes nothing. Ends may come in any order. checkpoint may be NULL
- * or "" and is copied. A failed run counts as an attempt unless the step
- * is_long_running; with attempts_max of them the batch has failed. Returns true
- * if the progress changed and must be stored.
+ * or "" and is copied unless it is too long. A failed run counts as an attempt
+ * unless the step is_long_running; with attempts_max of them the batch has
+ * failed. Returns true if the progress changed and must be stored.
  */
 bool batch_task_ended(struct batch *b, int occurrence, int step,
 		      struct batch_task *t, uint32_t run, enum batch_end how,
--- a/src/batch/batch_codec.c
+++ b/src/batch/batch_codec.c
@@ -281,6 +281,13 @@
 	return b;
 }
 
+/*
+ * Bytes of checkpoints in the progress of a job. With this and the rest of
+ * BATCH_TASKS_MAX tasks it fits into one value of the store, 1 MiB. A task
+ * whose checkpoint is left out starts anew with the next owner.
+ */
+#define CHECKPOINT_BYTES_MAX ((size_t)512 * 1024)
+
 /* A task without any progress is not stored. */
 static bool has_progress(const struct batch_task *t)
 {
@@ -290,9 +297,10 @@
 
 /* [index, done, run, failed runs, ended run, checkpoint] for each task. */
 static void pack_occurrence(msgpack_packer *pk, const struct batch *b,
-			    const struct batch_occurrence *r)
+			    const struct batch_occurrence *r,
+			    size_t *checkpoint_bytes)
 {
-	size_t n = 0;
+	size_t n = 0, len;
 	int i, k;
 
 	for (i = 0; r->tasks && i < b->occurrence_tasks; i++)
@@ -313,6 +321,12 @@
 		for (k = 0; k < t->failures; k++)
 			msgpack_pack_uint32(pk, t->failed_runs[k]);
 		msgpack_pack_uint32(pk, t->ended_run);
+		len = t->checkpoint ? strlen(t->checkpoint) : 0;
+		if (*checkpoint_bytes + len > CHECKPOINT_BYTES_MAX) {
+			pack_text(pk, NULL);
+			continue;
+		}
+		*checkpoint_bytes += len;
 		pack_text(pk, t->checkpoint);
 	}
 }
@@ -331,6 +345,7 @@
 	msgpack_sbuffer buf;
 	msgpack_packer pk;
 	bool is_final = batch_is_final(b);
+	size_t checkpoint_bytes = 0;
 	int i;
 
 	msgpack_sbuffer_init(&buf);
@@ -340,7 +355,7 @@
 	msgpack_pack_int(&pk, b->state);
 	msgpack_pack_array(&pk, is_final ? 0 : (size_t)b->occurrences_nr);
 	for (i = 0; !is_final && i < b->occurrences_nr; i++)
-		pack_occurrence(&pk, b, &b->occurrences[i]);
+		pack_occurrence(&pk, b, &b->occurrences[i], &checkpoint_bytes);
 	pack_pools(&pk, is_final ? NULL : b->pools);
 	return take_buffer(&buf);
 }
@@ -348,7 +363,6 @@
 static bool read_task(struct batch *b, struct batch_occurrence *r,
 		      const msgpack_object *o)
 {
-	char checkpoint[BATCH_PAYLOAD_MAX + 1];
 	const msgpack_object *f;
 	int64_t index, run, failed, ended;
 	struct batch_task *t;
@@ -360,9 +374,8 @@
 	f = o->via.array.ptr;
 	if (!read_int(&f[0], &index) || f[1].type != MSGPACK_OBJECT_BOOLEAN ||
 	    !read_int(&f[2], &run) || !is_array(&f[3], 0) ||
-	    !read_int(&f[4], &ended) ||
-	    !read_text(&f[5], checkpoint, sizeof(checkpoint)) || index < 0 ||
-	    index >= b->occurrence_tasks)
+	    !read_int(&f[4], &ended) || f[5].type != MSGPACK_OBJECT_STR ||
+	    index < 0 || index >= b->occurrence_tasks)
 		return false;
 	t = &r->tasks[index];
 	t->run = (uint32_t)run;
@@ -372,9 +385,10 @@
 		batch_task_add_failure(t, (uint32_t)failed);
 	}
 	t->ended_run = (uint32_t)ended;
-	if (*checkpoint) {
+	/* Of any length, as another version may accept longer ones. */
+	if (f[5].via.str.size) {
 		g_free(t->checkpoint);
-		t->checkpoint = g_strdup(checkpoint);
+		t->checkpoint = g_strndup(f[5].via.str.ptr, f[5].via.str.size);
 	}
 	if (!f[1].via.boolean || t->state == BATCH_TASK_DONE)
 		return true;
--- a/src/node/term.c
+++ b/src/node/term.c
@@ -111,6 +111,8 @@
 		log_pair_int(pairs, "revision", (int64_t)revision);
 		log_pair(pairs, "part", b ? "id" : "encoding");
 		node_log(n, "job_unreadable", pairs);
+		counters_add(n->counters, "camphorshed_unreadable_jobs_total",
+			     "", 1);
 		batch_destroy(b);
 		return;
 	}
--- a/src/sched/runs.c
+++ b/src/sched/runs.c
@@ -475,6 +475,25 @@
 	servers_schedule_hold(s, v, now);
 }
 
+/* Logs the first checkpoint of a run that is too long to be stored. */
+static void note_long_checkpoint(struct sched *s, struct run *r,
+				 const char *checkpoint)
+{
+	GString *pairs;
+
+	if (r->has_long_checkpoint)
+		return;
+	r->has_long_checkpoint = true;
+	pairs = g_string_new(NULL);
+	log_pair(pairs, "job", job_of(s, r)->batch->id);
+	log_pair_int(pairs, "step", r->step);
+	log_pair_int(pairs, "index", r->index);
+	log_pair_int(pairs, "run", r->number);
+	log_pair(pairs, "server", server_row(s, r->server)->info.id);
+	log_pair_int(pairs, "bytes", (int64_t)strlen(checkpoint));
+	sched_log(s, "checkpoint_too_long", pairs);
+}
+
 /* Updates the row of a run from the server's list. */
 static void update_run(struct sched *s, struct run *r,
 		       const struct order_run *reported, cs_time now)
@@ -492,10 +511,9 @@
 	r->percent = reported->percent;
 	r->tail_ms_or_cpu = reported->tail_ms_or_cpu;
 	if (t && reported->checkpoint && *reported->checkpoint &&
-	    (!t->checkpoint || strcmp(t->checkpoint, reported->checkpoint))) {
-		g_free(t->checkpoint);
-		t->checkpoint = g_strdup(reported->checkpoint);
-	}
+	    (!t->checkpoint || strcmp(t->checkpoint, reported->checkpoint)) &&
+	    !batch_task_set_checkpoint(t, reported->checkpoint))
+		note_long_checkpoint(s, r, reported->checkpoint);
 }
 
 /*
--- a/src/sched/sched_private.h
+++ b/src/sched/sched_private.h
@@ -53,6 +53,7 @@
 	struct site_resources need; /* reserved on the server */
 	bool was_started_in_term; /* otherwise adopted */
 	bool has_checkpoint; /* started from a checkpoint */
+	bool has_long_checkpoint; /* it saves more than can be stored */
 	int percent; /* progress */
 	cs_time working_since; /* of a long-running task: percent is 100 */
 	int64_t tail_ms_or_cpu; /* see struct order_run */
--- a/tests/unit/test_batch.c
+++ b/tests/unit/test_batch.c
@@ -313,6 +313,150 @@
 	batch_destroy(b);
 }
 
+/* Random text of printable characters; the caller frees it. */
+static char *random_text(GRand *rng, int len)
+{
+	char *text = g_malloc((gsize)len + 1);
+	int i;
+
+	for (i = 0; i < len; i++)
+		text[i] = (char)g_rand_int_range(rng, ' ', '~');
+	text[len] = '\0';
+	return text;
+}
+
+static void check_same_task(const struct batch_task *a,
+			    const struct batch_task *b)
+{
+	int i;
+
+	assert_int_equal(a->state, b->state);
+	assert_int_equal(a->run, b->run);
+	assert_int_equal(a->ended_run, b->ended_run);
+	assert_int_equal(a->failures, b->failures);
+	for (i = 0; i < a->failures; i++)
+		assert_int_equal(a->failed_runs[i], b->failed_runs[i]);
+	assert_true(!g_strcmp0(a->checkpoint, b->checkpoint));
+}
+
+/*
+ * Whatever progress is accepted can be read again. Guards against a job that is
+ * lost with its owner, as its progress was written and can't be read: a
+ * checkpoint of more than 4,000 bytes was one.
+ */
+static void accepted_progress_can_be_read(void **state)
+{
+	static const int lengths[] = { 0,
+				       1,
+				       31,
+				       32,
+				       255,
+				       256,
+				       3999,
+				       4000,
+				       4001,
+				       65535,
+				       BATCH_CHECKPOINT_MAX };
+	GRand *rng = g_rand_new_with_seed(5);
+	int round, i;
+
+	(void)state;
+	for (round = 0; round < 200; round++) {
+		struct batch *b = make_batch(), *c = make_batch();
+		GBytes *progress;
+
+		for (i = 0; i < b->spec->steps[0].count; i++) {
+			struct batch_task *t = batch_find_task(b, 0, 0, i);
+			int len = lengths[g_rand_int_range(
+				rng, 0, G_N_ELEMENTS(lengths))];
+			char *text = random_text(rng, len);
+			uint32_t run = g_rand_int(rng);
+
+			t->run = run ? run : UINT32_MAX;
+			t->ended_run = g_rand_boolean(rng) ? t->run : 0;
+			if (g_rand_boolean(rng))
+				batch_task_add_failure(t, UINT32_MAX);
+			assert_true(batch_task_set_checkpoint(t, text));
+			g_free(text);
+		}
+		progress = batch_encode_progress(b);
+		assert_int_equal(batch_decode_progress(
+					 c, g_bytes_get_data(progress, NULL),
+					 g_bytes_get_size(progress)),
+				 CS_OK);
+		for (i = 0; i < b->spec->steps[0].count; i++)
+			check_same_task(batch_find_task(b, 0, 0, i),
+					batch_find_task(c, 0, 0, i));
+		g_bytes_unref(progress);
+		batch_destroy(b);
+		batch_destroy(c);
+	}
+	g_rand_free(rng);
+}
+
+/* A checkpoint that is too long is refused; the last one is kept. */
+static void long_checkpoint_is_refused(void **state)
+{
+	struct batch *b = make_batch();
+	struct batch_task *t = batch_find_task(b, 0, 0, 0);
+	GRand *rng = g_rand_new_with_seed(6);
+	char *text = random_text(rng, BATCH_CHECKPOINT_MAX + 1);
+
+	(void)state;
+	assert_true(batch_task_set_checkpoint(t, "good"));
+	assert_false(batch_task_set_checkpoint(t, text));
+	assert_string_equal(t->checkpoint, "good");
+	batch_task_started(b, t, 1);
+	batch_task_ended(b, 0, 0, t, 1, BATCH_END_STOPPED, text, 3);
+	assert_string_equal(t->checkpoint, "good");
+	g_free(text);
+	g_rand_free(rng);
+	batch_destroy(b);
+}
+
+/*
+ * The progress of a job fits into one value of the store, whatever its tasks
+ * saved. Guards against progress that is written again and again for ever.
+ */
+static void large_progress_is_bounded(void **state)
+{
+	struct batch_spec *spec = batch_spec_create(1);
+	GRand *rng = g_rand_new_with_seed(7);
+	char *text = random_text(rng, 4000);
+	struct batch *b, *c;
+	GBytes *progress;
+	int i;
+
+	(void)state;
+	spec->steps[0].count = BATCH_TASKS_MAX;
+	spec->payload = g_strdup("");
+	b = batch_create("0123456789abcdef", "queue", "", 0, spec);
+	batch_open_occurrence(b, 0);
+	for (i = 0; i < BATCH_TASKS_MAX; i++) {
+		struct batch_task *t = batch_find_task(b, 0, 0, i);
+
+		t->run = t->ended_run = UINT32_MAX - 1;
+		batch_task_set_checkpoint(t, text);
+	}
+	progress = batch_encode_progress(b);
+	assert_in_range(g_bytes_get_size(progress), 0, 1048576);
+	spec = batch_spec_create(1);
+	spec->steps[0].count = BATCH_TASKS_MAX;
+	c = batch_create("0123456789abcdef", "queue", "", 0, spec);
+	assert_int_equal(batch_decode_progress(c,
+					       g_bytes_get_data(progress, NULL),
+					       g_bytes_get_size(progress)),
+			 CS_OK);
+	assert_string_equal(batch_find_task(c, 0, 0, 0)->checkpoint, text);
+	assert_int_equal(batch_find_task(c, 0, 0, BATCH_TASKS_MAX - 1)->run,
+			 UINT32_MAX - 1);
+	g_bytes_unref(progress);
+	g_free(text);
+	g_rand_free(rng);
+	batch_destroy(b);
+	batch_destroy(c);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -326,6 +470,9 @@
 		cmocka_unit_test(damaged_bytes_never_crash),
 		cmocka_unit_test(progress_without_pools_is_read),
 		cmocka_unit_test(submission_without_terms_is_read),
+		cmocka_unit_test(accepted_progress_can_be_read),
+		cmocka_unit_test(long_checkpoint_is_refused),
+		cmocka_unit_test(large_progress_is_bounded),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
