platform: a name that is too long costs its row, not the configuration

Cause: read_list() gave up at the first row with a field longer than CS_NAME_MAX.

Change: such a row is left out and named in configuration_in_force (left_out=); all others are in force. A row without a required field still makes the document invalid, as the store accepts only valid ones. Host names of queues may have the length of the DNS.

long_name_costs_its_row_only fails before.

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -114,6 +114,8 @@
 		site_unref(site);
 		return;
 	}
+	if (err.code)
+		log_pair(pairs, "left_out", err.message);
 	node_log(n, "configuration_in_force", pairs);
 	site_unref(n->site);
 	n->site = site;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -44,6 +44,10 @@
 	const char *wave_prefix; /* followed by the number */
 	const char *server_prefix; /* followed by the identifier */
 	const char *wave_status_prefix; /* followed by the number */
+	/*
+	 * Leaves out rows with a field that is longer than its limit here; err
+	 * then names the last one.
+	 */
 	struct site *(*read_site)(GBytes *value, struct cs_error *err);
 	bool (*read_server)(const char *id, GBytes *value,
 			    struct server_info *info);
--- a/src/site/site.h
+++ b/src/site/site.h
@@ -34,6 +34,9 @@
 	int64_t validity_ms; /* of a ticket; 0: the queue needs no advice */
 };
 
+/* Bytes of a host name in the DNS, with the final NUL. */
+#define SITE_HOST_MAX 256
+
 /* How the jobs of a queue are handled. */
 struct site_terms {
 	char pool[CS_NAME_MAX];
@@ -47,7 +50,7 @@
 
 struct site_queue {
 	char name[CS_NAME_MAX];
-	char host[CS_NAME_MAX]; /* of the callers' address */
+	char host[SITE_HOST_MAX]; /* of the callers' address */
 	char *prefix; /* of the path, with the final "/" */
 	struct site_terms terms;
 	int64_t timeout_ms;
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -144,6 +144,49 @@
 	g_bytes_unref(value);
 }
 
+/*
+ * Guards against a configuration that is left out as a whole, and all later
+ * ones, as one of its rows has a name of 64 characters or more: a key that it
+ * withdraws went on being accepted, and after a restart no entry had any.
+ */
+static void long_name_costs_its_row_only(void **state)
+{
+	char name[65], *document;
+	struct cs_error err = { 0 };
+	const char *rest;
+	GBytes *value;
+	struct site *s;
+
+	(void)state;
+	memset(name, 'n', 64);
+	name[64] = '\0';
+	document = g_strdup_printf(
+		"{\"version\":7,\"routes\":["
+		"{\"name\":\"%s\",\"host\":\"h\",\"prefix\":\"/1/\","
+		"\"service\":\"p\"},"
+		"{\"name\":\"a\",\"host\":\"%s.%s\",\"prefix\":\"/2/\","
+		"\"service\":\"p\"}],"
+		"\"services\":[{\"name\":\"%s\"},{\"name\":\"p\"}],"
+		"\"tenants\":[{\"name\":\"%s\",\"apiKeys\":[\"k1\"]},"
+		"{\"name\":\"t\",\"apiKeys\":[\"k2\"]}]}",
+		name, name, name, name, name);
+	value = text(document);
+	s = wire_formats.read_site(value, &err);
+	assert_non_null(s);
+	assert_string_equal(err.message, "row 0 of \"tenants\": \"name\" is "
+					 "longer than 63 bytes");
+	assert_null(site_route(s, "h", "/1/x", &rest));
+	g_free(document);
+	document = g_strdup_printf("%s.%s", name, name);
+	assert_string_equal(site_route(s, document, "/2/x", &rest)->name, "a");
+	assert_non_null(site_find_pool(s, "p"));
+	assert_null(site_key_owner(s, "k1"));
+	assert_string_equal(site_key_owner(s, "k2")->name, "t");
+	g_free(document);
+	site_unref(s);
+	g_bytes_unref(value);
+}
+
 /*
  * Another writer left one odd record among those of the servers. It must be
  * left out: its numbers would count in the size of its pool, and a call to an
@@ -526,6 +569,7 @@
 		cmocka_unit_test(job_is_read_whole),
 		cmocka_unit_test(unreadable_jobs_are_refused),
 		cmocka_unit_test(configuration_is_read),
+		cmocka_unit_test(long_name_costs_its_row_only),
 		cmocka_unit_test(server_records_are_checked),
 		cmocka_unit_test(odd_server_record_is_left_out),
 		cmocka_unit_test(odd_item_does_not_hide_others),
