sched: a server that returns under its identifier is what its new record says

Cause: update_info() took over room, draining, version and address of a record, not labels, rack, data centre and pool. If the server itself told of its new life first, the old record would have counted on in any case.

Change: the identifier and the start time say which incarnation a record describes; all else is taken over, with the pool and the grant that names it. A server gets no work until a record of its present incarnation is there, and a record of an earlier one is ignored.

returned_server_has_its_new_kind and returned_server_has_its_new_pool fail before.

--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -19,12 +19,19 @@
 #define SERVING_COST 50000 /* per pair of a serving and a best-effort task */
 #define FAILED_THERE_COST 5000000 /* the last failed run was there */
 
+/* True if the record in the registry is of the present incarnation. */
+static bool is_described(const struct server *v)
+{
+	return !v->described_unix_ms || !v->info.started_unix_ms ||
+	       v->described_unix_ms == v->info.started_unix_ms;
+}
+
 /* True if tasks can be started on the server now. */
 bool place_is_usable(const struct sched *s, const struct server *v, cs_time now)
 {
 	return v->is_listed && v->is_taken_over && v->is_granted &&
 	       !v->is_dead && !v->cordons && !v->info.is_draining &&
-	       !v->unanswered_orders && v->clock_ms >= 0 &&
+	       !v->unanswered_orders && v->clock_ms >= 0 && is_described(v) &&
 	       now >= v->suspect_until && now >= v->refused_until &&
 	       !(g_hash_table_size(s->evacuated) &&
 		 g_hash_table_contains(s->evacuated, v->info.data_centre));
--- a/src/sched/sched_private.h
+++ b/src/sched/sched_private.h
@@ -87,11 +87,13 @@
 			     */
 	bool is_granted; /* its grant is stored; see sched_take_grant() */
 	bool is_grant_pending; /* the grant is being stored */
+	bool is_grant_outdated; /* the one that is being stored */
 	bool is_list_partial; /* its last lists may lack runs or ended runs */
 	bool is_dead; /* its incarnation has certainly ended */
 	cs_time died_at; /* when is_dead was set */
 	/* Start of the next incarnation with this identifier; 0: none. */
 	uint64_t next_started_unix_ms;
+	uint64_t described_unix_ms; /* start of the one that info describes */
 	unsigned int cordons; /* enum cordon; any of them: gets no starts */
 	/* Clock: the reading was taken between sent and received. */
 	int64_t clock_ms; /* -1: none yet */
--- a/src/sched/servers.c
+++ b/src/sched/servers.c
@@ -501,6 +501,7 @@
 		return NULL;
 	v->self = h;
 	v->info = *info;
+	v->described_unix_ms = info->started_unix_ms;
 	v->clock_ms = -1;
 	v->best_effort_pace = 100;
 	v->runs = g_array_new(FALSE, FALSE, sizeof(cs_handle));
@@ -521,18 +522,43 @@
 	return v;
 }
 
-/* Updates what can change during an incarnation. */
+/* Moves the row of a server to the pool of its present incarnation. */
+static void set_pool(struct sched *s, struct server *v, const char *name)
+{
+	struct pool *p = sched_pool(s, name);
+
+	if (p == v->pool)
+		return;
+	g_ptr_array_remove_fast(v->pool->servers, v);
+	room_index_remove(v->pool->room, room_row_of(v));
+	v->pool = p;
+	g_ptr_array_add(p->servers, v);
+	room_index_add(p->room, room_row_of(v));
+	/* A successor looks for runs in the pool that the grant names. */
+	v->is_granted = false;
+	v->is_grant_outdated = v->is_grant_pending;
+}
+
+/*
+ * Takes over a record of the registry. Its identifier and start time tell which
+ * incarnation it describes: all else may change, within one or with the next.
+ * A record of an earlier incarnation is ignored.
+ */
 static void update_info(struct sched *s, struct server *v,
 			const struct server_info *info, cs_time now)
 {
+	uint64_t started = v->info.started_unix_ms;
+
+	if (info->started_unix_ms &&
+	    info->started_unix_ms < v->described_unix_ms)
+		return;
 	if (info->is_draining && !v->info.is_draining)
 		log_server(s, "server_draining", v, info->data_centre, now);
-	v->info.capacity = info->capacity;
+	v->info = *info;
+	v->info.started_unix_ms = started;
+	v->described_unix_ms = info->started_unix_ms;
 	update_room(v);
-	v->info.is_draining = info->is_draining;
-	v->info.remaining_ms = info->remaining_ms;
-	cs_copy(v->info.version, sizeof(v->info.version), info->version);
-	cs_copy(v->info.address, sizeof(v->info.address), info->address);
+	set_pool(s, v, info->pool);
 }
 
 void sched_server_registered(struct sched *s, const struct server_info *info,
@@ -636,8 +662,10 @@
 	if (!v)
 		return;
 	v->is_grant_pending = false;
-	if (!is_stored)
+	if (!is_stored || v->is_grant_outdated) {
+		v->is_grant_outdated = false;
 		return;
+	}
 	v->is_granted = true;
 	sched_wake_pool(s, v->pool);
 }
--- a/tests/unit/test_sched_faults.c
+++ b/tests/unit/test_sched_faults.c
@@ -145,7 +145,7 @@
 	struct world_job job = short_job;
 
 	(void)state;
-	job.needs_label = true;
+	job.label = "nowhere";
 	check_short_jobs_pass(make_world(1, 4, 0), 40, &job);
 }
 
@@ -385,6 +385,57 @@
 	end_world(w);
 }
 
+/*
+ * Guards against work on the wrong kind of server: one returned under its
+ * identifier as another kind and kept the labels of its former life.
+ */
+static void returned_server_has_its_new_kind(void **state)
+{
+	struct world_job old_kind = short_job, new_kind = short_job;
+	struct world *w = make_world(1, 2, 0);
+	int job;
+
+	(void)state;
+	old_kind.label = "a";
+	new_kind.label = "b";
+	world_server_return_as(w, 0, 300, "b", 0);
+	world_run(w, 3000);
+	job = world_submit(w, 0, &new_kind);
+	world_run(w, 3000);
+	assert_true(world_job_is_done(w, job));
+	world_server_return_as(w, 1, 300, "b", 0);
+	job = world_submit(w, 0, &old_kind);
+	world_run(w, 3000);
+	assert_int_equal(world_job_starts(w, job), 0);
+	end_world(w);
+}
+
+/*
+ * The same for its pool: it gets work of its new one only, and a new owner
+ * knows that tasks may run there.
+ */
+static void returned_server_has_its_new_pool(void **state)
+{
+	struct world_job job = long_task;
+	struct world *w = make_world(2, 1, 0);
+	int in_old, in_new;
+
+	(void)state;
+	world_server_return_as(w, 0, 300, "a", 1);
+	world_run(w, 3000);
+	in_old = world_submit(w, 0, &job);
+	job.pool = 1;
+	job.cpu = 20000;
+	in_new = world_submit(w, 0, &job);
+	world_run(w, 3000);
+	assert_int_equal(world_job_starts(w, in_old), 0);
+	assert_int_equal(world_job_starts(w, in_new), 2);
+	partition_owner_with_server(w, 0);
+	world_run(w, 30000);
+	assert_true(world_job_is_done(w, in_new));
+	end_world(w);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -402,6 +453,8 @@
 		cmocka_unit_test(moved_queue_counts_against_the_limit),
 		cmocka_unit_test(removed_queue_fails_no_job),
 		cmocka_unit_test(job_of_a_removed_queue_survives_its_owner),
+		cmocka_unit_test(returned_server_has_its_new_kind),
+		cmocka_unit_test(returned_server_has_its_new_pool),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -369,14 +369,14 @@
 	return site;
 }
 
-/* "POOL ADDRESS DATA_CENTRE STATE STARTED_UNIX_MS" */
+/* "POOL ADDRESS DATA_CENTRE STATE STARTED_UNIX_MS LABEL" */
 static bool read_server(const char *id, GBytes *value, struct server_info *info)
 {
 	char *text = store_text(value), state[16];
 	int pool, data_centre;
-	bool is_read = sscanf(text, "%d %63s %d %15s %" SCNu64, &pool,
+	bool is_read = sscanf(text, "%d %63s %d %15s %" SCNu64 " %15s", &pool,
 			      info->address, &data_centre, state,
-			      &info->started_unix_ms) == 5;
+			      &info->started_unix_ms, info->labels[0]) == 6;
 
 	g_free(text);
 	cs_copy(info->id, sizeof(info->id), id);
@@ -384,6 +384,7 @@
 	snprintf(info->data_centre, sizeof(info->data_centre), "dc%d",
 		 data_centre);
 	snprintf(info->rack, sizeof(info->rack), "r%d", data_centre);
+	info->labels_nr = 1;
 	info->capacity.cpu = 32000;
 	info->capacity.memory_mb = 65536;
 	info->is_draining = !strcmp(state, "draining");
@@ -480,6 +481,7 @@
 	v->index = (int)w->servers->len;
 	v->pool = pool;
 	v->data_centre = v->index % DATA_CENTRES;
+	v->label = "a";
 	v->runs = g_ptr_array_new();
 	v->ends = g_ptr_array_new_with_free_func(g_free);
 	v->stopped = g_ptr_array_new_with_free_func(g_free);
@@ -781,6 +783,17 @@
 			 sim_server_restart, v, (uint64_t)v->generation);
 }
 
+void world_server_return_as(struct world *w, int server, int64_t restart_ms,
+			    const char *label, int pool)
+{
+	struct sim_server *v = server_at(w, server);
+
+	world_server_crash(w, server, restart_ms);
+	v->keeps_id = true;
+	v->label = label;
+	v->pool = pool;
+}
+
 static void on_drained(void *ctx, uint64_t arg, cs_time now)
 {
 	struct sim_server *v = ctx;
@@ -898,8 +911,8 @@
 		st->is_checkpointing = job->is_checkpointing;
 		st->is_gang = job->is_gang;
 		st->per_server_max = job->per_server_max;
-		if (job->needs_label)
-			cs_copy(st->label, sizeof(st->label), "nowhere");
+		if (job->label)
+			cs_copy(st->label, sizeof(st->label), job->label);
 		st->unavailable_max =
 			job->is_long_running ? job->unavailable_max : -1;
 		if (i) {
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -78,6 +78,12 @@
 int world_server_count(const struct world *world);
 /* Loses all runs of a server. It restarts under a new identifier. */
 void world_server_crash(struct world *world, int server, int64_t restart_ms);
+/*
+ * The same, but it restarts under its identifier, as a server of another kind
+ * and perhaps in another pool. The label of a server is its kind, "a" at first.
+ */
+void world_server_return_as(struct world *world, int server, int64_t restart_ms,
+			    const char *label, int pool);
 /* Drains a server for 4 s and restarts it under a new identifier 1 s later. */
 void world_server_drain(struct world *world, int server);
 /* Share of start orders that time out and are carried out seconds later. */
@@ -114,7 +120,7 @@
 	int64_t caller_estimate_ms; /* sent by the caller; 0: work_ms */
 	int64_t cpu; /* of each task, thousandths of a core */
 	int per_server_max; /* tasks of a step on one server; 0: no limit */
-	bool needs_label; /* that no server has */
+	const char *label; /* that its servers have, or NULL; see below */
 	bool is_long_running, is_checkpointing, is_gang;
 	int unavailable_max; /* of long-running tasks; -1: no limit */
 	/* Long-running tasks fail within this time after they are up; 0: no. */
--- a/tests/world/world_private.h
+++ b/tests/world/world_private.h
@@ -82,6 +82,8 @@
 	uint64_t holder_token;
 	char holder[CS_NAME_MAX];
 	cs_time holder_order_at;
+	const char *label;
+	bool keeps_id; /* at its next start */
 	uint64_t started_unix_ms;
 	cs_time clock_started_at;
 	double clock_rate; /* of the server's clock, relative to virtual time */
--- a/tests/world/world_servers.c
+++ b/tests/world/world_servers.c
@@ -81,7 +81,7 @@
 	if (!w->was_queue_pool[j->spec.pool][v->pool])
 		world_report_violation(w, "ROUTE: %s on %s of pool%d", o->task,
 				       v->id, v->pool);
-	if (j->spec.needs_label ||
+	if ((j->spec.label && strcmp(j->spec.label, v->label)) ||
 	    (j->spec.per_server_max &&
 	     count_step_runs(v, o->task, step) >= j->spec.per_server_max))
 		world_report_violation(w, "ROUTE: %s may not run on %s",
@@ -176,9 +176,10 @@
 	char key[80], text[256];
 
 	snprintf(key, sizeof(key), "servers/%s", v->id);
-	snprintf(text, sizeof(text), "%d %s %d %s %" PRIu64, v->pool,
+	snprintf(text, sizeof(text), "%d %s %d %s %" PRIu64 " %s", v->pool,
 		 v->address, v->data_centre,
-		 v->is_draining ? "draining" : "ready", v->started_unix_ms);
+		 v->is_draining ? "draining" : "ready", v->started_unix_ms,
+		 v->label);
 	sim_store_put(w, key, text);
 }
 
@@ -717,12 +718,15 @@
 {
 	char key[80];
 
-	if (v->is_listed) {
+	if (v->is_listed && !v->keeps_id) {
 		snprintf(key, sizeof(key), "servers/%s", v->id);
 		sim_store_remove(v->world, key);
 	}
 	v->generation++;
-	snprintf(v->id, sizeof(v->id), "i-%d-%d", v->index, v->generation);
+	if (!v->keeps_id)
+		snprintf(v->id, sizeof(v->id), "i-%d-%d", v->index,
+			 v->generation);
+	v->keeps_id = false;
 	v->is_up = v->is_listed = true;
 	v->is_draining = false;
 	v->started_unix_ms = (uint64_t)world_unix_ms(v->world);
