sched: members of a gang that are placed in one pass count against the spread of their step

Cause: assign_gang() reserved room for each member, but the limit counts runs, and there are none before all members are placed. The spread over racks had the same gap.

Change: place_choose() gets the servers that are reserved for other members and counts them like runs. Room was reserved before; limits of workspaces are checked for the gang as a whole.

gang_keeps_its_spread fails before.

--- a/src/sched/assign.c
+++ b/src/sched/assign.c
@@ -117,22 +117,19 @@
 
 /*
  * Finds a server for a task. Without one, sets has_room if some have room but
- * rules exclude them.
+ * rules exclude them. members: see place_choose().
  */
 static struct server *find_server(struct sched *s, const struct task_ref *ref,
+				  const GPtrArray *members,
 				  const struct job_attempt *a, cs_time now,
 				  bool *has_room)
 {
-	const struct job *j = ref->job;
-	const struct batch_step *st = &j->batch->spec->steps[ref->step];
+	const struct batch_step *st = &ref->job->batch->spec->steps[ref->step];
 	struct place_search search = { 0 };
 	struct server *v = NULL;
 
 	if (!no_room_covers(a->no_room, st->label, place_need(st)))
-		v = place_choose(s, j, ref->occurrence, ref->step,
-				 batch_find_task(j->batch, ref->occurrence,
-						 ref->step, ref->index),
-				 now, &search);
+		v = place_choose(s, ref, members, now, &search);
 	s->examined_servers += search.examined;
 	*has_room = search.has_room;
 	return v;
@@ -173,7 +170,7 @@
 			set_block(a, BLOCK_LIMIT);
 			break;
 		}
-		v = find_server(s, &ref, a, now, &has_room);
+		v = find_server(s, &ref, NULL, a, now, &has_room);
 		if (!v) {
 			note_unplaced(s, &ref, has_room, a, now);
 			break;
@@ -196,11 +193,11 @@
 			int step, cs_time now, struct job_attempt *a)
 {
 	const struct batch_step *st = &j->batch->spec->steps[step];
-	struct server **chosen = g_new0(struct server *, st->count);
+	GPtrArray *chosen = g_ptr_array_new();
 	struct site_resources all = { 0 };
 	uint32_t number = 0;
 	bool has_room = false;
-	int i, placed = 0;
+	int i;
 
 	for (i = 0; i < st->count; i++) {
 		struct batch_task *t =
@@ -218,34 +215,36 @@
 	}
 	for (i = 0; i < st->count; i++) {
 		const struct task_ref ref = { j, occurrence, step, i };
+		struct server *v =
+			find_server(s, &ref, chosen, a, now, &has_room);
 
-		chosen[i] = find_server(s, &ref, a, now, &has_room);
-		if (!chosen[i])
+		if (!v)
 			break;
-		servers_reserve(chosen[i], place_need(st), 1);
-		placed++;
+		servers_reserve(v, place_need(st), 1);
+		g_ptr_array_add(chosen, v);
 	}
-	for (i = 0; i < placed; i++)
-		servers_reserve(chosen[i], place_need(st), -1);
-	if (placed < st->count) {
+	for (i = 0; i < (int)chosen->len; i++)
+		servers_reserve(g_ptr_array_index(chosen, i), place_need(st),
+				-1);
+	if ((int)chosen->len < st->count) {
 		/* Room for some members only is no lack of room for a task. */
 		note_unplaced(s, &(struct task_ref){ j, occurrence, step, 0 },
-			      has_room || placed, a, now);
+			      has_room || chosen->len, a, now);
 		goto out;
 	}
 	for (i = 0; i < st->count; i++) {
+		const struct task_ref ref = { j, occurrence, step, i };
+		struct server *v = g_ptr_array_index(chosen, i);
 		struct run *r = runs_start(
-			s, &(struct task_ref){ j, occurrence, step, i },
-			chosen[i], number,
-			advice_ticket(s, j, occurrence, step, chosen[i], now),
-			now);
+			s, &ref, v, number,
+			advice_ticket(s, j, occurrence, step, v, now), now);
 
 		if (r)
-			log_start(s, j, r, chosen[i], now);
+			log_start(s, j, r, v, now);
 	}
-	a->started += placed;
+	a->started += st->count;
 out:
-	g_free(chosen);
+	g_ptr_array_free(chosen, TRUE);
 }
 
 /* Opens the occurrences that are due. Returns the first one not done. */
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -65,6 +65,7 @@
 	const struct batch_task *task;
 	const struct batch_step *spec;
 	const struct site_terms *terms;
+	const GPtrArray *members; /* see place_choose() */
 	cs_time now;
 	struct place_search *search;
 };
@@ -80,6 +81,17 @@
 	       (!*st->label || has_label(v, st->label));
 }
 
+/* Number of members of the task's gang for which the server is reserved. */
+static int count_members(const struct placement *p, const struct server *v)
+{
+	int n = 0;
+	guint i;
+
+	for (i = 0; p->members && i < p->members->len; i++)
+		n += g_ptr_array_index(p->members, i) == v;
+	return n;
+}
+
 static bool can_take(const struct placement *p, const struct server *v)
 {
 	const struct batch_step *st = p->spec;
@@ -88,7 +100,8 @@
 		return false;
 	p->search->has_room = true;
 	return (!st->per_server_max ||
-		runs_of_step(p->sched, v, p->job, p->occurrence, p->step) <
+		runs_of_step(p->sched, v, p->job, p->occurrence, p->step) +
+				count_members(p, v) <
 			st->per_server_max) &&
 	       (!p->terms->advice.validity_ms ||
 		advice_ticket(p->sched, p->job, p->occurrence, p->step, v,
@@ -121,6 +134,8 @@
 		if (r)
 			g_ptr_array_add(list, server_row(p->sched, r->server));
 	}
+	if (p->members)
+		g_ptr_array_extend(list, (GPtrArray *)p->members, NULL, NULL);
 	return list;
 }
 
@@ -201,19 +216,20 @@
 	return best;
 }
 
-struct server *place_choose(const struct sched *s, const struct job *j,
-			    int occurrence, int step,
-			    const struct batch_task *t, cs_time now,
+struct server *place_choose(const struct sched *s, const struct task_ref *ref,
+			    const GPtrArray *members, cs_time now,
 			    struct place_search *search)
 {
 	const struct placement p = {
 		.sched = s,
-		.job = j,
-		.occurrence = occurrence,
-		.step = step,
-		.task = t,
-		.spec = &j->batch->spec->steps[step],
-		.terms = sched_terms_of(s, j),
+		.job = ref->job,
+		.occurrence = ref->occurrence,
+		.step = ref->step,
+		.task = batch_find_task(ref->job->batch, ref->occurrence,
+					ref->step, ref->index),
+		.spec = &ref->job->batch->spec->steps[ref->step],
+		.terms = sched_terms_of(s, ref->job),
+		.members = members,
 		.now = now,
 		.search = search,
 	};
--- a/src/sched/sched_private.h
+++ b/src/sched/sched_private.h
@@ -360,10 +360,13 @@
 	int64_t examined; /* servers that were looked at */
 	bool has_room; /* a usable one with the step's label had room */
 };
-/* The server with the lowest cost for a task, or NULL if none can take it. */
-struct server *place_choose(const struct sched *s, const struct job *j,
-			    int occurrence, int step,
-			    const struct batch_task *t, cs_time now,
+/*
+ * The server with the lowest cost for a task, or NULL if none can take it.
+ * members: servers on which room is reserved for other members of its gang,
+ * each as often as it has one; or NULL.
+ */
+struct server *place_choose(const struct sched *s, const struct task_ref *ref,
+			    const GPtrArray *members, cs_time now,
 			    struct place_search *search);
 /* What is left of the limit of the job's workspace; INT64_MAX: no limit. */
 struct site_resources place_headroom(const struct sched *s,
--- a/tests/unit/test_sched_faults.c
+++ b/tests/unit/test_sched_faults.c
@@ -436,6 +436,32 @@
 	end_world(w);
 }
 
+/*
+ * Guards against members of a gang that share a server beyond the limit of the
+ * step: room was reserved for them, but they counted only once they ran.
+ */
+static void gang_keeps_its_spread(void **state)
+{
+	const struct world_job gang = { .steps = 1,
+					.width = 4,
+					.work_ms = 500,
+					.cpu = 1000,
+					.is_gang = true,
+					.per_server_max = 1,
+					.unavailable_max = -1 };
+	struct world_job wide = gang;
+	struct world *w = make_world(1, 4, 0);
+	int job = world_submit(w, 0, &gang), never;
+
+	(void)state;
+	wide.width = 5;
+	never = world_submit(w, 0, &wide);
+	world_run(w, 3000);
+	assert_int_equal(world_job_starts(w, job), 4);
+	assert_int_equal(world_job_starts(w, never), 0);
+	end_world(w);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -455,6 +481,7 @@
 		cmocka_unit_test(job_of_a_removed_queue_survives_its_owner),
 		cmocka_unit_test(returned_server_has_its_new_kind),
 		cmocka_unit_test(returned_server_has_its_new_pool),
+		cmocka_unit_test(gang_keeps_its_spread),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
