store: a watch whose answer can't be read is replaced by a paged list

Three entries of 1 MiB by another writer in one transaction made the answer to the watch of the servers larger than the limit of 4 MiB.

Cause: a reply that is too large counted as no reply, after which a view repeats its watch. So did a malformed one.

Change: such a reply to a watch has a result of its own, and the view lists its keys, which come in pages of about 1 MB. The log says so (store_reply_unreadable).

watch_that_is_too_large_is_replaced_by_a_list fails with a view that treats it like no reply.

--- a/src/base/http_client.c
+++ b/src/base/http_client.c
@@ -444,7 +444,11 @@
 
 	call->req = NULL;
 	if (!req || !evhttp_request_get_response_code(req)) {
-		call_fail(call, CS_ERR_IO, error_text(call->evhttp_error));
+		call_fail(call,
+			  call->evhttp_error == EVREQ_HTTP_DATA_TOO_LONG ?
+				  CS_ERR_TOO_LARGE :
+				  CS_ERR_IO,
+			  error_text(call->evhttp_error));
 		return;
 	}
 	input = evhttp_request_get_input_buffer(req);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -253,6 +253,15 @@
 	node_log(n, is_lost ? "dependency_lost" : "dependency_regained", pairs);
 }
 
+static void log_unreadable(struct node *n, const struct store_reply *d)
+{
+	GString *pairs = g_string_new(NULL);
+
+	log_pair(pairs, "call", store_op_name(d->op));
+	log_pair(pairs, "message", d->error.message);
+	node_log(n, "store_reply_unreadable", pairs);
+}
+
 void node_store_reply(struct node *n, const struct store_reply *d, cs_time now)
 {
 	char labels[64];
@@ -263,6 +272,8 @@
 		counters_observe(n->counters, "camphorshed_store_call_seconds",
 				 labels, now - d->sent);
 	log_store_state(n, d, now);
+	if (d->result == STORE_UNREADABLE)
+		log_unreadable(n, d);
 	store_calls_on_reply(n->calls, d, now);
 }
 
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -125,9 +125,9 @@
 
 const char *store_result_name(enum store_result result)
 {
-	static const char *const names[] = {
-		"ok", "conflict", "missing", "compacted", "refused", "unknown"
-	};
+	static const char *const names[] = { "ok",	  "conflict", "missing",
+					     "compacted", "refused",  "unknown",
+					     "unreadable" };
 
 	return names[result];
 }
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -32,7 +32,9 @@
 	STORE_MISSING, /* no such key or lease */
 	STORE_COMPACTED, /* the store has dropped the history asked for */
 	STORE_REFUSED, /* nothing was done: overloaded, down, or not sent */
-	STORE_UNKNOWN /* no reply: it may be done already, or later */
+	STORE_UNKNOWN, /* no reply: it may be done already, or later */
+	/* Of a watch: the reply is too large or malformed, and stays so. */
+	STORE_UNREADABLE
 };
 
 struct store_item {
--- a/src/store/view.c
+++ b/src/store/view.c
@@ -176,7 +176,8 @@
 
 	(void)arg;
 	v->call = 0;
-	if (d->result == STORE_COMPACTED) {
+	/* The same watch would fail again; a list comes in pages. */
+	if (d->result == STORE_COMPACTED || d->result == STORE_UNREADABLE) {
 		v->after = 0;
 		list_page(v);
 		return;
--- a/tests/unit/test_sched_faults.c
+++ b/tests/unit/test_sched_faults.c
@@ -462,6 +462,33 @@
 	end_world(w);
 }
 
+/*
+ * Guards against an owner that no longer sees new servers: large entries of
+ * another writer made the answer to its watch too large to be read, and it
+ * asked for the same one until the store had dropped that history.
+ */
+static void watch_that_is_too_large_is_replaced_by_a_list(void **state)
+{
+	struct world *w = make_world(1, 2, 0);
+	char *large = g_strnfill(60000, 'x');
+	int job;
+
+	(void)state;
+	world_store_set_watch_max(w, 100000);
+	world_store_put(w, "servers/odd-1", large);
+	world_store_put(w, "servers/odd-2", large);
+	world_store_put(w, "servers/odd-3", large);
+	g_free(large);
+	world_server_crash(w, 0, 500);
+	world_server_crash(w, 1, 500);
+	/* The new servers are listed after 0.5 s; 1 s to see and use them. */
+	world_run(w, 1500);
+	job = world_submit(w, 0, &short_job);
+	world_run(w, 2000);
+	assert_true(world_job_is_done(w, job));
+	end_world(w);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -482,6 +509,7 @@
 		cmocka_unit_test(returned_server_has_its_new_kind),
 		cmocka_unit_test(returned_server_has_its_new_pool),
 		cmocka_unit_test(gang_keeps_its_spread),
+		cmocka_unit_test(watch_that_is_too_large_is_replaced_by_a_list),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -516,6 +516,10 @@
 /* A lost answer must stay unknown; it must not become a refusal. */
 static void store_answers_are_read(void **state)
 {
+	const struct http_client_response too_large = {
+		.result = HTTP_UNKNOWN,
+		.error.code = CS_ERR_TOO_LARGE
+	};
 	struct store_call *txn = store_call_new(STORE_TXN, NULL, 100);
 	struct store_call *watch = store_call_new(STORE_WATCH, "op/", 100);
 	struct http_client_response lost = { .result = HTTP_UNKNOWN };
@@ -559,6 +563,21 @@
 	assert_int_equal(d->result, STORE_COMPACTED);
 	store_reply_free(d);
 	g_bytes_unref(a.body);
+	a = answered(200, "{\"events\":[{\"key\":5}],\"at\":9}");
+	d = wire_store_decode(watch, &a);
+	assert_int_equal(d->result, STORE_UNREADABLE);
+	store_reply_free(d);
+	d = wire_store_decode(txn, &a);
+	assert_int_equal(d->result, STORE_UNKNOWN);
+	store_reply_free(d);
+	g_bytes_unref(a.body);
+	/* Only the reply to a watch can be had in parts. */
+	d = wire_store_decode(watch, &too_large);
+	assert_int_equal(d->result, STORE_UNREADABLE);
+	store_reply_free(d);
+	d = wire_store_decode(txn, &too_large);
+	assert_int_equal(d->result, STORE_UNKNOWN);
+	store_reply_free(d);
 	store_call_free(txn);
 	store_call_free(watch);
 }
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -726,6 +726,16 @@
 	w->last_fault_at = w->now;
 }
 
+void world_store_set_watch_max(struct world *w, int64_t bytes)
+{
+	w->watch_bytes_max = bytes;
+}
+
+void world_store_put(struct world *w, const char *key, const char *value)
+{
+	sim_store_put(w, key, value);
+}
+
 void world_store_compact(struct world *w)
 {
 	w->last_fault_at = w->now;
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -70,6 +70,10 @@
 /* Delays each reply by ms. */
 void world_store_set_latency(struct world *world, int64_t ms);
 void world_store_compact(struct world *world);
+/* Replies to watches with more bytes of values can't be read; 0: all can. */
+void world_store_set_watch_max(struct world *world, int64_t bytes);
+/* Another writer's value of a key. */
+void world_store_put(struct world *world, const char *key, const char *value);
 int world_store_count(const struct world *world, const char *prefix);
 /* Total size of all values under a prefix. */
 int64_t world_store_bytes(const struct world *world, const char *prefix);
--- a/tests/world/world_private.h
+++ b/tests/world/world_private.h
@@ -176,6 +176,7 @@
 	cs_time last_fault_at;
 	int lost_reply_per_mille;
 	bool is_lost_write_late;
+	int64_t watch_bytes_max; /* of one reply to a watch; 0: no limit */
 	int64_t store_latency_ms; /* additional delay of each reply */
 	int late_start_per_mille;
 	int64_t limit_cpu, used_cpu;
--- a/tests/world/world_store.c
+++ b/tests/world/world_store.c
@@ -144,10 +144,28 @@
 	return d->items->len > 0;
 }
 
+static bool is_too_large(const struct world *w, const struct store_reply *d)
+{
+	int64_t bytes = 0;
+	guint i;
+
+	for (i = 0; i < d->items->len; i++) {
+		const struct store_item *item = g_ptr_array_index(d->items, i);
+
+		bytes += item->value ? (int64_t)g_bytes_get_size(item->value) :
+				       0;
+	}
+	return w->watch_bytes_max && bytes > w->watch_bytes_max;
+}
+
 static void complete_watch(struct world *w, struct sim_watch *x,
 			   struct store_reply *d)
 {
 	d->sent = x->sent;
+	if (is_too_large(w, d)) {
+		d->result = STORE_UNREADABLE;
+		g_ptr_array_set_size(d->items, 0);
+	}
 	if (w->is_store_down || w->nodes[x->node].is_cut_from_store) {
 		d->result = STORE_UNKNOWN;
 		g_ptr_array_set_size(d->items, 0);
