batch: all members of a gang start from one checkpoint

Change: before the starts, all members get the checkpoint of the member with the latest run that has one. gang_starts_from_one_checkpoint shows it.

--- a/src/batch/batch.c
+++ b/src/batch/batch.c
@@ -342,6 +342,28 @@
 	return true;
 }
 
+void batch_share_gang_checkpoint(struct batch *b, int occurrence, int step)
+{
+	const struct batch_task *latest = NULL;
+	char *checkpoint;
+	int i;
+
+	for (i = 0; i < b->spec->steps[step].count; i++) {
+		const struct batch_task *t =
+			batch_find_task(b, occurrence, step, i);
+
+		if (t->checkpoint && (!latest || t->run > latest->run))
+			latest = t;
+	}
+	if (!latest)
+		return;
+	checkpoint = g_strdup(latest->checkpoint);
+	for (i = 0; i < b->spec->steps[step].count; i++)
+		batch_task_set_checkpoint(
+			batch_find_task(b, occurrence, step, i), checkpoint);
+	g_free(checkpoint);
+}
+
 /* Counts a failed run. A gang's failures all count for its first task. */
 static void count_failure(struct batch *b, int occurrence, int step,
 			  struct batch_task *t, uint32_t run, int attempts_max)
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -191,6 +191,12 @@
  */
 bool batch_task_set_checkpoint(struct batch_task *t, const char *checkpoint);
 
+/*
+ * Gives all members of a gang the checkpoint of the member with the latest run
+ * that has one. It is valid for each of them, and all must start from the same.
+ */
+void batch_share_gang_checkpoint(struct batch *b, int occurrence, int step);
+
 /*
  * Records the end of a run. An end that was recorded before, or of a task that
  * is done, changes nothing. Ends may come in any order. checkpoint may be NULL
--- a/src/sched/assign.c
+++ b/src/sched/assign.c
@@ -232,6 +232,7 @@
 			      has_room || chosen->len, a, now);
 		goto out;
 	}
+	batch_share_gang_checkpoint(j->batch, occurrence, step);
 	for (i = 0; i < st->count; i++) {
 		const struct task_ref ref = { j, occurrence, step, i };
 		struct server *v = g_ptr_array_index(chosen, i);
--- a/tests/unit/test_batch.c
+++ b/tests/unit/test_batch.c
@@ -126,6 +126,34 @@
 	batch_destroy(b);
 }
 
+/*
+ * Guards against members of a gang that start from different checkpoints: the
+ * ends of their last runs reported different ones, or none.
+ */
+static void gang_starts_from_one_checkpoint(void **state)
+{
+	struct batch_spec *spec = batch_spec_create(1);
+	struct batch *b;
+	int i;
+
+	(void)state;
+	spec->steps[0].count = 3;
+	spec->steps[0].is_gang = true;
+	b = batch_create("0123456789abcdef", "queue", "", 0, spec);
+	batch_open_occurrence(b, 0);
+	batch_share_gang_checkpoint(b, 0, 0);
+	assert_null(batch_find_task(b, 0, 0, 0)->checkpoint);
+	for (i = 0; i < 3; i++)
+		batch_find_task(b, 0, 0, i)->run = i == 1 ? 9 : 8;
+	batch_task_set_checkpoint(batch_find_task(b, 0, 0, 0), "earlier");
+	batch_task_set_checkpoint(batch_find_task(b, 0, 0, 1), "later");
+	batch_share_gang_checkpoint(b, 0, 0);
+	for (i = 0; i < 3; i++)
+		assert_string_equal(batch_find_task(b, 0, 0, i)->checkpoint,
+				    "later");
+	batch_destroy(b);
+}
+
 /* Steps in a cycle would never start. Counts and numbers must be in range. */
 static void invalid_jobs_are_refused(void **state)
 {
@@ -465,6 +493,7 @@
 		cmocka_unit_test(repeated_end_counts_once),
 		cmocka_unit_test(earlier_end_does_not_end_the_current_run),
 		cmocka_unit_test(gang_ends_together),
+		cmocka_unit_test(gang_starts_from_one_checkpoint),
 		cmocka_unit_test(invalid_jobs_are_refused),
 		cmocka_unit_test(stored_encoding_is_complete),
 		cmocka_unit_test(damaged_bytes_never_crash),
