batch: a job whose only starts were refused is queued again

Cause: undo_start() put the task back, not the state of the job, which batch_task_started() had set.

Change: batch_task_undo_start() takes both back as long as no run of the job is under way or has ended. refused_start_leaves_the_job_queued shows it.

--- a/src/batch/batch.c
+++ b/src/batch/batch.c
@@ -280,6 +280,37 @@
 	}
 }
 
+/* True if a run of a task is under way or has ended. */
+static bool has_run(const struct batch *b)
+{
+	int occurrence, i;
+
+	if (b->running || b->occurrences_done)
+		return true;
+	for (occurrence = 0; occurrence < b->occurrences_nr; occurrence++) {
+		const struct batch_task *tasks =
+			b->occurrences[occurrence].tasks;
+
+		for (i = 0; tasks && i < b->occurrence_tasks; i++)
+			if (tasks[i].ended_run ||
+			    tasks[i].state != BATCH_TASK_WAITING)
+				return true;
+	}
+	return false;
+}
+
+void batch_task_undo_start(struct batch *b, struct batch_task *t)
+{
+	if (t->state != BATCH_TASK_RUNNING)
+		return;
+	t->state = BATCH_TASK_WAITING;
+	b->running--;
+	if (b->state != BATCH_RUNNING || has_run(b))
+		return;
+	b->state = BATCH_QUEUED;
+	b->version++;
+}
+
 /* Marks the task as done, and its occurrence and batch if it was the last. */
 static void finish_task(struct batch *b, int occurrence, int step,
 			struct batch_task *t)
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -182,6 +182,13 @@
 /* Records a start. The run number must be higher than all before. */
 void batch_task_started(struct batch *b, struct batch_task *t, uint32_t run);
 
+/*
+ * Takes back a start that certainly had no effect. The task waits again and
+ * keeps its run number, which is the highest one ordered. A batch of which no
+ * task has run is queued again.
+ */
+void batch_task_undo_start(struct batch *b, struct batch_task *t);
+
 /* Adds a run to failed_runs. Returns false if it was there. */
 bool batch_task_add_failure(struct batch_task *t, uint32_t run);
 
--- a/src/sched/runs.c
+++ b/src/sched/runs.c
@@ -371,10 +371,8 @@
 		batch_find_task(j->batch, r->occurrence, r->step, r->index);
 
 	free_run(s, r);
-	if (t && t->state == BATCH_TASK_RUNNING) {
-		t->state = BATCH_TASK_WAITING;
-		j->batch->running--;
-	}
+	if (t)
+		batch_task_undo_start(j->batch, t);
 	sched_mark_changed(s, j, now);
 	sched_job_waits(s, j);
 }
--- a/tests/unit/test_batch.c
+++ b/tests/unit/test_batch.c
@@ -154,6 +154,38 @@
 	batch_destroy(b);
 }
 
+/*
+ * Guards against a job that is shown as running, and not counted as pending,
+ * after its first start was refused.
+ */
+static void refused_start_leaves_the_job_queued(void **state)
+{
+	struct batch *b = make_batch();
+	struct batch_task *t = batch_find_task(b, 0, 0, 0);
+	struct batch_task *other = batch_find_task(b, 0, 0, 1);
+	uint32_t version;
+
+	(void)state;
+	batch_task_started(b, t, 1);
+	batch_task_started(b, other, 1);
+	assert_int_equal(b->state, BATCH_RUNNING);
+	batch_task_undo_start(b, t);
+	assert_int_equal(b->state, BATCH_RUNNING);
+	version = b->version;
+	batch_task_undo_start(b, other);
+	assert_int_equal(b->state, BATCH_QUEUED);
+	assert_int_not_equal(b->version, version);
+	assert_int_equal(t->run, 1);
+	/* Once a run has ended, a refused start changes nothing. */
+	batch_task_started(b, t, 2);
+	batch_task_ended(b, 0, 0, t, 2, BATCH_END_LOST, NULL, 3);
+	batch_task_started(b, t, 3);
+	batch_task_undo_start(b, t);
+	assert_int_equal(b->state, BATCH_RUNNING);
+	assert_int_equal(b->running, 0);
+	batch_destroy(b);
+}
+
 /* Steps in a cycle would never start. Counts and numbers must be in range. */
 static void invalid_jobs_are_refused(void **state)
 {
@@ -494,6 +526,7 @@
 		cmocka_unit_test(earlier_end_does_not_end_the_current_run),
 		cmocka_unit_test(gang_ends_together),
 		cmocka_unit_test(gang_starts_from_one_checkpoint),
+		cmocka_unit_test(refused_start_leaves_the_job_queued),
 		cmocka_unit_test(invalid_jobs_are_refused),
 		cmocka_unit_test(stored_encoding_is_complete),
 		cmocka_unit_test(damaged_bytes_never_crash),
