node: a job is known only to the workspace that submitted it

Change: a repeated submission, a request for the state and a cancellation compare the workspace of the key with that of the job. The stored progress names it, so no further read is needed; progress of an earlier version and jobs submitted without a key are not compared. The second submission is refused: it has not run.

identifier_of_another_workspace_is_unknown fails without the comparison.

--- a/src/batch/batch.c
+++ b/src/batch/batch.c
@@ -147,9 +147,11 @@
 	return b;
 }
 
-struct batch *batch_create_ended(const char *id, enum batch_state state)
+struct batch *batch_create_ended(const char *id, const char *workspace,
+				 enum batch_state state)
 {
-	struct batch *b = batch_create(id, "", "", 0, batch_spec_create(0));
+	struct batch *b =
+		batch_create(id, "", workspace, 0, batch_spec_create(0));
 
 	b->state = state;
 	return b;
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -149,7 +149,8 @@
  * Creates a batch with only an identifier and a final state, for callers that
  * ask for the state of an ended job. It has no steps.
  */
-struct batch *batch_create_ended(const char *id, enum batch_state state);
+struct batch *batch_create_ended(const char *id, const char *workspace,
+				 enum batch_state state);
 
 /* The due time of an occurrence; 0 if it is due at once. */
 int64_t batch_due_unix_ms(const struct batch *b, int occurrence);
--- a/src/batch/batch_codec.c
+++ b/src/batch/batch_codec.c
@@ -16,8 +16,8 @@
 #define SUBMISSION_LEN 11
 /* Submissions of earlier versions have no terms. */
 #define SUBMISSION_LEN_MIN 10
-#define PROGRESS_LEN 4
-/* Progress of earlier versions has no names of pools. */
+#define PROGRESS_LEN 5
+/* Progress of earlier versions has no pools and no workspace. */
 #define PROGRESS_LEN_MIN 3
 #define TERMS_LEN 8
 
@@ -357,6 +357,7 @@
 	for (i = 0; !is_final && i < b->occurrences_nr; i++)
 		pack_occurrence(&pk, b, &b->occurrences[i], &checkpoint_bytes);
 	pack_pools(&pk, is_final ? NULL : b->pools);
+	pack_text(&pk, b->workspace);
 	return take_buffer(&buf);
 }
 
@@ -442,7 +443,7 @@
 }
 
 static bool read_progress(struct batch *b, const msgpack_object *o,
-			  enum batch_state *state)
+			  enum batch_state *state, char workspace[CS_NAME_MAX])
 {
 	const msgpack_object *f;
 	int64_t format, value;
@@ -456,6 +457,10 @@
 	    value > BATCH_CANCELLED || !is_array(&f[2], 0))
 		return false;
 	*state = (enum batch_state)value;
+	*workspace = '\0';
+	if (o->via.array.size >= PROGRESS_LEN &&
+	    !read_text(&f[4], workspace, CS_NAME_MAX))
+		return false;
 	if (!b)
 		return true;
 	b->state = *state;
@@ -464,12 +469,12 @@
 	for (i = 0; i < f[2].via.array.size; i++)
 		if (!read_occurrence(b, (int)i, &f[2].via.array.ptr[i]))
 			return false;
-	return o->via.array.size < PROGRESS_LEN || read_pools(b, &f[3]);
+	return o->via.array.size <= PROGRESS_LEN_MIN || read_pools(b, &f[3]);
 }
 
 /* Decodes progress. If b is NULL, only the state is decoded. */
 static int decode_progress(struct batch *b, const void *data, size_t size,
-			   enum batch_state *state)
+			   enum batch_state *state, char workspace[CS_NAME_MAX])
 {
 	msgpack_unpacked un;
 	size_t off = 0;
@@ -478,19 +483,21 @@
 	msgpack_unpacked_init(&un);
 	is_read = msgpack_unpack_next(&un, data, size, &off) ==
 			  MSGPACK_UNPACK_SUCCESS &&
-		  read_progress(b, &un.data, state);
+		  read_progress(b, &un.data, state, workspace);
 	msgpack_unpacked_destroy(&un);
 	return is_read ? CS_OK : CS_ERR_INVALID;
 }
 
 int batch_decode_progress(struct batch *b, const void *data, size_t size)
 {
+	char workspace[CS_NAME_MAX];
 	enum batch_state state;
 
-	return decode_progress(b, data, size, &state);
+	return decode_progress(b, data, size, &state, workspace);
 }
 
-int batch_decode_state(const void *data, size_t size, enum batch_state *state)
+int batch_decode_state(const void *data, size_t size, enum batch_state *state,
+		       char workspace[CS_NAME_MAX])
 {
-	return decode_progress(NULL, data, size, state);
+	return decode_progress(NULL, data, size, state, workspace);
 }
--- a/src/batch/batch_codec.h
+++ b/src/batch/batch_codec.h
@@ -20,7 +20,11 @@
  * of the progress, and must not be used.
  */
 int batch_decode_progress(struct batch *b, const void *data, size_t size);
-/* Decodes only the state, for a reply to a caller. */
-int batch_decode_state(const void *data, size_t size, enum batch_state *state);
+/*
+ * Decodes only the state and the workspace, for a reply to a caller. The
+ * workspace is "" if an earlier version stored the progress.
+ */
+int batch_decode_state(const void *data, size_t size, enum batch_state *state,
+		       char workspace[CS_NAME_MAX]);
 
 #endif
--- a/src/node/api.c
+++ b/src/node/api.c
@@ -52,6 +52,7 @@
 	char workspace[CS_NAME_MAX];
 	char queue[CS_NAME_MAX];
 	struct site_terms terms; /* of the queue */
+	bool is_queue_open; /* no key is needed, so no workspace is known */
 	cs_time deadline;
 	bool is_write_uncertain; /* a write without a reply may be done */
 	bool is_reading_job; /* the key of the job, not of its progress */
@@ -194,6 +195,36 @@
 	return left < 1 ? 0 : left;
 }
 
+/*
+ * True if the job belongs to another workspace, which chose the same
+ * identifier. workspace: of the job; "" if it was submitted without a key.
+ */
+static bool is_foreign(const struct open_request *o, const char *workspace)
+{
+	return !o->is_queue_open && *workspace &&
+	       strcmp(workspace, o->workspace) != 0;
+}
+
+/* The same for a stored submission; one that has ended names no workspace. */
+static bool is_foreign_submission(const struct open_request *o,
+				  const struct store_reply *d)
+{
+	const struct store_item *item =
+		d->items->len ? g_ptr_array_index(d->items, 0) : NULL;
+	struct batch *b;
+	bool is_other;
+	gsize size;
+	const void *data;
+
+	if (!item || !item->value)
+		return false;
+	data = g_bytes_get_data(item->value, &size);
+	b = batch_decode_submission(data, size);
+	is_other = b && is_foreign(o, b->workspace);
+	batch_destroy(b);
+	return is_other;
+}
+
 static void submit(struct open_request *o, cs_time now);
 static void read_job(struct open_request *o, cs_time now);
 static void cancel(struct open_request *o, cs_time now);
@@ -251,10 +282,16 @@
 		return;
 	switch (d->result) {
 	case STORE_OK:
+		finish_with_result(o, API_OK, "stored", now);
+		break;
 	case STORE_CONFLICT: /* it was stored before: still one job */
-		finish_with_result(o, API_OK,
-				   d->result == STORE_OK ? "stored" : "known",
-				   now);
+		if (is_foreign_submission(o, d))
+			finish_with_result(o, API_UNAVAILABLE,
+					   "another workspace has a job with "
+					   "this identifier",
+					   now);
+		else
+			finish_with_result(o, API_OK, "known", now);
 		break;
 	case STORE_UNKNOWN:
 		o->is_write_uncertain = true;
@@ -332,7 +369,7 @@
 static void handle_job_read(struct open_request *o, const struct store_reply *d,
 			    cs_time now)
 {
-	if (d->result == STORE_MISSING) {
+	if (d->result == STORE_MISSING || is_foreign_submission(o, d)) {
 		finish_with_result(o, API_NO_JOB, NULL, now);
 	} else if (o->request->kind == API_CANCEL) {
 		cancel(o, now);
@@ -345,13 +382,16 @@
 				 const struct store_reply *d, cs_time now)
 {
 	const struct store_item *item = g_ptr_array_index(d->items, 0);
+	char workspace[CS_NAME_MAX];
 	enum batch_state state;
 	gsize size;
 	const void *data = g_bytes_get_data(item->value, &size);
 
-	if (batch_decode_state(data, size, &state))
+	if (batch_decode_state(data, size, &state, workspace))
 		finish_with_result(o, API_UNAVAILABLE,
 				   "the stored state can't be read", now);
+	else if (is_foreign(o, workspace))
+		finish_with_result(o, API_NO_JOB, NULL, now);
 	else
 		finish_state(o, state, now);
 }
@@ -407,12 +447,20 @@
 static bool reply_as_owner(struct open_request *o, cs_time now)
 {
 	struct node *n = o->node;
+	const struct batch *b;
 	enum batch_state state;
 	bool is_stored;
 
-	if (n->owner.state != OWNER_ACTIVE || o->request->kind != API_STATE ||
-	    !sched_find_batch(n->sched, o->id, &state, &is_stored))
+	if (n->owner.state != OWNER_ACTIVE || o->request->kind != API_STATE)
+		return false;
+	b = sched_find_batch(n->sched, o->id, &is_stored);
+	if (!b)
 		return false;
+	if (is_foreign(o, b->workspace)) {
+		finish_with_result(o, API_NO_JOB, NULL, now);
+		return true;
+	}
+	state = b->state;
 	if (!is_stored && state >= BATCH_DONE)
 		state = BATCH_RUNNING;
 	finish_state(o, state, now);
@@ -485,6 +533,7 @@
 	cs_copy(o->workspace, sizeof(o->workspace), workspace);
 	cs_copy(o->queue, sizeof(o->queue), q->name);
 	o->terms = q->terms;
+	o->is_queue_open = q->is_open;
 	if (!reply_as_owner(o, now))
 		send_next_call(o, now);
 }
--- a/src/node/term.c
+++ b/src/node/term.c
@@ -65,6 +65,7 @@
 static struct batch *read_ended_job(const char *id,
 				    const struct loaded_item *progress)
 {
+	char workspace[CS_NAME_MAX];
 	enum batch_state state;
 	gsize size;
 	const void *data;
@@ -72,9 +73,10 @@
 	if (!progress)
 		return NULL;
 	data = g_bytes_get_data(progress->value, &size);
-	if (batch_decode_state(data, size, &state) || state < BATCH_DONE)
+	if (batch_decode_state(data, size, &state, workspace) ||
+	    state < BATCH_DONE)
 		return NULL;
-	return batch_create_ended(id, state);
+	return batch_create_ended(id, workspace, state);
 }
 
 /* Decodes a job. progress may be NULL. Returns NULL on failure. */
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -694,16 +694,15 @@
 	slots_free(s->jobs, h);
 }
 
-bool sched_find_batch(const struct sched *s, const char *id,
-		      enum batch_state *state, bool *is_stored)
+const struct batch *sched_find_batch(const struct sched *s, const char *id,
+				     bool *is_stored)
 {
 	const struct job *j = g_hash_table_lookup(s->job_by_id, id);
 
 	if (!j)
-		return false;
-	*state = j->batch->state;
+		return NULL;
 	*is_stored = j->batch->version == j->stored_version;
-	return true;
+	return j->batch;
 }
 
 /* True if the job is due and no task has started. */
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -195,9 +195,12 @@
 cs_handle sched_next_expired(struct sched *sched, cs_time now);
 void sched_expired_removed(struct sched *sched, cs_handle batch);
 
-/* Finds the state of a batch by identifier. Returns false if it is unknown. */
-bool sched_find_batch(const struct sched *sched, const char *id,
-		      enum batch_state *state, bool *is_stored);
+/*
+ * Finds a batch by identifier; NULL if it is unknown. Sets is_stored if its
+ * progress is stored.
+ */
+const struct batch *sched_find_batch(const struct sched *sched, const char *id,
+				     bool *is_stored);
 
 /*
  * Calls fn for each queue that has a batch: pending is the number of due
--- a/tests/unit/test_batch.c
+++ b/tests/unit/test_batch.c
@@ -220,6 +220,7 @@
 	struct batch *b = make_batch(), *c;
 	struct batch_task *t;
 	enum batch_state decoded_state;
+	char workspace[CS_NAME_MAX];
 	GBytes *submission, *progress;
 
 	(void)state;
@@ -263,9 +264,10 @@
 	assert_false(batch_task_ended(c, 0, 0, t, 4, BATCH_END_FAILED, "", 3));
 	assert_int_equal(batch_decode_state(g_bytes_get_data(progress, NULL),
 					    g_bytes_get_size(progress),
-					    &decoded_state),
+					    &decoded_state, workspace),
 			 CS_OK);
 	assert_int_equal(decoded_state, BATCH_RUNNING);
+	assert_string_equal(workspace, "desk");
 	g_bytes_unref(submission);
 	g_bytes_unref(progress);
 	batch_destroy(b);
@@ -331,11 +333,10 @@
 	finish(b, 0, 0);
 	progress = batch_encode_progress(b);
 	data = g_bytes_unref_to_data(progress, &size);
-	/* An array of four, whose last element is an empty array. */
-	assert_int_equal(data[0], 0x94);
-	assert_int_equal(data[size - 1], 0x90);
+	/* An array of five, of which only three are taken. */
+	assert_int_equal(data[0], 0x95);
 	data[0] = 0x93;
-	assert_int_equal(batch_decode_progress(c, data, size - 1), CS_OK);
+	assert_int_equal(batch_decode_progress(c, data, size), CS_OK);
 	assert_int_equal(batch_find_task(c, 0, 0, 0)->state, BATCH_TASK_DONE);
 	assert_null(c->pools);
 	g_free(data);
--- a/tests/unit/test_sched_faults.c
+++ b/tests/unit/test_sched_faults.c
@@ -489,6 +489,41 @@
 	end_world(w);
 }
 
+/*
+ * Guards against a workspace that sees or cancels the job of another one with
+ * the same identifier, or is told that its own was accepted, which never runs.
+ */
+static void identifier_of_another_workspace_is_unknown(void **state)
+{
+	struct world *w = make_world(1, 2, 0);
+	int job = world_submit(w, 0, &long_task), node;
+
+	(void)state;
+	world_run(w, 1000);
+	for (node = 0; node < 3; node++) {
+		world_request_as_other(w, node, job, API_SUBMIT);
+		world_run(w, 200);
+		assert_int_equal(world_other_result(w), API_UNAVAILABLE);
+		world_request_as_other(w, node, job, API_STATE);
+		world_run(w, 200);
+		assert_int_equal(world_other_result(w), API_NO_JOB);
+		world_request_as_other(w, node, job, API_CANCEL);
+		world_run(w, 200);
+		assert_int_equal(world_other_result(w), API_NO_JOB);
+		world_query_job(w, node, job);
+		world_run(w, 200);
+		assert_int_equal(world_job_state(w, job), BATCH_RUNNING);
+	}
+	world_run(w, 15000);
+	for (node = 0; node < 3; node++) {
+		world_request_as_other(w, node, job, API_STATE);
+		world_run(w, 200);
+		assert_int_equal(world_other_result(w), API_NO_JOB);
+	}
+	assert_true(world_job_is_done(w, job));
+	end_world(w);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -510,6 +545,7 @@
 		cmocka_unit_test(returned_server_has_its_new_pool),
 		cmocka_unit_test(gang_keeps_its_spread),
 		cmocka_unit_test(watch_that_is_too_large_is_replaced_by_a_list),
+		cmocka_unit_test(identifier_of_another_workspace_is_unknown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -238,6 +238,9 @@
 	timers_subscribe(w->timers, at, on_delivery, d, 0);
 }
 
+/* The lowest bit of an exchange: the request is for the other workspace. */
+#define EXCHANGE_OF_OTHER 1
+
 static int job_of_exchange(uint64_t exchange)
 {
 	return (int)(exchange >> 2);
@@ -250,6 +253,11 @@
 	struct sim_job *j = sim_job_at(w, job_of_exchange(reply->exchange));
 	int i;
 
+	if (reply->exchange & EXCHANGE_OF_OTHER) {
+		w->other_result = (int)reply->result;
+		g_free(reply);
+		return;
+	}
 	switch (reply->kind) {
 	case API_SUBMIT:
 		if (reply->result == API_OK) {
@@ -336,6 +344,8 @@
 		site = site_create(version);
 		index = site_add_workspace(site, &ws);
 		site_add_key(site, index, "key");
+		cs_copy(ws.name, sizeof(ws.name), "other");
+		site_add_key(site, site_add_workspace(site, &ws), "other-key");
 		for (i = 0; i < pools; i++) {
 			struct site_queue q = { .terms = { .attempts_max =
 								   ATTEMPTS_MAX,
@@ -934,8 +944,9 @@
 	return s;
 }
 
-/* Sends a caller's request to an entry; it is lost if the entry is down. */
-static void send_request(struct world *w, int node, int job, enum api_kind kind)
+/* Sends a request for a workspace to an entry; it is lost if that is down. */
+static void send_request_as(struct world *w, int node, int job,
+			    enum api_kind kind, bool is_other)
 {
 	struct sim_job *j = sim_job_at(w, job);
 	struct api_request *r = api_request_new(kind);
@@ -943,19 +954,36 @@
 
 	r->host = g_strdup("desk.example");
 	r->path = g_strdup_printf("/q%d/%s", j->spec.pool, j->id);
-	r->key = g_strdup("key");
+	r->key = g_strdup(is_other ? "other-key" : "key");
 	r->received = w->now;
-	r->exchange = (uint64_t)job << 2;
+	r->exchange = (uint64_t)job << 2 | (is_other ? EXCHANGE_OF_OTHER : 0);
 	r->timeout_ms = 3000;
 	if (kind == API_SUBMIT) {
 		r->spec = make_spec(&j->spec);
-		j->submissions++;
+		j->submissions += !is_other;
 	}
 	d->request = r;
 	timers_subscribe(w->timers, w->now + world_message_delay(w),
 			 on_delivery, d, 0);
 }
 
+static void send_request(struct world *w, int node, int job, enum api_kind kind)
+{
+	send_request_as(w, node, job, kind, false);
+}
+
+void world_request_as_other(struct world *w, int node, int job,
+			    enum api_kind kind)
+{
+	w->other_result = -1;
+	send_request_as(w, node, job, kind, true);
+}
+
+int world_other_result(const struct world *w)
+{
+	return w->other_result;
+}
+
 int world_submit(struct world *w, int node, const struct world_job *job)
 {
 	struct sim_job *j = g_new0(struct sim_job, 1);
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -137,6 +137,13 @@
 void world_resubmit(struct world *world, int node, int job);
 void world_cancel(struct world *world, int node, int job);
 void world_query_job(struct world *world, int node, int job);
+/*
+ * Sends the same request, with the identifier of the job, for another
+ * workspace. world_other_result() returns enum api_result; -1: no reply yet.
+ */
+void world_request_as_other(struct world *world, int node, int job,
+			    enum api_kind kind);
+int world_other_result(const struct world *world);
 
 enum world_answer { WORLD_NONE, WORLD_ACCEPTED, WORLD_REFUSED, WORLD_UNKNOWN };
 enum world_answer world_answer(const struct world *world, int job);
--- a/tests/world/world_private.h
+++ b/tests/world/world_private.h
@@ -188,6 +188,7 @@
 	cs_time evacuated_since[DATA_CENTRES];
 	int64_t pool_ms;
 	int host_orders;
+	int other_result; /* see world_request_as_other() */
 	bool are_hosts_silent;
 	/* The maintenance wave. */
 	uint64_t wave;
