sched: follow a change of a running maintenance wave

Change: hosts that are added get their maintenance, hosts that are removed before theirs was ordered go on with their work, and a wave that was done is running again if a host is added. A host that leaves its wave no longer counts among those that a successor takes for done.

changed_wave_is_followed fails before.

--- a/src/sched/maintenance.c
+++ b/src/sched/maintenance.c
@@ -47,6 +47,7 @@
 	char server[CS_NAME_MAX]; /* on the host when maintenance was ordered */
 	cs_handle cordoned; /* server cordoned for the wave; 0: none */
 	bool has_returned;
+	bool is_left_out; /* no longer in the wave, without maintenance */
 };
 
 struct wave {
@@ -105,22 +106,29 @@
 	return NULL;
 }
 
-static void log_wave(struct sched *s, const char *event, const struct wave *w,
-		     const struct wave_host *h, cs_time now)
+/* Hosts whose maintenance has not begun. */
+static int count_left(const struct wave *w)
 {
-	GString *pairs = g_string_new(NULL);
 	int left = 0;
 	guint i;
 
 	for (i = 0; i < w->hosts->len; i++) {
-		const struct wave_host *other = g_ptr_array_index(w->hosts, i);
+		const struct wave_host *h = g_ptr_array_index(w->hosts, i);
 
-		left += other->state < WAVE_STARTED;
+		left += h->state < WAVE_STARTED;
 	}
+	return left;
+}
+
+static void log_wave(struct sched *s, const char *event, const struct wave *w,
+		     const struct wave_host *h, cs_time now)
+{
+	GString *pairs = g_string_new(NULL);
+
 	log_pair_int(pairs, "wave", (int64_t)w->number);
 	if (h)
 		log_pair(pairs, "host", h->name);
-	log_pair_int(pairs, "hosts_left", left);
+	log_pair_int(pairs, "hosts_left", count_left(w));
 	log_pair_int(pairs, "at_once_max", w->at_once_max);
 	log_pair_int(pairs, "time_left_ms", (w->ends_at - now) / CS_MSEC);
 	sched_log(s, event, pairs);
@@ -134,40 +142,6 @@
 					    on_check_timer, m, 0);
 }
 
-void sched_add_wave(struct sched *s, const struct wave_info *info, cs_time now)
-{
-	struct maintenance *m = s->maintenance;
-	struct wave *w = find_wave(m, info->number);
-	guint i, k;
-
-	if (w)
-		return;
-	w = g_new0(struct wave, 1);
-	w->number = info->number;
-	w->begun_at = now;
-	w->ends_at = now + info->duration_ms * CS_MSEC;
-	w->at_once_max = info->at_once_max > 0 ? info->at_once_max : 1;
-	w->hosts = g_ptr_array_new_with_free_func(g_free);
-	w->by_name = g_hash_table_new(g_str_hash, g_str_equal);
-	for (i = 0; i < info->hosts->len; i++) {
-		struct wave_host *h = g_new0(struct wave_host, 1);
-
-		cs_copy(h->name, sizeof(h->name),
-			g_ptr_array_index(info->hosts, i));
-		for (k = 0; info->done && k < info->done->len; k++)
-			if (!strcmp(h->name,
-				    g_ptr_array_index(info->done, k))) {
-				h->state = WAVE_STARTED;
-				h->begun_at = now;
-			}
-		g_ptr_array_add(w->hosts, h);
-		g_hash_table_insert(w->by_name, h->name, h);
-	}
-	g_ptr_array_add(m->waves, w);
-	log_wave(s, "wave_asked", w, NULL, now);
-	schedule_check(m, now + CHECK_INTERVAL_US);
-}
-
 static struct server *server_on(const struct sched *s, const char *host)
 {
 	const struct order_host *row = hosts_find(s, host);
@@ -196,6 +170,85 @@
 	servers_set_cordon(s, h->cordoned, CORDON_MAINTENANCE, true);
 }
 
+/* Takes a host out of its wave, which then counts it as done. */
+static void leave_out(struct sched *s, struct wave_host *h)
+{
+	h->state = WAVE_STARTED;
+	h->has_returned = h->is_left_out = true;
+	uncordon_host(s, h);
+}
+
+static bool has_name(const GPtrArray *names, const char *name)
+{
+	guint i;
+
+	for (i = 0; names && i < names->len; i++)
+		if (!strcmp(g_ptr_array_index(names, i), name))
+			return true;
+	return false;
+}
+
+/* Adds a host, or takes one that was left out into the wave again. */
+static void add_host(struct wave *w, const char *name, bool is_done,
+		     cs_time now)
+{
+	struct wave_host *h = g_hash_table_lookup(w->by_name, name);
+
+	if (h && !h->is_left_out)
+		return;
+	if (!h) {
+		h = g_new0(struct wave_host, 1);
+		cs_copy(h->name, sizeof(h->name), name);
+		g_ptr_array_add(w->hosts, h);
+		g_hash_table_insert(w->by_name, h->name, h);
+	}
+	h->is_left_out = h->has_returned = false;
+	h->state = is_done ? WAVE_STARTED : WAVE_WAITING;
+	h->begun_at = now;
+}
+
+static struct wave *new_wave(const struct wave_info *info, cs_time now)
+{
+	struct wave *w = g_new0(struct wave, 1);
+
+	w->number = info->number;
+	w->begun_at = now;
+	w->hosts = g_ptr_array_new_with_free_func(g_free);
+	w->by_name = g_hash_table_new(g_str_hash, g_str_equal);
+	return w;
+}
+
+void sched_add_wave(struct sched *s, const struct wave_info *info, cs_time now)
+{
+	struct maintenance *m = s->maintenance;
+	struct wave *w = find_wave(m, info->number);
+	bool is_new = !w;
+	guint i;
+
+	if (is_new) {
+		w = new_wave(info, now);
+		g_ptr_array_add(m->waves, w);
+	}
+	w->ends_at = w->begun_at + info->duration_ms * CS_MSEC;
+	w->at_once_max = info->at_once_max > 0 ? info->at_once_max : 1;
+	/* An ordered host may be under maintenance, so it stays in the wave. */
+	for (i = 0; i < w->hosts->len; i++) {
+		struct wave_host *h = g_ptr_array_index(w->hosts, i);
+
+		if (h->state < WAVE_ORDERED && !has_name(info->hosts, h->name))
+			leave_out(s, h);
+	}
+	for (i = 0; i < info->hosts->len; i++) {
+		const char *name = g_ptr_array_index(info->hosts, i);
+
+		add_host(w, name, has_name(info->done, name), now);
+	}
+	w->is_done = w->is_done && !count_left(w);
+	w->is_reported = false;
+	log_wave(s, is_new ? "wave_asked" : "wave_changed", w, NULL, now);
+	schedule_check(m, now + CHECK_INTERVAL_US);
+}
+
 void sched_remove_wave(struct sched *s, uint64_t number)
 {
 	struct wave *w = find_wave(s->maintenance, number);
@@ -371,7 +424,7 @@
 	for (i = 0; i < w->hosts->len; i++) {
 		struct wave_host *h = g_ptr_array_index(w->hosts, i);
 
-		if (h->state == WAVE_STARTED)
+		if (h->state == WAVE_STARTED && !h->is_left_out)
 			g_ptr_array_add(done, h->name);
 	}
 	s->ops->wave_advanced(s->ctx, w->number, done, w->is_done);
@@ -456,11 +509,8 @@
 	for (i = 0; i < w->hosts->len; i++) {
 		struct wave_host *h = g_ptr_array_index(w->hosts, i);
 
-		if (h->state < WAVE_ORDERED && !hosts_find(s, h->name)) {
-			h->state = WAVE_STARTED;
-			h->has_returned = true;
-			uncordon_host(s, h);
-		}
+		if (h->state < WAVE_ORDERED && !hosts_find(s, h->name))
+			leave_out(s, h);
 	}
 }
 
@@ -531,10 +581,7 @@
 	}
 	if (d->result == ORDER_REFUSED && (d->reason == ORDER_REASON_WAVE ||
 					   d->reason == ORDER_REASON_INVALID)) {
-		h->state = WAVE_STARTED; /* the host left the wave: skip it */
-		h->begun_at = now;
-		h->has_returned = true;
-		uncordon_host(s, h);
+		leave_out(s, h);
 		return;
 	}
 	if (d->result == ORDER_REFUSED && d->reason == ORDER_REASON_FENCED) {
--- a/tests/unit/test_sched_faults.c
+++ b/tests/unit/test_sched_faults.c
@@ -524,6 +524,32 @@
 	end_world(w);
 }
 
+/*
+ * Guards against a running wave whose list of hosts is changed by the operator:
+ * the hosts that were added got no maintenance, the removed ones did.
+ */
+static void changed_wave_is_followed(void **state)
+{
+	struct world *w = make_world(1, 6, 0);
+	int i;
+
+	(void)state;
+	world_start_wave(w, 1, 0, 3, 1, 20000);
+	world_run(w, 1500);
+	assert_int_equal(world_server_maintenances(w, 0), 1);
+	world_start_wave(w, 1, 2, 4, 1, 20000);
+	world_run(w, 20000);
+	assert_int_equal(world_server_maintenances(w, 1), 0);
+	for (i = 2; i < 6; i++)
+		assert_int_equal(world_server_maintenances(w, i), 1);
+	/* It was done; a further host makes it run again. */
+	world_start_wave(w, 1, 0, 2, 1, 20000);
+	world_run(w, 5000);
+	assert_int_equal(world_server_maintenances(w, 0), 1);
+	assert_int_equal(world_server_maintenances(w, 1), 1);
+	end_world(w);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -546,6 +572,7 @@
 		cmocka_unit_test(gang_keeps_its_spread),
 		cmocka_unit_test(watch_that_is_too_large_is_replaced_by_a_list),
 		cmocka_unit_test(identifier_of_another_workspace_is_unknown),
+		cmocka_unit_test(changed_wave_is_followed),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -904,6 +904,11 @@
 	g_string_free(text, TRUE);
 }
 
+int world_server_maintenances(const struct world *w, int server)
+{
+	return server_at(w, server)->maintenances;
+}
+
 void world_cancel_wave(struct world *w, uint64_t number)
 {
 	char key[32];
--- a/tests/world/world_private.h
+++ b/tests/world/world_private.h
@@ -82,6 +82,7 @@
 	uint64_t holder_token;
 	char holder[CS_NAME_MAX];
 	cs_time holder_order_at;
+	int maintenances; /* begun */
 	const char *label;
 	bool keeps_id; /* at its next start */
 	uint64_t started_unix_ms;
--- a/tests/world/world_servers.c
+++ b/tests/world/world_servers.c
@@ -763,6 +763,7 @@
 				       "LIMIT: %d hosts of the wave are down",
 				       w->wave_down);
 	w->wave_down++;
+	v->maintenances++;
 	sim_server_stop(v, true);
 	v->is_in_maintenance = true;
 	timers_subscribe(w->timers, w->now + MAINTENANCE_MS * CS_MSEC,
