sched: a pool gets a host of the kind that its waiting jobs need

Change: a pass notes the labels for which no server had room. For each of them a host with the label, from the standby pool or one that its pool does not need, moves to the pool, one at a time; an idle host is not released while jobs of its pool wait for one of its labels. The list of hosts names their labels.

servers_of_a_kind_come_to_its_jobs fails before.

--- a/src/sched/assign.c
+++ b/src/sched/assign.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "../base/error.h"
 #include "../base/log.h"
 
 /*
@@ -382,6 +383,20 @@
 	j->next_attempt_at = now + passes * PASS_INTERVAL_US;
 }
 
+static void note_lacking_label(struct pool *p, const struct job *j)
+{
+	int i;
+
+	if (!j->lacks_room || !*j->lacking_label)
+		return;
+	for (i = 0; i < p->lacking_labels_nr; i++)
+		if (!strcmp(p->lacking_labels[i], j->lacking_label))
+			return;
+	if (i < LACKING_LABELS_MAX)
+		cs_copy(p->lacking_labels[p->lacking_labels_nr++], CS_NAME_MAX,
+			j->lacking_label);
+}
+
 static int assign_pool(struct sched *s, struct pool *p, cs_time now, int max)
 {
 	struct pass pass = { .rules_before = p->blocked[BLOCK_RULES] };
@@ -390,6 +405,7 @@
 	guint i, kept = 0;
 
 	memset(p->blocked, 0, sizeof(p->blocked));
+	p->lacking_labels_nr = 0;
 	drop_final_jobs(p);
 	if (!p->waiting->len || !p->servers->len)
 		return 0;
@@ -399,6 +415,7 @@
 		struct job *j = g_ptr_array_index(p->waiting, i);
 
 		if (skips_job(&pass, j, now, &a.block)) {
+			note_lacking_label(p, j);
 			p->waiting->pdata[kept++] = j;
 			p->blocked[a.block]++;
 			continue;
@@ -411,6 +428,7 @@
 		j->is_waiting = a.is_waiting;
 		if (j->is_waiting)
 			p->waiting->pdata[kept++] = j;
+		note_lacking_label(p, j);
 		j->lacks_room &= !a.waits_for_more_than_room;
 		j->next_attempt_at = 0;
 		if (a.block == BLOCK_RULES && !a.started)
--- a/src/sched/balance.c
+++ b/src/sched/balance.c
@@ -324,10 +324,9 @@
 	return best;
 }
 
-static int fill_short_pools(struct balance *b, GPtrArray *plans, cs_time now)
+static int fill_short_pools(struct balance *b, GPtrArray *plans, int moves,
+			    cs_time now)
 {
-	int moves = 0;
-
 	while (moves < moves_max(b)) {
 		struct pool_plan *to = find_lowest_share_pool(plans);
 		struct order_host *h;
@@ -342,6 +341,101 @@
 	return moves;
 }
 
+static bool has_label(const struct order_host *h, const char *label)
+{
+	int i;
+
+	for (i = 0; i < h->labels_nr; i++)
+		if (!strcmp(h->labels[i], label))
+			return true;
+	return false;
+}
+
+/* True if jobs of the pool wait for a server with a label of the host. */
+static bool is_lacking(const struct pool *p, const struct order_host *h)
+{
+	int i;
+
+	for (i = 0; i < p->lacking_labels_nr; i++)
+		if (has_label(h, p->lacking_labels[i]))
+			return true;
+	return false;
+}
+
+/* True if a host with the label is on its way to the pool. */
+static bool is_label_moving(const struct balance *b, const struct pool *p,
+			    const char *label)
+{
+	GHashTableIter it;
+	void *row;
+
+	g_hash_table_iter_init(&it, b->moves);
+	while (g_hash_table_iter_next(&it, NULL, &row)) {
+		const struct move *m = row;
+		const struct order_host *h = hosts_find(b->sched, m->host);
+
+		if (h && !strcmp(m->pool, p->name) && has_label(h, label))
+			return true;
+	}
+	return false;
+}
+
+/* Takes an idle host with a label that its own pool does not need. */
+static struct order_host *take_labelled_host(GPtrArray *plans,
+					     const struct pool_plan *to,
+					     const char *label)
+{
+	guint i, k;
+
+	for (i = 0; i < plans->len; i++) {
+		struct pool_plan *plan = g_ptr_array_index(plans, i);
+
+		if (plan == to ||
+		    (!plan->is_standby && plan->servers <= plan->target))
+			continue;
+		for (k = 0; k < plan->idle->len; k++) {
+			struct order_host *h = g_ptr_array_index(plan->idle, k);
+
+			if (!has_label(h, label) || is_lacking(plan->pool, h))
+				continue;
+			plan->servers--;
+			return g_ptr_array_remove_index_fast(plan->idle, k);
+		}
+	}
+	return NULL;
+}
+
+/*
+ * Moves a host to each pool whose jobs wait for a label that no server with
+ * room has there: the size of a pool counts CPU of any kind.
+ */
+static int fill_lacking_labels(struct balance *b, GPtrArray *plans, cs_time now)
+{
+	int moves = 0, k;
+	guint i;
+
+	for (i = 0; i < plans->len; i++) {
+		struct pool_plan *to = g_ptr_array_index(plans, i);
+
+		for (k = 0; !to->is_standby && moves < moves_max(b) &&
+			    k < to->pool->lacking_labels_nr;
+		     k++) {
+			const char *label = to->pool->lacking_labels[k];
+			struct order_host *h =
+				is_label_moving(b, to->pool, label) ?
+					NULL :
+					take_labelled_host(plans, to, label);
+
+			if (!h)
+				continue;
+			to->servers++;
+			order_move(b, h, to->pool->name, now);
+			moves++;
+		}
+	}
+	return moves;
+}
+
 /* Moves idle hosts that no pool needs to the standby pool. */
 static void release_idle_hosts(struct balance *b, GPtrArray *plans, int moves,
 			       cs_time now)
@@ -372,7 +466,8 @@
 				b->sched->server_by_id, h->server);
 
 			if (now - idle_since(b, v, now) <
-			    IDLE_BEFORE_RELEASE_US)
+				    IDLE_BEFORE_RELEASE_US ||
+			    is_lacking(plan->pool, h))
 				continue;
 			plan->servers--;
 			order_move(b, h, standby->pool->name, now);
@@ -443,7 +538,8 @@
 	pool_size_begin(s);
 	plans = make_pool_plans(s, now);
 	count_hosts(b, plans, now);
-	moves = fill_short_pools(b, plans, now);
+	moves = fill_lacking_labels(b, plans, now);
+	moves = fill_short_pools(b, plans, moves, now);
 	release_idle_hosts(b, plans, moves, now);
 	log_pools(b, plans, now);
 	g_ptr_array_free(plans, TRUE);
--- a/src/sched/order.h
+++ b/src/sched/order.h
@@ -107,11 +107,16 @@
 	ORDER_HOST_DOWN
 };
 
+/* Labels of a host that are kept: its kind and its rack. */
+#define ORDER_HOST_LABELS_MAX 2
+
 struct order_host {
 	char name[CS_NAME_MAX];
 	char pool[CS_NAME_MAX];
 	char data_centre[CS_NAME_MAX];
 	char server[CS_NAME_MAX]; /* running on it now, or "" */
+	char labels[ORDER_HOST_LABELS_MAX][CS_NAME_MAX];
+	int labels_nr;
 	enum order_host_state state;
 };
 
--- a/src/sched/sched_private.h
+++ b/src/sched/sched_private.h
@@ -175,6 +175,9 @@
 };
 #define JOB_BLOCK_NR (BLOCK_STORE + 1)
 
+/* Labels in struct pool; further ones wait for the next pass. */
+#define LACKING_LABELS_MAX 4
+
 struct pool {
 	char name[CS_NAME_MAX];
 	GPtrArray *servers; /* struct server */
@@ -188,6 +191,9 @@
 	GPtrArray *waiting;
 	bool is_due; /* changed since the last turn */
 	int blocked[JOB_BLOCK_NR]; /* jobs by enum job_block */
+	/* Labels for which no server had room in the last pass. */
+	char lacking_labels[LACKING_LABELS_MAX][CS_NAME_MAX];
+	int lacking_labels_nr;
 	struct demand *arrivals; /* of tasks that end by themselves */
 	bool has_seen_demand; /* has been busy once */
 	double demand; /* smoothed, thousandths of a core */
--- a/tests/unit/test_sched_faults.c
+++ b/tests/unit/test_sched_faults.c
@@ -550,6 +550,39 @@
 	end_world(w);
 }
 
+/*
+ * Guards against the only servers of a kind moving to the standby pool, and
+ * staying there, while jobs that need the kind wait: the sizes of pools count
+ * CPU of any kind.
+ */
+static void servers_of_a_kind_come_to_its_jobs(void **state)
+{
+	const struct world_job burst = { .steps = 1,
+					 .width = 4,
+					 .work_ms = 1500,
+					 .cpu = 30000,
+					 .unavailable_max = -1 };
+	struct world_job job = short_job;
+	struct world *w = make_world(1, 4, 2);
+	int i, sent;
+
+	(void)state;
+	job.label = "b";
+	for (i = 0; i < 2; i++)
+		world_server_return_as(w, i, 300, "b", 0);
+	world_run(w, 3000);
+	/* Demand rises and falls, so that hosts move to the standby pool. */
+	world_submit(w, 0, &burst);
+	world_run(w, 12000);
+	for (sent = 0; sent < 3; sent++) {
+		int last = world_submit(w, 0, &job);
+
+		world_run(w, 6000);
+		assert_true(world_job_is_done(w, last));
+	}
+	end_world(w);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -573,6 +606,7 @@
 		cmocka_unit_test(watch_that_is_too_large_is_replaced_by_a_list),
 		cmocka_unit_test(identifier_of_another_workspace_is_unknown),
 		cmocka_unit_test(changed_wave_is_followed),
+		cmocka_unit_test(servers_of_a_kind_come_to_its_jobs),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -814,6 +814,11 @@
 	v->pool = pool;
 }
 
+int world_server_pool(const struct world *w, int server)
+{
+	return server_at(w, server)->pool;
+}
+
 static void on_drained(void *ctx, uint64_t arg, cs_time now)
 {
 	struct sim_server *v = ctx;
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -88,6 +88,8 @@
  */
 void world_server_return_as(struct world *world, int server, int64_t restart_ms,
 			    const char *label, int pool);
+/* The number of the pool of a server. */
+int world_server_pool(const struct world *world, int server);
 /* Drains a server for 4 s and restarts it under a new identifier 1 s later. */
 void world_server_drain(struct world *world, int server);
 /* Share of start orders that time out and are carried out seconds later. */
--- a/tests/world/world_servers.c
+++ b/tests/world/world_servers.c
@@ -871,6 +871,8 @@
 		cs_copy(h->name, sizeof(h->name), v->host);
 		snprintf(h->pool, sizeof(h->pool), "pool%d", v->pool);
 		cs_copy(h->server, sizeof(h->server), v->is_up ? v->id : "");
+		cs_copy(h->labels[0], sizeof(h->labels[0]), v->label);
+		h->labels_nr = 1;
 		h->state = v->is_moving		       ? ORDER_HOST_MOVING :
 			   v->is_up		       ? ORDER_HOST_UP :
 			   v->pool >= w->options.pools ? ORDER_HOST_UP :
