sched: keep what a pass reads of a waiting job in one cache line

Change: struct job starts with what rank_jobs() and the skipped jobs of a pass need, with its priority and whether it is long-running, instead of three further look-ups; labels of skipped jobs are not read, and the pool of a begun job is compared by its address.

--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -107,12 +107,6 @@
 	char queue[CS_NAME_MAX];
 	char workspace[CS_NAME_MAX]; /* "" on an open queue without a key */
 	int64_t submitted_unix_ms;
-	/*
-	 * What held for the queue when the job was accepted. Not known if an
-	 * earlier version accepted it.
-	 */
-	struct site_terms terms;
-	bool has_terms;
 	struct batch_spec *spec;
 	int occurrence_tasks; /* tasks of one occurrence */
 	int *offsets; /* index of the first task of each step */
@@ -127,6 +121,12 @@
 	GPtrArray *pools;
 	int running; /* tasks in state BATCH_TASK_RUNNING */
 	uint32_t version; /* rises with each change that must be stored */
+	/*
+	 * What held for the queue when the job was accepted. Not known if an
+	 * earlier version accepted it.
+	 */
+	struct site_terms terms;
+	bool has_terms;
 };
 
 struct batch_spec *batch_spec_create(int steps_nr);
--- a/src/sched/assign.c
+++ b/src/sched/assign.c
@@ -97,11 +97,12 @@
 			      struct job_attempt *a)
 {
 	struct site_resources need = place_need(st);
+	const char *label = *st->label ? st->label : NULL;
 
-	no_room_add(a->no_room, st->label, need);
+	no_room_add(a->no_room, label, need);
 	set_block(a, BLOCK_ROOM);
 	/* Needs of servers with different labels have no common bound. */
-	if (j->lacks_room && strcmp(j->lacking_label, st->label)) {
+	if (j->lacks_room && g_strcmp0(j->lacking_label, label)) {
 		a->waits_for_more_than_room = true;
 		return;
 	}
@@ -113,7 +114,7 @@
 	}
 	j->lacks_room = true;
 	j->lacking_need = need;
-	j->lacking_label = st->label;
+	j->lacking_label = label;
 }
 
 /*
@@ -129,7 +130,8 @@
 	struct place_search search = { 0 };
 	struct server *v = NULL;
 
-	if (!no_room_covers(a->no_room, st->label, place_need(st)))
+	if (!no_room_covers(a->no_room, *st->label ? st->label : NULL,
+			    place_need(st)))
 		v = place_choose(s, ref, members, now, &search);
 	s->examined_servers += search.examined;
 	*has_room = search.has_room;
@@ -279,8 +281,9 @@
  */
 static bool is_begin_stored(struct sched *s, struct job *j, cs_time now)
 {
-	if (batch_begin(j->batch, j->pool->name))
+	if (j->begun_pool != j->pool && batch_begin(j->batch, j->pool->name))
 		j->begin_version = j->batch->version;
+	j->begun_pool = j->pool;
 	if (sched_job_begin_is_stored(j))
 		return true;
 	sched_mark_changed(s, j, now);
@@ -387,7 +390,7 @@
 {
 	int i;
 
-	if (!j->lacks_room || !*j->lacking_label)
+	if (!j->lacks_room || !j->lacking_label)
 		return;
 	for (i = 0; i < p->lacking_labels_nr; i++)
 		if (!strcmp(p->lacking_labels[i], j->lacking_label))
@@ -409,7 +412,7 @@
 	drop_final_jobs(p);
 	if (!p->waiting->len || !p->servers->len)
 		return 0;
-	rank_jobs(p->waiting, s, now);
+	rank_jobs(p->waiting, now);
 	s->ranked_jobs += p->waiting->len;
 	for (i = 0; i < p->waiting->len && started < max; i++) {
 		struct job *j = g_ptr_array_index(p->waiting, i);
--- a/src/sched/no_room.c
+++ b/src/sched/no_room.c
@@ -6,7 +6,7 @@
 		       struct site_resources need)
 {
 	return site_resources_fit(row->need, need) &&
-	       (!*row->label || !strcmp(row->label, label));
+	       (!row->label || (label && !strcmp(row->label, label)));
 }
 
 bool no_room_covers(const struct no_room *set, const char *label,
--- a/src/sched/no_room.h
+++ b/src/sched/no_room.h
@@ -11,7 +11,7 @@
 #define NO_ROOM_ROWS 16
 
 struct no_room_row {
-	const char *label; /* that the server must have, or "" */
+	const char *label; /* that the server must have; NULL: none */
 	struct site_resources need;
 };
 
@@ -20,7 +20,7 @@
 	int rows_nr;
 };
 
-/* True if no server with the label has room for need. */
+/* True if no server with the label, or with any if it is NULL, has room. */
 bool no_room_covers(const struct no_room *set, const char *label,
 		    struct site_resources need);
 
--- a/src/sched/rank.c
+++ b/src/sched/rank.c
@@ -21,7 +21,7 @@
 	cs_time budget = j->objective_at - j->submitted;
 	cs_time end = now + j->critical_path_ms * CS_MSEC;
 
-	if (j->batch->spec->steps[0].is_long_running)
+	if (j->is_long_running)
 		return RANK_LONG_RUNNING;
 	if (end <= j->objective_at)
 		return RANK_ON_TIME;
@@ -51,7 +51,7 @@
 }
 
 /* Sorts the jobs of a pool by rank, the first to be assigned at the front. */
-void rank_jobs(GPtrArray *jobs, const struct sched *s, cs_time now)
+void rank_jobs(GPtrArray *jobs, cs_time now)
 {
 	struct rank_key *keys = g_new(struct rank_key, jobs->len + 1);
 	guint i;
@@ -61,7 +61,7 @@
 
 		keys[i].job = j;
 		keys[i].class = rank_class_of(j, now);
-		keys[i].priority = sched_terms_of(s, j)->priority;
+		keys[i].priority = j->priority;
 		keys[i].urgency =
 			keys[i].class == RANK_ON_TIME ?
 				j->objective_at -
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -421,6 +421,14 @@
 		terms->target_ms * CS_MSEC;
 }
 
+/* Takes over what the terms of a job say now. */
+static void update_terms(struct sched *s, struct job *j)
+{
+	set_pool(s, j);
+	j->priority = sched_terms_of(s, j)->priority;
+	sched_set_objective(s, j);
+}
+
 void sched_set_site(struct sched *s, struct site *site, cs_time now)
 {
 	cs_handle h;
@@ -431,8 +439,7 @@
 	for (h = slots_next(s->jobs, 0); h; h = slots_next(s->jobs, h)) {
 		struct job *j = slots_get(s->jobs, h);
 
-		set_pool(s, j);
-		sched_set_objective(s, j);
+		update_terms(s, j);
 	}
 	sched_wake(s);
 }
@@ -478,8 +485,10 @@
 	j->submitted = now - (unix_ms - b->submitted_unix_ms) * CS_MSEC;
 	if (j->submitted > now)
 		j->submitted = now; /* the submitting entry's clock is ahead */
+	j->is_long_running = b->spec->steps_nr > 0 &&
+			     b->spec->steps[0].is_long_running;
 	g_hash_table_insert(s->job_by_id, b->id, j);
-	set_pool(s, j);
+	update_terms(s, j);
 	if (batch_is_final(b)) {
 		sched_mark_changed(s, j, now);
 	} else {
--- a/src/sched/sched_private.h
+++ b/src/sched/sched_private.h
@@ -127,33 +127,37 @@
 
 /* A batch and its scheduling state. */
 struct job {
+	/* What each pass reads of each waiting job, in one cache line. */
 	cs_handle self;
+	cs_time submitted;
+	cs_time objective_at; /* when the present occurrence should be done */
+	int64_t critical_path_ms; /* of the remaining steps */
+	cs_time final_at; /* 0: not final */
+	/* When to try again while many jobs fail by placement rules; 0: any. */
+	cs_time next_attempt_at;
+	int priority; /* of its queue; 0 comes first */
+	bool is_long_running;
+	bool is_waiting; /* in the pool's array of waiting jobs */
+	/*
+	 * The last attempt failed only because no server had room for tasks of
+	 * at least lacking_need, with lacking_label (NULL: any server).
+	 */
+	bool lacks_room;
+	const char *lacking_label;
+	struct site_resources lacking_need;
 	struct batch *batch;
 	struct pool *pool;
 	uint64_t revision; /* of the submission */
 	uint64_t stored_revision; /* of the progress; 0: none */
 	uint32_t stored_version;
-	uint32_t begin_version; /* records that tasks start in the pool */
+	uint32_t begin_version; /* records that tasks start in begun_pool */
+	const struct pool *begun_pool; /* the last one that was recorded */
 	bool is_changed; /* in the list of changed jobs */
 	bool is_being_stored;
 	bool is_from_predecessor; /* submitted before this term */
 	bool may_have_runs; /* a predecessor may have started its tasks */
 	bool knows_pools; /* it stored in which pools */
-	cs_time submitted;
-	cs_time objective_at; /* when the present occurrence should be done */
-	int64_t critical_path_ms; /* of the remaining steps */
-	cs_time final_at; /* 0: not final */
 	guint pool_position; /* in the pool's array of jobs */
-	bool is_waiting; /* in the pool's array of waiting jobs */
-	/*
-	 * The last attempt failed only because no server had room for tasks of
-	 * at least lacking_need, with lacking_label.
-	 */
-	bool lacks_room;
-	struct site_resources lacking_need;
-	const char *lacking_label;
-	/* When to try again while many jobs fail by placement rules; 0: any. */
-	cs_time next_attempt_at;
 	int first_open_occurrence; /* all earlier occurrences are done */
 };
 
@@ -392,7 +396,7 @@
 #define RANK_CLASSES (RANK_OVERDUE + 1)
 enum rank_class rank_class_of(const struct job *j, cs_time now);
 int64_t rank_critical_path_ms(const struct job *j);
-void rank_jobs(GPtrArray *jobs, const struct sched *s, cs_time now);
+void rank_jobs(GPtrArray *jobs, cs_time now);
 
 /* reserve.c */
 /* Computes what is reserved in the limits of workspaces again. */
--- a/tests/soak/node_soak.py
+++ b/tests/soak/node_soak.py
@@ -170,6 +170,7 @@
         self.counts = {}
         self.is_settling = False
         self.queue_faults = 0  # that are under way
+        self.cuts = 0  # faults under way that keep an entry from the store
         self.queue_removed_at = -CALLER_S
 
     def fail(self, text):
@@ -328,7 +329,9 @@
     async def pause(self):
         e = self.rng.choice(self.entries)
         e.signal(signal.SIGSTOP)
+        self.cuts += 1
         await asyncio.sleep(self.rng.uniform(0.2, 6))
+        self.cuts -= 1
         e.signal(signal.SIGCONT)
 
     async def terminate(self):
@@ -351,7 +354,9 @@
 
     async def store_down(self):
         await self.control("down?is=1")
+        self.cuts += 1
         await asyncio.sleep(self.rng.uniform(0.3, 6))
+        self.cuts -= 1
         await self.control("down?is=0")
 
     async def store_loses(self):
@@ -384,6 +389,10 @@
             self.queue_removed_at = time.monotonic()
             await asyncio.sleep(0.1)
         await self.end_queue_fault()
+        # An entry that can't read the store goes by the last configuration.
+        while self.cuts:
+            self.queue_removed_at = time.monotonic()
+            await asyncio.sleep(0.1)
 
     async def end_queue_fault(self):
         self.queue_faults -= 1
@@ -402,7 +411,9 @@
             p.delay = self.rng.uniform(0.02, 0.3)
         else:
             p.mode = kind
+        self.cuts += 1
         await asyncio.sleep(self.rng.uniform(0.3, 7))
+        self.cuts -= 1
         p.mode, p.delay = "open", 0.0
         if kind != "delay" and self.rng.random() < 0.5:
             p.reset()
