node: a late write of a wave can't undo a later one

The status of a maintenance wave could go from done back to running: a write that got no reply was carried out after a later one, and its only condition was the owner's key.

--- a/src/base/process.c
+++ b/src/base/process.c
@@ -1,5 +1,6 @@
 #include "process.h"
 
+#include <errno.h>
 #include <poll.h>
 #include <pthread.h>
 #include <signal.h>
@@ -44,6 +45,6 @@
 
 	do {
 		n = poll(&p, 1, (int)timeout_ms);
-	} while (n < 0);
+	} while (n < 0 && errno == EINTR);
 	return n > 0;
 }
--- a/src/node/commit.c
+++ b/src/node/commit.c
@@ -1,6 +1,5 @@
 #include "node_private.h"
 
-#include <inttypes.h>
 #include <string.h>
 
 #include "../base/error.h"
@@ -358,74 +357,3 @@
 	apply_result(n, t, d, now);
 	txn_clear(t);
 }
-
-/*
- * The state of a wave is written rarely, and writing it twice does no harm, so
- * it has a transaction of its own.
- */
-struct wave_status_write {
-	uint64_t wave;
-	char *done_hosts;
-	bool is_done;
-};
-
-static void on_wave_written(void *ctx, uint64_t arg,
-			    const struct store_reply *d, cs_time now);
-
-static void write_wave(struct node *n, struct wave_status_write *w)
-{
-	struct store_call *call =
-		store_call_new(STORE_TXN, NULL, STORE_TIMEOUT_MS);
-	char *status_key = g_strdup_printf(
-		"%s%" PRIu64, n->formats->wave_status_prefix, w->wave);
-	char *progress_key = g_strdup_printf(KEY_WAVES "%" PRIu64, w->wave);
-
-	store_call_expect(call, KEY_OWNER, n->owner.key_revision);
-	store_call_write(call, status_key,
-			 n->formats->write_wave_status(w->is_done), 0);
-	store_call_write(call, progress_key,
-			 g_bytes_new(w->done_hosts, strlen(w->done_hosts)), 0);
-	store_calls_send(n->calls, call, on_wave_written, n,
-			 GPOINTER_TO_SIZE(w));
-	g_free(status_key);
-	g_free(progress_key);
-}
-
-static void on_wave_written(void *ctx, uint64_t arg,
-			    const struct store_reply *d, cs_time now)
-{
-	struct node *n = ctx;
-	struct wave_status_write *w = GSIZE_TO_POINTER(arg);
-	GString *pairs;
-
-	(void)now;
-	if (d->result == STORE_OK || d->result == STORE_CONFLICT ||
-	    n->owner.state != OWNER_ACTIVE) {
-		g_free(w->done_hosts);
-		g_free(w);
-		return;
-	}
-	pairs = g_string_new(NULL);
-	log_pair_int(pairs, "wave", (int64_t)w->wave);
-	log_pair(pairs, "result", store_result_name(d->result));
-	node_log(n, "wave_write_failed", pairs);
-	write_wave(n, w);
-}
-
-void commit_wave(void *ctx, uint64_t wave, const GPtrArray *done_hosts,
-		 bool is_done)
-{
-	struct node *n = ctx;
-	struct wave_status_write *w = g_new0(struct wave_status_write, 1);
-	GString *names = g_string_new(NULL);
-	guint i;
-
-	for (i = 0; i < done_hosts->len; i++)
-		g_string_append_printf(
-			names, "%s\n",
-			(const char *)g_ptr_array_index(done_hosts, i));
-	w->wave = wave;
-	w->done_hosts = g_string_free(names, FALSE);
-	w->is_done = is_done;
-	write_wave(n, w);
-}
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -69,6 +69,7 @@
 static void free_requests(struct node *n)
 {
 	slots_destroy(n->requests);
+	slots_destroy(n->wave_writes);
 }
 
 void node_destroy(struct node *n)
--- a/src/node/node_private.h
+++ b/src/node/node_private.h
@@ -134,6 +134,7 @@
 	GBytes *loaded_ordered_hosts; /* NULL: none */
 	struct owner owner;
 	struct commit commit;
+	struct slots *wave_writes; /* struct wave_write; NULL: none */
 	struct sched *sched; /* NULL unless owner */
 	char *published_queues; /* last value written to KEY_QUEUES */
 	cs_time next_publish_at;
@@ -173,8 +174,13 @@
 /* commit.c */
 void commit_turn(struct node *n, cs_time now);
 void commit_reset(struct node *n);
-void commit_wave(void *ctx, uint64_t wave, const GPtrArray *done_hosts,
-		 bool is_done);
+
+/* wave_status.c */
+/* See wave_advanced() of struct sched_ops; ctx: the node. */
+void wave_status_write(void *ctx, uint64_t wave, const GPtrArray *done_hosts,
+		       bool is_done);
+/* Forgets all writes, at the end of a term. */
+void wave_status_reset(struct node *n);
 
 /* api.c */
 void api_handle_request(struct node *n, struct api_request *request,
--- a/src/node/term.c
+++ b/src/node/term.c
@@ -309,7 +309,7 @@
 
 static const struct sched_ops sched_ops = { on_order, on_log,
 					    admits_frequent_log, on_fenced,
-					    commit_wave };
+					    wave_status_write };
 
 void term_begin(struct node *n, cs_time now)
 {
@@ -383,6 +383,7 @@
 	close_view(&n->root);
 	close_view(&n->servers);
 	commit_reset(n);
+	wave_status_reset(n);
 	g_free(n->published_queues);
 	n->published_queues = NULL;
 	sched_destroy(n->sched);
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -455,6 +455,16 @@
 	sched_wake(s);
 }
 
+/* The job stays in the store, and the next owner finds it there. */
+static void log_full_table(struct sched *s, const struct batch *b)
+{
+	GString *pairs = g_string_new(NULL);
+
+	log_pair(pairs, "job", b->id);
+	log_pair_int(pairs, "jobs_max", JOBS_MAX);
+	sched_log(s, "job_table_full", pairs);
+}
+
 void sched_add_batch(struct sched *s, struct batch *b, uint64_t revision,
 		     uint64_t stored_revision, int64_t unix_ms, cs_time now)
 {
@@ -467,6 +477,7 @@
 	}
 	h = slots_alloc(s->jobs, (void **)&j);
 	if (!h) {
+		log_full_table(s, b);
 		batch_destroy(b);
 		return;
 	}
--- a/src/store/store_calls.c
+++ b/src/store/store_calls.c
@@ -2,8 +2,11 @@
 
 #include "../base/slots.h"
 
-/* Pending calls; each open request has at most one. */
-#define PENDING_MAX (1u << 16)
+/*
+ * Pending calls: each open request has at most one, and there are 65,536 of
+ * these at most. The rest is for views and transactions, so it is never full.
+ */
+#define PENDING_MAX (1u << 17)
 
 struct store_calls {
 	const struct store_port *port;
--- a/tests/unit/test_sched_faults.c
+++ b/tests/unit/test_sched_faults.c
@@ -583,6 +583,30 @@
 	end_world(w);
 }
 
+/*
+ * Guards against a wave that is shown as running after it was done: a write
+ * that got no reply was carried out after a later one.
+ */
+static void late_write_does_not_undo_a_wave(void **state)
+{
+	uint64_t number;
+
+	(void)state;
+	for (number = 1; number <= 5; number++) {
+		struct world *w = make_world(1, 6, 0);
+		char key[32];
+
+		world_store_set_lost_replies(w, 400, true);
+		world_start_wave(w, number, 0, 6, 3, 8000);
+		world_run(w, 12000);
+		world_store_set_lost_replies(w, 0, false);
+		world_run(w, 10000);
+		snprintf(key, sizeof(key), "status/wave/%d", (int)number);
+		assert_true(world_store_has(w, key, "done"));
+		end_world(w);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -607,6 +631,7 @@
 		cmocka_unit_test(identifier_of_another_workspace_is_unknown),
 		cmocka_unit_test(changed_wave_is_followed),
 		cmocka_unit_test(servers_of_a_kind_come_to_its_jobs),
+		cmocka_unit_test(late_write_does_not_undo_a_wave),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -754,6 +754,15 @@
 	sim_store_complete_watches(w);
 }
 
+bool world_store_has(const struct world *w, const char *key, const char *text)
+{
+	const struct sim_item *i = g_tree_lookup(w->items, key);
+	gsize size = 0;
+	const void *data = i ? g_bytes_get_data(i->value, &size) : NULL;
+
+	return i && size == strlen(text) && !memcmp(data, text, size);
+}
+
 int world_store_count(const struct world *w, const char *prefix)
 {
 	GTreeNode *node;
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -75,6 +75,9 @@
 /* Another writer's value of a key. */
 void world_store_put(struct world *world, const char *key, const char *value);
 int world_store_count(const struct world *world, const char *prefix);
+/* True if the key has that text as its value. */
+bool world_store_has(const struct world *world, const char *key,
+		     const char *text);
 /* Total size of all values under a prefix. */
 int64_t world_store_bytes(const struct world *world, const char *prefix);
 
