--- a/src/base/http_client.c
+++ b/src/base/http_client.c
@@ -282,6 +282,7 @@
 			       "receive";
 	if (conn && conn->written)
 		response.result = HTTP_UNKNOWN;
+	response.is_too_large = call->evhttp_error == EVREQ_HTTP_DATA_TOO_LONG;
 	cs_error_set(&response.error, code, step,
 		     call->pool ? call->pool->address : NULL, "%s", message);
 	if (conn)
@@ -444,11 +445,7 @@
 
 	call->req = NULL;
 	if (!req || !evhttp_request_get_response_code(req)) {
-		call_fail(call,
-			  call->evhttp_error == EVREQ_HTTP_DATA_TOO_LONG ?
-				  CS_ERR_TOO_LARGE :
-				  CS_ERR_IO,
-			  error_text(call->evhttp_error));
+		call_fail(call, CS_ERR_IO, error_text(call->evhttp_error));
 		return;
 	}
 	input = evhttp_request_get_input_buffer(req);
--- a/src/base/http_client.h
+++ b/src/base/http_client.h
@@ -68,6 +68,7 @@
 	int status; /* 0 unless answered */
 	char content_type[64];
 	GBytes *body; /* NULL unless answered; done() may reference it */
+	bool is_too_large; /* not answered: the body exceeds response_max */
 	/* Set unless answered; its step is "connect", "send" or "receive". */
 	struct cs_error error;
 };
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -516,10 +516,8 @@
 /* A lost answer must stay unknown; it must not become a refusal. */
 static void store_answers_are_read(void **state)
 {
-	const struct http_client_response too_large = {
-		.result = HTTP_UNKNOWN,
-		.error.code = CS_ERR_TOO_LARGE
-	};
+	const struct http_client_response too_large = { .result = HTTP_UNKNOWN,
+							.is_too_large = true };
 	struct store_call *txn = store_call_new(STORE_TXN, NULL, 100);
 	struct store_call *watch = store_call_new(STORE_WATCH, "op/", 100);
 	struct http_client_response lost = { .result = HTTP_UNKNOWN };
