sched: share the starts among pools

Cause: a turn visited the pools in a fixed order until the window of starts was full. Begins, which are stored before a job's first start, were stored last in, first out, and one pool could queue thousands.

Change: a turn begins after the last pool that got starts; begins are stored in their order, at most 256 of a pool wait at a time, and the first ones by rank get these places.

--- a/src/sched/assign.c
+++ b/src/sched/assign.c
@@ -18,6 +18,11 @@
  * are more of these jobs they take turns.
  */
 #define RULES_JOBS_MAX 24
+/*
+ * Begins of jobs of a pool that may wait to be stored. The first ones by rank
+ * get these places, and no pool takes all that the store can do.
+ */
+#define OPEN_BEGINS_MAX 256
 /* There is a pass over each pool at least this often. */
 #define PASS_INTERVAL_US (50 * CS_MSEC)
 
@@ -281,13 +286,9 @@
  */
 static bool is_begin_stored(struct sched *s, struct job *j, cs_time now)
 {
-	if (j->begun_pool != j->pool && batch_begin(j->batch, j->pool->name))
-		j->begin_version = j->batch->version;
-	j->begun_pool = j->pool;
-	if (sched_job_begin_is_stored(j))
-		return true;
-	sched_mark_changed(s, j, now);
-	return false;
+	if (j->begun_pool != j->pool && j->pool->open_begins < OPEN_BEGINS_MAX)
+		sched_begin_job(s, j, now);
+	return j->begun_pool == j->pool && sched_job_begin_is_stored(j);
 }
 
 /* Starts as many tasks of a job as possible. */
@@ -444,23 +445,30 @@
 	return started;
 }
 
+/*
+ * Each turn begins after the last pool that got starts, as the first pools may
+ * use up what can be ordered at a time.
+ */
 void assign_tasks(struct sched *s, cs_time now)
 {
 	int room = start_window_size(&s->start_window) - s->unanswered_starts;
 	int left = MIN(STARTS_MAX, room);
-	GHashTableIter it;
-	void *row;
+	guint first = s->first_pool, i;
 
 	servers_update_settled(s);
 	reserve_update(s);
-	g_hash_table_iter_init(&it, s->pools);
-	while (left > 0 && g_hash_table_iter_next(&it, NULL, &row)) {
-		struct pool *p = row;
+	for (i = 0; left > 0 && i < s->pool_list->len; i++) {
+		guint at = (first + i) % s->pool_list->len;
+		struct pool *p = g_ptr_array_index(s->pool_list, at);
+		int started;
 
 		if (!p->is_due && !s->are_pools_due)
 			continue;
 		p->is_due = false;
-		left -= assign_pool(s, p, now, left);
+		started = assign_pool(s, p, now, left);
+		if (started)
+			s->first_pool = at + 1;
+		left -= started;
 	}
 	s->are_pools_due = left <= 0;
 	/* If it is the window that is full, the next reply makes a turn due. */
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -97,6 +97,7 @@
 					     estimate_free);
 	s->ended_grants = g_ptr_array_new_with_free_func(g_free);
 	s->unsettled_pools = g_ptr_array_new();
+	s->pool_list = g_ptr_array_new();
 	s->unstored_servers = g_array_new(FALSE, FALSE, sizeof(cs_handle));
 	s->hosts = hosts_create();
 	s->maintenance = maintenance_create(s);
@@ -142,7 +143,9 @@
 	g_hash_table_destroy(s->predecessor_grants);
 	g_ptr_array_free(s->ended_grants, TRUE);
 	g_ptr_array_free(s->unsettled_pools, TRUE);
+	g_ptr_array_free(s->pool_list, TRUE);
 	g_array_free(s->unstored_servers, TRUE);
+	g_queue_clear(&s->begins);
 	g_queue_clear(&s->changed);
 	g_queue_clear(&s->final);
 	slots_destroy(s->servers);
@@ -167,6 +170,7 @@
 	p->waiting = g_ptr_array_new();
 	p->arrivals = demand_create();
 	g_hash_table_insert(s->pools, p->name, p);
+	g_ptr_array_add(s->pool_list, p);
 	return p;
 }
 
@@ -237,6 +241,26 @@
 	       (int32_t)(j->stored_version - j->begin_version) >= 0;
 }
 
+static void close_begin(struct job *j)
+{
+	if (j->is_begin_open)
+		j->begun_pool->open_begins--;
+	j->is_begin_open = false;
+}
+
+void sched_begin_job(struct sched *s, struct job *j, cs_time now)
+{
+	close_begin(j);
+	if (batch_begin(j->batch, j->pool->name))
+		j->begin_version = j->batch->version;
+	j->begun_pool = j->pool;
+	if (sched_job_begin_is_stored(j))
+		return;
+	j->is_begin_open = true;
+	j->pool->open_begins++;
+	sched_mark_changed(s, j, now);
+}
+
 bool sched_job_may_have_runs_in(const struct job *j, const struct pool *p)
 {
 	return j->may_have_runs &&
@@ -280,20 +304,21 @@
 	g_ptr_array_remove_index_fast(p->jobs, j->pool_position);
 }
 
+/* A begin is stored first, as the job's first start waits for it. */
+static void queue_changed(struct sched *s, struct job *j)
+{
+	j->is_changed = true;
+	g_queue_push_tail(sched_job_begin_is_stored(j) ? &s->changed :
+							 &s->begins,
+			  GSIZE_TO_POINTER((gsize)j->self));
+}
+
 /* Adds a changed job to the list of jobs to store, and records its end. */
 void sched_mark_changed(struct sched *s, struct job *j, cs_time now)
 {
 	if (j->batch->version != j->stored_version && !j->is_changed &&
-	    !j->is_being_stored) {
-		j->is_changed = true;
-		/* Stored first, as its first start waits for this. */
-		if (!sched_job_begin_is_stored(j))
-			g_queue_push_head(&s->changed,
-					  GSIZE_TO_POINTER((gsize)j->self));
-		else
-			g_queue_push_tail(&s->changed,
-					  GSIZE_TO_POINTER((gsize)j->self));
-	}
+	    !j->is_being_stored)
+		queue_changed(s, j);
 	if (!batch_is_final(j->batch) || j->final_at)
 		return;
 	j->final_at = now;
@@ -627,9 +652,12 @@
 
 cs_handle sched_take_changed_batch(struct sched *s)
 {
-	while (!g_queue_is_empty(&s->changed)) {
-		cs_handle h = (cs_handle)GPOINTER_TO_SIZE(
-			g_queue_pop_head(&s->changed));
+	while (!g_queue_is_empty(&s->begins) ||
+	       !g_queue_is_empty(&s->changed)) {
+		GQueue *queue = g_queue_is_empty(&s->begins) ? &s->changed :
+							       &s->begins;
+		cs_handle h =
+			(cs_handle)GPOINTER_TO_SIZE(g_queue_pop_head(queue));
 		struct job *j = slots_get(s->jobs, h);
 
 		if (!j)
@@ -660,16 +688,16 @@
 {
 	struct job *j = slots_get(s->jobs, h);
 
-	bool was_begun;
-
 	if (!j)
 		return;
-	was_begun = sched_job_begin_is_stored(j);
 	j->is_being_stored = false;
 	j->stored_version = version;
 	j->stored_revision = revision;
-	if (!was_begun)
-		sched_wake_pool(s, j->pool);
+	if (j->is_begin_open && sched_job_begin_is_stored(j)) {
+		/* Others may wait for the place as well. */
+		sched_wake_pool(s, j->begun_pool);
+		close_begin(j);
+	}
 	sched_mark_changed(s, j, now);
 }
 
@@ -686,8 +714,7 @@
 		return;
 	j->is_being_stored = false;
 	j->stored_revision = revision;
-	j->is_changed = true;
-	g_queue_push_tail(&s->changed, GSIZE_TO_POINTER((gsize)h));
+	queue_changed(s, j);
 }
 
 cs_handle sched_next_expired(struct sched *s, cs_time now)
@@ -708,6 +735,7 @@
 	if (!j)
 		return;
 	g_queue_remove(&s->final, GSIZE_TO_POINTER((gsize)h));
+	close_begin(j);
 	g_hash_table_remove(s->job_by_id, j->batch->id);
 	stop_waiting(j);
 	batch_destroy(j->batch);
--- a/src/sched/sched_private.h
+++ b/src/sched/sched_private.h
@@ -151,7 +151,8 @@
 	uint64_t stored_revision; /* of the progress; 0: none */
 	uint32_t stored_version;
 	uint32_t begin_version; /* records that tasks start in begun_pool */
-	const struct pool *begun_pool; /* the last one that was recorded */
+	struct pool *begun_pool; /* the last one that was recorded */
+	bool is_begin_open; /* that is not stored yet */
 	bool is_changed; /* in the list of changed jobs */
 	bool is_being_stored;
 	bool is_from_predecessor; /* submitted before this term */
@@ -195,6 +196,7 @@
 	GPtrArray *waiting;
 	bool is_due; /* changed since the last turn */
 	int blocked[JOB_BLOCK_NR]; /* jobs by enum job_block */
+	int open_begins; /* jobs whose begin here is not stored yet */
 	/* Labels for which no server had room in the last pass. */
 	char lacking_labels[LACKING_LABELS_MAX][CS_NAME_MAX];
 	int lacking_labels_nr;
@@ -224,6 +226,8 @@
 	GHashTable *server_by_id; /* -> struct server */
 	GHashTable *job_by_id; /* -> struct job */
 	GHashTable *pools; /* name -> struct pool */
+	GPtrArray *pool_list; /* the same, in the order of their creation */
+	guint first_pool; /* in pool_list: the first of the next turn */
 	GHashTable *evacuated; /* names of data centres */
 	GHashTable *cancelled; /* identifiers whose job is not known yet */
 	GHashTable *usage; /* workspace -> struct site_resources */
@@ -242,7 +246,9 @@
 	GPtrArray *ended_grants; /* identifiers to remove from the store */
 	bool are_grants_due; /* a server may need a grant */
 	GArray *unstored_servers; /* cs_handle: servers with unstored ends */
-	GQueue changed; /* handles of jobs, oldest change first */
+	/* Handles of jobs to store, oldest change first: begins before others.
+	 */
+	GQueue begins, changed;
 	GQueue final; /* handles of jobs, oldest end first */
 	struct hosts *hosts;
 	struct maintenance *maintenance;
@@ -276,8 +282,10 @@
 bool sched_job_is_settled(const struct sched *s, const struct job *j);
 /* True if a predecessor may have started tasks of the job in the pool. */
 bool sched_job_may_have_runs_in(const struct job *j, const struct pool *p);
-/* True once it is stored that tasks of the job start in its pool. */
+/* True once it is stored that tasks of the job start in begun_pool. */
 bool sched_job_begin_is_stored(const struct job *j);
+/* Records that tasks of the job start in its pool, to be stored. */
+void sched_begin_job(struct sched *s, struct job *j, cs_time now);
 
 /* servers.c */
 struct server *server_row(const struct sched *s, cs_handle h);
--- a/tests/unit/test_load.c
+++ b/tests/unit/test_load.c
@@ -122,6 +122,44 @@
 	end_world(w);
 }
 
+/*
+ * The owner can't start all that four pools could run. Guards against pools
+ * that get no starts, as those before them in the owner's tables take all that
+ * it can store and order at a time: each must get half of its fair share at
+ * least.
+ */
+static void pools_share_the_starts(void **state)
+{
+	const struct world_options options = { .seed = 23,
+					       .nodes = 3,
+					       .servers = 40,
+					       .pools = 4 };
+	struct world *w = world_create(&options);
+	struct world_job job = { .steps = 1,
+				 .width = 1,
+				 .work_ms = 300,
+				 .cpu = 4000,
+				 .unavailable_max = -1 };
+	int starts[4] = { 0 }, all = 0, i;
+
+	(void)state;
+	world_run(w, 4000);
+	world_node_set_processor(w, world_owner(w), 120);
+	for (i = 0; i < 8000; i++) {
+		job.pool = i % 4;
+		world_submit(w, i % 3, &job);
+	}
+	world_run(w, 4000);
+	for (i = 0; i < 8000; i++) {
+		starts[i % 4] += world_job_starts(w, i);
+		all += world_job_starts(w, i);
+	}
+	assert_in_range(all, 400, 7900);
+	for (i = 0; i < 4; i++)
+		assert_in_range(starts[i], all / 8, all);
+	end_world(w);
+}
+
 /*
  * Tasks at least as large as one without room are covered, others are not: a
  * smaller one, one with more of one resource and less of another, and one
@@ -241,6 +279,7 @@
 		cmocka_unit_test(decisions_stay_cheap_with_a_backlog),
 		cmocka_unit_test(owner_recovers_from_overload),
 		cmocka_unit_test(start_window_bounds_the_queue),
+		cmocka_unit_test(pools_share_the_starts),
 		cmocka_unit_test(room_index_finds_the_fullest_server),
 		cmocka_unit_test(no_room_covers_larger_tasks_only),
 	};
