--- a/src/node/node.c
+++ b/src/node/node.c
@@ -69,7 +69,6 @@
 static void free_requests(struct node *n)
 {
 	slots_destroy(n->requests);
-	slots_destroy(n->wave_writes);
 }
 
 void node_destroy(struct node *n)
@@ -83,6 +82,7 @@
 		view_destroy(n->control);
 	if (n->requests)
 		free_requests(n);
+	slots_destroy(n->wave_writes);
 	store_calls_destroy(n->calls);
 	timers_destroy(n->timers);
 	counters_destroy(n->counters);
