build: a carried-over build folder can't give a program of former sources

Cause, as far as a run shows one: make compares times.

Change: scripts/drop-stale.sh compares checksums of the sources, and the compiler, its target and arguments, with those of the last build, and removes what doesn't match; make target, make all and make check run it first.

--- a/Makefile
+++ b/Makefile
@@ -57,8 +57,14 @@
 
 # A make of its own: what the compiler needs is known only after `deps`.
 all: deps
+	$(MAKE) fresh
 	$(MAKE) programs
 
+# Removes what a build folder that was carried over holds of other sources or of
+# another kind of machine.
+fresh:
+	scripts/drop-stale.sh $(B) "$(CC) $(CFLAGS)"
+
 # Installs the Debian packages once; needs root on a fresh machine.
 deps: build/.deps
 build/.deps: scripts/install-deps.sh
@@ -103,7 +109,9 @@
 programs: $(B)/camphorshed $(if $(STANDIN_OBJ),$(B)/camphorshed-standin)
 
 # The program alone, without tests, at a fixed place: what a platform builds.
-target: $(B)/camphorshed
+target:
+	$(MAKE) fresh
+	$(MAKE) $(B)/camphorshed
 	mkdir -p target
 	cp --remove-destination $(B)/camphorshed target/camphorshed
 
@@ -168,6 +176,6 @@
 
 -include $(shell find build -name '*.d' 2>/dev/null)
 
-.PHONY: all deps unit programs target site-soak node-soak check demo soak mutants bench fuzz lint format \
+.PHONY: all fresh deps unit programs target site-soak node-soak check demo soak mutants bench fuzz lint format \
 	install clean
 .SECONDARY:
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -46,6 +46,9 @@
 G_SLICE=always-malloc
 export G_SLICE
 
+for v in rel asan tsan soak fuzz; do
+	run_check "fresh $v" make -s VARIANT=$v fresh
+done
 run_check "build" make -s -j"$jobs" programs unit
 run_check "lint" scripts/lint.sh
 for v in rel asan tsan; do
