sched: a job keeps the attempts with which it was accepted

Cause: record_end() takes the attempts of the present queue; the terms of the acceptance counted only while the queue was gone.

Change: sched_attempts_of() gives those of the acceptance; the present ones only for submissions of earlier versions.

fewer_attempts_fail_no_accepted_job fails before and passes now.

--- a/src/sched/runs.c
+++ b/src/sched/runs.c
@@ -317,7 +317,7 @@
 	if (how == BATCH_END_DONE && step_of(j, ref->step)->is_gang)
 		free_gang_runs(s, j, ref->occurrence, ref->step);
 	batch_task_ended(j->batch, ref->occurrence, ref->step, t, number, how,
-			 checkpoint, sched_terms_of(s, j)->attempts_max);
+			 checkpoint, sched_attempts_of(s, j));
 	j->critical_path_ms = rank_critical_path_ms(j);
 	if (batch_is_final(j->batch) && !was_final)
 		end_job(s, j, now);
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -216,6 +216,13 @@
 	return j->batch->has_terms ? &j->batch->terms : &unknown;
 }
 
+/* An operator's later mistake must not fail jobs that run. */
+int sched_attempts_of(const struct sched *s, const struct job *j)
+{
+	return j->batch->has_terms ? j->batch->terms.attempts_max :
+				     sched_terms_of(s, j)->attempts_max;
+}
+
 /*
  * The pool of a job: that of its queue. A job of a removed queue stays where it
  * is, and with a new owner where its tasks were started last.
--- a/src/sched/sched_private.h
+++ b/src/sched/sched_private.h
@@ -275,6 +275,8 @@
  */
 const struct site_terms *sched_terms_of(const struct sched *s,
 					const struct job *j);
+/* Failed runs of a task until its job fails: as many as at its acceptance. */
+int sched_attempts_of(const struct sched *s, const struct job *j);
 /*
  * True if all runs of the job that a predecessor may have started are known.
  * They may be in other pools than the job is in now.
--- a/tests/unit/test_sched_faults.c
+++ b/tests/unit/test_sched_faults.c
@@ -385,6 +385,31 @@
 	end_world(w);
 }
 
+/*
+ * The same while the queue is configured with fewer attempts than when the job
+ * was accepted, as an operator does who withdraws a mistake after 4 s.
+ */
+static void fewer_attempts_fail_no_accepted_job(void **state)
+{
+	const struct world_job failing = { .steps = 1,
+					   .width = 2,
+					   .work_ms = 4000,
+					   .cpu = 2000,
+					   .failures = 1,
+					   .unavailable_max = -1 };
+	struct world *w = make_world(1, 2, 0);
+	int job = world_submit(w, 0, &failing);
+
+	(void)state;
+	world_run(w, 2000);
+	world_set_attempts(w, 1);
+	world_run(w, 4000);
+	world_set_attempts(w, 3);
+	world_run(w, 10000);
+	assert_true(world_job_is_done(w, job));
+	end_world(w);
+}
+
 /*
  * Guards against work on the wrong kind of server: one returned under its
  * identifier as another kind and kept the labels of its former life.
@@ -624,6 +649,7 @@
 		cmocka_unit_test(moved_queue_counts_against_the_limit),
 		cmocka_unit_test(removed_queue_fails_no_job),
 		cmocka_unit_test(job_of_a_removed_queue_survives_its_owner),
+		cmocka_unit_test(fewer_attempts_fail_no_accepted_job),
 		cmocka_unit_test(returned_server_has_its_new_kind),
 		cmocka_unit_test(returned_server_has_its_new_pool),
 		cmocka_unit_test(gang_keeps_its_spread),
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -328,27 +328,39 @@
 	on_log,		on_owner_changed, admits_frequent_log
 };
 
-/* "VERSION POOLS LIMIT HOSTS_IN_STANDBY POOL...", a pool for each queue */
+static void add_workspace(struct site *site, const char *name, const char *key,
+			  int64_t limit_cpu)
+{
+	struct site_workspace ws = { .weight = 1, .limit = { limit_cpu } };
+
+	cs_copy(ws.name, sizeof(ws.name), name);
+	site_add_key(site, site_add_workspace(site, &ws), key);
+}
+
+/*
+ * "VERSION POOLS LIMIT ATTEMPTS HOSTS_IN_STANDBY POOL...", a pool for each
+ * queue. Without workspaces if the limit is negative.
+ */
 static struct site *read_site(GBytes *value, struct cs_error *err)
 {
-	struct site_workspace ws = { .name = "desk", .weight = 1 };
 	char *text = store_text(value);
 	uint64_t version;
+	int64_t limit;
 	struct site *site = NULL;
-	int pools, standby, i, index, read = 0;
+	int pools, attempts, standby, i, read = 0;
 
-	if (sscanf(text, "%" SCNu64 " %d %" SCNd64 " %d%n", &version, &pools,
-		   &ws.limit.cpu, &standby, &read) == 4) {
+	if (sscanf(text, "%" SCNu64 " %d %" SCNd64 " %d %d%n", &version, &pools,
+		   &limit, &attempts, &standby, &read) == 5) {
 		char *rest = text + read;
 
 		site = site_create(version);
-		index = site_add_workspace(site, &ws);
-		site_add_key(site, index, "key");
-		cs_copy(ws.name, sizeof(ws.name), "other");
-		site_add_key(site, site_add_workspace(site, &ws), "other-key");
+		if (limit >= 0) {
+			add_workspace(site, "desk", "key", limit);
+			add_workspace(site, "other", "other-key", limit);
+		}
 		for (i = 0; i < pools; i++) {
 			struct site_queue q = { .terms = { .attempts_max =
-								   ATTEMPTS_MAX,
+								   attempts,
 							   .stretch = 2.0,
 							   .target_ms = 600 } };
 			struct site_pool p = { .has_admission_check = true };
@@ -441,9 +453,10 @@
 	GString *text = g_string_new(NULL);
 	int i;
 
-	g_string_printf(text, "%" PRIu64 " %d %" PRId64 " %d",
-			++w->site_version, w->options.pools, w->limit_cpu,
-			w->options.standby);
+	g_string_printf(text, "%" PRIu64 " %d %" PRId64 " %d %d",
+			++w->site_version, w->options.pools,
+			w->are_workspaces_removed ? -1 : w->limit_cpu,
+			w->attempts_max, w->options.standby);
 	for (i = 0; i < w->options.pools; i++) {
 		g_string_append_printf(text, " %d", w->queue_pool[i]);
 		if (w->queue_pool[i] >= 0)
@@ -510,6 +523,7 @@
 	int i, k;
 
 	w->options = *options;
+	w->attempts_max = ATTEMPTS_MAX;
 	w->rng = g_rand_new_with_seed(options->seed);
 	w->timers = timers_create();
 	w->now = CS_SEC;
@@ -894,6 +908,18 @@
 	write_site(w);
 }
 
+void world_set_workspaces_removed(struct world *w, bool are_removed)
+{
+	w->are_workspaces_removed = are_removed;
+	write_site(w);
+}
+
+void world_set_attempts(struct world *w, int attempts_max)
+{
+	w->attempts_max = attempts_max;
+	write_site(w);
+}
+
 void world_set_queue_pool(struct world *w, int queue, int pool)
 {
 	w->queue_pool[queue] = pool;
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -108,6 +108,11 @@
 			 bool is_evacuated);
 /* Limit of the workspace in thousandths of a core; 0: no limit. */
 void world_set_limit(struct world *world, int64_t cpu);
+/* Leaves the workspaces out of the configuration; their limit stays promised.
+ */
+void world_set_workspaces_removed(struct world *world, bool are_removed);
+/* The number of attempts of all queues; that of their jobs stays promised. */
+void world_set_attempts(struct world *world, int attempts_max);
 /* Sends the work of a queue to another pool; pool -1: removes the queue. */
 void world_set_queue_pool(struct world *world, int queue, int pool);
 /*
--- a/tests/world/world_private.h
+++ b/tests/world/world_private.h
@@ -181,6 +181,8 @@
 	int64_t store_latency_ms; /* additional delay of each reply */
 	int late_start_per_mille;
 	int64_t limit_cpu, used_cpu;
+	bool are_workspaces_removed;
+	int attempts_max; /* of all queues, as configured now */
 	cs_time limit_since;
 	uint64_t site_version;
 	int queue_pool[POOLS_MAX]; /* -1: the queue is removed */
