sched: the limit of a removed workspace goes on

Cause: place_headroom() took a workspace that the present configuration lacks for one without a limit.

Change: a submission ends with the limit that held at acceptance, and place_headroom() takes that one once the workspace is gone. Earlier versions ignore the element; submissions without it are read.

--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -127,6 +127,8 @@
 	 */
 	struct site_terms terms;
 	bool has_terms;
+	/* The limit of the workspace then; 0 in a field: none, or not known. */
+	struct site_resources limit;
 };
 
 struct batch_spec *batch_spec_create(int steps_nr);
--- a/src/batch/batch_codec.c
+++ b/src/batch/batch_codec.c
@@ -13,13 +13,14 @@
  * Numbers of elements of the outer arrays. Readers ignore further elements, so
  * one can be added at the end if it may be missing.
  */
-#define SUBMISSION_LEN 11
-/* Submissions of earlier versions have no terms. */
+#define SUBMISSION_LEN 12
+/* Submissions of earlier versions have no terms, or no limit. */
 #define SUBMISSION_LEN_MIN 10
 #define PROGRESS_LEN 5
 /* Progress of earlier versions has no pools and no workspace. */
 #define PROGRESS_LEN_MIN 3
 #define TERMS_LEN 8
+#define LIMIT_LEN 3
 
 static void pack_text(msgpack_packer *pk, const char *s)
 {
@@ -78,6 +79,14 @@
 	msgpack_pack_int64(pk, t->advice.validity_ms);
 }
 
+static void pack_limit(msgpack_packer *pk, const struct site_resources *limit)
+{
+	msgpack_pack_array(pk, LIMIT_LEN);
+	msgpack_pack_int64(pk, limit->cpu);
+	msgpack_pack_int64(pk, limit->memory_mb);
+	msgpack_pack_int64(pk, limit->accelerators);
+}
+
 /* Copies what was packed, and releases the buffer. */
 static GBytes *take_buffer(msgpack_sbuffer *buf)
 {
@@ -109,6 +118,7 @@
 	for (i = 0; i < b->spec->steps_nr; i++)
 		pack_step(&pk, &b->spec->steps[i]);
 	pack_terms(&pk, &b->terms);
+	pack_limit(&pk, &b->limit);
 	return take_buffer(&buf);
 }
 
@@ -222,12 +232,25 @@
 	return true;
 }
 
+static bool read_limit(const msgpack_object *o, struct site_resources *limit)
+{
+	const msgpack_object *f;
+
+	if (!is_array(o, LIMIT_LEN))
+		return false;
+	f = o->via.array.ptr;
+	return read_range(&f[0], 0, INT64_MAX, &limit->cpu) &&
+	       read_range(&f[1], 0, INT64_MAX, &limit->memory_mb) &&
+	       read_range(&f[2], 0, INT64_MAX, &limit->accelerators);
+}
+
 static struct batch *read_submission(const msgpack_object *o)
 {
 	char id[BATCH_ID_MAX], queue[CS_NAME_MAX], workspace[CS_NAME_MAX];
 	char payload[BATCH_PAYLOAD_MAX + 1];
 	struct batch_spec *spec = NULL;
 	struct site_terms terms = { 0 };
+	struct site_resources limit = { 0 };
 	const msgpack_object *f;
 	int64_t format, submitted, repeats;
 	struct batch *b;
@@ -257,10 +280,12 @@
 	if (batch_spec_check(spec, NULL))
 		goto fail;
 	b = batch_create(id, queue, workspace, submitted, spec);
-	b->has_terms = o->via.array.size >= SUBMISSION_LEN &&
+	b->has_terms = o->via.array.size > SUBMISSION_LEN_MIN &&
 		       read_terms(&f[10], &terms);
 	if (b->has_terms)
 		b->terms = terms;
+	if (o->via.array.size >= SUBMISSION_LEN && read_limit(&f[11], &limit))
+		b->limit = limit;
 	return b;
 fail:
 	batch_spec_destroy(spec);
--- a/src/node/api.c
+++ b/src/node/api.c
@@ -52,6 +52,7 @@
 	char workspace[CS_NAME_MAX];
 	char queue[CS_NAME_MAX];
 	struct site_terms terms; /* of the queue */
+	struct site_resources limit; /* of the workspace */
 	bool is_queue_open; /* no key is needed, so no workspace is known */
 	cs_time deadline;
 	bool is_write_uncertain; /* a write without a reply may be done */
@@ -309,6 +310,7 @@
 	struct batch batch = { .submitted_unix_ms =
 				       node_unix_ms(o->node, r->received),
 			       .terms = o->terms,
+			       .limit = o->limit,
 			       .spec = r->spec };
 
 	cs_copy(batch.id, sizeof(batch.id), o->id);
@@ -512,6 +514,8 @@
 			   const struct site_queue *q, const char *workspace,
 			   const char *id, cs_time now)
 {
+	const struct site_workspace *w =
+		site_find_workspace(n->site, workspace);
 	struct open_request *o;
 	int64_t timeout = r->timeout_ms > 0 ? r->timeout_ms :
 					      DEFAULT_TIMEOUT_MS;
@@ -533,6 +537,8 @@
 	cs_copy(o->workspace, sizeof(o->workspace), workspace);
 	cs_copy(o->queue, sizeof(o->queue), q->name);
 	o->terms = q->terms;
+	if (w)
+		o->limit = w->limit;
 	o->is_queue_open = q->is_open;
 	if (!reply_as_owner(o, now))
 		send_next_call(o, now);
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -246,28 +246,40 @@
 	return limit ? limit - used : INT64_MAX;
 }
 
-struct site_resources place_headroom(const struct sched *s, const struct job *j)
+/*
+ * The limit of the job's workspace: the configured one, or, once the workspace
+ * is removed, the one that held when the job was accepted.
+ */
+static struct site_resources limit_of(const struct sched *s,
+				      const struct job *j)
 {
 	const struct site_workspace *w =
-		s->site && *j->batch->workspace ?
-			site_find_workspace(s->site, j->batch->workspace) :
-			NULL;
+		s->site ? site_find_workspace(s->site, j->batch->workspace) :
+			  NULL;
+
+	return w ? w->limit : j->batch->limit;
+}
+
+struct site_resources place_headroom(const struct sched *s, const struct job *j)
+{
+	const char *workspace = j->batch->workspace;
 	struct site_resources left = { INT64_MAX, INT64_MAX, INT64_MAX };
 	struct site_resources used = { 0 };
 	const struct site_resources *counted;
+	struct site_resources limit;
 
-	if (!w)
+	if (!*workspace)
 		return left;
-	counted = g_hash_table_lookup(s->usage, w->name);
+	limit = limit_of(s, j);
+	counted = g_hash_table_lookup(s->usage, workspace);
 	if (counted)
 		used = site_resources_add(used, *counted);
-	counted = g_hash_table_lookup(s->reserve, w->name);
+	counted = g_hash_table_lookup(s->reserve, workspace);
 	if (counted)
 		used = site_resources_add(used, *counted);
-	left.cpu = remaining_of(w->limit.cpu, used.cpu);
-	left.memory_mb = remaining_of(w->limit.memory_mb, used.memory_mb);
-	left.accelerators =
-		remaining_of(w->limit.accelerators, used.accelerators);
+	left.cpu = remaining_of(limit.cpu, used.cpu);
+	left.memory_mb = remaining_of(limit.memory_mb, used.memory_mb);
+	left.accelerators = remaining_of(limit.accelerators, used.accelerators);
 	return left;
 }
 
--- a/tests/unit/test_batch.c
+++ b/tests/unit/test_batch.c
@@ -234,6 +234,7 @@
 					.stretch = 1.6,
 					.target_ms = 600,
 					.advice = { 5, 6, 7 } };
+	b->limit = (struct site_resources){ 8000, 9, 1 };
 	assert_true(batch_begin(b, "old"));
 	assert_true(batch_begin(b, "new"));
 	assert_false(batch_begin(b, "old"));
@@ -257,6 +258,7 @@
 	assert_string_equal(t->checkpoint, "saved");
 	assert_true(c->has_terms);
 	assert_memory_equal(&c->terms, &b->terms, sizeof(b->terms));
+	assert_memory_equal(&c->limit, &b->limit, sizeof(b->limit));
 	assert_true(batch_may_run_in(c, "old"));
 	assert_true(batch_may_run_in(c, "new"));
 	assert_false(batch_may_run_in(c, "other"));
@@ -344,31 +346,53 @@
 	batch_destroy(c);
 }
 
-/* The same for a submission without terms, and for terms that are damaged. */
+/*
+ * The same for a submission without terms or without a limit, and for damaged
+ * ones.
+ */
 static void submission_without_terms_is_read(void **state)
 {
+	/* The terms end with a 0, and the limit is an array of three. */
+	static const uint8_t tail[] = { 0, 0x93, 3, 0, 0 };
 	struct batch *b = make_batch(), *c;
-	GBytes *submission = batch_encode_submission(b);
-	uint8_t *data;
+	GBytes *submission;
+	uint8_t *data, *end;
 	gsize size;
 
 	(void)state;
+	b->limit.cpu = 3;
+	submission = batch_encode_submission(b);
 	data = g_bytes_unref_to_data(submission, &size);
+	end = data + size - sizeof(tail);
+	c = batch_decode_submission(data, size);
+	assert_true(c->has_terms);
+	assert_int_equal(c->limit.cpu, 3);
+	batch_destroy(c);
+	assert_memory_equal(end, tail, sizeof(tail));
+	end[3] = 0xc0; /* nil */
 	c = batch_decode_submission(data, size);
 	assert_true(c->has_terms);
+	assert_int_equal(c->limit.cpu, 0);
 	batch_destroy(c);
-	/* The last of the terms is a 0; 0xc0 is nil. */
-	assert_int_equal(data[size - 1], 0);
-	data[size - 1] = 0xc0;
+	end[3] = 0;
+	end[0] = 0xc0;
 	c = batch_decode_submission(data, size);
 	assert_false(c->has_terms);
+	assert_int_equal(c->limit.cpu, 3);
 	assert_string_equal(c->spec->payload, "work");
 	batch_destroy(c);
-	/* An array of 10 elements instead of 11. */
-	assert_int_equal(data[0], 0x9b);
+	end[0] = 0;
+	/* Arrays of 11 and 10 elements instead of 12. */
+	assert_int_equal(data[0], 0x9c);
+	data[0] = 0x9b;
+	c = batch_decode_submission(data, size);
+	assert_true(c->has_terms);
+	assert_int_equal(c->limit.cpu, 0);
+	batch_destroy(c);
 	data[0] = 0x9a;
 	c = batch_decode_submission(data, size);
 	assert_false(c->has_terms);
+	assert_int_equal(c->limit.cpu, 0);
 	batch_destroy(c);
 	g_free(data);
 	batch_destroy(b);
--- a/tests/unit/test_sched_faults.c
+++ b/tests/unit/test_sched_faults.c
@@ -410,6 +410,33 @@
 	end_world(w);
 }
 
+/*
+ * Guards against jobs that run beyond the limit of their workspace, because the
+ * workspace is not configured any more; also with a new owner.
+ */
+static void removed_workspace_keeps_its_limit(void **state)
+{
+	struct world_job job = { .steps = 1,
+				 .width = 8,
+				 .work_ms = 1500,
+				 .cpu = 2000,
+				 .unavailable_max = -1 };
+	struct world *w = make_world(1, 2, 0);
+
+	(void)state;
+	world_set_limit(w, 4000);
+	world_run(w, 3000);
+	world_submit(w, 0, &job);
+	world_submit(w, 0, &job);
+	world_run(w, 1000);
+	world_set_workspaces_removed(w, true);
+	world_run(w, 6000);
+	world_node_kill(w, world_owner(w));
+	world_run(w, 30000);
+	assert_int_equal(world_unfinished_jobs(w), 0);
+	end_world(w);
+}
+
 /*
  * Guards against work on the wrong kind of server: one returned under its
  * identifier as another kind and kept the labels of its former life.
@@ -650,6 +677,7 @@
 		cmocka_unit_test(removed_queue_fails_no_job),
 		cmocka_unit_test(job_of_a_removed_queue_survives_its_owner),
 		cmocka_unit_test(fewer_attempts_fail_no_accepted_job),
+		cmocka_unit_test(removed_workspace_keeps_its_limit),
 		cmocka_unit_test(returned_server_has_its_new_kind),
 		cmocka_unit_test(returned_server_has_its_new_pool),
 		cmocka_unit_test(gang_keeps_its_spread),
