store, http client: a reply that arrives on a slow link is not given up

Cause, from the log: a call for a list had 1.5 s for the whole reply and a watch 0.7 s beyond its wait, but a page of 500 items takes 2 to 6 s at 2 Mbit/s. The reply was discarded half way and asked for again, which filled the link until renewals of the owner's lease timed out. So six owners followed each other and none ever had loaded the jobs.

Change: struct http_call has stall_max, the time without any byte after which a call ends, beside its deadline. Lists and watches have 12 s for the whole reply; of a silent store they end as before.

--- a/src/base/http_client.c
+++ b/src/base/http_client.c
@@ -63,7 +63,7 @@
 	struct pool *pool; /* NULL once it is retired */
 	cs_handle self;
 	struct evhttp_connection *evcon;
-	struct evbuffer_cb_entry *output_cb;
+	struct evbuffer_cb_entry *output_cb, *input_cb;
 	struct event *timer; /* connect timeout, then idle timeout */
 	bool is_connected;
 	bool is_closed; /* must not be reused */
@@ -71,6 +71,7 @@
 	size_t queued, written;
 	struct call *call; /* NULL while idle */
 	cs_time last_response;
+	cs_time last_byte; /* when the last bytes were received; 0: never */
 };
 
 struct call {
@@ -82,7 +83,7 @@
 	enum evhttp_cmd_type cmd;
 	char *path;
 	struct event *timer;
-	cs_time deadline;
+	cs_time start, deadline, stall_max; /* see struct http_call */
 	bool needs_live_connection;
 	int evhttp_error; /* enum evhttp_request_error, -1: none reported */
 	http_done_fn done;
@@ -172,6 +173,10 @@
 		bufferevent_get_output(
 			evhttp_connection_get_bufferevent(conn->evcon)),
 		conn->output_cb);
+	evbuffer_remove_cb_entry(
+		bufferevent_get_input(
+			evhttp_connection_get_bufferevent(conn->evcon)),
+		conn->input_cb);
 	evhttp_connection_free(conn->evcon);
 	conn->evcon = NULL;
 }
@@ -225,6 +230,14 @@
 		conn->written += info->n_deleted;
 }
 
+static void on_input(struct evbuffer *buffer,
+		     const struct evbuffer_cb_info *info, void *arg)
+{
+	(void)buffer;
+	if (info->n_added)
+		((struct conn *)arg)->last_byte = task_now();
+}
+
 /* The peer or evhttp closed the connection. */
 static void on_close(struct evhttp_connection *evcon, void *arg)
 {
@@ -316,6 +329,18 @@
 	call_fail(call, code, message);
 }
 
+/* The time at which a call ends unless bytes of its response come. */
+static cs_time end_of_call(const struct call *call)
+{
+	cs_time last = call->start;
+
+	if (!call->stall_max)
+		return call->deadline;
+	if (call->conn && call->conn->last_byte > last)
+		last = call->conn->last_byte;
+	return MIN(call->deadline, last + call->stall_max);
+}
+
 /*
  * Ends a call at its deadline. libevent's clock stops while the host is
  * suspended and can run a few ms ahead, so the time is checked.
@@ -327,8 +352,8 @@
 
 	(void)fd;
 	(void)what;
-	if (now < call->deadline) {
-		start_timer(call->timer, call->deadline - now);
+	if (now < end_of_call(call)) {
+		start_timer(call->timer, end_of_call(call) - now);
 		return;
 	}
 	call_abort(call, CS_ERR_TIMEOUT,
@@ -369,7 +394,11 @@
 		bufferevent_get_output(
 			evhttp_connection_get_bufferevent(conn->evcon)),
 		on_output, conn);
-	if (!conn->output_cb)
+	conn->input_cb = evbuffer_add_cb(
+		bufferevent_get_input(
+			evhttp_connection_get_bufferevent(conn->evcon)),
+		on_input, conn);
+	if (!conn->output_cb || !conn->input_cb)
 		goto fail;
 	evhttp_connection_set_retries(conn->evcon, 0);
 	evhttp_connection_set_timeout_tv(conn->evcon, &tv);
@@ -657,7 +686,9 @@
 	call->self = self;
 	call->pool = pool;
 	call->cmd = cmds[in->method];
+	call->start = now;
 	call->deadline = in->deadline;
+	call->stall_max = in->stall_max;
 	call->needs_live_connection = in->needs_live_connection;
 	call->evhttp_error = -1;
 	call->done = done;
@@ -668,8 +699,8 @@
 	if (!call->req || !call->timer)
 		goto refuse_call;
 	call->path = g_strdup(in->path);
-	if (in->deadline != CS_TIME_NEVER)
-		start_timer(call->timer, in->deadline - now);
+	if (end_of_call(call) != CS_TIME_NEVER)
+		start_timer(call->timer, end_of_call(call) - now);
 	g_queue_push_tail(&pool->waiting, call);
 	start_waiting_calls(c, pool);
 	return;
--- a/src/base/http_client.h
+++ b/src/base/http_client.h
@@ -50,6 +50,12 @@
 	GBytes *body; /* may be NULL */
 	const struct trace *trace; /* sent as traceparent; may be NULL */
 	cs_time deadline; /* the call ends by this time */
+	/*
+	 * The call also ends when this long no byte of the response came; 0: it
+	 * does not. A long response on a slow link needs a late deadline, and a
+	 * silent peer must be noticed before that.
+	 */
+	cs_time stall_max;
 	/*
 	 * Use only a new connection or one that completed a response in the
 	 * last second, since the peer of an older one may be unreachable.
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -66,6 +66,8 @@
 	uint64_t lease;
 	int64_t wait_ms; /* of a watch; of a new lease: its time to live */
 	int64_t timeout_ms; /* for the reply */
+	/* The call also ends when no part of the reply came for this long. */
+	int64_t stall_ms; /* 0: it does not */
 	GPtrArray *txn_ops; /* of a transaction: struct store_txn_op */
 };
 
--- a/src/store/view.c
+++ b/src/store/view.c
@@ -3,8 +3,13 @@
 /* Pause after a failed call; it doubles up to the maximum. */
 #define RETRY_MIN_US (50 * CS_MSEC)
 #define RETRY_MAX_US (400 * CS_MSEC)
-/* Timeout of the call for one page of a list, ms. */
-#define LIST_TIMEOUT_MS 1500
+/*
+ * Timeout for a whole reply, ms. One of 1 MB takes 6 s on a link of 2 Mbit/s
+ * that other calls share; a shorter timeout would ask for it again and again.
+ */
+#define REPLY_TIMEOUT_MS 12000
+/* Timeout for a list of which nothing more comes, ms. */
+#define LIST_STALL_MS 1500
 
 struct view {
 	struct view_options options;
@@ -157,7 +162,7 @@
 static void list_page(struct view *v)
 {
 	struct store_call *c =
-		store_call_new(STORE_LIST, v->prefix, LIST_TIMEOUT_MS);
+		store_call_new(STORE_LIST, v->prefix, REPLY_TIMEOUT_MS);
 
 	if (!v->listed) {
 		v->listed = g_hash_table_new_full(g_str_hash, g_str_equal,
@@ -165,6 +170,7 @@
 		v->list_revision = 0;
 	}
 	c->page_after = g_strdup(v->page_after);
+	c->stall_ms = LIST_STALL_MS;
 	v->call = store_calls_send(v->calls, c, on_list, v, 0);
 }
 
@@ -208,10 +214,10 @@
 
 static void watch(struct view *v)
 {
-	struct store_call *c =
-		store_call_new(STORE_WATCH, v->prefix,
-			       v->options.wait_ms + v->options.slack_ms);
+	struct store_call *c = store_call_new(
+		STORE_WATCH, v->prefix, v->options.wait_ms + REPLY_TIMEOUT_MS);
 
+	c->stall_ms = v->options.wait_ms + v->options.slack_ms;
 	c->after = v->after;
 	c->wait_ms = v->options.wait_ms;
 	v->call = store_calls_send(v->calls, c, on_watch, v, 0);
--- a/src/store/view.h
+++ b/src/store/view.h
@@ -22,7 +22,7 @@
 struct view_options {
 	const char *prefix;
 	int64_t wait_ms; /* longest time that one watch call waits */
-	int64_t slack_ms; /* added to it for the timeout of the call */
+	int64_t slack_ms; /* added to it for the call to a silent store */
 	int64_t gap_ms; /* pause after changes, to get several at once */
 };
 
--- a/tests/unit/test_http_client.c
+++ b/tests/unit/test_http_client.c
@@ -124,6 +124,69 @@
 	assert_int_equal(atomic_load(&close_error), ECONNRESET);
 }
 
+#define STALL_MS 300
+#define PIECES 8
+#define PIECE_PAUSE_MS 100
+
+/* Sends a response in pieces; the second one stops in the middle. */
+static void answer_in_pieces(struct scripted *s, int fd)
+{
+	int i, n = PIECES;
+
+	while (true) {
+		char *request = scripted_read(s, fd);
+
+		g_free(request);
+		if (!request)
+			return;
+		scripted_write(fd,
+			       "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n",
+			       PIECES);
+		for (i = 0; i < n; i++) {
+			g_usleep((gulong)PIECE_PAUSE_MS * 1000);
+			scripted_write(fd, "x");
+		}
+		n = PIECES / 2;
+	}
+}
+
+/*
+ * Guards against long responses that are given up while they arrive on a slow
+ * link, and against waiting until the deadline for the rest of one that
+ * stopped.
+ */
+static void response_may_take_long_but_not_stop(void **state)
+{
+	struct http_client_options options = {
+		.connections_max = { 1, 1 },
+		.connect_timeout_ms = 1000,
+		.response_max = 1000,
+	};
+	struct scripted *server = scripted_start(answer_in_pieces);
+	struct http_call call = { .method = HTTP_CALL_GET,
+				  .path = "/",
+				  .stall_max = STALL_MS * CS_MSEC };
+	struct results results = { .base = event_base_new() };
+	struct http_client *client = http_client_create(results.base, &options);
+	cs_time start = task_now();
+
+	(void)state;
+	call.address = scripted_address(server);
+	call.deadline = start + 20 * CS_SEC;
+	http_client_call(client, &call, on_done, &results, 1);
+	event_base_dispatch(results.base);
+	assert_int_equal(results.result[0], HTTP_ANSWERED);
+	assert_true(task_now() - start >
+		    (cs_time)PIECES * PIECE_PAUSE_MS * CS_MSEC - CS_MSEC);
+	http_client_call(client, &call, on_done, &results, 2);
+	event_base_dispatch(results.base);
+	assert_int_equal(results.result[1], HTTP_UNKNOWN);
+	assert_true(task_now() - start < 15 * CS_SEC);
+	http_client_destroy(client);
+	event_base_free(results.base);
+	scripted_stop(server);
+}
+
 /* Host names and addresses without a port must be refused. */
 static void addresses_are_numeric(void **state)
 {
@@ -149,6 +212,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(discarded_bytes_do_not_count_as_sent),
 		cmocka_unit_test(timed_out_call_resets_its_connection),
+		cmocka_unit_test(response_may_take_long_but_not_stop),
 		cmocka_unit_test(addresses_are_numeric),
 	};
 
--- a/tests/unit/test_sched_faults.c
+++ b/tests/unit/test_sched_faults.c
@@ -659,6 +659,31 @@
 	}
 }
 
+/*
+ * Guards against a site without an owner: on a slow link the reply with all
+ * jobs took longer than its timeout, was asked for again as a whole, and no new
+ * owner ever had read it.
+ */
+static void slow_link_delays_the_owner_only(void **state)
+{
+	struct world_job waiting = short_job;
+	struct world *w = make_world(1, 4, 0);
+	int i;
+
+	(void)state;
+	waiting.cpu = 30000;
+	waiting.work_ms = 100;
+	for (i = 0; i < 100; i++)
+		world_submit(w, i % 3, &waiting);
+	world_run(w, 1000);
+	world_set_store_bandwidth(w, 10000);
+	world_node_kill(w, world_owner(w));
+	assert_true(world_unfinished_jobs(w) > 80);
+	world_run(w, 50000);
+	assert_int_equal(world_unfinished_jobs(w), 0);
+	end_world(w);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -686,6 +711,7 @@
 		cmocka_unit_test(changed_wave_is_followed),
 		cmocka_unit_test(servers_of_a_kind_come_to_its_jobs),
 		cmocka_unit_test(late_write_does_not_undo_a_wave),
+		cmocka_unit_test(slow_link_delays_the_owner_only),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -887,6 +887,11 @@
 	return (int)server_at(w, server)->runs->len;
 }
 
+void world_set_store_bandwidth(struct world *w, int64_t bytes_per_s)
+{
+	w->store_bytes_per_s = bytes_per_s;
+}
+
 void world_set_evacuated(struct world *w, int data_centre, bool is_evacuated)
 {
 	char key[32];
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -103,6 +103,9 @@
 /* A silent server carries orders out, but its replies are lost. */
 void world_server_set_silent(struct world *world, int server, bool is_silent);
 
+/* Bytes of stored items that reach an entry in a second; 0: no limit. */
+void world_set_store_bandwidth(struct world *world, int64_t bytes_per_s);
+
 /* Operators. */
 void world_set_evacuated(struct world *world, int data_centre,
 			 bool is_evacuated);
--- a/tests/world/world_private.h
+++ b/tests/world/world_private.h
@@ -26,6 +26,7 @@
 /* A new configuration is in force within this time. */
 #define APPLY_MS 2000
 #define ENDS_LISTED_MAX 500 /* ended runs in one reply of a server */
+#define ITEM_BYTES 100 /* of a stored item, beside its value */
 #define DATA_CENTRES 3
 #define NODES_MAX 16
 #define POOLS_MAX 8
@@ -177,6 +178,7 @@
 	cs_time last_fault_at;
 	int lost_reply_per_mille;
 	bool is_lost_write_late;
+	int64_t store_bytes_per_s; /* of items to a node; 0: no limit */
 	int64_t watch_bytes_max; /* of one reply to a watch; 0: no limit */
 	int64_t store_latency_ms; /* additional delay of each reply */
 	int late_start_per_mille;
--- a/tests/world/world_store.c
+++ b/tests/world/world_store.c
@@ -158,6 +158,45 @@
 	return w->watch_bytes_max && bytes > w->watch_bytes_max;
 }
 
+/* When a call ends of which nothing comes back. */
+static cs_time silence_end(const struct store_call *call, cs_time sent)
+{
+	int64_t ms = call->timeout_ms;
+
+	if (call->stall_ms && call->stall_ms < ms)
+		ms = call->stall_ms;
+	return sent + ms * CS_MSEC;
+}
+
+/*
+ * Delivers a reply over the link to the store. It is lost if it takes longer
+ * than the call's timeout.
+ */
+static void deliver_over_link(struct world *w, int node, uint64_t generation,
+			      const struct store_call *call,
+			      struct store_reply *d)
+{
+	cs_time at = w->now + store_reply_delay(w);
+	cs_time end = d->sent + call->timeout_ms * CS_MSEC;
+	size_t bytes = 0;
+	guint i;
+
+	for (i = 0; w->store_bytes_per_s && i < d->items->len; i++) {
+		const struct store_item *item = g_ptr_array_index(d->items, i);
+
+		bytes += ITEM_BYTES +
+			 (item->value ? g_bytes_get_size(item->value) : 0);
+	}
+	if (bytes)
+		at += (cs_time)bytes * CS_SEC / w->store_bytes_per_s;
+	if (bytes && at > end) {
+		d->result = STORE_UNKNOWN;
+		g_ptr_array_set_size(d->items, 0);
+		at = end;
+	}
+	world_deliver_store(w, node, generation, d, at);
+}
+
 static void complete_watch(struct world *w, struct sim_watch *x,
 			   struct store_reply *d)
 {
@@ -170,10 +209,9 @@
 		d->result = STORE_UNKNOWN;
 		g_ptr_array_set_size(d->items, 0);
 		world_deliver_store(w, x->node, x->generation, d,
-				    x->sent + x->call->timeout_ms * CS_MSEC);
+				    silence_end(x->call, x->sent));
 	} else {
-		world_deliver_store(w, x->node, x->generation, d,
-				    w->now + store_reply_delay(w));
+		deliver_over_link(w, x->node, x->generation, x->call, d);
 	}
 	timers_cancel(w->timers, x->timer);
 	g_ptr_array_remove_fast(w->watches, x);
@@ -395,7 +433,7 @@
 	struct arrival *a = ctx;
 	struct world *w = a->world;
 	struct store_reply *d = store_reply_new(a->call);
-	cs_time end = a->sent + a->call->timeout_ms * CS_MSEC;
+	cs_time end = silence_end(a->call, a->sent);
 	bool is_cut = w->nodes[a->node].is_cut_from_store;
 
 	(void)arg;
@@ -427,10 +465,12 @@
 			g_ptr_array_set_size(d->items, 0);
 			d->lease = 0;
 		}
-		world_deliver_store(w, a->node, a->generation, d,
-				    a->is_reply_lost ?
-					    MAX(end, now) :
-					    now + store_reply_delay(w));
+		if (a->is_reply_lost)
+			world_deliver_store(w, a->node, a->generation, d,
+					    MAX(end, now));
+		else
+			deliver_over_link(w, a->node, a->generation, a->call,
+					  d);
 		store_call_free(a->call);
 	}
 	g_free(a);
@@ -459,8 +499,7 @@
 			d->result = STORE_UNKNOWN;
 			d->sent = w->now;
 			world_deliver_store(w, a->node, a->generation, d,
-					    w->now +
-						    call->timeout_ms * CS_MSEC);
+					    silence_end(call, w->now));
 			a->generation = GENERATION_LATE;
 			at += world_random_ms(w, 500, 6000) * CS_MSEC;
 		}
