view: a lost page of a list is read again alone

Found beside the fault of the slow links: when the call for one page failed, the view dropped all pages before it and began anew, which multiplies the bytes on a bad link.

The pages that were read stay, and the list goes on after them; what changed meanwhile comes with the watch, which starts from the revision of the first page as before.

--- a/src/store/view.c
+++ b/src/store/view.c
@@ -120,8 +120,8 @@
 
 	(void)arg;
 	v->call = 0;
+	/* The pages that were read stay; this one is requested again. */
 	if (d->result != STORE_OK) {
-		free_list(v);
 		retry_later(v, now);
 		return;
 	}
