sched: jobs of an unsettled pool count in its demand

Cause: find_backlog() left out jobs that may have runs on a silent server, as they can't start yet. Their tasks need room in any case, where they run or anew.

unsettled_pool_keeps_its_hosts fails before (2 of 8 hosts left, 3 are needed) and passes now.

--- a/src/sched/pool_size.c
+++ b/src/sched/pool_size.c
@@ -98,8 +98,11 @@
 	for (i = 0; i < p->waiting->len; i++) {
 		const struct job *j = g_ptr_array_index(p->waiting, i);
 
-		/* A job that may have unknown runs can't be started yet. */
-		if (!j->final_at && sched_job_is_settled(s, j))
+		/*
+		 * A job that may have unknown runs can't be started yet, but
+		 * its tasks need room in any case: where they run, or anew.
+		 */
+		if (!j->final_at)
 			add_job(s, j, now, &sum);
 	}
 	return sum;
--- a/tests/unit/test_sched_faults.c
+++ b/tests/unit/test_sched_faults.c
@@ -684,6 +684,48 @@
 	end_world(w);
 }
 
+/*
+ * Guards against a pool that loses its hosts just after a change of the owner:
+ * while a server of it is silent, its long-running tasks can't be started
+ * again, and their demand did not count.
+ */
+static void unsettled_pool_keeps_its_hosts(void **state)
+{
+	const struct world_job lasting = { .steps = 1,
+					   .width = 12,
+					   .work_ms = 200,
+					   .cpu = 8000,
+					   .is_long_running = true,
+					   .unavailable_max = -1 };
+	const struct world_job backlog = { .pool = 1,
+					   .steps = 1,
+					   .width = 200,
+					   .work_ms = 3000,
+					   .cpu = 16000,
+					   .unavailable_max = -1 };
+	struct world *w = make_world(2, 4, 0);
+	int i, servers = 0, job = world_submit(w, 0, &lasting);
+
+	(void)state;
+	world_run(w, 4000);
+	assert_int_equal(world_job_running_tasks(w, job), 12);
+	for (i = 0; i < 3; i++)
+		world_node_kill(w, i);
+	world_run(w, 15000);
+	/* All leases have lapsed, and one server is silent. */
+	assert_int_equal(world_job_running_tasks(w, job), 0);
+	world_server_set_silent(w, 0, true);
+	for (i = 0; i < 3; i++)
+		world_node_start(w, i);
+	world_run(w, 1500);
+	world_submit(w, 0, &backlog);
+	world_run(w, 2500);
+	for (i = 0; i < world_server_count(w); i++)
+		servers += world_server_pool(w, i) == 0;
+	assert_true(servers >= 3);
+	end_world(w);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -712,6 +754,7 @@
 		cmocka_unit_test(servers_of_a_kind_come_to_its_jobs),
 		cmocka_unit_test(late_write_does_not_undo_a_wave),
 		cmocka_unit_test(slow_link_delays_the_owner_only),
+		cmocka_unit_test(unsettled_pool_keeps_its_hosts),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
