node: renewals of the owner's lease don't wait for each other

A renewal now leaves every 0.4 s and has the time of the lease, 1.3 s, for its reply; late replies count. A reply to a renewal of a former lease is ignored. A full table of calls can't end the renewals any more.

--- a/src/node/ownership.c
+++ b/src/node/ownership.c
@@ -21,13 +21,13 @@
  */
 #define OWNER_LEASE_MS 1300
 /*
- * Interval of renewals, pause after a failed one, and timeout of one. The
- * timeout is short so that a call on a dead connection leaves time for another
- * before the lease ends.
+ * Interval of renewals, pause after a failed one, and timeout of one. A renewal
+ * does not wait for the reply to the one before, which may be on a dead
+ * connection, nor is that given up early: on a full link replies are late.
  */
 #define RENEW_US (400 * CS_MSEC)
 #define RENEW_RETRY_US (100 * CS_MSEC)
-#define RENEW_TIMEOUT_MS 500
+#define RENEW_TIMEOUT_MS OWNER_LEASE_MS
 /*
  * How long an owner goes on after the last renewal of its lease. Outages of the
  * store last up to about 9 s, in which no other entry can become the owner
@@ -129,33 +129,34 @@
 static void on_renewed(void *ctx, uint64_t arg, const struct store_reply *d,
 		       cs_time now);
 
+static void on_renewal_due(void *ctx, uint64_t arg, cs_time now);
+
+static void schedule_renewal(struct node *n, cs_time at)
+{
+	timers_cancel(n->timers, n->owner.timer);
+	n->owner.timer = timers_subscribe(n->timers, at, on_renewal_due, n, 0);
+}
+
 static void on_renewal_due(void *ctx, uint64_t arg, cs_time now)
 {
 	struct node *n = ctx;
 	struct store_call *c;
 
 	(void)arg;
-	(void)now;
-	n->owner.timer = 0;
 	c = store_call_new(STORE_KEEP, NULL, RENEW_TIMEOUT_MS);
 	c->lease = n->owner.lease;
-	n->owner.call = store_calls_send(n->calls, c, on_renewed, n, 0);
-}
-
-static void schedule_renewal(struct node *n, cs_time at)
-{
-	timers_cancel(n->timers, n->owner.timer);
-	n->owner.timer = timers_subscribe(n->timers, at, on_renewal_due, n, 0);
+	store_calls_send(n->calls, c, on_renewed, n, n->owner.lease);
+	n->owner.timer = 0;
+	schedule_renewal(n, now + RENEW_US);
 }
 
-static void on_renewed(void *ctx, uint64_t arg, const struct store_reply *d,
+/* The reply to a renewal of that lease, which may be one of a former term. */
+static void on_renewed(void *ctx, uint64_t lease, const struct store_reply *d,
 		       cs_time now)
 {
 	struct node *n = ctx;
 
-	(void)arg;
-	n->owner.call = 0;
-	if (n->owner.state < OWNER_LOADING)
+	if (n->owner.state < OWNER_LOADING || lease != n->owner.lease)
 		return;
 	if (d->result == STORE_MISSING) {
 		owner_lost(n, "the lease has ended", now);
@@ -165,9 +166,9 @@
 		schedule_renewal(n, now + RENEW_RETRY_US);
 		return;
 	}
-	n->owner.renewed_at = d->sent;
+	if (d->sent > n->owner.renewed_at)
+		n->owner.renewed_at = d->sent;
 	owner_confirm(n, d->sent);
-	schedule_renewal(n, now + RENEW_US);
 }
 
 void owner_confirm(struct node *n, cs_time sent)
--- a/tests/unit/test_sched_faults.c
+++ b/tests/unit/test_sched_faults.c
@@ -684,6 +684,25 @@
 	end_world(w);
 }
 
+/*
+ * Guards against an owner that starts nothing or loses its lease while its link
+ * is full: replies to renewals came later than their timeout.
+ */
+static void late_replies_renew_the_lease(void **state)
+{
+	struct world *w = make_world(1, 4, 0);
+	int job, owner = world_owner(w);
+
+	(void)state;
+	world_set_renewal_delay(w, 900);
+	world_run(w, 8000);
+	job = world_submit(w, 0, &short_job);
+	world_run(w, 3000);
+	assert_true(world_job_is_done(w, job));
+	assert_int_equal(world_owner(w), owner);
+	end_world(w);
+}
+
 /*
  * Guards against a pool that loses its hosts just after a change of the owner:
  * while a server of it is silent, its long-running tasks can't be started
@@ -754,6 +773,7 @@
 		cmocka_unit_test(servers_of_a_kind_come_to_its_jobs),
 		cmocka_unit_test(late_write_does_not_undo_a_wave),
 		cmocka_unit_test(slow_link_delays_the_owner_only),
+		cmocka_unit_test(late_replies_renew_the_lease),
 		cmocka_unit_test(unsettled_pool_keeps_its_hosts),
 	};
 
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -892,6 +892,11 @@
 	w->store_bytes_per_s = bytes_per_s;
 }
 
+void world_set_renewal_delay(struct world *w, int64_t ms)
+{
+	w->renewal_delay = ms * CS_MSEC;
+}
+
 void world_set_evacuated(struct world *w, int data_centre, bool is_evacuated)
 {
 	char key[32];
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -105,6 +105,8 @@
 
 /* Bytes of stored items that reach an entry in a second; 0: no limit. */
 void world_set_store_bandwidth(struct world *world, int64_t bytes_per_s);
+/* Delay of the replies to renewals of leases, as on a link that is full. */
+void world_set_renewal_delay(struct world *world, int64_t ms);
 
 /* Operators. */
 void world_set_evacuated(struct world *world, int data_centre,
--- a/tests/world/world_private.h
+++ b/tests/world/world_private.h
@@ -178,6 +178,7 @@
 	cs_time last_fault_at;
 	int lost_reply_per_mille;
 	bool is_lost_write_late;
+	cs_time renewal_delay; /* of replies to renewals of leases */
 	int64_t store_bytes_per_s; /* of items to a node; 0: no limit */
 	int64_t watch_bytes_max; /* of one reply to a watch; 0: no limit */
 	int64_t store_latency_ms; /* additional delay of each reply */
