--- a/src/base/http_client.c
+++ b/src/base/http_client.c
@@ -230,6 +230,7 @@
 		conn->written += info->n_deleted;
 }
 
+/* Notes when bytes of a response arrive; see end_of_call(). */
 static void on_input(struct evbuffer *buffer,
 		     const struct evbuffer_cb_info *info, void *arg)
 {
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -216,7 +216,7 @@
 	return j->batch->has_terms ? &j->batch->terms : &unknown;
 }
 
-/* An operator's later mistake must not fail jobs that run. */
+/* Not the present number: an operator's mistake must not fail running jobs. */
 int sched_attempts_of(const struct sched *s, const struct job *j)
 {
 	return j->batch->has_terms ? j->batch->terms.attempts_max :
