--- a/review/lib2/standin.py
+++ b/review/lib2/standin.py
@@ -292,7 +292,8 @@
 
 
 class Worker:
-    """A backend server. The text of a task's spec is its duration in ms."""
+    """A backend server. The text of a task's spec is its duration in ms; 0: it
+    lasts until it is stopped."""
 
     def __init__(self, platform, name, pool="pool0", cpu=16000, machine=None):
         self.platform, self.record = platform, platform.record
@@ -445,8 +446,8 @@
         if (len(life.running) + 1) * cpu > self.cpu:
             return refuse("room")
         self.extend(life, body)
-        life.running[task] = [run, time.monotonic() + int(body["spec"]) / 1000,
-                              body["spec"]]
+        ms = int(body["spec"]) or 10 ** 9  # 0: it lasts
+        life.running[task] = [run, time.monotonic() + ms / 1000, body["spec"]]
         self.record.add("%s: starts run %d of %s (life born %d)" % (
             self.name, run, task, life.born))
         self.platform.note_start(self, task, run)
@@ -460,9 +461,8 @@
                 if left <= 0:
                     break
                 self.lock.wait(left)
-            now = time.monotonic()
             return {"clockMs": life.clock(), "born": life.born,
-                    "running": [[t, r[0], "", 100 if now < r[1] else 99, 0]
+                    "running": [[t, r[0], "", 100, 0]
                                 for t, r in life.running.items()],
                     "finished": life.ends[:500]}
 
@@ -556,6 +556,30 @@
         self.record.add("%s joins %s as %s" % (new.machine, pool, new.name))
 
 
+class Advisor:
+    """The service that knows which workers may run a step of a queue."""
+    DECISION_S = 0.02
+
+    def __init__(self, platform, allows, validity_ms):
+        self.platform, self.record = platform, platform.record
+        self.allows, self.validity_ms = allows, validity_ms
+        self.lock = threading.Lock()
+        self.http = Server(self)
+
+    def connection_life(self):
+        return None
+
+    def handle(self, h, body):
+        with self.lock:  # one call at a time
+            time.sleep(self.DECISION_S)
+            rows = [[name, "ticket-%s-%s" % (body["step"], name)]
+                    for name in body["workers"] if self.allows(name)]
+        self.record.add("advisor: asked for %s on %s; allowed %s" % (
+            body["step"], ", ".join(body["workers"]), [r[0] for r in rows]))
+        return h.answer(200, {"allowed": rows,
+                              "validityMs": self.validity_ms})
+
+
 class Entry:
     """An entry: `target/camphorshed node`, as deploy/system.toml says."""
 
@@ -580,6 +604,8 @@
             "platform": {"address": platform.store.http.name,
                          "minTtlMs": 1000},
             "cloud": {"address": platform.cloud.http.name, "dutyPerS": 64.0}}
+        if platform.advisor:
+            fields["recommendation"] = platform.advisor.http.name
         with open(os.path.join(ROOT, role["template"]), encoding="utf-8") as f:
             text = render(f.read(), fields)
         with open(self.settings, "w", encoding="utf-8") as f:
@@ -675,7 +701,7 @@
     """All stand-ins of one case, and the checks of TWICE on their record."""
 
     def __init__(self, folder, entries=2, task_cpu=1000, routes=None,
-                 tenants=None, standby=None):
+                 tenants=None, standby=None, advice=None):
         self.record = Record(os.path.join(folder, "record.txt"))
         self.temporary = tempfile.TemporaryDirectory()
         self.folder = self.temporary.name
@@ -689,6 +715,7 @@
         self.workers = {}
         self.store = Store(self.record)
         self.cloud = Cloud(self)
+        self.advisor = Advisor(self, *advice) if advice else None
         self.version = 1
         self.standby = standby
         self.configure(routes, tenants)
@@ -767,8 +794,10 @@
                     e.process.send_signal(signal.SIGCONT)
                 e.process.kill()
             e.process.wait()
-        for s in [self.store, self.cloud] + list(self.workers.values()):
-            s.http.close()
+        for s in [self.store, self.cloud, self.advisor] + list(
+                self.workers.values()):
+            if s:
+                s.http.close()
         if os.environ.get("KEEP_LOGS"):
             subprocess.run(["cp", "-r", self.folder, os.environ["KEEP_LOGS"]],
                            check=False)
