review: cases in the order of their gravity, stand-ins without unused parts

7 (LOST) was 9, 8 (UNASKED) was 7, 9 (LOST, from an entry) was 10, 10 (MIXED) was 8. Each run has a loopback address of its own, so that cases can be played side by side.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,8 +1,8 @@
-"""LOST: a job is accepted under the identifier of another tenant's ended job.
+"""MIXED: a late write of the owner puts an old count of pending jobs in force.
 
-Two tenants choose the same identifier. While the first one's job is not ended, the
-second one is refused. Once it is done, the second one's job is answered 200, is not
-stored, never runs, and is answered 410.
+Jobs wait for the limit of their tenant. The store loses the answer to one write
+of the owner's counts and carries the write out 5.5 s later, after newer counts
+were stored. All entries then answer with the old count, and go on doing so.
 """
 import os
 import sys
@@ -12,43 +12,57 @@
 sys.path.insert(0, os.path.join(HERE, "..", "lib2"))
 import standin  # noqa: E402
 
-VISIBLE_S = 3.0
-A, B = standin.KEY, "key-of-tenant-b"
-SAME, OTHER = "0000000000000001", "0000000000000002"
-TENANTS = [{"name": name, "apiKeys": [key], "weight": 1,
-            "maximum": {"cpu": 64000, "memMb": 0, "gpu": 0}}
-           for name, key in (("tenant-a", A), ("tenant-b", B))]
+COUNTS = "camphorshed/control/queues"
+LATE_S = 5.5
+VISIBLE_S = 3.0 + 2.0  # visible_ms + 2 s
+JOBS = 10
+TENANT = {"name": "tenant-a", "apiKeys": [standin.KEY], "weight": 1,
+          "maximum": {"cpu": 1000, "memMb": 0, "gpu": 0}}
 
 
 def case(p, trouble):
     for n in range(3):
         p.add_worker("i-%d" % n)
     p.wait_ready()
+    lost = []
+
+    def late(body):
+        """The first write of the counts that tells of a waiting job."""
+        for w in body["writes"]:
+            if w["key"] == COUNTS and not lost:
+                lost.append(p.record.now())
+                p.store.late = None
+                return LATE_S
+        return None
+
+    def submit(n, ms):
+        status, _ = p.entries[n % 2].call(
+            "POST", "%s%016x" % (standin.PREFIX, 0xaa00 + n), standin.job(ms))
+        if status != 200:
+            raise RuntimeError("a job was not accepted")
+    submit(0, 60000)  # takes up the tenant's maximum
+    p.wait(lambda: p.starts, 10, "the first job runs")
+    time.sleep(1.0)
+    if trouble:
+        p.store.late = late
+    submit(1, 1000)
     time.sleep(1.0)
-    first = standin.PREFIX + SAME
-    if p.entries[0].call("POST", first, standin.job(300), key=A)[0] != 200:
-        raise RuntimeError("the first job was not accepted")
-    if not p.wait(lambda: time.sleep(0.2) or p.entries[0].call(
-            "GET", first, key=A)[1].get("state") == "done", 10,
-            "the first job is done"):
-        raise RuntimeError("the first job is not done")
-    second = standin.PREFIX + (SAME if trouble else OTHER)
-    before = len(p.starts)
-    status, _ = p.entries[1].call("POST", second, standin.job(200), key=B)
-    if status != 200:
-        p.record.add("the second job is refused, which breaks no rule")
-        return []
-    accepted = p.record.now()
-    time.sleep(VISIBLE_S + 1.0)
+    for n in range(2, JOBS + 1):
+        submit(n, 1000)
+    time.sleep(LATE_S + VISIBLE_S + 1.0)
     broken = []
-    for e in p.entries:
-        status, answer = e.call("GET", second, key=B)
-        if status == 410:
-            broken.append("%s answers 410 for a job that was accepted %.1f s "
-                          "before" % (e.name, p.record.now() - accepted))
-    if len(p.starts) == before:
-        p.record.add("no task of the second job has started")
+    for _ in range(3):
+        for e in p.entries:
+            status, answer = e.call("GET", standin.PREFIX)
+            pending = answer.get("pending", 0)
+            if status == 200 and pending * 2 < JOBS:
+                broken.append("%s gives %d pending jobs; %d were accepted over "
+                              "%.0f s ago and have not begun" % (
+                                  e.name, pending, JOBS, VISIBLE_S))
+        time.sleep(2.0)
+    if len(p.starts) != 1:
+        raise RuntimeError("a waiting job has begun")
     return broken
 
 
-sys.exit(standin.run_case(HERE, case, tenants=TENANTS))
+sys.exit(standin.run_case(HERE, case, tenants=[TENANT]))
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,8 +1,7 @@
-"""MIXED: a late write of the owner puts an old count of pending jobs in force.
+"""UNASKED: a cancelled job runs, as its submission was stored late.
 
-Jobs wait for the limit of their tenant. The store loses the answer to one write
-of the owner's counts and carries the write out 5.5 s later, after newer counts
-were stored. All entries then answer with the old count, and go on doing so.
+The store loses the answer to the write of a submission and carries the write out
+5.5 s later. The client gets 504, cancels, and gets 410. The job runs all the same.
 """
 import os
 import sys
@@ -12,57 +11,39 @@
 sys.path.insert(0, os.path.join(HERE, "..", "lib2"))
 import standin  # noqa: E402
 
-COUNTS = "camphorshed/control/queues"
+JOB = "00000000000000a8"
+CANCEL_S = 3.0  # the bound cancel_ms
 LATE_S = 5.5
-VISIBLE_S = 3.0 + 2.0  # visible_ms + 2 s
-JOBS = 10
-TENANT = {"name": "tenant-a", "apiKeys": [standin.KEY], "weight": 1,
-          "maximum": {"cpu": 1000, "memMb": 0, "gpu": 0}}
 
 
 def case(p, trouble):
     for n in range(3):
         p.add_worker("i-%d" % n)
     p.wait_ready()
-    lost = []
+    time.sleep(1.0)
+    path = standin.PREFIX + JOB
 
     def late(body):
-        """The first write of the counts that tells of a waiting job."""
-        for w in body["writes"]:
-            if w["key"] == COUNTS and not lost:
-                lost.append(p.record.now())
-                p.store.late = None
-                return LATE_S
+        """The first write of the submission, and only that one."""
+        if any(w["key"].endswith("/" + JOB) for w in body["writes"]):
+            p.store.late = None
+            return LATE_S
         return None
-
-    def submit(n, ms):
-        status, _ = p.entries[n % 2].call(
-            "POST", "%s%016x" % (standin.PREFIX, 0xa800 + n), standin.job(ms))
-        if status != 200:
-            raise RuntimeError("a job was not accepted")
-    submit(0, 60000)  # takes up the tenant's maximum
-    p.wait(lambda: p.starts, 10, "the first job runs")
-    time.sleep(1.0)
     if trouble:
         p.store.late = late
-    submit(1, 1000)
-    time.sleep(1.0)
-    for n in range(2, JOBS + 1):
-        submit(n, 1000)
-    time.sleep(LATE_S + VISIBLE_S + 1.0)
-    broken = []
-    for _ in range(3):
-        for e in p.entries:
-            status, answer = e.call("GET", standin.PREFIX)
-            pending = answer.get("pending", 0)
-            if status == 200 and pending * 2 < JOBS:
-                broken.append("%s gives %d pending jobs; %d were accepted over "
-                              "%.0f s ago and have not begun" % (
-                                  e.name, pending, JOBS, VISIBLE_S))
-        time.sleep(2.0)
-    if len(p.starts) != 1:
-        raise RuntimeError("a waiting job has begun")
-    return broken
-
-
-sys.exit(standin.run_case(HERE, case, tenants=[TENANT]))
+    first = p.entries[0]
+    status, _ = first.call("POST", path, standin.job(500))
+    status, _ = first.call("DELETE", path)
+    if not (200 <= status < 300 or status == 410):
+        raise RuntimeError("the cancelling was not acknowledged")
+    acknowledged = p.record.now()
+    time.sleep(LATE_S + 3.0)
+    for e in p.entries:
+        e.call("GET", path)
+    return ["%s was started on %s %.1f s after its cancelling was "
+            "acknowledged" % (task, worker, at - acknowledged)
+            for at, worker, task, _ in p.starts
+            if at > acknowledged + CANCEL_S]
+
+
+sys.exit(standin.run_case(HERE, case))
--- a/review/lib2/standin.py
+++ b/review/lib2/standin.py
@@ -24,6 +24,9 @@
 BOUNDS = {"leaseMs": 3000, "strictRevocation": False, "revokeMs": 5000}
 MAX_HOLD_MS = 6000
 HEARTBEAT_S = 1.5
+# A loopback address of this process, so that cases can be played side by side.
+ADDRESS = "127.%d.%d.%d" % (1 + os.getpid() % 200, 1 + os.getpid() // 200 % 200,
+                            1 + os.getpid() // 40000 % 200)
 KEY = "key-of-tenant-a"
 HOST = "desk.example"
 PREFIX = "/checks/"
@@ -81,33 +84,23 @@
 
 class Server(http.server.ThreadingHTTPServer):
     daemon_threads = True
+    request_queue_size = 128
 
-    def __init__(self, owner, backlog=128):
-        self.request_queue_size = backlog
-        super().__init__(("127.0.0.1", 0), Handler)
+    def __init__(self, owner):
+        super().__init__((ADDRESS, 0), Handler)
         self.owner = owner
         self.closing = threading.Event()
-        self.resume()
-
-    def pause(self):
-        """Accepts no connection until resume()."""
-        self.shutdown()
-        self.is_serving = False
-
-    def resume(self):
-        self.is_serving = True
         threading.Thread(target=self.serve_forever, args=(0.02,),
                          daemon=True).start()
 
     def close(self):
         self.closing.set()
-        if self.is_serving:
-            self.shutdown()
+        self.shutdown()
         self.server_close()
 
     @property
     def name(self):
-        return "127.0.0.1:%d" % self.server_address[1]
+        return "%s:%d" % (ADDRESS, self.server_address[1])
 
     def handle_error(self, request, client_address):
         """Ignored: an entry that abandons a call resets its connection."""
@@ -337,16 +330,6 @@
             self.lock.notify_all()
         self.record.add("%s: crashes, silent; it ran %s" % (self.name, lost))
 
-    def leave(self):
-        """Its host is taken: all that runs there ends, and so does it."""
-        with self.lock:
-            gone, self.life, self.registered = self.life, None, None
-            for task, row in gone.running.items():
-                self.platform.note_end(self, task, row[0], "gone")
-            gone.running = {}
-            self.lock.notify_all()
-        self.platform.store.remove("servers/" + self.name)
-
     def start_again(self, register_after):
         """A new life under the same id; its first report comes a bit later."""
         with self.lock:
@@ -468,92 +451,24 @@
 
 
 class Cloud:
-    """The host service: lists machines and moves them to another pool."""
-    MIGRATION_S = 1.5
+    """The host service. No pool needs a host here, so it moves none."""
 
     def __init__(self, platform):
-        self.platform, self.record = platform, platform.record
-        self.lock = threading.Lock()
-        self.is_silent = False
-        self.moving = {}  # machine -> pool
-        self.orders = []  # (time, machine, holder, token)
-        self.http = Server(self, backlog=1)
-        self.fillers = []
+        self.platform = platform
+        self.http = Server(self)
 
     def connection_life(self):
         return None
 
-    def go_silent(self):
-        """Open connections hang. The queue of new ones is full, so that opening
-        packets are dropped and sent again by their senders."""
-        self.is_silent = True
-        self.http.pause()
-        for _ in range(4):
-            s = socket.socket()
-            s.setblocking(False)
-            s.connect_ex(self.http.server_address)
-            self.fillers.append(s)
-        self.record.add("host service: silent")
-
-    def speak_again(self):
-        for s in self.fillers:
-            s.close()
-        self.is_silent = False
-        self.http.resume()
-        self.record.add("host service: answers again")
-
     def handle(self, h, body):
-        if self.is_silent:
-            return h.lose()
         if h.path.startswith("/-/machines"):
-            with self.lock:
-                return h.answer(200, {"machines": [
-                    self.row(w) for w in self.platform.workers.values()
-                    if w.life or w.machine in self.moving]})
-        machine = body.get("machine")
-        token = int(h.headers.get("Fencing-Token", 0))
-        holder = h.headers.get("Lease-Holder")
-        with self.lock:
-            self.orders.append((self.record.now(), machine, holder, token))
-            status, answer = self.move(machine, body.get("pool"))
-        self.record.add("host service: %s %s to %s by %s, token %d -> %d" % (
-            h.path, machine, body.get("pool"), holder, token, status))
-        return h.answer(status, answer)
-
-    def row(self, w):
-        return {"machine": w.machine, "pool": w.pool,
-                "state": "moving" if w.machine in self.moving else "up",
-                "zone": "zone-a", "labels": ["kind-a", "r1-1"],
-                "freeCapacity": {"cpu": w.cpu, "memMb": 32768, "gpu": 0},
-                "id": w.name}
-
-    def move(self, machine, pool):
-        workers = [w for w in self.platform.workers.values()
-                   if w.machine == machine and (w.life or machine in
-                                                self.moving)]
-        if not workers:
-            return 400, {}
-        w = workers[0]
-        if self.moving.get(machine) == pool or (
-                machine not in self.moving and w.pool == pool):
-            return 200, {}
-        if machine in self.moving:
-            return 409, {"reason": "busy"}
-        self.moving[machine] = pool
-        threading.Thread(target=self.finish_move, args=(w, pool),
-                         daemon=True).start()
-        return 200, {}
-
-    def finish_move(self, old, pool):
-        old.leave()
-        if self.http.closing.wait(self.MIGRATION_S):
-            return
-        with self.lock:
-            name = "%s-%d" % (old.name, len(self.platform.workers))
-            new = self.platform.add_worker(name, pool=pool, cpu=old.cpu,
-                                           machine=old.machine)
-            del self.moving[old.machine]
-        self.record.add("%s joins %s as %s" % (new.machine, pool, new.name))
+            return h.answer(200, {"machines": [
+                {"machine": w.machine, "pool": w.pool, "state": "up",
+                 "zone": "zone-a", "labels": ["kind-a", "r1-1"],
+                 "freeCapacity": {"cpu": w.cpu, "memMb": 32768, "gpu": 0},
+                 "id": w.name}
+                for w in list(self.platform.workers.values()) if w.life]})
+        return h.answer(409, {"reason": "busy"})
 
 
 class Advisor:
@@ -591,14 +506,15 @@
                                    flags=re.M))
         self.command = role["run"].split()
         self.command[0] = os.path.join(ROOT, self.command[0])
-        ports = free_ports(5)
+        ports = free_ports(4)
         self.front, self.readiness = ports[0], ports[1]
         self.settings = os.path.join(platform.folder, name + ".ini")
         fields = {
             "nodeName": name, "role": "entry", "machineClass": "edge",
-            "ip": "127.0.0.1", "zone": "zone-a", "region": "region-a",
-            "listenAddresses": {"front": "127.0.0.1:%d" % ports[0],
-                                "readiness": "127.0.0.1:%d" % ports[1]},
+            "ip": ADDRESS, "zone": "zone-a", "region": "region-a",
+            "listenAddresses": {
+                "front": "%s:%d" % (ADDRESS, ports[0]),
+                "readiness": "%s:%d" % (ADDRESS, ports[1])},
             "internalPortRange": [ports[2], ports[3]],
             "limits": {"cpuShare": 0.25}, "bounds": BOUNDS,
             "platform": {"address": platform.store.http.name,
@@ -630,7 +546,7 @@
 
     def is_ready(self):
         with contextlib.suppress(OSError, http.client.HTTPException):
-            c = http.client.HTTPConnection("127.0.0.1", self.readiness,
+            c = http.client.HTTPConnection(ADDRESS, self.readiness,
                                            timeout=1)
             c.request("GET", "/-/readiness")
             return c.getresponse().status == 200
@@ -644,7 +560,7 @@
             headers["Authorization"] = "Bearer " + key
         status, answer = 0, b""
         with contextlib.suppress(OSError, http.client.HTTPException):
-            c = http.client.HTTPConnection("127.0.0.1", self.front,
+            c = http.client.HTTPConnection(ADDRESS, self.front,
                                            timeout=timeout)
             c.request(method, path,
                       json.dumps(body) if body is not None else None, headers)
@@ -660,7 +576,7 @@
 def free_ports(n):
     sockets = [socket.socket() for _ in range(n)]
     for s in sockets:
-        s.bind(("127.0.0.1", 0))
+        s.bind((ADDRESS, 0))
     ports = [s.getsockname()[1] for s in sockets]
     for s in sockets:
         s.close()
@@ -701,7 +617,7 @@
     """All stand-ins of one case, and the checks of TWICE on their record."""
 
     def __init__(self, folder, entries=2, task_cpu=1000, routes=None,
-                 tenants=None, standby=None, advice=None):
+                 tenants=None, advice=None):
         self.record = Record(os.path.join(folder, "record.txt"))
         self.temporary = tempfile.TemporaryDirectory()
         self.folder = self.temporary.name
@@ -717,7 +633,6 @@
         self.cloud = Cloud(self)
         self.advisor = Advisor(self, *advice) if advice else None
         self.version = 1
-        self.standby = standby
         self.configure(routes, tenants)
         self.entries = [Entry(self, "entry-%d" % (i + 1))
                         for i in range(entries)]
@@ -733,9 +648,7 @@
              "maximum": {"cpu": 64000, "memMb": 0, "gpu": 0}}]
         self.store.write("op/config", json.dumps({
             "version": self.version, "routes": self.routes,
-            "services": [{"name": "pool0", "admissionCheck": True}] + (
-                [{"name": self.standby, "admissionCheck": True,
-                  "standby": True}] if self.standby else []),
+            "services": [{"name": "pool0", "admissionCheck": True}],
             "limits": {"maxBodyBytes": 65536}, "tenants": self.tenants}))
 
     def add_worker(self, name, **options):
