sched: runs that a new incarnation of a server may have started are kept

Cause: a server that crashes silently and starts again under its identifier carries out orders meant for its former incarnation. The owner hears of it up to 2.9 s later; until then it started tasks there, and when the start time changed it counted all runs of the row as lost. Evidence: task_start with server_age_ms=2641, server_reborn and task_end how=lost within 50 ms, stray_run_stopped for the same run after that.

Change: only runs that a list of the former incarnation showed end with it. The others stay until the list of the new one, or an answered stop, tells what became of them. A hold that is open at the former incarnation does not delay that list. Why this works: a start is carried out once, so a run that the former one listed is not in the new one, and for all others the new one's list is asked.

--- a/src/sched/runs.c
+++ b/src/sched/runs.c
@@ -462,7 +462,7 @@
 		servers_mark_dead(s, v, "another incarnation", now);
 		return;
 	}
-	if (d->result != ORDER_DONE)
+	if (d->result != ORDER_DONE || incarnation_is_stale(v, d))
 		return; /* servers_check() sends it again */
 	r->is_stop_answered = true;
 	r->stop_answered_at = now;
@@ -520,7 +520,8 @@
  * it counts against limits until it has stopped.
  */
 static void adopt_or_stop(struct sched *s, struct server *v,
-			  const struct order_run *reported, cs_time now)
+			  const struct order_run *reported, cs_time sent,
+			  cs_time now)
 {
 	char id[BATCH_ID_MAX];
 	int occurrence, step, index;
@@ -547,6 +548,7 @@
 	if (!r)
 		return;
 	update_run(s, r, reported, now);
+	r->listed_at = sent;
 	if (!is_needed)
 		runs_stop(s, r, "not needed", now);
 }
@@ -597,7 +599,7 @@
 			update_run(s, r, reported, now);
 			r->listed_at = d->sent;
 		} else if (s->is_ready) {
-			adopt_or_stop(s, v, reported, now);
+			adopt_or_stop(s, v, reported, d->sent, now);
 		}
 	}
 	/* A run that is missing from a partial list may run or have ended. */
--- a/src/sched/sched_private.h
+++ b/src/sched/sched_private.h
@@ -59,7 +59,8 @@
 	int64_t tail_ms_or_cpu; /* see struct order_run */
 	int pace; /* last ordered, percent */
 	bool is_pace_pending; /* a pace order has no reply yet */
-	cs_time listed_at; /* when the last list that shows it was sent */
+	/* When the last list that shows it was sent; 0: none has shown it. */
+	cs_time listed_at;
 };
 
 /*
@@ -94,6 +95,9 @@
 	/* Start of the next incarnation with this identifier; 0: none. */
 	uint64_t next_started_unix_ms;
 	uint64_t described_unix_ms; /* start of the one that info describes */
+	uint32_t incarnation; /* number of those that began since the first */
+	/* Orders that were sent since then did not reach an earlier one. */
+	cs_time incarnation_since;
 	unsigned int cordons; /* enum cordon; any of them: gets no starts */
 	/* Clock: the reading was taken between sent and received. */
 	int64_t clock_ms; /* -1: none yet */
@@ -324,6 +328,8 @@
  */
 void servers_mark_dead(struct sched *s, struct server *v, const char *why,
 		       cs_time now);
+/* The same without a line in the log. */
+void servers_end_incarnation(struct sched *s, struct server *v, cs_time now);
 /*
  * Sets or clears a reason for which the server gets no starts. No effect if the
  * server has no row.
@@ -343,6 +349,22 @@
  */
 void servers_update_settled(struct sched *s);
 
+/* incarnation.c */
+/*
+ * Another incarnation has the identifier of the server. It gets no orders until
+ * incarnation_start_next().
+ */
+void incarnation_note_next(struct sched *s, struct server *v,
+			   uint64_t started_unix_ms, const char *why,
+			   cs_time now);
+/*
+ * Makes the next incarnation the present one, which has to list its runs. Runs
+ * that may be of either one stay in the table.
+ */
+void incarnation_start_next(struct sched *s, struct server *v, cs_time now);
+/* True if the order may have reached a former incarnation. */
+bool incarnation_is_stale(const struct server *v, const struct order_reply *d);
+
 /* runs.c */
 struct run *run_row(const struct sched *s, cs_handle h);
 struct run *runs_start(struct sched *s, const struct task_ref *ref,
--- a/src/sched/servers.c
+++ b/src/sched/servers.c
@@ -163,6 +163,20 @@
 	g_array_append_val(s->unstored_servers, v->self);
 }
 
+/*
+ * The reference of an order for lists: it acknowledges the first n of the ends
+ * that were unstored, as the incarnation numbers them.
+ */
+static uint64_t list_ref(const struct server *v, guint n)
+{
+	return (uint64_t)v->incarnation << 32 | n;
+}
+
+static bool is_ref_of_incarnation(const struct server *v, uint64_t ref)
+{
+	return ref >> 32 == v->incarnation;
+}
+
 /* An order that acknowledges the first n of the ends that were unstored. */
 static struct order *new_list_order(const struct sched *s,
 				    const struct server *v,
@@ -203,7 +217,7 @@
 	if (v->is_taken_over && !is_waiting_for_store)
 		o->wait_ms = v->runs->len ? HOLD_WAIT_MS : IDLE_WAIT_MS;
 	o->timeout_ms = o->wait_ms + HOLD_SLACK_MS;
-	o->ref = n;
+	o->ref = list_ref(v, n);
 	v->is_hold_open = true;
 	counters_add(s->counters, "camphorshed_server_holds_total", "", 1);
 	s->ops->send(s->ctx, o);
@@ -217,6 +231,7 @@
 		return;
 	o = new_list_order(s, v, ORDER_LIST_RUNS, count_stored_ends(s, v));
 	o->timeout_ms = ORDER_TIMEOUT_MS;
+	o->ref = list_ref(v, 0);
 	s->ops->send(s->ctx, o);
 }
 
@@ -249,6 +264,8 @@
 void servers_on_reply(struct sched *s, struct server *v,
 		      const struct order_reply *d, cs_time now)
 {
+	if (incarnation_is_stale(v, d))
+		return;
 	if (d->result == ORDER_NOT_SENT || d->result == ORDER_UNKNOWN) {
 		if (!v->unanswered_orders++)
 			log_server(s, "server_unreachable", v,
@@ -283,7 +300,7 @@
 	}
 }
 
-static void mark_dead(struct sched *s, struct server *v, cs_time now)
+void servers_end_incarnation(struct sched *s, struct server *v, cs_time now)
 {
 	v->is_dead = true;
 	v->died_at = now;
@@ -300,7 +317,7 @@
 	if (v->is_dead)
 		return;
 	log_server(s, "server_dead", v, why, now);
-	mark_dead(s, v, now);
+	servers_end_incarnation(s, v, now);
 }
 
 void servers_set_cordon(struct sched *s, cs_handle server, enum cordon reason,
@@ -317,38 +334,6 @@
 		sched_wake(s);
 }
 
-/*
- * Handles a new incarnation under the same identifier, which has no state of
- * the previous one.
- */
-static void note_new_incarnation(struct sched *s, struct server *v,
-				 uint64_t started_unix_ms, cs_time now)
-{
-	if (v->next_started_unix_ms >= started_unix_ms)
-		return;
-	log_server(s, "server_reborn", v, "start time changed", now);
-	v->next_started_unix_ms = started_unix_ms;
-	mark_dead(s, v, now);
-}
-
-/* Resets the row for the next incarnation, once no old runs are left. */
-static void start_incarnation(struct sched *s, struct server *v, cs_time now)
-{
-	v->info.started_unix_ms = v->next_started_unix_ms;
-	v->next_started_unix_ms = 0;
-	v->is_dead = false;
-	v->clock_ms = -1;
-	v->clock_sent = v->clock_received = 0;
-	v->is_taken_over = false;
-	v->last_end = 0;
-	v->is_list_partial = false;
-	g_array_set_size(v->unstored, 0);
-	v->failed_in_row = 0;
-	v->suspect_until = 0;
-	v->best_effort_pace = 100;
-	servers_schedule_hold(s, v, now);
-}
-
 /*
  * Ends the runs of a dead server, so that their tasks can start again. A
  * successor may have recorded their ends already, so the ownership must have
@@ -358,9 +343,10 @@
 {
 	if (!v->is_dead || s->confirmed_at < v->died_at)
 		return;
-	end_runs_as_lost(s, v, now);
 	if (v->next_started_unix_ms)
-		start_incarnation(s, v, now);
+		incarnation_start_next(s, v, now);
+	else
+		end_runs_as_lost(s, v, now);
 }
 
 /* Logs the first of several partial lists, and the first complete one after. */
@@ -390,6 +376,8 @@
 static bool handle_lists(struct sched *s, struct server *v,
 			 const struct order_reply *d, cs_time now)
 {
+	guint acked = (guint)d->ref;
+
 	if (d->result == ORDER_REFUSED && d->reason == ORDER_REASON_INSTANCE) {
 		servers_mark_dead(s, v, "another incarnation", now);
 		return false;
@@ -403,13 +391,14 @@
 		return false;
 	if (d->started_unix_ms && v->info.started_unix_ms &&
 	    d->started_unix_ms != v->info.started_unix_ms) {
-		note_new_incarnation(s, v, d->started_unix_ms, now);
+		incarnation_note_next(s, v, d->started_unix_ms,
+				      "its list has another start time", now);
 		return false;
 	}
 	if (!v->info.started_unix_ms)
 		v->info.started_unix_ms = d->started_unix_ms;
-	if (d->ref && d->ref <= v->unstored->len)
-		g_array_remove_range(v->unstored, 0, (guint)d->ref);
+	if (acked && acked <= v->unstored->len)
+		g_array_remove_range(v->unstored, 0, acked);
 	note_partial_list(s, v, d);
 	runs_handle_ends(s, v, d, now);
 	runs_reconcile(s, v, d, now);
@@ -421,7 +410,7 @@
 {
 	/* A server that is dead, or not taken over yet, has no run to look for.
 	 */
-	if (!v->is_dead && v->is_taken_over)
+	if (!v->is_dead && v->is_taken_over && is_ref_of_incarnation(v, d->ref))
 		handle_lists(s, v, d, now);
 }
 
@@ -430,6 +419,8 @@
 {
 	cs_time next = now + HOLD_GAP_US;
 
+	if (!is_ref_of_incarnation(v, d->ref))
+		return; /* of a former incarnation; another hold is open */
 	v->is_hold_open = false;
 	if (!handle_lists(s, v, d, now)) {
 		if (!s->is_fenced)
@@ -578,7 +569,9 @@
 	}
 	if (info->started_unix_ms && v->info.started_unix_ms &&
 	    info->started_unix_ms > v->info.started_unix_ms)
-		note_new_incarnation(s, v, info->started_unix_ms, now);
+		incarnation_note_next(s, v, info->started_unix_ms,
+				      "the registry has another start time",
+				      now);
 	update_info(s, v, info, now);
 	servers_schedule_hold(s, v, now);
 	sched_wake(s);
--- /dev/null
+++ b/tests/unit/test_incarnation.c
@@ -0,0 +1,90 @@
+#include "unit.h"
+
+#include "site_world.h"
+
+/*
+ * Tests of servers that start again under their old identifier. The new
+ * incarnation carries out orders that were meant for the former one, and knows
+ * nothing of that one's runs, ends, fencing token and clock.
+ */
+
+static const struct world_job long_job = { .steps = 1,
+					   .width = 1,
+					   .work_ms = 4000,
+					   .cpu = 1000,
+					   .unavailable_max = -1 };
+
+/*
+ * A pool of two servers, of which the first one returned in server has a run,
+ * so that the next task goes there too.
+ */
+static struct world *make_uneven_world(int *server)
+{
+	struct world *w = make_world(1, 2, 0);
+	struct world_job job = long_job;
+
+	job.work_ms = 60000;
+	job.cpu = 8000;
+	world_submit(w, 0, &job);
+	world_run(w, 500);
+	*server = world_server_runs(w, 0) ? 0 : 1;
+	return w;
+}
+
+/*
+ * Guards against a task that runs twice: its start reached the new incarnation
+ * of a server before the owner had heard of that incarnation, and counted as
+ * lost with the former one.
+ */
+static void run_of_a_new_incarnation_is_kept(void **state)
+{
+	struct world *w = make_world(1, 1, 0);
+	int job;
+
+	(void)state;
+	world_server_reborn(w, 0, 500, 1000);
+	world_run(w, 600);
+	job = world_submit(w, 0, &long_job);
+	world_run(w, 8000);
+	assert_true(world_job_is_done(w, job));
+	assert_int_equal(world_job_starts(w, job), 1);
+	end_world(w);
+}
+
+/*
+ * Guards against a task that runs twice: a start without an answer counted as
+ * lost with the former incarnation, and the new one carried it out seconds
+ * later.
+ */
+static void late_start_is_ruled_out_at_the_new_incarnation(void **state)
+{
+	int i, number, server;
+
+	(void)state;
+	for (i = 0; i < 10; i++) {
+		struct world *w = make_uneven_world(&server);
+		struct world_job job = long_job;
+
+		job.work_ms = 12000;
+		world_run(w, 200 * i);
+		world_set_late_starts(w, 1000);
+		number = world_submit(w, 0, &job);
+		world_run(w, 100);
+		world_set_late_starts(w, 0);
+		world_server_reborn(w, server, 300, 100);
+		world_run(w, 40000);
+		assert_true(world_job_is_done(w, number));
+		end_world(w);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(run_of_a_new_incarnation_is_kept),
+		cmocka_unit_test(
+			late_start_is_ruled_out_at_the_new_incarnation),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/unit/test_sched_faults.c
+++ b/tests/unit/test_sched_faults.c
@@ -2,33 +2,13 @@
 
 #include <stdio.h>
 
-#include "../world/world.h"
+#include "site_world.h"
 
 /*
  * Tests of the scheduler against faults that once broke a promise to callers,
  * each in the simulated site. docs/incidents/ has the postmortems.
  */
 
-static struct world *make_world(int pools, int servers, int standby)
-{
-	const struct world_options options = { .seed = 11,
-					       .nodes = 3,
-					       .servers = servers,
-					       .pools = pools,
-					       .standby = standby };
-	struct world *w = world_create(&options);
-
-	world_run(w, 3000);
-	return w;
-}
-
-static void end_world(struct world *w)
-{
-	if (world_violation(w))
-		fail_msg("%s", world_violation(w));
-	world_destroy(w);
-}
-
 /*
  * Guards against servers that stay out of use: an order to move a host got no
  * reply and was not carried out, and its server was never used again.
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -837,6 +837,16 @@
 	v->pool = pool;
 }
 
+void world_server_reborn(struct world *w, int server, int64_t restart_ms,
+			 int64_t register_ms)
+{
+	struct sim_server *v = server_at(w, server);
+
+	world_server_crash(w, server, restart_ms);
+	v->keeps_id = true;
+	v->register_delay_ms = register_ms;
+}
+
 int world_server_pool(const struct world *w, int server)
 {
 	return server_at(w, server)->pool;
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -91,6 +91,12 @@
  */
 void world_server_return_as(struct world *world, int server, int64_t restart_ms,
 			    const char *label, int pool);
+/*
+ * A silent crash, after which the server starts again under its identifier. The
+ * registry describes the former incarnation for register_ms more.
+ */
+void world_server_reborn(struct world *world, int server, int64_t restart_ms,
+			 int64_t register_ms);
 /* The number of the pool of a server. */
 int world_server_pool(const struct world *world, int server);
 /* Drains a server for 4 s and restarts it under a new identifier 1 s later. */
--- a/tests/world/world_servers.c
+++ b/tests/world/world_servers.c
@@ -714,6 +714,15 @@
 	v->is_listed = false;
 }
 
+static void on_register(void *ctx, uint64_t arg, cs_time now)
+{
+	struct sim_server *v = ctx;
+
+	(void)now;
+	if ((int)arg == v->generation && v->is_up)
+		sim_server_register(v->world, v);
+}
+
 void sim_server_start(struct sim_server *v)
 {
 	char key[80];
@@ -738,7 +747,13 @@
 	if (v->is_in_maintenance)
 		v->world->wave_down--;
 	v->is_in_maintenance = false;
-	sim_server_register(v->world, v);
+	if (v->register_delay_ms)
+		timers_subscribe(v->world->timers,
+				 v->world->now + v->register_delay_ms * CS_MSEC,
+				 on_register, v, (uint64_t)v->generation);
+	else
+		sim_server_register(v->world, v);
+	v->register_delay_ms = 0;
 }
 
 void sim_server_restart(void *ctx, uint64_t arg, cs_time now)
