sched: the lease of a new incarnation counts as running for the longest time

Cause: the end of a lease is a time of the server's clock, which starts anew with each incarnation. An end meant for the former one is far ahead by the new clock, so the server cut it to its longest lease, 10 s, while the owner waited for 3.5 s and started the task elsewhere. Evidence: cut at 7.6 s, server_lease_ended and task_start at 11.5 s, the run on the server went on until 16 s.

Change: the longest lease is a setting (server_lease_max, the platform's maxHoldMs) and bounds the lease of a new incarnation. A clock reading that can't follow from the last one is not taken over; the server's list is requested and it gets neither starts nor leases until then.

Test lease_of_a_new_incarnation_is_waited_for failed before, with TWICE.

--- a/src/sched/incarnation.c
+++ b/src/sched/incarnation.c
@@ -44,6 +44,83 @@
 	return d->sent < v->incarnation_since;
 }
 
+/*
+ * A lease that was given by the clock of another incarnation may last for the
+ * longest time that servers allow.
+ */
+static void extend_inherited_lease(const struct sched *s, struct server *v,
+				   cs_time now)
+{
+	cs_time longest = s->options.limits.server_lease_max_ms * CS_MSEC;
+
+	v->inherited_lease_end = now + longest +
+				 (cs_time)((double)longest * CLOCK_ERROR) +
+				 LEASE_SLACK_US;
+}
+
+/* How far a server's clock may have advanced in a time, which may be < 0. */
+static double clock_min(cs_time elapsed)
+{
+	return (double)elapsed *
+	       (elapsed > 0 ? 1 - CLOCK_ERROR : 1 + CLOCK_ERROR);
+}
+
+static double clock_max(cs_time elapsed)
+{
+	return (double)elapsed *
+	       (elapsed > 0 ? 1 + CLOCK_ERROR : 1 - CLOCK_ERROR);
+}
+
+/* True if the reading can be of the same clock as the last one. */
+static bool fits_clock(const struct server *v, const struct order_reply *d)
+{
+	double step = (double)((d->clock_ms - v->clock_ms) * CS_MSEC);
+
+	return step >= clock_min(d->sent - v->clock_received) -
+			       LEASE_SLACK_US &&
+	       step <= clock_max(d->received - v->clock_sent) + LEASE_SLACK_US;
+}
+
+static bool is_list(const struct order_reply *d)
+{
+	return d->result == ORDER_DONE &&
+	       (d->type == ORDER_HOLD || d->type == ORDER_LIST_RUNS);
+}
+
+static void doubt_incarnation(struct sched *s, struct server *v, cs_time now)
+{
+	extend_inherited_lease(s, v, now);
+	v->doubted_at = now;
+	if (v->is_incarnation_doubtful)
+		return;
+	v->is_incarnation_doubtful = true;
+	log_incarnation(s, "server_clock_jump", v, "a reply has another clock");
+	servers_list_runs(s, v);
+}
+
+void incarnation_read_clock(struct sched *s, struct server *v,
+			    const struct order_reply *d, cs_time now)
+{
+	if (d->clock_ms < 0)
+		return;
+	if (is_list(d)) {
+		/* handle_lists() sees that another one has answered. */
+		if (d->started_unix_ms && v->info.started_unix_ms &&
+		    d->started_unix_ms != v->info.started_unix_ms)
+			return;
+		if (d->sent >= v->doubted_at)
+			v->is_incarnation_doubtful = false;
+	} else if (v->clock_ms >= 0 && !fits_clock(v, d)) {
+		doubt_incarnation(s, v, now);
+	}
+	/* Replies can arrive out of order; older readings are ignored. */
+	if (v->is_incarnation_doubtful || d->sent < v->clock_sent)
+		return;
+	v->clock_ms = d->clock_ms;
+	v->clock_sent = d->sent;
+	v->clock_received = d->received;
+}
+
 /*
  * Ends the runs that the former incarnation listed. The others may have been
  * started by either one: they stay until the new one has listed its runs, and
@@ -77,6 +154,8 @@
 	v->is_dead = false;
 	v->clock_ms = -1;
 	v->clock_sent = v->clock_received = 0;
+	v->is_incarnation_doubtful = false;
+	extend_inherited_lease(s, v, now);
 	v->is_taken_over = false;
 	v->is_hold_open = false;
 	v->unanswered_orders = 0;
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -32,7 +32,8 @@
 	return v->is_listed && v->is_taken_over && v->is_granted &&
 	       !v->is_dead && !v->cordons && !v->info.is_draining &&
 	       !v->unanswered_orders && v->clock_ms >= 0 && is_described(v) &&
-	       now >= v->suspect_until && now >= v->refused_until &&
+	       !v->is_incarnation_doubtful && now >= v->suspect_until &&
+	       now >= v->refused_until &&
 	       !(g_hash_table_size(s->evacuated) &&
 		 g_hash_table_contains(s->evacuated, v->info.data_centre));
 }
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -52,6 +52,8 @@
 	int host_calls_per_s; /* rate limit of the host service */
 	/* Minimum time between orders of two entries to the same host. */
 	int64_t holder_pause_ms;
+	/* Servers shorten a longer lease to this, by their own clock. */
+	int64_t server_lease_max_ms;
 };
 
 struct sched_options {
--- a/src/sched/sched_private.h
+++ b/src/sched/sched_private.h
@@ -98,6 +98,17 @@
 	uint32_t incarnation; /* number of those that began since the first */
 	/* Orders that were sent since then did not reach an earlier one. */
 	cs_time incarnation_since;
+	/*
+	 * A reply had a reading of another clock, so that the server may have
+	 * started again; until a list names its incarnation.
+	 */
+	bool is_incarnation_doubtful;
+	cs_time doubted_at;
+	/*
+	 * Until then a lease may last that was given by the clock of a former
+	 * incarnation.
+	 */
+	cs_time inherited_lease_end;
 	unsigned int cordons; /* enum cordon; any of them: gets no starts */
 	/* Clock: the reading was taken between sent and received. */
 	int64_t clock_ms; /* -1: none yet */
@@ -364,6 +375,12 @@
 void incarnation_start_next(struct sched *s, struct server *v, cs_time now);
 /* True if the order may have reached a former incarnation. */
 bool incarnation_is_stale(const struct server *v, const struct order_reply *d);
+/*
+ * Takes over the reading of the server's clock in a reply, unless it is of
+ * another incarnation. Requests the list of a server whose clock has jumped.
+ */
+void incarnation_read_clock(struct sched *s, struct server *v,
+			    const struct order_reply *d, cs_time now);
 
 /* runs.c */
 struct run *run_row(const struct sched *s, cs_handle h);
--- a/src/sched/servers.c
+++ b/src/sched/servers.c
@@ -58,7 +58,7 @@
 
 cs_time servers_lease_end(const struct sched *s, const struct server *v)
 {
-	cs_time end = v->predecessor_lease_end;
+	cs_time end = MAX(v->predecessor_lease_end, v->inherited_lease_end);
 	cs_time left;
 
 	(void)s;
@@ -212,9 +212,11 @@
 	 * renews the lease delays the time at which the runs count as lost.
 	 * After a missing reply, holds do not renew the lease.
 	 */
-	if (v->runs->len && !v->unanswered_orders && !s->is_paused)
+	if (v->runs->len && !v->unanswered_orders && !s->is_paused &&
+	    !v->is_incarnation_doubtful)
 		o->deadline_ms = servers_deadline(v, now);
-	if (v->is_taken_over && !is_waiting_for_store)
+	if (v->is_taken_over && !is_waiting_for_store &&
+	    !v->is_incarnation_doubtful)
 		o->wait_ms = v->runs->len ? HOLD_WAIT_MS : IDLE_WAIT_MS;
 	o->timeout_ms = o->wait_ms + HOLD_SLACK_MS;
 	o->ref = list_ref(v, n);
@@ -281,12 +283,7 @@
 	}
 	v->unanswered_orders = 0;
 	v->answered_at = now;
-	/* Replies can arrive out of order; older clock readings are ignored. */
-	if (d->clock_ms >= 0 && d->sent >= v->clock_sent) {
-		v->clock_ms = d->clock_ms;
-		v->clock_sent = d->sent;
-		v->clock_received = d->received;
-	}
+	incarnation_read_clock(s, v, d, now);
 }
 
 /* Ends all runs of a server whose incarnation or lease has ended. */
--- a/src/settings/node_settings.c
+++ b/src/settings/node_settings.c
@@ -71,6 +71,7 @@
 
 static const struct settings_key bound_keys[] = {
 	BOUND("holder_pause", FIELD(holder_pause_ms), 600000, "3s"),
+	BOUND("server_lease_max", FIELD(server_lease_max_ms), 600000, "10s"),
 	BOUND("withdrawn_key", FIELD(withdrawn_key_ms), 600000, "0s"),
 };
 
--- a/src/settings/node_settings.h
+++ b/src/settings/node_settings.h
@@ -25,6 +25,7 @@
 	int64_t drain_ms; /* longest wait for requests in progress */
 	int64_t lease_min_ms; /* shortest lease that the store grants */
 	int64_t holder_pause_ms; /* between two holders of host orders */
+	int64_t server_lease_max_ms; /* a server shortens longer leases */
 	int64_t withdrawn_key_ms; /* see struct node_options */
 };
 
--- a/tests/unit/test_incarnation.c
+++ b/tests/unit/test_incarnation.c
@@ -3,9 +3,9 @@
 #include "site_world.h"
 
 /*
- * Tests of servers that start again under their old identifier. The new
- * incarnation carries out orders that were meant for the former one, and knows
- * nothing of that one's runs, ends, fencing token and clock.
+ * Tests of servers that start again under their old identifier. The new incarnation
+ * carries out orders that were meant for the former one, and knows nothing of
+ * that one's runs, ends, fencing token and clock.
  */
 
 static const struct world_job long_job = { .steps = 1,
@@ -32,9 +32,9 @@
 }
 
 /*
- * Guards against a task that runs twice: its start reached the new incarnation
- * of a server before the owner had heard of that incarnation, and counted as
- * lost with the former one.
+ * Guards against a task that runs twice: its start reached the new incarnation of a
+ * server before the owner had heard of that incarnation, and counted as lost with the
+ * former one.
  */
 static void run_of_a_new_incarnation_is_kept(void **state)
 {
@@ -53,8 +53,7 @@
 
 /*
  * Guards against a task that runs twice: a start without an answer counted as
- * lost with the former incarnation, and the new one carried it out seconds
- * later.
+ * lost with the former incarnation, and the new one carried it out seconds later.
  */
 static void late_start_is_ruled_out_at_the_new_incarnation(void **state)
 {
@@ -78,12 +77,41 @@
 	}
 }
 
+/*
+ * Guards against a task that runs twice: a lease by the clock of the former
+ * one is longer by that of the new one, up to the limit of the platform, and
+ * the owner gave up the run of a server that was cut off before it ended.
+ */
+static void lease_of_a_new_incarnation_is_waited_for(void **state)
+{
+	struct world *w = make_world(1, 2, 0);
+	struct world_job job = long_job;
+	int n, s, number;
+
+	(void)state;
+	job.work_ms = 9000;
+	job.cpu = 20000;
+	world_run(w, 20000);
+	for (s = 0; s < 2; s++)
+		world_server_reborn(w, s, 500, 1500);
+	world_run(w, 600);
+	number = world_submit(w, 0, &job);
+	world_run(w, 200);
+	assert_int_equal(world_job_starts(w, number), 1);
+	s = world_server_runs(w, 0) ? 0 : 1;
+	for (n = 0; n < 3; n++)
+		world_node_cut_server(w, n, s, true);
+	world_run(w, 30000);
+	assert_true(world_job_is_done(w, number));
+	end_world(w);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(run_of_a_new_incarnation_is_kept),
-		cmocka_unit_test(
-			late_start_is_ruled_out_at_the_new_incarnation),
+		cmocka_unit_test(late_start_is_ruled_out_at_the_new_incarnation),
+		cmocka_unit_test(lease_of_a_new_incarnation_is_waited_for),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
