sched: holds acknowledge nothing while a server may have started again

Callers would see a task run again after it was done.

Cause: ends are acknowledged by number, and numbers start anew with each incarnation. A hold meant for the former one made the new one forget ends that it had not listed, and the owner took these runs for lost.

Change: nothing is acknowledged while an order is without an answer or the server's clock has jumped. Ends are listed until they are acknowledged, so this only delays that.

Test ends_of_a_new_incarnation_are_seen failed before: 2 starts for 1.

--- a/src/sched/incarnation.c
+++ b/src/sched/incarnation.c
@@ -39,6 +39,11 @@
 	servers_end_incarnation(s, v, now);
 }
 
+bool incarnation_is_certain(const struct server *v)
+{
+	return !v->unanswered_orders && !v->is_incarnation_doubtful;
+}
+
 bool incarnation_is_stale(const struct server *v, const struct order_reply *d)
 {
 	return d->sent < v->incarnation_since;
--- a/src/sched/sched_private.h
+++ b/src/sched/sched_private.h
@@ -373,6 +373,8 @@
  * that may be of either one stay in the table.
  */
 void incarnation_start_next(struct sched *s, struct server *v, cs_time now);
+/* False if the server may have started again since its last answer. */
+bool incarnation_is_certain(const struct server *v);
 /* True if the order may have reached a former incarnation. */
 bool incarnation_is_stale(const struct server *v, const struct order_reply *d);
 /*
--- a/src/sched/servers.c
+++ b/src/sched/servers.c
@@ -177,6 +177,32 @@
 	return ref >> 32 == v->incarnation;
 }
 
+/*
+ * Number of the oldest unstored ends to acknowledge with an order. None while
+ * the server may have started again: its numbers start anew, and it would drop
+ * ends that were never listed here.
+ */
+static guint count_ends_to_ack(const struct sched *s, const struct server *v)
+{
+	return incarnation_is_certain(v) ? count_stored_ends(s, v) : 0;
+}
+
+/* The highest number of an end that may be acknowledged with n unstored ones.
+ */
+static uint64_t acked_end(const struct server *v, guint n)
+{
+	if (!incarnation_is_certain(v))
+		return 0;
+	if (n)
+		return g_array_index(v->unstored, struct unstored_end, n - 1)
+			.number;
+	return v->unstored->len ?
+		       g_array_index(v->unstored, struct unstored_end, 0)
+				       .number -
+			       1 :
+		       v->last_end;
+}
+
 /* An order that acknowledges the first n of the ends that were unstored. */
 static struct order *new_list_order(const struct sched *s,
 				    const struct server *v,
@@ -189,23 +215,15 @@
 	cs_copy(o->instance, sizeof(o->instance), v->info.id);
 	cs_copy(o->pool, sizeof(o->pool), v->info.pool);
 	o->token = s->options.token;
-	o->acked_end = v->unstored->len ? g_array_index(v->unstored,
-							struct unstored_end, 0)
-							  .number -
-						  1 :
-					  v->last_end;
-	if (n)
-		o->acked_end =
-			g_array_index(v->unstored, struct unstored_end, n - 1)
-				.number;
+	o->acked_end = acked_end(v, n);
 	return o;
 }
 
 static void send_hold(struct sched *s, struct server *v, cs_time now)
 {
-	guint n = count_stored_ends(s, v);
+	guint n = count_ends_to_ack(s, v);
 	struct order *o = new_list_order(s, v, ORDER_HOLD, n);
-	bool is_waiting_for_store = n < v->unstored->len;
+	bool is_waiting_for_store = count_stored_ends(s, v) < v->unstored->len;
 
 	/*
 	 * A hold without a reply may have been carried out, so each one that
@@ -231,7 +249,7 @@
 
 	if (v->is_dead)
 		return;
-	o = new_list_order(s, v, ORDER_LIST_RUNS, count_stored_ends(s, v));
+	o = new_list_order(s, v, ORDER_LIST_RUNS, count_ends_to_ack(s, v));
 	o->timeout_ms = ORDER_TIMEOUT_MS;
 	o->ref = list_ref(v, 0);
 	s->ops->send(s->ctx, o);
--- a/tests/unit/test_incarnation.c
+++ b/tests/unit/test_incarnation.c
@@ -106,12 +106,42 @@
 	end_world(w);
 }
 
+/*
+ * Guards against a task that runs again after it was done: a hold that was
+ * meant for the former incarnation acknowledged the ends of the new one, unseen.
+ */
+static void ends_of_a_new_incarnation_are_seen(void **state)
+{
+	struct world *w = make_world(1, 1, 0);
+	struct world_job job = long_job;
+	int i;
+
+	(void)state;
+	job.work_ms = 50;
+	for (i = 0; i < 5; i++) {
+		world_submit(w, 0, &job);
+		world_run(w, 1000);
+	}
+	world_run(w, 3000);
+	world_server_reborn(w, 0, 300, 6000);
+	world_run(w, 400);
+	world_server_set_silent(w, 0, true);
+	i = world_submit(w, 0, &job);
+	world_run(w, 200);
+	world_server_set_silent(w, 0, false);
+	world_run(w, 12000);
+	assert_true(world_job_is_done(w, i));
+	assert_int_equal(world_job_starts(w, i), 1);
+	end_world(w);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(run_of_a_new_incarnation_is_kept),
 		cmocka_unit_test(late_start_is_ruled_out_at_the_new_incarnation),
 		cmocka_unit_test(lease_of_a_new_incarnation_is_waited_for),
+		cmocka_unit_test(ends_of_a_new_incarnation_are_seen),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
