--- a/tests/unit/test_incarnation.c
+++ b/tests/unit/test_incarnation.c
@@ -3,9 +3,9 @@
 #include "site_world.h"
 
 /*
- * Tests of servers that start again under their old identifier. The new incarnation
- * carries out orders that were meant for the former one, and knows nothing of
- * that one's runs, ends, fencing token and clock.
+ * Tests of servers that start again under their old identifier. The new
+ * incarnation carries out orders that were meant for the former one, and knows
+ * nothing of that one's runs, ends, fencing token and clock.
  */
 
 static const struct world_job long_job = { .steps = 1,
@@ -32,9 +32,9 @@
 }
 
 /*
- * Guards against a task that runs twice: its start reached the new incarnation of a
- * server before the owner had heard of that incarnation, and counted as lost with the
- * former one.
+ * Guards against a task that runs twice: its start reached the new incarnation
+ * of a server before the owner had heard of that incarnation, and counted as
+ * lost with the former one.
  */
 static void run_of_a_new_incarnation_is_kept(void **state)
 {
@@ -52,8 +52,9 @@
 }
 
 /*
- * The same after a change of the owner: the new one took a server whose incarnation
- * was not the one of the registry for one without runs of its predecessor.
+ * The same after a change of the owner: the new one took a server whose
+ * incarnation was not the one of the registry for one without runs of its
+ * predecessor.
  */
 static void new_owner_lists_the_new_incarnation(void **state)
 {
@@ -75,7 +76,8 @@
 
 /*
  * Guards against a task that runs twice: a start without an answer counted as
- * lost with the former incarnation, and the new one carried it out seconds later.
+ * lost with the former incarnation, and the new one carried it out seconds
+ * later.
  */
 static void late_start_is_ruled_out_at_the_new_incarnation(void **state)
 {
@@ -100,8 +102,8 @@
 }
 
 /*
- * The same for a start that was ruled out at the former incarnation, whose rejection
- * of it is gone.
+ * The same for a start that was ruled out at the former incarnation, whose
+ * rejection of it is gone.
  */
 static void rejected_start_stays_rejected_at_the_new_incarnation(void **state)
 {
@@ -157,7 +159,8 @@
 
 /*
  * Guards against a task that runs again after it was done: a hold that was
- * meant for the former incarnation acknowledged the ends of the new one, unseen.
+ * meant for the former incarnation acknowledged the ends of the new one,
+ * unseen.
  */
 static void ends_of_a_new_incarnation_are_seen(void **state)
 {
@@ -189,8 +192,10 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(run_of_a_new_incarnation_is_kept),
 		cmocka_unit_test(new_owner_lists_the_new_incarnation),
-		cmocka_unit_test(late_start_is_ruled_out_at_the_new_incarnation),
-		cmocka_unit_test(rejected_start_stays_rejected_at_the_new_incarnation),
+		cmocka_unit_test(
+			late_start_is_ruled_out_at_the_new_incarnation),
+		cmocka_unit_test(
+			rejected_start_stays_rejected_at_the_new_incarnation),
 		cmocka_unit_test(lease_of_a_new_incarnation_is_waited_for),
 		cmocka_unit_test(ends_of_a_new_incarnation_are_seen),
 	};
