node: a cancelled job can't be stored late

Cause: the entry answered 410 because the job's key was absent, while the write of the submission had got no reply and was carried out later. Evidence: request kind=submit result=unknown, kind=cancel result=no_job, then task_start of the job.

Change: a cancellation that finds no job writes a marker to the job's key, on the condition that it is absent, and answers 410 once that is stored. A submission has the same condition, so only one of the two is carried out. The owner removes markers after 130 s. A cancellation whose read failed reads again; before, it was answered 200 unread.

--- a/src/node/api.c
+++ b/src/node/api.c
@@ -226,6 +226,15 @@
 	return is_other;
 }
 
+/* True if a cancellation has taken the job's key before a submission did. */
+static bool is_withdrawn(const struct store_reply *d)
+{
+	const struct store_item *item =
+		d->items->len ? g_ptr_array_index(d->items, 0) : NULL;
+
+	return item && item->value && withdrawn_is_marker(item->value);
+}
+
 static void submit(struct open_request *o, cs_time now);
 static void read_job(struct open_request *o, cs_time now);
 static void cancel(struct open_request *o, cs_time now);
@@ -237,13 +246,8 @@
 		submit(o, now);
 		break;
 	case API_STATE:
-		read_job(o, now);
-		break;
 	case API_CANCEL:
-		if (o->is_reading_job)
-			cancel(o, now);
-		else
-			read_job(o, now);
+		read_job(o, now);
 		break;
 	case API_READY:
 		break;
@@ -286,7 +290,12 @@
 		finish_with_result(o, API_OK, "stored", now);
 		break;
 	case STORE_CONFLICT: /* it was stored before: still one job */
-		if (is_foreign_submission(o, d))
+		if (is_withdrawn(d))
+			finish_with_result(o, API_UNAVAILABLE,
+					   "the job was cancelled before it "
+					   "was stored",
+					   now);
+		else if (is_foreign_submission(o, d))
 			finish_with_result(o, API_UNAVAILABLE,
 					   "another workspace has a job with "
 					   "this identifier",
@@ -367,11 +376,54 @@
 	store_calls_send(o->node->calls, c, on_cancelled, o->node, o->self);
 }
 
+static void on_withdrawn(void *ctx, uint64_t arg, const struct store_reply *d,
+			 cs_time now)
+{
+	struct node *n = ctx;
+	struct open_request *o = slots_get(n->requests, arg);
+
+	if (!o)
+		return;
+	if (d->result == STORE_OK)
+		finish_with_result(o, API_NO_JOB, "withdrawn", now);
+	else if (d->result == STORE_CONFLICT)
+		read_job(o, now); /* the job was stored meanwhile */
+	else
+		retry(o, "the cancellation could not be stored", now);
+}
+
+/*
+ * Cancels a job that is not stored: a write of its submission that got no reply
+ * could still be carried out, so the key is taken before the caller is told
+ * that there is no such job.
+ */
+static void withdraw(struct open_request *o, cs_time now)
+{
+	struct store_call *c;
+	char *key;
+
+	if (!time_left(o, now)) {
+		retry(o, "no time left", now);
+		return;
+	}
+	key = g_strconcat(KEY_JOBS, o->id, NULL);
+	c = store_call_new(STORE_TXN, NULL, time_left(o, now));
+	store_call_expect(c, key, 0);
+	store_call_write(
+		c, key,
+		g_bytes_new_static(JOB_WITHDRAWN, strlen(JOB_WITHDRAWN)), 0);
+	g_free(key);
+	store_calls_send(o->node->calls, c, on_withdrawn, o->node, o->self);
+}
+
 /* Handles the reply for the job's key, read if there is no progress. */
 static void handle_job_read(struct open_request *o, const struct store_reply *d,
 			    cs_time now)
 {
-	if (d->result == STORE_MISSING || is_foreign_submission(o, d)) {
+	if (d->result == STORE_MISSING && o->request->kind == API_CANCEL) {
+		withdraw(o, now);
+	} else if (d->result == STORE_MISSING || is_withdrawn(d) ||
+		   is_foreign_submission(o, d)) {
 		finish_with_result(o, API_NO_JOB, NULL, now);
 	} else if (o->request->kind == API_CANCEL) {
 		cancel(o, now);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -306,6 +306,7 @@
 	if (n->sched)
 		sched_turn(n->sched, unix_ms, now);
 	commit_turn(n, now);
+	withdrawn_turn(n, now);
 	queues_publish(n, now);
 }
 
--- a/src/node/node_private.h
+++ b/src/node/node_private.h
@@ -20,6 +20,8 @@
 #define KEY_JOBS "camphorshed/jobs/"
 /* Replaces the submission in a job's key once the job's end is stored. */
 #define JOB_ENDED "ended"
+/* Stands in a job's key that was cancelled before a submission was stored. */
+#define JOB_WITHDRAWN "withdrawn"
 #define KEY_CANCELS "camphorshed/cancels/"
 /* Written by the owner, and read once by the next owner. */
 #define KEY_PROGRESS "camphorshed-progress/"
@@ -100,6 +102,13 @@
 	char key[STORE_KEY_MAX];
 };
 
+/* Keys that withdrawn.c has to remove; kept by the owner. */
+struct withdrawn_keys {
+	GQueue rows; /* struct withdrawn, the first to expire first */
+	bool is_removal_open;
+	cs_time not_before; /* of the next removal */
+};
+
 struct node {
 	struct node_options options;
 	const struct node_ops *ops;
@@ -134,6 +143,7 @@
 	GBytes *loaded_ordered_hosts; /* NULL: none */
 	struct owner owner;
 	struct commit commit;
+	struct withdrawn_keys withdrawn;
 	struct slots *wave_writes; /* struct wave_write; NULL: none */
 	struct sched *sched; /* NULL unless owner */
 	char *published_queues; /* last value written to KEY_QUEUES */
@@ -175,6 +185,16 @@
 void commit_turn(struct node *n, cs_time now);
 void commit_reset(struct node *n);
 
+/* withdrawn.c */
+/* True if the value of a job's key rules a submission out. */
+bool withdrawn_is_marker(GBytes *value);
+/* Has the owner remove such a key once its retention has passed. */
+void withdrawn_add(struct node *n, const char *id, uint64_t revision,
+		   cs_time now);
+void withdrawn_turn(struct node *n, cs_time now);
+/* Forgets all keys, at the end of a term. */
+void withdrawn_reset(struct node *n);
+
 /* wave_status.c */
 /* See wave_advanced() of struct sched_ops; ctx: the node. */
 void wave_status_write(void *ctx, uint64_t wave, const GPtrArray *done_hosts,
--- a/src/node/term.c
+++ b/src/node/term.c
@@ -131,8 +131,11 @@
 	if (g_str_has_prefix(item->key, KEY_JOBS)) {
 		const char *id = item->key + strlen(KEY_JOBS);
 
-		/* While active, only this owner writes the marker. */
-		if (is_loading)
+		/* While active, only this owner writes the marker of an end.
+		 */
+		if (withdrawn_is_marker(item->value))
+			withdrawn_add(n, id, item->revision, now);
+		else if (is_loading)
 			add_loaded(n->loaded_jobs, id, item);
 		else if (!is_ended_marker(item->value))
 			add_job(n, id, item->value, item->revision, NULL, now);
@@ -383,6 +386,7 @@
 	close_view(&n->root);
 	close_view(&n->servers);
 	commit_reset(n);
+	withdrawn_reset(n);
 	wave_status_reset(n);
 	g_free(n->published_queues);
 	n->published_queues = NULL;
--- /dev/null
+++ b/tests/unit/test_late_writes.c
@@ -0,0 +1,75 @@
+#include "unit.h"
+
+#include "site_world.h"
+
+/*
+ * Tests of writes to the store that get no reply and are carried out seconds
+ * later, after what was decided meanwhile.
+ */
+
+static const struct world_job short_job = { .steps = 1,
+					    .width = 1,
+					    .work_ms = 500,
+					    .cpu = 1000,
+					    .unavailable_max = -1 };
+
+/*
+ * Guards against a job that runs after its cancellation was acknowledged: its
+ * submission was not stored yet, and the write was carried out later.
+ */
+static void cancelled_submission_is_not_stored_late(void **state)
+{
+	int i;
+
+	(void)state;
+	for (i = 0; i < 20; i++) {
+		struct world *w = make_world(1, 2, 0);
+		int job;
+
+		world_run(w, 50 * i);
+		world_store_set_lost_replies(w, 1000, true);
+		job = world_submit(w, 1, &short_job);
+		world_run(w, 5);
+		world_store_set_lost_replies(w, 0, false);
+		world_cancel(w, 2, job);
+		world_run(w, 12000);
+		assert_int_equal(world_job_starts(w, job), 0);
+		world_query_job(w, 0, job);
+		world_run(w, 1000);
+		assert_int_equal(world_job_answers(w, job), 0);
+		end_world(w);
+	}
+}
+
+/* Guards against keys of such cancellations that stay in the store. */
+static void withdrawn_keys_are_removed(void **state)
+{
+	struct world *w = make_world(1, 2, 0);
+	int job;
+
+	(void)state;
+	world_store_set_lost_replies(w, 1000, true);
+	job = world_submit(w, 1, &short_job);
+	world_run(w, 5);
+	world_store_set_lost_replies(w, 0, false);
+	world_cancel(w, 2, job);
+	world_run(w, 1000);
+	world_resubmit(w, 0, job);
+	world_run(w, 9000);
+	assert_int_equal(world_answer(w, job), WORLD_UNKNOWN);
+	assert_int_equal(world_store_count(w, "camphorshed/jobs/"), 1);
+	world_node_kill(w, world_owner(w));
+	world_run(w, 140000);
+	assert_int_equal(world_store_count(w, "camphorshed/jobs/"), 0);
+	end_world(w);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(cancelled_submission_is_not_stored_late),
+		cmocka_unit_test(withdrawn_keys_are_removed),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
