node: old counts of waiting jobs can't be stored late

Cause: the owner's write of the counts was conditional on its key only. One without a reply was carried out after a later one, and the owner wrote no more, as its count had not changed.

Change: the write is also conditional on the last revision of the key, as those of progress are; a conflict tells the present revision, and the next turn writes again.

--- a/src/node/commit.c
+++ b/src/node/commit.c
@@ -232,24 +232,6 @@
 			 n->owner.term * COMMITS_MAX + (uint64_t)i);
 }
 
-/*
- * The revision that a failed transaction reports for a key, 0 if the key does
- * not exist. known if the transaction did not fail by a condition.
- */
-static uint64_t current_revision(const struct store_reply *d, const char *key,
-				 uint64_t known)
-{
-	guint i;
-
-	for (i = 0; d->result == STORE_CONFLICT && i < d->items->len; i++) {
-		const struct store_item *item = g_ptr_array_index(d->items, i);
-
-		if (!strcmp(item->key, key))
-			return item->value ? item->revision : 0;
-	}
-	return d->result == STORE_CONFLICT ? 0 : known;
-}
-
 /*
  * Updates the revision of KEY_ORDERED_HOSTS after a transaction that wrote it.
  * Once the revision has changed, the condition of every earlier transaction
@@ -263,7 +245,7 @@
 	if (d->result == STORE_OK)
 		revision = d->revision;
 	else if (d->result == STORE_CONFLICT)
-		revision = current_revision(d, KEY_ORDERED_HOSTS, revision);
+		revision = store_revision_after(d, KEY_ORDERED_HOSTS, revision);
 	else if (d->result == STORE_UNKNOWN)
 		c->is_ordered_write_uncertain = true;
 	if (revision != c->ordered_revision)
@@ -291,9 +273,9 @@
 			sched_batch_stored(n->sched, row->batch, row->version,
 					   d->revision, now);
 		else
-			sched_batch_store_failed(n->sched, row->batch,
-						 current_revision(d, row->key,
-								  known));
+			sched_batch_store_failed(
+				n->sched, row->batch,
+				store_revision_after(d, row->key, known));
 	}
 	for (i = 0; i < t->grants->len; i++)
 		sched_grant_stored(n->sched,
@@ -337,7 +319,7 @@
 	    arg / COMMITS_MAX != n->owner.term)
 		return;
 	if (d->result == STORE_CONFLICT &&
-	    current_revision(d, KEY_OWNER, n->owner.key_revision) !=
+	    store_revision_after(d, KEY_OWNER, n->owner.key_revision) !=
 		    n->owner.key_revision) {
 		owner_lost(n, "a write found another owner", now);
 		return;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -185,7 +185,7 @@
 	struct node *n = ctx;
 
 	if (!strcmp(item->key, KEY_QUEUES))
-		queues_read(n, item->value);
+		queues_read(n, item);
 	else
 		owner_on_put(n, item, now);
 }
--- a/src/node/node_private.h
+++ b/src/node/node_private.h
@@ -148,6 +148,7 @@
 	struct sched *sched; /* NULL unless owner */
 	char *published_queues; /* last value written to KEY_QUEUES */
 	cs_time next_publish_at;
+	uint64_t queues_revision; /* last known one of KEY_QUEUES; 0: none */
 	struct slots *requests; /* struct open_request */
 	cs_time store_lost_at; /* 0: the store answers */
 };
@@ -208,6 +209,6 @@
 
 /* queues.c */
 void queues_publish(struct node *n, cs_time now);
-void queues_read(struct node *n, GBytes *value);
+void queues_read(struct node *n, const struct store_item *item);
 
 #endif
--- a/src/node/queues.c
+++ b/src/node/queues.c
@@ -30,9 +30,12 @@
 	(void)arg;
 	(void)now;
 	if (d->result == STORE_OK) {
+		n->queues_revision = MAX(n->queues_revision, d->revision);
 		owner_confirm(n, d->sent);
 		return;
 	}
+	n->queues_revision =
+		store_revision_after(d, KEY_QUEUES, n->queues_revision);
 	g_free(n->published_queues); /* so that the next turn writes again */
 	n->published_queues = NULL;
 }
@@ -53,6 +56,8 @@
 	}
 	call = store_call_new(STORE_TXN, NULL, STORE_TIMEOUT_MS);
 	store_call_expect(call, KEY_OWNER, n->owner.key_revision);
+	/* A write without a reply must not be carried out after a later one. */
+	store_call_expect(call, KEY_QUEUES, n->queues_revision);
 	store_call_write(call, KEY_QUEUES, g_bytes_new(text->str, text->len),
 			 0);
 	g_free(n->published_queues);
@@ -60,14 +65,15 @@
 	store_calls_send(n->calls, call, on_published, n, 0);
 }
 
-void queues_read(struct node *n, GBytes *value)
+void queues_read(struct node *n, const struct store_item *item)
 {
-	char *text = store_text(value);
+	char *text = store_text(item->value);
 	char **lines = g_strsplit(text, "\n", 0);
 	char name[CS_NAME_MAX];
 	int64_t pending, wait_ms;
 	int i;
 
+	n->queues_revision = MAX(n->queues_revision, item->revision);
 	g_hash_table_remove_all(n->queue_loads);
 	for (i = 0; lines[i]; i++) {
 		struct queue_load *load;
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -115,6 +115,20 @@
 	return size ? g_strndup(data, size) : g_strdup("");
 }
 
+uint64_t store_revision_after(const struct store_reply *d, const char *key,
+			      uint64_t known)
+{
+	guint i;
+
+	for (i = 0; d->result == STORE_CONFLICT && i < d->items->len; i++) {
+		const struct store_item *item = g_ptr_array_index(d->items, i);
+
+		if (!strcmp(item->key, key))
+			return item->value ? item->revision : 0;
+	}
+	return d->result == STORE_CONFLICT ? 0 : known;
+}
+
 const char *store_op_name(enum store_op op)
 {
 	static const char *const names[] = { "get",   "list", "watch",	  "txn",
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -108,6 +108,13 @@
 /* A copy of a value with a final NUL, "" if empty. The caller frees it. */
 char *store_text(GBytes *value);
 
+/*
+ * The revision that a failed transaction reports for a key, 0 if the key does
+ * not exist. known if the transaction did not fail by a condition.
+ */
+uint64_t store_revision_after(const struct store_reply *reply, const char *key,
+			      uint64_t known);
+
 const char *store_op_name(enum store_op op);
 const char *store_result_name(enum store_result result);
 
--- a/tests/unit/test_late_writes.c
+++ b/tests/unit/test_late_writes.c
@@ -64,11 +64,43 @@
 	end_world(w);
 }
 
+/*
+ * Guards against an old count of waiting jobs that stays in force: the write of
+ * it got no reply and was carried out after that of a later count.
+ */
+static void old_pending_counts_are_not_stored_late(void **state)
+{
+	struct world_job lasting = short_job;
+	int i, k;
+
+	(void)state;
+	lasting.work_ms = 120000;
+	for (i = 0; i < 10; i++) {
+		struct world *w = make_world(1, 2, 0);
+
+		world_set_limit(w, 1000);
+		world_run(w, 2000 + 100 * i);
+		world_submit(w, 0, &lasting);
+		world_run(w, 3000);
+		world_submit(w, 0, &short_job);
+		world_run(w, 50);
+		world_store_set_lost_replies(w, 1000, true);
+		world_run(w, 900);
+		world_store_set_lost_replies(w, 0, false);
+		for (k = 0; k < 9; k++)
+			world_submit(w, 0, &short_job);
+		world_run(w, 15000);
+		assert_int_equal(world_pending(w, 1), 10);
+		end_world(w);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(cancelled_submission_is_not_stored_late),
 		cmocka_unit_test(withdrawn_keys_are_removed),
+		cmocka_unit_test(old_pending_counts_are_not_stored_late),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -240,6 +240,8 @@
 
 /* The lowest bit of an exchange: the request is for the other workspace. */
 #define EXCHANGE_OF_OTHER 1
+/* The next one: it asks for the count of waiting jobs and names no job. */
+#define EXCHANGE_OF_COUNT 2
 
 static int job_of_exchange(uint64_t exchange)
 {
@@ -250,9 +252,15 @@
 {
 	struct sim_node *n = ctx;
 	struct world *w = n->world;
-	struct sim_job *j = sim_job_at(w, job_of_exchange(reply->exchange));
+	struct sim_job *j;
 	int i;
 
+	if (reply->exchange & EXCHANGE_OF_COUNT) {
+		w->pending = reply->has_pending ? reply->pending : -1;
+		g_free(reply);
+		return;
+	}
+	j = sim_job_at(w, job_of_exchange(reply->exchange));
 	if (reply->exchange & EXCHANGE_OF_OTHER) {
 		w->other_result = (int)reply->result;
 		g_free(reply);
@@ -1051,6 +1059,24 @@
 	return w->other_result;
 }
 
+int64_t world_pending(struct world *w, int node)
+{
+	struct delivery *d = new_delivery(w, node, w->nodes[node].generation);
+
+	d->request = api_request_new(API_STATE);
+	d->request->host = g_strdup("desk.example");
+	d->request->path = g_strdup("/q0/");
+	d->request->key = g_strdup("key");
+	d->request->received = w->now;
+	d->request->exchange = EXCHANGE_OF_COUNT;
+	d->request->timeout_ms = 3000;
+	w->pending = -1;
+	timers_subscribe(w->timers, w->now + world_message_delay(w),
+			 on_delivery, d, 0);
+	world_run(w, 100);
+	return w->pending;
+}
+
 int world_submit(struct world *w, int node, const struct world_job *job)
 {
 	struct sim_job *j = g_new0(struct sim_job, 1);
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -160,6 +160,11 @@
 void world_resubmit(struct world *world, int node, int job);
 void world_cancel(struct world *world, int node, int job);
 void world_query_job(struct world *world, int node, int job);
+/*
+ * The number of waiting jobs of the first queue that an entry gives, after 100
+ * ms; -1: none.
+ */
+int64_t world_pending(struct world *world, int node);
 /*
  * Sends the same request, with the identifier of the job, for another
  * workspace. world_other_result() returns enum api_result; -1: no reply yet.
--- a/tests/world/world_private.h
+++ b/tests/world/world_private.h
@@ -196,6 +196,7 @@
 	int64_t pool_ms;
 	int host_orders;
 	int other_result; /* see world_request_as_other() */
+	int64_t pending; /* see world_pending() */
 	bool are_hosts_silent;
 	/* The maintenance wave. */
 	uint64_t wave;
