sched: a pool is not settled before a new incarnation has begun

Cause: between note and begin of a new incarnation its row was dead, and the pool counted as settled as soon as the ownership was confirmed. In this case a turn started tasks 19 ms after the note and 28 ms before the check of servers that begins the new incarnation.

Change: a server with a next incarnation may have unknown runs.

--- a/src/sched/servers.c
+++ b/src/sched/servers.c
@@ -703,6 +703,9 @@
 bool servers_may_have_unknown_runs(const struct sched *s,
 				   const struct server *v)
 {
+	/* Its next incarnation, which has not begun yet, lists them. */
+	if (v->next_started_unix_ms)
+		return true;
 	if (v->is_taken_over)
 		return false;
 	/* It lists further ended runs once these are stored and acknowledged.
