sched: a server with unknown runs is not empty for maintenance

Cause: a new owner that does not reach a server has no rows for the runs of its predecessor there. The wave took the server for empty and rebooted its host.

Change: empty_server() also asks whether the server may have runs that are not known here, which ends with its list or the predecessor's leases.

--- a/src/sched/maintenance.c
+++ b/src/sched/maintenance.c
@@ -335,7 +335,10 @@
 	return count_others_not_working(s, j, r, now) < st->unavailable_max;
 }
 
-/* Stops all runs that may be stopped. Returns true if no run is left. */
+/*
+ * Stops all runs that may be stopped. Returns true if no run is left, nor one
+ * of a predecessor that the server has not listed yet.
+ */
 static bool empty_server(struct sched *s, struct server *v, bool is_late_phase,
 			 cs_time now)
 {
@@ -353,7 +356,7 @@
 					  is_late_phase || st->is_checkpointing)
 			runs_stop(s, r, "maintenance", now);
 	}
-	return !v->runs->len;
+	return !v->runs->len && !servers_may_have_unknown_runs(s, v);
 }
 
 /* A host has returned from maintenance when a later list shows it up. */
--- a/tests/unit/test_sched_faults.c
+++ b/tests/unit/test_sched_faults.c
@@ -725,6 +725,35 @@
 	end_world(w);
 }
 
+/*
+ * Guards against long-running tasks that end with their host's maintenance
+ * without their budget being asked: a new owner that did not reach the server
+ * took it for one without runs.
+ */
+static void unknown_server_is_not_maintained(void **state)
+{
+	const struct world_job lasting = { .steps = 1,
+					   .width = 4,
+					   .work_ms = 200,
+					   .cpu = 8000,
+					   .is_long_running = true,
+					   .unavailable_max = 1 };
+	struct world *w = make_world(1, 2, 0);
+	int n, owner, job = world_submit(w, 0, &lasting);
+
+	(void)state;
+	world_run(w, 4000);
+	assert_int_equal(world_job_running_tasks(w, job), 4);
+	assert_int_equal(world_server_runs(w, 0), 2);
+	owner = world_owner(w);
+	world_node_cut_store(w, owner, true);
+	for (n = 0; n < 3; n++)
+		world_node_cut_server(w, n, 0, n != owner);
+	world_start_wave(w, 1, 0, 1, 1, 15000);
+	world_run(w, 6000);
+	end_world(w);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -755,6 +784,7 @@
 		cmocka_unit_test(slow_link_delays_the_owner_only),
 		cmocka_unit_test(late_replies_renew_the_lease),
 		cmocka_unit_test(unsettled_pool_keeps_its_hosts),
+		cmocka_unit_test(unknown_server_is_not_maintained),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
