sched: an owner that may have a successor needs a recent answer of a server

Cause: an owner goes on for 5 s after its last confirmation, since servers that a successor has taken over refuse its orders. A server that has started again has seen no token. An owner that woke from a pause of about 3 s started a task on such a server by replies that had waited.

Change: from 1 s after the last confirmation, when the lease of the owner's key may have expired, tasks start only on servers that answered an order of the last second; idle ones are polled as often as busy ones meanwhile.

--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -26,14 +26,32 @@
 	       v->described_unix_ms == v->info.started_unix_ms;
 }
 
+/*
+ * Age of the last answer up to which an owner that may have a successor starts
+ * tasks: more than the wait of a hold, less than a server needs to start again.
+ */
+#define RECENT_ANSWER_US (1 * CS_SEC)
+
+/*
+ * True if the server would refuse the start in case a successor has taken it
+ * over. It has seen no token any more once it has started again, which an owner
+ * that was paused does not know.
+ */
+static bool is_fencing(const struct sched *s, const struct server *v,
+		       cs_time now)
+{
+	return !sched_may_have_successor(s, now) ||
+	       now - v->answer_sent_at < RECENT_ANSWER_US;
+}
+
 /* True if tasks can be started on the server now. */
 bool place_is_usable(const struct sched *s, const struct server *v, cs_time now)
 {
 	return v->is_listed && v->is_taken_over && v->is_granted &&
 	       !v->is_dead && !v->cordons && !v->info.is_draining &&
 	       !v->unanswered_orders && v->clock_ms >= 0 && is_described(v) &&
-	       !v->is_incarnation_doubtful && now >= v->suspect_until &&
-	       now >= v->refused_until &&
+	       !v->is_incarnation_doubtful && is_fencing(s, v, now) &&
+	       now >= v->suspect_until && now >= v->refused_until &&
 	       !(g_hash_table_size(s->evacuated) &&
 		 g_hash_table_contains(s->evacuated, v->info.data_centre));
 }
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -578,6 +578,11 @@
 	s->is_paused = is_paused;
 }
 
+bool sched_may_have_successor(const struct sched *s, cs_time now)
+{
+	return now - s->confirmed_at >= SUCCESSOR_AFTER_US;
+}
+
 void sched_order_reply(struct sched *s, const struct order_reply *d,
 		       cs_time now)
 {
--- a/src/sched/sched_private.h
+++ b/src/sched/sched_private.h
@@ -30,6 +30,12 @@
  */
 #define START_TIMEOUT_MS 400
 
+/*
+ * Another entry may be the owner this long after the last confirmation of the
+ * ownership, when the store's lease has expired.
+ */
+#define SUCCESSOR_AFTER_US (1 * CS_SEC)
+
 enum run_state {
 	RUN_STARTING, /* start ordered, no reply yet */
 	RUN_ACTIVE, /* confirmed by the server */
@@ -121,6 +127,7 @@
 	bool is_in_unstored_list; /* of struct sched */
 	cs_handle hold_timer;
 	cs_time answered_at;
+	cs_time answer_sent_at; /* of the orders answered: the last one */
 	int unanswered_orders; /* orders without a reply since the last reply */
 	uint64_t last_end; /* highest number of an end that was handled */
 	GArray *unstored; /* struct unstored_end, oldest first */
@@ -305,6 +312,9 @@
 /* Records that tasks of the job start in its pool, to be stored. */
 void sched_begin_job(struct sched *s, struct job *j, cs_time now);
 
+/* True if another entry may have become the owner unnoticed. */
+bool sched_may_have_successor(const struct sched *s, cs_time now);
+
 /* servers.c */
 struct server *server_row(const struct sched *s, cs_handle h);
 void servers_schedule_hold(struct sched *s, struct server *v, cs_time at);
--- a/src/sched/servers.c
+++ b/src/sched/servers.c
@@ -233,9 +233,12 @@
 	if (v->runs->len && !v->unanswered_orders && !s->is_paused &&
 	    !v->is_incarnation_doubtful)
 		o->deadline_ms = servers_deadline(v, now);
+	/* An unconfirmed owner needs recent answers; see place_is_usable(). */
 	if (v->is_taken_over && !is_waiting_for_store &&
 	    !v->is_incarnation_doubtful)
-		o->wait_ms = v->runs->len ? HOLD_WAIT_MS : IDLE_WAIT_MS;
+		o->wait_ms = v->runs->len || sched_may_have_successor(s, now) ?
+				     HOLD_WAIT_MS :
+				     IDLE_WAIT_MS;
 	o->timeout_ms = o->wait_ms + HOLD_SLACK_MS;
 	o->ref = list_ref(v, n);
 	v->is_hold_open = true;
@@ -301,6 +304,7 @@
 	}
 	v->unanswered_orders = 0;
 	v->answered_at = now;
+	v->answer_sent_at = MAX(v->answer_sent_at, d->sent);
 	incarnation_read_clock(s, v, d, now);
 }
 
--- a/tests/soak/test_site.sh
+++ b/tests/soak/test_site.sh
@@ -20,4 +20,7 @@
 # and tasks are spread over servers.
 build/rel/camphorshed-site-soak --seed=3000 --days=120 ||
 	failures=$((failures + 1))
+# From seed 4000 on servers start again under their identifiers.
+build/rel/camphorshed-site-soak --seed=4000 --days=120 ||
+	failures=$((failures + 1))
 exit $((failures > 0))
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -857,6 +857,11 @@
 	v->register_delay_ms = register_ms;
 }
 
+bool world_server_is_up(const struct world *w, int server)
+{
+	return server_at(w, server)->is_up;
+}
+
 int world_server_pool(const struct world *w, int server)
 {
 	return server_at(w, server)->pool;
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -97,6 +97,7 @@
  */
 void world_server_reborn(struct world *world, int server, int64_t restart_ms,
 			 int64_t register_ms);
+bool world_server_is_up(const struct world *world, int server);
 /* The number of the pool of a server. */
 int world_server_pool(const struct world *world, int server);
 /* Drains a server for 4 s and restarts it under a new identifier 1 s later. */
