sched: the advisor is asked for all servers of a pool in turn

Cause: each request named the first 100 usable servers.

Change: the answer for each server is kept, with the incarnation that it is for, and a request names the usable servers without a valid answer. A server that is not allowed is asked for again after 10 s. Without a server to ask for no request is sent.

The model has an advisor and servers that check tickets.

--- a/src/sched/advice.c
+++ b/src/sched/advice.c
@@ -17,16 +17,25 @@
 /* A ticket must be valid for this long, as the start order takes time. */
 #define TICKET_MARGIN_US (300 * CS_MSEC)
 
-struct ticket {
-	char *text;
-	cs_time until;
+/*
+ * A server that is not allowed is asked for again after this time. Which ones
+ * are does not change, so this only corrects wrong answers.
+ */
+#define DENIAL_US (10 * CS_SEC)
+
+/* What the advisor said of a server. */
+struct answer {
+	char *ticket; /* NULL: not allowed, or the request has no reply yet */
+	cs_time until; /* until then it need not be asked for again */
+	uint64_t started_unix_ms; /* of the incarnation that was asked for */
+	bool is_pending; /* in the request that has no reply yet */
 };
 
-/* The tickets and the request of one step. */
+/* The answers and the request of one step. */
 struct step_advice {
 	char step[BATCH_TASK_NAME_MAX];
 	cs_handle job;
-	GHashTable *tickets; /* server id -> struct ticket */
+	GHashTable *answers; /* server id -> struct answer */
 	bool is_pending; /* queued or in flight */
 	cs_time not_before;
 };
@@ -38,19 +47,19 @@
 	cs_time sent_at;
 };
 
-static void ticket_free(void *row)
+static void answer_free(void *row)
 {
-	struct ticket *t = row;
+	struct answer *a = row;
 
-	g_free(t->text);
-	g_free(t);
+	g_free(a->ticket);
+	g_free(a);
 }
 
 static void step_advice_free(void *row)
 {
 	struct step_advice *sa = row;
 
-	g_hash_table_destroy(sa->tickets);
+	g_hash_table_destroy(sa->answers);
 	g_free(sa);
 }
 
@@ -76,20 +85,32 @@
 		   occurrence, step);
 }
 
+/* The answer for the present incarnation of a server, if it is still valid. */
+static const struct answer *valid_answer(const struct step_advice *sa,
+					 const struct server *v, cs_time now)
+{
+	const struct answer *a = g_hash_table_lookup(sa->answers, v->info.id);
+
+	return a && a->started_unix_ms == v->info.started_unix_ms &&
+			       now + TICKET_MARGIN_US < a->until ?
+		       a :
+		       NULL;
+}
+
 const char *advice_ticket(const struct sched *s, const struct job *j,
 			  int occurrence, int step, const struct server *v,
 			  cs_time now)
 {
 	char name[BATCH_TASK_NAME_MAX];
 	const struct step_advice *sa;
-	const struct ticket *t;
+	const struct answer *a;
 
 	if (!g_hash_table_size(s->advice->steps))
 		return NULL;
 	step_name(j, occurrence, step, name);
 	sa = g_hash_table_lookup(s->advice->steps, name);
-	t = sa ? g_hash_table_lookup(sa->tickets, v->info.id) : NULL;
-	return t && now + TICKET_MARGIN_US < t->until ? t->text : NULL;
+	a = sa ? valid_answer(sa, v, now) : NULL;
+	return a ? a->ticket : NULL;
 }
 
 void advice_drop_ticket(struct sched *s, const struct job *j, int occurrence,
@@ -101,7 +122,7 @@
 	step_name(j, occurrence, step, name);
 	sa = g_hash_table_lookup(s->advice->steps, name);
 	if (sa)
-		g_hash_table_remove(sa->tickets, v->info.id);
+		g_hash_table_remove(sa->answers, v->info.id);
 }
 
 /* True if the job of a step is final and no request is pending. */
@@ -115,42 +136,80 @@
 	return !sa->is_pending && (!j || batch_is_final(j->batch));
 }
 
-/* Sends the oldest request whose job is not final. */
-static void send_next_request(struct sched *s, cs_time now)
+/*
+ * Adds the usable servers without a valid answer to a request, as many as it
+ * may name; the others follow with the next one.
+ */
+static void name_servers(struct sched *s, struct step_advice *sa,
+			 const struct job *j, struct order *o, cs_time now)
 {
-	struct advice *a = s->advice;
-	const struct site_terms *terms;
-	const struct job *j = NULL;
-	struct step_advice *sa;
-	struct order *o;
 	guint i;
 
-	g_hash_table_foreach_remove(a->steps, is_finished, s);
-	while ((sa = g_queue_pop_head(&a->waiting))) {
-		j = slots_get(s->jobs, sa->job);
-		if (j && j->pool && !batch_is_final(j->batch))
-			break;
-		sa->is_pending = false;
+	for (i = 0;
+	     i < j->pool->servers->len && o->servers->len < ORDER_ADVICE_MAX;
+	     i++) {
+		const struct server *v = g_ptr_array_index(j->pool->servers, i);
+		struct answer *a;
+
+		if (!place_is_usable(s, v, now) || valid_answer(sa, v, now))
+			continue;
+		a = g_new0(struct answer, 1);
+		a->started_unix_ms = v->info.started_unix_ms;
+		a->is_pending = true;
+		g_hash_table_replace(sa->answers, g_strdup(v->info.id), a);
+		g_ptr_array_add(o->servers, g_strdup(v->info.id));
 	}
-	if (!sa)
-		return;
-	o = order_new(ORDER_ADVISE);
+}
+
+static gboolean is_outdated(void *key, void *row, void *ctx)
+{
+	(void)key;
+	return ((struct answer *)row)->until <= *(const cs_time *)ctx;
+}
+
+/* The request for a step; NULL if there is no server to ask for. */
+static struct order *new_request(struct sched *s, struct step_advice *sa,
+				 const struct job *j, cs_time now)
+{
+	const struct site_terms *terms = sched_terms_of(s, j);
+	struct order *o = order_new(ORDER_ADVISE);
+
 	o->servers = g_ptr_array_new_with_free_func(g_free);
 	cs_copy(o->step, sizeof(o->step), sa->step);
-	for (i = 0; i < j->pool->servers->len; i++) {
-		const struct server *v = g_ptr_array_index(j->pool->servers, i);
-
-		if (o->servers->len < ORDER_ADVICE_MAX &&
-		    place_is_usable(s, v, now))
-			g_ptr_array_add(o->servers, g_strdup(v->info.id));
+	g_hash_table_foreach_remove(sa->answers, is_outdated, &now);
+	name_servers(s, sa, j, o, now);
+	if (!o->servers->len) {
+		order_free(o);
+		return NULL;
 	}
-	terms = sched_terms_of(s, j);
 	o->timeout_ms = terms->advice.decision_ms +
 			terms->advice.per_worker_ms * o->servers->len +
 			ADVICE_SLACK_MS;
-	a->in_flight = sa;
-	a->sent_at = now;
-	s->ops->send(s->ctx, o);
+	return o;
+}
+
+/* Sends the oldest request whose job is not final and that names a server. */
+static void send_next_request(struct sched *s, cs_time now)
+{
+	struct advice *a = s->advice;
+	struct step_advice *sa;
+
+	g_hash_table_foreach_remove(a->steps, is_finished, s);
+	while ((sa = g_queue_pop_head(&a->waiting))) {
+		const struct job *j = slots_get(s->jobs, sa->job);
+		struct order *o = NULL;
+
+		if (j && j->pool && !batch_is_final(j->batch))
+			o = new_request(s, sa, j, now);
+		if (o) {
+			a->in_flight = sa;
+			a->sent_at = now;
+			s->ops->send(s->ctx, o);
+			return;
+		}
+		sa->is_pending = false;
+		sa->not_before = now + ADVICE_RETRY_US;
+	}
 }
 
 void advice_request(struct sched *s, const struct job *j, int occurrence,
@@ -167,8 +226,8 @@
 		sa = g_new0(struct step_advice, 1);
 		cs_copy(sa->step, sizeof(sa->step), name);
 		sa->job = j->self;
-		sa->tickets = g_hash_table_new_full(g_str_hash, g_str_equal,
-						    g_free, ticket_free);
+		sa->answers = g_hash_table_new_full(g_str_hash, g_str_equal,
+						    g_free, answer_free);
 		g_hash_table_insert(s->advice->steps, sa->step, sa);
 	}
 	if (sa->is_pending || now < sa->not_before)
@@ -177,34 +236,56 @@
 	 * One valid ticket shows that the last reply is still current. If the
 	 * servers with tickets have no room, a new request would not help.
 	 */
-	g_hash_table_iter_init(&it, sa->tickets);
-	while (g_hash_table_iter_next(&it, NULL, &row))
-		if (now + TICKET_MARGIN_US < ((struct ticket *)row)->until)
+	g_hash_table_iter_init(&it, sa->answers);
+	while (g_hash_table_iter_next(&it, NULL, &row)) {
+		const struct answer *a = row;
+
+		if (a->ticket && now + TICKET_MARGIN_US < a->until)
 			return;
+	}
 	sa->is_pending = true;
 	g_queue_push_tail(&s->advice->waiting, sa);
 	if (!s->advice->in_flight)
 		send_next_request(s, now);
 }
 
-static void take_tickets(struct step_advice *sa, const struct order_reply *d)
+/* Drops the answers of a request without a reply. */
+static gboolean is_pending_answer(void *key, void *row, void *ctx)
+{
+	(void)key;
+	(void)ctx;
+	return ((struct answer *)row)->is_pending;
+}
+
+/* The servers that a reply does not allow are not asked for again soon. */
+static void take_answers(struct step_advice *sa, const struct order_reply *d)
 {
+	GHashTableIter it;
+	void *row;
 	guint i;
 
-	g_hash_table_remove_all(sa->tickets);
+	g_hash_table_iter_init(&it, sa->answers);
+	while (g_hash_table_iter_next(&it, NULL, &row)) {
+		struct answer *a = row;
+
+		if (a->is_pending)
+			a->until = d->received + DENIAL_US;
+		a->is_pending = false;
+	}
 	for (i = 0; i < d->tickets->len; i++) {
-		const struct order_ticket *row =
-			g_ptr_array_index(d->tickets, i);
-		struct ticket *t = g_new0(struct ticket, 1);
+		const struct order_ticket *t = g_ptr_array_index(d->tickets, i);
+		struct answer *a = g_hash_table_lookup(sa->answers, t->server);
 
-		t->text = g_strdup(row->ticket);
+		if (!a)
+			continue;
+		g_free(a->ticket);
+		a->ticket = g_strdup(t->ticket);
 		/*
 		 * Validity begins when the advisor replies; half of the round
 		 * trip time is deducted.
 		 */
-		t->until = d->received + d->validity_ms * CS_MSEC -
+		a->until = d->received + d->validity_ms * CS_MSEC -
 			   (d->received - d->sent) / 2;
-		g_hash_table_insert(sa->tickets, g_strdup(row->server), t);
 	}
 }
 
@@ -218,7 +299,10 @@
 	s->advice->in_flight = NULL;
 	sa->is_pending = false;
 	if (d->result == ORDER_DONE)
-		take_tickets(sa, d);
+		take_answers(sa, d);
+	else
+		g_hash_table_foreach_remove(sa->answers, is_pending_answer,
+					    NULL);
 	if (d->result != ORDER_DONE || !d->tickets->len)
 		sa->not_before = now + ADVICE_RETRY_US;
 	pairs = g_string_new(NULL);
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -347,19 +347,20 @@
 }
 
 /*
- * "VERSION POOLS LIMIT ATTEMPTS HOSTS_IN_STANDBY POOL...", a pool for each
- * queue. Without workspaces if the limit is negative.
+ * "VERSION POOLS LIMIT ATTEMPTS HOSTS_IN_STANDBY VALIDITY_MS POOL...", a pool
+ * for each queue. Without workspaces if the limit is negative.
  */
 static struct site *read_site(GBytes *value, struct cs_error *err)
 {
 	char *text = store_text(value);
 	uint64_t version;
-	int64_t limit;
+	int64_t limit, validity_ms;
 	struct site *site = NULL;
 	int pools, attempts, standby, i, read = 0;
 
-	if (sscanf(text, "%" SCNu64 " %d %" SCNd64 " %d %d%n", &version, &pools,
-		   &limit, &attempts, &standby, &read) == 5) {
+	if (sscanf(text, "%" SCNu64 " %d %" SCNd64 " %d %d %" SCNd64 "%n",
+		   &version, &pools, &limit, &attempts, &standby, &validity_ms,
+		   &read) == 6) {
 		char *rest = text + read;
 
 		site = site_create(version);
@@ -368,10 +369,12 @@
 			add_workspace(site, "other", "other-key", limit);
 		}
 		for (i = 0; i < pools; i++) {
-			struct site_queue q = { .terms = { .attempts_max =
-								   attempts,
-							   .stretch = 2.0,
-							   .target_ms = 600 } };
+			struct site_queue q = {
+				.terms = { .attempts_max = attempts,
+					   .stretch = 2.0,
+					   .target_ms = 600,
+					   .advice.validity_ms = validity_ms }
+			};
 			struct site_pool p = { .has_admission_check = true };
 			int pool = (int)strtol(rest, &rest, 10);
 
@@ -462,10 +465,11 @@
 	GString *text = g_string_new(NULL);
 	int i;
 
-	g_string_printf(text, "%" PRIu64 " %d %" PRId64 " %d %d",
+	g_string_printf(text, "%" PRIu64 " %d %" PRId64 " %d %d %" PRId64,
 			++w->site_version, w->options.pools,
 			w->are_workspaces_removed ? -1 : w->limit_cpu,
-			w->attempts_max, w->options.standby);
+			w->attempts_max, w->options.standby,
+			w->advice_validity_ms);
 	for (i = 0; i < w->options.pools; i++) {
 		g_string_append_printf(text, " %d", w->queue_pool[i]);
 		if (w->queue_pool[i] >= 0)
@@ -955,6 +959,13 @@
 	write_site(w);
 }
 
+void world_set_advice(struct world *w, int server, int64_t validity_ms)
+{
+	w->advice_server = server;
+	w->advice_validity_ms = validity_ms;
+	write_site(w);
+}
+
 void world_set_queue_pool(struct world *w, int queue, int pool)
 {
 	w->queue_pool[queue] = pool;
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -125,6 +125,11 @@
 void world_set_workspaces_removed(struct world *world, bool are_removed);
 /* The number of attempts of all queues; that of their jobs stays promised. */
 void world_set_attempts(struct world *world, int attempts_max);
+/*
+ * All queues need tickets, which the advisor gives for one server only.
+ * validity_ms 0: none needs one.
+ */
+void world_set_advice(struct world *world, int server, int64_t validity_ms);
 /* Sends the work of a queue to another pool; pool -1: removes the queue. */
 void world_set_queue_pool(struct world *world, int queue, int pool);
 /*
--- a/tests/world/world_private.h
+++ b/tests/world/world_private.h
@@ -187,6 +187,8 @@
 	int64_t limit_cpu, used_cpu;
 	bool are_workspaces_removed;
 	int attempts_max; /* of all queues, as configured now */
+	int64_t advice_validity_ms; /* of all queues; 0: no tickets needed */
+	int advice_server; /* index of the only one that is allowed */
 	cs_time limit_since;
 	uint64_t site_version;
 	int queue_pool[POOLS_MAX]; /* -1: the queue is removed */
--- a/tests/world/world_servers.c
+++ b/tests/world/world_servers.c
@@ -384,6 +384,22 @@
 	d->reason = reason;
 }
 
+/* A ticket is "ID GENERATION UNTIL": of one life of a server. */
+static bool has_valid_ticket(const struct sim_server *v, const struct order *o)
+{
+	char id[CS_NAME_MAX];
+	int64_t until;
+	int generation;
+
+	if (!v->world->advice_validity_ms)
+		return true;
+	return o->ticket &&
+	       sscanf(o->ticket, "%63s %d %" SCNd64, id, &generation, &until) ==
+		       3 &&
+	       !strcmp(id, v->id) && generation == v->generation &&
+	       v->world->now < until;
+}
+
 static void start_run(struct sim_server *v, const struct order *o,
 		      struct order_reply *d, int node, bool is_late)
 {
@@ -410,6 +426,10 @@
 		refuse_order(d, ORDER_REASON_LATE);
 		return;
 	}
+	if (!has_valid_ticket(v, o)) {
+		refuse_order(d, ORDER_REASON_TICKET);
+		return;
+	}
 	if (v->used.cpu + j->spec.cpu > 32000) {
 		refuse_order(d, ORDER_REASON_NO_ROOM);
 		extend_lease(v, o->deadline_ms);
@@ -898,6 +918,29 @@
 	d->result = ORDER_DONE;
 }
 
+/* Gives a ticket if the order names the server that is allowed. */
+static void advise(struct world *w, const struct order *o,
+		   struct order_reply *d)
+{
+	const struct sim_server *v =
+		g_ptr_array_index(w->servers, w->advice_server);
+	struct order_ticket *t;
+	guint i;
+
+	for (i = 0; i < o->servers->len; i++) {
+		if (strcmp(g_ptr_array_index(o->servers, i), v->id))
+			continue;
+		t = g_new0(struct order_ticket, 1);
+		cs_copy(t->server, sizeof(t->server), v->id);
+		t->ticket = g_strdup_printf(
+			"%s %d %" PRId64, v->id, v->generation,
+			w->now + w->advice_validity_ms * CS_MSEC);
+		g_ptr_array_add(d->tickets, t);
+	}
+	d->validity_ms = w->advice_validity_ms;
+	d->result = ORDER_DONE;
+}
+
 void sim_server_order(void *ctx, struct order *o)
 {
 	struct sim_node *n = ctx;
@@ -915,7 +958,9 @@
 			order_free(o);
 			return;
 		}
-		if (o->type == ORDER_LIST_HOSTS)
+		if (o->type == ORDER_ADVISE)
+			advise(w, o, d);
+		else if (o->type == ORDER_LIST_HOSTS)
 			list_hosts(w, d);
 		else if (o->type == ORDER_MAINTAIN_HOST ||
 			 o->type == ORDER_MOVE_HOST)
