sched: a server that joined is asked for while other tickets are valid

Cause: no request went to the advisor while any ticket of the step was valid, also that of a server that is gone. Evidence: 'advice' came once in the log, and 'task_start' 27 s after 'server_dead'.

Change: a request is due when a usable server has no valid answer.

--- a/src/sched/advice.c
+++ b/src/sched/advice.c
@@ -212,13 +212,26 @@
 	}
 }
 
+static bool has_server_to_ask_for(const struct sched *s,
+				  const struct step_advice *sa,
+				  const struct job *j, cs_time now)
+{
+	guint i;
+
+	for (i = 0; i < j->pool->servers->len; i++) {
+		const struct server *v = g_ptr_array_index(j->pool->servers, i);
+
+		if (place_is_usable(s, v, now) && !valid_answer(sa, v, now))
+			return true;
+	}
+	return false;
+}
+
 void advice_request(struct sched *s, const struct job *j, int occurrence,
 		    int step, cs_time now)
 {
 	char name[BATCH_TASK_NAME_MAX];
 	struct step_advice *sa;
-	GHashTableIter it;
-	void *row;
 
 	step_name(j, occurrence, step, name);
 	sa = g_hash_table_lookup(s->advice->steps, name);
@@ -232,16 +245,10 @@
 	}
 	if (sa->is_pending || now < sa->not_before)
 		return;
-	/*
-	 * One valid ticket shows that the last reply is still current. If the
-	 * servers with tickets have no room, a new request would not help.
-	 */
-	g_hash_table_iter_init(&it, sa->answers);
-	while (g_hash_table_iter_next(&it, NULL, &row)) {
-		const struct answer *a = row;
-
-		if (a->ticket && now + TICKET_MARGIN_US < a->until)
-			return;
+	/* If all servers with tickets are full, only another one can help. */
+	if (!has_server_to_ask_for(s, sa, j, now)) {
+		sa->not_before = now + ADVICE_RETRY_US;
+		return;
 	}
 	sa->is_pending = true;
 	g_queue_push_tail(&s->advice->waiting, sa);
