node: a submission is not known under a foreign ended job

Cause: the key of an ended job holds a marker without a workspace, so a submission of another workspace counted as repeated.

Change: such a submission reads the progress of the ended job, which names the workspace, and is refused with 503 if that is another one.

--- a/src/node/api.c
+++ b/src/node/api.c
@@ -226,13 +226,13 @@
 	return is_other;
 }
 
-/* True if a cancellation has taken the job's key before a submission did. */
-static bool is_withdrawn(const struct store_reply *d)
+/* True if the job's key holds the marker in place of a submission. */
+static bool has_marker(const struct store_reply *d, const char *marker)
 {
 	const struct store_item *item =
 		d->items->len ? g_ptr_array_index(d->items, 0) : NULL;
 
-	return item && item->value && withdrawn_is_marker(item->value);
+	return item && item->value && store_value_is(item->value, marker);
 }
 
 static void submit(struct open_request *o, cs_time now);
@@ -277,6 +277,60 @@
 		reason, now);
 }
 
+static void finish_foreign(struct open_request *o, cs_time now)
+{
+	finish_with_result(o, API_UNAVAILABLE,
+			   "another workspace has a job with this identifier",
+			   now);
+}
+
+/* The progress of an ended job names its workspace, which its key does not. */
+static void on_ended_read(void *ctx, uint64_t arg, const struct store_reply *d,
+			  cs_time now)
+{
+	struct node *n = ctx;
+	struct open_request *o = slots_get(n->requests, arg);
+	char workspace[CS_NAME_MAX];
+	enum batch_state state;
+	gsize size;
+	const void *data;
+
+	if (!o)
+		return;
+	if (d->result != STORE_OK || !d->items->len) {
+		/* Also if it is missing: the job has just expired. */
+		retry(o, "the ended job could not be read", now);
+		return;
+	}
+	data = g_bytes_get_data(
+		((const struct store_item *)g_ptr_array_index(d->items, 0))
+			->value,
+		&size);
+	if (batch_decode_state(data, size, &state, workspace))
+		finish_with_result(o, API_UNAVAILABLE,
+				   "the stored state can't be read", now);
+	else if (is_foreign(o, workspace))
+		finish_foreign(o, now);
+	else
+		finish_with_result(o, API_OK, "known", now);
+}
+
+/* Handles a submission whose identifier has a job that has ended. */
+static void read_ended_job(struct open_request *o, cs_time now)
+{
+	char *key;
+
+	if (!time_left(o, now)) {
+		retry(o, "no time left", now);
+		return;
+	}
+	key = g_strconcat(KEY_PROGRESS, o->id, NULL);
+	store_calls_send(o->node->calls,
+			 store_call_new(STORE_GET, key, time_left(o, now)),
+			 on_ended_read, o->node, o->self);
+	g_free(key);
+}
+
 static void on_submitted(void *ctx, uint64_t arg, const struct store_reply *d,
 			 cs_time now)
 {
@@ -290,16 +344,15 @@
 		finish_with_result(o, API_OK, "stored", now);
 		break;
 	case STORE_CONFLICT: /* it was stored before: still one job */
-		if (is_withdrawn(d))
+		if (has_marker(d, JOB_WITHDRAWN))
 			finish_with_result(o, API_UNAVAILABLE,
 					   "the job was cancelled before it "
 					   "was stored",
 					   now);
+		else if (has_marker(d, JOB_ENDED))
+			read_ended_job(o, now);
 		else if (is_foreign_submission(o, d))
-			finish_with_result(o, API_UNAVAILABLE,
-					   "another workspace has a job with "
-					   "this identifier",
-					   now);
+			finish_foreign(o, now);
 		else
 			finish_with_result(o, API_OK, "known", now);
 		break;
@@ -422,7 +475,7 @@
 {
 	if (d->result == STORE_MISSING && o->request->kind == API_CANCEL) {
 		withdraw(o, now);
-	} else if (d->result == STORE_MISSING || is_withdrawn(d) ||
+	} else if (d->result == STORE_MISSING || has_marker(d, JOB_WITHDRAWN) ||
 		   is_foreign_submission(o, d)) {
 		finish_with_result(o, API_NO_JOB, NULL, now);
 	} else if (o->request->kind == API_CANCEL) {
--- a/src/node/node_private.h
+++ b/src/node/node_private.h
@@ -187,8 +187,6 @@
 void commit_reset(struct node *n);
 
 /* withdrawn.c */
-/* True if the value of a job's key rules a submission out. */
-bool withdrawn_is_marker(GBytes *value);
 /* Has the owner remove such a key once its retention has passed. */
 void withdrawn_add(struct node *n, const char *id, uint64_t revision,
 		   cs_time now);
--- a/src/node/term.c
+++ b/src/node/term.c
@@ -53,14 +53,6 @@
 	g_hash_table_insert(table, g_strdup(id), f);
 }
 
-static bool is_ended_marker(GBytes *value)
-{
-	gsize size;
-	const void *data = g_bytes_get_data(value, &size);
-
-	return size == strlen(JOB_ENDED) && !memcmp(data, JOB_ENDED, size);
-}
-
 /* A job whose end is stored; NULL if its final state can't be read. */
 static struct batch *read_ended_job(const char *id,
 				    const struct loaded_item *progress)
@@ -87,7 +79,7 @@
 	const void *data = g_bytes_get_data(value, &size);
 	struct batch *b;
 
-	if (is_ended_marker(value))
+	if (store_value_is(value, JOB_ENDED))
 		return read_ended_job(id, progress);
 	b = batch_decode_submission(data, size);
 	if (!b || !progress)
@@ -133,11 +125,11 @@
 
 		/* While active, only this owner writes the marker of an end.
 		 */
-		if (withdrawn_is_marker(item->value))
+		if (store_value_is(item->value, JOB_WITHDRAWN))
 			withdrawn_add(n, id, item->revision, now);
 		else if (is_loading)
 			add_loaded(n->loaded_jobs, id, item);
-		else if (!is_ended_marker(item->value))
+		else if (!store_value_is(item->value, JOB_ENDED))
 			add_job(n, id, item->value, item->revision, NULL, now);
 	} else if (g_str_has_prefix(item->key, KEY_CANCELS)) {
 		const char *id = item->key + strlen(KEY_CANCELS);
--- a/src/node/withdrawn.c
+++ b/src/node/withdrawn.c
@@ -23,15 +23,6 @@
 	cs_time expires_at;
 };
 
-bool withdrawn_is_marker(GBytes *value)
-{
-	gsize size;
-	const void *data = g_bytes_get_data(value, &size);
-
-	return size == strlen(JOB_WITHDRAWN) &&
-	       !memcmp(data, JOB_WITHDRAWN, size);
-}
-
 void withdrawn_add(struct node *n, const char *id, uint64_t revision,
 		   cs_time now)
 {
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -115,6 +115,14 @@
 	return size ? g_strndup(data, size) : g_strdup("");
 }
 
+bool store_value_is(GBytes *value, const char *text)
+{
+	gsize size;
+	const void *data = g_bytes_get_data(value, &size);
+
+	return size == strlen(text) && !memcmp(data, text, size);
+}
+
 uint64_t store_revision_after(const struct store_reply *d, const char *key,
 			      uint64_t known)
 {
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -108,6 +108,8 @@
 /* A copy of a value with a final NUL, "" if empty. The caller frees it. */
 char *store_text(GBytes *value);
 
+/* True if the value consists of that text. */
+bool store_value_is(GBytes *value, const char *text);
 /*
  * The revision that a failed transaction reports for a key, 0 if the key does
  * not exist. known if the transaction did not fail by a condition.
--- a/tests/unit/test_sched_faults.c
+++ b/tests/unit/test_sched_faults.c
@@ -556,6 +556,30 @@
 	end_world(w);
 }
 
+/*
+ * Guards against a submission that is answered as accepted and not stored: its
+ * identifier has an ended job of another workspace, whose key does not tell.
+ */
+static void identifier_of_an_ended_foreign_job_is_refused(void **state)
+{
+	struct world *w = make_world(1, 2, 0);
+	int job = world_submit(w, 0, &long_task), node;
+
+	(void)state;
+	world_run(w, 16000);
+	assert_true(world_job_is_done(w, job));
+	for (node = 0; node < 3; node++) {
+		world_request_as_other(w, node, job, API_SUBMIT);
+		world_run(w, 200);
+		assert_int_equal(world_other_result(w), API_UNAVAILABLE);
+		world_resubmit(w, node, job);
+		world_run(w, 200);
+		assert_int_equal(world_answer(w, job), WORLD_ACCEPTED);
+	}
+	assert_int_equal(world_retry_after_ms(w, job), 0);
+	end_world(w);
+}
+
 /*
  * Guards against a running wave whose list of hosts is changed by the operator:
  * the hosts that were added got no maintenance, the removed ones did.
@@ -778,6 +802,7 @@
 		cmocka_unit_test(gang_keeps_its_spread),
 		cmocka_unit_test(watch_that_is_too_large_is_replaced_by_a_list),
 		cmocka_unit_test(identifier_of_another_workspace_is_unknown),
+		cmocka_unit_test(identifier_of_an_ended_foreign_job_is_refused),
 		cmocka_unit_test(changed_wave_is_followed),
 		cmocka_unit_test(servers_of_a_kind_come_to_its_jobs),
 		cmocka_unit_test(late_write_does_not_undo_a_wave),
