sched: the lease of a start on its way to a new incarnation is waited for

Cause: a start that was sent to the former incarnation arrived 0.2 s after the owner had heard of the new one, and began a lease of 10 s by a clock that is 2% slow. The owner waited for the longest lease from the moment at which it had heard. Evidence: server_incarnation at 5.82 s, start carried out at 6.03 s, server_lease_ended at 16.15 s, lapsed at 16.20 s.

Change: a reply to an order that was sent before the new incarnation was known, or its timeout, extends the wait; the order was carried out before.

Test lease_of_a_start_on_its_way_is_waited_for failed before, with TWICE.

--- a/src/sched/incarnation.c
+++ b/src/sched/incarnation.c
@@ -103,6 +103,15 @@
 	       step <= clock_max(d->received - v->clock_sent) + LEASE_SLACK_US;
 }
 
+void incarnation_note_stale_reply(const struct sched *s, struct server *v,
+				  const struct order_reply *d, cs_time now)
+{
+	/* It was carried out by now: a timeout resets the connection. */
+	if (d->result != ORDER_NOT_SENT)
+		v->inherited_lease_end =
+			MAX(v->inherited_lease_end, longest_lease_end(s, now));
+}
+
 static bool is_list(const struct order_reply *d)
 {
 	return d->result == ORDER_DONE &&
--- a/src/sched/sched_private.h
+++ b/src/sched/sched_private.h
@@ -395,6 +395,9 @@
 bool incarnation_is_certain(const struct server *v);
 /* True if the order may have reached a former incarnation. */
 bool incarnation_is_stale(const struct server *v, const struct order_reply *d);
+/* It may have given the present one a lease by the clock of the former one. */
+void incarnation_note_stale_reply(const struct sched *s, struct server *v,
+				  const struct order_reply *d, cs_time now);
 /*
  * Takes over the reading of the server's clock in a reply, unless it is of
  * another incarnation. Requests the list of a server whose clock has jumped.
--- a/src/sched/servers.c
+++ b/src/sched/servers.c
@@ -287,8 +287,10 @@
 void servers_on_reply(struct sched *s, struct server *v,
 		      const struct order_reply *d, cs_time now)
 {
-	if (incarnation_is_stale(v, d))
+	if (incarnation_is_stale(v, d)) {
+		incarnation_note_stale_reply(s, v, d, now);
 		return;
+	}
 	if (d->result == ORDER_NOT_SENT || d->result == ORDER_UNKNOWN) {
 		if (!v->unanswered_orders++)
 			log_server(s, "server_unreachable", v,
--- a/tests/unit/test_incarnation.c
+++ b/tests/unit/test_incarnation.c
@@ -187,6 +187,39 @@
 	end_world(w);
 }
 
+/*
+ * The same for a start that was on its way when the owner heard of the new
+ * incarnation, so that the lease began after that.
+ */
+static void lease_of_a_start_on_its_way_is_waited_for(void **state)
+{
+	struct world_job job = long_job;
+	int i, n, s, number;
+
+	(void)state;
+	job.work_ms = 11000;
+	job.cpu = 20000;
+	for (i = 0; i < 30; i++) {
+		struct world *w = make_world(1, 2, 0);
+
+		world_run(w, 20000 + 20 * i);
+		for (s = 0; s < 2; s++) {
+			world_server_set_slow_clock(w, s);
+			world_server_reborn(w, s, 50, 50);
+		}
+		world_set_order_delay(w, 380);
+		number = world_submit(w, 0, &job);
+		world_run(w, 450);
+		world_set_order_delay(w, 0);
+		s = world_server_runs(w, 0) ? 0 : 1;
+		for (n = 0; n < 3; n++)
+			world_node_cut_server(w, n, s, true);
+		world_run(w, 40000);
+		assert_true(world_job_is_done(w, number));
+		end_world(w);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -197,6 +230,7 @@
 		cmocka_unit_test(
 			rejected_start_stays_rejected_at_the_new_incarnation),
 		cmocka_unit_test(lease_of_a_new_incarnation_is_waited_for),
+		cmocka_unit_test(lease_of_a_start_on_its_way_is_waited_for),
 		cmocka_unit_test(ends_of_a_new_incarnation_are_seen),
 	};
 
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -861,6 +861,16 @@
 	v->register_delay_ms = register_ms;
 }
 
+void world_server_set_slow_clock(struct world *w, int server)
+{
+	server_at(w, server)->has_slow_clock = true;
+}
+
+void world_set_order_delay(struct world *w, int64_t ms)
+{
+	w->order_delay_ms = ms;
+}
+
 bool world_server_is_up(const struct world *w, int server)
 {
 	return server_at(w, server)->is_up;
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -104,6 +104,10 @@
 void world_server_drain(struct world *world, int server);
 /* Share of start orders that time out and are carried out seconds later. */
 void world_set_late_starts(struct world *world, int per_mille);
+/* From its next start on the server's clock is as slow as is allowed. */
+void world_server_set_slow_clock(struct world *world, int server);
+/* Additional time that orders need to reach a server. */
+void world_set_order_delay(struct world *world, int64_t ms);
 /* A failing server fails every task it starts. */
 void world_server_set_failing(struct world *world, int server, bool is_failing);
 int world_server_runs(const struct world *world, int server);
--- a/tests/world/world_private.h
+++ b/tests/world/world_private.h
@@ -86,6 +86,7 @@
 	int maintenances; /* begun */
 	const char *label;
 	bool keeps_id; /* at its next start */
+	bool has_slow_clock;
 	int64_t register_delay_ms; /* after its next start */
 	uint64_t started_unix_ms;
 	cs_time clock_started_at;
@@ -197,6 +198,7 @@
 	cs_time evacuated_since[DATA_CENTRES];
 	int64_t pool_ms;
 	int host_orders;
+	int64_t order_delay_ms;
 	int other_result; /* see world_request_as_other() */
 	int64_t pending; /* see world_pending() */
 	bool are_hosts_silent;
--- a/tests/world/world_servers.c
+++ b/tests/world/world_servers.c
@@ -761,6 +761,8 @@
 	v->started_unix_ms = (uint64_t)world_unix_ms(v->world);
 	v->clock_started_at = v->world->now;
 	v->clock_rate = 0.98 + 0.02 * g_rand_double(v->world->rng);
+	if (v->has_slow_clock)
+		v->clock_rate = 0.98;
 	v->token = 0;
 	v->last_end_number = 0;
 	v->lease_ms = 0;
@@ -991,6 +993,8 @@
 				 on_order_arrival, a, 0);
 		return;
 	}
-	timers_subscribe(w->timers, w->now + world_message_delay(w),
+	timers_subscribe(w->timers,
+			 w->now + world_message_delay(w) +
+				 w->order_delay_ms * CS_MSEC,
 			 on_order_arrival, a, 0);
 }
