sched: runs that are not needed count until they have stopped

Cause: a listed run whose task is done by another run got no row, so it counted neither against the limit nor as room taken; and a run with a row was looked up by its task, which names none once it is done, so the row ended as lost while the run went on. Evidence: stray_run_stopped for three tasks of a done job, and task_start within 2 ms up to the whole limit.

Change: such a run gets a row that its task does not name, and rows are found among those of the server.

--- a/src/sched/runs.c
+++ b/src/sched/runs.c
@@ -63,13 +63,29 @@
 			       ref->index);
 }
 
-/* Creates the row of a run and reserves its room. */
-static struct run *new_run(struct sched *s, const struct task_ref *ref,
+/* The task of that name; its job is NULL if it has none that is known here. */
+static struct task_ref find_task(const struct sched *s, const char *name)
+{
+	struct task_ref ref = { 0 };
+	char id[BATCH_ID_MAX];
+	struct job *j = NULL;
+
+	if (!batch_task_name_parse(name, id, &ref.occurrence, &ref.step,
+				   &ref.index))
+		j = g_hash_table_lookup(s->job_by_id, id);
+	if (j && ref.occurrence < j->batch->occurrences_nr &&
+	    ref.step < j->batch->spec->steps_nr &&
+	    ref.index < j->batch->spec->steps[ref.step].count)
+		ref.job = j;
+	return ref;
+}
+
+/* Creates a row and reserves its room. The task does not name the run yet. */
+static struct run *new_row(struct sched *s, const struct task_ref *ref,
 			   struct server *v, uint32_t number, cs_time now)
 {
 	struct job *j = ref->job;
 	const struct batch_step *st = step_of(j, ref->step);
-	struct batch_task *t = task_of(ref);
 	struct run *r;
 	cs_handle h = slots_alloc(s->runs, (void **)&r);
 
@@ -88,9 +104,21 @@
 	r->need = place_need(st);
 	servers_add_run(v, r, st);
 	charge_usage(s, j, st->need, 1);
-	t->run_row = h;
-	batch_task_started(j->batch, t, number);
-	sched_mark_changed(s, j, now);
+	return r;
+}
+
+/* Creates the row of a run that is the present one of its task. */
+static struct run *new_run(struct sched *s, const struct task_ref *ref,
+			   struct server *v, uint32_t number, cs_time now)
+{
+	struct run *r = new_row(s, ref, v, number, now);
+	struct batch_task *t = task_of(ref);
+
+	if (!r)
+		return NULL;
+	t->run_row = r->self;
+	batch_task_started(ref->job->batch, t, number);
+	sched_mark_changed(s, ref->job, now);
 	return r;
 }
 
@@ -203,18 +231,30 @@
 	s->ops->send(s->ctx, o);
 }
 
-void runs_stop_stray(struct sched *s, struct server *v, const char *task,
-		     uint32_t number, cs_time now)
+/* Stops a listed run that has no row and whose task does not need it. */
+static void stop_stray(struct sched *s, struct server *v,
+		       const struct task_ref *ref,
+		       const struct order_run *reported, cs_time sent,
+		       cs_time now)
 {
+	struct run *r = NULL;
 	GString *pairs = g_string_new(NULL);
 
-	(void)now;
-	runs_order_stop(s, v, task, number);
-	log_pair(pairs, "task", task);
-	log_pair_int(pairs, "run", number);
+	log_pair(pairs, "task", reported->task);
+	log_pair_int(pairs, "run", reported->run);
 	log_pair(pairs, "server", v->info.id);
 	sched_log(s, "stray_run_stopped", pairs);
 	counters_add(s->counters, "camphorshed_stray_runs_total", "", 1);
+	/* It counts against limits until it has stopped. */
+	if (ref->job)
+		r = new_row(s, ref, v, reported->run, now);
+	if (!r) {
+		runs_order_stop(s, v, reported->task, reported->run);
+		return;
+	}
+	r->start_confirmed_at = now;
+	r->listed_at = sent;
+	runs_stop(s, r, "stray", now);
 }
 
 void runs_stop_all(struct sched *s, struct job *j, const char *why, cs_time now)
@@ -532,28 +572,22 @@
 			  const struct order_run *reported, cs_time sent,
 			  cs_time now)
 {
-	char id[BATCH_ID_MAX];
-	int occurrence, step, index;
+	struct task_ref ref = find_task(s, reported->task);
 	struct batch_task *t = NULL;
-	struct job *j = NULL;
 	bool is_needed;
 	struct run *r;
 
-	if (!batch_task_name_parse(reported->task, id, &occurrence, &step,
-				   &index))
-		j = g_hash_table_lookup(s->job_by_id, id);
-	if (j && occurrence < j->batch->occurrences_nr) {
-		batch_open_occurrence(j->batch, occurrence);
-		t = batch_find_task(j->batch, occurrence, step, index);
+	if (ref.job) {
+		batch_open_occurrence(ref.job->batch, ref.occurrence);
+		t = task_of(&ref);
 	}
 	if (!t || t->state != BATCH_TASK_WAITING || t->run_row) {
-		runs_stop_stray(s, v, reported->task, reported->run, now);
+		stop_stray(s, v, &ref, reported, sent, now);
 		return;
 	}
-	is_needed = !batch_is_final(j->batch) && reported->run >= t->run &&
-		    reported->run > t->ended_run;
-	r = runs_adopt(s, &(struct task_ref){ j, occurrence, step, index }, v,
-		       reported->run, now);
+	is_needed = !batch_is_final(ref.job->batch) &&
+		    reported->run >= t->run && reported->run > t->ended_run;
+	r = runs_adopt(s, &ref, v, reported->run, now);
 	if (!r)
 		return;
 	update_run(s, r, reported, now);
@@ -562,22 +596,26 @@
 		runs_stop(s, r, "not needed", now);
 }
 
-/* The run of a task with that number on the server; NULL if it has no row. */
+/*
+ * The run of a task with that number on the server; NULL if it has no row. A
+ * task that is done names no run any more, while one of it may be ending.
+ */
 static struct run *find_run(const struct sched *s, const struct server *v,
 			    const char *task, uint32_t number)
 {
-	char id[BATCH_ID_MAX];
-	int occurrence, step, index;
-	struct batch_task *t;
-	struct job *j;
-	struct run *r;
+	const struct task_ref ref = find_task(s, task);
+	guint i;
 
-	if (batch_task_name_parse(task, id, &occurrence, &step, &index))
-		return NULL;
-	j = g_hash_table_lookup(s->job_by_id, id);
-	t = j ? batch_find_task(j->batch, occurrence, step, index) : NULL;
-	r = t ? run_row(s, t->run_row) : NULL;
-	return r && r->server == v->self && r->number == number ? r : NULL;
+	for (i = 0; ref.job && i < v->runs->len; i++) {
+		struct run *r =
+			run_row(s, g_array_index(v->runs, cs_handle, i));
+
+		if (r->job == ref.job->self && r->number == number &&
+		    r->index == ref.index && r->step == ref.step &&
+		    r->occurrence == ref.occurrence)
+			return r;
+	}
+	return NULL;
 }
 
 /*
@@ -673,25 +711,17 @@
 static void handle_end(struct sched *s, struct server *v,
 		       const struct order_ended_run *e, cs_time now)
 {
-	char id[BATCH_ID_MAX];
-	int occurrence, step, index;
-	struct job *j = NULL;
+	const struct task_ref ref = find_task(s, e->task);
 	struct run *r;
 
-	if (!batch_task_name_parse(e->task, id, &occurrence, &step, &index))
-		j = g_hash_table_lookup(s->job_by_id, id);
-	if (j && occurrence < j->batch->occurrences_nr &&
-	    step < j->batch->spec->steps_nr &&
-	    index < j->batch->spec->steps[step].count) {
+	if (ref.job) {
 		r = find_run(s, v, e->task, e->run);
 		if (r) {
 			runs_ended(s, r, e->how, e->checkpoint, now);
 		} else {
-			const struct task_ref ref = { j, occurrence, step,
-						      index };
 			struct batch_task *t;
 
-			batch_open_occurrence(j->batch, occurrence);
+			batch_open_occurrence(ref.job->batch, ref.occurrence);
 			t = task_of(&ref);
 			r = t ? run_row(s, t->run_row) : NULL;
 			if (r && e->how == BATCH_END_DONE)
@@ -702,7 +732,7 @@
 		}
 		health_on_end(s, v, e->how, now);
 	}
-	add_unstored_end(s, v, e->number, j);
+	add_unstored_end(s, v, e->number, ref.job);
 }
 
 void runs_handle_ends(struct sched *s, struct server *v,
--- a/src/sched/sched_private.h
+++ b/src/sched/sched_private.h
@@ -438,9 +438,6 @@
 /* Orders a stop of a run that has no row, or has the server reject it. */
 void runs_order_stop(struct sched *s, struct server *v, const char *task,
 		     uint32_t number);
-/* Stops a run that has no row. */
-void runs_stop_stray(struct sched *s, struct server *v, const char *task,
-		     uint32_t number, cs_time now);
 /* Number of runs of a step on a server. */
 int runs_of_step(const struct sched *s, const struct server *v,
 		 const struct job *j, int occurrence, int step);
--- a/tests/unit/test_sched_faults.c
+++ b/tests/unit/test_sched_faults.c
@@ -778,6 +778,45 @@
 	end_world(w);
 }
 
+/*
+ * Guards against a workspace that has more running than its limit after a
+ * change of the owner: runs of a job that is done, which are being stopped, did
+ * not count.
+ */
+static void stray_runs_count_against_the_limit(void **state)
+{
+	const struct world_job wide = { .steps = 1,
+					.width = 3,
+					.work_ms = 2500,
+					.cpu = 4000,
+					.unavailable_max = -1 };
+	int i, first, second, server, owner;
+
+	(void)state;
+	for (i = 0; i < 20; i++) {
+		struct world *w = make_world(1, 2, 0);
+
+		owner = world_owner(w);
+		world_set_limit(w, 12000);
+		world_run(w, 3000 + 37 * i);
+		first = world_submit(w, 0, &wide);
+		world_run(w, 300);
+		server = world_server_runs(w, 0) ? 0 : 1;
+		assert_int_equal(world_server_runs(w, server), 3);
+		world_node_cut_server(w, owner, server, true);
+		second = world_submit(w, 0, &wide);
+		while (!world_server_runs(w, 1 - server))
+			world_run(w, 50);
+		world_run(w, 100);
+		/* The new owner sees the ends at the first server. */
+		world_node_kill(w, owner);
+		world_run(w, 20000);
+		assert_true(world_job_is_done(w, first));
+		assert_true(world_job_is_done(w, second));
+		end_world(w);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -810,6 +849,7 @@
 		cmocka_unit_test(late_replies_renew_the_lease),
 		cmocka_unit_test(unsettled_pool_keeps_its_hosts),
 		cmocka_unit_test(unknown_server_is_not_maintained),
+		cmocka_unit_test(stray_runs_count_against_the_limit),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
