tests: the site driver repeats refused cancellations

Cause: the check was wrong. That had just started and refused all nine with 'no configuration yet', so their runs held 89 of 96 cores. A caller repeats what was refused with 503.

Change: the driver repeats cancellations that were not acknowledged, at other entries, up to four times in 4 s. No bound was changed.

--- a/tests/world/main.c
+++ b/tests/world/main.c
@@ -13,6 +13,8 @@
 #define SETTLE_MS 5000
 #define RECOVERY_PHASE_MS 60000
 #define STEP_MS 100
+#define CANCEL_ATTEMPTS 4
+#define CANCEL_RETRY_MS 1000
 /* From this seed on hosts move to a standby pool and the store may be slow. */
 #define STANDBY_FROM_SEED 2000
 /*
@@ -386,6 +388,23 @@
 			world_node_start(d->world, i);
 }
 
+/* Like a caller, repeats what was refused, as by an entry that has just
+ * started.
+ */
+static void cancel_long_running_jobs(struct day *d)
+{
+	int attempt, job;
+
+	for (attempt = 0; attempt < CANCEL_ATTEMPTS; attempt++) {
+		for (job = 0; job < world_job_count(d->world); job++)
+			if (world_job_is_long_running(d->world, job) &&
+			    !world_job_is_cancelled(d->world, job))
+				world_cancel(d->world,
+					     attempt % d->options.nodes, job);
+		world_run(d->world, CANCEL_RETRY_MS);
+	}
+}
+
 static bool run_day(uint32_t seed, bool is_verbose)
 {
 	struct day d = { .options = { .seed = seed,
@@ -421,9 +440,7 @@
 	/* Entries that were draining when the faults ended have stopped now. */
 	for (i = 0; i < d.options.nodes; i++)
 		world_node_start(d.world, i);
-	for (i = 0; i < world_job_count(d.world); i++)
-		if (world_job_is_long_running(d.world, i))
-			world_cancel(d.world, 0, i);
+	cancel_long_running_jobs(&d);
 	world_run(d.world, RECOVERY_PHASE_MS);
 	has_passed = !world_violation(d.world) &&
 		     !world_unfinished_jobs(d.world);
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -1174,6 +1174,11 @@
 	return true;
 }
 
+bool world_job_is_cancelled(const struct world *w, int job)
+{
+	return sim_job_at(w, job)->cancelled_at != 0;
+}
+
 bool world_job_is_long_running(const struct world *w, int job)
 {
 	return sim_job_at(w, job)->spec.is_long_running;
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -189,6 +189,8 @@
 int64_t world_retry_after_ms(const struct world *world, int job);
 int world_job_count(const struct world *world);
 bool world_job_is_done(const struct world *world, int job);
+/* True if its cancellation was acknowledged. */
+bool world_job_is_cancelled(const struct world *world, int job);
 bool world_job_is_long_running(const struct world *world, int job);
 /*
  * A silent host service gives no reply: callers wait until their timeouts, and
