--- a/src/sched/sched_private.h
+++ b/src/sched/sched_private.h
@@ -97,25 +97,25 @@
 	bool is_grant_outdated; /* the one that is being stored */
 	bool is_list_partial; /* its last lists may lack runs or ended runs */
 	bool is_dead; /* its incarnation has certainly ended */
+	/*
+	 * A reply had a reading of another clock, so that the server may have
+	 * started again; until a list names its incarnation.
+	 */
+	bool is_incarnation_doubtful;
 	cs_time died_at; /* when is_dead was set */
 	/* Start of the next incarnation with this identifier; 0: none. */
 	uint64_t next_started_unix_ms;
 	uint64_t described_unix_ms; /* start of the one that info describes */
-	uint32_t incarnation; /* number of those that began since the first */
 	/* Orders that were sent since then did not reach an earlier one. */
 	cs_time incarnation_since;
-	/*
-	 * A reply had a reading of another clock, so that the server may have
-	 * started again; until a list names its incarnation.
-	 */
-	bool is_incarnation_doubtful;
-	cs_time doubted_at;
+	cs_time doubted_at; /* when is_incarnation_doubtful was set */
 	/*
 	 * Until then a lease may last that was given by the clock of a former
 	 * incarnation.
 	 */
 	cs_time inherited_lease_end;
 	unsigned int cordons; /* enum cordon; any of them: gets no starts */
+	uint32_t incarnation; /* number of those that began since the first */
 	/* Clock: the reading was taken between sent and received. */
 	int64_t clock_ms; /* -1: none yet */
 	cs_time clock_sent, clock_received;
--- a/tests/unit/test_incarnation.c
+++ b/tests/unit/test_incarnation.c
@@ -89,7 +89,7 @@
 		struct world_job job = long_job;
 
 		job.work_ms = 12000;
-		world_run(w, 200 * i);
+		world_run(w, 200 * (int64_t)i);
 		world_set_late_starts(w, 1000);
 		number = world_submit(w, 0, &job);
 		world_run(w, 100);
@@ -115,7 +115,7 @@
 		struct world_job job = long_job;
 
 		job.work_ms = 12000;
-		world_run(w, 200 * i);
+		world_run(w, 200 * (int64_t)i);
 		world_set_late_starts(w, 1000);
 		number = world_submit(w, 0, &job);
 		world_run(w, 100);
@@ -202,7 +202,7 @@
 	for (i = 0; i < 30; i++) {
 		struct world *w = make_world(1, 2, 0);
 
-		world_run(w, 20000 + 20 * i);
+		world_run(w, 20000 + 20 * (int64_t)i);
 		for (s = 0; s < 2; s++) {
 			world_server_set_slow_clock(w, s);
 			world_server_reborn(w, s, 50, 50);
--- a/tests/unit/test_late_writes.c
+++ b/tests/unit/test_late_writes.c
@@ -26,7 +26,7 @@
 		struct world *w = make_world(1, 2, 0);
 		int job;
 
-		world_run(w, 50 * i);
+		world_run(w, 50 * (int64_t)i);
 		world_store_set_lost_replies(w, 1000, true);
 		job = world_submit(w, 1, &short_job);
 		world_run(w, 5);
@@ -79,7 +79,7 @@
 		struct world *w = make_world(1, 2, 0);
 
 		world_set_limit(w, 1000);
-		world_run(w, 2000 + 100 * i);
+		world_run(w, 2000 + 100 * (int64_t)i);
 		world_submit(w, 0, &lasting);
 		world_run(w, 3000);
 		world_submit(w, 0, &short_job);
--- a/tests/unit/test_sched_faults.c
+++ b/tests/unit/test_sched_faults.c
@@ -798,7 +798,7 @@
 
 		owner = world_owner(w);
 		world_set_limit(w, 12000);
-		world_run(w, 3000 + 37 * i);
+		world_run(w, 3000 + 37 * (int64_t)i);
 		first = world_submit(w, 0, &wide);
 		world_run(w, 300);
 		server = world_server_runs(w, 0) ? 0 : 1;
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -542,6 +542,7 @@
 	w->now = CS_SEC;
 	w->servers = g_ptr_array_new_with_free_func(server_free);
 	w->jobs = g_ptr_array_new_with_free_func(job_free);
+	w->run_events = g_hash_table_new_full(NULL, NULL, g_free, NULL);
 	w->job_by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	w->items = g_tree_new_full(sim_store_compare_keys, NULL, g_free,
 				   sim_store_item_free);
@@ -587,6 +588,7 @@
 	}
 	g_ptr_array_free(w->watches, TRUE);
 	g_ptr_array_free(w->servers, TRUE);
+	g_hash_table_destroy(w->run_events);
 	g_ptr_array_free(w->jobs, TRUE);
 	g_hash_table_destroy(w->job_by_id);
 	g_hash_table_destroy(w->leases);
--- a/tests/world/world_private.h
+++ b/tests/world/world_private.h
@@ -170,26 +170,25 @@
 	GPtrArray *servers; /* struct sim_server */
 	GPtrArray *jobs; /* struct sim_job */
 	GHashTable *job_by_id;
+	GHashTable *run_events; /* struct run_event that are to come */
 	/* The store. */
 	GTree *items; /* key -> struct sim_item */
 	GPtrArray *log; /* struct sim_change */
 	uint64_t revision, compacted, next_lease;
 	GPtrArray *watches; /* struct sim_watch */
 	GHashTable *leases;
-	bool is_store_down, leases_expire;
+	bool is_store_down, leases_expire, is_lost_write_late;
+	bool are_hosts_silent, are_workspaces_removed;
+	int lost_reply_per_mille, late_start_per_mille;
 	cs_time last_fault_at;
-	int lost_reply_per_mille;
-	bool is_lost_write_late;
 	cs_time renewal_delay; /* of replies to renewals of leases */
 	int64_t store_bytes_per_s; /* of items to a node; 0: no limit */
 	int64_t watch_bytes_max; /* of one reply to a watch; 0: no limit */
 	int64_t store_latency_ms; /* additional delay of each reply */
-	int late_start_per_mille;
 	int64_t limit_cpu, used_cpu;
-	bool are_workspaces_removed;
 	int attempts_max; /* of all queues, as configured now */
-	int64_t advice_validity_ms; /* of all queues; 0: no tickets needed */
 	int advice_server; /* index of the only one that is allowed */
+	int64_t advice_validity_ms; /* of all queues; 0: no tickets needed */
 	cs_time limit_since;
 	uint64_t site_version;
 	int queue_pool[POOLS_MAX]; /* -1: the queue is removed */
@@ -197,11 +196,10 @@
 	bool is_evacuated[DATA_CENTRES];
 	cs_time evacuated_since[DATA_CENTRES];
 	int64_t pool_ms;
-	int host_orders;
 	int64_t order_delay_ms;
-	int other_result; /* see world_request_as_other() */
 	int64_t pending; /* see world_pending() */
-	bool are_hosts_silent;
+	int host_orders;
+	int other_result; /* see world_request_as_other() */
 	/* The maintenance wave. */
 	uint64_t wave;
 	int wave_at_once_max, wave_down;
--- a/tests/world/world_servers.c
+++ b/tests/world/world_servers.c
@@ -296,7 +296,7 @@
 			end_run(v, r, BATCH_END_DONE);
 		}
 	}
-	g_free(e);
+	g_hash_table_remove(v->world->run_events, e);
 }
 
 static void schedule_run_event(struct sim_server *v, struct sim_run *r,
@@ -304,6 +304,7 @@
 {
 	struct run_event *e = g_new0(struct run_event, 1);
 
+	g_hash_table_add(v->world->run_events, e);
 	e->server = v;
 	e->generation = v->generation;
 	e->run = r->run;
