--- a/src/node/api.c
+++ b/src/node/api.c
@@ -277,6 +277,52 @@
 		reason, now);
 }
 
+/* Sends a call for the request; on_reply gets its handle. */
+static void send_call(struct open_request *o, struct store_call *call,
+		      store_reply_fn on_reply)
+{
+	store_calls_send(o->node->calls, call, on_reply, o->node, o->self);
+}
+
+/* Reads the key of the request's job under a prefix. */
+static void read_key(struct open_request *o, const char *prefix,
+		     store_reply_fn on_reply, cs_time now)
+{
+	char *key;
+
+	if (!time_left(o, now)) {
+		retry(o, "no time left", now);
+		return;
+	}
+	key = g_strconcat(prefix, o->id, NULL);
+	send_call(o, store_call_new(STORE_GET, key, time_left(o, now)),
+		  on_reply);
+	g_free(key);
+}
+
+/*
+ * Writes the key of the request's job under a prefix if it does not exist.
+ * Takes ownership of value.
+ */
+static void create_key(struct open_request *o, const char *prefix,
+		       GBytes *value, store_reply_fn on_reply, cs_time now)
+{
+	struct store_call *c;
+	char *key;
+
+	if (!time_left(o, now)) {
+		g_bytes_unref(value);
+		retry(o, "no time left", now);
+		return;
+	}
+	key = g_strconcat(prefix, o->id, NULL);
+	c = store_call_new(STORE_TXN, NULL, time_left(o, now));
+	store_call_expect(c, key, 0);
+	store_call_write(c, key, value, 0);
+	g_free(key);
+	send_call(o, c, on_reply);
+}
+
 static void finish_foreign(struct open_request *o, cs_time now)
 {
 	finish_with_result(o, API_UNAVAILABLE,
@@ -318,17 +364,7 @@
 /* Handles a submission whose identifier has a job that has ended. */
 static void read_ended_job(struct open_request *o, cs_time now)
 {
-	char *key;
-
-	if (!time_left(o, now)) {
-		retry(o, "no time left", now);
-		return;
-	}
-	key = g_strconcat(KEY_PROGRESS, o->id, NULL);
-	store_calls_send(o->node->calls,
-			 store_call_new(STORE_GET, key, time_left(o, now)),
-			 on_ended_read, o->node, o->self);
-	g_free(key);
+	read_key(o, KEY_PROGRESS, on_ended_read, now);
 }
 
 static void on_submitted(void *ctx, uint64_t arg, const struct store_reply *d,
@@ -383,19 +419,7 @@
 
 static void submit(struct open_request *o, cs_time now)
 {
-	struct store_call *c;
-	char *key;
-
-	if (!time_left(o, now)) {
-		retry(o, "no time left", now);
-		return;
-	}
-	key = g_strconcat(KEY_JOBS, o->id, NULL);
-	c = store_call_new(STORE_TXN, NULL, time_left(o, now));
-	store_call_expect(c, key, 0);
-	store_call_write(c, key, encode_submission(o), 0);
-	g_free(key);
-	store_calls_send(o->node->calls, c, on_submitted, o->node, o->self);
+	create_key(o, KEY_JOBS, encode_submission(o), on_submitted, now);
 }
 
 static void on_cancelled(void *ctx, uint64_t arg, const struct store_reply *d,
@@ -414,19 +438,7 @@
 
 static void cancel(struct open_request *o, cs_time now)
 {
-	struct store_call *c;
-	char *key;
-
-	if (!time_left(o, now)) {
-		retry(o, "no time left", now);
-		return;
-	}
-	key = g_strconcat(KEY_CANCELS, o->id, NULL);
-	c = store_call_new(STORE_TXN, NULL, time_left(o, now));
-	store_call_expect(c, key, 0);
-	store_call_write(c, key, g_bytes_new("", 0), 0);
-	g_free(key);
-	store_calls_send(o->node->calls, c, on_cancelled, o->node, o->self);
+	create_key(o, KEY_CANCELS, g_bytes_new("", 0), on_cancelled, now);
 }
 
 static void on_withdrawn(void *ctx, uint64_t arg, const struct store_reply *d,
@@ -452,21 +464,9 @@
  */
 static void withdraw(struct open_request *o, cs_time now)
 {
-	struct store_call *c;
-	char *key;
-
-	if (!time_left(o, now)) {
-		retry(o, "no time left", now);
-		return;
-	}
-	key = g_strconcat(KEY_JOBS, o->id, NULL);
-	c = store_call_new(STORE_TXN, NULL, time_left(o, now));
-	store_call_expect(c, key, 0);
-	store_call_write(
-		c, key,
-		g_bytes_new_static(JOB_WITHDRAWN, strlen(JOB_WITHDRAWN)), 0);
-	g_free(key);
-	store_calls_send(o->node->calls, c, on_withdrawn, o->node, o->self);
+	create_key(o, KEY_JOBS,
+		   g_bytes_new_static(JOB_WITHDRAWN, strlen(JOB_WITHDRAWN)),
+		   on_withdrawn, now);
 }
 
 /* Handles the reply for the job's key, read if there is no progress. */
@@ -529,21 +529,10 @@
 /* Reads the progress first, then the job's key. A cancel needs only the key. */
 static void read_job(struct open_request *o, cs_time now)
 {
-	const char *prefix;
-	char *key;
-
-	if (!time_left(o, now)) {
-		retry(o, "no time left", now);
-		return;
-	}
 	if (o->request->kind == API_CANCEL)
 		o->is_reading_job = true;
-	prefix = o->is_reading_job ? KEY_JOBS : KEY_PROGRESS;
-	key = g_strconcat(prefix, o->id, NULL);
-	store_calls_send(o->node->calls,
-			 store_call_new(STORE_GET, key, time_left(o, now)),
-			 on_key_read, o->node, o->self);
-	g_free(key);
+	read_key(o, o->is_reading_job ? KEY_JOBS : KEY_PROGRESS, on_key_read,
+		 now);
 }
 
 /*
--- a/src/sched/incarnation.c
+++ b/src/sched/incarnation.c
@@ -1,6 +1,5 @@
 #include "sched_private.h"
 
-#include "../base/error.h"
 #include "../base/log.h"
 
 /*
@@ -20,13 +19,8 @@
 static void log_incarnation(struct sched *s, const char *event,
 			    const struct server *v, const char *why)
 {
-	GString *pairs = g_string_new(NULL);
+	GString *pairs = servers_describe(v, why);
 
-	log_pair(pairs, "server", v->info.id);
-	log_pair(pairs, "pool", v->info.pool);
-	log_pair(pairs, "address", v->info.address);
-	log_pair(pairs, "why", why);
-	log_pair_int(pairs, "runs", v->runs->len);
 	log_pair_int(pairs, "started_unix_ms",
 		     (int64_t)v->info.started_unix_ms);
 	log_pair_int(pairs, "next_started_unix_ms",
--- a/src/sched/sched_private.h
+++ b/src/sched/sched_private.h
@@ -358,6 +358,8 @@
  */
 void servers_set_cordon(struct sched *s, cs_handle server, enum cordon reason,
 			bool is_set);
+/* The pairs of a line of the log on a server, to which others may be added. */
+GString *servers_describe(const struct server *v, const char *why);
 /* Checks leases and removes rows that are no longer needed. */
 void servers_check(struct sched *s, cs_time now);
 /* Marks the server's grant for removal from the store. */
--- a/src/sched/servers.c
+++ b/src/sched/servers.c
@@ -269,8 +269,7 @@
 	send_hold(s, v, now);
 }
 
-static void log_server(struct sched *s, const char *event,
-		       const struct server *v, const char *why, cs_time now)
+GString *servers_describe(const struct server *v, const char *why)
 {
 	GString *pairs = g_string_new(NULL);
 
@@ -279,6 +278,14 @@
 	log_pair(pairs, "address", v->info.address);
 	log_pair(pairs, "why", why);
 	log_pair_int(pairs, "runs", v->runs->len);
+	return pairs;
+}
+
+static void log_server(struct sched *s, const char *event,
+		       const struct server *v, const char *why, cs_time now)
+{
+	GString *pairs = servers_describe(v, why);
+
 	log_pair_int(pairs, "answered_age_ms",
 		     v->answered_at ? (now - v->answered_at) / CS_MSEC : -1);
 	sched_log(s, event, pairs);
--- a/tests/unit/test_incarnation.c
+++ b/tests/unit/test_incarnation.c
@@ -75,57 +75,50 @@
 }
 
 /*
- * Guards against a task that runs twice: a start without an answer counted as
- * lost with the former incarnation, and the new one carried it out seconds
- * later.
+ * A start gets no answer and is carried out seconds later. The server starts
+ * again under its identifier wait_ms after it was sent, and takes restart_ms.
  */
-static void late_start_is_ruled_out_at_the_new_incarnation(void **state)
+static void play_late_starts(int64_t wait_ms, int64_t restart_ms)
 {
+	struct world_job job = long_job;
 	int i, number, server;
 
-	(void)state;
+	job.work_ms = 12000;
 	for (i = 0; i < 10; i++) {
 		struct world *w = make_uneven_world(&server);
-		struct world_job job = long_job;
 
-		job.work_ms = 12000;
 		world_run(w, 200 * (int64_t)i);
 		world_set_late_starts(w, 1000);
 		number = world_submit(w, 0, &job);
 		world_run(w, 100);
 		world_set_late_starts(w, 0);
-		world_server_reborn(w, server, 300, 100);
+		world_run(w, wait_ms);
+		world_server_reborn(w, server, restart_ms, 100);
 		world_run(w, 40000);
 		assert_true(world_job_is_done(w, number));
 		end_world(w);
 	}
 }
 
+/*
+ * Guards against a task that runs twice: a start without an answer counted as
+ * lost with the former incarnation, and the new one carried it out seconds
+ * later.
+ */
+static void late_start_is_ruled_out_at_the_new_incarnation(void **state)
+{
+	(void)state;
+	play_late_starts(0, 300);
+}
+
 /*
  * The same for a start that was ruled out at the former incarnation, whose
  * rejection of it is gone.
  */
 static void rejected_start_stays_rejected_at_the_new_incarnation(void **state)
 {
-	int i, number, server;
-
 	(void)state;
-	for (i = 0; i < 10; i++) {
-		struct world *w = make_uneven_world(&server);
-		struct world_job job = long_job;
-
-		job.work_ms = 12000;
-		world_run(w, 200 * (int64_t)i);
-		world_set_late_starts(w, 1000);
-		number = world_submit(w, 0, &job);
-		world_run(w, 100);
-		world_set_late_starts(w, 0);
-		world_run(w, 800);
-		world_server_reborn(w, server, 100, 100);
-		world_run(w, 40000);
-		assert_true(world_job_is_done(w, number));
-		end_world(w);
-	}
+	play_late_starts(800, 100);
 }
 
 /*
