sched: a job outlives the rows of its runs

Callers would see the owner's process end about 130 s after a job was done while a run of it hangs on a server, and so with each later owner.

Cause: an ended job is removed after its retention if no task of it is running. A row of a run whose task was done by another one can remain for as long as its server lists the run, and named a job that was gone.

Change: a job counts its rows and is removed after the last one.

Test run_of_an_ended_job_may_hang failed before, with a segmentation fault.

--- a/src/sched/runs.c
+++ b/src/sched/runs.c
@@ -104,6 +104,7 @@
 	r->need = place_need(st);
 	servers_add_run(v, r, st);
 	charge_usage(s, j, st->need, 1);
+	j->rows++;
 	return r;
 }
 
@@ -287,6 +288,7 @@
 		t->run_row = 0;
 	charge_usage(s, j, step_of(j, r->step)->need, -1);
 	servers_remove_run(v, r, step_of(j, r->step));
+	j->rows--;
 	set_state(s, r, RUN_ACTIVE);
 	slots_free(s->runs, r->self);
 }
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -737,7 +737,8 @@
 	struct job *j = slots_get(s->jobs, h);
 
 	if (!j || now - j->final_at < FINAL_RETENTION_US || j->batch->running ||
-	    j->is_being_stored || j->batch->version != j->stored_version)
+	    j->rows || j->is_being_stored ||
+	    j->batch->version != j->stored_version)
 		return 0;
 	return h;
 }
--- a/src/sched/sched_private.h
+++ b/src/sched/sched_private.h
@@ -182,6 +182,7 @@
 	bool knows_pools; /* it stored in which pools */
 	guint pool_position; /* in the pool's array of jobs */
 	int first_open_occurrence; /* all earlier occurrences are done */
+	int rows; /* in the table of runs; the job must outlive them */
 };
 
 /* A task of a job: occurrence, step and index in the step. */
--- a/tests/unit/test_sched_faults.c
+++ b/tests/unit/test_sched_faults.c
@@ -817,6 +817,36 @@
 	}
 }
 
+/*
+ * Guards against an owner that crashes: a server that was stuck listed a run of
+ * a job that was done elsewhere for longer than ended jobs are kept.
+ */
+static void run_of_an_ended_job_may_hang(void **state)
+{
+	const struct world_job job = { .steps = 1,
+				       .width = 1,
+				       .work_ms = 2500,
+				       .cpu = 4000,
+				       .unavailable_max = -1 };
+	struct world *w = make_world(1, 2, 0);
+	int number = world_submit(w, 0, &job), server, owner = world_owner(w);
+
+	(void)state;
+	world_run(w, 300);
+	server = world_server_runs(w, 0) ? 0 : 1;
+	world_server_set_stuck(w, 1 - server, true);
+	world_node_cut_server(w, owner, server, true);
+	while (!world_server_runs(w, 1 - server))
+		world_run(w, 50);
+	world_node_cut_server(w, owner, server, false);
+	world_run(w, 150000);
+	assert_true(world_job_is_done(w, number));
+	assert_int_equal(world_server_runs(w, 1 - server), 1);
+	world_server_set_stuck(w, 1 - server, false);
+	assert_int_equal(world_owner(w), owner);
+	end_world(w);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -850,6 +880,7 @@
 		cmocka_unit_test(unsettled_pool_keeps_its_hosts),
 		cmocka_unit_test(unknown_server_is_not_maintained),
 		cmocka_unit_test(stray_runs_count_against_the_limit),
+		cmocka_unit_test(run_of_an_ended_job_may_hang),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -863,6 +863,11 @@
 	v->register_delay_ms = register_ms;
 }
 
+void world_server_set_stuck(struct world *w, int server, bool is_stuck)
+{
+	server_at(w, server)->is_stuck = is_stuck;
+}
+
 void world_server_set_slow_clock(struct world *w, int server)
 {
 	server_at(w, server)->has_slow_clock = true;
--- a/tests/world/world_private.h
+++ b/tests/world/world_private.h
@@ -86,7 +86,7 @@
 	int maintenances; /* begun */
 	const char *label;
 	bool keeps_id; /* at its next start */
-	bool has_slow_clock;
+	bool has_slow_clock, is_stuck;
 	int64_t register_delay_ms; /* after its next start */
 	uint64_t started_unix_ms;
 	cs_time clock_started_at;
--- a/tests/world/world_servers.c
+++ b/tests/world/world_servers.c
@@ -272,7 +272,7 @@
 	int t;
 
 	(void)now;
-	if (r && r->run == e->run &&
+	if (r && r->run == e->run && !v->is_stuck &&
 	    r->event_generation == e->event_generation) {
 		j = sim_job_at(v->world, r->job);
 		t = r->step * j->spec.width + r->index;
