sched: a start time in the future does not delay a new owner for ever

Callers would see jobs that had begun go no further after a change of the owner, as long as a record of the registry names a start time far ahead and its server is silent.

Cause: a new owner waits for the longest lease from the start of such a server, and takes the start from the registry, where another writer may leave anything.

Change: the start counts as no later than the last lease that the predecessor may have given.

Test start_time_in_the_future_blocks_no_job failed before.

--- a/src/sched/incarnation.c
+++ b/src/sched/incarnation.c
@@ -71,6 +71,8 @@
 		return end;
 	started_at = s->unix_at +
 		     ((int64_t)v->info.started_unix_ms - s->unix_ms) * CS_MSEC;
+	/* A predecessor gave none later; a record may name any start time. */
+	started_at = MIN(started_at, s->options.predecessor_end);
 	return MAX(end, longest_lease_end(s, started_at + NOTICE_US));
 }
 
--- a/tests/unit/test_incarnation.c
+++ b/tests/unit/test_incarnation.c
@@ -213,6 +213,30 @@
 	}
 }
 
+/*
+ * Guards against jobs that stop for good after a change of the owner: a record
+ * in the registry has a start time that is far ahead, and its server is silent.
+ */
+static void start_time_in_the_future_blocks_no_job(void **state)
+{
+	struct world *w = make_world(1, 2, 0);
+	struct world_job job = long_job;
+	int number;
+
+	(void)state;
+	job.steps = 2;
+	world_store_put(w, "servers/i-odd",
+			"0 10.9.9.9:80 0 ready 1800000000000 a");
+	world_run(w, 1000);
+	number = world_submit(w, 0, &job);
+	world_run(w, 1000);
+	assert_int_equal(world_job_starts(w, number), 1);
+	world_node_kill(w, world_owner(w));
+	world_run(w, 40000);
+	assert_true(world_job_is_done(w, number));
+	end_world(w);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -225,6 +249,7 @@
 		cmocka_unit_test(lease_of_a_new_incarnation_is_waited_for),
 		cmocka_unit_test(lease_of_a_start_on_its_way_is_waited_for),
 		cmocka_unit_test(ends_of_a_new_incarnation_are_seen),
+		cmocka_unit_test(start_time_in_the_future_blocks_no_job),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
