--- a/src/node/withdrawn.c
+++ b/src/node/withdrawn.c
@@ -13,8 +13,7 @@
  * jobs are kept, by then no such write is left.
  */
 
-/* Kept of each, as for ended jobs. */
-#define RETENTION_US (130 * CS_SEC)
+/* Pause after a removal that failed. */
 #define RETRY_US (1 * CS_SEC)
 
 struct withdrawn {
@@ -33,7 +32,7 @@
 	row = g_new0(struct withdrawn, 1);
 	cs_copy(row->id, sizeof(row->id), id);
 	row->revision = revision;
-	row->expires_at = now + RETENTION_US;
+	row->expires_at = now + SCHED_RETENTION_US;
 	g_queue_push_tail(&n->withdrawn.rows, row);
 }
 
@@ -79,5 +78,6 @@
 	store_call_expect(call, key, row->revision);
 	store_call_remove(call, key);
 	n->withdrawn.is_removal_open = true;
-	store_calls_send(n->calls, call, on_removed, n, n->owner.term);
+	if (!store_calls_send(n->calls, call, on_removed, n, n->owner.term))
+		n->withdrawn.is_removal_open = false;
 }
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -28,14 +28,14 @@
 
 /*
  * Age of the last answer up to which an owner that may have a successor starts
- * tasks: more than the wait of a hold, less than a server needs to start again.
+ * tasks: more than the wait of a hold, so that servers that answer stay in use.
  */
 #define RECENT_ANSWER_US (1 * CS_SEC)
 
 /*
  * True if the server would refuse the start in case a successor has taken it
- * over. It has seen no token any more once it has started again, which an owner
- * that was paused does not know.
+ * over. Once it has started again it knows no token, and an owner that was
+ * paused has not heard of that.
  */
 static bool is_fencing(const struct sched *s, const struct server *v,
 		       cs_time now)
--- a/src/sched/runs.c
+++ b/src/sched/runs.c
@@ -567,8 +567,8 @@
 
 /*
  * Handles a listed run without a row: it is adopted if its task needs it, and
- * stopped otherwise. A run of a waiting task gets a row in both cases, because
- * it counts against limits until it has stopped.
+ * stopped otherwise. A run of a known job gets a row in both cases, because it
+ * counts against limits until it has stopped.
  */
 static void adopt_or_stop(struct sched *s, struct server *v,
 			  const struct order_run *reported, cs_time sent,
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -26,12 +26,6 @@
 /* Interval at which the expected run times of open jobs are refreshed. */
 #define EXPECTED_TIMES_INTERVAL_US (500 * CS_MSEC)
 
-/*
- * How long a batch can be queried after its end. The platform requires 120 s;
- * the margin covers clock differences between entries.
- */
-#define FINAL_RETENTION_US (130 * CS_SEC)
-
 static void pool_free(void *row)
 {
 	struct pool *p = row;
@@ -736,7 +730,7 @@
 	cs_handle h = (cs_handle)GPOINTER_TO_SIZE(g_queue_peek_head(&s->final));
 	struct job *j = slots_get(s->jobs, h);
 
-	if (!j || now - j->final_at < FINAL_RETENTION_US || j->batch->running ||
+	if (!j || now - j->final_at < SCHED_RETENTION_US || j->batch->running ||
 	    j->rows || j->is_being_stored ||
 	    j->batch->version != j->stored_version)
 		return 0;
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -19,6 +19,12 @@
  */
 struct sched;
 
+/*
+ * How long a batch can be queried after its end. The platform requires 120 s;
+ * the margin covers clock differences between entries.
+ */
+#define SCHED_RETENTION_US (130 * CS_SEC)
+
 /* Labels of a server: its kind, its rack, and others. */
 #define SCHED_LABELS_MAX 8
 
