sched: divide the folder by aggregate

The scheduler was one flat folder around one private header that every file opened, so a new part had no place of its own and parts could not be built side by side. It is now divided into queue, place, runs, pools, upkeep and learn, each with its own headers; sched_private.h keeps the scheduler's own row.

--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
 
 B = build/$(VARIANT)
 
-LIB_SRC := $(sort $(wildcard src/*/*.c platform/*.c))
+LIB_SRC := $(sort $(wildcard src/*/*.c src/*/*/*.c platform/*.c))
 LIB_SRC := $(filter-out src/cmd/%,$(LIB_SRC))
 LIB_OBJ := $(LIB_SRC:%.c=$(B)/%.o)
 CMD_OBJ := $(patsubst %.c,$(B)/%.o,$(wildcard src/cmd/*.c))
--- a/src/sched/advice.c
+++ b/src/sched/place/advice.c
@@ -1,9 +1,9 @@
-#include "sched_private.h"
+#include "../sched_private.h"
 
 #include <string.h>
 
-#include "../base/error.h"
-#include "../base/log.h"
+#include "../../base/error.h"
+#include "../../base/log.h"
 
 /*
  * Tickets of the placement advisor. The advisor serves one request at a time
--- a/src/sched/health.c
+++ b/src/sched/place/health.c
@@ -1,6 +1,6 @@
-#include "sched_private.h"
+#include "../sched_private.h"
 
-#include "../base/log.h"
+#include "../../base/log.h"
 
 /*
  * Detects servers on which all tasks fail. A broken job fails on every server
--- a/src/sched/place.c
+++ b/src/sched/place/place.c
@@ -1,4 +1,4 @@
-#include "sched_private.h"
+#include "../sched_private.h"
 
 #include <string.h>
 
--- a/src/sched/room_index.h
+++ b/src/sched/place/room_index.h
@@ -3,7 +3,7 @@
 
 #include <glib.h>
 
-#include "../camphorshed.h"
+#include "../../camphorshed.h"
 
 /*
  * The servers of a pool in the order of their free CPU, so that the fullest one
--- a/src/sched/balance.c
+++ b/src/sched/pools/balance.c
@@ -1,10 +1,10 @@
-#include "sched_private.h"
+#include "../sched_private.h"
 
 #include <math.h>
 #include <string.h>
 
-#include "../base/error.h"
-#include "../base/log.h"
+#include "../../base/error.h"
+#include "../../base/log.h"
 
 /*
  * Moves hosts between pools according to demand. The expected load is bursty:
--- a/src/sched/demand.h
+++ b/src/sched/pools/demand.h
@@ -1,7 +1,7 @@
 #ifndef SCHED_DEMAND_H
 #define SCHED_DEMAND_H
 
-#include "../camphorshed.h"
+#include "../../camphorshed.h"
 
 /*
  * Forecasts the CPU demand of a pool from the work that arrives there. The
--- a/src/sched/hosts.c
+++ b/src/sched/pools/hosts.c
@@ -1,7 +1,7 @@
-#include "sched_private.h"
+#include "../sched_private.h"
 
-#include "../base/error.h"
-#include "../base/log.h"
+#include "../../base/error.h"
+#include "../../base/log.h"
 
 /*
  * The list of hosts from the host service, and the queue of orders to hosts.
--- /dev/null
+++ b/src/sched/pools/pool.h
@@ -0,0 +1,36 @@
+#ifndef SCHED_POOLS_POOL_H
+#define SCHED_POOLS_POOL_H
+
+#include "../place/room_index.h"
+#include "../queue/job.h"
+#include "demand.h"
+
+/* Rows of pools: the servers and the jobs of queues that share them. */
+
+/* Labels in struct pool; further ones wait for the next pass. */
+#define LACKING_LABELS_MAX 4
+
+struct pool {
+	char name[CS_NAME_MAX];
+	GPtrArray *servers; /* struct server */
+	struct room_index *room; /* the same, by free CPU */
+	GPtrArray *jobs; /* struct job, not final */
+	/*
+	 * Jobs that may have a task to start, now or at a later time. A job
+	 * that only waits for its running tasks to end is not here, nor is one
+	 * whose end is recorded once assign_pool() has seen it.
+	 */
+	GPtrArray *waiting;
+	bool is_due; /* changed since the last turn */
+	int blocked[JOB_BLOCK_NR]; /* jobs by enum job_block */
+	int open_begins; /* jobs whose begin here is not stored yet */
+	/* Labels for which no server had room in the last pass. */
+	char lacking_labels[LACKING_LABELS_MAX][CS_NAME_MAX];
+	int lacking_labels_nr;
+	struct demand *arrivals; /* of tasks that end by themselves */
+	bool has_seen_demand; /* has been busy once */
+	double demand; /* smoothed, thousandths of a core */
+	double server_cpu; /* mean of its servers, thousandths of a core */
+};
+
+#endif
--- a/src/sched/assign.c
+++ b/src/sched/queue/assign.c
@@ -1,9 +1,10 @@
-#include "sched_private.h"
+#include "../sched_private.h"
 
 #include <string.h>
 
-#include "../base/error.h"
-#include "../base/log.h"
+#include "../../base/error.h"
+#include "../../base/log.h"
+#include "no_room.h"
 
 /*
  * Assigns waiting tasks to servers, pool by pool, the most urgent job first. A
--- a/src/sched/no_room.h
+++ b/src/sched/queue/no_room.h
@@ -1,7 +1,7 @@
 #ifndef SCHED_NO_ROOM_H
 #define SCHED_NO_ROOM_H
 
-#include "../site/site.h"
+#include "../../site/site.h"
 
 /*
  * Sizes of tasks for which no server of a pool had room in the present pass.
--- a/src/sched/rank.c
+++ b/src/sched/queue/rank.c
@@ -1,4 +1,4 @@
-#include "sched_private.h"
+#include "../sched_private.h"
 
 /*
  * The order in which jobs are assigned to servers. When a pool is overloaded,
--- a/src/sched/reserve.c
+++ b/src/sched/queue/reserve.c
@@ -1,4 +1,4 @@
-#include "sched_private.h"
+#include "../sched_private.h"
 
 /*
  * Reserves a part of the limits of workspaces for runs that may exist without
--- a/src/sched/incarnation.c
+++ b/src/sched/runs/incarnation.c
@@ -1,6 +1,6 @@
-#include "sched_private.h"
+#include "../sched_private.h"
 
-#include "../base/log.h"
+#include "../../base/log.h"
 
 /*
  * Servers that start again under their identifier. The new incarnation has no
--- a/src/sched/late_starts.c
+++ b/src/sched/runs/late_starts.c
@@ -1,9 +1,9 @@
-#include "sched_private.h"
+#include "../sched_private.h"
 
 #include <string.h>
 
-#include "../base/error.h"
-#include "../base/log.h"
+#include "../../base/error.h"
+#include "../../base/log.h"
 
 /*
  * Starts without an answer that were ruled out. A server rejects such a start
--- a/src/sched/runs.c
+++ b/src/sched/runs/runs.c
@@ -1,9 +1,9 @@
-#include "sched_private.h"
+#include "../sched_private.h"
 
 #include <string.h>
 
-#include "../base/error.h"
-#include "../base/log.h"
+#include "../../base/error.h"
+#include "../../base/log.h"
 
 /* Retry delay of a task, multiplied by the number of its failures. */
 #define FAILURE_PAUSE_US (100 * CS_MSEC)
--- a/src/sched/servers.c
+++ b/src/sched/runs/servers.c
@@ -1,9 +1,9 @@
-#include "sched_private.h"
+#include "../sched_private.h"
 
 #include <string.h>
 
-#include "../base/error.h"
-#include "../base/log.h"
+#include "../../base/error.h"
+#include "../../base/log.h"
 
 /*
  * A hold is a long poll that renews the lease of a server with runs and
--- a/src/sched/start_window.h
+++ b/src/sched/runs/start_window.h
@@ -1,7 +1,7 @@
 #ifndef SCHED_START_WINDOW_H
 #define SCHED_START_WINDOW_H
 
-#include "../camphorshed.h"
+#include "../../camphorshed.h"
 
 /*
  * How many starts may be without a reply at the same time. The owner's link or
--- a/src/sched/maintenance.c
+++ b/src/sched/upkeep/maintenance.c
@@ -1,9 +1,9 @@
-#include "sched_private.h"
+#include "../sched_private.h"
 
 #include <string.h>
 
-#include "../base/error.h"
-#include "../base/log.h"
+#include "../../base/error.h"
+#include "../../base/log.h"
 
 /*
  * Maintenance waves. A host is taken down in three steps. First its server is
--- a/src/sched/pacing.c
+++ b/src/sched/upkeep/pacing.c
@@ -1,7 +1,7 @@
-#include "sched_private.h"
+#include "../sched_private.h"
 
-#include "../base/error.h"
-#include "../base/log.h"
+#include "../../base/error.h"
+#include "../../base/log.h"
 
 /*
  * Pacing of best-effort tasks. They slow down the serving tasks on the same
--- /dev/null
+++ b/src/sched/upkeep/pacing.h
@@ -0,0 +1,12 @@
+#ifndef SCHED_UPKEEP_PACING_H
+#define SCHED_UPKEEP_PACING_H
+
+#include "../runs/server.h"
+
+struct sched;
+
+/* Adjusts the pace to the tail latencies that the reply to a hold reported. */
+void pacing_on_hold(struct sched *s, struct server *v, cs_time now);
+void pacing_on_reply(struct sched *s, const struct order_reply *d);
+
+#endif
--- a/tests/unit/test_demand.c
+++ b/tests/unit/test_demand.c
@@ -3,8 +3,8 @@
 #include <glib.h>
 #include <math.h>
 
-#include "../../src/sched/demand.h"
-#include "../../src/sched/estimate.h"
+#include "../../src/sched/pools/demand.h"
+#include "../../src/sched/learn/estimate.h"
 
 /* Forecasts of demand and estimates of run times, without servers or clocks. */
 
--- a/tests/unit/test_load.c
+++ b/tests/unit/test_load.c
@@ -1,8 +1,8 @@
 #include "unit.h"
 
-#include "../../src/sched/no_room.h"
-#include "../../src/sched/room_index.h"
-#include "../../src/sched/start_window.h"
+#include "../../src/sched/queue/no_room.h"
+#include "../../src/sched/place/room_index.h"
+#include "../../src/sched/runs/start_window.h"
 #include "../world/world.h"
 
 /*
