--- a/src/node/node.h
+++ b/src/node/node.h
@@ -67,6 +67,7 @@
 	 */
 	int64_t withdrawn_key_ms;
 	struct sched_limits limits;
+	struct sched_policy policy;
 };
 
 /* Copies options; ops, ctx and formats must outlive the node. */
--- a/src/node/term.c
+++ b/src/node/term.c
@@ -311,7 +311,8 @@
 	struct sched_options o = { .token = n->owner.term,
 				   .revision = n->owner.key_revision,
 				   .predecessor_end = owner_predecessor_end(n),
-				   .limits = n->options.limits };
+				   .limits = n->options.limits,
+				   .policy = n->options.policy };
 	GHashTableIter it;
 	void *key;
 
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -62,6 +62,19 @@
 	int64_t server_lease_max_ms;
 };
 
+/*
+ * Decisions under load that an entry's settings switch on. With all of them off
+ * the scheduler orders jobs by their objective and packs servers by room.
+ */
+struct sched_policy {
+	bool has_fair_shares; /* queue/fair_share.h */
+	bool has_admission; /* queue/drain.h, node/admission.h */
+	bool has_preemption; /* queue/preempt.h */
+	bool has_server_scores; /* place/server_score.h */
+	bool has_demand_forecast; /* pools/forecast.h */
+	bool has_learned_run_times; /* learn/run_times.h */
+};
+
 struct sched_options {
 	char holder[CS_NAME_MAX]; /* this entry */
 	uint64_t token; /* fencing token; increases with every term */
@@ -69,6 +82,7 @@
 	/* Latest end of a lease that a predecessor may have renewed. */
 	cs_time predecessor_end;
 	struct sched_limits limits;
+	struct sched_policy policy;
 };
 
 struct sched_ops {
--- a/src/settings/node_settings.c
+++ b/src/settings/node_settings.c
@@ -75,6 +75,21 @@
 	BOUND("withdrawn_key", FIELD(withdrawn_key_ms), 600000, "0s"),
 };
 
+#define SWITCH(name, field, default_value)                                     \
+	{                                                                      \
+		name, &settings_switch, FIELD(policy.field), 0, 0, "",         \
+			default_value                                          \
+	}
+
+static const struct settings_key policy_keys[] = {
+	SWITCH("fair_shares", has_fair_shares, "off"),
+	SWITCH("admission", has_admission, "off"),
+	SWITCH("preemption", has_preemption, "off"),
+	SWITCH("server_scores", has_server_scores, "off"),
+	SWITCH("demand_forecast", has_demand_forecast, "off"),
+	SWITCH("learned_run_times", has_learned_run_times, "off"),
+};
+
 #define SECTION(name, keys)                                                    \
 	{                                                                      \
 		name, keys, G_N_ELEMENTS(keys), false                          \
@@ -84,13 +99,14 @@
 	SECTION("node", node_keys),	  SECTION("front", front_keys),
 	SECTION("store", store_keys),	  SECTION("hosts", hosts_keys),
 	SECTION("advisor", advisor_keys), SECTION("relay", relay_keys),
-	SECTION("bounds", bound_keys),
+	SECTION("bounds", bound_keys),	  SECTION("policy", policy_keys),
 };
 
 static const struct settings_schema schema = {
 	sections,
 	G_N_ELEMENTS(sections),
-	"[node], [front], [store], [hosts], [advisor], [relay], [bounds]",
+	"[node], [front], [store], [hosts], [advisor], [relay], [bounds], "
+	"[policy]",
 	false,
 	NULL,
 };
--- a/src/settings/node_settings.h
+++ b/src/settings/node_settings.h
@@ -27,6 +27,7 @@
 	int64_t holder_pause_ms; /* between two holders of host orders */
 	int64_t server_lease_max_ms; /* a server shortens longer leases */
 	int64_t withdrawn_key_ms; /* see struct node_options */
+	struct sched_policy policy; /* decisions that are switched on */
 };
 
 /* Like settings_read(); the file holds no secrets. */
--- a/src/settings/settings_value.c
+++ b/src/settings/settings_value.c
@@ -197,6 +197,24 @@
 	g_string_append(out, "serve, known or refuse");
 }
 
+static bool parse_switch(const struct settings_key *key, const char *value,
+			 void *field)
+{
+	bool is_on = !strcmp(value, "on");
+
+	(void)key;
+	if (!is_on && strcmp(value, "off") != 0)
+		return false;
+	*(bool *)field = is_on;
+	return true;
+}
+
+static void describe_switch(const struct settings_key *key, GString *out)
+{
+	(void)key;
+	g_string_append(out, "on or off");
+}
+
 /* Visible ASCII only, since a token is sent in an HTTP header. */
 static bool is_visible(const struct settings_key *key, const char *value)
 {
@@ -276,6 +294,8 @@
 						  describe_log_level, false };
 const struct settings_type settings_isolated = { parse_isolated,
 						 describe_isolated, false };
+const struct settings_type settings_switch = { parse_switch, describe_switch,
+					       false };
 const struct settings_type settings_token = { parse_token, describe_secret,
 					      true };
 const struct settings_type settings_secret = { parse_secret, describe_secret,
--- a/src/settings/settings_value.h
+++ b/src/settings/settings_value.h
@@ -43,6 +43,7 @@
 extern const struct settings_type settings_thousandths; /* int, thousandths */
 extern const struct settings_type settings_log_level; /* enum log_level */
 extern const struct settings_type settings_isolated; /* enum isolated_mode */
+extern const struct settings_type settings_switch; /* bool */
 extern const struct settings_type settings_token; /* char[CS_NAME_MAX] */
 extern const struct settings_type settings_secret; /* uint8_t[CS_DIGEST_LEN] */
 
