runs: late starts are kept, lost renewals end no lease

Cause: an owner repeated the stop that was to rule out a start without a reply. Leases also ended at sound servers, as a lost renewal was noticed after 1.6 s only.

Change: such a stop is repeated after another list that lacks the run, a run that began before a stop was answered is kept, and lists are requested at growing intervals while replies are missing. They repeat or renew the lease.

Ruled out: sending the start again, as its copies reach the next incarnation of a server that starts again (test_incarnation showed a task that ran twice).

Both new tests fail on the former code.

--- a/src/sched/runs/incarnation.c
+++ b/src/sched/runs/incarnation.c
@@ -122,7 +122,7 @@
 		return;
 	v->is_incarnation_doubtful = true;
 	log_incarnation(s, "server_clock_jump", v, "a reply has another clock");
-	servers_list_runs(s, v);
+	servers_list_runs(s, v, now);
 }
 
 void incarnation_read_clock(struct sched *s, struct server *v,
--- a/src/sched/runs/runs.c
+++ b/src/sched/runs/runs.c
@@ -190,7 +190,9 @@
 	return r;
 }
 
-void runs_stop(struct sched *s, struct run *r, const char *why, cs_time now)
+/* Sends a stop, but not within STOP_RETRY_US after the last one. */
+static void order_stop(struct sched *s, struct run *r, const char *why,
+		       cs_time now)
 {
 	struct server *v = server_row(s, r->server);
 	struct job *j = job_of(s, r);
@@ -222,6 +224,27 @@
 	s->ops->send(s->ctx, o);
 }
 
+void runs_stop(struct sched *s, struct run *r, const char *why, cs_time now)
+{
+	r->is_stop_for_start = false;
+	order_stop(s, r, why, now);
+}
+
+void runs_repeat_stop(struct sched *s, struct run *r, cs_time now)
+{
+	order_stop(s, r, "stop not answered", now);
+}
+
+/*
+ * Has the server reject a start that got no reply and is missing from its list,
+ * or stop the run if it begins meanwhile.
+ */
+static void rule_out_start(struct sched *s, struct run *r, cs_time now)
+{
+	r->is_stop_for_start = true;
+	order_stop(s, r, "start not answered", now);
+}
+
 void runs_order_stop(struct sched *s, struct server *v, const char *task,
 		     uint32_t number)
 {
@@ -493,7 +516,7 @@
 		/* Often it is running, and the list has it. */
 		set_state(s, r, RUN_UNCONFIRMED);
 		r->start_unanswered_at = now;
-		servers_list_runs(s, v);
+		servers_list_runs(s, v, now);
 		return;
 	}
 	handle_refusal(s, v, r, d, now);
@@ -517,10 +540,15 @@
 		return; /* servers_check() sends it again */
 	r->is_stop_answered = true;
 	r->stop_answered_at = now;
+	/* The stop of a run that was kept has been carried out after all. */
+	if (r->state == RUN_ACTIVE) {
+		r->stop_at = now;
+		set_state(s, r, RUN_STOPPING);
+	}
 	/* A run that is not there yet has no end that a hold would return for.
 	 */
 	if (r->state == RUN_UNCONFIRMED)
-		servers_list_runs(s, v);
+		servers_list_runs(s, v, now);
 	servers_schedule_hold(s, v, now);
 }
 
@@ -543,6 +571,25 @@
 	sched_log(s, "checkpoint_too_long", pairs);
 }
 
+/*
+ * A start that was to be ruled out has begun, and no stop was answered: the run
+ * is the one that its task needs. Stopping a run of a long-running step that is
+ * at work could exceed the budget of its job.
+ */
+static void keep_late_run(struct sched *s, struct run *r)
+{
+	GString *pairs = g_string_new(NULL);
+
+	r->is_stop_for_start = false;
+	r->stop_at = 0;
+	log_pair(pairs, "job", job_of(s, r)->batch->id);
+	log_pair_int(pairs, "step", r->step);
+	log_pair_int(pairs, "index", r->index);
+	log_pair_int(pairs, "run", r->number);
+	log_pair(pairs, "server", server_row(s, r->server)->info.id);
+	sched_log(s, "late_run_kept", pairs);
+}
+
 /* Updates the row of a run from the server's list. */
 static void update_run(struct sched *s, struct run *r,
 		       const struct order_run *reported, cs_time now)
@@ -552,6 +599,9 @@
 		batch_find_task(j->batch, r->occurrence, r->step, r->index);
 
 	if (r->state == RUN_STARTING || r->state == RUN_UNCONFIRMED) {
+		if (r->is_stop_for_start && !r->is_stop_answered && t &&
+		    t->run_row == r->self && !batch_is_final(j->batch))
+			keep_late_run(s, r);
 		set_state(s, r, r->stop_at ? RUN_STOPPING : RUN_ACTIVE);
 		r->start_confirmed_at = now;
 	}
@@ -664,9 +714,10 @@
 
 		if (r->sent_at >= d->sent || r->listed_at == d->sent)
 			continue;
-		if (r->state == RUN_UNCONFIRMED && !r->stop_at &&
+		if (r->state == RUN_UNCONFIRMED && !r->is_stop_answered &&
+		    (!r->stop_at || r->is_stop_for_start) &&
 		    r->start_unanswered_at <= d->sent)
-			runs_stop(s, r, "start not answered", now);
+			rule_out_start(s, r, now);
 		if (has_certainly_ended(r, d->sent)) {
 			runs_ended(s, r, BATCH_END_LOST, NULL, now);
 			i = v->runs->len; /* more than one may be removed */
--- a/src/sched/runs/runs.h
+++ b/src/sched/runs/runs.h
@@ -13,6 +13,8 @@
 struct run *runs_adopt(struct sched *s, const struct task_ref *ref,
 		       struct server *v, uint32_t number, cs_time now);
 void runs_stop(struct sched *s, struct run *r, const char *why, cs_time now);
+/* Sends the stop of a run again, for the same reason. */
+void runs_repeat_stop(struct sched *s, struct run *r, cs_time now);
 /* Records the end of a run and frees its row. */
 void runs_ended(struct sched *s, struct run *r, enum batch_end how,
 		const char *checkpoint, cs_time now);
--- a/src/sched/runs/server.h
+++ b/src/sched/runs/server.h
@@ -49,6 +49,9 @@
 	cs_time start_unanswered_at; /* the start order timed out */
 	cs_time stop_at; /* the last stop order; 0: none */
 	bool is_stop_answered;
+	/* The stop only makes sure that a start without a reply has no effect.
+	 */
+	bool is_stop_for_start;
 	cs_time stop_answered_at;
 	struct site_resources need; /* reserved on the server */
 	bool was_started_in_term; /* otherwise adopted */
@@ -118,6 +121,10 @@
 	cs_time predecessor_lease_end;
 	/* Holds. */
 	bool is_hold_open;
+	cs_time hold_due_at; /* when the reply to the open hold is expected */
+	/* Lists that are requested because replies are missing. */
+	cs_time hedged_at;
+	cs_time hedge_pause; /* until the next one; grows up to a maximum */
 	bool is_in_unstored_list; /* of struct sched */
 	cs_handle hold_timer;
 	cs_time answered_at;
--- a/src/sched/runs/servers.c
+++ b/src/sched/runs/servers.c
@@ -20,6 +20,13 @@
 #define UNSTORED_HOLD_GAP_US (200 * CS_MSEC)
 /* The same after a failed hold; short, as the lease may be about to expire. */
 #define HOLD_RETRY_US (150 * CS_MSEC)
+/* A reply to a hold that is later than this may have been lost. */
+#define HEDGE_US (400 * CS_MSEC)
+/* Intervals of lists that are requested because replies are missing. */
+#define HEDGE_PAUSE_MIN_US (200 * CS_MSEC)
+#define HEDGE_PAUSE_MAX_US (800 * CS_MSEC)
+/* After a stop without a reply, before a list is requested again. */
+#define LIST_RETRY_US (400 * CS_MSEC)
 
 struct server *server_row(const struct sched *s, cs_handle h)
 {
@@ -219,6 +226,12 @@
 	return o;
 }
 
+/* False while the owner is not confirmed, or the server's clock is unknown. */
+static bool may_renew_lease(const struct sched *s, const struct server *v)
+{
+	return v->runs->len && !s->is_paused && !v->is_incarnation_doubtful;
+}
+
 static void send_hold(struct sched *s, struct server *v, cs_time now)
 {
 	guint n = count_ends_to_ack(s, v);
@@ -228,34 +241,59 @@
 	/*
 	 * A hold without a reply may have been carried out, so each one that
 	 * renews the lease delays the time at which the runs count as lost.
-	 * After a missing reply, holds do not renew the lease.
+	 * After a missing reply, holds only repeat the lease that was sent
+	 * last, as the server may not have got it.
 	 */
-	if (v->runs->len && !v->unanswered_orders && !s->is_paused &&
-	    !v->is_incarnation_doubtful)
-		o->deadline_ms = servers_deadline(v, now);
+	if (may_renew_lease(s, v))
+		o->deadline_ms = v->unanswered_orders ?
+					 v->deadline_ms :
+					 servers_deadline(v, now);
 	/* An unconfirmed owner needs recent answers; see place_is_usable(). */
 	if (v->is_taken_over && !is_waiting_for_store &&
-	    !v->is_incarnation_doubtful)
+	    !v->is_incarnation_doubtful && !v->unanswered_orders)
 		o->wait_ms = v->runs->len || sched_may_have_successor(s, now) ?
 				     HOLD_WAIT_MS :
 				     IDLE_WAIT_MS;
 	o->timeout_ms = o->wait_ms + HOLD_SLACK_MS;
 	o->ref = list_ref(v, n);
 	v->is_hold_open = true;
+	v->hold_due_at = now + o->wait_ms * CS_MSEC;
 	counters_add(s->counters, "camphorshed_server_holds_total", "", 1);
 	s->ops->send(s->ctx, o);
 }
 
-void servers_list_runs(struct sched *s, struct server *v)
+/* True if the reply to the open hold is late enough to count as lost. */
+static bool is_hold_overdue(const struct server *v, cs_time now)
+{
+	return v->is_hold_open && now >= v->hold_due_at + HEDGE_US;
+}
+
+/*
+ * Sends a request for a list. It repeats the lease that was sent last, and
+ * renews it in place of an overdue hold if the server has answered since.
+ */
+static void send_list_order(struct sched *s, struct server *v, struct order *o,
+			    cs_time now)
+{
+	bool renews = is_hold_overdue(v, now) && !v->unanswered_orders &&
+		      v->answer_sent_at >= v->hold_due_at;
+
+	o->timeout_ms = ORDER_TIMEOUT_MS;
+	if (may_renew_lease(s, v))
+		o->deadline_ms = renews ? servers_deadline(v, now) :
+					  v->deadline_ms;
+	o->ref = list_ref(v, 0);
+	s->ops->send(s->ctx, o);
+}
+
+void servers_list_runs(struct sched *s, struct server *v, cs_time now)
 {
 	struct order *o;
 
 	if (v->is_dead)
 		return;
 	o = new_list_order(s, v, ORDER_LIST_RUNS, count_ends_to_ack(s, v));
-	o->timeout_ms = ORDER_TIMEOUT_MS;
-	o->ref = list_ref(v, 0);
-	s->ops->send(s->ctx, o);
+	send_list_order(s, v, o, now);
 }
 
 static void on_hold_timer(void *ctx, uint64_t arg, cs_time now)
@@ -312,6 +350,7 @@
 		sched_wake(s);
 	}
 	v->unanswered_orders = 0;
+	v->hedge_pause = HEDGE_PAUSE_MIN_US;
 	v->answered_at = now;
 	v->answer_sent_at = MAX(v->answer_sent_at, d->sent);
 	incarnation_read_clock(s, v, d, now);
@@ -799,17 +838,75 @@
 	}
 }
 
+/* True if the run is of a step that limits how many tasks may be away. */
+static bool has_budget(const struct sched *s, const struct run *r)
+{
+	const struct job *j = slots_get(s->jobs, r->job);
+
+	return j->batch->spec->steps[r->step].unavailable_max >= 0;
+}
+
+/*
+ * Requests a list because a reply is missing. The server may have started
+ * again, so the order acknowledges no ends: it would drop those of the new
+ * incarnation unseen.
+ */
+static void hedge_list(struct sched *s, struct server *v, cs_time now)
+{
+	struct order *o = new_list_order(s, v, ORDER_LIST_RUNS, 0);
+
+	v->hedged_at = now;
+	o->acked_end = 0;
+	counters_add(s->counters, "camphorshed_server_hedges_total", "", 1);
+	send_list_order(s, v, o, now);
+}
+
+/* True if a reply is missing that a list could make up for. */
+static bool lacks_reply(const struct sched *s, const struct server *v,
+			cs_time now)
+{
+	if (!v->is_taken_over || !v->runs->len || s->is_paused ||
+	    v->is_incarnation_doubtful)
+		return false;
+	/* The lease would end before the hold times out. */
+	return is_hold_overdue(v, now) || v->unanswered_orders > 0;
+}
+
+/*
+ * Requests lists of a server whose replies are missing, at growing intervals. A
+ * single lost order must not keep it out of use, or let its lease end.
+ */
+static void hedge_replies(struct sched *s, struct server *v, cs_time now)
+{
+	if (!lacks_reply(s, v, now) || now - v->hedged_at < v->hedge_pause)
+		return;
+	hedge_list(s, v, now);
+	v->hedge_pause = MIN(2 * v->hedge_pause, HEDGE_PAUSE_MAX_US);
+}
+
+/*
+ * Repeats the stops without a reply. A stop that rules out a start of a step
+ * with a budget is repeated only after another list that lacks the run, which
+ * could be at work by now; see runs_reconcile().
+ */
 static void resend_stops(struct sched *s, struct server *v, cs_time now)
 {
+	bool is_list_due = false;
 	guint i;
 
 	for (i = 0; i < v->runs->len; i++) {
 		struct run *r =
 			run_row(s, g_array_index(v->runs, cs_handle, i));
 
-		if (r->stop_at && !r->is_stop_answered)
-			runs_stop(s, r, "stop not answered", now);
+		if (!r->stop_at || r->is_stop_answered)
+			continue;
+		if (r->is_stop_for_start && has_budget(s, r))
+			is_list_due |= now - r->stop_at >= LIST_RETRY_US;
+		else
+			runs_repeat_stop(s, r, now);
 	}
+	if (is_list_due && now - v->hedged_at >= LIST_RETRY_US)
+		hedge_list(s, v, now);
 }
 
 static void check_server(struct sched *s, struct server *v, cs_time now)
@@ -820,8 +917,10 @@
 		log_server(s, "server_lease_ended", v, "no answer", now);
 		end_runs_as_lost(s, v, now);
 	}
-	if (!v->is_dead)
+	if (!v->is_dead) {
 		resend_stops(s, v, now);
+		hedge_replies(s, v, now);
+	}
 	if (v->info.is_draining && !v->is_dead)
 		stop_long_running(s, v, now);
 	if (!v->is_listed && !v->runs->len && !v->is_grant_pending &&
--- a/src/sched/runs/servers.h
+++ b/src/sched/runs/servers.h
@@ -11,7 +11,7 @@
 void servers_on_hold(struct sched *s, struct server *v,
 		     const struct order_reply *d, cs_time now);
 /* Requests the list of a server at once, even while a hold waits there. */
-void servers_list_runs(struct sched *s, struct server *v);
+void servers_list_runs(struct sched *s, struct server *v, cs_time now);
 void servers_on_list(struct sched *s, struct server *v,
 		     const struct order_reply *d, cs_time now);
 /* Updates the clock reading and reachability from any reply. */
--- a/tests/unit/test_sched_faults.c
+++ b/tests/unit/test_sched_faults.c
@@ -847,6 +847,66 @@
 	end_world(w);
 }
 
+/*
+ * Guards against an exceeded budget: a start without a reply was carried out
+ * late, and a repeated stop, which was to rule it out, ended it at work while
+ * another task of the step was away.
+ */
+static void late_start_at_work_is_not_stopped(void **state)
+{
+	const struct world_job keepers = { .steps = 1,
+					   .width = 8,
+					   .work_ms = 500,
+					   .cpu = 4000,
+					   .is_long_running = true,
+					   .unavailable_max = 1 };
+	int i, k;
+
+	(void)state;
+	for (i = 0; i < 8; i++) {
+		struct world *w = make_world(1, 8, 0);
+
+		world_run(w, 100 * (int64_t)i);
+		for (k = 0; k < 4; k++)
+			world_submit(w, 0, &keepers);
+		world_set_late_orders(w, 500);
+		world_run(w, 35000);
+		world_set_late_orders(w, 0);
+		world_run(w, 15000);
+		end_world(w);
+	}
+}
+
+/*
+ * Guards against leases that end though the servers are sound: all orders of
+ * 2 s got lost, and the renewals that followed came too late.
+ */
+static void lost_renewals_end_no_lease(void **state)
+{
+	const struct world_job keepers = { .steps = 1,
+					   .width = 8,
+					   .work_ms = 200,
+					   .cpu = 4000,
+					   .is_long_running = true,
+					   .unavailable_max = -1 };
+	int i, job;
+
+	(void)state;
+	for (i = 0; i < 10; i++) {
+		struct world *w = make_world(1, 4, 0);
+
+		job = world_submit(w, 0, &keepers);
+		world_run(w, 5000 + 130 * (int64_t)i);
+		assert_int_equal(world_job_starts(w, job), 8);
+		world_set_late_orders(w, 1000);
+		world_run(w, 2000);
+		world_set_late_orders(w, 0);
+		world_run(w, 10000);
+		assert_int_equal(world_job_starts(w, job), 8);
+		end_world(w);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -881,6 +941,8 @@
 		cmocka_unit_test(unknown_server_is_not_maintained),
 		cmocka_unit_test(stray_runs_count_against_the_limit),
 		cmocka_unit_test(run_of_an_ended_job_may_hang),
+		cmocka_unit_test(late_start_at_work_is_not_stopped),
+		cmocka_unit_test(lost_renewals_end_no_lease),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/world/world_servers.c
+++ b/tests/world/world_servers.c
@@ -458,8 +458,9 @@
 	schedule_run_event(v, r, r->work_ms, BATCH_END_DONE);
 }
 
+/* An order that was held up on its way breaks no budget. */
 static void stop_run(struct sim_server *v, const struct order *o,
-		     struct order_reply *d)
+		     struct order_reply *d, bool is_late)
 {
 	struct sim_run *r = find_run(v, o->task);
 
@@ -471,8 +472,9 @@
 	}
 	if (r->stop_ms)
 		return;
-	check_availability(v->world, v, sim_job_at(v->world, r->job), r->step,
-			   r->index, "a stop");
+	if (!is_late)
+		check_availability(v->world, v, sim_job_at(v->world, r->job),
+				   r->step, r->index, "a stop");
 	r->stop_ms = server_clock(v) + STOP_MS;
 	schedule_run_event(v, r, world_random_ms(v->world, 50, STOP_MS),
 			   BATCH_END_STOPPED);
@@ -640,6 +642,8 @@
 		return;
 	}
 	if (o->type == ORDER_LIST_RUNS) {
+		if (o->deadline_ms)
+			extend_lease(v, o->deadline_ms);
 		acknowledge_ends(v, o->acked_end);
 		d->result = ORDER_DONE;
 		add_runs_and_ends(v, d);
@@ -649,7 +653,7 @@
 	if (o->type == ORDER_START)
 		start_run(v, o, d, a->node, a->generation == GENERATION_LATE);
 	else if (o->type == ORDER_STOP)
-		stop_run(v, o, d);
+		stop_run(v, o, d, a->generation == GENERATION_LATE);
 	else
 		d->result = ORDER_DONE;
 	send_reply(v, a->node, a->generation, o, d, a->sent, a->is_reply_lost);
@@ -979,8 +983,9 @@
 	a->node = n->index;
 	a->generation = n->generation;
 	a->sent = w->now;
-	if (o->type == ORDER_START &&
-	    world_random_bool(w, w->late_start_per_mille)) {
+	if ((o->type == ORDER_START &&
+	     world_random_bool(w, w->late_start_per_mille)) ||
+	    world_random_bool(w, w->late_order_per_mille)) {
 		struct order_reply *lost = order_reply_new(o);
 
 		lost->result = ORDER_UNKNOWN;
