view: the first watch after a failure does not wait for changes

An entry refuses submissions while the store has failed for 400 ms, until any call succeeds. Entries that only watch learned that the store was back from a watch that waited 900 ms for changes.

The watch that follows a failure now asks for no wait, so its reply comes at once. Its timeout is as before.

--- a/src/store/view.c
+++ b/src/store/view.c
@@ -212,14 +212,20 @@
 		watch(v);
 }
 
+/*
+ * After a failure the first watch does not wait for changes: its reply is what
+ * tells that the store answers again, and until then an entry refuses work.
+ */
 static void watch(struct view *v)
 {
+	bool has_failed = v->retry_pause > RETRY_MIN_US;
+	int64_t wait_ms = has_failed ? 0 : v->options.wait_ms;
 	struct store_call *c = store_call_new(
 		STORE_WATCH, v->prefix, v->options.wait_ms + REPLY_TIMEOUT_MS);
 
 	c->stall_ms = v->options.wait_ms + v->options.slack_ms;
 	c->after = v->after;
-	c->wait_ms = v->options.wait_ms;
+	c->wait_ms = wait_ms;
 	v->call = store_calls_send(v->calls, c, on_watch, v, 0);
 }
 
--- a/tests/unit/test_view.c
+++ b/tests/unit/test_view.c
@@ -113,10 +113,48 @@
 	timers_destroy(f.timers);
 }
 
+/* How long the open call waits for changes, ms; -1: no call is open. */
+static int64_t call_wait_ms(const struct fixture *f)
+{
+	return f->call ? f->call->wait_ms : -1;
+}
+
+/*
+ * Guards against work that is refused for a second after an outage: a watch
+ * that waits for changes tells that the store is back only at its end.
+ */
+static void watch_after_failure_does_not_wait(void **state)
+{
+	static const struct store_port port = { take_call };
+	static const struct view_ops ops = { on_put, on_delete, on_synced };
+	const struct view_options options = { .prefix = "jobs/",
+					      .wait_ms = 900 };
+	struct fixture f = { .timers = timers_create(), .now = CS_SEC };
+	int i;
+
+	(void)state;
+	f.calls = store_calls_create(&port, &f);
+	f.view = view_create(&options, f.calls, f.timers, &ops, &f, f.now);
+	answer(&f, STORE_OK, NULL, false);
+	assert_int_equal(call_wait_ms(&f), 900);
+	for (i = 0; i < 6; i++) {
+		answer(&f, STORE_REFUSED, NULL, false);
+		pass_pause(&f);
+		assert_int_equal(call_wait_ms(&f), 0);
+	}
+	answer(&f, STORE_OK, NULL, false);
+	assert_int_equal(call_wait_ms(&f), 900);
+	store_call_free(f.call);
+	view_destroy(f.view);
+	store_calls_destroy(f.calls);
+	timers_destroy(f.timers);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(lost_page_alone_is_read_again),
+		cmocka_unit_test(watch_after_failure_does_not_wait),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
