maintenance: hosts of a wave return also when it is done, and after a hand-over

The balance of pools leaves hosts under maintenance alone. A host counted as under maintenance until the check of its wave found it in the host list again, and that check did not run

- in the first 3 s of a new owner, in which it may order no maintenance.
Of the hosts done it only knows that their maintenance has begun, so all of them were left alone.
- once a wave was done.
The hosts that were down when the last one was ordered stayed out of the balance for the rest of the term.

The list is now read for that on each check, until no host is missing.

--- a/src/sched/upkeep/maintenance.c
+++ b/src/sched/upkeep/maintenance.c
@@ -359,6 +359,20 @@
 	return !v->runs->len && !servers_may_have_unknown_runs(s, v);
 }
 
+/* True once no host of the wave is, or may be, under maintenance. */
+static bool have_all_returned(const struct wave *w)
+{
+	guint i;
+
+	for (i = 0; i < w->hosts->len; i++) {
+		const struct wave_host *h = g_ptr_array_index(w->hosts, i);
+
+		if (h->state == WAVE_STARTED && !h->has_returned)
+			return false;
+	}
+	return true;
+}
+
 /* A host has returned from maintenance when a later list shows it up. */
 static void update_has_returned(struct sched *s, struct wave_host *h)
 {
@@ -376,15 +390,14 @@
 	int emptying, down, left;
 };
 
-static struct wave_count count_wave(struct sched *s, struct wave *w)
+static struct wave_count count_wave(const struct wave *w)
 {
 	struct wave_count c = { 0 };
 	guint i;
 
 	for (i = 0; i < w->hosts->len; i++) {
-		struct wave_host *h = g_ptr_array_index(w->hosts, i);
+		const struct wave_host *h = g_ptr_array_index(w->hosts, i);
 
-		update_has_returned(s, h);
 		c.emptying += h->state == WAVE_EMPTYING;
 		c.down += h->state == WAVE_ORDERED ||
 			  (h->state == WAVE_STARTED && !h->has_returned);
@@ -456,7 +469,7 @@
 
 static void advance_wave(struct sched *s, struct wave *w, cs_time now)
 {
-	struct wave_count c = count_wave(s, w);
+	struct wave_count c = count_wave(w);
 	bool is_late_phase =
 		(double)(now - w->begun_at) >
 		LATE_PHASE_SHARE * (double)(w->ends_at - w->begun_at);
@@ -517,6 +530,10 @@
 	}
 }
 
+/*
+ * True while a wave has hosts to maintain, or hosts that have not returned: the
+ * balance of pools leaves those alone.
+ */
 static bool has_open_wave(const struct maintenance *m)
 {
 	guint i;
@@ -524,12 +541,25 @@
 	for (i = 0; i < m->waves->len; i++) {
 		const struct wave *w = g_ptr_array_index(m->waves, i);
 
-		if (!w->is_done)
+		if (!w->is_done || !have_all_returned(w))
 			return true;
 	}
 	return false;
 }
 
+/*
+ * Looks for the hosts of a wave in the list. No order is needed for that, so it
+ * is done also while orders of a predecessor could conflict: a new owner knows
+ * of the hosts done only that their maintenance has begun.
+ */
+static void find_returned_hosts(struct sched *s, struct wave *w)
+{
+	guint i;
+
+	for (i = 0; i < w->hosts->len; i++)
+		update_has_returned(s, g_ptr_array_index(w->hosts, i));
+}
+
 static void on_check_timer(void *ctx, uint64_t arg, cs_time now)
 {
 	struct maintenance *m = ctx;
@@ -541,6 +571,8 @@
 	if (!has_open_wave(m))
 		return;
 	hosts_refresh(s, now);
+	for (i = 0; hosts_listed_at(s) && i < m->waves->len; i++)
+		find_returned_hosts(s, g_ptr_array_index(m->waves, i));
 	/* Orders of two holders within the pause could conflict. */
 	if (s->is_ready && !s->is_paused && !s->is_fenced &&
 	    hosts_listed_at(s) &&
