ownership: an owner that is asked to stop goes on while the store fails

On SIGTERM an owner ended its term and then removed its key. Nobody could take over meanwhile.

The term now goes on until the removal is answered. It is not sent while the store is known to fail, and after a refusal, which had no effect, the owner resumes. From the call to its reply nothing is started, ordered to a host or committed, and no state is shown from memory, as a successor may be at work. A removal without a reply ends the term as before.

--- a/src/node/api.c
+++ b/src/node/api.c
@@ -547,7 +547,8 @@
 	enum batch_state state;
 	bool is_stored;
 
-	if (n->owner.state != OWNER_ACTIVE || o->request->kind != API_STATE)
+	if (n->owner.state != OWNER_ACTIVE || n->owner.is_releasing ||
+	    o->request->kind != API_STATE)
 		return false;
 	b = sched_find_batch(n->sched, o->id, &is_stored);
 	if (!b)
--- a/src/node/commit.c
+++ b/src/node/commit.c
@@ -201,7 +201,7 @@
 	struct commit_txn *t;
 	int i;
 
-	if (n->owner.state != OWNER_ACTIVE)
+	if (n->owner.state != OWNER_ACTIVE || n->owner.is_releasing)
 		return;
 	for (i = 0; i < COMMITS_MAX && c->txns[i].is_open; i++)
 		;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -293,7 +293,8 @@
 
 bool node_is_drained(const struct node *n)
 {
-	return n->is_draining && (!n->requests || !slots_count(n->requests));
+	return n->is_draining && n->owner.state < OWNER_LOADING &&
+	       (!n->requests || !slots_count(n->requests));
 }
 
 void node_turn(struct node *n, int64_t unix_ms, cs_time now)
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -86,9 +86,12 @@
 void node_order_reply(struct node *node, const struct order_reply *reply,
 		      cs_time now);
 
-/* Gives up ownership and reports itself as not ready. */
+/*
+ * Reports itself as not ready, and gives up ownership as soon as the store
+ * answers.
+ */
 void node_drain(struct node *node, cs_time now);
-/* True when the node drains and no request is open. */
+/* True when the node drains, no request is open, and it is not the owner. */
 bool node_is_drained(const struct node *node);
 
 /* Does all work that is due. Called after messages, and at node_next_due(). */
--- a/src/node/node_private.h
+++ b/src/node/node_private.h
@@ -59,6 +59,7 @@
 	cs_handle timer; /* next attempt or renewal */
 	cs_handle call;
 	bool is_fenced; /* a later owner was seen */
+	bool is_releasing; /* the removal of the key has no reply yet */
 	uint64_t acquiring_term; /* the term that the attempt would begin */
 };
 
--- a/src/node/ownership.c
+++ b/src/node/ownership.c
@@ -363,6 +363,7 @@
 	timers_cancel(n->timers, n->owner.timer);
 	n->owner.timer = 0;
 	n->owner.lease = 0;
+	n->owner.is_releasing = false;
 	term_end(n);
 }
 
@@ -370,41 +371,64 @@
 {
 	if (n->owner.state < OWNER_LOADING)
 		return;
-	log_owner(n, "owner_lost", reason);
-	counters_add(n->counters, "camphorshed_owner_losses_total", "", 1);
+	/* The view may show a release before its reply comes. */
+	if (!n->owner.is_releasing) {
+		log_owner(n, "owner_lost", reason);
+		counters_add(n->counters, "camphorshed_owner_losses_total", "",
+			     1);
+	}
 	end_term(n);
 	schedule_attempt_if_free(n, now);
 }
 
-static void on_released(void *ctx, uint64_t arg, const struct store_reply *d,
-			cs_time now)
+static void log_release(struct node *n, const struct store_reply *d)
 {
-	struct node *n = ctx;
 	GString *pairs = g_string_new(NULL);
 
-	(void)arg;
-	(void)now;
 	log_pair(pairs, "result", store_result_name(d->result));
 	node_log(n, "owner_released", pairs);
 }
 
-/* Removes the key, so that another entry can become the owner at once. */
+/* A release that the store refused had no effect, so the term goes on. */
+static void on_released(void *ctx, uint64_t term, const struct store_reply *d,
+			cs_time now)
+{
+	struct node *n = ctx;
+
+	(void)now;
+	log_release(n, d);
+	if (n->owner.state < OWNER_LOADING || term != n->owner.term)
+		return;
+	n->owner.is_releasing = false;
+	if (d->result != STORE_REFUSED)
+		end_term(n);
+}
+
+/*
+ * Removes the key, so that another entry can become the owner at once. While
+ * the store fails no other entry could, so the term goes on until the store
+ * answers again; owner_turn() tries again. From the call to its reply nothing
+ * is started or ordered, as a successor may be at work.
+ */
 void owner_release(struct node *n, cs_time now)
 {
 	struct store_call *c;
 
 	(void)now;
-	if (n->owner.state < OWNER_LOADING)
+	if (n->owner.state < OWNER_LOADING || n->owner.is_releasing ||
+	    n->store_lost_at)
 		return;
+	n->owner.is_releasing = true;
 	c = store_call_new(STORE_TXN, NULL, STORE_TIMEOUT_MS);
 	store_call_expect(c, KEY_OWNER, n->owner.key_revision);
 	store_call_remove(c, KEY_OWNER);
-	end_term(n);
-	store_calls_send(n->calls, c, on_released, n, 0);
+	store_calls_send(n->calls, c, on_released, n, n->owner.term);
 }
 
 cs_time owner_lease_end(const struct node *n)
 {
+	if (n->owner.is_releasing)
+		return 0;
 	return n->owner.renewed_at + OWNER_LEASE_MS * CS_MSEC;
 }
 
@@ -415,10 +439,13 @@
 	n->owner.is_fenced = false;
 	if (n->owner.state == OWNER_FOLLOWER)
 		schedule_attempt_if_free(n, now);
+	if (n->is_draining)
+		owner_release(n, now);
 	if (n->sched)
 		sched_confirm_ownership(n->sched, n->owner.confirmed_at,
-					now - n->owner.renewed_at >
-						OWNER_VALID_US);
+					n->owner.is_releasing ||
+						now - n->owner.renewed_at >
+							OWNER_VALID_US);
 }
 
 /*
--- a/tests/unit/test_hand_over.c
+++ b/tests/unit/test_hand_over.c
@@ -61,11 +61,58 @@
 	end_world(w);
 }
 
+/*
+ * Drains the owner delay_ms after the store went down, for 1.5 s. The second
+ * step of a job has to start meanwhile.
+ */
+static void drain_in_outage(int64_t delay_ms)
+{
+	const struct world_job job = { .steps = 2,
+				       .width = 4,
+				       .work_ms = 400,
+				       .cpu = 1000,
+				       .unavailable_max = -1 };
+	struct world *w = make_world(1, 4, 0);
+	int owner = world_owner(w), number = world_submit(w, 0, &job);
+
+	world_run(w, 200);
+	world_store_set_down(w, true, false);
+	world_run(w, delay_ms);
+	world_node_drain(w, owner);
+	world_run(w, 1500 - delay_ms);
+	assert_int_equal(world_job_starts(w, number), 8);
+	world_store_set_down(w, false, false);
+	world_run(w, 1000);
+	assert_int_not_equal(world_owner(w), owner);
+	assert_int_not_equal(world_owner(w), -1);
+	end_world(w);
+}
+
+/*
+ * Guards against a site without an owner: one that was asked to stop while the
+ * store failed gave up at once, but its key stayed until the lease had ended,
+ * so that nothing started until 1.4 s after the outage, and runs lapsed.
+ */
+static void owner_drained_in_an_outage_goes_on(void **state)
+{
+	(void)state;
+	drain_in_outage(300);
+}
+
+/* The same if the outage begins as the owner gives up. */
+static void owner_goes_on_if_its_release_is_refused(void **state)
+{
+	(void)state;
+	drain_in_outage(0);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(last_hosts_of_a_wave_are_used_again),
 		cmocka_unit_test(hosts_of_a_wave_move_after_hand_over),
+		cmocka_unit_test(owner_drained_in_an_outage_goes_on),
+		cmocka_unit_test(owner_goes_on_if_its_release_is_refused),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
