sched: a new owner asks for the list of hosts as soon as it may decide

It asked in its first pass over the sizes of pools, 150 ms after the term began, and so moved the first hosts in the second one, 300 ms after.

--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -558,9 +558,10 @@
 
 void sched_set_ready(struct sched *s, cs_time now)
 {
-	(void)now;
 	s->is_ready = true;
 	servers_update_settled(s);
+	/* So that the first pass over the pools' sizes can move hosts. */
+	hosts_refresh(s, now);
 	sched_wake(s);
 }
 
--- a/tests/unit/test_hand_over.c
+++ b/tests/unit/test_hand_over.c
@@ -61,6 +61,24 @@
 	end_world(w);
 }
 
+/*
+ * Guards against a new owner that moves hosts only in the second pass over the
+ * sizes of pools, as it asked for the list of hosts in the first one. Passes
+ * are 150 ms apart; the owner is replaced 65 ms after it drains.
+ */
+static void new_owner_moves_hosts_in_its_first_pass(void **state)
+{
+	struct world *w = make_world(2, 4, 0);
+	int owner = world_owner(w), orders = world_host_orders(w);
+
+	(void)state;
+	world_node_drain(w, owner);
+	world_submit(w, (owner + 1) % 3, &large_job);
+	world_run(w, 300);
+	assert_int_equal(world_host_orders(w), orders + 2);
+	end_world(w);
+}
+
 /*
  * Drains the owner delay_ms after the store went down, for 1.5 s. The second
  * step of a job has to start meanwhile.
@@ -111,6 +129,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(last_hosts_of_a_wave_are_used_again),
 		cmocka_unit_test(hosts_of_a_wave_move_after_hand_over),
+		cmocka_unit_test(new_owner_moves_hosts_in_its_first_pass),
 		cmocka_unit_test(owner_drained_in_an_outage_goes_on),
 		cmocka_unit_test(owner_goes_on_if_its_release_is_refused),
 	};
