admission: refuse jobs that can't end while they have value

With [policy] admission, off by default, the owner publishes for each queue the time of the work ahead at all CPU that its pool could get, and the most CPU free on one server. An entry refuses a job that could not end within three times its objective even so, with 429 and a Retry-After drawn over the time in which room appears. Old, odd or missing summaries refuse nothing, nor does a queue with room for a task. Hysteresis: it resumes at 0.8 of the bound.

The entry writes a marker into the job's key, if it does not exist, before it answers, so that a write of an earlier submission without a reply is not carried out after the refusal; a later submission replaces the marker. Jobs that are known are never refused.

--- a/src/batch/batch.c
+++ b/src/batch/batch.c
@@ -477,46 +477,66 @@
 	b->spec->steps[step].expected_ms = ms;
 }
 
+/* A search for the longest path through the steps of a job. */
+struct path_search {
+	const struct batch_spec *spec;
+	const int *left; /* tasks left of each step; NULL: all of them */
+	bool uses_hints; /* of the caller, in place of expected times */
+	int64_t known[BATCH_STEPS_MAX]; /* path that ends there; -1: not yet */
+};
+
 /* The longest path that ends with a step; the steps form no cycle. */
-static int64_t longest_path_to(const struct batch *b,
-			       const struct batch_occurrence *r, int step,
-			       int64_t *known)
+static int64_t longest_path_to(struct path_search *p, int step)
 {
-	const struct batch_step *s = &b->spec->steps[step];
+	const struct batch_step *s = &p->spec->steps[step];
 	int64_t best = 0, ms;
 	int i;
 
-	if (known[step] >= 0)
-		return known[step];
+	if (p->known[step] >= 0)
+		return p->known[step];
 	for (i = 0; i < s->after_nr; i++) {
-		ms = longest_path_to(b, r, s->after[i], known);
+		ms = longest_path_to(p, s->after[i]);
 		if (ms > best)
 			best = ms;
 	}
-	if (!r || !r->left || r->left[step])
-		best += s->expected_ms;
-	known[step] = best;
+	if (!p->left || p->left[step])
+		best += p->uses_hints ? s->estimate_ms : s->expected_ms;
+	p->known[step] = best;
 	return best;
 }
 
-int64_t batch_critical_path_ms(const struct batch *b, int occurrence,
-			       bool is_whole)
+static int64_t longest_path(struct path_search *p)
 {
-	const struct batch_occurrence *r =
-		is_whole ? NULL : &b->occurrences[occurrence];
-	int64_t known[BATCH_STEPS_MAX], best = 0, ms;
+	int64_t best = 0, ms;
 	int i;
 
-	for (i = 0; i < b->spec->steps_nr; i++)
-		known[i] = -1;
-	for (i = 0; i < b->spec->steps_nr; i++) {
-		ms = longest_path_to(b, r, i, known);
+	for (i = 0; i < p->spec->steps_nr; i++)
+		p->known[i] = -1;
+	for (i = 0; i < p->spec->steps_nr; i++) {
+		ms = longest_path_to(p, i);
 		if (ms > best)
 			best = ms;
 	}
 	return best;
 }
 
+int64_t batch_critical_path_ms(const struct batch *b, int occurrence,
+			       bool is_whole)
+{
+	struct path_search p = { .spec = b->spec };
+
+	if (!is_whole)
+		p.left = b->occurrences[occurrence].left;
+	return longest_path(&p);
+}
+
+int64_t batch_spec_hinted_path_ms(const struct batch_spec *spec)
+{
+	struct path_search p = { .spec = spec, .uses_hints = true };
+
+	return longest_path(&p);
+}
+
 void batch_task_name(const struct batch *b, int occurrence, int step, int index,
 		     char out[BATCH_TASK_NAME_MAX])
 {
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -139,6 +139,12 @@
  */
 int batch_spec_check(const struct batch_spec *spec, struct cs_error *err);
 
+/*
+ * Duration of the longest path through the steps by the caller's estimates, ms.
+ * spec must have passed the check.
+ */
+int64_t batch_spec_hinted_path_ms(const struct batch_spec *spec);
+
 /* True for 16 hexadecimal digits. */
 bool batch_id_is_valid(const char *id);
 
--- a/src/node/api.c
+++ b/src/node/api.c
@@ -57,6 +57,9 @@
 	cs_time deadline;
 	bool is_write_uncertain; /* a write without a reply may be done */
 	bool is_reading_job; /* the key of the job, not of its progress */
+	/* Of the marker of a refusal in the job's key; 0: none is known. */
+	uint64_t marker_revision;
+	int64_t refusal_retry_ms; /* Retry-After of the refusal under way */
 };
 
 struct api_request *api_request_new(enum api_kind kind)
@@ -236,6 +239,8 @@
 }
 
 static void submit(struct open_request *o, cs_time now);
+static void store_submission(struct open_request *o, cs_time now);
+static void store_refusal(struct open_request *o, cs_time now);
 static void read_job(struct open_request *o, cs_time now);
 static void cancel(struct open_request *o, cs_time now);
 
@@ -301,11 +306,12 @@
 }
 
 /*
- * Writes the key of the request's job under a prefix if it does not exist.
- * Takes ownership of value.
+ * Writes the key of the request's job under a prefix if its revision is the
+ * expected one; 0: if it does not exist. Takes ownership of value.
  */
-static void create_key(struct open_request *o, const char *prefix,
-		       GBytes *value, store_reply_fn on_reply, cs_time now)
+static void replace_key(struct open_request *o, const char *prefix,
+			uint64_t expected, GBytes *value,
+			store_reply_fn on_reply, cs_time now)
 {
 	struct store_call *c;
 	char *key;
@@ -317,12 +323,49 @@
 	}
 	key = g_strconcat(prefix, o->id, NULL);
 	c = store_call_new(STORE_TXN, NULL, time_left(o, now));
-	store_call_expect(c, key, 0);
+	store_call_expect(c, key, expected);
 	store_call_write(c, key, value, 0);
 	g_free(key);
 	send_call(o, c, on_reply);
 }
 
+/* Writes the key of the request's job under a prefix if it does not exist. */
+static void create_key(struct open_request *o, const char *prefix,
+		       GBytes *value, store_reply_fn on_reply, cs_time now)
+{
+	replace_key(o, prefix, 0, value, on_reply, now);
+}
+
+/*
+ * Writes the job's key if it holds no job. Takes ownership of value. The first
+ * call for it expects no key; the reply to that may tell of a marker.
+ */
+static void take_job_key(struct open_request *o, GBytes *value,
+			 store_reply_fn on_reply, cs_time now)
+{
+	replace_key(o, KEY_JOBS, o->marker_revision, value, on_reply, now);
+}
+
+/*
+ * True if the job's key holds no job, but the marker of a refusal, or nothing
+ * after such a marker has expired. Notes the revision that the next write
+ * replaces.
+ */
+static bool is_key_free(struct open_request *o, const struct store_reply *d)
+{
+	const struct store_item *item =
+		d->items->len ? g_ptr_array_index(d->items, 0) : NULL;
+	bool was_marked = o->marker_revision != 0;
+
+	o->marker_revision = 0;
+	if (!item || !item->value)
+		return d->result == STORE_MISSING || was_marked;
+	if (!store_value_is(item->value, JOB_REFUSED))
+		return false;
+	o->marker_revision = item->revision;
+	return true;
+}
+
 static void finish_foreign(struct open_request *o, cs_time now)
 {
 	finish_with_result(o, API_UNAVAILABLE,
@@ -367,6 +410,22 @@
 	read_key(o, KEY_PROGRESS, on_ended_read, now);
 }
 
+/* Handles a submission whose identifier is in the store. */
+static void finish_known(struct open_request *o, const struct store_reply *d,
+			 cs_time now)
+{
+	if (has_marker(d, JOB_WITHDRAWN))
+		finish_with_result(o, API_UNAVAILABLE,
+				   "the job was cancelled before it was stored",
+				   now);
+	else if (has_marker(d, JOB_ENDED))
+		read_ended_job(o, now);
+	else if (is_foreign_submission(o, d))
+		finish_foreign(o, now);
+	else
+		finish_with_result(o, API_OK, "known", now);
+}
+
 static void on_submitted(void *ctx, uint64_t arg, const struct store_reply *d,
 			 cs_time now)
 {
@@ -380,17 +439,10 @@
 		finish_with_result(o, API_OK, "stored", now);
 		break;
 	case STORE_CONFLICT: /* it was stored before: still one job */
-		if (has_marker(d, JOB_WITHDRAWN))
-			finish_with_result(o, API_UNAVAILABLE,
-					   "the job was cancelled before it "
-					   "was stored",
-					   now);
-		else if (has_marker(d, JOB_ENDED))
-			read_ended_job(o, now);
-		else if (is_foreign_submission(o, d))
-			finish_foreign(o, now);
+		if (is_key_free(o, d))
+			store_submission(o, now);
 		else
-			finish_with_result(o, API_OK, "known", now);
+			finish_known(o, d, now);
 		break;
 	case STORE_UNKNOWN:
 		o->is_write_uncertain = true;
@@ -417,9 +469,65 @@
 	return batch_encode_submission(&batch);
 }
 
+static void store_submission(struct open_request *o, cs_time now)
+{
+	take_job_key(o, encode_submission(o), on_submitted, now);
+}
+
+static void on_refusal_stored(void *ctx, uint64_t arg,
+			      const struct store_reply *d, cs_time now)
+{
+	struct node *n = ctx;
+	struct open_request *o = slots_get(n->requests, arg);
+	struct api_reply reply = { .result = API_OVERLOADED,
+				   .reason = "the job would end too late" };
+
+	if (!o)
+		return;
+	switch (d->result) {
+	case STORE_OK:
+		reply.retry_after_ms = o->refusal_retry_ms;
+		finish_request(o, &reply, now);
+		break;
+	case STORE_CONFLICT:
+		if (is_key_free(o, d))
+			store_refusal(o, now);
+		else
+			finish_known(o, d, now);
+		break;
+	default:
+		/* A late write of a marker changes no job that is stored. */
+		retry(o, "the refusal could not be stored", now);
+	}
+}
+
+/*
+ * Refuses a job. A write of an earlier submission that got no reply could still
+ * be carried out, so the key is taken before the caller is told that the job
+ * never runs. A marker that is there is written again for the same reason: a
+ * submission that expects its present revision may be on its way.
+ */
+static void store_refusal(struct open_request *o, cs_time now)
+{
+	take_job_key(o, g_bytes_new_static(JOB_REFUSED, strlen(JOB_REFUSED)),
+		     on_refusal_stored, now);
+}
+
 static void submit(struct open_request *o, cs_time now)
 {
-	create_key(o, KEY_JOBS, encode_submission(o), on_submitted, now);
+	struct node *n = o->node;
+
+	/* What this request has begun to store is not refused any more. */
+	if (n->options.policy.has_admission && !o->is_write_uncertain)
+		o->refusal_retry_ms = admission_refuse_ms(
+			n->admission, o->queue, o->request->spec, &o->terms,
+			node_unix_ms(n, now));
+	else
+		o->refusal_retry_ms = 0;
+	if (o->refusal_retry_ms)
+		store_refusal(o, now);
+	else
+		store_submission(o, now);
 }
 
 static void on_cancelled(void *ctx, uint64_t arg, const struct store_reply *d,
@@ -464,18 +572,20 @@
  */
 static void withdraw(struct open_request *o, cs_time now)
 {
-	create_key(o, KEY_JOBS,
-		   g_bytes_new_static(JOB_WITHDRAWN, strlen(JOB_WITHDRAWN)),
-		   on_withdrawn, now);
+	take_job_key(o,
+		     g_bytes_new_static(JOB_WITHDRAWN, strlen(JOB_WITHDRAWN)),
+		     on_withdrawn, now);
 }
 
 /* Handles the reply for the job's key, read if there is no progress. */
 static void handle_job_read(struct open_request *o, const struct store_reply *d,
 			    cs_time now)
 {
-	if (d->result == STORE_MISSING && o->request->kind == API_CANCEL) {
+	bool has_no_job = is_key_free(o, d);
+
+	if (has_no_job && o->request->kind == API_CANCEL) {
 		withdraw(o, now);
-	} else if (d->result == STORE_MISSING || has_marker(d, JOB_WITHDRAWN) ||
+	} else if (has_no_job || has_marker(d, JOB_WITHDRAWN) ||
 		   is_foreign_submission(o, d)) {
 		finish_with_result(o, API_NO_JOB, NULL, now);
 	} else if (o->request->kind == API_CANCEL) {
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -60,6 +60,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	n->waves = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					 bytes_free);
+	n->admission = admission_create(options->seed);
 	n->queue_loads =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return n;
@@ -90,6 +91,7 @@
 	g_hash_table_destroy(n->evacuated);
 	g_hash_table_destroy(n->waves);
 	g_hash_table_destroy(n->queue_loads);
+	admission_destroy(n->admission);
 	g_free(n->published_queues);
 	site_unref(n->site);
 	g_free(n);
--- a/src/node/node_private.h
+++ b/src/node/node_private.h
@@ -4,6 +4,7 @@
 #include "../base/slots.h"
 #include "../store/store_calls.h"
 #include "../store/view.h"
+#include "admission.h"
 #include "node.h"
 
 /* Internals of struct node, shared by the files of this folder only. */
@@ -18,6 +19,12 @@
 #define KEY_TERM "camphorshed/control/term"
 #define KEY_QUEUES "camphorshed/control/queues"
 #define KEY_JOBS "camphorshed/jobs/"
+/*
+ * Stands in the key of a job that was refused. Another submission of it
+ * replaces the marker, a late write of a former one does not, as its condition
+ * fails.
+ */
+#define JOB_REFUSED "refused"
 /* Replaces the submission in a job's key once the job's end is stored. */
 #define JOB_ENDED "ended"
 /* Stands in a job's key that was cancelled before a submission was stored. */
@@ -132,6 +139,7 @@
 	GHashTable *evacuated; /* names of data centres */
 	GHashTable *waves; /* number as text -> GBytes */
 	GHashTable *queue_loads; /* queue -> struct queue_load */
+	struct admission *admission;
 	/*
 	 * State read while loading. It is released once the scheduler has it,
 	 * but for loaded_wave_progress, which waves that come later need.
--- a/src/node/queues.c
+++ b/src/node/queues.c
@@ -4,12 +4,23 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "../base/log.h"
+
 /*
  * The owner publishes the backlog of each queue to all entries: the jobs that
  * have not started, and the time that a new job would wait. The value has a
- * line "NAME PENDING WAIT_MS" for each queue.
+ * line "NAME PENDING WAIT_MS" for each queue. For admission, lines follow whose
+ * first word tells their version, which readers that do not know it ignore: one
+ * with the time, then one for each queue with work ahead of a new job.
  */
 
+#define ADMISSION_LINE "@1 "
+/* Values beyond this are not from an owner: ten days, ten thousand cores. */
+#define AHEAD_MAX_MS (INT64_C(10) * 86400 * 1000)
+#define FREE_CPU_MAX INT64_C(10000000)
+/* Lines for admission in one value, of which each takes 128 bytes at most. */
+#define ADMISSION_LINES_MAX 1024
+
 /*
  * Interval of publishing. Callers may get counts that are up to 2 s old, of
  * which writing and watching the key take some ms.
@@ -22,6 +33,29 @@
 			       wait_ms);
 }
 
+struct admission_lines {
+	GString *text;
+	int64_t unix_ms;
+	int lines_nr;
+};
+
+/* The time only stands there with a queue: it changes the value each time. */
+static void add_admission_line(void *ctx, const char *queue,
+			       const struct drain_summary *summary)
+{
+	struct admission_lines *a = ctx;
+
+	if (a->lines_nr >= ADMISSION_LINES_MAX)
+		return;
+	if (!a->lines_nr++)
+		g_string_append_printf(
+			a->text, ADMISSION_LINE "at=%" PRId64 "\n", a->unix_ms);
+	g_string_append_printf(a->text,
+			       ADMISSION_LINE "queue=%s ahead_ms=%" PRId64
+					      " free_cpu=%" PRId64 "\n",
+			       queue, summary->ahead_ms, summary->free_cpu);
+}
+
 static void on_published(void *ctx, uint64_t arg, const struct store_reply *d,
 			 cs_time now)
 {
@@ -50,6 +84,12 @@
 	n->next_publish_at = now + PUBLISH_US;
 	text = g_string_new(NULL);
 	sched_for_each_queue(n->sched, add_line, text);
+	if (n->options.policy.has_admission) {
+		struct admission_lines lines = { text, node_unix_ms(n, now),
+						 0 };
+
+		drain_for_each_queue(n->sched, add_admission_line, &lines);
+	}
 	if (n->published_queues && !strcmp(n->published_queues, text->str)) {
 		g_string_free(text, TRUE);
 		return;
@@ -65,19 +105,65 @@
 	store_calls_send(n->calls, call, on_published, n, 0);
 }
 
+/* When the owner published what the lines say; 0: they do not tell. */
+static int64_t published_unix_ms(char *const *lines)
+{
+	int64_t at;
+
+	for (; *lines; lines++)
+		if (sscanf(*lines, ADMISSION_LINE "at=%" SCNd64, &at) == 1)
+			return at;
+	return 0;
+}
+
+/* Returns false if the line can't be read or a value is out of range. */
+static bool read_admission_line(struct node *n, const char *line)
+{
+	struct drain_summary summary;
+	char queue[CS_NAME_MAX];
+
+	if (g_str_has_prefix(line, ADMISSION_LINE "at="))
+		return true;
+	if (sscanf(line,
+		   ADMISSION_LINE "queue=%63s ahead_ms=%" SCNd64
+				  " free_cpu=%" SCNd64,
+		   queue, &summary.ahead_ms, &summary.free_cpu) != 3 ||
+	    summary.ahead_ms < 0 || summary.ahead_ms > AHEAD_MAX_MS ||
+	    summary.free_cpu < 0 || summary.free_cpu > FREE_CPU_MAX)
+		return false;
+	admission_add(n->admission, queue, &summary);
+	return true;
+}
+
+static void log_unreadable_lines(struct node *n, const struct store_item *item,
+				 int lines)
+{
+	GString *pairs = g_string_new(NULL);
+
+	log_pair(pairs, "key", item->key);
+	log_pair_int(pairs, "revision", (int64_t)item->revision);
+	log_pair_int(pairs, "lines", lines);
+	node_log(n, "queues_unreadable", pairs);
+}
+
 void queues_read(struct node *n, const struct store_item *item)
 {
 	char *text = store_text(item->value);
 	char **lines = g_strsplit(text, "\n", 0);
 	char name[CS_NAME_MAX];
 	int64_t pending, wait_ms;
-	int i;
+	int i, unreadable = 0;
 
 	n->queues_revision = MAX(n->queues_revision, item->revision);
 	g_hash_table_remove_all(n->queue_loads);
+	admission_begin(n->admission, published_unix_ms(lines));
 	for (i = 0; lines[i]; i++) {
 		struct queue_load *load;
 
+		if (g_str_has_prefix(lines[i], ADMISSION_LINE)) {
+			unreadable += !read_admission_line(n, lines[i]);
+			continue;
+		}
 		if (sscanf(lines[i], "%63s %" SCNd64 " %" SCNd64, name,
 			   &pending, &wait_ms) != 3)
 			continue;
@@ -86,6 +172,8 @@
 		load->wait_ms = wait_ms;
 		g_hash_table_insert(n->queue_loads, g_strdup(name), load);
 	}
+	if (unreadable)
+		log_unreadable_lines(n, item, unreadable);
 	g_strfreev(lines);
 	g_free(text);
 }
--- a/src/node/term.c
+++ b/src/node/term.c
@@ -125,7 +125,8 @@
 
 		/* While active, only this owner writes the marker of an end.
 		 */
-		if (store_value_is(item->value, JOB_WITHDRAWN))
+		if (store_value_is(item->value, JOB_WITHDRAWN) ||
+		    store_value_is(item->value, JOB_REFUSED))
 			withdrawn_add(n, id, item->revision, now);
 		else if (is_loading)
 			add_loaded(n->loaded_jobs, id, item);
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -775,7 +775,7 @@
  * Work left in a job's present occurrence, in thousandths of a core times
  * milliseconds.
  */
-static double work_left(const struct job *j)
+double sched_work_left(const struct job *j)
 {
 	const struct batch_occurrence *r =
 		&j->batch->occurrences[j->first_open_occurrence];
@@ -822,7 +822,7 @@
 		for (k = 0; p && k < p->jobs->len; k++) {
 			const struct job *j = g_ptr_array_index(p->jobs, k);
 
-			work += work_left(j);
+			work += sched_work_left(j);
 			if (strcmp(j->batch->queue, q->name))
 				continue;
 			is_used = true;
--- a/src/sched/sched_private.h
+++ b/src/sched/sched_private.h
@@ -103,6 +103,8 @@
 struct estimate *sched_estimate(struct sched *s, const char *queue);
 /* Adds the work of an occurrence that has become due to the pool's demand. */
 void sched_record_arrival(struct sched *s, const struct job *j, cs_time now);
+/* Work left in its present occurrence, thousandths of a core times ms. */
+double sched_work_left(const struct job *j);
 void sched_log(struct sched *s, const char *event, GString *pairs);
 /*
  * How a job is handled: as its queue is configured now. If the queue was
--- a/tests/world/main.c
+++ b/tests/world/main.c
@@ -407,13 +407,15 @@
 
 static bool run_day(uint32_t seed, bool is_verbose)
 {
-	struct day d = { .options = { .seed = seed,
-				      .nodes = 2 + (int)(seed % 4),
-				      .servers = 3 + (int)(seed % 5),
-				      .pools = 1 + (int)(seed % 3),
-				      .standby = seed < STANDBY_FROM_SEED ? 0 :
-									    4,
-				      .is_verbose = is_verbose } };
+	struct day d = {
+		.options = { .seed = seed,
+			     .nodes = 2 + (int)(seed % 4),
+			     .servers = 3 + (int)(seed % 5),
+			     .pools = 1 + (int)(seed % 3),
+			     .standby = seed < STANDBY_FROM_SEED ? 0 : 4,
+			     .policy = { .has_admission = seed / 4 % 2 == 1 },
+			     .is_verbose = is_verbose }
+	};
 	int faults_nr = count_faults(seed);
 	int64_t end;
 	bool has_passed;
