node: a job's first start waits for one write while the store is slow

Change: an entry whose calls to the store take over 50 ms stores that record together with the submission, which then names the pool. It is not always done so, since a new owner must wait for servers that do not answer before it starts such a job.

The new test fails without the change.

--- a/src/batch/batch_codec.c
+++ b/src/batch/batch_codec.c
@@ -13,9 +13,10 @@
  * Numbers of elements of the outer arrays. Readers ignore further elements, so
  * one can be added at the end if it may be missing.
  */
-#define SUBMISSION_LEN 12
-/* Submissions of earlier versions have no terms, or no limit. */
+#define SUBMISSION_LEN 13
+/* Submissions of earlier versions have no terms, no limit or no pools. */
 #define SUBMISSION_LEN_MIN 10
+#define SUBMISSION_LEN_LIMIT 12
 #define PROGRESS_LEN 5
 /* Progress of earlier versions has no pools and no workspace. */
 #define PROGRESS_LEN_MIN 3
@@ -96,6 +97,15 @@
 	return bytes;
 }
 
+static void pack_pools(msgpack_packer *pk, const GPtrArray *pools)
+{
+	guint i, n = pools ? pools->len : 0;
+
+	msgpack_pack_array(pk, n);
+	for (i = 0; i < n; i++)
+		pack_text(pk, g_ptr_array_index(pools, i));
+}
+
 GBytes *batch_encode_submission(const struct batch *b)
 {
 	msgpack_sbuffer buf;
@@ -119,6 +129,7 @@
 		pack_step(&pk, &b->spec->steps[i]);
 	pack_terms(&pk, &b->terms);
 	pack_limit(&pk, &b->limit);
+	pack_pools(&pk, b->pools);
 	return take_buffer(&buf);
 }
 
@@ -244,6 +255,21 @@
 	       read_range(&f[2], 0, INT64_MAX, &limit->accelerators);
 }
 
+static bool read_pools(struct batch *b, const msgpack_object *o)
+{
+	char name[CS_NAME_MAX];
+	uint32_t i;
+
+	if (!is_array(o, 0))
+		return false;
+	for (i = 0; i < o->via.array.size; i++) {
+		if (!read_text(&o->via.array.ptr[i], name, sizeof(name)))
+			return false;
+		batch_begin(b, name);
+	}
+	return true;
+}
+
 static struct batch *read_submission(const msgpack_object *o)
 {
 	char id[BATCH_ID_MAX], queue[CS_NAME_MAX], workspace[CS_NAME_MAX];
@@ -284,8 +310,13 @@
 		       read_terms(&f[10], &terms);
 	if (b->has_terms)
 		b->terms = terms;
-	if (o->via.array.size >= SUBMISSION_LEN && read_limit(&f[11], &limit))
+	if (o->via.array.size >= SUBMISSION_LEN_LIMIT &&
+	    read_limit(&f[11], &limit))
 		b->limit = limit;
+	if (o->via.array.size >= SUBMISSION_LEN && !read_pools(b, &f[12])) {
+		batch_destroy(b);
+		return NULL;
+	}
 	return b;
 fail:
 	batch_spec_destroy(spec);
@@ -356,15 +387,6 @@
 	}
 }
 
-static void pack_pools(msgpack_packer *pk, const GPtrArray *pools)
-{
-	guint i, n = pools ? pools->len : 0;
-
-	msgpack_pack_array(pk, n);
-	for (i = 0; i < n; i++)
-		pack_text(pk, g_ptr_array_index(pools, i));
-}
-
 GBytes *batch_encode_progress(const struct batch *b)
 {
 	msgpack_sbuffer buf;
@@ -452,21 +474,6 @@
 	return true;
 }
 
-static bool read_pools(struct batch *b, const msgpack_object *o)
-{
-	char name[CS_NAME_MAX];
-	uint32_t i;
-
-	if (!is_array(o, 0))
-		return false;
-	for (i = 0; i < o->via.array.size; i++) {
-		if (!read_text(&o->via.array.ptr[i], name, sizeof(name)))
-			return false;
-		batch_begin(b, name);
-	}
-	return true;
-}
-
 static bool read_progress(struct batch *b, const msgpack_object *o,
 			  enum batch_state *state, char workspace[CS_NAME_MAX])
 {
--- a/src/batch/batch_codec.h
+++ b/src/batch/batch_codec.h
@@ -9,6 +9,9 @@
  * with a format number; any other format number is refused.
  */
 
+/*
+ * With the pools in which its tasks may start before any other record says so.
+ */
 GBytes *batch_encode_submission(const struct batch *b);
 /* NULL if the bytes are not a submission. */
 struct batch *batch_decode_submission(const void *data, size_t size);
--- a/src/node/api.c
+++ b/src/node/api.c
@@ -36,6 +36,11 @@
 /* Oldest view of the operators' keys with which the entry reports as ready. */
 #define READY_VIEW_AGE_US (2500 * CS_MSEC)
 #define RETRY_AFTER_MS 1000
+/*
+ * A store whose calls take longer than this is slow: a job waits for each of
+ * the writes between its submission and its first start.
+ */
+#define SLOW_STORE_US (50 * CS_MSEC)
 /*
  * While the store is unreachable, Retry-After is this share of the duration of
  * the outage: an outage that has lasted long is likely to go on, and a caller
@@ -57,6 +62,7 @@
 	cs_time deadline;
 	bool is_write_uncertain; /* a write without a reply may be done */
 	bool is_reading_job; /* the key of the job, not of its progress */
+	bool is_begun; /* stored with the record that its tasks start */
 	/* Of the marker of a refusal in the job's key; 0: none is known. */
 	uint64_t marker_revision;
 	int64_t refusal_retry_ms; /* Retry-After of the refusal under way */
@@ -307,10 +313,11 @@
 
 /*
  * Writes the key of the request's job under a prefix if its revision is the
- * expected one; 0: if it does not exist. Takes ownership of value.
+ * expected one; 0: if it does not exist. With progress, which may be NULL, the
+ * key of the job's progress is written as well. Takes ownership of the values.
  */
 static void replace_key(struct open_request *o, const char *prefix,
-			uint64_t expected, GBytes *value,
+			uint64_t expected, GBytes *value, GBytes *progress,
 			store_reply_fn on_reply, cs_time now)
 {
 	struct store_call *c;
@@ -318,6 +325,7 @@
 
 	if (!time_left(o, now)) {
 		g_bytes_unref(value);
+		g_bytes_unref(progress);
 		retry(o, "no time left", now);
 		return;
 	}
@@ -326,6 +334,11 @@
 	store_call_expect(c, key, expected);
 	store_call_write(c, key, value, 0);
 	g_free(key);
+	if (progress) {
+		key = g_strconcat(KEY_PROGRESS, o->id, NULL);
+		store_call_write(c, key, progress, 0);
+		g_free(key);
+	}
 	send_call(o, c, on_reply);
 }
 
@@ -333,7 +346,7 @@
 static void create_key(struct open_request *o, const char *prefix,
 		       GBytes *value, store_reply_fn on_reply, cs_time now)
 {
-	replace_key(o, prefix, 0, value, on_reply, now);
+	replace_key(o, prefix, 0, value, NULL, on_reply, now);
 }
 
 /*
@@ -341,9 +354,10 @@
  * call for it expects no key; the reply to that may tell of a marker.
  */
 static void take_job_key(struct open_request *o, GBytes *value,
-			 store_reply_fn on_reply, cs_time now)
+			 GBytes *progress, store_reply_fn on_reply, cs_time now)
 {
-	replace_key(o, KEY_JOBS, o->marker_revision, value, on_reply, now);
+	replace_key(o, KEY_JOBS, o->marker_revision, value, progress, on_reply,
+		    now);
 }
 
 /*
@@ -453,25 +467,43 @@
 	}
 }
 
-/* The submission as it is stored. Each attempt writes the same bytes. */
-static GBytes *encode_submission(const struct open_request *o)
+/* The job as it is stored. Each attempt writes the same bytes. */
+static void fill_batch(const struct open_request *o, struct batch *b)
 {
 	const struct api_request *r = o->request;
-	struct batch batch = { .submitted_unix_ms =
-				       node_unix_ms(o->node, r->received),
-			       .terms = o->terms,
-			       .limit = o->limit,
-			       .spec = r->spec };
 
-	cs_copy(batch.id, sizeof(batch.id), o->id);
-	cs_copy(batch.queue, sizeof(batch.queue), o->queue);
-	cs_copy(batch.workspace, sizeof(batch.workspace), o->workspace);
-	return batch_encode_submission(&batch);
+	b->submitted_unix_ms = node_unix_ms(o->node, r->received);
+	b->terms = o->terms;
+	b->limit = o->limit;
+	b->spec = r->spec;
+	cs_copy(b->id, sizeof(b->id), o->id);
+	cs_copy(b->queue, sizeof(b->queue), o->queue);
+	cs_copy(b->workspace, sizeof(b->workspace), o->workspace);
 }
 
+/*
+ * Stores a job. While the store is slow, the record that its tasks start in the
+ * pool of its queue is part of the same write, so that the owner need not store
+ * it before the first start. It is not always done that way, since a new owner
+ * has to wait for servers that do not answer before it starts such a job.
+ */
 static void store_submission(struct open_request *o, cs_time now)
 {
-	take_job_key(o, encode_submission(o), on_submitted, now);
+	struct node *n = o->node;
+	struct batch b = { 0 };
+	GBytes *progress = NULL;
+
+	if (store_calls_latency(n->calls, now) > SLOW_STORE_US)
+		o->is_begun = true;
+	fill_batch(o, &b);
+	if (o->is_begun) {
+		batch_begin(&b, o->terms.pool);
+		progress = batch_encode_progress(&b);
+	}
+	take_job_key(o, batch_encode_submission(&b), progress, on_submitted,
+		     now);
+	if (b.pools)
+		g_ptr_array_free(b.pools, TRUE);
 }
 
 static void on_refusal_stored(void *ctx, uint64_t arg,
@@ -510,7 +542,7 @@
 static void store_refusal(struct open_request *o, cs_time now)
 {
 	take_job_key(o, g_bytes_new_static(JOB_REFUSED, strlen(JOB_REFUSED)),
-		     on_refusal_stored, now);
+		     NULL, on_refusal_stored, now);
 }
 
 static void submit(struct open_request *o, cs_time now)
@@ -574,7 +606,7 @@
 {
 	take_job_key(o,
 		     g_bytes_new_static(JOB_WITHDRAWN, strlen(JOB_WITHDRAWN)),
-		     on_withdrawn, now);
+		     NULL, on_withdrawn, now);
 }
 
 /* Handles the reply for the job's key, read if there is no progress. */
--- a/src/node/term.c
+++ b/src/node/term.c
@@ -97,6 +97,7 @@
 		    cs_time now)
 {
 	struct batch *b = read_job(id, value, progress);
+	uint64_t stored = 0;
 	GString *pairs;
 
 	if (!b || strcmp(b->id, id)) {
@@ -110,8 +111,12 @@
 		batch_destroy(b);
 		return;
 	}
-	sched_add_batch(n->sched, b, revision,
-			progress ? progress->revision : 0, node_unix_ms(n, now),
+	/* A submission that names pools was stored together with progress. */
+	if (progress)
+		stored = progress->revision;
+	else if (b->pools)
+		stored = revision;
+	sched_add_batch(n->sched, b, revision, stored, node_unix_ms(n, now),
 			now);
 }
 
--- a/src/store/store_calls.h
+++ b/src/store/store_calls.h
@@ -30,4 +30,7 @@
 void store_calls_on_reply(struct store_calls *calls,
 			  const struct store_reply *reply, cs_time now);
 
+/* How long calls other than watches take at present; 0: not known. */
+cs_time store_calls_latency(const struct store_calls *calls, cs_time now);
+
 #endif
--- a/tests/unit/test_batch.c
+++ b/tests/unit/test_batch.c
@@ -346,14 +346,40 @@
 	batch_destroy(c);
 }
 
+/*
+ * Guards against a job whose first start waits for a record that was stored
+ * with its submission.
+ */
+static void submission_keeps_its_pools(void **state)
+{
+	struct batch *b = make_batch(), *c;
+	GBytes *submission;
+
+	(void)state;
+	batch_begin(b, "north");
+	submission = batch_encode_submission(b);
+	c = batch_decode_submission(g_bytes_get_data(submission, NULL),
+				    g_bytes_get_size(submission));
+	assert_non_null(c->pools);
+	assert_int_equal(c->pools->len, 1);
+	assert_true(batch_may_run_in(c, "north"));
+	assert_false(batch_may_run_in(c, "south"));
+	g_bytes_unref(submission);
+	batch_destroy(b);
+	batch_destroy(c);
+}
+
 /*
  * The same for a submission without terms or without a limit, and for damaged
  * ones.
  */
 static void submission_without_terms_is_read(void **state)
 {
-	/* The terms end with a 0, and the limit is an array of three. */
-	static const uint8_t tail[] = { 0, 0x93, 3, 0, 0 };
+	/*
+	 * The terms end with a 0, the limit is an array of three, and the one
+	 * of the pools is empty.
+	 */
+	static const uint8_t tail[] = { 0, 0x93, 3, 0, 0, 0x90 };
 	struct batch *b = make_batch(), *c;
 	GBytes *submission;
 	uint8_t *data, *end;
@@ -382,7 +408,12 @@
 	assert_string_equal(c->spec->payload, "work");
 	batch_destroy(c);
 	end[0] = 0;
-	/* Arrays of 11 and 10 elements instead of 12. */
+	/* Arrays of 12, 11 and 10 elements instead of 13. */
+	data[0]--;
+	c = batch_decode_submission(data, size);
+	assert_true(c->has_terms);
+	assert_int_equal(c->limit.cpu, 3);
+	batch_destroy(c);
 	assert_int_equal(data[0], 0x9c);
 	data[0] = 0x9b;
 	c = batch_decode_submission(data, size);
@@ -557,6 +588,7 @@
 		cmocka_unit_test(damaged_bytes_never_crash),
 		cmocka_unit_test(progress_without_pools_is_read),
 		cmocka_unit_test(submission_without_terms_is_read),
+		cmocka_unit_test(submission_keeps_its_pools),
 		cmocka_unit_test(accepted_progress_can_be_read),
 		cmocka_unit_test(long_checkpoint_is_refused),
 		cmocka_unit_test(large_progress_is_bounded),
--- a/tests/unit/test_late_writes.c
+++ b/tests/unit/test_late_writes.c
@@ -95,12 +95,45 @@
 	}
 }
 
+/*
+ * Guards against short jobs that are late while the store is slow: the owner
+ * stored a record of its own before the first start. In this site changes reach
+ * the owner's watch at once, so the write of the submission is left.
+ */
+static void slow_store_delays_a_start_by_one_write(void **state)
+{
+	const struct world_job job = { .steps = 1,
+				       .width = 1,
+				       .work_ms = 400,
+				       .cpu = 1000,
+				       .unavailable_max = -1 };
+	const int64_t latency_ms = 300;
+	struct world *w = make_world(1, 4, 0);
+	int number;
+
+	(void)state;
+	world_store_set_latency(w, latency_ms);
+	/* The entry finds out how slow the store is. */
+	world_submit(w, 0, &job);
+	world_run(w, 1500);
+	number = world_submit(w, 0, &job);
+	world_run(w, latency_ms + 150);
+	assert_int_equal(world_job_starts(w, number), 1);
+	/* A new owner knows that the job may have runs. */
+	world_node_kill(w, world_owner(w));
+	world_run(w, 20000);
+	assert_true(world_job_is_done(w, number));
+	assert_int_equal(world_job_starts(w, number), 1);
+	end_world(w);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(cancelled_submission_is_not_stored_late),
 		cmocka_unit_test(withdrawn_keys_are_removed),
 		cmocka_unit_test(old_pending_counts_are_not_stored_late),
+		cmocka_unit_test(slow_store_delays_a_start_by_one_write),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
