runs: log what a run time may depend on

A task_end line now has the run time with the queue, workspace, size, hint and expectation, so that the error of predictions can be read from logs.

--- a/src/sched/runs/runs.c
+++ b/src/sched/runs/runs.c
@@ -309,8 +309,32 @@
 	}
 }
 
+/*
+ * Adds the run time and what it may depend on: the queue, workspace, size and
+ * hint, whether the run was resumed or adopted, and the rack.
+ */
+static void log_run_time(GString *pairs, const struct job *j,
+			 const struct run *r, const struct server *v,
+			 cs_time now)
+{
+	const struct batch_step *st = step_of(j, r->step);
+
+	log_pair_int(pairs, "ran_ms", (now - r->sent_at) / CS_MSEC);
+	log_pair_int(pairs, "hint_ms", st->estimate_ms);
+	log_pair_int(pairs, "expected_ms", st->expected_ms);
+	log_pair(pairs, "queue", j->batch->queue);
+	log_pair(pairs, "workspace", j->batch->workspace);
+	log_pair_int(pairs, "cpu", st->need.cpu);
+	log_pair_int(pairs, "is_resumed", r->has_checkpoint);
+	log_pair_int(pairs, "is_adopted", !r->was_started_in_term);
+	log_pair_int(pairs, "is_remote",
+		     *st->rack && strcmp(st->rack, v->info.rack));
+}
+
+/* r is NULL if the run has no row. */
 static void log_end(struct sched *s, const struct task_ref *ref,
-		    uint32_t number, enum batch_end how, const char *server)
+		    uint32_t number, enum batch_end how, const struct run *r,
+		    const struct server *v, cs_time now)
 {
 	GString *pairs;
 
@@ -324,7 +348,9 @@
 	log_pair_int(pairs, "index", ref->index);
 	log_pair_int(pairs, "run", number);
 	log_pair(pairs, "how", batch_end_name(how));
-	log_pair(pairs, "server", server);
+	log_pair(pairs, "server", v->info.id);
+	if (r)
+		log_run_time(pairs, ref->job, r, v, now);
 	sched_log(s, "task_end", pairs);
 }
 
@@ -402,7 +428,7 @@
 	uint32_t number = r->number;
 	cs_handle server = r->server;
 
-	log_end(s, &ref, number, how, v->info.id);
+	log_end(s, &ref, number, how, r, v, now);
 	if (how == BATCH_END_LOST && !r->start_confirmed_at)
 		late_starts_add(s, r, now);
 	if (how == BATCH_END_DONE)
@@ -728,7 +754,7 @@
 			r = t ? run_row(s, t->run_row) : NULL;
 			if (r && e->how == BATCH_END_DONE)
 				runs_stop(s, r, "done by another run", now);
-			log_end(s, &ref, e->run, e->how, v->info.id);
+			log_end(s, &ref, e->run, e->how, NULL, v, now);
 			record_end(s, &ref, e->run, e->how, e->checkpoint,
 				   v->self, now);
 		}
