learn: predict run times from nested groups, kept beyond a term

Cause: run times are predicted by one line from hint to run time for each queue, which knows no workspace, step, size or job, and ends with the owner.

Change: run_times.c fits a line for each queue, step number, workspace and job, each starting from the next wider one. Runs that were stopped, lost, resumed or adopted are lower bounds. The models hint, line and learned are tables of functions; the switch learned_run_times selects the last one. The owner stores a record of 32 KiB at most under camphorshed-learned/ every 15 s, which a new owner reads once. Metrics show run time against prediction by queue; a run that takes over three times its prediction is logged once.

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -308,6 +308,7 @@
 	commit_turn(n, now);
 	withdrawn_turn(n, now);
 	queues_publish(n, now);
+	learned_turn(n, now);
 }
 
 cs_time node_next_due(const struct node *n)
--- a/src/node/node_private.h
+++ b/src/node/node_private.h
@@ -28,6 +28,8 @@
 #define KEY_GRANTS "camphorshed-grants/"
 #define KEY_WAVES "camphorshed-waves/"
 #define KEY_HOSTS "camphorshed-hosts/"
+#define KEY_LEARNED_ROOT "camphorshed-learned/"
+#define KEY_LEARNED KEY_LEARNED_ROOT "run_times"
 /* Hosts that recently got an order. */
 #define KEY_ORDERED_HOSTS KEY_HOSTS "ordered"
 
@@ -109,6 +111,13 @@
 	cs_time not_before; /* of the next removal */
 };
 
+/* The stored record of what the owner has learned, see learned.c. */
+struct learned {
+	uint64_t revision; /* last known one of KEY_LEARNED; 0: none */
+	bool is_write_open;
+	cs_time next_store_at;
+};
+
 struct node {
 	struct node_options options;
 	const struct node_ops *ops;
@@ -126,6 +135,7 @@
 	struct view *operators, *control;
 	struct view *root, *servers;
 	struct view *progress, *grants, *wave_progress, *ordered_hosts;
+	struct view *learned_view; /* NULL if nothing is kept beyond a term */
 	/* State read from the views that are always open. */
 	struct site *site;
 	GHashTable *evacuated; /* names of data centres */
@@ -144,6 +154,7 @@
 	struct owner owner;
 	struct commit commit;
 	struct withdrawn_keys withdrawn;
+	struct learned learned;
 	struct slots *wave_writes; /* struct wave_write; NULL: none */
 	struct sched *sched; /* NULL unless owner */
 	char *published_queues; /* last value written to KEY_QUEUES */
@@ -205,6 +216,14 @@
 void api_handle_request(struct node *n, struct api_request *request,
 			cs_time now);
 
+/* learned.c */
+/* Begins a term: its first record is written after some seconds. */
+void learned_begin(struct node *n, cs_time now);
+/* Stores a record if one is due. */
+void learned_turn(struct node *n, cs_time now);
+/* Passes a stored record to the scheduler of a new owner. */
+void learned_read(struct node *n, const struct store_item *item);
+
 /* queues.c */
 void queues_publish(struct node *n, cs_time now);
 void queues_read(struct node *n, const struct store_item *item);
--- a/src/node/term.c
+++ b/src/node/term.c
@@ -226,6 +226,13 @@
 	n->commit.ordered_revision = item->revision;
 }
 
+static void on_learned_put(void *ctx, const struct store_item *item,
+			   cs_time now)
+{
+	(void)now;
+	learned_read(ctx, item);
+}
+
 static void ignore_delete(void *ctx, const char *key, cs_time now)
 {
 	(void)ctx;
@@ -255,6 +262,9 @@
 						   ignore_delete,
 						   ignore_synced };
 
+static const struct view_ops learned_ops = { on_learned_put, ignore_delete,
+					     ignore_synced };
+
 static struct view *open_view(struct node *n, const char *prefix,
 			      int64_t wait_ms, int64_t gap_ms,
 			      const struct view_ops *ops, cs_time now)
@@ -340,6 +350,10 @@
 				     &ordered_hosts_ops, now);
 	n->wave_progress = open_view(n, KEY_WAVES, ONCE_WAIT_MS, 0,
 				     &wave_progress_ops, now);
+	learned_begin(n, now);
+	if (n->options.policy.has_learned_run_times)
+		n->learned_view = open_view(n, KEY_LEARNED_ROOT, ONCE_WAIT_MS,
+					    0, &learned_ops, now);
 }
 
 static void close_view(struct view **v)
@@ -363,6 +377,7 @@
 	close_view(&n->grants);
 	close_view(&n->wave_progress);
 	close_view(&n->ordered_hosts);
+	close_view(&n->learned_view);
 	if (n->loaded_ordered_hosts)
 		g_bytes_unref(n->loaded_ordered_hosts);
 	n->loaded_ordered_hosts = NULL;
@@ -445,7 +460,8 @@
 	return view_is_synced(n->root) && view_is_synced(n->servers) &&
 	       view_is_synced(n->progress) && view_is_synced(n->grants) &&
 	       view_is_synced(n->wave_progress) &&
-	       view_is_synced(n->ordered_hosts);
+	       view_is_synced(n->ordered_hosts) &&
+	       (!n->learned_view || view_is_synced(n->learned_view));
 }
 
 /* Passes all that was loaded to the scheduler, and lets it decide. */
--- a/src/sched/runs/runs.c
+++ b/src/sched/runs/runs.c
@@ -15,6 +15,8 @@
  */
 #define NO_ROOM_PAUSE_US (150 * CS_MSEC)
 #define OVERLOADED_PAUSE_US (1 * CS_SEC)
+/* Interval at which runs that take far longer than predicted are looked for. */
+#define TAILS_INTERVAL_US (1 * CS_SEC)
 
 struct run *run_row(const struct sched *s, cs_handle h)
 {
@@ -401,22 +403,37 @@
 }
 
 /*
- * Records the run time of a run that did all the work of its task. Runs away
- * from the rack of their data are slower, so they are not representative.
+ * Records the run time of a run. Runs away from the rack of their data are
+ * slower, so they are not representative. A run that did not do all work of its
+ * task tells only that this takes longer.
  */
 static void record_run_time(struct sched *s, const struct job *j,
 			    const struct run *r, const struct server *v,
-			    cs_time now)
+			    enum batch_end how, cs_time now)
 {
 	const struct batch_step *st = step_of(j, r->step);
+	struct run_times_key k = sched_run_times_key(j, r->step);
+	/* A run that was lost may have ended long before that is known. */
+	cs_time ended = how == BATCH_END_LOST || how == BATCH_END_LAPSED ?
+				MAX(r->listed_at, r->start_confirmed_at) :
+				now;
+	int64_t ran_ms = (ended - r->sent_at) / CS_MSEC;
+	bool is_whole = how == BATCH_END_DONE && !r->has_checkpoint &&
+			r->was_started_in_term && r->state == RUN_ACTIVE;
+	char labels[128];
 
 	if (st->is_long_running || st->is_gang || st->is_best_effort ||
-	    r->has_checkpoint || r->state != RUN_ACTIVE ||
-	    !r->was_started_in_term ||
+	    !r->start_confirmed_at ||
 	    (*st->rack && strcmp(st->rack, v->info.rack)))
 		return;
-	estimate_record(sched_estimate(s, j->batch->queue), st->estimate_ms,
-			(now - r->sent_at) / CS_MSEC);
+	run_time_model_record(s->run_times, &k, ran_ms, !is_whole, 1);
+	if (!is_whole)
+		return;
+	g_snprintf(labels, sizeof(labels), "queue=\"%s\",ran=\"%s\"",
+		   j->batch->queue,
+		   run_time_ratio_name(ran_ms, st->expected_ms));
+	counters_add(s->counters, "camphorshed_run_time_predictions_total",
+		     labels, 1);
 }
 
 void runs_ended(struct sched *s, struct run *r, enum batch_end how,
@@ -431,8 +448,7 @@
 	log_end(s, &ref, number, how, r, v, now);
 	if (how == BATCH_END_LOST && !r->start_confirmed_at)
 		late_starts_add(s, r, now);
-	if (how == BATCH_END_DONE)
-		record_run_time(s, ref.job, r, v, now);
+	record_run_time(s, ref.job, r, v, how, now);
 	free_run(s, r);
 	record_end(s, &ref, number, how, checkpoint, server, now);
 }
@@ -583,6 +599,8 @@
 	}
 	if (reported->percent == 100 && r->percent != 100)
 		r->working_since = now;
+	if (reported->percent != r->percent)
+		r->progressed_at = now;
 	r->percent = reported->percent;
 	r->tail_ms_or_cpu = reported->tail_ms_or_cpu;
 	if (t && reported->checkpoint && *reported->checkpoint &&
@@ -780,6 +798,59 @@
 	}
 }
 
+/* Logs that a run takes far longer than predicted, and why it may be. */
+static void log_tail(struct sched *s, const struct run *r,
+		     const struct server *v, int64_t age_ms)
+{
+	const struct job *j = job_of(s, r);
+	GString *pairs = g_string_new(NULL);
+	char labels[64];
+
+	log_pair(pairs, "job", j->batch->id);
+	log_pair_int(pairs, "step", r->step);
+	log_pair_int(pairs, "index", r->index);
+	log_pair_int(pairs, "run", r->number);
+	log_pair(pairs, "server", v->info.id);
+	log_pair(pairs, "why", run_time_tail_name(r->tail));
+	log_pair_int(pairs, "age_ms", age_ms);
+	log_pair_int(pairs, "expected_ms", step_of(j, r->step)->expected_ms);
+	log_pair_int(pairs, "percent", r->percent);
+	sched_log(s, "run_long", pairs);
+	g_snprintf(labels, sizeof(labels), "why=\"%s\"",
+		   run_time_tail_name(r->tail));
+	counters_add(s->counters, "camphorshed_long_runs_total", labels, 1);
+}
+
+/* Once it was found to be long, a run is not looked at again. */
+static void check_tail(struct sched *s, struct run *r, cs_time now)
+{
+	const struct job *j = job_of(s, r);
+	const struct server *v = server_row(s, r->server);
+	const struct batch_step *st = step_of(j, r->step);
+	int64_t age_ms = (now - r->sent_at) / CS_MSEC;
+	cs_time progressed = MAX(r->progressed_at, r->sent_at);
+
+	if (r->tail != RUN_TIME_USUAL || r->state != RUN_ACTIVE || !v ||
+	    st->is_long_running || st->is_gang || st->is_best_effort)
+		return;
+	r->tail = run_time_tail_of(st->expected_ms, age_ms,
+				   (now - progressed) / CS_MSEC,
+				   (now - v->answered_at) / CS_MSEC);
+	if (r->tail != RUN_TIME_USUAL)
+		log_tail(s, r, v, age_ms);
+}
+
+void runs_check_tails(struct sched *s, cs_time now)
+{
+	cs_handle h;
+
+	if (now < s->tails_due_at)
+		return;
+	s->tails_due_at = now + TAILS_INTERVAL_US;
+	for (h = slots_next(s->runs, 0); h; h = slots_next(s->runs, h))
+		check_tail(s, run_row(s, h), now);
+}
+
 int runs_of_step(const struct sched *s, const struct server *v,
 		 const struct job *j, int occurrence, int step)
 {
--- a/src/sched/runs/runs.h
+++ b/src/sched/runs/runs.h
@@ -30,6 +30,11 @@
 /* Orders a stop of a run that has no row, or has the server reject it. */
 void runs_order_stop(struct sched *s, struct server *v, const char *task,
 		     uint32_t number);
+/*
+ * Logs and counts each run that takes far longer than predicted, once: the
+ * prediction was too short, its progress stands still, or its server is silent.
+ */
+void runs_check_tails(struct sched *s, cs_time now);
 /* Number of runs of a step on a server. */
 int runs_of_step(const struct sched *s, const struct server *v,
 		 const struct job *j, int occurrence, int step);
--- a/src/sched/runs/server.h
+++ b/src/sched/runs/server.h
@@ -2,6 +2,7 @@
 #define SCHED_RUNS_SERVER_H
 
 #include "../../base/slots.h"
+#include "../learn/run_time_model.h"
 #include "../sched.h"
 
 /*
@@ -55,6 +56,8 @@
 	bool has_checkpoint; /* started from a checkpoint */
 	bool has_long_checkpoint; /* it saves more than can be stored */
 	int percent; /* progress */
+	cs_time progressed_at; /* percent has changed last; 0: not yet */
+	enum run_time_tail tail; /* as it was logged */
 	cs_time working_since; /* of a long-running task: percent is 100 */
 	int64_t tail_ms_or_cpu; /* see struct order_run */
 	int pace; /* last ordered, percent */
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -38,11 +38,6 @@
 	g_free(p);
 }
 
-static void estimate_free(void *row)
-{
-	estimate_destroy(row);
-}
-
 static void on_turn_timer(void *ctx, uint64_t arg, cs_time now)
 {
 	struct sched *s = ctx;
@@ -87,8 +82,10 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	s->allowed_cpu_left =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	s->estimates = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					     estimate_free);
+	s->run_times =
+		run_time_model_create(options->policy.has_learned_run_times ?
+					      &run_time_model_learned :
+					      &run_time_model_line);
 	s->ended_grants = g_ptr_array_new_with_free_func(g_free);
 	s->unsettled_pools = g_ptr_array_new();
 	s->pool_list = g_ptr_array_new();
@@ -134,7 +131,7 @@
 	g_hash_table_destroy(s->cancelled);
 	g_hash_table_destroy(s->reserve);
 	g_hash_table_destroy(s->usage);
-	g_hash_table_destroy(s->estimates);
+	run_time_model_destroy(s->run_times);
 	g_hash_table_destroy(s->allowed_cpu_left);
 	g_hash_table_destroy(s->predecessor_grants);
 	g_ptr_array_free(s->ended_grants, TRUE);
@@ -357,38 +354,43 @@
 	sched_job_waits(s, j);
 }
 
-/* Returns the run time estimate of a queue; creates it if necessary. */
-struct estimate *sched_estimate(struct sched *s, const char *queue)
+struct run_times_key sched_run_times_key(const struct job *j, int step)
 {
-	struct estimate *e = g_hash_table_lookup(s->estimates, queue);
+	const struct batch_step *st = &j->batch->spec->steps[step];
+	struct run_times_key k = { .queue = j->batch->queue,
+				   .workspace = j->batch->workspace,
+				   .job = j->batch->id,
+				   .step = step,
+				   .cpu = st->need.cpu,
+				   .hint_ms = st->estimate_ms };
 
-	if (!e) {
-		e = estimate_create();
-		g_hash_table_insert(s->estimates, g_strdup(queue), e);
-	}
-	return e;
+	return k;
+}
+
+static struct run_times_prediction predict_step(const struct sched *s,
+						const struct job *j, int step)
+{
+	struct run_times_key k = sched_run_times_key(j, step);
+
+	return run_time_model_predict(s->run_times, &k);
 }
 
-/* Sets the expected run times of a job's tasks from its queue's estimate. */
+/* Sets the expected run times of a job's tasks from what has been learned. */
 static void update_expected_times(struct sched *s, struct job *j)
 {
-	const struct estimate *e = sched_estimate(s, j->batch->queue);
 	const struct batch_spec *spec = j->batch->spec;
 	int i;
 
 	for (i = 0; i < spec->steps_nr; i++)
 		if (!spec->steps[i].is_long_running)
-			batch_set_expected_ms(
-				j->batch, i,
-				estimate_median_ms(e,
-						   spec->steps[i].estimate_ms));
+			batch_set_expected_ms(j->batch, i,
+					      predict_step(s, j, i).median_ms);
 	sched_set_objective(s, j);
 	j->critical_path_ms = rank_critical_path_ms(j);
 }
 
 void sched_record_arrival(struct sched *s, const struct job *j, cs_time now)
 {
-	const struct estimate *e = sched_estimate(s, j->batch->queue);
 	const struct batch_spec *spec = j->batch->spec;
 	double work = 0, widest = 0;
 	int i;
@@ -399,7 +401,7 @@
 
 		if (st->is_long_running || st->is_best_effort)
 			continue;
-		work += cpu * (double)estimate_mean_ms(e, st->estimate_ms);
+		work += cpu * (double)predict_step(s, j, i).mean_ms;
 		widest = MAX(widest, cpu);
 	}
 	if (work > 0)
@@ -645,6 +647,7 @@
 	if (s->are_servers_due)
 		servers_check(s, now);
 	refresh_expected_times(s, now);
+	runs_check_tails(s, now);
 	s->are_servers_due = false;
 	if (s->is_ready && !s->is_paused && !s->is_fenced)
 		assign_tasks(s, now);
@@ -658,6 +661,16 @@
 	return s->is_turn_due ? s->next_turn_at : CS_TIME_NEVER;
 }
 
+GBytes *sched_learned(const struct sched *s)
+{
+	return run_time_model_encode(s->run_times);
+}
+
+int sched_restore_learned(struct sched *s, const void *data, size_t size)
+{
+	return run_time_model_restore(s->run_times, data, size);
+}
+
 cs_handle sched_take_changed_batch(struct sched *s)
 {
 	while (!g_queue_is_empty(&s->begins) ||
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -139,6 +139,17 @@
 		    cs_time now);
 void sched_remove_wave(struct sched *sched, uint64_t wave);
 
+/*
+ * What has been learned of run times, to be stored for the next owner; NULL if
+ * nothing is kept beyond the term. The caller frees it.
+ */
+GBytes *sched_learned(const struct sched *sched);
+/*
+ * Takes over what a predecessor has stored, before any end of a run is known.
+ * CS_ERR_INVALID if it is malformed; it is then not used.
+ */
+int sched_restore_learned(struct sched *sched, const void *data, size_t size);
+
 /* All submissions in the store have been added; tasks may be started. */
 void sched_set_ready(struct sched *sched, cs_time now);
 
--- a/src/sched/sched_private.h
+++ b/src/sched/sched_private.h
@@ -14,7 +14,7 @@
  */
 
 #include "../base/slots.h"
-#include "learn/estimate.h"
+#include "learn/run_time_model.h"
 #include "place/advice.h"
 #include "place/health.h"
 #include "place/place.h"
@@ -68,7 +68,8 @@
 	GHashTable *usage; /* workspace -> struct site_resources */
 	/* Workspace -> CPU left of its limit; see pool_size_begin(). */
 	GHashTable *allowed_cpu_left;
-	GHashTable *estimates; /* queue -> struct estimate */
+	struct run_time_model *run_times;
+	cs_time tails_due_at; /* the next check of long runs */
 	struct start_window start_window;
 	int unanswered_starts; /* runs in state RUN_STARTING */
 	/* Work of the present turn: jobs ranked, servers examined for tasks. */
@@ -100,7 +101,8 @@
 void sched_wake(struct sched *s);
 void sched_wake_pool(struct sched *s, struct pool *p);
 void sched_set_objective(struct sched *s, struct job *j);
-struct estimate *sched_estimate(struct sched *s, const char *queue);
+/* What the run time of a task of that step may depend on. */
+struct run_times_key sched_run_times_key(const struct job *j, int step);
 /* Adds the work of an occurrence that has become due to the pool's demand. */
 void sched_record_arrival(struct sched *s, const struct job *j, cs_time now);
 void sched_log(struct sched *s, const char *event, GString *pairs);
