--- a/src/sched/learn/run_times_codec.c
+++ b/src/sched/learn/run_times_codec.c
@@ -126,21 +126,20 @@
 				     &g->y,	      &g->xx, &g->xz,
 				     &g->zz,	      &g->xy, &g->zy,
 				     &g->error_weight };
-	const msgpack_object *f, *sums_at;
+	const msgpack_object *f;
 	int level, i;
 
 	if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size != 5 + SUMS)
 		return false;
 	f = o->via.array.ptr;
-	sums_at = f + 4;
 	if (!read_small(&f[0], &level) || !read_small(&f[1], &g->step) ||
 	    !read_text(&f[2], g->queue) || !read_text(&f[3], g->workspace))
 		return false;
 	g->level = (enum run_times_level)level;
-	for (i = 0; i < SUMS; i++)
-		if (!read_real(&sums_at[i], sums[i]))
+	for (i = 0, f += 4; i < SUMS; i++, f++)
+		if (!read_real(f, sums[i]))
 			return false;
-	return read_real(&sums_at[SUMS], &g->error);
+	return read_real(f, &g->error);
 }
 
 /* Adds all groups of an array; false: one of them is malformed. */
