--- a/src/sched/learn/run_times_codec.h
+++ b/src/sched/learn/run_times_codec.h
@@ -11,7 +11,7 @@
  */
 
 /* Written every 15 s, this is 2.2 KB a second at most. */
-#define RUN_TIMES_BYTES_MAX (32 * 1024)
+#define RUN_TIMES_BYTES_MAX ((size_t)32 * 1024)
 
 GBytes *run_times_encode(const struct run_times *run_times);
 /*
--- a/src/sched/runs/runs.c
+++ b/src/sched/runs/runs.c
@@ -103,6 +103,7 @@
 	r->number = number;
 	r->sent_at = now;
 	r->pace = 100;
+	r->expected_ms = st->expected_ms;
 	r->need = place_need(st);
 	servers_add_run(v, r, st);
 	charge_usage(s, j, st->need, 1);
@@ -323,7 +324,7 @@
 
 	log_pair_int(pairs, "ran_ms", (now - r->sent_at) / CS_MSEC);
 	log_pair_int(pairs, "hint_ms", st->estimate_ms);
-	log_pair_int(pairs, "expected_ms", st->expected_ms);
+	log_pair_int(pairs, "expected_ms", r->expected_ms);
 	log_pair(pairs, "queue", j->batch->queue);
 	log_pair(pairs, "workspace", j->batch->workspace);
 	log_pair_int(pairs, "cpu", st->need.cpu);
@@ -431,7 +432,7 @@
 		return;
 	g_snprintf(labels, sizeof(labels), "queue=\"%s\",ran=\"%s\"",
 		   j->batch->queue,
-		   run_time_ratio_name(ran_ms, st->expected_ms));
+		   run_time_ratio_name(ran_ms, r->expected_ms));
 	counters_add(s->counters, "camphorshed_run_time_predictions_total",
 		     labels, 1);
 }
--- a/src/sched/runs/server.h
+++ b/src/sched/runs/server.h
@@ -60,6 +60,7 @@
 	enum run_time_tail tail; /* as it was logged */
 	cs_time working_since; /* of a long-running task: percent is 100 */
 	int64_t tail_ms_or_cpu; /* see struct order_run */
+	int64_t expected_ms; /* its run time, as predicted at its start */
 	int pace; /* last ordered, percent */
 	bool is_pace_pending; /* a pace order has no reply yet */
 	/* When the last list that shows it was sent; 0: none has shown it. */
