learn: tasks of a job count together, slopes come from within workspaces

Tasks of a job are alike, and 16 of them outweighed the wider groups.

Change: a run counts by the number of tasks of its step. Whether a group contradicts the wider one is measured against the variance within workspaces.

--- a/src/sched/learn/run_times.c
+++ b/src/sched/learn/run_times.c
@@ -13,15 +13,20 @@
  * predicted counts as the mean of what is still possible.
  */
 
-const double run_times_weights[RUN_TIMES_LEVELS] = { 6, 8, 8, 0.5 };
+const double run_times_weights[RUN_TIMES_LEVELS] = { 6, 24, 24, 1 };
 
 /* Runs that count in a group, about. Wide groups are averages of many. */
 static const double memory_runs[RUN_TIMES_LEVELS] = { 256, 128, 32, 32 };
 
 /* Variance of each logarithm in the prior: a factor of 1.6 either way. */
 #define PRIOR_VARIANCE 0.25
-/* Weight of the prior of a slope, as a number of runs. */
-#define SLOPE_WEIGHT 6.0
+/* Weight of the wider group's slopes, as a number of runs. */
+static const double slope_weights[RUN_TIMES_LEVELS] = { 6, 30, 60, 60 };
+/*
+ * Part of the variance that the tasks of a job's step have in common, so that
+ * 16 tasks say little more than one.
+ */
+#define ALIKE 0.7
 /* Weight of a wider group's error, as a number of runs. */
 #define ERROR_WEIGHT 6.0
 /* Logarithm of 24 h in ms: hints and run times beyond count as that long. */
@@ -32,7 +37,8 @@
 #define ERROR_MAX 3.0
 /* Deviation from which a run counts less in the wider groups. */
 #define FAR_DEVIATIONS 2.0
-#define UNUSUAL_DEVIATIONS 3.0
+/* Hints and sizes further from the workspace's usual one count as that far. */
+#define HINT_RANGE 2.0
 /* Largest part of a queue's runs that may be one workspace's. */
 #define SHARE_MAX 0.25
 /* Runs over which that part is measured. */
@@ -216,6 +222,20 @@
 	       (variance + fmax(beyond, 0));
 }
 
+/*
+ * Weight of the wider group for a slope, in units of the sum of squares. Like
+ * prior_weight(), it is less if the group contradicts the wider one: left is
+ * the sum of products that the wider slope leaves over.
+ */
+static double slope_prior(const struct run_times_group *g, double left,
+			  double squares, double variance)
+{
+	double chance = 4 * squares * fmax(variance, CHANCE_VARIANCE_MIN);
+	double prior = slope_weights[g->level] * PRIOR_VARIANCE;
+
+	return left * left > chance ? prior * chance / (left * left) : prior;
+}
+
 /*
  * The line of a group, given that of the wider group and the variance around
  * it: ridge regression of what the wider line leaves over, around the means.
@@ -230,16 +250,14 @@
 		return wider;
 	mx = g->x / n;
 	mz = g->z / n;
-	xx = fmax(g->xx - n * mx * mx, 0);
-	zz = fmax(g->zz - n * mz * mz, 0);
-	xz = g->xz - n * mx * mz;
+	xx = g->xx;
+	xz = g->xz;
+	zz = g->zz;
 	left = g->y / n - at(&wider, mx, mz);
-	left_x = g->xy - g->x * g->y / n - wider.of_hint * xx -
-		 wider.of_size * xz;
-	left_z = g->zy - g->z * g->y / n - wider.of_hint * xz -
-		 wider.of_size * zz;
-	xx += SLOPE_WEIGHT * PRIOR_VARIANCE;
-	zz += SLOPE_WEIGHT * PRIOR_VARIANCE;
+	left_x = g->xy - wider.of_hint * xx - wider.of_size * xz;
+	left_z = g->zy - wider.of_hint * xz - wider.of_size * zz;
+	xx += slope_prior(g, left_x, xx, variance);
+	zz += slope_prior(g, left_z, zz, variance);
 	det = xx * zz - xz * xz;
 	if (det > 0) {
 		l.of_hint += (left_x * zz - left_z * xz) / det;
@@ -259,6 +277,22 @@
 	       (g->error_weight + ERROR_WEIGHT);
 }
 
+/*
+ * The variance around a line of runs of one workspace: without the differences
+ * between workspaces, against which a group's own are measured.
+ */
+static double variance_within(const struct run_times_group *g,
+			      const struct line *l, double wider)
+{
+	double left = g->yy - 2 * (l->of_hint * g->xy + l->of_size * g->zy) +
+		      l->of_hint * l->of_hint * g->xx +
+		      2 * l->of_hint * l->of_size * g->xz +
+		      l->of_size * l->of_size * g->zz;
+
+	return (fmax(left, 0) + ERROR_WEIGHT * wider) /
+	       (g->weight + ERROR_WEIGHT);
+}
+
 static double log_of(int64_t value, double max)
 {
 	return value > 1 ? fmin(log((double)value), max) : 0;
@@ -287,12 +321,13 @@
 			   struct point p, struct stage *stages)
 {
 	struct line l = { 0, 1, 0 };
-	double variance = PRIOR_VARIANCE;
+	double variance = PRIOR_VARIANCE, within = PRIOR_VARIANCE;
 	int i;
 
 	for (i = 0; i < levels; i++) {
 		if (groups[i]) {
-			l = fit(&groups[i]->g, l, variance);
+			l = fit(&groups[i]->g, l, within);
+			within = variance_within(&groups[i]->g, &l, within);
 			variance = variance_of(&groups[i]->g, variance);
 		}
 		stages[i].y = CLAMP(at(&l, p.x, p.z), 0, LOG_MAX);
@@ -333,8 +368,24 @@
 	return result;
 }
 
+/* How far a run is from the means of a workspace's group, before it is added.
+ */
+static struct point deviation_of(const struct run_times_group *g,
+				 struct point p)
+{
+	struct point d = { 0 };
+
+	if (g->weight <= 0)
+		return d;
+	d.x = CLAMP(p.x - g->x / g->weight, -HINT_RANGE, HINT_RANGE);
+	d.z = CLAMP(p.z - g->z / g->weight, -HINT_RANGE, HINT_RANGE);
+	d.y = CLAMP(p.y - g->y / g->weight, -ERROR_MAX, ERROR_MAX);
+	return d;
+}
+
 /* Decays the sums of a group by one run of that weight, and adds it. */
-static void add_point(struct run_times_group *g, struct point p, double weight)
+static void add_point(struct run_times_group *g, struct point p, struct point d,
+		      double weight)
 {
 	double keep = 1 - weight / memory_runs[g->level];
 
@@ -342,11 +393,12 @@
 	g->x = g->x * keep + weight * p.x;
 	g->z = g->z * keep + weight * p.z;
 	g->y = g->y * keep + weight * p.y;
-	g->xx = g->xx * keep + weight * p.x * p.x;
-	g->xz = g->xz * keep + weight * p.x * p.z;
-	g->zz = g->zz * keep + weight * p.z * p.z;
-	g->xy = g->xy * keep + weight * p.x * p.y;
-	g->zy = g->zy * keep + weight * p.z * p.y;
+	g->xx = g->xx * keep + weight * d.x * d.x;
+	g->xz = g->xz * keep + weight * d.x * d.z;
+	g->zz = g->zz * keep + weight * d.z * d.z;
+	g->xy = g->xy * keep + weight * d.x * d.y;
+	g->zy = g->zy * keep + weight * d.z * d.y;
+	g->yy = g->yy * keep + weight * d.y * d.y;
 }
 
 static void add_error(struct run_times_group *g, double error, double weight)
@@ -358,33 +410,19 @@
 	g->error = g->error * keep + weight * error * error;
 }
 
-/* Weight in a wide group of a run with an unusual hint or size. */
-static double usual_weight(double n, double sum, double sum_of_squares,
-			   double value)
+/*
+ * Weight of a run in a group of several workspaces: the square, as a run at a
+ * distance of 10 must not move the mean as far as five at a distance of 2.
+ */
+static double wide_weight(struct point p, const struct stage *predicted)
 {
-	double mean, variance, far;
+	double left = p.y - predicted->y;
+	double far = left * left /
+		     (FAR_DEVIATIONS * FAR_DEVIATIONS * predicted->variance);
 
-	if (n < 1)
-		return 1;
-	mean = sum / n;
-	variance = fmax(sum_of_squares / n - mean * mean, 0) + PRIOR_VARIANCE;
-	far = (value - mean) * (value - mean) /
-	      (UNUSUAL_DEVIATIONS * UNUSUAL_DEVIATIONS * variance);
 	return far > 1 ? 1 / far : 1;
 }
 
-/* Weight of a run in a group of several workspaces. */
-static double wide_weight(const struct run_times_group *g, struct point p,
-			  const struct stage *predicted)
-{
-	double far = fabs(p.y - predicted->y) /
-		     (FAR_DEVIATIONS * sqrt(predicted->variance));
-	double weight = far > 1 ? 1 / far : 1;
-
-	return weight * usual_weight(g->weight, g->x, g->xx, p.x) *
-	       usual_weight(g->weight, g->z, g->zz, p.z);
-}
-
 /*
  * Counts a run of a workspace, and returns the factor that keeps its part of
  * the runs in the wider groups small.
@@ -425,9 +463,9 @@
 {
 	struct group *groups[RUN_TIMES_LEVELS] = { NULL };
 	struct stage stages[RUN_TIMES_LEVELS];
-	struct point p;
+	struct point p, d;
 	int i, levels = levels_of(k);
-	double weight = 1, share;
+	double weight = 1, share, alike;
 
 	if (!(server_speed > 0.01 && server_speed < 100))
 		server_speed = 1;
@@ -447,16 +485,18 @@
 		groups[i] = touch(t, k, (enum run_times_level)i);
 	share = share_weight(groups[RUN_TIMES_QUEUE],
 			     groups[RUN_TIMES_WORKSPACE]);
+	d = deviation_of(&groups[RUN_TIMES_WORKSPACE]->g, p);
+	alike = 1 / (1 + (MAX(k->tasks, 1) - 1) * ALIKE);
 	for (i = 0; i < levels; i++) {
 		struct run_times_group *g = &groups[i]->g;
-		double w = weight;
+		double w = i < RUN_TIMES_JOB ? weight * alike : weight;
 
 		if (i < RUN_TIMES_WORKSPACE)
-			w *= share * wide_weight(g, p, &stages[i]);
+			w *= share * wide_weight(p, &stages[i]);
 		/* The first run of a job is predicted by the wider groups. */
 		if (!is_censored && (i < RUN_TIMES_JOB || g->weight > 0))
 			add_error(g, p.y - stages[i].y, w);
-		add_point(g, p, w);
+		add_point(g, p, d, w);
 	}
 }
 
@@ -474,7 +514,8 @@
 {
 	double n = g->weight, most = memory_runs[g->level] + 1;
 	const double sums[] = { g->x, g->z, g->y };
-	const double products[] = { g->xx, g->xz, g->zz, g->xy, g->zy };
+	const double products[] = { g->xx, g->xz, g->zz, g->xy, g->zy, g->yy };
+	const double product_max = ERROR_MAX * ERROR_MAX * n + 1;
 	size_t i;
 
 	if (!(n >= 0 && n <= most && g->error_weight >= 0 &&
@@ -485,10 +526,9 @@
 		if (!(sums[i] >= 0 && sums[i] <= n * LOG_MAX + 1))
 			return false;
 	for (i = 0; i < G_N_ELEMENTS(products); i++)
-		if (!(products[i] >= 0 &&
-		      products[i] <= n * LOG_MAX * LOG_MAX + 1))
+		if (!(fabs(products[i]) <= product_max))
 			return false;
-	return true;
+	return g->xx >= 0 && g->zz >= 0 && g->yy >= 0;
 }
 
 bool run_times_add_group(struct run_times *t, const struct run_times_group *g)
--- a/src/sched/learn/run_times.h
+++ b/src/sched/learn/run_times.h
@@ -13,8 +13,8 @@
  * the line of the next wider one, which counts as run_times_weights[] runs.
  *
  * What one workspace's runs and hints can do to the wider groups is bounded: a
- * run far from the line or with an unusual hint or size counts less there, and
- * so do the runs of a workspace that has many of them.
+ * run far from the line counts less there, a slope comes only from differences
+ * within a workspace, and the runs of a workspace that has many count less.
  *
  * Recording and predicting cost the same whatever is known. At most
  * RUN_TIMES_GROUPS_MAX groups and RUN_TIMES_JOBS_MAX groups of jobs are kept;
@@ -50,6 +50,7 @@
 	const char *workspace; /* "" if there is none */
 	const char *job; /* identifier; NULL: of no job yet */
 	int step;
+	int tasks; /* of the job's step, which are alike; 0: one */
 	int64_t cpu; /* of one task, thousandths of a core */
 	int64_t hint_ms; /* the caller's estimate; 0: none */
 };
@@ -89,7 +90,8 @@
 	char workspace[CS_NAME_MAX]; /* "" in wider groups */
 	double weight; /* of all runs */
 	double x, z, y; /* sums */
-	double xx, xz, zz, xy, zy; /* sums of products */
+	/* Sums of products of deviations from the means of the workspaces. */
+	double xx, xz, zz, xy, zy, yy;
 	double error_weight, error; /* sum of squared errors of predictions */
 };
 
--- a/src/sched/learn/run_times_codec.c
+++ b/src/sched/learn/run_times_codec.c
@@ -12,13 +12,13 @@
 #define HEADER_BYTES 64
 
 /* The sums of a group in the order of the record. */
-#define SUMS 10
+#define SUMS 11
 
 static void list_sums(const struct run_times_group *g, double sums[SUMS])
 {
-	const double list[SUMS] = { g->weight, g->x,	       g->z,  g->y,
-				    g->xx,     g->xz,	       g->zz, g->xy,
-				    g->zy,     g->error_weight };
+	const double list[SUMS] = { g->weight, g->x,  g->z,	      g->y,
+				    g->xx,     g->xz, g->zz,	      g->xy,
+				    g->zy,     g->yy, g->error_weight };
 
 	memcpy(sums, list, sizeof(list));
 }
@@ -122,10 +122,10 @@
 
 static bool read_group(const msgpack_object *o, struct run_times_group *g)
 {
-	double *const sums[SUMS] = { &g->weight,      &g->x,  &g->z,
-				     &g->y,	      &g->xx, &g->xz,
-				     &g->zz,	      &g->xy, &g->zy,
-				     &g->error_weight };
+	double *const sums[SUMS] = { &g->weight, &g->x,		  &g->z,
+				     &g->y,	 &g->xx,	  &g->xz,
+				     &g->zz,	 &g->xy,	  &g->zy,
+				     &g->yy,	 &g->error_weight };
 	const msgpack_object *f;
 	int level, i;
 
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -361,6 +361,7 @@
 				   .workspace = j->batch->workspace,
 				   .job = j->batch->id,
 				   .step = step,
+				   .tasks = st->count,
 				   .cpu = st->need.cpu,
 				   .hint_ms = st->estimate_ms };
 
