place: learn which servers are slow or fail, and place by predicted end

Cause: a server is left alone for 3 s after three failed runs in a row, so one that fails or refuses half of what it gets goes on, and one that is slow is not noticed.

Change: server_score.c keeps for each incarnation its speed against the predicted run times and its share of failed runs, refused starts, silences and stuck runs, with decay to a third in 6 s, against those of all servers. A suspected server gets one task at a time. A task's predicted end, with the server's speed and the distance to its data, goes before packing. Switch: server_scores, off. The hint and the line give a 90% as well.

--- a/src/sched/learn/run_time_model.c
+++ b/src/sched/learn/run_time_model.c
@@ -17,6 +17,11 @@
 #define STILL_MIN_MS 3000
 #define SILENT_MS 2000
 
+/* 90% of run times are below this multiple of a hint, or of a line's median. */
+#define P90_FACTOR 2
+/* A longer hint counts as 24 h. */
+#define HINT_MAX_MS ((int64_t)24 * 3600 * 1000)
+
 /* The hint alone. */
 
 static void *hint_create(void)
@@ -42,8 +47,8 @@
 static struct run_times_prediction hint_predict(void *state,
 						const struct run_times_key *k)
 {
-	struct run_times_prediction p = { k->hint_ms, k->hint_ms, k->hint_ms,
-					  0 };
+	int64_t hint = CLAMP(k->hint_ms, 0, HINT_MAX_MS);
+	struct run_times_prediction p = { hint, hint, P90_FACTOR * hint, 0 };
 
 	(void)state;
 	return p;
@@ -98,7 +103,7 @@
 
 	p.median_ms = estimate_median_ms(e, k->hint_ms);
 	p.mean_ms = estimate_mean_ms(e, k->hint_ms);
-	p.p90_ms = MAX(p.mean_ms, p.median_ms);
+	p.p90_ms = P90_FACTOR * p.median_ms;
 	return p;
 }
 
--- a/src/sched/place/place.c
+++ b/src/sched/place/place.c
@@ -12,6 +12,10 @@
 
 /* Costs of a placement, in thousandths of a core; the lowest sum is best. */
 #define REMOTE_COST 10000000 /* not in the rack that holds the data */
+/* Per ms that the task would end later: its end goes before packing. */
+#define LATE_MS_COST ((int64_t)1000)
+/* Servers looked at beyond the first that can take the task. */
+#define SLOW_EXAMINED_MAX 32
 #define SAME_SERVER_COST 50000 /* per task of the step on the server */
 #define SAME_RACK_COST 100000 /* per task of the step in the rack */
 /* A server that stays without runs can move to the standby pool. */
@@ -51,7 +55,7 @@
 	       !v->is_dead && !v->cordons && !v->info.is_draining &&
 	       !v->unanswered_orders && v->clock_ms >= 0 && is_described(v) &&
 	       !v->is_incarnation_doubtful && is_fencing(s, v, now) &&
-	       now >= v->suspect_until && now >= v->refused_until &&
+	       health_admits(s, v, now) && now >= v->refused_until &&
 	       !(g_hash_table_size(s->evacuated) &&
 		 g_hash_table_contains(s->evacuated, v->info.data_centre));
 }
@@ -127,12 +131,29 @@
 			      p->now));
 }
 
+static bool is_remote(const struct placement *p, const struct server *v)
+{
+	return *p->spec->rack && strcmp(p->spec->rack, v->info.rack);
+}
+
+/* Cost of the time that the task would take longer than on a good server. */
+static int64_t late_cost(const struct placement *p, const struct server *v)
+{
+	double speed =
+		server_score_speed(&v->score, &p->sched->all_scores, p->now);
+
+	return LATE_MS_COST * server_score_extra_ms(speed, is_remote(p, v),
+						    p->spec->expected_ms);
+}
+
 /* The part of the cost that does not depend on the server's other tasks. */
 static int64_t own_cost(const struct placement *p, const struct server *v)
 {
 	int64_t cost = 0;
 
-	if (*p->spec->rack && strcmp(p->spec->rack, v->info.rack))
+	if (p->sched->options.policy.has_server_scores)
+		cost += late_cost(p, v);
+	else if (is_remote(p, v))
 		cost += REMOTE_COST;
 	if (p->task->last_failed_server == v->self)
 		cost += FAILED_THERE_COST;
@@ -218,12 +239,15 @@
 	struct server *best = NULL;
 	int64_t best_cost = INT64_MAX, cost;
 	const struct room_row *row;
+	int beyond = 0;
 
-	for (; (row = room_index_at(room, i)) && row->free_cpu < best_cost;
+	for (; (row = room_index_at(room, i)) && row->free_cpu < best_cost &&
+	       (beyond < SLOW_EXAMINED_MAX || *p->spec->rack);
 	     i++) {
 		struct server *v = server_row(p->sched, row->server);
 
 		p->search->examined++;
+		beyond += best && p->sched->options.policy.has_server_scores;
 		if (!can_take(p, v))
 			continue;
 		cost = row->free_cpu + own_cost(p, v);
--- a/src/sched/runs/runs.c
+++ b/src/sched/runs/runs.c
@@ -168,6 +168,7 @@
 	batch_task_name(ref->job->batch, ref->occurrence, ref->step, ref->index,
 			o->task);
 	s->ops->send(s->ctx, o);
+	health_on_start(s, v, now);
 	counters_add(s->counters, "camphorshed_task_starts_total", "", 1);
 	servers_schedule_hold(s, v, now);
 	return r;
@@ -409,7 +410,7 @@
  * task tells only that this takes longer.
  */
 static void record_run_time(struct sched *s, const struct job *j,
-			    const struct run *r, const struct server *v,
+			    const struct run *r, struct server *v,
 			    enum batch_end how, cs_time now)
 {
 	const struct batch_step *st = step_of(j, r->step);
@@ -421,13 +422,22 @@
 	int64_t ran_ms = (ended - r->sent_at) / CS_MSEC;
 	bool is_whole = how == BATCH_END_DONE && !r->has_checkpoint &&
 			r->was_started_in_term && r->state == RUN_ACTIVE;
+	double speed =
+		s->options.policy.has_server_scores ?
+			server_score_speed(&v->score, &s->all_scores, now) :
+			1;
+	struct run_times_prediction p;
 	char labels[128];
 
 	if (st->is_long_running || st->is_gang || st->is_best_effort ||
 	    !r->start_confirmed_at ||
 	    (*st->rack && strcmp(st->rack, v->info.rack)))
 		return;
-	run_time_model_record(s->run_times, &k, ran_ms, !is_whole, 1);
+	if (is_whole) {
+		p = run_time_model_predict(s->run_times, &k);
+		health_on_run(s, v, ran_ms, p.median_ms, p.p90_ms, now);
+	}
+	run_time_model_record(s->run_times, &k, ran_ms, !is_whole, speed);
 	if (!is_whole)
 		return;
 	g_snprintf(labels, sizeof(labels), "queue=\"%s\",ran=\"%s\"",
@@ -499,9 +509,11 @@
 		break;
 	case ORDER_REASON_NO_ROOM:
 		v->refused_until = now + NO_ROOM_PAUSE_US;
+		health_on_refusal(s, v, d->sent, now);
 		break;
 	case ORDER_REASON_OVERLOADED:
 		v->refused_until = now + OVERLOADED_PAUSE_US;
+		health_on_refusal(s, v, d->sent, now);
 		break;
 	case ORDER_REASON_TICKET:
 		advice_drop_ticket(s, job_of(s, r), r->occurrence, r->step, v);
@@ -755,14 +767,26 @@
 	servers_note_unstored(s, v);
 }
 
+static bool has_failed_elsewhere(const struct task_ref *ref,
+				 const struct server *v)
+{
+	const struct batch_task *t = task_of(ref);
+
+	return t && t->last_failed_server && t->last_failed_server != v->self;
+}
+
 static void handle_end(struct sched *s, struct server *v,
 		       const struct order_ended_run *e, cs_time now)
 {
 	const struct task_ref ref = find_task(s, e->task);
+	cs_time started_at = 0;
+	bool had_failed = false;
 	struct run *r;
 
 	if (ref.job) {
+		had_failed = has_failed_elsewhere(&ref, v);
 		r = find_run(s, v, e->task, e->run);
+		started_at = r ? r->sent_at : 0;
 		if (r) {
 			runs_ended(s, r, e->how, e->checkpoint, now);
 		} else {
@@ -777,7 +801,7 @@
 			record_end(s, &ref, e->run, e->how, e->checkpoint,
 				   v->self, now);
 		}
-		health_on_end(s, v, e->how, now);
+		health_on_end(s, v, e->how, started_at, had_failed, now);
 	}
 	add_unstored_end(s, v, e->number, ref.job);
 }
@@ -826,7 +850,7 @@
 static void check_tail(struct sched *s, struct run *r, cs_time now)
 {
 	const struct job *j = job_of(s, r);
-	const struct server *v = server_row(s, r->server);
+	struct server *v = server_row(s, r->server);
 	const struct batch_step *st = step_of(j, r->step);
 	int64_t age_ms = (now - r->sent_at) / CS_MSEC;
 	cs_time progressed = MAX(r->progressed_at, r->sent_at);
@@ -837,8 +861,11 @@
 	r->tail = run_time_tail_of(st->expected_ms, age_ms,
 				   (now - progressed) / CS_MSEC,
 				   (now - v->answered_at) / CS_MSEC);
-	if (r->tail != RUN_TIME_USUAL)
-		log_tail(s, r, v, age_ms);
+	if (r->tail == RUN_TIME_USUAL)
+		return;
+	log_tail(s, r, v, age_ms);
+	if (r->tail == RUN_TIME_STUCK)
+		health_on_stuck(s, v, r->sent_at, now);
 }
 
 void runs_check_tails(struct sched *s, cs_time now)
--- a/src/sched/runs/server.h
+++ b/src/sched/runs/server.h
@@ -3,6 +3,7 @@
 
 #include "../../base/slots.h"
 #include "../learn/run_time_model.h"
+#include "../place/server_score.h"
 #include "../sched.h"
 
 /*
@@ -139,6 +140,7 @@
 	/* Health. */
 	int failed_in_row;
 	cs_time suspect_until;
+	struct server_score score; /* of this incarnation */
 	cs_time refused_until; /* refused a start: no room or overloaded */
 	/* Pacing of its best-effort tasks. */
 	int best_effort_pace; /* percent */
--- a/src/sched/runs/servers.c
+++ b/src/sched/runs/servers.c
@@ -299,9 +299,11 @@
 		return;
 	}
 	if (d->result == ORDER_NOT_SENT || d->result == ORDER_UNKNOWN) {
-		if (!v->unanswered_orders++)
+		if (!v->unanswered_orders++) {
 			log_server(s, "server_unreachable", v,
 				   order_type_name(d->type), now);
+			health_on_silence(s, v, d->sent, now);
+		}
 		return;
 	}
 	if (d->reason == ORDER_REASON_INSTANCE)
--- a/src/sched/sched_private.h
+++ b/src/sched/sched_private.h
@@ -69,6 +69,7 @@
 	/* Workspace -> CPU left of its limit; see pool_size_begin(). */
 	GHashTable *allowed_cpu_left;
 	struct run_time_model *run_times;
+	struct server_score all_scores; /* of all servers together */
 	cs_time tails_due_at; /* the next check of long runs */
 	struct start_window start_window;
 	int unanswered_starts; /* runs in state RUN_STARTING */
--- a/tests/world/main.c
+++ b/tests/world/main.c
@@ -426,6 +426,7 @@
 	int i;
 
 	d.options.policy.has_learned_run_times = seed >= POLICY_FROM_SEED;
+	d.options.policy.has_server_scores = seed >= POLICY_FROM_SEED;
 	d.world = world_create(&d.options);
 	world_run(d.world, 2000);
 	end = world_now_ms(d.world) + FAULT_PHASE_MS;
