place: servers on which all tasks fail are suspected, however many there are

Change: three bad events that are nine tenths of a server's events are enough, whatever the others do. many_failing_servers_are_suspected guards it.

--- a/src/sched/place/server_score.c
+++ b/src/sched/place/server_score.c
@@ -21,6 +21,12 @@
 /* The part must be beyond this many times that of all servers, and a tenth. */
 #define BAD_SHARE_FACTOR 2.0
 #define BAD_SHARE_MARGIN 0.1
+/*
+ * From this share on the others don't matter: servers on which all fails at
+ * once get many tasks, and would make each other look usual.
+ */
+#define ALL_BAD_SHARE 0.9
+#define ALL_BAD_MIN 3.0
 /* Pause before the first probe; it doubles with each one that fails. */
 #define PROBE_MIN_US (1 * CS_SEC)
 #define PROBE_MAX_US (8 * CS_SEC)
@@ -95,6 +101,14 @@
 	return fmax(BAD_SHARE_MIN, BAD_SHARE_FACTOR * share + BAD_SHARE_MARGIN);
 }
 
+static bool is_bad(const struct server_score *r, const struct server_score *all)
+{
+	double share = bad_share(r->good, r->bad);
+
+	return (r->bad >= BAD_MIN && share >= limit_of(r, all)) ||
+	       (r->bad >= ALL_BAD_MIN && share >= ALL_BAD_SHARE);
+}
+
 static void suspect(struct server_score *r, cs_time now)
 {
 	r->probe_pause = r->suspected_at ?
@@ -130,7 +144,7 @@
 			suspect(r, now);
 		return false;
 	}
-	if (r->bad < BAD_MIN || bad_share(r->good, r->bad) < limit_of(r, all))
+	if (!is_bad(r, all))
 		return false;
 	suspect(r, now);
 	return true;
--- a/tests/unit/test_server_score.c
+++ b/tests/unit/test_server_score.c
@@ -119,6 +119,24 @@
 	assert_false(server_score_is_suspect(&f->row));
 }
 
+/*
+ * Servers on which all tasks fail at once get most of the tasks. Compared with
+ * one another they were no worse than usual, and none was suspected.
+ */
+static void many_failing_servers_are_suspected(void **state)
+{
+	struct fixture *f = *state;
+	int i, k;
+
+	for (k = 0; k < 5; k++) {
+		server_score_reset(&f->row);
+		for (i = 0; i < 10; i++)
+			server_score_on_event(&f->row, &f->all, SCORE_FAILED,
+					      NOW(i), NOW(i));
+		assert_true(server_score_is_suspect(&f->row));
+	}
+}
+
 /* One probe at a time, less often while they fail; one that ends well clears.
  */
 static void suspected_server_is_probed(void **state)
@@ -216,6 +234,7 @@
 		SCORE_TEST(wrong_predictions_slow_no_server),
 		SCORE_TEST(half_failing_server_is_suspected),
 		SCORE_TEST(broken_jobs_suspect_no_server),
+		SCORE_TEST(many_failing_servers_are_suspected),
 		SCORE_TEST(suspected_server_is_probed),
 		SCORE_TEST(nothing_outlives_the_incarnation),
 		cmocka_unit_test(failing_server_is_left_and_used_again),
