--- a/src/sched/learn/run_times_codec.c
+++ b/src/sched/learn/run_times_codec.c
@@ -179,13 +179,51 @@
 	return NULL;
 }
 
+/* Bytes of the element at p without those inside an array; 0: not in use here.
+ */
+static size_t element_size(const uint8_t *p, size_t left)
+{
+	if (*p <= 0x7f || (*p >= 0x90 && *p <= 0x9f))
+		return 1; /* a small integer or array */
+	if (*p >= 0xa0 && *p <= 0xbf)
+		return 1 + (size_t)(*p & 0x1f); /* a short text */
+	switch (*p) {
+	case 0xca: /* a float */
+		return 5;
+	case 0xd9: /* a text */
+		return left > 1 ? 2 + (size_t)p[1] : 0;
+	case 0xdc: /* an array of up to 65,535 elements */
+		return 3;
+	default:
+		return 0;
+	}
+}
+
+/*
+ * True if the bytes have only elements that run_times_encode() writes. The
+ * library allocates memory for the number of elements that an array or a map
+ * names, up to 2^32, before it has seen them.
+ */
+static bool has_known_elements(const uint8_t *data, size_t size)
+{
+	size_t at = 0, n;
+
+	while (at < size) {
+		n = element_size(data + at, size - at);
+		if (!n || n > size - at)
+			return false;
+		at += n;
+	}
+	return true;
+}
+
 struct run_times *run_times_decode(const void *data, size_t size)
 {
 	struct run_times *t = NULL;
 	msgpack_unpacked un;
 	size_t off = 0;
 
-	if (size > RUN_TIMES_BYTES_MAX)
+	if (size > RUN_TIMES_BYTES_MAX || !has_known_elements(data, size))
 		return NULL;
 	msgpack_unpacked_init(&un);
 	if (msgpack_unpack_next(&un, data, size, &off) ==
--- a/tests/unit/test_run_times.c
+++ b/tests/unit/test_run_times.c
@@ -482,7 +482,9 @@
 	assert_false(survives(data, size));
 	memset(deep, 0x91, sizeof(deep));
 	assert_false(survives(deep, sizeof(deep)));
+	/* Guards against 32 GB for elements that are not there. */
 	assert_false(survives("\xdd\xff\xff\xff\xff", 5));
+	assert_false(survives("\x91\xdf\xff\xff\xff\xff", 6));
 	assert_false(survives("", 0));
 	g_rand_free(rng);
 	g_free(data);
