learn: bound the means of stored groups and the elements of a record

Cause: a fixed margin on stored sums let a group with a tiny weight through whose mean is far out of range. Arrays of 65,535 elements, nested 32 deep, made the decoder allocate 50 MB for a record of 100 bytes.

Change: the margin is relative, and the arrays of a record name no more elements than it has bytes. The first has a test; the second is not visible in the result, which was a refusal before as well.

--- a/src/sched/learn/run_times.c
+++ b/src/sched/learn/run_times.c
@@ -509,21 +509,28 @@
 		fn(ctx, &((const struct group *)link->data)->g);
 }
 
+/*
+ * Share by which sums may be beyond their bounds, as they are stored as floats.
+ * It is relative: beside a tiny weight, any fixed margin is a mean out of
+ * range.
+ */
+#define ROUNDING 1.001
+
 /* True if the sums can be those of points in range. */
 static bool are_sums_valid(const struct run_times_group *g)
 {
 	double n = g->weight, most = memory_runs[g->level] + 1;
 	const double sums[] = { g->x, g->z, g->y };
 	const double products[] = { g->xx, g->xz, g->zz, g->xy, g->zy, g->yy };
-	const double product_max = ERROR_MAX * ERROR_MAX * n + 1;
+	const double product_max = ERROR_MAX * ERROR_MAX * n * ROUNDING;
 	size_t i;
 
 	if (!(n >= 0 && n <= most && g->error_weight >= 0 &&
 	      g->error_weight <= most && g->error >= 0 &&
-	      g->error <= ERROR_MAX * ERROR_MAX * g->error_weight + 1))
+	      g->error <= ERROR_MAX * ERROR_MAX * g->error_weight * ROUNDING))
 		return false;
 	for (i = 0; i < G_N_ELEMENTS(sums); i++)
-		if (!(sums[i] >= 0 && sums[i] <= n * LOG_MAX + 1))
+		if (!(sums[i] >= 0 && sums[i] <= n * LOG_MAX * ROUNDING))
 			return false;
 	for (i = 0; i < G_N_ELEMENTS(products); i++)
 		if (!(fabs(products[i]) <= product_max))
--- a/src/sched/learn/run_times_codec.c
+++ b/src/sched/learn/run_times_codec.c
@@ -199,22 +199,32 @@
 	}
 }
 
+/* Number of elements that the array at p names; 0 if it is no array. */
+static size_t array_length(const uint8_t *p)
+{
+	if (*p >= 0x90 && *p <= 0x9f)
+		return *p & 0x0f;
+	return *p == 0xdc ? (size_t)p[1] << 8 | p[2] : 0;
+}
+
 /*
- * True if the bytes have only elements that run_times_encode() writes. The
- * library allocates memory for the number of elements that an array or a map
- * names, up to 2^32, before it has seen them.
+ * True if the bytes have only elements that run_times_encode() writes, and
+ * their arrays name no more elements than there are bytes. The library
+ * allocates memory for the number of elements that an array or a map names, up
+ * to 2^32, before it has seen them, in each of 32 nested arrays.
  */
 static bool has_known_elements(const uint8_t *data, size_t size)
 {
-	size_t at = 0, n;
+	size_t at = 0, n, elements = 0;
 
 	while (at < size) {
 		n = element_size(data + at, size - at);
 		if (!n || n > size - at)
 			return false;
+		elements += array_length(data + at);
 		at += n;
 	}
-	return true;
+	return elements <= size;
 }
 
 struct run_times *run_times_decode(const void *data, size_t size)
--- a/tests/unit/test_run_times.c
+++ b/tests/unit/test_run_times.c
@@ -492,6 +492,23 @@
 	run_times_destroy(t);
 }
 
+/* A tiny weight beside a sum that is not tiny is a mean far out of range. */
+static void group_with_mean_out_of_range_is_refused(void **state)
+{
+	struct run_times *t = run_times_create();
+	struct run_times_group g = { .queue = "q", .weight = 1e-20 };
+
+	(void)state;
+	g.y = 0.9;
+	assert_false(run_times_add_group(t, &g));
+	g.y = 0;
+	g.xx = 0.9;
+	assert_false(run_times_add_group(t, &g));
+	g.weight = 1;
+	assert_true(run_times_add_group(t, &g));
+	run_times_destroy(t);
+}
+
 /* A model that keeps nothing refuses a record, and a bad one changes nothing.
  */
 static void models_restore_whole_records_only(void **state)
@@ -627,6 +644,7 @@
 		cmocka_unit_test(groups_are_bounded),
 		cmocka_unit_test(new_owner_goes_on),
 		cmocka_unit_test(bad_records_are_harmless),
+		cmocka_unit_test(group_with_mean_out_of_range_is_refused),
 		cmocka_unit_test(models_restore_whole_records_only),
 		cmocka_unit_test(long_runs_are_told_apart),
 		cmocka_unit_test(record_outlives_its_owner),
