place: compare a server's bad events with those of others only

Cause: a server's events stayed in the sums of all servers when its row was cleared, by a new incarnation or a probe that went well. If the others had done next to nothing, one old failure or a rounding error was a share of 100%, and a server that fails half of its runs was never suspected. A task of unknown run time had no cost away from its rack.

Change: the sums of all servers lose what is cleared in a row, the others count with one good event more, and an unknown run time counts as 10 s. The new tests fail without these. Tests that cleared a row to stand for another server use a row of their own.

--- a/src/sched/place/server_score.c
+++ b/src/sched/place/server_score.c
@@ -32,6 +32,11 @@
 #define PROBE_MAX_US (8 * CS_SEC)
 /* Of a task away from its data; the platform's figure is 2 to 3. */
 #define REMOTE_SLOWDOWN 2.0
+/*
+ * Assumed for a task of unknown run time, so that its rack still counts: with
+ * the cost of each ms in place.c, as much as without scores.
+ */
+#define UNKNOWN_RUN_MS 10000
 
 /*
  * A refusal costs one call, and the server is left alone for a while anyway; a
@@ -39,11 +44,6 @@
  */
 static const double bad_weights[SCORE_EVENTS] = { 0, 1, 0.25, 0.5, 1, 1 };
 
-void server_score_reset(struct server_score *r)
-{
-	*r = (struct server_score){ 0 };
-}
-
 /* What is left of the sums of a row. */
 static double left_of(const struct server_score *r, cs_time now)
 {
@@ -62,6 +62,25 @@
 	r->at = MAX(r->at, now);
 }
 
+/* Takes the bad events of a server out of those of all servers. */
+static void drop_bad(struct server_score *r, struct server_score *all)
+{
+	all->bad = fmax(all->bad - r->bad, 0);
+	r->bad = 0;
+}
+
+void server_score_reset(struct server_score *r, struct server_score *all,
+			cs_time now)
+{
+	decay(r, now);
+	decay(all, now);
+	drop_bad(r, all);
+	all->good = fmax(all->good - r->good, 0);
+	all->speed -= r->speed;
+	all->speed_weight = fmax(all->speed_weight - r->speed_weight, 0);
+	*r = (struct server_score){ 0 };
+}
+
 static void add_speed(struct server_score *r, double speed, double weight,
 		      cs_time now)
 {
@@ -92,11 +111,16 @@
 	return bad > 0 ? bad / (bad + fmax(good, 0)) : 0;
 }
 
-/* The part of bad events from which a server is suspected, given all others. */
+/*
+ * The part of bad events from which a server is suspected, given all others.
+ * They count with one good event more: the differences are not exact, and what
+ * is left of a single bad event would otherwise be a share of 1.
+ */
 static double limit_of(const struct server_score *r,
 		       const struct server_score *all)
 {
-	double share = bad_share(all->good - r->good, all->bad - r->bad);
+	double share =
+		bad_share(fmax(all->good - r->good, 0) + 1, all->bad - r->bad);
 
 	return fmax(BAD_SHARE_MIN, BAD_SHARE_FACTOR * share + BAD_SHARE_MARGIN);
 }
@@ -136,7 +160,7 @@
 		if (!was_suspect || started_at < r->suspected_at)
 			return false;
 		r->suspected_at = r->probe_at = r->probe_pause = 0;
-		r->bad = 0;
+		drop_bad(r, all);
 		return true;
 	}
 	if (was_suspect) {
@@ -189,5 +213,7 @@
 	double slowdown = (is_remote ? REMOTE_SLOWDOWN : 1) / speed;
 
 	slowdown = CLAMP(slowdown, 0.1, SCORE_SLOWDOWN_MAX);
+	if (expected_ms <= 0)
+		expected_ms = UNKNOWN_RUN_MS;
 	return (int64_t)((double)expected_ms * (slowdown - 1));
 }
--- a/src/sched/place/server_score.h
+++ b/src/sched/place/server_score.h
@@ -37,8 +37,9 @@
 /* A slow or remote placement may cost this many times the run time. */
 #define SCORE_SLOWDOWN_MAX 8.0
 
-/* Forgets everything, as for a new incarnation. */
-void server_score_reset(struct server_score *row);
+/* Forgets everything, in both rows, as for a new incarnation. */
+void server_score_reset(struct server_score *row, struct server_score *all,
+			cs_time now);
 
 /*
  * Records a run that did all work of its task; p90_ms is that of the
@@ -65,6 +66,7 @@
 bool server_score_admits(const struct server_score *row, cs_time now);
 /*
  * Time that a task takes longer there than on a nominal server near its data.
+ * expected_ms is 0 if its run time is not known.
  */
 int64_t server_score_extra_ms(double speed, bool is_remote,
 			      int64_t expected_ms);
--- a/src/sched/runs/incarnation.c
+++ b/src/sched/runs/incarnation.c
@@ -191,7 +191,7 @@
 	g_array_set_size(v->unstored, 0);
 	v->failed_in_row = 0;
 	v->suspect_until = 0;
-	server_score_reset(&v->score);
+	server_score_reset(&v->score, &s->all_scores, now);
 	v->best_effort_pace = 100;
 	/* A predecessor may have started tasks there, as to the former one. */
 	if (v->is_granted && s->confirmed_at < s->options.predecessor_end)
--- a/tests/unit/test_server_score.c
+++ b/tests/unit/test_server_score.c
@@ -1,6 +1,7 @@
 #include "unit.h"
 
 #include <glib.h>
+#include <math.h>
 
 #include "../../src/sched/place/server_score.h"
 #include "../world/world.h"
@@ -71,16 +72,16 @@
 static void wrong_predictions_slow_no_server(void **state)
 {
 	struct fixture *f = *state;
+	struct server_score other = { 0 };
 	int i;
 
 	for (i = 0; i < 200; i++)
 		server_score_on_run(&f->row, &f->all, 4000, 1000, 1500, NOW(i));
 	assert_true(server_score_speed(&f->row, &f->all, NOW(200)) == 1);
 	/* One run that is not understood says little. */
-	server_score_reset(&f->row);
-	server_score_on_run(&f->row, &f->all, 20000, 1000, 3000, NOW(200));
-	assert_true(server_score_speed(&f->row, &f->all, NOW(200)) > 0.5);
-	server_score_on_run(&f->row, &f->all, 0, 0, 0, NOW(200));
+	server_score_on_run(&other, &f->all, 20000, 1000, 3000, NOW(200));
+	assert_true(server_score_speed(&other, &f->all, NOW(200)) > 0.5);
+	server_score_on_run(&other, &f->all, 0, 0, 0, NOW(200));
 }
 
 /* A server that fails each other run never fails three in a row for long. */
@@ -129,11 +130,12 @@
 	int i, k;
 
 	for (k = 0; k < 5; k++) {
-		server_score_reset(&f->row);
+		struct server_score row = { 0 };
+
 		for (i = 0; i < 10; i++)
-			server_score_on_event(&f->row, &f->all, SCORE_FAILED,
+			server_score_on_event(&row, &f->all, SCORE_FAILED,
 					      NOW(i), NOW(i));
-		assert_true(server_score_is_suspect(&f->row));
+		assert_true(server_score_is_suspect(&row));
 	}
 }
 
@@ -176,9 +178,40 @@
 				      NOW(i));
 		server_score_on_run(&f->row, &f->all, 9000, 1000, 1100, NOW(i));
 	}
-	server_score_reset(&f->row);
+	server_score_reset(&f->row, &f->all, NOW(10));
 	assert_false(server_score_is_suspect(&f->row));
 	assert_true(server_score_admits(&f->row, NOW(10)));
+	/* What it did counts no more in the comparison with all servers. */
+	assert_true(f->all.bad < 0.001 && f->all.speed_weight < 0.001);
+	assert_true(fabs(f->all.speed) < 0.001);
+}
+
+/*
+ * Beside a server that fails half of its runs, the others have done next to
+ * nothing: one old failure, or the rounding error of the sums, was a share of
+ * 100% for them, and the server was never suspected.
+ */
+static void idle_others_protect_no_server(void **state)
+{
+	struct fixture *f = *state;
+	struct server_score other = { 0 };
+	int i, changes = 0;
+
+	server_score_on_event(&other, &f->all, SCORE_FAILED, NOW(0), NOW(0));
+	for (i = 200; i < 220; i++)
+		changes += server_score_on_event(
+			&f->row, &f->all, i % 2 ? SCORE_FAILED : SCORE_DONE, 0,
+			NOW(i));
+	assert_int_equal(changes, 1);
+	assert_true(server_score_is_suspect(&f->row));
+}
+
+/* A job without a hint, in a queue without runs, still goes to its rack. */
+static void unknown_run_time_keeps_the_rack(void **state)
+{
+	(void)state;
+	assert_true(server_score_extra_ms(1, true, 0) > 0);
+	assert_true(server_score_extra_ms(1, false, 0) == 0);
 }
 
 /* Submits jobs for some time; returns the most runs seen on the server. */
@@ -237,6 +270,8 @@
 		SCORE_TEST(many_failing_servers_are_suspected),
 		SCORE_TEST(suspected_server_is_probed),
 		SCORE_TEST(nothing_outlives_the_incarnation),
+		SCORE_TEST(idle_others_protect_no_server),
+		cmocka_unit_test(unknown_run_time_keeps_the_rack),
 		cmocka_unit_test(failing_server_is_left_and_used_again),
 	};
 
