--- a/src/sched/runs/server.h
+++ b/src/sched/runs/server.h
@@ -2,6 +2,8 @@
 #define SCHED_RUNS_SERVER_H
 
 #include "../../base/slots.h"
+#include "../learn/run_time_model.h"
+#include "../place/server_score.h"
 #include "../sched.h"
 
 /*
@@ -58,8 +60,11 @@
 	bool has_checkpoint; /* started from a checkpoint */
 	bool has_long_checkpoint; /* it saves more than can be stored */
 	int percent; /* progress */
+	cs_time progressed_at; /* percent has changed last; 0: not yet */
+	enum run_time_tail tail; /* as it was logged */
 	cs_time working_since; /* of a long-running task: percent is 100 */
 	int64_t tail_ms_or_cpu; /* see struct order_run */
+	int64_t expected_ms; /* its run time, as predicted at its start */
 	int pace; /* last ordered, percent */
 	bool is_pace_pending; /* a pace order has no reply yet */
 	/* When the last list that shows it was sent; 0: none has shown it. */
@@ -142,6 +147,7 @@
 	/* Health. */
 	int failed_in_row;
 	cs_time suspect_until;
+	struct server_score score; /* of this incarnation */
 	cs_time refused_until; /* refused a start: no room or overloaded */
 	/* Pacing of its best-effort tasks. */
 	int best_effort_pace; /* percent */
