--- a/src/sched/pools/pool.h
+++ b/src/sched/pools/pool.h
@@ -4,6 +4,7 @@
 #include "../place/room_index.h"
 #include "../queue/job.h"
 #include "demand.h"
+#include "forecast.h"
 
 /* Rows of pools: the servers and the jobs of queues that share them. */
 
@@ -27,7 +28,10 @@
 	/* Labels for which no server had room in the last pass. */
 	char lacking_labels[LACKING_LABELS_MAX][CS_NAME_MAX];
 	int lacking_labels_nr;
-	struct demand *arrivals; /* of tasks that end by themselves */
+	/* Of tasks that end by themselves; one of both is used by pool_size.c.
+	 */
+	struct demand *arrivals;
+	struct forecast *forecast;
 	bool has_seen_demand; /* has been busy once */
 	double demand; /* smoothed, thousandths of a core */
 	double server_cpu; /* mean of its servers, thousandths of a core */
--- a/src/sched/pools/pool_size.c
+++ b/src/sched/pools/pool_size.c
@@ -27,11 +27,66 @@
 #define SPARE_SERVERS 1
 /* Minimum size of a pool, even without any demand. */
 #define SERVERS_MIN 2
-/* Share of a decrease in demand that takes effect in each pass. */
-#define DEMAND_DECAY 0.2
 /* A pool has been busy once its demand exceeded this share of its capacity. */
 #define FIRST_DEMAND_SHARE 0.5
 
+/* How the demand of arriving work is found. */
+struct size_policy {
+	void (*add)(struct pool *p, double work, double duration_ms,
+		    cs_time now);
+	/* CPU that arriving work needs at now + LEAD_US. */
+	double (*arriving)(struct pool *p, cs_time now);
+	/* Share of a decrease in demand that takes effect in each pass. */
+	double decay;
+};
+
+static void add_to_demand(struct pool *p, double work, double duration_ms,
+			  cs_time now)
+{
+	demand_add(p->arrivals, work, duration_ms, now);
+}
+
+static double demand_arriving(struct pool *p, cs_time now)
+{
+	return demand_forecast(p->arrivals, LEAD_US, now);
+}
+
+static void add_to_forecast(struct pool *p, double work, double duration_ms,
+			    cs_time now)
+{
+	forecast_add(p->forecast, work, duration_ms, now);
+}
+
+static double forecast_arriving(struct pool *p, cs_time now)
+{
+	return forecast_at(p->forecast, LEAD_US, now).expected;
+}
+
+static const struct size_policy by_demand = {
+	.add = add_to_demand,
+	.arriving = demand_arriving,
+	.decay = 0.2,
+};
+
+/* A forecast with less variation does not need to be held for so long. */
+static const struct size_policy by_forecast = {
+	.add = add_to_forecast,
+	.arriving = forecast_arriving,
+	.decay = 0.4,
+};
+
+static const struct size_policy *policy_of(const struct sched *s)
+{
+	return s->options.policy.has_demand_forecast ? &by_forecast :
+						       &by_demand;
+}
+
+void pool_size_add_arrival(struct sched *s, struct pool *p, double work,
+			   double duration_ms, cs_time now)
+{
+	policy_of(s)->add(p, work, duration_ms, now);
+}
+
 void pool_size_begin(struct sched *s)
 {
 	g_hash_table_remove_all(s->allowed_cpu_left);
@@ -131,13 +186,13 @@
 	}
 	if (servers)
 		p->server_cpu = capacity / servers;
-	arriving = demand_forecast(p->arrivals, LEAD_US, now);
+	arriving = policy_of(s)->arriving(p, now);
 	demand = long_running + waiting.long_running +
 		 MAX(arriving, used - long_running) + waiting.finite;
 	if (demand >= p->demand)
 		p->demand = demand;
 	else
-		p->demand -= (p->demand - demand) * DEMAND_DECAY;
+		p->demand -= (p->demand - demand) * policy_of(s)->decay;
 	if (p->demand > capacity * FIRST_DEMAND_SHARE)
 		p->has_seen_demand = true;
 	servers = SERVERS_MIN;
--- a/src/sched/pools/pool_size.h
+++ b/src/sched/pools/pool_size.h
@@ -7,6 +7,9 @@
 
 /* Begins a rebalancing pass: what is left of limits is computed again. */
 void pool_size_begin(struct sched *s);
+/* Records work that arrives in the pool; units as in demand.h. */
+void pool_size_add_arrival(struct sched *s, struct pool *p, double work,
+			   double duration_ms, cs_time now);
 /* Number of servers that the pool needs; it decreases gradually. */
 int pool_size_target(struct sched *s, struct pool *p, cs_time now);
 /*
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -35,6 +35,7 @@
 	g_ptr_array_free(p->waiting, TRUE);
 	room_index_destroy(p->room);
 	demand_destroy(p->arrivals);
+	forecast_destroy(p->forecast);
 	g_free(p);
 }
 
@@ -165,6 +166,7 @@
 	p->jobs = g_ptr_array_new();
 	p->waiting = g_ptr_array_new();
 	p->arrivals = demand_create();
+	p->forecast = forecast_create();
 	g_hash_table_insert(s->pools, p->name, p);
 	g_ptr_array_add(s->pool_list, p);
 	return p;
@@ -403,9 +405,10 @@
 		widest = MAX(widest, cpu);
 	}
 	if (work > 0)
-		demand_add(j->pool->arrivals,
-			   work * pool_size_allowed_cpu(s, j, widest) / widest,
-			   work / widest, now);
+		pool_size_add_arrival(
+			s, j->pool,
+			work * pool_size_allowed_cpu(s, j, widest) / widest,
+			work / widest, now);
 }
 
 /* Refreshes the expected times of open jobs, as estimates change over time. */
