--- a/src/sched/pools/forecast.c
+++ b/src/sched/pools/forecast.c
@@ -17,13 +17,13 @@
  * standard error of the slope falls with the power 1.5 of the length, and its
  * delay grows with it.
  */
-#define TREND_WINDOW 12
+#define TREND_WINDOW 10
 #define BUCKETS ((int64_t)2 * LEVEL_MAX)
 /*
  * A difference between the windows counts only beyond this many standard
  * errors, as jobs arrive at random times.
  */
-#define NOISE_STD_ERRORS 0.5
+#define NOISE_STD_ERRORS 0.25
 /* Share of a slope that goes on until the horizon, as a rise ends in a peak. */
 #define TREND_DAMPING 0.7
 /* Weight of a new job in the moving averages of durations and of work. */
--- a/src/sched/pools/pool_size.c
+++ b/src/sched/pools/pool_size.c
@@ -22,9 +22,8 @@
 	[RANK_LATE] = 2000,
 	[RANK_OVERDUE] = 8000,
 };
-/* Spare capacity beyond the expected demand, as a factor and in servers. */
+/* Spare capacity beyond the expected demand, as a factor. */
 #define SIZE_MARGIN 1.05
-#define SPARE_SERVERS 1
 /* Minimum size of a pool, even without any demand. */
 #define SERVERS_MIN 2
 /* A pool has been busy once its demand exceeded this share of its capacity. */
@@ -38,6 +37,7 @@
 	double (*arriving)(struct pool *p, cs_time now);
 	/* Share of a decrease in demand that takes effect in each pass. */
 	double decay;
+	int spare_servers; /* beyond the expected demand */
 };
 
 static void add_to_demand(struct pool *p, double work, double duration_ms,
@@ -66,6 +66,7 @@
 	.add = add_to_demand,
 	.arriving = demand_arriving,
 	.decay = 0.2,
+	.spare_servers = 1,
 };
 
 /* A forecast with less variation does not need to be held for so long. */
@@ -73,6 +74,7 @@
 	.add = add_to_forecast,
 	.arriving = forecast_arriving,
 	.decay = 0.4,
+	.spare_servers = 2,
 };
 
 static const struct size_policy *policy_of(const struct sched *s)
@@ -198,6 +200,6 @@
 	servers = SERVERS_MIN;
 	if (p->server_cpu > 0)
 		servers = (int)ceil(p->demand * SIZE_MARGIN / p->server_cpu) +
-			  SPARE_SERVERS;
+			  policy_of(s)->spare_servers;
 	return MAX(servers, SERVERS_MIN);
 }
