--- a/src/sched/pools/pool_size.c
+++ b/src/sched/pools/pool_size.c
@@ -24,6 +24,10 @@
 };
 /* Spare capacity beyond the expected demand, as a factor. */
 #define SIZE_MARGIN 1.05
+/* Servers that the waiting tasks of a step add to the size of a pool. */
+#define SPREAD_SERVERS_MAX 64
+/* Share of the error of a forecast by which a pool is made larger. */
+#define ERROR_SHARE 0.5
 /* Minimum size of a pool, even without any demand. */
 #define SERVERS_MIN 2
 /* A pool has been busy once its demand exceeded this share of its capacity. */
@@ -38,6 +42,12 @@
 	/* Share of a decrease in demand that takes effect in each pass. */
 	double decay;
 	int spare_servers; /* beyond the expected demand */
+	/*
+	 * Spare servers are counted beyond those with long-running tasks. A
+	 * step that bounds its tasks on one server fills most servers of a pool
+	 * in silence, and a task that loses its server has no other one there.
+	 */
+	bool counts_spread;
 };
 
 static void add_to_demand(struct pool *p, double work, double duration_ms,
@@ -59,7 +69,9 @@
 
 static double forecast_arriving(struct pool *p, cs_time now)
 {
-	return forecast_at(p->forecast, LEAD_US, now).expected;
+	struct forecast_value v = forecast_at(p->forecast, LEAD_US, now);
+
+	return v.expected + v.error * ERROR_SHARE;
 }
 
 static const struct size_policy by_demand = {
@@ -75,6 +87,7 @@
 	.arriving = forecast_arriving,
 	.decay = 0.4,
 	.spare_servers = 2,
+	.counts_spread = true,
 };
 
 static const struct size_policy *policy_of(const struct sched *s)
@@ -98,6 +111,8 @@
 struct backlog {
 	double long_running;
 	double finite; /* to finish the other tasks within clear_time_ms */
+	/* Servers for long-running tasks that share none with their step. */
+	int spread_servers;
 };
 
 double pool_size_allowed_cpu(struct sched *s, const struct job *j, double cpu)
@@ -117,6 +132,20 @@
 	return cpu;
 }
 
+/*
+ * Servers without tasks of the step that waiting tasks with this CPU need, as
+ * far as the step bounds its tasks on one server.
+ */
+static int spread_servers(const struct batch_step *st, double cpu)
+{
+	double tasks;
+
+	if (!st->per_server_max || !st->need.cpu)
+		return 0;
+	tasks = cpu / (double)st->need.cpu;
+	return (int)fmin(ceil(tasks / st->per_server_max), SPREAD_SERVERS_MAX);
+}
+
 /* Adds the ready steps of a job, up to the limit of its workspace. */
 static void add_job(struct sched *s, const struct job *j, cs_time now,
 		    struct backlog *sum)
@@ -138,9 +167,10 @@
 				(double)batch_count_waiting(b, occurrence,
 							    step) *
 					(double)st->need.cpu);
-			if (st->is_long_running)
+			if (st->is_long_running) {
 				sum->long_running += cpu;
-			else
+				sum->spread_servers += spread_servers(st, cpu);
+			} else
 				sum->finite +=
 					cpu * (double)st->expected_ms / clear;
 		}
@@ -173,7 +203,7 @@
 {
 	double used = 0, capacity = 0, long_running = 0, arriving, demand;
 	struct backlog waiting = find_backlog(s, p, now);
-	int servers = 0;
+	int servers = 0, spread = 0;
 	guint i;
 
 	for (i = 0; i < p->servers->len; i++) {
@@ -183,6 +213,7 @@
 			continue;
 		used += (double)v->used.cpu;
 		long_running += (double)v->long_running_cpu;
+		spread += v->long_running_cpu > 0;
 		capacity += (double)v->info.capacity.cpu;
 		servers++;
 	}
@@ -201,5 +232,8 @@
 	if (p->server_cpu > 0)
 		servers = (int)ceil(p->demand * SIZE_MARGIN / p->server_cpu) +
 			  policy_of(s)->spare_servers;
+	spread += waiting.spread_servers;
+	if (spread && policy_of(s)->counts_spread)
+		servers = MAX(servers, spread + policy_of(s)->spare_servers);
 	return MAX(servers, SERVERS_MIN);
 }
