--- a/src/sched/pools/balance.c
+++ b/src/sched/pools/balance.c
@@ -58,7 +58,7 @@
  * pool that does not rise is seldom needed there within that time.
  */
 static const struct release_policy release_by_forecast = {
-	.idle_before_release = 300 * CS_MSEC,
+	.idle_before_release = 500 * CS_MSEC,
 	.moves_share = 0.67,
 	.waits_once = true,
 };
--- a/src/sched/pools/forecast.c
+++ b/src/sched/pools/forecast.c
@@ -23,7 +23,9 @@
  * A difference between the windows counts only beyond this many standard
  * errors, as jobs arrive at random times.
  */
-#define NOISE_STD_ERRORS 0.25
+#define NOISE_STD_ERRORS 0.5
+/* The same for a trend that one of 40 differences by chance exceeds. */
+#define SURE_STD_ERRORS 2.0
 /* Share of a slope that goes on until the horizon, as a rise ends in a peak. */
 #define TREND_DAMPING 0.7
 /* Weight of a new job in the moving averages of durations and of work. */
@@ -40,7 +42,10 @@
  * wait, while servers in a pool only cost their time.
  */
 #define SHORT_COST 4.0
-/* A method is given up for another one that costs less than this share. */
+/*
+ * A method that sees rises early is given up for one that costs less than this
+ * share: on a load without rises both cost the same until the first one comes.
+ */
 #define SWITCH_SHARE 0.9
 
 struct bucket {
@@ -125,13 +130,14 @@
  * jobs. The sizes of jobs differ by factors, so that a rise in work is seen
  * with twice the error of a rise in their number.
  */
-static double expect_trend(const struct forecast *f, double ahead_ms)
+static double extend_rise(const struct forecast *f, double ahead_ms,
+			  double std_errors)
 {
 	double last = sum_window(f, TREND_WINDOW, 0).jobs;
 	double before = sum_window(f, TREND_WINDOW, TREND_WINDOW).jobs;
 	double length = window_ms(TREND_WINDOW);
 	/* The variance of a Poisson count is the count. */
-	double rise = last - before - NOISE_STD_ERRORS * sqrt(last + before);
+	double rise = last - before - std_errors * sqrt(last + before);
 
 	/* The last value is that of half a window ago. */
 	return expect_last(f, ahead_ms) +
@@ -139,30 +145,40 @@
 		       (ahead_ms + window_ms(level_window(f)) / 2);
 }
 
+static double expect_trend(const struct forecast *f, double ahead_ms)
+{
+	return extend_rise(f, ahead_ms, NOISE_STD_ERRORS);
+}
+
+static double expect_sure_trend(const struct forecast *f, double ahead_ms)
+{
+	return extend_rise(f, ahead_ms, SURE_STD_ERRORS);
+}
+
 static const struct method methods[FORECAST_METHODS] = {
-	[FORECAST_LAST] = { "last", expect_last },
 	[FORECAST_TREND] = { "trend", expect_trend },
+	[FORECAST_SURE_TREND] = { "sure_trend", expect_sure_trend },
+	[FORECAST_LAST] = { "last", expect_last },
 };
 
 /* Compares what the methods have forecast for a bucket with what came. */
 static void check_methods(struct forecast *f, int64_t bucket, double came)
 {
-	double weight = ERROR_WEIGHT;
-	int i, best = FORECAST_LAST;
+	double least = INFINITY;
+	int i;
 
 	for (i = 0; i < FORECAST_METHODS; i++) {
 		struct method_state *m = &f->methods[i];
 		double low = came - m->pending[bucket % CHECKS];
 		double cost = low > 0 ? SHORT_COST * low : -low;
 
-		m->cost += (cost - m->cost) * weight;
-		m->too_low += (fmax(low, 0) - m->too_low) * weight;
+		m->cost += (cost - m->cost) * ERROR_WEIGHT;
+		m->too_low += (fmax(low, 0) - m->too_low) * ERROR_WEIGHT;
+		least = fmin(least, m->cost);
 	}
-	for (i = 0; i < FORECAST_METHODS; i++)
-		if (f->methods[i].cost < f->methods[best].cost)
-			best = i;
-	if (f->methods[best].cost < f->methods[f->in_use].cost * SWITCH_SHARE)
-		f->in_use = best;
+	for (i = 0; f->methods[i].cost * SWITCH_SHARE > least;)
+		i++;
+	f->in_use = i;
 }
 
 /* Compares and makes forecasts; the newest bucket has just ended. */
--- a/src/sched/pools/forecast.h
+++ b/src/sched/pools/forecast.h
@@ -16,10 +16,11 @@
 	double error; /* by which it has been too low on average, the same */
 };
 
-/* Methods that are compared. */
+/* Methods that are compared, the earliest to see a rise first. */
 enum forecast_method {
-	FORECAST_LAST, /* the last value holds */
 	FORECAST_TREND, /* a rise in the number of jobs goes on */
+	FORECAST_SURE_TREND, /* the same if it is hardly by chance */
+	FORECAST_LAST, /* the last value holds */
 	FORECAST_METHODS
 };
 
