--- a/src/sched/pools/balance.c
+++ b/src/sched/pools/balance.c
@@ -549,6 +549,14 @@
 		log_pair_int(pairs, "cpu_room", capacity);
 		log_pair_int(pairs, "cpu_used", used);
 		log_pair_int(pairs, "cpu_demand", (int64_t)plan->pool->demand);
+		log_pair_int(pairs, "cpu_forecast",
+			     (int64_t)plan->pool->arriving.expected);
+		log_pair_int(pairs, "cpu_forecast_error",
+			     (int64_t)plan->pool->arriving.error);
+		log_pair(pairs, "forecast_by",
+			 pool_size_method(b->sched, plan->pool));
+		log_pair_int(pairs, "cpu_backlog",
+			     (int64_t)plan->pool->backlog);
 		log_pair_int(pairs, "jobs", plan->pool->jobs->len);
 		log_pair_int(pairs, "blocked_by_limit",
 			     plan->pool->blocked[BLOCK_LIMIT]);
--- a/src/sched/pools/pool.h
+++ b/src/sched/pools/pool.h
@@ -34,6 +34,8 @@
 	struct forecast *forecast;
 	bool has_seen_demand; /* has been busy once */
 	double demand; /* smoothed, thousandths of a core */
+	struct forecast_value arriving; /* the last forecast */
+	double backlog; /* CPU to clear what waits, thousandths of a core */
 	double server_cpu; /* mean of its servers, thousandths of a core */
 };
 
--- a/src/sched/pools/pool_size.c
+++ b/src/sched/pools/pool_size.c
@@ -38,7 +38,9 @@
 	void (*add)(struct pool *p, double work, double duration_ms,
 		    cs_time now);
 	/* CPU that arriving work needs at now + LEAD_US. */
-	double (*arriving)(struct pool *p, cs_time now);
+	struct forecast_value (*arriving)(struct pool *p, cs_time now);
+	/* Name of the method that made the last forecast. */
+	const char *(*method)(const struct pool *p);
 	/* Share of a decrease in demand that takes effect in each pass. */
 	double decay;
 	int spare_servers; /* beyond the expected demand */
@@ -56,9 +58,17 @@
 	demand_add(p->arrivals, work, duration_ms, now);
 }
 
-static double demand_arriving(struct pool *p, cs_time now)
+static struct forecast_value demand_arriving(struct pool *p, cs_time now)
 {
-	return demand_forecast(p->arrivals, LEAD_US, now);
+	return (struct forecast_value){
+		.expected = demand_forecast(p->arrivals, LEAD_US, now),
+	};
+}
+
+static const char *demand_method(const struct pool *p)
+{
+	(void)p;
+	return "demand";
 }
 
 static void add_to_forecast(struct pool *p, double work, double duration_ms,
@@ -67,16 +77,20 @@
 	forecast_add(p->forecast, work, duration_ms, now);
 }
 
-static double forecast_arriving(struct pool *p, cs_time now)
+static struct forecast_value forecast_arriving(struct pool *p, cs_time now)
 {
-	struct forecast_value v = forecast_at(p->forecast, LEAD_US, now);
+	return forecast_at(p->forecast, LEAD_US, now);
+}
 
-	return v.expected + v.error * ERROR_SHARE;
+static const char *method_of_forecast(const struct pool *p)
+{
+	return forecast_method_name(forecast_method(p->forecast));
 }
 
 static const struct size_policy by_demand = {
 	.add = add_to_demand,
 	.arriving = demand_arriving,
+	.method = demand_method,
 	.decay = 0.2,
 	.spare_servers = 1,
 };
@@ -85,6 +99,7 @@
 static const struct size_policy by_forecast = {
 	.add = add_to_forecast,
 	.arriving = forecast_arriving,
+	.method = method_of_forecast,
 	.decay = 0.4,
 	.spare_servers = 2,
 	.counts_spread = true,
@@ -102,6 +117,11 @@
 	policy_of(s)->add(p, work, duration_ms, now);
 }
 
+const char *pool_size_method(const struct sched *s, const struct pool *p)
+{
+	return policy_of(s)->method(p);
+}
+
 void pool_size_begin(struct sched *s)
 {
 	g_hash_table_remove_all(s->allowed_cpu_left);
@@ -219,7 +239,9 @@
 	}
 	if (servers)
 		p->server_cpu = capacity / servers;
-	arriving = policy_of(s)->arriving(p, now);
+	p->arriving = policy_of(s)->arriving(p, now);
+	arriving = p->arriving.expected + p->arriving.error * ERROR_SHARE;
+	p->backlog = waiting.long_running + waiting.finite;
 	demand = long_running + waiting.long_running +
 		 MAX(arriving, used - long_running) + waiting.finite;
 	if (demand >= p->demand)
--- a/src/sched/pools/pool_size.h
+++ b/src/sched/pools/pool_size.h
@@ -10,6 +10,8 @@
 /* Records work that arrives in the pool; units as in demand.h. */
 void pool_size_add_arrival(struct sched *s, struct pool *p, double work,
 			   double duration_ms, cs_time now);
+/* Name of the method that forecasts the pool's arriving work. */
+const char *pool_size_method(const struct sched *s, const struct pool *p);
 /* Number of servers that the pool needs; it decreases gradually. */
 int pool_size_target(struct sched *s, struct pool *p, cs_time now);
 /*
--- a/tests/unit/test_forecast.c
+++ b/tests/unit/test_forecast.c
@@ -204,10 +204,11 @@
 		m.cpu += m.arriving[i % MOVE_STEPS] * SERVER_CPU;
 		m.arriving[i % MOVE_STEPS] = 0;
 		wait = m.backlog / m.cpu * 1000;
-		for (; chance > 0; chance -= 1) {
+		while (chance > 0) {
 			double cpu = 8 * 6700 * random_factor(rng);
 
-			if (g_rand_double(rng) >= chance)
+			chance -= 1;
+			if (g_rand_double(rng) >= chance + 1)
 				continue;
 			by->add(f, cpu * 2000, 2000, now);
 			for (k = 0; k < 2 * CS_SEC / STEP_US; k++)
@@ -312,17 +313,17 @@
 {
 	struct forecast *f = forecast_create();
 	cs_time now;
-	int jobs;
+	int rate, jobs;
 
 	(void)state;
-	for (now = 0; now < 4 * CS_SEC; now += 100 * CS_MSEC) {
-		for (jobs = 0; jobs < 40 - now / (100 * CS_MSEC); jobs++)
+	for (rate = 40; rate > 0; rate--) {
+		now = (40 - rate) * 100 * CS_MSEC;
+		for (jobs = 0; jobs < rate; jobs++)
 			forecast_add(f, 1e6, 1000, now);
-		if (now < 2 * CS_SEC)
-			continue;
 		/* The window of the last value began 1.6 s ago at most. */
-		assert_true(forecast_at(f, LEAD_US, now).expected <=
-			    (40 - now / (100 * CS_MSEC) + 16) * 1e4);
+		if (rate <= 20)
+			assert_true(forecast_at(f, LEAD_US, now).expected <=
+				    (rate + 16.0) * 1e4);
 	}
 	forecast_destroy(f);
 }
