--- a/src/sched/pools/forecast.c
+++ b/src/sched/pools/forecast.c
@@ -218,6 +218,10 @@
 	struct bucket *b;
 
 	advance(f, now);
+	/* What a long job does later than the horizon needs no CPU until then.
+	 */
+	if (duration_ms > window_ms(CHECK_AHEAD))
+		work *= window_ms(CHECK_AHEAD) / duration_ms;
 	if (f->duration_ms <= 0)
 		f->duration_ms = duration_ms;
 	if (f->job_work <= 0)
