--- a/src/sched/pools/balance.c
+++ b/src/sched/pools/balance.c
@@ -60,7 +60,7 @@
 static const struct release_policy release_by_forecast = {
 	.idle_before_release = 500 * CS_MSEC,
 	.moves_share = 0.67,
-	.waits_once = false,
+	.waits_once = true,
 };
 
 struct balance {
