--- a/tests/unit/test_forecast.c
+++ b/tests/unit/test_forecast.c
@@ -6,6 +6,7 @@
 
 #include "../../src/sched/pools/demand.h"
 #include "../../src/sched/pools/forecast.h"
+#include "../world/world.h"
 
 /*
  * Replays loads on a pool whose size follows a forecast, without servers or
@@ -371,6 +372,42 @@
 	forecast_destroy(f);
 }
 
+/*
+ * Guards against a pool that shrinks to the servers with long-running tasks: a
+ * task of a step that allows one on a server then has no other one to go to.
+ * Two more stay, and no initial server beyond them.
+ */
+static void spread_tasks_keep_spare_servers(void **state)
+{
+	const struct world_options options = {
+		.seed = 21,
+		.nodes = 3,
+		.servers = 12,
+		.pools = 1,
+		.standby = 4,
+		.policy = { .has_demand_forecast = true },
+	};
+	const struct world_job wide = { .steps = 1,
+					.width = 6,
+					.work_ms = 200,
+					.cpu = 500,
+					.per_server_max = 1,
+					.is_long_running = true,
+					.unavailable_max = -1 };
+	struct world *w = world_create(&options);
+	int64_t paid;
+
+	(void)state;
+	world_run(w, 4000);
+	world_submit(w, 0, &wide);
+	world_run(w, 40000);
+	paid = world_pool_host_ms(w);
+	world_run(w, 5000);
+	assert_int_equal((world_pool_host_ms(w) - paid) / 5000, 6 + 2);
+	assert_null(world_violation(w));
+	world_destroy(w);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -381,6 +418,7 @@
 		cmocka_unit_test(fall_is_not_extended_upwards),
 		cmocka_unit_test(trend_is_used_only_where_it_is_better),
 		cmocka_unit_test(error_is_what_was_missed),
+		cmocka_unit_test(spread_tasks_keep_spare_servers),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
