--- a/src/sched/pools/pool_size.c
+++ b/src/sched/pools/pool_size.c
@@ -131,7 +131,10 @@
 struct backlog {
 	double long_running;
 	double finite; /* to finish the other tasks within clear_time_ms */
-	/* Servers for long-running tasks that share none with their step. */
+	/*
+	 * Servers for the long-running tasks of one step that share none with
+	 * it: the most of all steps, as tasks of others may share them.
+	 */
 	int spread_servers;
 };
 
@@ -189,7 +192,9 @@
 					(double)st->need.cpu);
 			if (st->is_long_running) {
 				sum->long_running += cpu;
-				sum->spread_servers += spread_servers(st, cpu);
+				sum->spread_servers =
+					MAX(sum->spread_servers,
+					    spread_servers(st, cpu));
 			} else
 				sum->finite +=
 					cpu * (double)st->expected_ms / clear;
