--- a/src/sched/pools/balance.c
+++ b/src/sched/pools/balance.c
@@ -22,12 +22,8 @@
  * pool needs them.
  */
 #define FIRST_DEMAND_WAIT_US (30 * CS_SEC)
-/* A server idle for this long may move to the standby pool. */
-#define IDLE_BEFORE_RELEASE_US (700 * CS_MSEC)
 /* Share of the host service's rate limit that is used for moves. */
 #define MOVE_CALLS_SHARE 0.75
-/* Share of the moves of one pass that may go to the standby pool. */
-#define RELEASE_MOVES_SHARE 0.34
 /* A move that does not show in the host list within this time is dropped. */
 #define MOVE_TIMEOUT_US (6 * CS_SEC)
 /* Interval of the log lines, one per pool. */
@@ -42,8 +38,37 @@
 	cs_time accepted_at;
 };
 
+/* When hosts that no pool needs move to the standby pool. */
+struct release_policy {
+	/* A server must have been idle for this long. */
+	cs_time idle_before_release;
+	/* The forecast of its pool must not have risen for this long. */
+	cs_time after_rise;
+	/* Share of the moves of one pass that may go to the standby pool. */
+	double moves_share;
+	/* The first demand of one pool ends the wait of all. */
+	bool waits_once;
+};
+
+static const struct release_policy release_by_demand = {
+	.idle_before_release = 700 * CS_MSEC,
+	.moves_share = 0.34,
+};
+
+/*
+ * Two moves cost as much as 2.3 s in a pool, but a server that becomes idle in
+ * a pool that does not rise is seldom needed there within that time.
+ */
+static const struct release_policy release_by_forecast = {
+	.idle_before_release = 500 * CS_MSEC,
+	.after_rise = 1 * CS_SEC,
+	.moves_share = 0.67,
+	.waits_once = true,
+};
+
 struct balance {
 	struct sched *sched;
+	const struct release_policy *release;
 	GHashTable *moves; /* host -> struct move */
 	GHashTable *idle_since; /* server id -> cs_time */
 	uint64_t next_ref;
@@ -59,6 +84,9 @@
 	struct balance *b = g_new0(struct balance, 1);
 
 	b->sched = s;
+	b->release = s->options.policy.has_demand_forecast ?
+			     &release_by_forecast :
+			     &release_by_demand;
 	b->moves = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	b->idle_since =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -436,15 +464,31 @@
 	return moves;
 }
 
+/* True while pools without demand so far keep their initial servers. */
+static bool is_waiting_for_demand(const struct balance *b,
+				  const GPtrArray *plans, cs_time now)
+{
+	guint i;
+
+	if (b->sched->options.token != 1 ||
+	    now - b->sched->started_at >= FIRST_DEMAND_WAIT_US)
+		return false;
+	for (i = 0; b->release->waits_once && i < plans->len; i++) {
+		const struct pool_plan *plan = g_ptr_array_index(plans, i);
+
+		if (plan->pool->has_seen_demand)
+			return false;
+	}
+	return true;
+}
+
 /* Moves idle hosts that no pool needs to the standby pool. */
 static void release_idle_hosts(struct balance *b, GPtrArray *plans, int moves,
 			       cs_time now)
 {
 	struct pool_plan *standby = NULL;
-	int max = (int)(moves_max(b) * RELEASE_MOVES_SHARE) + 1;
-	bool is_waiting_for_demand = b->sched->options.token == 1 &&
-				     now - b->sched->started_at <
-					     FIRST_DEMAND_WAIT_US;
+	int max = (int)(moves_max(b) * b->release->moves_share) + 1;
+	bool is_waiting = is_waiting_for_demand(b, plans, now);
 	guint i, k;
 
 	for (i = 0; i < plans->len && !standby; i++) {
@@ -456,7 +500,8 @@
 	for (i = 0; standby && i < plans->len; i++) {
 		struct pool_plan *plan = g_ptr_array_index(plans, i);
 
-		if (!plan->pool->has_seen_demand && is_waiting_for_demand)
+		if ((!plan->pool->has_seen_demand && is_waiting) ||
+		    now - plan->pool->rising_at < b->release->after_rise)
 			continue;
 		for (k = 0; !plan->is_standby && k < plan->idle->len &&
 			    moves < max && plan->servers > plan->target;
@@ -466,7 +511,7 @@
 				b->sched->server_by_id, h->server);
 
 			if (now - idle_since(b, v, now) <
-				    IDLE_BEFORE_RELEASE_US ||
+				    b->release->idle_before_release ||
 			    is_lacking(plan->pool, h))
 				continue;
 			plan->servers--;
--- a/src/sched/pools/forecast.c
+++ b/src/sched/pools/forecast.c
@@ -239,6 +239,7 @@
 	struct forecast_value v;
 
 	advance(f, now);
+	v.present = expect_last(f, 0);
 	v.expected = methods[f->in_use].expect(f, (double)ahead / CS_MSEC);
 	v.error = f->methods[f->in_use].too_low;
 	return v;
--- a/src/sched/pools/forecast.h
+++ b/src/sched/pools/forecast.h
@@ -12,7 +12,8 @@
 struct forecast;
 
 struct forecast_value {
-	double expected; /* thousandths of a core */
+	double present; /* what it needs now, thousandths of a core */
+	double expected; /* the same, at the time asked for */
 	double error; /* by which it has been too low on average, the same */
 };
 
--- a/src/sched/pools/pool.h
+++ b/src/sched/pools/pool.h
@@ -35,6 +35,7 @@
 	bool has_seen_demand; /* has been busy once */
 	double demand; /* smoothed, thousandths of a core */
 	struct forecast_value arriving; /* the last forecast */
+	cs_time rising_at; /* it was last above the present need by a share */
 	double backlog; /* CPU to clear what waits, thousandths of a core */
 	double server_cpu; /* mean of its servers, thousandths of a core */
 };
--- a/src/sched/pools/pool_size.c
+++ b/src/sched/pools/pool_size.c
@@ -28,6 +28,8 @@
 #define SPREAD_SERVERS_MAX 64
 /* Share of the error of a forecast by which a pool is made larger. */
 #define ERROR_SHARE 0.5
+/* A forecast that exceeds the present need by this factor is a rise. */
+#define RISE 1.25
 /* Minimum size of a pool, even without any demand. */
 #define SERVERS_MIN 2
 /* A pool has been busy once its demand exceeded this share of its capacity. */
@@ -245,6 +247,8 @@
 	if (servers)
 		p->server_cpu = capacity / servers;
 	p->arriving = policy_of(s)->arriving(p, now);
+	if (p->arriving.expected > p->arriving.present * RISE)
+		p->rising_at = now;
 	arriving = p->arriving.expected + p->arriving.error * ERROR_SHARE;
 	p->backlog = waiting.long_running + waiting.finite;
 	demand = long_running + waiting.long_running +
