--- a/tests/unit/test_forecast.c
+++ b/tests/unit/test_forecast.c
@@ -318,7 +318,7 @@
 
 	(void)state;
 	for (rate = 40; rate > 0; rate--) {
-		now = (40 - rate) * 100 * CS_MSEC;
+		now = (cs_time)(40 - rate) * 100 * CS_MSEC;
 		for (jobs = 0; jobs < rate; jobs++)
 			forecast_add(f, 1e6, 1000, now);
 		/* The window of the last value began 1.6 s ago at most. */
