--- a/src/sched/pools/balance.c
+++ b/src/sched/pools/balance.c
@@ -38,8 +38,10 @@
 	cs_time accepted_at;
 };
 
-/* When hosts that no pool needs move to the standby pool. */
-struct release_policy {
+/* Which pools get hosts, and when hosts move to the standby pool. */
+struct balance_policy {
+	/* What runs and waits comes before what is forecast. */
+	bool fills_present_first;
 	/* A server must have been idle for this long. */
 	cs_time idle_before_release;
 	/* The forecast of its pool must not have risen for this long. */
@@ -50,7 +52,7 @@
 	bool waits_once;
 };
 
-static const struct release_policy release_by_demand = {
+static const struct balance_policy balance_by_demand = {
 	.idle_before_release = 700 * CS_MSEC,
 	.moves_share = 0.34,
 };
@@ -59,7 +61,8 @@
  * Two moves cost as much as 2.3 s in a pool, but a server that becomes idle in
  * a pool that does not rise is seldom needed there within that time.
  */
-static const struct release_policy release_by_forecast = {
+static const struct balance_policy balance_by_forecast = {
+	.fills_present_first = true,
 	.idle_before_release = 500 * CS_MSEC,
 	.after_rise = 1 * CS_SEC,
 	.moves_share = 0.67,
@@ -68,7 +71,7 @@
 
 struct balance {
 	struct sched *sched;
-	const struct release_policy *release;
+	const struct balance_policy *policy;
 	GHashTable *moves; /* host -> struct move */
 	GHashTable *idle_since; /* server id -> cs_time */
 	uint64_t next_ref;
@@ -84,9 +87,9 @@
 	struct balance *b = g_new0(struct balance, 1);
 
 	b->sched = s;
-	b->release = s->options.policy.has_demand_forecast ?
-			     &release_by_forecast :
-			     &release_by_demand;
+	b->policy = s->options.policy.has_demand_forecast ?
+			    &balance_by_forecast :
+			    &balance_by_demand;
 	b->moves = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	b->idle_since =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -331,32 +334,51 @@
 }
 
 /*
- * Returns the pool with the lowest share of its target, or NULL if all have
- * reached it. Shares are compared because otherwise a pool with a long backlog
- * would get all hosts first.
+ * Returns the pool with the lowest share of its target, or of what it needs now
+ * for work that runs and waits; NULL if all have reached it. Shares are
+ * compared because otherwise a pool with a long backlog would get all hosts
+ * first.
  */
-static struct pool_plan *find_lowest_share_pool(const GPtrArray *plans)
+static struct pool_plan *find_lowest_share_pool(const GPtrArray *plans,
+						bool is_for_present)
 {
 	struct pool_plan *best = NULL;
+	int need, best_need = 0;
 	guint i;
 
 	for (i = 0; i < plans->len; i++) {
 		struct pool_plan *plan = g_ptr_array_index(plans, i);
 
-		if (plan->is_standby || plan->servers >= plan->target)
+		need = is_for_present ?
+			       MIN(plan->pool->needed_now, plan->target) :
+			       plan->target;
+		if (plan->is_standby || plan->servers >= need)
 			continue;
-		if (!best || (int64_t)plan->servers * best->target <
-				     (int64_t)best->servers * plan->target)
+		if (!best || (int64_t)plan->servers * best_need <
+				     (int64_t)best->servers * need) {
 			best = plan;
+			best_need = need;
+		}
 	}
 	return best;
 }
 
+/* The pool that gets the next host: one where work waits before others. */
+static struct pool_plan *choose_short_pool(const struct balance *b,
+					   const GPtrArray *plans)
+{
+	struct pool_plan *plan = b->policy->fills_present_first ?
+					 find_lowest_share_pool(plans, true) :
+					 NULL;
+
+	return plan ? plan : find_lowest_share_pool(plans, false);
+}
+
 static int fill_short_pools(struct balance *b, GPtrArray *plans, int moves,
 			    cs_time now)
 {
 	while (moves < moves_max(b)) {
-		struct pool_plan *to = find_lowest_share_pool(plans);
+		struct pool_plan *to = choose_short_pool(b, plans);
 		struct order_host *h;
 
 		h = to ? take_surplus_host(plans, to) : NULL;
@@ -473,7 +495,7 @@
 	if (b->sched->options.token != 1 ||
 	    now - b->sched->started_at >= FIRST_DEMAND_WAIT_US)
 		return false;
-	for (i = 0; b->release->waits_once && i < plans->len; i++) {
+	for (i = 0; b->policy->waits_once && i < plans->len; i++) {
 		const struct pool_plan *plan = g_ptr_array_index(plans, i);
 
 		if (plan->pool->has_seen_demand)
@@ -487,7 +509,7 @@
 			       cs_time now)
 {
 	struct pool_plan *standby = NULL;
-	int max = (int)(moves_max(b) * b->release->moves_share) + 1;
+	int max = (int)(moves_max(b) * b->policy->moves_share) + 1;
 	bool is_waiting = is_waiting_for_demand(b, plans, now);
 	guint i, k;
 
@@ -501,7 +523,7 @@
 		struct pool_plan *plan = g_ptr_array_index(plans, i);
 
 		if ((!plan->pool->has_seen_demand && is_waiting) ||
-		    now - plan->pool->rising_at < b->release->after_rise)
+		    now - plan->pool->rising_at < b->policy->after_rise)
 			continue;
 		for (k = 0; !plan->is_standby && k < plan->idle->len &&
 			    moves < max && plan->servers > plan->target;
@@ -511,7 +533,7 @@
 				b->sched->server_by_id, h->server);
 
 			if (now - idle_since(b, v, now) <
-				    b->release->idle_before_release ||
+				    b->policy->idle_before_release ||
 			    is_lacking(plan->pool, h))
 				continue;
 			plan->servers--;
--- a/src/sched/pools/pool.h
+++ b/src/sched/pools/pool.h
@@ -37,6 +37,7 @@
 	struct forecast_value arriving; /* the last forecast */
 	cs_time rising_at; /* it was last above the present need by a share */
 	double backlog; /* CPU to clear what waits, thousandths of a core */
+	int needed_now; /* servers for what runs and waits */
 	double server_cpu; /* mean of its servers, thousandths of a core */
 };
 
--- a/src/sched/pools/pool_size.c
+++ b/src/sched/pools/pool_size.c
@@ -52,6 +52,13 @@
 	 * in silence, and a task that loses its server has no other one there.
 	 */
 	bool counts_spread;
+	/*
+	 * Arriving work counts up to this multiple of what runs and waits; 0:
+	 * all of it. A turn shows there too, while jobs that become known late
+	 * and all at once, after the store was slow, only look like a rise and
+	 * took hosts from pools with work.
+	 */
+	double rise_max;
 };
 
 static void add_to_demand(struct pool *p, double work, double duration_ms,
@@ -105,6 +112,7 @@
 	.decay = 0.4,
 	.spare_servers = 2,
 	.counts_spread = true,
+	.rise_max = 2,
 };
 
 static const struct size_policy *policy_of(const struct sched *s)
@@ -251,6 +259,9 @@
 		p->rising_at = now;
 	arriving = p->arriving.expected + p->arriving.error * ERROR_SHARE;
 	p->backlog = waiting.long_running + waiting.finite;
+	if (policy_of(s)->rise_max > 0)
+		arriving = MIN(arriving,
+			       (used + p->backlog) * policy_of(s)->rise_max);
 	demand = long_running + waiting.long_running +
 		 MAX(arriving, used - long_running) + waiting.finite;
 	if (demand >= p->demand)
@@ -260,6 +271,9 @@
 	if (p->demand > capacity * FIRST_DEMAND_SHARE)
 		p->has_seen_demand = true;
 	servers = SERVERS_MIN;
+	p->needed_now = 0;
+	if (p->server_cpu > 0)
+		p->needed_now = (int)ceil((used + p->backlog) / p->server_cpu);
 	if (p->server_cpu > 0)
 		servers = (int)ceil(p->demand * SIZE_MARGIN / p->server_cpu) +
 			  policy_of(s)->spare_servers;
