--- a/src/sched/pools/pool_size.c
+++ b/src/sched/pools/pool_size.c
@@ -24,8 +24,6 @@
 };
 /* Spare capacity beyond the expected demand, as a factor. */
 #define SIZE_MARGIN 1.05
-/* Servers that the waiting tasks of a step add to the size of a pool. */
-#define SPREAD_SERVERS_MAX 64
 /* Share of the error of a forecast by which a pool is made larger. */
 #define ERROR_SHARE 0.5
 /* A forecast that exceeds the present need by this factor is a rise. */
@@ -47,9 +45,9 @@
 	double decay;
 	int spare_servers; /* beyond the expected demand */
 	/*
-	 * Spare servers are counted beyond those with long-running tasks. A
-	 * step that bounds its tasks on one server fills most servers of a pool
-	 * in silence, and a task that loses its server has no other one there.
+	 * Spare servers are counted beyond those of the widest long-running
+	 * step that bounds its tasks on one server. It fills all servers of a
+	 * pool in silence, and a task that loses its server has no other there.
 	 */
 	bool counts_spread;
 	/*
@@ -141,11 +139,6 @@
 struct backlog {
 	double long_running;
 	double finite; /* to finish the other tasks within clear_time_ms */
-	/*
-	 * Servers for the long-running tasks of one step that share none with
-	 * it: the most of all steps, as tasks of others may share them.
-	 */
-	int spread_servers;
 };
 
 double pool_size_allowed_cpu(struct sched *s, const struct job *j, double cpu)
@@ -165,20 +158,6 @@
 	return cpu;
 }
 
-/*
- * Servers without tasks of the step that waiting tasks with this CPU need, as
- * far as the step bounds its tasks on one server.
- */
-static int spread_servers(const struct batch_step *st, double cpu)
-{
-	double tasks;
-
-	if (!st->per_server_max || !st->need.cpu)
-		return 0;
-	tasks = cpu / (double)st->need.cpu;
-	return (int)fmin(ceil(tasks / st->per_server_max), SPREAD_SERVERS_MAX);
-}
-
 /* Adds the ready steps of a job, up to the limit of its workspace. */
 static void add_job(struct sched *s, const struct job *j, cs_time now,
 		    struct backlog *sum)
@@ -200,12 +179,9 @@
 				(double)batch_count_waiting(b, occurrence,
 							    step) *
 					(double)st->need.cpu);
-			if (st->is_long_running) {
+			if (st->is_long_running)
 				sum->long_running += cpu;
-				sum->spread_servers =
-					MAX(sum->spread_servers,
-					    spread_servers(st, cpu));
-			} else
+			else
 				sum->finite +=
 					cpu * (double)st->expected_ms / clear;
 		}
@@ -230,6 +206,33 @@
 	return sum;
 }
 
+/*
+ * Servers that the long-running tasks of one step need because the step bounds
+ * its tasks on one server: the most of all steps, as they may share servers.
+ */
+static int count_spread_servers(const struct pool *p)
+{
+	int servers = 0, step;
+	guint i;
+
+	for (i = 0; i < p->jobs->len; i++) {
+		const struct job *j = g_ptr_array_index(p->jobs, i);
+		const struct batch_spec *spec = j->batch->spec;
+
+		if (!j->is_long_running || j->final_at)
+			continue;
+		for (step = 0; step < spec->steps_nr; step++) {
+			const struct batch_step *st = &spec->steps[step];
+
+			if (st->is_long_running && st->per_server_max)
+				servers = MAX(servers,
+					      (st->count + st->per_server_max -
+					       1) / st->per_server_max);
+		}
+	}
+	return servers;
+}
+
 /*
  * Returns the number of servers that the pool's demand needs. A decrease in
  * demand takes effect gradually, an increase at once.
@@ -238,7 +241,7 @@
 {
 	double used = 0, capacity = 0, long_running = 0, arriving, demand;
 	struct backlog waiting = find_backlog(s, p, now);
-	int servers = 0, spread = 0;
+	int servers = 0, spread;
 	guint i;
 
 	for (i = 0; i < p->servers->len; i++) {
@@ -248,7 +251,6 @@
 			continue;
 		used += (double)v->used.cpu;
 		long_running += (double)v->long_running_cpu;
-		spread += v->long_running_cpu > 0;
 		capacity += (double)v->info.capacity.cpu;
 		servers++;
 	}
@@ -277,8 +279,8 @@
 	if (p->server_cpu > 0)
 		servers = (int)ceil(p->demand * SIZE_MARGIN / p->server_cpu) +
 			  policy_of(s)->spare_servers;
-	spread += waiting.spread_servers;
-	if (spread && policy_of(s)->counts_spread)
+	spread = policy_of(s)->counts_spread ? count_spread_servers(p) : 0;
+	if (spread)
 		servers = MAX(servers, spread + policy_of(s)->spare_servers);
 	return MAX(servers, SERVERS_MIN);
 }
