--- a/src/sched/pools/balance.c
+++ b/src/sched/pools/balance.c
@@ -22,12 +22,8 @@
  * pool needs them.
  */
 #define FIRST_DEMAND_WAIT_US (30 * CS_SEC)
-/* A server idle for this long may move to the standby pool. */
-#define IDLE_BEFORE_RELEASE_US (700 * CS_MSEC)
 /* Share of the host service's rate limit that is used for moves. */
 #define MOVE_CALLS_SHARE 0.75
-/* Share of the moves of one pass that may go to the standby pool. */
-#define RELEASE_MOVES_SHARE 0.34
 /* A move that does not show in the host list within this time is dropped. */
 #define MOVE_TIMEOUT_US (6 * CS_SEC)
 /* Interval of the log lines, one per pool. */
@@ -42,8 +38,40 @@
 	cs_time accepted_at;
 };
 
+/* Which pools get hosts, and when hosts move to the standby pool. */
+struct balance_policy {
+	/* What runs and waits comes before what is forecast. */
+	bool fills_present_first;
+	/* A server must have been idle for this long. */
+	cs_time idle_before_release;
+	/* The forecast of its pool must not have risen for this long. */
+	cs_time after_rise;
+	/* Share of the moves of one pass that may go to the standby pool. */
+	double moves_share;
+	/* The first demand of one pool ends the wait of all. */
+	bool waits_once;
+};
+
+static const struct balance_policy balance_by_demand = {
+	.idle_before_release = 700 * CS_MSEC,
+	.moves_share = 0.34,
+};
+
+/*
+ * Two moves cost as much as 2.3 s in a pool, but a server that becomes idle in
+ * a pool that does not rise is seldom needed there within that time.
+ */
+static const struct balance_policy balance_by_forecast = {
+	.fills_present_first = true,
+	.idle_before_release = 500 * CS_MSEC,
+	.after_rise = 1 * CS_SEC,
+	.moves_share = 0.67,
+	.waits_once = true,
+};
+
 struct balance {
 	struct sched *sched;
+	const struct balance_policy *policy;
 	GHashTable *moves; /* host -> struct move */
 	GHashTable *idle_since; /* server id -> cs_time */
 	uint64_t next_ref;
@@ -59,6 +87,9 @@
 	struct balance *b = g_new0(struct balance, 1);
 
 	b->sched = s;
+	b->policy = s->options.policy.has_demand_forecast ?
+			    &balance_by_forecast :
+			    &balance_by_demand;
 	b->moves = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	b->idle_since =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -303,32 +334,51 @@
 }
 
 /*
- * Returns the pool with the lowest share of its target, or NULL if all have
- * reached it. Shares are compared because otherwise a pool with a long backlog
- * would get all hosts first.
+ * Returns the pool with the lowest share of its target, or of what it needs now
+ * for work that runs and waits; NULL if all have reached it. Shares are
+ * compared because otherwise a pool with a long backlog would get all hosts
+ * first.
  */
-static struct pool_plan *find_lowest_share_pool(const GPtrArray *plans)
+static struct pool_plan *find_lowest_share_pool(const GPtrArray *plans,
+						bool is_for_present)
 {
 	struct pool_plan *best = NULL;
+	int need, best_need = 0;
 	guint i;
 
 	for (i = 0; i < plans->len; i++) {
 		struct pool_plan *plan = g_ptr_array_index(plans, i);
 
-		if (plan->is_standby || plan->servers >= plan->target)
+		need = is_for_present ?
+			       MIN(plan->pool->needed_now, plan->target) :
+			       plan->target;
+		if (plan->is_standby || plan->servers >= need)
 			continue;
-		if (!best || (int64_t)plan->servers * best->target <
-				     (int64_t)best->servers * plan->target)
+		if (!best || (int64_t)plan->servers * best_need <
+				     (int64_t)best->servers * need) {
 			best = plan;
+			best_need = need;
+		}
 	}
 	return best;
 }
 
+/* The pool that gets the next host: one where work waits before others. */
+static struct pool_plan *choose_short_pool(const struct balance *b,
+					   const GPtrArray *plans)
+{
+	struct pool_plan *plan = b->policy->fills_present_first ?
+					 find_lowest_share_pool(plans, true) :
+					 NULL;
+
+	return plan ? plan : find_lowest_share_pool(plans, false);
+}
+
 static int fill_short_pools(struct balance *b, GPtrArray *plans, int moves,
 			    cs_time now)
 {
 	while (moves < moves_max(b)) {
-		struct pool_plan *to = find_lowest_share_pool(plans);
+		struct pool_plan *to = choose_short_pool(b, plans);
 		struct order_host *h;
 
 		h = to ? take_surplus_host(plans, to) : NULL;
@@ -436,15 +486,31 @@
 	return moves;
 }
 
+/* True while pools without demand so far keep their initial servers. */
+static bool is_waiting_for_demand(const struct balance *b,
+				  const GPtrArray *plans, cs_time now)
+{
+	guint i;
+
+	if (b->sched->options.token != 1 ||
+	    now - b->sched->started_at >= FIRST_DEMAND_WAIT_US)
+		return false;
+	for (i = 0; b->policy->waits_once && i < plans->len; i++) {
+		const struct pool_plan *plan = g_ptr_array_index(plans, i);
+
+		if (plan->pool->has_seen_demand)
+			return false;
+	}
+	return true;
+}
+
 /* Moves idle hosts that no pool needs to the standby pool. */
 static void release_idle_hosts(struct balance *b, GPtrArray *plans, int moves,
 			       cs_time now)
 {
 	struct pool_plan *standby = NULL;
-	int max = (int)(moves_max(b) * RELEASE_MOVES_SHARE) + 1;
-	bool is_waiting_for_demand = b->sched->options.token == 1 &&
-				     now - b->sched->started_at <
-					     FIRST_DEMAND_WAIT_US;
+	int max = (int)(moves_max(b) * b->policy->moves_share) + 1;
+	bool is_waiting = is_waiting_for_demand(b, plans, now);
 	guint i, k;
 
 	for (i = 0; i < plans->len && !standby; i++) {
@@ -456,7 +522,8 @@
 	for (i = 0; standby && i < plans->len; i++) {
 		struct pool_plan *plan = g_ptr_array_index(plans, i);
 
-		if (!plan->pool->has_seen_demand && is_waiting_for_demand)
+		if ((!plan->pool->has_seen_demand && is_waiting) ||
+		    now - plan->pool->rising_at < b->policy->after_rise)
 			continue;
 		for (k = 0; !plan->is_standby && k < plan->idle->len &&
 			    moves < max && plan->servers > plan->target;
@@ -466,7 +533,7 @@
 				b->sched->server_by_id, h->server);
 
 			if (now - idle_since(b, v, now) <
-				    IDLE_BEFORE_RELEASE_US ||
+				    b->policy->idle_before_release ||
 			    is_lacking(plan->pool, h))
 				continue;
 			plan->servers--;
@@ -508,6 +575,14 @@
 		log_pair_int(pairs, "cpu_room", capacity);
 		log_pair_int(pairs, "cpu_used", used);
 		log_pair_int(pairs, "cpu_demand", (int64_t)plan->pool->demand);
+		log_pair_int(pairs, "cpu_forecast",
+			     (int64_t)plan->pool->arriving.expected);
+		log_pair_int(pairs, "cpu_forecast_error",
+			     (int64_t)plan->pool->arriving.error);
+		log_pair(pairs, "forecast_by",
+			 pool_size_method(b->sched, plan->pool));
+		log_pair_int(pairs, "cpu_backlog",
+			     (int64_t)plan->pool->backlog);
 		log_pair_int(pairs, "jobs", plan->pool->jobs->len);
 		log_pair_int(pairs, "blocked_by_limit",
 			     plan->pool->blocked[BLOCK_LIMIT]);
--- a/src/sched/pools/pool_size.h
+++ b/src/sched/pools/pool_size.h
@@ -7,6 +7,11 @@
 
 /* Begins a rebalancing pass: what is left of limits is computed again. */
 void pool_size_begin(struct sched *s);
+/* Records work that arrives in the pool; units as in demand.h. */
+void pool_size_add_arrival(struct sched *s, struct pool *p, double work,
+			   double duration_ms, cs_time now);
+/* Name of the method that forecasts the pool's arriving work. */
+const char *pool_size_method(const struct sched *s, const struct pool *p);
 /* Number of servers that the pool needs; it decreases gradually. */
 int pool_size_target(struct sched *s, struct pool *p, cs_time now);
 /*
