tests: crowds of callers that hold a process's memory

Clients that stay inside the limits of the interface but stop one byte short and stay open, pipeline requests or don't read answers made an entry hold as much as they sent, and a multiple of it with one-byte chunks or short header lines.

tests/crowd has one test for each kind.

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -65,7 +65,8 @@
 for t in tests/process/test_*.sh; do
 	printf '%s\0%s\0' "${t#tests/}" "$t"
 done | xargs -0 -P $process_jobs -n 2 "$0" one
-for t in tests/soak/test_*.sh tests/fuzz/test_*.sh; do
+# A crowd of callers leaves no processor to others, so these run one at a time.
+for t in tests/crowd/test_*.sh tests/soak/test_*.sh tests/fuzz/test_*.sh; do
 	run_check "${t#tests/}" "$t"
 done
 
