base: one budget of bytes for what callers make a server hold

Clients that keep within the interface's limits could make an entry hold 256 KB per connection, and libevhtp kept an allocation of 1 KB for each chunk of a body, so that 3,000 connections needed up to 7 GB on hosts with 160 MB.

byte_budget charges input, header fields, bodies and unread answers to the account of their connection, where the memory is taken. body_buffer holds a body in one piece, once. Over three quarters of the budget, connections with more than 32 KB are not read; over all of it, the largest unfinished holder is ended with 503, not run. Heads and bodies have a total time (408). A full table ends the oldest unfinished message. Requests are parsed after the answers to earlier ones were read; while one waits, 4 KB are read ahead.

Ended callers are counted and logged, one a second, by address and cause.

Chunk extensions are not understood by libevhtp, before and after; such a request now gets 408.

test_settings: the list of keys in a message names the new key.

--- a/src/base/http_server.c
+++ b/src/base/http_server.c
@@ -5,8 +5,11 @@
 #include <signal.h>
 #include <string.h>
 
+#include "body_buffer.h"
 #include "error.h"
+#include "log.h"
 #include "slots.h"
+#include "task.h"
 
 /* Maximum size of all headers of one request. */
 #define HEADERS_MAX ((size_t)16 * 1024)
@@ -39,8 +42,34 @@
  */
 #define DISCARD_MAX ((size_t)16 * 1024 * 1024)
 
-/* Input that is buffered while a request waits for its response. */
-#define READ_AHEAD_MAX ((size_t)256 * 1024)
+/* Input that is buffered until a head is complete. */
+#define INPUT_MAX ((size_t)2 * HEADERS_MAX)
+
+/* Further input that is buffered while a request waits for its response. */
+#define READ_AHEAD_MAX 4096
+
+/* Bytes that one turn of the event loop reads from a connection. */
+#define READ_MAX ((size_t)16 * 1024)
+
+/* Input that is read and discarded before a connection is closed. */
+#define DISCARD_AT_CLOSE ((size_t)256 * 1024)
+
+/* Memory of one header or query parameter in libevhtp, beside its bytes. */
+#define FIELD_COST 192
+
+/* Used if the owner sets no limits. */
+#define BUFFER_DEFAULT_BODIES 32
+#define HEAD_TIMEOUT_MS 10000
+#define BODY_TIMEOUT_MS 30000
+
+/* Age from which an unfinished message gives way to a new connection. */
+#define GIVE_WAY_AGE CS_SEC
+
+/* Interval of the check for messages that take too long. */
+#define CHECK_INTERVAL 1
+
+/* Shortest time between two logged connections that a limit ended. */
+#define LIMIT_LOG_INTERVAL CS_SEC
 
 struct http_server {
 	struct event_base *base;
@@ -51,6 +80,13 @@
 	const struct http_server_ops *ops;
 	void *ctx;
 	bool is_draining;
+	struct byte_budget *budget;
+	struct event *check_timer; /* runs check_deadlines() */
+	struct event *resume_event; /* runs resume_waiting() */
+	uint32_t waiting_nr; /* connections with is_waiting */
+	cs_handle resumed; /* the last one that resume_waiting() resumed */
+	cs_time limit_logged_at;
+	uint32_t limits_unlogged;
 };
 
 /* One accepted connection. */
@@ -65,6 +101,15 @@
 	size_t input_bytes; /* of the current message, with its headers */
 	bool is_in_message; /* the current message is not complete */
 	bool has_head; /* the head of the current message is complete */
+	bool is_waiting; /* reading stopped until others hold less */
+	struct byte_account *account;
+	struct body_buffer *body;
+	size_t field_bytes; /* charged for the fields of the head */
+	size_t exchange_bytes; /* charged for the body that the owner has */
+	cs_time since; /* begin of an unfinished message, or 0 */
+	cs_time deadline; /* of its head or its body */
+	struct evbuffer_cb_entry *input_cb, *output_cb;
+	const char *limit; /* the limit that ends it, see http_limit */
 	/* libevhtp's own callbacks, called from those of this file. */
 	bufferevent_data_cb read_cb, write_cb;
 	bufferevent_event_cb event_cb;
@@ -101,16 +146,126 @@
 	return EVHTP_RES_BADREQ;
 }
 
+/* Sets the deadline of what the current message lacks: its head or its body. */
+static void set_deadline(struct connection *c, int64_t timeout_ms)
+{
+	const struct timeval tv = { .tv_sec = CHECK_INTERVAL };
+	struct http_server *s = c->server;
+	cs_time now = task_now();
+
+	if (!c->since)
+		c->since = now;
+	c->deadline = now + timeout_ms * CS_MSEC;
+	if (!evtimer_pending(s->check_timer, NULL))
+		evtimer_add(s->check_timer, &tv);
+}
+
+/*
+ * True if the connection may be ended to make room: its message is not
+ * complete, so it never runs, or it doesn't read its answers.
+ */
+static bool can_end(const struct connection *c)
+{
+	return !c->exchange &&
+	       (c->since ||
+		evbuffer_get_length(bufferevent_get_output(c->conn->bev)));
+}
+
+/* Ends a connection for a limit, with a refusal if its message is unfinished.
+ */
+static void end_connection(struct connection *c, const char *limit, int status,
+			   const char *reason)
+{
+	c->limit = limit;
+	if (c->since) {
+		c->refusal_status = status;
+		c->refusal_reason = reason;
+	}
+	evhtp_connection_free(c->conn);
+}
+
+/* The connection to end first, other than c; NULL if there is none. */
+static struct connection *find_largest(struct http_server *s,
+				       const struct connection *c)
+{
+	struct connection *largest = NULL;
+	cs_handle h;
+
+	for (h = slots_next(s->connections, 0); h;
+	     h = slots_next(s->connections, h)) {
+		struct connection *other = slots_get(s->connections, h);
+
+		if (other != c && can_end(other) &&
+		    (!largest ||
+		     byte_account_ends_first(other->account, other->since,
+					     largest->account, largest->since)))
+			largest = other;
+	}
+	return largest;
+}
+
+/*
+ * Makes room for n more bytes of a connection by ending larger holders. False
+ * if the connection itself is to be ended.
+ */
+static bool make_room(struct connection *c, size_t n)
+{
+	struct http_server *s = c->server;
+
+	while (!byte_budget_has_room(s->budget, n)) {
+		struct connection *largest = find_largest(s, c);
+
+		if (!largest || byte_account_bytes(largest->account) <
+					byte_account_bytes(c->account) + n)
+			return false;
+		end_connection(largest, "memory", 503, "overloaded");
+	}
+	return true;
+}
+
+/* Stops the parser of a connection for which there is no memory. */
+static evhtp_res stop_for_memory(struct connection *c)
+{
+	c->limit = "memory";
+	return stop_parser(c, 503, "overloaded");
+}
+
+/* Charges the memory of one field of the head. */
+static evhtp_res charge_field(struct connection *c, size_t bytes)
+{
+	bytes += FIELD_COST;
+	if (!make_room(c, bytes))
+		return stop_for_memory(c);
+	byte_account_charge(c->account, bytes);
+	c->field_bytes += bytes;
+	return EVHTP_RES_OK;
+}
+
 static evhtp_res on_header(evhtp_request_t *req, evhtp_header_t *header,
 			   void *arg)
 {
 	struct connection *c = arg;
 
 	(void)req;
+	/* libevhtp parses by itself what came while a request waited. */
+	if (!c->since)
+		set_deadline(c, c->server->options.head_timeout_ms);
 	c->header_bytes += header->klen + header->vlen;
 	if (c->header_bytes > HEADERS_MAX)
 		return stop_parser(c, 431, "header_too_large");
-	return EVHTP_RES_OK;
+	return charge_field(c, header->klen + header->vlen);
+}
+
+/* Charges the memory of the parsed query. */
+static evhtp_res charge_query(struct connection *c, const char *query)
+{
+	evhtp_res res = EVHTP_RES_OK;
+
+	for (; query && res == EVHTP_RES_OK; query = strpbrk(query, "&;")) {
+		query += strspn(query, "&;");
+		res = charge_field(c, strcspn(query, "&;"));
+	}
+	return res;
 }
 
 /*
@@ -124,6 +279,10 @@
 	struct connection *c = arg;
 	size_t body_max = c->server->options.body_max;
 
+	if (!c->has_head) {
+		c->has_head = true;
+		set_deadline(c, c->server->options.body_timeout_ms);
+	}
 	if (evhtp_header_find(headers, "Transfer-Encoding") &&
 	    evhtp_header_find(headers, "Content-Length"))
 		return stop_parser(c, 400, "ambiguous_length");
@@ -132,25 +291,35 @@
 	/* Without a query libevhtp parses a form body as the query. */
 	if (!req->uri->query)
 		req->uri->query = evhtp_query_new();
-	return EVHTP_RES_OK;
+	body_buffer_expect(c->body,
+			   MIN(evhtp_request_content_len(req), body_max));
+	return charge_query(c, (const char *)req->uri->query_raw);
 }
 
 /*
- * Discards up to DISCARD_MAX bytes of a body over the limit, so that the caller
- * receives the refusal; a longer body ends the connection.
+ * Moves a piece of the body to the connection's own buffer, as libevhtp would
+ * keep an allocation for each chunk. Discards up to DISCARD_MAX bytes of a body
+ * over the limit, so that the caller receives the refusal; a longer body ends
+ * the connection.
  */
 static evhtp_res on_read(evhtp_request_t *req, struct evbuffer *buf, void *arg)
 {
 	struct connection *c = arg;
 	size_t body_max = c->server->options.body_max;
+	size_t len = evbuffer_get_length(buf);
 
-	c->body_bytes += evbuffer_get_length(buf);
-	if (c->body_bytes <= body_max)
-		return EVHTP_RES_OK;
+	(void)req;
+	c->body_bytes += len;
 	if (c->body_bytes > body_max + DISCARD_MAX)
 		return stop_parser(c, 413, "body_too_large");
-	evbuffer_drain(buf, evbuffer_get_length(buf));
-	evbuffer_drain(req->buffer_in, evbuffer_get_length(req->buffer_in));
+	if (c->body_bytes > body_max) {
+		evbuffer_drain(buf, len);
+		body_buffer_clear(c->body);
+		return EVHTP_RES_OK;
+	}
+	if (!make_room(c, body_buffer_growth(c->body, len)))
+		return stop_for_memory(c);
+	body_buffer_append(c->body, buf);
 	return EVHTP_RES_OK;
 }
 
@@ -160,6 +329,9 @@
 	struct connection *c = arg;
 
 	(void)req;
+	byte_account_release(c->account, c->field_bytes);
+	c->field_bytes = 0;
+	body_buffer_clear(c->body);
 	c->is_in_message = true;
 	c->header_bytes = 0;
 	c->body_bytes = 0;
@@ -167,6 +339,13 @@
 	return EVHTP_RES_OK;
 }
 
+/* Takes what the owner held for an exchange off the account. */
+static void release_exchange(struct connection *c)
+{
+	byte_account_release(c->account, c->exchange_bytes);
+	c->exchange_bytes = 0;
+}
+
 /* Ends an exchange without a response. */
 static void drop_exchange(struct connection *c)
 {
@@ -176,6 +355,7 @@
 	if (!h)
 		return;
 	s->ops->on_disconnect(s->ctx, h);
+	release_exchange(c);
 	c->exchange = 0;
 	slots_free(s->exchanges, h);
 }
@@ -233,7 +413,7 @@
 			 MSG_DONTWAIT);
 		if (n > 0)
 			total += (size_t)n;
-	} while (n > 0 && total < READ_AHEAD_MAX);
+	} while (n > 0 && total < DISCARD_AT_CLOSE);
 	/* A failure affects only this caller, so it is ignored. */
 	(void)!send(c->conn->sock, out->str, out->len,
 		    MSG_DONTWAIT | MSG_NOSIGNAL);
@@ -260,6 +440,52 @@
 		s->ops->on_refused(s->ctx, &refusal);
 }
 
+/* Tells the owner that a limit ended a connection. */
+static void report_limit(struct connection *c)
+{
+	struct http_server *s = c->server;
+	cs_time now = task_now();
+	struct http_limit limit = {
+		.peer = c->peer,
+		.cause = c->limit,
+		.bytes = byte_account_bytes(c->account),
+		.is_logged = now - s->limit_logged_at >= LIMIT_LOG_INTERVAL,
+		.unlogged = s->limits_unlogged,
+	};
+
+	s->limits_unlogged = limit.is_logged ? 0 : limit.unlogged + 1;
+	if (limit.is_logged)
+		s->limit_logged_at = now;
+	if (s->ops->on_limit)
+		s->ops->on_limit(s->ctx, &limit);
+}
+
+/* Frees what a connection holds, and the row. */
+static void free_row(struct connection *c)
+{
+	struct http_server *s = c->server;
+	struct bufferevent *bev = c->conn->bev;
+
+	/* libevhtp frees the request after the connection's row. */
+	if (c->conn->hooks)
+		c->conn->hooks->on_request_fini = NULL;
+	if (c->input_cb)
+		evbuffer_remove_cb_entry(bufferevent_get_input(bev),
+					 c->input_cb);
+	if (c->output_cb)
+		evbuffer_remove_cb_entry(bufferevent_get_output(bev),
+					 c->output_cb);
+	if (c->read_timer)
+		event_free(c->read_timer);
+	body_buffer_destroy(c->body);
+	byte_account_destroy(c->account);
+	if (c->is_waiting)
+		s->waiting_nr--;
+	slots_free(s->connections, c->self);
+	if (s->waiting_nr)
+		event_active(s->resume_event, EV_TIMEOUT, 0);
+}
+
 /*
  * Frees the row when libevhtp closes the connection, and sends the refusal of a
  * message that the parser or a hook rejected.
@@ -272,16 +498,21 @@
 	drop_exchange(c);
 	if (conn->parser)
 		error = htparser_get_error(conn->parser);
-	if (c->refusal_reason)
-		refuse_connection(c, c->refusal_status, c->refusal_reason, 0);
+	if (evbuffer_get_length(bufferevent_get_output(conn->bev)))
+		/* A refusal would be read as the rest of another answer. */;
+	else if (c->refusal_reason)
+		refuse_connection(c, c->refusal_status, c->refusal_reason,
+				  c->refusal_status == 503 ? CS_SEC / CS_MSEC :
+							     0);
 	else if (c->is_in_message && error == htparse_error_too_big &&
 		 c->input_bytes > PARSER_FIELD_MAX)
 		refuse_connection(c, 431, "header_too_large", 0);
 	else if (c->is_in_message && error != htparse_error_none &&
 		 error != htparse_error_user)
 		refuse_connection(c, 400, "bad_http", 0);
-	event_free(c->read_timer);
-	slots_free(c->server->connections, c->self);
+	if (c->limit)
+		report_limit(c);
+	free_row(c);
 	return EVHTP_RES_OK;
 }
 
@@ -300,6 +531,31 @@
 		bufferevent_enable(c->conn->bev, EV_READ);
 }
 
+/*
+ * Makes room in the table of connections: ends the one whose message has been
+ * unfinished for longest. False if all are younger.
+ */
+static bool end_slowest(struct http_server *s)
+{
+	cs_time oldest = task_now() - GIVE_WAY_AGE;
+	struct connection *slowest = NULL;
+	cs_handle h;
+
+	for (h = slots_next(s->connections, 0); h;
+	     h = slots_next(s->connections, h)) {
+		struct connection *c = slots_get(s->connections, h);
+
+		if (c->exchange || !c->since || c->since > oldest)
+			continue;
+		slowest = c;
+		oldest = c->since;
+	}
+	if (!slowest)
+		return false;
+	end_connection(slowest, "connections", 503, "too_many_connections");
+	return true;
+}
+
 /* Refuses a connection with a row on the stack, since the table is full. */
 static void refuse_full(struct http_server *s, evhtp_connection_t *conn)
 {
@@ -339,28 +595,134 @@
 	       evbuffer_get_length(in) > HEADERS_MAX;
 }
 
+/* Stops reading if the connection holds too much while memory is short. */
+static void wait_for_memory(struct connection *c)
+{
+	/* While an exchange is open, READ_AHEAD_MAX bounds the input. */
+	if (c->exchange || c->is_waiting || !byte_account_must_wait(c->account))
+		return;
+	bufferevent_disable(c->conn->bev, EV_READ);
+	c->is_waiting = true;
+	c->server->waiting_nr++;
+}
+
+/* Reads again for as many connections as the memory allows, in turn. */
+static void resume_waiting(evutil_socket_t fd, short events, void *arg)
+{
+	struct http_server *s = arg;
+	size_t room = byte_budget_readable(s->budget);
+	uint32_t left = slots_count(s->connections);
+
+	(void)fd;
+	(void)events;
+	for (; s->waiting_nr && room >= READ_MAX && left; left--) {
+		struct connection *c;
+
+		s->resumed = slots_next(s->connections, s->resumed);
+		if (!s->resumed)
+			s->resumed = slots_next(s->connections, 0);
+		c = slots_get(s->connections, s->resumed);
+		if (!c || !c->is_waiting)
+			continue;
+		c->is_waiting = false;
+		s->waiting_nr--;
+		room -= READ_MAX;
+		bufferevent_enable(c->conn->bev, EV_READ);
+	}
+}
+
+/* Ends a connection whose message took too long. */
+static void end_late(struct connection *c)
+{
+	if (c->is_waiting)
+		end_connection(c, "memory", 503, "overloaded");
+	else
+		end_connection(c, c->has_head ? "slow_body" : "slow_head", 408,
+			       "request_timeout");
+}
+
+/* Ends the connections past their deadline; runs while any has one. */
+static void check_deadlines(evutil_socket_t fd, short events, void *arg)
+{
+	const struct timeval tv = { .tv_sec = CHECK_INTERVAL };
+	struct http_server *s = arg;
+	cs_time now = task_now();
+	bool has_deadline = false;
+	cs_handle h;
+
+	(void)fd;
+	(void)events;
+	for (h = slots_next(s->connections, 0); h;
+	     h = slots_next(s->connections, h)) {
+		struct connection *c = slots_get(s->connections, h);
+
+		if (!c->since)
+			continue;
+		if (c->deadline <= now)
+			end_late(c);
+		else
+			has_deadline = true;
+	}
+	if (has_deadline)
+		evtimer_add(s->check_timer, &tv);
+	if (s->waiting_nr)
+		event_active(s->resume_event, EV_TIMEOUT, 0);
+}
+
 /*
- * libevhtp's parser adds a stray byte to a path that comes in two reads, so a
- * head is passed on only when it is complete.
+ * True if the input may be parsed: a head is complete, and the answers to
+ * former requests were read. libevhtp's parser adds a stray byte to a path that
+ * comes in two reads, so a head is passed on only when it is complete.
  */
+static bool can_parse(struct connection *c, struct bufferevent *bev)
+{
+	if (c->has_head || c->exchange)
+		return true;
+	drop_empty_lines(bufferevent_get_input(bev));
+	if (!evbuffer_get_length(bufferevent_get_input(bev)))
+		return false;
+	if (evbuffer_get_length(bufferevent_get_output(bev)))
+		return false;
+	if (!c->since)
+		set_deadline(c, c->server->options.head_timeout_ms);
+	if (!is_head_complete(bufferevent_get_input(bev)))
+		return false;
+	c->has_head = true;
+	set_deadline(c, c->server->options.body_timeout_ms);
+	return true;
+}
+
 static void on_readable(struct bufferevent *bev, void *arg)
 {
 	struct connection *c = arg;
+	struct http_server *s = c->server;
+	cs_handle self = c->self;
 
-	if (!c->has_head) {
-		drop_empty_lines(bufferevent_get_input(bev));
-		if (!is_head_complete(bufferevent_get_input(bev)))
-			return;
-		c->has_head = true;
+	if (!c->exchange && !make_room(c, 0)) {
+		end_connection(c, "memory", 503, "overloaded");
+		return;
 	}
-	c->read_cb(bev, c->conn);
+	if (can_parse(c, bev))
+		c->read_cb(bev, c->conn);
+	c = slots_get(s->connections, self);
+	if (c)
+		wait_for_memory(c);
 }
 
 static void on_writable(struct bufferevent *bev, void *arg)
 {
 	struct connection *c = arg;
+	struct http_server *s = c->server;
+	cs_handle self = c->self;
 
 	c->write_cb(bev, c->conn);
+	c = slots_get(s->connections, self);
+	/* Input that came before the answers were read. */
+	if (c && !c->exchange && !c->has_head &&
+	    evbuffer_get_length(bufferevent_get_input(bev)))
+		on_readable(bev, c);
+	if (s->waiting_nr)
+		event_active(s->resume_event, EV_TIMEOUT, 0);
 }
 
 static void on_bev_event(struct bufferevent *bev, short events, void *arg)
@@ -377,6 +739,18 @@
 
 	(void)buf;
 	c->input_bytes += info->n_added;
+	byte_account_charge(c->account, info->n_added);
+	byte_account_release(c->account, info->n_deleted);
+}
+
+static void count_output(struct evbuffer *buf,
+			 const struct evbuffer_cb_info *info, void *arg)
+{
+	struct connection *c = arg;
+
+	(void)buf;
+	byte_account_charge(c->account, info->n_added);
+	byte_account_release(c->account, info->n_deleted);
 }
 
 /* Creates the row of a new connection. An error closes the connection. */
@@ -400,6 +774,8 @@
 	size_t i;
 
 	h = slots_alloc(s->connections, (void **)&c);
+	if (!h && end_slowest(s))
+		h = slots_alloc(s->connections, (void **)&c);
 	if (!h) {
 		refuse_full(s, conn);
 		return EVHTP_RES_ERROR;
@@ -408,17 +784,23 @@
 	c->self = h;
 	c->conn = conn;
 	c->is_in_message = true;
+	c->account = byte_account_create(s->budget);
+	c->body = body_buffer_create(c->account);
 	c->read_timer = evtimer_new(conn->evbase, resume_reading, c);
 	if (!c->read_timer) {
-		slots_free(s->connections, h);
+		free_row(c);
 		return EVHTP_RES_ERROR;
 	}
 	http_address_format(conn->saddr, c->peer);
 	for (i = 0; i < G_N_ELEMENTS(hooks); i++)
 		evhtp_connection_set_hook(conn, hooks[i].type, hooks[i].hook,
 					  c);
-	evbuffer_add_cb(bufferevent_get_input(conn->bev), count_input, c);
-	bufferevent_setwatermark(conn->bev, EV_READ, 0, READ_AHEAD_MAX);
+	c->input_cb = evbuffer_add_cb(bufferevent_get_input(conn->bev),
+				      count_input, c);
+	c->output_cb = evbuffer_add_cb(bufferevent_get_output(conn->bev),
+				       count_output, c);
+	bufferevent_set_max_single_read(conn->bev, READ_MAX);
+	bufferevent_setwatermark(conn->bev, EV_READ, 0, INPUT_MAX);
 	bufferevent_getcb(conn->bev, &c->read_cb, &c->write_cb, &c->event_cb,
 			  NULL);
 	bufferevent_setcb(conn->bev, on_readable, on_writable, on_bev_event, c);
@@ -453,15 +835,6 @@
 	return 0;
 }
 
-static GBytes *take_body(struct evbuffer *buf)
-{
-	size_t len = evbuffer_get_length(buf);
-	void *data = g_malloc(len ? len : 1);
-
-	evbuffer_remove(buf, data, len);
-	return g_bytes_new_take(data, len);
-}
-
 /* Passes the request to the owner, as plain data. */
 static void deliver_request(struct connection *c, cs_handle h,
 			    evhtp_request_t *req)
@@ -474,7 +847,7 @@
 		.method = request_method(req),
 		.path = path && path->full ? path->full : "",
 		.query = query ? query : "",
-		.body = take_body(req->buffer_in),
+		.body = body_buffer_take(c->body, &c->exchange_bytes),
 	};
 
 	evhtp_kvs_for_each(req->headers_in, add_header, headers);
@@ -519,6 +892,7 @@
 
 	c->is_in_message = false;
 	c->has_head = false; /* what follows is the next message */
+	c->since = 0;
 	h = slots_alloc(s->exchanges, (void **)&x);
 	if (!h) {
 		/* Not reached: a connection has one exchange at a time. */
@@ -539,6 +913,7 @@
 		return; /* answered at once */
 	x->is_paused = true;
 	evhtp_request_pause(req);
+	bufferevent_setwatermark(req->conn->bev, EV_READ, 0, READ_AHEAD_MAX);
 	/* The response may take longer than the idle timeout. */
 	bufferevent_set_timeouts(req->conn->bev, NULL, &send_timeout);
 	event_active(c->read_timer, EV_TIMEOUT, 0);
@@ -616,6 +991,7 @@
 	req = x->req;
 	was_paused = x->is_paused;
 	x->connection->exchange = 0;
+	release_exchange(x->connection);
 	slots_free(s->exchanges, h);
 	if (status < 200 || status > 599)
 		status = 500;
@@ -626,6 +1002,7 @@
 	}
 	evhtp_send_reply(req, (evhtp_res)status);
 	if (was_paused) {
+		bufferevent_setwatermark(req->conn->bev, EV_READ, 0, INPUT_MAX);
 		bufferevent_set_timeouts(req->conn->bev, &idle_timeout,
 					 &send_timeout);
 		/* libevhtp requires the reply before the resume. */
@@ -650,6 +1027,23 @@
 	return was_open;
 }
 
+void http_count_limit(struct counters *counters, const char *name,
+		      const struct http_limit *limit)
+{
+	char labels[32];
+
+	g_snprintf(labels, sizeof(labels), "cause=\"%s\"", limit->cause);
+	counters_add(counters, name, labels, 1);
+}
+
+void http_log_limit(GString *pairs, const struct http_limit *limit)
+{
+	log_pair(pairs, "event", "caller_ended");
+	log_pair(pairs, "cause", limit->cause);
+	log_pair_int(pairs, "held_bytes", (int64_t)limit->bytes);
+	log_pair_int(pairs, "unlogged", limit->unlogged);
+}
+
 void *http_server_row(const struct http_server *s, cs_handle h)
 {
 	struct exchange *x = slots_get(s->exchanges, h);
@@ -672,6 +1066,11 @@
 	return slots_count(s->connections);
 }
 
+size_t http_server_held_bytes(const struct http_server *s)
+{
+	return byte_budget_used(s->budget);
+}
+
 /* Returns CS_OK, or an error code with err filled in. */
 static int listen_at(struct http_server *s, const char *address,
 		     struct cs_error *err)
@@ -702,14 +1101,25 @@
 	pthread_sigmask(SIG_BLOCK, &pipe_signal, NULL);
 	s->base = base;
 	s->options = *options;
+	if (!s->options.buffer_max)
+		s->options.buffer_max =
+			BUFFER_DEFAULT_BODIES * (options->body_max + READ_MAX);
+	if (!s->options.head_timeout_ms)
+		s->options.head_timeout_ms = HEAD_TIMEOUT_MS;
+	if (!s->options.body_timeout_ms)
+		s->options.body_timeout_ms = BODY_TIMEOUT_MS;
 	s->ops = ops;
 	s->ctx = ctx;
+	s->budget = byte_budget_create(s->options.buffer_max);
+	s->check_timer = evtimer_new(base, check_deadlines, s);
+	s->resume_event = evtimer_new(base, resume_waiting, s);
 	s->connections = slots_create(sizeof(struct connection),
 				      options->connections_max);
 	s->exchanges = slots_create(ROW_OFFSET + options->row_size,
 				    options->connections_max);
 	s->htp = evhtp_new(base, s);
-	if (!s->connections || !s->exchanges || !s->htp) {
+	if (!s->connections || !s->exchanges || !s->htp || !s->check_timer ||
+	    !s->resume_event) {
 		cs_error_set(err, CS_ERR_NOMEM, options->name, NULL,
 			     "out of memory");
 		goto fail;
@@ -747,7 +1157,12 @@
 		event_base_loop(s->base, EVLOOP_NONBLOCK);
 	if (s->htp)
 		evhtp_free(s->htp);
+	if (s->check_timer)
+		event_free(s->check_timer);
+	if (s->resume_event)
+		event_free(s->resume_event);
 	slots_destroy(s->exchanges);
 	slots_destroy(s->connections);
+	byte_budget_destroy(s->budget);
 	g_free(s);
 }
--- a/src/base/http_server.h
+++ b/src/base/http_server.h
@@ -16,10 +16,27 @@
 	const char *address; /* to listen at */
 	size_t body_max; /* largest request body, in bytes */
 	uint32_t connections_max;
+	/*
+	 * Bytes that all callers together may make the server hold: input,
+	 * headers, bodies and answers that are not read. 0: some bodies of the
+	 * largest size.
+	 */
+	size_t buffer_max;
+	/* Longest time for a head, and for the body after it; 0: defaults. */
+	int64_t head_timeout_ms, body_timeout_ms;
 	size_t row_size; /* bytes of owner data in each exchange, zeroed */
 };
 
-/* Callbacks of the owner. on_refused may be NULL. */
+/* A connection that the server ended because of one of its limits. */
+struct http_limit {
+	const char *peer;
+	const char *cause; /* "memory", "slow_head", ... */
+	size_t bytes; /* that it held */
+	bool is_logged; /* at most one a second is to be logged */
+	uint32_t unlogged; /* such connections since the last one logged */
+};
+
+/* Callbacks of the owner. on_refused and on_limit may be NULL. */
 struct http_server_ops {
 	/* A whole request; req is valid only during the call. */
 	void (*on_request)(void *ctx, cs_handle exchange,
@@ -28,6 +45,8 @@
 	void (*on_disconnect)(void *ctx, cs_handle exchange);
 	/* The server refused a message without calling on_request(). */
 	void (*on_refused)(void *ctx, const struct http_refusal *refusal);
+	/* A limit ended a connection; on_refused() may be called as well. */
+	void (*on_limit)(void *ctx, const struct http_limit *limit);
 };
 
 /*
@@ -64,7 +83,17 @@
 bool http_server_refuse(struct http_server *server, cs_handle exchange,
 			const struct http_refusal *refusal);
 
+/* Counts a connection that a limit ended, by cause. */
+void http_count_limit(struct counters *counters, const char *name,
+		      const struct http_limit *limit);
+
+/* Appends event, cause and size of such a connection as pairs. */
+void http_log_limit(GString *pairs, const struct http_limit *limit);
+
 /* Number of open connections. */
 uint32_t http_server_connections(const struct http_server *server);
 
+/* Bytes that callers make the server hold. */
+size_t http_server_held_bytes(const struct http_server *server);
+
 #endif
--- a/src/base/http_util.c
+++ b/src/base/http_util.c
@@ -26,6 +26,8 @@
 	switch (status) {
 	case 400:
 		return "Bad Request";
+	case 408:
+		return "Request Timeout";
 	case 413:
 		return "Content Too Large";
 	case 431:
--- a/src/entry/entry_run.c
+++ b/src/entry/entry_run.c
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include "../admin/admin.h"
+#include "../base/byte_budget.h"
 #include "../base/error.h"
 #include "../base/process.h"
 #include "../base/task.h"
@@ -91,8 +92,15 @@
 static int start_servers(struct tasks *t, const struct settings *s,
 			 struct cs_error *err)
 {
-	struct front_options fo = { .body_max = (size_t)s->body_max,
-				    .connections_max = s->connections_max };
+	struct front_options fo = {
+		.body_max = (size_t)s->body_max,
+		.connections_max = s->connections_max,
+		.buffer_max = byte_budget_size((size_t)s->buffer_max,
+					       (size_t)s->memory,
+					       (size_t)s->body_max),
+		.head_timeout_ms = s->head_timeout_ms,
+		.body_timeout_ms = s->body_timeout_ms,
+	};
 	struct admin_options ao = { 0 };
 
 	cs_copy(ao.address, sizeof(ao.address), s->admin_address);
--- a/src/front/front.c
+++ b/src/front/front.c
@@ -59,6 +59,22 @@
 	http_count_refusal(f->counters, refusals_total, refusal->reason);
 }
 
+/* Counts and logs a connection that a limit ended. */
+static void on_limit(void *ctx, const struct http_limit *limit)
+{
+	struct front *f = ctx;
+	GString *pairs;
+
+	http_count_limit(f->counters, "front_callers_ended_total", limit);
+	if (!limit->is_logged)
+		return;
+	pairs = g_string_new(NULL);
+	http_log_limit(pairs, limit);
+	log_write(bus_log(f->bus), LOG_WARN, "front", "receive", limit->peer,
+		  NULL, pairs->str);
+	g_string_free(pairs, TRUE);
+}
+
 static void refuse(struct front *f, cs_handle exchange,
 		   const struct http_refusal *refusal)
 {
@@ -154,6 +170,8 @@
 {
 	counters_set(f->counters, "front_open_connections", "",
 		     http_server_connections(f->server));
+	counters_set(f->counters, "front_held_bytes", "",
+		     (int64_t)http_server_held_bytes(f->server));
 	bus_post(f->bus, BUS_FRONT,
 		 msg_metrics_reply(caller, BUS_FRONT, f->counters));
 }
@@ -185,6 +203,7 @@
 		.on_request = on_request,
 		.on_disconnect = on_disconnect,
 		.on_refused = on_refused,
+		.on_limit = on_limit,
 	};
 	struct front *f = state;
 	struct http_server_options options = {
@@ -192,6 +211,9 @@
 		.address = f->options.address,
 		.body_max = f->options.body_max,
 		.connections_max = (uint32_t)MAX(f->options.connections_max, 1),
+		.buffer_max = f->options.buffer_max,
+		.head_timeout_ms = f->options.head_timeout_ms,
+		.body_timeout_ms = f->options.body_timeout_ms,
 		.row_size = sizeof(struct front_exchange),
 	};
 
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -10,6 +10,8 @@
 	char address[CS_ADDRESS_MAX]; /* where it listens */
 	size_t body_max; /* bytes of a request body */
 	int connections_max;
+	size_t buffer_max; /* as in struct http_server_options, like the next */
+	int64_t head_timeout_ms, body_timeout_ms;
 };
 
 /* Starts to listen. Returns NULL and fills err on failure. */
--- a/src/settings/node_settings.c
+++ b/src/settings/node_settings.c
@@ -19,6 +19,10 @@
 		name, &settings_duration, offset, 0, max, "ms", default_value  \
 	}
 
+/* Bounds of the machine's memory, in bytes. */
+#define MEMORY_MIN (INT64_C(16) << 20)
+#define MEMORY_MAX (INT64_C(1) << 40)
+
 static const struct settings_key node_keys[] = {
 	NAME("name", FIELD(name)),
 	NAME("data_centre", FIELD(data_centre)),
@@ -30,6 +34,9 @@
 	/* The default is the share of an entry on a usual small host. */
 	{ "cpu_share", &settings_thousandths, FIELD(cpu_share), 1, 1024000,
 	  "cores", "0.25" },
+	/* The default is the memory of the smallest usual host. */
+	{ "memory", &settings_size, FIELD(memory), MEMORY_MIN, MEMORY_MAX,
+	  "bytes", "160m" },
 	/* The platform kills a process 6 s after asking it to stop. */
 	{ "drain", &settings_duration, FIELD(drain_ms), 100, 60000, "ms",
 	  "4s" },
@@ -44,6 +51,13 @@
 	  "connections", "3000" },
 	{ "body_max", &settings_size, FIELD(body_max), 1024,
 	  INT64_C(1024) * 1024, "bytes", "256k" },
+	/* Many times what a caller on a slow link needs. */
+	{ "head_timeout", &settings_duration, FIELD(head_timeout_ms), 1000,
+	  600000, "ms", "10s" },
+	{ "body_timeout", &settings_duration, FIELD(body_timeout_ms), 1000,
+	  600000, "ms", "30s" },
+	{ "buffer_max", &settings_size, FIELD(buffer_max), 0, MEMORY_MAX,
+	  "bytes", "0" },
 };
 
 static const struct settings_key store_keys[] = {
--- a/src/settings/node_settings.h
+++ b/src/settings/node_settings.h
@@ -22,6 +22,10 @@
 	int cpu_share; /* thousandths of a core */
 	int connections_max; /* of callers */
 	int64_t body_max; /* bytes */
+	int64_t memory; /* bytes, of the machine */
+	int64_t buffer_max; /* bytes that callers fill; 0: a share of memory */
+	int64_t head_timeout_ms; /* longest time for the head of a request */
+	int64_t body_timeout_ms; /* longest time for its body */
 	int64_t drain_ms; /* longest wait for requests in progress */
 	int64_t lease_min_ms; /* shortest lease that the store grants */
 	int64_t holder_pause_ms; /* between two holders of host orders */
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -19,6 +19,10 @@
 		name, &settings_address, offset, 0, 0, "", NULL                \
 	}
 
+/* Bounds of the machine's memory, in bytes. */
+#define MEMORY_MIN (INT64_C(16) << 20)
+#define MEMORY_MAX (INT64_C(1) << 40)
+
 static const struct settings_key entry_keys[] = {
 	NAME("id", FIELD(id)),
 	NAME("data_centre", FIELD(data_centre)),
@@ -28,6 +32,9 @@
 	/* The core's mailbox holds 8192 messages; no pool needs more. */
 	{ "queue_depth", &settings_count, FIELD(queue_depth), 1, 8192,
 	  "requests", "1024" },
+	/* The default is what control may take on a node. */
+	{ "memory", &settings_size, FIELD(memory), MEMORY_MIN, MEMORY_MAX,
+	  "bytes", "256m" },
 	/* The default deadline of short work is 30 s. */
 	{ "drain", &settings_duration, FIELD(drain_ms), 100, 600000, "ms",
 	  "30s" },
@@ -43,6 +50,13 @@
 	 */
 	{ "body_max", &settings_size, FIELD(body_max), 1024,
 	  INT64_C(1024) * 1024, "bytes", "512k" },
+	/* Many times what a caller on a slow link needs. */
+	{ "head_timeout", &settings_duration, FIELD(head_timeout_ms), 1000,
+	  600000, "ms", "10s" },
+	{ "body_timeout", &settings_duration, FIELD(body_timeout_ms), 1000,
+	  600000, "ms", "30s" },
+	{ "buffer_max", &settings_size, FIELD(buffer_max), 0, MEMORY_MAX,
+	  "bytes", "0" },
 };
 
 /* 16 characters of hexadecimal are 64 bits; fewer could be guessed. */
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -23,6 +23,10 @@
 	int connections_max; /* of callers */
 	int worker_connections_max; /* to each worker */
 	int64_t body_max; /* bytes */
+	int64_t memory; /* bytes, of the machine */
+	int64_t buffer_max; /* bytes that callers fill; 0: a share of memory */
+	int64_t head_timeout_ms; /* longest time for the head of a request */
+	int64_t body_timeout_ms; /* longest time for its body */
 	int64_t platform_timeout_ms;
 	int64_t connect_timeout_ms;
 	int64_t drain_ms; /* longest wait for requests in progress */
--- a/tests/unit/test_settings.c
+++ b/tests/unit/test_settings.c
@@ -150,7 +150,7 @@
 	  "F:3: entry.id: got \"id\" again, expected it once (see line 2)" },
 	{ "id = e9\n", "id = e9\nhost = h\n",
 	  "F:3: entry.host: got \"host\", expected one of id, data_centre, "
-	  "log_level, isolated, queue_depth, drain" },
+	  "log_level, isolated, queue_depth, memory, drain" },
 	{ "id = e9\n", "id = e2\n",
 	  "F:13: peer e2: got \"e2\", expected another entry than entry.id" },
 	{ "id = e9\n", "id = e9\nlog_level = loud\n",
