--- a/src/base/http_server.c
+++ b/src/base/http_server.c
@@ -421,7 +421,10 @@
 	g_bytes_unref(body);
 }
 
-/* Refuses a request that never became an exchange. */
+/*
+ * Refuses a request that never became an exchange. After a limit the outcome is
+ * "unknown": the request was well-formed so far, and may repeat an earlier one.
+ */
 static void refuse_connection(struct connection *c, int status,
 			      const char *reason, int64_t retry_after_ms)
 {
@@ -429,7 +432,7 @@
 	struct http_refusal refusal = {
 		.status = status,
 		.reason = reason,
-		.outcome = "not_run",
+		.outcome = c->limit ? "unknown" : "not_run",
 		.step = s->options.name,
 		.peer = c->peer,
 		.retry_after_ms = retry_after_ms,
