base: bound the head of a response

libevent bounds the body of a response as told, but the head only if told so: a server that sends header lines without an end made the caller hold all of them. Heads of responses may have 64 KB. The test sends a head, a chunked body and a body of no stated length without an end; before, it ended after 64 MB.

--- a/src/base/http_client.c
+++ b/src/base/http_client.c
@@ -46,6 +46,9 @@
 /* Longest path with its query, in bytes. */
 #define PATH_MAX_LEN 8192
 
+/* Largest head of a response, which libevent does not bound by itself. */
+#define HEAD_MAX (64 * 1024)
+
 struct pool {
 	char key[CS_ADDRESS_MAX + 8];
 	char address[CS_ADDRESS_MAX];
@@ -405,6 +408,7 @@
 	evhttp_connection_set_timeout_tv(conn->evcon, &tv);
 	evhttp_connection_set_max_body_size(
 		conn->evcon, (ev_ssize_t)c->options.response_max);
+	evhttp_connection_set_max_headers_size(conn->evcon, HEAD_MAX);
 	evhttp_connection_set_closecb(conn->evcon, on_close, conn);
 	conn->pool = pool;
 	pool->open++;
--- a/tests/unit/test_http_client.c
+++ b/tests/unit/test_http_client.c
@@ -3,6 +3,7 @@
 #include <errno.h>
 #include <event2/event.h>
 #include <stdatomic.h>
+#include <string.h>
 #include <sys/socket.h>
 
 #include "../../src/base/http_client.h"
@@ -187,6 +188,66 @@
 	scripted_stop(server);
 }
 
+#define ENDLESS_MAX ((size_t)64 * 1024 * 1024)
+/* What the sockets of both sides may hold. */
+#define ENDLESS_BOUND ((size_t)24 * 1024 * 1024)
+
+static const char *endless_start, *endless_piece;
+static atomic_size_t endless_sent;
+
+/* Sends the same piece until the client closes the connection. */
+static void answer_without_end(struct scripted *s, int fd)
+{
+	size_t len = strlen(endless_piece), sent = 0;
+
+	g_free(scripted_read(s, fd));
+	scripted_write(fd, "%s", endless_start);
+	while (sent < ENDLESS_MAX &&
+	       send(fd, endless_piece, len, MSG_NOSIGNAL) == (ssize_t)len)
+		sent += len;
+	atomic_store(&endless_sent, sent);
+}
+
+/* Guards against a response without an end that takes all memory. */
+static void response_without_end_is_cut(void **state)
+{
+	static const char *const cases[][2] = {
+		{ "HTTP/1.1 200 OK\r\n", "X: yyyyyyyyyyyyyyyyyyyyyyyyyyy\r\n" },
+		{ "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+		  "10\r\n0123456789abcdef\r\n" },
+		{ "HTTP/1.1 200 OK\r\n\r\n", "0123456789abcdef" },
+	};
+	struct http_client_options options = {
+		.connections_max = { 1, 1 },
+		.connect_timeout_ms = 1000,
+		.response_max = 1000,
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct http_call call = { .method = HTTP_CALL_GET,
+					  .path = "/" };
+		struct results results = { .base = event_base_new() };
+		struct http_client *client =
+			http_client_create(results.base, &options);
+		struct scripted *server;
+
+		endless_start = cases[i][0];
+		endless_piece = cases[i][1];
+		server = scripted_start(answer_without_end);
+		call.address = scripted_address(server);
+		call.deadline = task_now() + 60 * CS_SEC;
+		http_client_call(client, &call, on_done, &results, 1);
+		event_base_dispatch(results.base);
+		assert_int_equal(results.result[0], HTTP_UNKNOWN);
+		http_client_destroy(client);
+		event_base_free(results.base);
+		scripted_stop(server);
+		assert_true(atomic_load(&endless_sent) < ENDLESS_BOUND);
+	}
+}
+
 /* Host names and addresses without a port must be refused. */
 static void addresses_are_numeric(void **state)
 {
@@ -213,6 +274,7 @@
 		cmocka_unit_test(discarded_bytes_do_not_count_as_sent),
 		cmocka_unit_test(timed_out_call_resets_its_connection),
 		cmocka_unit_test(response_may_take_long_but_not_stop),
+		cmocka_unit_test(response_without_end_is_cut),
 		cmocka_unit_test(addresses_are_numeric),
 	};
 
