--- a/src/base/http_client.c
+++ b/src/base/http_client.c
@@ -47,7 +47,7 @@
 #define PATH_MAX_LEN 8192
 
 /* Largest head of a response, which libevent does not bound by itself. */
-#define HEAD_MAX (64 * 1024)
+#define HEAD_MAX ((ev_ssize_t)64 * 1024)
 
 struct pool {
 	char key[CS_ADDRESS_MAX + 8];
