base: limits of the HTTP server in a file of their own

No change of behaviour: http_limits.c carries out who waits and who is ended, http_server.c has the callbacks of libevhtp. They share a private header.

--- a/src/base/http_server.c
+++ b/src/base/http_server.c
@@ -1,13 +1,10 @@
-#include "http_server.h"
+#include "http_server_private.h"
 
 #include <errno.h>
-#include <evhtp.h>
 #include <signal.h>
 #include <string.h>
 
-#include "body_buffer.h"
 #include "error.h"
-#include "log.h"
 #include "slots.h"
 #include "task.h"
 
@@ -48,9 +45,6 @@
 /* Further input that is buffered while a request waits for its response. */
 #define READ_AHEAD_MAX 4096
 
-/* Bytes that one turn of the event loop reads from a connection. */
-#define READ_MAX ((size_t)16 * 1024)
-
 /* Input that is read and discarded before a connection is closed. */
 #define DISCARD_AT_CLOSE ((size_t)256 * 1024)
 
@@ -62,62 +56,6 @@
 #define HEAD_TIMEOUT_MS 10000
 #define BODY_TIMEOUT_MS 30000
 
-/* Age from which an unfinished message gives way to a new connection. */
-#define GIVE_WAY_AGE CS_SEC
-
-/* Interval of the check for messages that take too long. */
-#define CHECK_INTERVAL 1
-
-/* Shortest time between two logged connections that a limit ended. */
-#define LIMIT_LOG_INTERVAL CS_SEC
-
-struct http_server {
-	struct event_base *base;
-	evhtp_t *htp;
-	struct slots *connections;
-	struct slots *exchanges;
-	struct http_server_options options;
-	const struct http_server_ops *ops;
-	void *ctx;
-	bool is_draining;
-	struct byte_budget *budget;
-	struct event *check_timer; /* runs check_deadlines() */
-	struct event *resume_event; /* runs resume_waiting() */
-	uint32_t waiting_nr; /* connections with is_waiting */
-	cs_handle resumed; /* the last one that resume_waiting() resumed */
-	cs_time limit_logged_at;
-	uint32_t limits_unlogged;
-};
-
-/* One accepted connection. */
-struct connection {
-	struct http_server *server;
-	cs_handle self;
-	evhtp_connection_t *conn;
-	struct event *read_timer; /* runs resume_reading() */
-	cs_handle exchange; /* request without a response, or 0 */
-	size_t header_bytes;
-	uint64_t body_bytes;
-	size_t input_bytes; /* of the current message, with its headers */
-	bool is_in_message; /* the current message is not complete */
-	bool has_head; /* the head of the current message is complete */
-	bool is_waiting; /* reading stopped until others hold less */
-	struct byte_account *account;
-	struct body_buffer *body;
-	size_t field_bytes; /* charged for the fields of the head */
-	size_t exchange_bytes; /* charged for the body that the owner has */
-	cs_time since; /* begin of an unfinished message, or 0 */
-	cs_time deadline; /* of its head or its body */
-	struct evbuffer_cb_entry *input_cb, *output_cb;
-	const char *limit; /* the limit that ends it, see http_limit */
-	/* libevhtp's own callbacks, called from those of this file. */
-	bufferevent_data_cb read_cb, write_cb;
-	bufferevent_event_cb event_cb;
-	int refusal_status; /* with the reason, set by stop_parser() */
-	const char *refusal_reason;
-	char peer[CS_ADDRESS_MAX];
-};
-
 /* One request. The owner's row follows it. */
 struct exchange {
 	struct connection *connection;
@@ -146,83 +84,6 @@
 	return EVHTP_RES_BADREQ;
 }
 
-/* Sets the deadline of what the current message lacks: its head or its body. */
-static void set_deadline(struct connection *c, int64_t timeout_ms)
-{
-	const struct timeval tv = { .tv_sec = CHECK_INTERVAL };
-	struct http_server *s = c->server;
-	cs_time now = task_now();
-
-	if (!c->since)
-		c->since = now;
-	c->deadline = now + timeout_ms * CS_MSEC;
-	if (!evtimer_pending(s->check_timer, NULL))
-		evtimer_add(s->check_timer, &tv);
-}
-
-/*
- * True if the connection may be ended to make room: its message is not
- * complete, so it never runs, or it doesn't read its answers.
- */
-static bool can_end(const struct connection *c)
-{
-	return !c->exchange &&
-	       (c->since ||
-		evbuffer_get_length(bufferevent_get_output(c->conn->bev)));
-}
-
-/* Ends a connection for a limit, with a refusal if its message is unfinished.
- */
-static void end_connection(struct connection *c, const char *limit, int status,
-			   const char *reason)
-{
-	c->limit = limit;
-	if (c->since) {
-		c->refusal_status = status;
-		c->refusal_reason = reason;
-	}
-	evhtp_connection_free(c->conn);
-}
-
-/* The connection to end first, other than c; NULL if there is none. */
-static struct connection *find_largest(struct http_server *s,
-				       const struct connection *c)
-{
-	struct connection *largest = NULL;
-	cs_handle h;
-
-	for (h = slots_next(s->connections, 0); h;
-	     h = slots_next(s->connections, h)) {
-		struct connection *other = slots_get(s->connections, h);
-
-		if (other != c && can_end(other) &&
-		    (!largest ||
-		     byte_account_ends_first(other->account, other->since,
-					     largest->account, largest->since)))
-			largest = other;
-	}
-	return largest;
-}
-
-/*
- * Makes room for n more bytes of a connection by ending larger holders. False
- * if the connection itself is to be ended.
- */
-static bool make_room(struct connection *c, size_t n)
-{
-	struct http_server *s = c->server;
-
-	while (!byte_budget_has_room(s->budget, n)) {
-		struct connection *largest = find_largest(s, c);
-
-		if (!largest || byte_account_bytes(largest->account) <
-					byte_account_bytes(c->account) + n)
-			return false;
-		end_connection(largest, "memory", 503, "overloaded");
-	}
-	return true;
-}
-
 /* Stops the parser of a connection for which there is no memory. */
 static evhtp_res stop_for_memory(struct connection *c)
 {
@@ -234,7 +95,7 @@
 static evhtp_res charge_field(struct connection *c, size_t bytes)
 {
 	bytes += FIELD_COST;
-	if (!make_room(c, bytes))
+	if (!limits_make_room(c, bytes))
 		return stop_for_memory(c);
 	byte_account_charge(c->account, bytes);
 	c->field_bytes += bytes;
@@ -249,7 +110,7 @@
 	(void)req;
 	/* libevhtp parses by itself what came while a request waited. */
 	if (!c->since)
-		set_deadline(c, c->server->options.head_timeout_ms);
+		limits_set_deadline(c, c->server->options.head_timeout_ms);
 	c->header_bytes += header->klen + header->vlen;
 	if (c->header_bytes > HEADERS_MAX)
 		return stop_parser(c, 431, "header_too_large");
@@ -281,7 +142,7 @@
 
 	if (!c->has_head) {
 		c->has_head = true;
-		set_deadline(c, c->server->options.body_timeout_ms);
+		limits_set_deadline(c, c->server->options.body_timeout_ms);
 	}
 	if (evhtp_header_find(headers, "Transfer-Encoding") &&
 	    evhtp_header_find(headers, "Content-Length"))
@@ -317,7 +178,7 @@
 		body_buffer_clear(c->body);
 		return EVHTP_RES_OK;
 	}
-	if (!make_room(c, body_buffer_growth(c->body, len)))
+	if (!limits_make_room(c, body_buffer_growth(c->body, len)))
 		return stop_for_memory(c);
 	body_buffer_append(c->body, buf);
 	return EVHTP_RES_OK;
@@ -443,26 +304,6 @@
 		s->ops->on_refused(s->ctx, &refusal);
 }
 
-/* Tells the owner that a limit ended a connection. */
-static void report_limit(struct connection *c)
-{
-	struct http_server *s = c->server;
-	cs_time now = task_now();
-	struct http_limit limit = {
-		.peer = c->peer,
-		.cause = c->limit,
-		.bytes = byte_account_bytes(c->account),
-		.is_logged = now - s->limit_logged_at >= LIMIT_LOG_INTERVAL,
-		.unlogged = s->limits_unlogged,
-	};
-
-	s->limits_unlogged = limit.is_logged ? 0 : limit.unlogged + 1;
-	if (limit.is_logged)
-		s->limit_logged_at = now;
-	if (s->ops->on_limit)
-		s->ops->on_limit(s->ctx, &limit);
-}
-
 /* Frees what a connection holds, and the row. */
 static void free_row(struct connection *c)
 {
@@ -514,7 +355,7 @@
 		 error != htparse_error_user)
 		refuse_connection(c, 400, "bad_http", 0);
 	if (c->limit)
-		report_limit(c);
+		limits_report(c);
 	free_row(c);
 	return EVHTP_RES_OK;
 }
@@ -534,31 +375,6 @@
 		bufferevent_enable(c->conn->bev, EV_READ);
 }
 
-/*
- * Makes room in the table of connections: ends the one whose message has been
- * unfinished for longest. False if all are younger.
- */
-static bool end_slowest(struct http_server *s)
-{
-	cs_time oldest = task_now() - GIVE_WAY_AGE;
-	struct connection *slowest = NULL;
-	cs_handle h;
-
-	for (h = slots_next(s->connections, 0); h;
-	     h = slots_next(s->connections, h)) {
-		struct connection *c = slots_get(s->connections, h);
-
-		if (c->exchange || !c->since || c->since > oldest)
-			continue;
-		slowest = c;
-		oldest = c->since;
-	}
-	if (!slowest)
-		return false;
-	end_connection(slowest, "connections", 503, "too_many_connections");
-	return true;
-}
-
 /* Refuses a connection with a row on the stack, since the table is full. */
 static void refuse_full(struct http_server *s, evhtp_connection_t *conn)
 {
@@ -598,80 +414,6 @@
 	       evbuffer_get_length(in) > HEADERS_MAX;
 }
 
-/* Stops reading if the connection holds too much while memory is short. */
-static void wait_for_memory(struct connection *c)
-{
-	/* While an exchange is open, READ_AHEAD_MAX bounds the input. */
-	if (c->exchange || c->is_waiting || !byte_account_must_wait(c->account))
-		return;
-	bufferevent_disable(c->conn->bev, EV_READ);
-	c->is_waiting = true;
-	c->server->waiting_nr++;
-}
-
-/* Reads again for as many connections as the memory allows, in turn. */
-static void resume_waiting(evutil_socket_t fd, short events, void *arg)
-{
-	struct http_server *s = arg;
-	size_t room = byte_budget_readable(s->budget);
-	uint32_t left = slots_count(s->connections);
-
-	(void)fd;
-	(void)events;
-	for (; s->waiting_nr && room >= READ_MAX && left; left--) {
-		struct connection *c;
-
-		s->resumed = slots_next(s->connections, s->resumed);
-		if (!s->resumed)
-			s->resumed = slots_next(s->connections, 0);
-		c = slots_get(s->connections, s->resumed);
-		if (!c || !c->is_waiting)
-			continue;
-		c->is_waiting = false;
-		s->waiting_nr--;
-		room -= READ_MAX;
-		bufferevent_enable(c->conn->bev, EV_READ);
-	}
-}
-
-/* Ends a connection whose message took too long. */
-static void end_late(struct connection *c)
-{
-	if (c->is_waiting)
-		end_connection(c, "memory", 503, "overloaded");
-	else
-		end_connection(c, c->has_head ? "slow_body" : "slow_head", 408,
-			       "request_timeout");
-}
-
-/* Ends the connections past their deadline; runs while any has one. */
-static void check_deadlines(evutil_socket_t fd, short events, void *arg)
-{
-	const struct timeval tv = { .tv_sec = CHECK_INTERVAL };
-	struct http_server *s = arg;
-	cs_time now = task_now();
-	bool has_deadline = false;
-	cs_handle h;
-
-	(void)fd;
-	(void)events;
-	for (h = slots_next(s->connections, 0); h;
-	     h = slots_next(s->connections, h)) {
-		struct connection *c = slots_get(s->connections, h);
-
-		if (!c->since)
-			continue;
-		if (c->deadline <= now)
-			end_late(c);
-		else
-			has_deadline = true;
-	}
-	if (has_deadline)
-		evtimer_add(s->check_timer, &tv);
-	if (s->waiting_nr)
-		event_active(s->resume_event, EV_TIMEOUT, 0);
-}
-
 /*
  * True if the input may be parsed: a head is complete, and the answers to
  * former requests were read. libevhtp's parser adds a stray byte to a path that
@@ -687,11 +429,11 @@
 	if (evbuffer_get_length(bufferevent_get_output(bev)))
 		return false;
 	if (!c->since)
-		set_deadline(c, c->server->options.head_timeout_ms);
+		limits_set_deadline(c, c->server->options.head_timeout_ms);
 	if (!is_head_complete(bufferevent_get_input(bev)))
 		return false;
 	c->has_head = true;
-	set_deadline(c, c->server->options.body_timeout_ms);
+	limits_set_deadline(c, c->server->options.body_timeout_ms);
 	return true;
 }
 
@@ -701,15 +443,15 @@
 	struct http_server *s = c->server;
 	cs_handle self = c->self;
 
-	if (!c->exchange && !make_room(c, 0)) {
-		end_connection(c, "memory", 503, "overloaded");
+	if (!c->exchange && !limits_make_room(c, 0)) {
+		limits_end(c, "memory", 503, "overloaded");
 		return;
 	}
 	if (can_parse(c, bev))
 		c->read_cb(bev, c->conn);
 	c = slots_get(s->connections, self);
 	if (c)
-		wait_for_memory(c);
+		limits_wait(c);
 }
 
 static void on_writable(struct bufferevent *bev, void *arg)
@@ -777,7 +519,7 @@
 	size_t i;
 
 	h = slots_alloc(s->connections, (void **)&c);
-	if (!h && end_slowest(s))
+	if (!h && limits_end_slowest(s))
 		h = slots_alloc(s->connections, (void **)&c);
 	if (!h) {
 		refuse_full(s, conn);
@@ -1030,23 +772,6 @@
 	return was_open;
 }
 
-void http_count_limit(struct counters *counters, const char *name,
-		      const struct http_limit *limit)
-{
-	char labels[32];
-
-	g_snprintf(labels, sizeof(labels), "cause=\"%s\"", limit->cause);
-	counters_add(counters, name, labels, 1);
-}
-
-void http_log_limit(GString *pairs, const struct http_limit *limit)
-{
-	log_pair(pairs, "event", "caller_ended");
-	log_pair(pairs, "cause", limit->cause);
-	log_pair_int(pairs, "held_bytes", (int64_t)limit->bytes);
-	log_pair_int(pairs, "unlogged", limit->unlogged);
-}
-
 void *http_server_row(const struct http_server *s, cs_handle h)
 {
 	struct exchange *x = slots_get(s->exchanges, h);
@@ -1114,8 +839,8 @@
 	s->ops = ops;
 	s->ctx = ctx;
 	s->budget = byte_budget_create(s->options.buffer_max);
-	s->check_timer = evtimer_new(base, check_deadlines, s);
-	s->resume_event = evtimer_new(base, resume_waiting, s);
+	s->check_timer = evtimer_new(base, limits_check_deadlines, s);
+	s->resume_event = evtimer_new(base, limits_resume, s);
 	s->connections = slots_create(sizeof(struct connection),
 				      options->connections_max);
 	s->exchanges = slots_create(ROW_OFFSET + options->row_size,
--- /dev/null
+++ b/src/base/http_server_private.h
@@ -0,0 +1,93 @@
+#ifndef BASE_HTTP_SERVER_PRIVATE_H
+#define BASE_HTTP_SERVER_PRIVATE_H
+
+#include <evhtp.h>
+
+#include "body_buffer.h"
+#include "http_server.h"
+#include "slots.h"
+
+/* State of the HTTP server, for http_server.c and http_limits.c only. */
+
+/* Bytes that one turn of the event loop reads from a connection. */
+#define READ_MAX ((size_t)16 * 1024)
+
+struct http_server {
+	struct event_base *base;
+	evhtp_t *htp;
+	struct slots *connections;
+	struct slots *exchanges;
+	struct http_server_options options;
+	const struct http_server_ops *ops;
+	void *ctx;
+	bool is_draining;
+	struct byte_budget *budget;
+	struct event *check_timer; /* runs limits_check_deadlines() */
+	struct event *resume_event; /* runs limits_resume() */
+	uint32_t waiting_nr; /* connections with is_waiting */
+	cs_handle resumed; /* the last one that was read again */
+	cs_time limit_logged_at;
+	uint32_t limits_unlogged;
+};
+
+/* One accepted connection. */
+struct connection {
+	struct http_server *server;
+	cs_handle self;
+	evhtp_connection_t *conn;
+	struct event *read_timer; /* runs resume_reading() */
+	cs_handle exchange; /* request without a response, or 0 */
+	size_t header_bytes;
+	uint64_t body_bytes;
+	size_t input_bytes; /* of the current message, with its headers */
+	bool is_in_message; /* the current message is not complete */
+	bool has_head; /* the head of the current message is complete */
+	bool is_waiting; /* reading stopped until others hold less */
+	struct byte_account *account;
+	struct body_buffer *body;
+	size_t field_bytes; /* charged for the fields of the head */
+	size_t exchange_bytes; /* charged for the body that the owner has */
+	cs_time since; /* begin of an unfinished message, or 0 */
+	cs_time deadline; /* of its head or its body */
+	struct evbuffer_cb_entry *input_cb, *output_cb;
+	const char *limit; /* the limit that ends it, see http_limit */
+	/* libevhtp's own callbacks, called from those of http_server.c. */
+	bufferevent_data_cb read_cb, write_cb;
+	bufferevent_event_cb event_cb;
+	int refusal_status; /* with the reason, set by stop_parser() */
+	const char *refusal_reason;
+	char peer[CS_ADDRESS_MAX];
+};
+
+/* Sets the deadline of what the current message lacks: its head or its body. */
+void limits_set_deadline(struct connection *c, int64_t timeout_ms);
+
+/* Ends a connection; if its message is unfinished, with a refusal. */
+void limits_end(struct connection *c, const char *limit, int status,
+		const char *reason);
+
+/*
+ * Makes room for n more bytes of a connection by ending larger holders. False
+ * if the connection itself is to be ended.
+ */
+bool limits_make_room(struct connection *c, size_t n);
+
+/*
+ * Makes room in the table of connections: ends the one whose message has been
+ * unfinished for longest. False if all are younger.
+ */
+bool limits_end_slowest(struct http_server *s);
+
+/* Stops reading if the connection holds too much while memory is short. */
+void limits_wait(struct connection *c);
+
+/* Tells the owner that a limit ended a connection. */
+void limits_report(struct connection *c);
+
+/* Reads again for as many connections as the memory allows; arg: the server. */
+void limits_resume(evutil_socket_t fd, short events, void *arg);
+
+/* Ends the connections past their deadline; arg: the server. */
+void limits_check_deadlines(evutil_socket_t fd, short events, void *arg);
+
+#endif
