node: charge callers with the memory of their decoded job

A body of 200 bytes may name 64 steps, which take 22 KB until the store has answered; 3,000 of them would take 66 MB that the budget did not count.

--- a/src/base/http_server.c
+++ b/src/base/http_server.c
@@ -772,6 +772,19 @@
 	return was_open;
 }
 
+void http_server_charge(struct http_server *s, cs_handle h, size_t bytes)
+{
+	struct exchange *x = slots_get(s->exchanges, h);
+	struct connection *c;
+
+	if (!x)
+		return;
+	c = x->connection;
+	release_exchange(c);
+	byte_account_charge(c->account, bytes);
+	c->exchange_bytes = bytes;
+}
+
 void *http_server_row(const struct http_server *s, cs_handle h)
 {
 	struct exchange *x = slots_get(s->exchanges, h);
--- a/src/base/http_server.h
+++ b/src/base/http_server.h
@@ -75,6 +75,14 @@
 /* The owner's data of an exchange, or NULL if it has ended. */
 void *http_server_row(const struct http_server *server, cs_handle exchange);
 
+/*
+ * Charges the caller of an exchange with the bytes that the owner holds for it
+ * until the response, instead of those of the body, which the owner has
+ * released.
+ */
+void http_server_charge(struct http_server *server, cs_handle exchange,
+			size_t bytes);
+
 /* Sends a response and ends the exchange. False if it had already ended. */
 bool http_server_reply(struct http_server *server, cs_handle exchange,
 		       const struct http_response *response);
--- a/src/batch/batch.c
+++ b/src/batch/batch.c
@@ -30,6 +30,19 @@
 	g_free(spec);
 }
 
+size_t batch_spec_bytes(const struct batch_spec *spec)
+{
+	size_t bytes;
+	int i;
+
+	if (!spec)
+		return 0;
+	bytes = sizeof(*spec) + (size_t)spec->steps_nr * sizeof(*spec->steps);
+	for (i = 0; i < spec->steps_nr; i++)
+		bytes += (size_t)spec->steps[i].after_nr * sizeof(int);
+	return bytes + (spec->payload ? strlen(spec->payload) + 1 : 0);
+}
+
 /*
  * Repeatedly marks the steps whose predecessors are all marked. Steps that stay
  * unmarked are in a cycle or depend on one.
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -132,6 +132,8 @@
 };
 
 struct batch_spec *batch_spec_create(int steps_nr);
+/* Bytes of memory that a specification takes; NULL takes none. */
+size_t batch_spec_bytes(const struct batch_spec *spec);
 void batch_spec_destroy(struct batch_spec *spec);
 /*
  * Checks the counts, the limits, and that the steps form no cycle. Returns
--- a/tests/unit/test_callers.c
+++ b/tests/unit/test_callers.c
@@ -5,6 +5,7 @@
 #include "../../src/base/body_buffer.h"
 #include "../../src/base/byte_budget.h"
 #include "../../src/base/error.h"
+#include "../../src/batch/batch.h"
 #include "../../src/front/front.h"
 
 /*
@@ -220,6 +221,22 @@
 	assert_int_equal(byte_budget_size(0, 1 << 20, 1 << 20), 4 << 20);
 }
 
+/* Guards against a short job of many steps that counts as its text. */
+static void specification_counts_its_steps(void **state)
+{
+	enum { STEPS = 64 };
+	struct batch_spec *spec = batch_spec_create(STEPS);
+
+	(void)state;
+	assert_true(batch_spec_bytes(spec) >=
+		    STEPS * sizeof(struct batch_step));
+	spec->payload = g_strdup("work");
+	assert_true(batch_spec_bytes(spec) >=
+		    STEPS * sizeof(struct batch_step) + 5);
+	assert_int_equal(batch_spec_bytes(NULL), 0);
+	batch_spec_destroy(spec);
+}
+
 /* Guards against chunks that cost more than their bytes. */
 static void small_pieces_cost_their_bytes(void **state)
 {
@@ -269,6 +286,7 @@
 			set_up, tear_down),
 		cmocka_unit_test(budget_stops_large_holders_first),
 		cmocka_unit_test(budget_size_follows_memory_and_request),
+		cmocka_unit_test(specification_counts_its_steps),
 		cmocka_unit_test(small_pieces_cost_their_bytes),
 	};
 	int failed = cmocka_run_group_tests(tests, NULL, NULL);
