--- a/src/base/http_server.c
+++ b/src/base/http_server.c
@@ -1,12 +1,12 @@
-#include "http_server.h"
+#include "http_server_private.h"
 
 #include <errno.h>
-#include <evhtp.h>
 #include <signal.h>
 #include <string.h>
 
 #include "error.h"
 #include "slots.h"
+#include "task.h"
 
 /* Maximum size of all headers of one request. */
 #define HEADERS_MAX ((size_t)16 * 1024)
@@ -39,39 +39,22 @@
  */
 #define DISCARD_MAX ((size_t)16 * 1024 * 1024)
 
-/* Input that is buffered while a request waits for its response. */
-#define READ_AHEAD_MAX ((size_t)256 * 1024)
-
-struct http_server {
-	struct event_base *base;
-	evhtp_t *htp;
-	struct slots *connections;
-	struct slots *exchanges;
-	struct http_server_options options;
-	const struct http_server_ops *ops;
-	void *ctx;
-	bool is_draining;
-};
+/* Input that is buffered until a head is complete. */
+#define INPUT_MAX ((size_t)2 * HEADERS_MAX)
 
-/* One accepted connection. */
-struct connection {
-	struct http_server *server;
-	cs_handle self;
-	evhtp_connection_t *conn;
-	struct event *read_timer; /* runs resume_reading() */
-	cs_handle exchange; /* request without a response, or 0 */
-	size_t header_bytes;
-	uint64_t body_bytes;
-	size_t input_bytes; /* of the current message, with its headers */
-	bool is_in_message; /* the current message is not complete */
-	bool has_head; /* the head of the current message is complete */
-	/* libevhtp's own callbacks, called from those of this file. */
-	bufferevent_data_cb read_cb, write_cb;
-	bufferevent_event_cb event_cb;
-	int refusal_status; /* with the reason, set by stop_parser() */
-	const char *refusal_reason;
-	char peer[CS_ADDRESS_MAX];
-};
+/* Further input that is buffered while a request waits for its response. */
+#define READ_AHEAD_MAX 4096
+
+/* Input that is read and discarded before a connection is closed. */
+#define DISCARD_AT_CLOSE ((size_t)256 * 1024)
+
+/* Memory of one header or query parameter in libevhtp, beside its bytes. */
+#define FIELD_COST 192
+
+/* Used if the owner sets no limits. */
+#define BUFFER_DEFAULT_BODIES 32
+#define HEAD_TIMEOUT_MS 10000
+#define BODY_TIMEOUT_MS 30000
 
 /* One request. The owner's row follows it. */
 struct exchange {
@@ -101,16 +84,49 @@
 	return EVHTP_RES_BADREQ;
 }
 
+/* Stops the parser of a connection for which there is no memory. */
+static evhtp_res stop_for_memory(struct connection *c)
+{
+	c->limit = "memory";
+	return stop_parser(c, 503, "overloaded");
+}
+
+/* Charges the memory of one field of the head. */
+static evhtp_res charge_field(struct connection *c, size_t bytes)
+{
+	bytes += FIELD_COST;
+	if (!limits_make_room(c, bytes))
+		return stop_for_memory(c);
+	byte_account_charge(c->account, bytes);
+	c->field_bytes += bytes;
+	return EVHTP_RES_OK;
+}
+
 static evhtp_res on_header(evhtp_request_t *req, evhtp_header_t *header,
 			   void *arg)
 {
 	struct connection *c = arg;
 
 	(void)req;
+	/* libevhtp parses by itself what came while a request waited. */
+	if (!c->since)
+		limits_set_deadline(c, c->server->options.head_timeout_ms);
 	c->header_bytes += header->klen + header->vlen;
 	if (c->header_bytes > HEADERS_MAX)
 		return stop_parser(c, 431, "header_too_large");
-	return EVHTP_RES_OK;
+	return charge_field(c, header->klen + header->vlen);
+}
+
+/* Charges the memory of the parsed query. */
+static evhtp_res charge_query(struct connection *c, const char *query)
+{
+	evhtp_res res = EVHTP_RES_OK;
+
+	for (; query && res == EVHTP_RES_OK; query = strpbrk(query, "&;")) {
+		query += strspn(query, "&;");
+		res = charge_field(c, strcspn(query, "&;"));
+	}
+	return res;
 }
 
 /*
@@ -124,6 +140,10 @@
 	struct connection *c = arg;
 	size_t body_max = c->server->options.body_max;
 
+	if (!c->has_head) {
+		c->has_head = true;
+		limits_set_deadline(c, c->server->options.body_timeout_ms);
+	}
 	if (evhtp_header_find(headers, "Transfer-Encoding") &&
 	    evhtp_header_find(headers, "Content-Length"))
 		return stop_parser(c, 400, "ambiguous_length");
@@ -132,25 +152,35 @@
 	/* Without a query libevhtp parses a form body as the query. */
 	if (!req->uri->query)
 		req->uri->query = evhtp_query_new();
-	return EVHTP_RES_OK;
+	body_buffer_expect(c->body,
+			   MIN(evhtp_request_content_len(req), body_max));
+	return charge_query(c, (const char *)req->uri->query_raw);
 }
 
 /*
- * Discards up to DISCARD_MAX bytes of a body over the limit, so that the caller
- * receives the refusal; a longer body ends the connection.
+ * Moves a piece of the body to the connection's own buffer, as libevhtp would
+ * keep an allocation for each chunk. Discards up to DISCARD_MAX bytes of a body
+ * over the limit, so that the caller receives the refusal; a longer body ends
+ * the connection.
  */
 static evhtp_res on_read(evhtp_request_t *req, struct evbuffer *buf, void *arg)
 {
 	struct connection *c = arg;
 	size_t body_max = c->server->options.body_max;
+	size_t len = evbuffer_get_length(buf);
 
-	c->body_bytes += evbuffer_get_length(buf);
-	if (c->body_bytes <= body_max)
-		return EVHTP_RES_OK;
+	(void)req;
+	c->body_bytes += len;
 	if (c->body_bytes > body_max + DISCARD_MAX)
 		return stop_parser(c, 413, "body_too_large");
-	evbuffer_drain(buf, evbuffer_get_length(buf));
-	evbuffer_drain(req->buffer_in, evbuffer_get_length(req->buffer_in));
+	if (c->body_bytes > body_max) {
+		evbuffer_drain(buf, len);
+		body_buffer_clear(c->body);
+		return EVHTP_RES_OK;
+	}
+	if (!limits_make_room(c, body_buffer_growth(c->body, len)))
+		return stop_for_memory(c);
+	body_buffer_append(c->body, buf);
 	return EVHTP_RES_OK;
 }
 
@@ -160,6 +190,9 @@
 	struct connection *c = arg;
 
 	(void)req;
+	byte_account_release(c->account, c->field_bytes);
+	c->field_bytes = 0;
+	body_buffer_clear(c->body);
 	c->is_in_message = true;
 	c->header_bytes = 0;
 	c->body_bytes = 0;
@@ -167,6 +200,13 @@
 	return EVHTP_RES_OK;
 }
 
+/* Takes what the owner held for an exchange off the account. */
+static void release_exchange(struct connection *c)
+{
+	byte_account_release(c->account, c->exchange_bytes);
+	c->exchange_bytes = 0;
+}
+
 /* Ends an exchange without a response. */
 static void drop_exchange(struct connection *c)
 {
@@ -176,6 +216,7 @@
 	if (!h)
 		return;
 	s->ops->on_disconnect(s->ctx, h);
+	release_exchange(c);
 	c->exchange = 0;
 	slots_free(s->exchanges, h);
 }
@@ -233,7 +274,7 @@
 			 MSG_DONTWAIT);
 		if (n > 0)
 			total += (size_t)n;
-	} while (n > 0 && total < READ_AHEAD_MAX);
+	} while (n > 0 && total < DISCARD_AT_CLOSE);
 	/* A failure affects only this caller, so it is ignored. */
 	(void)!send(c->conn->sock, out->str, out->len,
 		    MSG_DONTWAIT | MSG_NOSIGNAL);
@@ -241,7 +282,10 @@
 	g_bytes_unref(body);
 }
 
-/* Refuses a request that never became an exchange. */
+/*
+ * Refuses a request that never became an exchange. After a limit the outcome is
+ * "unknown": the request was well-formed so far, and may repeat an earlier one.
+ */
 static void refuse_connection(struct connection *c, int status,
 			      const char *reason, int64_t retry_after_ms)
 {
@@ -249,7 +293,7 @@
 	struct http_refusal refusal = {
 		.status = status,
 		.reason = reason,
-		.outcome = "not_run",
+		.outcome = c->limit ? "unknown" : "not_run",
 		.step = s->options.name,
 		.peer = c->peer,
 		.retry_after_ms = retry_after_ms,
@@ -260,6 +304,32 @@
 		s->ops->on_refused(s->ctx, &refusal);
 }
 
+/* Frees what a connection holds, and the row. */
+static void free_row(struct connection *c)
+{
+	struct http_server *s = c->server;
+	struct bufferevent *bev = c->conn->bev;
+
+	/* libevhtp frees the request after the connection's row. */
+	if (c->conn->hooks)
+		c->conn->hooks->on_request_fini = NULL;
+	if (c->input_cb)
+		evbuffer_remove_cb_entry(bufferevent_get_input(bev),
+					 c->input_cb);
+	if (c->output_cb)
+		evbuffer_remove_cb_entry(bufferevent_get_output(bev),
+					 c->output_cb);
+	if (c->read_timer)
+		event_free(c->read_timer);
+	body_buffer_destroy(c->body);
+	byte_account_destroy(c->account);
+	if (c->is_waiting)
+		s->waiting_nr--;
+	slots_free(s->connections, c->self);
+	if (s->waiting_nr)
+		event_active(s->resume_event, EV_TIMEOUT, 0);
+}
+
 /*
  * Frees the row when libevhtp closes the connection, and sends the refusal of a
  * message that the parser or a hook rejected.
@@ -272,16 +342,21 @@
 	drop_exchange(c);
 	if (conn->parser)
 		error = htparser_get_error(conn->parser);
-	if (c->refusal_reason)
-		refuse_connection(c, c->refusal_status, c->refusal_reason, 0);
+	if (evbuffer_get_length(bufferevent_get_output(conn->bev)))
+		/* A refusal would be read as the rest of another answer. */;
+	else if (c->refusal_reason)
+		refuse_connection(c, c->refusal_status, c->refusal_reason,
+				  c->refusal_status == 503 ? CS_SEC / CS_MSEC :
+							     0);
 	else if (c->is_in_message && error == htparse_error_too_big &&
 		 c->input_bytes > PARSER_FIELD_MAX)
 		refuse_connection(c, 431, "header_too_large", 0);
 	else if (c->is_in_message && error != htparse_error_none &&
 		 error != htparse_error_user)
 		refuse_connection(c, 400, "bad_http", 0);
-	event_free(c->read_timer);
-	slots_free(c->server->connections, c->self);
+	if (c->limit)
+		limits_report(c);
+	free_row(c);
 	return EVHTP_RES_OK;
 }
 
@@ -340,27 +415,59 @@
 }
 
 /*
- * libevhtp's parser adds a stray byte to a path that comes in two reads, so a
- * head is passed on only when it is complete.
+ * True if the input may be parsed: a head is complete, and the answers to
+ * former requests were read. libevhtp's parser adds a stray byte to a path that
+ * comes in two reads, so a head is passed on only when it is complete.
  */
+static bool can_parse(struct connection *c, struct bufferevent *bev)
+{
+	if (c->has_head || c->exchange)
+		return true;
+	drop_empty_lines(bufferevent_get_input(bev));
+	if (!evbuffer_get_length(bufferevent_get_input(bev)))
+		return false;
+	if (evbuffer_get_length(bufferevent_get_output(bev)))
+		return false;
+	if (!c->since)
+		limits_set_deadline(c, c->server->options.head_timeout_ms);
+	if (!is_head_complete(bufferevent_get_input(bev)))
+		return false;
+	c->has_head = true;
+	limits_set_deadline(c, c->server->options.body_timeout_ms);
+	return true;
+}
+
 static void on_readable(struct bufferevent *bev, void *arg)
 {
 	struct connection *c = arg;
+	struct http_server *s = c->server;
+	cs_handle self = c->self;
 
-	if (!c->has_head) {
-		drop_empty_lines(bufferevent_get_input(bev));
-		if (!is_head_complete(bufferevent_get_input(bev)))
-			return;
-		c->has_head = true;
+	if (!c->exchange && !limits_make_room(c, 0)) {
+		limits_end(c, "memory", 503, "overloaded");
+		return;
 	}
-	c->read_cb(bev, c->conn);
+	if (can_parse(c, bev))
+		c->read_cb(bev, c->conn);
+	c = slots_get(s->connections, self);
+	if (c)
+		limits_wait(c);
 }
 
 static void on_writable(struct bufferevent *bev, void *arg)
 {
 	struct connection *c = arg;
+	struct http_server *s = c->server;
+	cs_handle self = c->self;
 
 	c->write_cb(bev, c->conn);
+	c = slots_get(s->connections, self);
+	/* Input that came before the answers were read. */
+	if (c && !c->exchange && !c->has_head &&
+	    evbuffer_get_length(bufferevent_get_input(bev)))
+		on_readable(bev, c);
+	if (s->waiting_nr)
+		event_active(s->resume_event, EV_TIMEOUT, 0);
 }
 
 static void on_bev_event(struct bufferevent *bev, short events, void *arg)
@@ -377,6 +484,18 @@
 
 	(void)buf;
 	c->input_bytes += info->n_added;
+	byte_account_charge(c->account, info->n_added);
+	byte_account_release(c->account, info->n_deleted);
+}
+
+static void count_output(struct evbuffer *buf,
+			 const struct evbuffer_cb_info *info, void *arg)
+{
+	struct connection *c = arg;
+
+	(void)buf;
+	byte_account_charge(c->account, info->n_added);
+	byte_account_release(c->account, info->n_deleted);
 }
 
 /* Creates the row of a new connection. An error closes the connection. */
@@ -400,6 +519,8 @@
 	size_t i;
 
 	h = slots_alloc(s->connections, (void **)&c);
+	if (!h && limits_end_slowest(s))
+		h = slots_alloc(s->connections, (void **)&c);
 	if (!h) {
 		refuse_full(s, conn);
 		return EVHTP_RES_ERROR;
@@ -408,17 +529,23 @@
 	c->self = h;
 	c->conn = conn;
 	c->is_in_message = true;
+	c->account = byte_account_create(s->budget);
+	c->body = body_buffer_create(c->account);
 	c->read_timer = evtimer_new(conn->evbase, resume_reading, c);
 	if (!c->read_timer) {
-		slots_free(s->connections, h);
+		free_row(c);
 		return EVHTP_RES_ERROR;
 	}
 	http_address_format(conn->saddr, c->peer);
 	for (i = 0; i < G_N_ELEMENTS(hooks); i++)
 		evhtp_connection_set_hook(conn, hooks[i].type, hooks[i].hook,
 					  c);
-	evbuffer_add_cb(bufferevent_get_input(conn->bev), count_input, c);
-	bufferevent_setwatermark(conn->bev, EV_READ, 0, READ_AHEAD_MAX);
+	c->input_cb = evbuffer_add_cb(bufferevent_get_input(conn->bev),
+				      count_input, c);
+	c->output_cb = evbuffer_add_cb(bufferevent_get_output(conn->bev),
+				       count_output, c);
+	bufferevent_set_max_single_read(conn->bev, READ_MAX);
+	bufferevent_setwatermark(conn->bev, EV_READ, 0, INPUT_MAX);
 	bufferevent_getcb(conn->bev, &c->read_cb, &c->write_cb, &c->event_cb,
 			  NULL);
 	bufferevent_setcb(conn->bev, on_readable, on_writable, on_bev_event, c);
@@ -453,15 +580,6 @@
 	return 0;
 }
 
-static GBytes *take_body(struct evbuffer *buf)
-{
-	size_t len = evbuffer_get_length(buf);
-	void *data = g_malloc(len ? len : 1);
-
-	evbuffer_remove(buf, data, len);
-	return g_bytes_new_take(data, len);
-}
-
 /* Passes the request to the owner, as plain data. */
 static void deliver_request(struct connection *c, cs_handle h,
 			    evhtp_request_t *req)
@@ -474,7 +592,7 @@
 		.method = request_method(req),
 		.path = path && path->full ? path->full : "",
 		.query = query ? query : "",
-		.body = take_body(req->buffer_in),
+		.body = body_buffer_take(c->body, &c->exchange_bytes),
 	};
 
 	evhtp_kvs_for_each(req->headers_in, add_header, headers);
@@ -519,6 +637,7 @@
 
 	c->is_in_message = false;
 	c->has_head = false; /* what follows is the next message */
+	c->since = 0;
 	h = slots_alloc(s->exchanges, (void **)&x);
 	if (!h) {
 		/* Not reached: a connection has one exchange at a time. */
@@ -539,6 +658,7 @@
 		return; /* answered at once */
 	x->is_paused = true;
 	evhtp_request_pause(req);
+	bufferevent_setwatermark(req->conn->bev, EV_READ, 0, READ_AHEAD_MAX);
 	/* The response may take longer than the idle timeout. */
 	bufferevent_set_timeouts(req->conn->bev, NULL, &send_timeout);
 	event_active(c->read_timer, EV_TIMEOUT, 0);
@@ -616,6 +736,7 @@
 	req = x->req;
 	was_paused = x->is_paused;
 	x->connection->exchange = 0;
+	release_exchange(x->connection);
 	slots_free(s->exchanges, h);
 	if (status < 200 || status > 599)
 		status = 500;
@@ -626,6 +747,7 @@
 	}
 	evhtp_send_reply(req, (evhtp_res)status);
 	if (was_paused) {
+		bufferevent_setwatermark(req->conn->bev, EV_READ, 0, INPUT_MAX);
 		bufferevent_set_timeouts(req->conn->bev, &idle_timeout,
 					 &send_timeout);
 		/* libevhtp requires the reply before the resume. */
@@ -650,6 +772,19 @@
 	return was_open;
 }
 
+void http_server_charge(struct http_server *s, cs_handle h, size_t bytes)
+{
+	struct exchange *x = slots_get(s->exchanges, h);
+	struct connection *c;
+
+	if (!x)
+		return;
+	c = x->connection;
+	release_exchange(c);
+	byte_account_charge(c->account, bytes);
+	c->exchange_bytes = bytes;
+}
+
 void *http_server_row(const struct http_server *s, cs_handle h)
 {
 	struct exchange *x = slots_get(s->exchanges, h);
@@ -672,6 +807,11 @@
 	return slots_count(s->connections);
 }
 
+size_t http_server_held_bytes(const struct http_server *s)
+{
+	return byte_budget_used(s->budget);
+}
+
 /* Returns CS_OK, or an error code with err filled in. */
 static int listen_at(struct http_server *s, const char *address,
 		     struct cs_error *err)
@@ -702,14 +842,25 @@
 	pthread_sigmask(SIG_BLOCK, &pipe_signal, NULL);
 	s->base = base;
 	s->options = *options;
+	if (!s->options.buffer_max)
+		s->options.buffer_max =
+			BUFFER_DEFAULT_BODIES * (options->body_max + READ_MAX);
+	if (!s->options.head_timeout_ms)
+		s->options.head_timeout_ms = HEAD_TIMEOUT_MS;
+	if (!s->options.body_timeout_ms)
+		s->options.body_timeout_ms = BODY_TIMEOUT_MS;
 	s->ops = ops;
 	s->ctx = ctx;
+	s->budget = byte_budget_create(s->options.buffer_max);
+	s->check_timer = evtimer_new(base, limits_check_deadlines, s);
+	s->resume_event = evtimer_new(base, limits_resume, s);
 	s->connections = slots_create(sizeof(struct connection),
 				      options->connections_max);
 	s->exchanges = slots_create(ROW_OFFSET + options->row_size,
 				    options->connections_max);
 	s->htp = evhtp_new(base, s);
-	if (!s->connections || !s->exchanges || !s->htp) {
+	if (!s->connections || !s->exchanges || !s->htp || !s->check_timer ||
+	    !s->resume_event) {
 		cs_error_set(err, CS_ERR_NOMEM, options->name, NULL,
 			     "out of memory");
 		goto fail;
@@ -747,7 +898,12 @@
 		event_base_loop(s->base, EVLOOP_NONBLOCK);
 	if (s->htp)
 		evhtp_free(s->htp);
+	if (s->check_timer)
+		event_free(s->check_timer);
+	if (s->resume_event)
+		event_free(s->resume_event);
 	slots_destroy(s->exchanges);
 	slots_destroy(s->connections);
+	byte_budget_destroy(s->budget);
 	g_free(s);
 }
