sched: order jobs by the shares of their workspaces where a pool is short

A workspace's weight was read and used by no decision: under load, jobs of equal class and priority went by urgency alone, so the backlog of one caller delayed all others, and small tasks took each piece of room before a large one.

queue/fair_share.c keeps what each workspace has running in each pool, and orders the jobs of equal rank by weighted max-min shares of the scarcer of processor and memory; queue/pass_order.c uses it in passes over a pool that is short of room. queue/room_hold.c keeps room free for jobs that found none for 0.2 s. Weights are clamped to 1 to 1000. [policy] fair_shares switches all of it on; off, the order is as before.

test_fair_share: mean distance from the shares under 2%, largest under 5%.

--- a/src/sched/place/place.c
+++ b/src/sched/place/place.c
@@ -56,10 +56,13 @@
 		 g_hash_table_contains(s->evacuated, v->info.data_centre));
 }
 
-static bool has_label(const struct server *v, const char *label)
+bool place_has_label(const struct server *v, const char *label)
 {
 	int i;
 
+	if (!label || !*label)
+		return true;
+
 	for (i = 0; i < v->info.labels_nr; i++)
 		if (!strcmp(v->info.labels[i], label))
 			return true;
@@ -97,7 +100,7 @@
 				  site_resources_sub(v->info.capacity,
 						     v->used)) &&
 	       place_is_usable(p->sched, v, p->now) &&
-	       (!*st->label || has_label(v, st->label));
+	       place_has_label(v, st->label);
 }
 
 /* Number of members of the task's gang for which the server is reserved. */
--- a/src/sched/place/place.h
+++ b/src/sched/place/place.h
@@ -10,6 +10,8 @@
 
 bool place_is_usable(const struct sched *s, const struct server *v,
 		     cs_time now);
+/* True if the server has the label; NULL and "" are that of all. */
+bool place_has_label(const struct server *v, const char *label);
 /* What a search for a server saw; set by place_choose(). */
 struct place_search {
 	int64_t examined; /* servers that were looked at */
--- a/src/sched/pools/balance.c
+++ b/src/sched/pools/balance.c
@@ -519,6 +519,7 @@
 			     plan->pool->blocked[BLOCK_UNSETTLED]);
 		log_pair_int(pairs, "blocked_by_store",
 			     plan->pool->blocked[BLOCK_STORE]);
+		log_pair_int(pairs, "fair_passes", plan->pool->fair_passes);
 		log_pair_int(pairs, "list_age_ms",
 			     (now - hosts_listed_at(b->sched)) / CS_MSEC);
 		sched_log(b->sched, "pool_state", pairs);
--- a/src/sched/pools/pool.h
+++ b/src/sched/pools/pool.h
@@ -3,6 +3,7 @@
 
 #include "../place/room_index.h"
 #include "../queue/job.h"
+#include "../queue/room_hold.h"
 #include "demand.h"
 
 /* Rows of pools: the servers and the jobs of queues that share them. */
@@ -21,6 +22,9 @@
 	 * whose end is recorded once assign_pool() has seen it.
 	 */
 	GPtrArray *waiting;
+	struct room_holds holds;
+	int share_row; /* see fair_share.h */
+	int64_t fair_passes; /* passes in which shares decided the order */
 	bool is_due; /* changed since the last turn */
 	int blocked[JOB_BLOCK_NR]; /* jobs by enum job_block */
 	int open_begins; /* jobs whose begin here is not stored yet */
--- a/src/sched/queue/assign.c
+++ b/src/sched/queue/assign.c
@@ -5,6 +5,7 @@
 #include "../../base/error.h"
 #include "../../base/log.h"
 #include "no_room.h"
+#include "pass_order.h"
 
 /*
  * Assigns waiting tasks to servers, pool by pool, the most urgent job first. A
@@ -68,12 +69,15 @@
 struct job_attempt {
 	bool is_settled; /* all runs of a predecessor of it are known */
 	struct no_room *no_room; /* of the pass */
+	const struct pass_order *order; /* of the pass */
+	bool has_hold; /* room is held back for it that others did not see */
 	int starts_max;
 	int started;
 	enum job_block block; /* why a task could not start */
 	bool is_waiting; /* a task is left that may start later */
 	/* A task waits for something else than room. */
 	bool waits_for_more_than_room;
+	bool is_over_share; /* other workspaces come before the next start */
 };
 
 static void set_block(struct job_attempt *a, enum job_block block)
@@ -136,7 +140,8 @@
 	struct place_search search = { 0 };
 	struct server *v = NULL;
 
-	if (!no_room_covers(a->no_room, *st->label ? st->label : NULL,
+	if (a->has_hold ||
+	    !no_room_covers(a->no_room, *st->label ? st->label : NULL,
 			    place_need(st)))
 		v = place_choose(s, ref, members, now, &search);
 	s->examined_servers += search.examined;
@@ -158,6 +163,16 @@
 		advice_request(s, j, ref->occurrence, ref->step, now);
 }
 
+/* True if a further task of the job may start in this attempt. */
+static bool has_starts_left(const struct job *j, struct job_attempt *a)
+{
+	if (a->started >= a->starts_max)
+		return false;
+	if (a->started && pass_order_is_over_share(a->order, j))
+		a->is_over_share = a->waits_for_more_than_room = true;
+	return !a->is_over_share;
+}
+
 /* Starts the tasks of a step for which there is room. */
 static void assign_step(struct sched *s, struct job *j, int occurrence,
 			int step, cs_time now, struct job_attempt *a)
@@ -165,7 +180,7 @@
 	const struct batch_step *st = &j->batch->spec->steps[step];
 	int i;
 
-	for (i = 0; i < st->count && a->started < a->starts_max; i++) {
+	for (i = 0; i < st->count && has_starts_left(j, a); i++) {
 		const struct task_ref ref = { j, occurrence, step, i };
 		struct batch_task *t =
 			batch_find_task(j->batch, occurrence, step, i);
@@ -301,6 +316,7 @@
 
 	a->is_waiting = false;
 	a->waits_for_more_than_room = false;
+	a->is_over_share = false;
 	j->lacks_room = false;
 	for (occurrence = open_due_occurrences(s, j, now);
 	     occurrence < b->occurrences_nr; occurrence++) {
@@ -315,7 +331,7 @@
 			if (!batch_step_is_ready(b, occurrence, step) ||
 			    !batch_count_waiting(b, occurrence, step))
 				continue;
-			if (a->started >= a->starts_max) {
+			if (!has_starts_left(j, a)) {
 				a->is_waiting = true;
 				a->waits_for_more_than_room = true;
 				return;
@@ -351,8 +367,23 @@
 	g_ptr_array_set_size(p->waiting, (gint)kept);
 }
 
+/* Keeps the jobs that the pass found to wait still, or did not reach. */
+static void drop_idle_jobs(struct pool *p)
+{
+	guint i, kept = 0;
+
+	for (i = 0; i < p->waiting->len; i++) {
+		struct job *j = g_ptr_array_index(p->waiting, i);
+
+		if (j->is_waiting)
+			p->waiting->pdata[kept++] = j;
+	}
+	g_ptr_array_set_size(p->waiting, (gint)kept);
+}
+
 /* A pass over the waiting jobs of a pool. */
 struct pass {
+	struct pass_order order;
 	struct no_room no_room;
 	/* Jobs that placement rules blocked, in the last pass and this one. */
 	int rules_before, rules_tried;
@@ -362,7 +393,7 @@
  * True if an attempt would fail as the last one did, or if it is the turn of
  * other jobs. block: the reason of the last attempt.
  */
-static bool skips_job(struct pass *pass, const struct job *j, cs_time now,
+static bool skips_job(const struct pass *pass, const struct job *j, cs_time now,
 		      enum job_block *block)
 {
 	if (j->lacks_room) {
@@ -402,47 +433,60 @@
 			j->lacking_label);
 }
 
+/* Attempts to start the tasks of a job. Returns the number of starts. */
+static int attempt_job(struct sched *s, struct pool *p, struct pass *pass,
+		       struct job *j, struct job_attempt *a, cs_time now)
+{
+	a->is_settled = sched_job_is_settled(s, j);
+	a->started = 0;
+	a->block = BLOCK_NONE;
+	assign_job(s, j, now, a);
+	j->is_waiting = a->is_waiting;
+	note_lacking_label(p, j);
+	j->lacks_room &= !a->waits_for_more_than_room;
+	j->next_attempt_at = 0;
+	if (s->fair_shares)
+		room_holds_settle(s, p, j, a->started > 0, now);
+	if (a->block == BLOCK_RULES && !a->started)
+		note_rules_block(pass, j, now);
+	if (a->is_over_share && a->is_waiting)
+		pass_order_put_back(&pass->order);
+	else
+		p->blocked[a->block]++;
+	return a->started;
+}
+
 static int assign_pool(struct sched *s, struct pool *p, cs_time now, int max)
 {
 	struct pass pass = { .rules_before = p->blocked[BLOCK_RULES] };
-	struct job_attempt a = { .no_room = &pass.no_room };
+	struct job_attempt a = { .no_room = &pass.no_room,
+				 .order = &pass.order };
+	struct job *j;
 	int started = 0;
-	guint i, kept = 0;
 
+	drop_final_jobs(p);
+	if (p->waiting->len && p->servers->len)
+		pass_order_begin(&pass.order, s, p, now);
 	memset(p->blocked, 0, sizeof(p->blocked));
 	p->lacking_labels_nr = 0;
-	drop_final_jobs(p);
 	if (!p->waiting->len || !p->servers->len)
 		return 0;
-	rank_jobs(p->waiting, now);
-	s->ranked_jobs += p->waiting->len;
-	for (i = 0; i < p->waiting->len && started < max; i++) {
-		struct job *j = g_ptr_array_index(p->waiting, i);
-
-		if (skips_job(&pass, j, now, &a.block)) {
+	room_holds_begin(s, p, now);
+	while (started < max && (j = pass_order_next(&pass.order))) {
+		a.has_hold = room_holds_release(s, p, j);
+		if (!a.has_hold && skips_job(&pass, j, now, &a.block)) {
+			if (s->fair_shares && a.block == BLOCK_ROOM)
+				room_holds_settle(s, p, j, false, now);
 			note_lacking_label(p, j);
-			p->waiting->pdata[kept++] = j;
 			p->blocked[a.block]++;
 			continue;
 		}
-		a.is_settled = sched_job_is_settled(s, j);
 		a.starts_max = max - started;
-		a.started = 0;
-		a.block = BLOCK_NONE;
-		assign_job(s, j, now, &a);
-		j->is_waiting = a.is_waiting;
-		if (j->is_waiting)
-			p->waiting->pdata[kept++] = j;
-		note_lacking_label(p, j);
-		j->lacks_room &= !a.waits_for_more_than_room;
-		j->next_attempt_at = 0;
-		if (a.block == BLOCK_RULES && !a.started)
-			note_rules_block(&pass, j, now);
-		started += a.started;
-		p->blocked[a.block]++;
+		started += attempt_job(s, p, &pass, j, &a, now);
 	}
-	if (kept < i)
-		g_ptr_array_remove_range(p->waiting, kept, i - kept);
+	room_holds_end(s, p);
+	pass_order_end(&pass.order);
+	drop_idle_jobs(p);
 	return started;
 }
 
--- a/src/sched/queue/job.h
+++ b/src/sched/queue/job.h
@@ -27,6 +27,8 @@
 	bool lacks_room;
 	const char *lacking_label;
 	struct site_resources lacking_need;
+	/* No task of it has started since, for lack of room; 0: not so. */
+	cs_time lacking_since;
 	struct batch *batch;
 	struct pool *pool;
 	uint64_t revision; /* of the submission */
@@ -43,6 +45,7 @@
 	guint pool_position; /* in the pool's array of jobs */
 	int first_open_occurrence; /* all earlier occurrences are done */
 	int rows; /* in the table of runs; the job must outlive them */
+	int share_row; /* its workspace; see fair_share.h */
 };
 
 /* A task of a job: occurrence, step and index in the step. */
--- a/src/sched/queue/rank.c
+++ b/src/sched/queue/rank.c
@@ -7,6 +7,14 @@
  * its objective as well.
  */
 
+/*
+ * Among jobs that can still be on time, those that become late unless they
+ * start within this time come first in any case. It is the time in which a pool
+ * of short tasks has room again, so that a share never makes a job late for the
+ * sake of one that could have waited.
+ */
+#define PRESSING_US (500 * CS_MSEC)
+
 /* A late job still has value up to this multiple of its objective time. */
 #define LATE_FACTOR 3
 
@@ -35,6 +43,7 @@
 	int class;
 	int priority;
 	cs_time urgency; /* lowest first */
+	bool is_pressing; /* on time only if it starts soon */
 };
 
 static int compare(const void *a, const void *b)
@@ -50,8 +59,18 @@
 	return x->job->self < y->job->self ? -1 : x->job->self > y->job->self;
 }
 
-/* Sorts the jobs of a pool by rank, the first to be assigned at the front. */
-void rank_jobs(GPtrArray *jobs, cs_time now)
+static bool is_same_group(const struct rank_key *x, const struct rank_key *y)
+{
+	return x->class == y->class && x->priority == y->priority &&
+	       x->is_pressing == y->is_pressing;
+}
+
+/*
+ * Sorts the jobs of a pool by rank, the first to be assigned at the front.
+ * items is NULL, or has room for a row of each job: the group of jobs among
+ * which shares decide, and the workspace.
+ */
+void rank_jobs(GPtrArray *jobs, struct fair_item *items, cs_time now)
 {
 	struct rank_key *keys = g_new(struct rank_key, jobs->len + 1);
 	guint i;
@@ -67,9 +86,18 @@
 				j->objective_at -
 					j->critical_path_ms * CS_MSEC :
 				j->submitted;
+		keys[i].is_pressing = keys[i].class == RANK_ON_TIME &&
+				      keys[i].urgency <= now + PRESSING_US;
 	}
 	qsort(keys, jobs->len, sizeof(*keys), compare);
 	for (i = 0; i < jobs->len; i++)
 		jobs->pdata[i] = keys[i].job;
+	for (i = 0; items && i < jobs->len; i++) {
+		items[i].workspace = keys[i].job->share_row;
+		items[i].group =
+			i ? items[i - 1].group +
+					!is_same_group(&keys[i - 1], &keys[i]) :
+			    0;
+	}
 	g_free(keys);
 }
--- a/src/sched/queue/rank.h
+++ b/src/sched/queue/rank.h
@@ -1,6 +1,7 @@
 #ifndef SCHED_QUEUE_RANK_H
 #define SCHED_QUEUE_RANK_H
 
+#include "fair_share.h"
 #include "job.h"
 
 /* The order of waiting jobs: decisions, without side effects. */
@@ -15,6 +16,6 @@
 #define RANK_CLASSES (RANK_OVERDUE + 1)
 enum rank_class rank_class_of(const struct job *j, cs_time now);
 int64_t rank_critical_path_ms(const struct job *j);
-void rank_jobs(GPtrArray *jobs, cs_time now);
+void rank_jobs(GPtrArray *jobs, struct fair_item *items, cs_time now);
 
 #endif
--- /dev/null
+++ b/src/sched/queue/room_hold.h
@@ -0,0 +1,55 @@
+#ifndef SCHED_QUEUE_ROOM_HOLD_H
+#define SCHED_QUEUE_ROOM_HOLD_H
+
+#include "job.h"
+
+/*
+ * Room that is held back for tasks that found none for some time. Without it
+ * smaller tasks take each piece of room that becomes free, and a large one
+ * never starts while there are enough of them.
+ */
+
+struct sched;
+
+/* Most servers of a pool on which room is held back at the same time. */
+#define ROOM_HOLDS_MAX 8
+
+struct room_hold {
+	cs_handle job, server;
+	struct site_resources need;
+};
+
+struct room_holds {
+	struct room_hold rows[ROOM_HOLDS_MAX];
+	int nr;
+};
+
+/* A server as the choice sees it. */
+struct room_hold_server {
+	struct site_resources capacity, used;
+	bool may_hold; /* the task may run there, and nothing is held yet */
+};
+
+/* Holds that a pool of that many servers may have. */
+int room_holds_max(guint servers_nr);
+/* True if the job has lacked room long enough and its start is still of use. */
+bool room_hold_is_due(const struct job *j, cs_time now);
+/*
+ * The server that lacks the least for need, so that it has room first; -1 if
+ * none is large enough.
+ */
+int room_hold_choose(const struct room_hold_server *servers, int nr,
+		     struct site_resources need);
+
+/* Before a pass: drops holds without use, and reserves the room of the others.
+ */
+void room_holds_begin(struct sched *s, struct pool *p, cs_time now);
+/* Releases the room of a job's hold for its attempt. True if it has one. */
+bool room_holds_release(struct sched *s, struct pool *p, const struct job *j);
+/* After the attempt: keeps the hold, makes one, or drops it. */
+void room_holds_settle(struct sched *s, struct pool *p, struct job *j,
+		       bool has_started, cs_time now);
+/* After a pass: what is reserved is room for the search of the next pass. */
+void room_holds_end(struct sched *s, struct pool *p);
+
+#endif
--- a/src/sched/runs/runs.c
+++ b/src/sched/runs/runs.c
@@ -49,6 +49,15 @@
 			   site_resources_sub(*used, need);
 }
 
+/* Counts a run in the shares of its workspace, or takes it out (sign -1). */
+static void charge_share(struct sched *s, const struct job *j,
+			 const struct run *r, int sign)
+{
+	if (s->fair_shares)
+		fair_shares_charge(s->fair_shares, r->share_pool, j->share_row,
+				   r->need, sign);
+}
+
 /* Counts the starts that have no reply yet. */
 static void set_state(struct sched *s, struct run *r, enum run_state state)
 {
@@ -104,6 +113,8 @@
 	r->need = place_need(st);
 	servers_add_run(v, r, st);
 	charge_usage(s, j, st->need, 1);
+	r->share_pool = v->pool->share_row;
+	charge_share(s, j, r, 1);
 	j->rows++;
 	return r;
 }
@@ -287,6 +298,7 @@
 	if (t && t->run_row == r->self)
 		t->run_row = 0;
 	charge_usage(s, j, step_of(j, r->step)->need, -1);
+	charge_share(s, j, r, -1);
 	servers_remove_run(v, r, step_of(j, r->step));
 	j->rows--;
 	set_state(s, r, RUN_ACTIVE);
--- a/src/sched/runs/server.h
+++ b/src/sched/runs/server.h
@@ -51,6 +51,7 @@
 	bool is_stop_answered;
 	cs_time stop_answered_at;
 	struct site_resources need; /* reserved on the server */
+	int share_pool; /* where it counts; see fair_share.h */
 	bool was_started_in_term; /* otherwise adopted */
 	bool has_checkpoint; /* started from a checkpoint */
 	bool has_long_checkpoint; /* it saves more than can be stored */
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -98,6 +98,8 @@
 	s->balance = balance_create(s, now);
 	s->advice = advice_create();
 	s->late_starts = late_starts_create();
+	if (s->options.policy.has_fair_shares)
+		s->fair_shares = fair_shares_create();
 	s->turn_timer = timers_subscribe(timers, now + PERIODIC_TURN_US,
 					 on_turn_timer, s, 0);
 	return s;
@@ -127,6 +129,7 @@
 	hosts_destroy(s->hosts);
 	advice_destroy(s->advice);
 	late_starts_destroy(s->late_starts);
+	fair_shares_destroy(s->fair_shares);
 	g_hash_table_destroy(s->server_by_id);
 	g_hash_table_destroy(s->job_by_id);
 	g_hash_table_destroy(s->pools);
@@ -165,6 +168,8 @@
 	p->jobs = g_ptr_array_new();
 	p->waiting = g_ptr_array_new();
 	p->arrivals = demand_create();
+	if (s->fair_shares)
+		p->share_row = fair_shares_pool(s->fair_shares, name);
 	g_hash_table_insert(s->pools, p->name, p);
 	g_ptr_array_add(s->pool_list, p);
 	return p;
@@ -449,6 +454,51 @@
 		terms->target_ms * CS_MSEC;
 }
 
+/*
+ * Sets the weights of the workspaces with a row of shares, from the first one
+ * on. A row whose workspace was removed keeps its weight.
+ */
+static void update_weights(struct sched *s, int first)
+{
+	const char *clamped = NULL;
+	int i, clamped_nr = 0, n = fair_shares_workspaces_nr(s->fair_shares);
+	GString *pairs;
+
+	for (i = first; s->site && i < n; i++) {
+		const char *name =
+			fair_shares_workspace_name(s->fair_shares, i);
+		const struct site_workspace *w =
+			site_find_workspace(s->site, name);
+
+		if (!w || fair_shares_set_weight(s->fair_shares, i, w->weight))
+			continue;
+		clamped = name;
+		clamped_nr++;
+	}
+	if (!clamped)
+		return;
+	pairs = g_string_new(NULL);
+	log_pair_int(pairs, "workspaces", clamped_nr);
+	log_pair(pairs, "last", clamped);
+	log_pair_int(pairs, "min", FAIR_WEIGHT_MIN);
+	log_pair_int(pairs, "max", FAIR_WEIGHT_MAX);
+	sched_log(s, "weight_clamped", pairs);
+}
+
+/* Gives a job the row of its workspace in the table of shares. */
+static void set_share_row(struct sched *s, struct job *j)
+{
+	int n;
+
+	if (!s->fair_shares)
+		return;
+	n = fair_shares_workspaces_nr(s->fair_shares);
+	j->share_row =
+		fair_shares_workspace(s->fair_shares, j->batch->workspace);
+	if (j->share_row >= n)
+		update_weights(s, n);
+}
+
 /* Takes over what the terms of a job say now. */
 static void update_terms(struct sched *s, struct job *j)
 {
@@ -464,6 +514,8 @@
 	(void)now;
 	site_unref(s->site);
 	s->site = site_ref(site);
+	if (s->fair_shares)
+		update_weights(s, 0);
 	for (h = slots_next(s->jobs, 0); h; h = slots_next(s->jobs, h)) {
 		struct job *j = slots_get(s->jobs, h);
 
@@ -527,6 +579,7 @@
 	j->is_long_running = b->spec->steps_nr > 0 &&
 			     b->spec->steps[0].is_long_running;
 	g_hash_table_insert(s->job_by_id, b->id, j);
+	set_share_row(s, j);
 	update_terms(s, j);
 	if (batch_is_final(b)) {
 		sched_mark_changed(s, j, now);
--- a/src/sched/sched_private.h
+++ b/src/sched/sched_private.h
@@ -23,6 +23,7 @@
 #include "pools/pool.h"
 #include "pools/pool_size.h"
 #include "queue/assign.h"
+#include "queue/fair_share.h"
 #include "queue/job.h"
 #include "queue/rank.h"
 #include "queue/reserve.h"
@@ -90,6 +91,7 @@
 	struct balance *balance;
 	struct advice *advice;
 	struct late_starts *late_starts;
+	struct fair_shares *fair_shares; /* NULL: switched off */
 	cs_handle turn_timer;
 };
 
