--- a/tests/unit/test_fair_share.c
+++ b/tests/unit/test_fair_share.c
@@ -87,7 +87,11 @@
 /* Submits rate jobs on average. */
 static void arrive(struct model *m, int workspace, double rate, int width)
 {
-	for (; g_rand_double(m->rng) < rate; rate--)
+	int whole = (int)rate, i;
+
+	for (i = 0; i < whole; i++)
+		submit(m, workspace, width, false);
+	if (g_rand_double(m->rng) < rate - whole)
 		submit(m, workspace, width, false);
 }
 
