sched: urgent work takes the room of less urgent runs

Priority ordered waiting jobs and nothing else: a pool full of work of a larger priority number made urgent jobs wait for its end.

--- a/src/sched/place/place.c
+++ b/src/sched/place/place.c
@@ -114,13 +114,11 @@
 	return n;
 }
 
-static bool can_take(const struct placement *p, const struct server *v)
+/* True if the spread of the step and the advisor allow the server. */
+static bool is_allowed(const struct placement *p, const struct server *v)
 {
 	const struct batch_step *st = p->spec;
 
-	if (!has_room(p, v))
-		return false;
-	p->search->has_room = true;
 	return (!st->per_server_max ||
 		runs_of_step(p->sched, v, p->job, p->occurrence, p->step) +
 				count_members(p, v) <
@@ -130,6 +128,14 @@
 			      p->now));
 }
 
+static bool can_take(const struct placement *p, const struct server *v)
+{
+	if (!has_room(p, v))
+		return false;
+	p->search->has_room = true;
+	return is_allowed(p, v);
+}
+
 /* The part of the cost that does not depend on the server's other tasks. */
 static int64_t own_cost(const struct placement *p, const struct server *v)
 {
@@ -238,11 +244,10 @@
 	return best;
 }
 
-struct server *place_choose(const struct sched *s, const struct task_ref *ref,
-			    const GPtrArray *members, cs_time now,
-			    struct place_search *search)
+static struct placement placement_of(const struct sched *s,
+				     const struct task_ref *ref, cs_time now)
 {
-	const struct placement p = {
+	return (struct placement){
 		.sched = s,
 		.job = ref->job,
 		.occurrence = ref->occurrence,
@@ -251,11 +256,27 @@
 					ref->step, ref->index),
 		.spec = &ref->job->batch->spec->steps[ref->step],
 		.terms = sched_terms_of(s, ref->job),
-		.members = members,
 		.now = now,
-		.search = search,
 	};
+}
+
+bool place_allows(const struct sched *s, const struct task_ref *ref,
+		  const struct server *v, cs_time now)
+{
+	const struct placement p = placement_of(s, ref, now);
+
+	return place_is_usable(s, v, now) &&
+	       place_has_label(v, p.spec->label) && is_allowed(&p, v);
+}
+
+struct server *place_choose(const struct sched *s, const struct task_ref *ref,
+			    const GPtrArray *members, cs_time now,
+			    struct place_search *search)
+{
+	struct placement p = placement_of(s, ref, now);
 
+	p.members = members;
+	p.search = search;
 	*search = (struct place_search){ 0 };
 	if (p.spec->is_long_running || p.spec->is_best_effort)
 		return choose_spread(&p);
--- a/src/sched/place/place.h
+++ b/src/sched/place/place.h
@@ -25,6 +25,9 @@
 struct server *place_choose(const struct sched *s, const struct task_ref *ref,
 			    const GPtrArray *members, cs_time now,
 			    struct place_search *search);
+/* True if the server may run the task as soon as it has room. */
+bool place_allows(const struct sched *s, const struct task_ref *ref,
+		  const struct server *v, cs_time now);
 /* What is left of the limit of the job's workspace; INT64_MAX: no limit. */
 struct site_resources place_headroom(const struct sched *s,
 				     const struct job *j);
--- a/src/sched/queue/assign.c
+++ b/src/sched/queue/assign.c
@@ -6,6 +6,7 @@
 #include "../../base/log.h"
 #include "no_room.h"
 #include "pass_order.h"
+#include "preempt.h"
 
 /*
  * Assigns waiting tasks to servers, pool by pool, the most urgent job first. A
@@ -387,6 +388,7 @@
 	struct no_room no_room;
 	/* Jobs that placement rules blocked, in the last pass and this one. */
 	int rules_before, rules_tried;
+	int preempt_searches;
 };
 
 /*
@@ -433,6 +435,25 @@
 			j->lacking_label);
 }
 
+/*
+ * Takes note of whether the job lacks room, and holds room back or stops less
+ * urgent runs for it.
+ */
+static void note_room(struct sched *s, struct pool *p, struct pass *pass,
+		      struct job *j, bool has_started, cs_time now)
+{
+	const struct sched_policy *policy = &s->options.policy;
+
+	if (!policy->has_fair_shares && !policy->has_preemption)
+		return;
+	room_holds_settle(s, p, j, has_started, now);
+	if (!policy->has_preemption || !preempt_is_due(j, now) ||
+	    pass->preempt_searches >= PREEMPT_SEARCHES_MAX)
+		return;
+	pass->preempt_searches++;
+	preempt_for_job(s, p, j, now);
+}
+
 /* Attempts to start the tasks of a job. Returns the number of starts. */
 static int attempt_job(struct sched *s, struct pool *p, struct pass *pass,
 		       struct job *j, struct job_attempt *a, cs_time now)
@@ -445,8 +466,7 @@
 	note_lacking_label(p, j);
 	j->lacks_room &= !a->waits_for_more_than_room;
 	j->next_attempt_at = 0;
-	if (s->fair_shares)
-		room_holds_settle(s, p, j, a->started > 0, now);
+	note_room(s, p, pass, j, a->started > 0, now);
 	if (a->block == BLOCK_RULES && !a->started)
 		note_rules_block(pass, j, now);
 	if (a->is_over_share && a->is_waiting)
@@ -475,8 +495,8 @@
 	while (started < max && (j = pass_order_next(&pass.order))) {
 		a.has_hold = room_holds_release(s, p, j);
 		if (!a.has_hold && skips_job(&pass, j, now, &a.block)) {
-			if (s->fair_shares && a.block == BLOCK_ROOM)
-				room_holds_settle(s, p, j, false, now);
+			if (a.block == BLOCK_ROOM)
+				note_room(s, p, &pass, j, false, now);
 			note_lacking_label(p, j);
 			p->blocked[a.block]++;
 			continue;
--- a/src/sched/queue/job.h
+++ b/src/sched/queue/job.h
@@ -29,6 +29,7 @@
 	struct site_resources lacking_need;
 	/* No task of it has started since, for lack of room; 0: not so. */
 	cs_time lacking_since;
+	cs_time preempted_at; /* runs were stopped for it; 0: none */
 	struct batch *batch;
 	struct pool *pool;
 	uint64_t revision; /* of the submission */
@@ -46,6 +47,7 @@
 	int first_open_occurrence; /* all earlier occurrences are done */
 	int rows; /* in the table of runs; the job must outlive them */
 	int share_row; /* its workspace; see fair_share.h */
+	int preempted_runs; /* stopped for urgent work in this term */
 };
 
 /* A task of a job: occurrence, step and index in the step. */
--- a/src/sched/queue/room_hold.c
+++ b/src/sched/queue/room_hold.c
@@ -162,7 +162,7 @@
 		drop_hold(p, hold);
 		return;
 	}
-	if (!hold && (!room_hold_is_due(j, now) ||
+	if (!hold && (!s->fair_shares || !room_hold_is_due(j, now) ||
 		      p->holds.nr >= room_holds_max(p->servers->len)))
 		return;
 	if (!hold) {
@@ -177,6 +177,34 @@
 	reserve(s, hold, 1);
 }
 
+bool room_holds_has(const struct pool *p, const struct server *v,
+		    const struct job *j)
+{
+	int i;
+
+	for (i = 0; i < p->holds.nr; i++)
+		if (p->holds.rows[i].server == v->self &&
+		    p->holds.rows[i].job != j->self)
+			return true;
+	return false;
+}
+
+void room_holds_keep(struct sched *s, struct pool *p, const struct job *j,
+		     const struct server *v)
+{
+	struct room_hold *hold = find_hold(p, j);
+
+	if (!hold && !v)
+		return;
+	if (!hold && p->holds.nr < ROOM_HOLDS_MAX)
+		hold = &p->holds.rows[p->holds.nr++];
+	if (!hold)
+		return;
+	if (v)
+		*hold = (struct room_hold){ j->self, v->self, j->lacking_need };
+	reserve(s, hold, 1);
+}
+
 void room_holds_end(struct sched *s, struct pool *p)
 {
 	int i;
--- a/src/sched/queue/room_hold.h
+++ b/src/sched/queue/room_hold.h
@@ -9,7 +9,9 @@
  * never starts while there are enough of them.
  */
 
+struct pool;
 struct sched;
+struct server;
 
 /* Most servers of a pool on which room is held back at the same time. */
 #define ROOM_HOLDS_MAX 8
@@ -49,6 +51,15 @@
 /* After the attempt: keeps the hold, makes one, or drops it. */
 void room_holds_settle(struct sched *s, struct pool *p, struct job *j,
 		       bool has_started, cs_time now);
+/* True if room is held back on the server for another job. */
+bool room_holds_has(const struct pool *p, const struct server *v,
+		    const struct job *j);
+/*
+ * After room_holds_release(): holds back what the job lacks on that server, or,
+ * if it is NULL, what was held where it was.
+ */
+void room_holds_keep(struct sched *s, struct pool *p, const struct job *j,
+		     const struct server *v);
 /* After a pass: what is reserved is room for the search of the next pass. */
 void room_holds_end(struct sched *s, struct pool *p);
 
--- a/tests/world/main.c
+++ b/tests/world/main.c
@@ -66,6 +66,9 @@
 	j.work_ms = 50 + random_below(d, 1500);
 	j.cpu = 500 + random_below(d, 5000);
 	j.is_checkpointing = !random_below(d, 3);
+	/* So that pools are short of room. */
+	if (d->options.seed >= POLICY_FROM_SEED)
+		j.cpu *= 4;
 	if (!random_below(d, 15))
 		j.failures = 1 + random_below(d, 3);
 	if (!random_below(d, 25)) {
@@ -426,11 +429,15 @@
 	int i;
 
 	d.options.policy.has_fair_shares = seed >= POLICY_FROM_SEED;
+	d.options.policy.has_preemption = seed >= POLICY_FROM_SEED;
+	d.options.has_priorities = seed >= POLICY_FROM_SEED;
 	d.world = world_create(&d.options);
 	world_run(d.world, 2000);
 	end = world_now_ms(d.world) + FAULT_PHASE_MS;
 	if (seed % 3 == 0)
 		begin_wave(&d);
+	if (seed >= POLICY_FROM_SEED && d.options.pools > 1)
+		world_set_queue_pool(d.world, 1, 0);
 	while (world_now_ms(d.world) < end && !world_violation(d.world)) {
 		if (!random_below(&d, 3))
 			submit(&d);
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -347,8 +347,8 @@
 }
 
 /*
- * "VERSION POOLS LIMIT ATTEMPTS HOSTS_IN_STANDBY VALIDITY_MS POOL...", a pool
- * for each queue. Without workspaces if the limit is negative.
+ * "VERSION POOLS LIMIT ATTEMPTS HOSTS_IN_STANDBY VALIDITY_MS HAS_PRIORITIES
+ * POOL...", a pool for each queue. Without workspaces if the limit is negative.
  */
 static struct site *read_site(GBytes *value, struct cs_error *err)
 {
@@ -356,11 +356,11 @@
 	uint64_t version;
 	int64_t limit, validity_ms;
 	struct site *site = NULL;
-	int pools, attempts, standby, i, read = 0;
+	int pools, attempts, standby, has_priorities, i, read = 0;
 
-	if (sscanf(text, "%" SCNu64 " %d %" SCNd64 " %d %d %" SCNd64 "%n",
+	if (sscanf(text, "%" SCNu64 " %d %" SCNd64 " %d %d %" SCNd64 " %d%n",
 		   &version, &pools, &limit, &attempts, &standby, &validity_ms,
-		   &read) == 6) {
+		   &has_priorities, &read) == 7) {
 		char *rest = text + read;
 
 		site = site_create(version);
@@ -370,7 +370,8 @@
 		}
 		for (i = 0; i < pools; i++) {
 			struct site_queue q = {
-				.terms = { .attempts_max = attempts,
+				.terms = { .priority = has_priorities ? i : 0,
+					   .attempts_max = attempts,
 					   .stretch = 2.0,
 					   .target_ms = 600,
 					   .advice.validity_ms = validity_ms }
@@ -465,11 +466,11 @@
 	GString *text = g_string_new(NULL);
 	int i;
 
-	g_string_printf(text, "%" PRIu64 " %d %" PRId64 " %d %d %" PRId64,
+	g_string_printf(text, "%" PRIu64 " %d %" PRId64 " %d %d %" PRId64 " %d",
 			++w->site_version, w->options.pools,
 			w->are_workspaces_removed ? -1 : w->limit_cpu,
 			w->attempts_max, w->options.standby,
-			w->advice_validity_ms);
+			w->advice_validity_ms, w->options.has_priorities);
 	for (i = 0; i < w->options.pools; i++) {
 		g_string_append_printf(text, " %d", w->queue_pool[i]);
 		if (w->queue_pool[i] >= 0)
