rank: late jobs about to lose all value come before shares

Shares decided alone among jobs that had missed their objective, so one that could have been of use for a short time more waited behind one that had time. Jobs that fall out of their class unless they start within 0.5 s now come first in both classes.

--- a/src/sched/queue/rank.c
+++ b/src/sched/queue/rank.c
@@ -8,9 +8,9 @@
  */
 
 /*
- * Among jobs that can still be on time, those that become late unless they
- * start within this time come first in any case. It is the time in which a pool
- * of short tasks has room again, so that a share never makes a job late for the
+ * Among jobs of a class, those that fall out of it unless they start within
+ * this time come before shares. It is the time in which a pool of short tasks
+ * has room again, so that a share never makes a job late, or worthless, for the
  * sake of one that could have waited.
  */
 #define PRESSING_US (500 * CS_MSEC)
@@ -24,16 +24,21 @@
 				      false);
 }
 
+/* When the job is no longer of use. */
+static cs_time worthless_at(const struct job *j)
+{
+	return j->submitted + LATE_FACTOR * (j->objective_at - j->submitted);
+}
+
 enum rank_class rank_class_of(const struct job *j, cs_time now)
 {
-	cs_time budget = j->objective_at - j->submitted;
 	cs_time end = now + j->critical_path_ms * CS_MSEC;
 
 	if (j->is_long_running)
 		return RANK_LONG_RUNNING;
 	if (end <= j->objective_at)
 		return RANK_ON_TIME;
-	if (end <= j->submitted + LATE_FACTOR * budget)
+	if (end <= worthless_at(j))
 		return RANK_LATE;
 	return RANK_OVERDUE;
 }
@@ -43,7 +48,7 @@
 	int class;
 	int priority;
 	cs_time urgency; /* lowest first */
-	bool is_pressing; /* on time only if it starts soon */
+	bool is_pressing; /* keeps its class only if it starts soon */
 };
 
 static int compare(const void *a, const void *b)
@@ -54,11 +59,22 @@
 		return x->class < y->class ? -1 : 1;
 	if (x->priority != y->priority)
 		return x->priority < y->priority ? -1 : 1;
+	if (x->is_pressing != y->is_pressing)
+		return x->is_pressing ? -1 : 1;
 	if (x->urgency != y->urgency)
 		return x->urgency < y->urgency ? -1 : 1;
 	return x->job->self < y->job->self ? -1 : x->job->self > y->job->self;
 }
 
+/* True if the job falls out of its class unless it starts soon. */
+static bool is_pressing(const struct job *j, enum rank_class class, cs_time now)
+{
+	cs_time end = now + PRESSING_US + j->critical_path_ms * CS_MSEC;
+
+	return (class == RANK_ON_TIME && end >= j->objective_at) ||
+	       (class == RANK_LATE && end >= worthless_at(j));
+}
+
 static bool is_same_group(const struct rank_key *x, const struct rank_key *y)
 {
 	return x->class == y->class && x->priority == y->priority &&
@@ -86,8 +102,8 @@
 				j->objective_at -
 					j->critical_path_ms * CS_MSEC :
 				j->submitted;
-		keys[i].is_pressing = keys[i].class == RANK_ON_TIME &&
-				      keys[i].urgency <= now + PRESSING_US;
+		keys[i].is_pressing = items &&
+				      is_pressing(j, keys[i].class, now);
 	}
 	qsort(keys, jobs->len, sizeof(*keys), compare);
 	for (i = 0; i < jobs->len; i++)
--- a/tests/unit/test_fair_share.c
+++ b/tests/unit/test_fair_share.c
@@ -349,21 +349,22 @@
 }
 
 /*
- * Guards against a job that becomes late because a workspace with less running
- * goes first, although that one's job has time; and against a class or a
- * priority that does not hold any more.
+ * Guards against a job that becomes late, or of no use, because a workspace
+ * with less running goes first, although that one's job has time; and against a
+ * class or a priority that does not hold any more.
  */
 static void pressing_jobs_go_first(void **state)
 {
-	struct job rows[4];
-	struct fair_item items[4];
+	static const int order[5] = { 2, 1, 0, 4, 3 };
+	struct job rows[5];
+	struct fair_item items[5];
 	GPtrArray *jobs = g_ptr_array_new();
 	cs_time now = 100 * CS_SEC;
 	int i;
 
 	(void)state;
 	memset(rows, 0, sizeof(rows));
-	for (i = 0; i < 4; i++) {
+	for (i = 0; i < 5; i++) {
 		rows[i].self = (cs_handle)i + 1;
 		rows[i].submitted = now - CS_SEC;
 		rows[i].objective_at = now + 10 * CS_SEC;
@@ -374,13 +375,14 @@
 	rows[0].priority = 1;
 	rows[2].objective_at = now + 1100 * CS_MSEC; /* pressing */
 	rows[3].objective_at = now + 500 * CS_MSEC; /* late */
+	/* Late as well, submitted after it, and of no use in 0.1 s. */
+	rows[4].submitted = now - 900 * CS_MSEC;
+	rows[4].objective_at = now - 230 * CS_MSEC;
 	rank_jobs(jobs, items, now);
-	for (i = 0; i < 4; i++)
+	for (i = 0; i < 5; i++) {
 		assert_int_equal(items[i].group, i);
-	assert_int_equal(items[0].workspace, 2);
-	assert_int_equal(items[1].workspace, 1);
-	assert_int_equal(items[2].workspace, 0);
-	assert_int_equal(items[3].workspace, 3);
+		assert_int_equal(items[i].workspace, order[i]);
+	}
 	g_ptr_array_free(jobs, TRUE);
 }
 
