room_hold: hold room for large tasks only

Room was held for tasks of any size, and held room is idle. A hold is now for tasks of at least twice the size of those that start.

--- a/src/sched/queue/assign.c
+++ b/src/sched/queue/assign.c
@@ -205,6 +205,7 @@
 			       now);
 		if (!r)
 			break;
+		room_holds_note_start(&j->pool->holds, r->need);
 		log_start(s, j, r, v, now);
 		a->started++;
 	}
--- a/src/sched/queue/room_hold.c
+++ b/src/sched/queue/room_hold.c
@@ -13,12 +13,39 @@
 #define HOLD_AFTER_US (200 * CS_MSEC)
 /* One server of that many may have room held back, and one in any case. */
 #define SERVERS_PER_HOLD 16
+/*
+ * Holds are for tasks of at least this many times the size of those that start:
+ * others find room in their turn, and held room is idle meanwhile.
+ */
+#define LARGE_FACTOR 2
+/* Weight of a start in the smoothed size. */
+#define START_WEIGHT (1 / 64.0)
 
 int room_holds_max(guint servers_nr)
 {
 	return MIN(1 + (int)(servers_nr / SERVERS_PER_HOLD), ROOM_HOLDS_MAX);
 }
 
+void room_holds_note_start(struct room_holds *holds, struct site_resources need)
+{
+	double weight = holds->started_cpu > 0 ? START_WEIGHT : 1;
+
+	/* Best-effort tasks reserve none, and say nothing about the others. */
+	if (!need.cpu)
+		return;
+	holds->started_cpu += weight * ((double)need.cpu - holds->started_cpu);
+	holds->started_memory_mb +=
+		weight * ((double)need.memory_mb - holds->started_memory_mb);
+}
+
+bool room_hold_is_large(const struct room_holds *holds,
+			struct site_resources need)
+{
+	return (double)need.cpu >= LARGE_FACTOR * holds->started_cpu ||
+	       (double)need.memory_mb >=
+		       LARGE_FACTOR * holds->started_memory_mb;
+}
+
 bool room_hold_is_due(const struct job *j, cs_time now)
 {
 	return j->lacking_since && now - j->lacking_since >= HOLD_AFTER_US &&
@@ -163,6 +190,7 @@
 		return;
 	}
 	if (!hold && (!s->fair_shares || !room_hold_is_due(j, now) ||
+		      !room_hold_is_large(&p->holds, j->lacking_need) ||
 		      p->holds.nr >= room_holds_max(p->servers->len)))
 		return;
 	if (!hold) {
--- a/src/sched/queue/room_hold.h
+++ b/src/sched/queue/room_hold.h
@@ -24,6 +24,8 @@
 struct room_holds {
 	struct room_hold rows[ROOM_HOLDS_MAX];
 	int nr;
+	/* Of the tasks that started lately, smoothed. */
+	double started_cpu, started_memory_mb;
 };
 
 /* A server as the choice sees it. */
@@ -34,6 +36,12 @@
 
 /* Holds that a pool of that many servers may have. */
 int room_holds_max(guint servers_nr);
+/* Takes note of a start in the pool. */
+void room_holds_note_start(struct room_holds *holds,
+			   struct site_resources need);
+/* True if tasks that start in the pool are much smaller. */
+bool room_hold_is_large(const struct room_holds *holds,
+			struct site_resources need);
 /* True if the job has lacked room long enough and its start is still of use. */
 bool room_hold_is_due(const struct job *j, cs_time now);
 /*
