preempt, room_hold: bound searches and hold only useful room

Jobs for which no run can be stopped used all searches of each pass, so jobs behind them got none; a search without a result now waits 0.2 s (the new test fails without this). Runs are no longer stopped if the pool has no hold left for their room. Where tasks ask for no memory, each counted as large. Room was held on servers whose processor long-running tasks keep. A size for which no server can be held is searched for once in a pass instead of once for each job. The sum of what waits ends at the free room, so that huge needs do not overflow.

--- a/src/sched/queue/job.h
+++ b/src/sched/queue/job.h
@@ -30,6 +30,7 @@
 	/* No task of it has started since, for lack of room; 0: not so. */
 	cs_time lacking_since;
 	cs_time preempted_at; /* runs were stopped for it; 0: none */
+	cs_time preempt_search_at; /* not before */
 	struct batch *batch;
 	struct pool *pool;
 	uint64_t revision; /* of the submission */
--- a/src/sched/queue/pass_order.c
+++ b/src/sched/queue/pass_order.c
@@ -49,10 +49,12 @@
 static const struct pass_order_ops by_share = { next_by_share, is_over_share,
 						put_back_by_share };
 
-/* What waiting tasks of ready steps need. */
-static struct site_resources ready_need(const struct job *j)
+/*
+ * Takes what the waiting tasks of ready steps need from the room. False as soon
+ * as a task does not fit, so that no sum of needs overflows.
+ */
+static bool take_ready_need(const struct job *j, struct site_resources *room)
 {
-	struct site_resources sum = { 0 };
 	struct batch *b = j->batch;
 	int occurrence, step, n;
 
@@ -61,33 +63,36 @@
 		for (step = 0; b->occurrences[occurrence].tasks &&
 			       step < b->spec->steps_nr;
 		     step++) {
+			const struct site_resources need =
+				place_need(&b->spec->steps[step]);
+
 			if (!batch_step_is_ready(b, occurrence, step))
 				continue;
 			for (n = batch_count_waiting(b, occurrence, step);
-			     n > 0; n--)
-				sum = site_resources_add(
-					sum, place_need(&b->spec->steps[step]));
+			     n > 0; n--) {
+				if (need.cpu > room->cpu ||
+				    need.memory_mb > room->memory_mb)
+					return false;
+				room->cpu -= need.cpu;
+				room->memory_mb -= need.memory_mb;
+			}
 		}
-	return sum;
+	return true;
 }
 
 /*
  * True if tasks wait that do not fit: some did not in the last pass, or all
- * that wait need more than is free in total. The sum ends at the free room.
+ * that wait need more than is free in total.
  */
 static bool is_short_of_room(const struct pool *p, struct site_resources room)
 {
-	struct site_resources need = { 0 };
 	guint i;
 
 	if (p->blocked[BLOCK_ROOM])
 		return true;
-	for (i = 0; i < p->waiting->len; i++) {
-		need = site_resources_add(
-			need, ready_need(g_ptr_array_index(p->waiting, i)));
-		if (need.cpu > room.cpu || need.memory_mb > room.memory_mb)
+	for (i = 0; i < p->waiting->len; i++)
+		if (!take_ready_need(g_ptr_array_index(p->waiting, i), &room))
 			return true;
-	}
 	return false;
 }
 
--- a/src/sched/queue/preempt.c
+++ b/src/sched/queue/preempt.c
@@ -12,6 +12,8 @@
  * that has not answered by then may not answer at all.
  */
 #define PREEMPT_PAUSE_US (1 * CS_SEC)
+/* Time after a search that found nothing, in which other jobs can search. */
+#define SEARCH_PAUSE_US (200 * CS_MSEC)
 /* A run with less left than this ends about as early by itself. */
 #define LEFT_MIN_MS 300
 /* Work since the last checkpoint, and the time to load it, at most. */
@@ -130,7 +132,8 @@
 	bool waits_for_stops = j->preempted_at >= j->lacking_since &&
 			       now - j->preempted_at < PREEMPT_PAUSE_US;
 
-	return room_hold_is_due(j, now) && !waits_for_stops;
+	return room_hold_is_due(j, now) && !waits_for_stops &&
+	       now >= j->preempt_search_at;
 }
 
 /* The first waiting task of the job that reserves processor. */
@@ -251,7 +254,9 @@
 	struct preempt_choice choice;
 	guint i, k;
 
-	if (!find_waiting_task(j, &ref))
+	j->preempt_search_at = now + SEARCH_PAUSE_US;
+	/* Without a hold others would take the room of the stopped runs. */
+	if (!room_holds_may_keep(p, j) || !find_waiting_task(j, &ref))
 		return;
 	room_holds_release(s, p, j);
 	servers = g_array_new(FALSE, FALSE, sizeof(struct preempt_server));
--- a/src/sched/queue/room_hold.c
+++ b/src/sched/queue/room_hold.c
@@ -41,9 +41,11 @@
 bool room_hold_is_large(const struct room_holds *holds,
 			struct site_resources need)
 {
+	/* Tasks that ask for no memory are not large by it. */
 	return (double)need.cpu >= LARGE_FACTOR * holds->started_cpu ||
-	       (double)need.memory_mb >=
-		       LARGE_FACTOR * holds->started_memory_mb;
+	       (need.memory_mb > 0 &&
+		(double)need.memory_mb >=
+			LARGE_FACTOR * holds->started_memory_mb);
 }
 
 bool room_hold_is_due(const struct job *j, cs_time now)
@@ -74,7 +76,9 @@
 	for (i = 0; i < nr; i++) {
 		const struct room_hold_server *v = &servers[i];
 
-		if (!v->may_hold || !site_resources_fit(need, v->capacity) ||
+		if (!v->may_hold ||
+		    !site_resources_fit(need, site_resources_sub(v->capacity,
+								 v->lasting)) ||
 		    missing_part(v, need) >= best_missing)
 			continue;
 		best = i;
@@ -121,14 +125,18 @@
 		v = g_ptr_array_index(p->servers, i);
 		rows[i].capacity = v->info.capacity;
 		rows[i].used = v->used;
+		rows[i].lasting.cpu = v->long_running_cpu;
 		rows[i].may_hold = place_is_usable(s, v, now) &&
 				   place_has_label(v, j->lacking_label) &&
 				   !is_held(p, v);
 	}
 	i = room_hold_choose(rows, (int)p->servers->len, j->lacking_need);
 	g_free(rows);
-	if (i < 0)
+	if (i < 0) {
+		no_room_add(&p->holds.no_server, j->lacking_label,
+			    j->lacking_need);
 		return;
+	}
 	v = g_ptr_array_index(p->servers, i);
 	p->holds.rows[p->holds.nr++] =
 		(struct room_hold){ j->self, v->self, j->lacking_need };
@@ -151,6 +159,7 @@
 {
 	int i;
 
+	p->holds.no_server.rows_nr = 0;
 	for (i = p->holds.nr; i-- > 0;) {
 		struct room_hold *hold = &p->holds.rows[i];
 		const struct job *j = slots_get(s->jobs, hold->job);
@@ -191,7 +200,9 @@
 	}
 	if (!hold && (!s->fair_shares || !room_hold_is_due(j, now) ||
 		      !room_hold_is_large(&p->holds, j->lacking_need) ||
-		      p->holds.nr >= room_holds_max(p->servers->len)))
+		      p->holds.nr >= room_holds_max(p->servers->len) ||
+		      no_room_covers(&p->holds.no_server, j->lacking_label,
+				     j->lacking_need)))
 		return;
 	if (!hold) {
 		int before = p->holds.nr;
@@ -217,6 +228,11 @@
 	return false;
 }
 
+bool room_holds_may_keep(struct pool *p, const struct job *j)
+{
+	return p->holds.nr < ROOM_HOLDS_MAX || find_hold(p, j);
+}
+
 void room_holds_keep(struct sched *s, struct pool *p, const struct job *j,
 		     const struct server *v)
 {
--- a/src/sched/queue/room_hold.h
+++ b/src/sched/queue/room_hold.h
@@ -2,6 +2,7 @@
 #define SCHED_QUEUE_ROOM_HOLD_H
 
 #include "job.h"
+#include "no_room.h"
 
 /*
  * Room that is held back for tasks that found none for some time. Without it
@@ -26,11 +27,13 @@
 	int nr;
 	/* Of the tasks that started lately, smoothed. */
 	double started_cpu, started_memory_mb;
+	struct no_room no_server; /* needs without a server, in this pass */
 };
 
 /* A server as the choice sees it. */
 struct room_hold_server {
 	struct site_resources capacity, used;
+	struct site_resources lasting; /* of used; does not end by itself */
 	bool may_hold; /* the task may run there, and nothing is held yet */
 };
 
@@ -62,6 +65,8 @@
 /* True if room is held back on the server for another job. */
 bool room_holds_has(const struct pool *p, const struct server *v,
 		    const struct job *j);
+/* True if the job has a hold or can get one. */
+bool room_holds_may_keep(struct pool *p, const struct job *j);
 /*
  * After room_holds_release(): holds back what the job lacks on that server, or,
  * if it is NULL, what was held where it was.
--- a/tests/unit/test_fair_share.c
+++ b/tests/unit/test_fair_share.c
@@ -5,6 +5,7 @@
 #include "../../src/sched/queue/fair_share.h"
 #include "../../src/sched/queue/pass_order.h"
 #include "../../src/sched/queue/rank.h"
+#include "../../src/sched/queue/room_hold.h"
 #include "../world/world.h"
 #include "site_world.h"
 
@@ -426,6 +427,31 @@
 	fair_shares_destroy(t);
 }
 
+/*
+ * Guards against room held back for each task where tasks ask for no memory,
+ * and on a server whose room long-running tasks never give back.
+ */
+static void only_useful_room_is_held(void **state)
+{
+	const struct site_resources size = { 32000, 32000, 0 };
+	const struct room_hold_server servers[2] = {
+		{ size, { 30000, 0, 0 }, { 30000, 0, 0 }, true },
+		{ size, { 31000, 0, 0 }, { 0 }, true }
+	};
+	struct room_holds holds = { 0 };
+
+	(void)state;
+	room_holds_note_start(&holds, (struct site_resources){ 1000, 0, 0 });
+	assert_false(room_hold_is_large(&holds,
+					(struct site_resources){ 1000, 0, 0 }));
+	assert_true(room_hold_is_large(&holds,
+				       (struct site_resources){ 2000, 0, 0 }));
+	assert_int_equal(
+		room_hold_choose(servers, 2,
+				 (struct site_resources){ 8000, 1, 0 }),
+		1);
+}
+
 /*
  * Guards against large tasks that never find room because small ones take each
  * piece that becomes free: they are served at least half as often.
@@ -477,6 +503,7 @@
 		cmocka_unit_test(cancelled_room_is_shared_again),
 		cmocka_unit_test(pressing_jobs_go_first),
 		cmocka_unit_test(odd_input_is_bounded),
+		cmocka_unit_test(only_useful_room_is_held),
 		cmocka_unit_test(large_tasks_do_not_starve),
 	};
 
--- a/tests/unit/test_preempt.c
+++ b/tests/unit/test_preempt.c
@@ -79,6 +79,49 @@
 			 -1);
 }
 
+/*
+ * Guards against jobs for which nothing can be stopped that use up the searches
+ * of each pass, so that those behind them never get one.
+ */
+static void search_without_result_lets_others_search(void **state)
+{
+	const struct world_options options = { .seed = 11,
+					       .nodes = 3,
+					       .servers = 1,
+					       .pools = 2,
+					       .policy = { .has_preemption =
+								   true },
+					       .has_priorities = true };
+	struct world_job job = { .pool = 1,
+				 .steps = 1,
+				 .width = 1,
+				 .work_ms = 20000,
+				 .cpu = 20000,
+				 .unavailable_max = -1 };
+	struct world *w = world_create(&options);
+	int i, small;
+
+	(void)state;
+	world_run(w, 3000);
+	world_set_queue_pool(w, 1, 0);
+	world_run(w, 1000);
+	/* A long task of the largest number and one that nobody may stop. */
+	world_submit(w, 0, &job);
+	job.pool = 0;
+	job.cpu = 12000;
+	world_submit(w, 0, &job);
+	world_run(w, 1000);
+	job.cpu = 31000;
+	for (i = 0; i < 2 * PREEMPT_SEARCHES_MAX; i++)
+		world_submit(w, 0, &job);
+	world_run(w, 500);
+	job.cpu = 8000;
+	small = world_submit(w, 0, &job);
+	world_run(w, 2500);
+	assert_true(world_job_starts(w, small) > 0);
+	world_destroy(w);
+}
+
 static struct world *make_full_world(bool has_preemption, bool is_checkpointing,
 				     int *less_urgent)
 {
@@ -193,6 +236,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(least_work_is_lost),
 		cmocka_unit_test(stops_stay_within_their_bounds),
+		cmocka_unit_test(search_without_result_lets_others_search),
 		cmocka_unit_test(urgent_job_takes_room),
 		cmocka_unit_test(nothing_is_stopped_while_switched_off),
 		cmocka_unit_test(unfinished_stop_frees_no_room),
