room_hold: hold no room on servers that rules exclude

A second task of a step with a limit per server had room held on the server of the first one again and again, and small tasks took the other one (the new test fails without this).

--- a/src/sched/queue/preempt.c
+++ b/src/sched/queue/preempt.c
@@ -136,38 +136,6 @@
 	       now >= j->preempt_search_at;
 }
 
-/* The first waiting task of the job that reserves processor. */
-static bool find_waiting_task(const struct job *j, struct task_ref *ref)
-{
-	struct batch *b = j->batch;
-	int occurrence, step, i;
-
-	for (occurrence = j->first_open_occurrence;
-	     occurrence < b->occurrences_nr; occurrence++)
-		for (step = 0; b->occurrences[occurrence].tasks &&
-			       step < b->spec->steps_nr;
-		     step++) {
-			const struct batch_step *st = &b->spec->steps[step];
-
-			if (!batch_step_is_ready(b, occurrence, step) ||
-			    st->is_gang || st->is_best_effort)
-				continue;
-			for (i = 0; i < st->count; i++) {
-				const struct batch_task *t =
-					batch_find_task(b, occurrence, step, i);
-
-				if (t->state != BATCH_TASK_WAITING ||
-				    t->run_row)
-					continue;
-				ref->occurrence = occurrence;
-				ref->step = step;
-				ref->index = i;
-				return true;
-			}
-		}
-	return false;
-}
-
 /*
  * True if the run may be stopped: a gang would end with its member, a
  * long-running task is lost service, and a best-effort task holds no processor.
@@ -256,7 +224,7 @@
 
 	j->preempt_search_at = now + SEARCH_PAUSE_US;
 	/* Without a hold others would take the room of the stopped runs. */
-	if (!room_holds_may_keep(p, j) || !find_waiting_task(j, &ref))
+	if (!room_holds_may_keep(p, j) || !room_hold_find_task(j, &ref))
 		return;
 	room_holds_release(s, p, j);
 	servers = g_array_new(FALSE, FALSE, sizeof(struct preempt_server));
--- a/src/sched/queue/room_hold.c
+++ b/src/sched/queue/room_hold.c
@@ -112,11 +112,43 @@
 	return false;
 }
 
-static void add_hold(struct sched *s, struct pool *p, const struct job *j,
+bool room_hold_find_task(struct job *j, struct task_ref *ref)
+{
+	struct batch *b = j->batch;
+	int occurrence, step, i;
+
+	for (occurrence = j->first_open_occurrence;
+	     occurrence < b->occurrences_nr; occurrence++)
+		for (step = 0; b->occurrences[occurrence].tasks &&
+			       step < b->spec->steps_nr;
+		     step++) {
+			const struct batch_step *st = &b->spec->steps[step];
+
+			if (!batch_step_is_ready(b, occurrence, step) ||
+			    st->is_gang || st->is_best_effort)
+				continue;
+			for (i = 0; i < st->count; i++) {
+				const struct batch_task *t =
+					batch_find_task(b, occurrence, step, i);
+
+				if (t->state != BATCH_TASK_WAITING ||
+				    t->run_row)
+					continue;
+				*ref = (struct task_ref){ j, occurrence, step,
+							  i };
+				return true;
+			}
+		}
+	return false;
+}
+
+static void add_hold(struct sched *s, struct pool *p, struct job *j,
 		     cs_time now)
 {
 	struct room_hold_server *rows =
 		g_new0(struct room_hold_server, p->servers->len);
+	struct task_ref ref = { .job = j };
+	bool has_task = room_hold_find_task(j, &ref);
 	const struct server *v;
 	GString *pairs;
 	int i;
@@ -128,7 +160,8 @@
 		rows[i].lasting.cpu = v->long_running_cpu;
 		rows[i].may_hold = place_is_usable(s, v, now) &&
 				   place_has_label(v, j->lacking_label) &&
-				   !is_held(p, v);
+				   !is_held(p, v) &&
+				   (!has_task || place_allows(s, &ref, v, now));
 	}
 	i = room_hold_choose(rows, (int)p->servers->len, j->lacking_need);
 	g_free(rows);
--- a/src/sched/queue/room_hold.h
+++ b/src/sched/queue/room_hold.h
@@ -54,6 +54,8 @@
 int room_hold_choose(const struct room_hold_server *servers, int nr,
 		     struct site_resources need);
 
+/* The first waiting task of the job that needs room for itself alone. */
+bool room_hold_find_task(struct job *j, struct task_ref *ref);
 /* Before a pass: drops holds without use, and reserves the room of the others.
  */
 void room_holds_begin(struct sched *s, struct pool *p, cs_time now);
--- a/tests/unit/test_fair_share.c
+++ b/tests/unit/test_fair_share.c
@@ -493,6 +493,46 @@
 	end_world(w);
 }
 
+/*
+ * Guards against room held on a server that rules exclude: the other one, which
+ * is the only one allowed, would be left to the small tasks.
+ */
+static void room_is_held_where_rules_allow_it(void **state)
+{
+	const struct world_options options = { .seed = 11,
+					       .nodes = 3,
+					       .servers = 2,
+					       .pools = 1,
+					       .policy = { .has_fair_shares =
+								   true } };
+	struct world_job small = { .steps = 1,
+				   .width = 4,
+				   .work_ms = 400,
+				   .cpu = 3000,
+				   .unavailable_max = -1 };
+	struct world_job large = small;
+	struct world *w = world_create(&options);
+	int i, job;
+
+	(void)state;
+	large.width = 2;
+	large.work_ms = 20000;
+	large.cpu = 18000;
+	large.per_server_max = 1;
+	world_run(w, 3000);
+	for (i = 0; i < 20; i++) {
+		world_submit(w, i % 3, &small);
+		world_run(w, 50);
+	}
+	job = world_submit(w, 0, &large);
+	for (i = 0; i < 120; i++) {
+		world_submit(w, i % 3, &small);
+		world_run(w, 50);
+	}
+	assert_int_equal(world_job_starts(w, job), 2);
+	world_destroy(w);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -504,6 +544,7 @@
 		cmocka_unit_test(pressing_jobs_go_first),
 		cmocka_unit_test(odd_input_is_bounded),
 		cmocka_unit_test(only_useful_room_is_held),
+		cmocka_unit_test(room_is_held_where_rules_allow_it),
 		cmocka_unit_test(large_tasks_do_not_starve),
 	};
 
