--- a/src/sched/place/place.h
+++ b/src/sched/place/place.h
@@ -10,6 +10,8 @@
 
 bool place_is_usable(const struct sched *s, const struct server *v,
 		     cs_time now);
+/* True if the server has the label; NULL and "" are that of all. */
+bool place_has_label(const struct server *v, const char *label);
 /* What a search for a server saw; set by place_choose(). */
 struct place_search {
 	int64_t examined; /* servers that were looked at */
@@ -23,6 +25,9 @@
 struct server *place_choose(const struct sched *s, const struct task_ref *ref,
 			    const GPtrArray *members, cs_time now,
 			    struct place_search *search);
+/* True if the server may run the task as soon as it has room. */
+bool place_allows(const struct sched *s, const struct task_ref *ref,
+		  const struct server *v, cs_time now);
 /* What is left of the limit of the job's workspace; INT64_MAX: no limit. */
 struct site_resources place_headroom(const struct sched *s,
 				     const struct job *j);
