--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -132,6 +132,8 @@
 };
 
 struct batch_spec *batch_spec_create(int steps_nr);
+/* Bytes of memory that a specification takes; NULL takes none. */
+size_t batch_spec_bytes(const struct batch_spec *spec);
 void batch_spec_destroy(struct batch_spec *spec);
 /*
  * Checks the counts, the limits, and that the steps form no cycle. Returns
@@ -139,6 +141,12 @@
  */
 int batch_spec_check(const struct batch_spec *spec, struct cs_error *err);
 
+/*
+ * Duration of the longest path through the steps by the caller's estimates, ms.
+ * spec must have passed the check.
+ */
+int64_t batch_spec_hinted_path_ms(const struct batch_spec *spec);
+
 /* True for 16 hexadecimal digits. */
 bool batch_id_is_valid(const char *id);
 
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -60,6 +60,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	n->waves = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					 bytes_free);
+	n->admission = admission_create(options->seed);
 	n->queue_loads =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return n;
@@ -90,6 +91,7 @@
 	g_hash_table_destroy(n->evacuated);
 	g_hash_table_destroy(n->waves);
 	g_hash_table_destroy(n->queue_loads);
+	admission_destroy(n->admission);
 	g_free(n->published_queues);
 	site_unref(n->site);
 	g_free(n);
@@ -293,7 +295,8 @@
 
 bool node_is_drained(const struct node *n)
 {
-	return n->is_draining && (!n->requests || !slots_count(n->requests));
+	return n->is_draining && n->owner.state < OWNER_LOADING &&
+	       (!n->requests || !slots_count(n->requests));
 }
 
 void node_turn(struct node *n, int64_t unix_ms, cs_time now)
@@ -308,6 +311,7 @@
 	commit_turn(n, now);
 	withdrawn_turn(n, now);
 	queues_publish(n, now);
+	learned_turn(n, now);
 }
 
 cs_time node_next_due(const struct node *n)
--- a/src/node/term.c
+++ b/src/node/term.c
@@ -97,6 +97,7 @@
 		    cs_time now)
 {
 	struct batch *b = read_job(id, value, progress);
+	uint64_t stored = 0;
 	GString *pairs;
 
 	if (!b || strcmp(b->id, id)) {
@@ -110,8 +111,12 @@
 		batch_destroy(b);
 		return;
 	}
-	sched_add_batch(n->sched, b, revision,
-			progress ? progress->revision : 0, node_unix_ms(n, now),
+	/* A submission that names pools was stored together with progress. */
+	if (progress)
+		stored = progress->revision;
+	else if (b->pools)
+		stored = revision;
+	sched_add_batch(n->sched, b, revision, stored, node_unix_ms(n, now),
 			now);
 }
 
@@ -125,7 +130,8 @@
 
 		/* While active, only this owner writes the marker of an end.
 		 */
-		if (store_value_is(item->value, JOB_WITHDRAWN))
+		if (store_value_is(item->value, JOB_WITHDRAWN) ||
+		    store_value_is(item->value, JOB_REFUSED))
 			withdrawn_add(n, id, item->revision, now);
 		else if (is_loading)
 			add_loaded(n->loaded_jobs, id, item);
@@ -226,6 +232,13 @@
 	n->commit.ordered_revision = item->revision;
 }
 
+static void on_learned_put(void *ctx, const struct store_item *item,
+			   cs_time now)
+{
+	(void)now;
+	learned_read(ctx, item);
+}
+
 static void ignore_delete(void *ctx, const char *key, cs_time now)
 {
 	(void)ctx;
@@ -255,6 +268,9 @@
 						   ignore_delete,
 						   ignore_synced };
 
+static const struct view_ops learned_ops = { on_learned_put, ignore_delete,
+					     ignore_synced };
+
 static struct view *open_view(struct node *n, const char *prefix,
 			      int64_t wait_ms, int64_t gap_ms,
 			      const struct view_ops *ops, cs_time now)
@@ -311,7 +327,8 @@
 	struct sched_options o = { .token = n->owner.term,
 				   .revision = n->owner.key_revision,
 				   .predecessor_end = owner_predecessor_end(n),
-				   .limits = n->options.limits };
+				   .limits = n->options.limits,
+				   .policy = n->options.policy };
 	GHashTableIter it;
 	void *key;
 
@@ -339,6 +356,10 @@
 				     &ordered_hosts_ops, now);
 	n->wave_progress = open_view(n, KEY_WAVES, ONCE_WAIT_MS, 0,
 				     &wave_progress_ops, now);
+	learned_begin(n, now);
+	if (n->options.policy.has_learned_run_times)
+		n->learned_view = open_view(n, KEY_LEARNED_ROOT, ONCE_WAIT_MS,
+					    0, &learned_ops, now);
 }
 
 static void close_view(struct view **v)
@@ -362,6 +383,7 @@
 	close_view(&n->grants);
 	close_view(&n->wave_progress);
 	close_view(&n->ordered_hosts);
+	close_view(&n->learned_view);
 	if (n->loaded_ordered_hosts)
 		g_bytes_unref(n->loaded_ordered_hosts);
 	n->loaded_ordered_hosts = NULL;
@@ -444,7 +466,8 @@
 	return view_is_synced(n->root) && view_is_synced(n->servers) &&
 	       view_is_synced(n->progress) && view_is_synced(n->grants) &&
 	       view_is_synced(n->wave_progress) &&
-	       view_is_synced(n->ordered_hosts);
+	       view_is_synced(n->ordered_hosts) &&
+	       (!n->learned_view || view_is_synced(n->learned_view));
 }
 
 /* Passes all that was loaded to the scheduler, and lets it decide. */
--- a/src/sched/incarnation.c
+++ b/src/sched/runs/incarnation.c
@@ -1,6 +1,6 @@
-#include "sched_private.h"
+#include "../sched_private.h"
 
-#include "../base/log.h"
+#include "../../base/log.h"
 
 /*
  * Servers that start again under their identifier. The new incarnation has no
@@ -122,7 +122,7 @@
 		return;
 	v->is_incarnation_doubtful = true;
 	log_incarnation(s, "server_clock_jump", v, "a reply has another clock");
-	servers_list_runs(s, v);
+	servers_list_runs(s, v, now);
 }
 
 void incarnation_read_clock(struct sched *s, struct server *v,
@@ -191,6 +191,7 @@
 	g_array_set_size(v->unstored, 0);
 	v->failed_in_row = 0;
 	v->suspect_until = 0;
+	server_score_reset(&v->score, &s->all_scores, now);
 	v->best_effort_pace = 100;
 	/* A predecessor may have started tasks there, as to the former one. */
 	if (v->is_granted && s->confirmed_at < s->options.predecessor_end)
--- a/src/sched/runs.c
+++ b/src/sched/runs/runs.c
@@ -1,9 +1,9 @@
-#include "sched_private.h"
+#include "../sched_private.h"
 
 #include <string.h>
 
-#include "../base/error.h"
-#include "../base/log.h"
+#include "../../base/error.h"
+#include "../../base/log.h"
 
 /* Retry delay of a task, multiplied by the number of its failures. */
 #define FAILURE_PAUSE_US (100 * CS_MSEC)
@@ -15,6 +15,8 @@
  */
 #define NO_ROOM_PAUSE_US (150 * CS_MSEC)
 #define OVERLOADED_PAUSE_US (1 * CS_SEC)
+/* Interval at which runs that take far longer than predicted are looked for. */
+#define TAILS_INTERVAL_US (1 * CS_SEC)
 
 struct run *run_row(const struct sched *s, cs_handle h)
 {
@@ -49,6 +51,15 @@
 			   site_resources_sub(*used, need);
 }
 
+/* Counts a run in the shares of its workspace, or takes it out (sign -1). */
+static void charge_share(struct sched *s, const struct job *j,
+			 const struct run *r, int sign)
+{
+	if (s->fair_shares)
+		fair_shares_charge(s->fair_shares, r->share_pool, j->share_row,
+				   r->need, sign);
+}
+
 /* Counts the starts that have no reply yet. */
 static void set_state(struct sched *s, struct run *r, enum run_state state)
 {
@@ -101,9 +112,12 @@
 	r->number = number;
 	r->sent_at = now;
 	r->pace = 100;
+	r->expected_ms = st->expected_ms;
 	r->need = place_need(st);
 	servers_add_run(v, r, st);
 	charge_usage(s, j, st->need, 1);
+	r->share_pool = v->pool->share_row;
+	charge_share(s, j, r, 1);
 	j->rows++;
 	return r;
 }
@@ -165,6 +179,7 @@
 	batch_task_name(ref->job->batch, ref->occurrence, ref->step, ref->index,
 			o->task);
 	s->ops->send(s->ctx, o);
+	health_on_start(s, v, now);
 	counters_add(s->counters, "camphorshed_task_starts_total", "", 1);
 	servers_schedule_hold(s, v, now);
 	return r;
@@ -190,7 +205,9 @@
 	return r;
 }
 
-void runs_stop(struct sched *s, struct run *r, const char *why, cs_time now)
+/* Sends a stop, but not within STOP_RETRY_US after the last one. */
+static void order_stop(struct sched *s, struct run *r, const char *why,
+		       cs_time now)
 {
 	struct server *v = server_row(s, r->server);
 	struct job *j = job_of(s, r);
@@ -222,6 +239,27 @@
 	s->ops->send(s->ctx, o);
 }
 
+void runs_stop(struct sched *s, struct run *r, const char *why, cs_time now)
+{
+	r->is_stop_for_start = false;
+	order_stop(s, r, why, now);
+}
+
+void runs_repeat_stop(struct sched *s, struct run *r, cs_time now)
+{
+	order_stop(s, r, "stop not answered", now);
+}
+
+/*
+ * Has the server reject a start that got no reply and is missing from its list,
+ * or stop the run if it begins meanwhile.
+ */
+static void rule_out_start(struct sched *s, struct run *r, cs_time now)
+{
+	r->is_stop_for_start = true;
+	order_stop(s, r, "start not answered", now);
+}
+
 void runs_order_stop(struct sched *s, struct server *v, const char *task,
 		     uint32_t number)
 {
@@ -287,6 +325,7 @@
 	if (t && t->run_row == r->self)
 		t->run_row = 0;
 	charge_usage(s, j, step_of(j, r->step)->need, -1);
+	charge_share(s, j, r, -1);
 	servers_remove_run(v, r, step_of(j, r->step));
 	j->rows--;
 	set_state(s, r, RUN_ACTIVE);
@@ -309,8 +348,32 @@
 	}
 }
 
+/*
+ * Adds the run time and what it may depend on: the queue, workspace, size and
+ * hint, whether the run was resumed or adopted, and the rack.
+ */
+static void log_run_time(GString *pairs, const struct job *j,
+			 const struct run *r, const struct server *v,
+			 cs_time now)
+{
+	const struct batch_step *st = step_of(j, r->step);
+
+	log_pair_int(pairs, "ran_ms", (now - r->sent_at) / CS_MSEC);
+	log_pair_int(pairs, "hint_ms", st->estimate_ms);
+	log_pair_int(pairs, "expected_ms", r->expected_ms);
+	log_pair(pairs, "queue", j->batch->queue);
+	log_pair(pairs, "workspace", j->batch->workspace);
+	log_pair_int(pairs, "cpu", st->need.cpu);
+	log_pair_int(pairs, "is_resumed", r->has_checkpoint);
+	log_pair_int(pairs, "is_adopted", !r->was_started_in_term);
+	log_pair_int(pairs, "is_remote",
+		     *st->rack && strcmp(st->rack, v->info.rack));
+}
+
+/* r is NULL if the run has no row. */
 static void log_end(struct sched *s, const struct task_ref *ref,
-		    uint32_t number, enum batch_end how, const char *server)
+		    uint32_t number, enum batch_end how, const struct run *r,
+		    const struct server *v, cs_time now)
 {
 	GString *pairs;
 
@@ -324,7 +387,9 @@
 	log_pair_int(pairs, "index", ref->index);
 	log_pair_int(pairs, "run", number);
 	log_pair(pairs, "how", batch_end_name(how));
-	log_pair(pairs, "server", server);
+	log_pair(pairs, "server", v->info.id);
+	if (r)
+		log_run_time(pairs, ref->job, r, v, now);
 	sched_log(s, "task_end", pairs);
 }
 
@@ -375,22 +440,46 @@
 }
 
 /*
- * Records the run time of a run that did all the work of its task. Runs away
- * from the rack of their data are slower, so they are not representative.
+ * Records the run time of a run. Runs away from the rack of their data are
+ * slower, so they are not representative. A run that did not do all work of its
+ * task tells only that this takes longer.
  */
 static void record_run_time(struct sched *s, const struct job *j,
-			    const struct run *r, const struct server *v,
-			    cs_time now)
+			    const struct run *r, struct server *v,
+			    enum batch_end how, cs_time now)
 {
 	const struct batch_step *st = step_of(j, r->step);
+	struct run_times_key k = sched_run_times_key(j, r->step);
+	/* A run that was lost may have ended long before that is known. */
+	cs_time ended = how == BATCH_END_LOST || how == BATCH_END_LAPSED ?
+				MAX(r->listed_at, r->start_confirmed_at) :
+				now;
+	int64_t ran_ms = (ended - r->sent_at) / CS_MSEC;
+	bool is_whole = how == BATCH_END_DONE && !r->has_checkpoint &&
+			r->was_started_in_term && r->state == RUN_ACTIVE;
+	double speed =
+		s->options.policy.has_server_scores ?
+			server_score_speed(&v->score, &s->all_scores, now) :
+			1;
+	struct run_times_prediction p;
+	char labels[128];
 
 	if (st->is_long_running || st->is_gang || st->is_best_effort ||
-	    r->has_checkpoint || r->state != RUN_ACTIVE ||
-	    !r->was_started_in_term ||
+	    !r->start_confirmed_at ||
 	    (*st->rack && strcmp(st->rack, v->info.rack)))
 		return;
-	estimate_record(sched_estimate(s, j->batch->queue), st->estimate_ms,
-			(now - r->sent_at) / CS_MSEC);
+	if (is_whole) {
+		p = run_time_model_predict(s->run_times, &k);
+		health_on_run(s, v, ran_ms, p.median_ms, p.p90_ms, now);
+	}
+	run_time_model_record(s->run_times, &k, ran_ms, !is_whole, speed);
+	if (!is_whole)
+		return;
+	g_snprintf(labels, sizeof(labels), "queue=\"%s\",ran=\"%s\"",
+		   j->batch->queue,
+		   run_time_ratio_name(ran_ms, r->expected_ms));
+	counters_add(s->counters, "camphorshed_run_time_predictions_total",
+		     labels, 1);
 }
 
 void runs_ended(struct sched *s, struct run *r, enum batch_end how,
@@ -402,11 +491,10 @@
 	uint32_t number = r->number;
 	cs_handle server = r->server;
 
-	log_end(s, &ref, number, how, v->info.id);
+	log_end(s, &ref, number, how, r, v, now);
 	if (how == BATCH_END_LOST && !r->start_confirmed_at)
 		late_starts_add(s, r, now);
-	if (how == BATCH_END_DONE)
-		record_run_time(s, ref.job, r, v, now);
+	record_run_time(s, ref.job, r, v, how, now);
 	free_run(s, r);
 	record_end(s, &ref, number, how, checkpoint, server, now);
 }
@@ -456,9 +544,11 @@
 		break;
 	case ORDER_REASON_NO_ROOM:
 		v->refused_until = now + NO_ROOM_PAUSE_US;
+		health_on_refusal(s, v, d->sent, now);
 		break;
 	case ORDER_REASON_OVERLOADED:
 		v->refused_until = now + OVERLOADED_PAUSE_US;
+		health_on_refusal(s, v, d->sent, now);
 		break;
 	case ORDER_REASON_TICKET:
 		advice_drop_ticket(s, job_of(s, r), r->occurrence, r->step, v);
@@ -493,7 +583,7 @@
 		/* Often it is running, and the list has it. */
 		set_state(s, r, RUN_UNCONFIRMED);
 		r->start_unanswered_at = now;
-		servers_list_runs(s, v);
+		servers_list_runs(s, v, now);
 		return;
 	}
 	handle_refusal(s, v, r, d, now);
@@ -517,10 +607,15 @@
 		return; /* servers_check() sends it again */
 	r->is_stop_answered = true;
 	r->stop_answered_at = now;
+	/* The stop of a run that was kept has been carried out after all. */
+	if (r->state == RUN_ACTIVE) {
+		r->stop_at = now;
+		set_state(s, r, RUN_STOPPING);
+	}
 	/* A run that is not there yet has no end that a hold would return for.
 	 */
 	if (r->state == RUN_UNCONFIRMED)
-		servers_list_runs(s, v);
+		servers_list_runs(s, v, now);
 	servers_schedule_hold(s, v, now);
 }
 
@@ -543,6 +638,25 @@
 	sched_log(s, "checkpoint_too_long", pairs);
 }
 
+/*
+ * A start that was to be ruled out has begun, and no stop was answered: the run
+ * is the one that its task needs. Stopping a run of a long-running step that is
+ * at work could exceed the budget of its job.
+ */
+static void keep_late_run(struct sched *s, struct run *r)
+{
+	GString *pairs = g_string_new(NULL);
+
+	r->is_stop_for_start = false;
+	r->stop_at = 0;
+	log_pair(pairs, "job", job_of(s, r)->batch->id);
+	log_pair_int(pairs, "step", r->step);
+	log_pair_int(pairs, "index", r->index);
+	log_pair_int(pairs, "run", r->number);
+	log_pair(pairs, "server", server_row(s, r->server)->info.id);
+	sched_log(s, "late_run_kept", pairs);
+}
+
 /* Updates the row of a run from the server's list. */
 static void update_run(struct sched *s, struct run *r,
 		       const struct order_run *reported, cs_time now)
@@ -552,11 +666,16 @@
 		batch_find_task(j->batch, r->occurrence, r->step, r->index);
 
 	if (r->state == RUN_STARTING || r->state == RUN_UNCONFIRMED) {
+		if (r->is_stop_for_start && !r->is_stop_answered && t &&
+		    t->run_row == r->self && !batch_is_final(j->batch))
+			keep_late_run(s, r);
 		set_state(s, r, r->stop_at ? RUN_STOPPING : RUN_ACTIVE);
 		r->start_confirmed_at = now;
 	}
 	if (reported->percent == 100 && r->percent != 100)
 		r->working_since = now;
+	if (reported->percent != r->percent)
+		r->progressed_at = now;
 	r->percent = reported->percent;
 	r->tail_ms_or_cpu = reported->tail_ms_or_cpu;
 	if (t && reported->checkpoint && *reported->checkpoint &&
@@ -664,9 +783,10 @@
 
 		if (r->sent_at >= d->sent || r->listed_at == d->sent)
 			continue;
-		if (r->state == RUN_UNCONFIRMED && !r->stop_at &&
+		if (r->state == RUN_UNCONFIRMED && !r->is_stop_answered &&
+		    (!r->stop_at || r->is_stop_for_start) &&
 		    r->start_unanswered_at <= d->sent)
-			runs_stop(s, r, "start not answered", now);
+			rule_out_start(s, r, now);
 		if (has_certainly_ended(r, d->sent)) {
 			runs_ended(s, r, BATCH_END_LOST, NULL, now);
 			i = v->runs->len; /* more than one may be removed */
@@ -710,14 +830,26 @@
 	servers_note_unstored(s, v);
 }
 
+static bool has_failed_elsewhere(const struct task_ref *ref,
+				 const struct server *v)
+{
+	const struct batch_task *t = task_of(ref);
+
+	return t && t->last_failed_server && t->last_failed_server != v->self;
+}
+
 static void handle_end(struct sched *s, struct server *v,
 		       const struct order_ended_run *e, cs_time now)
 {
 	const struct task_ref ref = find_task(s, e->task);
+	cs_time started_at = 0;
+	bool had_failed = false;
 	struct run *r;
 
 	if (ref.job) {
+		had_failed = has_failed_elsewhere(&ref, v);
 		r = find_run(s, v, e->task, e->run);
+		started_at = r ? r->sent_at : 0;
 		if (r) {
 			runs_ended(s, r, e->how, e->checkpoint, now);
 		} else {
@@ -728,11 +860,11 @@
 			r = t ? run_row(s, t->run_row) : NULL;
 			if (r && e->how == BATCH_END_DONE)
 				runs_stop(s, r, "done by another run", now);
-			log_end(s, &ref, e->run, e->how, v->info.id);
+			log_end(s, &ref, e->run, e->how, NULL, v, now);
 			record_end(s, &ref, e->run, e->how, e->checkpoint,
 				   v->self, now);
 		}
-		health_on_end(s, v, e->how, now);
+		health_on_end(s, v, e->how, started_at, had_failed, now);
 	}
 	add_unstored_end(s, v, e->number, ref.job);
 }
@@ -754,6 +886,62 @@
 	}
 }
 
+/* Logs that a run takes far longer than predicted, and why it may be. */
+static void log_tail(struct sched *s, const struct run *r,
+		     const struct server *v, int64_t age_ms)
+{
+	const struct job *j = job_of(s, r);
+	GString *pairs = g_string_new(NULL);
+	char labels[64];
+
+	log_pair(pairs, "job", j->batch->id);
+	log_pair_int(pairs, "step", r->step);
+	log_pair_int(pairs, "index", r->index);
+	log_pair_int(pairs, "run", r->number);
+	log_pair(pairs, "server", v->info.id);
+	log_pair(pairs, "why", run_time_tail_name(r->tail));
+	log_pair_int(pairs, "age_ms", age_ms);
+	log_pair_int(pairs, "expected_ms", step_of(j, r->step)->expected_ms);
+	log_pair_int(pairs, "percent", r->percent);
+	sched_log(s, "run_long", pairs);
+	g_snprintf(labels, sizeof(labels), "why=\"%s\"",
+		   run_time_tail_name(r->tail));
+	counters_add(s->counters, "camphorshed_long_runs_total", labels, 1);
+}
+
+/* Once it was found to be long, a run is not looked at again. */
+static void check_tail(struct sched *s, struct run *r, cs_time now)
+{
+	const struct job *j = job_of(s, r);
+	struct server *v = server_row(s, r->server);
+	const struct batch_step *st = step_of(j, r->step);
+	int64_t age_ms = (now - r->sent_at) / CS_MSEC;
+	cs_time progressed = MAX(r->progressed_at, r->sent_at);
+
+	if (r->tail != RUN_TIME_USUAL || r->state != RUN_ACTIVE || !v ||
+	    st->is_long_running || st->is_gang || st->is_best_effort)
+		return;
+	r->tail = run_time_tail_of(st->expected_ms, age_ms,
+				   (now - progressed) / CS_MSEC,
+				   (now - v->answered_at) / CS_MSEC);
+	if (r->tail == RUN_TIME_USUAL)
+		return;
+	log_tail(s, r, v, age_ms);
+	if (r->tail == RUN_TIME_STUCK)
+		health_on_stuck(s, v, r->sent_at, now);
+}
+
+void runs_check_tails(struct sched *s, cs_time now)
+{
+	cs_handle h;
+
+	if (now < s->tails_due_at)
+		return;
+	s->tails_due_at = now + TAILS_INTERVAL_US;
+	for (h = slots_next(s->runs, 0); h; h = slots_next(s->runs, h))
+		check_tail(s, run_row(s, h), now);
+}
+
 int runs_of_step(const struct sched *s, const struct server *v,
 		 const struct job *j, int occurrence, int step)
 {
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -35,14 +35,10 @@
 	g_ptr_array_free(p->waiting, TRUE);
 	room_index_destroy(p->room);
 	demand_destroy(p->arrivals);
+	forecast_destroy(p->forecast);
 	g_free(p);
 }
 
-static void estimate_free(void *row)
-{
-	estimate_destroy(row);
-}
-
 static void on_turn_timer(void *ctx, uint64_t arg, cs_time now)
 {
 	struct sched *s = ctx;
@@ -87,8 +83,10 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	s->allowed_cpu_left =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	s->estimates = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					     estimate_free);
+	s->run_times =
+		run_time_model_create(options->policy.has_learned_run_times ?
+					      &run_time_model_learned :
+					      &run_time_model_line);
 	s->ended_grants = g_ptr_array_new_with_free_func(g_free);
 	s->unsettled_pools = g_ptr_array_new();
 	s->pool_list = g_ptr_array_new();
@@ -98,6 +96,8 @@
 	s->balance = balance_create(s, now);
 	s->advice = advice_create();
 	s->late_starts = late_starts_create();
+	if (s->options.policy.has_fair_shares)
+		s->fair_shares = fair_shares_create();
 	s->turn_timer = timers_subscribe(timers, now + PERIODIC_TURN_US,
 					 on_turn_timer, s, 0);
 	return s;
@@ -127,6 +127,7 @@
 	hosts_destroy(s->hosts);
 	advice_destroy(s->advice);
 	late_starts_destroy(s->late_starts);
+	fair_shares_destroy(s->fair_shares);
 	g_hash_table_destroy(s->server_by_id);
 	g_hash_table_destroy(s->job_by_id);
 	g_hash_table_destroy(s->pools);
@@ -134,7 +135,7 @@
 	g_hash_table_destroy(s->cancelled);
 	g_hash_table_destroy(s->reserve);
 	g_hash_table_destroy(s->usage);
-	g_hash_table_destroy(s->estimates);
+	run_time_model_destroy(s->run_times);
 	g_hash_table_destroy(s->allowed_cpu_left);
 	g_hash_table_destroy(s->predecessor_grants);
 	g_ptr_array_free(s->ended_grants, TRUE);
@@ -165,6 +166,9 @@
 	p->jobs = g_ptr_array_new();
 	p->waiting = g_ptr_array_new();
 	p->arrivals = demand_create();
+	p->forecast = forecast_create();
+	if (s->fair_shares)
+		p->share_row = fair_shares_pool(s->fair_shares, name);
 	g_hash_table_insert(s->pools, p->name, p);
 	g_ptr_array_add(s->pool_list, p);
 	return p;
@@ -357,38 +361,44 @@
 	sched_job_waits(s, j);
 }
 
-/* Returns the run time estimate of a queue; creates it if necessary. */
-struct estimate *sched_estimate(struct sched *s, const char *queue)
+struct run_times_key sched_run_times_key(const struct job *j, int step)
 {
-	struct estimate *e = g_hash_table_lookup(s->estimates, queue);
+	const struct batch_step *st = &j->batch->spec->steps[step];
+	struct run_times_key k = { .queue = j->batch->queue,
+				   .workspace = j->batch->workspace,
+				   .job = j->batch->id,
+				   .step = step,
+				   .tasks = st->count,
+				   .cpu = st->need.cpu,
+				   .hint_ms = st->estimate_ms };
 
-	if (!e) {
-		e = estimate_create();
-		g_hash_table_insert(s->estimates, g_strdup(queue), e);
-	}
-	return e;
+	return k;
+}
+
+static struct run_times_prediction predict_step(const struct sched *s,
+						const struct job *j, int step)
+{
+	struct run_times_key k = sched_run_times_key(j, step);
+
+	return run_time_model_predict(s->run_times, &k);
 }
 
-/* Sets the expected run times of a job's tasks from its queue's estimate. */
+/* Sets the expected run times of a job's tasks from what has been learned. */
 static void update_expected_times(struct sched *s, struct job *j)
 {
-	const struct estimate *e = sched_estimate(s, j->batch->queue);
 	const struct batch_spec *spec = j->batch->spec;
 	int i;
 
 	for (i = 0; i < spec->steps_nr; i++)
 		if (!spec->steps[i].is_long_running)
-			batch_set_expected_ms(
-				j->batch, i,
-				estimate_median_ms(e,
-						   spec->steps[i].estimate_ms));
+			batch_set_expected_ms(j->batch, i,
+					      predict_step(s, j, i).median_ms);
 	sched_set_objective(s, j);
 	j->critical_path_ms = rank_critical_path_ms(j);
 }
 
 void sched_record_arrival(struct sched *s, const struct job *j, cs_time now)
 {
-	const struct estimate *e = sched_estimate(s, j->batch->queue);
 	const struct batch_spec *spec = j->batch->spec;
 	double work = 0, widest = 0;
 	int i;
@@ -399,13 +409,14 @@
 
 		if (st->is_long_running || st->is_best_effort)
 			continue;
-		work += cpu * (double)estimate_mean_ms(e, st->estimate_ms);
+		work += cpu * (double)predict_step(s, j, i).mean_ms;
 		widest = MAX(widest, cpu);
 	}
 	if (work > 0)
-		demand_add(j->pool->arrivals,
-			   work * pool_size_allowed_cpu(s, j, widest) / widest,
-			   work / widest, now);
+		pool_size_add_arrival(
+			s, j->pool,
+			work * pool_size_allowed_cpu(s, j, widest) / widest,
+			work / widest, now);
 }
 
 /* Refreshes the expected times of open jobs, as estimates change over time. */
@@ -449,6 +460,51 @@
 		terms->target_ms * CS_MSEC;
 }
 
+/*
+ * Sets the weights of the workspaces with a row of shares, from the first one
+ * on. A row whose workspace was removed keeps its weight.
+ */
+static void update_weights(struct sched *s, int first)
+{
+	const char *clamped = NULL;
+	int i, clamped_nr = 0, n = fair_shares_workspaces_nr(s->fair_shares);
+	GString *pairs;
+
+	for (i = first; s->site && i < n; i++) {
+		const char *name =
+			fair_shares_workspace_name(s->fair_shares, i);
+		const struct site_workspace *w =
+			site_find_workspace(s->site, name);
+
+		if (!w || fair_shares_set_weight(s->fair_shares, i, w->weight))
+			continue;
+		clamped = name;
+		clamped_nr++;
+	}
+	if (!clamped)
+		return;
+	pairs = g_string_new(NULL);
+	log_pair_int(pairs, "workspaces", clamped_nr);
+	log_pair(pairs, "last", clamped);
+	log_pair_int(pairs, "min", FAIR_WEIGHT_MIN);
+	log_pair_int(pairs, "max", FAIR_WEIGHT_MAX);
+	sched_log(s, "weight_clamped", pairs);
+}
+
+/* Gives a job the row of its workspace in the table of shares. */
+static void set_share_row(struct sched *s, struct job *j)
+{
+	int n;
+
+	if (!s->fair_shares)
+		return;
+	n = fair_shares_workspaces_nr(s->fair_shares);
+	j->share_row =
+		fair_shares_workspace(s->fair_shares, j->batch->workspace);
+	if (j->share_row >= n)
+		update_weights(s, n);
+}
+
 /* Takes over what the terms of a job say now. */
 static void update_terms(struct sched *s, struct job *j)
 {
@@ -464,6 +520,8 @@
 	(void)now;
 	site_unref(s->site);
 	s->site = site_ref(site);
+	if (s->fair_shares)
+		update_weights(s, 0);
 	for (h = slots_next(s->jobs, 0); h; h = slots_next(s->jobs, h)) {
 		struct job *j = slots_get(s->jobs, h);
 
@@ -527,6 +585,7 @@
 	j->is_long_running = b->spec->steps_nr > 0 &&
 			     b->spec->steps[0].is_long_running;
 	g_hash_table_insert(s->job_by_id, b->id, j);
+	set_share_row(s, j);
 	update_terms(s, j);
 	if (batch_is_final(b)) {
 		sched_mark_changed(s, j, now);
@@ -558,9 +617,10 @@
 
 void sched_set_ready(struct sched *s, cs_time now)
 {
-	(void)now;
 	s->is_ready = true;
 	servers_update_settled(s);
+	/* So that the first pass over the pools' sizes can move hosts. */
+	hosts_refresh(s, now);
 	sched_wake(s);
 }
 
@@ -645,6 +705,7 @@
 	if (s->are_servers_due)
 		servers_check(s, now);
 	refresh_expected_times(s, now);
+	runs_check_tails(s, now);
 	s->are_servers_due = false;
 	if (s->is_ready && !s->is_paused && !s->is_fenced)
 		assign_tasks(s, now);
@@ -658,6 +719,16 @@
 	return s->is_turn_due ? s->next_turn_at : CS_TIME_NEVER;
 }
 
+GBytes *sched_learned(const struct sched *s)
+{
+	return run_time_model_encode(s->run_times);
+}
+
+int sched_restore_learned(struct sched *s, const void *data, size_t size)
+{
+	return run_time_model_restore(s->run_times, data, size);
+}
+
 cs_handle sched_take_changed_batch(struct sched *s)
 {
 	while (!g_queue_is_empty(&s->begins) ||
@@ -774,7 +845,7 @@
  * Work left in a job's present occurrence, in thousandths of a core times
  * milliseconds.
  */
-static double work_left(const struct job *j)
+double sched_work_left(const struct job *j)
 {
 	const struct batch_occurrence *r =
 		&j->batch->occurrences[j->first_open_occurrence];
@@ -821,7 +892,7 @@
 		for (k = 0; p && k < p->jobs->len; k++) {
 			const struct job *j = g_ptr_array_index(p->jobs, k);
 
-			work += work_left(j);
+			work += sched_work_left(j);
 			if (strcmp(j->batch->queue, q->name))
 				continue;
 			is_used = true;
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -62,6 +62,19 @@
 	int64_t server_lease_max_ms;
 };
 
+/*
+ * Decisions under load that an entry's settings switch on. With all of them off
+ * the scheduler orders jobs by their objective and packs servers by room.
+ */
+struct sched_policy {
+	bool has_fair_shares; /* queue/fair_share.h */
+	bool has_admission; /* queue/drain.h, node/admission.h */
+	bool has_preemption; /* queue/preempt.h */
+	bool has_server_scores; /* place/server_score.h */
+	bool has_demand_forecast; /* pools/forecast.h */
+	bool has_learned_run_times; /* learn/run_times.h */
+};
+
 struct sched_options {
 	char holder[CS_NAME_MAX]; /* this entry */
 	uint64_t token; /* fencing token; increases with every term */
@@ -69,6 +82,7 @@
 	/* Latest end of a lease that a predecessor may have renewed. */
 	cs_time predecessor_end;
 	struct sched_limits limits;
+	struct sched_policy policy;
 };
 
 struct sched_ops {
@@ -125,6 +139,17 @@
 		    cs_time now);
 void sched_remove_wave(struct sched *sched, uint64_t wave);
 
+/*
+ * What has been learned of run times, to be stored for the next owner; NULL if
+ * nothing is kept beyond the term. The caller frees it.
+ */
+GBytes *sched_learned(const struct sched *sched);
+/*
+ * Takes over what a predecessor has stored, before any end of a run is known.
+ * CS_ERR_INVALID if it is malformed; it is then not used.
+ */
+int sched_restore_learned(struct sched *sched, const void *data, size_t size);
+
 /* All submissions in the store have been added; tasks may be started. */
 void sched_set_ready(struct sched *sched, cs_time now);
 
