base: close at limits without a response where 503 says never runs

A connection that a limit ends gets 503 with the outcome "unknown" in its body. Callers on a shared platform read only the status, which promises that the job never runs, but the message may repeat an accepted one. There such a connection is closed without a response, also when the table of connections is full, and callers repeat the request under its identifier.

--- a/src/base/http_server.c
+++ b/src/base/http_server.c
@@ -299,7 +299,8 @@
 		.retry_after_ms = retry_after_ms,
 	};
 
-	send_refusal(c, &refusal);
+	if (!c->limit || !s->options.closes_at_limits)
+		send_refusal(c, &refusal);
 	if (s->ops->on_refused)
 		s->ops->on_refused(s->ctx, &refusal);
 }
@@ -380,6 +381,8 @@
 {
 	struct connection c = { .server = s, .conn = conn };
 
+	if (s->options.closes_at_limits)
+		return;
 	http_address_format(conn->saddr, c.peer);
 	refuse_connection(&c, 503, "too_many_connections", CS_SEC / CS_MSEC);
 }
--- a/src/base/http_server.h
+++ b/src/base/http_server.h
@@ -24,6 +24,12 @@
 	size_t buffer_max;
 	/* Longest time for a head, and for the body after it; 0: defaults. */
 	int64_t head_timeout_ms, body_timeout_ms;
+	/*
+	 * A connection that a limit ends is closed without a response. For
+	 * interfaces where each refusal says that the request never runs: the
+	 * message may repeat an earlier one, of which the server knows nothing.
+	 */
+	bool closes_at_limits;
 	size_t row_size; /* bytes of owner data in each exchange, zeroed */
 };
 
