commit: more orders to hosts in one transaction

Cause: orders to hosts are stored before they are sent, 8 in a transaction and one such transaction at a time. While calls to the store took 330 ms, 180 moves of one queue's turn reached the host service at 24 a second, so its pool had 60 usable servers where 240 were wanted.

Change: 64 orders, as they are names in one value, of which 20 may end a grant.

--- a/src/node/commit.c
+++ b/src/node/commit.c
@@ -24,9 +24,14 @@
 #define GRANT_TXN_OPS_MAX (STORE_TXN_MAX * 2 / 3)
 /* A condition and a write for each batch, and a second write at its end. */
 #define BATCH_TXN_OPS 3
-/* Orders to hosts, and removals of grants, in one transaction. */
-#define HOST_ORDERS_MAX 8
-#define ENDED_GRANTS_MAX 10
+/*
+ * Orders to hosts in one transaction. They are names in one value, and only one
+ * such transaction is open at a time: with 8, a store that took 330 ms for a
+ * call limited moves to 24 a second.
+ */
+#define HOST_ORDERS_MAX 64
+/* Removals of grants in one transaction; each order may bring one. */
+#define ENDED_GRANTS_MAX 20
 /* The keys of an expired batch, which are removed together. */
 #define EXPIRED_TXN_OPS 3
 /* Least time between two transactions, so that each carries many changes. */
@@ -142,7 +147,8 @@
 	if (c->is_ordered_write_open)
 		return;
 	t->has_host_orders = sched_take_host_orders(n->sched, HOST_ORDERS_MAX,
-						    t->ended_grants, now) > 0;
+						    t->ended_grants,
+						    ENDED_GRANTS_MAX, now) > 0;
 	sched_ended_grants(n->sched, t->ended_grants, ENDED_GRANTS_MAX);
 	if (!t->has_host_orders && !t->ended_grants->len &&
 	    !c->is_ordered_write_uncertain)
--- a/src/sched/pools/hosts.c
+++ b/src/sched/pools/hosts.c
@@ -136,12 +136,14 @@
 }
 
 int sched_take_host_orders(struct sched *s, int max, GPtrArray *ended,
-			   cs_time now)
+			   guint ended_max, cs_time now)
 {
 	struct hosts *h = s->hosts;
 	int n = 0;
 
-	for (; n < max && !g_queue_is_empty(&h->queued); n++) {
+	for (;
+	     n < max && ended->len < ended_max && !g_queue_is_empty(&h->queued);
+	     n++) {
 		struct host_order *p = g_queue_pop_head(&h->queued);
 		struct server *v = server_row(s, p->server);
 		struct recent_order *row = g_new0(struct recent_order, 1);
--- a/tests/unit/test_late_writes.c
+++ b/tests/unit/test_late_writes.c
@@ -127,6 +127,35 @@
 	end_world(w);
 }
 
+/*
+ * Guards against pools that grow too slowly while the store is slow: orders to
+ * hosts were stored in small groups, one after the other, so that moves were
+ * limited to 27 a second. The host service takes 60, of which a quarter is kept
+ * for maintenance.
+ */
+static void slow_store_does_not_limit_moves(void **state)
+{
+	const int hosts = 60, latency_ms = 300, moves_per_s = 45;
+	const struct world_job job = { .steps = 1,
+				       .width = 56,
+				       .work_ms = 200,
+				       .cpu = 30000,
+				       .is_long_running = true,
+				       .unavailable_max = -1 };
+	/* Calls to the host service, four to the store, a move, the server. */
+	const int64_t due_ms =
+		hosts * 1000 / moves_per_s + 4 * latency_ms + 1500 + 500;
+	struct world *w = make_world(1, 4, hosts);
+	int number;
+
+	(void)state;
+	world_store_set_latency(w, latency_ms);
+	number = world_submit(w, 0, &job);
+	world_run(w, due_ms);
+	assert_int_equal(world_job_running_tasks(w, number), job.width);
+	end_world(w);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -134,6 +163,7 @@
 		cmocka_unit_test(withdrawn_keys_are_removed),
 		cmocka_unit_test(old_pending_counts_are_not_stored_late),
 		cmocka_unit_test(slow_store_delays_a_start_by_one_write),
+		cmocka_unit_test(slow_store_does_not_limit_moves),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
