node: tell the owner of submissions while the store is slow

Cause: with calls to the store of 330 ms, the owner learned of a job 330 ms after it was stored, as its watch is as slow as other calls.

Change: the entry that stored it sends it to the owner over the relay connection. The write is conditional on the owner's key, so a later owner knows that the job may have runs, and an owner takes such a begin for its own only if it names its key; else it stores the begin again.

--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -126,6 +126,11 @@
 	 * earlier version accepted it.
 	 */
 	struct site_terms terms;
+	/*
+	 * Of a submission that names pools: it was stored on the condition of
+	 * this revision of the owner's key.
+	 */
+	uint64_t begun_owner;
 	bool has_terms;
 	/* The limit of the workspace then; 0 in a field: none, or not known. */
 	struct site_resources limit;
--- a/src/batch/batch_codec.c
+++ b/src/batch/batch_codec.c
@@ -13,8 +13,9 @@
  * Numbers of elements of the outer arrays. Readers ignore further elements, so
  * one can be added at the end if it may be missing.
  */
-#define SUBMISSION_LEN 13
-/* Submissions of earlier versions have no terms, no limit or no pools. */
+#define SUBMISSION_LEN 14
+/* Submissions of earlier versions have no terms, no limit or no pools.
+ */
 #define SUBMISSION_LEN_MIN 10
 #define SUBMISSION_LEN_LIMIT 12
 #define PROGRESS_LEN 5
@@ -130,6 +131,7 @@
 	pack_terms(&pk, &b->terms);
 	pack_limit(&pk, &b->limit);
 	pack_pools(&pk, b->pools);
+	msgpack_pack_uint64(&pk, b->begun_owner);
 	return take_buffer(&buf);
 }
 
@@ -313,10 +315,14 @@
 	if (o->via.array.size >= SUBMISSION_LEN_LIMIT &&
 	    read_limit(&f[11], &limit))
 		b->limit = limit;
-	if (o->via.array.size >= SUBMISSION_LEN && !read_pools(b, &f[12])) {
+	if (o->via.array.size >= SUBMISSION_LEN &&
+	    (!read_pools(b, &f[12]) ||
+	     f[13].type != MSGPACK_OBJECT_POSITIVE_INTEGER)) {
 		batch_destroy(b);
 		return NULL;
 	}
+	if (o->via.array.size >= SUBMISSION_LEN)
+		b->begun_owner = f[13].via.u64;
 	return b;
 fail:
 	batch_spec_destroy(spec);
--- a/src/node/api.c
+++ b/src/node/api.c
@@ -62,7 +62,13 @@
 	cs_time deadline;
 	bool is_write_uncertain; /* a write without a reply may be done */
 	bool is_reading_job; /* the key of the job, not of its progress */
-	bool is_begun; /* stored with the record that its tasks start */
+	/*
+	 * Of the owner's key, on which the last write is conditional, as it
+	 * records that tasks start; 0: it is not.
+	 */
+	uint64_t owner_revision;
+	bool has_owner_changed; /* that condition failed */
+	GBytes *value; /* of the job's key, as written last; NULL: none */
 	/* Of the marker of a refusal in the job's key; 0: none is known. */
 	uint64_t marker_revision;
 	int64_t refusal_retry_ms; /* Retry-After of the refusal under way */
@@ -172,6 +178,7 @@
 {
 	struct node *n = o->node;
 
+	g_bytes_unref(o->value);
 	send_reply(n, o->request, reply, o->queue, o->workspace, o->id, now);
 	slots_free(n->requests, o->self);
 }
@@ -215,12 +222,30 @@
 	       strcmp(workspace, o->workspace) != 0;
 }
 
+/*
+ * The item of the job's key in a reply, or NULL. A conflict shows all keys of
+ * the conditions that exist.
+ */
+static const struct store_item *job_item(const struct open_request *o,
+					 const struct store_reply *d)
+{
+	guint i;
+
+	for (i = 0; i < d->items->len; i++) {
+		const struct store_item *item = g_ptr_array_index(d->items, i);
+
+		if (g_str_has_prefix(item->key, KEY_JOBS) &&
+		    !strcmp(item->key + strlen(KEY_JOBS), o->id))
+			return item;
+	}
+	return NULL;
+}
+
 /* The same for a stored submission; one that has ended names no workspace. */
 static bool is_foreign_submission(const struct open_request *o,
 				  const struct store_reply *d)
 {
-	const struct store_item *item =
-		d->items->len ? g_ptr_array_index(d->items, 0) : NULL;
+	const struct store_item *item = job_item(o, d);
 	struct batch *b;
 	bool is_other;
 	gsize size;
@@ -236,10 +261,10 @@
 }
 
 /* True if the job's key holds the marker in place of a submission. */
-static bool has_marker(const struct store_reply *d, const char *marker)
+static bool has_marker(const struct open_request *o,
+		       const struct store_reply *d, const char *marker)
 {
-	const struct store_item *item =
-		d->items->len ? g_ptr_array_index(d->items, 0) : NULL;
+	const struct store_item *item = job_item(o, d);
 
 	return item && item->value && store_value_is(item->value, marker);
 }
@@ -314,7 +339,8 @@
 /*
  * Writes the key of the request's job under a prefix if its revision is the
  * expected one; 0: if it does not exist. With progress, which may be NULL, the
- * key of the job's progress is written as well. Takes ownership of the values.
+ * key of the job's progress is written as well, if the owner is still the one
+ * of owner_revision. Takes ownership of the values.
  */
 static void replace_key(struct open_request *o, const char *prefix,
 			uint64_t expected, GBytes *value, GBytes *progress,
@@ -335,6 +361,7 @@
 	store_call_write(c, key, value, 0);
 	g_free(key);
 	if (progress) {
+		store_call_expect(c, KEY_OWNER, o->owner_revision);
 		key = g_strconcat(KEY_PROGRESS, o->id, NULL);
 		store_call_write(c, key, progress, 0);
 		g_free(key);
@@ -367,13 +394,14 @@
  */
 static bool is_key_free(struct open_request *o, const struct store_reply *d)
 {
-	const struct store_item *item =
-		d->items->len ? g_ptr_array_index(d->items, 0) : NULL;
+	const struct store_item *item = job_item(o, d);
 	bool was_marked = o->marker_revision != 0;
 
 	o->marker_revision = 0;
+	/* Without it, the condition on the owner's key has failed. */
 	if (!item || !item->value)
-		return d->result == STORE_MISSING || was_marked;
+		return d->result == STORE_MISSING || was_marked ||
+		       o->owner_revision;
 	if (!store_value_is(item->value, JOB_REFUSED))
 		return false;
 	o->marker_revision = item->revision;
@@ -428,11 +456,11 @@
 static void finish_known(struct open_request *o, const struct store_reply *d,
 			 cs_time now)
 {
-	if (has_marker(d, JOB_WITHDRAWN))
+	if (has_marker(o, d, JOB_WITHDRAWN))
 		finish_with_result(o, API_UNAVAILABLE,
 				   "the job was cancelled before it was stored",
 				   now);
-	else if (has_marker(d, JOB_ENDED))
+	else if (has_marker(o, d, JOB_ENDED))
 		read_ended_job(o, now);
 	else if (is_foreign_submission(o, d))
 		finish_foreign(o, now);
@@ -440,6 +468,21 @@
 		finish_with_result(o, API_OK, "known", now);
 }
 
+/* Tells the owner of the job, which its watch will do later. */
+static void notify_owner(struct open_request *o, uint64_t revision, cs_time now)
+{
+	struct node *n = o->node;
+	struct submission *s =
+		submission_new(o->id, revision, o->owner_revision, o->value);
+
+	if (n->owner.state < OWNER_LOADING) {
+		n->ops->submission(n->ctx, s);
+		return;
+	}
+	node_submission_stored(n, s, now);
+	submission_free(s);
+}
+
 static void on_submitted(void *ctx, uint64_t arg, const struct store_reply *d,
 			 cs_time now)
 {
@@ -450,9 +493,12 @@
 		return;
 	switch (d->result) {
 	case STORE_OK:
+		if (o->owner_revision)
+			notify_owner(o, d->revision, now);
 		finish_with_result(o, API_OK, "stored", now);
 		break;
 	case STORE_CONFLICT: /* it was stored before: still one job */
+		o->has_owner_changed = o->owner_revision != 0;
 		if (is_key_free(o, d))
 			store_submission(o, now);
 		else
@@ -484,8 +530,10 @@
 /*
  * Stores a job. While the store is slow, the record that its tasks start in the
  * pool of its queue is part of the same write, so that the owner need not store
- * it before the first start. It is not always done that way, since a new owner
- * has to wait for servers that do not answer before it starts such a job.
+ * it before the first start. The write is then conditional on the owner's key:
+ * a later owner knows that the job may have runs. It is not always done that
+ * way, since a new owner has to wait for servers that do not answer before it
+ * starts such a job.
  */
 static void store_submission(struct open_request *o, cs_time now)
 {
@@ -493,15 +541,19 @@
 	struct batch b = { 0 };
 	GBytes *progress = NULL;
 
-	if (store_calls_latency(n->calls, now) > SLOW_STORE_US)
-		o->is_begun = true;
 	fill_batch(o, &b);
-	if (o->is_begun) {
+	o->owner_revision = 0;
+	if (store_calls_latency(n->calls, now) > SLOW_STORE_US &&
+	    !o->has_owner_changed)
+		o->owner_revision = n->owner.seen_revision;
+	if (o->owner_revision) {
 		batch_begin(&b, o->terms.pool);
+		b.begun_owner = o->owner_revision;
 		progress = batch_encode_progress(&b);
 	}
-	take_job_key(o, batch_encode_submission(&b), progress, on_submitted,
-		     now);
+	g_bytes_unref(o->value);
+	o->value = batch_encode_submission(&b);
+	take_job_key(o, g_bytes_ref(o->value), progress, on_submitted, now);
 	if (b.pools)
 		g_ptr_array_free(b.pools, TRUE);
 }
@@ -541,6 +593,7 @@
  */
 static void store_refusal(struct open_request *o, cs_time now)
 {
+	o->owner_revision = 0;
 	take_job_key(o, g_bytes_new_static(JOB_REFUSED, strlen(JOB_REFUSED)),
 		     NULL, on_refusal_stored, now);
 }
@@ -617,7 +670,7 @@
 
 	if (has_no_job && o->request->kind == API_CANCEL) {
 		withdraw(o, now);
-	} else if (has_no_job || has_marker(d, JOB_WITHDRAWN) ||
+	} else if (has_no_job || has_marker(o, d, JOB_WITHDRAWN) ||
 		   is_foreign_submission(o, d)) {
 		finish_with_result(o, API_NO_JOB, NULL, now);
 	} else if (o->request->kind == API_CANCEL) {
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -287,6 +287,14 @@
 		sched_order_reply(n->sched, d, now);
 }
 
+void node_submission_stored(struct node *n, const struct submission *s,
+			    cs_time now)
+{
+	if (n->owner.state == OWNER_ACTIVE && !n->owner.is_releasing &&
+	    s->owner_revision == n->owner.key_revision)
+		term_add_submission(n, s, now);
+}
+
 void node_drain(struct node *n, cs_time now)
 {
 	n->is_draining = true;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -6,6 +6,7 @@
 #include "../sched/sched.h"
 #include "../store/store.h"
 #include "api.h"
+#include "submission.h"
 
 /*
  * The decision core of an entry on a platform with a shared store. It answers
@@ -25,6 +26,8 @@
 	void (*log)(void *ctx, const char *event, const char *pairs);
 	/* The owner is another one; it may be this entry. */
 	void (*owner_changed)(void *ctx, const struct relay_contact *owner);
+	/* Tells the owner, another entry, of a job that was stored here. */
+	void (*submission)(void *ctx, struct submission *submission);
 	/*
 	 * Asked before a line is formatted that is written for each task;
 	 * false: there are too many lines, and this one is not written.
@@ -85,6 +88,9 @@
 		      cs_time now);
 void node_order_reply(struct node *node, const struct order_reply *reply,
 		      cs_time now);
+/* The notice of an entry; ignored unless this one is the owner it means. */
+void node_submission_stored(struct node *node,
+			    const struct submission *submission, cs_time now);
 
 /*
  * Reports itself as not ready, and gives up ownership as soon as the store
--- a/src/node/node_bus.c
+++ b/src/node/node_bus.c
@@ -44,6 +44,11 @@
 	order_reply_free(body);
 }
 
+static void free_submission(void *body)
+{
+	submission_free(body);
+}
+
 static void (*const free_body[NODE_MSG_NR])(void *) = {
 	[NODE_REQUEST] = free_request,
 	[NODE_REPLY] = g_free,
@@ -52,6 +57,7 @@
 	[NODE_ORDER] = free_order,
 	[NODE_ORDER_REPLY] = free_order_reply,
 	[NODE_OWNER] = g_free,
+	[NODE_SUBMISSION] = free_submission,
 	[NODE_METRICS] = metrics_free,
 };
 
--- a/src/node/node_bus.h
+++ b/src/node/node_bus.h
@@ -24,6 +24,7 @@
 	NODE_ORDER, /* struct order, to the fleet client */
 	NODE_ORDER_REPLY, /* struct order_reply, to the core */
 	NODE_OWNER, /* struct relay_contact, to the fleet client */
+	NODE_SUBMISSION, /* struct submission, to the owner's core */
 	NODE_DRAIN, /* no body, to the core, front and fleet client */
 	NODE_METRICS, /* struct node_metrics, to the core and back */
 	NODE_MSG_NR
--- a/src/node/node_core.c
+++ b/src/node/node_core.c
@@ -59,6 +59,13 @@
 		      g_memdup2(owner, sizeof(*owner)));
 }
 
+static void emit_submission(void *ctx, struct submission *submission)
+{
+	struct node_core *c = ctx;
+
+	node_bus_post(c->bus, NODE_FLEET, NODE_SUBMISSION, submission);
+}
+
 static bool admits_frequent_log(void *ctx)
 {
 	struct node_core *c = ctx;
@@ -66,10 +73,10 @@
 	return log_admits_frequent(node_bus_log(c->bus));
 }
 
-static const struct node_ops node_ops = {
-	emit_store_call, emit_order, emit_reply,
-	emit_log,	 emit_owner, admits_frequent_log
-};
+static const struct node_ops node_ops = { emit_store_call,    emit_order,
+					  emit_reply,	      emit_log,
+					  emit_owner,	      emit_submission,
+					  admits_frequent_log };
 
 static int64_t unix_now(void)
 {
@@ -165,6 +172,9 @@
 	case NODE_ORDER_REPLY:
 		node_order_reply(c->node, msg->body, now);
 		break;
+	case NODE_SUBMISSION:
+		node_submission_stored(c->node, msg->body, now);
+		break;
 	case NODE_DRAIN:
 		node_drain(c->node, now);
 		break;
--- a/src/node/node_private.h
+++ b/src/node/node_private.h
@@ -58,6 +58,7 @@
 	enum owner_state state;
 	bool is_key_present;
 	uint64_t key_revision; /* of the key as this entry wrote it */
+	uint64_t seen_revision; /* of the key, whoever wrote it; 0: none */
 	uint64_t term; /* of the last owner */
 	uint64_t term_revision; /* of KEY_TERM */
 	int max_cpu_share; /* largest of any owner, thousandths of a core */
@@ -199,6 +200,9 @@
 void term_begin(struct node *n, cs_time now);
 void term_end(struct node *n);
 void term_turn(struct node *n, cs_time now);
+/* Adds a job of which the watch has not told yet. */
+void term_add_submission(struct node *n, const struct submission *s,
+			 cs_time now);
 void term_add_wave(struct node *n, const char *number, GBytes *value,
 		   cs_time now);
 
--- a/src/node/ownership.c
+++ b/src/node/ownership.c
@@ -320,6 +320,7 @@
 	if (strcmp(item->key, KEY_OWNER))
 		return;
 	n->owner.is_key_present = true;
+	n->owner.seen_revision = item->revision;
 	if (is_own_key(n, item)) {
 		/* Written by a transaction whose reply was lost or is late. */
 		if (n->owner.state < OWNER_LOADING && !n->is_draining) {
@@ -344,6 +345,7 @@
 	if (strcmp(key, KEY_OWNER))
 		return;
 	n->owner.is_key_present = false;
+	n->owner.seen_revision = 0;
 	if (n->owner.state >= OWNER_LOADING)
 		owner_lost(n, "the key was removed", now);
 	schedule_attempt_if_free(n, now);
--- a/src/node/term.c
+++ b/src/node/term.c
@@ -91,6 +91,23 @@
 	return NULL;
 }
 
+/*
+ * A submission that names pools was stored together with progress, of which the
+ * revision is returned. If that was under another owner since this term began,
+ * the tasks may start there, and only a conditional write of this owner shows
+ * that it still holds the key; so the begin is stored again.
+ */
+static uint64_t take_begin(const struct node *n, struct batch *b,
+			   uint64_t revision)
+{
+	if (revision > n->owner.key_revision &&
+	    b->begun_owner != n->owner.key_revision) {
+		g_ptr_array_free(b->pools, TRUE);
+		b->pools = NULL;
+	}
+	return revision;
+}
+
 /* Passes a job to the scheduler, with its progress, which may be NULL. */
 static void add_job(struct node *n, const char *id, GBytes *value,
 		    uint64_t revision, const struct loaded_item *progress,
@@ -111,15 +128,20 @@
 		batch_destroy(b);
 		return;
 	}
-	/* A submission that names pools was stored together with progress. */
 	if (progress)
 		stored = progress->revision;
 	else if (b->pools)
-		stored = revision;
+		stored = take_begin(n, b, revision);
 	sched_add_batch(n->sched, b, revision, stored, node_unix_ms(n, now),
 			now);
 }
 
+void term_add_submission(struct node *n, const struct submission *s,
+			 cs_time now)
+{
+	add_job(n, s->id, s->value, s->revision, NULL, now);
+}
+
 static void on_root_put(void *ctx, const struct store_item *item, cs_time now)
 {
 	struct node *n = ctx;
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -148,6 +148,7 @@
 		carrier_on_msg(r, conn, &msg, delay);
 	order_free(msg.order);
 	order_reply_free(msg.reply);
+	submission_free(msg.submission);
 }
 
 static void on_end(void *owner, struct peer_conn *conn,
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -2,6 +2,7 @@
 #define RELAY_RELAY_H
 
 #include "../base/log.h"
+#include "../node/submission.h"
 #include "../sched/order.h"
 #include "contact.h"
 
@@ -35,6 +36,8 @@
 	void (*carry)(void *ctx, cs_handle call, struct order *order);
 	/* Handles the reply to an order of relay_send(), and takes it over. */
 	void (*reply)(void *ctx, struct order_reply *reply);
+	/* As the owner: takes over the notice of an entry. */
+	void (*submission)(void *ctx, struct submission *submission);
 };
 
 /*
@@ -59,6 +62,12 @@
 void relay_answer(struct relay *relay, cs_handle call,
 		  struct order_reply *reply);
 
+/*
+ * Tells the owner of a job that this entry has stored. No effect without a
+ * connection to the owner, which also learns of it from the store.
+ */
+void relay_notify(struct relay *relay, struct submission *submission);
+
 /* This entry is about to end: it takes no more orders. */
 void relay_leave(struct relay *relay);
 
--- a/src/relay/relay_carrier.c
+++ b/src/relay/relay_carrier.c
@@ -190,6 +190,17 @@
 		carry(r, conn, msg, delay);
 }
 
+void relay_notify(struct relay *r, struct submission *s)
+{
+	struct relay_msg msg = { .kind = RELAY_SUBMISSION,
+				 .sent = task_now(),
+				 .submission = s };
+	struct peer_conn *conn = slots_get(r->conns, r->owner_conn);
+
+	if (conn && relay_link(conn))
+		relay_send_msg(r, conn, &msg);
+}
+
 void relay_answer(struct relay *r, cs_handle call, struct order_reply *reply)
 {
 	const struct carried_call *c = slots_get(r->carried, call);
--- a/src/relay/relay_codec.c
+++ b/src/relay/relay_codec.c
@@ -185,6 +185,37 @@
 	m->cpu_share = (int)peer_read_i64(f, "cpu_share", 1, INT32_MAX);
 }
 
+static void write_submission(msgpack_packer *pk, const struct relay_msg *m)
+{
+	const struct submission *s = m->submission;
+	gsize len;
+	const uint8_t *data = g_bytes_get_data(s->value, &len);
+
+	peer_write_str(pk, s->id);
+	msgpack_pack_uint64(pk, s->revision);
+	msgpack_pack_uint64(pk, s->owner_revision);
+	peer_write_bin(pk, data, len);
+}
+
+/* The value is decoded by the core, like one from the store. */
+static void read_submission(struct peer_fields *f, struct relay_msg *m)
+{
+	uint64_t revision, owner_revision;
+	char id[BATCH_ID_MAX];
+	GBytes *value;
+
+	peer_read_str(f, "id", id, sizeof(id));
+	revision = peer_read_u64(f, "revision", UINT64_MAX);
+	owner_revision = peer_read_u64(f, "owner_revision", UINT64_MAX);
+	value = peer_read_bytes(f, "value");
+	if (!value)
+		peer_fields_fail(f, "value", "missing");
+	else if (!f->has_failed)
+		m->submission =
+			submission_new(id, revision, owner_revision, value);
+	g_bytes_unref(value);
+}
+
 /* What follows the kind and the time. */
 struct kind_codec {
 	size_t fields;
@@ -200,6 +231,7 @@
 	[RELAY_REPLY] = { 7, write_reply, read_reply },
 	[RELAY_LEAVE] = { 0, NULL, NULL },
 	[RELAY_PARTIAL_REPLY] = { 7, write_reply, read_partial_reply },
+	[RELAY_SUBMISSION] = { 4, write_submission, read_submission },
 };
 
 GBytes *relay_encode(const struct relay_msg *m)
@@ -244,6 +276,7 @@
 		return CS_OK;
 	order_free(m->order);
 	order_reply_free(m->reply);
+	submission_free(m->submission);
 	memset(m, 0, sizeof(*m));
 	return code;
 }
--- a/src/relay/relay_codec.h
+++ b/src/relay/relay_codec.h
@@ -1,6 +1,7 @@
 #ifndef RELAY_CODEC_H
 #define RELAY_CODEC_H
 
+#include "../node/submission.h"
 #include "../sched/order.h"
 
 /* The messages between the owner and the entries that carry its orders. */
@@ -15,9 +16,10 @@
 	 * A reply with lists that are partial. It has a kind of its own so that
 	 * an owner of a version that takes all lists for complete ignores it.
 	 */
-	RELAY_PARTIAL_REPLY
+	RELAY_PARTIAL_REPLY,
+	RELAY_SUBMISSION /* any entry: it has stored a job */
 };
-#define RELAY_KIND_MAX RELAY_PARTIAL_REPLY
+#define RELAY_KIND_MAX RELAY_SUBMISSION
 
 struct relay_msg {
 	enum relay_kind kind;
@@ -28,6 +30,7 @@
 	bool omits_payload; /* of an order: the carrier has it, see payloads.h
 			     */
 	struct order_reply *reply; /* of a reply */
+	struct submission *submission; /* of a submission */
 };
 
 /* Encodes a message as one msgpack array. */
@@ -35,7 +38,8 @@
 
 /*
  * Decodes untrusted bytes. Returns CS_OK, or CS_ERR_INVALID or CS_ERR_NOMEM
- * with err filled. The caller owns order and reply of the result. Type, ref,
+ * with err filled. The caller owns order, reply and
+ * submission of the result. Type, ref,
  * server, token and times of a reply are not sent: the owner knows them from
  * its order.
  */
--- a/src/relay/relay_hub.c
+++ b/src/relay/relay_hub.c
@@ -243,6 +243,10 @@
 		complete(r, msg->call, msg->reply, task_now());
 		msg->reply = NULL;
 		break;
+	case RELAY_SUBMISSION:
+		r->ops->submission(r->ctx, msg->submission);
+		msg->submission = NULL;
+		break;
 	default:
 		break;
 	}
--- a/tests/unit/test_batch.c
+++ b/tests/unit/test_batch.c
@@ -357,11 +357,13 @@
 
 	(void)state;
 	batch_begin(b, "north");
+	b->begun_owner = 12;
 	submission = batch_encode_submission(b);
 	c = batch_decode_submission(g_bytes_get_data(submission, NULL),
 				    g_bytes_get_size(submission));
 	assert_non_null(c->pools);
 	assert_int_equal(c->pools->len, 1);
+	assert_int_equal(c->begun_owner, 12);
 	assert_true(batch_may_run_in(c, "north"));
 	assert_false(batch_may_run_in(c, "south"));
 	g_bytes_unref(submission);
@@ -376,10 +378,10 @@
 static void submission_without_terms_is_read(void **state)
 {
 	/*
-	 * The terms end with a 0, the limit is an array of three, and the one
-	 * of the pools is empty.
+	 * The terms end with a 0, the limit is an array of three, the one of
+	 * the pools is empty, and no owner is named.
 	 */
-	static const uint8_t tail[] = { 0, 0x93, 3, 0, 0, 0x90 };
+	static const uint8_t tail[] = { 0, 0x93, 3, 0, 0, 0x90, 0 };
 	struct batch *b = make_batch(), *c;
 	GBytes *submission;
 	uint8_t *data, *end;
@@ -408,8 +410,8 @@
 	assert_string_equal(c->spec->payload, "work");
 	batch_destroy(c);
 	end[0] = 0;
-	/* Arrays of 12, 11 and 10 elements instead of 13. */
-	data[0]--;
+	/* Arrays of 12, 11 and 10 elements instead of 14. */
+	data[0] -= 2;
 	c = batch_decode_submission(data, size);
 	assert_true(c->has_terms);
 	assert_int_equal(c->limit.cpu, 3);
--- a/tests/unit/test_relay.c
+++ b/tests/unit/test_relay.c
@@ -26,6 +26,7 @@
 	GPtrArray *carried; /* struct order */
 	GArray *calls; /* cs_handle, of carried */
 	GPtrArray *replies; /* struct order_reply */
+	struct submission *submission; /* the last one */
 };
 
 static struct log *test_log;
@@ -45,7 +46,15 @@
 	g_ptr_array_add(e->replies, reply);
 }
 
-static const struct relay_ops ops = { on_carry, on_reply };
+static void on_submission(void *ctx, struct submission *submission)
+{
+	struct entry *e = ctx;
+
+	submission_free(e->submission);
+	e->submission = submission;
+}
+
+static const struct relay_ops ops = { on_carry, on_reply, on_submission };
 
 static void free_order(void *order)
 {
@@ -87,6 +96,7 @@
 	g_ptr_array_free(e->carried, TRUE);
 	g_array_free(e->calls, TRUE);
 	g_ptr_array_free(e->replies, TRUE);
+	submission_free(e->submission);
 }
 
 /* Runs the entries, NULL after the last, for a time. */
@@ -144,6 +154,29 @@
 	assert_int_equal(carrier->carried->len, 1);
 }
 
+/* Guards against a notice that reaches the owner changed, or not at all. */
+static void notice_reaches_the_owner(void **state)
+{
+	struct entry owner, carrier, *both[] = { &owner, &carrier, NULL };
+	GBytes *value = g_bytes_new_static("a job", 5);
+	struct submission *s =
+		submission_new("0123456789abcdef", 77, 12, value);
+
+	(void)state;
+	connect_pair(&owner, &carrier);
+	relay_notify(carrier.relay, s);
+	run(both, 100 * CS_MSEC);
+	assert_non_null(owner.submission);
+	assert_string_equal(owner.submission->id, s->id);
+	assert_int_equal(owner.submission->revision, 77);
+	assert_int_equal(owner.submission->owner_revision, 12);
+	assert_true(g_bytes_equal(owner.submission->value, value));
+	submission_free(s);
+	g_bytes_unref(value);
+	stop(&carrier);
+	stop(&owner);
+}
+
 /* An order reaches the carrier unchanged, and its reply the owner. */
 static void order_is_carried(void **state)
 {
@@ -540,6 +573,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(order_is_carried),
+		cmocka_unit_test(notice_reaches_the_owner),
 		cmocka_unit_test(payload_crosses_once),
 		cmocka_unit_test(paused_carrier_does_not_send_late),
 		cmocka_unit_test(silent_carrier_is_given_up),
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -325,6 +325,41 @@
 	(void)owner;
 }
 
+struct notice {
+	struct world *world;
+	struct submission *submission;
+};
+
+/* The owner, whoever it is by then, gets a notice like any message. */
+static void on_notice(void *ctx, uint64_t arg, cs_time now)
+{
+	struct notice *m = ctx;
+	int i;
+
+	(void)arg;
+	for (i = 0; i < m->world->options.nodes; i++) {
+		struct sim_node *n = &m->world->nodes[i];
+
+		if (n->node && n->paused_until <= now)
+			node_submission_stored(n->node, m->submission, now);
+	}
+	submission_free(m->submission);
+	g_free(m);
+}
+
+static void on_submission(void *ctx, struct submission *submission)
+{
+	const struct sim_node *n = ctx;
+	struct world *w = n->world;
+	struct notice *m = g_new(struct notice, 1);
+
+	m->world = w;
+	m->submission = submission;
+	timers_subscribe(w->timers,
+			 w->now + world_random_ms(w, 1, 800) * CS_MSEC,
+			 on_notice, m, 0);
+}
+
 static bool admits_frequent_log(void *ctx)
 {
 	const struct sim_node *n = ctx;
@@ -332,10 +367,10 @@
 	return n->world->options.is_verbose;
 }
 
-static const struct node_ops node_ops = {
-	sim_store_call, sim_server_order, on_reply,
-	on_log,		on_owner_changed, admits_frequent_log
-};
+static const struct node_ops node_ops = { sim_store_call,     sim_server_order,
+					  on_reply,	      on_log,
+					  on_owner_changed,   on_submission,
+					  admits_frequent_log };
 
 static void add_workspace(struct site *site, const char *name, const char *key,
 			  int64_t limit_cpu)
