--- a/src/sched/pools/pool_size.c
+++ b/src/sched/pools/pool_size.c
@@ -82,11 +82,21 @@
 			    cs_time now)
 {
 	forecast_add(p->forecast, work, duration_ms, now);
+	demand_add(p->arrivals, work, duration_ms, now);
 }
 
 static struct forecast_value forecast_arriving(struct pool *p, cs_time now)
 {
-	return forecast_at(p->forecast, LEAD_US, now);
+	struct forecast_value v = forecast_at(p->forecast, LEAD_US, now);
+
+	/*
+	 * While the number of jobs rises, work is extended as well: in a burst
+	 * the jobs that come first are often the large ones.
+	 */
+	if (v.expected > v.present * RISE)
+		v.expected = fmax(v.expected,
+				  demand_forecast(p->arrivals, LEAD_US, now));
+	return v;
 }
 
 static const char *method_of_forecast(const struct pool *p)
