--- a/src/sched/queue/preempt.c
+++ b/src/sched/queue/preempt.c
@@ -111,6 +111,8 @@
 	struct preempt_choice best = { .server = -1 };
 	int at = 0, server;
 
+	if (!runs_nr)
+		return best;
 	qsort(runs, (size_t)runs_nr, sizeof(*runs), compare_runs);
 	for (server = 0; server < servers_nr; server++) {
 		struct preempt_choice c;
