--- a/tests/fuzz/fuzz_platform.c
+++ b/tests/fuzz/fuzz_platform.c
@@ -195,8 +195,10 @@
 	g_bytes_unref(again);
 	order_free(first.order);
 	order_reply_free(first.reply);
+	submission_free(first.submission);
 	order_free(second.order);
 	order_reply_free(second.reply);
+	submission_free(second.submission);
 }
 
 static void relay_seeds(GPtrArray *seeds)
@@ -205,15 +207,19 @@
 			       .timeout_ms = 1000,
 			       .payload = (char *)"work" };
 	struct relay_msg m = { .sent = 5, .cpu_share = 250, .call = 9 };
+	GBytes *job = g_bytes_new_static("a job", 5);
 	int kind;
 
 	m.order = &order;
 	m.reply = order_reply_new(&order);
+	m.submission = submission_new("0123456789abcdef", 7, 3, job);
 	for (kind = RELAY_OFFER; kind <= RELAY_KIND_MAX; kind++) {
 		m.kind = (enum relay_kind)kind;
 		g_ptr_array_add(seeds, relay_encode(&m));
 	}
 	order_reply_free(m.reply);
+	submission_free(m.submission);
+	g_bytes_unref(job);
 }
 
 const struct fuzz_target fuzz_relay = { "relay", run_relay, relay_seeds };
