--- a/src/sched/order.h
+++ b/src/sched/order.h
@@ -18,7 +18,7 @@
 	ORDER_START, /* start a run of a task */
 	ORDER_STOP,
 	ORDER_HOLD, /* renew the server's lease; lists runs and ended runs */
-	ORDER_LIST_RUNS, /* the lists of a hold, at once and without a lease */
+	ORDER_LIST_RUNS, /* as a hold, but the reply comes at once */
 	ORDER_PACE, /* limit the speed of a run, percent of full speed */
 	ORDER_ADVISE, /* ask for tickets: which servers may run a step */
 	ORDER_LIST_HOSTS,
