--- a/review/lib3/site3.py
+++ b/review/lib3/site3.py
@@ -431,14 +431,15 @@
     def start(self):
         path = os.path.join(self.site.dir, self.name + ".ini")
         with open(path, "w") as f:
-            f.write("[node]\nname = %s\ndata_centre = dc0\ncpu_share = 0.25\nmemory = 260m\n\n"
+            f.write("[node]\nname = %s\ndata_centre = dc0\ncpu_share = %s\nmemory = %dm\n\n"
                     "[front]\nlisten = 127.0.0.1:%d\nreadiness = 127.0.0.1:%d\n"
                     "metrics = 127.0.0.1:%d\n\n[store]\naddress = %s\nlease_min = 1000ms\n\n"
                     "[hosts]\naddress = %s\ncalls_per_s = 64.0\n[advisor]\naddress = %s\n"
                     "[relay]\nlisten = 127.0.0.1:%d\n\n[bounds]\nholder_pause = 3000ms\n"
                     "server_lease_max = %dms\n\n[policy]\nlearned_run_times = on\n"
                     "demand_forecast = on\n" % (
-                        self.name, self.front, self.ready, self.metrics, self.store.address,
+                        self.name, self.site.cpu_share, self.site.memory_mb,
+                        self.front, self.ready, self.metrics, self.store.address,
                         self.cloud.address, self.site.advisor.address, self.relay,
                         self.site.hold_max))
         log = open(os.path.join(self.site.dir, self.name + ".log"), "ab")
@@ -462,8 +463,9 @@
     """hold_max, grace: of the users' small deployments, ms."""
 
     def __init__(self, record, entries=3, pools=("pool0",), workers=4, hold_max=10000,
-                 tenants=None, routes=None, cpu=16000, keep=None):
+                 tenants=None, routes=None, cpu=16000, keep=None, memory_mb=260, cpu_share=0.25):
         self.record, self.hold_max = record, hold_max
+        self.memory_mb, self.cpu_share = memory_mb, cpu_share
         self.dir = keep or tempfile.mkdtemp(prefix="review-")
         self.store = Store(record)
         self.jobs, self.done, self.noted, self.failed = {}, {}, {}, {}
