sched: each incarnation of a server has a fencing token of its own

Cause: all orders of a term had one token, so an incarnation could not tell orders to the former one from its own. The owner bounded what these can do by the time at which it heard of the new incarnation or by the timeout of the order, but an order without an answer may be carried out 12 s later.

Change: an incarnation is addressed with a higher token than the one before, and is used once it has listed its runs under it; it then rejects all earlier orders. An owner without a token left reserves one by a write of the key of the term, on the condition of its own key, so that the next owner's first token is higher. Until that list, a lease that an earlier order may give counts as running. This also covers a server that left the registry in between, and servers that started shortly before a change of the owner. Orders to servers are created in one function now. A refusal of an order with an old token no longer counts as a sign of another owner.

Ruled out: waiting for 15 s before the server is used again, as each crash leaves a hold unanswered; Expected-Instance, as it names the identifier only.

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -280,10 +280,10 @@
 	store_calls_on_reply(n->calls, d, now);
 }
 
-/* Ignores replies to orders of earlier terms, which have other tokens. */
+/* Ignores replies to orders of earlier terms, which have lower tokens. */
 void node_order_reply(struct node *n, const struct order_reply *d, cs_time now)
 {
-	if (n->sched && d->token == n->owner.term)
+	if (n->sched && d->token >= n->owner.term)
 		sched_order_reply(n->sched, d, now);
 }
 
--- a/src/node/node_private.h
+++ b/src/node/node_private.h
@@ -59,8 +59,11 @@
 	bool is_key_present;
 	uint64_t key_revision; /* of the key as this entry wrote it */
 	uint64_t seen_revision; /* of the key, whoever wrote it; 0: none */
-	uint64_t term; /* of the last owner */
+	uint64_t term; /* of the last owner; the first token of its orders */
+	uint64_t stored_term; /* in KEY_TERM: the last token in use */
 	uint64_t term_revision; /* of KEY_TERM */
+	bool is_token_write_open; /* a further token is being reserved */
+	cs_time token_not_before; /* when that may be tried again */
 	int max_cpu_share; /* largest of any owner, thousandths of a core */
 	uint64_t lease; /* of this entry; 0: none */
 	cs_time confirmed_at; /* last time the ownership is known valid */
--- a/src/node/ownership.c
+++ b/src/node/ownership.c
@@ -9,7 +9,8 @@
 /*
  * Leader election. The owner's key is written under a lease of the store, so
  * the store removes it when the owner stops renewing the lease. The term rises
- * with each owner and is the fencing token of its orders. An owner that has not
+ * with each owner and is the first fencing token of its orders. An owner that
+ * needs a higher one takes the number of the next term. An owner that has not
  * renewed its lease for OWNER_VALID_US pauses: it neither starts tasks nor
  * extends leases.
  */
@@ -55,6 +56,8 @@
 #define OLD_PROCESS_DELAY_US (100 * CS_MSEC)
 /* Pause after a failed attempt. */
 #define ATTEMPT_RETRY_US (300 * CS_MSEC)
+/* The same after a failed write that was to reserve a fencing token. */
+#define TOKEN_RETRY_US (100 * CS_MSEC)
 
 static void start_attempt(struct node *n, cs_time now);
 
@@ -212,6 +215,7 @@
 	n->owner.is_key_present = true;
 	n->owner.key_revision = revision;
 	n->owner.term = n->owner.acquiring_term;
+	n->owner.stored_term = MAX(n->owner.stored_term, n->owner.term);
 	n->owner.acquired_at = now;
 	n->owner.confirmed_at = 0;
 	n->ops->owner_changed(n->ctx, &n->options.contact);
@@ -222,6 +226,15 @@
 	term_begin(n, now);
 }
 
+/* "TERM SHARE": the last term, and the largest CPU share of any owner. */
+static GBytes *format_term(const struct node *n, uint64_t term)
+{
+	char *text = g_strdup_printf("%" PRIu64 " %d", term,
+				     MAX(n->owner.max_cpu_share, cpu_share(n)));
+
+	return g_bytes_new_take(text, strlen(text));
+}
+
 /* The lease is not released: it expires on its own. */
 static void abandon_attempt(struct node *n, cs_time now)
 {
@@ -256,7 +269,7 @@
 {
 	struct node *n = ctx;
 	struct store_call *c;
-	char *text, *term;
+	char *text;
 
 	(void)arg;
 	n->owner.call = 0;
@@ -268,16 +281,15 @@
 	}
 	n->owner.lease = d->lease;
 	n->owner.renewed_at = d->sent;
-	n->owner.acquiring_term = n->owner.term + 1;
+	n->owner.acquiring_term = n->owner.stored_term + 1;
 	text = owner_key_value(n);
-	term = g_strdup_printf("%" PRIu64 " %d", n->owner.acquiring_term,
-			       MAX(n->owner.max_cpu_share, cpu_share(n)));
 	c = store_call_new(STORE_TXN, NULL, STORE_TIMEOUT_MS);
 	store_call_expect(c, KEY_OWNER, 0);
 	store_call_expect(c, KEY_TERM, n->owner.term_revision);
 	store_call_write(c, KEY_OWNER, g_bytes_new_take(text, strlen(text)),
 			 n->owner.lease);
-	store_call_write(c, KEY_TERM, g_bytes_new_take(term, strlen(term)), 0);
+	store_call_write(c, KEY_TERM, format_term(n, n->owner.acquiring_term),
+			 0);
 	n->owner.call = store_calls_send(n->calls, c, on_key_written, n, 0);
 }
 
@@ -298,19 +310,74 @@
 	n->owner.call = store_calls_send(n->calls, c, on_lease_granted, n, 0);
 }
 
-/* "TERM SHARE": the last term, and the largest CPU share of any owner. */
+/* See format_term(). The view may be behind a write of this entry. */
 static void read_term(struct node *n, const struct store_item *item)
 {
 	char *text = store_text(item->value), *rest;
 	uint64_t term = g_ascii_strtoull(text, &rest, 10);
 
-	n->owner.term_revision = item->revision;
-	n->owner.max_cpu_share = (int)g_ascii_strtoll(rest, NULL, 10);
+	if (item->revision >= n->owner.term_revision) {
+		n->owner.stored_term = term;
+		n->owner.term_revision = item->revision;
+		n->owner.max_cpu_share = (int)g_ascii_strtoll(rest, NULL, 10);
+	}
 	if (n->owner.state < OWNER_LOADING)
-		n->owner.term = term;
+		n->owner.term = n->owner.stored_term;
 	g_free(text);
 }
 
+static void log_token(struct node *n, uint64_t token)
+{
+	GString *pairs = g_string_new(NULL);
+
+	log_pair_int(pairs, "term", (int64_t)n->owner.term);
+	log_pair_int(pairs, "token", (int64_t)token);
+	node_log(n, "token_reserved", pairs);
+	counters_add(n->counters, "camphorshed_owner_tokens_total", "", 1);
+}
+
+static void on_token_reserved(void *ctx, uint64_t token,
+			      const struct store_reply *d, cs_time now)
+{
+	struct node *n = ctx;
+
+	/* A reply of an earlier term. */
+	if (n->owner.state < OWNER_LOADING || token <= n->owner.term)
+		return;
+	n->owner.is_token_write_open = false;
+	if (d->result != STORE_OK) {
+		/* The view tells what is stored by then. */
+		n->owner.token_not_before = now + TOKEN_RETRY_US;
+		return;
+	}
+	n->owner.stored_term = MAX(n->owner.stored_term, token);
+	n->owner.term_revision = MAX(n->owner.term_revision, d->revision);
+	owner_confirm(n, d->sent);
+	log_token(n, token);
+	sched_set_token(n->sched, token, now);
+}
+
+/*
+ * Reserves a further fencing token for this owner, by a write on the condition
+ * that it still is the owner: the first token of a successor is higher.
+ */
+static void reserve_token(struct node *n, cs_time now)
+{
+	struct store_call *c;
+	uint64_t token = n->owner.stored_term + 1;
+
+	if (n->owner.state < OWNER_LOADING || n->owner.is_releasing ||
+	    n->owner.is_token_write_open || now < n->owner.token_not_before ||
+	    !sched_needs_token(n->sched))
+		return;
+	n->owner.is_token_write_open = true;
+	c = store_call_new(STORE_TXN, NULL, STORE_TIMEOUT_MS);
+	store_call_expect(c, KEY_OWNER, n->owner.key_revision);
+	store_call_expect(c, KEY_TERM, n->owner.term_revision);
+	store_call_write(c, KEY_TERM, format_term(n, token), 0);
+	store_calls_send(n->calls, c, on_token_reserved, n, token);
+}
+
 void owner_on_put(struct node *n, const struct store_item *item, cs_time now)
 {
 	if (!strcmp(item->key, KEY_TERM)) {
@@ -366,6 +433,8 @@
 	n->owner.timer = 0;
 	n->owner.lease = 0;
 	n->owner.is_releasing = false;
+	n->owner.is_token_write_open = false;
+	n->owner.token_not_before = 0;
 	term_end(n);
 }
 
@@ -443,6 +512,7 @@
 		schedule_attempt_if_free(n, now);
 	if (n->is_draining)
 		owner_release(n, now);
+	reserve_token(n, now);
 	if (n->sched)
 		sched_confirm_ownership(n->sched, n->owner.confirmed_at,
 					n->owner.is_releasing ||
--- a/src/node/term.c
+++ b/src/node/term.c
@@ -314,7 +314,8 @@
 {
 	struct node *n = ctx;
 
-	order->token = n->owner.term;
+	if (!order->token)
+		order->token = n->owner.term;
 	n->ops->order(n->ctx, order);
 }
 
--- a/src/sched/runs/incarnation.c
+++ b/src/sched/runs/incarnation.c
@@ -5,9 +5,10 @@
 /*
  * Servers that start again under their identifier. The new incarnation has no
  * runs, ends, fencing token and clock of the former one, and it carries out
- * orders that were meant for that one. So an order tells only by its reply
- * which of the two has carried it out: by the start time that a list of runs
- * reports, or by a reading of the server's clock.
+ * orders that were meant for that one, until it has seen a higher token
+ * (fence.h). So an order tells only by its reply which of the two has carried
+ * it out: by the start time that a list of runs reports, or by a reading of the
+ * server's clock.
  */
 
 /*
@@ -35,6 +36,7 @@
 	if (v->next_started_unix_ms >= started_unix_ms)
 		return;
 	v->next_started_unix_ms = started_unix_ms;
+	fence_next_incarnation(s, v);
 	log_incarnation(s, "server_reborn", v, why);
 	servers_end_incarnation(s, v, now);
 	late_starts_reject(s, v, now);
@@ -62,20 +64,60 @@
 	       LEASE_SLACK_US;
 }
 
+cs_time incarnation_inherited_lease_end(const struct sched *s,
+					const struct server *v)
+{
+	return v->late_orders_until ?
+		       longest_lease_end(s, v->late_orders_until) :
+		       v->inherited_lease_end;
+}
+
+/*
+ * When the server has started by the clock of this entry; CS_TIME_NEVER if that
+ * is not known. A record may name any start time.
+ */
+static cs_time start_of(const struct sched *s, const struct server *v)
+{
+	if (!v->info.started_unix_ms || !s->unix_ms)
+		return CS_TIME_NEVER;
+	return s->unix_at +
+	       ((int64_t)v->info.started_unix_ms - s->unix_ms) * CS_MSEC;
+}
+
 cs_time incarnation_predecessor_end(const struct sched *s,
 				    const struct server *v)
 {
-	cs_time started_at, end = v->predecessor_lease_end;
+	cs_time started_at = start_of(s, v), end = v->predecessor_lease_end;
 
-	if (!end || !v->info.started_unix_ms || !s->unix_ms)
+	if (!end || started_at == CS_TIME_NEVER)
 		return end;
-	started_at = s->unix_at +
-		     ((int64_t)v->info.started_unix_ms - s->unix_ms) * CS_MSEC;
-	/* A predecessor gave none later; a record may name any start time. */
+	/* A predecessor gave none later. */
 	started_at = MIN(started_at, s->options.predecessor_end);
 	return MAX(end, longest_lease_end(s, started_at + NOTICE_US));
 }
 
+/*
+ * True if a predecessor's order to a former incarnation, of which it was given
+ * a grant, may have been carried out by the present one until now.
+ */
+static bool may_have_late_orders(const struct sched *s, const struct server *v,
+				 cs_time now)
+{
+	cs_time started_at = start_of(s, v);
+
+	return v->is_granted && started_at != CS_TIME_NEVER &&
+	       now < s->options.predecessor_end + LATE_ORDER_US &&
+	       now < started_at + NOTICE_US + LATE_ORDER_US;
+}
+
+void incarnation_taken_over(const struct sched *s, struct server *v,
+			    cs_time now)
+{
+	if (v->late_orders_until || may_have_late_orders(s, v, now))
+		v->inherited_lease_end = longest_lease_end(s, now);
+	v->late_orders_until = 0;
+}
+
 /* How far a server's clock may have advanced in a time, which may be < 0. */
 static double clock_min(cs_time elapsed)
 {
@@ -99,15 +141,6 @@
 	       step <= clock_max(d->received - v->clock_sent) + LEASE_SLACK_US;
 }
 
-void incarnation_note_stale_reply(const struct sched *s, struct server *v,
-				  const struct order_reply *d, cs_time now)
-{
-	/* It was carried out by now: a timeout resets the connection. */
-	if (d->result != ORDER_NOT_SENT)
-		v->inherited_lease_end =
-			MAX(v->inherited_lease_end, longest_lease_end(s, now));
-}
-
 static bool is_list(const struct order_reply *d)
 {
 	return d->result == ORDER_DONE &&
@@ -117,6 +150,7 @@
 static void doubt_incarnation(struct sched *s, struct server *v, cs_time now)
 {
 	v->inherited_lease_end = longest_lease_end(s, now);
+	v->late_orders_until = now + LATE_ORDER_US;
 	v->doubted_at = now;
 	if (v->is_incarnation_doubtful)
 		return;
@@ -125,6 +159,14 @@
 	servers_list_runs(s, v, now);
 }
 
+/* It is the same incarnation still. */
+static void end_doubt(struct server *v)
+{
+	v->is_incarnation_doubtful = false;
+	if (v->is_taken_over)
+		v->late_orders_until = 0;
+}
+
 void incarnation_read_clock(struct sched *s, struct server *v,
 			    const struct order_reply *d, cs_time now)
 {
@@ -135,8 +177,8 @@
 		if (d->started_unix_ms && v->info.started_unix_ms &&
 		    d->started_unix_ms != v->info.started_unix_ms)
 			return;
-		if (d->sent >= v->doubted_at)
-			v->is_incarnation_doubtful = false;
+		if (v->is_incarnation_doubtful && d->sent >= v->doubted_at)
+			end_doubt(v);
 	} else if (v->clock_ms >= 0 && !fits_clock(v, d)) {
 		doubt_incarnation(s, v, now);
 	}
@@ -182,7 +224,7 @@
 	v->clock_ms = -1;
 	v->clock_sent = v->clock_received = 0;
 	v->is_incarnation_doubtful = false;
-	v->inherited_lease_end = longest_lease_end(s, now);
+	v->late_orders_until = now + LATE_ORDER_US;
 	v->is_taken_over = false;
 	v->is_hold_open = false;
 	v->unanswered_orders = 0;
--- a/src/sched/runs/incarnation.h
+++ b/src/sched/runs/incarnation.h
@@ -17,6 +17,18 @@
  * that may be of either one stay in the table.
  */
 void incarnation_start_next(struct sched *s, struct server *v, cs_time now);
+/*
+ * The incarnation has listed its runs under a token that rejects all orders to
+ * former ones.
+ */
+void incarnation_taken_over(const struct sched *s, struct server *v,
+			    cs_time now);
+/*
+ * When a lease has ended that an order to a former incarnation gave this one;
+ * 0: there is none.
+ */
+cs_time incarnation_inherited_lease_end(const struct sched *s,
+					const struct server *v);
 /*
  * When a lease that a predecessor gave a server that has not answered yet has
  * ended; 0: there is none. One that has started lately may have got it by the
@@ -28,9 +40,6 @@
 bool incarnation_is_certain(const struct server *v);
 /* True if the order may have reached a former incarnation. */
 bool incarnation_is_stale(const struct server *v, const struct order_reply *d);
-/* It may have given the present one a lease by the clock of the former one. */
-void incarnation_note_stale_reply(const struct sched *s, struct server *v,
-				  const struct order_reply *d, cs_time now);
 /*
  * Takes over the reading of the server's clock in a reply, unless it is of
  * another incarnation. Requests the list of a server whose clock has jumped.
--- a/src/sched/runs/late_starts.c
+++ b/src/sched/runs/late_starts.c
@@ -11,9 +11,6 @@
  * again.
  */
 
-/* Longest time after which a start without an answer is carried out. */
-#define LATE_START_US (15 * CS_SEC)
-
 struct late_start {
 	char server[CS_NAME_MAX];
 	char task[BATCH_TASK_NAME_MAX];
@@ -42,7 +39,7 @@
 	const struct late_start *row;
 
 	while ((row = g_queue_peek_head(&l->rows)) &&
-	       now - row->sent_at > LATE_START_US)
+	       now - row->sent_at > LATE_ORDER_US)
 		g_free(g_queue_pop_head(&l->rows));
 }
 
@@ -52,7 +49,7 @@
 	struct late_start *row;
 
 	drop_old(s->late_starts, now);
-	if (now - r->sent_at > LATE_START_US)
+	if (now - r->sent_at > LATE_ORDER_US)
 		return;
 	row = g_new0(struct late_start, 1);
 	cs_copy(row->server, sizeof(row->server),
--- a/src/sched/runs/runs.c
+++ b/src/sched/runs/runs.c
@@ -144,20 +144,6 @@
 	return r;
 }
 
-static struct order *new_order(const struct sched *s, enum order_type type,
-			       const struct server *v)
-{
-	struct order *o = order_new(type);
-
-	o->server = v->self;
-	cs_copy(o->address, sizeof(o->address), v->info.address);
-	cs_copy(o->instance, sizeof(o->instance), v->info.id);
-	cs_copy(o->pool, sizeof(o->pool), v->info.pool);
-	o->token = s->options.token;
-	o->timeout_ms = ORDER_TIMEOUT_MS;
-	return o;
-}
-
 /* Creates a run and orders its start. Returns NULL if the table is full. */
 struct run *runs_start(struct sched *s, const struct task_ref *ref,
 		       struct server *v, uint32_t number, const char *ticket,
@@ -174,7 +160,7 @@
 				 "", now - ref->job->submitted);
 	set_state(s, r, RUN_STARTING);
 	r->was_started_in_term = true;
-	o = new_order(s, ORDER_START, v);
+	o = servers_new_order(v, ORDER_START);
 	o->timeout_ms = START_TIMEOUT_MS;
 	o->ref = r->self;
 	o->run = number;
@@ -239,7 +225,7 @@
 	if (r->state != RUN_UNCONFIRMED && r->state != RUN_STARTING)
 		set_state(s, r, RUN_STOPPING);
 	r->stop_at = now;
-	o = new_order(s, ORDER_STOP, v);
+	o = servers_new_order(v, ORDER_STOP);
 	o->ref = r->self;
 	o->run = r->number;
 	batch_task_name(j->batch, r->occurrence, r->step, r->index, o->task);
@@ -270,7 +256,7 @@
 void runs_order_stop(struct sched *s, struct server *v, const char *task,
 		     uint32_t number)
 {
-	struct order *o = new_order(s, ORDER_STOP, v);
+	struct order *o = servers_new_order(v, ORDER_STOP);
 
 	o->run = number;
 	cs_copy(o->task, sizeof(o->task), task);
@@ -543,8 +529,7 @@
 {
 	switch (d->reason) {
 	case ORDER_REASON_FENCED:
-		s->is_fenced = true;
-		s->ops->fenced(s->ctx);
+		servers_on_fenced(s, v, d);
 		break;
 	case ORDER_REASON_NO_ROOM:
 		v->refused_until = now + NO_ROOM_PAUSE_US;
--- a/src/sched/runs/server.h
+++ b/src/sched/runs/server.h
@@ -24,6 +24,8 @@
 #define CLOCK_ERROR 0.021
 /* Added to the computed end of a lease, for network delays. */
 #define LEASE_SLACK_US (100 * CS_MSEC)
+/* Longest time after which an order without an answer is carried out. */
+#define LATE_ORDER_US (15 * CS_SEC)
 /* Timeout of stop and pace orders; replies usually take milliseconds. */
 #define ORDER_TIMEOUT_MS 1000
 /*
@@ -93,8 +95,7 @@
 	struct server_info info;
 	struct pool *pool;
 	bool is_listed; /* in the registry */
-	bool is_taken_over; /* has listed all its runs under this term's token
-			     */
+	bool is_taken_over; /* has listed all its runs under token_min */
 	bool is_granted; /* its grant is stored; see sched_take_grant() */
 	bool is_grant_pending; /* the grant is being stored */
 	bool is_grant_outdated; /* the one that is being stored */
@@ -117,6 +118,13 @@
 	 * incarnation.
 	 */
 	cs_time inherited_lease_end;
+	/*
+	 * Until then it may carry out orders that were meant for a former
+	 * incarnation; 0: it rejects them.
+	 */
+	cs_time late_orders_until;
+	uint64_t token; /* fencing token of its orders; see fence.h */
+	uint64_t token_min; /* that rejects orders to former incarnations */
 	unsigned int cordons; /* enum cordon; any of them: gets no starts */
 	uint32_t incarnation; /* number of those that began since the first */
 	/* Clock: the reading was taken between sent and received. */
--- a/src/sched/runs/servers.c
+++ b/src/sched/runs/servers.c
@@ -16,8 +16,11 @@
 #define HOLD_SLACK_MS 900
 /* Pause between two holds, which batches ends that occur together. */
 #define HOLD_GAP_US (15 * CS_MSEC)
-/* The same while ends wait to be stored, as such a hold returns at once. */
-#define UNSTORED_HOLD_GAP_US (200 * CS_MSEC)
+/*
+ * The same while ends wait to be stored or a token is being reserved, as such a
+ * hold returns at once.
+ */
+#define WAITING_HOLD_GAP_US (200 * CS_MSEC)
 /* The same after a failed hold; short, as the lease may be about to expire. */
 #define HOLD_RETRY_US (150 * CS_MSEC)
 /* A reply to a hold that is later than this may have been lost. */
@@ -65,10 +68,10 @@
 
 cs_time servers_lease_end(const struct sched *s, const struct server *v)
 {
-	cs_time end = MAX(v->predecessor_lease_end, v->inherited_lease_end);
+	cs_time end = MAX(v->predecessor_lease_end,
+			  incarnation_inherited_lease_end(s, v));
 	cs_time left;
 
-	(void)s;
 	if (v->clock_ms >= 0 && v->deadline_ms) {
 		left = (v->deadline_ms - v->clock_ms) * CS_MSEC;
 		left += (cs_time)((double)left * CLOCK_ERROR) + LEASE_SLACK_US;
@@ -170,6 +173,19 @@
 	g_array_append_val(s->unstored_servers, v->self);
 }
 
+struct order *servers_new_order(const struct server *v, enum order_type type)
+{
+	struct order *o = order_new(type);
+
+	o->server = v->self;
+	cs_copy(o->address, sizeof(o->address), v->info.address);
+	cs_copy(o->instance, sizeof(o->instance), v->info.id);
+	cs_copy(o->pool, sizeof(o->pool), v->info.pool);
+	o->token = v->token;
+	o->timeout_ms = ORDER_TIMEOUT_MS;
+	return o;
+}
+
 /*
  * The reference of an order for lists: it acknowledges the first n of the ends
  * that were unstored, as the incarnation numbers them.
@@ -211,17 +227,11 @@
 }
 
 /* An order that acknowledges the first n of the ends that were unstored. */
-static struct order *new_list_order(const struct sched *s,
-				    const struct server *v,
+static struct order *new_list_order(const struct server *v,
 				    enum order_type type, guint n)
 {
-	struct order *o = order_new(type);
+	struct order *o = servers_new_order(v, type);
 
-	o->server = v->self;
-	cs_copy(o->address, sizeof(o->address), v->info.address);
-	cs_copy(o->instance, sizeof(o->instance), v->info.id);
-	cs_copy(o->pool, sizeof(o->pool), v->info.pool);
-	o->token = s->options.token;
 	o->acked_end = acked_end(v, n);
 	return o;
 }
@@ -235,7 +245,7 @@
 static void send_hold(struct sched *s, struct server *v, cs_time now)
 {
 	guint n = count_ends_to_ack(s, v);
-	struct order *o = new_list_order(s, v, ORDER_HOLD, n);
+	struct order *o = new_list_order(v, ORDER_HOLD, n);
 	bool is_waiting_for_store = count_stored_ends(s, v) < v->unstored->len;
 
 	/*
@@ -278,7 +288,6 @@
 	bool renews = is_hold_overdue(v, now) && !v->unanswered_orders &&
 		      v->answer_sent_at >= v->hold_due_at;
 
-	o->timeout_ms = ORDER_TIMEOUT_MS;
 	if (may_renew_lease(s, v))
 		o->deadline_ms = renews ? servers_deadline(v, now) :
 					  v->deadline_ms;
@@ -292,7 +301,7 @@
 
 	if (v->is_dead)
 		return;
-	o = new_list_order(s, v, ORDER_LIST_RUNS, count_ends_to_ack(s, v));
+	o = new_list_order(v, ORDER_LIST_RUNS, count_ends_to_ack(s, v));
 	send_list_order(s, v, o, now);
 }
 
@@ -332,10 +341,8 @@
 void servers_on_reply(struct sched *s, struct server *v,
 		      const struct order_reply *d, cs_time now)
 {
-	if (incarnation_is_stale(v, d)) {
-		incarnation_note_stale_reply(s, v, d, now);
+	if (incarnation_is_stale(v, d))
 		return;
-	}
 	if (d->result == ORDER_NOT_SENT || d->result == ORDER_UNKNOWN) {
 		if (!v->unanswered_orders++) {
 			log_server(s, "server_unreachable", v,
@@ -438,6 +445,15 @@
 		  pairs);
 }
 
+void servers_on_fenced(struct sched *s, const struct server *v,
+		       const struct order_reply *d)
+{
+	if (!fence_is_of_successor(v, d))
+		return;
+	s->is_fenced = true;
+	s->ops->fenced(s->ctx);
+}
+
 /*
  * Handles the lists of a server. Returns false if there are none: no answer, a
  * later owner, or another incarnation.
@@ -452,8 +468,7 @@
 		return false;
 	}
 	if (d->result == ORDER_REFUSED && d->reason == ORDER_REASON_FENCED) {
-		s->is_fenced = true;
-		s->ops->fenced(s->ctx);
+		servers_on_fenced(s, v, d);
 		return false;
 	}
 	if (d->result != ORDER_DONE)
@@ -483,6 +498,15 @@
 		handle_lists(s, v, d, now);
 }
 
+/* A lease that a predecessor granted remains valid. */
+static void take_over(struct sched *s, struct server *v, cs_time now)
+{
+	v->is_taken_over = true;
+	incarnation_taken_over(s, v, now);
+	log_server(s, "server_taken", v, "answered under the current token",
+		   now);
+}
+
 void servers_on_hold(struct sched *s, struct server *v,
 		     const struct order_reply *d, cs_time now)
 {
@@ -497,15 +521,12 @@
 		return;
 	}
 	/* A run that is not listed yet may have ended. */
-	if (s->is_ready && !v->is_taken_over && !d->is_partial) {
-		/* A lease that a predecessor granted remains valid. */
-		v->is_taken_over = true;
-		log_server(s, "server_taken", v,
-			   "answered under the current token", now);
-	}
+	if (s->is_ready && !v->is_taken_over && !d->is_partial &&
+	    fence_is_effective(v, d))
+		take_over(s, v, now);
 	pacing_on_hold(s, v, now);
-	if (v->unstored->len)
-		next = now + UNSTORED_HOLD_GAP_US;
+	if (v->unstored->len || v->token < v->token_min)
+		next = now + WAITING_HOLD_GAP_US;
 	servers_schedule_hold(s, v, next);
 }
 
@@ -564,6 +585,7 @@
 	v->described_unix_ms = info->started_unix_ms;
 	v->clock_ms = -1;
 	v->best_effort_pace = 100;
+	fence_add_server(s, v, now);
 	v->runs = g_array_new(FALSE, FALSE, sizeof(cs_handle));
 	v->unstored = g_array_new(FALSE, FALSE, sizeof(struct unstored_end));
 	v->is_listed = true;
@@ -811,10 +833,11 @@
 }
 
 /* Removes the row of an ended incarnation and ends its grant. */
-static void remove_server(struct sched *s, struct server *v)
+static void remove_server(struct sched *s, struct server *v, cs_time now)
 {
 	if (v->is_granted)
 		servers_end_grant(s, v->info.id);
+	fence_remove_server(s, v, now);
 	timers_cancel(s->timers, v->hold_timer);
 	g_ptr_array_remove_fast(v->pool->servers, v);
 	room_index_remove(v->pool->room, room_row_of(v));
@@ -855,7 +878,7 @@
  */
 static void hedge_list(struct sched *s, struct server *v, cs_time now)
 {
-	struct order *o = new_list_order(s, v, ORDER_LIST_RUNS, 0);
+	struct order *o = new_list_order(v, ORDER_LIST_RUNS, 0);
 
 	v->hedged_at = now;
 	o->acked_end = 0;
@@ -929,7 +952,7 @@
 	    !v->next_started_unix_ms &&
 	    (v->is_dead || (v->unanswered_orders && has_lease_ended(s, v) &&
 			    !v->is_hold_open)))
-		remove_server(s, v);
+		remove_server(s, v, now);
 }
 
 void servers_check(struct sched *s, cs_time now)
--- a/src/sched/runs/servers.h
+++ b/src/sched/runs/servers.h
@@ -10,6 +10,11 @@
 void servers_schedule_hold(struct sched *s, struct server *v, cs_time at);
 void servers_on_hold(struct sched *s, struct server *v,
 		     const struct order_reply *d, cs_time now);
+/* An order to the present incarnation, with the timeout of short orders. */
+struct order *servers_new_order(const struct server *v, enum order_type type);
+/* A server has refused an order for its token. */
+void servers_on_fenced(struct sched *s, const struct server *v,
+		       const struct order_reply *d);
 /* Requests the list of a server at once, even while a hold waits there. */
 void servers_list_runs(struct sched *s, struct server *v, cs_time now);
 void servers_on_list(struct sched *s, struct server *v,
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -98,6 +98,7 @@
 	s->balance = balance_create(s, now);
 	s->advice = advice_create();
 	s->late_starts = late_starts_create();
+	s->fence = fence_create(options->token);
 	s->accepted = accepted_work_create(options->accepted_max);
 	if (s->options.policy.has_fair_shares)
 		s->fair_shares = fair_shares_create();
@@ -130,6 +131,7 @@
 	hosts_destroy(s->hosts);
 	advice_destroy(s->advice);
 	late_starts_destroy(s->late_starts);
+	fence_destroy(s->fence);
 	fair_shares_destroy(s->fair_shares);
 	accepted_work_destroy(s->accepted);
 	g_hash_table_destroy(s->server_by_id);
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -77,7 +77,8 @@
 
 struct sched_options {
 	char holder[CS_NAME_MAX]; /* this entry */
-	uint64_t token; /* fencing token; increases with every term */
+	/* First fencing token of the term; sched_set_token() adds others. */
+	uint64_t token;
 	uint64_t revision; /* of the store when the term began */
 	/* Latest end of a lease that a predecessor may have renewed. */
 	cs_time predecessor_end;
@@ -154,6 +155,14 @@
 /* All submissions in the store have been added; tasks may be started. */
 void sched_set_ready(struct sched *sched, cs_time now);
 
+/*
+ * True if servers wait for a higher fencing token than the present one, which
+ * is to be reserved in the store: no later owner may use it or a lower one.
+ */
+bool sched_needs_token(const struct sched *sched);
+/* A token is reserved for this owner; it is higher than those before. */
+void sched_set_token(struct sched *sched, uint64_t token, cs_time now);
+
 /* Handles the reply to an order; the caller keeps it. */
 void sched_order_reply(struct sched *sched, const struct order_reply *reply,
 		       cs_time now);
--- a/src/sched/sched_private.h
+++ b/src/sched/sched_private.h
@@ -28,6 +28,7 @@
 #include "queue/job.h"
 #include "queue/rank.h"
 #include "queue/reserve.h"
+#include "runs/fence.h"
 #include "runs/incarnation.h"
 #include "runs/late_starts.h"
 #include "runs/runs.h"
@@ -94,6 +95,7 @@
 	struct balance *balance;
 	struct advice *advice;
 	struct late_starts *late_starts;
+	struct fence *fence;
 	struct fair_shares *fair_shares; /* NULL: switched off */
 	struct accepted_work *accepted;
 	cs_handle turn_timer;
--- a/src/sched/upkeep/pacing.c
+++ b/src/sched/upkeep/pacing.c
@@ -47,15 +47,9 @@
 static void order_pace(struct sched *s, const struct server *v, struct run *r)
 {
 	const struct job *j = slots_get(s->jobs, r->job);
-	struct order *o = order_new(ORDER_PACE);
+	struct order *o = servers_new_order(v, ORDER_PACE);
 
-	o->server = v->self;
 	o->ref = r->self;
-	cs_copy(o->address, sizeof(o->address), v->info.address);
-	cs_copy(o->instance, sizeof(o->instance), v->info.id);
-	cs_copy(o->pool, sizeof(o->pool), v->info.pool);
-	o->token = s->options.token;
-	o->timeout_ms = ORDER_TIMEOUT_MS;
 	o->run = r->number;
 	o->percent = v->best_effort_pace;
 	batch_task_name(j->batch, r->occurrence, r->step, r->index, o->task);
--- a/tests/soak/test_site.sh
+++ b/tests/soak/test_site.sh
@@ -26,4 +26,7 @@
 # From seed 8000 on jobs may have hundreds of occurrences due at once.
 build/rel/camphorshed-site-soak --seed=8000 --days=60 ||
 	failures=$((failures + 1))
+# From seed 9000 on servers carry out holds late, in another incarnation.
+build/rel/camphorshed-site-soak --seed=9000 --days=60 ||
+	failures=$((failures + 1))
 exit $((failures > 0))
--- a/tests/unit/test_incarnation.c
+++ b/tests/unit/test_incarnation.c
@@ -213,6 +213,79 @@
 	}
 }
 
+/*
+ * Guards against a task that runs twice: a hold that the former incarnation
+ * left unanswered is carried out by the next one and prolongs its lease, and
+ * the owner gives up the run of a server that is then cut off too early.
+ */
+static void late_hold_gives_the_new_incarnation_no_lease(void **state)
+{
+	struct world_job job = long_job;
+	int i, n, s, number;
+
+	(void)state;
+	job.work_ms = 25000;
+	job.cpu = 20000;
+	for (i = 0; i < 20; i++) {
+		struct world *w = make_world(1, 2, 0);
+
+		world_run(w, 20000);
+		number = world_submit(w, 0, &job);
+		world_run(w, 500 + 50 * (int64_t)i);
+		s = world_server_runs(w, 0) ? 0 : 1;
+		world_set_late_holds(w, 1000);
+		world_run(w, 1200);
+		world_set_late_holds(w, 0);
+		/* The other one is away, so that the task starts here again. */
+		world_server_crash(w, 1 - s, 5500);
+		world_server_reborn(w, s, 300, 100);
+		world_run(w, 6000);
+		assert_int_equal(world_server_runs(w, s), 1);
+		for (n = 0; n < 3; n++)
+			world_node_cut_server(w, n, s, true);
+		world_run(w, 60000);
+		assert_true(world_job_is_done(w, number));
+		end_world(w);
+	}
+}
+
+/*
+ * The same for a server that had left the registry between its two
+ * incarnations, so that the owner had forgotten the former one.
+ */
+static void late_hold_gives_a_returning_server_no_lease(void **state)
+{
+	struct world_job job = long_job;
+	int i, n, s, first, second;
+
+	(void)state;
+	job.work_ms = 10000;
+	job.cpu = 20000;
+	for (i = 0; i < 20; i++) {
+		struct world *w = make_world(1, 2, 0);
+
+		world_run(w, 20000);
+		first = world_submit(w, 0, &job);
+		world_run(w, 500 + 50 * (int64_t)i);
+		s = world_server_runs(w, 0) ? 0 : 1;
+		world_set_late_holds(w, 1000);
+		world_run(w, 800);
+		world_server_return_as(w, s, 5000, "a", 0);
+		world_run(w, 50);
+		world_set_late_holds(w, 0);
+		world_run(w, 6000);
+		second = world_submit(w, 0, &job);
+		world_run(w, 3000);
+		assert_int_equal(world_server_runs(w, s), 1);
+		for (n = 0; n < 3; n++)
+			world_node_cut_server(w, n, s, true);
+		world_run(w, 60000);
+		assert_true(world_job_is_done(w, first));
+		assert_true(world_job_is_done(w, second));
+		end_world(w);
+	}
+}
+
 /*
  * Guards against jobs that stop for good after a change of the owner: a record
  * in the registry has a start time that is far ahead, and its server is silent.
@@ -248,6 +321,8 @@
 			rejected_start_stays_rejected_at_the_new_incarnation),
 		cmocka_unit_test(lease_of_a_new_incarnation_is_waited_for),
 		cmocka_unit_test(lease_of_a_start_on_its_way_is_waited_for),
+		cmocka_unit_test(late_hold_gives_the_new_incarnation_no_lease),
+		cmocka_unit_test(late_hold_gives_a_returning_server_no_lease),
 		cmocka_unit_test(ends_of_a_new_incarnation_are_seen),
 		cmocka_unit_test(start_time_in_the_future_blocks_no_job),
 	};
--- a/tests/world/main.c
+++ b/tests/world/main.c
@@ -40,6 +40,9 @@
  * memory of accepted work is bounded.
  */
 #define REPEATS_FROM_SEED 8000
+/* From this one on servers also carry out holds late, in another incarnation.
+ */
+#define LATE_HOLDS_FROM_SEED 9000
 /* Some tens of jobs. */
 #define ACCEPTED_MAX 60000
 
@@ -299,7 +302,7 @@
 }
 
 /* A restart under the same identifier, after which the server is cut off. */
-static void restart_and_cut_server(struct day *d)
+static void restart_and_cut(struct day *d, int work_ms_max)
 {
 	int n, s = random_below(d, world_server_count(d->world));
 
@@ -307,13 +310,30 @@
 		return;
 	world_server_reborn(d->world, s, 50 + random_below(d, 800),
 			    random_below(d, 2000));
-	world_run(d->world, 100 + random_below(d, 2500));
+	world_run(d->world, 100 + random_below(d, work_ms_max));
 	for (n = 0; n < d->options.nodes; n++) {
 		world_node_cut_server(d->world, n, s, true);
 		d->cut_off_until[n] = random_time(d, 2000, 12000);
 	}
 }
 
+static void restart_and_cut_server(struct day *d)
+{
+	restart_and_cut(d, 2500);
+}
+
+/*
+ * A server leaves holds unanswered, starts again under its identifier, carries
+ * them out in its next incarnation, and is cut off.
+ */
+static void restart_beside_late_holds(struct day *d)
+{
+	world_set_late_holds(d->world, 1000);
+	world_run(d->world, 300 + random_below(d, 1000));
+	world_set_late_holds(d->world, 0);
+	restart_and_cut(d, 8000);
+}
+
 static void (*const faults[])(struct day *) = {
 	kill_node,
 	kill_owner,
@@ -345,16 +365,19 @@
 	restart_and_cut_server,
 	restart_server,
 	restart_and_cut_server,
+	restart_beside_late_holds,
+	restart_beside_late_holds,
 };
 
 static int count_faults(uint32_t seed)
 {
 	int all = G_N_ELEMENTS(faults);
 
-	return seed < STANDBY_FROM_SEED ? all - 7 :
-	       seed < HOSTS_FROM_SEED	? all - 6 :
-	       seed < REBORN_FROM_SEED	? all - 4 :
-					  all;
+	return seed < STANDBY_FROM_SEED	   ? all - 9 :
+	       seed < HOSTS_FROM_SEED	   ? all - 8 :
+	       seed < REBORN_FROM_SEED	   ? all - 6 :
+	       seed < LATE_HOLDS_FROM_SEED ? all - 2 :
+					     all;
 }
 
 /* Ends the faults whose time is up, or all of them. */
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -961,6 +961,11 @@
 	w->late_order_per_mille = per_mille;
 }
 
+void world_set_late_holds(struct world *w, int per_mille)
+{
+	w->late_hold_per_mille = per_mille;
+}
+
 void world_server_set_failing(struct world *w, int server, bool is_failing)
 {
 	server_at(w, server)->is_failing = is_failing;
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -109,6 +109,8 @@
 void world_set_late_starts(struct world *world, int per_mille);
 /* The same for all orders to servers. */
 void world_set_late_orders(struct world *world, int per_mille);
+/* The same for holds and requests for lists. */
+void world_set_late_holds(struct world *world, int per_mille);
 /* The runs of a stuck server neither end nor stop. */
 void world_server_set_stuck(struct world *world, int server, bool is_stuck);
 /* From its next start on the server's clock is as slow as is allowed. */
--- a/tests/world/world_private.h
+++ b/tests/world/world_private.h
@@ -180,7 +180,7 @@
 	bool is_store_down, leases_expire, is_lost_write_late;
 	bool are_hosts_silent, are_workspaces_removed;
 	int lost_reply_per_mille, late_start_per_mille;
-	int late_order_per_mille;
+	int late_order_per_mille, late_hold_per_mille;
 	cs_time last_fault_at;
 	cs_time renewal_delay; /* of replies to renewals of leases */
 	int64_t store_bytes_per_s; /* of items to a node; 0: no limit */
--- a/tests/world/world_servers.c
+++ b/tests/world/world_servers.c
@@ -952,6 +952,18 @@
 	d->result = ORDER_DONE;
 }
 
+/* Draws whether an order is left unanswered and carried out seconds later. */
+static bool is_order_late(struct world *w, const struct order *o)
+{
+	if (o->type == ORDER_START &&
+	    world_random_bool(w, w->late_start_per_mille))
+		return true;
+	if ((o->type == ORDER_HOLD || o->type == ORDER_LIST_RUNS) &&
+	    world_random_bool(w, w->late_hold_per_mille))
+		return true;
+	return world_random_bool(w, w->late_order_per_mille);
+}
+
 void sim_server_order(void *ctx, struct order *o)
 {
 	struct sim_node *n = ctx;
@@ -987,9 +999,7 @@
 	a->node = n->index;
 	a->generation = n->generation;
 	a->sent = w->now;
-	if ((o->type == ORDER_START &&
-	     world_random_bool(w, w->late_start_per_mille)) ||
-	    world_random_bool(w, w->late_order_per_mille)) {
+	if (is_order_late(w, o)) {
 		struct order_reply *lost = order_reply_new(o);
 
 		lost->result = ORDER_UNKNOWN;
