node, platform: names that others choose may have 192 bytes

Cause: names had 63 bytes at most, and read_server() left out the record of a server with a longer identifier without saying why. The platform limits it by the keys of its store only, to 192 bytes. The same limit left out labels, services, zones, queues, pools and workspaces (with their keys), hosts and tickets, and refused jobs with a longer requirement, rack or image.

Change: SITE_NAME_MAX, 192 bytes, for names that operators, servers, callers and the host service choose. The names in a job are strings of their own size, as an entry has tens of thousands of jobs.

--- a/src/batch/batch.c
+++ b/src/batch/batch.c
@@ -23,13 +23,22 @@
 
 	if (!spec)
 		return;
-	for (i = 0; i < spec->steps_nr; i++)
+	for (i = 0; i < spec->steps_nr; i++) {
 		g_free(spec->steps[i].after);
+		g_free(spec->steps[i].label);
+		g_free(spec->steps[i].rack);
+		g_free(spec->steps[i].image);
+	}
 	g_free(spec->steps);
 	g_free(spec->payload);
 	g_free(spec);
 }
 
+static size_t text_bytes(const char *text)
+{
+	return text ? strlen(text) + 1 : 0;
+}
+
 size_t batch_spec_bytes(const struct batch_spec *spec)
 {
 	size_t bytes;
@@ -38,9 +47,14 @@
 	if (!spec)
 		return 0;
 	bytes = sizeof(*spec) + (size_t)spec->steps_nr * sizeof(*spec->steps);
-	for (i = 0; i < spec->steps_nr; i++)
-		bytes += (size_t)spec->steps[i].after_nr * sizeof(int);
-	return bytes + (spec->payload ? strlen(spec->payload) + 1 : 0);
+	for (i = 0; i < spec->steps_nr; i++) {
+		const struct batch_step *s = &spec->steps[i];
+
+		bytes += (size_t)s->after_nr * sizeof(int) +
+			 text_bytes(s->label) + text_bytes(s->rack) +
+			 text_bytes(s->image);
+	}
+	return bytes + text_bytes(spec->payload);
 }
 
 /*
@@ -145,8 +159,8 @@
 	int i;
 
 	cs_copy(b->id, sizeof(b->id), id);
-	cs_copy(b->queue, sizeof(b->queue), queue);
-	cs_copy(b->workspace, sizeof(b->workspace), workspace);
+	b->queue = g_strdup(queue);
+	b->workspace = g_strdup(workspace);
 	b->submitted_unix_ms = submitted_unix_ms;
 	b->spec = spec;
 	b->offsets = g_new(int, spec->steps_nr);
@@ -157,7 +171,8 @@
 	}
 	b->occurrences_nr = spec->repeats > 0 ? spec->repeats : 1;
 	b->spec_bytes = batch_spec_bytes(spec) +
-			(size_t)spec->steps_nr * sizeof(*b->offsets);
+			(size_t)spec->steps_nr * sizeof(*b->offsets) +
+			text_bytes(queue) + text_bytes(workspace);
 	return b;
 }
 
@@ -180,7 +195,7 @@
 {
 	if (!b->spec->payload)
 		return;
-	b->spec_bytes -= strlen(b->spec->payload) + 1;
+	b->spec_bytes -= text_bytes(b->spec->payload);
 	g_free(b->spec->payload);
 	b->spec->payload = NULL;
 }
@@ -246,7 +261,7 @@
 
 static size_t checkpoint_bytes(const struct batch_task *t)
 {
-	return t->checkpoint ? strlen(t->checkpoint) + 1 : 0;
+	return text_bytes(t->checkpoint);
 }
 
 static void release_block(struct batch *b, struct batch_task *rows, int rows_nr)
@@ -305,6 +320,8 @@
 		g_array_free(b->occurrences, TRUE);
 	if (b->pools)
 		g_ptr_array_free(b->pools, TRUE);
+	g_free(b->queue);
+	g_free(b->workspace);
 	g_free(b->offsets);
 	batch_spec_destroy(b->spec);
 	g_free(b);
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -42,9 +42,10 @@
 	int per_server_max; /* tasks on one server; 0: no limit */
 	int unavailable_max; /* tasks stopped at the same time; -1: no limit */
 	int64_t tail_target_ms; /* tail latency of a service; 0: none */
-	char label[CS_NAME_MAX]; /* that the server must have, or "" */
-	char rack[CS_NAME_MAX]; /* where its data is, or "" */
-	char image[CS_NAME_MAX]; /* tasks of one image behave alike */
+	/* Names of less than SITE_NAME_MAX bytes; NULL: none. */
+	char *label; /* that the server must have */
+	char *rack; /* where its data is */
+	char *image; /* tasks of one image behave alike */
 };
 
 /* The specification of a job, as its caller submits it. */
@@ -117,8 +118,8 @@
 
 struct batch {
 	char id[BATCH_ID_MAX];
-	char queue[CS_NAME_MAX];
-	char workspace[CS_NAME_MAX]; /* "" on an open queue without a key */
+	char *queue;
+	char *workspace; /* "" on an open queue without a key */
 	int64_t submitted_unix_ms;
 	struct batch_spec *spec;
 	int occurrence_tasks; /* tasks of one occurrence */
--- a/src/batch/batch_codec.c
+++ b/src/batch/batch_codec.c
@@ -157,6 +157,17 @@
 	return true;
 }
 
+/* Reads a name into a string of its own; an empty one reads as NULL. */
+static bool read_name(const msgpack_object *o, char **name)
+{
+	char text[SITE_NAME_MAX];
+
+	if (!read_text(o, text, sizeof(text)))
+		return false;
+	*name = *text ? g_strdup(text) : NULL;
+	return true;
+}
+
 static bool read_range(const msgpack_object *o, int64_t min, int64_t max,
 		       int64_t *value)
 {
@@ -208,9 +219,8 @@
 	    !read_int(&f[6], &flags) || !read_int(&f[7], &per_server) ||
 	    !read_int(&f[8], &unavailable) ||
 	    !read_int(&f[9], &s->tail_target_ms) ||
-	    !read_text(&f[10], s->label, sizeof(s->label)) ||
-	    !read_text(&f[11], s->rack, sizeof(s->rack)) ||
-	    !read_text(&f[12], s->image, sizeof(s->image)))
+	    !read_name(&f[10], &s->label) || !read_name(&f[11], &s->rack) ||
+	    !read_name(&f[12], &s->image))
 		return false;
 	s->count = (int)count;
 	s->per_server_max = (int)per_server;
@@ -259,7 +269,7 @@
 
 static bool read_pools(struct batch *b, const msgpack_object *o)
 {
-	char name[CS_NAME_MAX];
+	char name[SITE_NAME_MAX];
 	uint32_t i;
 
 	if (!is_array(o, 0))
@@ -274,7 +284,7 @@
 
 static struct batch *read_submission(const msgpack_object *o)
 {
-	char id[BATCH_ID_MAX], queue[CS_NAME_MAX], workspace[CS_NAME_MAX];
+	char id[BATCH_ID_MAX], queue[SITE_NAME_MAX], workspace[SITE_NAME_MAX];
 	char payload[BATCH_PAYLOAD_MAX + 1];
 	struct batch_spec *spec = NULL;
 	struct site_terms terms = { 0 };
@@ -473,7 +483,8 @@
 }
 
 static bool read_progress(struct batch *b, const msgpack_object *o,
-			  enum batch_state *state, char workspace[CS_NAME_MAX])
+			  enum batch_state *state,
+			  char workspace[SITE_NAME_MAX])
 {
 	const msgpack_object *f;
 	int64_t format, value;
@@ -489,7 +500,7 @@
 	*state = (enum batch_state)value;
 	*workspace = '\0';
 	if (o->via.array.size >= PROGRESS_LEN &&
-	    !read_text(&f[4], workspace, CS_NAME_MAX))
+	    !read_text(&f[4], workspace, SITE_NAME_MAX))
 		return false;
 	if (!b)
 		return true;
@@ -504,7 +515,8 @@
 
 /* Decodes progress. If b is NULL, only the state is decoded. */
 static int decode_progress(struct batch *b, const void *data, size_t size,
-			   enum batch_state *state, char workspace[CS_NAME_MAX])
+			   enum batch_state *state,
+			   char workspace[SITE_NAME_MAX])
 {
 	msgpack_unpacked un;
 	size_t off = 0;
@@ -520,14 +532,14 @@
 
 int batch_decode_progress(struct batch *b, const void *data, size_t size)
 {
-	char workspace[CS_NAME_MAX];
+	char workspace[SITE_NAME_MAX];
 	enum batch_state state;
 
 	return decode_progress(b, data, size, &state, workspace);
 }
 
 int batch_decode_state(const void *data, size_t size, enum batch_state *state,
-		       char workspace[CS_NAME_MAX])
+		       char workspace[SITE_NAME_MAX])
 {
 	return decode_progress(NULL, data, size, state, workspace);
 }
--- a/src/batch/batch_codec.h
+++ b/src/batch/batch_codec.h
@@ -28,6 +28,6 @@
  * workspace is "" if an earlier version stored the progress.
  */
 int batch_decode_state(const void *data, size_t size, enum batch_state *state,
-		       char workspace[CS_NAME_MAX]);
+		       char workspace[SITE_NAME_MAX]);
 
 #endif
--- a/src/node/api.c
+++ b/src/node/api.c
@@ -54,8 +54,8 @@
 	cs_handle self;
 	struct api_request *request;
 	const char *id; /* of the job, in the request's path */
-	char workspace[CS_NAME_MAX];
-	char queue[CS_NAME_MAX];
+	char workspace[SITE_NAME_MAX];
+	char queue[SITE_NAME_MAX];
 	struct site_terms terms; /* of the queue */
 	struct site_resources limit; /* of the workspace */
 	bool is_queue_open; /* no key is needed, so no workspace is known */
@@ -422,7 +422,7 @@
 {
 	struct node *n = ctx;
 	struct open_request *o = slots_get(n->requests, arg);
-	char workspace[CS_NAME_MAX];
+	char workspace[SITE_NAME_MAX];
 	enum batch_state state;
 	gsize size;
 	const void *data;
@@ -514,8 +514,11 @@
 	}
 }
 
-/* The job as it is stored. Each attempt writes the same bytes. */
-static void fill_batch(const struct open_request *o, struct batch *b)
+/*
+ * The job as it is stored, with the names and the specification of the request.
+ * Each attempt writes the same bytes.
+ */
+static void fill_batch(struct open_request *o, struct batch *b)
 {
 	const struct api_request *r = o->request;
 
@@ -524,8 +527,8 @@
 	b->limit = o->limit;
 	b->spec = r->spec;
 	cs_copy(b->id, sizeof(b->id), o->id);
-	cs_copy(b->queue, sizeof(b->queue), o->queue);
-	cs_copy(b->workspace, sizeof(b->workspace), o->workspace);
+	b->queue = o->queue;
+	b->workspace = o->workspace;
 }
 
 /*
@@ -693,7 +696,7 @@
 				 const struct store_reply *d, cs_time now)
 {
 	const struct store_item *item = g_ptr_array_index(d->items, 0);
-	char workspace[CS_NAME_MAX];
+	char workspace[SITE_NAME_MAX];
 	enum batch_state state;
 	gsize size;
 	const void *data = g_bytes_get_data(item->value, &size);
@@ -906,7 +909,9 @@
 		return;
 	}
 	if (r->kind == API_SUBMIT && !r->spec) {
-		reply_result(n, r, API_INVALID, "the job can't be read", now);
+		reply_result(n, r, API_INVALID,
+			     *r->fault ? r->fault : "the job can't be read",
+			     now);
 		return;
 	}
 	accept_request(n, r, q, workspace, rest, now);
--- a/src/node/commit.c
+++ b/src/node/commit.c
@@ -120,11 +120,9 @@
 	while (call->txn_ops->len < GRANT_TXN_OPS_MAX &&
 	       (h = sched_take_grant(n->sched))) {
 		const struct server_info *info = sched_server(n->sched, h);
-		char *key = g_strconcat(KEY_GRANTS, info->id, NULL);
+		char *key = grant_key(info->id);
 
-		store_call_write(call, key,
-				 g_bytes_new(info->pool, strlen(info->pool)),
-				 0);
+		store_call_write(call, key, grant_value(info), 0);
 		g_array_append_val(t->grants, h);
 		g_free(key);
 	}
@@ -159,9 +157,7 @@
 			 g_bytes_new_take(text, strlen(text)), 0);
 	t->writes_ordered_hosts = c->is_ordered_write_open = true;
 	for (i = 0; i < t->ended_grants->len; i++) {
-		char *key = g_strconcat(KEY_GRANTS,
-					g_ptr_array_index(t->ended_grants, i),
-					NULL);
+		char *key = grant_key(g_ptr_array_index(t->ended_grants, i));
 
 		store_call_remove(call, key);
 		g_free(key);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -53,7 +53,7 @@
 	 */
 	struct site *(*read_site)(GBytes *value, struct cs_error *err);
 	bool (*read_server)(const char *id, GBytes *value,
-			    struct server_info *info);
+			    struct server_info *info, struct cs_error *err);
 	/* The caller releases wave->hosts. */
 	bool (*read_wave)(GBytes *value, struct wave_info *wave);
 	GBytes *(*write_wave_status)(bool is_done);
--- a/src/node/node_private.h
+++ b/src/node/node_private.h
@@ -213,6 +213,13 @@
 void commit_turn(struct node *n, cs_time now);
 void commit_reset(struct node *n);
 
+/* grant.c */
+/* The key of the grant of a server, which the caller frees. */
+char *grant_key(const char *id);
+GBytes *grant_value(const struct server_info *info);
+/* The pool that a grant names, and in *id its server; the caller frees both. */
+char *grant_read(const struct store_item *item, char **id);
+
 /* withdrawn.c */
 /* Has the owner remove such a key once its retention has passed. */
 void withdrawn_add(struct node *n, const char *id, uint64_t revision,
--- a/src/node/queues.c
+++ b/src/node/queues.c
@@ -139,7 +139,7 @@
 static bool read_admission_line(struct node *n, const char *line)
 {
 	struct drain_summary summary;
-	char queue[CS_NAME_MAX];
+	char queue[SITE_NAME_MAX];
 
 	if (g_str_has_prefix(line, ADMISSION_LINE "at="))
 		return true;
@@ -169,7 +169,7 @@
 {
 	char *text = store_text(item->value);
 	char **lines = g_strsplit(text, "\n", 0);
-	char name[CS_NAME_MAX];
+	char name[SITE_NAME_MAX];
 	int64_t pending, wait_ms;
 	int i, unreadable = 0;
 
--- a/src/node/term.c
+++ b/src/node/term.c
@@ -57,7 +57,7 @@
 static struct batch *read_ended_job(const char *id,
 				    const struct loaded_item *progress)
 {
-	char workspace[CS_NAME_MAX];
+	char workspace[SITE_NAME_MAX];
 	enum batch_state state;
 	gsize size;
 	const void *data;
@@ -191,15 +191,17 @@
 	struct node *n = ctx;
 	const char *id = item->key + strlen(n->formats->server_prefix);
 	struct server_info info = { 0 };
+	struct cs_error err = { 0 };
 	GString *pairs;
 
-	if (n->formats->read_server(id, item->value, &info)) {
+	if (n->formats->read_server(id, item->value, &info, &err)) {
 		sched_server_registered(n->sched, &info, now);
 		return;
 	}
 	pairs = g_string_new(NULL);
 	log_pair(pairs, "server", id);
 	log_pair_int(pairs, "revision", (int64_t)item->revision);
+	log_pair(pairs, "message", err.message);
 	node_log(n, "server_unreadable", pairs);
 	sched_server_deregistered(n->sched, id, now);
 }
@@ -224,11 +226,10 @@
 static void on_grant_put(void *ctx, const struct store_item *item, cs_time now)
 {
 	struct node *n = ctx;
+	char *id, *pool = grant_read(item, &id);
 
 	(void)now;
-	g_hash_table_insert(n->loaded_grants,
-			    g_strdup(item->key + strlen(KEY_GRANTS)),
-			    store_text(item->value));
+	g_hash_table_insert(n->loaded_grants, id, pool);
 }
 
 static void on_wave_progress_put(void *ctx, const struct store_item *item,
--- a/src/relay/routes.c
+++ b/src/relay/routes.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "../base/error.h"
+#include "../site/site.h"
 
 /*
  * Servers that an entry with a whole core carries. A server with runs needs
@@ -19,13 +20,13 @@
 	cs_handle self;
 	int capacity; /* servers */
 	int load; /* servers */
-	char pool[CS_NAME_MAX]; /* of the first of these servers */
+	char pool[SITE_NAME_MAX]; /* of the first of these servers */
 };
 
 struct route {
 	cs_handle server;
 	cs_handle carrier; /* 0: none */
-	char pool[CS_NAME_MAX];
+	char pool[SITE_NAME_MAX];
 	cs_time used_at;
 	cs_time direct_until;
 };
--- a/src/sched/learn/run_times.h
+++ b/src/sched/learn/run_times.h
@@ -3,7 +3,7 @@
 
 #include <glib.h>
 
-#include "../../camphorshed.h"
+#include "../../site/site.h"
 
 /*
  * Predicts how long a task will run, as a distribution, from runs that have
@@ -86,8 +86,8 @@
 struct run_times_group {
 	enum run_times_level level;
 	int step; /* 0 in RUN_TIMES_QUEUE */
-	char queue[CS_NAME_MAX];
-	char workspace[CS_NAME_MAX]; /* "" in wider groups */
+	char queue[SITE_NAME_MAX];
+	char workspace[SITE_NAME_MAX]; /* "" in wider groups */
 	double weight; /* of all runs */
 	double x, z, y; /* sums */
 	/* Sums of products of deviations from the means of the workspaces. */
--- a/src/sched/learn/run_times_codec.c
+++ b/src/sched/learn/run_times_codec.c
@@ -92,9 +92,9 @@
 }
 
 /* Each reader returns false when the element has another type or range. */
-static bool read_text(const msgpack_object *o, char out[CS_NAME_MAX])
+static bool read_text(const msgpack_object *o, char out[SITE_NAME_MAX])
 {
-	if (o->type != MSGPACK_OBJECT_STR || o->via.str.size >= CS_NAME_MAX ||
+	if (o->type != MSGPACK_OBJECT_STR || o->via.str.size >= SITE_NAME_MAX ||
 	    (o->via.str.size && memchr(o->via.str.ptr, '\0', o->via.str.size)))
 		return false;
 	/* The pointer of an empty text may be NULL. */
@@ -160,7 +160,7 @@
 static struct run_times *read_record(const msgpack_object *o)
 {
 	const msgpack_object *f;
-	char name[CS_NAME_MAX];
+	char name[SITE_NAME_MAX];
 	struct run_times *t;
 	int format;
 
--- a/src/sched/order.h
+++ b/src/sched/order.h
@@ -52,8 +52,9 @@
 	uint64_t ref; /* returned with the reply */
 	cs_handle server; /* returned with the reply; 0: none */
 	char address[CS_ADDRESS_MAX];
-	char instance[CS_NAME_MAX]; /* the incarnation that is addressed */
-	char pool[CS_NAME_MAX]; /* of the server; of a move: its destination */
+	char instance[SITE_NAME_MAX]; /* the incarnation that is addressed */
+	char pool[SITE_NAME_MAX]; /* of the server; of a move: its destination
+				   */
 	uint64_t token; /* fencing token of the owner */
 	int64_t deadline_ms; /* lease end, server's clock; 0: unchanged */
 	int64_t timeout_ms; /* for the reply */
@@ -72,7 +73,7 @@
 	char step[BATCH_TASK_NAME_MAX];
 	GPtrArray *servers; /* names */
 	/* hosts */
-	char host[CS_NAME_MAX];
+	char host[SITE_NAME_MAX];
 	char holder[CS_NAME_MAX]; /* the entry that sends orders to hosts */
 	uint64_t wave;
 	char *page; /* page token of the host list; NULL: the first page */
@@ -111,17 +112,17 @@
 #define ORDER_HOST_LABELS_MAX 2
 
 struct order_host {
-	char name[CS_NAME_MAX];
-	char pool[CS_NAME_MAX];
-	char data_centre[CS_NAME_MAX];
-	char server[CS_NAME_MAX]; /* running on it now, or "" */
-	char labels[ORDER_HOST_LABELS_MAX][CS_NAME_MAX];
+	char name[SITE_NAME_MAX];
+	char pool[SITE_NAME_MAX];
+	char data_centre[SITE_NAME_MAX];
+	char server[SITE_NAME_MAX]; /* running on it now, or "" */
+	char labels[ORDER_HOST_LABELS_MAX][SITE_NAME_MAX];
 	int labels_nr;
 	enum order_host_state state;
 };
 
 struct order_ticket {
-	char server[CS_NAME_MAX];
+	char server[SITE_NAME_MAX];
 	char *ticket;
 };
 
--- a/src/sched/place/place.c
+++ b/src/sched/place/place.c
@@ -64,7 +64,7 @@
 {
 	int i;
 
-	if (!label || !*label)
+	if (!label)
 		return true;
 
 	for (i = 0; i < v->info.labels_nr; i++)
@@ -142,7 +142,7 @@
 
 static bool is_remote(const struct placement *p, const struct server *v)
 {
-	return *p->spec->rack && strcmp(p->spec->rack, v->info.rack);
+	return p->spec->rack && strcmp(p->spec->rack, v->info.rack);
 }
 
 /* Cost of the time that the task would take longer than on a good server. */
@@ -251,7 +251,7 @@
 	int beyond = 0;
 
 	for (; (row = room_index_at(room, i)) && row->free_cpu < best_cost &&
-	       (beyond < SLOW_EXAMINED_MAX || *p->spec->rack);
+	       (beyond < SLOW_EXAMINED_MAX || p->spec->rack);
 	     i++) {
 		struct server *v = server_row(p->sched, row->server);
 
--- a/src/sched/pools/balance.c
+++ b/src/sched/pools/balance.c
@@ -30,8 +30,8 @@
 #define LOG_INTERVAL_US (1 * CS_SEC)
 
 struct move {
-	char host[CS_NAME_MAX];
-	char pool[CS_NAME_MAX]; /* destination */
+	char host[SITE_NAME_MAX];
+	char pool[SITE_NAME_MAX]; /* destination */
 	cs_handle server; /* cordoned for the move; 0: none */
 	cs_time ordered_at;
 	bool is_accepted;
--- a/src/sched/pools/hosts.c
+++ b/src/sched/pools/hosts.c
@@ -20,7 +20,7 @@
 
 /* A host that was sent an order recently. */
 struct recent_order {
-	char name[CS_NAME_MAX];
+	char name[SITE_NAME_MAX];
 	cs_time at;
 };
 
--- a/src/sched/pools/pool.h
+++ b/src/sched/pools/pool.h
@@ -13,7 +13,7 @@
 #define LACKING_LABELS_MAX 4
 
 struct pool {
-	char name[CS_NAME_MAX];
+	char name[SITE_NAME_MAX];
 	GPtrArray *servers; /* struct server */
 	struct room_index *room; /* the same, by free CPU */
 	GPtrArray *jobs; /* struct job, not final */
@@ -30,7 +30,7 @@
 	int blocked[JOB_BLOCK_NR]; /* jobs by enum job_block */
 	int open_begins; /* jobs whose begin here is not stored yet */
 	/* Labels for which no server had room in the last pass. */
-	char lacking_labels[LACKING_LABELS_MAX][CS_NAME_MAX];
+	char lacking_labels[LACKING_LABELS_MAX][SITE_NAME_MAX];
 	int lacking_labels_nr;
 	/* Of tasks that end by themselves; one of both is used by pool_size.c.
 	 */
--- a/src/sched/queue/accepted_work.c
+++ b/src/sched/queue/accepted_work.c
@@ -3,6 +3,7 @@
 #include <glib.h>
 
 #include "../../base/error.h"
+#include "../../site/site.h"
 
 /*
  * Share of the machine's memory. Callers' buffers have half as much, and as
@@ -19,7 +20,7 @@
 #define SHARED_PART 2
 
 struct row {
-	char workspace[CS_NAME_MAX];
+	char workspace[SITE_NAME_MAX];
 	double weight;
 	size_t bytes;
 	bool was_full; /* in the last report */
--- a/src/sched/queue/assign.c
+++ b/src/sched/queue/assign.c
@@ -114,7 +114,7 @@
 			      struct job_attempt *a)
 {
 	struct site_resources need = place_need(st);
-	const char *label = *st->label ? st->label : NULL;
+	const char *label = st->label;
 
 	no_room_add(a->no_room, label, need);
 	set_block(a, BLOCK_ROOM);
@@ -148,8 +148,7 @@
 	struct server *v = NULL;
 
 	if (a->has_hold ||
-	    !no_room_covers(a->no_room, *st->label ? st->label : NULL,
-			    place_need(st)))
+	    !no_room_covers(a->no_room, st->label, place_need(st)))
 		v = place_choose(s, ref, members, now, &search);
 	s->examined_servers += search.examined;
 	*has_room = search.has_room;
@@ -449,8 +448,8 @@
 		if (!strcmp(p->lacking_labels[i], j->lacking_label))
 			return;
 	if (i < LACKING_LABELS_MAX)
-		cs_copy(p->lacking_labels[p->lacking_labels_nr++], CS_NAME_MAX,
-			j->lacking_label);
+		cs_copy(p->lacking_labels[p->lacking_labels_nr++],
+			SITE_NAME_MAX, j->lacking_label);
 }
 
 /*
--- a/src/sched/queue/fair_share.c
+++ b/src/sched/queue/fair_share.c
@@ -16,14 +16,14 @@
 #define TURN_SHARE 0.005
 
 struct fair_pool {
-	char name[CS_NAME_MAX];
+	char name[SITE_NAME_MAX];
 	struct site_resources capacity;
 	GArray *running; /* struct site_resources by workspace, as far as used
 			  */
 };
 
 struct fair_workspace {
-	char name[CS_NAME_MAX];
+	char name[SITE_NAME_MAX];
 	double weight;
 };
 
--- a/src/sched/runs/fence.c
+++ b/src/sched/runs/fence.c
@@ -16,7 +16,7 @@
 
 /* A server without a row, to which orders may still be on their way. */
 struct removed_server {
-	char id[CS_NAME_MAX];
+	char id[SITE_NAME_MAX];
 	uint64_t token; /* of its last orders */
 	cs_time at;
 };
--- a/src/sched/runs/late_starts.c
+++ b/src/sched/runs/late_starts.c
@@ -12,7 +12,7 @@
  */
 
 struct late_start {
-	char server[CS_NAME_MAX];
+	char server[SITE_NAME_MAX];
 	char task[BATCH_TASK_NAME_MAX];
 	uint32_t number;
 	cs_time sent_at;
--- a/src/sched/runs/runs.c
+++ b/src/sched/runs/runs.c
@@ -357,7 +357,7 @@
 	log_pair_int(pairs, "is_resumed", r->has_checkpoint);
 	log_pair_int(pairs, "is_adopted", !r->was_started_in_term);
 	log_pair_int(pairs, "is_remote",
-		     *st->rack && strcmp(st->rack, v->info.rack));
+		     st->rack && strcmp(st->rack, v->info.rack));
 }
 
 /* r is NULL if the run has no row. */
@@ -452,11 +452,11 @@
 			server_score_speed(&v->score, &s->all_scores, now) :
 			1;
 	struct run_times_prediction p;
-	char labels[128];
+	char labels[SITE_NAME_MAX + 64];
 
 	if (st->is_long_running || st->is_gang || st->is_best_effort ||
 	    !r->start_confirmed_at ||
-	    (*st->rack && strcmp(st->rack, v->info.rack)))
+	    (st->rack && strcmp(st->rack, v->info.rack)))
 		return;
 	if (is_whole) {
 		p = run_time_model_predict(s->run_times, &k);
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -30,14 +30,14 @@
 
 /* A server's record in the registry, a part of the store. */
 struct server_info {
-	char id[CS_NAME_MAX]; /* of this incarnation */
-	char pool[CS_NAME_MAX];
+	char id[SITE_NAME_MAX]; /* of this incarnation */
+	char pool[SITE_NAME_MAX];
 	char address[CS_ADDRESS_MAX];
-	char data_centre[CS_NAME_MAX];
-	char labels[SCHED_LABELS_MAX][CS_NAME_MAX];
+	char data_centre[SITE_NAME_MAX];
+	char labels[SCHED_LABELS_MAX][SITE_NAME_MAX];
 	int labels_nr;
-	char rack[CS_NAME_MAX]; /* the label that names the rack, or "" */
-	char version[CS_NAME_MAX]; /* of its software */
+	char rack[SITE_NAME_MAX]; /* the label that names the rack, or "" */
+	char version[SITE_NAME_MAX]; /* of its software */
 	struct site_resources capacity; /* total for all tasks */
 	bool is_draining;
 	int64_t remaining_ms; /* minimum time left while draining */
--- a/src/sched/upkeep/maintenance.c
+++ b/src/sched/upkeep/maintenance.c
@@ -40,11 +40,12 @@
 };
 
 struct wave_host {
-	char name[CS_NAME_MAX];
+	char name[SITE_NAME_MAX];
 	enum wave_host_state state;
 	cs_time begun_at;
 	cs_time retry_at; /* when to repeat an unanswered order; 0: never */
-	char server[CS_NAME_MAX]; /* on the host when maintenance was ordered */
+	char server[SITE_NAME_MAX]; /* on the host when maintenance was ordered
+				     */
 	cs_handle cordoned; /* server cordoned for the wave; 0: none */
 	bool has_returned;
 	bool is_left_out; /* no longer in the wave, without maintenance */
--- a/src/site/site.h
+++ b/src/site/site.h
@@ -34,12 +34,19 @@
 	int64_t validity_ms; /* of a ticket; 0: the queue needs no advice */
 };
 
+/*
+ * Size of a name that others choose, with the final NUL: of a queue, a pool, a
+ * workspace, a host, a data centre or a backend server, or a label. The
+ * identifier of a server is part of a key of the store, which limits it to 192
+ * bytes; nothing limits the others, so they may be as long.
+ */
+#define SITE_NAME_MAX 193
 /* Bytes of a host name in the DNS, with the final NUL. */
 #define SITE_HOST_MAX 256
 
 /* How the jobs of a queue are handled. */
 struct site_terms {
-	char pool[CS_NAME_MAX];
+	char pool[SITE_NAME_MAX];
 	int priority; /* 0 comes first */
 	int attempts_max; /* failed runs of a task until its job fails */
 	/* A job should end within stretch * critical path + target_ms. */
@@ -49,7 +56,7 @@
 };
 
 struct site_queue {
-	char name[CS_NAME_MAX];
+	char name[SITE_NAME_MAX];
 	char host[SITE_HOST_MAX]; /* of the callers' address */
 	char *prefix; /* of the path, with the final "/" */
 	struct site_terms terms;
@@ -58,13 +65,13 @@
 };
 
 struct site_pool {
-	char name[CS_NAME_MAX];
+	char name[SITE_NAME_MAX];
 	bool has_admission_check; /* its servers refuse tasks that don't fit */
 	bool is_standby; /* its hosts are off and cost nothing */
 };
 
 struct site_workspace {
-	char name[CS_NAME_MAX];
+	char name[SITE_NAME_MAX];
 	int64_t weight;
 	struct site_resources limit; /* of all running tasks; 0: no limit */
 };
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -14,7 +14,7 @@
 /* Largest number of conditions, writes and removals in one transaction. */
 #define STORE_TXN_MAX 32
 /* Size of a key with its final NUL. */
-#define STORE_KEY_MAX 200
+#define STORE_KEY_MAX 201
 
 enum store_op {
 	STORE_GET, /* one key */
--- a/tests/fuzz/fuzz_platform.c
+++ b/tests/fuzz/fuzz_platform.c
@@ -21,7 +21,7 @@
 	char host[CS_ADDRESS_MAX];
 	uint16_t port;
 
-	if (!wire_formats.read_server("i-1", input, &info))
+	if (!wire_formats.read_server("i-1", input, &info, NULL))
 		return;
 	fuzz_require(!http_address_split(info.address, host, &port),
 		     "an accepted server has an address with a port");
--- a/tests/unit/test_batch.c
+++ b/tests/unit/test_batch.c
@@ -220,7 +220,7 @@
 	struct batch *b = make_batch(), *c;
 	struct batch_task *t;
 	enum batch_state decoded_state;
-	char workspace[CS_NAME_MAX];
+	char workspace[SITE_NAME_MAX];
 	GBytes *submission, *progress;
 
 	(void)state;
--- a/tests/unit/test_sched_faults.c
+++ b/tests/unit/test_sched_faults.c
@@ -907,6 +907,47 @@
 	}
 }
 
+/*
+ * Guards against servers that get no work and jobs that never start, as a name
+ * is longer than 63 bytes: of a server, a host or a label, also with the next
+ * owner, which finds the servers by their grants.
+ */
+static void long_names_are_served(void **state)
+{
+	const struct world_options options = { .seed = 11,
+					       .nodes = 3,
+					       .servers = 2,
+					       .pools = 2,
+					       .standby = 4,
+					       .has_long_names = true };
+	struct world *w = world_create(&options);
+	struct world_job wide = { .steps = 2,
+				  .width = 8,
+				  .work_ms = 3000,
+				  .cpu = 16000,
+				  .unavailable_max = -1 };
+	int first, second, server;
+
+	(void)state;
+	world_run(w, 3000);
+	wide.label = world_label(w);
+	first = world_submit(w, 0, &wide);
+	world_run(w, 1000);
+	assert_true(world_job_starts(w, first) > 0);
+	world_node_kill(w, world_owner(w));
+	world_run(w, 500);
+	second = world_submit(w, 1, &wide);
+	world_run(w, 20000);
+	assert_true(world_job_is_done(w, first));
+	assert_true(world_job_is_done(w, second));
+	assert_true(world_host_orders(w) > 0);
+	for (server = 0; server < world_server_count(w); server++)
+		world_server_crash(w, server, 100);
+	world_run(w, 15000);
+	assert_int_equal(world_store_count(w, "camphorshed-grants/"), 4);
+	end_world(w);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -943,6 +984,7 @@
 		cmocka_unit_test(run_of_an_ended_job_may_hang),
 		cmocka_unit_test(late_start_at_work_is_not_stopped),
 		cmocka_unit_test(lost_renewals_end_no_lease),
+		cmocka_unit_test(long_names_are_served),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -144,22 +144,156 @@
 	g_bytes_unref(value);
 }
 
+static void fill_name(char *name, size_t len)
+{
+	memset(name, 'n', len);
+	name[len] = '\0';
+}
+
+/*
+ * Guards against names of up to 192 bytes, as long as the identifier of a
+ * server can be, that are left out or cut off: of what a configuration, a
+ * server, a job, a host or the advisor names.
+ */
+static void names_of_all_lengths_are_read(void **state)
+{
+	static const size_t lengths[] = { 1, 63, 64, 191, 192 };
+	char n[SITE_NAME_MAX], *s;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(lengths); i++) {
+		struct server_info info = { 0 };
+		struct order *o = order_new(ORDER_LIST_HOSTS);
+		struct http_client_response a;
+		const struct order_host *host;
+		const struct order_ticket *ticket;
+		struct order_reply *d;
+		struct batch_spec *spec;
+		struct site *site;
+		GBytes *value;
+
+		fill_name(n, lengths[i]);
+		s = g_strdup_printf("{\"version\":7,\"routes\":[{\"name\":"
+				    "\"%s\",\"host\":\"h\",\"prefix\":\"/\","
+				    "\"service\":\"%s\"}],\"services\":"
+				    "[{\"name\":\"%s\"}],\"tenants\":"
+				    "[{\"name\":\"%s\",\"apiKeys\":[\"k\"]}]}",
+				    n, n, n, n);
+		value = text(s);
+		site = wire_formats.read_site(value, NULL);
+		assert_string_equal(site_find_queue(site, n)->terms.pool, n);
+		assert_non_null(site_find_pool(site, n));
+		assert_string_equal(site_key_owner(site, "k")->name, n);
+		site_unref(site);
+		g_bytes_unref(value);
+		g_free(s);
+
+		s = g_strdup_printf("{\"service\":\"%s\",\"address\":"
+				    "\"10.0.0.9:80\",\"zone\":\"%s\","
+				    "\"version\":\"%s\",\"state\":\"ready\","
+				    "\"freeCapacity\":{\"cpu\":1},"
+				    "\"labels\":[\"%s\"]}",
+				    n, n, n, n);
+		value = text(s);
+		assert_true(wire_formats.read_server(n, value, &info, NULL));
+		assert_string_equal(info.id, n);
+		assert_string_equal(info.pool, n);
+		assert_string_equal(info.data_centre, n);
+		assert_string_equal(info.version, n);
+		assert_string_equal(info.labels[0], n);
+		g_bytes_unref(value);
+		g_free(s);
+
+		s = g_strdup_printf("{\"steps\":[{\"count\":1,"
+				    "\"requirements\":\"%s\",\"affinity\":"
+				    "\"%s\",\"image\":\"%s\"}]}",
+				    n, n, n);
+		value = text(s);
+		spec = wire_read_job(value, NULL);
+		assert_string_equal(spec->steps[0].label, n);
+		assert_string_equal(spec->steps[0].rack, n);
+		assert_string_equal(spec->steps[0].image, n);
+		batch_spec_destroy(spec);
+		g_bytes_unref(value);
+		g_free(s);
+
+		s = g_strdup_printf("{\"machines\":[{\"machine\":\"%s\","
+				    "\"pool\":\"%s\",\"zone\":\"%s\","
+				    "\"id\":\"%s\",\"labels\":[\"%s\"],"
+				    "\"state\":\"up\"}]}",
+				    n, n, n, n, n);
+		a = answered(200, s);
+		d = wire_order_decode(o, &a, 1, 2);
+		host = g_ptr_array_index(d->hosts, 0);
+		assert_string_equal(host->name, n);
+		assert_string_equal(host->server, n);
+		assert_string_equal(host->labels[0], n);
+		order_reply_free(d);
+		g_bytes_unref(a.body);
+		g_free(s);
+		order_free(o);
+
+		o = order_new(ORDER_ADVISE);
+		s = g_strdup_printf("{\"allowed\":[[\"%s\",\"t\"]]}", n);
+		a = answered(200, s);
+		d = wire_order_decode(o, &a, 1, 2);
+		ticket = g_ptr_array_index(d->tickets, 0);
+		assert_string_equal(ticket->server, n);
+		order_reply_free(d);
+		g_bytes_unref(a.body);
+		g_free(s);
+		order_free(o);
+	}
+}
+
+/* Whoever sent a name that is too long is told which, and what the limit is. */
+static void names_that_are_too_long_are_named(void **state)
+{
+	char n[SITE_NAME_MAX + 1], *s;
+	struct server_info info = { 0 };
+	struct cs_error err = { 0 };
+	GBytes *value;
+
+	(void)state;
+	fill_name(n, SITE_NAME_MAX);
+	s = g_strdup_printf("{\"steps\":[{\"count\":1},{\"count\":1,"
+			    "\"requirements\":\"%s\"}]}",
+			    n);
+	value = text(s);
+	assert_null(wire_read_job(value, &err));
+	assert_string_equal(err.message, "step 1: \"requirements\" is longer "
+					 "than 192 bytes");
+	g_bytes_unref(value);
+	g_free(s);
+	s = g_strdup_printf("{\"service\":\"%s\",\"address\":\"10.0.0.9:80\","
+			    "\"zone\":\"z\",\"state\":\"ready\","
+			    "\"freeCapacity\":{\"cpu\":1}}",
+			    n);
+	value = text(s);
+	assert_false(wire_formats.read_server("i", value, &info, &err));
+	assert_string_equal(err.message,
+			    "\"service\" is longer than 192 bytes");
+	g_bytes_unref(value);
+	g_free(s);
+}
+
 /*
  * Guards against a configuration that is left out as a whole, and all later
- * ones, as one of its rows has a name of 64 characters or more: a key that it
- * withdraws went on being accepted, and after a restart no entry had any.
+ * ones, as one of its rows has a name that is too long: a key that it withdraws
+ * went on being accepted, and after a restart no entry had any.
  */
 static void long_name_costs_its_row_only(void **state)
 {
-	char name[65], *document;
+	char name[SITE_NAME_MAX + 1], label[64], *document;
 	struct cs_error err = { 0 };
 	const char *rest;
 	GBytes *value;
 	struct site *s;
 
 	(void)state;
-	memset(name, 'n', 64);
-	name[64] = '\0';
+	fill_name(name, SITE_NAME_MAX);
+	fill_name(label, sizeof(label) - 1);
 	document = g_strdup_printf(
 		"{\"version\":7,\"routes\":["
 		"{\"name\":\"%s\",\"host\":\"h\",\"prefix\":\"/1/\","
@@ -169,15 +303,15 @@
 		"\"services\":[{\"name\":\"%s\"},{\"name\":\"p\"}],"
 		"\"tenants\":[{\"name\":\"%s\",\"apiKeys\":[\"k1\"]},"
 		"{\"name\":\"t\",\"apiKeys\":[\"k2\"]}]}",
-		name, name, name, name, name);
+		name, label, label, name, name);
 	value = text(document);
 	s = wire_formats.read_site(value, &err);
 	assert_non_null(s);
 	assert_string_equal(err.message, "row 0 of \"tenants\": \"name\" is "
-					 "longer than 63 bytes");
+					 "longer than 192 bytes");
 	assert_null(site_route(s, "h", "/1/x", &rest));
 	g_free(document);
-	document = g_strdup_printf("%s.%s", name, name);
+	document = g_strdup_printf("%s.%s", label, label);
 	assert_string_equal(site_route(s, document, "/2/x", &rest)->name, "a");
 	assert_non_null(site_find_pool(s, "p"));
 	assert_null(site_key_owner(s, "k1"));
@@ -225,21 +359,21 @@
 		s = g_strdup_printf(format, odd[i].address, odd[i].born,
 				    odd[i].cpu, odd[i].memory);
 		value = text(s);
-		if (wire_formats.read_server("i-1", value, &info))
+		if (wire_formats.read_server("i-1", value, &info, NULL))
 			fail_msg("accepted: %s", s);
 		g_bytes_unref(value);
 		g_free(s);
 	}
 	s = g_strdup_printf(format, "10.0.0.9:80", "-7", "16000", "64");
 	value = text(s);
-	assert_true(wire_formats.read_server("i-1", value, &info));
+	assert_true(wire_formats.read_server("i-1", value, &info, NULL));
 	assert_int_equal(info.started_unix_ms, 0);
 	g_bytes_unref(value);
 	g_free(s);
 	for (i = 0; i < 300000; i++)
 		g_string_append_c(deep, '[');
 	value = text(deep->str);
-	assert_false(wire_formats.read_server("i-1", value, &info));
+	assert_false(wire_formats.read_server("i-1", value, &info, NULL));
 	g_bytes_unref(value);
 	g_string_free(deep, TRUE);
 }
@@ -318,7 +452,7 @@
 	size_t i;
 
 	(void)state;
-	assert_true(wire_formats.read_server("i-1", value, &info));
+	assert_true(wire_formats.read_server("i-1", value, &info, NULL));
 	assert_string_equal(info.pool, "p");
 	assert_string_equal(info.rack, "r1-3");
 	assert_int_equal(info.labels_nr, 2);
@@ -329,7 +463,8 @@
 	for (i = 0; i < G_N_ELEMENTS(bad); i++) {
 		value = text(bad[i]);
 		memset(&info, 0, sizeof(info));
-		assert_false(wire_formats.read_server("i-1", value, &info));
+		assert_false(
+			wire_formats.read_server("i-1", value, &info, NULL));
 		g_bytes_unref(value);
 	}
 }
@@ -586,6 +721,8 @@
 		cmocka_unit_test(job_is_read_whole),
 		cmocka_unit_test(unreadable_jobs_are_refused),
 		cmocka_unit_test(configuration_is_read),
+		cmocka_unit_test(names_of_all_lengths_are_read),
+		cmocka_unit_test(names_that_are_too_long_are_named),
 		cmocka_unit_test(long_name_costs_its_row_only),
 		cmocka_unit_test(server_records_are_checked),
 		cmocka_unit_test(odd_server_record_is_left_out),
--- a/tests/world/main.c
+++ b/tests/world/main.c
@@ -40,7 +40,9 @@
  * memory of accepted work is bounded.
  */
 #define REPEATS_FROM_SEED 8000
-/* From this one on servers also carry out holds late, in another incarnation.
+/*
+ * From this one on servers also carry out holds late, in another incarnation,
+ * and names have 192 bytes.
  */
 #define LATE_HOLDS_FROM_SEED 9000
 /* Some tens of jobs. */
@@ -95,6 +97,8 @@
 		j.work_ms = 50 + random_below(d, 100);
 		j.cpu = 100 + random_below(d, 400);
 	}
+	if (d->options.has_long_names && !random_below(d, 3))
+		j.label = world_label(d->world);
 	if (d->options.seed >= HOSTS_FROM_SEED && !random_below(d, 6))
 		j.per_server_max = 1 + random_below(d, 3);
 	world_submit(d->world, random_below(d, d->options.nodes), &j);
@@ -478,6 +482,7 @@
 	d.options.policy.has_fair_shares = seed >= POLICY_FROM_SEED;
 	d.options.policy.has_preemption = seed >= POLICY_FROM_SEED;
 	d.options.has_priorities = seed >= POLICY_FROM_SEED;
+	d.options.has_long_names = seed >= LATE_HOLDS_FROM_SEED;
 	d.world = world_create(&d.options);
 	world_run(d.world, 2000);
 	end = world_now_ms(d.world) + FAULT_PHASE_MS;
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -440,11 +440,12 @@
 }
 
 /* "POOL ADDRESS DATA_CENTRE STATE STARTED_UNIX_MS LABEL" */
-static bool read_server(const char *id, GBytes *value, struct server_info *info)
+static bool read_server(const char *id, GBytes *value, struct server_info *info,
+			struct cs_error *err)
 {
 	char *text = store_text(value), state[16];
 	int pool, data_centre;
-	bool is_read = sscanf(text, "%d %63s %d %15s %" SCNu64 " %15s", &pool,
+	bool is_read = sscanf(text, "%d %63s %d %15s %" SCNu64 " %192s", &pool,
 			      info->address, &data_centre, state,
 			      &info->started_unix_ms, info->labels[0]) == 6;
 
@@ -458,6 +459,9 @@
 	info->capacity.cpu = 32000;
 	info->capacity.memory_mb = 65536;
 	info->is_draining = !strcmp(state, "draining");
+	if (!is_read)
+		cs_error_set(err, CS_ERR_INVALID, "read_server", NULL,
+			     "not a record of the world");
 	return is_read;
 }
 
@@ -553,11 +557,13 @@
 	v->index = (int)w->servers->len;
 	v->pool = pool;
 	v->data_centre = v->index % DATA_CENTRES;
-	v->label = "a";
+	v->label = w->label;
 	v->runs = g_ptr_array_new();
 	v->ends = g_ptr_array_new_with_free_func(g_free);
 	v->stopped = g_ptr_array_new_with_free_func(g_free);
 	snprintf(v->host, sizeof(v->host), "m%d", v->index);
+	if (w->options.has_long_names)
+		world_lengthen_name(v->host, sizeof(v->host));
 	snprintf(v->address, sizeof(v->address), "10.9.%d.%d:80",
 		 v->index / 250, v->index % 250 + 1);
 	g_ptr_array_add(w->servers, v);
@@ -572,6 +578,9 @@
 	int i, k;
 
 	w->options = *options;
+	cs_copy(w->label, sizeof(w->label), "a");
+	if (options->has_long_names)
+		world_lengthen_name(w->label, sizeof(w->label));
 	w->attempts_max = ATTEMPTS_MAX;
 	w->rng = g_rand_new_with_seed(options->seed);
 	w->timers = timers_create();
@@ -921,6 +930,11 @@
 	return server_at(w, server)->is_up;
 }
 
+const char *world_label(const struct world *w)
+{
+	return w->label;
+}
+
 int world_server_pool(const struct world *w, int server)
 {
 	return server_at(w, server)->pool;
@@ -1088,8 +1102,7 @@
 		st->is_checkpointing = job->is_checkpointing;
 		st->is_gang = job->is_gang;
 		st->per_server_max = job->per_server_max;
-		if (job->label)
-			cs_copy(st->label, sizeof(st->label), job->label);
+		st->label = g_strdup(job->label);
 		st->unavailable_max =
 			job->is_long_running ? job->unavailable_max : -1;
 		if (i) {
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -21,6 +21,8 @@
 	struct sched_policy policy; /* of all entries */
 	size_t accepted_max; /* see struct node_options */
 	bool has_priorities; /* the number of a queue is its priority */
+	/* Identifiers of servers, hosts and labels have 192 bytes. */
+	bool has_long_names;
 	bool is_verbose; /* writes the logs of the entries to standard error */
 };
 
@@ -90,7 +92,8 @@
 void world_server_crash(struct world *world, int server, int64_t restart_ms);
 /*
  * The same, but it restarts under its identifier, as a server of another kind
- * and perhaps in another pool. The label of a server is its kind, "a" at first.
+ * and perhaps in another pool. The label of a server is its kind; at first that
+ * is world_label().
  */
 void world_server_return_as(struct world *world, int server, int64_t restart_ms,
 			    const char *label, int pool);
@@ -101,6 +104,8 @@
 void world_server_reborn(struct world *world, int server, int64_t restart_ms,
 			 int64_t register_ms);
 bool world_server_is_up(const struct world *world, int server);
+/* The label that each server has at first. */
+const char *world_label(const struct world *world);
 /* The number of the pool of a server. */
 int world_server_pool(const struct world *world, int server);
 /* Drains a server for 4 s and restarts it under a new identifier 1 s later. */
--- a/tests/world/world_private.h
+++ b/tests/world/world_private.h
@@ -26,6 +26,8 @@
 /* A new configuration is in force within this time. */
 #define APPLY_MS 2000
 #define ENDS_LISTED_MAX 500 /* ended runs in one reply of a server */
+/* Size of the key of a server's record, with the final NUL. */
+#define SERVER_KEY_MAX (sizeof("servers/") + SITE_NAME_MAX)
 #define ITEM_BYTES 100 /* of a stored item, beside its value */
 #define DATA_CENTRES 3
 #define NODES_MAX 16
@@ -74,7 +76,7 @@
 struct sim_server {
 	struct world *world;
 	int index, pool, data_centre;
-	char id[CS_NAME_MAX], host[CS_NAME_MAX], address[CS_ADDRESS_MAX];
+	char id[SITE_NAME_MAX], host[SITE_NAME_MAX], address[CS_ADDRESS_MAX];
 	bool is_up, is_listed, is_draining, is_failing, is_silent,
 		is_in_maintenance;
 	bool is_moving;
@@ -162,6 +164,7 @@
 
 struct world {
 	struct world_options options;
+	char label[SITE_NAME_MAX]; /* of servers at first */
 	GRand *rng;
 	struct timers *timers;
 	cs_time now;
@@ -207,6 +210,8 @@
 };
 
 int world_random_ms(struct world *w, int from, int to);
+/* Fills the rest of a buffer, so that the name is as long as it can be. */
+void world_lengthen_name(char *name, size_t size);
 cs_time world_message_delay(struct world *w);
 bool world_random_bool(struct world *w, int per_mille);
 int64_t world_unix_ms(const struct world *w);
--- a/tests/world/world_servers.c
+++ b/tests/world/world_servers.c
@@ -174,7 +174,7 @@
 
 void sim_server_register(struct world *w, const struct sim_server *v)
 {
-	char key[80], text[256];
+	char key[SERVER_KEY_MAX], text[512];
 
 	snprintf(key, sizeof(key), "servers/%s", v->id);
 	snprintf(text, sizeof(text), "%d %s %d %s %" PRIu64 " %s", v->pool,
@@ -389,15 +389,15 @@
 /* A ticket is "ID GENERATION UNTIL": of one life of a server. */
 static bool has_valid_ticket(const struct sim_server *v, const struct order *o)
 {
-	char id[CS_NAME_MAX];
+	char id[SITE_NAME_MAX];
 	int64_t until;
 	int generation;
 
 	if (!v->world->advice_validity_ms)
 		return true;
 	return o->ticket &&
-	       sscanf(o->ticket, "%63s %d %" SCNd64, id, &generation, &until) ==
-		       3 &&
+	       sscanf(o->ticket, "%192s %d %" SCNd64, id, &generation,
+		      &until) == 3 &&
 	       !strcmp(id, v->id) && generation == v->generation &&
 	       v->world->now < until;
 }
@@ -733,7 +733,7 @@
 void sim_server_unregister(void *ctx, uint64_t arg, cs_time now)
 {
 	struct sim_server *v = ctx;
-	char key[80];
+	char key[SERVER_KEY_MAX];
 
 	(void)now;
 	if ((int)arg != v->generation || v->is_up)
@@ -752,18 +752,29 @@
 		sim_server_register(v->world, v);
 }
 
+void world_lengthen_name(char *name, size_t size)
+{
+	size_t len = strlen(name);
+
+	memset(name + len, 'x', size - 1 - len);
+	name[size - 1] = '\0';
+}
+
 void sim_server_start(struct sim_server *v)
 {
-	char key[80];
+	char key[SERVER_KEY_MAX];
 
 	if (v->is_listed && !v->keeps_id) {
 		snprintf(key, sizeof(key), "servers/%s", v->id);
 		sim_store_remove(v->world, key);
 	}
 	v->generation++;
-	if (!v->keeps_id)
+	if (!v->keeps_id) {
 		snprintf(v->id, sizeof(v->id), "i-%d-%d", v->index,
 			 v->generation);
+		if (v->world->options.has_long_names)
+			world_lengthen_name(v->id, sizeof(v->id));
+	}
 	v->keeps_id = false;
 	v->is_up = v->is_listed = true;
 	v->is_draining = false;
@@ -821,7 +832,7 @@
 static void on_moved(void *ctx, uint64_t arg, cs_time now)
 {
 	struct sim_server *v = ctx;
-	char key[80];
+	char key[SERVER_KEY_MAX];
 
 	if ((int)arg != v->generation || !v->is_moving)
 		return;
--- a/tests/world/world_store.c
+++ b/tests/world/world_store.c
@@ -342,6 +342,9 @@
 	for (i = 0; i < c->txn_ops->len; i++) {
 		const struct store_txn_op *e = g_ptr_array_index(c->txn_ops, i);
 
+		if (strlen(e->key) >= STORE_KEY_MAX)
+			world_report_violation(w, "a key of %zu bytes",
+					       strlen(e->key));
 		if (e->kind == STORE_WRITE && e->lease &&
 		    !find_lease(w, e->lease)) {
 			d->result = STORE_MISSING;
