node: names in the published counts are escaped

White space, control characters, "@" and "%" in names are escaped as in a URI now, also in the lines for admission and for full workspaces; a line that can't be read counts in queues_unreadable. Plain names look as before.

All queues of the simulated site have such names now.

--- a/src/node/queues.c
+++ b/src/node/queues.c
@@ -2,6 +2,7 @@
 
 #include <inttypes.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "../base/log.h"
@@ -12,10 +13,13 @@
  * line "NAME PENDING WAIT_MS" for each queue. For admission, lines follow whose
  * first word tells their version, which readers that do not know it ignore: one
  * with the time, then one for each queue with work ahead of a new job. A line
- * for each workspace follows whose submissions are refused.
+ * for each workspace follows whose submissions are refused. In names, white
+ * space, control characters, "@" and "%" are escaped as in a URI.
  */
 
 #define ADMISSION_LINE "@1 "
+/* Characters of names that stay as they are, beside letters and digits. */
+#define PLAIN_CHARS "!\"#$&'()*+,/:;<=>?[\\]^`{|}"
 #define FULL_LINE "@2 full="
 /* Values beyond this are not from an owner: ten days, ten thousand cores. */
 #define AHEAD_MAX_MS (INT64_C(10) * 86400 * 1000)
@@ -34,10 +38,24 @@
  */
 #define PUBLISH_FULL_US (100 * CS_MSEC)
 
+static void append_name(GString *text, const char *name)
+{
+	g_string_append_uri_escaped(text, name, PLAIN_CHARS, TRUE);
+}
+
+/* The name that was written; NULL if it can't be read. Frees text. */
+static char *take_name(char *text)
+{
+	char *name = text ? g_uri_unescape_string(text, NULL) : NULL;
+
+	free(text); /* allocated by sscanf() */
+	return name;
+}
+
 static void add_line(void *ctx, const char *queue, int pending, int64_t wait_ms)
 {
-	g_string_append_printf(ctx, "%s %d %" PRId64 "\n", queue, pending,
-			       wait_ms);
+	append_name(ctx, queue);
+	g_string_append_printf(ctx, " %d %" PRId64 "\n", pending, wait_ms);
 }
 
 struct admission_lines {
@@ -57,15 +75,18 @@
 	if (!a->lines_nr++)
 		g_string_append_printf(
 			a->text, ADMISSION_LINE "at=%" PRId64 "\n", a->unix_ms);
+	g_string_append(a->text, ADMISSION_LINE "queue=");
+	append_name(a->text, queue);
 	g_string_append_printf(a->text,
-			       ADMISSION_LINE "queue=%s ahead_ms=%" PRId64
-					      " free_cpu=%" PRId64 "\n",
-			       queue, summary->ahead_ms, summary->free_cpu);
+			       " ahead_ms=%" PRId64 " free_cpu=%" PRId64 "\n",
+			       summary->ahead_ms, summary->free_cpu);
 }
 
 static void add_full_line(void *ctx, const char *workspace)
 {
-	g_string_append_printf(ctx, FULL_LINE "%s\n", workspace);
+	g_string_append(ctx, FULL_LINE);
+	append_name(ctx, workspace);
+	g_string_append_c(ctx, '\n');
 }
 
 static void on_published(void *ctx, uint64_t arg, const struct store_reply *d,
@@ -139,21 +160,71 @@
 static bool read_admission_line(struct node *n, const char *line)
 {
 	struct drain_summary summary;
-	char queue[SITE_NAME_MAX];
+	char *text = NULL, *queue;
+	bool is_valid;
 
 	if (g_str_has_prefix(line, ADMISSION_LINE "at="))
 		return true;
-	if (sscanf(line,
-		   ADMISSION_LINE "queue=%63s ahead_ms=%" SCNd64
-				  " free_cpu=%" SCNd64,
-		   queue, &summary.ahead_ms, &summary.free_cpu) != 3 ||
-	    summary.ahead_ms < 0 || summary.ahead_ms > AHEAD_MAX_MS ||
-	    summary.free_cpu < 0 || summary.free_cpu > FREE_CPU_MAX)
+	is_valid = sscanf(line,
+			  ADMISSION_LINE "queue=%ms ahead_ms=%" SCNd64
+					 " free_cpu=%" SCNd64,
+			  &text, &summary.ahead_ms, &summary.free_cpu) == 3 &&
+		   summary.ahead_ms >= 0 && summary.ahead_ms <= AHEAD_MAX_MS &&
+		   summary.free_cpu >= 0 && summary.free_cpu <= FREE_CPU_MAX;
+	queue = take_name(text);
+	is_valid &= queue != NULL;
+	if (is_valid)
+		admission_add(n->admission, queue, &summary);
+	g_free(queue);
+	return is_valid;
+}
+
+static bool read_full_line(struct node *n, const char *line)
+{
+	char *workspace = g_uri_unescape_string(line + strlen(FULL_LINE), NULL);
+
+	if (!workspace)
+		return false;
+	admission_add_full(n->admission, workspace);
+	g_free(workspace);
+	return true;
+}
+
+static bool read_queue_line(struct node *n, const char *line)
+{
+	int64_t pending, wait_ms;
+	char *text = NULL, *name;
+	struct queue_load *load;
+	int fields = sscanf(line, "%ms %" SCNd64 " %" SCNd64, &text, &pending,
+			    &wait_ms);
+
+	name = take_name(text);
+	if (fields != 3 || !name) {
+		g_free(name);
 		return false;
-	admission_add(n->admission, queue, &summary);
+	}
+	load = g_new(struct queue_load, 1);
+	load->pending = pending;
+	load->wait_ms = wait_ms;
+	g_hash_table_insert(n->queue_loads, name, load);
 	return true;
 }
 
+/*
+ * Returns false if the line can't be read. A line of a later version, which
+ * starts with "@", is ignored.
+ */
+static bool read_line(struct node *n, const char *line)
+{
+	if (!*line)
+		return true;
+	if (g_str_has_prefix(line, ADMISSION_LINE))
+		return read_admission_line(n, line);
+	if (g_str_has_prefix(line, FULL_LINE))
+		return read_full_line(n, line);
+	return *line == '@' || read_queue_line(n, line);
+}
+
 static void log_unreadable_lines(struct node *n, const struct store_item *item,
 				 int lines)
 {
@@ -169,33 +240,13 @@
 {
 	char *text = store_text(item->value);
 	char **lines = g_strsplit(text, "\n", 0);
-	char name[SITE_NAME_MAX];
-	int64_t pending, wait_ms;
 	int i, unreadable = 0;
 
 	n->queues_revision = MAX(n->queues_revision, item->revision);
 	g_hash_table_remove_all(n->queue_loads);
 	admission_begin(n->admission, published_unix_ms(lines));
-	for (i = 0; lines[i]; i++) {
-		struct queue_load *load;
-
-		if (g_str_has_prefix(lines[i], ADMISSION_LINE)) {
-			unreadable += !read_admission_line(n, lines[i]);
-			continue;
-		}
-		if (g_str_has_prefix(lines[i], FULL_LINE)) {
-			admission_add_full(n->admission,
-					   lines[i] + strlen(FULL_LINE));
-			continue;
-		}
-		if (sscanf(lines[i], "%63s %" SCNd64 " %" SCNd64, name,
-			   &pending, &wait_ms) != 3)
-			continue;
-		load = g_new(struct queue_load, 1);
-		load->pending = pending;
-		load->wait_ms = wait_ms;
-		g_hash_table_insert(n->queue_loads, g_strdup(name), load);
-	}
+	for (i = 0; lines[i]; i++)
+		unreadable += !read_line(n, lines[i]);
 	if (unreadable)
 		log_unreadable_lines(n, item, unreadable);
 	g_strfreev(lines);
--- a/tests/unit/test_late_writes.c
+++ b/tests/unit/test_late_writes.c
@@ -95,6 +95,30 @@
 	}
 }
 
+/*
+ * Guards against waiting jobs that are not counted, as the name of their queue
+ * has characters that separate the owner's published counts.
+ */
+static void jobs_of_a_queue_with_an_odd_name_are_counted(void **state)
+{
+	struct world_job lasting = short_job;
+	struct world *w = make_world(1, 2, 0);
+	int i;
+
+	(void)state;
+	lasting.work_ms = 120000;
+	world_set_limit(w, 1000);
+	world_run(w, 2000);
+	world_submit(w, 0, &lasting);
+	world_run(w, 3000);
+	for (i = 0; i < 10; i++)
+		world_submit(w, 0, &short_job);
+	world_run(w, 3000);
+	assert_int_equal(world_pending(w, 0), 10);
+	assert_int_equal(world_pending(w, 1), 10);
+	end_world(w);
+}
+
 /*
  * Guards against short jobs that are late while the store is slow: the owner
  * stored a record of its own before the first start. In this site changes reach
@@ -162,6 +186,7 @@
 		cmocka_unit_test(cancelled_submission_is_not_stored_late),
 		cmocka_unit_test(withdrawn_keys_are_removed),
 		cmocka_unit_test(old_pending_counts_are_not_stored_late),
+		cmocka_unit_test(jobs_of_a_queue_with_an_odd_name_are_counted),
 		cmocka_unit_test(slow_store_delays_a_start_by_one_write),
 		cmocka_unit_test(slow_store_does_not_limit_moves),
 	};
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -418,7 +418,11 @@
 			site_add_pool(site, &p);
 			if (pool < 0)
 				continue;
-			snprintf(q.name, sizeof(q.name), "queue%d", i);
+			/* What operators may write, also in metrics and logs.
+			 */
+			snprintf(q.name, sizeof(q.name),
+				 "@1 queue=%d ahead_ms=5%%41\n\"\xc3\xa9\"\t",
+				 i);
 			snprintf(q.terms.pool, sizeof(q.terms.pool), "pool%d",
 				 pool);
 			cs_copy(q.host, sizeof(q.host), "desk.example");
