node, sched: silent servers are not waited for anew by each owner

A second after its beginning an owner stores the grants of the servers that have not answered it again, with a bound of their leases; one that goes by itself does so for all that do not answer, in the write that gives up its key. The next owner waits no longer than that. A server with such a grant is used only after another grant is stored. The functions on grants have a file of their own.

Ruled out: the record's own lapse in the registry, which says nothing of leases; times of the wall clock, which may jump; a grant for each term, which would delay the first use of each server after each change of the owner.

--- a/src/node/commit.c
+++ b/src/node/commit.c
@@ -22,6 +22,8 @@
  * holds. This bound leaves part of each transaction to batches.
  */
 #define GRANT_TXN_OPS_MAX (STORE_TXN_MAX * 2 / 3)
+/* A condition and a write. */
+#define SILENT_GRANT_TXN_OPS 2
 /* A condition and a write for each batch, and a second write at its end. */
 #define BATCH_TXN_OPS 3
 /*
@@ -113,17 +115,37 @@
 }
 
 static void add_grants(struct node *n, struct commit_txn *t,
-		       struct store_call *call)
+		       struct store_call *call, cs_time now)
 {
 	cs_handle h;
 
 	while (call->txn_ops->len < GRANT_TXN_OPS_MAX &&
 	       (h = sched_take_grant(n->sched))) {
 		const struct server_info *info = sched_server(n->sched, h);
-		char *key = grant_key(info->id);
+		const struct sched_grant grant = { .id = info->id,
+						   .pool = info->pool };
 
-		store_call_write(call, key, grant_value(info), 0);
+		grant_write(n, call, &grant, now);
 		g_array_append_val(t->grants, h);
+	}
+}
+
+/*
+ * Adds the grants of silent servers with the bounds of their leases. One that
+ * is carried out late must not replace a grant that was stored for use
+ * meanwhile, so each is conditional on its revision.
+ */
+static void add_silent_grants(struct node *n, struct store_call *call,
+			      cs_time now)
+{
+	struct sched_grant grant;
+
+	while (call->txn_ops->len + SILENT_GRANT_TXN_OPS <= GRANT_TXN_OPS_MAX &&
+	       sched_take_silent_grant(n->sched, &grant)) {
+		char *key = grant_key(grant.id);
+
+		store_call_expect(call, key, grant.revision);
+		grant_write(n, call, &grant, now);
 		g_free(key);
 	}
 }
@@ -220,7 +242,8 @@
 	store_call_expect(call, KEY_OWNER, n->owner.key_revision);
 	txn_open(t);
 	add_host_orders(n, t, call, now);
-	add_grants(n, t, call);
+	add_grants(n, t, call, now);
+	add_silent_grants(n, call, now);
 	add_expired(n, t, call, now);
 	add_batches(n, t, call);
 	if (call->txn_ops->len == 1) {
--- a/src/node/grant.c
+++ b/src/node/grant.c
@@ -1,19 +1,30 @@
 #include "node_private.h"
 
 #include <inttypes.h>
+#include <stdio.h>
 #include <string.h>
 #include <xxhash.h>
 
 /*
  * Stored grants: which servers may have got orders of an owner. The key ends
- * with the identifier of the server, and the value is the pool. An identifier
- * may be as long as the store's keys allow for the server's own record, so that
- * it does not fit into the longer key of a grant; that key then ends with its
- * hash, and the identifier follows the pool in the value.
+ * with the identifier of the server, and the value begins with the name of the
+ * pool. An identifier may be as long as the store's keys allow for the server's
+ * own record, so that it does not fit into the longer key of a grant; that key
+ * then ends with its hash, and the value has it.
+ *
+ * The parts of a value are separated by NUL: the pool, the identifier or
+ * nothing, and a bound of the leases that the server may have, if it was silent
+ * when the last owner wrote it. The bound is "FIRST OWNER LEFT_MS": it was
+ * written by the owner whose key has the revision OWNER, no lease lasts longer
+ * than LEFT_MS after that, and no owner from FIRST on has used the server; 0:
+ * OWNER has. An earlier version reads the pool only, and uses a server without
+ * storing its grant again, so the bound counts only for the next owner.
  */
 
 /* Marks a key that ends with a hash. No identifier is stored after it. */
 #define HASH_MARK '~'
+/* A longer time is not from an owner. */
+#define LEFT_MAX_MS (INT64_C(10) * 60 * 1000)
 
 static bool is_hashed(const char *id)
 {
@@ -33,30 +44,97 @@
 			       (uint64_t)hash.low64);
 }
 
-GBytes *grant_value(const struct server_info *info)
+static void append_bound(GString *value, const struct node *n,
+			 const struct sched_grant *grant, cs_time now)
 {
-	GByteArray *value = g_byte_array_new();
+	/* Rounded up. */
+	int64_t left_ms = MAX(grant->lease_end - now, 0) / CS_MSEC + 1;
 
-	g_byte_array_append(value, (const guint8 *)info->pool,
-			    (guint)strlen(info->pool));
-	if (is_hashed(info->id)) {
-		g_byte_array_append(value, (const guint8 *)"", 1);
-		g_byte_array_append(value, (const guint8 *)info->id,
-				    (guint)strlen(info->id));
+	g_string_append_c(value, '\0');
+	g_string_append_printf(value, "%" PRIu64 " %" PRIu64 " %" PRId64,
+			       grant->unused_since, n->owner.key_revision,
+			       left_ms);
+}
+
+void grant_write(const struct node *n, struct store_call *call,
+		 const struct sched_grant *grant, cs_time now)
+{
+	GString *value = g_string_new(grant->pool);
+	char *key = grant_key(grant->id);
+
+	if (is_hashed(grant->id) || grant->is_bounded) {
+		g_string_append_c(value, '\0');
+		if (is_hashed(grant->id))
+			g_string_append(value, grant->id);
 	}
-	return g_byte_array_free_to_bytes(value);
+	if (grant->is_bounded)
+		append_bound(value, n, grant, now);
+	store_call_write(call, key, g_string_free_to_bytes(value), 0);
+	g_free(key);
 }
 
-char *grant_read(const struct store_item *item, char **id)
+/* The next part of a value, which the caller frees; "" after the last one. */
+static char *take_part(const char **at, const char *end)
 {
+	const char *nul = *at < end ? memchr(*at, '\0', (size_t)(end - *at)) :
+				      NULL;
+	char *part = g_strndup(*at, (gsize)((nul ? nul : end) - *at));
+
+	*at = nul ? nul + 1 : end;
+	return part;
+}
+
+struct loaded_grant *grant_read(const struct store_item *item, cs_time now)
+{
+	struct loaded_grant *g = g_new0(struct loaded_grant, 1);
 	gsize size;
-	const char *data = g_bytes_get_data(item->value, &size);
-	const char *end = size ? memchr(data, '\0', size) : NULL;
+	const char *at = g_bytes_get_data(item->value, &size);
+	const char *end = at + size;
+	char *bound;
 
-	if (!end) {
-		*id = g_strdup(item->key + strlen(KEY_GRANTS));
-		return g_strndup(data, size);
+	g->revision = item->revision;
+	g->read_at = now;
+	g->pool = take_part(&at, end);
+	g->id = take_part(&at, end);
+	bound = take_part(&at, end);
+	if (!*g->id) {
+		g_free(g->id);
+		g->id = g_strdup(item->key + strlen(KEY_GRANTS));
 	}
-	*id = g_strndup(end + 1, size - (gsize)(end + 1 - data));
-	return g_strndup(data, (gsize)(end - data));
+	g->is_bounded = sscanf(bound, "%" SCNu64 " %" SCNu64 " %" SCNd64,
+			       &g->unused_first, &g->owner, &g->left_ms) == 3 &&
+			g->left_ms >= 0 && g->left_ms <= LEFT_MAX_MS;
+	g_free(bound);
+	return g;
+}
+
+void grant_add(struct node *n, const struct loaded_grant *loaded)
+{
+	struct sched_grant grant = { .id = loaded->id,
+				     .pool = loaded->pool,
+				     .revision = loaded->revision,
+				     .lease_end = owner_predecessor_end(n),
+				     .is_bounded = loaded->is_bounded };
+
+	if (n->owner.term == 1)
+		grant.lease_end = 0; /* the first owner has no predecessor */
+	if (loaded->is_bounded && owner_is_predecessor(n, loaded->owner)) {
+		grant.lease_end =
+			MIN(grant.lease_end,
+			    loaded->read_at + loaded->left_ms * CS_MSEC);
+		grant.lease_end =
+			MIN(grant.lease_end,
+			    owner_unused_lease_end(n, loaded->unused_first));
+		grant.unused_since = loaded->unused_first;
+	}
+	sched_server_granted(n->sched, &grant);
+}
+
+void loaded_grant_free(void *row)
+{
+	struct loaded_grant *g = row;
+
+	g_free(g->id);
+	g_free(g->pool);
+	g_free(g);
 }
--- a/src/node/node_private.h
+++ b/src/node/node_private.h
@@ -54,6 +54,15 @@
 	OWNER_ACTIVE /* it is the owner, and schedules */
 };
 
+/* Changes of the owner that an entry remembers. */
+#define SEEN_OWNERS_MAX 32
+
+/* An owner that this entry has seen. */
+struct seen_owner {
+	uint64_t key_revision;
+	cs_time at; /* not before it became the owner */
+};
+
 struct owner {
 	enum owner_state state;
 	bool is_key_present;
@@ -64,6 +73,8 @@
 	uint64_t term_revision; /* of KEY_TERM */
 	bool is_token_write_open; /* a further token is being reserved */
 	cs_time token_not_before; /* when that may be tried again */
+	struct seen_owner seen[SEEN_OWNERS_MAX]; /* the last one first */
+	int seen_nr;
 	int max_cpu_share; /* largest of any owner, thousandths of a core */
 	uint64_t lease; /* of this entry; 0: none */
 	cs_time confirmed_at; /* last time the ownership is known valid */
@@ -160,7 +171,7 @@
 	 */
 	GHashTable *loaded_jobs; /* id -> struct loaded_item */
 	GHashTable *loaded_progress; /* id -> struct loaded_item */
-	GHashTable *loaded_grants; /* server -> pool */
+	GPtrArray *loaded_grants; /* struct loaded_grant */
 	GHashTable *loaded_cancels; /* ids of jobs */
 	GHashTable *loaded_wave_progress; /* number as text -> GBytes */
 	GBytes *loaded_ordered_hosts; /* NULL: none */
@@ -198,6 +209,13 @@
 void owner_release(struct node *n, cs_time now);
 void owner_turn(struct node *n, cs_time now);
 cs_time owner_predecessor_end(const struct node *n);
+/*
+ * The same for a server that no owner has used from the one on whose key has
+ * that revision; 0: the last one has.
+ */
+cs_time owner_unused_lease_end(const struct node *n, uint64_t first);
+/* True if the last owner before this one is known to have had that key. */
+bool owner_is_predecessor(const struct node *n, uint64_t key_revision);
 
 /* term.c: loads the stored state for the scheduler of a new owner */
 void term_begin(struct node *n, cs_time now);
@@ -214,11 +232,26 @@
 void commit_reset(struct node *n);
 
 /* grant.c */
+/* A stored grant as it is read, see struct sched_grant. */
+struct loaded_grant {
+	char *id, *pool;
+	uint64_t revision;
+	cs_time read_at;
+	bool is_bounded; /* it has the following fields */
+	/* Revision of the key of the first owner without use of it; 0: none. */
+	uint64_t unused_first;
+	uint64_t owner; /* revision of the key of the owner that wrote it */
+	int64_t left_ms; /* until the last lease has ended */
+};
+
 /* The key of the grant of a server, which the caller frees. */
 char *grant_key(const char *id);
-GBytes *grant_value(const struct server_info *info);
-/* The pool that a grant names, and in *id its server; the caller frees both. */
-char *grant_read(const struct store_item *item, char **id);
+void grant_write(const struct node *n, struct store_call *call,
+		 const struct sched_grant *grant, cs_time now);
+struct loaded_grant *grant_read(const struct store_item *item, cs_time now);
+void loaded_grant_free(void *row);
+/* Passes a grant to the scheduler of a new owner. */
+void grant_add(struct node *n, const struct loaded_grant *loaded);
 
 /* withdrawn.c */
 /* Has the owner remove such a key once its retention has passed. */
--- a/src/node/ownership.c
+++ b/src/node/ownership.c
@@ -207,6 +207,18 @@
 	g_free(text);
 }
 
+/* Remembers when an owner was seen first. */
+static void note_owner(struct owner *o, uint64_t key_revision, cs_time now)
+{
+	if (o->seen_nr && o->seen[0].key_revision >= key_revision)
+		return;
+	o->seen_nr = MIN(o->seen_nr + 1, SEEN_OWNERS_MAX);
+	memmove(&o->seen[1], &o->seen[0],
+		sizeof(*o->seen) * (size_t)(o->seen_nr - 1));
+	o->seen[0].key_revision = key_revision;
+	o->seen[0].at = now;
+}
+
 /* Begins the term, as the key is now this entry's. */
 static void become_owner(struct node *n, uint64_t revision, cs_time sent,
 			 cs_time now)
@@ -214,6 +226,7 @@
 	n->owner.state = OWNER_LOADING;
 	n->owner.is_key_present = true;
 	n->owner.key_revision = revision;
+	note_owner(&n->owner, revision, now);
 	n->owner.term = n->owner.acquiring_term;
 	n->owner.stored_term = MAX(n->owner.stored_term, n->owner.term);
 	n->owner.acquired_at = now;
@@ -386,6 +399,7 @@
 	}
 	if (strcmp(item->key, KEY_OWNER))
 		return;
+	note_owner(&n->owner, item->revision, now);
 	n->owner.is_key_present = true;
 	n->owner.seen_revision = item->revision;
 	if (is_own_key(n, item)) {
@@ -475,6 +489,20 @@
 		end_term(n);
 }
 
+/*
+ * Adds the bounds of the leases of silent servers to the release, as far as
+ * there is room. Those left out are still stored again before they are used.
+ */
+static void add_silent_grants(struct node *n, struct store_call *c, cs_time now)
+{
+	struct sched_grant grant;
+
+	sched_restart_silent_grants(n->sched);
+	while (sched_take_silent_grant(n->sched, &grant))
+		if (c->txn_ops->len < STORE_TXN_MAX)
+			grant_write(n, c, &grant, now);
+}
+
 /*
  * Removes the key, so that another entry can become the owner at once. While
  * the store fails no other entry could, so the term goes on until the store
@@ -485,7 +513,6 @@
 {
 	struct store_call *c;
 
-	(void)now;
 	if (n->owner.state < OWNER_LOADING || n->owner.is_releasing ||
 	    n->store_lost_at)
 		return;
@@ -493,6 +520,7 @@
 	c = store_call_new(STORE_TXN, NULL, STORE_TIMEOUT_MS);
 	store_call_expect(c, KEY_OWNER, n->owner.key_revision);
 	store_call_remove(c, KEY_OWNER);
+	add_silent_grants(n, c, now);
 	store_calls_send(n->calls, c, on_released, n, n->owner.term);
 }
 
@@ -521,13 +549,36 @@
 }
 
 /*
- * The latest end of a server's lease that a predecessor may have extended. The
- * predecessor extends them for OWNER_VALID_US after its last renewal, which was
- * at least the time to live of the store's lease before this entry became the
- * owner.
+ * The latest end of a server's lease that the predecessors of an owner may have
+ * extended. They extend them for OWNER_VALID_US after the last renewal, which
+ * was at least the time to live of the store's lease before the owner got its
+ * key.
  */
+static cs_time predecessor_end(cs_time acquired_at)
+{
+	return acquired_at + OWNER_VALID_US - OWNER_LEASE_MS * CS_MSEC +
+	       SERVER_LEASE_US;
+}
+
 cs_time owner_predecessor_end(const struct node *n)
 {
-	return n->owner.acquired_at + OWNER_VALID_US -
-	       OWNER_LEASE_MS * CS_MSEC + SERVER_LEASE_US;
+	return predecessor_end(n->owner.acquired_at);
+}
+
+cs_time owner_unused_lease_end(const struct node *n, uint64_t first)
+{
+	const struct owner *o = &n->owner;
+	int i;
+
+	for (i = 0; first && i < o->seen_nr; i++)
+		if (o->seen[i].key_revision == first)
+			return predecessor_end(o->seen[i].at);
+	return owner_predecessor_end(n);
+}
+
+bool owner_is_predecessor(const struct node *n, uint64_t key_revision)
+{
+	/* seen[0] is this owner. */
+	return n->owner.seen_nr > 1 &&
+	       n->owner.seen[1].key_revision == key_revision;
 }
--- a/src/node/term.c
+++ b/src/node/term.c
@@ -226,10 +226,8 @@
 static void on_grant_put(void *ctx, const struct store_item *item, cs_time now)
 {
 	struct node *n = ctx;
-	char *id, *pool = grant_read(item, &id);
 
-	(void)now;
-	g_hash_table_insert(n->loaded_grants, id, pool);
+	g_ptr_array_add(n->loaded_grants, grant_read(item, now));
 }
 
 static void on_wave_progress_put(void *ctx, const struct store_item *item,
@@ -368,7 +366,7 @@
 		sched_set_evacuated(n->sched, key, true, now);
 	n->loaded_jobs = new_table(loaded_item_free);
 	n->loaded_progress = new_table(loaded_item_free);
-	n->loaded_grants = new_table(g_free);
+	n->loaded_grants = g_ptr_array_new_with_free_func(loaded_grant_free);
 	n->loaded_cancels = new_table(NULL);
 	n->loaded_wave_progress = new_table(bytes_free);
 	n->root = open_view(n, KEY_ROOT, WATCH_WAIT_MS, 0, &root_ops, now);
@@ -414,7 +412,9 @@
 	n->loaded_ordered_hosts = NULL;
 	close_table(&n->loaded_jobs);
 	close_table(&n->loaded_progress);
-	close_table(&n->loaded_grants);
+	if (n->loaded_grants)
+		g_ptr_array_free(n->loaded_grants, TRUE);
+	n->loaded_grants = NULL;
 	close_table(&n->loaded_cancels);
 }
 
@@ -501,11 +501,12 @@
 	GString *pairs = g_string_new(NULL);
 	GHashTableIter it;
 	void *key, *row;
+	guint i;
 
 	n->owner.state = OWNER_ACTIVE;
 	log_pair_int(pairs, "term", (int64_t)n->owner.term);
 	log_pair_int(pairs, "jobs", g_hash_table_size(n->loaded_jobs));
-	log_pair_int(pairs, "grants", g_hash_table_size(n->loaded_grants));
+	log_pair_int(pairs, "grants", n->loaded_grants->len);
 	log_pair_int(pairs, "took_ms", (now - n->owner.acquired_at) / CS_MSEC);
 	node_log(n, "term_loaded", pairs);
 	g_hash_table_iter_init(&it, n->loaded_jobs);
@@ -515,9 +516,8 @@
 		add_job(n, key, f->value, f->revision,
 			g_hash_table_lookup(n->loaded_progress, key), now);
 	}
-	g_hash_table_iter_init(&it, n->loaded_grants);
-	while (g_hash_table_iter_next(&it, &key, &row))
-		sched_server_granted(n->sched, key, row, now);
+	for (i = 0; i < n->loaded_grants->len; i++)
+		grant_add(n, g_ptr_array_index(n->loaded_grants, i));
 	report_ordered_hosts(n);
 	sched_set_ready(n->sched, now);
 	g_hash_table_iter_init(&it, n->loaded_cancels);
--- a/src/sched/pools/hosts.c
+++ b/src/sched/pools/hosts.c
@@ -212,7 +212,7 @@
 			const struct server *v = server_row(s, p->server);
 
 			if (v && !v->is_granted)
-				servers_end_grant(s, v->info.id);
+				grants_end(s, v->info.id);
 			complete_unsent(s, p->order, now);
 		}
 		g_free(p);
--- a/src/sched/queue/reserve.c
+++ b/src/sched/queue/reserve.c
@@ -44,8 +44,6 @@
 						  const struct pool *p)
 {
 	struct site_resources all = { 0 }, largest = { 0 };
-	GHashTableIter it;
-	void *pool;
 	guint i;
 
 	for (i = 0; i < p->servers->len; i++) {
@@ -57,10 +55,8 @@
 			all = site_resources_add(all, v->info.capacity);
 	}
 	/* Of a server that is not in the registry only the pool is known. */
-	g_hash_table_iter_init(&it, s->predecessor_grants);
-	while (g_hash_table_iter_next(&it, NULL, &pool))
-		if (!g_strcmp0(pool, p->name))
-			all = site_resources_add(all, largest);
+	for (i = grants_count_unlisted(s, p->name); i > 0; i--)
+		all = site_resources_add(all, largest);
 	return all;
 }
 
--- /dev/null
+++ b/src/sched/runs/grants.c
@@ -0,0 +1,315 @@
+#include "../sched_private.h"
+
+#include <string.h>
+
+/*
+ * After this time a server that has not answered a new owner counts as silent:
+ * its grant is stored again with a bound of its leases. Sound servers answer
+ * within some 10 ms.
+ */
+#define SILENT_AFTER_US (1 * CS_SEC)
+
+/* A grant of a predecessor, of a server that is not in the registry. */
+struct unlisted_grant {
+	char *pool;
+	struct sched_grant grant; /* without names */
+};
+
+struct grants {
+	GHashTable *unlisted; /* id -> struct unlisted_grant */
+	GPtrArray *ended; /* identifiers to remove from the store */
+	bool is_due; /* a server may need a grant */
+	/* Identifiers of silent servers, once it is known which are. */
+	GPtrArray *silent;
+	guint next_silent; /* the next one to be taken */
+	bool is_leaving; /* this owner gives no more orders */
+};
+
+static void unlisted_free(void *row)
+{
+	struct unlisted_grant *g = row;
+
+	g_free(g->pool);
+	g_free(g);
+}
+
+struct grants *grants_create(void)
+{
+	struct grants *g = g_new0(struct grants, 1);
+
+	g->unlisted = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					    unlisted_free);
+	g->ended = g_ptr_array_new_with_free_func(g_free);
+	return g;
+}
+
+void grants_destroy(struct grants *g)
+{
+	g_hash_table_destroy(g->unlisted);
+	g_ptr_array_free(g->ended, TRUE);
+	if (g->silent)
+		g_ptr_array_free(g->silent, TRUE);
+	g_free(g);
+}
+
+void grants_wake(struct sched *s)
+{
+	s->grants->is_due = true;
+}
+
+static void set_grant(struct server *v, const struct sched_grant *grant)
+{
+	v->is_granted = true;
+	v->is_grant_bounded = grant->is_bounded;
+	v->unused_since = grant->unused_since;
+	v->grant_revision = grant->revision;
+	if (!v->is_taken_over)
+		v->predecessor_lease_end = grant->lease_end;
+}
+
+void sched_server_granted(struct sched *s, const struct sched_grant *grant)
+{
+	struct server *v = g_hash_table_lookup(s->server_by_id, grant->id);
+	struct unlisted_grant *row;
+
+	if (v) {
+		set_grant(v, grant);
+		return;
+	}
+	row = g_new0(struct unlisted_grant, 1);
+	row->pool = g_strdup(grant->pool);
+	row->grant = *grant;
+	row->grant.id = row->grant.pool = NULL;
+	g_hash_table_insert(s->grants->unlisted, g_strdup(grant->id), row);
+	sched_pool(s, grant->pool);
+}
+
+void grants_take_row(struct sched *s, struct server *v)
+{
+	const struct unlisted_grant *row =
+		g_hash_table_lookup(s->grants->unlisted, v->info.id);
+
+	if (!row)
+		return;
+	set_grant(v, &row->grant);
+	g_hash_table_remove(s->grants->unlisted, v->info.id);
+}
+
+static bool is_ending(const struct sched *s, const char *id)
+{
+	const GPtrArray *ended = s->grants->ended;
+	guint i;
+
+	for (i = 0; i < ended->len; i++)
+		if (!strcmp(g_ptr_array_index(ended, i), id))
+			return true;
+	return false;
+}
+
+void grants_end(struct sched *s, const char *id)
+{
+	if (!is_ending(s, id))
+		g_ptr_array_add(s->grants->ended, g_strdup(id));
+}
+
+/* A server that has answered may have runs whose lease must be renewed. */
+static bool needs_grant(const struct sched *s, const struct server *v)
+{
+	if (v->is_grant_pending || v->is_dead || is_ending(s, v->info.id))
+		return false;
+	if (v->is_granted)
+		return v->is_grant_bounded && v->answered_at;
+	return v->is_listed && !v->cordons && !v->info.is_draining;
+}
+
+cs_handle sched_take_grant(struct sched *s)
+{
+	cs_handle h;
+
+	if (!s->grants->is_due)
+		return 0;
+	for (h = slots_next(s->servers, 0); h; h = slots_next(s->servers, h)) {
+		struct server *v = server_row(s, h);
+
+		if (!needs_grant(s, v))
+			continue;
+		v->is_grant_pending = true;
+		return h;
+	}
+	s->grants->is_due = false;
+	return 0;
+}
+
+void sched_grant_stored(struct sched *s, cs_handle h, bool is_stored)
+{
+	struct server *v = server_row(s, h);
+
+	if (!v)
+		return;
+	v->is_grant_pending = false;
+	if (!is_stored || v->is_grant_outdated) {
+		v->is_grant_outdated = false;
+		return;
+	}
+	v->is_granted = true;
+	v->is_grant_bounded = false;
+	v->unused_since = v->grant_revision = 0;
+	sched_wake_pool(s, v->pool);
+}
+
+/*
+ * True if the grant of the server may be stored with a bound of its leases: it
+ * has not answered this owner, or does not now that this one leaves.
+ */
+static bool is_silent(const struct sched *s, const struct server *v)
+{
+	if (!v->is_granted || v->is_grant_pending || is_ending(s, v->info.id))
+		return false;
+	if (s->grants->is_leaving)
+		return v->unanswered_orders || !v->answered_at;
+	return v->grant_revision && !v->answered_at && !v->runs->len;
+}
+
+static void find_silent(struct sched *s)
+{
+	struct grants *g = s->grants;
+	GHashTableIter it;
+	cs_handle h;
+	void *id;
+
+	if (g->silent)
+		g_ptr_array_free(g->silent, TRUE);
+	g->silent = g_ptr_array_new_with_free_func(g_free);
+	g->next_silent = 0;
+	for (h = slots_next(s->servers, 0); h; h = slots_next(s->servers, h)) {
+		const struct server *v = server_row(s, h);
+
+		if (is_silent(s, v))
+			g_ptr_array_add(g->silent, g_strdup(v->info.id));
+	}
+	g_hash_table_iter_init(&it, g->unlisted);
+	while (g_hash_table_iter_next(&it, &id, NULL))
+		g_ptr_array_add(g->silent, g_strdup(id));
+}
+
+/* When all leases have ended that this owner or an earlier one gave. */
+static cs_time last_lease_end(const struct sched *s, const struct server *v)
+{
+	return MAX(servers_lease_end(s, v), incarnation_predecessor_end(s, v));
+}
+
+/* Since when no owner has used a server, given that this one has not. */
+static uint64_t still_unused_since(const struct sched *s, uint64_t before)
+{
+	return before ? before : s->options.revision;
+}
+
+static bool take_silent_server(const struct sched *s, struct server *v,
+			       struct sched_grant *grant)
+{
+	if (!is_silent(s, v))
+		return false;
+	v->is_grant_bounded = true;
+	*grant = (struct sched_grant){ .id = v->info.id,
+				       .pool = v->pool->name,
+				       .revision = v->grant_revision,
+				       .lease_end = last_lease_end(s, v),
+				       .is_bounded = true };
+	if (!v->answered_at)
+		grant->unused_since = still_unused_since(s, v->unused_since);
+	return true;
+}
+
+/* The same for a silent server without a row. */
+static bool take_unlisted(const struct sched *s, const char *id,
+			  struct sched_grant *grant)
+{
+	struct unlisted_grant *row =
+		g_hash_table_lookup(s->grants->unlisted, id);
+
+	if (!row || is_ending(s, id))
+		return false;
+	row->grant.is_bounded = true;
+	*grant = row->grant;
+	grant->id = id;
+	grant->pool = row->pool;
+	grant->unused_since = still_unused_since(s, row->grant.unused_since);
+	return true;
+}
+
+bool sched_take_silent_grant(struct sched *s, struct sched_grant *grant)
+{
+	struct grants *g = s->grants;
+
+	while (g->silent && g->next_silent < g->silent->len) {
+		const char *id = g_ptr_array_index(g->silent, g->next_silent++);
+		struct server *v = g_hash_table_lookup(s->server_by_id, id);
+
+		if (v ? take_silent_server(s, v, grant) :
+			take_unlisted(s, id, grant))
+			return true;
+	}
+	return false;
+}
+
+void sched_restart_silent_grants(struct sched *s)
+{
+	s->grants->is_leaving = true;
+	find_silent(s);
+}
+
+void sched_ended_grants(const struct sched *s, GPtrArray *ids, guint max)
+{
+	const GPtrArray *ended = s->grants->ended;
+	guint i;
+
+	for (i = 0; i < ended->len && ids->len < max; i++)
+		g_ptr_array_add(ids, g_strdup(g_ptr_array_index(ended, i)));
+}
+
+void sched_ended_grant_removed(struct sched *s, const char *id)
+{
+	GPtrArray *ended = s->grants->ended;
+	guint i;
+
+	for (i = 0; i < ended->len; i++) {
+		if (strcmp(g_ptr_array_index(ended, i), id))
+			continue;
+		g_ptr_array_remove_index(ended, i);
+		return;
+	}
+}
+
+guint grants_count_unlisted(const struct sched *s, const char *pool)
+{
+	GHashTableIter it;
+	guint n = 0;
+	void *row;
+
+	g_hash_table_iter_init(&it, s->grants->unlisted);
+	while (g_hash_table_iter_next(&it, NULL, &row))
+		n += !strcmp(((struct unlisted_grant *)row)->pool, pool);
+	return n;
+}
+
+void grants_check(struct sched *s, cs_time now)
+{
+	struct grants *g = s->grants;
+	GHashTableIter it;
+	void *id, *row;
+
+	g->is_due = true;
+	if (!s->is_ready)
+		return;
+	if (!g->silent && now - s->started_at >= SILENT_AFTER_US)
+		find_silent(s);
+	g_hash_table_iter_init(&it, g->unlisted);
+	while (g_hash_table_iter_next(&it, &id, &row)) {
+		const struct unlisted_grant *u = row;
+
+		if (s->confirmed_at < u->grant.lease_end)
+			continue;
+		grants_end(s, id);
+		g_hash_table_iter_remove(&it);
+	}
+}
--- a/src/sched/runs/server.h
+++ b/src/sched/runs/server.h
@@ -96,9 +96,16 @@
 	struct pool *pool;
 	bool is_listed; /* in the registry */
 	bool is_taken_over; /* has listed all its runs under token_min */
-	bool is_granted; /* its grant is stored; see sched_take_grant() */
+	bool is_granted; /* its grant is stored; see grants.h */
 	bool is_grant_pending; /* the grant is being stored */
 	bool is_grant_outdated; /* the one that is being stored */
+	/*
+	 * The stored grant may bound the leases of the server: it gets no
+	 * starts and no leases until another one is stored.
+	 */
+	bool is_grant_bounded;
+	/* Of the grant of a predecessor; see struct sched_grant. */
+	uint64_t unused_since, grant_revision;
 	bool is_list_partial; /* its last lists may lack runs or ended runs */
 	bool is_dead; /* its incarnation has certainly ended */
 	/*
--- a/src/sched/runs/servers.c
+++ b/src/sched/runs/servers.c
@@ -236,10 +236,14 @@
 	return o;
 }
 
-/* False while the owner is not confirmed, or the server's clock is unknown. */
+/*
+ * False while the owner is not confirmed, the server's clock is unknown, or its
+ * grant may bound its leases.
+ */
 static bool may_renew_lease(const struct sched *s, const struct server *v)
 {
-	return v->runs->len && !s->is_paused && !v->is_incarnation_doubtful;
+	return v->runs->len && !s->is_paused && !v->is_incarnation_doubtful &&
+	       !v->is_grant_bounded;
 }
 
 static void send_hold(struct sched *s, struct server *v, cs_time now)
@@ -589,10 +593,7 @@
 	v->runs = g_array_new(FALSE, FALSE, sizeof(cs_handle));
 	v->unstored = g_array_new(FALSE, FALSE, sizeof(struct unstored_end));
 	v->is_listed = true;
-	if (g_hash_table_remove(s->predecessor_grants, info->id)) {
-		v->is_granted = true;
-		v->predecessor_lease_end = s->options.predecessor_end;
-	}
+	grants_take_row(s, v);
 	g_hash_table_insert(s->server_by_id, v->info.id, v);
 	p = v->pool = sched_pool(s, info->pool);
 	g_ptr_array_add(p->servers, v);
@@ -649,7 +650,7 @@
 {
 	struct server *v = g_hash_table_lookup(s->server_by_id, info->id);
 
-	s->are_grants_due = true;
+	grants_wake(s);
 	if (!v) {
 		new_server(s, info, now);
 		sched_wake(s);
@@ -680,59 +681,6 @@
 	sched_wake(s);
 }
 
-void sched_server_granted(struct sched *s, const char *id, const char *pool,
-			  cs_time now)
-{
-	struct server *v = g_hash_table_lookup(s->server_by_id, id);
-
-	(void)now;
-	if (!v) {
-		g_hash_table_insert(s->predecessor_grants, g_strdup(id),
-				    g_strdup(pool));
-		sched_pool(s, pool);
-		return;
-	}
-	v->is_granted = true;
-	if (!v->is_taken_over)
-		v->predecessor_lease_end = s->options.predecessor_end;
-}
-
-static bool is_grant_ending(const struct sched *s, const char *id)
-{
-	guint i;
-
-	for (i = 0; i < s->ended_grants->len; i++)
-		if (!strcmp(g_ptr_array_index(s->ended_grants, i), id))
-			return true;
-	return false;
-}
-
-void servers_end_grant(struct sched *s, const char *id)
-{
-	if (!is_grant_ending(s, id))
-		g_ptr_array_add(s->ended_grants, g_strdup(id));
-}
-
-cs_handle sched_take_grant(struct sched *s)
-{
-	cs_handle h;
-
-	if (!s->are_grants_due)
-		return 0;
-	for (h = slots_next(s->servers, 0); h; h = slots_next(s->servers, h)) {
-		struct server *v = server_row(s, h);
-
-		if (v->is_granted || v->is_grant_pending || !v->is_listed ||
-		    v->is_dead || v->cordons || v->info.is_draining ||
-		    is_grant_ending(s, v->info.id))
-			continue;
-		v->is_grant_pending = true;
-		return h;
-	}
-	s->are_grants_due = false;
-	return 0;
-}
-
 const struct server_info *sched_server(const struct sched *s, cs_handle h)
 {
 	const struct server *v = server_row(s, h);
@@ -740,42 +688,6 @@
 	return v ? &v->info : NULL;
 }
 
-void sched_grant_stored(struct sched *s, cs_handle h, bool is_stored)
-{
-	struct server *v = server_row(s, h);
-
-	if (!v)
-		return;
-	v->is_grant_pending = false;
-	if (!is_stored || v->is_grant_outdated) {
-		v->is_grant_outdated = false;
-		return;
-	}
-	v->is_granted = true;
-	sched_wake_pool(s, v->pool);
-}
-
-void sched_ended_grants(const struct sched *s, GPtrArray *ids, guint max)
-{
-	guint i;
-
-	for (i = 0; i < s->ended_grants->len && ids->len < max; i++)
-		g_ptr_array_add(
-			ids, g_strdup(g_ptr_array_index(s->ended_grants, i)));
-}
-
-void sched_ended_grant_removed(struct sched *s, const char *id)
-{
-	guint i;
-
-	for (i = 0; i < s->ended_grants->len; i++) {
-		if (strcmp(g_ptr_array_index(s->ended_grants, i), id))
-			continue;
-		g_ptr_array_remove_index(s->ended_grants, i);
-		return;
-	}
-}
-
 bool servers_may_have_unknown_runs(const struct sched *s,
 				   const struct server *v)
 {
@@ -796,8 +708,6 @@
 
 static bool is_pool_settled(const struct sched *s, const struct pool *p)
 {
-	GHashTableIter it;
-	void *pool;
 	guint i;
 
 	for (i = 0; i < p->servers->len; i++) {
@@ -806,13 +716,8 @@
 		if (servers_may_have_unknown_runs(s, v))
 			return false;
 	}
-	if (s->confirmed_at >= s->options.predecessor_end)
-		return true;
-	g_hash_table_iter_init(&it, s->predecessor_grants);
-	while (g_hash_table_iter_next(&it, NULL, &pool))
-		if (!strcmp(pool, p->name))
-			return false;
-	return true;
+	return s->confirmed_at >= s->options.predecessor_end ||
+	       !grants_count_unlisted(s, p->name);
 }
 
 void servers_update_settled(struct sched *s)
@@ -836,7 +741,7 @@
 static void remove_server(struct sched *s, struct server *v, cs_time now)
 {
 	if (v->is_granted)
-		servers_end_grant(s, v->info.id);
+		grants_end(s, v->info.id);
 	fence_remove_server(s, v, now);
 	timers_cancel(s->timers, v->hold_timer);
 	g_ptr_array_remove_fast(v->pool->servers, v);
@@ -958,19 +863,10 @@
 void servers_check(struct sched *s, cs_time now)
 {
 	cs_handle h, next;
-	GHashTableIter it;
-	void *id;
 
-	s->are_grants_due = true;
 	for (h = slots_next(s->servers, 0); h; h = next) {
 		next = slots_next(s->servers, h);
 		check_server(s, server_row(s, h), now);
 	}
-	if (s->confirmed_at < s->options.predecessor_end || !s->is_ready)
-		return;
-	g_hash_table_iter_init(&it, s->predecessor_grants);
-	while (g_hash_table_iter_next(&it, &id, NULL)) {
-		servers_end_grant(s, id);
-		g_hash_table_iter_remove(&it);
-	}
+	grants_check(s, now);
 }
--- a/src/sched/runs/servers.h
+++ b/src/sched/runs/servers.h
@@ -57,8 +57,6 @@
 GString *servers_describe(const struct server *v, const char *why);
 /* Checks leases and removes rows that are no longer needed. */
 void servers_check(struct sched *s, cs_time now);
-/* Marks the server's grant for removal from the store. */
-void servers_end_grant(struct sched *s, const char *id);
 /* True if it may have runs of a predecessor that are not known here. */
 bool servers_may_have_unknown_runs(const struct sched *s,
 				   const struct server *v);
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -81,15 +81,13 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	s->usage =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	s->predecessor_grants =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	s->allowed_cpu_left =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	s->run_times =
 		run_time_model_create(options->policy.has_learned_run_times ?
 					      &run_time_model_learned :
 					      &run_time_model_line);
-	s->ended_grants = g_ptr_array_new_with_free_func(g_free);
+	s->grants = grants_create();
 	s->unsettled_pools = g_ptr_array_new();
 	s->pool_list = g_ptr_array_new();
 	s->unstored_servers = g_array_new(FALSE, FALSE, sizeof(cs_handle));
@@ -143,8 +141,7 @@
 	g_hash_table_destroy(s->usage);
 	run_time_model_destroy(s->run_times);
 	g_hash_table_destroy(s->allowed_cpu_left);
-	g_hash_table_destroy(s->predecessor_grants);
-	g_ptr_array_free(s->ended_grants, TRUE);
+	grants_destroy(s->grants);
 	g_ptr_array_free(s->unsettled_pools, TRUE);
 	g_ptr_array_free(s->pool_list, TRUE);
 	g_array_free(s->unstored_servers, TRUE);
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -119,12 +119,27 @@
 			     const struct server_info *info, cs_time now);
 void sched_server_deregistered(struct sched *sched, const char *id,
 			       cs_time now);
-/*
- * A predecessor stored a grant for this server, so it may have sent orders
- * there.
- */
-void sched_server_granted(struct sched *sched, const char *id, const char *pool,
-			  cs_time now);
+/* A stored grant: an owner may have sent orders to a server. */
+struct sched_grant {
+	const char *id, *pool; /* of the server */
+	uint64_t revision; /* of the grant in the store */
+	/* No lease that an owner gave the server lasts longer. */
+	cs_time lease_end;
+	/*
+	 * The stored grant bounds the leases that were given, so that another
+	 * one has to be stored before the server is used.
+	 */
+	bool is_bounded;
+	/*
+	 * The server got no starts and no leases from the owner whose key has
+	 * this revision, nor from later ones; 0: the last owner may have given
+	 * some.
+	 */
+	uint64_t unused_since;
+};
+
+/* A predecessor stored a grant. */
+void sched_server_granted(struct sched *sched, const struct sched_grant *grant);
 /*
  * Adds a batch and takes ownership of it. revision is the store revision of
  * its submission, stored_revision that of its progress, or 0 if no progress is
@@ -206,6 +221,19 @@
 				       cs_handle server);
 /* The result of storing a grant from sched_take_grant(). */
 void sched_grant_stored(struct sched *sched, cs_handle server, bool is_stored);
+/*
+ * The next grant of a silent server, to be stored again with the bound of its
+ * leases, so that the next owner need not wait anew for those that this one
+ * could have given. It names a predecessor's grant whose server has not
+ * answered this owner, and is stored on the condition of its revision. False:
+ * none is left. One that is not stored is not tried again.
+ */
+bool sched_take_silent_grant(struct sched *sched, struct sched_grant *grant);
+/*
+ * Begins anew with the grants of all servers that do not answer now, as this
+ * owner gives no more orders.
+ */
+void sched_restart_silent_grants(struct sched *sched);
 /*
  * Adds copies of the identifiers of ended grants, which are to be removed from
  * the store, until ids has max elements.
--- a/src/sched/sched_private.h
+++ b/src/sched/sched_private.h
@@ -29,6 +29,7 @@
 #include "queue/rank.h"
 #include "queue/reserve.h"
 #include "runs/fence.h"
+#include "runs/grants.h"
 #include "runs/incarnation.h"
 #include "runs/late_starts.h"
 #include "runs/runs.h"
@@ -81,10 +82,7 @@
 	cs_time expected_times_due_at; /* the next refresh from estimates */
 	/* Workspace -> struct site_resources reserved; see reserve.c. */
 	GHashTable *reserve;
-	/* Id -> pool, of servers that are not in the registry. */
-	GHashTable *predecessor_grants;
-	GPtrArray *ended_grants; /* identifiers to remove from the store */
-	bool are_grants_due; /* a server may need a grant */
+	struct grants *grants;
 	GArray *unstored_servers; /* cs_handle: servers with unstored ends */
 	/* Handles of jobs to store, oldest change first: begins before others.
 	 */
--- a/tests/unit/test_hand_over.c
+++ b/tests/unit/test_hand_over.c
@@ -1,5 +1,6 @@
 #include "unit.h"
 
+#include "../../src/node/node_private.h"
 #include "site_world.h"
 
 /* Tests of what a new owner has to use again soon after it took over. */
@@ -124,6 +125,119 @@
 	drain_in_outage(0);
 }
 
+/*
+ * Guards against a bound of leases that is read from a grant that has none, as
+ * an earlier version or another writer has stored it: a task would run twice.
+ */
+static void only_whole_bounds_are_read(void **state)
+{
+	static const struct {
+		const char *value;
+		size_t size;
+		bool is_bounded;
+	} cases[] = {
+		{ "pool0", 5, false },
+		{ "pool0\0", 6, false },
+		{ "pool0\0i-1", 9, false },
+		{ "pool0\0\0", 7, false },
+		{ "pool0\0\0004 5", 10, false },
+		{ "pool0\0\0004 5 -1", 13, false },
+		{ "pool0\0\0004 5 99999999999", 22, false },
+		{ "pool0\0\0004 5 700", 14, true },
+		{ "pool0\0i-1\0000 5 700", 17, true },
+	};
+	struct store_item item = { .key = "camphorshed-grants/i-1",
+				   .revision = 9 };
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct loaded_grant *g;
+
+		item.value = g_bytes_new_static(cases[i].value, cases[i].size);
+		g = grant_read(&item, 50);
+		assert_string_equal(g->pool, "pool0");
+		assert_string_equal(g->id, "i-1");
+		assert_int_equal(g->is_bounded, cases[i].is_bounded);
+		if (g->is_bounded) {
+			assert_int_equal(g->owner, 5);
+			assert_int_equal(g->left_ms, 700);
+		}
+		loaded_grant_free(g);
+		g_bytes_unref(item.value);
+	}
+}
+
+/* Runs until all four tasks of the job run, for that time at most. */
+static void run_without_task(struct world *w, int job, int64_t ms)
+{
+	int64_t end = world_now_ms(w) + ms;
+
+	while (world_job_running_tasks(w, job) < 4 && world_now_ms(w) < end)
+		world_run(w, 50);
+}
+
+/*
+ * Time from the loss of a server with a task that lasts until the task runs
+ * again, ms. The owner ends a second after the loss, and each next one after
+ * five more; they start again after a while.
+ */
+static int64_t time_without_task(int owners_lost, bool is_killed)
+{
+	const struct world_job lasting = { .steps = 1,
+					   .width = 4,
+					   .work_ms = 200,
+					   .cpu = 20000,
+					   .is_long_running = true,
+					   .unavailable_max = -1 };
+	struct world *w = make_world(1, 6, 0);
+	int job = world_submit(w, 0, &lasting), i, owner, server;
+	int64_t lost_at;
+
+	world_run(w, 20000);
+	assert_int_equal(world_job_running_tasks(w, job), 4);
+	for (server = 0; !world_server_runs(w, server); server++)
+		;
+	world_server_crash(w, server, 1000000);
+	lost_at = world_now_ms(w);
+	world_run(w, 1000);
+	for (i = 0; i < owners_lost; i++) {
+		owner = world_owner(w);
+		if (is_killed)
+			world_node_kill(w, owner);
+		else
+			world_node_drain(w, owner);
+		run_without_task(w, job, 1500);
+		world_node_start(w, owner);
+		run_without_task(w, job, 3500);
+	}
+	run_without_task(w, job, 60000);
+	lost_at = world_now_ms(w) - lost_at;
+	end_world(w);
+	return lost_at;
+}
+
+/*
+ * Guards against lasting tasks of a lost server that stay away, as each owner
+ * waits anew for the leases that its predecessors may have given there.
+ */
+static void time_without_task_does_not_grow_with_owners(void **state)
+{
+	int is_killed, owners;
+
+	(void)state;
+	for (is_killed = 0; is_killed < 2; is_killed++)
+		for (owners = 0; owners <= 4; owners++) {
+			int64_t ms = time_without_task(owners, is_killed);
+
+			print_message("%d owners %s: %d ms\n", owners,
+				      is_killed ? "killed" : "stopped",
+				      (int)ms);
+			/* One wait, and the changes of the owner themselves. */
+			assert_true(ms < 12000);
+		}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -132,6 +246,8 @@
 		cmocka_unit_test(new_owner_moves_hosts_in_its_first_pass),
 		cmocka_unit_test(owner_drained_in_an_outage_goes_on),
 		cmocka_unit_test(owner_goes_on_if_its_release_is_refused),
+		cmocka_unit_test(only_whole_bounds_are_read),
+		cmocka_unit_test(time_without_task_does_not_grow_with_owners),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
