sched: a pass leaves a job that waits for silent servers at its first step

Cause, by a profile of such an owner: 71% of the time in batch_find_task(), 21% in the pass that calls it. A new owner does not start a job that may have runs on a server that has not answered. It found that out for each task of each ready step, 300 million, while an owner without a predecessor leaves a step at the first task without room. So the first owner bore it and the next ones did not.

The pass now leaves such a job at its first step with waiting tasks. A counter of the tasks that passes look at tells such walks from others.

--- a/src/sched/queue/assign.c
+++ b/src/sched/queue/assign.c
@@ -102,11 +102,7 @@
 		a->waits_for_more_than_room = true;
 		return false;
 	}
-	if (a->is_settled)
-		return true;
-	/* A server that does not answer may have a predecessor's run of it. */
-	set_block(a, BLOCK_UNSETTLED);
-	return false;
+	return true;
 }
 
 /* Remembers what a step of the job did not find room for. */
@@ -194,6 +190,7 @@
 		struct run *r;
 		bool has_room;
 
+		s->examined_tasks++;
 		if (!may_start(t, a, now))
 			continue;
 		if (!place_within_limit(s, j, st->need)) {
@@ -234,6 +231,7 @@
 		const struct batch_task *t =
 			batch_find_task(j->batch, occurrence, step, i);
 
+		s->examined_tasks++;
 		if (!may_start(t, a, now))
 			goto out;
 		all = site_resources_add(all, st->need);
@@ -359,6 +357,15 @@
 				a->is_waiting = true;
 				return;
 			}
+			/*
+			 * A server that does not answer may have runs of it. No
+			 * task is looked at: there may be millions.
+			 */
+			if (!a->is_settled) {
+				set_block(a, BLOCK_UNSETTLED);
+				a->is_waiting = true;
+				return;
+			}
 			if (b->spec->steps[step].is_gang)
 				assign_gang(s, j, occurrence, step, now, a);
 			else
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -724,9 +724,11 @@
 {
 	counters_add(s->counters, "camphorshed_ranked_jobs_total", "",
 		     s->ranked_jobs);
+	counters_add(s->counters, "camphorshed_examined_tasks_total", "",
+		     s->examined_tasks);
 	counters_add(s->counters, "camphorshed_examined_servers_total", "",
 		     s->examined_servers);
-	s->ranked_jobs = s->examined_servers = 0;
+	s->ranked_jobs = s->examined_tasks = s->examined_servers = 0;
 }
 
 void sched_turn(struct sched *s, int64_t unix_ms, cs_time now)
--- a/src/sched/sched_private.h
+++ b/src/sched/sched_private.h
@@ -77,8 +77,11 @@
 	cs_time tails_due_at; /* the next check of long runs */
 	struct start_window start_window;
 	int unanswered_starts; /* runs in state RUN_STARTING */
-	/* Work of the present turn: jobs ranked, servers examined for tasks. */
-	int64_t ranked_jobs, examined_servers;
+	/*
+	 * Work of the present turn: jobs ranked, tasks looked at to start them,
+	 * servers examined for tasks.
+	 */
+	int64_t ranked_jobs, examined_tasks, examined_servers;
 	cs_time expected_times_due_at; /* the next refresh from estimates */
 	/* Workspace -> struct site_resources reserved; see reserve.c. */
 	GHashTable *reserve;
--- a/tests/unit/test_load.c
+++ b/tests/unit/test_load.c
@@ -96,6 +96,52 @@
 	end_world(w);
 }
 
+/*
+ * A new owner waits for a silent server, which may have a predecessor's runs of
+ * a job with 200 occurrences under way, of which 50 tasks each wait for another
+ * kind of server. Guards against an owner that looks at each of them in each
+ * turn: with millions a turn takes longer than the ownership lasts.
+ */
+static void tasks_that_can_not_start_yet_are_not_looked_at(void **state)
+{
+	const struct world_options options = { .seed = 21,
+					       .nodes = 3,
+					       .servers = 3,
+					       .pools = 1 };
+	const struct world_job wide = { .steps = 2,
+					.width = 50,
+					.repeats = 200,
+					.work_ms = 20,
+					.cpu = 100,
+					.label = "absent",
+					.labelled_from = 1,
+					.unavailable_max = -1 };
+	struct world *w = world_create(&options);
+	int64_t examined;
+	int n, owner;
+
+	(void)state;
+	world_run(w, 4000);
+	n = world_submit(w, 1, &wide);
+	world_run(w, 10000);
+	assert_int_equal(world_job_starts(w, n), 10000);
+	for (n = 0; n < 3; n++)
+		world_node_cut_server(w, n, 0, true);
+	owner = world_owner(w);
+	world_node_kill(w, owner);
+	world_run(w, 3500);
+	assert_true(world_owner(w) >= 0 && world_owner(w) != owner);
+	owner = world_owner(w);
+	examined = world_node_counter(w, owner,
+				      "camphorshed_examined_tasks_total");
+	world_run(w, 1000);
+	examined = world_node_counter(w, owner,
+				      "camphorshed_examined_tasks_total") -
+		   examined;
+	assert_in_range(examined, 0, 1000);
+	end_world(w);
+}
+
 /*
  * Half of the fleet's capacity, then 4 s of twice its capacity, then a half
  * again. Guards against a backlog that slows the owner down and so never ends.
@@ -279,6 +325,8 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(decisions_stay_cheap_with_a_backlog),
+		cmocka_unit_test(
+			tasks_that_can_not_start_yet_are_not_looked_at),
 		cmocka_unit_test(owner_recovers_from_overload),
 		cmocka_unit_test(start_window_bounds_the_queue),
 		cmocka_unit_test(pools_share_the_starts),
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -1106,7 +1106,8 @@
 		st->is_checkpointing = job->is_checkpointing;
 		st->is_gang = job->is_gang;
 		st->per_server_max = job->per_server_max;
-		st->label = g_strdup(job->label);
+		if (i >= job->labelled_from)
+			st->label = g_strdup(job->label);
 		st->unavailable_max =
 			job->is_long_running ? job->unavailable_max : -1;
 		if (i) {
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -173,6 +173,7 @@
 	int64_t cpu; /* of each task, thousandths of a core */
 	int per_server_max; /* tasks of a step on one server; 0: no limit */
 	const char *label; /* that its servers have, or NULL; see below */
+	int labelled_from; /* the first step that needs the label */
 	bool is_long_running, is_checkpointing, is_gang;
 	int unavailable_max; /* of long-running tasks; -1: no limit */
 	/* Long-running tasks fail within this time after they are up; 0: no. */
--- a/tests/world/world_servers.c
+++ b/tests/world/world_servers.c
@@ -82,7 +82,8 @@
 	if (!w->was_queue_pool[j->spec.pool][v->pool])
 		world_report_violation(w, "ROUTE: %s on %s of pool%d", o->task,
 				       v->id, v->pool);
-	if ((j->spec.label && strcmp(j->spec.label, v->label)) ||
+	if ((j->spec.label && step % j->spec.steps >= j->spec.labelled_from &&
+	     strcmp(j->spec.label, v->label)) ||
 	    (j->spec.per_server_max &&
 	     count_step_runs(v, o->task, step) >= j->spec.per_server_max))
 		world_report_violation(w, "ROUTE: %s may not run on %s",
