--- a/src/sched/runs/server.h
+++ b/src/sched/runs/server.h
@@ -104,8 +104,6 @@
 	 * starts and no leases until another one is stored.
 	 */
 	bool is_grant_bounded;
-	/* Of the grant of a predecessor; see struct sched_grant. */
-	uint64_t unused_since, grant_revision;
 	bool is_list_partial; /* its last lists may lack runs or ended runs */
 	bool is_dead; /* its incarnation has certainly ended */
 	/*
@@ -113,6 +111,8 @@
 	 * started again; until a list names its incarnation.
 	 */
 	bool is_incarnation_doubtful;
+	/* Of the grant of a predecessor; see struct sched_grant. */
+	uint64_t unused_since, grant_revision;
 	cs_time died_at; /* when is_dead was set */
 	/* Start of the next incarnation with this identifier; 0: none. */
 	uint64_t next_started_unix_ms;
@@ -142,15 +142,15 @@
 	cs_time predecessor_lease_end;
 	/* Holds. */
 	bool is_hold_open;
+	bool is_in_unstored_list; /* of struct sched */
+	int unanswered_orders; /* orders without a reply since the last reply */
 	cs_time hold_due_at; /* when the reply to the open hold is expected */
 	/* Lists that are requested because replies are missing. */
 	cs_time hedged_at;
 	cs_time hedge_pause; /* until the next one; grows up to a maximum */
-	bool is_in_unstored_list; /* of struct sched */
 	cs_handle hold_timer;
 	cs_time answered_at;
 	cs_time answer_sent_at; /* of the orders answered: the last one */
-	int unanswered_orders; /* orders without a reply since the last reply */
 	uint64_t last_end; /* highest number of an end that was handled */
 	GArray *unstored; /* struct unstored_end, oldest first */
 	/* Load; changed by servers_reserve(), servers_add_run(), _remove_run().
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -150,6 +150,99 @@
 	name[len] = '\0';
 }
 
+static void configuration_has_name(const char *n)
+{
+	char *s = g_strdup_printf(
+		"{\"version\":7,\"routes\":[{\"name\":\"%s\",\"host\":\"h\","
+		"\"prefix\":\"/\",\"service\":\"%s\"}],\"services\":"
+		"[{\"name\":\"%s\"}],\"tenants\":[{\"name\":\"%s\","
+		"\"apiKeys\":[\"k\"]}]}",
+		n, n, n, n);
+	GBytes *value = text(s);
+	struct site *site = wire_formats.read_site(value, NULL);
+
+	assert_string_equal(site_find_queue(site, n)->terms.pool, n);
+	assert_non_null(site_find_pool(site, n));
+	assert_string_equal(site_key_owner(site, "k")->name, n);
+	site_unref(site);
+	g_bytes_unref(value);
+	g_free(s);
+}
+
+static void server_has_name(const char *n)
+{
+	char *s = g_strdup_printf("{\"service\":\"%s\",\"address\":"
+				  "\"10.0.0.9:80\",\"zone\":\"%s\","
+				  "\"version\":\"%s\",\"state\":\"ready\","
+				  "\"freeCapacity\":{\"cpu\":1},"
+				  "\"labels\":[\"%s\"]}",
+				  n, n, n, n);
+	GBytes *value = text(s);
+	struct server_info info = { 0 };
+
+	assert_true(wire_formats.read_server(n, value, &info, NULL));
+	assert_string_equal(info.id, n);
+	assert_string_equal(info.pool, n);
+	assert_string_equal(info.data_centre, n);
+	assert_string_equal(info.version, n);
+	assert_string_equal(info.labels[0], n);
+	g_bytes_unref(value);
+	g_free(s);
+}
+
+static void job_has_name(const char *n)
+{
+	char *s = g_strdup_printf("{\"steps\":[{\"count\":1,\"requirements\":"
+				  "\"%s\",\"affinity\":\"%s\","
+				  "\"image\":\"%s\"}]}",
+				  n, n, n);
+	GBytes *value = text(s);
+	struct batch_spec *spec = wire_read_job(value, NULL);
+
+	assert_string_equal(spec->steps[0].label, n);
+	assert_string_equal(spec->steps[0].rack, n);
+	assert_string_equal(spec->steps[0].image, n);
+	batch_spec_destroy(spec);
+	g_bytes_unref(value);
+	g_free(s);
+}
+
+static void host_has_name(const char *n)
+{
+	char *s = g_strdup_printf("{\"machines\":[{\"machine\":\"%s\","
+				  "\"pool\":\"%s\",\"zone\":\"%s\","
+				  "\"id\":\"%s\",\"labels\":[\"%s\"],"
+				  "\"state\":\"up\"}]}",
+				  n, n, n, n, n);
+	struct order *o = order_new(ORDER_LIST_HOSTS);
+	struct http_client_response a = answered(200, s);
+	struct order_reply *d = wire_order_decode(o, &a, 1, 2);
+	const struct order_host *host = g_ptr_array_index(d->hosts, 0);
+
+	assert_string_equal(host->name, n);
+	assert_string_equal(host->server, n);
+	assert_string_equal(host->labels[0], n);
+	order_reply_free(d);
+	order_free(o);
+	g_bytes_unref(a.body);
+	g_free(s);
+}
+
+static void ticket_has_name(const char *n)
+{
+	char *s = g_strdup_printf("{\"allowed\":[[\"%s\",\"t\"]]}", n);
+	struct order *o = order_new(ORDER_ADVISE);
+	struct http_client_response a = answered(200, s);
+	struct order_reply *d = wire_order_decode(o, &a, 1, 2);
+	const struct order_ticket *ticket = g_ptr_array_index(d->tickets, 0);
+
+	assert_string_equal(ticket->server, n);
+	order_reply_free(d);
+	order_free(o);
+	g_bytes_unref(a.body);
+	g_free(s);
+}
+
 /*
  * Guards against names of up to 192 bytes, as long as the identifier of a
  * server can be, that are left out or cut off: of what a configuration, a
@@ -158,92 +251,17 @@
 static void names_of_all_lengths_are_read(void **state)
 {
 	static const size_t lengths[] = { 1, 63, 64, 191, 192 };
-	char n[SITE_NAME_MAX], *s;
+	char n[SITE_NAME_MAX];
 	size_t i;
 
 	(void)state;
 	for (i = 0; i < G_N_ELEMENTS(lengths); i++) {
-		struct server_info info = { 0 };
-		struct order *o = order_new(ORDER_LIST_HOSTS);
-		struct http_client_response a;
-		const struct order_host *host;
-		const struct order_ticket *ticket;
-		struct order_reply *d;
-		struct batch_spec *spec;
-		struct site *site;
-		GBytes *value;
-
 		fill_name(n, lengths[i]);
-		s = g_strdup_printf("{\"version\":7,\"routes\":[{\"name\":"
-				    "\"%s\",\"host\":\"h\",\"prefix\":\"/\","
-				    "\"service\":\"%s\"}],\"services\":"
-				    "[{\"name\":\"%s\"}],\"tenants\":"
-				    "[{\"name\":\"%s\",\"apiKeys\":[\"k\"]}]}",
-				    n, n, n, n);
-		value = text(s);
-		site = wire_formats.read_site(value, NULL);
-		assert_string_equal(site_find_queue(site, n)->terms.pool, n);
-		assert_non_null(site_find_pool(site, n));
-		assert_string_equal(site_key_owner(site, "k")->name, n);
-		site_unref(site);
-		g_bytes_unref(value);
-		g_free(s);
-
-		s = g_strdup_printf("{\"service\":\"%s\",\"address\":"
-				    "\"10.0.0.9:80\",\"zone\":\"%s\","
-				    "\"version\":\"%s\",\"state\":\"ready\","
-				    "\"freeCapacity\":{\"cpu\":1},"
-				    "\"labels\":[\"%s\"]}",
-				    n, n, n, n);
-		value = text(s);
-		assert_true(wire_formats.read_server(n, value, &info, NULL));
-		assert_string_equal(info.id, n);
-		assert_string_equal(info.pool, n);
-		assert_string_equal(info.data_centre, n);
-		assert_string_equal(info.version, n);
-		assert_string_equal(info.labels[0], n);
-		g_bytes_unref(value);
-		g_free(s);
-
-		s = g_strdup_printf("{\"steps\":[{\"count\":1,"
-				    "\"requirements\":\"%s\",\"affinity\":"
-				    "\"%s\",\"image\":\"%s\"}]}",
-				    n, n, n);
-		value = text(s);
-		spec = wire_read_job(value, NULL);
-		assert_string_equal(spec->steps[0].label, n);
-		assert_string_equal(spec->steps[0].rack, n);
-		assert_string_equal(spec->steps[0].image, n);
-		batch_spec_destroy(spec);
-		g_bytes_unref(value);
-		g_free(s);
-
-		s = g_strdup_printf("{\"machines\":[{\"machine\":\"%s\","
-				    "\"pool\":\"%s\",\"zone\":\"%s\","
-				    "\"id\":\"%s\",\"labels\":[\"%s\"],"
-				    "\"state\":\"up\"}]}",
-				    n, n, n, n, n);
-		a = answered(200, s);
-		d = wire_order_decode(o, &a, 1, 2);
-		host = g_ptr_array_index(d->hosts, 0);
-		assert_string_equal(host->name, n);
-		assert_string_equal(host->server, n);
-		assert_string_equal(host->labels[0], n);
-		order_reply_free(d);
-		g_bytes_unref(a.body);
-		g_free(s);
-		order_free(o);
-
-		o = order_new(ORDER_ADVISE);
-		s = g_strdup_printf("{\"allowed\":[[\"%s\",\"t\"]]}", n);
-		a = answered(200, s);
-		d = wire_order_decode(o, &a, 1, 2);
-		ticket = g_ptr_array_index(d->tickets, 0);
-		assert_string_equal(ticket->server, n);
-		order_reply_free(d);
-		g_bytes_unref(a.body);
-		g_free(s);
-		order_free(o);
+		configuration_has_name(n);
+		server_has_name(n);
+		job_has_name(n);
+		host_has_name(n);
+		ticket_has_name(n);
 	}
 }
 
